Lay out the workspace: base package, ports, build and checks

Cause: an empty repository. Change: CMake packages with exported targets, strong ids, units, deadlines, errors (Boost.LEAF), logs (Boost.Log), metrics (Boost.Accumulators), named invariants, the platform's ports, and the values that enter and leave the traffic core. ./test checks format, lint, generated code, unit tests and sanitizers. Conclusion: the seams stand; implementations follow.

--- /dev/null
+++ b/cmake/dependencies.cmake
@@ -0,0 +1,18 @@
+# Every third-party library, found once. All come from Debian's packages (see scripts/install-dependencies).
+find_package(Threads REQUIRED)
+find_package(Boost 1.81 REQUIRED COMPONENTS log thread)
+
+find_package(docopt REQUIRED)
+find_package(yaml-cpp REQUIRED)
+find_package(nlohmann_json REQUIRED)
+find_package(PkgConfig REQUIRED)
+pkg_check_modules(HTTPLIB REQUIRED IMPORTED_TARGET cpp-httplib)
+pkg_check_modules(CAPNP REQUIRED IMPORTED_TARGET capnp-rpc)
+pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
+if(RATTANRACK_BUILD_TESTS)
+    find_package(GTest REQUIRED)
+    find_package(rapidcheck REQUIRED)
+endif()
+if(RATTANRACK_BUILD_TOOLS)
+    find_package(benchmark REQUIRED)
+endif()
--- /dev/null
+++ b/packages/peer/include/rattanrack/peer/messages.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "rattanrack/base/ids.h"
+#include "rattanrack/policy/claims.h"
+#include "rattanrack/policy/traffic.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+/// What nodes say to each other, as plain values. The Cap'n Proto schema stays inside this package.
+namespace rattanrack::peer {
+
+/// Sent to every peer at a steady pace: proof of life, and a digest of what the sender has in force.
+struct Heartbeat {
+    NodeId from;
+    std::string address; ///< "ip:port" at which the sender takes peer messages.
+    DataCenterId dataCenter;
+    std::uint64_t sequence { 0 }; ///< Grows by one with each heartbeat of one node.
+    std::uint64_t configVersion { 0 }; ///< Version of the configuration that the sender has in force.
+    std::uint64_t viewVersion { 0 }; ///< Highest table version that the sender's fleet view reflects.
+    bool isLeaving { false };
+};
+
+/// A whole accepted configuration, spread to a peer that reports an older one.
+struct ConfigAnnouncement {
+    std::uint64_t version { 0 };
+    std::string document; ///< Merged configuration, as stored in the table.
+};
+
+struct CreditAskMessage {
+    policy::CreditAsk ask;
+};
+struct CreditGrantMessage {
+    policy::CreditGrant grant;
+};
+
+/// Asks the home of a key's shard to record a claim, or a change of its state.
+struct ClaimRequest {
+    std::uint64_t exchange { 0 }; ///< Chosen by the sender; comes back in the reply.
+    NodeId from;
+    policy::Claim claim;
+};
+struct ClaimReply {
+    std::uint64_t exchange { 0 };
+    policy::ClaimAnswer answer;
+};
+
+using Message
+    = std::variant<Heartbeat, ConfigAnnouncement, CreditAskMessage, CreditGrantMessage, ClaimRequest, ClaimReply>;
+
+} // namespace rattanrack::peer
