--- a/packages/policy/include/rattanrack/policy/traffic.h
+++ b/packages/policy/include/rattanrack/policy/traffic.h
@@ -118,6 +118,7 @@
 struct HomeChanged {
     PoolId pool;
     NodeId home;
+    std::uint64_t term { 0 }; ///< Version of the home's seat.
 };
 
 /// A credit is the right to use one slot of one worker.
@@ -136,15 +137,23 @@
     Duration oldestWait {}; ///< How long the first in line has waited.
     std::vector<Credit> idle; ///< Credits held and not in use.
     std::vector<Credit> inUse;
+    std::uint64_t number { 0 }; ///< Rises with each ask of one holder; the home ignores older ones.
+    std::uint64_t lastGrant { 0 }; ///< Number of the last grant that this report includes.
 };
 
-/// The home's answer or a recall: the holder owns exactly `granted` more and gives back `recalled` once idle.
+/// The home's answer or a recall: the holder owns exactly `granted` more and gives back `recalled` if still idle.
 struct CreditGrant {
     PoolId pool;
     NodeId to;
     std::uint64_t term { 0 }; ///< Version of the home's seat; lower terms are ignored.
     std::vector<Credit> granted;
     std::vector<Credit> recalled;
+    std::uint64_t number { 0 }; ///< Rises with each grant to one holder; the holder ignores older ones.
+    std::uint32_t wanted {
+        0
+    }; ///< Credits that the holder gives back as they come free, unless its own first is ahead.
+    Urgency firstUrgency { Urgency::Normal }; ///< Urgency of the first request that waits elsewhere.
+    Duration firstWait {}; ///< How long that request has waited.
 };
 
 struct CreditAsked {
@@ -154,6 +163,13 @@
     CreditGrant grant;
 };
 
+/// What a running attempt uses, as its worker reports it, seconds late.
+struct UsageReported {
+    RequestId request;
+    VmId worker;
+    ResourceSize used;
+};
+
 /// No more requests are taken; queued ones end as ShuttingDown only when they can't run before `lastDispatch`.
 struct StopAdmitting {
     Deadline lastDispatch;
@@ -163,7 +179,7 @@
 struct Tick { };
 
 using TrafficEvent = std::variant<Submit, Cancel, AttemptEnded, ViewChanged, PeersChanged, HomeChanged, CreditAsked,
-    CreditGranted, StopAdmitting, Tick>;
+    CreditGranted, UsageReported, StopAdmitting, Tick>;
 
 // ---- Decisions ----
 
@@ -194,6 +210,16 @@
     VmId worker;
 };
 
+/// What to do to an attempt that uses more than it declared.
+enum class Restraint : std::uint8_t { Throttle, Checkpoint };
+
+/// Tell the worker to throttle the running attempt of a request, or to checkpoint it.
+struct RestrainAttempt {
+    RequestId request;
+    VmId worker;
+    Restraint restraint { Restraint::Throttle };
+};
+
 struct SendAsk {
     NodeId home;
     CreditAsk ask;
@@ -202,7 +228,8 @@
     CreditGrant grant;
 };
 
-using TrafficDecision = std::variant<Dispatch, RejectRequest, ConcludeRequest, StopAttempt, SendAsk, SendGrant>;
+using TrafficDecision
+    = std::variant<Dispatch, RejectRequest, ConcludeRequest, StopAttempt, RestrainAttempt, SendAsk, SendGrant>;
 using TrafficDecisions = std::vector<TrafficDecision>;
 
 /// Decides what runs where and when, for one node. Deterministic: the same events at the same times give the same
