Carry messages between nodes over Cap'n Proto RPC

Cause: nodes need one-way messages to each other that never block the control thread. Change: packages/peer with the schema, a codec, one KJ event loop thread, batches with one call under way for each peer, bounded queues (1,024 messages, 2 MB, 3 s), jittered backoff from 50 ms to 2 s, and bounds on inbound bytes: 1 MB a message, 4 MB and 128 connections; senders open a new connection after 1 MB. A connection that sends anything else than well-formed batches is closed.

--- /dev/null
+++ b/packages/peer/src/codec.cpp
@@ -0,0 +1,244 @@
+#include "codec.h"
+
+#include <kj/exception.h>
+
+#include <optional>
+#include <utility>
+
+namespace rattanrack::peer {
+
+namespace {
+
+constexpr std::size_t fixedSizeBound = 512;
+constexpr std::size_t creditSizeBound = 32;
+
+std::string text(capnp::Text::Reader reader) { return { reader.cStr(), reader.size() }; }
+
+std::string bytes(capnp::Data::Reader reader)
+{
+    return { reinterpret_cast<const char*>(reader.begin()), reader.size() };
+}
+
+capnp::Data::Reader dataOf(const std::string& value)
+{
+    return { reinterpret_cast<const kj::byte*>(value.data()), value.size() };
+}
+
+void encodeCredits(const std::vector<policy::Credit>& credits, capnp::List<wire::Credit>::Builder target)
+{
+    for (unsigned i = 0; i < target.size(); ++i) {
+        target[i].setWorker(credits[i].worker.value());
+        target[i].setCount(credits[i].count);
+    }
+}
+
+std::vector<policy::Credit> decodeCredits(capnp::List<wire::Credit>::Reader source)
+{
+    std::vector<policy::Credit> credits;
+    for (const auto credit : source)
+        credits.push_back({ VmId { text(credit.getWorker()) }, credit.getCount() });
+    return credits;
+}
+
+void encodeClaim(const policy::Claim& claim, wire::Claim::Builder target)
+{
+    target.setKey(claim.key.value());
+    target.setFingerprint(claim.fingerprint);
+    target.setAttempt(claim.attempt.value());
+    target.setOwner(claim.owner.value());
+    target.setState(static_cast<wire::ClaimState>(claim.state));
+    target.setOutput(dataOf(claim.output));
+}
+
+std::optional<policy::Claim> decodeClaim(wire::Claim::Reader source)
+{
+    if (source.getState() > wire::ClaimState::FAILED)
+        return std::nullopt;
+    policy::Claim claim;
+    claim.key = IdempotencyKey { text(source.getKey()) };
+    claim.fingerprint = source.getFingerprint();
+    claim.attempt = AttemptId { text(source.getAttempt()) };
+    claim.owner = NodeId { text(source.getOwner()) };
+    claim.state = static_cast<policy::ClaimState>(source.getState());
+    claim.output = bytes(source.getOutput());
+    return claim;
+}
+
+struct Encoder {
+    wire::Message::Builder target;
+
+    void operator()(const Heartbeat& message)
+    {
+        auto heartbeat = target.initHeartbeat();
+        heartbeat.setFrom(message.from.value());
+        heartbeat.setAddress(message.address);
+        heartbeat.setDataCenter(message.dataCenter.value());
+        heartbeat.setSequence(message.sequence);
+        heartbeat.setConfigVersion(message.configVersion);
+        heartbeat.setViewVersion(message.viewVersion);
+        heartbeat.setIsLeaving(message.isLeaving);
+    }
+
+    void operator()(const ConfigAnnouncement& message)
+    {
+        auto announcement = target.initConfigAnnouncement();
+        announcement.setVersion(message.version);
+        announcement.setDocument(message.document);
+    }
+
+    void operator()(const CreditAskMessage& message)
+    {
+        auto ask = target.initCreditAsk();
+        ask.setPool(message.ask.pool.value());
+        ask.setFrom(message.ask.from.value());
+        ask.setUrgentWaiting(message.ask.urgentWaiting);
+        ask.setNormalWaiting(message.ask.normalWaiting);
+        ask.setBackgroundWaiting(message.ask.backgroundWaiting);
+        ask.setOldestWaitMicroseconds(message.ask.oldestWait.count());
+        encodeCredits(message.ask.idle, ask.initIdle(static_cast<unsigned>(message.ask.idle.size())));
+        encodeCredits(message.ask.inUse, ask.initInUse(static_cast<unsigned>(message.ask.inUse.size())));
+    }
+
+    void operator()(const CreditGrantMessage& message)
+    {
+        auto grant = target.initCreditGrant();
+        grant.setPool(message.grant.pool.value());
+        grant.setTo(message.grant.to.value());
+        grant.setTerm(message.grant.term);
+        encodeCredits(message.grant.granted, grant.initGranted(static_cast<unsigned>(message.grant.granted.size())));
+        encodeCredits(message.grant.recalled, grant.initRecalled(static_cast<unsigned>(message.grant.recalled.size())));
+    }
+
+    void operator()(const ClaimRequest& message)
+    {
+        auto request = target.initClaimRequest();
+        request.setExchange(message.exchange);
+        request.setFrom(message.from.value());
+        encodeClaim(message.claim, request.initClaim());
+    }
+
+    void operator()(const ClaimReply& message)
+    {
+        auto reply = target.initClaimReply();
+        reply.setExchange(message.exchange);
+        reply.setVerdict(static_cast<wire::ClaimVerdict>(message.answer.verdict));
+        encodeClaim(message.answer.claim, reply.initClaim());
+    }
+};
+
+Heartbeat decodeHeartbeat(wire::Heartbeat::Reader source)
+{
+    Heartbeat heartbeat;
+    heartbeat.from = NodeId { text(source.getFrom()) };
+    heartbeat.address = text(source.getAddress());
+    heartbeat.dataCenter = DataCenterId { text(source.getDataCenter()) };
+    heartbeat.sequence = source.getSequence();
+    heartbeat.configVersion = source.getConfigVersion();
+    heartbeat.viewVersion = source.getViewVersion();
+    heartbeat.isLeaving = source.getIsLeaving();
+    return heartbeat;
+}
+
+CreditAskMessage decodeAsk(wire::CreditAsk::Reader source)
+{
+    policy::CreditAsk ask;
+    ask.pool = PoolId { text(source.getPool()) };
+    ask.from = NodeId { text(source.getFrom()) };
+    ask.urgentWaiting = source.getUrgentWaiting();
+    ask.normalWaiting = source.getNormalWaiting();
+    ask.backgroundWaiting = source.getBackgroundWaiting();
+    ask.oldestWait = Duration { source.getOldestWaitMicroseconds() };
+    ask.idle = decodeCredits(source.getIdle());
+    ask.inUse = decodeCredits(source.getInUse());
+    return { std::move(ask) };
+}
+
+CreditGrantMessage decodeGrant(wire::CreditGrant::Reader source)
+{
+    policy::CreditGrant grant;
+    grant.pool = PoolId { text(source.getPool()) };
+    grant.to = NodeId { text(source.getTo()) };
+    grant.term = source.getTerm();
+    grant.granted = decodeCredits(source.getGranted());
+    grant.recalled = decodeCredits(source.getRecalled());
+    return { std::move(grant) };
+}
+
+std::optional<Message> decodeClaimRequest(wire::ClaimRequest::Reader source)
+{
+    auto claim = decodeClaim(source.getClaim());
+    if (!claim)
+        return std::nullopt;
+    return ClaimRequest { source.getExchange(), NodeId { text(source.getFrom()) }, std::move(*claim) };
+}
+
+std::optional<Message> decodeClaimReply(wire::ClaimReply::Reader source)
+{
+    auto claim = decodeClaim(source.getClaim());
+    if (!claim || source.getVerdict() > wire::ClaimVerdict::UNAVAILABLE)
+        return std::nullopt;
+    const auto verdict = static_cast<policy::ClaimVerdict>(source.getVerdict());
+    return ClaimReply { source.getExchange(), { verdict, std::move(*claim) } };
+}
+
+std::optional<Message> decodeAny(wire::Message::Reader source)
+{
+    switch (source.which()) {
+    case wire::Message::HEARTBEAT:
+        return decodeHeartbeat(source.getHeartbeat());
+    case wire::Message::CONFIG_ANNOUNCEMENT: {
+        const auto announcement = source.getConfigAnnouncement();
+        return ConfigAnnouncement { announcement.getVersion(), text(announcement.getDocument()) };
+    }
+    case wire::Message::CREDIT_ASK:
+        return decodeAsk(source.getCreditAsk());
+    case wire::Message::CREDIT_GRANT:
+        return decodeGrant(source.getCreditGrant());
+    case wire::Message::CLAIM_REQUEST:
+        return decodeClaimRequest(source.getClaimRequest());
+    case wire::Message::CLAIM_REPLY:
+        return decodeClaimReply(source.getClaimReply());
+    }
+    return std::nullopt;
+}
+
+struct VariableSize {
+    std::size_t operator()(const Heartbeat& message) const { return message.address.size(); }
+    std::size_t operator()(const ConfigAnnouncement& message) const { return message.document.size(); }
+    std::size_t operator()(const CreditAskMessage& message) const
+    {
+        return credits(message.ask.idle) + credits(message.ask.inUse);
+    }
+    std::size_t operator()(const CreditGrantMessage& message) const
+    {
+        return credits(message.grant.granted) + credits(message.grant.recalled);
+    }
+    std::size_t operator()(const ClaimRequest& message) const { return claim(message.claim); }
+    std::size_t operator()(const ClaimReply& message) const { return claim(message.answer.claim); }
+
+    static std::size_t credits(const std::vector<policy::Credit>& credits)
+    {
+        std::size_t total = 0;
+        for (const policy::Credit& credit : credits)
+            total += creditSizeBound + credit.worker.value().size();
+        return total;
+    }
+    static std::size_t claim(const policy::Claim& claim) { return claim.key.value().size() + claim.output.size(); }
+};
+
+} // namespace
+
+void encode(const Message& message, wire::Message::Builder target) { std::visit(Encoder { target }, message); }
+
+Result<Message> decode(wire::Message::Reader source)
+{
+    std::optional<Message> message;
+    const auto exception = kj::runCatchingExceptions([&] { message = decodeAny(source); });
+    if (exception != nullptr || !message)
+        return fail(ErrorCode::MalformedMessage, "peer.decode");
+    return std::move(*message);
+}
+
+std::size_t encodedSizeBound(const Message& message) { return fixedSizeBound + std::visit(VariableSize {}, message); }
+
+} // namespace rattanrack::peer
--- /dev/null
+++ b/packages/peer/src/inbound.cpp
@@ -0,0 +1,118 @@
+#include "inbound.h"
+
+#include "bounds.h"
+#include "codec.h"
+
+#include "rattanrack/base/log.h"
+
+#include <capnp/rpc-twoparty.h>
+
+#include <utility>
+
+namespace rattanrack::peer {
+
+namespace {
+
+class Service final : public wire::PeerService::Server {
+public:
+    Service(Inbound& inbound, std::uint64_t connectionId)
+        : m_inbound(inbound)
+        , m_connectionId(connectionId)
+    {
+    }
+
+protected:
+    kj::Promise<void> deliver(DeliverContext context) override
+    {
+        const bool isWellFormed = handle(
+            [&]() -> Result<bool> {
+                BOOST_LEAF_CHECK(deliverAll(context.getParams().getMessages()));
+                return true;
+            },
+            [](const Error&) { return false; });
+        if (!isWellFormed)
+            m_inbound.close(m_connectionId);
+        context.releaseParams();
+        return kj::READY_NOW;
+    }
+
+private:
+    Result<void> deliverAll(capnp::List<wire::Message>::Reader messages)
+    {
+        if (messages.size() > maxBatchMessages)
+            return fail(ErrorCode::MalformedMessage, "peer.batch");
+        for (const auto source : messages) {
+            BOOST_LEAF_AUTO(message, decode(source));
+            m_inbound.onMessage()(std::move(message));
+        }
+        return {};
+    }
+
+    Inbound& m_inbound;
+    std::uint64_t m_connectionId;
+};
+
+} // namespace
+
+class Inbound::Connection {
+public:
+    Connection(Inbound& inbound, std::uint64_t id, kj::Own<kj::AsyncIoStream> stream)
+        : m_stream(kj::mv(stream), inbound.m_counters, StreamLimits { maxConnectionBytes })
+        , m_network(m_stream, capnp::rpc::twoparty::Side::SERVER, readerOptions())
+        , m_system(capnp::makeRpcServer(m_network, kj::heap<Service>(inbound, id)))
+    {
+        m_system.setFlowLimit(maxMessageBytes / sizeof(capnp::word));
+    }
+
+    kj::Promise<void> onDisconnect() { return m_network.onDisconnect(); }
+
+private:
+    CountingStream m_stream;
+    capnp::TwoPartyVatNetwork m_network;
+    capnp::RpcSystem<capnp::rpc::twoparty::VatId> m_system;
+};
+
+Inbound::Inbound(kj::Own<kj::ConnectionReceiver> receiver, ByteCounters& counters, PeerNetwork::OnMessage onMessage)
+    : m_receiver(kj::mv(receiver))
+    , m_counters(counters)
+    , m_onMessage(std::move(onMessage))
+    , m_tasks(*this)
+{
+    m_tasks.add(acceptLoop());
+}
+
+Inbound::~Inbound() = default;
+
+void Inbound::close(std::uint64_t connectionId)
+{
+    m_tasks.add(kj::evalLater([this, connectionId] { m_connections.erase(connectionId); }));
+}
+
+void Inbound::taskFailed(kj::Exception&& exception)
+{
+    logEvent("peer.inbound_failed", { { "detail", exception.getDescription().cStr() } }, LogLevel::Debug);
+}
+
+kj::Promise<void> Inbound::acceptLoop()
+{
+    return m_receiver->accept().then(
+        [this](kj::Own<kj::AsyncIoStream> stream) {
+            accept(kj::mv(stream));
+            return acceptLoop();
+        },
+        [this](kj::Exception&&) { return kj::evalLater([this] { return acceptLoop(); }); });
+}
+
+void Inbound::accept(kj::Own<kj::AsyncIoStream> stream)
+{
+    if (m_connections.size() >= maxInboundConnections) {
+        logEvent("peer.too_many_connections", { { "limit", maxInboundConnections } }, LogLevel::Warning);
+        return;
+    }
+    const std::uint64_t id = ++m_nextId;
+    auto connection = std::make_unique<Connection>(*this, id, kj::mv(stream));
+    m_tasks.add(connection->onDisconnect().then([this, id] { close(id); }, [this, id](kj::Exception&&) { close(id); }));
+    m_connections.emplace(id, std::move(connection));
+}
+
+} // namespace rattanrack::peer
--- /dev/null
+++ b/packages/peer/src/outbound.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "counting_stream.h"
+#include "socket_address.h"
+
+#include "rattanrack/base/time.h"
+#include "rattanrack/peer/messages.h"
+
+#include <kj/async-io.h>
+
+#include <deque>
+#include <memory>
+#include <random>
+#include <string>
+
+namespace rattanrack::peer {
+
+/// What an outbound connection uses of its network. Outlives it.
+struct OutboundContext {
+    kj::Network& network;
+    kj::Timer& timer;
+    ByteCounters& counters;
+    std::minstd_rand& random;
+};
+
+/// The bounded queue and the connection towards one peer. Belongs to the network's thread.
+class Outbound final : private kj::TaskSet::ErrorHandler {
+public:
+    Outbound(OutboundContext context, std::string name, SocketAddress address);
+    ~Outbound();
+
+    /// Queues a message and sends it as soon as the batch before it has arrived.
+    void send(Message message);
+
+private:
+    class Connection;
+    struct Queued {
+        Message message;
+        std::size_t bytes { 0 };
+        Deadline deadline;
+    };
+
+    void taskFailed(kj::Exception&& exception) override;
+    void dropFront();
+    void dropOverdue();
+    void pump();
+    kj::Promise<void> pauseAfter(const kj::Exception& exception);
+    kj::Promise<void> sendBatch();
+    kj::Promise<void> connect();
+    std::size_t batchSize() const;
+    Duration nextBackoff();
+    TimePoint now() const;
+
+    OutboundContext m_context;
+    std::string m_name;
+    kj::Own<kj::NetworkAddress> m_address;
+    std::deque<Queued> m_queue;
+    std::size_t m_queuedBytes { 0 };
+    Duration m_backoff {};
+    bool m_isBusy { false };
+    std::unique_ptr<Connection> m_connection;
+    kj::TaskSet m_tasks;
+};
+
+} // namespace rattanrack::peer
--- /dev/null
+++ b/packages/peer/src/peer.capnp
@@ -0,0 +1,95 @@
+@0xc3a1f0b2d4e59687;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("rattanrack::peer::wire");
+
+# What one node offers to the others.
+interface PeerService {
+  # Hands over messages in order. Returns when they are taken in, so that the sender has one batch under way at a time.
+  deliver @0 (messages :List(Message)) -> ();
+}
+
+struct Message {
+  union {
+    heartbeat @0 :Heartbeat;
+    configAnnouncement @1 :ConfigAnnouncement;
+    creditAsk @2 :CreditAsk;
+    creditGrant @3 :CreditGrant;
+    claimRequest @4 :ClaimRequest;
+    claimReply @5 :ClaimReply;
+  }
+}
+
+struct Heartbeat {
+  from @0 :Text;
+  address @1 :Text;
+  dataCenter @2 :Text;
+  sequence @3 :UInt64;
+  configVersion @4 :UInt64;
+  viewVersion @5 :UInt64;
+  isLeaving @6 :Bool;
+}
+
+struct ConfigAnnouncement {
+  version @0 :UInt64;
+  document @1 :Text;
+}
+
+struct Credit {
+  worker @0 :Text;
+  count @1 :UInt32;
+}
+
+struct CreditAsk {
+  pool @0 :Text;
+  from @1 :Text;
+  urgentWaiting @2 :UInt32;
+  normalWaiting @3 :UInt32;
+  backgroundWaiting @4 :UInt32;
+  oldestWaitMicroseconds @5 :Int64;
+  idle @6 :List(Credit);
+  inUse @7 :List(Credit);
+}
+
+struct CreditGrant {
+  pool @0 :Text;
+  to @1 :Text;
+  term @2 :UInt64;
+  granted @3 :List(Credit);
+  recalled @4 :List(Credit);
+}
+
+enum ClaimState {
+  claimed @0;
+  withdrawn @1;
+  completed @2;
+  failed @3;
+}
+
+struct Claim {
+  key @0 :Text;
+  fingerprint @1 :UInt64;
+  attempt @2 :Text;
+  owner @3 :Text;
+  state @4 :ClaimState;
+  output @5 :Data;
+}
+
+enum ClaimVerdict {
+  granted @0;
+  taken @1;
+  contentDiffers @2;
+  unavailable @3;
+}
+
+struct ClaimRequest {
+  exchange @0 :UInt64;
+  from @1 :Text;
+  claim @2 :Claim;
+}
+
+struct ClaimReply {
+  exchange @0 :UInt64;
+  verdict @1 :ClaimVerdict;
+  claim @2 :Claim;
+}
--- /dev/null
+++ b/packages/peer/src/peer_network.cpp
@@ -0,0 +1,221 @@
+#include "rattanrack/peer/peer_network.h"
+
+#include "bounds.h"
+#include "inbound.h"
+#include "outbound.h"
+
+#include "rattanrack/base/log.h"
+
+#include <kj/async-unix.h>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <deque>
+#include <future>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <random>
+#include <thread>
+#include <utility>
+
+namespace rattanrack::peer {
+
+namespace {
+
+constexpr std::size_t maxPostedCommands = 8192;
+
+/// What other threads ask of the network's thread: a message to send, or none to forget the peer.
+struct Command {
+    std::string address;
+    std::optional<Message> message;
+};
+
+/// Lets other threads wake the event loop.
+class WakePipe {
+public:
+    static Result<WakePipe> create()
+    {
+        int descriptors[2];
+        if (pipe2(descriptors, O_CLOEXEC | O_NONBLOCK) != 0)
+            return fail(ErrorCode::Unavailable, "peer.pipe");
+        return WakePipe { kj::AutoCloseFd { descriptors[0] }, kj::AutoCloseFd { descriptors[1] } };
+    }
+
+    void wake() const
+    {
+        const char byte = 0;
+        // A full pipe already holds a wake-up, so a failed write loses nothing.
+        [[maybe_unused]] const ssize_t written = write(m_writeEnd.get(), &byte, 1);
+    }
+    int readEnd() const { return m_readEnd.get(); }
+
+private:
+    WakePipe(kj::AutoCloseFd readEnd, kj::AutoCloseFd writeEnd)
+        : m_readEnd(kj::mv(readEnd))
+        , m_writeEnd(kj::mv(writeEnd))
+    {
+    }
+
+    kj::AutoCloseFd m_readEnd;
+    kj::AutoCloseFd m_writeEnd;
+};
+
+} // namespace
+
+struct PeerNetwork::State {
+    State(WakePipe pipe, SocketAddress listenAddress, OnMessage handler)
+        : wakePipe(std::move(pipe))
+        , address(listenAddress)
+        , onMessage(std::move(handler))
+    {
+    }
+
+    void post(Command command);
+    void run(std::promise<bool> started);
+    void serve(kj::AsyncIoContext& io, std::promise<bool>& started);
+    std::deque<Command> takePosted(bool& isStopped);
+
+    WakePipe wakePipe;
+    SocketAddress address;
+    OnMessage onMessage;
+    ByteCounters counters;
+    std::mutex mutex;
+    std::deque<Command> posted;
+    bool isStopping { false };
+    std::thread thread;
+};
+
+namespace {
+
+/// The peers that messages go to. Belongs to the network's thread.
+class Outbounds {
+public:
+    explicit Outbounds(OutboundContext context)
+        : m_context(context)
+    {
+    }
+
+    void carryOut(Command command)
+    {
+        if (!command.message)
+            m_peers.erase(command.address);
+        else if (Outbound* peer = find(command.address))
+            peer->send(std::move(*command.message));
+    }
+
+private:
+    Outbound* find(const std::string& address)
+    {
+        const auto found = m_peers.find(address);
+        if (found != m_peers.end())
+            return found->second.get();
+        return handle([&]() -> Result<Outbound*> { return add(address); },
+            [](const Error& error) -> Outbound* {
+                logEvent("peer.cannot_send", { { "error", describe(error) } }, LogLevel::Warning);
+                return nullptr;
+            });
+    }
+
+    Result<Outbound*> add(const std::string& address)
+    {
+        if (m_peers.size() >= maxPeers)
+            return fail(ErrorCode::Refused, "peer.send", address, "too many peers");
+        BOOST_LEAF_AUTO(socketAddress, parseSocketAddress(address));
+        auto& peer = m_peers[address];
+        peer = std::make_unique<Outbound>(m_context, address, socketAddress);
+        return peer.get();
+    }
+
+    OutboundContext m_context;
+    std::map<std::string, std::unique_ptr<Outbound>> m_peers;
+};
+
+} // namespace
+
+void PeerNetwork::State::post(Command command)
+{
+    const std::lock_guard lock(mutex);
+    posted.push_back(std::move(command));
+    if (posted.size() > maxPostedCommands)
+        posted.pop_front();
+    if (posted.size() == 1)
+        wakePipe.wake();
+}
+
+std::deque<Command> PeerNetwork::State::takePosted(bool& isStopped)
+{
+    const std::lock_guard lock(mutex);
+    isStopped = isStopping;
+    return std::exchange(posted, {});
+}
+
+void PeerNetwork::State::run(std::promise<bool> started)
+{
+    auto io = kj::setupAsyncIo();
+    const auto exception = kj::runCatchingExceptions([&] { serve(io, started); });
+    KJ_IF_MAYBE (failure, exception) {
+        logEvent("peer.network_ended", { { "detail", failure->getDescription().cStr() } }, LogLevel::Error);
+        kj::runCatchingExceptions([&] { started.set_value(false); });
+    }
+}
+
+void PeerNetwork::State::serve(kj::AsyncIoContext& io, std::promise<bool>& started)
+{
+    auto& network = io.provider->getNetwork();
+    Inbound inbound(network.getSockaddr(address.socketAddress(), address.size)->listen(), counters, onMessage);
+    std::minstd_rand random { std::random_device {}() };
+    Outbounds outbounds({ network, io.provider->getTimer(), counters, random });
+    auto wakeStream = io.lowLevelProvider->wrapInputFd(wakePipe.readEnd());
+    started.set_value(true);
+
+    char buffer[64];
+    bool isStopped = false;
+    while (!isStopped) {
+        wakeStream->tryRead(buffer, 1, sizeof(buffer)).wait(io.waitScope);
+        for (Command& command : takePosted(isStopped))
+            outbounds.carryOut(std::move(command));
+    }
+}
+
+PeerNetwork::PeerNetwork(std::unique_ptr<State> state)
+    : m_state(std::move(state))
+{
+}
+
+Result<std::unique_ptr<PeerNetwork>> PeerNetwork::create(const std::string& listenAddress, OnMessage onMessage)
+{
+    BOOST_LEAF_AUTO(address, parseSocketAddress(listenAddress));
+    BOOST_LEAF_AUTO(pipe, WakePipe::create());
+    auto state = std::make_unique<State>(std::move(pipe), address, std::move(onMessage));
+    std::promise<bool> started;
+    std::future<bool> hasStarted = started.get_future();
+    state->thread
+        = std::thread([raw = state.get(), started = std::move(started)]() mutable { raw->run(std::move(started)); });
+    std::unique_ptr<PeerNetwork> network { new PeerNetwork { std::move(state) } };
+    if (!hasStarted.get())
+        return fail(ErrorCode::Unavailable, "peer.listen", listenAddress);
+    return network;
+}
+
+PeerNetwork::~PeerNetwork()
+{
+    {
+        const std::lock_guard lock(m_state->mutex);
+        m_state->isStopping = true;
+    }
+    m_state->wakePipe.wake();
+    m_state->thread.join();
+}
+
+void PeerNetwork::send(const std::string& address, Message message) { m_state->post({ address, std::move(message) }); }
+
+void PeerNetwork::forget(const std::string& address) { m_state->post({ address, std::nullopt }); }
+
+PeerNetwork::Traffic PeerNetwork::traffic() const
+{
+    return { m_state->counters.sent.load(), m_state->counters.received.load() };
+}
+
+} // namespace rattanrack::peer
--- /dev/null
+++ b/packages/peer/tests/peer_network_tests.cpp
@@ -0,0 +1,251 @@
+#include "rattanrack/peer/peer_network.h"
+
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <condition_variable>
+#include <mutex>
+#include <random>
+
+namespace rattanrack::peer {
+namespace {
+
+constexpr auto patience = std::chrono::seconds { 20 };
+
+/// Collects messages from the network's thread.
+class Inbox {
+public:
+    PeerNetwork::OnMessage receiver()
+    {
+        return [this](Message message) {
+            const std::lock_guard lock(m_mutex);
+            m_messages.push_back(std::move(message));
+            m_arrived.notify_all();
+        };
+    }
+    bool waitFor(std::size_t count)
+    {
+        std::unique_lock lock(m_mutex);
+        return m_arrived.wait_for(lock, patience, [&] { return m_messages.size() >= count; });
+    }
+    std::vector<Message> messages()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_messages;
+    }
+
+private:
+    std::mutex m_mutex;
+    std::condition_variable m_arrived;
+    std::vector<Message> m_messages;
+};
+
+/// A port that was free a moment ago.
+std::string freeAddress()
+{
+    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    EXPECT_EQ(0, bind(descriptor, reinterpret_cast<sockaddr*>(&address), size));
+    EXPECT_EQ(0, getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size));
+    close(descriptor);
+    return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+}
+
+/// A plain connection, for bytes that no peer would send.
+class RawConnection {
+public:
+    explicit RawConnection(const std::string& target)
+        : m_descriptor(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        address.sin_port = htons(static_cast<std::uint16_t>(std::stoi(target.substr(target.find(':') + 1))));
+        EXPECT_EQ(0, connect(m_descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address)));
+        const timeval limit { patience.count(), 0 };
+        setsockopt(m_descriptor, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+    }
+    ~RawConnection() { close(m_descriptor); }
+    RawConnection(const RawConnection&) = delete;
+    RawConnection& operator=(const RawConnection&) = delete;
+
+    void write(const std::string& bytes)
+    {
+        [[maybe_unused]] const ssize_t sent = ::send(m_descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    }
+    void finishWriting() { shutdown(m_descriptor, SHUT_WR); }
+    bool isClosedByPeer()
+    {
+        char buffer[4096];
+        ssize_t count = 0;
+        while ((count = recv(m_descriptor, buffer, sizeof(buffer), 0)) > 0) { }
+        return count == 0 || errno == ECONNRESET;
+    }
+
+private:
+    int m_descriptor;
+};
+
+std::unique_ptr<PeerNetwork> networkAt(const std::string& address, Inbox& inbox)
+{
+    return handle([&] { return PeerNetwork::create(address, inbox.receiver()); },
+        [](const Error& error) {
+            ADD_FAILURE() << error;
+            return std::unique_ptr<PeerNetwork> {};
+        });
+}
+
+ErrorCode createError(const std::string& address)
+{
+    return handle(
+        [&]() -> Result<ErrorCode> {
+            BOOST_LEAF_CHECK(PeerNetwork::create(address, [](const Message&) {}));
+            return ErrorCode::Internal;
+        },
+        [](const Error& error) { return error.code; });
+}
+
+Heartbeat heartbeat(std::uint64_t sequence)
+{
+    return { NodeId { "n1" }, "127.0.0.1:1", DataCenterId { "dc1" }, sequence, 7, 9, true };
+}
+
+TEST(PeerNetwork, CarriesEveryKindOfMessageWhole)
+{
+    Inbox inbox;
+    Inbox unused;
+    const std::string target = freeAddress();
+    const auto receiver = networkAt(target, inbox);
+    const auto sender = networkAt(freeAddress(), unused);
+    const policy::Claim claim { IdempotencyKey { "k" }, 5, AttemptId { "a" }, NodeId { "n" },
+        policy::ClaimState::Completed, std::string("\0out", 4) };
+    const policy::CreditAsk ask { PoolId { "p" }, NodeId { "n" }, 1, 2, 3, Duration { 4 }, { { VmId { "w1" }, 5 } },
+        { { VmId { "w2" }, 6 } } };
+    sender->send(target, heartbeat(3));
+    sender->send(target, ConfigAnnouncement { 8, "document" });
+    sender->send(target, CreditAskMessage { ask });
+    sender->send(target, CreditGrantMessage { { PoolId { "p" }, NodeId { "m" }, 11, { { VmId { "w" }, 1 } }, {} } });
+    sender->send(target, ClaimRequest { 12, NodeId { "n" }, claim });
+    sender->send(target, ClaimReply { 13, { policy::ClaimVerdict::Taken, claim } });
+
+    ASSERT_TRUE(inbox.waitFor(6));
+    const auto messages = inbox.messages();
+    const auto& beat = std::get<Heartbeat>(messages[0]);
+    EXPECT_EQ(beat.from, NodeId { "n1" });
+    EXPECT_EQ(beat.address, "127.0.0.1:1");
+    EXPECT_EQ(beat.dataCenter, DataCenterId { "dc1" });
+    EXPECT_EQ(beat.sequence, 3U);
+    EXPECT_EQ(beat.configVersion, 7U);
+    EXPECT_EQ(beat.viewVersion, 9U);
+    EXPECT_TRUE(beat.isLeaving);
+    EXPECT_EQ(std::get<ConfigAnnouncement>(messages[1]).document, "document");
+    const auto& arrivedAsk = std::get<CreditAskMessage>(messages[2]).ask;
+    EXPECT_EQ(arrivedAsk.oldestWait, Duration { 4 });
+    EXPECT_EQ(arrivedAsk.idle.at(0).worker, VmId { "w1" });
+    EXPECT_EQ(arrivedAsk.inUse.at(0).count, 6U);
+    EXPECT_EQ(std::get<CreditGrantMessage>(messages[3]).grant.term, 11U);
+    EXPECT_EQ(std::get<ClaimRequest>(messages[4]).claim, claim);
+    EXPECT_EQ(std::get<ClaimReply>(messages[5]).answer.verdict, policy::ClaimVerdict::Taken);
+    EXPECT_GT(sender->traffic().bytesSent, 0U);
+    EXPECT_GT(receiver->traffic().bytesReceived, 0U);
+}
+
+TEST(PeerNetwork, KeepsOrderOverManyBatchesAndConnections)
+{
+    Inbox inbox;
+    Inbox unused;
+    const std::string target = freeAddress();
+    const auto receiver = networkAt(target, inbox);
+    const auto sender = networkAt(freeAddress(), unused);
+    constexpr std::uint64_t count = 30;
+    const std::string document(200'000, 'x'); // together beyond what one connection carries
+    for (std::uint64_t i = 0; i < count; ++i) {
+        sender->send(target, ConfigAnnouncement { i, document });
+        ASSERT_TRUE(inbox.waitFor(i + 1));
+    }
+    for (std::uint64_t i = 0; i < count; ++i)
+        EXPECT_EQ(std::get<ConfigAnnouncement>(inbox.messages()[i]).version, i);
+}
+
+TEST(PeerNetwork, ReconnectsToAPeerThatStartsAgain)
+{
+    Inbox first;
+    Inbox second;
+    Inbox unused;
+    const std::string target = freeAddress();
+    const auto sender = networkAt(freeAddress(), unused);
+    auto receiver = networkAt(target, first);
+    sender->send(target, heartbeat(1));
+    ASSERT_TRUE(first.waitFor(1));
+    receiver.reset();
+    receiver = networkAt(target, second);
+    for (std::uint64_t i = 2; second.messages().empty() && i < 1000; ++i) {
+        sender->send(target, heartbeat(i));
+        std::this_thread::sleep_for(std::chrono::milliseconds { 10 });
+    }
+    EXPECT_TRUE(second.waitFor(1));
+}
+
+TEST(PeerNetwork, AFloodTowardsAnUnreachablePeerIsBounded)
+{
+    Inbox inbox;
+    Inbox unused;
+    const std::string target = freeAddress();
+    const auto sender = networkAt(freeAddress(), unused);
+    for (std::uint64_t i = 1; i <= 100'000; ++i)
+        sender->send("127.0.0.1:1", heartbeat(i));
+    const auto receiver = networkAt(target, inbox);
+    sender->forget("127.0.0.1:1");
+    sender->send(target, heartbeat(1));
+    EXPECT_TRUE(inbox.waitFor(1));
+}
+
+TEST(PeerNetwork, RefusesBadAddressesAndPortsInUse)
+{
+    Inbox unused;
+    const std::string address = freeAddress();
+    const auto network = networkAt(address, unused);
+    EXPECT_EQ(createError(address), ErrorCode::Unavailable);
+    for (const char* text : { "", "localhost:80", "127.0.0.1", "127.0.0.1:99999", "unix:/tmp/x", "[::1:5", ":5" })
+        EXPECT_EQ(createError(text), ErrorCode::InvalidArgument) << text;
+    network->send("localhost:80", heartbeat(1));
+}
+
+TEST(PeerNetwork, ClosesConnectionsThatSendNonsense)
+{
+    Inbox inbox;
+    Inbox unused;
+    const std::string target = freeAddress();
+    const auto receiver = networkAt(target, inbox);
+    const std::vector<std::string> hostile {
+        "GET / HTTP/1.1\r\nHost: x\r\n\r\n", // reads as a huge number of segments
+        std::string("\0\0\0\0\xff\xff\xff\x7f", 8), // one segment of 16 GB
+        std::string("\0\0\0\0\0\0\4\0", 8), // one segment of 2 MB
+    };
+    for (const std::string& bytes : hostile) {
+        RawConnection connection { target };
+        connection.write(bytes);
+        EXPECT_TRUE(connection.isClosedByPeer());
+    }
+    std::mt19937 random { 20261204 };
+    for (int round = 0; round < 200; ++round) {
+        RawConnection connection { target };
+        std::string bytes { "\0\0\0\0\4\0\0\0", 8 };
+        for (int i = 0; i < 32; ++i)
+            bytes += static_cast<char>(random() % (round % 2 == 0 ? 256 : 6));
+        connection.write(bytes);
+        connection.finishWriting();
+        EXPECT_TRUE(connection.isClosedByPeer());
+    }
+    const auto sender = networkAt(freeAddress(), unused);
+    sender->send(target, heartbeat(1));
+    EXPECT_TRUE(inbox.waitFor(1));
+}
+
+} // namespace
+} // namespace rattanrack::peer
