Add the fleet core: VM ownership, budgets, roll-outs and moves as pure decisions

Cause: drains, reboots and moves need one owner for each VM and permits that two operators or nodes cannot both spend.

--- /dev/null
+++ b/packages/policy/src/fleet/snapshot.cpp
@@ -0,0 +1,33 @@
+#include "rattanrack/policy/fleet_snapshot.h"
+
+#include "counting.h"
+
+namespace rattanrack::policy {
+
+bool isHeard(const FleetSnapshot& snapshot, const VmId& vm, TimePoint now, Duration patience)
+{
+    const auto found = snapshot.observations.find(vm);
+    return found != snapshot.observations.end() && now - found->second.heardAt < patience;
+}
+
+std::map<PoolId, PoolTally> tallyPools(const FleetSnapshot& snapshot, TimePoint now, Duration patience)
+{
+    std::map<PoolId, PoolTally> tallies;
+    for (const auto& [id, vm] : snapshot.vms) {
+        auto& tally = tallies[vm.pool];
+        countMember(tally.counts, vm, 1);
+        if (isAway(vm)) {
+            tallies[destination(vm)].counts.borrowed++;
+            tallies[vm.homePool].counts.lent++;
+        }
+        if (vm.phase != VmPhase::Serving)
+            continue;
+        tally.servingByRack[domainOf(vm, FailureDomain::Rack)]++;
+        tally.servingByDataCenter[domainOf(vm, FailureDomain::DataCenter)]++;
+        if (!isHeard(snapshot, id, now, patience))
+            tally.silent++;
+    }
+    return tallies;
+}
+
+} // namespace rattanrack::policy
