--- a/packages/peer/include/rattanrack/peer/messages.h
+++ b/packages/peer/include/rattanrack/peer/messages.h
@@ -12,7 +12,22 @@
 /// What nodes say to each other, as plain values. The Cap'n Proto schema stays inside this package.
 namespace rattanrack::peer {
 
-/// Sent to every peer at a steady pace: proof of life, and a digest of what the sender has in force.
+/// News of another node that travels with a heartbeat.
+struct SeenNode {
+    std::uint32_t node { 0 }; ///< Hash of its id, see `nodeHash`.
+    std::uint32_t sequence { 0 }; ///< Highest sequence number known of it.
+};
+
+/// A member as one node introduces it to another, for nodes that the table does not show.
+struct Introduction {
+    NodeId id;
+    std::string address;
+    DataCenterId dataCenter;
+    std::uint64_t sequence { 0 };
+    bool isLeaving { false };
+};
+
+/// Sent to a few peers at a steady pace: proof of life, a digest of what the sender has in force, and news of others.
 struct Heartbeat {
     NodeId from;
     std::string address; ///< "ip:port" at which the sender takes peer messages.
@@ -21,6 +36,9 @@
     std::uint64_t configVersion { 0 }; ///< Version of the configuration that the sender has in force.
     std::uint64_t viewVersion { 0 }; ///< Highest table version that the sender's fleet view reflects.
     bool isLeaving { false };
+    std::uint32_t load { 0 }; ///< Queued and running requests.
+    std::vector<SeenNode> seen;
+    std::vector<Introduction> introductions;
 };
 
 /// A whole accepted configuration, spread to a peer that reports an older one.
--- a/packages/peer/src/codec.cpp
+++ b/packages/peer/src/codec.cpp
@@ -64,6 +64,26 @@
     return claim;
 }
 
+void encodeSeen(const std::vector<SeenNode>& seen, capnp::List<wire::SeenNode>::Builder target)
+{
+    for (unsigned i = 0; i < target.size(); ++i) {
+        target[i].setNode(seen[i].node);
+        target[i].setSequence(seen[i].sequence);
+    }
+}
+
+void encodeIntroductions(
+    const std::vector<Introduction>& introductions, capnp::List<wire::Introduction>::Builder target)
+{
+    for (unsigned i = 0; i < target.size(); ++i) {
+        target[i].setId(introductions[i].id.value());
+        target[i].setAddress(introductions[i].address);
+        target[i].setDataCenter(introductions[i].dataCenter.value());
+        target[i].setSequence(introductions[i].sequence);
+        target[i].setIsLeaving(introductions[i].isLeaving);
+    }
+}
+
 struct Encoder {
     wire::Message::Builder target;
 
@@ -77,6 +97,10 @@
         heartbeat.setConfigVersion(message.configVersion);
         heartbeat.setViewVersion(message.viewVersion);
         heartbeat.setIsLeaving(message.isLeaving);
+        heartbeat.setLoad(message.load);
+        encodeSeen(message.seen, heartbeat.initSeen(static_cast<unsigned>(message.seen.size())));
+        encodeIntroductions(
+            message.introductions, heartbeat.initIntroductions(static_cast<unsigned>(message.introductions.size())));
     }
 
     void operator()(const ConfigAnnouncement& message)
@@ -126,6 +150,17 @@
     }
 };
 
+Introduction decodeIntroduction(wire::Introduction::Reader source)
+{
+    Introduction introduction;
+    introduction.id = NodeId { text(source.getId()) };
+    introduction.address = text(source.getAddress());
+    introduction.dataCenter = DataCenterId { text(source.getDataCenter()) };
+    introduction.sequence = source.getSequence();
+    introduction.isLeaving = source.getIsLeaving();
+    return introduction;
+}
+
 Heartbeat decodeHeartbeat(wire::Heartbeat::Reader source)
 {
     Heartbeat heartbeat;
@@ -136,6 +171,11 @@
     heartbeat.configVersion = source.getConfigVersion();
     heartbeat.viewVersion = source.getViewVersion();
     heartbeat.isLeaving = source.getIsLeaving();
+    heartbeat.load = source.getLoad();
+    for (const auto seen : source.getSeen())
+        heartbeat.seen.push_back({ seen.getNode(), seen.getSequence() });
+    for (const auto introduction : source.getIntroductions())
+        heartbeat.introductions.push_back(decodeIntroduction(introduction));
     return heartbeat;
 }
 
@@ -203,7 +243,11 @@
 }
 
 struct VariableSize {
-    std::size_t operator()(const Heartbeat& message) const { return message.address.size(); }
+    std::size_t operator()(const Heartbeat& message) const
+    {
+        return message.address.size() + message.seen.size() * sizeof(SeenNode)
+            + message.introductions.size() * fixedSizeBound;
+    }
     std::size_t operator()(const ConfigAnnouncement& message) const { return message.document.size(); }
     std::size_t operator()(const CreditAskMessage& message) const
     {
--- a/packages/peer/src/peer.capnp
+++ b/packages/peer/src/peer.capnp
@@ -28,6 +28,22 @@
   configVersion @4 :UInt64;
   viewVersion @5 :UInt64;
   isLeaving @6 :Bool;
+  load @7 :UInt32;
+  seen @8 :List(SeenNode);
+  introductions @9 :List(Introduction);
+}
+
+struct SeenNode {
+  node @0 :UInt32;
+  sequence @1 :UInt32;
+}
+
+struct Introduction {
+  id @0 :Text;
+  address @1 :Text;
+  dataCenter @2 :Text;
+  sequence @3 :UInt64;
+  isLeaving @4 :Bool;
 }
 
 struct ConfigAnnouncement {
--- a/packages/peer/src/peer.capnp.h
+++ b/packages/peer/src/peer.capnp.h
@@ -24,6 +24,8 @@
 CAPNP_DECLARE_SCHEMA(9db0b5b188904627);
 CAPNP_DECLARE_SCHEMA(d07a1edab25dfd04);
 CAPNP_DECLARE_SCHEMA(8ddbb9c9a2cf01f2);
+CAPNP_DECLARE_SCHEMA(d8cf0dba4be1b4b3);
+CAPNP_DECLARE_SCHEMA(cb690a7929880fe1);
 CAPNP_DECLARE_SCHEMA(d51c8b134aa2a689);
 CAPNP_DECLARE_SCHEMA(d7bf2efe093d796d);
 CAPNP_DECLARE_SCHEMA(e49733d6ce5615d0);
@@ -135,7 +137,37 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8ddbb9c9a2cf01f2, 4, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(8ddbb9c9a2cf01f2, 4, 5)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct SeenNode {
+  SeenNode() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d8cf0dba4be1b4b3, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Introduction {
+  Introduction() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(cb690a7929880fe1, 2, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -637,6 +669,14 @@
 
   inline bool getIsLeaving() const;
 
+  inline  ::uint32_t getLoad() const;
+
+  inline bool hasSeen() const;
+  inline  ::capnp::List< ::rattanrack::peer::wire::SeenNode,  ::capnp::Kind::STRUCT>::Reader getSeen() const;
+
+  inline bool hasIntroductions() const;
+  inline  ::capnp::List< ::rattanrack::peer::wire::Introduction,  ::capnp::Kind::STRUCT>::Reader getIntroductions() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -698,6 +738,23 @@
   inline bool getIsLeaving();
   inline void setIsLeaving(bool value);
 
+  inline  ::uint32_t getLoad();
+  inline void setLoad( ::uint32_t value);
+
+  inline bool hasSeen();
+  inline  ::capnp::List< ::rattanrack::peer::wire::SeenNode,  ::capnp::Kind::STRUCT>::Builder getSeen();
+  inline void setSeen( ::capnp::List< ::rattanrack::peer::wire::SeenNode,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::rattanrack::peer::wire::SeenNode,  ::capnp::Kind::STRUCT>::Builder initSeen(unsigned int size);
+  inline void adoptSeen(::capnp::Orphan< ::capnp::List< ::rattanrack::peer::wire::SeenNode,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::rattanrack::peer::wire::SeenNode,  ::capnp::Kind::STRUCT>> disownSeen();
+
+  inline bool hasIntroductions();
+  inline  ::capnp::List< ::rattanrack::peer::wire::Introduction,  ::capnp::Kind::STRUCT>::Builder getIntroductions();
+  inline void setIntroductions( ::capnp::List< ::rattanrack::peer::wire::Introduction,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::rattanrack::peer::wire::Introduction,  ::capnp::Kind::STRUCT>::Builder initIntroductions(unsigned int size);
+  inline void adoptIntroductions(::capnp::Orphan< ::capnp::List< ::rattanrack::peer::wire::Introduction,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::rattanrack::peer::wire::Introduction,  ::capnp::Kind::STRUCT>> disownIntroductions();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -724,6 +781,198 @@
 };
 #endif  // !CAPNP_LITE
 
+class SeenNode::Reader {
+public:
+  typedef SeenNode Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getNode() const;
+
+  inline  ::uint32_t getSequence() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class SeenNode::Builder {
+public:
+  typedef SeenNode Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getNode();
+  inline void setNode( ::uint32_t value);
+
+  inline  ::uint32_t getSequence();
+  inline void setSequence( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class SeenNode::Pipeline {
+public:
+  typedef SeenNode Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Introduction::Reader {
+public:
+  typedef Introduction Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
+
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
+
+  inline bool hasDataCenter() const;
+  inline  ::capnp::Text::Reader getDataCenter() const;
+
+  inline  ::uint64_t getSequence() const;
+
+  inline bool getIsLeaving() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Introduction::Builder {
+public:
+  typedef Introduction Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
+
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+
+  inline bool hasDataCenter();
+  inline  ::capnp::Text::Builder getDataCenter();
+  inline void setDataCenter( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDataCenter(unsigned int size);
+  inline void adoptDataCenter(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDataCenter();
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+  inline bool getIsLeaving();
+  inline void setIsLeaving(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Introduction::Pipeline {
+public:
+  typedef Introduction Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class ConfigAnnouncement::Reader {
 public:
   typedef ConfigAnnouncement Reads;
@@ -2004,6 +2253,246 @@
       ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Heartbeat::Reader::getLoad() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Heartbeat::Builder::getLoad() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setLoad( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Heartbeat::Reader::hasSeen() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Heartbeat::Builder::hasSeen() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::rattanrack::peer::wire::SeenNode,  ::capnp::Kind::STRUCT>::Reader Heartbeat::Reader::getSeen() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::SeenNode,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::rattanrack::peer::wire::SeenNode,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::getSeen() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::SeenNode,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Heartbeat::Builder::setSeen( ::capnp::List< ::rattanrack::peer::wire::SeenNode,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::SeenNode,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::rattanrack::peer::wire::SeenNode,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::initSeen(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::SeenNode,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Heartbeat::Builder::adoptSeen(
+    ::capnp::Orphan< ::capnp::List< ::rattanrack::peer::wire::SeenNode,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::SeenNode,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::rattanrack::peer::wire::SeenNode,  ::capnp::Kind::STRUCT>> Heartbeat::Builder::disownSeen() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::SeenNode,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool Heartbeat::Reader::hasIntroductions() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Heartbeat::Builder::hasIntroductions() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::rattanrack::peer::wire::Introduction,  ::capnp::Kind::STRUCT>::Reader Heartbeat::Reader::getIntroductions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Introduction,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::rattanrack::peer::wire::Introduction,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::getIntroductions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Introduction,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Heartbeat::Builder::setIntroductions( ::capnp::List< ::rattanrack::peer::wire::Introduction,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Introduction,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::rattanrack::peer::wire::Introduction,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::initIntroductions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Introduction,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void Heartbeat::Builder::adoptIntroductions(
+    ::capnp::Orphan< ::capnp::List< ::rattanrack::peer::wire::Introduction,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Introduction,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::rattanrack::peer::wire::Introduction,  ::capnp::Kind::STRUCT>> Heartbeat::Builder::disownIntroductions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Introduction,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t SeenNode::Reader::getNode() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t SeenNode::Builder::getNode() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void SeenNode::Builder::setNode( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t SeenNode::Reader::getSequence() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t SeenNode::Builder::getSequence() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void SeenNode::Builder::setSequence( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Introduction::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Introduction::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Introduction::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Introduction::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Introduction::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Introduction::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Introduction::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Introduction::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Introduction::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Introduction::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Introduction::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Introduction::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Introduction::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Introduction::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Introduction::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Introduction::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Introduction::Reader::hasDataCenter() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Introduction::Builder::hasDataCenter() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Introduction::Reader::getDataCenter() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Introduction::Builder::getDataCenter() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Introduction::Builder::setDataCenter( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Introduction::Builder::initDataCenter(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Introduction::Builder::adoptDataCenter(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Introduction::Builder::disownDataCenter() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Introduction::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Introduction::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Introduction::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Introduction::Reader::getIsLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool Introduction::Builder::getIsLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void Introduction::Builder::setIsLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t ConfigAnnouncement::Reader::getVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/packages/peer/tests/peer_network_tests.cpp
+++ b/packages/peer/tests/peer_network_tests.cpp
@@ -112,7 +112,8 @@
 
 Heartbeat heartbeat(std::uint64_t sequence)
 {
-    return { NodeId { "n1" }, "127.0.0.1:1", DataCenterId { "dc1" }, sequence, 7, 9, true };
+    return { NodeId { "n1" }, "127.0.0.1:1", DataCenterId { "dc1" }, sequence, 7, 9, true, 4, { { 1, 2 } },
+        { { NodeId { "n2" }, "127.0.0.1:2", DataCenterId { "dc2" }, 6, true } } };
 }
 
 TEST(PeerNetwork, CarriesEveryKindOfMessageWhole)
@@ -143,6 +144,9 @@
     EXPECT_EQ(beat.configVersion, 7U);
     EXPECT_EQ(beat.viewVersion, 9U);
     EXPECT_TRUE(beat.isLeaving);
+    EXPECT_EQ(beat.load, 4U);
+    EXPECT_EQ(beat.seen.at(0).sequence, 2U);
+    EXPECT_EQ(beat.introductions.at(0).address, "127.0.0.1:2");
     EXPECT_EQ(std::get<ConfigAnnouncement>(messages[1]).document, "document");
     const auto& arrivedAsk = std::get<CreditAskMessage>(messages[2]).ask;
     EXPECT_EQ(arrivedAsk.oldestWait, Duration { 4 });
