Add HTTP adapters of the platform's ports and stand-ins for tests

Cause: the ports to the table, object store, VM list and workers had no implementation, and no process could play the platform in tests. Change: HttpTable, HttpObjectStore, HttpVmList and HttpWorker over kept-alive cpp-httplib connections; every exchange carries a number that its answer must repeat; an idle connection that is closed or holds stray bytes is dropped before use. The Worker port gains renewLease. standin-platform and standin-workers serve a fleet file, with faults, history and a log of tasks. Conclusion: an order or a commit is sent at most once, and only failures before the first byte count as not sent.

--- a/packages/platform/include/rattanrack/platform/worker.h
+++ b/packages/platform/include/rattanrack/platform/worker.h
@@ -81,22 +81,28 @@
     /// Runs a task to its end. Never retries by itself.
     virtual TaskOutcome run(const TaskOrder&) = 0;
 
+    /// Lets a running attempt go on until `lease`. A renewal never shortens a lease. Errors: NotFound (not running),
+    /// Unavailable, OutcomeUnknown.
+    virtual Result<void> renewLease(const AttemptId&, Deadline lease) = 0;
+
     /// Ends, throttles or checkpoints a running attempt. Errors: NotFound, Unavailable, OutcomeUnknown.
     virtual Result<void> stop(const AttemptId&, StopMode) = 0;
 
-    /// What became of an attempt. Errors: Unavailable.
+    /// What became of an attempt. Errors: Unavailable, MalformedMessage.
     virtual Result<AttemptReport> attempt(const AttemptId&) = 0;
 
-    /// Promises that the attempt never starts, unless it has: the report says which. Errors: Unavailable.
+    /// Promises that the attempt never starts, unless it has: the report says which. Asking again is harmless.
+    /// Errors: Unavailable, OutcomeUnknown, MalformedMessage.
     virtual Result<AttemptReport> revoke(const AttemptId&) = 0;
 
-    /// From now on takes no new work (true) or takes it again (false) under `poolEpoch`. Errors: Unavailable, Refused.
+    /// From now on takes no new work (true) or takes it again (false) under `poolEpoch`. Errors: Unavailable,
+    /// OutcomeUnknown, Refused (the worker knows a newer epoch).
     virtual Result<void> setDraining(bool isDraining, std::uint64_t poolEpoch) = 0;
 
-    /// Reboots the VM. Errors: Unavailable, Refused (tasks are running).
+    /// Reboots the VM. Errors: Unavailable, OutcomeUnknown, Refused (tasks are running).
     virtual Result<void> reboot() = 0;
 
-    /// Errors: Unavailable.
+    /// Errors: Unavailable, MalformedMessage.
     virtual Result<WorkerReport> report() = 0;
 };
 
--- /dev/null
+++ b/packages/platform/src/http_channel.cpp
@@ -0,0 +1,190 @@
+#include "http_channel.h"
+
+#include <httplib.h>
+
+#include <array>
+#include <atomic>
+#include <charconv>
+#include <mutex>
+#include <optional>
+#include <vector>
+
+namespace rattanrack::platform {
+
+namespace {
+
+using ClientPointer = std::unique_ptr<httplib::Client>;
+
+struct Endpoint {
+    std::string ip;
+    int port { 0 };
+};
+
+std::optional<Endpoint> parseEndpoint(const std::string& address)
+{
+    const auto colon = address.rfind(':');
+    if (colon == std::string::npos)
+        return std::nullopt;
+    Endpoint endpoint { address.substr(0, colon), 0 };
+    const char* end = address.data() + address.size();
+    const auto [parsedTo, error] = std::from_chars(address.data() + colon + 1, end, endpoint.port);
+    std::array<unsigned char, sizeof(in_addr)> binary {};
+    const bool isValid = error == std::errc {} && parsedTo == end && endpoint.port > 0 && endpoint.port < 65536
+        && inet_pton(AF_INET, endpoint.ip.c_str(), binary.data()) == 1;
+    return isValid ? std::optional { endpoint } : std::nullopt;
+}
+
+std::chrono::microseconds clampTimeout(Duration timeout) { return std::max(timeout, Duration { 1 }); }
+
+/// An idle connection with something to read was closed, or holds bytes that belong to an earlier exchange.
+bool isQuiet(const httplib::Client& client)
+{
+    char byte = 0;
+    const auto got = recv(client.socket(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+/// A peer whose host has vanished is noticed within seconds although its task runs longer.
+void setSocketOptions(socket_t socket)
+{
+    constexpr int on = 1;
+    constexpr int idleSeconds = 2;
+    constexpr int intervalSeconds = 1;
+    constexpr int probes = 3;
+    setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &idleSeconds, sizeof(idleSeconds));
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &intervalSeconds, sizeof(intervalSeconds));
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+}
+
+bool isBeforeSending(httplib::Error error)
+{
+    return error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout
+        || error == httplib::Error::BindIPAddress;
+}
+
+httplib::Request makeRequest(const HttpCall& call, const std::string& exchange)
+{
+    httplib::Request request;
+    request.method = call.method;
+    request.path = call.path;
+    request.body = call.body;
+    request.set_header(exchangeHeader, exchange);
+    if (!call.body.empty())
+        request.set_header("Content-Type", "application/json");
+    return request;
+}
+
+} // namespace
+
+struct HttpChannel::State {
+    std::string address;
+    Endpoint endpoint;
+    HttpOptions options;
+    SystemClock clock;
+    std::atomic<std::uint64_t> lastExchange { 0 };
+    std::mutex mutex;
+    std::vector<ClientPointer> idle;
+
+    ClientPointer connect() const
+    {
+        auto client = std::make_unique<httplib::Client>(endpoint.ip, endpoint.port);
+        client->set_tcp_nodelay(true);
+        client->set_keep_alive(true);
+        client->set_follow_location(false);
+        client->set_socket_options(setSocketOptions);
+        client->set_connection_timeout(clampTimeout(options.connectTimeout));
+        return client;
+    }
+
+    ClientPointer take()
+    {
+        const std::lock_guard guard { mutex };
+        while (!idle.empty()) {
+            auto client = std::move(idle.back());
+            idle.pop_back();
+            if (isQuiet(*client))
+                return client;
+        }
+        return connect();
+    }
+
+    void giveBack(ClientPointer client)
+    {
+        const std::lock_guard guard { mutex };
+        if (client->is_socket_open() && idle.size() < options.maxIdleConnections)
+            idle.push_back(std::move(client));
+    }
+};
+
+HttpChannel::HttpChannel(std::unique_ptr<State> state)
+    : m_state(std::move(state))
+{
+}
+
+HttpChannel::~HttpChannel() = default;
+
+Result<std::unique_ptr<HttpChannel>> HttpChannel::create(const std::string& address, const HttpOptions& options)
+{
+    const auto endpoint = parseEndpoint(address);
+    if (!endpoint)
+        return fail(ErrorCode::InvalidArgument, "http.create", address, "not ip:port");
+    auto state = std::make_unique<State>();
+    state->address = address;
+    state->endpoint = *endpoint;
+    state->options = options;
+    return std::unique_ptr<HttpChannel> { new HttpChannel { std::move(state) } };
+}
+
+HttpReply HttpChannel::exchange(const HttpCall& call) { return exchange(call, m_state->options.answerTimeout); }
+
+HttpReply HttpChannel::exchange(const HttpCall& call, Duration answerTimeout)
+{
+    const std::string exchange = std::to_string(++m_state->lastExchange);
+    const auto deadline = Deadline::after(m_state->clock.now(), answerTimeout);
+    auto client = m_state->take();
+    client->set_read_timeout(clampTimeout(answerTimeout));
+    client->set_write_timeout(clampTimeout(answerTimeout));
+
+    HttpReply reply;
+    auto request = makeRequest(call, exchange);
+    request.response_handler = [&](const httplib::Response& response) {
+        reply.status = response.status;
+        if (response.get_header_value(exchangeHeader) == exchange)
+            return true;
+        reply.detail = "answer to another exchange";
+        return false;
+    };
+    request.content_receiver = [&](const char* data, std::size_t size, std::uint64_t, std::uint64_t) {
+        if (deadline.hasPassed(m_state->clock.now()) || size > m_state->options.maxAnswerBytes - reply.body.size())
+            return false;
+        reply.body.append(data, size);
+        return true;
+    };
+
+    const auto result = client->send(request);
+    if (result) {
+        reply.delivery = Delivery::Answered;
+        m_state->giveBack(std::move(client));
+        return reply;
+    }
+    reply.delivery = isBeforeSending(result.error()) ? Delivery::NotSent : Delivery::NoAnswer;
+    reply.body.clear();
+    if (reply.detail.empty())
+        reply.detail = httplib::to_string(result.error());
+    return reply;
+}
+
+const std::string& HttpChannel::address() const { return m_state->address; }
+
+const HttpOptions& HttpChannel::options() const { return m_state->options; }
+
+Error HttpChannel::failure(const char* step, const HttpReply& reply) const
+{
+    constexpr int serviceUnavailable = 503;
+    const bool hadNoEffect = reply.delivery == Delivery::NotSent || reply.isAnswered(serviceUnavailable);
+    std::string detail = reply.delivery == Delivery::Answered ? "status " + std::to_string(reply.status) : reply.detail;
+    return { hadNoEffect ? ErrorCode::Unavailable : ErrorCode::OutcomeUnknown, step, address(), std::move(detail) };
+}
+
+} // namespace rattanrack::platform
--- /dev/null
+++ b/packages/platform/src/http_vm_list.cpp
@@ -0,0 +1,39 @@
+#include "rattanrack/platform/http_vm_list.h"
+
+#include "http_channel.h"
+#include "vm_wire.h"
+
+namespace rattanrack::platform {
+
+namespace {
+
+constexpr int statusOk = 200;
+
+} // namespace
+
+HttpVmList::HttpVmList(std::unique_ptr<HttpChannel> channel)
+    : m_channel(std::move(channel))
+{
+}
+
+HttpVmList::~HttpVmList() = default;
+
+Result<std::unique_ptr<HttpVmList>> HttpVmList::create(const std::string& address, const HttpOptions& options)
+{
+    BOOST_LEAF_AUTO(channel, HttpChannel::create(address, options));
+    return std::unique_ptr<HttpVmList> { new HttpVmList { std::move(channel) } };
+}
+
+Result<std::vector<VmDescription>> HttpVmList::list()
+{
+    const auto reply = m_channel->exchange({ "GET", "/vms", {} });
+    if (!reply.isAnswered(statusOk))
+        return fail(
+            ErrorCode::Unavailable, "vms.list", m_channel->address(), m_channel->failure("vms.list", reply).detail);
+    auto vms = decodeVms(reply.body);
+    if (!vms)
+        return fail(ErrorCode::MalformedMessage, "vms.list", m_channel->address());
+    return std::move(*vms);
+}
+
+} // namespace rattanrack::platform
--- /dev/null
+++ b/packages/platform/src/json_fields.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+/// Strict reading of JSON: a missing field, a wrong type or a number out of range fails the whole document.
+namespace rattanrack::platform {
+
+/// Thrown inside a decoder, never past `decodeJson`.
+struct WrongField : std::exception { };
+
+inline std::string text(const nlohmann::json& object, const char* field)
+{
+    return object.at(field).get_ref<const std::string&>();
+}
+
+inline std::uint64_t unsignedNumber(const nlohmann::json& object, const char* field)
+{
+    const auto& value = object.at(field);
+    if (!value.is_number_unsigned())
+        throw WrongField {};
+    return value.get<std::uint64_t>();
+}
+
+/// A whole number from 0 to the largest signed one.
+inline std::int64_t count(const nlohmann::json& object, const char* field)
+{
+    const std::uint64_t value = unsignedNumber(object, field);
+    if (value > static_cast<std::uint64_t>(INT64_MAX))
+        throw WrongField {};
+    return static_cast<std::int64_t>(value);
+}
+
+inline bool flag(const nlohmann::json& object, const char* field)
+{
+    const auto& value = object.at(field);
+    if (!value.is_boolean())
+        throw WrongField {};
+    return value.get<bool>();
+}
+
+inline const nlohmann::json& array(const nlohmann::json& object, const char* field)
+{
+    const auto& value = object.at(field);
+    if (!value.is_array())
+        throw WrongField {};
+    return value;
+}
+
+/// Runs `decoder(document)`; empty when the text is no JSON or the decoder meets a wrong field.
+template <typename Decoder>
+auto decodeJson(const std::string& source, Decoder decoder)
+    -> std::optional<decltype(decoder(std::declval<const nlohmann::json&>()))>
+{
+    try {
+        const auto document = nlohmann::json::parse(source);
+        return decoder(document);
+    } catch (const nlohmann::json::exception&) {
+        return std::nullopt;
+    } catch (const WrongField&) {
+        return std::nullopt;
+    }
+}
+
+/// The document's text; empty when it holds a string that is not UTF-8.
+inline std::optional<std::string> encodeJson(const nlohmann::json& document)
+{
+    try {
+        return document.dump();
+    } catch (const nlohmann::json::exception&) {
+        return std::nullopt;
+    }
+}
+
+} // namespace rattanrack::platform
--- /dev/null
+++ b/packages/platform/src/worker_wire.cpp
@@ -0,0 +1,201 @@
+#include "worker_wire.h"
+
+#include "json_fields.h"
+
+#include <algorithm>
+#include <array>
+
+namespace rattanrack::platform {
+
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr std::int64_t longestMilliseconds = 366LL * 24 * 3600 * 1000;
+
+template <typename Value> struct Named {
+    Value value;
+    std::string_view text;
+};
+
+constexpr std::array taskStatuses {
+    Named<TaskStatus> { TaskStatus::Completed, "completed" },
+    Named<TaskStatus> { TaskStatus::Failed, "failed" },
+    Named<TaskStatus> { TaskStatus::Stopped, "stopped" },
+    Named<TaskStatus> { TaskStatus::RefusedBusy, "refused_busy" },
+    Named<TaskStatus> { TaskStatus::RefusedDraining, "refused_draining" },
+    Named<TaskStatus> { TaskStatus::RefusedEpoch, "refused_epoch" },
+    Named<TaskStatus> { TaskStatus::RefusedRevoked, "refused_revoked" },
+    Named<TaskStatus> { TaskStatus::RefusedTooLarge, "refused_too_large" },
+};
+
+constexpr std::array attemptStates {
+    Named<AttemptState> { AttemptState::NeverSeen, "never_seen" },
+    Named<AttemptState> { AttemptState::Running, "running" },
+    Named<AttemptState> { AttemptState::Completed, "completed" },
+    Named<AttemptState> { AttemptState::Failed, "failed" },
+    Named<AttemptState> { AttemptState::Stopped, "stopped" },
+    Named<AttemptState> { AttemptState::Revoked, "revoked" },
+};
+
+constexpr std::array stopModes {
+    Named<StopMode> { StopMode::Checkpoint, "checkpoint" },
+    Named<StopMode> { StopMode::Throttle, "throttle" },
+    Named<StopMode> { StopMode::Stop, "stop" },
+};
+
+template <typename Value, std::size_t size>
+std::string_view nameOf(const std::array<Named<Value>, size>& names, Value value)
+{
+    const auto found = std::ranges::find(names, value, &Named<Value>::value);
+    return found == names.end() ? std::string_view { "unknown" } : found->text;
+}
+
+template <typename Value, std::size_t size>
+Value valueOf(const std::array<Named<Value>, size>& names, const std::string& wanted)
+{
+    const auto found = std::ranges::find(names, std::string_view { wanted }, &Named<Value>::text);
+    if (found == names.end())
+        throw WrongField {};
+    return found->value;
+}
+
+std::int64_t toMilliseconds(Duration duration)
+{
+    return std::clamp<std::int64_t>(std::chrono::duration_cast<milliseconds>(duration).count(), 0, longestMilliseconds);
+}
+
+Duration time(const json& object, const char* field)
+{
+    const auto value = count(object, field);
+    if (value > longestMilliseconds)
+        throw WrongField {};
+    return milliseconds { value };
+}
+
+json toJson(const ResourceSize& size)
+{
+    return { { "processors", size.processors.count() }, { "memory", size.memory.count() },
+        { "accelerators", size.accelerators.count() } };
+}
+
+ResourceSize toSize(const json& object)
+{
+    return { Millicores { count(object, "processors") }, Mebibytes { count(object, "memory") },
+        Accelerators { count(object, "accelerators") } };
+}
+
+void requireAttempt(const json& document, const AttemptId& attempt)
+{
+    if (text(document, "attempt") != attempt.value())
+        throw WrongField {};
+}
+
+} // namespace
+
+std::string_view name(TaskStatus status) { return nameOf(taskStatuses, status); }
+
+std::string_view name(AttemptState state) { return nameOf(attemptStates, state); }
+
+std::optional<std::string> encodeOrder(const TaskOrder& order, TimePoint now)
+{
+    return encodeJson({ { "request", order.request.value() }, { "attempt", order.attempt.value() },
+        { "pool", order.pool.value() }, { "poolEpoch", order.poolEpoch }, { "kind", order.kind.value() },
+        { "size", toJson(order.size) }, { "runTimeMs", toMilliseconds(order.declaredRunTime) },
+        { "payload", order.payload }, { "leaseMs", toMilliseconds(order.lease.remaining(now)) } });
+}
+
+std::optional<ReceivedOrder> decodeOrder(const std::string& source)
+{
+    return decodeJson(source, [](const json& document) {
+        ReceivedOrder received;
+        auto& order = received.order;
+        order.request = RequestId { text(document, "request") };
+        order.attempt = AttemptId { text(document, "attempt") };
+        order.pool = PoolId { text(document, "pool") };
+        order.poolEpoch = unsignedNumber(document, "poolEpoch");
+        order.kind = WorkKind { text(document, "kind") };
+        order.size = toSize(document.at("size"));
+        order.declaredRunTime = time(document, "runTimeMs");
+        order.payload = text(document, "payload");
+        received.leaseTime = time(document, "leaseMs");
+        return received;
+    });
+}
+
+std::optional<std::string> encodeOutcome(const AttemptId& attempt, const TaskOutcome& outcome)
+{
+    return encodeJson({ { "attempt", attempt.value() }, { "status", nameOf(taskStatuses, outcome.status) },
+        { "output", outcome.output }, { "detail", outcome.detail } });
+}
+
+std::optional<TaskOutcome> decodeOutcome(const std::string& source, const AttemptId& attempt)
+{
+    return decodeJson(source, [&](const json& document) {
+        requireAttempt(document, attempt);
+        return TaskOutcome { valueOf(taskStatuses, text(document, "status")), text(document, "output"),
+            text(document, "detail") };
+    });
+}
+
+std::optional<std::string> encodeAttempt(const AttemptId& attempt, const AttemptReport& report)
+{
+    return encodeJson({ { "attempt", attempt.value() }, { "state", nameOf(attemptStates, report.state) },
+        { "output", report.output } });
+}
+
+std::optional<AttemptReport> decodeAttempt(const std::string& source, const AttemptId& attempt)
+{
+    return decodeJson(source, [&](const json& document) {
+        requireAttempt(document, attempt);
+        return AttemptReport { valueOf(attemptStates, text(document, "state")), text(document, "output") };
+    });
+}
+
+std::string encodeLease(Duration leaseTime) { return json { { "leaseMs", toMilliseconds(leaseTime) } }.dump(); }
+
+std::optional<Duration> decodeLease(const std::string& source)
+{
+    return decodeJson(source, [](const json& document) { return time(document, "leaseMs"); });
+}
+
+std::string encodeStop(StopMode mode) { return json { { "mode", nameOf(stopModes, mode) } }.dump(); }
+
+std::optional<StopMode> decodeStop(const std::string& source)
+{
+    return decodeJson(source, [](const json& document) { return valueOf(stopModes, text(document, "mode")); });
+}
+
+std::string encodeDrain(const DrainOrder& order)
+{
+    return json { { "draining", order.isDraining }, { "poolEpoch", order.poolEpoch } }.dump();
+}
+
+std::optional<DrainOrder> decodeDrain(const std::string& source)
+{
+    return decodeJson(source, [](const json& document) {
+        return DrainOrder { flag(document, "draining"), unsignedNumber(document, "poolEpoch") };
+    });
+}
+
+std::optional<std::string> encodeReport(const WorkerReport& report)
+{
+    json tasks = json::array();
+    for (const auto& task : report.tasks)
+        tasks.push_back({ { "attempt", task.attempt.value() }, { "used", toJson(task.used) } });
+    return encodeJson({ { "busySlots", report.busySlots.count() }, { "draining", report.isDraining },
+        { "tasks", std::move(tasks) } });
+}
+
+std::optional<WorkerReport> decodeReport(const std::string& source)
+{
+    return decodeJson(source, [](const json& document) {
+        WorkerReport report { Slots { count(document, "busySlots") }, flag(document, "draining"), {} };
+        for (const auto& task : array(document, "tasks"))
+            report.tasks.push_back({ AttemptId { text(task, "attempt") }, toSize(task.at("used")) });
+        return report;
+    });
+}
+
+} // namespace rattanrack::platform
--- /dev/null
+++ b/packages/platform/src/worker_wire.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "rattanrack/platform/worker.h"
+
+#include <optional>
+#include <string>
+
+/// JSON forms of what a node and a worker say to each other. Times cross the wire as durations in milliseconds.
+namespace rattanrack::platform {
+
+/// An order as a worker receives it.
+struct ReceivedOrder {
+    TaskOrder order; ///< `order.lease` is set by the receiver.
+    Duration leaseTime {};
+};
+
+/// `order.lease` goes out as the time left at `now`.
+std::optional<std::string> encodeOrder(const TaskOrder&, TimePoint now);
+std::optional<ReceivedOrder> decodeOrder(const std::string&);
+
+std::optional<std::string> encodeOutcome(const AttemptId&, const TaskOutcome&);
+
+/// Empty when malformed, cut off, or about another attempt. A worker never says NotSent or Unknown.
+std::optional<TaskOutcome> decodeOutcome(const std::string&, const AttemptId&);
+
+std::optional<std::string> encodeAttempt(const AttemptId&, const AttemptReport&);
+std::optional<AttemptReport> decodeAttempt(const std::string&, const AttemptId&);
+
+std::string encodeLease(Duration leaseTime);
+std::optional<Duration> decodeLease(const std::string&);
+
+std::string encodeStop(StopMode);
+std::optional<StopMode> decodeStop(const std::string&);
+
+struct DrainOrder {
+    bool isDraining { false };
+    std::uint64_t poolEpoch { 0 };
+};
+std::string encodeDrain(const DrainOrder&);
+std::optional<DrainOrder> decodeDrain(const std::string&);
+
+std::optional<std::string> encodeReport(const WorkerReport&);
+std::optional<WorkerReport> decodeReport(const std::string&);
+
+std::string_view name(TaskStatus);
+std::string_view name(AttemptState);
+
+} // namespace rattanrack::platform
