Govern each node's use of the table service

Cause: the table's several hundred writes a second are for the whole federation, and an outage must not end in a stampede of all nodes. Change: GovernedTable holds a node to its share by token buckets, keeps it off a failing service by a circuit breaker with jittered, doubling open times and single probes, and starts from empty buckets after an outage. Without emptying the buckets, ComeBackWithoutAStampede failed. Conclusion: held-back calls end at once as Unavailable; callers decide when to try again.

--- /dev/null
+++ b/packages/platform/src/governed_table.cpp
@@ -0,0 +1,101 @@
+#include "rattanrack/platform/governed_table.h"
+
+#include <algorithm>
+
+namespace rattanrack::platform {
+
+namespace {
+
+TokenBucket bucket(double perSecond, double burstSeconds, TimePoint now)
+{
+    return { perSecond, std::max(1.0, perSecond * burstSeconds), now };
+}
+
+} // namespace
+
+GovernedTable::GovernedTable(Table& inner, const Clock& clock, const TableShare& share, std::uint64_t seed)
+    : GovernedTable(inner, clock, share, CircuitBreaker::Limits {}, seed)
+{
+}
+
+GovernedTable::GovernedTable(
+    Table& inner, const Clock& clock, const TableShare& share, const CircuitBreaker::Limits& limits, std::uint64_t seed)
+    : m_inner(inner)
+    , m_clock(clock)
+    , m_writes(bucket(share.writesPerSecond, share.burstSeconds, clock.now()))
+    , m_reads(bucket(share.readsPerSecond, share.burstSeconds, clock.now()))
+    , m_breaker(limits, seed)
+{
+}
+
+CommitOutcome GovernedTable::commit(const Transaction& transaction)
+{
+    const auto pass = enter(m_writes, &GovernedTableCounters::writes);
+    if (!pass)
+        return { CommitStatus::Unavailable, 0, "held back" };
+    auto outcome = m_inner.commit(transaction);
+    leave(*pass, outcome.status != CommitStatus::Unavailable && outcome.status != CommitStatus::Unknown);
+    return outcome;
+}
+
+Result<Rows> GovernedTable::read(const std::vector<std::string>& keys)
+{
+    return governRead("table.read", [&] { return m_inner.read(keys); });
+}
+
+Result<Rows> GovernedTable::scan(const std::string& prefix, RowVersion newerThan, std::size_t limit)
+{
+    return governRead("table.scan", [&] { return m_inner.scan(prefix, newerThan, limit); });
+}
+
+template <typename Call> Result<Rows> GovernedTable::governRead(const char* step, Call call)
+{
+    const auto pass = enter(m_reads, &GovernedTableCounters::reads);
+    if (!pass)
+        return fail(ErrorCode::Unavailable, step, {}, "held back");
+    auto rows = call();
+    leave(*pass, static_cast<bool>(rows));
+    return rows;
+}
+
+bool GovernedTable::isServiceUp() const
+{
+    const std::lock_guard guard { m_mutex };
+    return m_breaker.isClosed();
+}
+
+GovernedTableCounters GovernedTable::counters() const
+{
+    const std::lock_guard guard { m_mutex };
+    auto counters = m_counters;
+    counters.breakerOpenings = m_breaker.openings();
+    return counters;
+}
+
+std::optional<CircuitBreaker::Pass> GovernedTable::enter(TokenBucket& share, Counter calls)
+{
+    const std::lock_guard guard { m_mutex };
+    const auto now = m_clock.now();
+    if (!share.take(now)) {
+        ++m_counters.overShare;
+        return std::nullopt;
+    }
+    const auto pass = m_breaker.enter(now);
+    ++(pass ? m_counters.*calls : m_counters.heldByBreaker);
+    return pass;
+}
+
+void GovernedTable::leave(CircuitBreaker::Pass pass, bool isGood)
+{
+    const std::lock_guard guard { m_mutex };
+    const auto now = m_clock.now();
+    const bool wasClosed = m_breaker.isClosed();
+    m_counters.failures += isGood ? 0 : 1;
+    m_breaker.leave(pass, isGood, now);
+    if (wasClosed || !m_breaker.isClosed())
+        return;
+    m_writes.drain(now);
+    m_reads.drain(now);
+}
+
+} // namespace rattanrack::platform
--- /dev/null
+++ b/packages/platform/tests/governed_table_tests.cpp
@@ -0,0 +1,150 @@
+#include "rattanrack/platform/governed_table.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+
+using namespace rattanrack;
+using namespace rattanrack::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int nodeCount = 7;
+
+/// A table that only counts, and is down on demand.
+class CountingTable final : public Table {
+public:
+    CommitOutcome commit(const Transaction&) override
+    {
+        ++calls;
+        return { answer, 1, {} };
+    }
+    Result<Rows> read(const std::vector<std::string>&) override
+    {
+        ++calls;
+        if (answer != CommitStatus::Done)
+            return fail(ErrorCode::Unavailable, "table.read");
+        return Rows {};
+    }
+    Result<Rows> scan(const std::string&, RowVersion, std::size_t) override { return read({}); }
+
+    int calls { 0 };
+    CommitStatus answer { CommitStatus::Done };
+};
+
+class GovernedTables : public testing::Test {
+protected:
+    GovernedTables()
+    {
+        for (int node = 0; node < nodeCount; ++node)
+            m_nodes.push_back(std::make_unique<GovernedTable>(
+                m_inner, m_clock, TableShare { .writesPerSecond = 40, .burstSeconds = 0.5 }, node));
+    }
+
+    /// Every node asks once a millisecond; returns the most calls that reached the service in 100 ms.
+    int busiestTenth(Duration time)
+    {
+        int busiest = 0;
+        for (Duration passed {}; passed < time; passed += 100ms) {
+            const int before = m_inner.calls;
+            for (int step = 0; step < 100; ++step) {
+                m_clock.advance(1ms);
+                for (auto& node : m_nodes)
+                    (void)node->commit({});
+            }
+            busiest = std::max(busiest, m_inner.calls - before);
+        }
+        return busiest;
+    }
+
+    ManualClock m_clock;
+    CountingTable m_inner;
+    std::vector<std::unique_ptr<GovernedTable>> m_nodes;
+};
+
+} // namespace
+
+TEST_F(GovernedTables, KeepToTheirShare)
+{
+    (void)busiestTenth(10s);
+    EXPECT_LE(m_inner.calls, nodeCount * (10 * 40 + 20));
+    EXPECT_GE(m_inner.calls, nodeCount * 10 * 40 - nodeCount);
+}
+
+TEST_F(GovernedTables, HardlyTouchAServiceThatIsDown)
+{
+    m_inner.answer = CommitStatus::Unavailable;
+    (void)busiestTenth(20s);
+    const int before = m_inner.calls;
+    (void)busiestTenth(60s);
+    EXPECT_LE(m_inner.calls - before, nodeCount * 60 / 2);
+    EXPECT_FALSE(m_nodes.front()->isServiceUp());
+    EXPECT_EQ(m_nodes.front()->counters().breakerOpenings, 1U);
+}
+
+TEST_F(GovernedTables, ComeBackWithoutAStampede)
+{
+    m_inner.answer = CommitStatus::Unknown;
+    (void)busiestTenth(60s);
+    m_inner.answer = CommitStatus::Done;
+    constexpr int shareOfTenth = nodeCount * 4;
+    EXPECT_LE(busiestTenth(10s), shareOfTenth + 2 * nodeCount);
+    for (const auto& node : m_nodes)
+        EXPECT_TRUE(node->isServiceUp());
+}
+
+TEST_F(GovernedTables, AreBackWithinTheLongestOpenTime)
+{
+    m_inner.answer = CommitStatus::Unavailable;
+    (void)busiestTenth(60s);
+    m_inner.answer = CommitStatus::Done;
+    (void)busiestTenth(CircuitBreaker::Limits {}.longestOpen + 100ms);
+    for (const auto& node : m_nodes)
+        EXPECT_TRUE(node->isServiceUp());
+}
+
+TEST_F(GovernedTables, ConflictsAreNoFailures)
+{
+    m_inner.answer = CommitStatus::Conflict;
+    (void)busiestTenth(1s);
+    EXPECT_TRUE(m_nodes.front()->isServiceUp());
+    EXPECT_EQ(m_nodes.front()->counters().failures, 0U);
+}
+
+TEST_F(GovernedTables, ReadsAndWritesHaveSharesOfTheirOwn)
+{
+    for (int call = 0; call < 100; ++call)
+        (void)m_nodes.front()->commit({});
+    EXPECT_TRUE(m_nodes.front()->read({ "a" }));
+    EXPECT_GT(m_nodes.front()->counters().overShare, 0U);
+}
+
+TEST(CircuitBreaker, OneProbeAtATimeAndLateResultsDoNotCount)
+{
+    CircuitBreaker breaker { { .failuresToOpen = 1, .probesToClose = 1 }, 1 };
+    TimePoint now { 1s };
+    const auto first = breaker.enter(now);
+    const auto late = breaker.enter(now);
+    breaker.leave(*first, false, now);
+    EXPECT_FALSE(breaker.enter(now));
+    now += 10s;
+    const auto probe = breaker.enter(now);
+    ASSERT_TRUE(probe);
+    EXPECT_FALSE(breaker.enter(now));
+    breaker.leave(*late, false, now);
+    breaker.leave(*probe, true, now);
+    EXPECT_TRUE(breaker.isClosed());
+}
+
+TEST(CircuitBreaker, FailedProbeKeepsItOpenAndLetsTheNextOneOut)
+{
+    CircuitBreaker breaker { { .failuresToOpen = 1 }, 1 };
+    TimePoint now { 1s };
+    breaker.leave(*breaker.enter(now), false, now);
+    now += 10s;
+    breaker.leave(*breaker.enter(now), false, now);
+    EXPECT_FALSE(breaker.enter(now));
+    now += 10s;
+    EXPECT_TRUE(breaker.enter(now));
+}
