Traffic core: fair queues, credits with a home, health, estimates; measure it

Cause: the first core split the slots once and for all, served strictly by urgency and learned nothing. Change: one concept a file under packages/policy/src/traffic: the queue with kinds' floors and weights, urgency with a turn in ten for less urgent work, and team quotas; the credit holder, the asker and the home of a pool's credits (reports as truth, numbered grants, recovery after a new term, grace after a holder's death, gathering of several credits on one worker); worker health with probes and a cap; the retry budget; learned run times and sizes; admission that refuses what can't start in time; restraint of attempts beyond their size. A request of which an attempt may have run is never rejected as not run. tools/measure_traffic runs it in virtual time beside random, least loaded, two choices, standing credits without home, and one omniscient queue.

--- a/packages/policy/include/rattanrack/policy/traffic.h
+++ b/packages/policy/include/rattanrack/policy/traffic.h
@@ -139,9 +139,12 @@
     std::vector<Credit> inUse;
     std::uint64_t number { 0 }; ///< Rises with each ask of one holder; the home ignores older ones.
     std::uint64_t lastGrant { 0 }; ///< Number of the last grant that this report includes.
+    ResourceSize firstSize; ///< What the request needs that waits for want of a worker.
+    std::uint32_t firstCredits { 1 }; ///< Credits that it needs on one worker.
 };
 
-/// The home's answer or a recall: the holder owns exactly `granted` more and gives back `recalled` if still idle.
+/// The home's answer or a recall: the holder owns exactly `granted` more and gives back `recalled`, in use or
+/// not, as soon as it is idle.
 struct CreditGrant {
     PoolId pool;
     NodeId to;
--- a/packages/policy/src/traffic/traffic_core.cpp
+++ b/packages/policy/src/traffic/traffic_core.cpp
@@ -1,268 +1,230 @@
 #include "rattanrack/policy/traffic_core.h"
 
-#include "traffic/pool.h"
+#include "traffic/pool_traffic.h"
 
 #include <algorithm>
 #include <map>
 #include <memory>
 #include <set>
-#include <unordered_map>
+#include <utility>
 
 namespace rattanrack::policy {
 
 namespace {
 
-constexpr std::size_t maxAttempts = 3;
-constexpr Duration shortRetryAfter { 250'000 };
+constexpr Duration retryElsewhere { 100'000 };
 
 class TrafficCore final : public TrafficPolicy {
 public:
-    explicit TrafficCore(std::uint64_t /*seed*/) { }
+    explicit TrafficCore(std::uint64_t seed)
+        : m_seed(seed)
+    {
+        m_peers.live.emplace_back();
+    }
 
     TrafficDecisions handle(const TrafficEvent& event, TimePoint now) override
     {
-        m_now = now;
-        m_decisions.clear();
-        expireQueued();
+        m_table.begin(now);
+        wakeRequests();
+        wakePools();
         std::visit([this](const auto& typed) { on(typed); }, event);
-        return std::move(m_decisions);
+        runTouched();
+        return m_table.takeDecisions();
     }
 
-    Deadline nextWake() const override { return m_deadlines.empty() ? Deadline::never() : m_deadlines.begin()->first; }
+    Deadline nextWake() const override
+    {
+        const Deadline pools = m_wakes.empty() ? Deadline::never() : m_wakes.begin()->first;
+        Deadline wake = std::min(m_table.nextWake(), pools);
+        return m_isStopping && m_table.size() > 0 && !m_hasEndedQueued ? std::min(wake, m_lastDispatch) : wake;
+    }
 
 private:
+    struct Entry {
+        Entry(const PoolId& id, RequestTable& table, const Peers& peers, std::uint64_t seed)
+            : traffic(id, table, peers, seed)
+        {
+        }
+
+        PoolTraffic traffic;
+        Deadline wake { Deadline::never() };
+        bool isConfigured { false };
+        bool isTouched { false };
+    };
+    using Pools = std::map<PoolId, Entry>;
+
     void on(const Submit& event)
     {
         const auto& spec = event.request;
-        if (m_requests.contains(spec.id))
+        if (m_table.find(spec.id))
             return;
         if (m_isStopping)
-            return reject(spec.id, NotRunReason::ShuttingDown, shortRetryAfter);
+            return reject(spec.id, NotRunReason::ShuttingDown, retryElsewhere);
+        if (m_pools.empty())
+            return reject(spec.id, NotRunReason::NoWorkers, retryElsewhere);
         auto pool = m_pools.find(spec.pool);
-        if (pool == m_pools.end() || !pool->second.kinds.contains(spec.kind))
+        if (pool == m_pools.end() || !pool->second.isConfigured || !pool->second.traffic.knows(spec.kind))
             return reject(spec.id, NotRunReason::UnknownKind);
-        if (auto reason = reasonAgainst(spec, pool->second))
-            return reject(spec.id, *reason, retryAfter(*reason));
-        auto& request = m_requests.emplace(spec.id, Request { .spec = spec, .arrived = m_now }).first->second;
-        enqueue(request, pool->second);
-        dispatchFrom(pool->second);
+        touch(*pool).submit(spec);
     }
 
     void on(const Cancel& event)
     {
-        auto found = m_requests.find(event.request);
-        if (found == m_requests.end() || found->second.isCancelled)
-            return;
-        auto& request = found->second;
-        request.isCancelled = true;
-        if (request.isRunning()) {
-            m_decisions.emplace_back(StopAttempt { request.spec.id, request.worker });
-            return;
-        }
-        dequeue(request);
-        finishAsRejected(request, NotRunReason::Cancelled);
+        if (auto* request = m_table.find(event.request))
+            poolOf(*request).cancel(*request);
     }
 
     void on(const AttemptEnded& event)
     {
-        auto found = m_requests.find(event.request);
-        if (found == m_requests.end() || !found->second.isRunning() || found->second.worker != event.worker)
-            return;
-        auto& request = found->second;
-        auto& pool = m_pools.at(request.spec.pool);
-        pool.credits.release(request.worker);
-        request.worker = {};
-        settle(request, event.end, pool);
-        dispatchFrom(pool);
+        if (auto* request = runningOn(event.request, event.worker))
+            poolOf(*request).attemptEnded(*request, event.end);
+    }
+
+    void on(const UsageReported& event)
+    {
+        if (auto* request = runningOn(event.request, event.worker))
+            poolOf(*request).usageReported(*request, event.used);
     }
 
     void on(const ViewChanged& event)
     {
+        for (auto& [id, pool] : m_pools)
+            pool.isConfigured = false;
         for (const auto& policy : event.pools)
-            m_pools[policy.pool].policy = policy;
-        for (auto& [id, pool] : m_pools) {
-            pool.policy.pool = id;
-            pool.retries.setShare(pool.policy.retryBudget);
-            pool.kinds.clear();
+            configure(policy, event);
+        std::map<PoolId, std::vector<WorkerView>> workers;
+        for (const auto& worker : event.workers)
+            workers[worker.pool].push_back(worker);
+        for (auto& pool : m_pools) {
+            auto& views = workers[pool.first];
+            std::sort(views.begin(), views.end(), [](const auto& a, const auto& b) { return a.id < b.id; });
+            touch(pool).setWorkers(views);
         }
-        for (const auto& kind : event.kinds)
-            m_pools[kind.pool].kinds[kind.kind] = kind;
-        setWorkers(event.workers);
-        dispatchAll();
     }
 
     void on(const PeersChanged& event)
     {
-        auto live = event.live;
-        std::sort(live.begin(), live.end());
-        auto self = std::find(live.begin(), live.end(), event.self);
-        m_nodeIndex = static_cast<std::size_t>(self - live.begin());
-        m_nodes = self == live.end() ? live.size() + 1 : live.size();
-        resetCredits();
-        dispatchAll();
+        m_peers.self = event.self;
+        m_peers.live = event.live;
+        m_peers.live.push_back(event.self);
+        std::sort(m_peers.live.begin(), m_peers.live.end());
+        m_peers.live.erase(std::unique(m_peers.live.begin(), m_peers.live.end()), m_peers.live.end());
+        for (auto& pool : m_pools)
+            touch(pool).peersChanged();
     }
 
-    void on(const StopAdmitting& event)
+    void on(const HomeChanged& event)
     {
-        m_isStopping = true;
-        m_lastDispatch = event.lastDispatch;
+        m_homes[event.pool] = event;
+        auto pool = m_pools.find(event.pool);
+        if (pool != m_pools.end())
+            touch(*pool).setHome(event.home, event.term);
     }
 
-    void on(const HomeChanged&) { }
-    void on(const CreditAsked&) { }
-    void on(const CreditGranted&) { }
-    void on(const UsageReported&) { }
-    void on(const Tick&) { dispatchAll(); }
-
-    void setWorkers(const std::vector<WorkerView>& workers)
+    void on(const CreditAsked& event)
     {
-        std::map<PoolId, std::vector<WorkerView>> byPool;
-        for (const auto& worker : workers)
-            byPool[worker.pool].push_back(worker);
-        for (auto& [id, pool] : m_pools) {
-            auto& views = byPool[id];
-            std::sort(views.begin(), views.end(), [](const auto& a, const auto& b) { return a.id < b.id; });
-            pool.credits.setWorkers(views);
-        }
-        resetCredits();
+        auto pool = m_pools.find(event.ask.pool);
+        if (pool != m_pools.end())
+            touch(*pool).asked(event.ask);
     }
 
-    void resetCredits()
+    void on(const CreditGranted& event)
     {
-        for (auto& [id, pool] : m_pools)
-            pool.credits.resetToStanding(m_nodeIndex, m_nodes);
+        auto pool = m_pools.find(event.grant.pool);
+        if (pool != m_pools.end() && event.grant.to == m_peers.self)
+            touch(*pool).granted(event.grant);
     }
 
-    std::optional<NotRunReason> reasonAgainst(const RequestSpec& spec, const Pool& pool) const
+    void on(const StopAdmitting& event)
     {
-        if (spec.deadline.hasPassed(m_now))
-            return NotRunReason::DeadlinePassed;
-        const auto& workers = pool.credits.workers();
-        if (std::none_of(workers.begin(), workers.end(), [](const auto& worker) { return worker.view.takesWork; }))
-            return NotRunReason::NoWorkers;
-        if (std::none_of(workers.begin(), workers.end(),
-                [&](const auto& worker) { return fits(spec.declaredSize, worker.view.capacity); }))
-            return NotRunReason::NeverFits;
-        if (pool.queue.size() >= pool.policy.maxQueued || pool.queue.bytes() + spec.bytes > pool.policy.maxQueuedBytes)
-            return NotRunReason::QueueFull;
-        return std::nullopt;
+        m_isStopping = true;
+        m_lastDispatch = event.lastDispatch;
     }
 
-    static Duration retryAfter(NotRunReason reason)
-    {
-        const bool isWorthAsking = reason == NotRunReason::QueueFull || reason == NotRunReason::NoWorkers;
-        return isWorthAsking ? shortRetryAfter : Duration::zero();
-    }
+    void on(const Tick&) { }
 
-    void settle(Request& request, AttemptEnd end, Pool& pool)
+    void configure(const PoolPolicy& policy, const ViewChanged& view)
     {
-        if (end == AttemptEnd::Refused && request.isCancelled)
-            return finishAsRejected(request, NotRunReason::Cancelled);
-        if (request.isCancelled || !mayRunAgain(request, end))
-            return conclude(request, end);
-        const bool isRetried
-            = request.attempts() < maxAttempts && !request.spec.deadline.hasPassed(m_now) && pool.retries.takeRetry();
-        if (isRetried)
-            return enqueue(request, pool);
-        if (end == AttemptEnd::Refused)
-            return finishAsRejected(request, NotRunReason::RetriesExhausted, shortRetryAfter);
-        conclude(request, end);
+        std::vector<KindPolicy> kinds;
+        std::copy_if(view.kinds.begin(), view.kinds.end(), std::back_inserter(kinds),
+            [&](const auto& kind) { return kind.pool == policy.pool; });
+        auto [pool, isNew] = m_pools.try_emplace(policy.pool, policy.pool, m_table, m_peers, m_seed + m_pools.size());
+        pool->second.isConfigured = true;
+        pool->second.traffic.setPolicy(policy, kinds, view.teams);
+        if (auto home = m_homes.find(policy.pool); isNew && home != m_homes.end())
+            pool->second.traffic.setHome(home->second.home, home->second.term);
     }
 
-    static bool mayRunAgain(const Request& request, AttemptEnd end)
+    PoolTraffic& touch(Pools::value_type& pool)
     {
-        return end == AttemptEnd::Refused || (end == AttemptEnd::Lost && request.spec.isRepeatable);
+        if (!pool.second.isTouched)
+            m_touched.push_back(&pool);
+        pool.second.isTouched = true;
+        return pool.second.traffic;
     }
 
-    void enqueue(Request& request, Pool& pool)
-    {
-        pool.queue.push(request);
-        m_deadlines.emplace(request.spec.deadline, request.spec.id);
-    }
+    PoolTraffic& poolOf(const Request& request) { return touch(*m_pools.find(request.spec.pool)); }
 
-    void dequeue(Request& request)
+    Request* runningOn(const RequestId& id, const VmId& worker)
     {
-        m_pools.at(request.spec.pool).queue.remove(request);
-        m_deadlines.erase({ request.spec.deadline, request.spec.id });
+        auto* request = m_table.find(id);
+        return request && request->isRunning() && request->worker == worker ? request : nullptr;
     }
 
-    void dispatchAll()
+    void wakeRequests()
     {
-        for (auto& [id, pool] : m_pools)
-            dispatchFrom(pool);
+        if (m_isStopping && !m_hasEndedQueued && m_lastDispatch.hasPassed(m_table.now()))
+            endQueued();
+        while (auto* request = m_table.nextDue())
+            poolOf(*request).wake(*request);
     }
 
-    void dispatchFrom(Pool& pool)
+    void endQueued()
     {
-        while (Request* request = pool.queue.first()) {
-            const auto* worker = pool.credits.pick([&](const auto& candidate) {
-                return fits(request->spec.declaredSize, candidate.view.capacity)
-                    && std::find(request->tried.begin(), request->tried.end(), candidate.view.id)
-                    == request->tried.end();
-            });
-            if (!worker)
-                return;
-            dispatch(*request, worker->view, pool);
-        }
+        m_hasEndedQueued = true;
+        for (auto* request : m_table.waiting())
+            poolOf(*request).giveUp(*request, NotRunReason::ShuttingDown);
     }
 
-    void dispatch(Request& request, const WorkerView& worker, Pool& pool)
+    void wakePools()
     {
-        dequeue(request);
-        pool.credits.use(worker.id);
-        request.worker = worker.id;
-        request.dispatched = m_now;
-        request.tried.push_back(worker.id);
-        if (request.attempts() == 1)
-            pool.retries.recordFirstAttempt();
-        m_decisions.emplace_back(Dispatch { request.spec.id, worker.id, worker.poolEpoch, request.attempts() });
-    }
-
-    void expireQueued()
-    {
-        while (!m_deadlines.empty() && m_deadlines.begin()->first.hasPassed(m_now)) {
-            auto& request = m_requests.at(m_deadlines.begin()->second);
-            dequeue(request);
-            finishAsRejected(request, NotRunReason::DeadlinePassed);
+        for (const auto& [wake, id] : m_wakes) {
+            if (!wake.hasPassed(m_table.now()))
+                return;
+            touch(*m_pools.find(id));
         }
-        if (m_isStopping && m_lastDispatch.hasPassed(m_now))
-            endQueuedAsShuttingDown();
     }
 
-    void endQueuedAsShuttingDown()
+    void runTouched()
     {
-        while (!m_deadlines.empty()) {
-            auto& request = m_requests.at(m_deadlines.begin()->second);
-            dequeue(request);
-            finishAsRejected(request, NotRunReason::ShuttingDown, shortRetryAfter);
+        for (auto* pool : std::exchange(m_touched, {})) {
+            auto& [id, entry] = *pool;
+            entry.isTouched = false;
+            entry.traffic.run();
+            const Deadline wake = entry.traffic.nextWake();
+            if (wake == entry.wake)
+                continue;
+            m_wakes.erase({ entry.wake, id });
+            entry.wake = wake;
+            if (wake != Deadline::never())
+                m_wakes.emplace(wake, id);
         }
     }
 
     void reject(const RequestId& id, NotRunReason reason, Duration retryAfter = {})
     {
-        m_decisions.emplace_back(RejectRequest { id, reason, retryAfter });
-    }
-
-    void finishAsRejected(Request& request, NotRunReason reason, Duration retryAfter = {})
-    {
-        reject(request.spec.id, reason, retryAfter);
-        m_requests.erase(RequestId { request.spec.id });
-    }
-
-    void conclude(Request& request, AttemptEnd end)
-    {
-        m_decisions.emplace_back(ConcludeRequest { request.spec.id, end });
-        m_requests.erase(RequestId { request.spec.id });
+        m_table.emit(RejectRequest { id, reason, retryAfter });
     }
 
-    TimePoint m_now;
-    TrafficDecisions m_decisions;
-    std::map<PoolId, Pool> m_pools;
-    std::unordered_map<RequestId, Request> m_requests;
-    std::set<std::pair<Deadline, RequestId>> m_deadlines;
-    std::size_t m_nodeIndex { 0 };
-    std::size_t m_nodes { 1 };
+    std::uint64_t m_seed;
+    RequestTable m_table;
+    Peers m_peers;
+    Pools m_pools;
+    std::map<PoolId, HomeChanged> m_homes;
+    std::vector<Pools::value_type*> m_touched;
+    std::set<std::pair<Deadline, PoolId>> m_wakes;
     bool m_isStopping { false };
+    bool m_hasEndedQueued { false };
     Deadline m_lastDispatch { Deadline::never() };
 };
 
--- a/packages/policy/tests/traffic_tests.cpp
+++ b/packages/policy/tests/traffic_tests.cpp
@@ -15,7 +15,7 @@
 const PoolId office { "office" };
 const WorkKind plan { "plan" };
 
-ViewChanged view(int workers, std::int64_t slots, PoolPolicy pool = { .pool = office })
+ViewChanged view(int workers, std::int64_t slots, const PoolPolicy& pool = { .pool = office })
 {
     ViewChanged event;
     for (int index = 0; index < workers; ++index) {
--- /dev/null
+++ b/tools/measure_traffic/fault_measures.cpp
@@ -0,0 +1,4 @@
+#include "measures.h"
+namespace rattanrack::measure {
+void measureFaults(const User&) { }
+} // namespace rattanrack::measure
