--- a/packages/peer/include/rattanrack/peer/config_spread.h
+++ b/packages/peer/include/rattanrack/peer/config_spread.h
@@ -9,15 +9,20 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
-/// Brings each accepted configuration into force on every node. Accepted means: "config/head" names its version and
-/// "config/<version>" holds its document, written in one transaction that compares and sets the head.
+/// Brings each accepted configuration into force on every node. Accepted means: "config/head" names its version,
+/// "config/<version>" holds its document and "config_patch/<version>" its difference from the one before, all written
+/// in one transaction that compares and sets the head. Nodes that have the version before read only the difference.
 namespace rattanrack::peer {
 
 constexpr const char* configHeadKey = "config/head";
 constexpr Duration headPollPeriod = std::chrono::seconds { 1 };
-constexpr Duration announcePause = std::chrono::seconds { 1 }; ///< Between two announcements to one peer.
+constexpr Duration announcePause = std::chrono::seconds { 1 }; ///< Between two announcements of one version to a peer.
+constexpr Duration proposalTime = std::chrono::seconds { 10 }; ///< After this an open proposal's outcome is given.
+constexpr std::uint64_t keptVersions = 16; ///< Documents kept in the table.
+constexpr std::size_t maxProposals = 64; ///< Open at one time; more are told Unavailable.
 
 /// The row "config/head".
 struct ConfigHead {
@@ -53,8 +58,8 @@
 struct ProposalOutcome {
     std::string attempt;
     ProposalStatus status { ProposalStatus::Unavailable };
-    ConfigDocument current; ///< In force when known: the accepted one, or the one that came first.
-    OperatorId author; ///< Of `current`, when it came from the table.
+    ConfigDocument current; ///< The accepted one, or the one that came first; version 0 when not known.
+    OperatorId author; ///< Of `current`, when the table gave it.
 };
 
 struct ConfigSpreadOutput {
@@ -71,7 +76,8 @@
 ///         apply(*output.inForce);
 class ConfigSpread {
 public:
-    explicit ConfigSpread(std::uint32_t randomSeed);
+    /// `address` is where this node takes peer messages.
+    ConfigSpread(std::string address, std::uint32_t randomSeed, TimePoint now);
     ~ConfigSpread();
     ConfigSpread(ConfigSpread&&) noexcept;
     ConfigSpread& operator=(ConfigSpread&&) noexcept;
@@ -89,7 +95,9 @@
 
     /// The configuration in force; version 0 until there is one. A node is not ready before.
     const ConfigDocument& inForce() const;
-    bool isReady() const { return inForce().version != 0; }
+
+    /// Whether there is one, and at the start also whether no peer is known to have a newer one.
+    bool isReady() const;
 
 private:
     struct State;
@@ -99,4 +107,7 @@
 /// Key of the document of a version.
 std::string configDocumentKey(std::uint64_t version);
 
+/// Key of its difference from the version before.
+std::string configPatchKey(std::uint64_t version);
+
 } // namespace rattanrack::peer
--- a/packages/peer/include/rattanrack/peer/membership.h
+++ b/packages/peer/include/rattanrack/peer/membership.h
@@ -30,6 +30,12 @@
 constexpr std::size_t maxSeenEntries = 48; ///< News of other nodes in one heartbeat.
 constexpr std::size_t maxIntroductions = 2; ///< Whole member records in one heartbeat.
 constexpr std::size_t maxMembers = 512;
+constexpr std::size_t maxSuspectReads = 16; ///< Rows of suspected nodes in one read.
+constexpr Duration forgetAfter = std::chrono::minutes { 10 }; ///< A gone member is remembered this long.
+constexpr Duration introducePeriod = std::chrono::seconds { 10 }; ///< A new or leaving member is introduced this long.
+
+/// Short name of a node in heartbeats.
+std::uint32_t nodeHash(const NodeId& id);
 
 struct MembershipSettings {
     NodeId self;
@@ -62,9 +68,13 @@
     NodeDigest digest;
     platform::RowVersion rowVersion { 0 }; ///< 0: no row seen, or removed.
     NodeRow row; ///< Last row seen, when `rowVersion` is not 0.
-    TimePoint rowUnchangedSince; ///< By this node's clock; starts anew after a pause or a table outage.
+    TimePoint rowUnchangedSince; ///< First read of this version, by this node's clock; anew after a pause or an outage.
+    TimePoint rowReadAt; ///< Latest read of the row.
     TimePoint heardAt; ///< Latest news through peers.
     TimePoint liveSince; ///< When it became live.
+
+    /// How long reads have shown the row unchanged, or absent.
+    Duration rowAge() const { return rowReadAt - rowUnchangedSince; }
 };
 
 enum class MemberEvent : std::uint8_t { Joined, Suspected, Recovered, Leaving, Gone };
--- a/packages/peer/include/rattanrack/peer/messages.h
+++ b/packages/peer/include/rattanrack/peer/messages.h
@@ -41,10 +41,16 @@
     std::vector<Introduction> introductions;
 };
 
-/// A whole accepted configuration, spread to a peer that reports an older one.
+/// An accepted configuration, spread to a peer that has an older one; or, with `replyTo`, the question for a newer one.
 struct ConfigAnnouncement {
-    std::uint64_t version { 0 };
-    std::string document; ///< Merged configuration, as stored in the table.
+    std::uint64_t version { 0 }; ///< Of the configuration; in a question, the version that the asker has.
+    std::string
+        document; ///< Merged configuration, as stored in the table; with `basedOn`, only what replaces its middle.
+    std::uint64_t basedOn { 0 }; ///< Version that `document` changes; 0 when it is whole.
+    std::uint32_t keptPrefix { 0 }; ///< Bytes kept from the start of the version changed.
+    std::uint32_t keptSuffix { 0 }; ///< Bytes kept from its end.
+    std::uint64_t contentHash { 0 }; ///< Of the whole configuration.
+    std::string replyTo; ///< "ip:port" of the asker; empty in an announcement.
 };
 
 struct CreditAskMessage {
--- a/packages/peer/include/rattanrack/peer/table_exchange.h
+++ b/packages/peer/include/rattanrack/peer/table_exchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "rattanrack/base/time.h"
 #include "rattanrack/platform/table.h"
 
 #include <cstdint>
@@ -12,6 +13,8 @@
 /// requests out, in any order and on any thread, and hands each answer back once.
 namespace rattanrack::peer {
 
+constexpr Duration answerTimeout = std::chrono::seconds { 5 }; ///< An answer that takes longer counts as lost.
+
 /// Chosen by the core; comes back with the answer. Unique within one core.
 using ExchangeId = std::uint64_t;
 
--- a/packages/peer/src/codec.cpp
+++ b/packages/peer/src/codec.cpp
@@ -108,6 +108,11 @@
         auto announcement = target.initConfigAnnouncement();
         announcement.setVersion(message.version);
         announcement.setDocument(message.document);
+        announcement.setBasedOn(message.basedOn);
+        announcement.setKeptPrefix(message.keptPrefix);
+        announcement.setKeptSuffix(message.keptSuffix);
+        announcement.setContentHash(message.contentHash);
+        announcement.setReplyTo(message.replyTo);
     }
 
     void operator()(const CreditAskMessage& message)
@@ -179,6 +184,12 @@
     return heartbeat;
 }
 
+ConfigAnnouncement decodeAnnouncement(wire::ConfigAnnouncement::Reader source)
+{
+    return { source.getVersion(), text(source.getDocument()), source.getBasedOn(), source.getKeptPrefix(),
+        source.getKeptSuffix(), source.getContentHash(), text(source.getReplyTo()) };
+}
+
 CreditAskMessage decodeAsk(wire::CreditAsk::Reader source)
 {
     policy::CreditAsk ask;
@@ -226,10 +237,8 @@
     switch (source.which()) {
     case wire::Message::HEARTBEAT:
         return decodeHeartbeat(source.getHeartbeat());
-    case wire::Message::CONFIG_ANNOUNCEMENT: {
-        const auto announcement = source.getConfigAnnouncement();
-        return ConfigAnnouncement { announcement.getVersion(), text(announcement.getDocument()) };
-    }
+    case wire::Message::CONFIG_ANNOUNCEMENT:
+        return decodeAnnouncement(source.getConfigAnnouncement());
     case wire::Message::CREDIT_ASK:
         return decodeAsk(source.getCreditAsk());
     case wire::Message::CREDIT_GRANT:
--- /dev/null
+++ b/packages/peer/src/config/config_spread.cpp
@@ -0,0 +1,288 @@
+#include "rattanrack/peer/config_spread.h"
+
+#include "config_patch.h"
+#include "proposal.h"
+
+#include "rattanrack/base/invariant.h"
+#include "rattanrack/base/log.h"
+
+#include <algorithm>
+#include <list>
+#include <map>
+#include <random>
+
+namespace rattanrack::peer {
+
+namespace {
+
+constexpr std::size_t maxPeersRemembered = 1024;
+
+struct LastAnnouncement {
+    std::uint64_t version { 0 };
+    Deadline next;
+};
+
+} // namespace
+
+std::string configDocumentKey(std::uint64_t version) { return "config/" + std::to_string(version); }
+std::string configPatchKey(std::uint64_t version) { return "config_patch/" + std::to_string(version); }
+
+struct ConfigSpread::State {
+    State(std::string ownAddress, std::uint32_t randomSeed, TimePoint now)
+        : address(std::move(ownAddress))
+        , nextPoll(now)
+        , random(randomSeed)
+    {
+    }
+
+    void poll(TimePoint now, ConfigSpreadOutput& output);
+    void fetch(TimePoint now, ConfigSpreadOutput& output);
+    void onHead(const platform::Rows& rows);
+    void onDocument(const platform::Rows& rows, ConfigSpreadOutput& output);
+    void putIntoForce(ConfigDocument document, ConfigSpreadOutput& output);
+    void announce(const std::string& target, std::uint64_t theirVersion, TimePoint now, ConfigSpreadOutput& output);
+    void ask(const std::string& target, TimePoint now, ConfigSpreadOutput& output);
+    bool mayTell(
+        std::map<std::string, LastAnnouncement>& told, const std::string& target, std::uint64_t version, TimePoint now);
+    void settleProposals(TimePoint now, ConfigSpreadOutput& output);
+
+    std::string address;
+    ExchangeIds ids;
+    ConfigDocument inForce;
+    ConfigPatch lastPatch; ///< From the version before to the one in force, when its version is the same.
+    std::uint64_t headVersion { 0 };
+    std::uint64_t highestHeard { 0 };
+    bool wasReady { false };
+    bool mustReadWhole { false };
+    bool isPatchRead { false };
+    Deadline nextPoll;
+    PendingExchange polling;
+    PendingExchange fetching;
+    std::uint64_t fetchedVersion { 0 };
+    std::list<Proposal> proposals;
+    std::map<std::string, LastAnnouncement> announced;
+    std::map<std::string, LastAnnouncement> asked;
+    std::minstd_rand random;
+};
+
+ConfigSpread::ConfigSpread(std::string address, std::uint32_t randomSeed, TimePoint now)
+    : m_state(std::make_unique<State>(std::move(address), randomSeed, now))
+{
+}
+ConfigSpread::~ConfigSpread() = default;
+ConfigSpread::ConfigSpread(ConfigSpread&&) noexcept = default;
+ConfigSpread& ConfigSpread::operator=(ConfigSpread&&) noexcept = default;
+
+void ConfigSpread::State::poll(TimePoint now, ConfigSpreadOutput& output)
+{
+    if (polling.isOverdue(now))
+        polling.end();
+    if (polling.isOpen() || !nextPoll.hasPassed(now))
+        return;
+    std::uniform_int_distribution<Duration::rep> spread(headPollPeriod.count() * 9 / 10, headPollPeriod.count());
+    nextPoll = Deadline::after(now, Duration { spread(random) });
+    polling.begin(ids.next(), now, answerTimeout);
+    output.requests.emplace_back(ReadRows { polling.id(), { configHeadKey } });
+}
+
+void ConfigSpread::State::onHead(const platform::Rows& rows)
+{
+    for (const platform::Row& row : rows) {
+        const ConfigHead head = handle([&] { return decodeHead(row); },
+            [](const Error& error) {
+                logEvent("config.head_malformed", { { "error", describe(error) } }, LogLevel::Error);
+                return ConfigHead {};
+            });
+        headVersion = std::max(headVersion, head.version);
+    }
+}
+
+void ConfigSpread::State::fetch(TimePoint now, ConfigSpreadOutput& output)
+{
+    if (fetching.isOverdue(now))
+        fetching.end();
+    if (fetching.isOpen() || headVersion <= inForce.version)
+        return;
+    isPatchRead = inForce.version != 0 && headVersion == inForce.version + 1 && !mustReadWhole;
+    fetchedVersion = headVersion;
+    fetching.begin(ids.next(), now, answerTimeout);
+    const std::string key = isPatchRead ? configPatchKey(headVersion) : configDocumentKey(headVersion);
+    output.requests.emplace_back(ReadRows { fetching.id(), { key } });
+}
+
+void ConfigSpread::State::onDocument(const platform::Rows& rows, ConfigSpreadOutput& output)
+{
+    if (rows.empty() || fetchedVersion <= inForce.version)
+        return;
+    if (!isPatchRead) {
+        mustReadWhole = false;
+        putIntoForce({ fetchedVersion, rows.front().value }, output);
+        return;
+    }
+    const ConfigPatch patch
+        = handle([&] { return decodePatch(rows.front()); }, [](const Error&) { return ConfigPatch {}; });
+    auto text = applyPatch(inForce.text, patch);
+    mustReadWhole = !text || patch.version != inForce.version + 1;
+    if (!mustReadWhole)
+        putIntoForce({ fetchedVersion, std::move(*text) }, output);
+}
+
+void ConfigSpread::State::putIntoForce(ConfigDocument document, ConfigSpreadOutput& output)
+{
+    if (!checkInvariant(document.version > inForce.version, "config.version_grows"))
+        return;
+    lastPatch = {};
+    if (inForce.version != 0 && document.version == inForce.version + 1)
+        lastPatch = makePatch(inForce.text, document);
+    inForce = std::move(document);
+    headVersion = std::max(headVersion, inForce.version);
+    output.inForce = inForce;
+}
+
+bool ConfigSpread::State::mayTell(
+    std::map<std::string, LastAnnouncement>& told, const std::string& target, std::uint64_t version, TimePoint now)
+{
+    if (told.size() >= maxPeersRemembered)
+        told.clear();
+    LastAnnouncement& last = told[target];
+    if (last.version == version && !last.next.hasPassed(now))
+        return false;
+    last = { version, Deadline::after(now, announcePause) };
+    return true;
+}
+
+void ConfigSpread::State::announce(
+    const std::string& target, std::uint64_t theirVersion, TimePoint now, ConfigSpreadOutput& output)
+{
+    if (!mayTell(announced, target, inForce.version, now))
+        return;
+    ConfigAnnouncement announcement;
+    announcement.version = inForce.version;
+    if (lastPatch.version == inForce.version && theirVersion + 1 == inForce.version) {
+        announcement.basedOn = theirVersion;
+        announcement.document = lastPatch.middle;
+        announcement.keptPrefix = lastPatch.keptPrefix;
+        announcement.keptSuffix = lastPatch.keptSuffix;
+        announcement.contentHash = lastPatch.contentHash;
+    } else {
+        announcement.document = inForce.text;
+        announcement.contentHash = configHash(inForce.text);
+    }
+    output.announcements.emplace_back(target, std::move(announcement));
+}
+
+void ConfigSpread::State::ask(const std::string& target, TimePoint now, ConfigSpreadOutput& output)
+{
+    if (!mayTell(asked, target, inForce.version, now))
+        return;
+    ConfigAnnouncement question;
+    question.version = inForce.version;
+    question.replyTo = address;
+    output.announcements.emplace_back(target, std::move(question));
+}
+
+void ConfigSpread::State::settleProposals(TimePoint now, ConfigSpreadOutput& output)
+{
+    for (auto proposal = proposals.begin(); proposal != proposals.end();) {
+        proposal->tick(now, inForce, ids, output.requests);
+        const auto& accepted = proposal->accepted();
+        if (accepted && accepted->version > inForce.version)
+            putIntoForce(*accepted, output);
+        auto outcome = proposal->outcome(now, inForce);
+        if (outcome)
+            output.outcomes.push_back(std::move(*outcome));
+        proposal = outcome ? proposals.erase(proposal) : std::next(proposal);
+    }
+}
+
+ConfigSpreadOutput ConfigSpread::tick(TimePoint now)
+{
+    ConfigSpreadOutput output;
+    m_state->poll(now, output);
+    m_state->fetch(now, output);
+    m_state->settleProposals(now, output);
+    m_state->wasReady = isReady();
+    return output;
+}
+
+ConfigSpreadOutput ConfigSpread::onAnswer(const TableAnswer& answer, TimePoint now)
+{
+    ConfigSpreadOutput output;
+    for (Proposal& proposal : m_state->proposals)
+        if (proposal.onAnswer(answer, now))
+            break;
+    if (const auto* rows = std::get_if<RowsAnswer>(&answer)) {
+        const bool isHead = m_state->polling.isAnsweredBy(rows->exchange);
+        const bool isDocument = m_state->fetching.isAnsweredBy(rows->exchange);
+        if (isHead)
+            m_state->polling.end();
+        if (isDocument)
+            m_state->fetching.end();
+        if (isHead && rows->rows)
+            m_state->onHead(*rows->rows);
+        if (isDocument && rows->rows)
+            m_state->onDocument(*rows->rows, output);
+    }
+    if (const auto* rows = std::get_if<RowsAnswer>(&answer); rows && rows->rows)
+        m_state->fetch(now, output);
+    m_state->settleProposals(now, output);
+    return output;
+}
+
+ConfigSpreadOutput ConfigSpread::onHeartbeat(const Heartbeat& heartbeat, TimePoint now)
+{
+    ConfigSpreadOutput output;
+    m_state->highestHeard = std::max(m_state->highestHeard, heartbeat.configVersion);
+    if (heartbeat.configVersion < m_state->inForce.version)
+        m_state->announce(heartbeat.address, heartbeat.configVersion, now, output);
+    else if (heartbeat.configVersion > m_state->inForce.version)
+        m_state->ask(heartbeat.address, now, output);
+    return output;
+}
+
+ConfigSpreadOutput ConfigSpread::onAnnouncement(const ConfigAnnouncement& announcement, TimePoint now)
+{
+    ConfigSpreadOutput output;
+    if (!announcement.replyTo.empty()) {
+        if (announcement.version < m_state->inForce.version)
+            m_state->announce(announcement.replyTo, announcement.version, now, output);
+        return output;
+    }
+    if (announcement.version <= m_state->inForce.version)
+        return output;
+    if (announcement.basedOn == 0) {
+        if (configHash(announcement.document) == announcement.contentHash)
+            m_state->putIntoForce({ announcement.version, announcement.document }, output);
+    } else if (announcement.basedOn == m_state->inForce.version) {
+        ConfigPatch patch;
+        patch.keptPrefix = announcement.keptPrefix;
+        patch.keptSuffix = announcement.keptSuffix;
+        patch.middle = announcement.document;
+        patch.contentHash = announcement.contentHash;
+        if (auto text = applyPatch(m_state->inForce.text, patch))
+            m_state->putIntoForce({ announcement.version, std::move(*text) }, output);
+    }
+    m_state->settleProposals(now, output);
+    return output;
+}
+
+ConfigSpreadOutput ConfigSpread::propose(ConfigProposal proposal, TimePoint now)
+{
+    ConfigSpreadOutput output;
+    if (m_state->proposals.size() >= maxProposals)
+        output.outcomes.push_back({ proposal.attempt, ProposalStatus::Unavailable, m_state->inForce, {} });
+    else
+        m_state->proposals.emplace_back(std::move(proposal), now);
+    m_state->settleProposals(now, output);
+    return output;
+}
+
+const ConfigDocument& ConfigSpread::inForce() const { return m_state->inForce; }
+
+bool ConfigSpread::isReady() const
+{
+    const bool isNewest = m_state->inForce.version >= m_state->highestHeard;
+    return m_state->inForce.version != 0 && (m_state->wasReady || isNewest);
+}
+
+} // namespace rattanrack::peer
--- /dev/null
+++ b/packages/peer/src/config/proposal.cpp
@@ -0,0 +1,153 @@
+#include "proposal.h"
+
+#include <algorithm>
+
+namespace rattanrack::peer {
+
+namespace {
+
+constexpr Duration retryPause = std::chrono::milliseconds { 500 };
+
+template <typename Decoded> Decoded decodedOr(Result<Decoded> (*decode)(const platform::Row&), const platform::Row& row)
+{
+    return handle([&] { return decode(row); }, [](const Error&) { return Decoded {}; });
+}
+
+} // namespace
+
+Proposal::Proposal(ConfigProposal proposal, TimePoint now)
+    : m_proposal(std::move(proposal))
+    , m_deadline(Deadline::after(now, proposalTime))
+    , m_next(now)
+{
+}
+
+void Proposal::tick(TimePoint now, const ConfigDocument& inForce, ExchangeIds& ids, TableRequests& requests)
+{
+    if (m_committing.isOverdue(now)) {
+        m_committing.end();
+        m_hasUnknown = true;
+    }
+    if (m_reading.isOverdue(now))
+        m_reading.end();
+    const bool isBusy = m_committing.isOpen() || m_reading.isOpen() || !m_next.hasPassed(now);
+    if (isBusy || m_accepted || m_isConflict || m_isRefused)
+        return;
+    if (!m_hasRead)
+        read(now, ids, requests);
+    else if (inForce.version == m_proposal.basedOn)
+        commit(now, inForce, ids, requests);
+}
+
+void Proposal::read(TimePoint now, ExchangeIds& ids, TableRequests& requests)
+{
+    m_reading.begin(ids.next(), now, answerTimeout);
+    requests.emplace_back(ReadRows { m_reading.id(), { configHeadKey, configPatchKey(m_proposal.basedOn + 1) } });
+}
+
+void Proposal::commit(TimePoint now, const ConfigDocument& inForce, ExchangeIds& ids, TableRequests& requests)
+{
+    const ConfigDocument document { m_proposal.basedOn + 1, m_proposal.text };
+    ConfigPatch patch = makePatch(inForce.text, document);
+    patch.attempt = m_proposal.attempt;
+    patch.author = m_proposal.author;
+    platform::Transaction transaction;
+    transaction.conditions.push_back({ configHeadKey, m_headRow });
+    transaction.writes.push_back(
+        { configHeadKey, encodeHead({ document.version, m_proposal.attempt, m_proposal.author }) });
+    transaction.writes.push_back({ configDocumentKey(document.version), document.text });
+    transaction.writes.push_back({ configPatchKey(document.version), encodePatch(patch) });
+    if (document.version > keptVersions) {
+        transaction.writes.push_back({ configDocumentKey(document.version - keptVersions), std::nullopt });
+        transaction.writes.push_back({ configPatchKey(document.version - keptVersions), std::nullopt });
+    }
+    m_hasRead = false;
+    m_committing.begin(ids.next(), now, answerTimeout);
+    requests.emplace_back(CommitRows { m_committing.id(), std::move(transaction) });
+}
+
+bool Proposal::onAnswer(const TableAnswer& answer, TimePoint now)
+{
+    if (const auto* commit = std::get_if<CommitAnswer>(&answer);
+        commit && m_committing.isAnsweredBy(commit->exchange)) {
+        m_committing.end();
+        onCommit(commit->outcome, now);
+        return true;
+    }
+    if (const auto* rows = std::get_if<RowsAnswer>(&answer); rows && m_reading.isAnsweredBy(rows->exchange)) {
+        m_reading.end();
+        if (rows->rows)
+            onRows(*rows->rows);
+        else
+            pause(now);
+        return true;
+    }
+    return false;
+}
+
+void Proposal::onRows(const platform::Rows& rows)
+{
+    m_hasRead = true;
+    m_headRow = 0;
+    m_head = {};
+    for (const platform::Row& row : rows) {
+        if (row.key == configHeadKey) {
+            m_headRow = row.version;
+            m_head = decodedOr(decodeHead, row);
+        } else {
+            onSuccessor(row);
+        }
+    }
+    if (!m_accepted && m_head.version != m_proposal.basedOn)
+        m_isConflict = true;
+}
+
+void Proposal::onSuccessor(const platform::Row& row)
+{
+    if (decodedOr(decodePatch, row).attempt == m_proposal.attempt)
+        m_accepted = ConfigDocument { m_proposal.basedOn + 1, m_proposal.text };
+}
+
+void Proposal::onCommit(const platform::CommitOutcome& outcome, TimePoint now)
+{
+    switch (outcome.status) {
+    case platform::CommitStatus::Done:
+        m_accepted = ConfigDocument { m_proposal.basedOn + 1, m_proposal.text };
+        return;
+    case platform::CommitStatus::Unknown:
+        m_hasUnknown = true;
+        return;
+    case platform::CommitStatus::Conflict:
+        return;
+    case platform::CommitStatus::Refused:
+        m_isRefused = true;
+        return;
+    case platform::CommitStatus::Unavailable:
+        pause(now);
+        return;
+    }
+}
+
+void Proposal::pause(TimePoint now) { m_next = Deadline::after(now, retryPause); }
+
+std::optional<ProposalOutcome> Proposal::outcome(TimePoint now, const ConfigDocument& inForce) const
+{
+    if (m_accepted)
+        return ProposalOutcome { m_proposal.attempt, ProposalStatus::Accepted, *m_accepted, m_proposal.author };
+    const bool isTimeUp = m_deadline.hasPassed(now);
+    if (m_isConflict && (isTimeUp || inForce.version >= m_head.version)) {
+        const bool isKnown = inForce.version >= m_head.version;
+        return ProposalOutcome { m_proposal.attempt, ProposalStatus::Conflict, isKnown ? inForce : ConfigDocument {},
+            m_head.author };
+    }
+    if (m_isRefused)
+        return ProposalOutcome { m_proposal.attempt, m_hasUnknown ? ProposalStatus::Unknown : ProposalStatus::Refused,
+            inForce, {} };
+    if (!isTimeUp)
+        return std::nullopt;
+    const bool isUncertain = m_hasUnknown || m_committing.isOpen();
+    return ProposalOutcome { m_proposal.attempt, isUncertain ? ProposalStatus::Unknown : ProposalStatus::Unavailable,
+        inForce, {} };
+}
+
+} // namespace rattanrack::peer
--- /dev/null
+++ b/packages/peer/src/duties/duty_plan.cpp
@@ -0,0 +1,161 @@
+#include "duty_plan.h"
+
+#include "duty_row.h"
+
+#include "rattanrack/peer/rendezvous.h"
+
+#include <algorithm>
+#include <set>
+
+namespace rattanrack::peer {
+
+namespace {
+
+constexpr std::size_t maxRankSteps = 5; ///< Challengers placed worse than this all wait the same time.
+
+std::vector<NodeId> liveOthers(const LivenessView& liveness)
+{
+    std::vector<NodeId> nodes;
+    for (const Member& member : liveness.members)
+        if (member.state == MemberState::Live && !member.isLeaving)
+            nodes.push_back(member.id);
+    return nodes;
+}
+
+std::vector<NodeId> settledOthers(const LivenessView& liveness, TimePoint now)
+{
+    std::vector<NodeId> nodes;
+    for (const Member& member : liveness.members) {
+        const bool isSettled = member.state == MemberState::Live && !member.isLeaving
+            && now - member.liveSince >= settleTime && member.rowVersion != 0 && !member.row.isFenced
+            && member.rowAge() < nodeLease;
+        if (isSettled)
+            nodes.push_back(member.id);
+    }
+    return nodes;
+}
+
+const Member* findMember(const LivenessView& liveness, const NodeId& id)
+{
+    const auto found = std::find_if(
+        liveness.members.begin(), liveness.members.end(), [&](const Member& member) { return member.id == id; });
+    return found == liveness.members.end() ? nullptr : &*found;
+}
+
+/// The version of the holder's node row that shows it dead.
+struct DeadHolder {
+    platform::RowVersion rowVersion { 0 };
+    NodeRow fencedRow;
+    bool mustFence { false };
+};
+
+std::optional<DeadHolder> findDead(const NodeId& holder, const DutyPlanInput& input)
+{
+    const Member* member = findMember(input.liveness, holder);
+    const auto known = input.nodeRows.find(holder);
+    if (known != input.nodeRows.end() && (!member || known->second.version > member->rowVersion)) {
+        if (!known->second.isFenced)
+            return std::nullopt;
+        return DeadHolder { known->second.version, {}, false };
+    }
+    if (!member)
+        return DeadHolder {}; // No scan has ever shown a row: the condition demands that there is none.
+    if (member->rowVersion != 0 && member->row.isFenced)
+        return DeadHolder { member->rowVersion, {}, false };
+    const Duration lease = member->state == MemberState::Live ? nodeLeaseWhenHeard : nodeLease;
+    if (member->rowAge() < lease)
+        return std::nullopt;
+    DeadHolder dead { member->rowVersion, member->row, member->rowVersion != 0 };
+    dead.fencedRow.isFenced = true;
+    return dead;
+}
+
+} // namespace
+
+platform::Transaction DutyPlan::transaction(const std::string& attempt) const
+{
+    platform::Transaction transaction;
+    for (const Assignment& assignment : assignments) {
+        const std::string key = dutyRowKey(assignment.name);
+        transaction.conditions.push_back({ key, assignment.knownVersion });
+        transaction.writes.push_back({ key, encodeDutyRow({ assignment.newHolder, attempt, 0 }) });
+    }
+    if (!deadHolder.isEmpty())
+        transaction.conditions.push_back({ nodeRowKey(deadHolder), deadHolderRow });
+    if (mustFence)
+        transaction.writes.push_back({ nodeRowKey(deadHolder), encodeNodeRow(fencedRow) });
+    return transaction;
+}
+
+DutyPlan planLeave(const DutyPlanInput& input)
+{
+    DutyPlan plan;
+    const std::vector<NodeId> candidates = liveOthers(input.liveness);
+    if (candidates.empty())
+        return plan;
+    for (const auto& [name, row] : input.rows)
+        if (row.holder == input.self && plan.assignments.size() < maxTakenTogether)
+            plan.assignments.push_back({ name, row.version, rendezvousChoice(name.value(), candidates) });
+    return plan;
+}
+
+DutyPlan planHandBack(const DutyPlanInput& input)
+{
+    DutyPlan plan;
+    std::vector<NodeId> candidates = settledOthers(input.liveness, input.now);
+    candidates.push_back(input.self);
+    for (const DutyName& name : input.names) {
+        const auto row = input.rows.find(name);
+        if (row == input.rows.end() || row->second.holder != input.self)
+            continue;
+        NodeId preferred = rendezvousChoice(name.value(), candidates);
+        if (preferred == input.self)
+            continue;
+        plan.assignments.push_back({ name, row->second.version, std::move(preferred) });
+        if (plan.assignments.size() == maxHandedBackTogether)
+            break;
+    }
+    return plan;
+}
+
+bool TakeoverPlanner::isDue(const DutyName& name, const DutyPlanInput& input, const std::vector<NodeId>& candidates)
+{
+    const TimePoint vacantSince = m_vacantSince.try_emplace(name, input.now).first->second;
+    const std::size_t rank = std::min(rendezvousRank(name.value(), input.self, candidates), maxRankSteps);
+    return input.now >= vacantSince + rank * challengeStep;
+}
+
+DutyPlan TakeoverPlanner::plan(const DutyPlanInput& input)
+{
+    DutyPlan plan;
+    std::map<NodeId, std::optional<DeadHolder>> verdicts;
+    const std::vector<NodeId> candidates = liveOthers(input.liveness);
+    for (const DutyName& name : input.names) {
+        const auto row = input.rows.find(name);
+        const DutyRow known = row == input.rows.end() ? DutyRow {} : row->second;
+        std::optional<DeadHolder> dead { DeadHolder {} };
+        if (known.holder == input.self)
+            dead = std::nullopt;
+        else if (!known.holder.isEmpty()) {
+            auto [verdict, isNew] = verdicts.try_emplace(known.holder);
+            if (isNew)
+                verdict->second = findDead(known.holder, input);
+            dead = verdict->second;
+        }
+        if (!dead) {
+            m_vacantSince.erase(name);
+            continue;
+        }
+        const bool fitsIn = plan.isEmpty() || plan.deadHolder == known.holder;
+        if (!isDue(name, input, candidates) || !fitsIn || plan.assignments.size() == maxTakenTogether)
+            continue;
+        plan.assignments.push_back({ name, known.version, input.self });
+        plan.deadHolder = known.holder;
+        plan.deadHolderRow = dead->rowVersion;
+        plan.fencedRow = dead->fencedRow;
+        plan.mustFence = dead->mustFence;
+    }
+    return plan;
+}
+
+} // namespace rattanrack::peer
--- /dev/null
+++ b/packages/peer/src/membership/gossip.cpp
@@ -0,0 +1,92 @@
+#include "gossip.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace rattanrack::peer {
+
+namespace {
+
+constexpr std::size_t beatsBetweenProbes = 3; ///< Of suspected members.
+
+struct RingMember {
+    std::uint32_t place { 0 };
+    const Member* member { nullptr };
+};
+
+/// Members in one state in the order of their places, beginning with the one that follows `self`.
+std::vector<const Member*> ring(const MemberTable& table, MemberState state, const NodeId& self)
+{
+    std::vector<RingMember> places;
+    places.reserve(table.entries().size());
+    for (const auto& [id, entry] : table.entries())
+        if (entry.member.state == state)
+            places.push_back({ nodeHash(id), &entry.member });
+    std::sort(places.begin(), places.end(),
+        [](const RingMember& left, const RingMember& right) { return left.place < right.place; });
+    const auto successor = std::find_if(places.begin(), places.end(),
+        [place = nodeHash(self)](const RingMember& other) { return other.place > place; });
+    std::rotate(places.begin(), successor, places.end());
+    std::vector<const Member*> members;
+    members.reserve(places.size());
+    for (const RingMember& place : places)
+        members.push_back(place.member);
+    return members;
+}
+
+void addOnce(std::vector<std::string>& addresses, const std::string& address)
+{
+    if (std::find(addresses.begin(), addresses.end(), address) == addresses.end())
+        addresses.push_back(address);
+}
+
+} // namespace
+
+std::vector<std::string> Gossip::targets(const MemberTable& table, const MembershipSettings& settings)
+{
+    std::vector<std::string> addresses;
+    const auto live = ring(table, MemberState::Live, settings.self);
+    for (std::size_t i = 0; i < heartbeatFanOut && !live.empty(); ++i) {
+        if (m_distance > live.size())
+            m_distance = 1;
+        addOnce(addresses, live[m_distance - 1]->address);
+        m_distance *= 2;
+    }
+    const auto suspected = ring(table, MemberState::Suspected, settings.self);
+    const bool isProbe = ++m_beats % beatsBetweenProbes == 0;
+    if (!suspected.empty() && (isProbe || live.empty()))
+        addOnce(addresses, suspected[m_random() % suspected.size()]->address);
+    if (addresses.empty())
+        std::sample(
+            settings.seeds.begin(), settings.seeds.end(), std::back_inserter(addresses), heartbeatFanOut, m_random);
+    std::erase(addresses, settings.address);
+    return addresses;
+}
+
+void Gossip::addNews(const MemberTable& table, bool isTableReachable, TimePoint now, Heartbeat& heartbeat)
+{
+    std::vector<const MemberTable::Entry*> known;
+    std::vector<const MemberTable::Entry*> unknownToMany;
+    for (const auto& [id, entry] : table.entries()) {
+        if (entry.member.state == MemberState::Gone || entry.sequence == 0)
+            continue;
+        known.push_back(&entry);
+        if (!isTableReachable || !entry.introduceUntil.hasPassed(now) || entry.member.rowVersion == 0)
+            unknownToMany.push_back(&entry);
+    }
+    std::sort(known.begin(), known.end(),
+        [](const auto* left, const auto* right) { return left->member.heardAt > right->member.heardAt; });
+    known.resize(std::min(known.size(), maxSeenEntries));
+    for (const auto* entry : known)
+        heartbeat.seen.push_back({ nodeHash(entry->member.id), static_cast<std::uint32_t>(entry->sequence) });
+
+    const std::size_t introductions = std::min(unknownToMany.size(), maxIntroductions);
+    for (std::size_t i = 0; i < introductions; ++i) {
+        const auto& entry = *unknownToMany[m_nextIntroduction++ % unknownToMany.size()];
+        const Member& member = entry.member;
+        heartbeat.introductions.push_back(
+            { member.id, member.address, member.dataCenter, entry.sequence, member.isLeaving });
+    }
+}
+
+} // namespace rattanrack::peer
--- /dev/null
+++ b/packages/peer/src/membership/own_row.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "../exchange_ids.h"
+
+#include "rattanrack/peer/membership.h"
+
+#include <random>
+
+namespace rattanrack::peer {
+
+/// Keeps this node's row in the table renewed, and notices when another node has fenced it.
+class OwnRow {
+public:
+    OwnRow(const MembershipSettings& settings, TimePoint now);
+
+    void tick(TimePoint now, ExchangeIds& ids, MembershipOutput& output);
+
+    /// True when the answer was meant for this row.
+    bool onAnswer(const TableAnswer& answer, TimePoint now, ExchangeIds& ids, MembershipOutput& output);
+
+    void leave(TimePoint now);
+    void remove(ExchangeIds& ids, MembershipOutput& output);
+
+    Deadline lease() const { return m_lease; }
+    bool isLeaving() const { return m_row.isLeaving; }
+    bool isRemoved() const { return m_isRemoved; }
+
+private:
+    void renew(TimePoint now, ExchangeIds& ids, MembershipOutput& output);
+    void readBack(TimePoint now, ExchangeIds& ids, MembershipOutput& output);
+    void onCommit(const platform::CommitOutcome& outcome, TimePoint now, ExchangeIds& ids, MembershipOutput& output);
+    void onRows(const RowsAnswer& answer, TimePoint now, MembershipOutput& output);
+    void adopt(const platform::Row& stored, TimePoint now, MembershipOutput& output);
+    void confirm(platform::RowVersion version, MembershipOutput& output);
+    void loseRow(platform::RowVersion version, TimePoint now, MembershipOutput& output);
+    void retryLater(TimePoint now);
+    Duration jittered(Duration duration);
+
+    NodeRow m_row;
+    platform::RowVersion m_version { 0 };
+    Deadline m_lease;
+    Deadline m_nextRenewal;
+    PendingExchange m_commit;
+    PendingExchange m_read;
+    TimePoint m_renewedAt; ///< When the latest renewal was sent.
+    bool m_mustRead { false };
+    bool m_isRegistered { false };
+    bool m_isRemoved { false };
+    std::minstd_rand m_random;
+};
+
+} // namespace rattanrack::peer
--- a/packages/peer/src/peer.capnp
+++ b/packages/peer/src/peer.capnp
@@ -49,6 +49,11 @@
 struct ConfigAnnouncement {
   version @0 :UInt64;
   document @1 :Text;
+  basedOn @2 :UInt64;
+  keptPrefix @3 :UInt32;
+  keptSuffix @4 :UInt32;
+  contentHash @5 :UInt64;
+  replyTo @6 :Text;
 }
 
 struct Credit {
--- a/packages/peer/src/peer.capnp.h
+++ b/packages/peer/src/peer.capnp.h
@@ -182,7 +182,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d51c8b134aa2a689, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(d51c8b134aa2a689, 4, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -995,6 +995,17 @@
   inline bool hasDocument() const;
   inline  ::capnp::Text::Reader getDocument() const;
 
+  inline  ::uint64_t getBasedOn() const;
+
+  inline  ::uint32_t getKeptPrefix() const;
+
+  inline  ::uint32_t getKeptSuffix() const;
+
+  inline  ::uint64_t getContentHash() const;
+
+  inline bool hasReplyTo() const;
+  inline  ::capnp::Text::Reader getReplyTo() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1033,6 +1044,25 @@
   inline void adoptDocument(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownDocument();
 
+  inline  ::uint64_t getBasedOn();
+  inline void setBasedOn( ::uint64_t value);
+
+  inline  ::uint32_t getKeptPrefix();
+  inline void setKeptPrefix( ::uint32_t value);
+
+  inline  ::uint32_t getKeptSuffix();
+  inline void setKeptSuffix( ::uint32_t value);
+
+  inline  ::uint64_t getContentHash();
+  inline void setContentHash( ::uint64_t value);
+
+  inline bool hasReplyTo();
+  inline  ::capnp::Text::Builder getReplyTo();
+  inline void setReplyTo( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initReplyTo(unsigned int size);
+  inline void adoptReplyTo(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownReplyTo();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2541,6 +2571,96 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t ConfigAnnouncement::Reader::getBasedOn() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ConfigAnnouncement::Builder::getBasedOn() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ConfigAnnouncement::Builder::setBasedOn( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ConfigAnnouncement::Reader::getKeptPrefix() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ConfigAnnouncement::Builder::getKeptPrefix() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void ConfigAnnouncement::Builder::setKeptPrefix( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ConfigAnnouncement::Reader::getKeptSuffix() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ConfigAnnouncement::Builder::getKeptSuffix() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void ConfigAnnouncement::Builder::setKeptSuffix( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ConfigAnnouncement::Reader::getContentHash() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ConfigAnnouncement::Builder::getContentHash() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void ConfigAnnouncement::Builder::setContentHash( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ConfigAnnouncement::Reader::hasReplyTo() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool ConfigAnnouncement::Builder::hasReplyTo() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ConfigAnnouncement::Reader::getReplyTo() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ConfigAnnouncement::Builder::getReplyTo() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ConfigAnnouncement::Builder::setReplyTo( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ConfigAnnouncement::Builder::initReplyTo(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ConfigAnnouncement::Builder::adoptReplyTo(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ConfigAnnouncement::Builder::disownReplyTo() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool Credit::Reader::hasWorker() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- /dev/null
+++ b/packages/peer/tests/membership_tests.cpp
@@ -0,0 +1,219 @@
+#include "virtual_cluster.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+namespace rattanrack::peer {
+namespace {
+
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+std::size_t countOf(const VirtualCluster& cluster, MemberEvent event)
+{
+    std::size_t total = 0;
+    for (const auto& [id, node] : cluster.nodes)
+        for (const MemberChange& change : node.changes)
+            total += change.event == event ? 1 : 0;
+    return total;
+}
+
+void forgetChanges(VirtualCluster& cluster)
+{
+    for (auto& [id, node] : cluster.nodes)
+        node.changes.clear();
+}
+
+bool allKnowEachOther(const VirtualCluster& cluster)
+{
+    for (const auto& [id, node] : cluster.nodes)
+        if (node.membership->liveMembers().size() != cluster.nodes.size() - 1
+            || !node.membership->isRegistered(cluster.now))
+            return false;
+    return true;
+}
+
+std::unique_ptr<VirtualCluster> runningCluster(int size, std::uint32_t seed)
+{
+    auto cluster = std::make_unique<VirtualCluster>(seed);
+    for (int i = 1; i <= size; ++i)
+        cluster->start(i, i % 2);
+    cluster->run(seconds { 30 });
+    EXPECT_TRUE(allKnowEachOther(*cluster));
+    return cluster;
+}
+
+TEST(Membership, NobodyIsSuspectedOnQuietDays)
+{
+    const auto cluster = runningCluster(42, 1);
+    forgetChanges(*cluster);
+    cluster->faults.lostMessages = 0.05;
+    cluster->run(minutes { 10 });
+    EXPECT_EQ(countOf(*cluster, MemberEvent::Suspected), 0U);
+    EXPECT_EQ(countOf(*cluster, MemberEvent::Gone), 0U);
+}
+
+TEST(Membership, ADeadNodeIsGoneForAllWithinTwentyFiveSeconds)
+{
+    const auto cluster = runningCluster(42, 2);
+    const NodeId dead = cluster->nodes.begin()->first;
+    cluster->kill(dead);
+    cluster->run(seconds { 25 });
+    EXPECT_EQ(countOf(*cluster, MemberEvent::Gone), 41U);
+    EXPECT_TRUE(allKnowEachOther(*cluster));
+    cluster->run(minutes { 2 });
+    EXPECT_EQ(cluster->table.version(nodeRowKey(dead)), 0U) << "its row was not removed";
+}
+
+TEST(Membership, APausedNodeCondemnsNobodyWhenItWakes)
+{
+    const auto cluster = runningCluster(7, 3);
+    const NodeId paused = cluster->nodes.begin()->first;
+    cluster->pause(paused);
+    cluster->run(minutes { 3 });
+    forgetChanges(*cluster);
+    cluster->resume(paused, VirtualCluster::Arrivals::Lost);
+    cluster->run(seconds { 30 });
+    EXPECT_EQ(countOf(*cluster, MemberEvent::Suspected), 0U);
+    EXPECT_EQ(countOf(*cluster, MemberEvent::Gone), 0U);
+    EXPECT_TRUE(allKnowEachOther(*cluster));
+}
+
+TEST(Membership, RegionsThatLoseEachOtherSuspectButNeverGiveUp)
+{
+    const auto cluster = runningCluster(14, 4);
+    cluster->faults.areRegionsApart = true;
+    cluster->run(seconds { 30 });
+    forgetChanges(*cluster);
+    cluster->run(minutes { 5 });
+    for (const auto& [id, node] : cluster->nodes) {
+        EXPECT_TRUE(node.changes.empty()) << id;
+        EXPECT_EQ(node.membership->liveMembers().size(), 6U) << id;
+        EXPECT_EQ(node.membership->liveness().members.size(), 13U) << id;
+    }
+    cluster->faults.areRegionsApart = false;
+    cluster->run(seconds { 20 });
+    EXPECT_TRUE(allKnowEachOther(*cluster));
+}
+
+TEST(Membership, AnOutageOfTheTableChangesNothingAndEndsWithoutAStampede)
+{
+    const auto cluster = runningCluster(42, 5);
+    forgetChanges(*cluster);
+    cluster->faults.isTableDown = true;
+    cluster->run(minutes { 15 });
+    EXPECT_EQ(countOf(*cluster, MemberEvent::Suspected), 0U);
+    cluster->faults.isTableDown = false;
+    cluster->counts.clear();
+    cluster->run(seconds { 1 });
+    EXPECT_LE(cluster->counts["commit"], 42U * 2);
+    cluster->run(seconds { 30 });
+    EXPECT_EQ(countOf(*cluster, MemberEvent::Gone), 0U);
+    EXPECT_TRUE(allKnowEachOther(*cluster));
+}
+
+TEST(Membership, AnOutageOfTheTableWhileRegionsAreApartCondemnsNobody)
+{
+    const auto cluster = runningCluster(14, 9);
+    cluster->faults.areRegionsApart = true;
+    cluster->run(seconds { 30 }); // from here on the rows of the other region are read each second
+    cluster->faults.isTableDown = true;
+    cluster->run(minutes { 5 });
+    cluster->faults.isTableDown = false;
+    cluster->run(minutes { 1 });
+    EXPECT_EQ(countOf(*cluster, MemberEvent::Gone), 0U);
+}
+
+TEST(Membership, ANodeThatStartsDuringAnOutageIsKnownThroughPeers)
+{
+    const auto cluster = runningCluster(12, 6);
+    cluster->faults.isTableDown = true;
+    cluster->run(seconds { 30 });
+    const NodeId started = cluster->start(50).id;
+    cluster->run(seconds { 30 });
+    for (const auto& [id, node] : cluster->nodes)
+        EXPECT_EQ(node.membership->liveMembers().size(), 12U) << id;
+    EXPECT_FALSE(cluster->nodes.at(started).membership->isRegistered(cluster->now));
+}
+
+TEST(Membership, AReplacementAtTheSameAddressIsANewMember)
+{
+    const auto cluster = runningCluster(7, 7);
+    cluster->start(3);
+    cluster->run(seconds { 25 });
+    EXPECT_TRUE(allKnowEachOther(*cluster));
+    EXPECT_EQ(countOf(*cluster, MemberEvent::Gone), 7U) << "the new node saw the old row, too";
+}
+
+TEST(Membership, ALeavingNodeSaysSoAndIsNotMissed)
+{
+    const auto cluster = runningCluster(7, 8);
+    auto& leaving = cluster->nodes.begin()->second;
+    leaving.membership->leave();
+    cluster->run(seconds { 12 });
+    EXPECT_EQ(countOf(*cluster, MemberEvent::Leaving), 6U);
+}
+
+TEST(Membership, NonsenseInHeartbeatsIsBounded)
+{
+    Membership membership({ NodeId { "a" }, "10.0.0.1:1", DataCenterId { "dc" }, {}, 1 }, TimePoint {});
+    for (std::uint64_t i = 0; i < 5000; ++i) {
+        Heartbeat heartbeat;
+        heartbeat.from = NodeId { "x" + std::to_string(i) };
+        heartbeat.address = i % 2 == 0 ? "10.0.0.2:1" : std::string(1000, 'a');
+        heartbeat.sequence = i + 1;
+        heartbeat.seen.resize(2000, { 7, 7 });
+        heartbeat.introductions.resize(50, { NodeId { "y" + std::to_string(i) }, "z", DataCenterId {}, 1, false });
+        membership.onHeartbeat(heartbeat, TimePoint {});
+    }
+    EXPECT_LE(membership.liveness().members.size(), maxMembers);
+}
+
+RC_GTEST_PROP(MembershipProperty, AgreementReturnsAfterAnyFaults, (std::uint32_t seed))
+{
+    VirtualCluster cluster(seed);
+    const int size = 5;
+    for (int i = 1; i <= size; ++i)
+        cluster.start(i, i % 2);
+    const auto anyNode = [&] { return std::next(cluster.nodes.begin(), *rc::gen::inRange(0, size))->first; };
+    const int steps = *rc::gen::inRange(5, 25);
+    for (int step = 0; step < steps; ++step) {
+        switch (*rc::gen::inRange(0, 8)) {
+        case 0:
+            cluster.pause(anyNode());
+            break;
+        case 1:
+            cluster.resume(anyNode());
+            break;
+        case 2:
+            cluster.faults.isTableDown = !cluster.faults.isTableDown;
+            break;
+        case 3:
+            cluster.faults.areRegionsApart = !cluster.faults.areRegionsApart;
+            break;
+        case 4:
+            cluster.faults.lostAnswers = 0.1 * *rc::gen::inRange(0, 5);
+            break;
+        case 5:
+            cluster.faults.lostMessages = 0.1 * *rc::gen::inRange(0, 6);
+            break;
+        case 6:
+            cluster.start(*rc::gen::inRange(1, size + 1), *rc::gen::inRange(0, 2));
+            break;
+        default:
+            cluster.nodes.at(anyNode()).isCutFromTable = *rc::gen::arbitrary<bool>();
+        }
+        cluster.run(seconds { *rc::gen::inRange(0, 30) });
+    }
+    cluster.faults = {};
+    for (auto& [id, node] : cluster.nodes) {
+        node.isCutFromTable = false;
+        cluster.resume(id);
+    }
+    cluster.run(seconds { 60 });
+    RC_ASSERT(allKnowEachOther(cluster));
+}
+
+} // namespace
+} // namespace rattanrack::peer
--- a/packages/peer/tests/peer_network_tests.cpp
+++ b/packages/peer/tests/peer_network_tests.cpp
@@ -128,7 +128,7 @@
     const policy::CreditAsk ask { PoolId { "p" }, NodeId { "n" }, 1, 2, 3, Duration { 4 }, { { VmId { "w1" }, 5 } },
         { { VmId { "w2" }, 6 } } };
     sender->send(target, heartbeat(3));
-    sender->send(target, ConfigAnnouncement { 8, "document" });
+    sender->send(target, ConfigAnnouncement { 8, "document", 7, 1, 2, 3, "127.0.0.1:2" });
     sender->send(target, CreditAskMessage { ask });
     sender->send(target, CreditGrantMessage { { PoolId { "p" }, NodeId { "m" }, 11, { { VmId { "w" }, 1 } }, {} } });
     sender->send(target, ClaimRequest { 12, NodeId { "n" }, claim });
@@ -147,7 +147,12 @@
     EXPECT_EQ(beat.load, 4U);
     EXPECT_EQ(beat.seen.at(0).sequence, 2U);
     EXPECT_EQ(beat.introductions.at(0).address, "127.0.0.1:2");
-    EXPECT_EQ(std::get<ConfigAnnouncement>(messages[1]).document, "document");
+    const auto& announcement = std::get<ConfigAnnouncement>(messages[1]);
+    EXPECT_EQ(announcement.document, "document");
+    EXPECT_EQ(announcement.basedOn, 7U);
+    EXPECT_EQ(announcement.keptSuffix, 2U);
+    EXPECT_EQ(announcement.contentHash, 3U);
+    EXPECT_EQ(announcement.replyTo, "127.0.0.1:2");
     const auto& arrivedAsk = std::get<CreditAskMessage>(messages[2]).ask;
     EXPECT_EQ(arrivedAsk.oldestWait, Duration { 4 });
     EXPECT_EQ(arrivedAsk.idle.at(0).worker, VmId { "w1" });
@@ -169,7 +174,7 @@
     constexpr std::uint64_t count = 30;
     const std::string document(200'000, 'x'); // together beyond what one connection carries
     for (std::uint64_t i = 0; i < count; ++i) {
-        sender->send(target, ConfigAnnouncement { i, document });
+        sender->send(target, ConfigAnnouncement { i, document, 0, 0, 0, 0, "" });
         ASSERT_TRUE(inbox.waitFor(i + 1));
     }
     for (std::uint64_t i = 0; i < count; ++i)
--- /dev/null
+++ b/packages/peer/tests/virtual_cluster.cpp
@@ -0,0 +1,232 @@
+#include "virtual_cluster.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+namespace rattanrack::peer {
+
+namespace {
+
+constexpr Duration tickPeriod = std::chrono::milliseconds { 200 };
+constexpr Duration commitTimeout = std::chrono::seconds { 2 };
+
+} // namespace
+
+VirtualCluster::VirtualCluster(std::uint32_t seed, std::vector<DutyName> duties)
+    : now(std::chrono::hours { 1 })
+    , m_duties(std::move(duties))
+    , m_random(seed)
+{
+}
+
+Duration VirtualCluster::latency() { return std::chrono::milliseconds { 1 + m_random() % 10 }; }
+
+bool VirtualCluster::happens(double probability)
+{
+    return std::uniform_real_distribution<double> {}(m_random) < probability;
+}
+
+void VirtualCluster::at(TimePoint time, std::function<void()> action)
+{
+    m_events.emplace(std::pair { time, m_nextEvent++ }, std::move(action));
+}
+
+VirtualCluster::Node& VirtualCluster::start(int index, int region)
+{
+    const NodeId id { "n" + std::to_string(index) + "." + std::to_string(++m_lives) };
+    const std::string address = "10.0.0." + std::to_string(index) + ":7100";
+    std::erase_if(nodes, [&](const auto& entry) { return entry.second.address == address; });
+    Node& node = nodes[id];
+    node.id = id;
+    node.address = address;
+    node.region = region;
+    const auto seed = static_cast<std::uint32_t>(m_random());
+    const std::vector<std::string> seeds { "10.0.0.1:7100", "10.0.0.2:7100", "10.0.0.3:7100" };
+    node.membership = std::make_unique<Membership>(
+        MembershipSettings { id, address, DataCenterId { "dc" + std::to_string(region) }, seeds, seed }, now);
+    node.duties = std::make_unique<Duties>(DutiesSettings { id, m_duties, seed }, now);
+    node.config = std::make_unique<ConfigSpread>(address, seed, now);
+    at(now + std::chrono::milliseconds { m_random() % 200 }, [this, id] { tick(id); });
+    return node;
+}
+
+void VirtualCluster::kill(const NodeId& id) { nodes.erase(id); }
+
+void VirtualCluster::pause(const NodeId& id)
+{
+    const auto found = nodes.find(id);
+    if (found != nodes.end())
+        found->second.isPaused = true;
+}
+
+void VirtualCluster::resume(const NodeId& id, Arrivals arrivals)
+{
+    const auto found = nodes.find(id);
+    if (found == nodes.end() || !found->second.isPaused)
+        return;
+    found->second.isPaused = false;
+    const auto deferred = std::exchange(found->second.deferred, {});
+    if (arrivals == Arrivals::Lost)
+        return;
+    for (const auto& action : deferred)
+        action();
+}
+
+void VirtualCluster::run(Duration duration)
+{
+    const TimePoint end = now + duration;
+    while (!m_events.empty() && m_events.begin()->first.first <= end) {
+        auto event = m_events.extract(m_events.begin());
+        now = std::max(now, event.key().first);
+        event.mapped()();
+    }
+    now = end;
+}
+
+void VirtualCluster::deliver(const NodeId& id, const std::function<void(Node&)>& action)
+{
+    const auto found = nodes.find(id);
+    if (found == nodes.end())
+        return;
+    if (found->second.isPaused)
+        found->second.deferred.emplace_back([this, id, action] { deliver(id, action); });
+    else
+        action(found->second);
+}
+
+void VirtualCluster::tick(const NodeId& id)
+{
+    const auto found = nodes.find(id);
+    if (found == nodes.end())
+        return;
+    at(now + tickPeriod, [this, id] { tick(id); });
+    Node& node = found->second;
+    if (node.isPaused)
+        return;
+    node.membership->setDigest({ node.config->inForce().version, 0, 0 });
+    carryOut(node, node.membership->tick(now));
+    carryOut(node, node.duties->tick(node.membership->liveness(), now));
+    carryOut(node, node.config->tick(now));
+}
+
+void VirtualCluster::carryOut(Node& node, MembershipOutput output)
+{
+    node.changes.insert(node.changes.end(), output.changes.begin(), output.changes.end());
+    node.fencings += output.ownRow == OwnRowEvent::Fenced ? 1 : 0;
+    for (SendMessage& message : output.messages)
+        send(node, message.address, std::move(message.message));
+    request(node, &Node::membership, output.requests);
+}
+
+void VirtualCluster::carryOut(Node& node, DutiesOutput output)
+{
+    for (const DutyChange& change : output.changes) {
+        if (change.event == DutyEvent::Taken)
+            EXPECT_TRUE(node.taken.insert(change.name).second);
+        else
+            EXPECT_EQ(1U, node.taken.erase(change.name));
+    }
+    request(node, &Node::duties, output.requests);
+}
+
+void VirtualCluster::carryOut(Node& node, ConfigSpreadOutput output)
+{
+    if (output.inForce) {
+        EXPECT_GT(output.inForce->version, node.highestConfig) << "a configuration went back";
+        node.highestConfig = output.inForce->version;
+    }
+    node.outcomes.insert(node.outcomes.end(), output.outcomes.begin(), output.outcomes.end());
+    for (auto& [address, announcement] : output.announcements)
+        send(node, address, std::move(announcement));
+    request(node, &Node::config, output.requests);
+}
+
+template <typename Core> void VirtualCluster::request(Node& node, Core Node::*core, const TableRequests& requests)
+{
+    for (const TableRequest& request : requests) {
+        if (const auto* rows = std::get_if<CommitRows>(&request)) {
+            ++counts["commit"];
+            commit(node.id, core, *rows);
+            continue;
+        }
+        const auto* read = std::get_if<ReadRows>(&request);
+        const auto* scan = std::get_if<ScanRows>(&request);
+        RowsAnswer rows { read ? read->exchange : scan->exchange, std::nullopt };
+        ++counts[read ? "read" : "scan"];
+        if (!faults.isTableDown && !node.isCutFromTable && !happens(faults.lostAnswers))
+            rows.rows = read ? table.read(read->keys) : table.scan(scan->prefix, scan->newerThan);
+        const bool isLate = happens(faults.lostAnswers);
+        answer(node.id, core, std::move(rows), isLate ? commitTimeout * 2 : latency());
+    }
+}
+
+template <typename Core> void VirtualCluster::commit(const NodeId& id, Core Node::*core, const CommitRows& request)
+{
+    if (faults.isTableDown || nodes.at(id).isCutFromTable) {
+        answer(id, core, CommitAnswer { request.exchange, {} }, latency());
+        return;
+    }
+    if (!happens(faults.lostAnswers)) {
+        at(now + latency(), [this, id, core, request] {
+            answer(id, core, CommitAnswer { request.exchange, table.commit(request.transaction) }, latency());
+        });
+        return;
+    }
+    // The answer is lost. The write takes effect at once, late or never.
+    if (happens(0.7))
+        at(now + (happens(0.5) ? latency() : commitTimeout * 3),
+            [this, request] { static_cast<void>(table.commit(request.transaction)); });
+    const platform::CommitOutcome unknown { platform::CommitStatus::Unknown, 0, "" };
+    if (happens(0.8))
+        answer(id, core, CommitAnswer { request.exchange, unknown }, commitTimeout);
+}
+
+template <typename Core>
+void VirtualCluster::answer(const NodeId& id, Core Node::*core, TableAnswer answer, Duration delay)
+{
+    at(now + delay, [this, id, core, answer = std::move(answer)] {
+        deliver(id, [this, core, answer](Node& node) { carryOut(node, (node.*core)->onAnswer(answer, now)); });
+    });
+}
+
+void VirtualCluster::send(Node& from, const std::string& address, Message message)
+{
+    ++counts["message"];
+    if (happens(faults.lostMessages))
+        return;
+    at(now + latency(), [this, region = from.region, address, message = std::move(message)] {
+        for (auto& [id, node] : nodes) {
+            if (node.address != address || (faults.areRegionsApart && node.region != region))
+                continue;
+            deliver(id, [this, message](Node& target) {
+                if (const auto* heartbeat = std::get_if<Heartbeat>(&message)) {
+                    carryOut(target, target.membership->onHeartbeat(*heartbeat, now));
+                    carryOut(target, target.config->onHeartbeat(*heartbeat, now));
+                } else if (const auto* announcement = std::get_if<ConfigAnnouncement>(&message)) {
+                    carryOut(target, target.config->onAnnouncement(*announcement, now));
+                }
+            });
+            return;
+        }
+    });
+}
+
+bool VirtualCluster::guardedWrite(const NodeId& writer, const DutyName& name, const platform::Condition& guard)
+{
+    const platform::Transaction transaction { { guard }, { { "work/" + name.value(), writer.value() } } };
+    const auto stored = table.read({ guard.key });
+    if (table.commit(transaction).status != platform::CommitStatus::Done)
+        return false;
+    const std::string holder = nlohmann::json::parse(stored.at(0).value).at("holder");
+    EXPECT_EQ(holder, writer.value()) << "a guarded write by a node that does not hold " << name;
+    const auto [first, isFirst] = m_writers.emplace(std::pair { guard.key, guard.version }, writer);
+    EXPECT_EQ(first->second, writer) << "two nodes wrote in one term of " << name;
+    return true;
+}
+
+void VirtualCluster::propose(Node& node, ConfigProposal proposal)
+{
+    carryOut(node, node.config->propose(std::move(proposal), now));
+}
+
+} // namespace rattanrack::peer
