Add rattanrack load: open-loop load with a checked ledger

Cause: whether answers are whole and true shows only under load, held against what the workers ran. Change: a YAML profile gives the mix, bursts that take the pools in turn, cancellation waves and repeats through other nodes. Latency counts from the scheduled time. At the end lost, doubled, mixed up and untrue answers are counted from the workers' logs; any of them makes the exit status 1. The reader of checked YAML is now a public part of config.

--- a/packages/cli/src/commands.cpp
+++ b/packages/cli/src/commands.cpp
@@ -24,6 +24,7 @@
     { Command::StartRollOut, startRollOut },
     { Command::SteerRollOut, steerRollOut },
     { Command::Explain, explain },
+    { Command::Load, load },
 };
 
 /// Bounds the wait for one node, so that the next one is tried well before the command's own timeout.
--- a/packages/config/src/section.h
+++ b/packages/config/include/rattanrack/config/section.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "yaml_tree.h"
+#include "rattanrack/config/yaml_tree.h"
 
 #include "rattanrack/base/time.h"
 
--- a/packages/config/src/federation_reader.h
+++ b/packages/config/src/federation_reader.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "section.h"
+#include "rattanrack/config/section.h"
 
 #include "rattanrack/config/federation.h"
 
--- a/packages/config/src/load.cpp
+++ b/packages/config/src/load.cpp
@@ -1,8 +1,8 @@
 #include "rattanrack/config/load.h"
 
 #include "federation_reader.h"
+#include "rattanrack/config/yaml_tree.h"
 #include "read_file.h"
-#include "yaml_tree.h"
 
 #include <algorithm>
 #include <tuple>
--- a/packages/config/src/node_settings.cpp
+++ b/packages/config/src/node_settings.cpp
@@ -1,7 +1,7 @@
 #include "rattanrack/config/node_settings.h"
 
+#include "rattanrack/config/section.h"
 #include "read_file.h"
-#include "section.h"
 
 #include <array>
 
--- a/packages/config/src/section.cpp
+++ b/packages/config/src/section.cpp
@@ -1,4 +1,4 @@
-#include "section.h"
+#include "rattanrack/config/section.h"
 
 #include "quantity_text.h"
 
--- a/packages/config/src/yaml_tree.cpp
+++ b/packages/config/src/yaml_tree.cpp
@@ -1,4 +1,4 @@
-#include "yaml_tree.h"
+#include "rattanrack/config/yaml_tree.h"
 
 #include <yaml-cpp/eventhandler.h>
 #include <yaml-cpp/exceptions.h>
