--- a/packages/policy/include/rattanrack/policy/fleet_change.h
+++ b/packages/policy/include/rattanrack/policy/fleet_change.h
@@ -21,6 +21,7 @@
     std::vector<PoolRecord> pools;
     std::vector<RollOutRecord> rollOuts;
     std::vector<BorrowingRecord> borrowing; ///< At most one.
+    std::vector<RollOutRecord> required; ///< Not written, but must still have their versions.
 
     bool isEmpty() const
     {
@@ -81,6 +82,9 @@
     void replace(const PoolRecord& pool) { m_pools[pool.id] = pool; }
     void replace(const BorrowingRecord& borrowing);
 
+    /// Makes the change depend on the roll-out's row being as it was read.
+    void require(const RollOutRecord&);
+
     /// The pool as it will stand after the edits so far. Null when it does not exist.
     const PoolRecord* pool(const PoolId&) const;
     const BorrowingRecord& borrowing() const;
--- a/packages/policy/include/rattanrack/policy/fleet_snapshot.h
+++ b/packages/policy/include/rattanrack/policy/fleet_snapshot.h
@@ -48,6 +48,9 @@
     std::uint64_t configVersion { 0 };
 };
 
+/// Whether nodes may send new work to the VM: its row says Serving and the platform does not take it away.
+bool takesWork(const FleetSnapshot&, const VmRecord&);
+
 /// Counts of one pool taken from its VMs' rows.
 struct PoolTally {
     PoolCounts counts;
--- a/packages/policy/include/rattanrack/policy/fleet_transitions.h
+++ b/packages/policy/include/rattanrack/policy/fleet_transitions.h
@@ -12,11 +12,11 @@
     PoolId targetPool; ///< For Move.
 };
 
-/// Serving to Draining: a new epoch, and a permit of its pool. A move within a roll-out also changes the home pool; any
-/// other move is a loan.
+/// Serving to Draining: a new epoch, and a permit of its pool.
 VmRecord startDrain(const VmRecord&, const Disruption&);
 
-/// Draining to what follows once the worker, running boot `bootId`, is empty.
+/// Draining to what follows once the worker, running boot `bootId`, is empty. A move within a roll-out also changes the
+/// home pool; any other move is a loan.
 VmRecord afterDrain(const VmRecord&, std::uint64_t bootId);
 
 /// To Returning under a new epoch; the permit, if any, is kept until `confirmServing`.
--- a/packages/policy/src/fleet/budget.cpp
+++ b/packages/policy/src/fleet/budget.cpp
@@ -9,33 +9,35 @@
 
 namespace {
 
-/// VMs that `edit` takes out of service, by failure domain.
-std::map<std::string, std::uint32_t> takenByDomain(
-    const FleetSnapshot& snapshot, const FleetEdit& edit, const PoolId& pool, FailureDomain domain)
+using DomainCounts = std::map<std::string, std::uint32_t>;
+
+/// Brings the counts of VMs that serve `pool` up to what `edit` leaves.
+void follow(DomainCounts& serving, const FleetSnapshot& snapshot, const FleetEdit& edit, const PoolRecord& pool)
 {
-    std::map<std::string, std::uint32_t> taken;
+    const FailureDomain domain = pool.settings.survives;
     for (const auto& after : edit.vms()) {
         const auto before = snapshot.vms.find(after.id);
-        if (before == snapshot.vms.end() || before->second.pool != pool)
-            continue;
-        if (before->second.phase == VmPhase::Serving && after.phase != VmPhase::Serving)
-            taken[domainOf(before->second, domain)]++;
+        const bool served = before != snapshot.vms.end() && before->second.phase == VmPhase::Serving;
+        if (served && before->second.pool == pool.id)
+            serving[domainOf(before->second, domain)]--;
+        if (after.phase == VmPhase::Serving && after.pool == pool.id)
+            serving[domainOf(after, domain)]++;
     }
-    return taken;
 }
 
 /// VMs that the loss of the worst domain would cost once `vm` is out of service too.
 std::uint32_t worstDomainLoss(const FleetSnapshot& snapshot, const PoolTally& tally, const FleetEdit& edit,
-    const VmRecord& vm, FailureDomain domain)
+    const PoolRecord& pool, const VmRecord& vm)
 {
+    const FailureDomain domain = pool.settings.survives;
     if (domain == FailureDomain::None)
         return 0;
-    const auto& serving = domain == FailureDomain::Rack ? tally.servingByRack : tally.servingByDataCenter;
-    auto taken = takenByDomain(snapshot, edit, vm.pool, domain);
-    taken[domainOf(vm, domain)]++;
+    DomainCounts serving = domain == FailureDomain::Rack ? tally.servingByRack : tally.servingByDataCenter;
+    follow(serving, snapshot, edit, pool);
+    serving[domainOf(vm, domain)]--;
     std::uint32_t worst = 0;
     for (const auto& [id, count] : serving)
-        worst = std::max(worst, count - std::min(count, taken[id]));
+        worst = std::max(worst, count);
     return worst;
 }
 
@@ -76,7 +78,7 @@
     const std::uint32_t lost = tally->second.silent + 1;
     if (pool.counts.serving() < pool.settings.floor + lost)
         return FleetRefusal::FloorReached;
-    const auto worst = worstDomainLoss(snapshot, tally->second, edit, vm, pool.settings.survives);
+    const auto worst = worstDomainLoss(snapshot, tally->second, edit, pool, vm);
     if (pool.counts.serving() < pool.settings.floor + lost + worst)
         return FleetRefusal::DomainLossNotCovered;
     return FleetRefusal::None;
--- a/packages/policy/src/fleet/change.cpp
+++ b/packages/policy/src/fleet/change.cpp
@@ -79,6 +79,14 @@
 
 void FleetEdit::replace(const BorrowingRecord& borrowing) { m_change.borrowing.assign(1, borrowing); }
 
+void FleetEdit::require(const RollOutRecord& rollOut)
+{
+    auto& required = m_change.required;
+    const auto isSame = [&](const RollOutRecord& record) { return record.id == rollOut.id; };
+    if (std::none_of(required.begin(), required.end(), isSame))
+        required.push_back(rollOut);
+}
+
 bool FleetEdit::touches(const VmId& vm) const
 {
     const auto isSame = [&](const VmRecord& record) { return record.id == vm; };
@@ -97,7 +105,7 @@
     if (!isAway(vm))
         return;
     const auto step = static_cast<std::uint32_t>(sign);
-    if (auto* pool = editablePool(destination(vm)))
+    if (auto* pool = editablePool(borrowerOf(vm)))
         pool->counts.borrowed += step;
     if (auto* pool = editablePool(vm.homePool))
         pool->counts.lent += step;
--- a/packages/policy/src/fleet/counting.h
+++ b/packages/policy/src/fleet/counting.h
@@ -7,10 +7,16 @@
 /// How one VM's row counts in the rows of pools.
 namespace rattanrack::policy {
 
-/// Where the VM is, or goes when a move is under way.
-inline const PoolId& destination(const VmRecord& vm) { return vm.targetPool.isEmpty() ? vm.pool : vm.targetPool; }
+/// The pool that has the VM on loan. A loan begins when the VM starts on its way and ends when it is home again, so
+/// that a move that fails half-way never needs more than was granted. A move within a roll-out changes the owner and is
+/// none.
+inline const PoolId& borrowerOf(const VmRecord& vm)
+{
+    const bool isLoan = vm.operation.isEmpty() && !vm.targetPool.isEmpty() && vm.targetPool != vm.homePool;
+    return isLoan ? vm.targetPool : vm.pool;
+}
 
-inline bool isAway(const VmRecord& vm) { return destination(vm) != vm.homePool; }
+inline bool isAway(const VmRecord& vm) { return borrowerOf(vm) != vm.homePool; }
 
 /// Which of the counts beside `members` the VM stands in; null for one that serves.
 inline std::uint32_t PoolCounts::*countFor(const VmRecord& vm)
@@ -52,7 +58,7 @@
 {
     if (isAway(before) != isAway(after))
         return false;
-    return !isAway(before) || (destination(before) == destination(after) && before.homePool == after.homePool);
+    return !isAway(before) || (borrowerOf(before) == borrowerOf(after) && before.homePool == after.homePool);
 }
 
 } // namespace rattanrack::policy
--- a/packages/policy/src/fleet/planner_vms.cpp
+++ b/packages/policy/src/fleet/planner_vms.cpp
@@ -88,7 +88,7 @@
 
 void FleetPlanner::followDraining(FleetRound& round, const VmRecord& vm)
 {
-    if (isAborted(round, vm)) {
+    if (hasLostItsCause(round, vm)) {
         round.replace(startReturn(vm), "drain.aborted");
         return;
     }
@@ -116,7 +116,7 @@
 
 void FleetPlanner::followEmpty(FleetRound& round, const VmRecord& vm)
 {
-    if (isAborted(round, vm))
+    if (hasLostItsCause(round, vm))
         round.replace(startReturn(vm), "drain.ended");
     else if (isLost(round, vm, m_times.failedAfter))
         round.replace(markFailed(vm), "drain.silent");
--- a/packages/policy/src/fleet/roll_out.cpp
+++ b/packages/policy/src/fleet/roll_out.cpp
@@ -81,6 +81,15 @@
     });
 }
 
+/// A VM that already is where it is to go only becomes that pool's own.
+VmRecord settleInPlace(const VmRecord& vm, const RollOutId& id)
+{
+    VmRecord settled = vm;
+    settled.homePool = vm.pool;
+    settled.operation = id;
+    return confirmServing(settled, vm.bootId);
+}
+
 void startTargets(FleetRound& round, const RollOutRecord& rollOut, Progress& progress)
 {
     const bool hasCommonBound = rollOut.maxAtOnce > 0;
@@ -90,11 +99,13 @@
     for (const auto* vm : progress.waiting) {
         if (hasCommonBound && underWay >= rollOut.maxAtOnce)
             return;
-        if (rollOut.kind == RollOutKind::Move && vm->pool == rollOut.targetPool)
+        if (rollOut.kind == RollOutKind::Move && vm->pool == rollOut.targetPool) {
+            round.replace(settleInPlace(*vm, rollOut.id), "rollout.in-place", &rollOut);
             continue;
+        }
         if (round.mayDisrupt(*vm) != FleetRefusal::None)
             continue;
-        if (round.replace(startDrain(*vm, disruption), "rollout.drain"))
+        if (round.replace(startDrain(*vm, disruption), "rollout.drain", &rollOut))
             underWay++;
     }
 }
@@ -131,10 +142,10 @@
     });
 }
 
-bool isAborted(const FleetRound& round, const VmRecord& vm)
+bool hasLostItsCause(const FleetRound& round, const VmRecord& vm)
 {
     const auto* rollOut = round.rollOut(vm.operation);
-    return rollOut && rollOut->state == RollOutState::Aborted;
+    return rollOut && hasEnded(rollOut->state);
 }
 
 } // namespace rattanrack::policy
--- a/packages/policy/src/fleet/roll_out.h
+++ b/packages/policy/src/fleet/roll_out.h
@@ -11,7 +11,7 @@
 /// Forgets completed roll-outs that have ended.
 void pruneCompleted(const FleetRound&, VmRecord&);
 
-/// True when the roll-out that disrupts the VM was aborted.
-bool isAborted(const FleetRound&, const VmRecord&);
+/// True when the roll-out that disrupts the VM has ended.
+bool hasLostItsCause(const FleetRound&, const VmRecord&);
 
 } // namespace rattanrack::policy
--- a/packages/policy/src/fleet/round.cpp
+++ b/packages/policy/src/fleet/round.cpp
@@ -28,7 +28,7 @@
 {
     pools.insert(vm.pool);
     if (withLoan && isAway(vm))
-        pools.insert({ destination(vm), vm.homePool });
+        pools.insert({ borrowerOf(vm), vm.homePool });
 }
 
 } // namespace
@@ -67,7 +67,13 @@
     m_changes.emplace_back(edit.finish(m_planner->nextAttempt(), reason));
 }
 
-bool FleetRound::replace(const VmRecord& after, const std::string& reason)
+/// A snapshot read in parts may lack the row of a pool that has VMs; its counts would be missed.
+bool FleetRound::knowsAll(const std::set<PoolId>& pools) const
+{
+    return std::all_of(pools.begin(), pools.end(), [&](const PoolId& id) { return pool(id) != nullptr; });
+}
+
+bool FleetRound::replace(const VmRecord& after, const std::string& reason, const RollOutRecord* cause)
 {
     if (touches(after.id))
         return false;
@@ -78,17 +84,23 @@
     addPools(pools, after, changesLoan);
     if (before)
         addPools(pools, *before, changesLoan);
+    if ((changesCounts || changesLoan) && !knowsAll(pools))
+        return false;
     if (pools.size() == 1 && changesCounts) {
         auto* batch = batchFor(after.pool);
         if (!batch)
             return false;
         batch->edit.replace(after);
+        if (cause)
+            batch->edit.require(*cause);
         batch->reason = reason;
     } else {
         if ((changesCounts || changesLoan) && !claim(pools, changesLoan))
             return false;
         FleetEdit edit { *m_snapshot };
         edit.replace(after);
+        if (cause)
+            edit.require(*cause);
         push(edit, reason);
     }
     m_touched.insert(after.id);
@@ -99,9 +111,11 @@
 {
     if (touches(vm.id))
         return false;
+    std::set<PoolId> pools;
+    addPools(pools, vm, true);
+    if (!knowsAll(pools))
+        return false;
     if (isAway(vm)) {
-        std::set<PoolId> pools;
-        addPools(pools, vm, true);
         if (!claim(pools, true))
             return false;
         FleetEdit edit { *m_snapshot };
--- a/packages/policy/src/fleet/round.h
+++ b/packages/policy/src/fleet/round.h
@@ -19,7 +19,8 @@
     bool hearsMost() const { return m_hearsMost; }
 
     /// Plan the change of a VM's row. False when it has to wait for the next round.
-    bool replace(const VmRecord& after, const std::string& reason);
+    /// `cause` is the roll-out in whose name it is done, if any.
+    bool replace(const VmRecord& after, const std::string& reason, const RollOutRecord* cause = nullptr);
     bool remove(const VmRecord&, const std::string& reason);
 
     void replace(const RollOutRecord&, const std::string& reason);
@@ -49,6 +50,7 @@
     };
 
     Batch* batchFor(const PoolId&);
+    bool knowsAll(const std::set<PoolId>&) const;
     bool claim(const std::set<PoolId>&, bool touchesBorrowing);
     void push(FleetEdit&, const std::string& reason);
 
--- a/packages/policy/src/fleet/snapshot.cpp
+++ b/packages/policy/src/fleet/snapshot.cpp
@@ -10,6 +10,13 @@
     return found != snapshot.observations.end() && now - found->second.heardAt < patience;
 }
 
+bool takesWork(const FleetSnapshot& snapshot, const VmRecord& vm)
+{
+    const auto listed = snapshot.listed.find(vm.id);
+    const bool isLeaving = listed != snapshot.listed.end() && listed->second.isLeaving;
+    return vm.phase == VmPhase::Serving && !isLeaving;
+}
+
 std::map<PoolId, PoolTally> tallyPools(const FleetSnapshot& snapshot, TimePoint now, Duration patience)
 {
     std::map<PoolId, PoolTally> tallies;
@@ -17,7 +24,7 @@
         auto& tally = tallies[vm.pool];
         countMember(tally.counts, vm, 1);
         if (isAway(vm)) {
-            tallies[destination(vm)].counts.borrowed++;
+            tallies[borrowerOf(vm)].counts.borrowed++;
             tallies[vm.homePool].counts.lent++;
         }
         if (vm.phase != VmPhase::Serving)
--- a/packages/policy/src/fleet/transitions.cpp
+++ b/packages/policy/src/fleet/transitions.cpp
@@ -33,8 +33,6 @@
     next.operation = disruption.operation;
     next.targetPool = disruption.targetPool;
     next.holdsPermit = true;
-    if (!disruption.targetPool.isEmpty() && !disruption.operation.isEmpty())
-        next.homePool = disruption.targetPool;
     return next;
 }
 
@@ -43,6 +41,8 @@
     if (vm.purpose == DrainPurpose::Move) {
         VmRecord moved = startReturn(vm);
         moved.pool = vm.targetPool;
+        if (!vm.operation.isEmpty())
+            moved.homePool = vm.targetPool;
         return moved;
     }
     VmRecord next = vm;
