Wait for reports that can show all work before a VM counts as empty

Cause: workers report running work seconds late, so that a report of a draining worker without work can hide work that began just before it was told. Change: a VM is empty only by a report that comes usageLag (3 s) after the first confirmation of its drain; the fake workers report 2.5 s late.

--- a/packages/policy/include/rattanrack/policy/fleet_planner.h
+++ b/packages/policy/include/rattanrack/policy/fleet_planner.h
@@ -9,6 +9,7 @@
     Duration failedAfter { std::chrono::seconds { 6 } }; ///< Unheard this long, its row becomes Failed.
     Duration rebootTimeout { std::chrono::minutes { 5 } }; ///< A reboot or replacement that takes longer has failed.
     Duration drainPatience { std::chrono::minutes { 10 } }; ///< Drains longer than this ask for checkpoints.
+    Duration usageLag { std::chrono::seconds { 3 } }; ///< Reports of running work are at most this late.
     Duration commandInterval { std::chrono::seconds { 1 } }; ///< Between repeats of a command to one worker.
 };
 
@@ -43,6 +44,7 @@
         RecordVersion version { 0 };
         TimePoint firstSeen {}; ///< When this version of the row was first planned with.
         Deadline nextCommand;
+        TimePoint drainingSince { TimePoint::max() }; ///< When the worker first confirmed that it takes no new work.
         bool hasAskedForCheckpoint { false };
     };
     using Follow = void (FleetPlanner::*)(FleetRound&, const VmRecord&);
--- a/packages/policy/include/rattanrack/policy/fleet_snapshot.h
+++ b/packages/policy/include/rattanrack/policy/fleet_snapshot.h
@@ -14,7 +14,7 @@
     std::uint64_t bootId { 0 }; ///< Chosen anew by each boot of the worker.
     std::uint64_t epoch { 0 }; ///< Highest epoch that the worker has been told since it booted.
     bool isDraining { true };
-    std::uint32_t busySlots { 0 };
+    std::uint32_t busySlots { 0 }; ///< As of some seconds before; the other fields are of the moment of the report.
     TimePoint heardAt {};
 
     friend bool operator==(const WorkerObservation&, const WorkerObservation&) = default;
--- a/packages/policy/src/fleet/planner_vms.cpp
+++ b/packages/policy/src/fleet/planner_vms.cpp
@@ -103,11 +103,14 @@
         command(round, vm, WorkerAction::StopTakingWork, seen->bootId);
         return;
     }
-    if (seen->busySlots == 0) {
+    auto& memory = m_memory.at(vm.id);
+    memory.drainingSince = std::min(memory.drainingSince, seen->heardAt);
+    // An earlier report may not yet show work that began just before the worker was told.
+    const bool showsAllWork = seen->heardAt - memory.drainingSince >= m_times.usageLag;
+    if (seen->busySlots == 0 && showsAllWork) {
         round.replace(afterDrain(vm, seen->bootId), "drain.empty");
         return;
     }
-    auto& memory = m_memory.at(vm.id);
     if (memory.hasAskedForCheckpoint || round.now() - memory.firstSeen < m_times.drainPatience)
         return;
     command(round, vm, WorkerAction::Checkpoint, seen->bootId);
--- a/tools/fleet_fakes/fake_workers.cpp
+++ b/tools/fleet_fakes/fake_workers.cpp
@@ -28,9 +28,16 @@
     worker.upAt = upAt;
 }
 
-void FakeWorkers::endTasks(FakeWorker& worker, TimePoint now)
+/// Forgets what ended so long ago that no report shows it.
+void FakeWorkers::forgetTasks(FakeWorker& worker, TimePoint now)
 {
-    std::erase_if(worker.tasks, [&](const FakeTask& task) { return task.endsAt <= now; });
+    std::erase_if(worker.tasks, [&](const FakeTask& task) { return task.endsAt <= now - usageLag; });
+}
+
+std::uint32_t FakeWorkers::running(const FakeWorker& worker, TimePoint at)
+{
+    return static_cast<std::uint32_t>(std::count_if(worker.tasks.begin(), worker.tasks.end(),
+        [&](const FakeTask& task) { return task.startedAt <= at && at < task.endsAt; }));
 }
 
 void FakeWorkers::obey(const WorkerCommand& order, TimePoint now, Duration rebootTime)
@@ -41,7 +48,7 @@
     auto& worker = found->second;
     if (order.bootId != worker.bootId || order.epoch < worker.epoch)
         return;
-    endTasks(worker, now);
+    forgetTasks(worker, now);
     switch (order.action) {
     case WorkerAction::StopTakingWork:
     case WorkerAction::TakeWork:
@@ -49,7 +56,7 @@
         worker.isDraining = order.action == WorkerAction::StopTakingWork;
         return;
     case WorkerAction::Reboot:
-        checkInvariant(worker.tasks.empty(), "worker.no_reboot_with_work_running", order.vm.value());
+        checkInvariant(running(worker, now) == 0, "worker.no_reboot_with_work_running", order.vm.value());
         checkInvariant(worker.isDraining, "worker.no_reboot_while_serving", order.vm.value());
         m_reboots++;
         crash(order.vm, now + rebootTime);
@@ -58,7 +65,7 @@
         worker.tasks.clear();
         return;
     case WorkerAction::Replace:
-        checkInvariant(worker.tasks.empty(), "worker.no_replacement_with_work_running", order.vm.value());
+        checkInvariant(running(worker, now) == 0, "worker.no_replacement_with_work_running", order.vm.value());
         worker.isLeaving = true;
         return;
     }
@@ -70,11 +77,11 @@
     if (found == m_workers.end() || !found->second.isUp(now))
         return false;
     auto& worker = found->second;
-    endTasks(worker, now);
+    forgetTasks(worker, now);
     if (worker.isDraining || epoch != worker.epoch)
         return false;
-    for (const auto& running : worker.tasks)
-        checkInvariant(running.pool == task.pool, "worker.runs_one_pool", id.value());
+    for (const auto& other : worker.tasks)
+        checkInvariant(other.endsAt <= now || other.pool == task.pool, "worker.runs_one_pool", id.value());
     worker.tasks.push_back(task);
     return true;
 }
@@ -85,9 +92,8 @@
     if (found == m_workers.end() || !found->second.isUp(now))
         return std::nullopt;
     auto& worker = found->second;
-    endTasks(worker, now);
-    return WorkerObservation { worker.bootId, worker.epoch, worker.isDraining,
-        static_cast<std::uint32_t>(worker.tasks.size()), now };
+    forgetTasks(worker, now);
+    return WorkerObservation { worker.bootId, worker.epoch, worker.isDraining, running(worker, now - usageLag), now };
 }
 
 } // namespace rattanrack::fakes
--- a/tools/fleet_fakes/fake_workers.h
+++ b/tools/fleet_fakes/fake_workers.h
@@ -11,6 +11,7 @@
 struct FakeTask {
     PoolId pool;
     TimePoint endsAt;
+    TimePoint startedAt;
 };
 
 /// One VM with its worker process. It obeys epochs and boots as a real worker must, and asserts that no reboot ends
@@ -30,6 +31,9 @@
 
 class FakeWorkers {
 public:
+    /// Reports of running work are this late.
+    static constexpr Duration usageLag = std::chrono::milliseconds { 2500 };
+
     explicit FakeWorkers(Random& random)
         : m_random(&random)
     {
@@ -54,7 +58,8 @@
     std::uint64_t reboots() const { return m_reboots; }
 
 private:
-    void endTasks(FakeWorker&, TimePoint now);
+    static void forgetTasks(FakeWorker&, TimePoint now);
+    static std::uint32_t running(const FakeWorker&, TimePoint at);
 
     Random* m_random;
     std::map<VmId, FakeWorker> m_workers;
--- a/tools/soak/world.cpp
+++ b/tools/soak/world.cpp
@@ -250,7 +250,7 @@
     const bool isLong = stopped != TimePoint::max() && m_now - stopped > leavingLimit;
     checkInvariant(!wasTableUp || !isLong, "dispatch.none_to_target_that_left", id.value());
     m_report.dispatches++;
-    const fakes::FakeTask task { vm.pool, m_now + stepTime * static_cast<std::int64_t>(1 + m_random.below(40)) };
+    const fakes::FakeTask task { vm.pool, m_now + stepTime * static_cast<std::int64_t>(1 + m_random.below(40)), m_now };
     if (!m_workers.dispatch(id, task, vm.epoch, m_now)) {
         m_report.refusedDispatches++;
         return;
