--- a/packages/cli/src/command_line.cpp
+++ b/packages/cli/src/command_line.cpp
@@ -199,7 +199,7 @@
   --to=POOL          move: the pool that shall have the VMs.
   --all              All VMs.
   --html=FILE        report, load: write a page with plots.
-  --measures=FILE    report: add the four measures in this JSON file.
+  --measures=FILE    report: add the measures that a measuring tool printed to this file.
   --seed=NUMBER      load: the seed of its random choices [default: 1].
   -h --help          Print this text.
 
--- a/packages/cli/src/plot.cpp
+++ b/packages/cli/src/plot.cpp
@@ -17,7 +17,8 @@
 constexpr double bottom = 46;
 constexpr double barStep = 24;
 constexpr double barLeft = 230;
-constexpr int tickCount = 5;
+constexpr int xTicks = 6;
+constexpr int yTicks = 5;
 
 constexpr std::array<std::string_view, 8> colors { "#0b6e99", "#c8553d", "#4f772d", "#7b4b94", "#b8860b", "#3d405b",
     "#2a9d8f", "#8d5524" };
@@ -81,13 +82,14 @@
 std::string axes(const LinePlot& plot, const Frame& frame)
 {
     std::string text;
-    for (int tick = 0; tick <= tickCount; ++tick) {
-        const double part = static_cast<double>(tick) / tickCount;
-        const double y = frame.y(part * frame.maxY);
-        const double x = frame.x(part * frame.maxX);
-        text += line(left, y, width - right, y, "#ddd");
-        text += textAt(left - 6, y + 4, "end", shortNumber(part * frame.maxY));
-        text += textAt(x, lineHeight - bottom + 16, "middle", shortNumber(part * frame.maxX, 3));
+    for (int tick = 0; tick <= yTicks; ++tick) {
+        const double value = frame.maxY * tick / yTicks;
+        text += line(left, frame.y(value), width - right, frame.y(value), "#ddd");
+        text += textAt(left - 6, frame.y(value) + 4, "end", shortNumber(value));
+    }
+    for (int tick = 0; tick <= xTicks; ++tick) {
+        const double value = frame.maxX * tick / xTicks;
+        text += textAt(frame.x(value), lineHeight - bottom + 16, "middle", shortNumber(value, 3));
     }
     text += line(left, frame.y(0), width - right, frame.y(0), "#444");
     text += textAt((left + width - right) / 2, lineHeight - 8, "middle", plot.xLabel);
--- a/packages/cli/tests/command_tests.cpp
+++ b/packages/cli/tests/command_tests.cpp
@@ -15,7 +15,7 @@
 
 std::string writtenFile(const std::string& name, const std::string& text)
 {
-    std::string path = testing::TempDir() + name;
+    std::string path = temporaryPath(name);
     std::ofstream { path } << text;
     return path;
 }
--- a/packages/cli/tests/load_run_tests.cpp
+++ b/packages/cli/tests/load_run_tests.cpp
@@ -94,7 +94,7 @@
 
 ProgramRun loadAgainst(const FakeNode& node, const std::string& log)
 {
-    const std::string path = testing::TempDir() + "profile-" + node.address().substr(10) + ".yaml";
+    const std::string path = temporaryPath("profile.yaml");
     std::ofstream { path } << "duration: 300ms\ndrainTime: 5s\nratePerSecond: 200\nconnections: 6\n"
                               "repeats: {share: 0.5, delay: 20ms}\ncancellations: {share: 0.3}\n"
                               "workerLogs: ["
@@ -154,7 +154,7 @@
 
 TEST(Load, BadProfileIsRefused)
 {
-    const std::string path = testing::TempDir() + "bad-profile.yaml";
+    const std::string path = temporaryPath("bad-profile.yaml");
     std::ofstream { path } << "mix: []\n";
     EXPECT_EQ(runProgramWith({ "load", path }).status, 1);
 }
--- a/packages/cli/tests/program_run.h
+++ b/packages/cli/tests/program_run.h
@@ -2,7 +2,9 @@
 
 #include "commands.h"
 
+#include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
+#include <unistd.h>
 
 #include <sstream>
 #include <string>
@@ -29,3 +31,9 @@
 }
 
 inline std::string examplePath(const std::string& name) { return std::string { RATTANRACK_EXAMPLES } + "/" + name; }
+
+/// A file name that no other test process uses.
+inline std::string temporaryPath(const std::string& name)
+{
+    return testing::TempDir() + "rattanrack-" + std::to_string(getpid()) + "-" + name;
+}
