Carry every credit field between nodes; spread configuration versions by gossip

(1) The codec dropped the number of each grant, so holders took every grant for an old one and no request was dispatched. (2) A node learned a peer's configuration version only from direct heartbeats, which three of six peers never send it; 'apply' waited for ever at 4 of 7 nodes. (3) VMs were adopted before all pools had rows, and the spare pool got 16 of 50. Change: all fields travel, and the test compares whole messages; news of a node carries its version; adoption waits for the rows. Duties tell the term of holders elsewhere, which holders need to accept their grants. Conclusion: tests compare whole values, so that a field that is added and not carried fails.

--- a/packages/peer/include/rattanrack/peer/duties.h
+++ b/packages/peer/include/rattanrack/peer/duties.h
@@ -86,6 +86,9 @@
     /// Holder as last seen, live or not; empty when nobody has ever held it.
     NodeId holder(const DutyName& name) const;
 
+    /// Version of the duty's row as last seen, which is the term of its holder; 0 when nobody has ever held it.
+    platform::RowVersion term(const DutyName& name) const;
+
     /// Duties that this node holds. Zero after a graceful leave has handed over all of them.
     std::size_t heldCount() const;
 
--- a/packages/peer/include/rattanrack/peer/messages.h
+++ b/packages/peer/include/rattanrack/peer/messages.h
@@ -16,6 +16,7 @@
 struct SeenNode {
     std::uint32_t node { 0 }; ///< Hash of its id, see `nodeHash`.
     std::uint32_t sequence { 0 }; ///< Highest sequence number known of it.
+    std::uint32_t configVersion { 0 }; ///< Configuration that it is known to have in force.
 };
 
 /// A member as one node introduces it to another, for nodes that the table does not show.
--- a/packages/peer/src/codec.cpp
+++ b/packages/peer/src/codec.cpp
@@ -40,6 +40,19 @@
     return credits;
 }
 
+void encodeSize(const ResourceSize& size, wire::ResourceSize::Builder target)
+{
+    target.setMillicores(size.processors.count());
+    target.setMebibytes(size.memory.count());
+    target.setAccelerators(size.accelerators.count());
+}
+
+ResourceSize decodeSize(wire::ResourceSize::Reader source)
+{
+    return { Millicores { source.getMillicores() }, Mebibytes { source.getMebibytes() },
+        Accelerators { source.getAccelerators() } };
+}
+
 void encodeClaim(const policy::Claim& claim, wire::Claim::Builder target)
 {
     target.setKey(claim.key.value());
@@ -69,6 +82,7 @@
     for (unsigned i = 0; i < target.size(); ++i) {
         target[i].setNode(seen[i].node);
         target[i].setSequence(seen[i].sequence);
+        target[i].setConfigVersion(seen[i].configVersion);
     }
 }
 
@@ -126,6 +140,10 @@
         ask.setOldestWaitMicroseconds(message.ask.oldestWait.count());
         encodeCredits(message.ask.idle, ask.initIdle(static_cast<unsigned>(message.ask.idle.size())));
         encodeCredits(message.ask.inUse, ask.initInUse(static_cast<unsigned>(message.ask.inUse.size())));
+        ask.setNumber(message.ask.number);
+        ask.setLastGrant(message.ask.lastGrant);
+        encodeSize(message.ask.firstSize, ask.initFirstSize());
+        ask.setFirstCredits(message.ask.firstCredits);
     }
 
     void operator()(const CreditGrantMessage& message)
@@ -136,6 +154,10 @@
         grant.setTerm(message.grant.term);
         encodeCredits(message.grant.granted, grant.initGranted(static_cast<unsigned>(message.grant.granted.size())));
         encodeCredits(message.grant.recalled, grant.initRecalled(static_cast<unsigned>(message.grant.recalled.size())));
+        grant.setNumber(message.grant.number);
+        grant.setWanted(message.grant.wanted);
+        grant.setFirstUrgency(static_cast<std::uint8_t>(message.grant.firstUrgency));
+        grant.setFirstWaitMicroseconds(message.grant.firstWait.count());
     }
 
     void operator()(const ClaimRequest& message)
@@ -178,7 +200,7 @@
     heartbeat.isLeaving = source.getIsLeaving();
     heartbeat.load = source.getLoad();
     for (const auto seen : source.getSeen())
-        heartbeat.seen.push_back({ seen.getNode(), seen.getSequence() });
+        heartbeat.seen.push_back({ seen.getNode(), seen.getSequence(), seen.getConfigVersion() });
     for (const auto introduction : source.getIntroductions())
         heartbeat.introductions.push_back(decodeIntroduction(introduction));
     return heartbeat;
@@ -201,18 +223,28 @@
     ask.oldestWait = Duration { source.getOldestWaitMicroseconds() };
     ask.idle = decodeCredits(source.getIdle());
     ask.inUse = decodeCredits(source.getInUse());
+    ask.number = source.getNumber();
+    ask.lastGrant = source.getLastGrant();
+    ask.firstSize = decodeSize(source.getFirstSize());
+    ask.firstCredits = source.getFirstCredits();
     return { std::move(ask) };
 }
 
-CreditGrantMessage decodeGrant(wire::CreditGrant::Reader source)
+std::optional<Message> decodeGrant(wire::CreditGrant::Reader source)
 {
+    if (source.getFirstUrgency() > static_cast<std::uint8_t>(policy::Urgency::Background))
+        return std::nullopt;
     policy::CreditGrant grant;
     grant.pool = PoolId { text(source.getPool()) };
     grant.to = NodeId { text(source.getTo()) };
     grant.term = source.getTerm();
     grant.granted = decodeCredits(source.getGranted());
     grant.recalled = decodeCredits(source.getRecalled());
-    return { std::move(grant) };
+    grant.number = source.getNumber();
+    grant.wanted = source.getWanted();
+    grant.firstUrgency = static_cast<policy::Urgency>(source.getFirstUrgency());
+    grant.firstWait = Duration { source.getFirstWaitMicroseconds() };
+    return CreditGrantMessage { std::move(grant) };
 }
 
 std::optional<Message> decodeClaimRequest(wire::ClaimRequest::Reader source)
--- a/packages/peer/src/duties/duties.cpp
+++ b/packages/peer/src/duties/duties.cpp
@@ -346,6 +346,12 @@
     return found == m_state->rows.end() ? NodeId {} : found->second.holder;
 }
 
+platform::RowVersion Duties::term(const DutyName& name) const
+{
+    const auto found = m_state->rows.find(name);
+    return found == m_state->rows.end() ? 0 : found->second.version;
+}
+
 std::size_t Duties::heldCount() const { return m_state->held.size(); }
 
 } // namespace rattanrack::peer
--- a/packages/peer/src/membership/gossip.cpp
+++ b/packages/peer/src/membership/gossip.cpp
@@ -78,7 +78,8 @@
         [](const auto* left, const auto* right) { return left->member.heardAt > right->member.heardAt; });
     known.resize(std::min(known.size(), maxSeenEntries));
     for (const auto* entry : known)
-        heartbeat.seen.push_back({ nodeHash(entry->member.id), static_cast<std::uint32_t>(entry->sequence) });
+        heartbeat.seen.push_back({ nodeHash(entry->member.id), static_cast<std::uint32_t>(entry->sequence),
+            static_cast<std::uint32_t>(entry->member.digest.configVersion) });
 
     const std::size_t introductions = std::min(unknownToMany.size(), maxIntroductions);
     for (std::size_t i = 0; i < introductions; ++i) {
--- a/packages/peer/src/membership/member_table.cpp
+++ b/packages/peer/src/membership/member_table.cpp
@@ -66,8 +66,13 @@
     const std::size_t seen = std::min(heartbeat.seen.size(), maxMembers);
     for (std::size_t i = 0; i < seen; ++i) {
         const auto known = m_byHash.find(heartbeat.seen[i].node);
-        if (known != m_byHash.end())
-            hear(m_entries.at(known->second), heartbeat.seen[i].sequence, now, output);
+        if (known == m_byHash.end())
+            continue;
+        Entry& entry = m_entries.at(known->second);
+        // A node's version only grows, so that news of it may come in any order and from anybody.
+        entry.member.digest.configVersion
+            = std::max<std::uint64_t>(entry.member.digest.configVersion, heartbeat.seen[i].configVersion);
+        hear(entry, heartbeat.seen[i].sequence, now, output);
     }
 }
 
--- a/packages/peer/src/peer.capnp
+++ b/packages/peer/src/peer.capnp
@@ -36,6 +36,7 @@
 struct SeenNode {
   node @0 :UInt32;
   sequence @1 :UInt32;
+  configVersion @2 :UInt32;
 }
 
 struct Introduction {
@@ -61,6 +62,12 @@
   count @1 :UInt32;
 }
 
+struct ResourceSize {
+  millicores @0 :Int64;
+  mebibytes @1 :Int64;
+  accelerators @2 :Int64;
+}
+
 struct CreditAsk {
   pool @0 :Text;
   from @1 :Text;
@@ -70,6 +77,10 @@
   oldestWaitMicroseconds @5 :Int64;
   idle @6 :List(Credit);
   inUse @7 :List(Credit);
+  number @8 :UInt64;
+  lastGrant @9 :UInt64;
+  firstSize @10 :ResourceSize;
+  firstCredits @11 :UInt32;
 }
 
 struct CreditGrant {
@@ -78,6 +89,10 @@
   term @2 :UInt64;
   granted @3 :List(Credit);
   recalled @4 :List(Credit);
+  number @5 :UInt64;
+  wanted @6 :UInt32;
+  firstUrgency @7 :UInt8;
+  firstWaitMicroseconds @8 :Int64;
 }
 
 enum ClaimState {
--- a/packages/peer/src/peer.capnp.h
+++ b/packages/peer/src/peer.capnp.h
@@ -28,6 +28,7 @@
 CAPNP_DECLARE_SCHEMA(cb690a7929880fe1);
 CAPNP_DECLARE_SCHEMA(d51c8b134aa2a689);
 CAPNP_DECLARE_SCHEMA(d7bf2efe093d796d);
+CAPNP_DECLARE_SCHEMA(e3a591800918d038);
 CAPNP_DECLARE_SCHEMA(e49733d6ce5615d0);
 CAPNP_DECLARE_SCHEMA(c03267952a794dc4);
 CAPNP_DECLARE_SCHEMA(97ad5b2300bb26d8);
@@ -152,7 +153,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d8cf0dba4be1b4b3, 1, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(d8cf0dba4be1b4b3, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -204,6 +205,21 @@
   };
 };
 
+struct ResourceSize {
+  ResourceSize() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e3a591800918d038, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct CreditAsk {
   CreditAsk() = delete;
 
@@ -212,7 +228,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e49733d6ce5615d0, 3, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(e49733d6ce5615d0, 5, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -227,7 +243,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c03267952a794dc4, 1, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(c03267952a794dc4, 4, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -802,6 +818,8 @@
 
   inline  ::uint32_t getSequence() const;
 
+  inline  ::uint32_t getConfigVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -836,6 +854,9 @@
   inline  ::uint32_t getSequence();
   inline void setSequence( ::uint32_t value);
 
+  inline  ::uint32_t getConfigVersion();
+  inline void setConfigVersion( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1175,6 +1196,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class ResourceSize::Reader {
+public:
+  typedef ResourceSize Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getMillicores() const;
+
+  inline  ::int64_t getMebibytes() const;
+
+  inline  ::int64_t getAccelerators() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ResourceSize::Builder {
+public:
+  typedef ResourceSize Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getMillicores();
+  inline void setMillicores( ::int64_t value);
+
+  inline  ::int64_t getMebibytes();
+  inline void setMebibytes( ::int64_t value);
+
+  inline  ::int64_t getAccelerators();
+  inline void setAccelerators( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ResourceSize::Pipeline {
+public:
+  typedef ResourceSize Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class CreditAsk::Reader {
 public:
   typedef CreditAsk Reads;
@@ -1212,6 +1319,15 @@
   inline bool hasInUse() const;
   inline  ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>::Reader getInUse() const;
 
+  inline  ::uint64_t getNumber() const;
+
+  inline  ::uint64_t getLastGrant() const;
+
+  inline bool hasFirstSize() const;
+  inline  ::rattanrack::peer::wire::ResourceSize::Reader getFirstSize() const;
+
+  inline  ::uint32_t getFirstCredits() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1280,6 +1396,22 @@
   inline void adoptInUse(::capnp::Orphan< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>> disownInUse();
 
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+  inline  ::uint64_t getLastGrant();
+  inline void setLastGrant( ::uint64_t value);
+
+  inline bool hasFirstSize();
+  inline  ::rattanrack::peer::wire::ResourceSize::Builder getFirstSize();
+  inline void setFirstSize( ::rattanrack::peer::wire::ResourceSize::Reader value);
+  inline  ::rattanrack::peer::wire::ResourceSize::Builder initFirstSize();
+  inline void adoptFirstSize(::capnp::Orphan< ::rattanrack::peer::wire::ResourceSize>&& value);
+  inline ::capnp::Orphan< ::rattanrack::peer::wire::ResourceSize> disownFirstSize();
+
+  inline  ::uint32_t getFirstCredits();
+  inline void setFirstCredits( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1298,6 +1430,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::rattanrack::peer::wire::ResourceSize::Pipeline getFirstSize();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1337,6 +1470,14 @@
   inline bool hasRecalled() const;
   inline  ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>::Reader getRecalled() const;
 
+  inline  ::uint64_t getNumber() const;
+
+  inline  ::uint32_t getWanted() const;
+
+  inline  ::uint8_t getFirstUrgency() const;
+
+  inline  ::int64_t getFirstWaitMicroseconds() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1396,6 +1537,18 @@
   inline void adoptRecalled(::capnp::Orphan< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>> disownRecalled();
 
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+  inline  ::uint32_t getWanted();
+  inline void setWanted( ::uint32_t value);
+
+  inline  ::uint8_t getFirstUrgency();
+  inline void setFirstUrgency( ::uint8_t value);
+
+  inline  ::int64_t getFirstWaitMicroseconds();
+  inline void setFirstWaitMicroseconds( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2393,6 +2546,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t SeenNode::Reader::getConfigVersion() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t SeenNode::Builder::getConfigVersion() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void SeenNode::Builder::setConfigVersion( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Introduction::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2709,6 +2876,48 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t ResourceSize::Reader::getMillicores() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t ResourceSize::Builder::getMillicores() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ResourceSize::Builder::setMillicores( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t ResourceSize::Reader::getMebibytes() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t ResourceSize::Builder::getMebibytes() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ResourceSize::Builder::setMebibytes( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t ResourceSize::Reader::getAccelerators() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t ResourceSize::Builder::getAccelerators() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ResourceSize::Builder::setAccelerators( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool CreditAsk::Reader::hasPool() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2901,6 +3110,87 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t CreditAsk::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CreditAsk::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void CreditAsk::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t CreditAsk::Reader::getLastGrant() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CreditAsk::Builder::getLastGrant() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void CreditAsk::Builder::setLastGrant( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CreditAsk::Reader::hasFirstSize() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool CreditAsk::Builder::hasFirstSize() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::rattanrack::peer::wire::ResourceSize::Reader CreditAsk::Reader::getFirstSize() const {
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ResourceSize>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::rattanrack::peer::wire::ResourceSize::Builder CreditAsk::Builder::getFirstSize() {
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ResourceSize>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::rattanrack::peer::wire::ResourceSize::Pipeline CreditAsk::Pipeline::getFirstSize() {
+  return  ::rattanrack::peer::wire::ResourceSize::Pipeline(_typeless.getPointerField(4));
+}
+#endif  // !CAPNP_LITE
+inline void CreditAsk::Builder::setFirstSize( ::rattanrack::peer::wire::ResourceSize::Reader value) {
+  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ResourceSize>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::rattanrack::peer::wire::ResourceSize::Builder CreditAsk::Builder::initFirstSize() {
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ResourceSize>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void CreditAsk::Builder::adoptFirstSize(
+    ::capnp::Orphan< ::rattanrack::peer::wire::ResourceSize>&& value) {
+  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ResourceSize>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::rattanrack::peer::wire::ResourceSize> CreditAsk::Builder::disownFirstSize() {
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ResourceSize>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t CreditAsk::Reader::getFirstCredits() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CreditAsk::Builder::getFirstCredits() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void CreditAsk::Builder::setFirstCredits( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool CreditGrant::Reader::hasPool() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3051,6 +3341,62 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t CreditGrant::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CreditGrant::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void CreditGrant::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t CreditGrant::Reader::getWanted() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CreditGrant::Builder::getWanted() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void CreditGrant::Builder::setWanted( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t CreditGrant::Reader::getFirstUrgency() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t CreditGrant::Builder::getFirstUrgency() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS);
+}
+inline void CreditGrant::Builder::setFirstUrgency( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t CreditGrant::Reader::getFirstWaitMicroseconds() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t CreditGrant::Builder::getFirstWaitMicroseconds() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void CreditGrant::Builder::setFirstWaitMicroseconds( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Claim::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/peer/tests/membership_tests.cpp
+++ b/packages/peer/tests/membership_tests.cpp
@@ -155,6 +155,33 @@
     EXPECT_EQ(countOf(*cluster, MemberEvent::Leaving), 6U);
 }
 
+TEST(Membership, LearnsTheConfigurationOfNodesThatItNeverHearsDirectly)
+{
+    Membership membership({ NodeId { "a" }, "10.0.0.1:1", DataCenterId { "dc" }, {}, 1 }, TimePoint {});
+    Heartbeat heartbeat;
+    heartbeat.from = NodeId { "b" };
+    heartbeat.address = "10.0.0.2:1";
+    heartbeat.sequence = 1;
+    heartbeat.introductions = { { NodeId { "c" }, "10.0.0.3:1", DataCenterId { "dc" }, 1, false } };
+    membership.onHeartbeat(heartbeat, TimePoint {});
+    heartbeat.sequence = 2;
+    heartbeat.introductions.clear();
+    const auto versionOfC = [&] {
+        for (const Member& member : membership.liveness().members) {
+            if (member.id == NodeId { "c" })
+                return member.digest.configVersion;
+        }
+        return std::uint64_t { 0 };
+    };
+    heartbeat.seen = { { nodeHash(NodeId { "c" }), 2, 9 } };
+    membership.onHeartbeat(heartbeat, TimePoint {});
+    EXPECT_EQ(versionOfC(), 9U);
+    heartbeat.sequence = 3;
+    heartbeat.seen = { { nodeHash(NodeId { "c" }), 1, 8 } };
+    membership.onHeartbeat(heartbeat, TimePoint {});
+    EXPECT_EQ(versionOfC(), 9U) << "late news must not take it back";
+}
+
 TEST(Membership, NonsenseInHeartbeatsIsBounded)
 {
     Membership membership({ NodeId { "a" }, "10.0.0.1:1", DataCenterId { "dc" }, {}, 1 }, TimePoint {});
@@ -163,7 +190,7 @@
         heartbeat.from = NodeId { "x" + std::to_string(i) };
         heartbeat.address = i % 2 == 0 ? "10.0.0.2:1" : std::string(1000, 'a');
         heartbeat.sequence = i + 1;
-        heartbeat.seen.resize(2000, { 7, 7 });
+        heartbeat.seen.resize(2000, { 7, 7, 7 });
         heartbeat.introductions.resize(50, { NodeId { "y" + std::to_string(i) }, "z", DataCenterId {}, 1, false });
         membership.onHeartbeat(heartbeat, TimePoint {});
     }
--- a/packages/peer/tests/peer_network_tests.cpp
+++ b/packages/peer/tests/peer_network_tests.cpp
@@ -112,7 +112,7 @@
 
 Heartbeat heartbeat(std::uint64_t sequence)
 {
-    return { NodeId { "n1" }, "127.0.0.1:1", DataCenterId { "dc1" }, sequence, 7, 9, true, 4, { { 1, 2 } },
+    return { NodeId { "n1" }, "127.0.0.1:1", DataCenterId { "dc1" }, sequence, 7, 9, true, 4, { { 1, 2, 3 } },
         { { NodeId { "n2" }, "127.0.0.1:2", DataCenterId { "dc2" }, 6, true } } };
 }
 
@@ -126,11 +126,13 @@
     const policy::Claim claim { IdempotencyKey { "k" }, 5, AttemptId { "a" }, NodeId { "n" },
         policy::ClaimState::Completed, std::string("\0out", 4) };
     const policy::CreditAsk ask { PoolId { "p" }, NodeId { "n" }, 1, 2, 3, Duration { 4 }, { { VmId { "w1" }, 5 } },
-        { { VmId { "w2" }, 6 } } };
+        { { VmId { "w2" }, 6 } }, 7, 8, { Millicores { 9 }, Mebibytes { 10 }, Accelerators { 11 } }, 12 };
+    const policy::CreditGrant grant { PoolId { "p" }, NodeId { "m" }, 11, { { VmId { "w" }, 1 } },
+        { { VmId { "v" }, 2 } }, 13, 14, policy::Urgency::Background, Duration { 15 } };
     sender->send(target, heartbeat(3));
     sender->send(target, ConfigAnnouncement { 8, "document", 7, 1, 2, 3, "127.0.0.1:2" });
     sender->send(target, CreditAskMessage { ask });
-    sender->send(target, CreditGrantMessage { { PoolId { "p" }, NodeId { "m" }, 11, { { VmId { "w" }, 1 } }, {} } });
+    sender->send(target, CreditGrantMessage { grant });
     sender->send(target, ClaimRequest { 12, NodeId { "n" }, claim });
     sender->send(target, ClaimReply { 13, { policy::ClaimVerdict::Taken, claim } });
 
@@ -146,6 +148,7 @@
     EXPECT_TRUE(beat.isLeaving);
     EXPECT_EQ(beat.load, 4U);
     EXPECT_EQ(beat.seen.at(0).sequence, 2U);
+    EXPECT_EQ(beat.seen.at(0).configVersion, 3U);
     EXPECT_EQ(beat.introductions.at(0).address, "127.0.0.1:2");
     const auto& announcement = std::get<ConfigAnnouncement>(messages[1]);
     EXPECT_EQ(announcement.document, "document");
@@ -153,11 +156,8 @@
     EXPECT_EQ(announcement.keptSuffix, 2U);
     EXPECT_EQ(announcement.contentHash, 3U);
     EXPECT_EQ(announcement.replyTo, "127.0.0.1:2");
-    const auto& arrivedAsk = std::get<CreditAskMessage>(messages[2]).ask;
-    EXPECT_EQ(arrivedAsk.oldestWait, Duration { 4 });
-    EXPECT_EQ(arrivedAsk.idle.at(0).worker, VmId { "w1" });
-    EXPECT_EQ(arrivedAsk.inUse.at(0).count, 6U);
-    EXPECT_EQ(std::get<CreditGrantMessage>(messages[3]).grant.term, 11U);
+    EXPECT_EQ(std::get<CreditAskMessage>(messages[2]).ask, ask);
+    EXPECT_EQ(std::get<CreditGrantMessage>(messages[3]).grant, grant);
     EXPECT_EQ(std::get<ClaimRequest>(messages[4]).claim, claim);
     EXPECT_EQ(std::get<ClaimReply>(messages[5]).answer.verdict, policy::ClaimVerdict::Taken);
     EXPECT_GT(sender->traffic().bytesSent, 0U);
--- a/packages/policy/include/rattanrack/policy/traffic.h
+++ b/packages/policy/include/rattanrack/policy/traffic.h
@@ -79,6 +79,8 @@
     ResourceSize capacity;
     Slots slots;
     bool takesWork { true }; ///< False while draining, leaving or moving.
+
+    friend bool operator==(const WorkerView&, const WorkerView&) = default;
 };
 
 /// One kind of work as the configuration in force has it.
@@ -125,6 +127,8 @@
 struct Credit {
     VmId worker;
     std::uint32_t count { 0 };
+
+    friend bool operator==(const Credit&, const Credit&) = default;
 };
 
 /// A holder's need, sent to the home in place of one message for each request.
@@ -141,6 +145,8 @@
     std::uint64_t lastGrant { 0 }; ///< Number of the last grant that this report includes.
     ResourceSize firstSize; ///< What the request needs that waits for want of a worker.
     std::uint32_t firstCredits { 1 }; ///< Credits that it needs on one worker.
+
+    friend bool operator==(const CreditAsk&, const CreditAsk&) = default;
 };
 
 /// The home's answer or a recall: the holder owns exactly `granted` more and gives back `recalled`, in use or
@@ -157,6 +163,8 @@
     }; ///< Credits that the holder gives back as they come free, unless its own first is ahead.
     Urgency firstUrgency { Urgency::Normal }; ///< Urgency of the first request that waits elsewhere.
     Duration firstWait {}; ///< How long that request has waited.
+
+    friend bool operator==(const CreditGrant&, const CreditGrant&) = default;
 };
 
 struct CreditAsked {
--- a/packages/policy/src/fleet/planner.cpp
+++ b/packages/policy/src/fleet/planner.cpp
@@ -93,6 +93,12 @@
 
 void FleetPlanner::adoptListed(FleetRound& round)
 {
+    // While a pool's row is yet to be inserted its need is not known, and the spare pool would get its VMs.
+    const FleetSnapshot& snapshot = round.snapshot();
+    const bool areAllPoolsKnown = std::all_of(snapshot.settings.begin(), snapshot.settings.end(),
+        [&](const auto& entry) { return snapshot.pools.contains(entry.first); });
+    if (!areAllPoolsKnown)
+        return;
     for (const auto& [id, listed] : round.snapshot().listed) {
         if (listed.isLeaving || round.snapshot().vms.contains(id))
             continue;
--- a/packages/policy/tests/fleet_tests.cpp
+++ b/packages/policy/tests/fleet_tests.cpp
@@ -114,6 +114,19 @@
     EXPECT_EQ(fleet.vm("v0").phase, VmPhase::Serving);
 }
 
+TEST(FleetPlanner, AdoptsNothingBeforeEveryPoolHasItsRow)
+{
+    Fleet fleet { 0 };
+    fleet.snapshot.settings[PoolId { "late" }] = { 2, 0, 1, 1, 1 };
+    fleet.addWorker(VmId { "v0" }, "r0", "d0");
+    fleet.addWorker(VmId { "v1" }, "r1", "d1");
+    fleet.step();
+    EXPECT_TRUE(fleet.snapshot.vms.empty());
+    fleet.run(20);
+    EXPECT_EQ(fleet.vm("v0").pool, PoolId { "late" });
+    EXPECT_EQ(fleet.vm("v1").pool, PoolId { "late" });
+}
+
 TEST(FleetPlanner, RebootsEveryTargetOnceWithinThePermits)
 {
     Fleet fleet { 6, { 0, 3, 2 } };
