--- /dev/null
+++ b/packages/node/include/rattanrack/node/claim_gate.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "rattanrack/policy/claims.h"
+
+#include <functional>
+
+namespace rattanrack::node {
+
+/// Where requests that are not repeatable are recorded before they are sent.
+class ClaimGate {
+public:
+    using OnAnswer = std::function<void(policy::ClaimAnswer)>;
+
+    virtual ~ClaimGate() = default;
+
+    /// Records a claim, or its change to Withdrawn, Completed or Failed. Never blocks. `onAnswer` is called exactly
+    /// once, on any thread; an answer of Unavailable proves nothing about the record.
+    virtual void submit(policy::Claim claim, OnAnswer onAnswer) = 0;
+};
+
+} // namespace rattanrack::node
--- /dev/null
+++ b/packages/node/include/rattanrack/node/control_loop.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "rattanrack/base/time.h"
+
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace rattanrack::node {
+
+/// The one thread that owns all control state. Other threads hand it work with `post`; it runs the work in the order of
+/// posting, and timers when they are due.
+///
+///     loop.post([&] { core->handle(event, clock.now()); });
+///     loop.at(Deadline::after(clock.now(), 1s), [&] { refresh(); });
+class ControlLoop {
+public:
+    using Work = std::function<void()>;
+
+    explicit ControlLoop(const Clock& clock);
+
+    /// Stops the thread; work that has not begun is dropped.
+    ~ControlLoop();
+    ControlLoop(const ControlLoop&) = delete;
+    ControlLoop& operator=(const ControlLoop&) = delete;
+
+    /// Queues work. Never blocks; safe from every thread.
+    void post(Work work);
+
+    /// Runs `work` once, when `deadline` has passed. Safe from every thread.
+    void at(Deadline deadline, Work work);
+
+    /// Runs `work` on the control thread and waits for its end. Not to be called on the control thread.
+    void run(const Work& work);
+
+    /// Ends the thread after the work that it is in. Later posts are dropped.
+    void stop();
+
+private:
+    struct Timer {
+        Deadline deadline;
+        std::uint64_t sequence { 0 };
+        Work work;
+    };
+
+    void loop();
+    std::vector<Work> waitForWork();
+    void takeDueTimers(std::vector<Work>& due);
+    static bool firesLater(const Timer& left, const Timer& right);
+
+    const Clock& m_clock;
+    std::mutex m_mutex;
+    std::condition_variable m_wakeUp;
+    std::vector<Work> m_queue;
+    std::vector<Timer> m_timers; ///< A heap; the next to fire is at the front.
+    std::uint64_t m_nextSequence { 0 };
+    bool m_isStopping { false };
+    std::thread m_thread;
+};
+
+} // namespace rattanrack::node
--- /dev/null
+++ b/packages/node/include/rattanrack/node/daemon.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "rattanrack/base/error.h"
+#include "rattanrack/config/node_settings.h"
+
+#include <memory>
+
+namespace rattanrack::node {
+
+/// One rattanrackd: everything between callers and targets that runs on one entry VM.
+///
+///     BOOST_LEAF_AUTO(daemon, Daemon::create(settings));
+///     waitForSignal();
+///     daemon->shutDown();
+class Daemon {
+public:
+    /// Starts all parts. Errors: Unavailable (an address is in use), InvalidArgument (an address is malformed).
+    static Result<std::unique_ptr<Daemon>> create(const config::NodeSettings& settings);
+
+    /// Ends at once; calls in progress are cut off. Call `shutDown` first.
+    ~Daemon();
+    Daemon(const Daemon&) = delete;
+    Daemon& operator=(const Daemon&) = delete;
+
+    /// Leaves gracefully: reports not ready, waits until the balancer has noticed, lets every accepted request end,
+    /// hands duties over, and stops. Returns when done.
+    void shutDown();
+
+private:
+    struct State;
+    explicit Daemon(std::unique_ptr<State> state);
+    std::unique_ptr<State> m_state;
+};
+
+} // namespace rattanrack::node
--- /dev/null
+++ b/packages/node/include/rattanrack/node/http_server.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "rattanrack/base/error.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace httplib {
+class Server;
+}
+
+namespace rattanrack::node {
+
+/// Bounds on what one HTTP connection may take.
+struct HttpLimits {
+    std::size_t threads { 64 }; ///< Connections that are served at once.
+    std::size_t maxBodyBytes { 1U << 20U };
+};
+
+/// An HTTP server with threads of its own.
+class HttpServer {
+public:
+    /// Listens on `host` (an IP number) and `port` after `addRoutes` has been called. Errors: Unavailable (the address
+    /// is in use).
+    static Result<std::unique_ptr<HttpServer>> create(const std::string& host, int port, const HttpLimits& limits,
+        const std::function<void(httplib::Server&)>& addRoutes);
+
+    /// Stops listening, and waits for the calls in progress.
+    ~HttpServer();
+    HttpServer(const HttpServer&) = delete;
+    HttpServer& operator=(const HttpServer&) = delete;
+
+    /// Takes no new connections; calls in progress end. Returns when they have.
+    void stop();
+
+private:
+    struct State;
+    explicit HttpServer(std::unique_ptr<State> state);
+    std::unique_ptr<State> m_state;
+};
+
+} // namespace rattanrack::node
--- /dev/null
+++ b/packages/node/include/rattanrack/node/request_history.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "rattanrack/base/ids.h"
+#include "rattanrack/base/time.h"
+#include "rattanrack/node/pending_request.h"
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <unordered_map>
+
+namespace rattanrack::node {
+
+/// Requests that this node has accepted: live ones, and answered ones for a while, so that callers can fetch an answer
+/// later or send a request again. Bounded by time, number and bytes. Thread-safe.
+class RequestHistory {
+public:
+    RequestHistory(std::size_t maxFinished, std::uint64_t maxFinishedBytes);
+
+    /// Adds a live request. When `request` has a key under which another is known, returns that one and adds nothing.
+    std::shared_ptr<PendingRequest> addOrFind(const std::shared_ptr<PendingRequest>& request);
+
+    /// Null when the id is unknown or forgotten.
+    std::shared_ptr<PendingRequest> find(const RequestId& id) const;
+
+    /// The request has its answer; it is kept until `forgetAt`, or until the bounds are reached.
+    void finish(const std::shared_ptr<PendingRequest>& request, Deadline forgetAt);
+
+    /// Forgets a request's key, so that the key may be used for a new try.
+    void releaseKey(const IdempotencyKey& key, const RequestId& holder);
+
+    void forgetExpired(TimePoint now);
+
+private:
+    struct Finished {
+        RequestId id;
+        Deadline forgetAt;
+        std::uint64_t bytes { 0 };
+    };
+
+    void forgetOldest();
+
+    const std::size_t m_maxFinished;
+    const std::uint64_t m_maxFinishedBytes;
+    mutable std::mutex m_mutex;
+    std::unordered_map<RequestId, std::shared_ptr<PendingRequest>> m_requests;
+    std::unordered_map<IdempotencyKey, RequestId> m_byKey;
+    std::deque<Finished> m_finished;
+    std::uint64_t m_finishedBytes { 0 };
+};
+
+} // namespace rattanrack::node
--- /dev/null
+++ b/packages/node/include/rattanrack/node/table_claim_gate.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "rattanrack/node/claim_gate.h"
+#include "rattanrack/node/elastic_thread_pool.h"
+#include "rattanrack/platform/table.h"
+
+namespace rattanrack::node {
+
+/// Keeps each claim in a row of its own, `claim/<key>`: one write to claim, one to end. Needs no home and no peers, at
+/// the price of writes that grow with the requests.
+class TableClaimGate final : public ClaimGate {
+public:
+    /// Both must outlive this object; `pool` runs the table calls.
+    TableClaimGate(platform::Table& table, ElasticThreadPool& pool)
+        : m_table(table)
+        , m_pool(pool)
+    {
+    }
+
+    void submit(policy::Claim claim, OnAnswer onAnswer) override;
+
+    /// The blocking form of `submit`.
+    policy::ClaimAnswer record(const policy::Claim& claim);
+
+private:
+    platform::Table& m_table;
+    ElasticThreadPool& m_pool;
+};
+
+} // namespace rattanrack::node
--- /dev/null
+++ b/packages/node/include/rattanrack/node/traffic_service.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "rattanrack/base/metrics.h"
+#include "rattanrack/node/claim_gate.h"
+#include "rattanrack/node/control_loop.h"
+#include "rattanrack/node/elastic_thread_pool.h"
+#include "rattanrack/node/pending_request.h"
+#include "rattanrack/node/request_history.h"
+#include "rattanrack/node/worker_directory.h"
+#include "rattanrack/policy/traffic.h"
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <unordered_map>
+
+namespace rattanrack::node {
+
+/// Carries requests from callers to workers. Decisions come from the traffic policy, on the control thread; the calls
+/// to workers run on the callers' own threads, or on the pool for callers that do not wait.
+class TrafficService {
+public:
+    struct Parts {
+        ControlLoop& control;
+        const Clock& clock;
+        Metrics& metrics;
+        ElasticThreadPool& traffic;
+        WorkerDirectory& workers;
+        ClaimGate& claims;
+        NodeId self;
+        std::unique_ptr<policy::TrafficPolicy> policy;
+        std::function<void(const policy::SendAsk&)> sendAsk;
+        std::function<void(const policy::SendGrant&)> sendGrant;
+    };
+
+    explicit TrafficService(Parts parts);
+
+    // ---- From every thread ----
+
+    /// Accepts a request; its id is assigned here. When the caller's key belongs to a request that this node knows,
+    /// returns that one; check its fingerprint.
+    std::shared_ptr<PendingRequest> submit(CallerRequest request);
+
+    /// Carries out the request's attempts on this thread until its answer is there or `deadline` passes.
+    std::optional<Answer> drive(const std::shared_ptr<PendingRequest>& request, Deadline deadline);
+
+    /// Cancels; the answer tells whether the work had started.
+    void cancel(const RequestId& id);
+
+    std::shared_ptr<PendingRequest> find(const RequestId& id) const { return m_history.find(id); }
+
+    /// Requests without an answer.
+    std::size_t liveRequests() const { return m_liveCount.load(); }
+
+    // ---- On the control thread ----
+
+    /// Requests of one pool on this node.
+    struct PoolLoad {
+        std::size_t queued { 0 };
+        std::size_t running { 0 };
+    };
+    std::map<PoolId, PoolLoad> poolLoads() const;
+
+    /// Hands an event to the policy and carries out its decisions.
+    void handle(const policy::TrafficEvent& event);
+
+private:
+    struct Live {
+        std::shared_ptr<PendingRequest> pending;
+        AttemptId attempt;
+        Answer attemptAnswer; ///< What the last attempt ended with.
+        bool isClaimed { false };
+        bool isRunning { false };
+    };
+
+    void admit(const std::shared_ptr<PendingRequest>& pending);
+    void claim(const std::shared_ptr<PendingRequest>& pending);
+    void claimAnswered(const std::shared_ptr<PendingRequest>& pending, const policy::ClaimAnswer& answer);
+    void recordClaimEnd(const Live& live, const Answer& answer);
+    void submitClaimEnd(const policy::Claim& record);
+    void finish(const RequestId& id, Answer answer);
+    void runOnPool(const std::shared_ptr<PendingRequest>& pending, AttemptOrder order);
+    void carryOut(const std::shared_ptr<PendingRequest>& pending, const AttemptOrder& order);
+    void attemptEnded(const RequestId& id, const VmId& worker, const platform::TaskOutcome& outcome);
+    void tellWorker(const RequestId& request, const VmId& id, platform::StopMode mode);
+    void scheduleTick();
+    AttemptId attemptId(const CallerRequest& request, std::uint32_t attemptNumber) const;
+
+    void carryOutDecision(const policy::Dispatch&);
+    void carryOutDecision(const policy::RejectRequest&);
+    void carryOutDecision(const policy::ConcludeRequest&);
+    void carryOutDecision(const policy::StopAttempt&);
+    void carryOutDecision(const policy::RestrainAttempt&);
+    void carryOutDecision(const policy::SendAsk&);
+    void carryOutDecision(const policy::SendGrant&);
+
+    Parts m_parts;
+    RequestHistory m_history;
+    std::atomic<std::uint64_t> m_nextRequest { 1 };
+    std::atomic<std::size_t> m_liveCount { 0 };
+    std::unordered_map<RequestId, Live> m_live; ///< Control thread only.
+    std::unordered_map<WorkKind, PoolId> m_poolOfKind; ///< Control thread only.
+    Deadline m_scheduledTick { Deadline::never() };
+};
+
+} // namespace rattanrack::node
--- /dev/null
+++ b/packages/node/src/attempt_runner.cpp
@@ -0,0 +1,63 @@
+#include "rattanrack/node/attempt_runner.h"
+
+#include <optional>
+
+namespace rattanrack::node {
+
+namespace {
+
+using platform::AttemptReport;
+using platform::AttemptState;
+using platform::TaskOutcome;
+using platform::TaskStatus;
+
+constexpr Duration questionPause = std::chrono::milliseconds { 200 };
+
+std::optional<AttemptReport> ask(platform::Worker& worker, const AttemptId& attempt)
+{
+    return handle(
+        [&]() -> Result<std::optional<AttemptReport>> {
+            BOOST_LEAF_AUTO(report, worker.revoke(attempt));
+            return std::optional { std::move(report) };
+        },
+        [](const Error&) { return std::optional<AttemptReport> {}; });
+}
+
+std::optional<TaskOutcome> outcomeOf(const AttemptReport& report)
+{
+    switch (report.state) {
+    case AttemptState::Completed:
+        return TaskOutcome { TaskStatus::Completed, report.output, "settled by asking the worker" };
+    case AttemptState::Failed:
+        return TaskOutcome { TaskStatus::Failed, report.output, "settled by asking the worker" };
+    case AttemptState::Stopped:
+        return TaskOutcome { TaskStatus::Stopped, report.output, "settled by asking the worker" };
+    case AttemptState::Revoked:
+        return TaskOutcome { TaskStatus::RefusedRevoked, {}, "revoked after its answer was lost" };
+    case AttemptState::NeverSeen:
+    case AttemptState::Running:
+        return std::nullopt;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+TaskOutcome runAttempt(platform::Worker& worker, const platform::TaskOrder& order, Duration settleTime,
+    const Clock& clock, const std::function<void(Duration)>& pause)
+{
+    TaskOutcome outcome = worker.run(order);
+    const Deadline settleBy = Deadline::after(clock.now(), settleTime);
+    while (outcome.status == TaskStatus::Unknown) {
+        if (const auto report = ask(worker, order.attempt)) {
+            if (auto settled = outcomeOf(*report))
+                return *settled;
+        }
+        if (settleBy.hasPassed(clock.now()))
+            return outcome;
+        pause(questionPause);
+    }
+    return outcome;
+}
+
+} // namespace rattanrack::node
--- /dev/null
+++ b/packages/node/src/daemon.cpp
@@ -0,0 +1,268 @@
+#include "rattanrack/node/daemon.h"
+
+#include "rattanrack/base/log.h"
+#include "rattanrack/config/load.h"
+#include "rattanrack/node/admin_api.h"
+#include "rattanrack/node/caller_api.h"
+#include "rattanrack/node/coordination_service.h"
+#include "rattanrack/node/fleet_service.h"
+#include "rattanrack/node/health_api.h"
+#include "rattanrack/node/http_server.h"
+#include "rattanrack/node/readiness.h"
+#include "rattanrack/node/table_claim_gate.h"
+#include "rattanrack/node/traffic_service.h"
+#include "rattanrack/platform/http_table.h"
+#include "rattanrack/platform/http_vm_list.h"
+#include "rattanrack/platform/http_worker.h"
+#include "rattanrack/policy/traffic_core.h"
+
+#include <random>
+#include <thread>
+
+namespace rattanrack::node {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t maxQueuedPlatformCalls = 4096;
+constexpr std::size_t maxQueuedAttempts = 4096;
+constexpr Duration balancerNotice = 2s; ///< Time in which the balancer sees that a node is not ready.
+constexpr Duration handOverPatience = 3s;
+constexpr Duration pollInterval = 20ms;
+constexpr Duration statusInterval = 1s;
+
+const std::string planDuty = "plan/fleet";
+const std::string creditsDutyPrefix = "credits/";
+
+std::uint32_t randomSeed() { return std::random_device {}(); }
+
+/// An id that no other life of any node has.
+NodeId newNodeId(const std::string& name)
+{
+    constexpr std::size_t digits = 8;
+    std::string suffix(digits, '0');
+    std::random_device random;
+    for (char& digit : suffix)
+        digit = "0123456789abcdef"[random() % 16];
+    return NodeId { name + '-' + suffix };
+}
+
+std::vector<std::string> textsOf(const std::vector<config::Address>& addresses)
+{
+    std::vector<std::string> texts;
+    for (const config::Address& address : addresses)
+        texts.push_back(address.text());
+    return texts;
+}
+
+std::shared_ptr<platform::Worker> connectWorker(const platform::VmDescription& vm)
+{
+    return handle(
+        [&]() -> Result<std::shared_ptr<platform::Worker>> {
+            BOOST_LEAF_AUTO(worker, platform::HttpWorker::create(vm.address));
+            return std::shared_ptr<platform::Worker>(std::move(worker));
+        },
+        [&](const Error& error) {
+            logEvent("worker.bad_address", { { "vm", vm.id.value() }, { "error", describe(error) } }, LogLevel::Error);
+            return std::shared_ptr<platform::Worker> {};
+        });
+}
+
+} // namespace
+
+struct Daemon::State {
+    State(const config::NodeSettings& nodeSettings, std::unique_ptr<platform::Table> tableService,
+        std::unique_ptr<platform::VmList> vmListService);
+
+    void start(const config::NodeSettings& settings);
+    void configurationInForce(const peer::ConfigDocument& document);
+    void membersChanged(const std::vector<NodeId>& live);
+    void dutyChanged(const peer::DutyName& duty, const NodeId& holder, platform::RowVersion term);
+    void reportStatus();
+    CoordinationEvents coordinationEvents();
+
+    const NodeId self;
+    SystemClock clock;
+    Metrics metrics;
+    Readiness readiness;
+    std::unique_ptr<platform::Table> table;
+    std::unique_ptr<platform::VmList> vmList;
+    WorkerDirectory workers { connectWorker };
+    ThreadShares shares;
+    ElasticThreadPool platformThreads;
+    ElasticThreadPool workerThreads;
+    ControlLoop control { clock };
+    TableRunner tableRunner { control, platformThreads, *table };
+    FleetStore fleetStore { *table };
+    TableClaimGate claims { *table, platformThreads };
+    CoordinationService coordination;
+    TrafficService traffic;
+    FleetService fleet;
+    CallerApi callerApi { traffic, shares, clock };
+    AdminApi adminApi { { control, clock, coordination, fleet, traffic, *table, self } };
+    std::unique_ptr<peer::PeerNetwork> network;
+    std::unique_ptr<HttpServer> server;
+};
+
+Daemon::State::State(const config::NodeSettings& settings, std::unique_ptr<platform::Table> tableService,
+    std::unique_ptr<platform::VmList> vmListService)
+    : self(newNodeId(settings.name))
+    , table(std::move(tableService))
+    , vmList(std::move(vmListService))
+    , shares(settings.connections.callers)
+    , platformThreads(settings.threads.platform, maxQueuedPlatformCalls)
+    , workerThreads(settings.threads.workers, maxQueuedAttempts)
+    , coordination({ control, clock, metrics, tableRunner,
+          peer::MembershipSettings {
+              .self = self,
+              .address = settings.peerListen.text(),
+              .dataCenter = settings.dataCenter,
+              .seeds = textsOf(settings.seedPeers),
+              .randomSeed = randomSeed(),
+          },
+          coordinationEvents() })
+    , traffic({ control, clock, metrics, workerThreads, workers, claims, self, policy::createTrafficCore(randomSeed()),
+          [this](const policy::SendAsk& ask) { coordination.send(ask.home, peer::CreditAskMessage { ask.ask }); },
+          [this](const policy::SendGrant& grant) {
+              coordination.send(grant.grant.to, peer::CreditGrantMessage { grant.grant });
+          } })
+    , fleet({ control, clock, metrics, platformThreads, fleetStore, *vmList, workers, self,
+          [this](const policy::ViewChanged& view) {
+              shares.setKinds(view.kinds.size());
+              traffic.handle(view);
+          } })
+{
+    readiness.set("no_configuration", true);
+    readiness.set("no_fleet_view", true);
+}
+
+CoordinationEvents Daemon::State::coordinationEvents()
+{
+    return {
+        .onConfiguration = [this](const peer::ConfigDocument& document) { configurationInForce(document); },
+        .onMembers = [this](const std::vector<NodeId>& live) { membersChanged(live); },
+        .onDuty = [this](const peer::DutyName& duty, const NodeId& holder,
+                      platform::RowVersion term) { dutyChanged(duty, holder, term); },
+        .onCreditAsk = [this](const policy::CreditAsk& ask) { traffic.handle(policy::CreditAsked { ask }); },
+        .onCreditGrant = [this](const policy::CreditGrant& grant) { traffic.handle(policy::CreditGranted { grant }); },
+        .onClaimRequest = [](const peer::ClaimRequest&) {},
+        .onClaimReply = [](const peer::ClaimReply&) {},
+    };
+}
+
+void Daemon::State::start(const config::NodeSettings& settings)
+{
+    control.run([&] {
+        coordination.start(*network);
+        fleet.start();
+        reportStatus();
+    });
+    logEvent("node.started",
+        { { "node", self.value() }, { "listen", settings.listen.text() }, { "peerListen", settings.peerListen.text() },
+            { "dataCenter", settings.dataCenter.value() } });
+}
+
+void Daemon::State::configurationInForce(const peer::ConfigDocument& document)
+{
+    const auto parsed = config::parse(document.text);
+    if (!parsed.isValid()) {
+        logEvent("config.unreadable",
+            { { "version", document.version }, { "error", config::describe(parsed.diagnostics()) } }, LogLevel::Error);
+        return;
+    }
+    std::vector<peer::DutyName> duties { peer::DutyName { planDuty } };
+    for (const config::Pool& pool : parsed.value().pools)
+        duties.emplace_back(creditsDutyPrefix + pool.id.value());
+    coordination.setDuties(std::move(duties));
+    fleet.setConfiguration(parsed.value(), document.version);
+    readiness.set("no_configuration", false);
+    metrics.setGauge("rattanrack_config_version", {}, static_cast<double>(document.version));
+    logEvent("config.in_force", { { "version", document.version } });
+}
+
+void Daemon::State::membersChanged(const std::vector<NodeId>& live)
+{
+    metrics.setGauge("rattanrack_live_nodes", {}, static_cast<double>(live.size()));
+    traffic.handle(policy::PeersChanged { self, live });
+}
+
+void Daemon::State::dutyChanged(const peer::DutyName& duty, const NodeId& holder, platform::RowVersion term)
+{
+    if (duty.value() == planDuty)
+        fleet.setPlanner(holder == self);
+    else if (duty.value().starts_with(creditsDutyPrefix))
+        traffic.handle(policy::HomeChanged { PoolId { duty.value().substr(creditsDutyPrefix.size()) }, holder, term });
+}
+
+void Daemon::State::reportStatus()
+{
+    control.at(Deadline::after(clock.now(), statusInterval), [this] { reportStatus(); });
+    readiness.set("no_fleet_view", !fleet.lastTableContact() || !fleet.snapshot().hasList);
+    coordination.setDigest({ coordination.configuration().version, fleet.viewVersion(),
+        static_cast<std::uint32_t>(traffic.liveRequests()) });
+    metrics.setGauge("rattanrack_live_requests", {}, static_cast<double>(traffic.liveRequests()));
+}
+
+Result<std::unique_ptr<Daemon>> Daemon::create(const config::NodeSettings& settings)
+{
+    setLogLevel(settings.logLevel);
+    BOOST_LEAF_AUTO(table, platform::HttpTable::create(settings.platform.table.text()));
+    BOOST_LEAF_AUTO(vmList, platform::HttpVmList::create(settings.platform.vmList.text()));
+    auto state = std::make_unique<State>(settings, std::move(table), std::move(vmList));
+    State& parts = *state;
+    std::unique_ptr<Daemon> daemon(new Daemon(std::move(state)));
+    BOOST_LEAF_ASSIGN(
+        parts.network, peer::PeerNetwork::create(settings.peerListen.text(), [&parts](peer::Message message) {
+            parts.control.post([&parts, message = std::move(message)] { parts.coordination.receive(message); });
+        }));
+    parts.start(settings);
+    BOOST_LEAF_ASSIGN(parts.server,
+        HttpServer::create(settings.listen.host, settings.listen.port, { .threads = settings.connections.callers },
+            [&parts](httplib::Server& server) {
+                addHealthRoutes(server, parts.readiness, parts.metrics);
+                parts.callerApi.addRoutes(server);
+                parts.adminApi.addRoutes(server);
+            }));
+    return daemon;
+}
+
+Daemon::Daemon(std::unique_ptr<State> state)
+    : m_state(std::move(state))
+{
+}
+
+Daemon::~Daemon()
+{
+    // Threads end before what they use: first those that bring work in, then the control thread, then those that it
+    // uses.
+    m_state->server.reset();
+    m_state->network.reset();
+    m_state->control.stop();
+    m_state->workerThreads.shutdown();
+    m_state->platformThreads.shutdown();
+}
+
+void Daemon::shutDown()
+{
+    State& state = *m_state;
+    logEvent("node.leaving", { { "node", state.self.value() }, { "liveRequests", state.traffic.liveRequests() } });
+    state.readiness.set("shutting_down", true);
+    state.control.run([&] { state.coordination.leave(); });
+    std::this_thread::sleep_for(balancerNotice);
+    state.control.run([&] { state.traffic.handle(policy::StopAdmitting { Deadline::never() }); });
+    while (state.traffic.liveRequests() > 0)
+        std::this_thread::sleep_for(pollInterval);
+    state.server->stop();
+    const Deadline handOver = Deadline::after(state.clock.now(), handOverPatience);
+    bool hasHandedOver = false;
+    while (!hasHandedOver && !handOver.hasPassed(state.clock.now())) {
+        state.control.run([&] { hasHandedOver = state.coordination.hasHandedOver(); });
+        std::this_thread::sleep_for(pollInterval);
+    }
+    state.control.run([&] { state.coordination.removeRow(); });
+    std::this_thread::sleep_for(pollInterval);
+    logEvent("node.left", { { "node", state.self.value() } });
+}
+
+} // namespace rattanrack::node
--- /dev/null
+++ b/packages/node/src/main.cpp
@@ -0,0 +1,96 @@
+#include "rattanrack/base/log.h"
+#include "rattanrack/config/node_settings.h"
+#include "rattanrack/node/daemon.h"
+
+#include <docopt/docopt.h>
+
+#include <csignal>
+#include <iostream>
+
+namespace {
+
+using namespace rattanrack;
+
+constexpr const char* usage =
+    R"(rattanrackd: takes callers' requests to the workers of a fleet, and looks after the fleet.
+
+Usage:
+  rattanrackd --settings=FILE [--check]
+  rattanrackd (-h | --help)
+  rattanrackd --version
+
+Options:
+  --settings=FILE  Settings of this node (YAML).
+  --check          Check the settings, print every mistake, and end.
+  -h --help        Show this text.
+  --version        Show the version.
+
+Exit status: 0 after a graceful stop or a clean check, 1 when it can't start, 2 when the settings are wrong.
+SIGTERM and SIGINT stop it gracefully: no request in progress is cut off.
+)";
+
+constexpr const char* version = "rattanrackd 0.1.0";
+constexpr int exitCannotStart = 1;
+constexpr int exitBadSettings = 2;
+
+sigset_t stopSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    return signals;
+}
+
+void waitForStopSignal()
+{
+    const sigset_t signals = stopSignals();
+    int received = 0;
+    sigwait(&signals, &received);
+}
+
+int printError(const Error& error, int exitCode)
+{
+    std::cerr << describe(error) << '\n';
+    return exitCode;
+}
+
+std::optional<config::NodeSettings> readSettings(const std::string& path)
+{
+    return handle(
+        [&]() -> Result<std::optional<config::NodeSettings>> {
+            BOOST_LEAF_AUTO(settings, config::loadNodeSettings(path));
+            return std::optional { std::move(settings) };
+        },
+        [](const Error& error) {
+            printError(error, exitBadSettings);
+            return std::optional<config::NodeSettings> {};
+        });
+}
+
+int serve(const config::NodeSettings& settings)
+{
+    return handle(
+        [&]() -> Result<int> {
+            BOOST_LEAF_AUTO(daemon, node::Daemon::create(settings));
+            waitForStopSignal();
+            daemon->shutDown();
+            return 0;
+        },
+        [](const Error& error) { return printError(error, exitCannotStart); });
+}
+
+} // namespace
+
+int main(int argumentCount, char** arguments)
+{
+    const auto options = docopt::docopt(usage, { arguments + 1, arguments + argumentCount }, true, version);
+    // Blocked before any thread starts, so that only `waitForStopSignal` receives them.
+    const sigset_t signals = stopSignals();
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    const auto settings = readSettings(options.at("--settings").asString());
+    if (!settings)
+        return exitBadSettings;
+    return options.at("--check").asBool() ? 0 : serve(*settings);
+}
--- /dev/null
+++ b/packages/node/src/table_runner.cpp
@@ -0,0 +1,58 @@
+#include "rattanrack/node/table_runner.h"
+
+namespace rattanrack::node {
+
+namespace {
+
+template <typename Read> peer::RowsAnswer rowsAnswer(peer::ExchangeId exchange, const Read& read)
+{
+    return handle(
+        [&]() -> Result<peer::RowsAnswer> {
+            BOOST_LEAF_AUTO(rows, read());
+            return peer::RowsAnswer { exchange, std::move(rows) };
+        },
+        [&](const Error&) {
+            return peer::RowsAnswer { exchange, std::nullopt };
+        });
+}
+
+peer::TableAnswer unavailableAnswer(const peer::TableRequest& request)
+{
+    if (const auto* commit = std::get_if<peer::CommitRows>(&request))
+        return peer::CommitAnswer { commit->exchange, { platform::CommitStatus::Unavailable, 0, "no thread" } };
+    if (const auto* scan = std::get_if<peer::ScanRows>(&request))
+        return peer::RowsAnswer { scan->exchange, std::nullopt };
+    return peer::RowsAnswer { std::get<peer::ReadRows>(request).exchange, std::nullopt };
+}
+
+} // namespace
+
+void TableRunner::run(peer::TableRequests requests, const OnAnswer& onAnswer)
+{
+    for (peer::TableRequest& request : requests) {
+        auto shared = std::make_shared<peer::TableRequest>(std::move(request));
+        const bool isAccepted = m_threads.submit([this, shared, onAnswer] {
+            auto reply = std::visit([this](const auto& each) { return answer(each); }, *shared);
+            m_control.post([onAnswer, reply = std::move(reply)] { onAnswer(reply); });
+        });
+        if (!isAccepted)
+            m_control.post([onAnswer, shared] { onAnswer(unavailableAnswer(*shared)); });
+    }
+}
+
+peer::TableAnswer TableRunner::answer(const peer::ReadRows& read)
+{
+    return rowsAnswer(read.exchange, [&] { return m_table.read(read.keys); });
+}
+
+peer::TableAnswer TableRunner::answer(const peer::ScanRows& scan)
+{
+    return rowsAnswer(scan.exchange, [&] { return m_table.scan(scan.prefix, scan.newerThan, scan.limit); });
+}
+
+peer::TableAnswer TableRunner::answer(const peer::CommitRows& commit)
+{
+    return peer::CommitAnswer { commit.exchange, m_table.commit(commit.transaction) };
+}
+
+} // namespace rattanrack::node
--- /dev/null
+++ b/packages/node/src/thread_shares.cpp
@@ -0,0 +1,62 @@
+#include "rattanrack/node/thread_shares.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rattanrack::node {
+
+ThreadShares::ThreadShares(std::size_t threads)
+    : m_threads(threads)
+{
+}
+
+void ThreadShares::setKinds(std::size_t count)
+{
+    const std::lock_guard lock(m_mutex);
+    m_kinds = std::max<std::size_t>(count, 1);
+}
+
+ThreadShares::Hold ThreadShares::take(const WorkKind& kind)
+{
+    const std::lock_guard lock(m_mutex);
+    // One share is left for status calls and fetches of earlier answers.
+    const std::size_t fairShare = std::max<std::size_t>(m_threads / (m_kinds + 1), 1);
+    const std::size_t reserve = m_threads / 4;
+    const auto found = m_perKind.find(kind);
+    const std::size_t held = found == m_perKind.end() ? 0 : found->second;
+    const bool isBelowShare = held < fairShare && m_inUse < m_threads;
+    if (!isBelowShare && m_inUse + reserve >= m_threads)
+        return {};
+    ++m_inUse;
+    ++m_perKind[kind];
+    return Hold { *this, kind };
+}
+
+void ThreadShares::release(const WorkKind& kind)
+{
+    const std::lock_guard lock(m_mutex);
+    --m_inUse;
+    const auto found = m_perKind.find(kind);
+    if (--found->second == 0)
+        m_perKind.erase(found);
+}
+
+ThreadShares::Hold::Hold(ThreadShares& shares, WorkKind kind)
+    : m_shares(&shares)
+    , m_kind(std::move(kind))
+{
+}
+
+ThreadShares::Hold::Hold(Hold&& other) noexcept
+    : m_shares(std::exchange(other.m_shares, nullptr))
+    , m_kind(std::move(other.m_kind))
+{
+}
+
+ThreadShares::Hold::~Hold()
+{
+    if (m_shares)
+        m_shares->release(m_kind);
+}
+
+} // namespace rattanrack::node
--- /dev/null
+++ b/packages/node/src/traffic_service.cpp
@@ -0,0 +1,382 @@
+#include "rattanrack/node/traffic_service.h"
+
+#include "rattanrack/base/invariant.h"
+#include "rattanrack/base/log.h"
+#include "rattanrack/node/attempt_runner.h"
+
+#include <algorithm>
+#include <thread>
+
+namespace rattanrack::node {
+
+namespace {
+
+using namespace std::chrono_literals;
+using platform::TaskOutcome;
+using platform::TaskStatus;
+
+constexpr std::size_t maxFinishedRequests = 20'000;
+constexpr std::uint64_t maxFinishedBytes = 64U << 20U;
+constexpr Duration answerRetention = 10min;
+constexpr Duration minimumLease = 60s;
+constexpr int leasePerDeclaredRunTime = 10; ///< Declared run times are often far too short.
+// How long a worker is asked about a lost answer. A repeatable request is better off elsewhere.
+constexpr Duration repeatableSettleTime = 500ms;
+constexpr Duration onceSettleTime = 5s;
+constexpr Duration claimRetryPause = 1s;
+
+policy::AttemptEnd endOf(TaskStatus status)
+{
+    if (platform::neverStarted(status))
+        return policy::AttemptEnd::Refused;
+    switch (status) {
+    case TaskStatus::Completed:
+        return policy::AttemptEnd::Completed;
+    case TaskStatus::Failed:
+        return policy::AttemptEnd::Failed;
+    case TaskStatus::Stopped:
+        return policy::AttemptEnd::Stopped;
+    default:
+        return policy::AttemptEnd::Lost;
+    }
+}
+
+Answer answerOf(const TaskOutcome& outcome)
+{
+    switch (outcome.status) {
+    case TaskStatus::Completed:
+        return doneAnswer(outcome.output);
+    case TaskStatus::Failed:
+        return failedAnswer("work_failed", outcome.output);
+    case TaskStatus::Stopped:
+        return failedAnswer("stopped", outcome.output);
+    default:
+        return unknownAnswer("answer_lost");
+    }
+}
+
+void sleepFor(Duration duration) { std::this_thread::sleep_for(duration); }
+
+} // namespace
+
+TrafficService::TrafficService(Parts parts)
+    : m_parts(std::move(parts))
+    , m_history(maxFinishedRequests, maxFinishedBytes)
+{
+}
+
+std::shared_ptr<PendingRequest> TrafficService::submit(CallerRequest request)
+{
+    const std::uint64_t number = m_nextRequest.fetch_add(1);
+    request.spec.id = RequestId { m_parts.self.value() + '.' + std::to_string(number) };
+    auto pending = std::make_shared<PendingRequest>(std::move(request));
+    auto known = m_history.addOrFind(pending);
+    if (known != pending)
+        return known;
+    m_liveCount.fetch_add(1);
+    m_parts.control.post([this, pending] { admit(pending); });
+    return pending;
+}
+
+std::optional<Answer> TrafficService::drive(const std::shared_ptr<PendingRequest>& request, Deadline deadline)
+{
+    if (!request->bindDriver())
+        return request->awaitAnswer(deadline, m_parts.clock);
+    std::optional<Answer> answer;
+    while (!answer) {
+        PendingRequest::Step step = request->nextStep(deadline, m_parts.clock);
+        if (auto* order = std::get_if<AttemptOrder>(&step))
+            carryOut(request, *order);
+        else if (auto* final = std::get_if<Answer>(&step))
+            answer = std::move(*final);
+        else
+            break;
+    }
+    if (auto order = request->unbindDriver())
+        runOnPool(request, std::move(*order));
+    return answer;
+}
+
+void TrafficService::cancel(const RequestId& id)
+{
+    m_parts.control.post([this, id] {
+        if (m_live.contains(id))
+            handle(policy::Cancel { id });
+    });
+}
+
+void TrafficService::admit(const std::shared_ptr<PendingRequest>& pending)
+{
+    const CallerRequest& request = pending->request();
+    m_live.emplace(request.spec.id, Live { pending, {}, unknownAnswer("no_attempt"), false });
+    if (!m_poolOfKind.contains(request.spec.kind)) {
+        finish(request.spec.id, notRunAnswer(policy::NotRunReason::UnknownKind, Duration::zero()));
+        return;
+    }
+    if (request.spec.isRepeatable) {
+        policy::RequestSpec spec = request.spec;
+        spec.pool = m_poolOfKind.at(spec.kind);
+        handle(policy::Submit { std::move(spec) });
+    } else {
+        claim(pending);
+    }
+}
+
+void TrafficService::claim(const std::shared_ptr<PendingRequest>& pending)
+{
+    const CallerRequest& request = pending->request();
+    policy::Claim record {
+        .key = request.key,
+        .fingerprint = request.fingerprint,
+        .attempt = attemptId(request, 1),
+        .owner = m_parts.self,
+    };
+    m_parts.claims.submit(std::move(record), [this, pending](const policy::ClaimAnswer& answer) {
+        m_parts.control.post([this, pending, answer] { claimAnswered(pending, answer); });
+    });
+}
+
+void TrafficService::claimAnswered(const std::shared_ptr<PendingRequest>& pending, const policy::ClaimAnswer& answer)
+{
+    const RequestId& id = pending->request().spec.id;
+    const auto found = m_live.find(id);
+    if (found == m_live.end())
+        return;
+    switch (answer.verdict) {
+    case policy::ClaimVerdict::Granted: {
+        found->second.isClaimed = true;
+        policy::RequestSpec spec = pending->request().spec;
+        spec.pool = m_poolOfKind.contains(spec.kind) ? m_poolOfKind.at(spec.kind) : PoolId {};
+        handle(policy::Submit { std::move(spec) });
+        return;
+    }
+    case policy::ClaimVerdict::Taken:
+        if (answer.claim.state == policy::ClaimState::Completed)
+            finish(id, doneAnswer(answer.claim.output));
+        else if (answer.claim.state == policy::ClaimState::Failed)
+            finish(id, failedAnswer("work_failed", answer.claim.output));
+        else
+            finish(id, unknownAnswer("claimed_by_other_attempt"));
+        return;
+    case policy::ClaimVerdict::ContentDiffers:
+        finish(id, failedAnswer("key_reused_with_other_content", {}));
+        return;
+    case policy::ClaimVerdict::Unavailable:
+        // The claim may have been recorded, but this node has not sent the request and never will.
+        found->second.isClaimed = true;
+        finish(id, notRunAnswer(policy::NotRunReason::StoreUnavailable, 2s));
+        return;
+    }
+}
+
+void TrafficService::recordClaimEnd(const Live& live, const Answer& answer)
+{
+    if (answer.kind == AnswerKind::OutcomeUnknown)
+        return;
+    const CallerRequest& request = live.pending->request();
+    policy::Claim record {
+        .key = request.key,
+        .fingerprint = request.fingerprint,
+        .attempt = attemptId(request, 1),
+        .owner = m_parts.self,
+        .state = answer.kind == AnswerKind::Done ? policy::ClaimState::Completed
+            : answer.kind == AnswerKind::Failed  ? policy::ClaimState::Failed
+                                                 : policy::ClaimState::Withdrawn,
+        .output = answer.output,
+    };
+    submitClaimEnd(record);
+}
+
+void TrafficService::submitClaimEnd(const policy::Claim& record)
+{
+    m_parts.claims.submit(record, [this, record](const policy::ClaimAnswer& reply) {
+        if (reply.verdict != policy::ClaimVerdict::Unavailable)
+            return;
+        m_parts.control.at(
+            Deadline::after(m_parts.clock.now(), claimRetryPause), [this, record] { submitClaimEnd(record); });
+    });
+}
+
+std::map<PoolId, TrafficService::PoolLoad> TrafficService::poolLoads() const
+{
+    std::map<PoolId, PoolLoad> loads;
+    for (const auto& [id, live] : m_live) {
+        const auto pool = m_poolOfKind.find(live.pending->request().spec.kind);
+        if (pool == m_poolOfKind.end())
+            continue;
+        PoolLoad& load = loads[pool->second];
+        ++(live.isRunning ? load.running : load.queued);
+    }
+    return loads;
+}
+
+void TrafficService::handle(const policy::TrafficEvent& event)
+{
+    if (const auto* view = std::get_if<policy::ViewChanged>(&event)) {
+        m_poolOfKind.clear();
+        for (const policy::KindPolicy& kind : view->kinds)
+            m_poolOfKind.emplace(kind.kind, kind.pool);
+    }
+    const policy::TrafficDecisions decisions = m_parts.policy->handle(event, m_parts.clock.now());
+    for (const policy::TrafficDecision& decision : decisions)
+        std::visit([this](const auto& each) { carryOutDecision(each); }, decision);
+    scheduleTick();
+}
+
+void TrafficService::scheduleTick()
+{
+    const Deadline wake = m_parts.policy->nextWake();
+    if (wake >= m_scheduledTick)
+        return;
+    m_scheduledTick = wake;
+    m_parts.control.at(wake, [this, wake] {
+        // An earlier tick has replaced this one.
+        if (m_scheduledTick != wake)
+            return;
+        m_scheduledTick = Deadline::never();
+        m_history.forgetExpired(m_parts.clock.now());
+        handle(policy::Tick {});
+    });
+}
+
+void TrafficService::carryOutDecision(const policy::Dispatch& dispatch)
+{
+    const auto found = m_live.find(dispatch.request);
+    if (!checkInvariant(found != m_live.end(), "traffic.dispatch_of_live_request", dispatch.request.value()))
+        return;
+    Live& live = found->second;
+    live.isRunning = true;
+    live.attempt = attemptId(live.pending->request(), dispatch.attemptNumber);
+    AttemptOrder order { dispatch, live.attempt, m_parts.workers.find(dispatch.worker) };
+    if (!live.pending->offer(order))
+        runOnPool(live.pending, std::move(order));
+}
+
+void TrafficService::carryOutDecision(const policy::RejectRequest& reject)
+{
+    finish(reject.request, notRunAnswer(reject.reason, reject.retryAfter));
+}
+
+void TrafficService::carryOutDecision(const policy::ConcludeRequest& conclude)
+{
+    const auto found = m_live.find(conclude.request);
+    if (found != m_live.end())
+        finish(conclude.request, std::move(found->second.attemptAnswer));
+}
+
+void TrafficService::carryOutDecision(const policy::StopAttempt& stop)
+{
+    tellWorker(stop.request, stop.worker, platform::StopMode::Stop);
+}
+
+void TrafficService::carryOutDecision(const policy::RestrainAttempt& restrain)
+{
+    const bool isThrottle = restrain.restraint == policy::Restraint::Throttle;
+    tellWorker(
+        restrain.request, restrain.worker, isThrottle ? platform::StopMode::Throttle : platform::StopMode::Checkpoint);
+}
+
+void TrafficService::tellWorker(const RequestId& request, const VmId& id, platform::StopMode mode)
+{
+    const auto found = m_live.find(request);
+    const auto worker = m_parts.workers.find(id);
+    if (found == m_live.end() || !worker)
+        return;
+    const bool isAccepted = m_parts.traffic.submit([worker, attempt = found->second.attempt, id, mode] {
+        rattanrack::handle([&]() -> Result<void> { return worker->stop(attempt, mode); },
+            [&](const Error& error) {
+                logEvent("attempt.stop_failed",
+                    { { "attempt", attempt.value() }, { "worker", id.value() }, { "error", describe(error) } });
+            });
+    });
+    if (!isAccepted)
+        logEvent("attempt.stop_dropped", { { "request", request.value() } }, LogLevel::Warning);
+}
+
+void TrafficService::carryOutDecision(const policy::SendAsk& ask) { m_parts.sendAsk(ask); }
+
+void TrafficService::carryOutDecision(const policy::SendGrant& grant) { m_parts.sendGrant(grant); }
+
+void TrafficService::finish(const RequestId& id, Answer answer)
+{
+    const auto found = m_live.find(id);
+    if (!checkInvariant(found != m_live.end(), "traffic.one_answer_for_each_request", id.value()))
+        return;
+    const Live live = std::move(found->second);
+    m_live.erase(found);
+    const CallerRequest& request = live.pending->request();
+    m_parts.metrics.increment("rattanrack_answers_total",
+        { { "kind", request.spec.kind.value() }, { "answer", std::string(name(answer.kind)) } });
+    logEvent("request.answered",
+        { { "request", id.value() }, { "answer", name(answer.kind) }, { "reason", answer.reason } }, LogLevel::Debug);
+    if (live.isClaimed)
+        recordClaimEnd(live, answer);
+    // A request that did not run leaves its key free for another try.
+    if (answer.kind == AnswerKind::NotRun || answer.kind == AnswerKind::OutcomeUnknown)
+        m_history.releaseKey(request.key, id);
+    live.pending->conclude(std::move(answer));
+    m_history.finish(live.pending, Deadline::after(m_parts.clock.now(), answerRetention));
+    m_liveCount.fetch_sub(1);
+}
+
+void TrafficService::runOnPool(const std::shared_ptr<PendingRequest>& pending, AttemptOrder order)
+{
+    const RequestId id = order.dispatch.request;
+    const VmId worker = order.dispatch.worker;
+    const bool isAccepted
+        = m_parts.traffic.submit([this, pending, order = std::move(order)] { carryOut(pending, order); });
+    if (!isAccepted)
+        m_parts.control.post([this, id, worker] {
+            attemptEnded(id, worker, TaskOutcome { TaskStatus::NotSent, {}, "no traffic thread" });
+        });
+}
+
+void TrafficService::carryOut(const std::shared_ptr<PendingRequest>& pending, const AttemptOrder& order)
+{
+    const CallerRequest& request = pending->request();
+    TaskOutcome outcome { TaskStatus::NotSent, {}, "worker left the directory" };
+    if (order.worker) {
+        const TimePoint now = m_parts.clock.now();
+        const Duration leaseTime = std::max(minimumLease, request.spec.declaredRunTime * leasePerDeclaredRunTime);
+        const platform::TaskOrder task {
+            .request = request.spec.id,
+            .attempt = order.attempt,
+            .pool = request.spec.pool,
+            .poolEpoch = order.dispatch.poolEpoch,
+            .kind = request.spec.kind,
+            .size = request.spec.declaredSize,
+            .declaredRunTime = request.spec.declaredRunTime,
+            .payload = request.payload,
+            .lease = Deadline::after(now, leaseTime),
+        };
+        const Duration settleTime = request.spec.isRepeatable ? repeatableSettleTime : onceSettleTime;
+        outcome = runAttempt(*order.worker, task, settleTime, m_parts.clock, sleepFor);
+    }
+    m_parts.control.post([this, id = request.spec.id, worker = order.dispatch.worker, outcome = std::move(outcome)] {
+        attemptEnded(id, worker, outcome);
+    });
+}
+
+void TrafficService::attemptEnded(const RequestId& id, const VmId& worker, const TaskOutcome& outcome)
+{
+    const policy::AttemptEnd end = endOf(outcome.status);
+    const auto found = m_live.find(id);
+    if (found != m_live.end()) {
+        found->second.attemptAnswer = answerOf(outcome);
+        found->second.isRunning = false;
+    }
+    if (end != policy::AttemptEnd::Completed)
+        logEvent("attempt.ended",
+            { { "request", id.value() }, { "worker", worker.value() }, { "status", static_cast<int>(outcome.status) },
+                { "detail", outcome.detail } });
+    handle(policy::AttemptEnded { id, worker, end });
+}
+
+AttemptId TrafficService::attemptId(const CallerRequest& request, std::uint32_t attemptNumber) const
+{
+    // Tries of a request that is not repeatable share one id, so that no worker runs it after another one has.
+    const std::uint32_t number = request.spec.isRepeatable ? attemptNumber : 1;
+    return AttemptId { request.spec.id.value() + '-' + std::to_string(number) };
+}
+
+} // namespace rattanrack::node
--- /dev/null
+++ b/packages/node/tests/thread_shares_tests.cpp
@@ -0,0 +1,41 @@
+#include "rattanrack/node/thread_shares.h"
+
+#include <gtest/gtest.h>
+
+#include <vector>
+
+using namespace rattanrack;
+using node::ThreadShares;
+
+TEST(ThreadShares, FloodInOneKindLeavesThreadsToOthers)
+{
+    ThreadShares shares { 40 };
+    shares.setKinds(4);
+    std::vector<ThreadShares::Hold> flood;
+    while (true) {
+        ThreadShares::Hold hold = shares.take(WorkKind { "flood" });
+        if (!hold)
+            break;
+        flood.push_back(std::move(hold));
+    }
+    EXPECT_EQ(flood.size(), 30U);
+    std::vector<ThreadShares::Hold> other;
+    for (int i = 0; i < 8; ++i) {
+        other.push_back(shares.take(WorkKind { "other" }));
+        EXPECT_TRUE(other.back());
+    }
+}
+
+TEST(ThreadShares, ReleasedThreadsCanBeTakenAgain)
+{
+    ThreadShares shares { 4 };
+    {
+        const auto hold = shares.take(WorkKind { "a" });
+        EXPECT_TRUE(hold);
+    }
+    std::vector<ThreadShares::Hold> holds;
+    for (int i = 0; i < 3; ++i)
+        holds.push_back(shares.take(WorkKind { "a" }));
+    EXPECT_TRUE(holds.back());
+    EXPECT_FALSE(shares.take(WorkKind { "a" }));
+}
--- /dev/null
+++ b/packages/node/tests/traffic_service_tests.cpp
@@ -0,0 +1,167 @@
+#include "fake_table.h"
+#include "fake_worker.h"
+
+#include "rattanrack/base/invariant.h"
+#include "rattanrack/node/table_claim_gate.h"
+#include "rattanrack/node/traffic_service.h"
+#include "rattanrack/policy/traffic_core.h"
+
+#include <gtest/gtest.h>
+
+#include <thread>
+
+using namespace rattanrack;
+using namespace rattanrack::node;
+using namespace std::chrono_literals;
+using node::testing::FakeTable;
+using node::testing::FakeWorker;
+using platform::TaskStatus;
+
+namespace {
+
+constexpr Duration patience = 20s;
+
+class TrafficServiceTest : public ::testing::Test {
+protected:
+    TrafficServiceTest()
+    {
+        setInvariantsFatal(true);
+        workers.update({ platform::VmDescription { .id = VmId { "w1" }, .address = "a" },
+            platform::VmDescription { .id = VmId { "w2" }, .address = "b" } });
+        control.run([this] { service.handle(policy::PeersChanged { NodeId { "n" }, { NodeId { "n" } } }); });
+        control.run([this] { service.handle(view()); });
+    }
+    ~TrafficServiceTest() override { control.stop(); }
+
+    static policy::ViewChanged view()
+    {
+        policy::ViewChanged changed;
+        for (const char* worker : { "w1", "w2" })
+            changed.workers.push_back({ .id = VmId { worker },
+                .pool = PoolId { "p" },
+                .poolEpoch = 3,
+                .capacity = { Millicores { 16'000 }, Mebibytes { 65'536 }, Accelerators { 0 } },
+                .slots = Slots { 8 } });
+        changed.kinds.push_back({ WorkKind { "k" }, PoolId { "p" } });
+        changed.teams.push_back({ TeamId { "t" } });
+        changed.pools.push_back({ PoolId { "p" } });
+        return changed;
+    }
+
+    CallerRequest request(const std::string& payload, bool isRepeatable = true, const std::string& key = {})
+    {
+        CallerRequest made;
+        made.caller = CallerId { "c" };
+        made.key = IdempotencyKey { key };
+        made.payload = payload;
+        made.spec.kind = WorkKind { "k" };
+        made.spec.team = TeamId { "t" };
+        made.spec.deadline = Deadline::after(clock.now(), patience);
+        made.spec.declaredSize = { Millicores { 100 }, Mebibytes { 10 }, Accelerators { 0 } };
+        made.spec.declaredRunTime = 10ms;
+        made.spec.isRepeatable = isRepeatable;
+        return made;
+    }
+
+    std::optional<Answer> ask(CallerRequest made)
+    {
+        return service.drive(service.submit(std::move(made)), Deadline::after(clock.now(), patience));
+    }
+
+    SystemClock clock;
+    Metrics metrics;
+    FakeTable table;
+    std::shared_ptr<FakeWorker> worker = std::make_shared<FakeWorker>();
+    WorkerDirectory workers { [this](const platform::VmDescription&) { return worker; } };
+    ControlLoop control { clock };
+    ElasticThreadPool traffic { 4, 100 };
+    TableClaimGate claims { table, traffic };
+    TrafficService service { { control, clock, metrics, traffic, workers, claims, NodeId { "n" },
+        policy::createTrafficCore(1), [](const auto&) {}, [](const auto&) {} } };
+};
+
+} // namespace
+
+TEST_F(TrafficServiceTest, AnswersWithTheRequestsOwnOutput)
+{
+    const auto answer = ask(request("hello"));
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->kind, AnswerKind::Done);
+    EXPECT_EQ(answer->output, "echo:hello");
+    EXPECT_EQ(worker->orders().front().poolEpoch, 3U);
+}
+
+TEST_F(TrafficServiceTest, UnknownKindIsNotRun)
+{
+    CallerRequest unknown = request("x");
+    unknown.spec.kind = WorkKind { "other" };
+    const auto answer = ask(std::move(unknown));
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->kind, AnswerKind::NotRun);
+    EXPECT_EQ(answer->reason, "unknown_kind");
+}
+
+TEST_F(TrafficServiceTest, RefusedAttemptIsTriedOnAnotherWorker)
+{
+    worker->script({ TaskStatus::RefusedBusy });
+    const auto answer = ask(request("x"));
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->kind, AnswerKind::Done);
+    EXPECT_EQ(worker->orders().size(), 2U);
+}
+
+TEST_F(TrafficServiceTest, LostNotRepeatableRequestIsNeverSentAgain)
+{
+    worker->script({ TaskStatus::Unknown });
+    worker->answerQuestions({ { platform::AttemptState::Completed, "late answer" } });
+    const auto answer = ask(request("x", false, "c/1"));
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->kind, AnswerKind::Done);
+    EXPECT_EQ(answer->output, "late answer");
+    EXPECT_EQ(worker->orders().size(), 1U);
+}
+
+TEST_F(TrafficServiceTest, StoreOutageLeavesNotRepeatableRequestsUnsent)
+{
+    table.setDown(true);
+    const auto answer = ask(request("x", false, "c/1"));
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->kind, AnswerKind::NotRun);
+    EXPECT_EQ(answer->reason, "store_unavailable");
+    EXPECT_TRUE(worker->orders().empty());
+    const auto repeatable = ask(request("y"));
+    ASSERT_TRUE(repeatable);
+    EXPECT_EQ(repeatable->kind, AnswerKind::Done);
+}
+
+TEST_F(TrafficServiceTest, RepeatThroughTheSameKeyIsOneRequest)
+{
+    const auto first = ask(request("x", false, "c/1"));
+    const auto second = ask(request("x", false, "c/1"));
+    ASSERT_TRUE(first && second);
+    EXPECT_EQ(second->output, first->output);
+    EXPECT_EQ(worker->orders().size(), 1U);
+}
+
+TEST_F(TrafficServiceTest, ManyCallersEachGetTheirOwnAnswer)
+{
+    constexpr int callers = 8;
+    constexpr int requestsEach = 50;
+    std::atomic<int> mixedUp { 0 };
+    std::vector<std::thread> threads;
+    for (int caller = 0; caller < callers; ++caller) {
+        threads.emplace_back([&, caller] {
+            for (int i = 0; i < requestsEach; ++i) {
+                const std::string payload = std::to_string(caller) + ':' + std::to_string(i);
+                const auto answer = ask(request(payload));
+                if (!answer || answer->kind != AnswerKind::Done || answer->output != "echo:" + payload)
+                    mixedUp.fetch_add(1);
+            }
+        });
+    }
+    for (std::thread& thread : threads)
+        thread.join();
+    EXPECT_EQ(mixedUp.load(), 0);
+    EXPECT_EQ(worker->orders().size(), static_cast<std::size_t>(callers * requestsEach));
+    EXPECT_EQ(service.liveRequests(), 0U);
+}
