--- a/packages/policy/src/traffic/admission.cpp
+++ b/packages/policy/src/traffic/admission.cpp
@@ -8,6 +8,9 @@
 
 constexpr Duration urgentStartTarget { 5'500'000 };
 constexpr Duration defaultRunTime { 1'000'000 };
+// Part of the time until the latest start that a request is expected to wait at most. A queue that is always as long as
+// deadlines allow lets every run that takes longer than usual miss its deadline.
+constexpr double usableWait = 0.75;
 constexpr Duration minRetryAdvice { 100'000 };
 constexpr Duration maxRetryAdvice { 30'000'000 };
 constexpr Duration retryWithoutWorkers { 1'000'000 };
@@ -29,6 +32,14 @@
     return std::max<std::uint32_t>(fewest, 1);
 }
 
+// Most runs fit into the mean and two deviations; a tight deadline gets at least a chance.
+Duration reserve(const KindEstimates::RunTime& learned, const Request& request)
+{
+    const Duration ample = learned.mean + 2 * learned.deviation;
+    const Duration half = (request.spec.deadline.at() - request.arrived) / 2;
+    return std::min(ample, std::max(learned.mean, half));
+}
+
 } // namespace
 
 void Admission::estimate(Request& request, const KindEstimates& estimates, const CreditHolder& credits)
@@ -40,8 +51,8 @@
     request.credits = fewestCredits(request.size, credits);
     const Duration declared = spec.declaredRunTime > Duration::zero() ? spec.declaredRunTime : defaultRunTime;
     const auto learned = estimates.runTime(spec.kind);
-    request.expectedRunTime = learned.value_or(declared);
-    request.learnedRunTime = learned.value_or(Duration::zero());
+    request.expectedRunTime = learned ? learned->mean : declared;
+    request.reservedRunTime = learned ? reserve(*learned, request) : Duration::zero();
 }
 
 Deadline Admission::latestStart(const Request& request)
@@ -49,7 +60,7 @@
     const auto& spec = request.spec;
     Deadline latest = spec.deadline;
     if (latest != Deadline::never())
-        latest = Deadline { latest.at() - request.learnedRunTime };
+        latest = Deadline { latest.at() - request.reservedRunTime };
     if (spec.urgency == Urgency::Urgent)
         latest = std::min(latest, Deadline::after(request.arrived, urgentStartTarget));
     return latest;
@@ -68,8 +79,9 @@
     if (latest.hasPassed(now))
         return Refusal { NotRunReason::DeadlineTooSoon };
     const Duration wait = queue.expectedWait(request, capacity);
-    if (wait > latest.remaining(now))
-        return Refusal { NotRunReason::DeadlineTooSoon, retryAdvice(wait - latest.remaining(now)) };
+    const Duration longest = std::chrono::duration_cast<Duration>(latest.remaining(now) * usableWait);
+    if (wait > longest)
+        return Refusal { NotRunReason::DeadlineTooSoon, retryAdvice(wait - longest) };
     return std::nullopt;
 }
 
--- a/packages/policy/src/traffic/credit_asker.cpp
+++ b/packages/policy/src/traffic/credit_asker.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr Duration minInterval { 2'000 };
+constexpr Duration minInterval { 500 };
 constexpr Duration maxInterval { 50'000 };
 constexpr Duration repeatInterval { 100'000 };
 constexpr Duration reportInterval { 15'000'000 };
--- a/packages/policy/src/traffic/credit_holder.cpp
+++ b/packages/policy/src/traffic/credit_holder.cpp
@@ -161,8 +161,10 @@
     const IdleKey oldKey { worker.lastUse, index };
     const std::uint32_t oldIdle = worker.idle();
     const std::uint32_t oldHeld = worker.held;
+    const std::uint32_t oldInUse = worker.inUse;
     apply(worker);
     m_held += worker.held - oldHeld;
+    m_inUse += worker.inUse - oldInUse;
     m_idle += worker.idle() - oldIdle;
     if (oldIdle > 0)
         m_idleOrder.erase(oldKey);
@@ -176,10 +178,12 @@
     m_shapes.clear();
     m_idle = 0;
     m_held = 0;
+    m_inUse = 0;
     m_slots = 0;
     for (std::size_t index = 0; index < m_workers.size(); ++index) {
         const auto& worker = m_workers[index];
         m_held += worker.held;
+        m_inUse += worker.inUse;
         m_idle += worker.idle();
         if (worker.idle() > 0)
             m_idleOrder.insert({ worker.lastUse, index });
--- a/packages/policy/src/traffic/credit_holder.h
+++ b/packages/policy/src/traffic/credit_holder.h
@@ -69,6 +69,7 @@
     const std::vector<Shape>& shapes() const { return m_shapes; }
     std::uint32_t idle() const { return m_idle; }
     std::uint32_t held() const { return m_held; }
+    std::uint32_t inUse() const { return m_inUse; }
     std::int64_t slots() const { return m_slots; }
     std::vector<Credit> idleCredits() const;
     std::vector<Credit> inUseCredits() const;
@@ -86,6 +87,7 @@
     std::uint64_t m_uses { 0 };
     std::uint32_t m_idle { 0 };
     std::uint32_t m_held { 0 };
+    std::uint32_t m_inUse { 0 };
     std::int64_t m_slots { 0 };
 };
 
--- a/packages/policy/src/traffic/kind_estimates.cpp
+++ b/packages/policy/src/traffic/kind_estimates.cpp
@@ -1,6 +1,7 @@
 #include "traffic/kind_estimates.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace rattanrack::policy {
 
@@ -9,6 +10,11 @@
 constexpr std::uint32_t minSamples = 5;
 constexpr std::uint32_t memorySamples = 32;
 
+Duration fromSeconds(double seconds)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
 void addSample(double& mean, std::uint32_t& samples, double value)
 {
     samples = std::min(samples + 1, memorySamples);
@@ -20,7 +26,10 @@
 void KindEstimates::recordRunTime(const WorkKind& kind, Duration runTime)
 {
     auto& estimate = m_kinds[kind];
-    addSample(estimate.meanSeconds, estimate.runs, std::chrono::duration<double>(runTime).count());
+    const double seconds = std::chrono::duration<double>(runTime).count();
+    auto samples = estimate.runs;
+    addSample(estimate.meanSeconds, samples, seconds);
+    addSample(estimate.meanSquare, estimate.runs, seconds * seconds);
 }
 
 void KindEstimates::recordUsage(const WorkKind& kind, const ResourceSize& used)
@@ -31,12 +40,14 @@
     addSample(estimate.meanMebibytes, estimate.reports, static_cast<double>(used.memory.count()));
 }
 
-std::optional<Duration> KindEstimates::runTime(const WorkKind& kind) const
+std::optional<KindEstimates::RunTime> KindEstimates::runTime(const WorkKind& kind) const
 {
     auto found = m_kinds.find(kind);
     if (found == m_kinds.end() || found->second.runs < minSamples)
         return std::nullopt;
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(found->second.meanSeconds));
+    const auto& estimate = found->second;
+    const double variance = estimate.meanSquare - estimate.meanSeconds * estimate.meanSeconds;
+    return RunTime { fromSeconds(estimate.meanSeconds), fromSeconds(std::sqrt(std::max(variance, 0.0))) };
 }
 
 ResourceSize KindEstimates::size(const WorkKind& kind, const ResourceSize& declared) const
--- a/packages/policy/src/traffic/kind_estimates.h
+++ b/packages/policy/src/traffic/kind_estimates.h
@@ -16,8 +16,13 @@
     void recordRunTime(const WorkKind&, Duration);
     void recordUsage(const WorkKind&, const ResourceSize&);
 
-    /// Mean run time of recent attempts; empty until enough have completed.
-    std::optional<Duration> runTime(const WorkKind&) const;
+    struct RunTime {
+        Duration mean {};
+        Duration deviation {}; ///< Standard deviation.
+    };
+
+    /// Run time of recent attempts; empty until enough have completed.
+    std::optional<RunTime> runTime(const WorkKind&) const;
 
     /// What an attempt of this kind is expected to need: what it declares, or what the kind uses when that is more.
     ResourceSize size(const WorkKind&, const ResourceSize& declared) const;
@@ -26,6 +31,7 @@
     struct Estimate {
         std::uint32_t runs { 0 };
         double meanSeconds { 0 };
+        double meanSquare { 0 }; // of seconds
         std::uint32_t reports { 0 };
         double meanMillicores { 0 };
         double meanMebibytes { 0 };
--- a/packages/policy/src/traffic/pool_queue.cpp
+++ b/packages/policy/src/traffic/pool_queue.cpp
@@ -171,7 +171,10 @@
     double moreUrgent = 0;
     double ownWork = 0;
     double weights = 0;
+    double floors = 0; // slots that other kinds reach first
     for (const auto& kind : m_kinds) {
+        if (&kind != &own)
+            floors += std::min(kind.slotsInUse, kind.policy.floorShare * capacity);
         for (std::size_t urgency = 0; urgency < rank(request); ++urgency)
             moreUrgent += seconds(kind.lanes[urgency].work);
         if (&kind == &own || !kind.lanes[rank(request)].teams.empty())
@@ -179,9 +182,10 @@
     }
     for (std::size_t urgency = 0; urgency <= rank(request); ++urgency)
         ownWork += seconds(own.lanes[urgency].work);
-    const double fairWait
-        = (moreUrgent + seconds(own.lanes[rank(request)].work) * weights / own.policy.weight) / capacity;
-    const double sharedWait = ownWork / (capacity * std::max(own.policy.floorShare, lessUrgentShare));
+    const double least = capacity * std::max(own.policy.floorShare, lessUrgentShare);
+    const double left = std::max(capacity - floors, least);
+    const double fairWait = (moreUrgent + seconds(own.lanes[rank(request)].work) * weights / own.policy.weight) / left;
+    const double sharedWait = ownWork / least;
     const double wait = std::min(fairWait, sharedWait);
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(wait));
 }
--- a/packages/policy/src/traffic/pool_traffic.cpp
+++ b/packages/policy/src/traffic/pool_traffic.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::uint32_t maxAttempts = 3;
+constexpr Duration longestRetryWait { 1'000'000 };
 constexpr Duration recheckInterval { 100'000 };
 constexpr Duration retryAfterRefusals { 250'000 };
 
@@ -105,6 +106,8 @@
     m_queue.release(request);
     m_health.recordEnd(request.worker, end, now());
     m_usage.remove(request);
+    checkInvariant(
+        !m_usage.isEmpty() || m_credits.inUse() == 0, "credits.none_in_use_without_attempts", m_policy.pool.value());
     if (end == AttemptEnd::Completed)
         m_estimates.recordRunTime(request.spec.kind, now() - request.dispatched);
     if (request.used != ResourceSize {})
@@ -137,8 +140,10 @@
 void PoolTraffic::wake(Request& request)
 {
     if (!request.isRunning()) {
-        const bool isTooLate = request.spec.deadline.hasPassed(now());
-        return giveUp(request, isTooLate ? NotRunReason::DeadlinePassed : NotRunReason::DeadlineTooSoon);
+        if (request.spec.deadline.hasPassed(now()))
+            return giveUp(request, NotRunReason::DeadlinePassed);
+        const bool isRetry = request.attempts() > 0;
+        return giveUp(request, isRetry ? NotRunReason::RetriesExhausted : NotRunReason::DeadlineTooSoon);
     }
     m_table.setWake(request, Deadline::never());
     if (request.spec.isRepeatable)
@@ -147,7 +152,8 @@
 
 void PoolTraffic::giveUp(Request& request, NotRunReason reason)
 {
-    const bool isWorthAsking = reason == NotRunReason::DeadlineTooSoon || reason == NotRunReason::ShuttingDown;
+    const bool isWorthAsking = reason == NotRunReason::DeadlineTooSoon || reason == NotRunReason::RetriesExhausted
+        || reason == NotRunReason::ShuttingDown;
     m_queue.remove(request);
     m_table.reject(request, reason, isWorthAsking ? m_admission.retryAdvice({}) : Duration::zero());
 }
@@ -229,7 +235,7 @@
         return true;
     }
     const auto* worker = workerFor(*request);
-    if (worker) {
+    if (worker && (request->attempts() == 0 || m_retries.takeRetry())) {
         dispatch(*request, worker->view);
         return true;
     }
@@ -246,11 +252,13 @@
         return needed > 0 && needed <= worker.idle() && !request.hasTried(worker.view.id)
             && m_health.admits(worker.view.id, now());
     };
-    if (request.attempts() > 0) {
-        const auto* elsewhere = m_credits.pick(
-            [&](const auto& worker) { return !request.hasTriedRack(worker.view.rack) && isUsable(worker); });
-        if (elsewhere)
-            return elsewhere;
+    const int nearest = request.attempts() > 0 ? 2 : 0;
+    for (int nearness = 0; nearness <= nearest; ++nearness) {
+        const auto isTrusted = [&](const auto& worker) {
+            return request.nearness(worker.view) <= nearness && !m_health.isSuspect(worker.view.id) && isUsable(worker);
+        };
+        if (const auto* worker = m_credits.pick(isTrusted))
+            return worker;
     }
     return m_credits.pick(isUsable);
 }
@@ -268,6 +276,7 @@
     request.dispatched = now();
     request.tried.push_back(worker.id);
     request.triedRacks.push_back(worker.rack);
+    request.triedDataCenters.push_back(worker.dataCenter);
     m_usage.add(request);
     m_table.setWake(request, request.spec.deadline);
     if (request.attempts() == 1)
@@ -285,7 +294,7 @@
     }
     if (isWorthRepeating(request, end, isWorkerSuspect) && canRetry(request)) {
         m_queue.push(request, true);
-        m_table.setWake(request, request.spec.deadline);
+        m_table.setWake(request, std::min(request.spec.deadline, Deadline::after(now(), longestRetryWait)));
         return;
     }
     if (end == AttemptEnd::Refused)
@@ -296,7 +305,7 @@
 bool PoolTraffic::canRetry(const Request& request)
 {
     return m_table.mayDispatch() && request.attempts() < maxAttempts && !request.spec.deadline.hasPassed(now())
-        && hasUntriedWorker(request) && m_retries.takeRetry();
+        && hasUntriedWorker(request);
 }
 
 bool PoolTraffic::hasUntriedWorker(const Request& request) const
--- a/packages/policy/src/traffic/request.h
+++ b/packages/policy/src/traffic/request.h
@@ -22,9 +22,10 @@
     VmId worker; ///< Where it runs; empty while it waits.
     std::vector<VmId> tried; ///< Workers of all attempts; no worker is tried twice.
     std::vector<RackId> triedRacks;
+    std::vector<DataCenterId> triedDataCenters;
     ResourceSize size; ///< Declared, or learned where that is larger.
     Duration expectedRunTime {}; ///< Learned, or declared while too little is known.
-    Duration learnedRunTime {}; ///< Zero while too little is known.
+    Duration reservedRunTime {}; ///< Time to leave before the deadline; zero while too little is known.
     ResourceSize used; ///< As last reported.
     std::uint32_t credits { 1 }; ///< Slots that it takes on its worker.
     std::uint32_t restraints { 0 }; ///< Steps taken against its usage so far.
@@ -40,9 +41,15 @@
     bool isRunning() const { return !worker.isEmpty(); }
     std::uint32_t attempts() const { return static_cast<std::uint32_t>(tried.size()); }
     bool hasTried(const VmId& id) const { return std::find(tried.begin(), tried.end(), id) != tried.end(); }
-    bool hasTriedRack(const RackId& id) const
+
+    /// How near a worker is to those tried: 0 in another data centre, 1 in another rack, 2 in the same rack.
+    int nearness(const WorkerView& view) const
     {
-        return std::find(triedRacks.begin(), triedRacks.end(), id) != triedRacks.end();
+        if (std::find(triedRacks.begin(), triedRacks.end(), view.rack) != triedRacks.end())
+            return 2;
+        const bool isSameDataCenter
+            = std::find(triedDataCenters.begin(), triedDataCenters.end(), view.dataCenter) != triedDataCenters.end();
+        return isSameDataCenter ? 1 : 0;
     }
 };
 
--- a/packages/policy/src/traffic/usage_guard.h
+++ b/packages/policy/src/traffic/usage_guard.h
@@ -23,6 +23,8 @@
     void add(Request& request) { m_running[request.worker].push_back(&request); }
     void remove(const Request&);
 
+    bool isEmpty() const { return m_running.empty(); }
+
     /// Records the usage of a running request and names the action that it calls for, if any. `capacity` is the
     /// worker's, of which this node's attempts may use their part by slots.
     std::optional<Action> report(
--- a/packages/policy/src/traffic/worker_health.cpp
+++ b/packages/policy/src/traffic/worker_health.cpp
@@ -13,6 +13,7 @@
 constexpr double ejectBadness = 0.68; // four bad ends in a row
 constexpr double excessOverPool = 0.4;
 constexpr Duration firstProbe { 5'000'000 };
+constexpr Duration suspectInterval { 2'000'000 };
 constexpr std::uint32_t maxProbeDoublings = 4;
 
 bool isBadEnd(AttemptEnd end)
@@ -40,21 +41,24 @@
 
 bool WorkerHealth::admits(const VmId& worker, TimePoint now) const
 {
-    if (m_ejected == 0)
-        return true;
     auto found = m_records.find(worker);
-    if (found == m_records.end() || !found->second.isEjected)
+    if (found == m_records.end())
         return true;
+    if (!found->second.isEjected)
+        return !isSuspect(found->second) || found->second.tryAt.hasPassed(now);
     return !found->second.isProbing && found->second.probeAt.hasPassed(now);
 }
 
 void WorkerHealth::recordDispatch(const VmId& worker, TimePoint now)
 {
-    if (m_ejected == 0)
-        return;
     auto found = m_records.find(worker);
-    if (found != m_records.end() && found->second.isEjected && found->second.probeAt.hasPassed(now))
-        found->second.isProbing = true;
+    if (found == m_records.end())
+        return;
+    auto& record = found->second;
+    if (record.isEjected && record.probeAt.hasPassed(now))
+        record.isProbing = true;
+    if (!record.isEjected && isSuspect(record))
+        record.tryAt = Deadline::after(now, suspectInterval);
 }
 
 void WorkerHealth::recordEnd(const VmId& worker, AttemptEnd end, TimePoint now)
@@ -80,9 +84,11 @@
 bool WorkerHealth::isSuspect(const VmId& worker) const
 {
     auto found = m_records.find(worker);
-    return found != m_records.end() && found->second.badness > m_poolBadness + suspectBadness;
+    return found != m_records.end() && isSuspect(found->second);
 }
 
+bool WorkerHealth::isSuspect(const Record& record) const { return record.badness > m_poolBadness + suspectBadness; }
+
 void WorkerHealth::eject(Record& record, TimePoint now)
 {
     record.isEjected = true;
--- a/packages/policy/src/traffic/worker_health.h
+++ b/packages/policy/src/traffic/worker_health.h
@@ -11,7 +11,8 @@
 
 /// Tells the workers of one pool that fail what they are given from the others. A worker is ejected on evidence against
 /// it that does not hold for the pool at large, and never so many that the pool loses more than a set share. After a
-/// time one request at a time probes it; a success readmits it.
+/// time one request at a time probes it; a success readmits it. A suspect that the cap keeps in service gets a request
+/// now and then, until it succeeds.
 class WorkerHealth {
 public:
     /// Keeps the records of these workers only. At most `maxEjectedShare` of them, and at least one of several, may be
@@ -33,10 +34,12 @@
         double badness { 0 }; // 0: all well, 1: everything fails
         bool isEjected { false };
         bool isProbing { false };
-        Deadline probeAt {};
+        Deadline probeAt {}; ///< Of an ejected worker.
+        Deadline tryAt {}; ///< Of a suspect that the cap keeps in service.
         std::uint32_t failedProbes { 0 };
     };
 
+    bool isSuspect(const Record&) const;
     void eject(Record&, TimePoint now);
     void recordProbe(Record&, bool isBad, TimePoint now);
 
--- a/tools/measure_traffic/measures.h
+++ b/tools/measure_traffic/measures.h
@@ -15,6 +15,7 @@
     std::string urgentKinds[5];
     std::string plainKinds[5];
     double urgentWeight { 1 };
+    std::uint64_t seed { 1 }; ///< Of the demand.
 };
 
 const User& lindmayr();
--- a/tools/measure_traffic/simulation.cpp
+++ b/tools/measure_traffic/simulation.cpp
@@ -235,6 +235,7 @@
             return answer(index, request, id, AttemptEnd::Refused);
         }
         ++worker.busy;
+        ++fate.starts;
         if (!fate.started)
             fate.started = m_now;
         const bool failsFast = worker.fault == WorkerFault::FailsFast;
--- a/tools/measure_traffic/simulation.h
+++ b/tools/measure_traffic/simulation.h
@@ -46,6 +46,7 @@
 struct Fate {
     const Arrival* arrival { nullptr };
     std::uint32_t dispatches { 0 };
+    std::uint32_t starts { 0 };
     std::uint32_t finals { 0 }; ///< Final decisions; exactly one is right.
     std::optional<TimePoint> started; ///< First start on a worker.
     std::optional<TimePoint> answered;
