Load run: send a forgotten request again with its key; round ticks in plots

Cause: after the node that took a request was gone, the others answer 404 and the run waited until its end. Change: a 404 makes the caller send the same key again. Plots have ticks at round steps. Conclusion: a replaced node no longer shows as lost requests when the key is honoured.

--- a/packages/cli/src/burn_page.cpp
+++ b/packages/cli/src/burn_page.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr double hoursShown = 72;
+constexpr double hoursBetweenTicks = 12;
 
 std::string rateBars(const BurnReport& report, policy::BurnWindow window)
 {
@@ -50,7 +51,7 @@
 std::string poolPlot(const BurnReport& report, const PoolId& pool)
 {
     LinePlot plot { "Pool " + pool.value() + ": error budget used", "hours, 72 is now",
-        "per cent of three days' budget", {} };
+        "per cent of three days' budget", {}, hoursBetweenTicks };
     for (const policy::BurnObjective& objective : report.message.objectives) {
         if (objective.pool == pool)
             plot.series.push_back(budgetUsed(report, objective));
--- a/packages/cli/src/caller_client.cpp
+++ b/packages/cli/src/caller_client.cpp
@@ -21,6 +21,7 @@
 /// How long after a request's deadline its answer may still be on its way.
 constexpr Duration answerGrace = seconds { 2 };
 
+constexpr int statusNotFound = 404;
 constexpr int statusTooMany = 429;
 constexpr int statusUnavailable = 503;
 
@@ -177,8 +178,12 @@
         const std::string path
             = "/v1/requests/" + record.request.value() + "?waitMs=" + std::to_string(millisecondsOf(poll));
         const auto reply = send(call.node + tried, path, nullptr, poll + answerGrace);
-        if (!reply || !accept(*reply, record))
-            std::this_thread::sleep_for(std::min(retryPause, remaining()));
+        if (reply && accept(*reply, record))
+            continue;
+        std::this_thread::sleep_for(std::min(retryPause, remaining()));
+        // Nobody knows the request any more: its node may be gone. The key makes it the same request again.
+        if (reply && reply->status == statusNotFound)
+            submit(call, record);
     }
 }
 
--- a/packages/cli/src/plot.cpp
+++ b/packages/cli/src/plot.cpp
@@ -87,10 +87,9 @@
         text += line(left, frame.y(value), width - right, frame.y(value), "#ddd");
         text += textAt(left - 6, frame.y(value) + 4, "end", shortNumber(value));
     }
-    for (int tick = 0; tick <= xTicks; ++tick) {
-        const double value = frame.maxX * tick / xTicks;
-        text += textAt(frame.x(value), lineHeight - bottom + 16, "middle", shortNumber(value, 3));
-    }
+    const double step = plot.xStep > 0 ? plot.xStep : roundUp(frame.maxX / xTicks);
+    for (int tick = 0; tick * step <= frame.maxX; ++tick)
+        text += textAt(frame.x(tick * step), lineHeight - bottom + 16, "middle", shortNumber(tick * step, 3));
     text += line(left, frame.y(0), width - right, frame.y(0), "#444");
     text += textAt((left + width - right) / 2, lineHeight - 8, "middle", plot.xLabel);
     text += "<text transform=\"translate(14 " + number(lineHeight / 2) + ") rotate(-90)\" text-anchor=\"middle\">"
--- a/packages/cli/src/plot.h
+++ b/packages/cli/src/plot.h
@@ -22,6 +22,7 @@
     std::string xLabel;
     std::string yLabel;
     std::vector<PlotSeries> series;
+    double xStep { 0 }; ///< Between ticks; 0 takes a round one.
 };
 
 /// One labelled bar; `limit` draws a mark when above zero.
--- a/packages/cli/tests/load_run_tests.cpp
+++ b/packages/cli/tests/load_run_tests.cpp
@@ -15,7 +15,7 @@
 /// A node and a worker's log in one, which answers as it is told to.
 class FakeNode {
 public:
-    enum class Mode { Sound, Doubles, MixesUp, DeniesRun, CutsOffOnce };
+    enum class Mode { Sound, Doubles, MixesUp, DeniesRun, CutsOffOnce, ForgetsIds };
 
     explicit FakeNode(Mode mode)
         : m_mode(mode)
@@ -61,7 +61,7 @@
         if (m_mode == Mode::CutsOffOnce && isNew)
             return response.set_content_provider(
                 10, "application/json", [](std::size_t, std::size_t, httplib::DataSink&) { return false; });
-        if (!body.at("wait").get<bool>())
+        if (!body.at("wait").get<bool>() && (m_mode != Mode::ForgetsIds || isNew))
             answer = { { "request", id }, { "answer", "pending" } };
         response.set_content(answer.dump(), "application/json");
     }
@@ -69,6 +69,10 @@
     void ask(const httplib::Request& request, httplib::Response& response)
     {
         const std::lock_guard lock { m_mutex };
+        if (m_mode == Mode::ForgetsIds) {
+            response.status = 404;
+            return response.set_content("{}", "application/json");
+        }
         response.set_content(m_results[request.matches[1]].dump(), "application/json");
     }
 
@@ -125,6 +129,13 @@
     EXPECT_EQ(run.status, 0) << run.output;
 }
 
+TEST(Load, ForgottenRequestIsSentAgainWithItsKey)
+{
+    const auto run = loadAgainst(FakeNode::Mode::ForgetsIds);
+    EXPECT_EQ(run.status, 0) << run.output;
+    EXPECT_EQ(run.json()["requests"], run.json()["answered"]);
+}
+
 TEST(Load, FindsDoubledRuns)
 {
     const auto run = loadAgainst(FakeNode::Mode::Doubles);
