--- a/packages/cli/src/load_profile.h
+++ b/packages/cli/src/load_profile.h
@@ -58,7 +58,7 @@
     Bursts bursts;
     Cancellations cancellations;
     Repeats repeats;
-    std::vector<config::Address> workerLogs; ///< Answer GET /log with what the workers ran; see docs/LOAD.md.
+    std::vector<config::Address> workerLogs; ///< Answer GET /log with what the workers ran; see docs/CONFIGURATION.md.
 };
 
 /// Checks the profile in `text`; `name` is the file's name in diagnostics.
--- a/packages/config/src/federation_reader.cpp
+++ b/packages/config/src/federation_reader.cpp
@@ -45,8 +45,9 @@
     top.readMap("weights", Presence::Optional, [&](Section& section) { readWeights(section, m_federation.weights); });
     top.readName("sparePool", Presence::Required, sparePool);
     m_federation.sparePool = PoolId { sparePool };
-    top.readCount("sharedBudget", Presence::Optional, { 0, maxWorkers }, m_federation.sharedBudget);
     const auto mistakesBefore = m_diagnostics.size();
+    top.readCount("sharedBudget", Presence::Optional, { 0, maxWorkers }, m_federation.sharedBudget);
+    m_isBudgetRead = m_diagnostics.size() == mistakesBefore;
     top.readList("teams", Presence::Optional, [&](Section& section) { readTeam(section); });
     top.readList("pools", Presence::Required, [&](Section& section) { readPoolDefinition(section); });
     top.readList("sites", Presence::Required, [&](Section& section) { readSite(section); });
@@ -71,6 +72,7 @@
     Pool pool = readPool(section);
     reportDuplicate(section, "name", "pool", pool.id.value());
     checkKinds(section, pool);
+    checkMayBorrow(section, pool);
     m_federation.pools.push_back(std::move(pool));
 }
 
@@ -87,6 +89,14 @@
     }
 }
 
+void FederationReader::checkMayBorrow(Section& section, const Pool& pool)
+{
+    if (section.has("mayBorrow") && m_isBudgetRead && pool.mayBorrow > m_federation.sharedBudget)
+        section.report("mayBorrow",
+            std::to_string(pool.mayBorrow) + " is more than sharedBudget, "
+                + std::to_string(m_federation.sharedBudget));
+}
+
 void FederationReader::readSite(Section& section)
 {
     Site site;
@@ -125,6 +135,7 @@
     if (!m_adjusted.insert(name).second)
         section.report("name", "pool '" + name + "' is adjusted twice, expected it once");
     readLimits(section, Presence::Optional, *pool);
+    checkMayBorrow(section, *pool);
 }
 
 void FederationReader::readOverlay(const std::string& file, const YamlNode& root)
@@ -161,12 +172,6 @@
         top.report("sharedBudget",
             std::to_string(m_federation.sharedBudget) + " is more than all pools may lend together, "
                 + std::to_string(lendable));
-    for (const Pool& pool : m_federation.pools) {
-        if (pool.mayBorrow > m_federation.sharedBudget)
-            top.report("sharedBudget",
-                "pool '" + pool.id.value() + "' may borrow " + std::to_string(pool.mayBorrow)
-                    + ", expected at most sharedBudget, " + std::to_string(m_federation.sharedBudget));
-    }
 }
 
 void FederationReader::reportDuplicate(
--- a/packages/config/src/federation_reader.h
+++ b/packages/config/src/federation_reader.h
@@ -31,11 +31,13 @@
     void readSitePools(Section& section, Site& site);
     void readSitePool(Section& section, Site& site);
     void checkKinds(Section& section, const Pool& pool);
+    void checkMayBorrow(Section& section, const Pool& pool);
     void checkBorrowing(Section& top);
     void reportDuplicate(Section& section, std::string_view key, const std::string& kind, const std::string& name);
 
     Diagnostics& m_diagnostics;
     Federation m_federation;
+    bool m_isBudgetRead { false };
     std::set<std::string> m_names; ///< "team x" and so on, to find what is defined twice.
     std::map<WorkKind, PoolId> m_poolOfKind;
     std::map<DataCenterId, std::string> m_overlayOfSite; ///< File of each site's overlay.
--- a/packages/config/tests/load_tests.cpp
+++ b/packages/config/tests/load_tests.cpp
@@ -162,7 +162,19 @@
 TEST(Load, BorrowsMoreThanSharedBudget)
 {
     EXPECT_EQ(firstMistake(replaced(base, "mayLend: 2", "mayLend: 2\n    mayBorrow: 3")),
-        "b:3:15: sharedBudget: pool 'office' may borrow 3, expected at most sharedBudget, 2");
+        "b:9:16: pools[0].mayBorrow: 3 is more than sharedBudget, 2");
+}
+
+TEST(Overlay, BorrowsMoreThanSharedBudget)
+{
+    EXPECT_EQ(overlayMistake("site: munich\npools: [{name: office, mayBorrow: 3}]\n"),
+        "o:2:35: pools[0].mayBorrow: 3 is more than sharedBudget, 2");
+}
+
+TEST(Load, WrongSharedBudgetIsReportedOnce)
+{
+    const auto loaded = load({ "b", replaced(base, "sharedBudget: 2", "sharedBudget: some") }, {});
+    EXPECT_EQ(loaded.diagnostics().size(), 1U) << describe(loaded.diagnostics());
 }
 
 TEST(Load, SharedBudgetLargerThanLent)
