Add ClaimStore: claims over the table, here or at the shard's home

Cause: the claim core decides but does no I/O. Change: package claims. One thread decides, one talks to the table; shards load when their duty is taken; claims for other homes go out as ClaimRequest and come back by ClaimReply; every callback runs exactly once.

--- /dev/null
+++ b/packages/claims/src/claim_rows.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "rattanrack/platform/table.h"
+#include "rattanrack/policy/claim_home.h"
+
+#include <optional>
+#include <vector>
+
+/// Claim batches in the terms of the table.
+namespace rattanrack::claims {
+
+std::string dutyRowKey(policy::ClaimShardIndex);
+std::string claimRowPrefix(policy::ClaimShardIndex);
+std::string claimRowKey(policy::ClaimShardIndex, policy::ClaimRowSequence);
+
+platform::Transaction transactionOf(const policy::ClaimBatch&);
+
+/// Keys that show what became of a batch.
+std::vector<std::string> readBackKeys(const policy::ClaimBatch&);
+std::vector<policy::ClaimShardReading> readingsOf(const policy::ClaimBatch&, const platform::Rows&);
+
+/// Empty when a row is malformed.
+std::optional<std::vector<policy::ClaimRow>> claimRowsOf(policy::ClaimShardIndex, const platform::Rows&);
+
+policy::ClaimCommitStatus claimStatus(platform::CommitStatus);
+
+} // namespace rattanrack::claims
--- /dev/null
+++ b/packages/claims/src/claim_store_state.cpp
@@ -0,0 +1,231 @@
+#include "claim_store_state.h"
+
+#include "claim_rows.h"
+
+#include "rattanrack/base/log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rattanrack::claims {
+
+using namespace policy;
+
+namespace {
+
+constexpr Duration tickPeriod = std::chrono::milliseconds { 50 };
+constexpr Duration idlePeriod = std::chrono::seconds { 1 };
+constexpr Duration reloadPause = std::chrono::milliseconds { 250 };
+constexpr std::size_t maxShardRows = 1U << 20U;
+
+/// A grant counts only for the attempt that was asked for.
+bool isAnswerTo(const Claim& asked, const ClaimAnswer& answer)
+{
+    return answer.verdict != ClaimVerdict::Granted
+        || (answer.claim.key == asked.key && answer.claim.attempt == asked.attempt
+            && answer.claim.state == asked.state);
+}
+
+} // namespace
+
+ClaimStore::State::State(
+    const ClaimStoreSettings& storeSettings, platform::Table& storeTable, const Clock& storeClock, SendRequest sender)
+    : settings(storeSettings)
+    , table(storeTable)
+    , clock(storeClock)
+    , send(std::move(sender))
+    , home(storeSettings.home)
+    , tableThread([] { return idlePeriod; }, [] {})
+    , deciding([this] { return pause(); }, [this] { tick(); })
+{
+}
+
+ClaimStore::State::~State()
+{
+    tableThread.stop(JobThread::Rest::Drop);
+    deciding.stop(JobThread::Rest::Run);
+    for (auto& [ticket, callback] : waiting)
+        callback({});
+    for (auto& [exchange, request] : forwarded)
+        request.callback({});
+}
+
+void ClaimStore::State::submit(const Claim& claim, Callback callback)
+{
+    ++counted.submitted;
+    auto counting = [this, callback = std::move(callback)](const ClaimAnswer& answer) {
+        counted.unavailable += answer.verdict == ClaimVerdict::Unavailable ? 1 : 0;
+        callback(answer);
+    };
+    const auto shard = claimShardOf(claim.key, settings.home.shardCount);
+    const auto holder = homes.find(shard);
+    const bool isElsewhere = holder != homes.end() && !holder->second.isEmpty() && holder->second != settings.home.self;
+    if (!home.holds(shard) && isElsewhere)
+        return forward(claim, std::move(counting), holder->second);
+    submitHere(claim, std::move(counting));
+}
+
+void ClaimStore::State::submitHere(const Claim& claim, Callback callback)
+{
+    const auto now = clock.now();
+    const auto ticket = ++lastTicket;
+    waiting.emplace(ticket, std::move(callback));
+    carryOut(home.submit(ticket, claim, Deadline::after(now, settings.answerTimeout), now));
+}
+
+void ClaimStore::State::forward(const Claim& claim, Callback callback, const NodeId& holder)
+{
+    if (forwarded.size() >= settings.maxForwarded)
+        return callback({});
+    ++counted.forwarded;
+    const auto exchange = ++lastTicket;
+    forwarded[exchange] = { claim, std::move(callback), Deadline::after(clock.now(), settings.answerTimeout) };
+    publishCounters();
+    send(holder, { exchange, settings.home.self, claim });
+}
+
+void ClaimStore::State::onReply(const peer::ClaimReply& reply)
+{
+    auto request = forwarded.extract(reply.exchange);
+    if (request.empty())
+        return;
+    const bool isFitting = isAnswerTo(request.mapped().claim, reply.answer);
+    request.mapped().callback(isFitting ? reply.answer : ClaimAnswer {});
+}
+
+void ClaimStore::State::takeShard(ClaimShardIndex shard, platform::RowVersion version)
+{
+    wanted[shard] = version;
+    homes[shard] = settings.home.self;
+    carryOut(home.dropShard(shard, clock.now()));
+    load(shard, version);
+}
+
+void ClaimStore::State::dropShard(ClaimShardIndex shard)
+{
+    wanted.erase(shard);
+    reloads.erase(shard);
+    if (homes[shard] == settings.home.self)
+        homes.erase(shard);
+    carryOut(home.dropShard(shard, clock.now()));
+}
+
+bool ClaimStore::State::isFor(ClaimShardIndex shard, platform::RowVersion version) const
+{
+    const auto found = wanted.find(shard);
+    return found != wanted.end() && found->second == version;
+}
+
+void ClaimStore::State::load(ClaimShardIndex shard, platform::RowVersion version)
+{
+    tableThread.post([this, shard, version] {
+        const auto rows = readRows([&] { return table.scan(claimRowPrefix(shard), 0, maxShardRows); });
+        deciding.post([this, shard, version, rows] { onLoaded(shard, version, rows); });
+    });
+}
+
+void ClaimStore::State::onLoaded(
+    ClaimShardIndex shard, platform::RowVersion version, const std::optional<platform::Rows>& rows)
+{
+    if (!isFor(shard, version))
+        return;
+    const auto now = clock.now();
+    const auto claimRows = rows && rows->size() < maxShardRows ? claimRowsOf(shard, *rows) : std::nullopt;
+    if (!claimRows) {
+        logEvent("claims.load_failed", { { "shard", shard }, { "read", rows ? "malformed" : "unavailable" } },
+            LogLevel::Warning);
+        reloads[shard] = { version, Deadline::after(now, reloadPause) };
+        return;
+    }
+    logEvent("claims.shard_taken", { { "shard", shard }, { "version", version }, { "rows", claimRows->size() } });
+    carryOut(home.takeShard(shard, version, *claimRows, now));
+}
+
+void ClaimStore::State::carryOut(const ClaimEffects& effects)
+{
+    if (effects.commit)
+        commit(*effects.commit);
+    if (effects.readBack)
+        readBack(*effects.readBack);
+    for (const auto shard : effects.lost) {
+        logEvent("claims.shard_lost", { { "shard", shard } });
+        wanted.erase(shard);
+        homes.erase(shard);
+    }
+    for (const auto& each : effects.answers) {
+        auto waiter = waiting.extract(each.ticket);
+        if (!waiter.empty())
+            waiter.mapped()(each.answer);
+    }
+    publishCounters();
+}
+
+void ClaimStore::State::commit(const ClaimBatch& batch)
+{
+    ++counted.commits;
+    tableThread.post([this, batch] {
+        const auto outcome = table.commit(transactionOf(batch));
+        deciding.post([this, id = batch.id, status = claimStatus(outcome.status)] {
+            carryOut(home.onCommit(id, status, clock.now()));
+        });
+    });
+}
+
+void ClaimStore::State::readBack(const ClaimBatch& batch)
+{
+    tableThread.post([this, batch] {
+        const auto rows = readRows([&] { return table.read(readBackKeys(batch)); });
+        deciding.post([this, batch, rows] {
+            auto readings = rows ? std::optional { readingsOf(batch, *rows) } : std::nullopt;
+            carryOut(home.onReadBack(batch.id, readings, clock.now()));
+        });
+    });
+}
+
+void ClaimStore::State::tick()
+{
+    const auto now = clock.now();
+    carryOut(home.tick(now));
+    while (!forwarded.empty() && forwarded.begin()->second.deadline.hasPassed(now)) {
+        const auto overdue = forwarded.extract(forwarded.begin());
+        overdue.mapped().callback({});
+    }
+    for (auto reload = reloads.begin(); reload != reloads.end();) {
+        const auto [shard, due] = *reload;
+        if (!due.at.hasPassed(now)) {
+            ++reload;
+            continue;
+        }
+        reload = reloads.erase(reload);
+        load(shard, due.version);
+    }
+}
+
+void ClaimStore::State::publishCounters()
+{
+    counted.records = home.recordCount();
+    counted.rows = home.rowCount();
+    counted.queued = home.queuedCount();
+    const std::lock_guard guard { countersMutex };
+    published = counted;
+}
+
+std::chrono::microseconds ClaimStore::State::pause() const
+{
+    const bool hasWork = !waiting.empty() || !forwarded.empty() || !reloads.empty();
+    const auto longest = hasWork ? tickPeriod : idlePeriod;
+    const auto due = home.wakeUpAt();
+    return due == Deadline::never() ? longest : std::min(longest, due.remaining(clock.now()));
+}
+
+std::optional<platform::Rows> ClaimStore::State::readRows(const std::function<Result<platform::Rows>()>& read) const
+{
+    return handle(
+        [&]() -> Result<std::optional<platform::Rows>> {
+            BOOST_LEAF_AUTO(rows, read());
+            return std::optional { std::move(rows) };
+        },
+        [](const Error&) { return std::optional<platform::Rows> {}; });
+}
+
+} // namespace rattanrack::claims
