Wait for the answer of a request that runs through another node

Change: the node looks at the record again until the deadline. Conclusion: a repeat gets the first one's whole answer.

--- a/packages/node/include/rattanrack/node/admin_api.h
+++ b/packages/node/include/rattanrack/node/admin_api.h
@@ -5,7 +5,9 @@
 #include "rattanrack/node/fleet_service.h"
 #include "rattanrack/node/traffic_service.h"
 
+#include <functional>
 #include <string>
+#include <utility>
 
 namespace httplib {
 class Server;
@@ -30,7 +32,7 @@
     };
 
     explicit AdminApi(Parts parts)
-        : m_parts(parts)
+        : m_parts(std::move(parts))
     {
     }
 
--- a/packages/node/include/rattanrack/node/traffic_service.h
+++ b/packages/node/include/rattanrack/node/traffic_service.h
@@ -77,6 +77,7 @@
     void admit(const std::shared_ptr<PendingRequest>& pending);
     void claim(const std::shared_ptr<PendingRequest>& pending);
     void claimAnswered(const std::shared_ptr<PendingRequest>& pending, const policy::ClaimAnswer& answer);
+    void awaitOtherAttempt(const std::shared_ptr<PendingRequest>& pending);
     void recordClaimEnd(const Live& live, const Answer& answer);
     void submitClaimEnd(const policy::Claim& record);
     void finish(const RequestId& id, Answer answer);
--- a/packages/node/src/daemon.cpp
+++ b/packages/node/src/daemon.cpp
@@ -51,6 +51,7 @@
 std::vector<std::string> textsOf(const std::vector<config::Address>& addresses)
 {
     std::vector<std::string> texts;
+    texts.reserve(addresses.size());
     for (const config::Address& address : addresses)
         texts.push_back(address.text());
     return texts;
--- a/packages/node/src/traffic_service.cpp
+++ b/packages/node/src/traffic_service.cpp
@@ -24,6 +24,7 @@
 constexpr Duration repeatableSettleTime = 500ms;
 constexpr Duration onceSettleTime = 5s;
 constexpr Duration claimRetryPause = 1s;
+constexpr Duration otherAttemptPause = 500ms; ///< Between two looks at a request that runs through another node.
 
 policy::AttemptEnd endOf(TaskStatus status)
 {
@@ -156,7 +157,7 @@
         else if (answer.claim.state == policy::ClaimState::Failed)
             finish(id, failedAnswer("work_failed", answer.claim.output));
         else
-            finish(id, unknownAnswer("claimed_by_other_attempt"));
+            awaitOtherAttempt(pending);
         return;
     case policy::ClaimVerdict::ContentDiffers:
         finish(id, failedAnswer("key_reused_with_other_content", {}));
@@ -169,6 +170,21 @@
     }
 }
 
+void TrafficService::awaitOtherAttempt(const std::shared_ptr<PendingRequest>& pending)
+{
+    const policy::RequestSpec& spec = pending->request().spec;
+    const TimePoint now = m_parts.clock.now();
+    if (spec.deadline.hasPassed(now)) {
+        finish(spec.id, unknownAnswer("claimed_by_other_attempt"));
+        return;
+    }
+    const Duration pause = std::min(otherAttemptPause, spec.deadline.remaining(now));
+    m_parts.control.at(Deadline::after(now, pause), [this, pending] {
+        if (m_live.contains(pending->request().spec.id))
+            claim(pending);
+    });
+}
+
 void TrafficService::recordClaimEnd(const Live& live, const Answer& answer)
 {
     if (answer.kind == AnswerKind::OutcomeUnknown)
--- a/packages/node/tests/thread_shares_tests.cpp
+++ b/packages/node/tests/thread_shares_tests.cpp
@@ -34,6 +34,7 @@
         EXPECT_TRUE(hold);
     }
     std::vector<ThreadShares::Hold> holds;
+    holds.reserve(3);
     for (int i = 0; i < 3; ++i)
         holds.push_back(shares.take(WorkKind { "a" }));
     EXPECT_TRUE(holds.back());
--- a/packages/node/tests/traffic_service_tests.cpp
+++ b/packages/node/tests/traffic_service_tests.cpp
@@ -143,12 +143,28 @@
     EXPECT_EQ(worker->orders().size(), 1U);
 }
 
+TEST_F(TrafficServiceTest, RepeatThroughAnotherNodeWaitsForTheFirstAnswer)
+{
+    policy::Claim elsewhere { IdempotencyKey { "c/1" }, 0, AttemptId { "other.1-1" }, NodeId { "other" } };
+    ASSERT_EQ(claims.record(elsewhere).verdict, policy::ClaimVerdict::Granted);
+    const auto pending = service.submit(request("x", false, "c/1"));
+    EXPECT_FALSE(service.drive(pending, Deadline::after(clock.now(), 50ms)));
+    elsewhere.state = policy::ClaimState::Completed;
+    elsewhere.output = "answer of the other node";
+    ASSERT_EQ(claims.record(elsewhere).verdict, policy::ClaimVerdict::Granted);
+    const auto answer = service.drive(pending, Deadline::after(clock.now(), patience));
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->output, "answer of the other node");
+    EXPECT_TRUE(worker->orders().empty());
+}
+
 TEST_F(TrafficServiceTest, ManyCallersEachGetTheirOwnAnswer)
 {
     constexpr int callers = 8;
     constexpr int requestsEach = 50;
     std::atomic<int> mixedUp { 0 };
     std::vector<std::thread> threads;
+    threads.reserve(callers);
     for (int caller = 0; caller < callers; ++caller) {
         threads.emplace_back([&, caller] {
             for (int i = 0; i < requestsEach; ++i) {
