Load run: end at once on a request that every node rejects

Cause: status 400 was tried again until the run's end. Change: such a call counts as lost at once, with the node's reason among the examples.

--- a/packages/cli/src/caller_client.cpp
+++ b/packages/cli/src/caller_client.cpp
@@ -21,6 +21,7 @@
 /// How long after a request's deadline its answer may still be on its way.
 constexpr Duration answerGrace = seconds { 2 };
 
+constexpr int statusBadRequest = 400;
 constexpr int statusNotFound = 404;
 constexpr int statusTooMany = 429;
 constexpr int statusUnavailable = 503;
@@ -86,7 +87,7 @@
     record.call = index;
     record.sendDelay = std::max(now() - call.at, Duration::zero());
     submit(call, record);
-    if (call.cancelAt && record.answer == CallAnswer::Lost)
+    if (call.cancelAt && record.answer == CallAnswer::Lost && !record.request.isEmpty())
         cancel(call, record);
     collect(call, record);
     record.latency = now() - call.at;
@@ -126,6 +127,15 @@
     return reply;
 }
 
+/// A request that no node will ever take, since its content is wrong.
+bool CallerClient::isRejected(const Reply& reply, CallRecord& record) const
+{
+    if (reply.status != statusBadRequest)
+        return false;
+    record.reason = "rejected: " + textOf(reply.body, "detail");
+    return true;
+}
+
 /// Sends until a node gives a whole answer. The key makes it safe to send the same request again.
 void CallerClient::submit(const PlannedCall& call, CallRecord& record)
 {
@@ -133,7 +143,7 @@
     const Duration timeout = m_profile.mix[m_plan.requests[call.request].mix].deadline + answerGrace;
     for (std::size_t tried = 0; remaining() > Duration::zero(); ++tried) {
         const auto reply = send(call.node + tried, "/v1/requests", &body, std::min(timeout, remaining()));
-        if (reply && accept(*reply, record))
+        if (reply && (accept(*reply, record) || isRejected(*reply, record)))
             return;
         std::this_thread::sleep_for(std::min(retryPause, remaining()));
     }
@@ -173,7 +183,8 @@
 /// Asks for the answer until it is final.
 void CallerClient::collect(const PlannedCall& call, CallRecord& record)
 {
-    for (std::size_t tried = 0; record.answer == CallAnswer::Lost && remaining() > Duration::zero(); ++tried) {
+    const auto isOpen = [&] { return record.answer == CallAnswer::Lost && !record.request.isEmpty(); };
+    for (std::size_t tried = 0; isOpen() && remaining() > Duration::zero(); ++tried) {
         const Duration poll = std::min(longestPoll, remaining());
         const std::string path
             = "/v1/requests/" + record.request.value() + "?waitMs=" + std::to_string(millisecondsOf(poll));
--- a/packages/cli/src/caller_client.h
+++ b/packages/cli/src/caller_client.h
@@ -37,6 +37,7 @@
     void cancel(const PlannedCall& call, const CallRecord& record);
     std::string requestBody(const PlannedCall& call) const;
     bool accept(const Reply& reply, CallRecord& record) const;
+    bool isRejected(const Reply& reply, CallRecord& record) const;
     Duration now() const;
     Duration remaining() const { return m_end.remaining(m_clock.now()); }
 
--- a/packages/cli/src/load_ledger.cpp
+++ b/packages/cli/src/load_ledger.cpp
@@ -100,7 +100,8 @@
     void report(std::uint64_t& counter, const std::string& what, const CallRecord& record)
     {
         ++counter;
-        addExample(what + ": " + requestOf(record).payload + " request=" + record.request.value());
+        addExample(what + ": " + requestOf(record).payload + " request=" + record.request.value()
+            + (record.reason.empty() ? "" : " " + record.reason));
     }
 
     void addExample(std::string text)
