--- a/packages/policy/src/fleet/round.cpp
+++ b/packages/policy/src/fleet/round.cpp
@@ -10,12 +10,20 @@
 
 constexpr std::size_t maxVmsPerChange = 16;
 
-/// A node that hears fewer than half of the VMs says nothing about the others.
+/// A node that hears fewer than half of the VMs that the platform lists as live says nothing about the others.
 bool hearsMostOf(const FleetSnapshot& snapshot, TimePoint now, Duration patience)
 {
-    const auto heard = std::count_if(snapshot.vms.begin(), snapshot.vms.end(),
-        [&](const auto& entry) { return isHeard(snapshot, entry.first, now, patience); });
-    return static_cast<std::size_t>(heard) * 2 >= snapshot.vms.size();
+    std::size_t expected = 0;
+    std::size_t heard = 0;
+    for (const auto& [id, vm] : snapshot.vms) {
+        const auto listed = snapshot.listed.find(id);
+        const bool isListed = listed != snapshot.listed.end() && !listed->second.isLeaving;
+        if (snapshot.hasList && !isListed)
+            continue;
+        expected++;
+        heard += isHeard(snapshot, id, now, patience) ? 1 : 0;
+    }
+    return heard * 2 >= expected;
 }
 
 template <typename Map, typename Id> const typename Map::mapped_type* findIn(const Map& map, const Id& id)
