--- a/packages/policy/include/rattanrack/policy/fleet_borrowing.h
+++ b/packages/policy/include/rattanrack/policy/fleet_borrowing.h
@@ -32,7 +32,7 @@
     Duration memory { std::chrono::minutes { 10 } }; ///< A pool gives away nothing that it needed this recently.
     Duration expectedStay { std::chrono::minutes { 20 } }; ///< For how long a need is expected to last once sustained.
     Duration moveTime { std::chrono::seconds { 30 } }; ///< For which a moving VM serves nobody.
-    Duration movePrice { std::chrono::seconds { 60 } }; ///< Further cost of a move, in time of one VM.
+    Duration movePrice { std::chrono::minutes { 3 } }; ///< Further cost of a move, in time of one VM.
 };
 
 /// Decides which pools lend VMs to which. Spare VMs stay where they were last of use until another pool needs them: no
