Make a fleet change depend on the rows that it only requires

Cause: the daemon left out the roll-out's row, so that a planner with an old view could start a VM for a roll-out that had been paused or aborted. Change: the transaction carries a condition for each required row.

--- a/packages/node/src/fleet_store.cpp
+++ b/packages/node/src/fleet_store.cpp
@@ -93,6 +93,8 @@
         add(transaction, policy::rollOutKey(rollOut.id), rollOut.version, policy::encode(rollOut));
     for (const policy::BorrowingRecord& borrowing : change.borrowing)
         add(transaction, std::string(policy::borrowingKey), borrowing.version, policy::encode(borrowing));
+    for (const policy::RollOutRecord& rollOut : change.required)
+        transaction.conditions.push_back({ policy::rollOutKey(rollOut.id), rollOut.version });
     return transaction;
 }
 
