--- a/packages/policy/include/rattanrack/policy/claim_home.h
+++ b/packages/policy/include/rattanrack/policy/claim_home.h
@@ -13,7 +13,7 @@
 
 struct ClaimHomeSettings {
     NodeId self;
-    std::uint32_t shardCount { 32 };
+    std::uint32_t shardCount { 8 }; ///< The same in the whole federation, and for good.
     Duration commitInterval { std::chrono::milliseconds { 50 } }; ///< Least time from one commit's start to the next.
     Duration retryPause { std::chrono::milliseconds { 100 } };
     Duration retention { std::chrono::minutes { 10 } }; ///< How long finished records are kept.
