Test duties and the spread of configurations in virtual time

Cause: the two cores stood without tests, and a member that starts during an outage of the table could stay unknown to one node, since the order of introductions ran in step with the order of targets. Change: stateful tests with pauses, lost and late answers, outages, links lost between regions, restarts and old guards; introductions are drawn at random; a duty that came less than 30 s ago is not handed back, since its preferred holder may have given it away because it leaves. Seen to fail: without conditions in takeovers, "taken from a node that is not fenced"; with duties counted as held whoever the row names, two tests; with a lost answer counted as unavailable, two; without the condition on the configuration's head, two. Conclusion: a guarded write carries the duty row's version, and that alone keeps two nodes apart.

--- a/packages/peer/src/duties/duties.cpp
+++ b/packages/peer/src/duties/duties.cpp
@@ -60,7 +60,7 @@
     LivenessView liveness;
     std::map<DutyName, DutyRow> rows;
     std::map<NodeId, KnownNodeRow> nodeRows;
-    std::map<DutyName, platform::RowVersion> held;
+    std::map<DutyName, HeldDuty> held;
     std::set<DutyName> doubted;
     TakeoverPlanner takeover;
     DutyPlan plan; ///< Being committed or read back.
@@ -170,17 +170,21 @@
 
 void Duties::State::refreshHeld(TimePoint now, DutiesOutput& output)
 {
-    std::map<DutyName, platform::RowVersion> holding;
+    std::map<DutyName, HeldDuty> holding;
     if (!liveness.ownLease.hasPassed(now))
         for (const auto& [name, row] : rows)
             if (isHolding(name, row))
-                holding.emplace(name, row.version);
-    for (const auto& [name, version] : held)
-        if (const auto kept = holding.find(name); kept == holding.end() || kept->second != version)
-            output.changes.push_back({ DutyEvent::Lost, name, version });
-    for (const auto& [name, version] : holding)
-        if (const auto before = held.find(name); before == held.end() || before->second != version)
-            output.changes.push_back({ DutyEvent::Taken, name, version });
+                holding.emplace(name, HeldDuty { row.version, now });
+    for (const auto& [name, duty] : held) {
+        const auto kept = holding.find(name);
+        if (kept != holding.end() && kept->second.version == duty.version)
+            kept->second.since = duty.since;
+        else
+            output.changes.push_back({ DutyEvent::Lost, name, duty.version });
+    }
+    for (const auto& [name, duty] : holding)
+        if (const auto before = held.find(name); before == held.end() || before->second.version != duty.version)
+            output.changes.push_back({ DutyEvent::Taken, name, duty.version });
     held = std::move(holding);
 }
 
@@ -197,7 +201,7 @@
 
 DutyPlan Duties::State::makePlan(TimePoint now)
 {
-    const DutyPlanInput input { settings.self, settings.names, rows, nodeRows, liveness, now };
+    const DutyPlanInput input { settings.self, settings.names, rows, held, nodeRows, liveness, now };
     if (liveness.isLeaving)
         return planLeave(input);
     DutyPlan takeoverPlan = takeover.plan(input);
@@ -337,7 +341,7 @@
     const auto found = m_state->held.find(name);
     if (found == m_state->held.end())
         return std::nullopt;
-    return platform::Condition { dutyRowKey(name), found->second };
+    return platform::Condition { dutyRowKey(name), found->second.version };
 }
 
 NodeId Duties::holder(const DutyName& name) const
--- a/packages/peer/src/duties/duty_plan.cpp
+++ b/packages/peer/src/duties/duty_plan.cpp
@@ -104,14 +104,13 @@
     DutyPlan plan;
     std::vector<NodeId> candidates = settledOthers(input.liveness, input.now);
     candidates.push_back(input.self);
-    for (const DutyName& name : input.names) {
-        const auto row = input.rows.find(name);
-        if (row == input.rows.end() || row->second.holder != input.self)
+    for (const auto& [name, duty] : input.held) {
+        if (input.now - duty.since < settleTime)
             continue;
         NodeId preferred = rendezvousChoice(name.value(), candidates);
         if (preferred == input.self)
             continue;
-        plan.assignments.push_back({ name, row->second.version, std::move(preferred) });
+        plan.assignments.push_back({ name, duty.version, std::move(preferred) });
         if (plan.assignments.size() == maxHandedBackTogether)
             break;
     }
--- a/packages/peer/src/duties/duty_plan.h
+++ b/packages/peer/src/duties/duty_plan.h
@@ -34,11 +34,18 @@
     Deadline forgetAt; ///< By then membership has read the row itself.
 };
 
+/// A duty that this node holds.
+struct HeldDuty {
+    platform::RowVersion version { 0 };
+    TimePoint since;
+};
+
 /// What a plan is made from.
 struct DutyPlanInput {
     const NodeId& self;
     const std::vector<DutyName>& names;
     const std::map<DutyName, DutyRow>& rows;
+    const std::map<DutyName, HeldDuty>& held;
     const std::map<NodeId, KnownNodeRow>& nodeRows;
     const LivenessView& liveness;
     TimePoint now;
@@ -47,7 +54,8 @@
 /// Hands all duties of this node, which is leaving, to the preferred others.
 DutyPlan planLeave(const DutyPlanInput& input);
 
-/// Hands a few duties to members that are preferred and have been live for a while.
+/// Hands a few duties to members that are preferred and have been live for a while. A duty that came a short time ago
+/// stays: the preferred member may have given it away because it is leaving.
 DutyPlan planHandBack(const DutyPlanInput& input);
 
 /// Takes over duties that nobody holds, or whose holder is dead. Remembers since when each has been seen so.
--- a/packages/peer/src/membership/gossip.cpp
+++ b/packages/peer/src/membership/gossip.cpp
@@ -66,27 +66,35 @@
 void Gossip::addNews(const MemberTable& table, bool isTableReachable, TimePoint now, Heartbeat& heartbeat)
 {
     std::vector<const MemberTable::Entry*> known;
-    std::vector<const MemberTable::Entry*> unknownToMany;
+    std::vector<const MemberTable::Entry*> fresh;
     for (const auto& [id, entry] : table.entries()) {
         if (entry.member.state == MemberState::Gone || entry.sequence == 0)
             continue;
         known.push_back(&entry);
-        if (!isTableReachable || !entry.introduceUntil.hasPassed(now) || entry.member.rowVersion == 0)
-            unknownToMany.push_back(&entry);
+        if (!entry.introduceUntil.hasPassed(now) || entry.member.rowVersion == 0)
+            fresh.push_back(&entry);
     }
+    introduceAny(fresh, isTableReachable ? maxIntroductions : maxIntroductions - 1, heartbeat);
+    if (!isTableReachable)
+        introduceAny(known, 1, heartbeat);
+
     std::sort(known.begin(), known.end(),
         [](const auto* left, const auto* right) { return left->member.heardAt > right->member.heardAt; });
     known.resize(std::min(known.size(), maxSeenEntries));
     for (const auto* entry : known)
         heartbeat.seen.push_back({ nodeHash(entry->member.id), static_cast<std::uint32_t>(entry->sequence),
             static_cast<std::uint32_t>(entry->member.digest.configVersion) });
+}
 
-    const std::size_t introductions = std::min(unknownToMany.size(), maxIntroductions);
-    for (std::size_t i = 0; i < introductions; ++i) {
-        const auto& entry = *unknownToMany[m_nextIntroduction++ % unknownToMany.size()];
-        const Member& member = entry.member;
+void Gossip::introduceAny(
+    const std::vector<const MemberTable::Entry*>& candidates, std::size_t count, Heartbeat& heartbeat)
+{
+    std::vector<const MemberTable::Entry*> chosen;
+    std::sample(candidates.begin(), candidates.end(), std::back_inserter(chosen), count, m_random);
+    for (const auto* entry : chosen) {
+        const Member& member = entry->member;
         heartbeat.introductions.push_back(
-            { member.id, member.address, member.dataCenter, entry.sequence, member.isLeaving });
+            { member.id, member.address, member.dataCenter, entry->sequence, member.isLeaving });
     }
 }
 
--- a/packages/peer/src/membership/gossip.h
+++ b/packages/peer/src/membership/gossip.h
@@ -27,10 +27,13 @@
     void addNews(const MemberTable& table, bool isTableReachable, TimePoint now, Heartbeat& heartbeat);
 
 private:
+    /// Introduces at most `count` of the candidates, chosen at random so that no rhythm leaves anybody out.
+    void introduceAny(
+        const std::vector<const MemberTable::Entry*>& candidates, std::size_t count, Heartbeat& heartbeat);
+
     std::minstd_rand m_random;
     std::size_t m_distance { 1 };
     std::size_t m_beats { 0 };
-    std::size_t m_nextIntroduction { 0 };
 };
 
 } // namespace rattanrack::peer
--- a/packages/peer/tests/virtual_cluster.cpp
+++ b/packages/peer/tests/virtual_cluster.cpp
@@ -105,7 +105,8 @@
         return;
     node.membership->setDigest({ node.config->inForce().version, 0, 0 });
     carryOut(node, node.membership->tick(now));
-    carryOut(node, node.duties->tick(node.membership->liveness(), now));
+    if (!m_duties.empty())
+        carryOut(node, node.duties->tick(node.membership->liveness(), now));
     carryOut(node, node.config->tick(now));
 }
 
@@ -118,7 +119,7 @@
     request(node, &Node::membership, output.requests);
 }
 
-void VirtualCluster::carryOut(Node& node, DutiesOutput output)
+void VirtualCluster::carryOut(Node& node, const DutiesOutput& output)
 {
     for (const DutyChange& change : output.changes) {
         if (change.event == DutyEvent::Taken)
@@ -160,6 +161,49 @@
     }
 }
 
+void VirtualCluster::recordConfiguration(const platform::Transaction& transaction)
+{
+    for (const platform::Write& write : transaction.writes) {
+        if (!write.key.starts_with("config_patch/") || !write.value)
+            continue;
+        const auto json = nlohmann::json::parse(*write.value);
+        const bool isNew = accepted.emplace(json.at("attempt"), json.at("version")).second;
+        EXPECT_TRUE(isNew) << "one attempt was accepted twice";
+    }
+}
+
+/// Holders, before the transaction, of the duties that it writes.
+std::map<std::string, std::string> VirtualCluster::dutyHolders(const platform::Transaction& transaction) const
+{
+    std::map<std::string, std::string> holders;
+    for (const platform::Write& write : transaction.writes) {
+        const auto row = table.rows().find(write.key);
+        if (write.key.starts_with(dutyRowPrefix) && row != table.rows().end())
+            holders[write.key] = nlohmann::json::parse(row->second.value).at("holder");
+    }
+    return holders;
+}
+
+platform::CommitOutcome VirtualCluster::apply(const platform::Transaction& transaction)
+{
+    const auto holders = dutyHolders(transaction);
+    auto outcome = table.commit(transaction);
+    if (outcome.status != platform::CommitStatus::Done)
+        return outcome;
+    recordConfiguration(transaction);
+    for (const platform::Write& write : transaction.writes) {
+        const auto before = holders.find(write.key);
+        if (before == holders.end())
+            continue;
+        const std::string attempt = nlohmann::json::parse(*write.value).at("attempt");
+        const bool isHandedOver = attempt.starts_with(before->second + '#');
+        const auto nodeRow = table.read({ nodeRowPrefix + before->second });
+        const bool isDead = nodeRow.empty() || nlohmann::json::parse(nodeRow[0].value).value("fenced", false);
+        EXPECT_TRUE(isHandedOver || isDead) << write.key << " taken from " << before->second << ", which is not fenced";
+    }
+    return outcome;
+}
+
 template <typename Core> void VirtualCluster::commit(const NodeId& id, Core Node::*core, const CommitRows& request)
 {
     if (faults.isTableDown || nodes.at(id).isCutFromTable) {
@@ -168,14 +212,14 @@
     }
     if (!happens(faults.lostAnswers)) {
         at(now + latency(), [this, id, core, request] {
-            answer(id, core, CommitAnswer { request.exchange, table.commit(request.transaction) }, latency());
+            answer(id, core, CommitAnswer { request.exchange, apply(request.transaction) }, latency());
         });
         return;
     }
     // The answer is lost. The write takes effect at once, late or never.
     if (happens(0.7))
         at(now + (happens(0.5) ? latency() : commitTimeout * 3),
-            [this, request] { static_cast<void>(table.commit(request.transaction)); });
+            [this, request] { static_cast<void>(apply(request.transaction)); });
     const platform::CommitOutcome unknown { platform::CommitStatus::Unknown, 0, "" };
     if (happens(0.8))
         answer(id, core, CommitAnswer { request.exchange, unknown }, commitTimeout);
--- a/packages/peer/tests/virtual_cluster.h
+++ b/packages/peer/tests/virtual_cluster.h
@@ -62,6 +62,7 @@
     VirtualTable table;
     std::map<NodeId, Node> nodes;
     TimePoint now;
+    std::map<std::string, std::uint64_t> accepted; ///< Configuration versions by the attempt that the table took.
     std::map<std::string, std::uint64_t> counts; ///< Messages and table requests by kind.
 
 private:
@@ -69,11 +70,14 @@
     void deliver(const NodeId& id, const std::function<void(Node&)>& action);
     void tick(const NodeId& id);
     void carryOut(Node& node, MembershipOutput output);
-    void carryOut(Node& node, DutiesOutput output);
+    void carryOut(Node& node, const DutiesOutput& output);
     void carryOut(Node& node, ConfigSpreadOutput output);
     template <typename Core> void request(Node& node, Core Node::*core, const TableRequests& requests);
     template <typename Core> void commit(const NodeId& id, Core Node::*core, const CommitRows& request);
     template <typename Core> void answer(const NodeId& id, Core Node::*core, TableAnswer answer, Duration delay);
+    platform::CommitOutcome apply(const platform::Transaction& transaction);
+    void recordConfiguration(const platform::Transaction& transaction);
+    std::map<std::string, std::string> dutyHolders(const platform::Transaction& transaction) const;
     void send(Node& from, const std::string& address, Message message);
     Duration latency();
     bool happens(double probability);
