--- a/packages/cli/src/admin_client.cpp
+++ b/packages/cli/src/admin_client.cpp
@@ -81,6 +81,9 @@
 Result<nlohmann::json> AdminClient::change(const std::string& path, const nlohmann::json& body)
 {
     BOOST_LEAF_AUTO(answer, postRepeatedly(path, body));
+    // A refusal for single VMs is an answer that the command shows.
+    if (answer.status == statusConflict && answer.body.is_object() && answer.body.contains("changes"))
+        answer.status = statusOk;
     return decode<nlohmann::json>(answer, "admin.change");
 }
 
--- a/packages/cli/src/admin_messages.h
+++ b/packages/cli/src/admin_messages.h
@@ -69,7 +69,7 @@
 /// What came of an operation for one VM.
 struct VmChange {
     VmId vm;
-    std::string result; ///< "done", "accepted" or "refused".
+    std::string result; ///< "done" or "accepted"; else nothing was done, or, for "unknown", perhaps.
     std::string reason;
 };
 
--- a/packages/cli/src/fleet_commands.cpp
+++ b/packages/cli/src/fleet_commands.cpp
@@ -134,7 +134,9 @@
     TextTable table { { "VM", "RESULT", "REASON" } };
     for (const VmChange& change : changes) {
         table.add({ change.vm.value(), change.result, change.reason });
-        if (change.result == "refused")
+        if (change.result == "unknown")
+            outcome.code = ExitCode::OutcomeUnknown;
+        else if (change.result != "done" && change.result != "accepted" && outcome.code == ExitCode::Success)
             outcome.code = ExitCode::Refused;
     }
     outcome.text = table.text();
--- a/packages/cli/src/plot.cpp
+++ b/packages/cli/src/plot.cpp
@@ -18,6 +18,7 @@
 constexpr double barStep = 24;
 constexpr double barLeft = 230;
 constexpr int xTicks = 6;
+constexpr int maxXTicks = 24;
 constexpr int yTicks = 5;
 
 constexpr std::array<std::string_view, 8> colors { "#0b6e99", "#c8553d", "#4f772d", "#7b4b94", "#b8860b", "#3d405b",
@@ -88,7 +89,7 @@
         text += textAt(left - 6, frame.y(value) + 4, "end", shortNumber(value));
     }
     const double step = plot.xStep > 0 ? plot.xStep : roundUp(frame.maxX / xTicks);
-    for (int tick = 0; tick * step <= frame.maxX; ++tick)
+    for (int tick = 0; tick <= maxXTicks && tick * step <= frame.maxX; ++tick)
         text += textAt(frame.x(tick * step), lineHeight - bottom + 16, "middle", shortNumber(tick * step, 3));
     text += line(left, frame.y(0), width - right, frame.y(0), "#444");
     text += textAt((left + width - right) / 2, lineHeight - 8, "middle", plot.xLabel);
--- a/packages/cli/tests/command_tests.cpp
+++ b/packages/cli/tests/command_tests.cpp
@@ -107,6 +107,22 @@
     EXPECT_EQ(federation.changes().at(0).second["kind"], "drain");
 }
 
+TEST(Operations, RefusalOfAllIsShownAsATable)
+{
+    FakeFederation federation;
+    const auto run = ask(federation, { "reboot", "vm-1" });
+    EXPECT_EQ(run.status, 6);
+    EXPECT_EQ(run.output, "VM    RESULT   REASON\nvm-1  refused  floor\n");
+}
+
+TEST(RollOut, RefusalNamesTheReason)
+{
+    FakeFederation federation;
+    const auto run = ask(federation, { "rollout", "abort", "held" });
+    EXPECT_EQ(run.status, 6);
+    EXPECT_NE(run.output.find("finished"), std::string::npos);
+}
+
 TEST(RollOut, StartsAndSteers)
 {
     FakeFederation federation;
--- a/packages/cli/tests/fake_federation.cpp
+++ b/packages/cli/tests/fake_federation.cpp
@@ -101,11 +101,17 @@
         propose(request, response);
     });
     m_server.Post("/v1/admin/operations", [this](const httplib::Request& request, httplib::Response& response) {
+        if (request.body.find("\"reboot\"") != std::string::npos)
+            return answer(response, 409,
+                { { "changes", { { { "vm", "vm-1" }, { "result", "refused" }, { "reason", "floor" } } } } });
         record(request, response,
             { { "changes",
                 { { { "vm", "vm-1" }, { "result", "done" }, { "reason", "" } },
                     { { "vm", "vm-2" }, { "result", "refused" }, { "reason", "floor" } } } } });
     });
+    m_server.Post("/v1/admin/rollouts/held/abort", [](const httplib::Request&, httplib::Response& response) {
+        answer(response, 409, { { "result", "refused" }, { "reason", "finished" } });
+    });
     m_server.Post(R"(/v1/admin/rollouts.*)", [this](const httplib::Request& request, httplib::Response& response) {
         record(request, response, { { "id", "r1" } });
     });
