--- a/packages/policy/src/fleet/planner_vms.cpp
+++ b/packages/policy/src/fleet/planner_vms.cpp
@@ -119,10 +119,18 @@
 
 void FleetPlanner::followEmpty(FleetRound& round, const VmRecord& vm)
 {
-    if (hasLostItsCause(round, vm))
+    if (hasLostItsCause(round, vm)) {
         round.replace(startReturn(vm), "drain.ended");
-    else if (isLost(round, vm, m_times.failedAfter))
+        return;
+    }
+    if (isLost(round, vm, m_times.failedAfter)) {
         round.replace(markFailed(vm), "drain.silent");
+        return;
+    }
+    // A worker that restarted by itself has forgotten its epoch.
+    const auto* seen = round.observation(vm.id);
+    if (seen && !isDrainingAs(vm, *seen))
+        command(round, vm, WorkerAction::StopTakingWork, seen->bootId);
 }
 
 void FleetPlanner::followRebooting(FleetRound& round, const VmRecord& vm)
