Fetch and cancel a request through any node

Cause: a node knew only its own requests, so that a fetch through the balancer met 404 for a request that another node was running. Change: the node asks the one that accepted it, over the peer network, and says which node has gone when it has. Conclusion: callers may use any node.

--- a/packages/node/include/rattanrack/node/caller_api.h
+++ b/packages/node/include/rattanrack/node/caller_api.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "rattanrack/base/time.h"
+#include "rattanrack/node/remote_answers.h"
 #include "rattanrack/node/thread_shares.h"
 #include "rattanrack/node/traffic_service.h"
 
@@ -15,8 +16,9 @@
 /// The callers' HTTP interface; docs/API.md describes it.
 class CallerApi {
 public:
-    CallerApi(TrafficService& traffic, ThreadShares& shares, const Clock& clock)
+    CallerApi(TrafficService& traffic, RemoteAnswers& remote, ThreadShares& shares, const Clock& clock)
         : m_traffic(traffic)
+        , m_remote(remote)
         , m_shares(shares)
         , m_clock(clock)
     {
@@ -30,7 +32,10 @@
     void fetch(const httplib::Request& request, httplib::Response& response);
     void cancel(const httplib::Request& request, httplib::Response& response);
 
+    void replyFromOwner(const RequestId& id, bool cancels, Deadline deadline, httplib::Response& response);
+
     TrafficService& m_traffic;
+    RemoteAnswers& m_remote;
     ThreadShares& m_shares;
     const Clock& m_clock;
 };
--- a/packages/node/include/rattanrack/node/coordination_service.h
+++ b/packages/node/include/rattanrack/node/coordination_service.h
@@ -25,6 +25,8 @@
     std::function<void(const policy::CreditGrant&)> onCreditGrant;
     std::function<void(const peer::ClaimRequest&)> onClaimRequest;
     std::function<void(const peer::ClaimReply&)> onClaimReply;
+    std::function<void(const peer::AnswerQuery&)> onAnswerQuery;
+    std::function<void(const peer::AnswerReply&)> onAnswerReply;
 };
 
 /// Membership, duties and the spread of the configuration, fed by the peer network and the table. All methods belong to
@@ -86,6 +88,8 @@
     void received(const peer::CreditGrantMessage& message) { m_parts.events.onCreditGrant(message.grant); }
     void received(const peer::ClaimRequest& message) { m_parts.events.onClaimRequest(message); }
     void received(const peer::ClaimReply& message) { m_parts.events.onClaimReply(message); }
+    void received(const peer::AnswerQuery& message) { m_parts.events.onAnswerQuery(message); }
+    void received(const peer::AnswerReply& message) { m_parts.events.onAnswerReply(message); }
 
     Parts m_parts;
     peer::Membership m_membership;
--- a/packages/node/src/caller_api.cpp
+++ b/packages/node/src/caller_api.cpp
@@ -96,14 +96,13 @@
 {
     const RequestId id { request.matches[1].str() };
     const auto pending = m_traffic.find(id);
-    if (!pending) {
-        replyError(response, statusNotFound, { ErrorCode::NotFound, "request.fetch", {}, "unknown or forgotten id" });
-        return;
-    }
-    const Duration wait = waitParameter(request);
-    const ThreadShares::Hold hold = m_shares.take(pending->request().spec.kind);
-    const Deadline deadline = Deadline::after(m_clock.now(), hold ? wait : Duration::zero());
-    reply(response, id, pending->awaitAnswer(deadline, m_clock));
+    const WorkKind kind = pending ? pending->request().spec.kind : WorkKind {};
+    const ThreadShares::Hold hold = m_shares.take(kind);
+    const Deadline deadline = Deadline::after(m_clock.now(), hold ? waitParameter(request) : Duration::zero());
+    if (pending)
+        reply(response, id, pending->awaitAnswer(deadline, m_clock));
+    else
+        replyFromOwner(id, false, deadline, response);
 }
 
 void CallerApi::cancel(const httplib::Request& request, httplib::Response& response)
@@ -111,11 +110,22 @@
     const RequestId id { request.matches[1].str() };
     const auto pending = m_traffic.find(id);
     if (!pending) {
-        replyError(response, statusNotFound, { ErrorCode::NotFound, "request.cancel", {}, "unknown or forgotten id" });
+        replyFromOwner(id, true, Deadline::after(m_clock.now(), Duration::zero()), response);
         return;
     }
     m_traffic.cancel(id);
     reply(response, id, pending->answer());
 }
 
+void CallerApi::replyFromOwner(const RequestId& id, bool cancels, Deadline deadline, httplib::Response& response)
+{
+    const RemoteAnswer remote = m_remote.fetch(id, cancels, deadline);
+    if (remote.isKnown)
+        reply(response, id, remote.answer);
+    else
+        replyError(response, statusNotFound,
+            { ErrorCode::NotFound, "request.fetch", acceptingNode(id).value(),
+                "unknown or forgotten, or the node that accepted it has gone: submit it again with its key" });
+}
+
 } // namespace rattanrack::node
--- a/packages/node/src/daemon.cpp
+++ b/packages/node/src/daemon.cpp
@@ -9,6 +9,7 @@
 #include "rattanrack/node/health_api.h"
 #include "rattanrack/node/http_server.h"
 #include "rattanrack/node/readiness.h"
+#include "rattanrack/node/remote_answers.h"
 #include "rattanrack/node/table_claim_gate.h"
 #include "rattanrack/node/traffic_service.h"
 #include "rattanrack/platform/http_table.h"
@@ -100,7 +101,9 @@
     CoordinationService coordination;
     TrafficService traffic;
     FleetService fleet;
-    CallerApi callerApi { traffic, shares, clock };
+    RemoteAnswers remoteAnswers { control, clock, traffic, self,
+        [this](const NodeId& node, peer::Message message) { coordination.send(node, std::move(message)); } };
+    CallerApi callerApi { traffic, remoteAnswers, shares, clock };
     AdminApi adminApi { { control, clock, coordination, fleet, traffic, *table, self } };
     std::unique_ptr<peer::PeerNetwork> network;
     std::unique_ptr<HttpServer> server;
@@ -149,6 +152,8 @@
         .onCreditGrant = [this](const policy::CreditGrant& grant) { traffic.handle(policy::CreditGranted { grant }); },
         .onClaimRequest = [](const peer::ClaimRequest&) {},
         .onClaimReply = [](const peer::ClaimReply&) {},
+        .onAnswerQuery = [this](const peer::AnswerQuery& query) { remoteAnswers.queried(query); },
+        .onAnswerReply = [this](const peer::AnswerReply& reply) { remoteAnswers.replied(reply); },
     };
 }
 
--- a/packages/peer/include/rattanrack/peer/messages.h
+++ b/packages/peer/include/rattanrack/peer/messages.h
@@ -72,7 +72,29 @@
     policy::ClaimAnswer answer;
 };
 
-using Message
-    = std::variant<Heartbeat, ConfigAnnouncement, CreditAskMessage, CreditGrantMessage, ClaimRequest, ClaimReply>;
+/// Asks the node that accepted a request what became of it, and cancels it when `cancels` is set.
+struct AnswerQuery {
+    std::uint64_t exchange { 0 }; ///< Chosen by the sender; comes back in the reply.
+    NodeId from;
+    RequestId request;
+    bool cancels { false };
+
+    friend bool operator==(const AnswerQuery&, const AnswerQuery&) = default;
+};
+
+enum class AnswerState : std::uint8_t { NotKnown, Pending, Done, Failed, NotRun, OutcomeUnknown };
+
+struct AnswerReply {
+    std::uint64_t exchange { 0 };
+    AnswerState state { AnswerState::NotKnown };
+    std::string output;
+    std::string reason;
+    Duration retryAfter {};
+
+    friend bool operator==(const AnswerReply&, const AnswerReply&) = default;
+};
+
+using Message = std::variant<Heartbeat, ConfigAnnouncement, CreditAskMessage, CreditGrantMessage, ClaimRequest,
+    ClaimReply, AnswerQuery, AnswerReply>;
 
 } // namespace rattanrack::peer
--- a/packages/peer/src/codec.cpp
+++ b/packages/peer/src/codec.cpp
@@ -175,6 +175,25 @@
         reply.setVerdict(static_cast<wire::ClaimVerdict>(message.answer.verdict));
         encodeClaim(message.answer.claim, reply.initClaim());
     }
+
+    void operator()(const AnswerQuery& message)
+    {
+        auto query = target.initAnswerQuery();
+        query.setExchange(message.exchange);
+        query.setFrom(message.from.value());
+        query.setRequest(message.request.value());
+        query.setCancels(message.cancels);
+    }
+
+    void operator()(const AnswerReply& message)
+    {
+        auto reply = target.initAnswerReply();
+        reply.setExchange(message.exchange);
+        reply.setState(static_cast<std::uint8_t>(message.state));
+        reply.setOutput(dataOf(message.output));
+        reply.setReason(message.reason);
+        reply.setRetryAfterMicroseconds(message.retryAfter.count());
+    }
 };
 
 Introduction decodeIntroduction(wire::Introduction::Reader source)
@@ -264,6 +283,20 @@
     return ClaimReply { source.getExchange(), { verdict, std::move(*claim) } };
 }
 
+AnswerQuery decodeAnswerQuery(wire::AnswerQuery::Reader source)
+{
+    return { source.getExchange(), NodeId { text(source.getFrom()) }, RequestId { text(source.getRequest()) },
+        source.getCancels() };
+}
+
+std::optional<Message> decodeAnswerReply(wire::AnswerReply::Reader source)
+{
+    if (source.getState() > static_cast<std::uint8_t>(AnswerState::OutcomeUnknown))
+        return std::nullopt;
+    return AnswerReply { source.getExchange(), static_cast<AnswerState>(source.getState()), bytes(source.getOutput()),
+        text(source.getReason()), Duration { source.getRetryAfterMicroseconds() } };
+}
+
 std::optional<Message> decodeAny(wire::Message::Reader source)
 {
     switch (source.which()) {
@@ -279,6 +312,10 @@
         return decodeClaimRequest(source.getClaimRequest());
     case wire::Message::CLAIM_REPLY:
         return decodeClaimReply(source.getClaimReply());
+    case wire::Message::ANSWER_QUERY:
+        return decodeAnswerQuery(source.getAnswerQuery());
+    case wire::Message::ANSWER_REPLY:
+        return decodeAnswerReply(source.getAnswerReply());
     }
     return std::nullopt;
 }
@@ -301,6 +338,9 @@
     std::size_t operator()(const ClaimRequest& message) const { return claim(message.claim); }
     std::size_t operator()(const ClaimReply& message) const { return claim(message.answer.claim); }
 
+    std::size_t operator()(const AnswerQuery& message) const { return message.request.value().size(); }
+    std::size_t operator()(const AnswerReply& message) const { return message.output.size() + message.reason.size(); }
+
     static std::size_t credits(const std::vector<policy::Credit>& credits)
     {
         std::size_t total = 0;
--- a/packages/peer/src/peer.capnp
+++ b/packages/peer/src/peer.capnp
@@ -17,6 +17,8 @@
     creditGrant @3 :CreditGrant;
     claimRequest @4 :ClaimRequest;
     claimReply @5 :ClaimReply;
+    answerQuery @6 :AnswerQuery;
+    answerReply @7 :AnswerReply;
   }
 }
 
@@ -129,3 +131,18 @@
   verdict @1 :ClaimVerdict;
   claim @2 :Claim;
 }
+
+struct AnswerQuery {
+  exchange @0 :UInt64;
+  from @1 :Text;
+  request @2 :Text;
+  cancels @3 :Bool;
+}
+
+struct AnswerReply {
+  exchange @0 :UInt64;
+  state @1 :UInt8;
+  output @2 :Data;
+  reason @3 :Text;
+  retryAfterMicroseconds @4 :Int64;
+}
--- a/packages/peer/src/peer.capnp.h
+++ b/packages/peer/src/peer.capnp.h
@@ -50,6 +50,8 @@
 CAPNP_DECLARE_ENUM(ClaimVerdict, b889187f5be0a61b);
 CAPNP_DECLARE_SCHEMA(ac11ba89c1a85b22);
 CAPNP_DECLARE_SCHEMA(f3786469f4f6d341);
+CAPNP_DECLARE_SCHEMA(e51c59c6b4d66db5);
+CAPNP_DECLARE_SCHEMA(bb378b7a7dcda204);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -120,6 +122,8 @@
     CREDIT_GRANT,
     CLAIM_REQUEST,
     CLAIM_REPLY,
+    ANSWER_QUERY,
+    ANSWER_REPLY,
   };
 
   struct _capnpPrivate {
@@ -299,6 +303,36 @@
   };
 };
 
+struct AnswerQuery {
+  AnswerQuery() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e51c59c6b4d66db5, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct AnswerReply {
+  AnswerReply() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bb378b7a7dcda204, 3, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 #if !CAPNP_LITE
@@ -548,6 +582,14 @@
   inline bool hasClaimReply() const;
   inline  ::rattanrack::peer::wire::ClaimReply::Reader getClaimReply() const;
 
+  inline bool isAnswerQuery() const;
+  inline bool hasAnswerQuery() const;
+  inline  ::rattanrack::peer::wire::AnswerQuery::Reader getAnswerQuery() const;
+
+  inline bool isAnswerReply() const;
+  inline bool hasAnswerReply() const;
+  inline  ::rattanrack::peer::wire::AnswerReply::Reader getAnswerReply() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -625,6 +667,22 @@
   inline void adoptClaimReply(::capnp::Orphan< ::rattanrack::peer::wire::ClaimReply>&& value);
   inline ::capnp::Orphan< ::rattanrack::peer::wire::ClaimReply> disownClaimReply();
 
+  inline bool isAnswerQuery();
+  inline bool hasAnswerQuery();
+  inline  ::rattanrack::peer::wire::AnswerQuery::Builder getAnswerQuery();
+  inline void setAnswerQuery( ::rattanrack::peer::wire::AnswerQuery::Reader value);
+  inline  ::rattanrack::peer::wire::AnswerQuery::Builder initAnswerQuery();
+  inline void adoptAnswerQuery(::capnp::Orphan< ::rattanrack::peer::wire::AnswerQuery>&& value);
+  inline ::capnp::Orphan< ::rattanrack::peer::wire::AnswerQuery> disownAnswerQuery();
+
+  inline bool isAnswerReply();
+  inline bool hasAnswerReply();
+  inline  ::rattanrack::peer::wire::AnswerReply::Builder getAnswerReply();
+  inline void setAnswerReply( ::rattanrack::peer::wire::AnswerReply::Reader value);
+  inline  ::rattanrack::peer::wire::AnswerReply::Builder initAnswerReply();
+  inline void adoptAnswerReply(::capnp::Orphan< ::rattanrack::peer::wire::AnswerReply>&& value);
+  inline ::capnp::Orphan< ::rattanrack::peer::wire::AnswerReply> disownAnswerReply();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1885,6 +1943,213 @@
 };
 #endif  // !CAPNP_LITE
 
+class AnswerQuery::Reader {
+public:
+  typedef AnswerQuery Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getExchange() const;
+
+  inline bool hasFrom() const;
+  inline  ::capnp::Text::Reader getFrom() const;
+
+  inline bool hasRequest() const;
+  inline  ::capnp::Text::Reader getRequest() const;
+
+  inline bool getCancels() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class AnswerQuery::Builder {
+public:
+  typedef AnswerQuery Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getExchange();
+  inline void setExchange( ::uint64_t value);
+
+  inline bool hasFrom();
+  inline  ::capnp::Text::Builder getFrom();
+  inline void setFrom( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFrom(unsigned int size);
+  inline void adoptFrom(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFrom();
+
+  inline bool hasRequest();
+  inline  ::capnp::Text::Builder getRequest();
+  inline void setRequest( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRequest(unsigned int size);
+  inline void adoptRequest(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRequest();
+
+  inline bool getCancels();
+  inline void setCancels(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class AnswerQuery::Pipeline {
+public:
+  typedef AnswerQuery Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class AnswerReply::Reader {
+public:
+  typedef AnswerReply Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getExchange() const;
+
+  inline  ::uint8_t getState() const;
+
+  inline bool hasOutput() const;
+  inline  ::capnp::Data::Reader getOutput() const;
+
+  inline bool hasReason() const;
+  inline  ::capnp::Text::Reader getReason() const;
+
+  inline  ::int64_t getRetryAfterMicroseconds() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class AnswerReply::Builder {
+public:
+  typedef AnswerReply Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getExchange();
+  inline void setExchange( ::uint64_t value);
+
+  inline  ::uint8_t getState();
+  inline void setState( ::uint8_t value);
+
+  inline bool hasOutput();
+  inline  ::capnp::Data::Builder getOutput();
+  inline void setOutput( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initOutput(unsigned int size);
+  inline void adoptOutput(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownOutput();
+
+  inline bool hasReason();
+  inline  ::capnp::Text::Builder getReason();
+  inline void setReason( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initReason(unsigned int size);
+  inline void adoptReason(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownReason();
+
+  inline  ::int64_t getRetryAfterMicroseconds();
+  inline void setRetryAfterMicroseconds( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class AnswerReply::Pipeline {
+public:
+  typedef AnswerReply Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 #if !CAPNP_LITE
@@ -2278,6 +2543,114 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Message::Reader::isAnswerQuery() const {
+  return which() == Message::ANSWER_QUERY;
+}
+inline bool Message::Builder::isAnswerQuery() {
+  return which() == Message::ANSWER_QUERY;
+}
+inline bool Message::Reader::hasAnswerQuery() const {
+  if (which() != Message::ANSWER_QUERY) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasAnswerQuery() {
+  if (which() != Message::ANSWER_QUERY) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::rattanrack::peer::wire::AnswerQuery::Reader Message::Reader::getAnswerQuery() const {
+  KJ_IREQUIRE((which() == Message::ANSWER_QUERY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::AnswerQuery>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::rattanrack::peer::wire::AnswerQuery::Builder Message::Builder::getAnswerQuery() {
+  KJ_IREQUIRE((which() == Message::ANSWER_QUERY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::AnswerQuery>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setAnswerQuery( ::rattanrack::peer::wire::AnswerQuery::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::ANSWER_QUERY);
+  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::AnswerQuery>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::rattanrack::peer::wire::AnswerQuery::Builder Message::Builder::initAnswerQuery() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::ANSWER_QUERY);
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::AnswerQuery>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptAnswerQuery(
+    ::capnp::Orphan< ::rattanrack::peer::wire::AnswerQuery>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::ANSWER_QUERY);
+  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::AnswerQuery>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::rattanrack::peer::wire::AnswerQuery> Message::Builder::disownAnswerQuery() {
+  KJ_IREQUIRE((which() == Message::ANSWER_QUERY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::AnswerQuery>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Message::Reader::isAnswerReply() const {
+  return which() == Message::ANSWER_REPLY;
+}
+inline bool Message::Builder::isAnswerReply() {
+  return which() == Message::ANSWER_REPLY;
+}
+inline bool Message::Reader::hasAnswerReply() const {
+  if (which() != Message::ANSWER_REPLY) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasAnswerReply() {
+  if (which() != Message::ANSWER_REPLY) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::rattanrack::peer::wire::AnswerReply::Reader Message::Reader::getAnswerReply() const {
+  KJ_IREQUIRE((which() == Message::ANSWER_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::AnswerReply>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::rattanrack::peer::wire::AnswerReply::Builder Message::Builder::getAnswerReply() {
+  KJ_IREQUIRE((which() == Message::ANSWER_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::AnswerReply>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setAnswerReply( ::rattanrack::peer::wire::AnswerReply::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::ANSWER_REPLY);
+  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::AnswerReply>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::rattanrack::peer::wire::AnswerReply::Builder Message::Builder::initAnswerReply() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::ANSWER_REPLY);
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::AnswerReply>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptAnswerReply(
+    ::capnp::Orphan< ::rattanrack::peer::wire::AnswerReply>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::ANSWER_REPLY);
+  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::AnswerReply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::rattanrack::peer::wire::AnswerReply> Message::Builder::disownAnswerReply() {
+  KJ_IREQUIRE((which() == Message::ANSWER_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::AnswerReply>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool Heartbeat::Reader::hasFrom() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3715,6 +4088,212 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t AnswerQuery::Reader::getExchange() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AnswerQuery::Builder::getExchange() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void AnswerQuery::Builder::setExchange( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AnswerQuery::Reader::hasFrom() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool AnswerQuery::Builder::hasFrom() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader AnswerQuery::Reader::getFrom() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder AnswerQuery::Builder::getFrom() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void AnswerQuery::Builder::setFrom( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder AnswerQuery::Builder::initFrom(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void AnswerQuery::Builder::adoptFrom(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> AnswerQuery::Builder::disownFrom() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool AnswerQuery::Reader::hasRequest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool AnswerQuery::Builder::hasRequest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader AnswerQuery::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder AnswerQuery::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void AnswerQuery::Builder::setRequest( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder AnswerQuery::Builder::initRequest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void AnswerQuery::Builder::adoptRequest(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> AnswerQuery::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool AnswerQuery::Reader::getCancels() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool AnswerQuery::Builder::getCancels() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void AnswerQuery::Builder::setCancels(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t AnswerReply::Reader::getExchange() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AnswerReply::Builder::getExchange() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void AnswerReply::Builder::setExchange( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t AnswerReply::Reader::getState() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t AnswerReply::Builder::getState() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void AnswerReply::Builder::setState( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AnswerReply::Reader::hasOutput() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool AnswerReply::Builder::hasOutput() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader AnswerReply::Reader::getOutput() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder AnswerReply::Builder::getOutput() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void AnswerReply::Builder::setOutput( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder AnswerReply::Builder::initOutput(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void AnswerReply::Builder::adoptOutput(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> AnswerReply::Builder::disownOutput() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool AnswerReply::Reader::hasReason() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool AnswerReply::Builder::hasReason() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader AnswerReply::Reader::getReason() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder AnswerReply::Builder::getReason() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void AnswerReply::Builder::setReason( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder AnswerReply::Builder::initReason(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void AnswerReply::Builder::adoptReason(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> AnswerReply::Builder::disownReason() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t AnswerReply::Reader::getRetryAfterMicroseconds() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t AnswerReply::Builder::getRetryAfterMicroseconds() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void AnswerReply::Builder::setRetryAfterMicroseconds( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/packages/peer/tests/peer_network_tests.cpp
+++ b/packages/peer/tests/peer_network_tests.cpp
@@ -136,7 +136,12 @@
     sender->send(target, ClaimRequest { 12, NodeId { "n" }, claim });
     sender->send(target, ClaimReply { 13, { policy::ClaimVerdict::Taken, claim } });
 
-    ASSERT_TRUE(inbox.waitFor(6));
+    const AnswerQuery query { 14, NodeId { "n" }, RequestId { "m.7" }, true };
+    const AnswerReply reply { 15, AnswerState::NotRun, std::string("\0o", 2), "queue_full", Duration { 16 } };
+    sender->send(target, query);
+    sender->send(target, reply);
+
+    ASSERT_TRUE(inbox.waitFor(8));
     const auto messages = inbox.messages();
     const auto& beat = std::get<Heartbeat>(messages[0]);
     EXPECT_EQ(beat.from, NodeId { "n1" });
@@ -160,6 +165,8 @@
     EXPECT_EQ(std::get<CreditGrantMessage>(messages[3]).grant, grant);
     EXPECT_EQ(std::get<ClaimRequest>(messages[4]).claim, claim);
     EXPECT_EQ(std::get<ClaimReply>(messages[5]).answer.verdict, policy::ClaimVerdict::Taken);
+    EXPECT_EQ(std::get<AnswerQuery>(messages[6]), query);
+    EXPECT_EQ(std::get<AnswerReply>(messages[7]), reply);
     EXPECT_GT(sender->traffic().bytesSent, 0U);
     EXPECT_GT(receiver->traffic().bytesReceived, 0U);
 }
