--- a/packages/node/include/rattanrack/node/admin_api.h
+++ b/packages/node/include/rattanrack/node/admin_api.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "rattanrack/node/burn_service.h"
 #include "rattanrack/node/control_loop.h"
 #include "rattanrack/node/coordination_service.h"
 #include "rattanrack/node/fleet_service.h"
@@ -27,6 +28,7 @@
         CoordinationService& coordination;
         FleetService& fleet;
         TrafficService& traffic;
+        BurnService& burn;
         platform::Table& table;
         NodeId self;
     };
@@ -47,6 +49,7 @@
     void operate(const httplib::Request& request, httplib::Response& response);
     void startRollOut(const httplib::Request& request, httplib::Response& response);
     void changeRollOut(const httplib::Request& request, httplib::Response& response);
+    void reportBurn(httplib::Response& response);
     void explainVm(const httplib::Request& request, httplib::Response& response);
     void explainRequest(const httplib::Request& request, httplib::Response& response);
 
--- a/packages/node/include/rattanrack/node/traffic_service.h
+++ b/packages/node/include/rattanrack/node/traffic_service.h
@@ -32,6 +32,7 @@
         std::unique_ptr<policy::TrafficPolicy> policy;
         std::function<void(const policy::SendAsk&)> sendAsk;
         std::function<void(const policy::SendGrant&)> sendGrant;
+        std::function<void(const policy::RequestSpec&, const Answer&, Duration latency)> onAnswered;
     };
 
     explicit TrafficService(Parts parts);
@@ -72,6 +73,7 @@
         Answer attemptAnswer; ///< What the last attempt ended with.
         bool isClaimed { false };
         bool isRunning { false };
+        TimePoint arrived {};
     };
 
     void admit(const std::shared_ptr<PendingRequest>& pending);
--- a/packages/node/src/admin_api.cpp
+++ b/packages/node/src/admin_api.cpp
@@ -117,6 +117,7 @@
         [this](const auto& request, auto& response) { changeRollOut(request, response); });
     server.Get(
         "/v1/admin/explain/vm/([^/]+)", [this](const auto& request, auto& response) { explainVm(request, response); });
+    server.Get("/v1/admin/burn", [this](const auto&, auto& response) { reportBurn(response); });
     server.Get("/v1/admin/explain/request/([^/]+)",
         [this](const auto& request, auto& response) { explainRequest(request, response); });
 }
@@ -297,6 +298,17 @@
     reply(response, 200, { { "found", isFound }, { "version", isFound ? head.value("version", 0) : 0 } });
 }
 
+void AdminApi::reportBurn(httplib::Response& response)
+{
+    handle(
+        [&]() -> Result<void> {
+            BOOST_LEAF_AUTO(body, m_parts.burn.body());
+            response.set_content(body, jsonType);
+            return {};
+        },
+        [&](const Error& error) { replyError(response, statusUnavailable, error); });
+}
+
 void AdminApi::explainVm(const httplib::Request& request, httplib::Response& response)
 {
     const VmId id { request.matches[1].str() };
--- a/packages/node/src/daemon.cpp
+++ b/packages/node/src/daemon.cpp
@@ -1,8 +1,10 @@
 #include "rattanrack/node/daemon.h"
 
+#include "rattanrack/base/invariant.h"
 #include "rattanrack/base/log.h"
 #include "rattanrack/config/load.h"
 #include "rattanrack/node/admin_api.h"
+#include "rattanrack/node/burn_service.h"
 #include "rattanrack/node/caller_api.h"
 #include "rattanrack/node/coordination_service.h"
 #include "rattanrack/node/fleet_service.h"
@@ -12,6 +14,7 @@
 #include "rattanrack/node/remote_answers.h"
 #include "rattanrack/node/table_claim_gate.h"
 #include "rattanrack/node/traffic_service.h"
+#include "rattanrack/platform/governed_table.h"
 #include "rattanrack/platform/http_table.h"
 #include "rattanrack/platform/http_vm_list.h"
 #include "rattanrack/platform/http_worker.h"
@@ -33,6 +36,9 @@
 constexpr Duration pollInterval = 20ms;
 constexpr Duration statusInterval = 1s;
 
+// Seven nodes together stay below 300 writes and 1,800 reads a second.
+const platform::TableShare tableShare { .writesPerSecond = 40, .readsPerSecond = 250 };
+
 const std::string planDuty = "plan/fleet";
 const std::string creditsDutyPrefix = "credits/";
 
@@ -58,6 +64,36 @@
     return texts;
 }
 
+std::vector<policy::BurnObjective> objectivesOf(const config::Federation& federation)
+{
+    std::vector<policy::BurnObjective> objectives;
+    for (const config::Pool& pool : federation.pools) {
+        for (const config::Kind& kind : pool.kinds) {
+            const config::Objective& objective = kind.objective;
+            objectives.push_back({ pool.id, kind.id, kind.weight, objective.target,
+                { objective.urgentLatency, objective.normalLatency, objective.backgroundLatency } });
+        }
+    }
+    return objectives;
+}
+
+policy::BurnOutcome burnOutcomeOf(const Answer& answer)
+{
+    if (answer.reason == "cancelled" || answer.reason == "stopped")
+        return policy::BurnOutcome::Cancelled;
+    switch (answer.kind) {
+    case AnswerKind::Done:
+        return policy::BurnOutcome::Done;
+    case AnswerKind::Failed:
+        return policy::BurnOutcome::Failed;
+    case AnswerKind::NotRun:
+        return policy::BurnOutcome::NotRun;
+    case AnswerKind::OutcomeUnknown:
+        break;
+    }
+    return policy::BurnOutcome::OutcomeUnknown;
+}
+
 std::shared_ptr<platform::Worker> connectWorker(const platform::VmDescription& vm)
 {
     return handle(
@@ -74,7 +110,7 @@
 } // namespace
 
 struct Daemon::State {
-    State(const config::NodeSettings& nodeSettings, std::unique_ptr<platform::Table> tableService,
+    State(const config::NodeSettings& nodeSettings, std::unique_ptr<platform::Table> ungovernedTable,
         std::unique_ptr<platform::VmList> vmListService);
 
     void start(const config::NodeSettings& settings);
@@ -88,7 +124,8 @@
     SystemClock clock;
     Metrics metrics;
     Readiness readiness;
-    std::unique_ptr<platform::Table> table;
+    std::unique_ptr<platform::Table> tableService;
+    std::unique_ptr<platform::GovernedTable> table;
     std::unique_ptr<platform::VmList> vmList;
     WorkerDirectory workers { connectWorker };
     ThreadShares shares;
@@ -101,18 +138,21 @@
     CoordinationService coordination;
     TrafficService traffic;
     FleetService fleet;
+    BurnService burn { { control, clock, platformThreads, *table, self,
+        [] { return policy::WallTime { wallClockMilliseconds() }; } } };
     RemoteAnswers remoteAnswers { control, clock, traffic, self,
         [this](const NodeId& node, peer::Message message) { coordination.send(node, std::move(message)); } };
     CallerApi callerApi { traffic, remoteAnswers, shares, clock };
-    AdminApi adminApi { { control, clock, coordination, fleet, traffic, *table, self } };
+    AdminApi adminApi { { control, clock, coordination, fleet, traffic, burn, *table, self } };
     std::unique_ptr<peer::PeerNetwork> network;
     std::unique_ptr<HttpServer> server;
 };
 
-Daemon::State::State(const config::NodeSettings& settings, std::unique_ptr<platform::Table> tableService,
+Daemon::State::State(const config::NodeSettings& settings, std::unique_ptr<platform::Table> ungovernedTable,
     std::unique_ptr<platform::VmList> vmListService)
     : self(newNodeId(settings.name))
-    , table(std::move(tableService))
+    , tableService(std::move(ungovernedTable))
+    , table(std::make_unique<platform::GovernedTable>(*tableService, clock, tableShare, randomSeed()))
     , vmList(std::move(vmListService))
     , shares(settings.connections.callers)
     , platformThreads(settings.threads.platform, maxQueuedPlatformCalls)
@@ -130,6 +170,9 @@
           [this](const policy::SendAsk& ask) { coordination.send(ask.home, peer::CreditAskMessage { ask.ask }); },
           [this](const policy::SendGrant& grant) {
               coordination.send(grant.grant.to, peer::CreditGrantMessage { grant.grant });
+          },
+          [this](const policy::RequestSpec& spec, const Answer& answer, Duration latency) {
+              burn.count(spec.kind, spec.urgency, burnOutcomeOf(answer), latency);
           } })
     , fleet({ control, clock, metrics, platformThreads, fleetStore, *vmList, workers, self,
           [this](const policy::ViewChanged& view) {
@@ -162,6 +205,7 @@
     control.run([&] {
         coordination.start(*network);
         fleet.start();
+        burn.start();
         reportStatus();
     });
     logEvent("node.started",
@@ -181,6 +225,7 @@
     for (const config::Pool& pool : parsed.value().pools)
         duties.emplace_back(creditsDutyPrefix + pool.id.value());
     coordination.setDuties(std::move(duties));
+    burn.setObjectives(objectivesOf(parsed.value()));
     fleet.setConfiguration(parsed.value(), document.version);
     readiness.set("no_configuration", false);
     metrics.setGauge("rattanrack_config_version", {}, static_cast<double>(document.version));
@@ -207,6 +252,12 @@
     readiness.set("no_fleet_view", !fleet.lastTableContact() || !fleet.snapshot().hasList);
     coordination.setDigest({ coordination.configuration().version, fleet.viewVersion(),
         static_cast<std::uint32_t>(traffic.liveRequests()) });
+    const platform::GovernedTableCounters counters = table->counters();
+    metrics.setGauge("rattanrack_table_reads_total", {}, static_cast<double>(counters.reads));
+    metrics.setGauge("rattanrack_table_writes_total", {}, static_cast<double>(counters.writes));
+    metrics.setGauge("rattanrack_table_failures_total", {}, static_cast<double>(counters.failures));
+    metrics.setGauge("rattanrack_table_over_share_total", {}, static_cast<double>(counters.overShare));
+    metrics.setGauge("rattanrack_invariants_broken_total", {}, static_cast<double>(invariantViolations()));
     metrics.setGauge("rattanrack_live_requests", {}, static_cast<double>(traffic.liveRequests()));
 }
 
--- a/packages/node/src/traffic_service.cpp
+++ b/packages/node/src/traffic_service.cpp
@@ -109,7 +109,8 @@
 void TrafficService::admit(const std::shared_ptr<PendingRequest>& pending)
 {
     const CallerRequest& request = pending->request();
-    m_live.emplace(request.spec.id, Live { pending, {}, unknownAnswer("no_attempt"), false });
+    m_live.emplace(request.spec.id,
+        Live { .pending = pending, .attemptAnswer = unknownAnswer("no_attempt"), .arrived = m_parts.clock.now() });
     if (!m_poolOfKind.contains(request.spec.kind)) {
         finish(request.spec.id, notRunAnswer(policy::NotRunReason::UnknownKind, Duration::zero()));
         return;
@@ -325,6 +326,7 @@
         { { "kind", request.spec.kind.value() }, { "answer", std::string(name(answer.kind)) } });
     logEvent("request.answered",
         { { "request", id.value() }, { "answer", name(answer.kind) }, { "reason", answer.reason } }, LogLevel::Debug);
+    m_parts.onAnswered(request.spec, answer, m_parts.clock.now() - live.arrived);
     if (live.isClaimed)
         recordClaimEnd(live, answer);
     // A request that did not run leaves its key free for another try.
--- a/packages/node/tests/traffic_service_tests.cpp
+++ b/packages/node/tests/traffic_service_tests.cpp
@@ -77,7 +77,8 @@
     ElasticThreadPool traffic { 4, 100 };
     TableClaimGate claims { table, traffic };
     TrafficService service { { control, clock, metrics, traffic, workers, claims, NodeId { "n" },
-        policy::createTrafficCore(1), [](const auto&) {}, [](const auto&) {} } };
+        policy::createTrafficCore(1), [](const auto&) {}, [](const auto&) {},
+        [](const auto&, const auto&, Duration) {} } };
 };
 
 } // namespace
