--- a/packages/node/tests/burn_service_tests.cpp
+++ b/packages/node/tests/burn_service_tests.cpp
@@ -17,6 +17,7 @@
 using Fault = node::testing::FakeTable::Fault;
 
 const WorkKind letters { "letters" };
+constexpr std::int64_t hour = 3'600'000; ///< In milliseconds.
 
 /// One node's service over a table that outlives it.
 class Node {
@@ -88,7 +89,7 @@
 class BurnServiceTest : public ::testing::Test {
 protected:
     node::testing::FakeTable m_table;
-    std::atomic<std::int64_t> m_wallTime { 12 * 3'600'000 };
+    std::atomic<std::int64_t> m_wallTime { hour * 12 };
 };
 
 } // namespace
@@ -104,7 +105,7 @@
     EXPECT_EQ(body["objectives"][0]["latencyMs"]["urgent"], 2000);
     EXPECT_EQ(body["windows"][0]["counted"], 2);
     EXPECT_EQ(body["windows"][0]["good"], 1);
-    EXPECT_EQ(body["history"][0]["startMs"], 12 * 3'600'000);
+    EXPECT_EQ(body["history"][0]["startMs"], hour * 12);
 }
 
 TEST_F(BurnServiceTest, LostAndRefusedWritesAreRepeatedAndCountOnce)
@@ -112,7 +113,7 @@
     Node node { m_table, m_wallTime, "n1" };
     node.count(policy::BurnOutcome::Done, 1s);
     m_table.failNext({ Fault::Down, Fault::AnswerLostAfterEffect, Fault::AnswerLostBeforeEffect });
-    m_wallTime += 3'600'000;
+    m_wallTime += hour;
     node.write(5);
     EXPECT_EQ(node.counted("6h"), 1U);
     EXPECT_EQ(node.counted("1h"), 1U);
@@ -136,7 +137,7 @@
     Node node { m_table, m_wallTime, "n1" };
     node.count(policy::BurnOutcome::Done, 1s);
     node.write(2);
-    m_wallTime += 100 * 3'600'000;
+    m_wallTime += hour * 100;
     EXPECT_EQ(node.report()["windows"].size(), 0U);
     EXPECT_EQ(m_table.scan("burn/", 0, 10).value().size(), 0U);
 }
