--- a/packages/policy/src/fleet/planner.cpp
+++ b/packages/policy/src/fleet/planner.cpp
@@ -43,8 +43,10 @@
 {
     PoolId best = round.snapshot().sparePool;
     std::int64_t largest = 0;
-    for (const auto& [id, stored] : round.snapshot().pools) {
+    for (const auto& [id, settings] : round.snapshot().settings) {
         const auto* pool = round.pool(id);
+        if (!pool)
+            continue;
         const std::int64_t deficit = std::int64_t { pool->settings.desired } - owned(*pool);
         if (deficit <= largest)
             continue;
--- a/tools/fleet_fakes/fake_table.cpp
+++ b/tools/fleet_fakes/fake_table.cpp
@@ -46,7 +46,14 @@
 
 void FakeTable::store(const FleetChange& change, TimePoint now)
 {
-    const FleetSnapshot before = m_rows;
+    Before before { {}, m_rows.borrowing };
+    const auto keep = [&](const VmRecord& vm) {
+        const auto row = m_rows.vms.find(vm.id);
+        if (row != m_rows.vms.end())
+            before.vms.insert(*row);
+    };
+    std::for_each(change.vms.begin(), change.vms.end(), keep);
+    std::for_each(change.removedVms.begin(), change.removedVms.end(), keep);
     ++m_version;
     storeAll(m_rows.vms, change.vms, m_version);
     storeAll(m_rows.pools, change.pools, m_version);
--- a/tools/measure_fleet/roll_out.cpp
+++ b/tools/measure_fleet/roll_out.cpp
@@ -87,7 +87,9 @@
             m_workers.add(id, rackId, dataCenter, m_now);
             m_view.listed[id] = { id, rackId, dataCenter, false };
             const double factor = std::exp(drainSpread * normal());
-            m_drainTimes[id] = std::chrono::duration_cast<Duration>(medianDrain * factor);
+            const auto drainTime = std::chrono::duration_cast<Duration>(medianDrain * factor);
+            // The planner asks for checkpoints then, which end what runs.
+            m_drainTimes[id] = std::min(drainTime, PlannerTimes {}.drainPatience);
         }
     }
 
