--- a/tools/measure_capacity/fleet.cpp
+++ b/tools/measure_capacity/fleet.cpp
@@ -2,6 +2,8 @@
 #include "roles.h"
 #include "slope.h"
 
+#include "rattanrack/base/metrics.h"
+#include "rattanrack/policy/claim_shard.h"
 #include "rattanrack/policy/fleet_planner.h"
 #include "rattanrack/policy/traffic_core.h"
 
@@ -96,8 +98,74 @@
     return snapshot;
 }
 
+std::vector<ClaimRow> claimRows(int records)
+{
+    constexpr int recordsPerRow = 10;
+    std::vector<ClaimRow> rows;
+    for (int i = 0; i < records; ++i) {
+        if (i % recordsPerRow == 0)
+            rows.push_back({ rows.size() + 1, {} });
+        const std::string number = std::to_string(i);
+        rows.back().claims.push_back(
+            { IdempotencyKey { "order-0123456789-" + number }, 1, AttemptId { "node-1a2b3c4d#" + number },
+                NodeId { "node-1a2b3c4d" }, ClaimState::Completed, std::string(100, 'x') });
+    }
+    return rows;
+}
+
 } // namespace
 
+void measureClaims()
+{
+    constexpr double recordsPerNode = 1600; // 112 a second kept for 10 min, over 42 nodes
+    const TimePoint now { std::chrono::hours { 1 } };
+    std::vector<Sample> state;
+    std::vector<Sample> time;
+    for (const int records : { 2000, 6000, 18000 }) {
+        const std::vector<ClaimRow> rows = claimRows(records);
+        const std::int64_t before = liveBytes();
+        ClaimShard shard(rows, std::chrono::hours { 1 }, now);
+        state.push_back({ static_cast<double>(records), static_cast<double>(liveBytes() - before) });
+        const double begin = threadSeconds();
+        for (int i = 0; i < records; ++i) {
+            Claim claim = rows.front().claims.front();
+            claim.key = IdempotencyKey { "booking-0123456789-" + std::to_string(i) };
+            claim.state = ClaimState::Claimed;
+            shard.apply({ shard.nextSequence(), { shard.decide(claim).claim } }, now);
+        }
+        time.push_back({ static_cast<double>(records), 1e6 * (threadSeconds() - begin) / records });
+    }
+    report("claim_records_state", "bytes", state, recordsPerNode);
+    report("claim_decision", "core_us", time, recordsPerNode);
+}
+
+void measureMetrics()
+{
+    constexpr int metricsPerPool = 8;
+    constexpr double pools = 147;
+    std::vector<Sample> state;
+    std::vector<Sample> exposition;
+    for (const int size : { 37, 74, 147 }) {
+        const std::int64_t before = liveBytes();
+        Metrics metrics;
+        for (int pool = 0; pool < size; ++pool)
+            for (int i = 0; i < metricsPerPool; ++i) {
+                const MetricLabels labels { { "pool", "pool-" + std::to_string(pool) } };
+                const std::string name = "rattanrack_metric_" + std::to_string(i);
+                if (i == 0)
+                    metrics.observe(name, labels, 1);
+                else
+                    metrics.increment(name, labels);
+            }
+        state.push_back({ static_cast<double>(size), static_cast<double>(liveBytes() - before) });
+        const double begin = threadSeconds();
+        metrics.exposition();
+        exposition.push_back({ static_cast<double>(size), 1e6 * (threadSeconds() - begin) });
+    }
+    report("metrics_state_8_a_pool", "bytes", state, pools);
+    report("metrics_exposition", "core_us", exposition, pools);
+}
+
 void measureTrafficAndFleet()
 {
     std::vector<Sample> viewState;
--- a/tools/measure_capacity/main.cpp
+++ b/tools/measure_capacity/main.cpp
@@ -30,6 +30,8 @@
     const ControlPlane control = measureControlPlane(entryNodes, duties);
     const double configBytes = measureConfigBytes(pools, changesPerDay);
     measureTrafficAndFleet();
+    measureClaims();
+    measureMetrics();
     verdict("peer_bytes_per_s", control.wireBytesPerSecond, maxBytesPerSecond);
     verdict("peer_table_and_config_bytes_per_s", control.wireBytesPerSecond + control.tableBytesPerSecond + configBytes,
         maxBytesPerSecond);
--- a/tools/measure_capacity/roles.h
+++ b/tools/measure_capacity/roles.h
@@ -21,5 +21,7 @@
 /// Table bytes a second and node that changes of the configuration cost.
 double measureConfigBytes(double pools, double changesPerDay);
 void measureTrafficAndFleet();
+void measureClaims();
+void measureMetrics();
 
 } // namespace rattanrack::capacity
