Record claims through shard homes; never say 'not run' of a key whose record is out of reach

Cause: (1) a row for each claim ran into the node's share of writes. (2) ./demo showed one untrue 'not run': a request ran through the killed node, its caller sent it again through another one, and while the shard's home was being taken over that node said 'not run, store_unavailable' - true of the submission, untrue of the request. Ruled out: a second dispatch (the worker's log has one run) and a late claim (the record names the first attempt). Change: claims go through ClaimStore; a claim that finds no home is tried until the deadline while the table is up; what is turned away before its record was looked up is 'outcome unknown' with advice when to ask again, unless repeatable; a claim that was never confirmed is withdrawn. The test that expected 'not run' in an outage now expects the stricter answer, and a new one repeats a request whose first run is recorded. Conclusion: 'not run' rests on the record. Next: settle the claims of owners that are gone.

--- a/packages/node/include/rattanrack/node/answer.h
+++ b/packages/node/include/rattanrack/node/answer.h
@@ -32,4 +32,9 @@
 Answer notRunAnswer(policy::NotRunReason reason, Duration retryAfter);
 Answer unknownAnswer(std::string reason);
 
+/// The answer to a request that is turned away before its record was looked up. A repeatable one has not run. One that
+/// is not may have run under an earlier submission with its key, through any node: that is not known, and the caller is
+/// told when to ask again.
+Answer refusalBeforeClaim(bool isRepeatable, policy::NotRunReason reason, Duration retryAfter);
+
 } // namespace rattanrack::node
--- a/packages/node/include/rattanrack/node/claim_gate.h
+++ b/packages/node/include/rattanrack/node/claim_gate.h
@@ -16,6 +16,9 @@
     /// Records a claim, or its change to Withdrawn, Completed or Failed. Never blocks. `onAnswer` is called exactly
     /// once, on any thread; an answer of Unavailable proves nothing about the record.
     virtual void submit(policy::Claim claim, OnAnswer onAnswer) = 0;
+
+    /// False while the table is thought to be down: a claim that is Unavailable then is not worth another try soon.
+    virtual bool isStoreUp() const = 0;
 };
 
 } // namespace rattanrack::node
--- /dev/null
+++ b/packages/node/include/rattanrack/node/homed_claim_gate.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "rattanrack/claims/claim_store.h"
+#include "rattanrack/node/claim_gate.h"
+#include "rattanrack/platform/governed_table.h"
+
+#include <memory>
+
+namespace rattanrack::node {
+
+/// Records claims through the homes of their shards, many in one transaction; docs/design/at_most_once.md weighs it
+/// against a row for each claim.
+class HomedClaimGate final : public ClaimGate {
+public:
+    /// Both must outlive this object; `store` must be set before the first claim.
+    HomedClaimGate(const std::unique_ptr<claims::ClaimStore>& store, const platform::GovernedTable& table)
+        : m_store(store)
+        , m_table(table)
+    {
+    }
+
+    void submit(policy::Claim claim, OnAnswer onAnswer) override
+    {
+        m_store->submit(std::move(claim), std::move(onAnswer));
+    }
+
+    bool isStoreUp() const override { return m_table.isServiceUp(); }
+
+private:
+    const std::unique_ptr<claims::ClaimStore>& m_store;
+    const platform::GovernedTable& m_table;
+};
+
+} // namespace rattanrack::node
--- a/packages/node/include/rattanrack/node/table_claim_gate.h
+++ b/packages/node/include/rattanrack/node/table_claim_gate.h
@@ -4,6 +4,8 @@
 #include "rattanrack/node/elastic_thread_pool.h"
 #include "rattanrack/platform/table.h"
 
+#include <atomic>
+
 namespace rattanrack::node {
 
 /// Keeps each claim in a row of its own, `claim/<key>`: one write to claim, one to end. Needs no home and no peers, at
@@ -19,12 +21,15 @@
 
     void submit(policy::Claim claim, OnAnswer onAnswer) override;
 
+    bool isStoreUp() const override { return m_isStoreUp.load(); }
+
     /// The blocking form of `submit`.
     policy::ClaimAnswer record(const policy::Claim& claim);
 
 private:
     platform::Table& m_table;
     ElasticThreadPool& m_pool;
+    std::atomic<bool> m_isStoreUp { true }; ///< As the last call found it.
 };
 
 } // namespace rattanrack::node
--- a/packages/node/include/rattanrack/node/traffic_service.h
+++ b/packages/node/include/rattanrack/node/traffic_service.h
@@ -67,11 +67,17 @@
     void handle(const policy::TrafficEvent& event);
 
 private:
+    enum class ClaimProgress {
+        None, ///< Nothing was recorded under this request's attempt.
+        Unconfirmed, ///< Perhaps recorded; never sent.
+        Granted, ///< Recorded; may have been sent.
+    };
+
     struct Live {
         std::shared_ptr<PendingRequest> pending;
         AttemptId attempt;
         Answer attemptAnswer; ///< What the last attempt ended with.
-        bool isClaimed { false };
+        ClaimProgress claim { ClaimProgress::None };
         bool isRunning { false };
         TimePoint arrived {};
     };
@@ -79,7 +85,8 @@
     void admit(const std::shared_ptr<PendingRequest>& pending);
     void claim(const std::shared_ptr<PendingRequest>& pending);
     void claimAnswered(const std::shared_ptr<PendingRequest>& pending, const policy::ClaimAnswer& answer);
-    void awaitOtherAttempt(const std::shared_ptr<PendingRequest>& pending);
+    void claimLater(const std::shared_ptr<PendingRequest>& pending, Answer answerAtDeadline);
+    static std::optional<policy::ClaimState> claimEnd(ClaimProgress progress, const Answer& answer);
     void recordClaimEnd(const Live& live, const Answer& answer);
     void submitClaimEnd(const policy::Claim& record);
     void finish(const RequestId& id, Answer answer);
--- a/packages/node/src/answer.cpp
+++ b/packages/node/src/answer.cpp
@@ -40,4 +40,12 @@
     return { AnswerKind::OutcomeUnknown, {}, std::move(reason), unknownRetryAfter };
 }
 
+Answer refusalBeforeClaim(bool isRepeatable, policy::NotRunReason reason, Duration retryAfter)
+{
+    Answer answer = notRunAnswer(reason, retryAfter);
+    if (!isRepeatable)
+        answer.kind = AnswerKind::OutcomeUnknown;
+    return answer;
+}
+
 } // namespace rattanrack::node
--- a/packages/node/src/caller_api.cpp
+++ b/packages/node/src/caller_api.cpp
@@ -76,10 +76,12 @@
     if (!submission)
         return;
     const Deadline waitUntil = Deadline::after(submission->request.spec.deadline.at(), waitPastDeadline);
+    const bool isRepeatable = submission->request.spec.isRepeatable;
     const std::uint64_t fingerprint = submission->request.fingerprint;
     const ThreadShares::Hold hold = m_shares.take(submission->request.spec.kind);
     if (!hold) {
-        reply(response, RequestId {}, notRunAnswer(policy::NotRunReason::QueueFull, busyRetryAfter));
+        reply(
+            response, RequestId {}, refusalBeforeClaim(isRepeatable, policy::NotRunReason::QueueFull, busyRetryAfter));
         return;
     }
     const auto pending = m_traffic.submit(std::move(submission->request));
--- a/packages/node/src/daemon.cpp
+++ b/packages/node/src/daemon.cpp
@@ -9,10 +9,10 @@
 #include "rattanrack/node/coordination_service.h"
 #include "rattanrack/node/fleet_service.h"
 #include "rattanrack/node/health_api.h"
+#include "rattanrack/node/homed_claim_gate.h"
 #include "rattanrack/node/http_server.h"
 #include "rattanrack/node/readiness.h"
 #include "rattanrack/node/remote_answers.h"
-#include "rattanrack/node/table_claim_gate.h"
 #include "rattanrack/node/traffic_service.h"
 #include "rattanrack/platform/governed_table.h"
 #include "rattanrack/platform/http_table.h"
@@ -39,6 +39,8 @@
 // Seven nodes together stay below 300 writes and 1,800 reads a second.
 const platform::TableShare tableShare { .writesPerSecond = 40, .readsPerSecond = 250 };
 
+constexpr std::uint32_t claimShards = 8; ///< Must not change while a federation has records.
+
 const std::string planDuty = "plan/fleet";
 const std::string creditsDutyPrefix = "credits/";
 
@@ -117,6 +119,9 @@
     void configurationInForce(const peer::ConfigDocument& document);
     void membersChanged(const std::vector<NodeId>& live);
     void dutyChanged(const peer::DutyName& duty, const NodeId& holder, platform::RowVersion term);
+    void claimDutyChanged(policy::ClaimShardIndex shard, const NodeId& holder, platform::RowVersion term);
+    void claimRequested(const peer::ClaimRequest& request);
+    Result<std::unique_ptr<claims::ClaimStore>> createClaimStore();
     void reportStatus();
     CoordinationEvents coordinationEvents();
 
@@ -134,7 +139,8 @@
     ControlLoop control { clock };
     TableRunner tableRunner { control, platformThreads, *table };
     FleetStore fleetStore { *table };
-    TableClaimGate claims { *table, platformThreads };
+    std::unique_ptr<claims::ClaimStore> claimStore; ///< Set before anything starts.
+    HomedClaimGate claimGate { claimStore, *table };
     CoordinationService coordination;
     TrafficService traffic;
     FleetService fleet;
@@ -166,14 +172,15 @@
               .randomSeed = randomSeed(),
           },
           coordinationEvents() })
-    , traffic({ control, clock, metrics, workerThreads, workers, claims, self, policy::createTrafficCore(randomSeed()),
-          [this](const policy::SendAsk& ask) { coordination.send(ask.home, peer::CreditAskMessage { ask.ask }); },
-          [this](const policy::SendGrant& grant) {
-              coordination.send(grant.grant.to, peer::CreditGrantMessage { grant.grant });
-          },
-          [this](const policy::RequestSpec& spec, const Answer& answer, Duration latency) {
-              burn.count(spec.kind, spec.urgency, burnOutcomeOf(answer), latency);
-          } })
+    , traffic(
+          { control, clock, metrics, workerThreads, workers, claimGate, self, policy::createTrafficCore(randomSeed()),
+              [this](const policy::SendAsk& ask) { coordination.send(ask.home, peer::CreditAskMessage { ask.ask }); },
+              [this](const policy::SendGrant& grant) {
+                  coordination.send(grant.grant.to, peer::CreditGrantMessage { grant.grant });
+              },
+              [this](const policy::RequestSpec& spec, const Answer& answer, Duration latency) {
+                  burn.count(spec.kind, spec.urgency, burnOutcomeOf(answer), latency);
+              } })
     , fleet({ control, clock, metrics, platformThreads, fleetStore, *vmList, workers, self,
           [this](const policy::ViewChanged& view) {
               shares.setKinds(view.kinds.size());
@@ -193,13 +200,30 @@
                       platform::RowVersion term) { dutyChanged(duty, holder, term); },
         .onCreditAsk = [this](const policy::CreditAsk& ask) { traffic.handle(policy::CreditAsked { ask }); },
         .onCreditGrant = [this](const policy::CreditGrant& grant) { traffic.handle(policy::CreditGranted { grant }); },
-        .onClaimRequest = [](const peer::ClaimRequest&) {},
-        .onClaimReply = [](const peer::ClaimReply&) {},
+        .onClaimRequest = [this](const peer::ClaimRequest& request) { claimRequested(request); },
+        .onClaimReply = [this](const peer::ClaimReply& reply) { claimStore->onReply(reply); },
         .onAnswerQuery = [this](const peer::AnswerQuery& query) { remoteAnswers.queried(query); },
         .onAnswerReply = [this](const peer::AnswerReply& reply) { remoteAnswers.replied(reply); },
     };
 }
 
+void Daemon::State::claimRequested(const peer::ClaimRequest& request)
+{
+    claimStore->onRequest(request, [this, asker = request.from](peer::ClaimReply reply) {
+        control.post([this, asker, reply = std::move(reply)] { coordination.send(asker, reply); });
+    });
+}
+
+Result<std::unique_ptr<claims::ClaimStore>> Daemon::State::createClaimStore()
+{
+    claims::ClaimStoreSettings settings;
+    settings.home.self = self;
+    settings.home.shardCount = claimShards;
+    return claims::ClaimStore::create(settings, *table, clock, [this](const NodeId& home, peer::ClaimRequest request) {
+        control.post([this, home, request = std::move(request)] { coordination.send(home, request); });
+    });
+}
+
 void Daemon::State::start(const config::NodeSettings& settings)
 {
     control.run([&] {
@@ -222,6 +246,8 @@
         return;
     }
     std::vector<peer::DutyName> duties { peer::DutyName { planDuty } };
+    for (policy::ClaimShardIndex shard = 0; shard < claimShards; ++shard)
+        duties.emplace_back(claims::claimDutyName(shard));
     for (const config::Pool& pool : parsed.value().pools)
         duties.emplace_back(creditsDutyPrefix + pool.id.value());
     coordination.setDuties(std::move(duties));
@@ -240,10 +266,27 @@
 
 void Daemon::State::dutyChanged(const peer::DutyName& duty, const NodeId& holder, platform::RowVersion term)
 {
-    if (duty.value() == planDuty)
+    if (duty.value() == planDuty) {
         fleet.setPlanner(holder == self);
-    else if (duty.value().starts_with(creditsDutyPrefix))
+        return;
+    }
+    if (duty.value().starts_with(creditsDutyPrefix)) {
         traffic.handle(policy::HomeChanged { PoolId { duty.value().substr(creditsDutyPrefix.size()) }, holder, term });
+        return;
+    }
+    for (policy::ClaimShardIndex shard = 0; shard < claimShards; ++shard) {
+        if (duty.value() == claims::claimDutyName(shard))
+            claimDutyChanged(shard, holder, term);
+    }
+}
+
+void Daemon::State::claimDutyChanged(policy::ClaimShardIndex shard, const NodeId& holder, platform::RowVersion term)
+{
+    claimStore->setHome(shard, holder);
+    if (holder == self)
+        claimStore->takeShard(shard, term);
+    else
+        claimStore->dropShard(shard);
 }
 
 void Daemon::State::reportStatus()
@@ -268,6 +311,7 @@
     BOOST_LEAF_AUTO(vmList, platform::HttpVmList::create(settings.platform.vmList.text()));
     auto state = std::make_unique<State>(settings, std::move(table), std::move(vmList));
     State& parts = *state;
+    BOOST_LEAF_ASSIGN(parts.claimStore, parts.createClaimStore());
     std::unique_ptr<Daemon> daemon(new Daemon(std::move(state)));
     BOOST_LEAF_ASSIGN(
         parts.network, peer::PeerNetwork::create(settings.peerListen.text(), [&parts](peer::Message message) {
@@ -296,6 +340,7 @@
     m_state->server.reset();
     m_state->network.reset();
     m_state->control.stop();
+    m_state->claimStore.reset();
     m_state->workerThreads.shutdown();
     m_state->platformThreads.shutdown();
 }
--- a/packages/node/src/table_claim_gate.cpp
+++ b/packages/node/src/table_claim_gate.cpp
@@ -58,7 +58,11 @@
 void TableClaimGate::submit(Claim claim, OnAnswer onAnswer)
 {
     auto shared = std::make_shared<OnAnswer>(std::move(onAnswer));
-    const bool isAccepted = m_pool.submit([this, claim = std::move(claim), shared] { (*shared)(record(claim)); });
+    const bool isAccepted = m_pool.submit([this, claim = std::move(claim), shared] {
+        const ClaimAnswer answer = record(claim);
+        m_isStoreUp.store(answer.verdict != ClaimVerdict::Unavailable);
+        (*shared)(answer);
+    });
     if (!isAccepted)
         (*shared)(unavailable);
 }
--- a/packages/node/src/traffic_service.cpp
+++ b/packages/node/src/traffic_service.cpp
@@ -24,7 +24,9 @@
 constexpr Duration repeatableSettleTime = 500ms;
 constexpr Duration onceSettleTime = 5s;
 constexpr Duration claimRetryPause = 1s;
-constexpr Duration otherAttemptPause = 500ms; ///< Between two looks at a request that runs through another node.
+constexpr Duration claimPause = 500ms; ///< Before a claim is tried again: its home moves, or another attempt runs.
+constexpr Duration storeRetryAfter = 2s;
+constexpr std::size_t maxLiveRequests = 20'000;
 
 policy::AttemptEnd endOf(TaskStatus status)
 {
@@ -111,8 +113,14 @@
     const CallerRequest& request = pending->request();
     m_live.emplace(request.spec.id,
         Live { .pending = pending, .attemptAnswer = unknownAnswer("no_attempt"), .arrived = m_parts.clock.now() });
+    if (m_live.size() > maxLiveRequests) {
+        finish(request.spec.id,
+            refusalBeforeClaim(request.spec.isRepeatable, policy::NotRunReason::QueueFull, storeRetryAfter));
+        return;
+    }
     if (!m_poolOfKind.contains(request.spec.kind)) {
-        finish(request.spec.id, notRunAnswer(policy::NotRunReason::UnknownKind, Duration::zero()));
+        finish(request.spec.id,
+            refusalBeforeClaim(request.spec.isRepeatable, policy::NotRunReason::UnknownKind, Duration::zero()));
         return;
     }
     if (request.spec.isRepeatable) {
@@ -146,7 +154,7 @@
         return;
     switch (answer.verdict) {
     case policy::ClaimVerdict::Granted: {
-        found->second.isClaimed = true;
+        found->second.claim = ClaimProgress::Granted;
         policy::RequestSpec spec = pending->request().spec;
         spec.pool = m_poolOfKind.contains(spec.kind) ? m_poolOfKind.at(spec.kind) : PoolId {};
         handle(policy::Submit { std::move(spec) });
@@ -158,37 +166,61 @@
         else if (answer.claim.state == policy::ClaimState::Failed)
             finish(id, failedAnswer("work_failed", answer.claim.output));
         else
-            awaitOtherAttempt(pending);
+            claimLater(pending, unknownAnswer("claimed_by_other_attempt"));
         return;
     case policy::ClaimVerdict::ContentDiffers:
         finish(id, failedAnswer("key_reused_with_other_content", {}));
         return;
     case policy::ClaimVerdict::Unavailable:
-        // The claim may have been recorded, but this node has not sent the request and never will.
-        found->second.isClaimed = true;
-        finish(id, notRunAnswer(policy::NotRunReason::StoreUnavailable, 2s));
+        // The claim may have been recorded, but this node has not sent the request and never will: it is withdrawn. An
+        // earlier submission may have run.
+        found->second.claim = ClaimProgress::Unconfirmed;
+        if (m_parts.claims.isStoreUp())
+            claimLater(pending, refusalBeforeClaim(false, policy::NotRunReason::StoreUnavailable, storeRetryAfter));
+        else
+            finish(id, refusalBeforeClaim(false, policy::NotRunReason::StoreUnavailable, storeRetryAfter));
         return;
     }
 }
 
-void TrafficService::awaitOtherAttempt(const std::shared_ptr<PendingRequest>& pending)
+void TrafficService::claimLater(const std::shared_ptr<PendingRequest>& pending, Answer answerAtDeadline)
 {
     const policy::RequestSpec& spec = pending->request().spec;
     const TimePoint now = m_parts.clock.now();
     if (spec.deadline.hasPassed(now)) {
-        finish(spec.id, unknownAnswer("claimed_by_other_attempt"));
+        finish(spec.id, std::move(answerAtDeadline));
         return;
     }
-    const Duration pause = std::min(otherAttemptPause, spec.deadline.remaining(now));
+    const Duration pause = std::min(claimPause, spec.deadline.remaining(now));
     m_parts.control.at(Deadline::after(now, pause), [this, pending] {
         if (m_live.contains(pending->request().spec.id))
             claim(pending);
     });
 }
 
+std::optional<policy::ClaimState> TrafficService::claimEnd(ClaimProgress progress, const Answer& answer)
+{
+    if (progress == ClaimProgress::None)
+        return std::nullopt;
+    if (progress == ClaimProgress::Unconfirmed)
+        return policy::ClaimState::Withdrawn;
+    switch (answer.kind) {
+    case AnswerKind::Done:
+        return policy::ClaimState::Completed;
+    case AnswerKind::Failed:
+        return policy::ClaimState::Failed;
+    case AnswerKind::NotRun:
+        return policy::ClaimState::Withdrawn;
+    case AnswerKind::OutcomeUnknown:
+        break;
+    }
+    return std::nullopt;
+}
+
 void TrafficService::recordClaimEnd(const Live& live, const Answer& answer)
 {
-    if (answer.kind == AnswerKind::OutcomeUnknown)
+    const auto state = claimEnd(live.claim, answer);
+    if (!state)
         return;
     const CallerRequest& request = live.pending->request();
     policy::Claim record {
@@ -196,9 +228,7 @@
         .fingerprint = request.fingerprint,
         .attempt = attemptId(request, 1),
         .owner = m_parts.self,
-        .state = answer.kind == AnswerKind::Done ? policy::ClaimState::Completed
-            : answer.kind == AnswerKind::Failed  ? policy::ClaimState::Failed
-                                                 : policy::ClaimState::Withdrawn,
+        .state = *state,
         .output = answer.output,
     };
     submitClaimEnd(record);
@@ -327,8 +357,7 @@
     logEvent("request.answered",
         { { "request", id.value() }, { "answer", name(answer.kind) }, { "reason", answer.reason } }, LogLevel::Debug);
     m_parts.onAnswered(request.spec, answer, m_parts.clock.now() - live.arrived);
-    if (live.isClaimed)
-        recordClaimEnd(live, answer);
+    recordClaimEnd(live, answer);
     // A request that did not run leaves its key free for another try.
     if (answer.kind == AnswerKind::NotRun || answer.kind == AnswerKind::OutcomeUnknown)
         m_history.releaseKey(request.key, id);
--- a/packages/node/tests/traffic_service_tests.cpp
+++ b/packages/node/tests/traffic_service_tests.cpp
@@ -127,14 +127,43 @@
     table.setDown(true);
     const auto answer = ask(request("x", false, "c/1"));
     ASSERT_TRUE(answer);
-    EXPECT_EQ(answer->kind, AnswerKind::NotRun);
+    EXPECT_EQ(answer->kind, AnswerKind::OutcomeUnknown) << "an earlier submission may have run";
     EXPECT_EQ(answer->reason, "store_unavailable");
+    EXPECT_GT(answer->retryAfter, 0s);
     EXPECT_TRUE(worker->orders().empty());
     const auto repeatable = ask(request("y"));
     ASSERT_TRUE(repeatable);
     EXPECT_EQ(repeatable->kind, AnswerKind::Done);
 }
 
+TEST_F(TrafficServiceTest, RepeatIsNotToldNotRunWhileTheRecordOfTheFirstIsOutOfReach)
+{
+    const policy::Claim first { IdempotencyKey { "c/1" }, 0, AttemptId { "other.1-1" }, NodeId { "other" },
+        policy::ClaimState::Completed, "ran elsewhere" };
+    ASSERT_EQ(claims.record(first).verdict, policy::ClaimVerdict::Granted);
+    table.setDown(true);
+    const auto during = ask(request("x", false, "c/1"));
+    ASSERT_TRUE(during);
+    EXPECT_EQ(during->kind, AnswerKind::OutcomeUnknown);
+    table.setDown(false);
+    const auto after = ask(request("x", false, "c/1"));
+    ASSERT_TRUE(after);
+    EXPECT_EQ(after->output, "ran elsewhere");
+    EXPECT_TRUE(worker->orders().empty());
+}
+
+TEST_F(TrafficServiceTest, ClaimThatWasNeverConfirmedIsWithdrawn)
+{
+    table.failNext({ FakeTable::Fault::Down });
+    const auto during = ask(request("x", false, "c/1"));
+    ASSERT_TRUE(during);
+    EXPECT_EQ(during->kind, AnswerKind::OutcomeUnknown);
+    const auto after = ask(request("x", false, "c/1"));
+    ASSERT_TRUE(after);
+    EXPECT_EQ(after->kind, AnswerKind::Done);
+    EXPECT_EQ(worker->orders().size(), 1U);
+}
+
 TEST_F(TrafficServiceTest, RepeatThroughTheSameKeyIsOneRequest)
 {
     const auto first = ask(request("x", false, "c/1"));
