Make the tests of doubled answers able to fail

Cause: the second answer came in the same segment as the first, and the HTTP library drops what follows an answer in its buffer, so that both DoubledAnswer tests passed without any guard. Change: the scripted server sends the second answer 20 ms later. With the exchange check and the idle check removed, DoubledAnswerNeverReachesTheNextCommit and AnswerOfAnotherExchangeIsUnknown fail; the worker's DoubledAnswer test still passes, since the attempt id guards it too. Conclusion: for the table the exchange number is the only guard, and now it is tested.

--- a/packages/platform/tests/scripted_server.h
+++ b/packages/platform/tests/scripted_server.h
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <chrono>
 #include <deque>
 #include <mutex>
 #include <string>
@@ -19,6 +20,7 @@
 struct Reply {
     std::string bytes; ///< Sent as they are; "{exchange}" becomes the request's exchange number.
     bool closes { false }; ///< Closes the connection afterwards.
+    bool isDoubled { false }; ///< Sends the bytes once more, a little later, before it reads the next request.
 };
 
 inline Reply jsonReply(const std::string& body, bool closes = false)
@@ -151,6 +153,10 @@
             reply.bytes.replace(mark, 10, exchange);
         if (send(connection, reply.bytes.data(), reply.bytes.size(), MSG_NOSIGNAL) < 0)
             return false;
+        if (reply.isDoubled) {
+            std::this_thread::sleep_for(std::chrono::milliseconds { 20 });
+            (void)send(connection, reply.bytes.data(), reply.bytes.size(), MSG_NOSIGNAL);
+        }
         return !reply.closes;
     }
 
