Traffic core: move index entries instead of making new ones

Cause: each admission made and freed several entries of the wake and idle indexes. Change: entries are taken out, changed and put back; a wake that stays is left alone; an empty queue is not gone through.

--- a/packages/policy/src/traffic/credit_holder.cpp
+++ b/packages/policy/src/traffic/credit_holder.cpp
@@ -166,6 +166,12 @@
     m_held += worker.held - oldHeld;
     m_inUse += worker.inUse - oldInUse;
     m_idle += worker.idle() - oldIdle;
+    if (oldIdle > 0 && worker.idle() > 0) {
+        auto entry = m_idleOrder.extract(oldKey);
+        entry.value() = { worker.lastUse, index };
+        m_idleOrder.insert(std::move(entry));
+        return;
+    }
     if (oldIdle > 0)
         m_idleOrder.erase(oldKey);
     if (worker.idle() > 0)
--- a/packages/policy/src/traffic/pool_traffic.cpp
+++ b/packages/policy/src/traffic/pool_traffic.cpp
@@ -218,8 +218,10 @@
 
 void PoolTraffic::dispatchAll()
 {
-    PoolQueue::Blocked blocked(m_queue.kinds(), false);
     m_blocked = nullptr;
+    if (m_queue.size() == 0)
+        return;
+    PoolQueue::Blocked blocked(m_queue.kinds(), false);
     while (m_credits.idle() > 0 && dispatchFirst(blocked)) { }
     if (m_credits.idle() == 0)
         m_blocked = m_queue.first(blocked, capacity());
--- a/packages/policy/src/traffic/request_table.cpp
+++ b/packages/policy/src/traffic/request_table.cpp
@@ -39,8 +39,11 @@
 
 void RequestTable::setWake(Request& request, Deadline wake)
 {
-    m_wakes.erase(request.wake);
-    request.wake = m_wakes.emplace(wake, &request);
+    if (request.wake->first == wake)
+        return;
+    auto entry = m_wakes.extract(request.wake);
+    entry.key() = wake;
+    request.wake = m_wakes.insert(std::move(entry));
 }
 
 Request* RequestTable::nextDue()
