Settle the claims of nodes that have gone by the workers' word

Cause: after a node was killed, repeats of what it had claimed stayed 'outcome unknown' until their deadline. Change: the node that meets such a claim asks the workers to revoke the attempt; a worker's word that it ran settles the record. It is not declared as not run, since a VM that has left meanwhile may have run it.

--- a/packages/node/include/rattanrack/node/traffic_service.h
+++ b/packages/node/include/rattanrack/node/traffic_service.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace rattanrack::node {
 
@@ -86,6 +87,7 @@
     void claim(const std::shared_ptr<PendingRequest>& pending);
     void claimAnswered(const std::shared_ptr<PendingRequest>& pending, const policy::ClaimAnswer& answer);
     void claimLater(const std::shared_ptr<PendingRequest>& pending, Answer answerAtDeadline);
+    void settle(const std::shared_ptr<PendingRequest>& pending, const policy::Claim& orphan);
     static std::optional<policy::ClaimState> claimEnd(ClaimProgress progress, const Answer& answer);
     void recordClaimEnd(const Live& live, const Answer& answer);
     void submitClaimEnd(const policy::Claim& record);
@@ -111,6 +113,7 @@
     std::atomic<std::size_t> m_liveCount { 0 };
     std::unordered_map<RequestId, Live> m_live; ///< Control thread only.
     std::unordered_map<WorkKind, PoolId> m_poolOfKind; ///< Control thread only.
+    std::unordered_set<NodeId> m_liveNodes; ///< Control thread only.
     Deadline m_scheduledTick { Deadline::never() };
 };
 
--- a/packages/node/include/rattanrack/node/worker_directory.h
+++ b/packages/node/include/rattanrack/node/worker_directory.h
@@ -26,6 +26,9 @@
     /// Null when the VM is not known.
     std::shared_ptr<platform::Worker> find(const VmId& id) const;
 
+    /// All workers, in no order.
+    std::vector<std::shared_ptr<platform::Worker>> all() const;
+
 private:
     struct Entry {
         std::string address;
--- /dev/null
+++ b/packages/node/src/orphan_settler.cpp
@@ -0,0 +1,40 @@
+#include "rattanrack/node/orphan_settler.h"
+
+namespace rattanrack::node {
+
+namespace {
+
+std::optional<policy::ClaimState> finalState(platform::AttemptState state)
+{
+    switch (state) {
+    case platform::AttemptState::Completed:
+        return policy::ClaimState::Completed;
+    case platform::AttemptState::Failed:
+    case platform::AttemptState::Stopped:
+        return policy::ClaimState::Failed;
+    case platform::AttemptState::NeverSeen:
+    case platform::AttemptState::Running:
+    case platform::AttemptState::Revoked:
+        break;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::optional<policy::Claim> settleOrphan(const policy::Claim& claim, const WorkerDirectory& workers)
+{
+    for (const auto& worker : workers.all()) {
+        const auto report = handle([&]() -> Result<platform::AttemptReport> { return worker->revoke(claim.attempt); },
+            [](const Error&) { return platform::AttemptReport {}; });
+        if (const auto state = finalState(report.state)) {
+            policy::Claim settled = claim;
+            settled.state = *state;
+            settled.output = report.output;
+            return settled;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace rattanrack::node
--- a/packages/node/src/traffic_service.cpp
+++ b/packages/node/src/traffic_service.cpp
@@ -3,6 +3,7 @@
 #include "rattanrack/base/invariant.h"
 #include "rattanrack/base/log.h"
 #include "rattanrack/node/attempt_runner.h"
+#include "rattanrack/node/orphan_settler.h"
 
 #include <algorithm>
 #include <thread>
@@ -165,8 +166,10 @@
             finish(id, doneAnswer(answer.claim.output));
         else if (answer.claim.state == policy::ClaimState::Failed)
             finish(id, failedAnswer("work_failed", answer.claim.output));
-        else
+        else if (m_liveNodes.empty() || m_liveNodes.contains(answer.claim.owner))
             claimLater(pending, unknownAnswer("claimed_by_other_attempt"));
+        else
+            settle(pending, answer.claim);
         return;
     case policy::ClaimVerdict::ContentDiffers:
         finish(id, failedAnswer("key_reused_with_other_content", {}));
@@ -187,6 +190,8 @@
 {
     const policy::RequestSpec& spec = pending->request().spec;
     const TimePoint now = m_parts.clock.now();
+    if (!m_live.contains(spec.id))
+        return;
     if (spec.deadline.hasPassed(now)) {
         finish(spec.id, std::move(answerAtDeadline));
         return;
@@ -198,6 +203,20 @@
     });
 }
 
+void TrafficService::settle(const std::shared_ptr<PendingRequest>& pending, const policy::Claim& orphan)
+{
+    const bool isAccepted = m_parts.traffic.submit([this, pending, orphan] {
+        const auto settled = settleOrphan(orphan, m_parts.workers);
+        m_parts.control.post([this, pending, settled] {
+            if (settled)
+                submitClaimEnd(*settled);
+            claimLater(pending, unknownAnswer("owner_gone"));
+        });
+    });
+    if (!isAccepted)
+        claimLater(pending, unknownAnswer("owner_gone"));
+}
+
 std::optional<policy::ClaimState> TrafficService::claimEnd(ClaimProgress progress, const Answer& answer)
 {
     if (progress == ClaimProgress::None)
@@ -259,6 +278,8 @@
 
 void TrafficService::handle(const policy::TrafficEvent& event)
 {
+    if (const auto* peers = std::get_if<policy::PeersChanged>(&event))
+        m_liveNodes = { peers->live.begin(), peers->live.end() };
     if (const auto* view = std::get_if<policy::ViewChanged>(&event)) {
         m_poolOfKind.clear();
         for (const policy::KindPolicy& kind : view->kinds)
--- a/packages/node/src/worker_directory.cpp
+++ b/packages/node/src/worker_directory.cpp
@@ -28,4 +28,14 @@
     return found == m_entries.end() ? nullptr : found->second.worker;
 }
 
+std::vector<std::shared_ptr<platform::Worker>> WorkerDirectory::all() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<std::shared_ptr<platform::Worker>> workers;
+    workers.reserve(m_entries.size());
+    for (const auto& [id, entry] : m_entries)
+        workers.push_back(entry.worker);
+    return workers;
+}
+
 } // namespace rattanrack::node
--- a/packages/node/tests/traffic_service_tests.cpp
+++ b/packages/node/tests/traffic_service_tests.cpp
@@ -152,6 +152,31 @@
     EXPECT_TRUE(worker->orders().empty());
 }
 
+TEST_F(TrafficServiceTest, ClaimOfANodeThatHasGoneIsSettledByTheWorkersWord)
+{
+    const policy::Claim orphan { IdempotencyKey { "c/1" }, 0, AttemptId { "gone.1-1" }, NodeId { "gone" } };
+    ASSERT_EQ(claims.record(orphan).verdict, policy::ClaimVerdict::Granted);
+    worker->answerQuestions({ { platform::AttemptState::Completed, "ran before its node died" } });
+    const auto answer = ask(request("x", false, "c/1"));
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->kind, AnswerKind::Done);
+    EXPECT_EQ(answer->output, "ran before its node died");
+    EXPECT_TRUE(worker->orders().empty());
+}
+
+TEST_F(TrafficServiceTest, ClaimOfANodeThatHasGoneStaysUnknownWithoutAWorkersWord)
+{
+    const policy::Claim orphan { IdempotencyKey { "c/1" }, 0, AttemptId { "gone.1-1" }, NodeId { "gone" } };
+    ASSERT_EQ(claims.record(orphan).verdict, policy::ClaimVerdict::Granted);
+    CallerRequest repeat = request("x", false, "c/1");
+    repeat.spec.deadline = Deadline::after(clock.now(), 10ms);
+    const auto answer = ask(std::move(repeat));
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->kind, AnswerKind::OutcomeUnknown);
+    EXPECT_EQ(answer->reason, "owner_gone");
+    EXPECT_TRUE(worker->orders().empty());
+}
+
 TEST_F(TrafficServiceTest, ClaimThatWasNeverConfirmedIsWithdrawn)
 {
     table.failNext({ FakeTable::Fault::Down });
@@ -176,6 +201,9 @@
 TEST_F(TrafficServiceTest, RepeatThroughAnotherNodeWaitsForTheFirstAnswer)
 {
     policy::Claim elsewhere { IdempotencyKey { "c/1" }, 0, AttemptId { "other.1-1" }, NodeId { "other" } };
+    control.run([this] {
+        service.handle(policy::PeersChanged { NodeId { "n" }, { NodeId { "n" }, NodeId { "other" } } });
+    });
     ASSERT_EQ(claims.record(elsewhere).verdict, policy::ClaimVerdict::Granted);
     const auto pending = service.submit(request("x", false, "c/1"));
     EXPECT_FALSE(service.drive(pending, Deadline::after(clock.now(), 50ms)));
