--- a/packages/cli/src/admin_messages.cpp
+++ b/packages/cli/src/admin_messages.cpp
@@ -47,7 +47,7 @@
     rollOut.kind = json.value("kind", "");
     rollOut.state = json.value("state", "");
     rollOut.done = json.value("done", std::uint64_t { 0 });
-    rollOut.total = json.value("total", std::uint64_t { 0 });
+    rollOut.total = json.value("targets", std::uint64_t { 0 });
 }
 
 void read(const nlohmann::json& json, FederationStatus& status)
--- a/packages/cli/tests/fake_federation.cpp
+++ b/packages/cli/tests/fake_federation.cpp
@@ -173,6 +173,6 @@
             { { { "id", "vm-1" }, { "pool", "office" }, { "epoch", 2 }, { "state", "serving" }, { "rack", "r-1" },
                 { "dataCenter", "munich" } } } },
         { "rollOuts",
-            { { { "id", "spring" }, { "kind", "reboot" }, { "state", "running" }, { "done", 3 }, { "total", 10 } } } }
+            { { { "id", "spring" }, { "kind", "reboot" }, { "state", "running" }, { "done", 3 }, { "targets", 10 } } } }
     };
 }
