Do not call a request unknown while its node is silent

Cause: tools/live showed an untrue 'not run': a node that had just gone on after a freeze got no reply from the node that ran a request, answered 404, and the caller submitted it anew; that submission was refused while the first one ran. Ruled out: a double dispatch and a wrong refusal (both refusals were RefusedBusy, the run was the first submission's). Change: 404 only when the owner says so or is gone; silence is 'pending'. The ledger names the attempts that ran. Conclusion: silence proves nothing, here as elsewhere.

--- a/packages/cli/src/load_ledger.cpp
+++ b/packages/cli/src/load_ledger.cpp
@@ -101,7 +101,18 @@
     {
         ++counter;
         addExample(what + ": " + requestOf(record).payload + " request=" + record.request.value()
-            + (record.reason.empty() ? "" : " " + record.reason));
+            + (record.reason.empty() ? "" : " " + record.reason) + ranAs(requestOf(record).payload));
+    }
+
+    std::string ranAs(const std::string& payload) const
+    {
+        std::string text;
+        const auto found = m_attemptsOfPayload.find(payload);
+        if (found == m_attemptsOfPayload.end())
+            return text;
+        for (const AttemptId& attempt : found->second)
+            text += (text.empty() ? " ran as " : ",") + attempt.value();
+        return text;
     }
 
     void addExample(std::string text)
--- a/packages/node/include/rattanrack/node/coordination_service.h
+++ b/packages/node/include/rattanrack/node/coordination_service.h
@@ -62,6 +62,9 @@
     /// Sends a message to a node; dropped when the node is not known.
     void send(const NodeId& node, peer::Message message);
 
+    /// Whether the node is known and not gone.
+    bool isMember(const NodeId& node) const { return m_addresses.contains(node); }
+
     const peer::ConfigDocument& configuration() const { return m_config.inForce(); }
     peer::LivenessView liveness() const { return m_membership.liveness(); }
     const peer::Duties& duties() const { return m_duties; }
--- a/packages/node/include/rattanrack/node/remote_answers.h
+++ b/packages/node/include/rattanrack/node/remote_answers.h
@@ -12,8 +12,8 @@
 
 /// What another node says of a request that it accepted.
 struct RemoteAnswer {
-    bool isKnown { false }; ///< False: that node has gone, does not answer, or has forgotten the request.
-    std::optional<Answer> answer; ///< Empty while the request is under way.
+    bool isKnown { false }; ///< False: that node has gone, or says that it does not know the request.
+    std::optional<Answer> answer; ///< Empty while the request is under way, or its node is silent.
 };
 
 /// Fetches and cancels requests that other nodes accepted, so that a caller may ask any node.
@@ -21,12 +21,16 @@
 public:
     using Send = std::function<void(const NodeId&, peer::Message)>;
 
-    RemoteAnswers(ControlLoop& control, const Clock& clock, TrafficService& traffic, NodeId self, Send send)
+    using IsMember = std::function<bool(const NodeId&)>; ///< False when a node is gone. Called on the control thread.
+
+    RemoteAnswers(
+        ControlLoop& control, const Clock& clock, TrafficService& traffic, NodeId self, Send send, IsMember isMember)
         : m_control(control)
         , m_clock(clock)
         , m_traffic(traffic)
         , m_self(std::move(self))
         , m_send(std::move(send))
+        , m_isMember(std::move(isMember))
     {
     }
 
@@ -50,6 +54,7 @@
     TrafficService& m_traffic;
     const NodeId m_self;
     const Send m_send;
+    const IsMember m_isMember;
     std::uint64_t m_nextExchange { 1 }; ///< Control thread only, like the next one.
     std::unordered_map<std::uint64_t, OnReply> m_waiting;
 };
--- a/packages/node/src/daemon.cpp
+++ b/packages/node/src/daemon.cpp
@@ -147,7 +147,8 @@
     BurnService burn { { control, clock, platformThreads, *table, self,
         [] { return policy::WallTime { wallClockMilliseconds() }; } } };
     RemoteAnswers remoteAnswers { control, clock, traffic, self,
-        [this](const NodeId& node, peer::Message message) { coordination.send(node, std::move(message)); } };
+        [this](const NodeId& node, peer::Message message) { coordination.send(node, std::move(message)); },
+        [this](const NodeId& node) { return coordination.isMember(node); } };
     CallerApi callerApi { traffic, remoteAnswers, shares, clock };
     AdminApi adminApi { { control, clock, coordination, fleet, traffic, burn, *table, self } };
     std::unique_ptr<peer::PeerNetwork> network;
--- a/packages/node/src/remote_answers.cpp
+++ b/packages/node/src/remote_answers.cpp
@@ -12,7 +12,6 @@
 
 constexpr Duration replyPatience = 1s;
 constexpr Duration pollPause = 100ms;
-constexpr int triesWithoutReply = 3;
 
 peer::AnswerState stateOf(AnswerKind kind)
 {
@@ -55,20 +54,16 @@
 {
     if (acceptingNode(id) == m_self)
         return {};
-    int silences = 0;
     while (true) {
+        // Silence proves nothing: the node may be paused, and a caller who is told "unknown" would submit anew.
         const auto reply = askOnce(id, cancels);
-        if (!reply && ++silences >= triesWithoutReply)
-            return {};
         if (reply && reply->state == peer::AnswerState::NotKnown)
             return {};
-        if (reply) {
-            silences = 0;
-            if (const auto kind = kindOf(reply->state))
-                return { true, Answer { *kind, reply->output, reply->reason, reply->retryAfter } };
-            if (deadline.hasPassed(m_clock.now()))
-                return { true, std::nullopt };
-        }
+        const auto kind = reply ? kindOf(reply->state) : std::nullopt;
+        if (kind)
+            return { true, Answer { *kind, reply->output, reply->reason, reply->retryAfter } };
+        if (deadline.hasPassed(m_clock.now()))
+            return { true, std::nullopt };
         std::this_thread::sleep_for(std::min(pollPause, deadline.remaining(m_clock.now())));
     }
 }
@@ -79,6 +74,10 @@
     auto future = promise->get_future();
     auto exchange = std::make_shared<std::uint64_t>(0);
     m_control.post([this, id, cancels, promise, exchange] {
+        if (!m_isMember(acceptingNode(id))) {
+            promise->set_value({ .state = peer::AnswerState::NotKnown });
+            return;
+        }
         *exchange = m_nextExchange++;
         m_waiting[*exchange] = [promise](const peer::AnswerReply& reply) { promise->set_value(reply); };
         m_send(acceptingNode(id), peer::AnswerQuery { *exchange, m_self, id, cancels });
