Fence orders to take or refuse work by the worker's boot

Cause: a worker that has restarted has forgotten its epoch, and would obey a late order of an earlier one. Change: the order names the boot, as reboot does.

--- a/packages/node/src/fleet_service.cpp
+++ b/packages/node/src/fleet_service.cpp
@@ -264,9 +264,9 @@
             [&]() -> Result<void> {
                 switch (command.action) {
                 case policy::WorkerAction::StopTakingWork:
-                    return worker->setDraining(true, command.epoch);
+                    return worker->setDraining(true, command.epoch, command.bootId);
                 case policy::WorkerAction::TakeWork:
-                    return worker->setDraining(false, command.epoch);
+                    return worker->setDraining(false, command.epoch, command.bootId);
                 case policy::WorkerAction::Reboot:
                     return worker->reboot(command.epoch, command.bootId);
                 case policy::WorkerAction::Checkpoint:
--- a/packages/node/tests/fake_worker.h
+++ b/packages/node/tests/fake_worker.h
@@ -63,8 +63,18 @@
 
     Result<platform::AttemptReport> attempt(const AttemptId& id) override { return revoke(id); }
     Result<void> renewLease(const AttemptId&, Deadline) override { return {}; }
-    Result<void> stop(const AttemptId&, platform::StopMode) override { return {}; }
-    Result<void> setDraining(bool, std::uint64_t) override { return {}; }
+    Result<void> stop(const AttemptId&, platform::StopMode) override
+    {
+        const std::lock_guard lock(m_mutex);
+        ++m_stops;
+        return {};
+    }
+    std::size_t stops() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_stops;
+    }
+    Result<void> setDraining(bool, std::uint64_t, std::uint64_t) override { return {}; }
     Result<void> reboot(std::uint64_t, std::uint64_t) override { return {}; }
     Result<platform::WorkerReport> report() override { return platform::WorkerReport {}; }
 
@@ -74,6 +84,7 @@
     std::deque<platform::AttemptReport> m_reports;
     std::vector<platform::TaskOrder> m_orders;
     std::size_t m_questions { 0 };
+    std::size_t m_stops { 0 };
 };
 
 } // namespace rattanrack::node::testing
--- a/packages/platform/include/rattanrack/platform/http_worker.h
+++ b/packages/platform/include/rattanrack/platform/http_worker.h
@@ -27,7 +27,7 @@
     Result<void> stop(const AttemptId&, StopMode) override;
     Result<AttemptReport> attempt(const AttemptId&) override;
     Result<AttemptReport> revoke(const AttemptId&) override;
-    Result<void> setDraining(bool isDraining, std::uint64_t poolEpoch) override;
+    Result<void> setDraining(bool isDraining, std::uint64_t poolEpoch, std::uint64_t bootId) override;
     Result<void> reboot(std::uint64_t poolEpoch, std::uint64_t bootId) override;
     Result<WorkerReport> report() override;
 
--- a/packages/platform/include/rattanrack/platform/worker.h
+++ b/packages/platform/include/rattanrack/platform/worker.h
@@ -97,9 +97,10 @@
     /// Errors: Unavailable, OutcomeUnknown, MalformedMessage.
     virtual Result<AttemptReport> revoke(const AttemptId&) = 0;
 
-    /// From now on takes no new work (true) or takes it again (false) under `poolEpoch`. Errors: Unavailable,
-    /// OutcomeUnknown, Refused (the worker knows a newer epoch).
-    virtual Result<void> setDraining(bool isDraining, std::uint64_t poolEpoch) = 0;
+    /// From now on takes no new work (true) or takes it again (false) under `poolEpoch`, if it is in the boot `bootId`:
+    /// a worker that has booted since has forgotten its epoch and must not obey a late order. Errors: Unavailable,
+    /// OutcomeUnknown, Refused (another boot, or the worker knows a newer epoch).
+    virtual Result<void> setDraining(bool isDraining, std::uint64_t poolEpoch, std::uint64_t bootId) = 0;
 
     /// Reboots the VM, if it drains under `poolEpoch`, is in the boot `bootId` and runs nothing. Errors: Unavailable,
     /// OutcomeUnknown, Refused (another epoch or boot, not draining, or tasks are running).
--- a/packages/platform/src/http_worker.cpp
+++ b/packages/platform/src/http_worker.cpp
@@ -80,9 +80,9 @@
     return askAttempt("worker.revoke", "POST", taskPath(attempt, "/revoke"), attempt);
 }
 
-Result<void> HttpWorker::setDraining(bool isDraining, std::uint64_t poolEpoch)
+Result<void> HttpWorker::setDraining(bool isDraining, std::uint64_t poolEpoch, std::uint64_t bootId)
 {
-    return post("worker.draining", "/draining", encodeDrain({ isDraining, poolEpoch }));
+    return post("worker.draining", "/draining", encodeDrain({ isDraining, poolEpoch, bootId }));
 }
 
 Result<void> HttpWorker::reboot(std::uint64_t poolEpoch, std::uint64_t bootId)
--- a/packages/platform/src/worker_wire.cpp
+++ b/packages/platform/src/worker_wire.cpp
@@ -169,13 +169,16 @@
 
 std::string encodeDrain(const DrainOrder& order)
 {
-    return json { { "draining", order.isDraining }, { "poolEpoch", order.poolEpoch } }.dump();
+    return json {
+        { "draining", order.isDraining }, { "poolEpoch", order.poolEpoch }, { "bootId", order.bootId }
+    }.dump();
 }
 
 std::optional<DrainOrder> decodeDrain(const std::string& source)
 {
     return decodeJson(source, [](const json& document) {
-        return DrainOrder { flag(document, "draining"), unsignedNumber(document, "poolEpoch") };
+        return DrainOrder { flag(document, "draining"), unsignedNumber(document, "poolEpoch"),
+            unsignedNumber(document, "bootId") };
     });
 }
 
--- a/packages/platform/src/worker_wire.h
+++ b/packages/platform/src/worker_wire.h
@@ -35,6 +35,7 @@
 struct DrainOrder {
     bool isDraining { false };
     std::uint64_t poolEpoch { 0 };
+    std::uint64_t bootId { 0 };
 };
 std::string encodeDrain(const DrainOrder&);
 std::optional<DrainOrder> decodeDrain(const std::string&);
--- a/standins/tests/standin_tests.cpp
+++ b/standins/tests/standin_tests.cpp
@@ -71,12 +71,14 @@
 {
     EXPECT_EQ(m_client->revoke(AttemptId { "a1" }).value().state, AttemptState::Revoked);
     EXPECT_EQ(m_client->run(order("a1")).status, TaskStatus::RefusedRevoked);
-    EXPECT_TRUE(m_client->setDraining(true, 6));
+    const auto bootId = m_client->report().value().bootId;
+    EXPECT_FALSE(m_client->setDraining(true, 6, bootId + 1)) << "an order to another boot";
+    EXPECT_TRUE(m_client->setDraining(true, 6, bootId));
     EXPECT_EQ(m_client->run(order("a2")).status, TaskStatus::RefusedEpoch);
     auto current = order("a3");
     current.poolEpoch = 6;
     EXPECT_EQ(m_client->run(current).status, TaskStatus::RefusedDraining);
-    EXPECT_FALSE(m_client->setDraining(false, 5));
+    EXPECT_FALSE(m_client->setDraining(false, 5, bootId));
     EXPECT_TRUE(m_log.entries(0, 10).empty());
 }
 
@@ -88,7 +90,7 @@
     auto secondRunner = startLong("a2", second);
     EXPECT_EQ(m_client->run(order("a3")).status, TaskStatus::RefusedBusy);
     const auto bootId = m_client->report().value().bootId;
-    ASSERT_TRUE(m_client->setDraining(true, 5));
+    ASSERT_TRUE(m_client->setDraining(true, 5, bootId));
     EXPECT_FALSE(m_client->reboot(5, bootId)) << "tasks are running";
     EXPECT_TRUE(m_client->stop(AttemptId { "a1" }, StopMode::Stop));
     EXPECT_TRUE(m_client->stop(AttemptId { "a2" }, StopMode::Checkpoint));
--- a/standins/workers/worker_model.cpp
+++ b/standins/workers/worker_model.cpp
@@ -217,10 +217,10 @@
     return ActionResult::Done;
 }
 
-ActionResult WorkerModel::setDraining(bool isDraining, std::uint64_t poolEpoch)
+ActionResult WorkerModel::setDraining(bool isDraining, std::uint64_t poolEpoch, std::uint64_t bootId)
 {
     const std::lock_guard guard { m_mutex };
-    if (poolEpoch < m_epoch)
+    if (poolEpoch < m_epoch || bootId != m_bootId)
         return ActionResult::Refused;
     m_epoch = poolEpoch;
     m_isDraining = isDraining;
--- a/standins/workers/worker_model.h
+++ b/standins/workers/worker_model.h
@@ -47,7 +47,7 @@
     platform::AttemptReport revoke(const AttemptId&);
     ActionResult renewLease(const AttemptId&, Duration leaseTime);
     ActionResult stop(const AttemptId&, platform::StopMode);
-    ActionResult setDraining(bool isDraining, std::uint64_t poolEpoch);
+    ActionResult setDraining(bool isDraining, std::uint64_t poolEpoch, std::uint64_t bootId);
 
     /// Usage as it was `reportLag` ago.
     platform::WorkerReport report() const;
--- a/standins/workers/worker_server.cpp
+++ b/standins/workers/worker_server.cpp
@@ -195,7 +195,7 @@
     const auto order = decodeDrain(request.body);
     if (!order)
         return answerStatus(response, statusBadRequest, "malformed");
-    answerAction(response, m_model.setDraining(order->isDraining, order->poolEpoch));
+    answerAction(response, m_model.setDraining(order->isDraining, order->poolEpoch, order->bootId));
 }
 
 void WorkerServer::rebootIfIdle(const Request& request, Response& response)
