--- a/packages/node/include/rattanrack/node/answer.h
+++ b/packages/node/include/rattanrack/node/answer.h
@@ -24,6 +24,9 @@
     Duration retryAfter {}; ///< Advice on when to ask again; zero: no use.
 };
 
+/// Reason of a request whose key belongs to one with other content.
+inline constexpr std::string_view keyReusedReason = "key_reused_with_other_content";
+
 /// "done", "failed", "not_run" or "outcome_unknown".
 std::string_view name(AnswerKind);
 
--- a/packages/node/include/rattanrack/node/attempt_runner.h
+++ b/packages/node/include/rattanrack/node/attempt_runner.h
@@ -15,4 +15,8 @@
 platform::TaskOutcome runAttempt(platform::Worker& worker, const platform::TaskOrder& order, Duration settleTime,
     const Clock& clock, const std::function<void(Duration)>& pause);
 
+/// Ends an attempt for good: one that has not reached the worker yet is refused when it does, a running one is stopped.
+/// Errors: Unavailable, OutcomeUnknown.
+Result<void> endAttempt(platform::Worker& worker, const AttemptId& attempt);
+
 } // namespace rattanrack::node
--- a/packages/node/src/attempt_runner.cpp
+++ b/packages/node/src/attempt_runner.cpp
@@ -60,4 +60,13 @@
     return outcome;
 }
 
+Result<void> endAttempt(platform::Worker& worker, const AttemptId& attempt)
+{
+    // A stop alone would miss an order that is still on its way.
+    BOOST_LEAF_AUTO(report, worker.revoke(attempt));
+    if (report.state != AttemptState::Running)
+        return {};
+    return worker.stop(attempt, platform::StopMode::Stop);
+}
+
 } // namespace rattanrack::node
--- a/packages/node/src/caller_request_json.cpp
+++ b/packages/node/src/caller_request_json.cpp
@@ -185,10 +185,13 @@
 int httpStatus(const Answer& answer)
 {
     constexpr int ok = 200;
+    constexpr int conflict = 409;
     constexpr int unprocessable = 422;
     constexpr int tooManyRequests = 429;
     constexpr int unavailable = 503;
     constexpr int timedOut = 504;
+    if (answer.reason == keyReusedReason)
+        return conflict;
     if (answer.kind != AnswerKind::NotRun)
         return ok;
     if (answer.reason == "never_fits" || answer.reason == "unknown_kind")
--- a/packages/node/src/daemon.cpp
+++ b/packages/node/src/daemon.cpp
@@ -20,6 +20,7 @@
 #include "rattanrack/platform/http_worker.h"
 #include "rattanrack/policy/traffic_core.h"
 
+#include <algorithm>
 #include <random>
 #include <thread>
 
@@ -34,7 +35,8 @@
 constexpr Duration balancerNotice = 2s; ///< Time in which the balancer sees that a node is not ready.
 constexpr Duration handOverPatience = 3s;
 constexpr Duration pollInterval = 20ms;
-constexpr Duration statusInterval = 1s;
+constexpr Duration statusInterval = 500ms;
+constexpr Duration viewLimit = 2s; ///< A view that others have gone beyond is stale when it is older.
 
 // Seven nodes together stay below 300 writes and 1,800 reads a second.
 const platform::TableShare tableShare { .writesPerSecond = 40, .readsPerSecond = 250 };
@@ -123,6 +125,7 @@
     void claimRequested(const peer::ClaimRequest& request);
     Result<std::unique_ptr<claims::ClaimStore>> createClaimStore();
     void reportStatus();
+    bool hasStaleView() const;
     CoordinationEvents coordinationEvents();
 
     const NodeId self;
@@ -290,10 +293,23 @@
         claimStore->dropShard(shard);
 }
 
+bool Daemon::State::hasStaleView() const
+{
+    const auto contact = fleet.lastTableContact();
+    if (!contact || clock.now() - *contact < viewLimit)
+        return false;
+    // When nobody can read the table nothing new is in it, and everybody goes on as before.
+    const auto members = coordination.liveness().members;
+    return std::any_of(members.begin(), members.end(), [this](const peer::Member& member) {
+        return member.state == peer::MemberState::Live && member.digest.viewVersion > fleet.viewVersion();
+    });
+}
+
 void Daemon::State::reportStatus()
 {
     control.at(Deadline::after(clock.now(), statusInterval), [this] { reportStatus(); });
     readiness.set("no_fleet_view", !fleet.lastTableContact() || !fleet.snapshot().hasList);
+    readiness.set("stale_fleet_view", hasStaleView());
     coordination.setDigest({ coordination.configuration().version, fleet.viewVersion(),
         static_cast<std::uint32_t>(traffic.liveRequests()) });
     const platform::GovernedTableCounters counters = table->counters();
--- a/packages/node/src/traffic_service.cpp
+++ b/packages/node/src/traffic_service.cpp
@@ -172,7 +172,7 @@
             settle(pending, answer.claim);
         return;
     case policy::ClaimVerdict::ContentDiffers:
-        finish(id, failedAnswer("key_reused_with_other_content", {}));
+        finish(id, failedAnswer(std::string(keyReusedReason), {}));
         return;
     case policy::ClaimVerdict::Unavailable:
         // The claim may have been recorded, but this node has not sent the request and never will: it is withdrawn. An
@@ -351,7 +351,10 @@
     if (found == m_live.end() || !worker)
         return;
     const bool isAccepted = m_parts.traffic.submit([worker, attempt = found->second.attempt, id, mode] {
-        rattanrack::handle([&]() -> Result<void> { return worker->stop(attempt, mode); },
+        rattanrack::handle(
+            [&]() -> Result<void> {
+                return mode == platform::StopMode::Stop ? endAttempt(*worker, attempt) : worker->stop(attempt, mode);
+            },
             [&](const Error& error) {
                 logEvent("attempt.stop_failed",
                     { { "attempt", attempt.value() }, { "worker", id.value() }, { "error", describe(error) } });
--- a/packages/node/tests/attempt_runner_tests.cpp
+++ b/packages/node/tests/attempt_runner_tests.cpp
@@ -55,3 +55,18 @@
     EXPECT_EQ(run(1s).status, TaskStatus::Unknown);
     EXPECT_EQ(clock.now(), TimePoint { 1s });
 }
+
+TEST_F(AttemptRunnerTest, EndingAnAttemptThatIsStillOnItsWayRevokesIt)
+{
+    worker.answerQuestions({ { AttemptState::Revoked, "" } });
+    EXPECT_TRUE(node::endAttempt(worker, AttemptId { "a" }));
+    EXPECT_EQ(worker.questions(), 1U);
+    EXPECT_EQ(worker.stops(), 0U);
+}
+
+TEST_F(AttemptRunnerTest, EndingARunningAttemptStopsIt)
+{
+    worker.answerQuestions({ { AttemptState::Running, "" } });
+    EXPECT_TRUE(node::endAttempt(worker, AttemptId { "a" }));
+    EXPECT_EQ(worker.stops(), 1U);
+}
--- a/packages/node/tests/caller_request_json_tests.cpp
+++ b/packages/node/tests/caller_request_json_tests.cpp
@@ -90,4 +90,5 @@
     EXPECT_EQ(answerBody(RequestId { "n.1" }, refused),
         "{\"answer\":\"not_run\",\"reason\":\"queue_full\",\"request\":\"n.1\",\"retryAfterMs\":2}\n");
     EXPECT_EQ(httpStatus(refused), 429);
+    EXPECT_EQ(httpStatus(failedAnswer(std::string(keyReusedReason), {})), 409);
 }
