--- a/packages/node/include/rattanrack/node/traffic_service.h
+++ b/packages/node/include/rattanrack/node/traffic_service.h
@@ -5,6 +5,7 @@
 #include "rattanrack/node/control_loop.h"
 #include "rattanrack/node/elastic_thread_pool.h"
 #include "rattanrack/node/pending_request.h"
+#include "rattanrack/node/request_claims.h"
 #include "rattanrack/node/request_history.h"
 #include "rattanrack/node/worker_directory.h"
 #include "rattanrack/policy/traffic.h"
@@ -14,7 +15,6 @@
 #include <map>
 #include <memory>
 #include <unordered_map>
-#include <unordered_set>
 
 namespace rattanrack::node {
 
@@ -68,36 +68,22 @@
     void handle(const policy::TrafficEvent& event);
 
 private:
-    enum class ClaimProgress {
-        None, ///< Nothing was recorded under this request's attempt.
-        Unconfirmed, ///< Perhaps recorded; never sent.
-        Granted, ///< Recorded; may have been sent.
-    };
-
     struct Live {
         std::shared_ptr<PendingRequest> pending;
         AttemptId attempt;
         Answer attemptAnswer; ///< What the last attempt ended with.
-        ClaimProgress claim { ClaimProgress::None };
         bool isRunning { false };
         TimePoint arrived {};
     };
 
     void admit(const std::shared_ptr<PendingRequest>& pending);
-    void claim(const std::shared_ptr<PendingRequest>& pending);
-    void claimAnswered(const std::shared_ptr<PendingRequest>& pending, const policy::ClaimAnswer& answer);
-    void claimLater(const std::shared_ptr<PendingRequest>& pending, Answer answerAtDeadline);
-    void settle(const std::shared_ptr<PendingRequest>& pending, const policy::Claim& orphan);
-    static std::optional<policy::ClaimState> claimEnd(ClaimProgress progress, const Answer& answer);
-    void recordClaimEnd(const Live& live, const Answer& answer);
-    void submitClaimEnd(const policy::Claim& record);
+    void submitToPolicy(const CallerRequest& request);
     void finish(const RequestId& id, Answer answer);
     void runOnPool(const std::shared_ptr<PendingRequest>& pending, AttemptOrder order);
     void carryOut(const std::shared_ptr<PendingRequest>& pending, const AttemptOrder& order);
     void attemptEnded(const RequestId& id, const VmId& worker, const platform::TaskOutcome& outcome);
     void tellWorker(const RequestId& request, const VmId& id, platform::StopMode mode);
     void scheduleTick();
-    AttemptId attemptId(const CallerRequest& request, std::uint32_t attemptNumber) const;
 
     void carryOutDecision(const policy::Dispatch&);
     void carryOutDecision(const policy::RejectRequest&);
@@ -109,11 +95,11 @@
 
     Parts m_parts;
     RequestHistory m_history;
+    RequestClaims m_claims; ///< Control thread only.
     std::atomic<std::uint64_t> m_nextRequest { 1 };
     std::atomic<std::size_t> m_liveCount { 0 };
     std::unordered_map<RequestId, Live> m_live; ///< Control thread only.
     std::unordered_map<WorkKind, PoolId> m_poolOfKind; ///< Control thread only.
-    std::unordered_set<NodeId> m_liveNodes; ///< Control thread only.
     Deadline m_scheduledTick { Deadline::never() };
 };
 
--- a/packages/node/src/traffic_service.cpp
+++ b/packages/node/src/traffic_service.cpp
@@ -3,7 +3,6 @@
 #include "rattanrack/base/invariant.h"
 #include "rattanrack/base/log.h"
 #include "rattanrack/node/attempt_runner.h"
-#include "rattanrack/node/orphan_settler.h"
 
 #include <algorithm>
 #include <thread>
@@ -24,9 +23,7 @@
 // How long a worker is asked about a lost answer. A repeatable request is better off elsewhere.
 constexpr Duration repeatableSettleTime = 500ms;
 constexpr Duration onceSettleTime = 5s;
-constexpr Duration claimRetryPause = 1s;
-constexpr Duration claimPause = 500ms; ///< Before a claim is tried again: its home moves, or another attempt runs.
-constexpr Duration storeRetryAfter = 2s;
+constexpr Duration fullRetryAfter = 2s;
 constexpr std::size_t maxLiveRequests = 20'000;
 
 policy::AttemptEnd endOf(TaskStatus status)
@@ -66,6 +63,9 @@
 TrafficService::TrafficService(Parts parts)
     : m_parts(std::move(parts))
     , m_history(maxFinishedRequests, maxFinishedBytes)
+    , m_claims({ m_parts.control, m_parts.clock, m_parts.claims, m_parts.traffic, m_parts.workers, m_parts.self,
+          [this](const std::shared_ptr<PendingRequest>& pending) { submitToPolicy(pending->request()); },
+          [this](const RequestId& id, Answer answer) { finish(id, std::move(answer)); } })
 {
 }
 
@@ -104,7 +104,9 @@
 void TrafficService::cancel(const RequestId& id)
 {
     m_parts.control.post([this, id] {
-        if (m_live.contains(id))
+        if (m_claims.isWaiting(id))
+            finish(id, refusalBeforeClaim(false, policy::NotRunReason::Cancelled, Duration::zero()));
+        else if (m_live.contains(id))
             handle(policy::Cancel { id });
     });
 }
@@ -116,7 +118,7 @@
         Live { .pending = pending, .attemptAnswer = unknownAnswer("no_attempt"), .arrived = m_parts.clock.now() });
     if (m_live.size() > maxLiveRequests) {
         finish(request.spec.id,
-            refusalBeforeClaim(request.spec.isRepeatable, policy::NotRunReason::QueueFull, storeRetryAfter));
+            refusalBeforeClaim(request.spec.isRepeatable, policy::NotRunReason::QueueFull, fullRetryAfter));
         return;
     }
     if (!m_poolOfKind.contains(request.spec.kind)) {
@@ -124,143 +126,19 @@
             refusalBeforeClaim(request.spec.isRepeatable, policy::NotRunReason::UnknownKind, Duration::zero()));
         return;
     }
-    if (request.spec.isRepeatable) {
-        policy::RequestSpec spec = request.spec;
-        spec.pool = m_poolOfKind.at(spec.kind);
-        handle(policy::Submit { std::move(spec) });
-    } else {
-        claim(pending);
-    }
-}
-
-void TrafficService::claim(const std::shared_ptr<PendingRequest>& pending)
-{
-    const CallerRequest& request = pending->request();
-    policy::Claim record {
-        .key = request.key,
-        .fingerprint = request.fingerprint,
-        .attempt = attemptId(request, 1),
-        .owner = m_parts.self,
-    };
-    m_parts.claims.submit(std::move(record), [this, pending](const policy::ClaimAnswer& answer) {
-        m_parts.control.post([this, pending, answer] { claimAnswered(pending, answer); });
-    });
-}
-
-void TrafficService::claimAnswered(const std::shared_ptr<PendingRequest>& pending, const policy::ClaimAnswer& answer)
-{
-    const RequestId& id = pending->request().spec.id;
-    const auto found = m_live.find(id);
-    if (found == m_live.end())
-        return;
-    switch (answer.verdict) {
-    case policy::ClaimVerdict::Granted: {
-        found->second.claim = ClaimProgress::Granted;
-        policy::RequestSpec spec = pending->request().spec;
-        spec.pool = m_poolOfKind.contains(spec.kind) ? m_poolOfKind.at(spec.kind) : PoolId {};
-        handle(policy::Submit { std::move(spec) });
-        return;
-    }
-    case policy::ClaimVerdict::Taken:
-        if (answer.claim.state == policy::ClaimState::Completed)
-            finish(id, doneAnswer(answer.claim.output));
-        else if (answer.claim.state == policy::ClaimState::Failed)
-            finish(id, failedAnswer("work_failed", answer.claim.output));
-        else if (m_liveNodes.empty() || m_liveNodes.contains(answer.claim.owner))
-            claimLater(pending, unknownAnswer("claimed_by_other_attempt"));
-        else
-            settle(pending, answer.claim);
-        return;
-    case policy::ClaimVerdict::ContentDiffers:
-        finish(id, failedAnswer(std::string(keyReusedReason), {}));
-        return;
-    case policy::ClaimVerdict::Unavailable:
-        // The claim may have been recorded, but this node has not sent the request and never will: it is withdrawn. An
-        // earlier submission may have run.
-        found->second.claim = ClaimProgress::Unconfirmed;
-        if (m_parts.claims.isStoreUp())
-            claimLater(pending, refusalBeforeClaim(false, policy::NotRunReason::StoreUnavailable, storeRetryAfter));
-        else
-            finish(id, refusalBeforeClaim(false, policy::NotRunReason::StoreUnavailable, storeRetryAfter));
-        return;
-    }
-}
-
-void TrafficService::claimLater(const std::shared_ptr<PendingRequest>& pending, Answer answerAtDeadline)
-{
-    const policy::RequestSpec& spec = pending->request().spec;
-    const TimePoint now = m_parts.clock.now();
-    if (!m_live.contains(spec.id))
-        return;
-    if (spec.deadline.hasPassed(now)) {
-        finish(spec.id, std::move(answerAtDeadline));
-        return;
-    }
-    const Duration pause = std::min(claimPause, spec.deadline.remaining(now));
-    m_parts.control.at(Deadline::after(now, pause), [this, pending] {
-        if (m_live.contains(pending->request().spec.id))
-            claim(pending);
-    });
-}
-
-void TrafficService::settle(const std::shared_ptr<PendingRequest>& pending, const policy::Claim& orphan)
-{
-    const bool isAccepted = m_parts.traffic.submit([this, pending, orphan] {
-        const auto settled = settleOrphan(orphan, m_parts.workers);
-        m_parts.control.post([this, pending, settled] {
-            if (settled)
-                submitClaimEnd(*settled);
-            claimLater(pending, unknownAnswer("owner_gone"));
-        });
-    });
-    if (!isAccepted)
-        claimLater(pending, unknownAnswer("owner_gone"));
+    if (request.spec.isRepeatable)
+        submitToPolicy(request);
+    else
+        m_claims.begin(pending);
 }
 
-std::optional<policy::ClaimState> TrafficService::claimEnd(ClaimProgress progress, const Answer& answer)
+void TrafficService::submitToPolicy(const CallerRequest& request)
 {
-    if (progress == ClaimProgress::None)
-        return std::nullopt;
-    if (progress == ClaimProgress::Unconfirmed)
-        return policy::ClaimState::Withdrawn;
-    switch (answer.kind) {
-    case AnswerKind::Done:
-        return policy::ClaimState::Completed;
-    case AnswerKind::Failed:
-        return policy::ClaimState::Failed;
-    case AnswerKind::NotRun:
-        return policy::ClaimState::Withdrawn;
-    case AnswerKind::OutcomeUnknown:
-        break;
-    }
-    return std::nullopt;
-}
-
-void TrafficService::recordClaimEnd(const Live& live, const Answer& answer)
-{
-    const auto state = claimEnd(live.claim, answer);
-    if (!state)
-        return;
-    const CallerRequest& request = live.pending->request();
-    policy::Claim record {
-        .key = request.key,
-        .fingerprint = request.fingerprint,
-        .attempt = attemptId(request, 1),
-        .owner = m_parts.self,
-        .state = *state,
-        .output = answer.output,
-    };
-    submitClaimEnd(record);
-}
-
-void TrafficService::submitClaimEnd(const policy::Claim& record)
-{
-    m_parts.claims.submit(record, [this, record](const policy::ClaimAnswer& reply) {
-        if (reply.verdict != policy::ClaimVerdict::Unavailable)
-            return;
-        m_parts.control.at(
-            Deadline::after(m_parts.clock.now(), claimRetryPause), [this, record] { submitClaimEnd(record); });
-    });
+    policy::RequestSpec spec = request.spec;
+    const auto pool = m_poolOfKind.find(spec.kind);
+    if (pool != m_poolOfKind.end())
+        spec.pool = pool->second;
+    handle(policy::Submit { std::move(spec) });
 }
 
 std::map<PoolId, TrafficService::PoolLoad> TrafficService::poolLoads() const
@@ -279,7 +157,7 @@
 void TrafficService::handle(const policy::TrafficEvent& event)
 {
     if (const auto* peers = std::get_if<policy::PeersChanged>(&event))
-        m_liveNodes = { peers->live.begin(), peers->live.end() };
+        m_claims.setLiveNodes(peers->live);
     if (const auto* view = std::get_if<policy::ViewChanged>(&event)) {
         m_poolOfKind.clear();
         for (const policy::KindPolicy& kind : view->kinds)
@@ -314,7 +192,7 @@
         return;
     Live& live = found->second;
     live.isRunning = true;
-    live.attempt = attemptId(live.pending->request(), dispatch.attemptNumber);
+    live.attempt = attemptIdOf(live.pending->request(), dispatch.attemptNumber);
     AttemptOrder order { dispatch, live.attempt, m_parts.workers.find(dispatch.worker) };
     if (!live.pending->offer(order))
         runOnPool(live.pending, std::move(order));
@@ -381,7 +259,7 @@
     logEvent("request.answered",
         { { "request", id.value() }, { "answer", name(answer.kind) }, { "reason", answer.reason } }, LogLevel::Debug);
     m_parts.onAnswered(request.spec, answer, m_parts.clock.now() - live.arrived);
-    recordClaimEnd(live, answer);
+    m_claims.end(request, answer);
     // A request that did not run leaves its key free for another try.
     if (answer.kind == AnswerKind::NotRun || answer.kind == AnswerKind::OutcomeUnknown)
         m_history.releaseKey(request.key, id);
@@ -443,11 +321,4 @@
     handle(policy::AttemptEnded { id, worker, end });
 }
 
-AttemptId TrafficService::attemptId(const CallerRequest& request, std::uint32_t attemptNumber) const
-{
-    // Tries of a request that is not repeatable share one id, so that no worker runs it after another one has.
-    const std::uint32_t number = request.spec.isRepeatable ? attemptNumber : 1;
-    return AttemptId { request.spec.id.value() + '-' + std::to_string(number) };
-}
-
 } // namespace rattanrack::node
--- a/packages/node/tests/traffic_service_tests.cpp
+++ b/packages/node/tests/traffic_service_tests.cpp
@@ -152,6 +152,20 @@
     EXPECT_TRUE(worker->orders().empty());
 }
 
+TEST_F(TrafficServiceTest, CancelledWhileItWaitsForItsClaimIsNeverSent)
+{
+    const policy::Claim elsewhere { IdempotencyKey { "c/1" }, 0, AttemptId { "other.1-1" }, NodeId { "n" } };
+    ASSERT_EQ(claims.record(elsewhere).verdict, policy::ClaimVerdict::Granted);
+    const auto pending = service.submit(request("x", false, "c/1"));
+    ASSERT_FALSE(service.drive(pending, Deadline::after(clock.now(), 50ms)));
+    service.cancel(pending->request().spec.id);
+    const auto answer = pending->awaitAnswer(Deadline::after(clock.now(), patience), clock);
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->kind, AnswerKind::OutcomeUnknown) << "the other attempt may run";
+    EXPECT_EQ(answer->reason, "cancelled");
+    EXPECT_TRUE(worker->orders().empty());
+}
+
 TEST_F(TrafficServiceTest, ClaimOfANodeThatHasGoneIsSettledByTheWorkersWord)
 {
     const policy::Claim orphan { IdempotencyKey { "c/1" }, 0, AttemptId { "gone.1-1" }, NodeId { "gone" } };
