--- a/standins/workers/worker_model.cpp
+++ b/standins/workers/worker_model.cpp
@@ -90,7 +90,7 @@
         return refuse(m_refusals.draining, TaskStatus::RefusedDraining);
     if (!fits(order.size, m_vm.capacity))
         return refuse(m_refusals.tooLarge, TaskStatus::RefusedTooLarge);
-    if (runningCount() >= m_vm.slots.count())
+    if (m_runningCount >= m_vm.slots.count())
         return refuse(m_refusals.busy, TaskStatus::RefusedBusy);
     return std::nullopt;
 }
@@ -107,11 +107,11 @@
     attempt.started = now;
     attempt.endsAt = m_faults.failsEverything ? now : now + runTime;
     attempt.logEntry = m_log.begin({ m_vm.id, order.attempt, order.request, order.kind, order.payload });
-    std::erase_if(m_recent, [&](const AttemptId& id) {
-        const auto& other = m_attempts.at(id);
-        return other.state != AttemptState::Running && other.ended < now - longestReportLag;
-    });
-    m_recent.push_back(order.attempt);
+    ++m_runningCount;
+    while (!m_recent.empty() && m_recent.front().second->state != AttemptState::Running
+        && m_recent.front().second->ended < now - longestReportLag)
+        m_recent.pop_front();
+    m_recent.emplace_back(order.attempt, &attempt);
     return attempt;
 }
 
@@ -142,6 +142,8 @@
 
 void WorkerModel::finish(Attempt& attempt, AttemptState state, std::string output, const std::string& logState)
 {
+    if (attempt.state == AttemptState::Running)
+        --m_runningCount;
     attempt.state = state;
     attempt.output = std::move(output);
     attempt.ended = m_clock.now();
@@ -161,12 +163,6 @@
     }
 }
 
-std::int64_t WorkerModel::runningCount() const
-{
-    return std::ranges::count_if(
-        m_recent, [&](const AttemptId& id) { return m_attempts.at(id).state == AttemptState::Running; });
-}
-
 AttemptReport WorkerModel::attempt(const AttemptId& id) const
 {
     const std::lock_guard guard { m_mutex };
@@ -235,8 +231,8 @@
     report.bootId = m_bootId;
     report.poolEpoch = m_epoch;
     report.isDraining = m_isDraining;
-    for (const auto& id : m_recent) {
-        const auto& attempt = m_attempts.at(id);
+    for (const auto& [id, recent] : m_recent) {
+        const auto& attempt = *recent;
         if (attempt.started > at || attempt.ended <= at)
             continue;
         report.busySlots += Slots { 1 };
@@ -259,7 +255,7 @@
 bool WorkerModel::mayReboot(std::uint64_t poolEpoch, std::uint64_t bootId) const
 {
     const std::lock_guard guard { m_mutex };
-    return m_isDraining && poolEpoch == m_epoch && bootId == m_bootId && runningCount() == 0;
+    return m_isDraining && poolEpoch == m_epoch && bootId == m_bootId && m_runningCount == 0;
 }
 
 std::uint64_t WorkerModel::newBootId()
@@ -273,8 +269,8 @@
 void WorkerModel::killAll()
 {
     const std::lock_guard guard { m_mutex };
-    for (const auto& id : m_recent) {
-        auto& attempt = m_attempts.at(id);
+    for (const auto& [id, recent] : m_recent) {
+        auto& attempt = *recent;
         if (attempt.state != AttemptState::Running)
             continue;
         attempt.detail = "killed";
--- a/standins/workers/worker_model.h
+++ b/standins/workers/worker_model.h
@@ -6,6 +6,7 @@
 #include "rattanrack/platform/worker.h"
 
 #include <condition_variable>
+#include <deque>
 #include <map>
 #include <optional>
 
@@ -88,7 +89,6 @@
     void finish(Attempt&, platform::AttemptState, std::string output, const std::string& logState);
     void finishByItself(Attempt&, const platform::TaskOrder&);
     static platform::TaskOutcome outcomeOf(const Attempt&);
-    std::int64_t runningCount() const;
     static std::uint64_t newBootId();
 
     const platform::VmDescription m_vm;
@@ -97,7 +97,8 @@
     mutable std::mutex m_mutex;
     mutable std::condition_variable m_changed;
     std::map<AttemptId, Attempt> m_attempts;
-    std::vector<AttemptId> m_recent; ///< Running, or ended not long ago.
+    std::deque<std::pair<AttemptId, Attempt*>> m_recent; ///< Running, or ended not long ago.
+    std::int64_t m_runningCount { 0 };
     std::uint64_t m_epoch { 0 };
     std::uint64_t m_bootId { newBootId() };
     bool m_isDraining { false };
