Answer a completed request without waiting for the control thread

Each request woke the control thread and its own thread twice. Change: the answer of a completed attempt goes to the caller at once; the control thread keeps the books afterwards.

--- a/packages/node/src/traffic_service.cpp
+++ b/packages/node/src/traffic_service.cpp
@@ -301,6 +301,9 @@
         const Duration settleTime = request.spec.isRepeatable ? repeatableSettleTime : onceSettleTime;
         outcome = runAttempt(*order.worker, task, settleTime, m_parts.clock, sleepFor);
     }
+    // Whatever the control thread decides of a completed attempt, this is the caller's answer: it need not wait for it.
+    if (outcome.status == TaskStatus::Completed)
+        pending->conclude(doneAnswer(outcome.output));
     m_parts.control.post([this, id = request.spec.id, worker = order.dispatch.worker, outcome = std::move(outcome)] {
         attemptEnded(id, worker, outcome);
     });
