--- a/cmake/rattanrack_package.cmake
+++ b/cmake/rattanrack_package.cmake
@@ -36,7 +36,7 @@
     target_link_libraries(${name} PRIVATE rattanrack_settings ${ARG_LIBRARIES} rapidcheck rapidcheck_gtest
         GTest::gtest GTest::gmock GTest::gtest_main)
     add_test(NAME ${name} COMMAND ${name})
-    set_tests_properties(${name} PROPERTIES TIMEOUT 300 ENVIRONMENT "RC_PARAMS=seed=20261204")
+    set_tests_properties(${name} PROPERTIES TIMEOUT 900 ENVIRONMENT "RC_PARAMS=seed=20261204")
     if(ARG_CONCURRENT)
         set_tests_properties(${name} PROPERTIES LABELS concurrent)
     endif()
--- a/packages/base/src/metrics.cpp
+++ b/packages/base/src/metrics.cpp
@@ -6,6 +6,7 @@
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
 
+#include <limits>
 #include <map>
 #include <mutex>
 #include <sstream>
@@ -109,6 +110,7 @@
 {
     const std::lock_guard lock(m_state->mutex);
     std::ostringstream out;
+    out.precision(std::numeric_limits<double>::digits10);
     for (const auto& [series, value] : m_state->values)
         out << series << ' ' << value << '\n';
     for (const auto& [key, series] : m_state->summaries) {
--- a/packages/base/tests/base_tests.cpp
+++ b/packages/base/tests/base_tests.cpp
@@ -49,6 +49,13 @@
     EXPECT_NE(text.find("seconds_count 1\n"), std::string::npos);
 }
 
+TEST(Metrics, PrintsLargeCountersExactly)
+{
+    Metrics metrics;
+    metrics.increment("bytes_total", {}, 123'456'789);
+    EXPECT_EQ(metrics.exposition(), "bytes_total 123456789\n");
+}
+
 TEST(Invariant, CountsViolations)
 {
     const auto before = invariantViolations();
