Close the door before waiting for the last request on SIGTERM

Cause: a node under load never came to zero live requests, since callers with kept connections sent new ones; it refused 423 of 2,988 requests as shutting_down during 15 s. Change: no call begins any more once requests are turned away; calls in progress end, then the rest. Conclusion: callers meet a closed door and go to another node at once.

--- a/packages/node/src/daemon.cpp
+++ b/packages/node/src/daemon.cpp
@@ -370,9 +370,11 @@
     state.control.run([&] { state.coordination.leave(); });
     std::this_thread::sleep_for(balancerNotice);
     state.control.run([&] { state.traffic.handle(policy::StopAdmitting { Deadline::never() }); });
+    // Callers who keep their connections would keep the node busy for ever: calls in progress end, and no others begin.
+    // Requests that nobody waits for go on after that; other nodes can still ask for them.
+    state.server->stop();
     while (state.traffic.liveRequests() > 0)
         std::this_thread::sleep_for(pollInterval);
-    state.server->stop();
     const Deadline handOver = Deadline::after(state.clock.now(), handOverPatience);
     bool hasHandedOver = false;
     while (!hasHandedOver && !handOver.hasPassed(state.clock.now())) {
