Drop peer messages that come before the node has started

Cause: read as a newcomer, the peer network listens before the coordination service knows it; a heartbeat in that moment would have used a null network. Change: such messages are dropped. Conclusion: membership repeats itself, so nothing is lost.

--- a/packages/node/src/coordination_service.cpp
+++ b/packages/node/src/coordination_service.cpp
@@ -50,6 +50,9 @@
 
 void CoordinationService::receive(const peer::Message& message)
 {
+    // The network listens a moment before `start` hands it over; peers say everything again.
+    if (!m_network)
+        return;
     std::visit([this](const auto& each) { received(each); }, message);
 }
 
