--- a/packages/base/include/rattanrack/base/error.h
+++ b/packages/base/include/rattanrack/base/error.h
@@ -3,6 +3,7 @@
 #include <boost/leaf.hpp>
 
 #include <concepts>
+#include <optional>
 #include <ostream>
 #include <string>
 #include <string_view>
@@ -69,4 +70,25 @@
         });
 }
 
+/// The value of `operation`, which returns a Result<T>, or nothing when it failed; `onError(const Error&)` is told why.
+///
+///     const auto rows = valueOrNothing([&] { return table.read(keys); });
+template <typename Operation, typename OnError> auto valueOrNothing(Operation&& operation, OnError&& onError)
+{
+    using Value = std::decay_t<decltype(operation().value())>;
+    return handle(
+        [&]() -> Result<std::optional<Value>> {
+            BOOST_LEAF_AUTO(value, operation());
+            return std::optional<Value> { std::move(value) };
+        },
+        [&](const Error& error) {
+            onError(error);
+            return std::optional<Value> {};
+        });
+}
+template <typename Operation> auto valueOrNothing(Operation&& operation)
+{
+    return valueOrNothing(std::forward<Operation>(operation), [](const Error&) {});
+}
+
 } // namespace rattanrack
--- a/packages/base/tests/base_tests.cpp
+++ b/packages/base/tests/base_tests.cpp
@@ -32,6 +32,16 @@
     EXPECT_EQ(handle([]() -> Result<int> { return 4; }, [](const Error&) { return 0; }), 4);
 }
 
+TEST(ValueOrNothing, GivesTheValueOrTellsTheError)
+{
+    EXPECT_EQ(valueOrNothing([]() -> Result<int> { return 4; }), 4);
+    ErrorCode seen = ErrorCode::Internal;
+    const auto nothing = valueOrNothing([]() -> Result<int> { return fail(ErrorCode::NotFound, "a.b"); },
+        [&](const Error& error) { seen = error.code; });
+    EXPECT_FALSE(nothing);
+    EXPECT_EQ(seen, ErrorCode::NotFound);
+}
+
 TEST(Deadline, RemainingIsNeverNegative)
 {
     const TimePoint now { 10s };
--- a/packages/claims/src/claim_store_state.cpp
+++ b/packages/claims/src/claim_store_state.cpp
@@ -220,12 +220,7 @@
 
 std::optional<platform::Rows> ClaimStore::State::readRows(const std::function<Result<platform::Rows>()>& read) const
 {
-    return handle(
-        [&]() -> Result<std::optional<platform::Rows>> {
-            BOOST_LEAF_AUTO(rows, read());
-            return std::optional { std::move(rows) };
-        },
-        [](const Error&) { return std::optional<platform::Rows> {}; });
+    return valueOrNothing(read);
 }
 
 } // namespace rattanrack::claims
--- a/packages/node/include/rattanrack/node/fleet_service.h
+++ b/packages/node/include/rattanrack/node/fleet_service.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "rattanrack/base/metrics.h"
 #include "rattanrack/config/federation.h"
 #include "rattanrack/node/control_loop.h"
 #include "rattanrack/node/elastic_thread_pool.h"
@@ -24,7 +23,6 @@
     struct Parts {
         ControlLoop& control;
         const Clock& clock;
-        Metrics& metrics;
         ElasticThreadPool& platformThreads;
         FleetStore& store;
         platform::VmList& vmList;
--- a/packages/node/src/admin_api.cpp
+++ b/packages/node/src/admin_api.cpp
@@ -40,16 +40,12 @@
 /// Parses a body; replies with what is wrong when it can't be.
 template <typename Parse> auto parseOrReply(httplib::Response& response, const Parse& parse)
 {
-    using Value = std::decay_t<decltype(parse().value())>;
-    return handle(
-        [&]() -> Result<std::optional<Value>> {
-            BOOST_LEAF_AUTO(value, parse());
-            return std::optional<Value> { std::move(value) };
-        },
-        [&](const Error& error) {
-            replyError(response, statusBadRequest, error);
-            return std::optional<Value> {};
-        });
+    return valueOrNothing(parse, [&](const Error& error) { replyError(response, statusBadRequest, error); });
+}
+
+policy::StartRollOut startOf(const OperationRequest& operation, policy::RollOutKind kind, std::vector<VmId> targets)
+{
+    return { operation.id, kind, std::move(targets), operation.toPool, operation.maxAtOnce, operation.askedBy };
 }
 
 std::optional<policy::RollOutKind> rollOutKind(const std::string& kind)
@@ -208,8 +204,7 @@
                                     const AttemptId& attempt) { return policy::abortRollOut(fleet, id, attempt); },
                     operation->attempt));
     } else {
-        const policy::StartRollOut start { operation->id, *rollOutKind(operation->kind), targets, operation->toPool,
-            operation->maxAtOnce, operation->askedBy };
+        const policy::StartRollOut start = startOf(*operation, *rollOutKind(operation->kind), targets);
         const Decided decided = decideAndCommit(
             [&](const auto& fleet, const AttemptId& attempt) { return policy::startRollOut(fleet, start, attempt); },
             operation->attempt);
@@ -233,9 +228,7 @@
     }
     const Decided decided = decideAndCommit(
         [&](const policy::FleetSnapshot& fleet, const AttemptId& attempt) {
-            const policy::StartRollOut start { operation->id, *kind, targetsOf(*operation, fleet), operation->toPool,
-                operation->maxAtOnce, operation->askedBy };
-            return policy::startRollOut(fleet, start, attempt);
+            return policy::startRollOut(fleet, startOf(*operation, *kind, targetsOf(*operation, fleet)), attempt);
         },
         operation->attempt);
     reply(response, decided.status,
@@ -283,12 +276,7 @@
 {
     const std::string attempt = request.matches[1].str();
     // Asking again with the same attempt is how a lost answer is settled; an attempt that is in force is found here.
-    const auto rows = handle(
-        [&]() -> Result<std::optional<platform::Rows>> {
-            BOOST_LEAF_AUTO(read, m_parts.table.read({ peer::configHeadKey }));
-            return std::optional { std::move(read) };
-        },
-        [](const Error&) { return std::optional<platform::Rows> {}; });
+    const auto rows = valueOrNothing([&] { return m_parts.table.read({ peer::configHeadKey }); });
     if (!rows) {
         reply(response, statusUnavailable, { { "outcome", "unavailable" } });
         return;
--- a/packages/node/src/attempt_runner.cpp
+++ b/packages/node/src/attempt_runner.cpp
@@ -15,12 +15,7 @@
 
 std::optional<AttemptReport> ask(platform::Worker& worker, const AttemptId& attempt)
 {
-    return handle(
-        [&]() -> Result<std::optional<AttemptReport>> {
-            BOOST_LEAF_AUTO(report, worker.revoke(attempt));
-            return std::optional { std::move(report) };
-        },
-        [](const Error&) { return std::optional<AttemptReport> {}; });
+    return valueOrNothing([&] { return worker.revoke(attempt); });
 }
 
 std::optional<TaskOutcome> outcomeOf(const AttemptReport& report)
--- a/packages/node/src/caller_api.cpp
+++ b/packages/node/src/caller_api.cpp
@@ -64,15 +64,8 @@
 
 void CallerApi::submit(const httplib::Request& request, httplib::Response& response)
 {
-    auto submission = handle(
-        [&]() -> Result<std::optional<Submission>> {
-            BOOST_LEAF_AUTO(parsed, parseSubmission(request.body, m_clock.now()));
-            return std::optional { std::move(parsed) };
-        },
-        [&](const Error& error) {
-            replyError(response, statusBadRequest, error);
-            return std::optional<Submission> {};
-        });
+    auto submission = valueOrNothing([&] { return parseSubmission(request.body, m_clock.now()); },
+        [&](const Error& error) { replyError(response, statusBadRequest, error); });
     if (!submission)
         return;
     const Deadline waitUntil = Deadline::after(submission->request.spec.deadline.at(), waitPastDeadline);
--- a/packages/node/src/daemon.cpp
+++ b/packages/node/src/daemon.cpp
@@ -185,7 +185,7 @@
               [this](const policy::RequestSpec& spec, const Answer& answer, Duration latency) {
                   burn.count(spec.kind, spec.urgency, burnOutcomeOf(answer), latency);
               } })
-    , fleet({ control, clock, metrics, platformThreads, fleetStore, *vmList, workers, self,
+    , fleet({ control, clock, platformThreads, fleetStore, *vmList, workers, self,
           [this](const policy::ViewChanged& view) {
               shares.setKinds(view.kinds.size());
               traffic.handle(view);
--- a/packages/node/src/fleet_service.cpp
+++ b/packages/node/src/fleet_service.cpp
@@ -113,14 +113,9 @@
         m_nextWholeReading = Deadline::after(now, wholeReadingInterval);
     const platform::RowVersion from = isWhole ? 0 : m_readFrom;
     const bool isAccepted = m_parts.platformThreads.submit([this, from] {
-        auto rows = handle(
-            [&]() -> Result<std::optional<FleetRows>> {
-                BOOST_LEAF_AUTO(read, m_parts.store.read(from));
-                return std::optional { std::move(read) };
-            },
+        auto rows = valueOrNothing([&] { return m_parts.store.read(from); },
             [](const Error& error) {
                 logEvent("fleet.table_read_failed", { { "error", describe(error) } }, LogLevel::Warning);
-                return std::optional<FleetRows> {};
             });
         m_parts.control.post([this, rows = std::move(rows)] { tableRead(rows); });
     });
@@ -154,14 +149,9 @@
 void FleetService::readList()
 {
     const bool isAccepted = m_parts.platformThreads.submit([this] {
-        auto vms = handle(
-            [&]() -> Result<std::optional<std::vector<platform::VmDescription>>> {
-                BOOST_LEAF_AUTO(list, m_parts.vmList.list());
-                return std::optional { std::move(list) };
-            },
+        auto vms = valueOrNothing([&] { return m_parts.vmList.list(); },
             [](const Error& error) {
                 logEvent("fleet.list_read_failed", { { "error", describe(error) } }, LogLevel::Warning);
-                return std::optional<std::vector<platform::VmDescription>> {};
             });
         m_parts.control.post([this, vms = std::move(vms)] { listRead(vms); });
     });
@@ -267,10 +257,9 @@
                     return worker->setDraining(true, command.epoch, command.bootId);
                 case policy::WorkerAction::TakeWork:
                     return worker->setDraining(false, command.epoch, command.bootId);
-                case policy::WorkerAction::Reboot:
-                    return worker->reboot(command.epoch, command.bootId);
                 case policy::WorkerAction::Checkpoint:
                     return checkpointAll(*worker);
+                case policy::WorkerAction::Reboot:
                 case policy::WorkerAction::Replace:
                     return worker->reboot(command.epoch, command.bootId);
                 }
@@ -300,7 +289,7 @@
             .dataCenter = vm.dataCenter,
             .capacity = vm.capacity,
             .slots = vm.slots,
-            .takesWork = record->second.phase == policy::VmPhase::Serving && vm.state == platform::VmState::Live,
+            .takesWork = policy::takesWork(m_snapshot, record->second),
         });
     }
     if (!m_mustPublish && workers == m_publishedWorkers)
--- a/packages/node/src/fleet_store.cpp
+++ b/packages/node/src/fleet_store.cpp
@@ -28,16 +28,18 @@
         });
 }
 
+/// Returns the highest version that it saw; `newerThan` when there was none.
 template <typename Record>
-Result<void> readRecords(platform::Table& table, std::string_view prefix, platform::RowVersion newerThan,
-    Decoder<Record> decode, std::vector<Record>& records, platform::RowVersion& highest)
+Result<platform::RowVersion> readRecords(platform::Table& table, std::string_view prefix,
+    platform::RowVersion newerThan, Decoder<Record> decode, std::vector<Record>& records)
 {
+    platform::RowVersion highest = newerThan;
     BOOST_LEAF_AUTO(rows, table.scan(std::string(prefix), newerThan, maxRows));
     for (const platform::Row& row : rows) {
         highest = std::max(highest, row.version);
         decodeInto(records, row, decode);
     }
-    return {};
+    return highest;
 }
 
 void add(platform::Transaction& transaction, const std::string& key, policy::RecordVersion version,
@@ -52,26 +54,16 @@
 Result<FleetRows> FleetStore::read(platform::RowVersion newerThan)
 {
     FleetRows rows;
-    rows.version = newerThan;
     rows.isWhole = newerThan == 0;
-    // A row that changes between two scans is newer than what the first one saw of its prefix: each prefix goes on from
-    // the lowest version that all of them have reached.
-    platform::RowVersion highestVm = newerThan;
-    platform::RowVersion highestPool = newerThan;
-    platform::RowVersion highestRollOut = newerThan;
-    BOOST_LEAF_CHECK(readRecords(m_table, policy::vmKeyPrefix, newerThan, &policy::decodeVm, rows.vms, highestVm));
-    BOOST_LEAF_CHECK(
-        readRecords(m_table, policy::poolKeyPrefix, newerThan, &policy::decodePool, rows.pools, highestPool));
-    BOOST_LEAF_CHECK(readRecords(
-        m_table, policy::rollOutKeyPrefix, newerThan, &policy::decodeRollOut, rows.rollOuts, highestRollOut));
+    // A row that changes between two scans is newer than what the first one saw: only that is surely complete in all
+    // four, and the next reading goes on from there.
+    BOOST_LEAF_ASSIGN(rows.version, readRecords(m_table, policy::vmKeyPrefix, newerThan, &policy::decodeVm, rows.vms));
+    BOOST_LEAF_CHECK(readRecords(m_table, policy::poolKeyPrefix, newerThan, &policy::decodePool, rows.pools));
+    BOOST_LEAF_CHECK(readRecords(m_table, policy::rollOutKeyPrefix, newerThan, &policy::decodeRollOut, rows.rollOuts));
     std::vector<policy::BorrowingRecord> borrowing;
-    platform::RowVersion highestBorrowing = newerThan;
-    BOOST_LEAF_CHECK(
-        readRecords(m_table, policy::borrowingKey, newerThan, &policy::decodeBorrowing, borrowing, highestBorrowing));
+    BOOST_LEAF_CHECK(readRecords(m_table, policy::borrowingKey, newerThan, &policy::decodeBorrowing, borrowing));
     if (!borrowing.empty())
         rows.borrowing = borrowing.front();
-    // Only what the first scan has seen is surely complete in all four.
-    rows.version = highestVm;
     return rows;
 }
 
--- a/packages/node/src/main.cpp
+++ b/packages/node/src/main.cpp
@@ -57,15 +57,8 @@
 
 std::optional<config::NodeSettings> readSettings(const std::string& path)
 {
-    return handle(
-        [&]() -> Result<std::optional<config::NodeSettings>> {
-            BOOST_LEAF_AUTO(settings, config::loadNodeSettings(path));
-            return std::optional { std::move(settings) };
-        },
-        [](const Error& error) {
-            printError(error, exitBadSettings);
-            return std::optional<config::NodeSettings> {};
-        });
+    return valueOrNothing(
+        [&] { return config::loadNodeSettings(path); }, [](const Error& error) { printError(error, exitBadSettings); });
 }
 
 int serve(const config::NodeSettings& settings)
--- a/packages/node/src/table_claim_gate.cpp
+++ b/packages/node/src/table_claim_gate.cpp
@@ -72,12 +72,7 @@
     const std::string key = rowKey(claim);
     // A lost answer or a lost race is settled by reading the row again.
     for (int tries = 0; tries < maxTries; ++tries) {
-        const auto rows = handle(
-            [&]() -> Result<std::optional<platform::Rows>> {
-                BOOST_LEAF_AUTO(read, m_table.read({ key }));
-                return std::optional { std::move(read) };
-            },
-            [](const Error&) { return std::optional<platform::Rows> {}; });
+        const auto rows = valueOrNothing([&] { return m_table.read({ key }); });
         if (!rows)
             return unavailable;
         platform::RowVersion version = 0;
--- a/tools/check_history/history_checker.cpp
+++ b/tools/check_history/history_checker.cpp
@@ -13,16 +13,6 @@
 const std::string claimsPrefix = "claims/";
 const std::string configHeadKey = "config/head";
 
-template <typename Record, typename Decode> std::optional<Record> decoded(const Decode& decode)
-{
-    return handle(
-        [&]() -> Result<std::optional<Record>> {
-            BOOST_LEAF_AUTO(record, decode());
-            return std::optional<Record> { std::move(record) };
-        },
-        [](const Error&) { return std::optional<Record> {}; });
-}
-
 } // namespace
 
 void HistoryChecker::apply(const platform::Transaction& transaction, platform::RowVersion version)
@@ -52,7 +42,7 @@
         m_vms.erase(id);
         return;
     }
-    const auto vm = decoded<policy::VmRecord>([&] { return policy::decodeVm(write.key, *write.value, version); });
+    const auto vm = valueOrNothing([&] { return policy::decodeVm(write.key, *write.value, version); });
     require(vm.has_value(), write.key + " can be decoded");
     if (!vm)
         return;
@@ -74,7 +64,7 @@
         m_pools.erase(id);
         return;
     }
-    const auto pool = decoded<policy::PoolRecord>([&] { return policy::decodePool(write.key, *write.value, version); });
+    const auto pool = valueOrNothing([&] { return policy::decodePool(write.key, *write.value, version); });
     require(pool.has_value(), write.key + " can be decoded");
     if (!pool)
         return;
