--- a/cmake/rattanrack_package.cmake
+++ b/cmake/rattanrack_package.cmake
@@ -3,6 +3,10 @@
 target_compile_features(rattanrack_settings INTERFACE cxx_std_20)
 target_compile_options(rattanrack_settings INTERFACE
     $<BUILD_INTERFACE:-Wall -Wextra -Werror -Wshadow=local -Wnon-virtual-dtor -Wno-missing-field-initializers>)
+# GCC 12 sees an overlapping copy in an optimised `"text" + string` where there is none (GCC bug 105651).
+if(CMAKE_CXX_COMPILER_ID STREQUAL "GNU" AND CMAKE_CXX_COMPILER_VERSION VERSION_LESS 13)
+    target_compile_options(rattanrack_settings INTERFACE $<BUILD_INTERFACE:-Wno-restrict>)
+endif()
 if(RATTANRACK_SANITIZE)
     target_compile_options(rattanrack_settings INTERFACE
         $<BUILD_INTERFACE:-fsanitize=${RATTANRACK_SANITIZE} -fno-omit-frame-pointer -fno-sanitize-recover=all>)
--- /dev/null
+++ b/packages/config/include/rattanrack/config/job_node_settings.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "rattanrack/base/log.h"
+#include "rattanrack/base/time.h"
+#include "rattanrack/config/diagnostic.h"
+#include "rattanrack/config/node_settings.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace rattanrack::config {
+
+/// Settings of a node that runs jobs on the users' platform.
+struct JobNodeFile {
+    std::string name;
+    Address listen; ///< Where callers' requests arrive.
+    Address readiness; ///< Where the balancer asks whether to send callers here.
+    Address peerListen; ///< Where other nodes reach this one.
+    Address store; ///< The platform's table service.
+    Address machineList; ///< The platform's list of machines.
+    std::optional<Address> advice; ///< The service that allows workers to run steps.
+    Duration longestLease {}; ///< Workers shorten leases that are longer.
+    Duration keepEnded {}; ///< Jobs can be asked for this long after their end.
+    Duration stopGrace {}; ///< From SIGTERM until the process is killed.
+    LogLevel logLevel { LogLevel::Info };
+};
+
+/// Parses the settings in `text`, which diagnostics call `name`.
+Checked<JobNodeFile> parseJobNodeFile(const std::string& name, std::string_view text);
+
+/// Errors: NotFound, InvalidConfiguration (every mistake with line and column).
+Result<JobNodeFile> loadJobNodeFile(const std::string& path);
+
+} // namespace rattanrack::config
--- /dev/null
+++ b/packages/config/src/job_node_settings.cpp
@@ -0,0 +1,56 @@
+#include "rattanrack/config/job_node_settings.h"
+
+#include "read_file.h"
+#include "settings_readers.h"
+
+namespace rattanrack::config {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr DurationRange leaseRange { 1s, 60s };
+constexpr DurationRange keepRange { 1s, 24h };
+constexpr DurationRange graceRange { 1s, 600s };
+
+void readAdvice(Section& section, std::optional<Address>& output)
+{
+    if (!section.has("advice"))
+        return;
+    Address address;
+    readAddress(section, "advice", address);
+    output = address;
+}
+
+JobNodeFile readJobNode(Section& top)
+{
+    JobNodeFile settings;
+    top.readName("node", Presence::Required, settings.name);
+    readAddress(top, "listen", settings.listen);
+    readAddress(top, "readiness", settings.readiness);
+    readAddress(top, "peerListen", settings.peerListen);
+    readAddress(top, "store", settings.store);
+    readAddress(top, "machineList", settings.machineList);
+    readAdvice(top, settings.advice);
+    top.readDuration("longestLease", leaseRange, settings.longestLease);
+    top.readDuration("keepEnded", keepRange, settings.keepEnded);
+    top.readDuration("stopGrace", graceRange, settings.stopGrace);
+    readLogLevel(top, settings.logLevel);
+    top.reportUnknownKeys();
+    return settings;
+}
+
+} // namespace
+
+Checked<JobNodeFile> parseJobNodeFile(const std::string& name, std::string_view text)
+{
+    return parseSettings<JobNodeFile>(name, text, readJobNode);
+}
+
+Result<JobNodeFile> loadJobNodeFile(const std::string& path)
+{
+    BOOST_LEAF_AUTO(text, readFile(path, maxDocumentBytes));
+    return parseJobNodeFile(path, text).result("config.load_job_node_settings");
+}
+
+} // namespace rattanrack::config
--- a/packages/config/src/node_settings.cpp
+++ b/packages/config/src/node_settings.cpp
@@ -1,9 +1,7 @@
 #include "rattanrack/config/node_settings.h"
 
-#include "rattanrack/config/section.h"
 #include "read_file.h"
-
-#include <array>
+#include "settings_readers.h"
 
 namespace rattanrack::config {
 
@@ -13,47 +11,6 @@
 constexpr CountRange connectionRange { 1, 65536 };
 constexpr std::size_t maxSeedPeers = 64;
 
-struct LevelName {
-    std::string_view name;
-    LogLevel level;
-};
-constexpr std::array<LevelName, 4> levelNames { {
-    { "debug", LogLevel::Debug },
-    { "info", LogLevel::Info },
-    { "warning", LogLevel::Warning },
-    { "error", LogLevel::Error },
-} };
-
-std::string notAnAddress(const YamlNode& node)
-{
-    return "'" + node.scalar + "' is not an address, expected an IP number and a port, such as 10.0.0.1:8080";
-}
-
-void readAddress(Section& section, std::string_view key, Address& output)
-{
-    const YamlNode* const node = section.readScalar(key, Presence::Required);
-    if (!node)
-        return;
-    if (const auto address = parseAddress(node->scalar))
-        output = *address;
-    else
-        section.report(key, notAnAddress(*node));
-}
-
-void readLogLevel(Section& section, LogLevel& output)
-{
-    const YamlNode* const node = section.readScalar("logLevel", Presence::Optional);
-    if (!node)
-        return;
-    for (const LevelName& each : levelNames) {
-        if (each.name != node->scalar)
-            continue;
-        output = each.level;
-        return;
-    }
-    section.report("logLevel", "'" + node->scalar + "', expected one of: debug, info, warning, error");
-}
-
 void readSeedPeers(Section& section, std::vector<Address>& output)
 {
     section.readScalars("seedPeers", [&](const YamlNode& node, const std::string& path) {
@@ -114,17 +71,7 @@
 
 Checked<NodeSettings> parseNodeSettings(const std::string& name, std::string_view text)
 {
-    Diagnostics diagnostics;
-    const auto root = parseYaml(name, text, diagnostics);
-    if (root && root->type != YamlType::Map)
-        diagnostics.push_back({ name, root->line, root->column, "", "expected a map" });
-    if (!root || root->type != YamlType::Map)
-        return Checked<NodeSettings>::invalid(std::move(diagnostics));
-    Section top { name, *root, "", diagnostics };
-    NodeSettings settings = readSettings(top);
-    if (!diagnostics.empty())
-        return Checked<NodeSettings>::invalid(std::move(diagnostics));
-    return Checked<NodeSettings>::valid(std::move(settings));
+    return parseSettings<NodeSettings>(name, text, readSettings);
 }
 
 Result<NodeSettings> loadNodeSettings(const std::string& path)
--- /dev/null
+++ b/packages/jobs/include/rattanrack/jobs/cell.h
@@ -0,0 +1,168 @@
+#pragma once
+
+#include "rattanrack/jobs/job.h"
+#include "rattanrack/jobs/job_progress.h"
+#include "rattanrack/jobs/worker.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace rattanrack::jobs {
+
+struct CellSettings {
+    PoolId pool;
+    Fence fence { 0 }; ///< Term of this owner.
+    Duration leaseLength {}; ///< Of what runs, from each look on.
+    Duration foreignLease {}; ///< From the takeover on, what an earlier owner granted may hold this long.
+    Duration keepEnded {}; ///< Jobs are remembered this long after their end.
+};
+
+/// A row to store in the cell's part, or to remove.
+struct CellRow {
+    enum class Kind : std::uint8_t { Job, Progress };
+    Kind kind { Kind::Job };
+    JobId job;
+    std::optional<std::string> value; ///< Empty: removed.
+};
+
+/// Rows that are stored together.
+struct CellCommit {
+    std::vector<CellRow> rows;
+};
+
+/// A job as it was read from the store.
+struct StoredJob {
+    Job job;
+    StoredProgress progress;
+};
+
+using WorkerMachines = std::map<WorkerId, MachineId>;
+
+using CallToken = std::uint64_t; ///< Names a caller's request that waits for a commit.
+
+struct CallReply {
+    CallToken token { 0 };
+    bool isStored { false }; ///< False: proved that it is not stored and will not be.
+};
+
+/// Asks the advice service which workers may run a step.
+struct AdviceQuestion {
+    TaskRef step; ///< Its index says nothing.
+    std::vector<WorkerId> workers;
+};
+
+struct AdviceTicket {
+    WorkerId worker;
+    std::string ticket;
+};
+
+struct AdviceAnswer {
+    TaskRef step;
+    bool isAnswered { false }; ///< False: busy or out of reach; ask again later.
+    std::vector<AdviceTicket> good;
+    Duration validFor {};
+};
+
+/// What happened, for logs and metrics.
+struct CellEvent {
+    enum class Kind : std::uint8_t { JobAccepted, JobEnded, RunEnded, WorkerSilent, WorkerBack, FenceSeen };
+    Kind kind { Kind::JobAccepted };
+    std::string subject; ///< Id of the job, name of the worker.
+    std::string detail;
+    Duration age {};
+};
+
+struct CellOutput {
+    std::vector<Order> orders;
+    std::vector<CallReply> replies;
+    std::vector<AdviceQuestion> questions;
+    std::vector<CellEvent> events;
+};
+
+enum class Acceptance : std::uint8_t {
+    Stored, ///< Known already, and stored.
+    Waiting, ///< A reply with the token follows.
+    Refused, ///< Will not be stored.
+};
+
+struct CellState;
+
+/// The jobs and workers of one pool, in the hands of the node that owns it: decides what runs where, and what is
+/// stored before anybody is told. Pure: no I/O, no clock. Not thread-safe.
+///
+/// Invariants: a subtask has at most one run that may still be going on, unless its step allows copies; no start before
+/// the steps that it comes after are done; a worker's end is acknowledged only when it is stored; a job is shown as
+/// ended only when that is stored.
+class Cell {
+public:
+    Cell(CellSettings settings, std::vector<StoredJob> jobs, WorkerMachines workersOfEarlierOwners, TimePoint now,
+        std::int64_t unixMs);
+    ~Cell();
+    Cell(Cell&&) noexcept;
+    Cell& operator=(Cell&&) noexcept;
+
+    /// What the configuration in force says of this cell's queues. Queues that are no longer named keep their settings.
+    void configure(const std::vector<QueueSettings>& queues);
+
+    /// All workers of the pool that the store lists now.
+    void setWorkers(const std::vector<WorkerDescription>& workers, TimePoint now);
+
+    /// Machines that get nothing new and are emptied.
+    void setClosing(std::set<MachineId> machines);
+
+    /// Machines among the closing ones on which nothing runs.
+    std::vector<MachineId> emptied() const;
+
+    /// Every worker on which something of this cell may run. Must be stored before anything is started there.
+    WorkerMachines workersInUse() const;
+    void workersStored(WorkerMachines workers);
+
+    Acceptance submit(Job job, CallToken token, TimePoint now);
+
+    /// Cancels a job. Empty: there is no such job.
+    std::optional<Acceptance> cancel(const JobId& job, CallToken token, std::int64_t unixMs);
+
+    /// What callers may be shown. Empty: there is no such job.
+    std::optional<JobState> state(const JobId& job) const;
+
+    /// Accepted jobs of the queue of which nothing has started.
+    int pending(const QueueId& queue) const;
+
+    /// Jobs that have not ended.
+    std::size_t openJobs() const;
+
+    void onAnswer(const StartOrder& order, const CallAnswer& answer, TimePoint now);
+    void onAnswer(const StopOrder& order, const CallAnswer& answer, TimePoint now);
+    void onAnswer(const PaceOrder& order, const CallAnswer& answer, TimePoint now);
+    void onAnswer(const LookOrder& order, const LookAnswer& answer, TimePoint sentAt, TimePoint now);
+    void onAdvice(const AdviceAnswer& answer, TimePoint now);
+
+    /// Somebody waits for the next commit.
+    bool hasUrgentCommit() const;
+
+    /// What is to be stored next; empty when nothing is, or the last commit is still on its way.
+    std::optional<CellCommit> takeCommit(std::int64_t unixMs);
+
+    /// The commit has been stored.
+    void onCommitted(std::int64_t unixMs);
+
+    /// The commit has not been stored and will not be. What was in it is taken again.
+    void onCommitFailed();
+
+    /// New jobs that are in no commit are given up: proved not to be stored.
+    void refuseWaiting();
+
+    /// Decides what runs next and hands out all that has come up since. Starts nothing while `mayStart` is false, when
+    /// this node can't be sure that it still owns the cell.
+    CellOutput step(TimePoint now, std::int64_t unixMs, bool mayStart);
+
+private:
+    std::unique_ptr<CellState> m_state;
+};
+
+} // namespace rattanrack::jobs
--- /dev/null
+++ b/packages/jobs/include/rattanrack/jobs/ownership.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "rattanrack/base/ids.h"
+#include "rattanrack/base/time.h"
+#include "rattanrack/jobs/job.h"
+#include "rattanrack/jobs/worker.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// Which node owns which cell. Nodes tell each other several times a second what they hold; whoever is silent loses
+/// its cells to the nodes that hold the fewest. The owner row in the cell's part decides races.
+namespace rattanrack::jobs {
+
+struct HeldCell {
+    PoolId cell;
+    Fence term { 0 };
+
+    friend bool operator==(const HeldCell&, const HeldCell&) = default;
+};
+
+/// What a node says of itself to all others.
+struct NodeNews {
+    NodeId node;
+    std::string address; ///< "ip:port" at which it takes peer messages.
+    std::uint64_t sequence { 0 }; ///< Grows with each message of one life.
+    bool isLeaving { false };
+    bool isStoreInReach { true };
+    std::vector<HeldCell> cells;
+    std::vector<MachineId> closing; ///< From the holder of the machines' duty: machines to be emptied.
+    std::vector<MachineId> emptied; ///< From owners of cells: closing machines on which nothing runs.
+
+    friend bool operator==(const NodeNews&, const NodeNews&) = default;
+};
+
+struct CellOwner {
+    NodeId node;
+    std::string address;
+    Fence term { 0 };
+};
+
+/// Pure: no I/O, no clock. Not thread-safe.
+class Ownership {
+public:
+    Ownership(NodeId self, std::string address, TimePoint now);
+
+    void setCells(std::vector<PoolId> cells, TimePoint now);
+
+    /// A node that the store lists; it is live once it has been heard.
+    void learnAddress(const std::string& address);
+
+    void onNews(const NodeNews& news, TimePoint now);
+    void setStoreInReach(bool isInReach) { m_isStoreInReach = isInReach; }
+    void leave() { m_isLeaving = true; }
+
+    void taken(const PoolId& cell, Fence term);
+    void dropped(const PoolId& cell);
+
+    /// Taking a cell did not succeed; not tried again before a pause.
+    void takingFailed(const PoolId& cell, TimePoint now);
+
+    /// Cells that this node should take now. Each is named until `taken` or `takingFailed`.
+    std::vector<PoolId> toTake(TimePoint now) const;
+
+    /// A cell that this node should hand back, as another node holds far fewer.
+    std::optional<PoolId> toHandBack(TimePoint now) const;
+
+    std::optional<CellOwner> owner(const PoolId& cell, TimePoint now) const;
+    bool isHeldHere(const PoolId& cell) const { return m_held.contains(cell); }
+
+    /// Where news goes to: all nodes known, dead ones for a while too.
+    std::vector<std::string> addresses(TimePoint now) const;
+    std::size_t liveNodes(TimePoint now) const;
+
+    /// What this node tells others; the lists of machines are left to the caller.
+    NodeNews news();
+
+    /// News of live nodes.
+    std::vector<const NodeNews*> liveNews(TimePoint now) const;
+
+private:
+    struct Peer {
+        NodeNews news;
+        TimePoint heardAt {};
+    };
+    bool isLive(const Peer& peer, TimePoint now) const;
+
+    NodeId m_self;
+    std::string m_address;
+    TimePoint m_startedAt;
+    bool m_isLeaving { false };
+    bool m_isStoreInReach { true };
+    std::uint64_t m_sequence { 0 };
+    std::vector<PoolId> m_cells;
+    std::map<PoolId, Fence> m_held;
+    std::map<PoolId, TimePoint> m_tryAgainAt;
+    std::map<NodeId, Peer> m_peers;
+    std::map<std::string, TimePoint> m_learned; ///< Addresses without news, and when they were learned.
+    TimePoint m_cellsKnownAt {};
+    mutable TimePoint m_unbalancedSince {};
+};
+
+} // namespace rattanrack::jobs
--- /dev/null
+++ b/packages/jobs/include/rattanrack/jobs/part_store.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "rattanrack/base/error.h"
+#include "rattanrack/base/time.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// Port to the platform's table service, whose transactions span the rows of one part.
+namespace rattanrack::jobs {
+
+using RowVersion = std::uint64_t; ///< 0: the row does not exist. Every change of any row takes a higher one.
+
+struct RowKey {
+    std::string table;
+    std::string key;
+
+    friend auto operator<=>(const RowKey&, const RowKey&) = default;
+};
+
+struct PartRow {
+    RowKey row;
+    std::string value;
+    RowVersion version { 0 };
+    bool isRemoved { false }; ///< Only in changes.
+};
+
+struct RowCondition {
+    RowKey row;
+    RowVersion version { 0 };
+};
+
+struct RowWrite {
+    RowKey row;
+    std::optional<std::string> value; ///< Empty: removed.
+};
+
+/// All of it takes effect, and only if all conditions hold, or none.
+struct PartTransaction {
+    std::string part;
+    std::vector<RowCondition> conditions;
+    std::vector<RowWrite> writes;
+};
+
+enum class TransactionStatus : std::uint8_t {
+    Done,
+    Conflict, ///< A condition did not hold; nothing was written.
+    Refused, ///< Malformed, too large or forbidden; nothing was written, asking again is useless.
+    Unavailable, ///< Nothing was written; asking again later may help.
+    Unknown, ///< May have taken effect, or may do so seconds later.
+};
+
+struct [[nodiscard]] TransactionOutcome {
+    TransactionStatus status { TransactionStatus::Unavailable };
+    RowVersion version { 0 }; ///< Of all rows written, when Done.
+    std::vector<PartRow> current; ///< The rows of the conditions, on Conflict.
+    std::string detail;
+};
+
+struct RowRange {
+    std::string table;
+    std::string part;
+    std::string from; ///< First key; empty: from the start.
+};
+
+struct RowPage {
+    std::vector<PartRow> rows; ///< Ascending by key.
+    bool hasMore { false };
+    RowVersion version { 0 }; ///< Newest version of the whole store.
+};
+
+/// Safe from every thread. Every call ends by a timeout of its own.
+class PartStore {
+public:
+    virtual ~PartStore() = default;
+    virtual TransactionOutcome commit(const PartTransaction&) = 0;
+
+    /// Rows as of a single moment. Errors: Unavailable, MalformedMessage.
+    virtual Result<RowPage> read(const RowRange&) = 0;
+
+    /// Rows of a table that have changed after `version`, as soon as there is one or `wait` is over. Errors: NotFound
+    /// (the history is gone: read everything anew), Unavailable, MalformedMessage.
+    virtual Result<RowPage> changes(const std::string& table, RowVersion version, Duration wait) = 0;
+};
+
+} // namespace rattanrack::jobs
--- /dev/null
+++ b/packages/jobs/include/rattanrack/jobs/placement.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "rattanrack/jobs/worker.h"
+
+#include <vector>
+
+namespace rattanrack::jobs {
+
+/// A worker as the choice of a place sees it.
+struct Candidate {
+    const WorkerDescription* worker { nullptr };
+    ResourceSize free;
+    int sameStep { 0 }; ///< Runs of the step (and occurrence) there.
+    int sameStepInRack { 0 };
+    int serving { 0 }; ///< Runs with a latency target there.
+    int fillers { 0 };
+    bool isReserved { false }; ///< Kept for something larger.
+};
+
+/// What one subtask of a step takes of a worker's room: fillers take no processors.
+ResourceSize roomTaken(const Step& step);
+
+/// Whether the step may run there at all, however full the worker is.
+bool isAllowed(const Step& step, const WorkerDescription& worker);
+
+/// The best place for one more subtask, as an index into `candidates`; -1 when none has room. Data, then spread of what
+/// lasts over racks and workers, then fillers away from what serves, then the emptiest worker.
+int choosePlace(const Step& step, const std::vector<Candidate>& candidates);
+
+} // namespace rattanrack::jobs
--- /dev/null
+++ b/packages/jobs/include/rattanrack/jobs/ports.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "rattanrack/jobs/cell.h"
+#include "rattanrack/jobs/configuration.h"
+#include "rattanrack/jobs/part_store.h"
+#include "rattanrack/jobs/worker.h"
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+/// What the product needs of the platform beside its store. Every call ends by a timeout of its own.
+namespace rattanrack::jobs {
+
+/// One worker, over one connection. For one thread.
+class WorkerChannel {
+public:
+    virtual ~WorkerChannel() = default;
+    virtual CallAnswer start(const StartOrder&) = 0;
+    virtual CallAnswer stop(const StopOrder&) = 0;
+    virtual CallAnswer pace(const PaceOrder&) = 0;
+    virtual LookAnswer look(const LookOrder&) = 0;
+};
+
+/// Safe from every thread.
+class WorkerConnector {
+public:
+    virtual ~WorkerConnector() = default;
+
+    /// Connects with the first call. Never null.
+    virtual std::unique_ptr<WorkerChannel> connect(const WorkerId& worker, const std::string& address) = 0;
+};
+
+/// Which workers may run a step. For one thread.
+class Advisor {
+public:
+    virtual ~Advisor() = default;
+    virtual AdviceAnswer advise(const AdviceQuestion&) = 0;
+};
+
+/// What operators ask for, as far as it can be read; what can't be read is left out.
+struct FleetOrders {
+    std::optional<Configuration> configuration;
+    std::vector<Wave> waves;
+    RowVersion version { 0 }; ///< Of the store; changes after it are news.
+};
+
+/// Safe from every thread.
+class FleetSource {
+public:
+    virtual ~FleetSource() = default;
+
+    /// All orders in force. Errors: Unavailable.
+    virtual Result<FleetOrders> orders() = 0;
+
+    /// Returns when something has changed after `version`, or after `wait`. Errors: Unavailable.
+    virtual Result<bool> awaitChange(RowVersion version, Duration wait) = 0;
+
+    /// Workers of all pools that have registered. Errors: Unavailable.
+    virtual Result<std::vector<WorkerDescription>> workers() = 0;
+};
+
+} // namespace rattanrack::jobs
--- /dev/null
+++ b/packages/jobs/include/rattanrack/jobs/worker.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include "rattanrack/jobs/job.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+/// What a cell's owner says to workers and hears from them.
+namespace rattanrack::jobs {
+
+/// A worker as its own entry in the platform's store describes it.
+struct WorkerDescription {
+    WorkerId id;
+    MachineId machine;
+    PoolId pool;
+    std::string address; ///< "ip:port".
+    DataCenterId dataCenter;
+    ResourceSize capacity;
+    std::vector<std::string> labels;
+    std::string rack; ///< Empty when the worker names none.
+    std::int64_t bornUnixMs { 0 }; ///< Start of its present life.
+    bool isDraining { false };
+
+    friend bool operator==(const WorkerDescription&, const WorkerDescription&) = default;
+};
+
+/// Begins a run. Idempotent: a worker that has the run says yes again, one that has ended it says no.
+struct StartOrder {
+    WorkerId worker;
+    TaskRef task;
+    RunNumber run { 0 };
+    std::string spec;
+    std::int64_t leaseUntilWorkerMs { 0 }; ///< On the worker's clock.
+    Fence fence { 0 };
+    std::string checkpoint;
+    std::string ticket;
+};
+
+/// Ends a run; one that is not there will not begin any more.
+struct StopOrder {
+    WorkerId worker;
+    TaskRef task;
+    RunNumber run { 0 };
+    Fence fence { 0 };
+};
+
+/// Limits a run to a share of what it would use.
+struct PaceOrder {
+    WorkerId worker;
+    TaskRef task;
+    RunNumber run { 0 };
+    int percent { 100 };
+    Fence fence { 0 };
+};
+
+/// Asks what runs and what has ended, acknowledges ends, and renews the lease of all that runs there.
+struct LookOrder {
+    WorkerId worker;
+    Fence fence { 0 };
+    std::int64_t ackedThrough { 0 };
+    std::int64_t leaseUntilWorkerMs { 0 }; ///< On the worker's clock; 0: leaves the lease as it is.
+    Duration wait {}; ///< The worker answers at the next end, or after this.
+};
+
+using Order = std::variant<StartOrder, StopOrder, PaceOrder, LookOrder>;
+
+enum class CallStatus : std::uint8_t {
+    Done,
+    Refused, ///< With a `Refusal`; nothing was done.
+    Busy, ///< The worker is unhealthy; nothing was done.
+    WrongWorker, ///< Another worker answers at that address.
+    Malformed, ///< The order can't be understood; nothing was done.
+    NotSent, ///< Nothing was done.
+    NoAnswer, ///< May have been done, or may be done seconds later.
+};
+
+enum class Refusal : std::uint8_t { None, Fence, Old, Late, Room, Ticket };
+
+/// Outcome of a start, stop or pace.
+struct CallAnswer {
+    CallStatus status { CallStatus::NoAnswer };
+    Refusal refusal { Refusal::None };
+    std::int64_t workerClockMs { 0 }; ///< 0 when the answer told none.
+};
+
+struct RunningEntry {
+    TaskRef task;
+    RunNumber run { 0 };
+    std::string checkpoint;
+    int percent { 0 }; ///< 100: at work in full, for what lasts.
+    double figure { 0 }; ///< Tail latency in ms of what serves; millicores in use of anything else.
+};
+
+struct EndEntry {
+    std::int64_t number { 0 }; ///< Counts up from 1 in each life of the worker.
+    TaskRef task;
+    RunNumber run { 0 };
+    EndKind kind { EndKind::Lapsed };
+    std::string checkpoint;
+};
+
+struct LookReport {
+    std::int64_t bornUnixMs { 0 };
+    std::int64_t workerClockMs { 0 };
+    std::vector<RunningEntry> running;
+    std::vector<EndEntry> ends; ///< Ascending by number; all that are not acknowledged, or the first some hundred.
+};
+
+struct LookAnswer {
+    CallStatus status { CallStatus::NoAnswer };
+    Refusal refusal { Refusal::None };
+    LookReport report; ///< When Done.
+};
+
+} // namespace rattanrack::jobs
--- /dev/null
+++ b/packages/jobs/src/cell.cpp
@@ -0,0 +1,305 @@
+#include "rattanrack/jobs/cell.h"
+
+#include "cell_state.h"
+#include "rattanrack/jobs/job_codec.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rattanrack::jobs {
+
+namespace {
+
+constexpr std::size_t maxRowsInCommit = 90;
+constexpr std::size_t maxBytesInCommit = 600'000;
+
+std::int64_t milliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+bool isLast(JobState state) { return state != JobState::Queued && state != JobState::Active; }
+
+std::string_view name(JobState state)
+{
+    constexpr std::string_view names[] = { "queued", "active", "completed", "failed", "cancelled" };
+    return names[static_cast<std::size_t>(state)];
+}
+
+} // namespace
+
+Cell::Cell(CellSettings settings, std::vector<StoredJob> jobs, WorkerMachines workersOfEarlierOwners, TimePoint now,
+    std::int64_t unixMs)
+    : m_state(std::make_unique<CellState>(std::move(settings)))
+{
+    CellState& state = *m_state;
+    state.takenOverAt = now;
+    state.unixMs = unixMs;
+    state.firstRun = (state.settings.fence - 1) * runsPerTerm;
+    state.storedWorkers = workersOfEarlierOwners;
+    state.foreignWorkers = std::move(workersOfEarlierOwners);
+    for (StoredJob& stored : jobs) {
+        auto entry = std::make_unique<JobEntry>(std::move(stored.job), JobProgress { stored.job, stored.progress });
+        entry->isOld = true;
+        entry->isStored = true;
+        entry->storedState = entry->progress.state();
+        entry->acceptedAt = now - Duration { (unixMs - entry->job.acceptedAtUnixMs) * 1000 };
+        const JobId id = entry->job.id;
+        state.jobs.emplace(id, std::move(entry));
+    }
+}
+
+Cell::~Cell() = default;
+Cell::Cell(Cell&&) noexcept = default;
+Cell& Cell::operator=(Cell&&) noexcept = default;
+
+JobEntry* CellState::find(const JobId& job)
+{
+    const auto found = jobs.find(job);
+    return found == jobs.end() ? nullptr : found->second.get();
+}
+
+const JobEntry* CellState::find(const JobId& job) const
+{
+    const auto found = jobs.find(job);
+    return found == jobs.end() ? nullptr : found->second.get();
+}
+
+QueueSettings CellState::queueOf(const JobEntry& entry) const
+{
+    const auto found = queues.find(entry.job.queue);
+    return found == queues.end() ? QueueSettings { entry.job.queue, settings.pool } : found->second;
+}
+
+const Step& CellState::stepOf(const JobEntry& entry, const TaskRef& task)
+{
+    return entry.job.spec.steps[static_cast<std::size_t>(task.step)];
+}
+
+void CellState::tell(CellEvent::Kind kind, std::string subject, std::string detail, Duration age)
+{
+    output.events.push_back({ kind, std::move(subject), std::move(detail), age });
+}
+
+void CellState::changed(JobEntry& entry)
+{
+    ++entry.revision;
+    dirty.insert(entry.job.id);
+}
+
+void Cell::configure(const std::vector<QueueSettings>& queues)
+{
+    for (const QueueSettings& queue : queues)
+        m_state->queues[queue.id] = queue;
+}
+
+void Cell::setClosing(std::set<MachineId> machines) { m_state->closing = std::move(machines); }
+
+std::vector<MachineId> Cell::emptied() const
+{
+    std::vector<MachineId> machines;
+    for (const MachineId& machine : m_state->closing) {
+        bool isHere = false;
+        bool isInUse = m_state->isRecovering;
+        for (const auto& [id, worker] : m_state->workers) {
+            if (worker.description.machine != machine)
+                continue;
+            isHere = isHere || worker.isListed;
+            isInUse = isInUse || !worker.runs.empty();
+        }
+        if (isHere && !isInUse)
+            machines.push_back(machine);
+    }
+    return machines;
+}
+
+WorkerMachines Cell::workersInUse() const
+{
+    WorkerMachines used = m_state->foreignWorkers;
+    for (const auto& [id, worker] : m_state->workers) {
+        if (worker.isListed || !worker.runs.empty())
+            used[id] = worker.description.machine;
+    }
+    return used;
+}
+
+void Cell::workersStored(WorkerMachines workers) { m_state->storedWorkers = std::move(workers); }
+
+Acceptance Cell::submit(Job job, CallToken token, TimePoint now)
+{
+    CellState& state = *m_state;
+    if (JobEntry* known = state.find(job.id)) {
+        if (known->isStored)
+            return Acceptance::Stored;
+        (known->revisionInCommit > 0 ? known->inCommit : known->waiting).push_back(token);
+        return Acceptance::Waiting;
+    }
+    auto entry = std::make_unique<JobEntry>(job, JobProgress { job });
+    entry->acceptedAt = now;
+    entry->waiting.push_back(token);
+    state.changed(*entry);
+    state.isUrgent = true;
+    state.jobs.emplace(job.id, std::move(entry));
+    return Acceptance::Waiting;
+}
+
+std::optional<Acceptance> Cell::cancel(const JobId& job, CallToken token, std::int64_t unixMs)
+{
+    CellState& state = *m_state;
+    JobEntry* entry = state.find(job);
+    if (!entry)
+        return std::nullopt;
+    if (!entry->progress.hasEnded()) {
+        entry->progress.cancel(unixMs);
+        state.changed(*entry);
+        state.stopAll(*entry);
+        state.tell(CellEvent::Kind::JobEnded, job.value(), "cancelled");
+    }
+    if (entry->storedRevision == entry->revision)
+        return Acceptance::Stored;
+    state.isUrgent = true;
+    (entry->revisionInCommit == entry->revision ? entry->inCommit : entry->waiting).push_back(token);
+    return Acceptance::Waiting;
+}
+
+std::optional<JobState> Cell::state(const JobId& job) const
+{
+    const JobEntry* entry = m_state->find(job);
+    if (!entry || !entry->isStored || entry->isForgotten)
+        return std::nullopt;
+    if (isLast(entry->storedState))
+        return entry->storedState;
+    return entry->progress.hasStarted() ? JobState::Active : JobState::Queued;
+}
+
+int Cell::pending(const QueueId& queue) const
+{
+    return static_cast<int>(std::count_if(m_state->jobs.begin(), m_state->jobs.end(), [&](const auto& each) {
+        const JobEntry& entry = *each.second;
+        return entry.job.queue == queue && entry.isStored && entry.progress.state() == JobState::Queued;
+    }));
+}
+
+std::size_t Cell::openJobs() const
+{
+    return static_cast<std::size_t>(std::count_if(m_state->jobs.begin(), m_state->jobs.end(),
+        [](const auto& each) { return !each.second->progress.hasEnded(); }));
+}
+
+bool Cell::hasUrgentCommit() const { return m_state->isUrgent; }
+
+std::optional<CellCommit> Cell::takeCommit(std::int64_t unixMs)
+{
+    CellState& state = *m_state;
+    if (state.isCommitOnItsWay || state.dirty.empty())
+        return std::nullopt;
+    CellCommit commit;
+    state.isUrgent = false;
+    std::size_t bytes = 0;
+    for (auto next = state.dirty.begin(); next != state.dirty.end();) {
+        if (commit.rows.size() + 2 > maxRowsInCommit || bytes > maxBytesInCommit) {
+            state.isUrgent = true;
+            break;
+        }
+        const JobId id = *next;
+        next = state.dirty.erase(next);
+        JobEntry& entry = *state.find(id);
+        entry.progress.noteCompletion(unixMs);
+        const bool isNew = !entry.isStored;
+        if (isNew || entry.isForgotten) {
+            auto value = entry.isForgotten ? std::nullopt : std::optional { encode(entry.job) };
+            bytes += value ? value->size() : 0;
+            commit.rows.push_back({ CellRow::Kind::Job, id, std::move(value) });
+        }
+        if (entry.revision > 1 || !isNew) {
+            auto value = entry.isForgotten ? std::nullopt : std::optional { encode(entry.progress.stored()) };
+            bytes += value ? value->size() : 0;
+            commit.rows.push_back({ CellRow::Kind::Progress, id, std::move(value) });
+        }
+        entry.revisionInCommit = entry.revision;
+        entry.stateInCommit = entry.progress.state();
+        std::move(entry.waiting.begin(), entry.waiting.end(), std::back_inserter(entry.inCommit));
+        entry.waiting.clear();
+        state.inCommit.insert(id);
+    }
+    state.isCommitOnItsWay = true;
+    return commit;
+}
+
+void Cell::onCommitted(std::int64_t unixMs)
+{
+    CellState& state = *m_state;
+    state.isCommitOnItsWay = false;
+    for (const JobId& id : std::exchange(state.inCommit, {})) {
+        JobEntry& entry = *state.find(id);
+        if (entry.isForgotten) {
+            state.jobs.erase(id);
+            continue;
+        }
+        if (!entry.isStored)
+            state.tell(CellEvent::Kind::JobAccepted, id.value(), entry.job.queue.value());
+        if (isLast(entry.stateInCommit) && !isLast(entry.storedState))
+            state.tell(CellEvent::Kind::JobEnded, id.value(), std::string(name(entry.stateInCommit)),
+                Duration { (unixMs - entry.job.acceptedAtUnixMs) * 1000 });
+        entry.isStored = true;
+        entry.storedRevision = std::exchange(entry.revisionInCommit, 0);
+        entry.storedState = entry.stateInCommit;
+        for (const CallToken token : std::exchange(entry.inCommit, {}))
+            state.output.replies.push_back({ token, true });
+    }
+    state.advanceAcks();
+}
+
+void Cell::onCommitFailed()
+{
+    CellState& state = *m_state;
+    state.isCommitOnItsWay = false;
+    state.isUrgent = true;
+    for (const JobId& id : std::exchange(state.inCommit, {})) {
+        JobEntry& entry = *state.find(id);
+        entry.revisionInCommit = 0;
+        std::move(entry.inCommit.begin(), entry.inCommit.end(), std::back_inserter(entry.waiting));
+        entry.inCommit.clear();
+        state.dirty.insert(id);
+    }
+}
+
+void Cell::refuseWaiting()
+{
+    CellState& state = *m_state;
+    for (auto next = state.jobs.begin(); next != state.jobs.end();) {
+        JobEntry& entry = *next->second;
+        if (entry.isStored || entry.revisionInCommit > 0) {
+            ++next;
+            continue;
+        }
+        for (const CallToken token : entry.waiting)
+            state.output.replies.push_back({ token, false });
+        state.dirty.erase(next->first);
+        next = state.jobs.erase(next);
+    }
+}
+
+CellOutput Cell::step(TimePoint now, std::int64_t unixMs, bool mayStart)
+{
+    CellState& state = *m_state;
+    state.unixMs = unixMs;
+    state.checkRecovery(now);
+    state.checkSilent(now);
+    state.sendAgain(now);
+    state.emptyClosing(now);
+    if (mayStart)
+        state.schedule(now, unixMs);
+    state.sendLooks(now, mayStart);
+    for (auto& [id, entry] : state.jobs) {
+        const bool isOver = entry->progress.hasEnded() && entry->progress.endedAtUnixMs() > 0
+            && unixMs - entry->progress.endedAtUnixMs() > milliseconds(state.settings.keepEnded);
+        if (isOver && entry->isStored && !entry->isForgotten && entry->revision == entry->storedRevision) {
+            entry->isForgotten = true;
+            state.changed(*entry);
+        }
+    }
+    return std::exchange(state.output, {});
+}
+
+} // namespace rattanrack::jobs
--- /dev/null
+++ b/packages/jobs/src/cell_runs.cpp
@@ -0,0 +1,355 @@
+#include "cell_state.h"
+
+#include <algorithm>
+#include <utility>
+
+/// What runs where: orders, their answers, ends, and what is proved by each.
+namespace rattanrack::jobs {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration orderAgainAfter = 150ms; ///< After an order without an answer.
+constexpr Duration avoidAfterNoRoom = 250ms;
+constexpr Duration avoidAfterNoAnswer = 700ms;
+constexpr Duration firstAvoidance = 1s; ///< Of a worker on which all fails; doubles with each further failure.
+constexpr Duration longestAvoidance = 8s;
+constexpr int failuresToAvoid = 3;
+
+bool isSame(const Run& run, RunNumber number) { return run.number == number; }
+
+} // namespace
+
+Run& CellState::addRun(Worker& worker, const TaskRef& task, RunNumber number, const Step& step)
+{
+    Run run;
+    run.number = number;
+    run.size = step.size;
+    if (step.isFiller)
+        run.size.processors = {};
+    worker.used.processors += run.size.processors;
+    worker.used.memory += run.size.memory;
+    worker.used.accelerators += run.size.accelerators;
+    places[task] = worker.description.id;
+    return worker.runs.insert_or_assign(task, std::move(run)).first->second;
+}
+
+void CellState::release(Worker& worker, const TaskRef& task)
+{
+    const auto found = worker.runs.find(task);
+    if (found == worker.runs.end())
+        return;
+    worker.used.processors -= found->second.size.processors;
+    worker.used.memory -= found->second.size.memory;
+    worker.used.accelerators -= found->second.size.accelerators;
+    worker.runs.erase(found);
+    const auto place = places.find(task);
+    if (place != places.end() && place->second == worker.description.id)
+        places.erase(place);
+}
+
+void CellState::runOver(Worker& worker, const TaskRef& taskInRuns, bool isFailure)
+{
+    const TaskRef task = taskInRuns; // The one handed in may lie in the run that goes.
+    release(worker, task);
+    JobEntry* entry = find(task.job);
+    if (entry && entry->progress.has(task))
+        entry->progress.ended(task, isFailure);
+}
+
+void CellState::lost(Worker& worker)
+{
+    std::vector<TaskRef> tasks;
+    for (const auto& [task, run] : worker.runs)
+        tasks.push_back(task);
+    for (const TaskRef& task : tasks)
+        runOver(worker, task, false);
+    foreignWorkers.erase(worker.description.id);
+}
+
+void CellState::sendStop(Worker& worker, const TaskRef& task, RunNumber number)
+{
+    const auto found = worker.runs.find(task);
+    if (found == worker.runs.end() || !isSame(found->second, number))
+        return;
+    Run& run = found->second;
+    run.phase = RunPhase::Stopping;
+    if (run.isOrderOnItsWay)
+        return; // The answer to the start decides.
+    run.isOrderOnItsWay = true;
+    output.orders.emplace_back(StopOrder { worker.description.id, task, number, settings.fence });
+}
+
+void CellState::stopAll(JobEntry& entry)
+{
+    for (auto& [id, worker] : workers) {
+        std::vector<std::pair<TaskRef, RunNumber>> runs;
+        for (const auto& [task, run] : worker.runs) {
+            if (task.job == entry.job.id && run.phase != RunPhase::Stopping)
+                runs.emplace_back(task, run.number);
+        }
+        for (const auto& [task, number] : runs)
+            sendStop(worker, task, number);
+    }
+}
+
+void CellState::noteFailure(Worker& worker, TimePoint now)
+{
+    if (++worker.failuresInRow < failuresToAvoid)
+        return;
+    const int doublings = std::min(worker.failuresInRow - failuresToAvoid, 3);
+    worker.avoidUntil = now + std::min(longestAvoidance, firstAvoidance * (1 << doublings));
+}
+
+void CellState::endIfOver(JobEntry& entry, const TaskRef& failed)
+{
+    if (entry.progress.hasEnded())
+        return;
+    const Step& step = stepOf(entry, failed);
+    if (!step.isLasting && entry.progress.task(failed).failures >= queueOf(entry).attempts) {
+        entry.progress.fail(unixMs);
+        stopAll(entry);
+    }
+}
+
+void CellState::takeEnd(Worker& worker, const EndEntry& end, TimePoint now)
+{
+    if (end.number <= worker.processedThrough)
+        return;
+    worker.processedThrough = end.number;
+    worker.pendingEnds.push_back({ end.number, end.task.job, 0 });
+    const auto found = worker.runs.find(end.task);
+    const bool isKnownRun = found != worker.runs.end() && isSame(found->second, end.run);
+    JobEntry* entry = find(end.task.job);
+    if (!entry || !entry->progress.has(end.task)) {
+        if (isKnownRun)
+            release(worker, end.task);
+        return;
+    }
+    const Step& step = stepOf(*entry, end.task);
+    if (end.kind == EndKind::Done && isKnownRun && found->second.confirmedAt != TimePoint {})
+        runtimes.observe(entry->job.queue, step.estimate, now - found->second.confirmedAt);
+    if (isKnownRun)
+        release(worker, end.task);
+    const bool isOpen = !entry->progress.hasEnded();
+    if (!end.checkpoint.empty() && step.hasCheckpoints)
+        entry->progress.task(end.task).checkpoint = end.checkpoint;
+    if (end.kind == EndKind::Done) {
+        worker.failuresInRow = 0;
+        if (isOpen && entry->progress.task(end.task).phase != TaskPhase::Done) {
+            entry->progress.done(end.task);
+            entry->isChainStale = true;
+            changed(*entry);
+            isUrgent = isUrgent || entry->progress.hasEnded();
+        }
+        const auto elsewhere = places.find(end.task);
+        if (elsewhere != places.end()) {
+            Worker& other = workers.at(elsewhere->second);
+            sendStop(other, end.task, other.runs.at(end.task).number);
+        }
+    } else {
+        const bool isFailure = end.kind == EndKind::Failed;
+        if (isFailure)
+            noteFailure(worker, now);
+        if (isKnownRun)
+            entry->progress.ended(end.task, false);
+        if (isFailure && isOpen && !step.isLasting) {
+            const TaskRef counted { end.task.job, end.task.occurrence, end.task.step,
+                step.isGang ? 0 : end.task.index };
+            ++entry->progress.task(counted).failures;
+            changed(*entry);
+            endIfOver(*entry, counted);
+            isUrgent = isUrgent || entry->progress.hasEnded();
+        }
+    }
+    worker.pendingEnds.back().revision = dirty.contains(end.task.job) ? entry->revision : 0;
+}
+
+void CellState::advanceAcks()
+{
+    for (auto& [id, worker] : workers) {
+        while (!worker.pendingEnds.empty()) {
+            const PendingEnd& end = worker.pendingEnds.front();
+            const JobEntry* entry = find(end.job);
+            if (entry && entry->storedRevision < end.revision)
+                break;
+            worker.ackedThrough = end.number;
+            worker.pendingEnds.pop_front();
+        }
+    }
+}
+
+void CellState::adopt(Worker& worker, const RunningEntry& running, TimePoint now)
+{
+    JobEntry* entry = find(running.task.job);
+    const bool isKnownTask = entry && entry->progress.has(running.task);
+    const bool isWanted = isKnownTask && !entry->progress.hasEnded()
+        && entry->progress.task(running.task).phase == TaskPhase::Waiting && !places.contains(running.task)
+        && !worker.runs.contains(running.task);
+    if (worker.runs.contains(running.task))
+        return; // Another run of it is being settled there; this one is seen again afterwards.
+    static const Step s_unknownStep;
+    const bool hadPlace = places.contains(running.task);
+    const WorkerId earlierPlace = hadPlace ? places.at(running.task) : WorkerId {};
+    Run& run = addRun(worker, running.task, running.run, isKnownTask ? stepOf(*entry, running.task) : s_unknownStep);
+    if (hadPlace)
+        places[running.task] = earlierPlace;
+    run.phase = RunPhase::Confirmed;
+    run.confirmedAt = now;
+    run.settledAt = now;
+    run.percent = running.percent;
+    run.figure = running.figure;
+    if (!isWanted) {
+        sendStop(worker, running.task, running.run);
+        return;
+    }
+    entry->progress.starting(running.task, running.run);
+    entry->progress.running(running.task);
+    if (!running.checkpoint.empty())
+        entry->progress.task(running.task).checkpoint = running.checkpoint;
+}
+
+void CellState::takeRunning(Worker& worker, const LookReport& report, TimePoint sentAt, TimePoint now)
+{
+    std::set<TaskRef> seen;
+    for (const RunningEntry& running : report.running) {
+        const auto found = worker.runs.find(running.task);
+        if (found == worker.runs.end() || !isSame(found->second, running.run)) {
+            adopt(worker, running, now);
+            continue;
+        }
+        seen.insert(running.task);
+        Run& run = found->second;
+        run.percent = running.percent;
+        run.figure = running.figure;
+        JobEntry* entry = find(running.task.job);
+        const bool isKnownTask = entry && entry->progress.has(running.task);
+        if (run.phase == RunPhase::Ordered) {
+            run.phase = RunPhase::Confirmed;
+            run.confirmedAt = now;
+            run.settledAt = now;
+            if (isKnownTask)
+                entry->progress.running(running.task);
+        }
+        run.mayComeLate = false;
+        if (isKnownTask && !running.checkpoint.empty() && stepOf(*entry, running.task).hasCheckpoints)
+            entry->progress.task(running.task).checkpoint = running.checkpoint;
+    }
+    std::vector<TaskRef> gone;
+    for (const auto& [task, run] : worker.runs) {
+        const bool isSettled = run.settledAt != TimePoint {} && run.settledAt < sentAt && !run.isOrderOnItsWay;
+        if (isSettled && !seen.contains(task))
+            gone.push_back(task);
+    }
+    for (const TaskRef& task : gone)
+        runOver(worker, task, false);
+}
+
+void CellState::startFailed(Worker& worker, const StartOrder& order, Run& run)
+{
+    if (run.mayComeLate || run.phase == RunPhase::Stopping)
+        sendStop(worker, order.task, order.run);
+    else
+        runOver(worker, order.task, false);
+}
+
+void Cell::onAnswer(const StartOrder& order, const CallAnswer& answer, TimePoint now)
+{
+    CellState& state = *m_state;
+    const auto known = state.workers.find(order.worker);
+    if (known == state.workers.end())
+        return;
+    Worker& worker = known->second;
+    if (answer.workerClockMs > 0)
+        worker.clock.observe(answer.workerClockMs, now);
+    const auto found = worker.runs.find(order.task);
+    if (found == worker.runs.end() || !isSame(found->second, order.run))
+        return;
+    Run& run = found->second;
+    run.isOrderOnItsWay = false;
+    const bool isThere
+        = answer.status == CallStatus::Done || (answer.status == CallStatus::Refused && answer.refusal == Refusal::Old);
+    if (isThere) {
+        run.settledAt = now;
+        run.mayComeLate = false;
+        worker.isLookWanted = true;
+        JobEntry* entry = state.find(order.task.job);
+        if (run.phase == RunPhase::Stopping || !entry || entry->progress.hasEnded()) {
+            state.sendStop(worker, order.task, order.run);
+        } else if (run.phase == RunPhase::Ordered) {
+            run.phase = RunPhase::Confirmed;
+            run.confirmedAt = now;
+            entry->progress.running(order.task);
+        }
+        return;
+    }
+    if (answer.status == CallStatus::NoAnswer) {
+        run.mayComeLate = true;
+        run.orderAgainAt = now + orderAgainAfter;
+        worker.avoidUntil = std::max(worker.avoidUntil, now + avoidAfterNoAnswer);
+        worker.isLookWanted = true;
+        return;
+    }
+    if (answer.status == CallStatus::WrongWorker) {
+        state.lost(worker);
+        worker.contact = WorkerContact::Unknown;
+        worker.isLookWanted = true;
+        return;
+    }
+    if (answer.status == CallStatus::Busy)
+        state.noteFailure(worker, now);
+    if (answer.refusal == Refusal::Fence)
+        state.tell(CellEvent::Kind::FenceSeen, order.worker.value());
+    if (answer.refusal == Refusal::Ticket) {
+        if (JobEntry* entry = state.find(order.task.job))
+            entry->tickets.erase({ order.task.occurrence, order.task.step });
+    }
+    worker.avoidUntil = std::max(
+        worker.avoidUntil, now + (answer.status == CallStatus::NotSent ? avoidAfterNoAnswer : avoidAfterNoRoom));
+    worker.isLookWanted = true;
+    state.startFailed(worker, order, run);
+}
+
+void Cell::onAnswer(const StopOrder& order, const CallAnswer& answer, TimePoint now)
+{
+    CellState& state = *m_state;
+    const auto known = state.workers.find(order.worker);
+    if (known == state.workers.end())
+        return;
+    Worker& worker = known->second;
+    if (answer.workerClockMs > 0)
+        worker.clock.observe(answer.workerClockMs, now);
+    const auto found = worker.runs.find(order.task);
+    if (found == worker.runs.end() || !isSame(found->second, order.run))
+        return;
+    Run& run = found->second;
+    run.isOrderOnItsWay = false;
+    if (answer.status == CallStatus::WrongWorker) {
+        state.lost(worker);
+        return;
+    }
+    const bool isTaken
+        = answer.status == CallStatus::Done || (answer.status == CallStatus::Refused && answer.refusal == Refusal::Old);
+    if (isTaken) {
+        run.settledAt = now;
+        run.mayComeLate = false;
+        worker.isLookWanted = true;
+    } else {
+        run.orderAgainAt = now + orderAgainAfter;
+    }
+    if (answer.refusal == Refusal::Fence)
+        state.tell(CellEvent::Kind::FenceSeen, order.worker.value());
+}
+
+void Cell::onAnswer(const PaceOrder& order, const CallAnswer& answer, TimePoint)
+{
+    const auto known = m_state->workers.find(order.worker);
+    if (known == m_state->workers.end())
+        return;
+    const auto found = known->second.runs.find(order.task);
+    if (found != known->second.runs.end() && isSame(found->second, order.run) && answer.status != CallStatus::Done)
+        found->second.pace = -1; // Unknown: set again with the next look.
+}
+
+} // namespace rattanrack::jobs
--- /dev/null
+++ b/packages/jobs/src/cell_state.h
@@ -0,0 +1,172 @@
+#pragma once
+
+#include "rattanrack/jobs/cell.h"
+#include "rattanrack/jobs/lease_clock.h"
+#include "rattanrack/jobs/pacing.h"
+#include "rattanrack/jobs/runtime_estimate.h"
+
+#include <deque>
+#include <map>
+#include <unordered_map>
+
+/// The insides of a cell, shared by its source files.
+namespace rattanrack::jobs {
+
+enum class RunPhase : std::uint8_t {
+    Ordered, ///< The start has no answer yet.
+    Confirmed, ///< The worker has said that it runs.
+    Stopping,
+};
+
+/// A run that may be going on.
+struct Run {
+    RunNumber number { 0 };
+    RunPhase phase { RunPhase::Ordered };
+    ResourceSize size; ///< What it takes of the worker's room.
+    bool mayComeLate { false }; ///< A start had no answer: it may still be carried out.
+    bool isOrderOnItsWay { false }; ///< A start or stop waits for its answer.
+    TimePoint confirmedAt {};
+    TimePoint settledAt {}; ///< When the worker last said yes to a start or stop; a later look tells whether it runs.
+    TimePoint orderAgainAt {};
+    int percent { 0 };
+    int pace { 100 };
+    double figure { 0 };
+    StartOrder start; ///< Sent again while it has no answer.
+};
+
+/// An end that has been taken in, until it may be acknowledged.
+struct PendingEnd {
+    std::int64_t number { 0 };
+    JobId job;
+    std::uint64_t revision { 0 }; ///< Of the job, which must be stored; 0: nothing need be stored.
+};
+
+enum class WorkerContact : std::uint8_t {
+    Unknown, ///< Not looked at under this owner's fence.
+    InTouch,
+    Silent,
+};
+
+struct Worker {
+    WorkerDescription description;
+    bool isListed { false };
+    WorkerContact contact { WorkerContact::Unknown };
+    LeaseClock clock;
+    std::int64_t bornUnixMs { 0 };
+    std::unordered_map<TaskRef, Run> runs;
+    ResourceSize used;
+    std::int64_t processedThrough { 0 };
+    std::int64_t ackedThrough { 0 };
+    std::int64_t sentAck { 0 }; ///< What the last answered look acknowledged.
+    std::deque<PendingEnd> pendingEnds;
+    bool isLookOnItsWay { false };
+    bool isLookWanted { true };
+    TimePoint lookAt {};
+    TimePoint lookedAt {}; ///< When the last answered look was sent.
+    int failuresInRow { 0 };
+    TimePoint avoidUntil {};
+    Pacing pacing;
+
+    bool isClosedFor(TimePoint now) const { return now < avoidUntil; }
+};
+
+struct StepTicket {
+    std::map<WorkerId, std::string> tickets;
+    TimePoint validUntil {};
+    TimePoint askAgainAt {};
+    bool isAsked { false };
+};
+
+struct JobEntry {
+    JobEntry(Job accepted, JobProgress made)
+        : job(std::move(accepted))
+        , progress(std::move(made))
+    {
+    }
+
+    Job job;
+    JobProgress progress;
+    bool isOld { false }; ///< Taken over: an earlier owner may have started parts of it.
+    bool isStored { false };
+    bool isForgotten { false }; ///< Its rows are to be removed.
+    std::uint64_t revision { 0 }; ///< Grows with each change that is to be stored.
+    std::uint64_t revisionInCommit { 0 };
+    std::uint64_t storedRevision { 0 };
+    JobState stateInCommit { JobState::Queued };
+    JobState storedState { JobState::Queued };
+    std::vector<CallToken> waiting; ///< Callers that wait for the next commit.
+    std::vector<CallToken> inCommit; ///< Callers that wait for the commit on its way.
+    TimePoint acceptedAt {};
+    Duration chain {}; ///< Longest chain of work left.
+    TimePoint dueAt {}; ///< Later than this is late.
+    bool isChainStale { true };
+    std::map<std::pair<int, int>, StepTicket> tickets; ///< By occurrence and step.
+};
+
+struct CellState {
+    explicit CellState(CellSettings cellSettings)
+        : settings(std::move(cellSettings))
+    {
+    }
+
+    CellSettings settings;
+    std::map<QueueId, QueueSettings> queues;
+    std::map<WorkerId, Worker> workers;
+    WorkerMachines storedWorkers; ///< May be used.
+    WorkerMachines foreignWorkers; ///< Used by earlier owners, and not looked at yet.
+    std::set<MachineId> closing;
+    std::unordered_map<JobId, std::unique_ptr<JobEntry>> jobs;
+    std::unordered_map<TaskRef, WorkerId> places; ///< Where a subtask's run is.
+    RuntimeEstimate runtimes;
+    RunNumber firstRun { 1 };
+    TimePoint takenOverAt {};
+    bool isRecovering { true };
+    std::set<JobId> dirty; ///< Jobs with changes that are to be stored.
+    std::set<JobId> inCommit;
+    bool isCommitOnItsWay { false };
+    bool isUrgent { false };
+    std::int64_t unixMs { 0 }; ///< Wall clock of the latest step.
+    CellOutput output;
+
+    JobEntry* find(const JobId& job);
+    const JobEntry* find(const JobId& job) const;
+    QueueSettings queueOf(const JobEntry& entry) const;
+    static const Step& stepOf(const JobEntry& entry, const TaskRef& task);
+    void tell(CellEvent::Kind kind, std::string subject, std::string detail = {}, Duration age = {});
+
+    // Runs: cell_runs.cpp
+    Run& addRun(Worker& worker, const TaskRef& task, RunNumber number, const Step& step);
+    void release(Worker& worker, const TaskRef& task);
+    void runOver(Worker& worker, const TaskRef& task, bool isFailure);
+    void lost(Worker& worker);
+    void takeEnd(Worker& worker, const EndEntry& end, TimePoint now);
+    void takeRunning(Worker& worker, const LookReport& report, TimePoint sentAt, TimePoint now);
+    void adopt(Worker& worker, const RunningEntry& entry, TimePoint now);
+    void sendStop(Worker& worker, const TaskRef& task, RunNumber run);
+    void stopAll(JobEntry& entry);
+    void stopGang(JobEntry& entry, const TaskRef& member);
+    void noteFailure(Worker& worker, TimePoint now);
+    void startFailed(Worker& worker, const StartOrder& order, Run& run);
+    void changed(JobEntry& entry);
+    void endIfOver(JobEntry& entry, const TaskRef& failed);
+    void advanceAcks();
+
+    // Workers: cell_workers.cpp
+    void sendLooks(TimePoint now, bool mayRenew);
+    void sendAgain(TimePoint now);
+    void checkSilent(TimePoint now);
+    void pace(Worker& worker, TimePoint now);
+    void emptyClosing(TimePoint now);
+    void checkRecovery(TimePoint now);
+    int awayOf(const JobEntry& entry, const TaskRef& member) const;
+
+    // Decisions: cell_schedule.cpp
+    void schedule(TimePoint now, std::int64_t unixMs);
+    void estimateChain(JobEntry& entry);
+    ResourceSize room() const;
+};
+
+/// Numbers of runs leave room for this many starts under one owner.
+constexpr RunNumber runsPerTerm = 1'000'000;
+
+} // namespace rattanrack::jobs
--- /dev/null
+++ b/packages/jobs/src/cell_workers.cpp
@@ -0,0 +1,236 @@
+#include "cell_state.h"
+#include "rattanrack/jobs/placement.h"
+
+#include <algorithm>
+
+/// Workers as a cell's owner keeps in touch with them.
+namespace rattanrack::jobs {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration longestLook = 1000ms;
+constexpr Duration longestLookBesideFillers = 500ms;
+constexpr Duration lookPause = 50ms; ///< Ends that come within it are heard of together.
+constexpr Duration silentLookPause = 250ms;
+
+bool isServing(const Step& step) { return step.isLasting && step.latencyTarget > Duration::zero(); }
+
+} // namespace
+
+void Cell::setWorkers(const std::vector<WorkerDescription>& listed, TimePoint now)
+{
+    CellState& state = *m_state;
+    for (auto& [id, worker] : state.workers)
+        worker.isListed = false;
+    for (const WorkerDescription& description : listed) {
+        Worker& worker = state.workers[description.id];
+        const bool isNewLife = worker.bornUnixMs != description.bornUnixMs;
+        worker.isLookWanted = worker.isLookWanted || isNewLife;
+        worker.description = description;
+        worker.isListed = true;
+    }
+    // A machine that has a later worker runs nothing of the earlier one any more.
+    for (auto& [id, worker] : state.workers) {
+        const auto isSuccessor = [&, &early = worker](const WorkerDescription& other) {
+            return other.machine == early.description.machine && other.id != early.description.id
+                && other.bornUnixMs > early.description.bornUnixMs && !other.machine.isEmpty();
+        };
+        if (!worker.isListed && std::any_of(listed.begin(), listed.end(), isSuccessor))
+            state.lost(worker);
+    }
+    std::erase_if(state.foreignWorkers, [&](const auto& foreign) {
+        return std::any_of(listed.begin(), listed.end(), [&](const WorkerDescription& each) {
+            return each.id != foreign.first && each.machine == foreign.second && !each.machine.isEmpty();
+        });
+    });
+    std::erase_if(state.workers, [&](const auto& each) {
+        const Worker& worker = each.second;
+        return !worker.isListed && worker.runs.empty() && !worker.isLookOnItsWay && now >= worker.clock.lapsedAt();
+    });
+}
+
+void CellState::sendLooks(TimePoint now, bool mayRenew)
+{
+    for (auto& [id, worker] : workers) {
+        const bool isWanted = worker.isLookWanted || !worker.runs.empty() || worker.ackedThrough > worker.sentAck;
+        const bool isReachable = worker.isListed || !worker.runs.empty();
+        if (!isWanted || !isReachable || worker.isLookOnItsWay || now < worker.lookAt)
+            continue;
+        LookOrder look;
+        look.worker = id;
+        look.fence = settings.fence;
+        look.ackedThrough = worker.ackedThrough;
+        const bool isInTouch = worker.contact == WorkerContact::InTouch;
+        if (isInTouch && mayRenew && !worker.runs.empty() && worker.clock.isKnown())
+            look.leaseUntilWorkerMs = worker.clock.grant(settings.leaseLength, now);
+        const bool hasFillers = std::any_of(worker.runs.begin(), worker.runs.end(), [&](const auto& each) {
+            const JobEntry* entry = find(each.first.job);
+            return entry && entry->progress.has(each.first) && stepOf(*entry, each.first).isFiller;
+        });
+        const bool isSettling = std::any_of(worker.runs.begin(), worker.runs.end(),
+            [](const auto& each) { return each.second.phase == RunPhase::Stopping; });
+        if (isInTouch && !worker.runs.empty() && !isSettling)
+            look.wait = hasFillers ? longestLookBesideFillers : longestLook;
+        worker.isLookOnItsWay = true;
+        worker.isLookWanted = false;
+        output.orders.emplace_back(std::move(look));
+    }
+}
+
+void Cell::onAnswer(const LookOrder& order, const LookAnswer& answer, TimePoint sentAt, TimePoint now)
+{
+    CellState& state = *m_state;
+    const auto known = state.workers.find(order.worker);
+    if (known == state.workers.end())
+        return;
+    Worker& worker = known->second;
+    worker.isLookOnItsWay = false;
+    worker.lookAt = now + lookPause;
+    if (answer.status != CallStatus::Done) {
+        worker.lookAt = now + silentLookPause;
+        worker.isLookWanted = worker.isLookWanted || worker.contact != WorkerContact::InTouch || worker.isListed;
+        if (answer.status == CallStatus::WrongWorker)
+            state.lost(worker);
+        if (answer.refusal == Refusal::Fence)
+            state.tell(CellEvent::Kind::FenceSeen, order.worker.value());
+        if (worker.contact == WorkerContact::InTouch) {
+            worker.contact = WorkerContact::Silent;
+            state.tell(CellEvent::Kind::WorkerSilent, order.worker.value());
+        }
+        return;
+    }
+    const LookReport& report = answer.report;
+    if (worker.bornUnixMs != report.bornUnixMs) {
+        worker.bornUnixMs = report.bornUnixMs;
+        worker.clock.forgetClock();
+        worker.processedThrough = 0;
+        worker.ackedThrough = 0;
+        worker.sentAck = 0;
+        worker.pendingEnds.clear();
+        worker.failuresInRow = 0;
+    } else {
+        worker.sentAck = std::max(worker.sentAck, order.ackedThrough);
+    }
+    if (worker.contact == WorkerContact::Silent)
+        state.tell(CellEvent::Kind::WorkerBack, order.worker.value());
+    worker.contact = WorkerContact::InTouch;
+    worker.clock.observe(report.workerClockMs, now);
+    worker.lookedAt = sentAt;
+    state.foreignWorkers.erase(order.worker);
+    for (const EndEntry& end : report.ends)
+        state.takeEnd(worker, end, now);
+    state.takeRunning(worker, report, sentAt, now);
+    state.advanceAcks();
+    state.pace(worker, now);
+}
+
+void CellState::sendAgain(TimePoint now)
+{
+    for (auto& [id, worker] : workers) {
+        for (auto& [task, run] : worker.runs) {
+            if (run.isOrderOnItsWay || run.orderAgainAt == TimePoint {} || now < run.orderAgainAt)
+                continue;
+            run.orderAgainAt = {};
+            run.isOrderOnItsWay = true;
+            if (run.phase == RunPhase::Ordered)
+                output.orders.emplace_back(run.start);
+            else if (run.phase == RunPhase::Stopping)
+                output.orders.emplace_back(StopOrder { id, task, run.number, settings.fence });
+            else
+                run.isOrderOnItsWay = false;
+        }
+    }
+}
+
+void CellState::checkSilent(TimePoint now)
+{
+    for (auto& [id, worker] : workers) {
+        if (worker.contact == WorkerContact::Silent && !worker.runs.empty() && now >= worker.clock.lapsedAt())
+            lost(worker);
+    }
+}
+
+void CellState::checkRecovery(TimePoint now)
+{
+    if (!isRecovering)
+        return;
+    if (now >= takenOverAt + settings.foreignLease)
+        foreignWorkers.clear();
+    const bool isAllSeen = foreignWorkers.empty();
+    if (!isAllSeen)
+        return;
+    isRecovering = false;
+}
+
+void CellState::pace(Worker& worker, TimePoint now)
+{
+    double worstTail = 0;
+    std::vector<TaskRef> fillers;
+    for (const auto& [task, run] : worker.runs) {
+        const JobEntry* entry = find(task.job);
+        if (!entry || !entry->progress.has(task) || run.phase != RunPhase::Confirmed)
+            continue;
+        const Step& step = stepOf(*entry, task);
+        if (step.isFiller)
+            fillers.push_back(task);
+        else if (isServing(step))
+            worstTail = std::max(worstTail, run.figure * 1000 / static_cast<double>(step.latencyTarget.count()));
+    }
+    if (fillers.empty()) {
+        worker.pacing = {};
+        return;
+    }
+    const int percent = worker.pacing.observe(worstTail, now);
+    for (const TaskRef& task : fillers) {
+        Run& run = worker.runs.at(task);
+        if (run.pace == percent)
+            continue;
+        run.pace = percent;
+        output.orders.emplace_back(PaceOrder { worker.description.id, task, run.number, percent, settings.fence });
+    }
+}
+
+int CellState::awayOf(const JobEntry& entry, const TaskRef& member) const
+{
+    int away = 0;
+    TaskRef other = member;
+    for (other.index = 0; other.index < stepOf(entry, member).count; ++other.index) {
+        if (other.index == member.index)
+            continue;
+        const auto place = places.find(other);
+        const Run* run = nullptr;
+        if (place != places.end())
+            run = &workers.at(place->second).runs.at(other);
+        const bool isAtWork = run && run->phase == RunPhase::Confirmed && run->percent >= 100;
+        away += isAtWork ? 0 : 1;
+    }
+    return away;
+}
+
+void CellState::emptyClosing(TimePoint)
+{
+    if (closing.empty() || isRecovering)
+        return;
+    std::vector<std::pair<WorkerId, TaskRef>> stops;
+    for (const auto& [id, worker] : workers) {
+        if (!closing.contains(worker.description.machine))
+            continue;
+        for (const auto& [task, run] : worker.runs) {
+            const JobEntry* entry = find(task.job);
+            if (!entry || !entry->progress.has(task) || run.phase != RunPhase::Confirmed)
+                continue;
+            if (stepOf(*entry, task).isLasting)
+                stops.emplace_back(id, task);
+        }
+    }
+    for (const auto& [id, task] : stops) {
+        const JobEntry& entry = *find(task.job);
+        const int allowed = std::max(stepOf(entry, task).mayMiss, 1);
+        if (awayOf(entry, task) < allowed)
+            sendStop(workers.at(id), task, workers.at(id).runs.at(task).number);
+    }
+}
+
+} // namespace rattanrack::jobs
--- /dev/null
+++ b/packages/jobs/src/configuration.cpp
@@ -0,0 +1,38 @@
+#include "rattanrack/jobs/configuration.h"
+
+#include <algorithm>
+
+namespace rattanrack::jobs {
+
+const Route* Configuration::find(std::string_view host, std::string_view path) const
+{
+    const Route* best = nullptr;
+    for (const Route& route : routes) {
+        const bool isMatch = route.host == host && path.starts_with(route.pathPrefix);
+        if (isMatch && (!best || route.pathPrefix.size() > best->pathPrefix.size()))
+            best = &route;
+    }
+    return best;
+}
+
+std::vector<PoolId> Configuration::cells() const
+{
+    std::vector<PoolId> cells;
+    for (const Route& route : routes)
+        cells.push_back(route.queue.pool);
+    std::sort(cells.begin(), cells.end());
+    cells.erase(std::unique(cells.begin(), cells.end()), cells.end());
+    return cells;
+}
+
+std::vector<QueueSettings> Configuration::queuesOf(const PoolId& pool) const
+{
+    std::vector<QueueSettings> queues;
+    for (const Route& route : routes) {
+        if (route.queue.pool == pool)
+            queues.push_back(route.queue);
+    }
+    return queues;
+}
+
+} // namespace rattanrack::jobs
--- /dev/null
+++ b/packages/jobs/src/job_codec.cpp
@@ -0,0 +1,131 @@
+#include "rattanrack/jobs/job_codec.h"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace rattanrack::jobs {
+
+namespace {
+
+using Json = nlohmann::json;
+
+std::string toBytes(const Json& json)
+{
+    std::string bytes;
+    Json::to_cbor(json, bytes);
+    return bytes;
+}
+
+Json toJson(const Step& step)
+{
+    return Json::array({ step.count, step.size.processors.count(), step.size.memory.count(),
+        step.size.accelerators.count(), step.estimate.count(), step.after, step.hasCheckpoints, step.isGang,
+        step.wantsOneRack, step.requiredLabel, step.dataRack, step.maxPerWorker, step.allowsCopies, step.isLasting,
+        step.image, step.latencyTarget.count(), step.isFiller, step.mayMiss });
+}
+
+Step stepFrom(const Json& json)
+{
+    std::size_t at = 0;
+    const auto next = [&]() -> const Json& { return json.at(at++); };
+    Step step;
+    step.count = next().get<int>();
+    step.size.processors = Millicores { next().get<std::int64_t>() };
+    step.size.memory = Mebibytes { next().get<std::int64_t>() };
+    step.size.accelerators = Accelerators { next().get<std::int64_t>() };
+    step.estimate = Duration { next().get<std::int64_t>() };
+    step.after = next().get<std::vector<int>>();
+    step.hasCheckpoints = next().get<bool>();
+    step.isGang = next().get<bool>();
+    step.wantsOneRack = next().get<bool>();
+    step.requiredLabel = next().get<std::string>();
+    step.dataRack = next().get<std::string>();
+    step.maxPerWorker = next().get<int>();
+    step.allowsCopies = next().get<bool>();
+    step.isLasting = next().get<bool>();
+    step.image = next().get<std::string>();
+    step.latencyTarget = Duration { next().get<std::int64_t>() };
+    step.isFiller = next().get<bool>();
+    step.mayMiss = next().get<int>();
+    return step;
+}
+
+Job jobFrom(const Json& json)
+{
+    Job job;
+    job.id = JobId { json.at("id").get<std::string>() };
+    job.queue = QueueId { json.at("queue").get<std::string>() };
+    job.acceptedAtUnixMs = json.at("at").get<std::int64_t>();
+    job.spec.text = json.at("text").get<std::string>();
+    for (const Json& step : json.at("steps"))
+        job.spec.steps.push_back(stepFrom(step));
+    const Json& schedule = json.at("schedule");
+    job.spec.schedule
+        = { schedule.at(0).get<int>(), schedule.at(1).get<std::int64_t>(), schedule.at(2).get<std::int64_t>() };
+    return job;
+}
+
+StoredProgress progressFrom(const Json& json)
+{
+    StoredProgress progress { json.at("ended").get<std::int64_t>(), json.at("cancelled").get<bool>(),
+        json.at("failed").get<bool>(), json.at("completed").get<bool>(), {} };
+    for (const Json& task : json.at("tasks")) {
+        progress.tasks.push_back({ task.at(0).get<int>(), task.at(1).get<int>(), task.at(2).get<int>(),
+            task.at(3).get<bool>(), task.at(4).get<int>() });
+    }
+    return progress;
+}
+
+/// Runs a decoder that may meet wrong types anywhere.
+template <typename Decoder>
+auto decode(const char* step, const std::string& bytes, const Decoder& decoder)
+    -> Result<decltype(decoder(std::declval<Json>()))>
+{
+    const Json json = Json::from_cbor(bytes, true, false);
+    if (json.is_discarded())
+        return fail(ErrorCode::MalformedMessage, step, "", "not CBOR");
+    try {
+        return decoder(json);
+    } catch (const Json::exception& error) {
+        return fail(ErrorCode::MalformedMessage, step, "", error.what());
+    }
+}
+
+} // namespace
+
+std::string encode(const Job& job)
+{
+    Json steps = Json::array();
+    for (const Step& step : job.spec.steps)
+        steps.push_back(toJson(step));
+    const Schedule& schedule = job.spec.schedule;
+    return toBytes({ { "id", job.id.value() }, { "queue", job.queue.value() }, { "at", job.acceptedAtUnixMs },
+        { "text", job.spec.text }, { "steps", std::move(steps) },
+        { "schedule", Json::array({ schedule.times, schedule.firstAtUnixMs, schedule.intervalMs }) } });
+}
+
+Result<Job> decodeJob(const std::string& bytes)
+{
+    BOOST_LEAF_AUTO(job, decode("job.decode", bytes, jobFrom));
+    const std::string_view defect = defectOf(job.spec);
+    if (!defect.empty())
+        return fail(ErrorCode::MalformedMessage, "job.decode", "", std::string(defect));
+    return job;
+}
+
+std::string encode(const StoredProgress& progress)
+{
+    Json tasks = Json::array();
+    for (const StoredTask& task : progress.tasks)
+        tasks.push_back(Json::array({ task.occurrence, task.step, task.index, task.isDone, task.failures }));
+    return toBytes({ { "ended", progress.endedAtUnixMs }, { "cancelled", progress.isCancelled },
+        { "failed", progress.isFailed }, { "completed", progress.isCompleted }, { "tasks", std::move(tasks) } });
+}
+
+Result<StoredProgress> decodeProgress(const std::string& bytes)
+{
+    return decode("progress.decode", bytes, progressFrom);
+}
+
+} // namespace rattanrack::jobs
--- /dev/null
+++ b/packages/jobs/src/job_progress.cpp
@@ -0,0 +1,194 @@
+#include "rattanrack/jobs/job_progress.h"
+
+#include <algorithm>
+
+namespace rattanrack::jobs {
+
+JobProgress::JobProgress(const Job& job)
+{
+    const JobSpec& spec = job.spec;
+    for (const Step& step : spec.steps) {
+        m_after.push_back(step.after);
+        m_isGang.push_back(step.isGang);
+        m_totalTasks += step.count;
+    }
+    m_totalTasks *= spec.schedule.occurrences();
+    for (int number = 0; number < spec.schedule.occurrences(); ++number) {
+        Occurrence occurrence;
+        if (spec.schedule.times > 0)
+            occurrence.dueUnixMs = spec.schedule.firstAtUnixMs + number * spec.schedule.intervalMs;
+        for (const Step& step : spec.steps)
+            occurrence.steps.push_back({ std::vector<Task>(static_cast<std::size_t>(step.count)), 0, step.count });
+        m_occurrences.push_back(std::move(occurrence));
+    }
+}
+
+JobProgress::JobProgress(const Job& job, const StoredProgress& stored)
+    : JobProgress(job)
+{
+    m_isCancelled = stored.isCancelled;
+    m_isFailed = stored.isFailed;
+    m_endedAtUnixMs = stored.endedAtUnixMs;
+    if (stored.isCompleted)
+        m_doneTasks = m_totalTasks;
+    for (const StoredTask& entry : stored.tasks) {
+        const TaskRef ref { job.id, entry.occurrence, entry.step, entry.index };
+        if (stored.isCompleted || !has(ref))
+            continue;
+        m_hasStarted = true;
+        task(ref).failures = entry.failures;
+        if (entry.isDone)
+            markDone(ref);
+    }
+}
+
+JobState JobProgress::state() const
+{
+    if (m_isCancelled)
+        return JobState::Cancelled;
+    if (m_isFailed)
+        return JobState::Failed;
+    if (m_doneTasks == m_totalTasks)
+        return JobState::Completed;
+    return m_hasStarted ? JobState::Active : JobState::Queued;
+}
+
+Task& JobProgress::taskAt(int occurrence, int step, int index)
+{
+    return m_occurrences[static_cast<std::size_t>(occurrence)]
+        .steps[static_cast<std::size_t>(step)]
+        .tasks[static_cast<std::size_t>(index)];
+}
+
+const Task& JobProgress::task(const TaskRef& ref) const
+{
+    return m_occurrences[static_cast<std::size_t>(ref.occurrence)]
+        .steps[static_cast<std::size_t>(ref.step)]
+        .tasks[static_cast<std::size_t>(ref.index)];
+}
+
+bool JobProgress::has(const TaskRef& ref) const
+{
+    if (ref.occurrence < 0 || ref.occurrence >= occurrences())
+        return false;
+    const auto& steps = m_occurrences[static_cast<std::size_t>(ref.occurrence)].steps;
+    if (ref.step < 0 || ref.step >= static_cast<int>(steps.size()))
+        return false;
+    return ref.index >= 0 && ref.index < static_cast<int>(steps[static_cast<std::size_t>(ref.step)].tasks.size());
+}
+
+bool JobProgress::isReady(int occurrence, int step, std::int64_t unixMs) const
+{
+    if (unixMs < m_occurrences[static_cast<std::size_t>(occurrence)].dueUnixMs)
+        return false;
+    const auto& after = m_after[static_cast<std::size_t>(step)];
+    return std::all_of(after.begin(), after.end(), [&](int earlier) { return isStepDone(occurrence, earlier); });
+}
+
+bool JobProgress::isStepDone(int occurrence, int step) const
+{
+    const StepProgress& progress
+        = m_occurrences[static_cast<std::size_t>(occurrence)].steps[static_cast<std::size_t>(step)];
+    return progress.doneCount == static_cast<int>(progress.tasks.size());
+}
+
+int JobProgress::waitingTasks(int occurrence, int step) const
+{
+    return m_occurrences[static_cast<std::size_t>(occurrence)].steps[static_cast<std::size_t>(step)].waitingCount;
+}
+
+void JobProgress::setPhase(const TaskRef& ref, TaskPhase phase)
+{
+    StepProgress& step
+        = m_occurrences[static_cast<std::size_t>(ref.occurrence)].steps[static_cast<std::size_t>(ref.step)];
+    Task& changed = step.tasks[static_cast<std::size_t>(ref.index)];
+    step.waitingCount -= changed.phase == TaskPhase::Waiting ? 1 : 0;
+    step.waitingCount += phase == TaskPhase::Waiting ? 1 : 0;
+    step.doneCount += phase == TaskPhase::Done ? 1 : 0;
+    m_doneTasks += phase == TaskPhase::Done ? 1 : 0;
+    changed.phase = phase;
+}
+
+void JobProgress::starting(const TaskRef& ref, RunNumber run)
+{
+    task(ref).lastRun = std::max(task(ref).lastRun, run);
+    setPhase(ref, TaskPhase::Starting);
+}
+
+void JobProgress::running(const TaskRef& ref)
+{
+    m_hasStarted = true;
+    if (task(ref).phase != TaskPhase::Done)
+        setPhase(ref, TaskPhase::Running);
+}
+
+void JobProgress::ended(const TaskRef& ref, bool isFailure)
+{
+    Task& changed = task(ref);
+    changed.failures += isFailure ? 1 : 0;
+    if (changed.phase != TaskPhase::Done)
+        setPhase(ref, TaskPhase::Waiting);
+}
+
+void JobProgress::markDone(const TaskRef& ref)
+{
+    if (task(ref).phase != TaskPhase::Done)
+        setPhase(ref, TaskPhase::Done);
+}
+
+void JobProgress::done(const TaskRef& ref)
+{
+    m_hasStarted = true;
+    if (!m_isGang[static_cast<std::size_t>(ref.step)]) {
+        markDone(ref);
+        return;
+    }
+    const auto& step
+        = m_occurrences[static_cast<std::size_t>(ref.occurrence)].steps[static_cast<std::size_t>(ref.step)];
+    for (int index = 0; index < static_cast<int>(step.tasks.size()); ++index)
+        markDone({ ref.job, ref.occurrence, ref.step, index });
+}
+
+void JobProgress::cancel(std::int64_t unixMs)
+{
+    if (hasEnded())
+        return;
+    m_isCancelled = true;
+    m_endedAtUnixMs = unixMs;
+}
+
+void JobProgress::fail(std::int64_t unixMs)
+{
+    if (hasEnded())
+        return;
+    m_isFailed = true;
+    m_endedAtUnixMs = unixMs;
+}
+
+void JobProgress::noteCompletion(std::int64_t unixMs)
+{
+    if (state() == JobState::Completed && m_endedAtUnixMs == 0)
+        m_endedAtUnixMs = unixMs;
+}
+
+StoredProgress JobProgress::stored() const
+{
+    StoredProgress stored { m_endedAtUnixMs, m_isCancelled, m_isFailed, state() == JobState::Completed, {} };
+    if (hasEnded())
+        return stored;
+    for (int occurrence = 0; occurrence < occurrences(); ++occurrence) {
+        const auto& steps = m_occurrences[static_cast<std::size_t>(occurrence)].steps;
+        for (int step = 0; step < static_cast<int>(steps.size()); ++step) {
+            const auto& tasks = steps[static_cast<std::size_t>(step)].tasks;
+            for (int index = 0; index < static_cast<int>(tasks.size()); ++index) {
+                const Task& each = tasks[static_cast<std::size_t>(index)];
+                const bool isDone = each.phase == TaskPhase::Done;
+                if (isDone || each.failures > 0)
+                    stored.tasks.push_back({ occurrence, step, index, isDone, each.failures });
+            }
+        }
+    }
+    return stored;
+}
+
+} // namespace rattanrack::jobs
--- /dev/null
+++ b/packages/jobs/src/owned_part.cpp
@@ -0,0 +1,101 @@
+#include "rattanrack/jobs/owned_part.h"
+
+#include <nlohmann/json.hpp>
+
+namespace rattanrack::jobs {
+
+namespace {
+
+using Json = nlohmann::json;
+
+const char* tableOf(CellRow::Kind kind) { return kind == CellRow::Kind::Job ? jobTable : progressTable; }
+
+} // namespace
+
+std::string encode(const OwnerRow& row)
+{
+    Json workers = Json::array();
+    for (const auto& [worker, machine] : row.workers)
+        workers.push_back(Json::array({ worker.value(), machine.value() }));
+    const Json json { { "holder", row.holder.value() }, { "term", row.term }, { "sequence", row.sequence },
+        { "workers", std::move(workers) } };
+    std::string bytes;
+    Json::to_cbor(json, bytes);
+    return bytes;
+}
+
+Result<OwnerRow> decodeOwnerRow(const std::string& bytes)
+{
+    const Json json = Json::from_cbor(bytes, true, false);
+    if (json.is_discarded())
+        return fail(ErrorCode::MalformedMessage, "owner.decode", "", "not CBOR");
+    try {
+        OwnerRow row { NodeId { json.at("holder").get<std::string>() }, json.at("term").get<Fence>(),
+            json.at("sequence").get<std::uint64_t>(), {} };
+        for (const Json& worker : json.at("workers"))
+            row.workers[WorkerId { worker.at(0).get<std::string>() }] = MachineId { worker.at(1).get<std::string>() };
+        return row;
+    } catch (const Json::exception& error) {
+        return fail(ErrorCode::MalformedMessage, "owner.decode", "", error.what());
+    }
+}
+
+OwnedPart::OwnedPart(PoolId cell, NodeId self, const std::optional<OwnerRow>& found, RowVersion foundVersion)
+    : m_part(cell.value())
+    , m_self(std::move(self))
+    , m_version(foundVersion)
+{
+    if (found)
+        m_row = *found;
+    m_row.holder = m_self;
+    m_row.term += 1;
+    m_row.sequence = 0;
+}
+
+const PartTransaction& OwnedPart::take(const std::vector<CellRow>& rows, WorkerMachines workers, bool handsBack)
+{
+    ++m_row.sequence;
+    m_row.workers = std::move(workers);
+    m_row.holder = handsBack ? NodeId {} : m_self;
+    m_transaction
+        = { m_part, { { { ownerTable, ownerKey }, m_version } }, { { { ownerTable, ownerKey }, encode(m_row) } } };
+    for (const CellRow& row : rows)
+        m_transaction.writes.push_back({ { tableOf(row.kind), row.job.value() }, row.value });
+    m_isOnItsWay = true;
+    m_mayTakeEffect = false;
+    return m_transaction;
+}
+
+OwnedOutcome OwnedPart::settle(const TransactionOutcome& outcome)
+{
+    const auto done = [&](RowVersion version) {
+        m_version = version;
+        m_isOnItsWay = false;
+        return OwnedOutcome::Done;
+    };
+    switch (outcome.status) {
+    case TransactionStatus::Done:
+        return done(outcome.version);
+    case TransactionStatus::Conflict:
+        for (const PartRow& row : outcome.current) {
+            if (row.row.table == ownerTable && row.value == encode(m_row))
+                return done(row.version); // An earlier sending of the same took effect.
+        }
+        return OwnedOutcome::Lost;
+    case TransactionStatus::Unknown:
+        m_mayTakeEffect = true;
+        return OwnedOutcome::Unsettled;
+    case TransactionStatus::Refused:
+    case TransactionStatus::Unavailable:
+        break;
+    }
+    return m_mayTakeEffect ? OwnedOutcome::Unsettled : OwnedOutcome::Again;
+}
+
+void OwnedPart::giveUp()
+{
+    m_isOnItsWay = false;
+    --m_row.sequence;
+}
+
+} // namespace rattanrack::jobs
--- /dev/null
+++ b/packages/node/include/rattanrack/node/cell_host.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "rattanrack/base/metrics.h"
+#include "rattanrack/jobs/cell.h"
+#include "rattanrack/jobs/owned_part.h"
+#include "rattanrack/jobs/ports.h"
+#include "rattanrack/node/control_loop.h"
+#include "rattanrack/node/elastic_thread_pool.h"
+#include "rattanrack/node/worker_links.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace rattanrack::node {
+
+/// What a takeover has brought: the part, and all that is stored in it.
+struct Takeover {
+    jobs::OwnedPart part;
+    jobs::WorkerMachines workers;
+    std::vector<jobs::StoredJob> jobs;
+};
+
+/// Takes a cell over: becomes the owner of its part and reads it. Blocks; for a thread of the store. Errors: Conflict
+/// (another node was faster), Unavailable, MalformedMessage.
+Result<Takeover> takeOver(jobs::PartStore& store, const PoolId& cell, const NodeId& self);
+
+struct CellTimes {
+    Duration leaseLength {};
+    Duration keepEnded {};
+};
+
+/// One cell that this node owns: drives its decisions, stores what they need, and carries orders to the workers. All
+/// methods belong to the control thread.
+class CellHost {
+public:
+    struct Parts {
+        ControlLoop& control;
+        const Clock& clock;
+        Metrics& metrics;
+        ElasticThreadPool& storeThreads;
+        jobs::PartStore& store;
+        jobs::WorkerConnector& connector;
+        jobs::Advisor* advisor { nullptr }; ///< Null: no queue needs advice.
+        ElasticThreadPool* advisorThread { nullptr };
+        std::function<void(jobs::CallToken, bool isStored)> onReply;
+        std::function<void()> onLost; ///< The cell is in other hands, or handed back. Called once.
+        std::function<void(bool isInReach)> onStore;
+    };
+
+    CellHost(Parts parts, const PoolId& pool, const CellTimes& times, Takeover takeover);
+    ~CellHost();
+    CellHost(const CellHost&) = delete;
+    CellHost& operator=(const CellHost&) = delete;
+
+    void configure(const std::vector<jobs::QueueSettings>& queues) { m_cell.configure(queues); }
+    void setWorkers(const std::vector<jobs::WorkerDescription>& workers);
+    void setClosing(std::set<jobs::MachineId> machines);
+    std::vector<jobs::MachineId> emptied() const { return m_cell.emptied(); }
+
+    jobs::Acceptance submit(jobs::Job job, jobs::CallToken token);
+    std::optional<jobs::Acceptance> cancel(const jobs::JobId& job, jobs::CallToken token);
+    std::optional<jobs::JobState> state(const jobs::JobId& job) const { return m_cell.state(job); }
+    int pending(const jobs::QueueId& queue) const { return m_cell.pending(queue); }
+
+    /// Starts nothing more, stores what is open, and gives the part up; `onLost` follows.
+    void handBack();
+
+    jobs::Fence term() const { return m_part.term(); }
+
+private:
+    void wake();
+    void pump();
+    void handleOutput(jobs::CellOutput output);
+    void ask(const jobs::AdviceQuestion& question);
+    void log(const jobs::CellEvent& event);
+    void commitIfDue();
+    void sendCommit();
+    void committed(const jobs::TransactionOutcome& outcome, TimePoint sentAt);
+    void lose();
+    bool mayStart() const;
+
+    /// Runs `work` on the control thread unless this object is gone by then.
+    ControlLoop::Work guarded(ControlLoop::Work work) const;
+
+    Parts m_parts;
+    PoolId m_pool;
+    jobs::OwnedPart m_part;
+    jobs::Cell m_cell;
+    WorkerLinks m_links;
+    std::shared_ptr<bool> m_isAlive;
+    TimePoint m_confirmedAt; ///< When the latest transaction that proved the ownership was sent.
+    TimePoint m_committedAt {}; ///< When the latest transaction was sent.
+    TimePoint m_tryAgainAt {};
+    bool m_isPumpPlanned { false };
+    bool m_isHandingBack { false };
+    bool m_hasHandedBack { false };
+    bool m_isLost { false };
+    bool m_isStoreInReach { true };
+};
+
+} // namespace rattanrack::node
--- a/packages/node/include/rattanrack/node/coordination_service.h
+++ b/packages/node/include/rattanrack/node/coordination_service.h
@@ -93,6 +93,10 @@
     void received(const peer::ClaimReply& message) { m_parts.events.onClaimReply(message); }
     void received(const peer::AnswerQuery& message) { m_parts.events.onAnswerQuery(message); }
     void received(const peer::AnswerReply& message) { m_parts.events.onAnswerReply(message); }
+    // The nodes of a federation that runs jobs speak these among themselves only.
+    void received(const jobs::NodeNews&) { }
+    void received(const peer::JobCall&) { }
+    void received(const peer::JobReply&) { }
 
     Parts m_parts;
     peer::Membership m_membership;
--- /dev/null
+++ b/packages/node/include/rattanrack/node/worker_links.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "rattanrack/jobs/ports.h"
+#include "rattanrack/node/control_loop.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace rattanrack::node {
+
+/// Carries a cell's orders to its workers: for each worker one thread for looks, which wait for ends, and one for all
+/// other orders, in their order. Belongs to the control thread.
+class WorkerLinks {
+public:
+    struct Answers {
+        std::function<void(const jobs::StartOrder&, const jobs::CallAnswer&)> started;
+        std::function<void(const jobs::StopOrder&, const jobs::CallAnswer&)> stopped;
+        std::function<void(const jobs::PaceOrder&, const jobs::CallAnswer&)> paced;
+        std::function<void(const jobs::LookOrder&, const jobs::LookAnswer&, TimePoint sentAt)> looked;
+    };
+
+    /// `answers` are called on the control thread, until this object is destroyed.
+    WorkerLinks(ControlLoop& control, const Clock& clock, jobs::WorkerConnector& connector, Answers answers);
+    ~WorkerLinks();
+    WorkerLinks(const WorkerLinks&) = delete;
+    WorkerLinks& operator=(const WorkerLinks&) = delete;
+
+    /// Where the workers are now; links to others that have nothing left to carry are closed.
+    void setAddresses(const std::map<jobs::WorkerId, std::string>& addresses);
+
+    void send(jobs::Order order);
+
+private:
+    class Link;
+    struct Sink;
+    std::shared_ptr<Link> open(const jobs::WorkerId& worker, const std::string& address);
+
+    ControlLoop& m_control;
+    const Clock& m_clock;
+    jobs::WorkerConnector& m_connector;
+    std::shared_ptr<Sink> m_sink;
+    std::map<jobs::WorkerId, std::shared_ptr<Link>> m_links;
+    std::map<jobs::WorkerId, std::string> m_addresses;
+};
+
+} // namespace rattanrack::node
--- a/packages/node/src/main.cpp
+++ b/packages/node/src/main.cpp
@@ -1,3 +1,4 @@
+#include "rattanrack/adapter/serve.h"
 #include "rattanrack/base/log.h"
 #include "rattanrack/config/node_settings.h"
 #include "rattanrack/node/daemon.h"
@@ -16,9 +17,13 @@
 
 Usage:
   rattanrackd --settings=FILE [--check]
+  rattanrackd jobs --settings=FILE [--check]
   rattanrackd (-h | --help)
   rattanrackd --version
 
+Commands:
+  jobs             Run jobs on the users' platform. Without it, single requests are served.
+
 Options:
   --settings=FILE  Settings of this node (YAML).
   --check          Check the settings, print every mistake, and end.
@@ -39,14 +44,16 @@
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     return signals;
 }
 
 void waitForStopSignal()
 {
     const sigset_t signals = stopSignals();
-    int received = 0;
-    sigwait(&signals, &received);
+    int received = SIGHUP;
+    while (received == SIGHUP)
+        sigwait(&signals, &received);
 }
 
 int printError(const Error& error, int exitCode)
@@ -73,6 +80,22 @@
         [](const Error& error) { return printError(error, exitCannotStart); });
 }
 
+int serveJobs(const std::string& path, bool onlyChecks)
+{
+    const auto settings = valueOrNothing(
+        [&] { return config::loadJobNodeFile(path); }, [](const Error& error) { printError(error, exitBadSettings); });
+    if (!settings)
+        return exitBadSettings;
+    if (onlyChecks)
+        return 0;
+    return handle(
+        [&]() -> Result<int> {
+            BOOST_LEAF_CHECK(adapter::serve(*settings));
+            return 0;
+        },
+        [](const Error& error) { return printError(error, exitCannotStart); });
+}
+
 } // namespace
 
 int main(int argumentCount, char** arguments)
@@ -82,6 +105,8 @@
     const sigset_t signals = stopSignals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
+    if (options.at("jobs").asBool())
+        return serveJobs(options.at("--settings").asString(), options.at("--check").asBool());
     const auto settings = readSettings(options.at("--settings").asString());
     if (!settings)
         return exitBadSettings;
--- /dev/null
+++ b/packages/node/src/worker_links.cpp
@@ -0,0 +1,173 @@
+#include "rattanrack/node/worker_links.h"
+
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+#include <thread>
+#include <utility>
+
+namespace rattanrack::node {
+
+namespace {
+
+const jobs::WorkerId& workerOf(const jobs::Order& order)
+{
+    return std::visit([](const auto& each) -> const jobs::WorkerId& { return each.worker; }, order);
+}
+
+} // namespace
+
+/// Outlives the links' threads; cut when the owner goes.
+struct WorkerLinks::Sink {
+    ControlLoop& control;
+    const Clock& clock;
+    Answers answers; ///< Touched on the control thread only.
+    bool isCut { false }; ///< Touched on the control thread only.
+};
+
+/// A queue of orders and the thread that carries them out.
+class WorkerLinks::Link {
+public:
+    Link(std::shared_ptr<Sink> sink, jobs::WorkerConnector& connector, jobs::WorkerId worker, std::string address)
+        : m_sink(std::move(sink))
+        , m_connector(connector)
+        , m_worker(std::move(worker))
+        , m_address(std::move(address))
+    {
+    }
+
+    const std::string& address() const { return m_address; }
+
+    void send(const std::shared_ptr<Link>& self, jobs::Order order)
+    {
+        const bool isLook = std::holds_alternative<jobs::LookOrder>(order);
+        Lane& lane = isLook ? m_looks : m_orders;
+        {
+            const std::lock_guard lock(m_mutex);
+            lane.queue.push_back(std::move(order));
+            if (!std::exchange(lane.hasThread, true))
+                std::thread([self, &lane] { self->run(lane); }).detach();
+        }
+        lane.wakeUp.notify_one();
+    }
+
+    /// The threads end once they have carried out what is queued; answers still arrive.
+    void close()
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            m_isClosed = true;
+        }
+        m_looks.wakeUp.notify_one();
+        m_orders.wakeUp.notify_one();
+    }
+
+private:
+    struct Lane {
+        std::deque<jobs::Order> queue;
+        std::condition_variable wakeUp;
+        bool hasThread { false };
+    };
+
+    void run(Lane& lane)
+    {
+        const auto channel = m_connector.connect(m_worker, m_address);
+        std::unique_lock lock(m_mutex);
+        while (true) {
+            lane.wakeUp.wait(lock, [&] { return m_isClosed || !lane.queue.empty(); });
+            if (lane.queue.empty())
+                return;
+            const jobs::Order order = std::move(lane.queue.front());
+            lane.queue.pop_front();
+            lock.unlock();
+            std::visit([&](const auto& each) { carryOut(*channel, each); }, order);
+            lock.lock();
+        }
+    }
+
+    template <typename OrderType, typename Answer>
+    void report(OrderType order, Answer answer, std::function<void(const OrderType&, const Answer&)> Answers::*target)
+    {
+        m_sink->control.post([sink = m_sink, order = std::move(order), answer = std::move(answer), target] {
+            if (!sink->isCut)
+                (sink->answers.*target)(order, answer);
+        });
+    }
+
+    void carryOut(jobs::WorkerChannel& channel, const jobs::StartOrder& order)
+    {
+        report(order, channel.start(order), &Answers::started);
+    }
+    void carryOut(jobs::WorkerChannel& channel, const jobs::StopOrder& order)
+    {
+        report(order, channel.stop(order), &Answers::stopped);
+    }
+    void carryOut(jobs::WorkerChannel& channel, const jobs::PaceOrder& order)
+    {
+        report(order, channel.pace(order), &Answers::paced);
+    }
+    void carryOut(jobs::WorkerChannel& channel, const jobs::LookOrder& order)
+    {
+        const TimePoint sentAt = m_sink->clock.now();
+        m_sink->control.post([sink = m_sink, order, answer = channel.look(order), sentAt] {
+            if (!sink->isCut)
+                sink->answers.looked(order, answer, sentAt);
+        });
+    }
+
+    std::shared_ptr<Sink> m_sink;
+    jobs::WorkerConnector& m_connector;
+    const jobs::WorkerId m_worker;
+    const std::string m_address;
+    std::mutex m_mutex;
+    Lane m_looks;
+    Lane m_orders;
+    bool m_isClosed { false };
+};
+
+WorkerLinks::WorkerLinks(ControlLoop& control, const Clock& clock, jobs::WorkerConnector& connector, Answers answers)
+    : m_control(control)
+    , m_clock(clock)
+    , m_connector(connector)
+    , m_sink(std::make_shared<Sink>(Sink { control, clock, std::move(answers) }))
+{
+}
+
+WorkerLinks::~WorkerLinks()
+{
+    m_sink->isCut = true;
+    for (const auto& [worker, link] : m_links)
+        link->close();
+}
+
+void WorkerLinks::setAddresses(const std::map<jobs::WorkerId, std::string>& addresses)
+{
+    // A worker that is listed no more may still be there: its last address is kept.
+    for (const auto& [worker, address] : addresses)
+        m_addresses[worker] = address;
+    std::erase_if(m_links, [&](const auto& link) {
+        const bool isElsewhere = m_addresses.at(link.first) != link.second->address();
+        if (isElsewhere)
+            link.second->close();
+        return isElsewhere;
+    });
+}
+
+std::shared_ptr<WorkerLinks::Link> WorkerLinks::open(const jobs::WorkerId& worker, const std::string& address)
+{
+    auto& link = m_links[worker];
+    if (!link)
+        link = std::make_shared<Link>(m_sink, m_connector, worker, address);
+    return link;
+}
+
+void WorkerLinks::send(jobs::Order order)
+{
+    const auto address = m_addresses.find(workerOf(order));
+    if (address == m_addresses.end())
+        return;
+    const auto link = open(address->first, address->second);
+    link->send(link, std::move(order));
+}
+
+} // namespace rattanrack::node
--- a/packages/peer/include/rattanrack/peer/messages.h
+++ b/packages/peer/include/rattanrack/peer/messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "rattanrack/base/ids.h"
+#include "rattanrack/jobs/ownership.h"
 #include "rattanrack/policy/claims.h"
 #include "rattanrack/policy/traffic.h"
 
@@ -94,7 +95,39 @@
     friend bool operator==(const AnswerReply&, const AnswerReply&) = default;
 };
 
+enum class JobOperation : std::uint8_t { Submit, State, Cancel, Pending };
+
+/// A caller's request, on its way to the owner of its cell.
+struct JobCall {
+    std::uint64_t exchange { 0 }; ///< Chosen by the sender; comes back in the reply.
+    std::string replyTo; ///< "ip:port" of the sender.
+    JobOperation operation { JobOperation::State };
+    PoolId cell;
+    jobs::JobId job;
+    jobs::QueueId queue;
+    std::string body; ///< The job, for Submit.
+
+    friend bool operator==(const JobCall&, const JobCall&) = default;
+};
+
+enum class JobCallStatus : std::uint8_t {
+    Done,
+    NotKnown, ///< No such job.
+    Refused, ///< Proved not to be stored, now or later.
+    NotOwner, ///< Nothing was done: the cell is in other hands.
+    Unsettled, ///< May be stored or not; the same id may be sent again.
+};
+
+struct JobReply {
+    std::uint64_t exchange { 0 };
+    JobCallStatus status { JobCallStatus::Unsettled };
+    jobs::JobState state { jobs::JobState::Queued };
+    int pending { 0 };
+
+    friend bool operator==(const JobReply&, const JobReply&) = default;
+};
+
 using Message = std::variant<Heartbeat, ConfigAnnouncement, CreditAskMessage, CreditGrantMessage, ClaimRequest,
-    ClaimReply, AnswerQuery, AnswerReply>;
+    ClaimReply, AnswerQuery, AnswerReply, jobs::NodeNews, JobCall, JobReply>;
 
 } // namespace rattanrack::peer
--- a/packages/peer/src/codec.cpp
+++ b/packages/peer/src/codec.cpp
@@ -11,6 +11,7 @@
 
 constexpr std::size_t fixedSizeBound = 512;
 constexpr std::size_t creditSizeBound = 32;
+constexpr std::size_t nameSizeBound = 64;
 
 std::string text(capnp::Text::Reader reader) { return { reader.cStr(), reader.size() }; }
 
@@ -40,6 +41,20 @@
     return credits;
 }
 
+void encodeMachines(const std::vector<jobs::MachineId>& machines, capnp::List<capnp::Text>::Builder target)
+{
+    for (unsigned i = 0; i < target.size(); ++i)
+        target.set(i, machines[i].value());
+}
+
+std::vector<jobs::MachineId> decodeMachines(capnp::List<capnp::Text>::Reader source)
+{
+    std::vector<jobs::MachineId> machines;
+    for (const auto machine : source)
+        machines.emplace_back(text(machine));
+    return machines;
+}
+
 void encodeSize(const ResourceSize& size, wire::ResourceSize::Builder target)
 {
     target.setMillicores(size.processors.count());
@@ -194,6 +209,44 @@
         reply.setReason(message.reason);
         reply.setRetryAfterMicroseconds(message.retryAfter.count());
     }
+
+    void operator()(const jobs::NodeNews& message)
+    {
+        auto news = target.initNodeNews();
+        news.setNode(message.node.value());
+        news.setAddress(message.address);
+        news.setSequence(message.sequence);
+        news.setIsLeaving(message.isLeaving);
+        news.setIsStoreInReach(message.isStoreInReach);
+        auto cells = news.initCells(static_cast<unsigned>(message.cells.size()));
+        for (unsigned i = 0; i < cells.size(); ++i) {
+            cells[i].setCell(message.cells[i].cell.value());
+            cells[i].setTerm(message.cells[i].term);
+        }
+        encodeMachines(message.closing, news.initClosing(static_cast<unsigned>(message.closing.size())));
+        encodeMachines(message.emptied, news.initEmptied(static_cast<unsigned>(message.emptied.size())));
+    }
+
+    void operator()(const JobCall& message)
+    {
+        auto call = target.initJobCall();
+        call.setExchange(message.exchange);
+        call.setReplyTo(message.replyTo);
+        call.setOperation(static_cast<wire::JobOperation>(message.operation));
+        call.setCell(message.cell.value());
+        call.setJob(message.job.value());
+        call.setQueue(message.queue.value());
+        call.setBody(dataOf(message.body));
+    }
+
+    void operator()(const JobReply& message)
+    {
+        auto reply = target.initJobReply();
+        reply.setExchange(message.exchange);
+        reply.setStatus(static_cast<wire::JobCallStatus>(message.status));
+        reply.setState(static_cast<std::uint8_t>(message.state));
+        reply.setPending(message.pending);
+    }
 };
 
 Introduction decodeIntroduction(wire::Introduction::Reader source)
@@ -297,6 +350,35 @@
         text(source.getReason()), Duration { source.getRetryAfterMicroseconds() } };
 }
 
+jobs::NodeNews decodeNodeNews(wire::NodeNews::Reader source)
+{
+    jobs::NodeNews news { NodeId { text(source.getNode()) }, text(source.getAddress()), source.getSequence(),
+        source.getIsLeaving(), source.getIsStoreInReach(), {}, decodeMachines(source.getClosing()),
+        decodeMachines(source.getEmptied()) };
+    for (const auto cell : source.getCells())
+        news.cells.push_back({ PoolId { text(cell.getCell()) }, cell.getTerm() });
+    return news;
+}
+
+std::optional<Message> decodeJobCall(wire::JobCall::Reader source)
+{
+    if (source.getOperation() > wire::JobOperation::PENDING)
+        return std::nullopt;
+    return JobCall { source.getExchange(), text(source.getReplyTo()), static_cast<JobOperation>(source.getOperation()),
+        PoolId { text(source.getCell()) }, jobs::JobId { text(source.getJob()) },
+        jobs::QueueId { text(source.getQueue()) }, bytes(source.getBody()) };
+}
+
+std::optional<Message> decodeJobReply(wire::JobReply::Reader source)
+{
+    const bool isInRange = source.getStatus() <= wire::JobCallStatus::UNSETTLED
+        && source.getState() <= static_cast<std::uint8_t>(jobs::JobState::Cancelled);
+    if (!isInRange)
+        return std::nullopt;
+    return JobReply { source.getExchange(), static_cast<JobCallStatus>(source.getStatus()),
+        static_cast<jobs::JobState>(source.getState()), source.getPending() };
+}
+
 std::optional<Message> decodeAny(wire::Message::Reader source)
 {
     switch (source.which()) {
@@ -316,6 +398,12 @@
         return decodeAnswerQuery(source.getAnswerQuery());
     case wire::Message::ANSWER_REPLY:
         return decodeAnswerReply(source.getAnswerReply());
+    case wire::Message::NODE_NEWS:
+        return decodeNodeNews(source.getNodeNews());
+    case wire::Message::JOB_CALL:
+        return decodeJobCall(source.getJobCall());
+    case wire::Message::JOB_REPLY:
+        return decodeJobReply(source.getJobReply());
     }
     return std::nullopt;
 }
@@ -341,6 +429,13 @@
     std::size_t operator()(const AnswerQuery& message) const { return message.request.value().size(); }
     std::size_t operator()(const AnswerReply& message) const { return message.output.size() + message.reason.size(); }
 
+    std::size_t operator()(const jobs::NodeNews& message) const
+    {
+        return (message.cells.size() + message.closing.size() + message.emptied.size()) * nameSizeBound;
+    }
+    std::size_t operator()(const JobCall& message) const { return message.body.size(); }
+    std::size_t operator()(const JobReply&) const { return 0; }
+
     static std::size_t credits(const std::vector<policy::Credit>& credits)
     {
         std::size_t total = 0;
--- a/packages/peer/src/peer.capnp
+++ b/packages/peer/src/peer.capnp
@@ -19,6 +19,9 @@
     claimReply @5 :ClaimReply;
     answerQuery @6 :AnswerQuery;
     answerReply @7 :AnswerReply;
+    nodeNews @8 :NodeNews;
+    jobCall @9 :JobCall;
+    jobReply @10 :JobReply;
   }
 }
 
@@ -146,3 +149,51 @@
   reason @3 :Text;
   retryAfterMicroseconds @4 :Int64;
 }
+
+struct HeldCell {
+  cell @0 :Text;
+  term @1 :Int64;
+}
+
+struct NodeNews {
+  node @0 :Text;
+  address @1 :Text;
+  sequence @2 :UInt64;
+  isLeaving @3 :Bool;
+  isStoreInReach @4 :Bool;
+  cells @5 :List(HeldCell);
+  closing @6 :List(Text);
+  emptied @7 :List(Text);
+}
+
+enum JobOperation {
+  submit @0;
+  state @1;
+  cancel @2;
+  pending @3;
+}
+
+struct JobCall {
+  exchange @0 :UInt64;
+  replyTo @1 :Text;
+  operation @2 :JobOperation;
+  cell @3 :Text;
+  job @4 :Text;
+  queue @5 :Text;
+  body @6 :Data;
+}
+
+enum JobCallStatus {
+  done @0;
+  notKnown @1;
+  refused @2;
+  notOwner @3;
+  unsettled @4;
+}
+
+struct JobReply {
+  exchange @0 :UInt64;
+  status @1 :JobCallStatus;
+  state @2 :UInt8;
+  pending @3 :Int32;
+}
