--- a/packages/peer/src/peer.capnp.h
+++ b/packages/peer/src/peer.capnp.h
@@ -52,6 +52,27 @@
 CAPNP_DECLARE_SCHEMA(f3786469f4f6d341);
 CAPNP_DECLARE_SCHEMA(e51c59c6b4d66db5);
 CAPNP_DECLARE_SCHEMA(bb378b7a7dcda204);
+CAPNP_DECLARE_SCHEMA(b639cb6b70830832);
+CAPNP_DECLARE_SCHEMA(9072e06186a0c7b8);
+CAPNP_DECLARE_SCHEMA(aad2b5ced463b6c7);
+enum class JobOperation_aad2b5ced463b6c7: uint16_t {
+  SUBMIT,
+  STATE,
+  CANCEL,
+  PENDING,
+};
+CAPNP_DECLARE_ENUM(JobOperation, aad2b5ced463b6c7);
+CAPNP_DECLARE_SCHEMA(f24372f90df5b083);
+CAPNP_DECLARE_SCHEMA(e2d70a838a284959);
+enum class JobCallStatus_e2d70a838a284959: uint16_t {
+  DONE,
+  NOT_KNOWN,
+  REFUSED,
+  NOT_OWNER,
+  UNSETTLED,
+};
+CAPNP_DECLARE_ENUM(JobCallStatus, e2d70a838a284959);
+CAPNP_DECLARE_SCHEMA(c4d7bbfab0779b52);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -124,6 +145,9 @@
     CLAIM_REPLY,
     ANSWER_QUERY,
     ANSWER_REPLY,
+    NODE_NEWS,
+    JOB_CALL,
+    JOB_REPLY,
   };
 
   struct _capnpPrivate {
@@ -333,6 +357,70 @@
   };
 };
 
+struct HeldCell {
+  HeldCell() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b639cb6b70830832, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct NodeNews {
+  NodeNews() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9072e06186a0c7b8, 2, 5)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+typedef ::capnp::schemas::JobOperation_aad2b5ced463b6c7 JobOperation;
+
+struct JobCall {
+  JobCall() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f24372f90df5b083, 2, 5)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+typedef ::capnp::schemas::JobCallStatus_e2d70a838a284959 JobCallStatus;
+
+struct JobReply {
+  JobReply() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c4d7bbfab0779b52, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 #if !CAPNP_LITE
@@ -590,6 +678,18 @@
   inline bool hasAnswerReply() const;
   inline  ::rattanrack::peer::wire::AnswerReply::Reader getAnswerReply() const;
 
+  inline bool isNodeNews() const;
+  inline bool hasNodeNews() const;
+  inline  ::rattanrack::peer::wire::NodeNews::Reader getNodeNews() const;
+
+  inline bool isJobCall() const;
+  inline bool hasJobCall() const;
+  inline  ::rattanrack::peer::wire::JobCall::Reader getJobCall() const;
+
+  inline bool isJobReply() const;
+  inline bool hasJobReply() const;
+  inline  ::rattanrack::peer::wire::JobReply::Reader getJobReply() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -683,6 +783,30 @@
   inline void adoptAnswerReply(::capnp::Orphan< ::rattanrack::peer::wire::AnswerReply>&& value);
   inline ::capnp::Orphan< ::rattanrack::peer::wire::AnswerReply> disownAnswerReply();
 
+  inline bool isNodeNews();
+  inline bool hasNodeNews();
+  inline  ::rattanrack::peer::wire::NodeNews::Builder getNodeNews();
+  inline void setNodeNews( ::rattanrack::peer::wire::NodeNews::Reader value);
+  inline  ::rattanrack::peer::wire::NodeNews::Builder initNodeNews();
+  inline void adoptNodeNews(::capnp::Orphan< ::rattanrack::peer::wire::NodeNews>&& value);
+  inline ::capnp::Orphan< ::rattanrack::peer::wire::NodeNews> disownNodeNews();
+
+  inline bool isJobCall();
+  inline bool hasJobCall();
+  inline  ::rattanrack::peer::wire::JobCall::Builder getJobCall();
+  inline void setJobCall( ::rattanrack::peer::wire::JobCall::Reader value);
+  inline  ::rattanrack::peer::wire::JobCall::Builder initJobCall();
+  inline void adoptJobCall(::capnp::Orphan< ::rattanrack::peer::wire::JobCall>&& value);
+  inline ::capnp::Orphan< ::rattanrack::peer::wire::JobCall> disownJobCall();
+
+  inline bool isJobReply();
+  inline bool hasJobReply();
+  inline  ::rattanrack::peer::wire::JobReply::Builder getJobReply();
+  inline void setJobReply( ::rattanrack::peer::wire::JobReply::Reader value);
+  inline  ::rattanrack::peer::wire::JobReply::Builder initJobReply();
+  inline void adoptJobReply(::capnp::Orphan< ::rattanrack::peer::wire::JobReply>&& value);
+  inline ::capnp::Orphan< ::rattanrack::peer::wire::JobReply> disownJobReply();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2150,2148 +2274,3278 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class HeldCell::Reader {
+public:
+  typedef HeldCell Reads;
 
-#if !CAPNP_LITE
-inline PeerService::Client::Client(decltype(nullptr))
-    : ::capnp::Capability::Client(nullptr) {}
-inline PeerService::Client::Client(
-    ::kj::Own< ::capnp::ClientHook>&& hook)
-    : ::capnp::Capability::Client(::kj::mv(hook)) {}
-template <typename _t, typename>
-inline PeerService::Client::Client(::kj::Own<_t>&& server)
-    : ::capnp::Capability::Client(::kj::mv(server)) {}
-template <typename _t, typename>
-inline PeerService::Client::Client(::kj::Promise<_t>&& promise)
-    : ::capnp::Capability::Client(::kj::mv(promise)) {}
-inline PeerService::Client::Client(::kj::Exception&& exception)
-    : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline  ::rattanrack::peer::wire::PeerService::Client& PeerService::Client::operator=(Client& other) {
-  ::capnp::Capability::Client::operator=(other);
-  return *this;
-}
-inline  ::rattanrack::peer::wire::PeerService::Client& PeerService::Client::operator=(Client&& other) {
-  ::capnp::Capability::Client::operator=(kj::mv(other));
-  return *this;
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
 #endif  // !CAPNP_LITE
-inline bool PeerService::DeliverParams::Reader::hasMessages() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool PeerService::DeliverParams::Builder::hasMessages() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::rattanrack::peer::wire::Message,  ::capnp::Kind::STRUCT>::Reader PeerService::DeliverParams::Reader::getMessages() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Message,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::rattanrack::peer::wire::Message,  ::capnp::Kind::STRUCT>::Builder PeerService::DeliverParams::Builder::getMessages() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Message,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void PeerService::DeliverParams::Builder::setMessages( ::capnp::List< ::rattanrack::peer::wire::Message,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Message,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::rattanrack::peer::wire::Message,  ::capnp::Kind::STRUCT>::Builder PeerService::DeliverParams::Builder::initMessages(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Message,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void PeerService::DeliverParams::Builder::adoptMessages(
-    ::capnp::Orphan< ::capnp::List< ::rattanrack::peer::wire::Message,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Message,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::rattanrack::peer::wire::Message,  ::capnp::Kind::STRUCT>> PeerService::DeliverParams::Builder::disownMessages() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Message,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
 
-inline  ::rattanrack::peer::wire::Message::Which Message::Reader::which() const {
-  return _reader.getDataField<Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline  ::rattanrack::peer::wire::Message::Which Message::Builder::which() {
-  return _builder.getDataField<Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+  inline bool hasCell() const;
+  inline  ::capnp::Text::Reader getCell() const;
 
-inline bool Message::Reader::isHeartbeat() const {
-  return which() == Message::HEARTBEAT;
-}
-inline bool Message::Builder::isHeartbeat() {
-  return which() == Message::HEARTBEAT;
-}
-inline bool Message::Reader::hasHeartbeat() const {
-  if (which() != Message::HEARTBEAT) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Message::Builder::hasHeartbeat() {
-  if (which() != Message::HEARTBEAT) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::rattanrack::peer::wire::Heartbeat::Reader Message::Reader::getHeartbeat() const {
-  KJ_IREQUIRE((which() == Message::HEARTBEAT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::Heartbeat>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::rattanrack::peer::wire::Heartbeat::Builder Message::Builder::getHeartbeat() {
-  KJ_IREQUIRE((which() == Message::HEARTBEAT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::Heartbeat>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Message::Builder::setHeartbeat( ::rattanrack::peer::wire::Heartbeat::Reader value) {
-  _builder.setDataField<Message::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::HEARTBEAT);
-  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::Heartbeat>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::rattanrack::peer::wire::Heartbeat::Builder Message::Builder::initHeartbeat() {
-  _builder.setDataField<Message::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::HEARTBEAT);
-  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::Heartbeat>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Message::Builder::adoptHeartbeat(
-    ::capnp::Orphan< ::rattanrack::peer::wire::Heartbeat>&& value) {
-  _builder.setDataField<Message::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::HEARTBEAT);
-  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::Heartbeat>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::rattanrack::peer::wire::Heartbeat> Message::Builder::disownHeartbeat() {
-  KJ_IREQUIRE((which() == Message::HEARTBEAT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::Heartbeat>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+  inline  ::int64_t getTerm() const;
 
-inline bool Message::Reader::isConfigAnnouncement() const {
-  return which() == Message::CONFIG_ANNOUNCEMENT;
-}
-inline bool Message::Builder::isConfigAnnouncement() {
-  return which() == Message::CONFIG_ANNOUNCEMENT;
-}
-inline bool Message::Reader::hasConfigAnnouncement() const {
-  if (which() != Message::CONFIG_ANNOUNCEMENT) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Message::Builder::hasConfigAnnouncement() {
-  if (which() != Message::CONFIG_ANNOUNCEMENT) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::rattanrack::peer::wire::ConfigAnnouncement::Reader Message::Reader::getConfigAnnouncement() const {
-  KJ_IREQUIRE((which() == Message::CONFIG_ANNOUNCEMENT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ConfigAnnouncement>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::rattanrack::peer::wire::ConfigAnnouncement::Builder Message::Builder::getConfigAnnouncement() {
-  KJ_IREQUIRE((which() == Message::CONFIG_ANNOUNCEMENT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ConfigAnnouncement>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Message::Builder::setConfigAnnouncement( ::rattanrack::peer::wire::ConfigAnnouncement::Reader value) {
-  _builder.setDataField<Message::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::CONFIG_ANNOUNCEMENT);
-  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ConfigAnnouncement>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::rattanrack::peer::wire::ConfigAnnouncement::Builder Message::Builder::initConfigAnnouncement() {
-  _builder.setDataField<Message::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::CONFIG_ANNOUNCEMENT);
-  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ConfigAnnouncement>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Message::Builder::adoptConfigAnnouncement(
-    ::capnp::Orphan< ::rattanrack::peer::wire::ConfigAnnouncement>&& value) {
-  _builder.setDataField<Message::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::CONFIG_ANNOUNCEMENT);
-  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ConfigAnnouncement>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::rattanrack::peer::wire::ConfigAnnouncement> Message::Builder::disownConfigAnnouncement() {
-  KJ_IREQUIRE((which() == Message::CONFIG_ANNOUNCEMENT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ConfigAnnouncement>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
 
-inline bool Message::Reader::isCreditAsk() const {
-  return which() == Message::CREDIT_ASK;
-}
-inline bool Message::Builder::isCreditAsk() {
-  return which() == Message::CREDIT_ASK;
-}
-inline bool Message::Reader::hasCreditAsk() const {
-  if (which() != Message::CREDIT_ASK) return false;
+class HeldCell::Builder {
+public:
+  typedef HeldCell Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasCell();
+  inline  ::capnp::Text::Builder getCell();
+  inline void setCell( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCell(unsigned int size);
+  inline void adoptCell(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCell();
+
+  inline  ::int64_t getTerm();
+  inline void setTerm( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class HeldCell::Pipeline {
+public:
+  typedef HeldCell Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class NodeNews::Reader {
+public:
+  typedef NodeNews Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasNode() const;
+  inline  ::capnp::Text::Reader getNode() const;
+
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
+
+  inline  ::uint64_t getSequence() const;
+
+  inline bool getIsLeaving() const;
+
+  inline bool getIsStoreInReach() const;
+
+  inline bool hasCells() const;
+  inline  ::capnp::List< ::rattanrack::peer::wire::HeldCell,  ::capnp::Kind::STRUCT>::Reader getCells() const;
+
+  inline bool hasClosing() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getClosing() const;
+
+  inline bool hasEmptied() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getEmptied() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class NodeNews::Builder {
+public:
+  typedef NodeNews Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasNode();
+  inline  ::capnp::Text::Builder getNode();
+  inline void setNode( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initNode(unsigned int size);
+  inline void adoptNode(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownNode();
+
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+  inline bool getIsLeaving();
+  inline void setIsLeaving(bool value);
+
+  inline bool getIsStoreInReach();
+  inline void setIsStoreInReach(bool value);
+
+  inline bool hasCells();
+  inline  ::capnp::List< ::rattanrack::peer::wire::HeldCell,  ::capnp::Kind::STRUCT>::Builder getCells();
+  inline void setCells( ::capnp::List< ::rattanrack::peer::wire::HeldCell,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::rattanrack::peer::wire::HeldCell,  ::capnp::Kind::STRUCT>::Builder initCells(unsigned int size);
+  inline void adoptCells(::capnp::Orphan< ::capnp::List< ::rattanrack::peer::wire::HeldCell,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::rattanrack::peer::wire::HeldCell,  ::capnp::Kind::STRUCT>> disownCells();
+
+  inline bool hasClosing();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getClosing();
+  inline void setClosing( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setClosing(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initClosing(unsigned int size);
+  inline void adoptClosing(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownClosing();
+
+  inline bool hasEmptied();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getEmptied();
+  inline void setEmptied( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setEmptied(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initEmptied(unsigned int size);
+  inline void adoptEmptied(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownEmptied();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class NodeNews::Pipeline {
+public:
+  typedef NodeNews Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class JobCall::Reader {
+public:
+  typedef JobCall Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getExchange() const;
+
+  inline bool hasReplyTo() const;
+  inline  ::capnp::Text::Reader getReplyTo() const;
+
+  inline  ::rattanrack::peer::wire::JobOperation getOperation() const;
+
+  inline bool hasCell() const;
+  inline  ::capnp::Text::Reader getCell() const;
+
+  inline bool hasJob() const;
+  inline  ::capnp::Text::Reader getJob() const;
+
+  inline bool hasQueue() const;
+  inline  ::capnp::Text::Reader getQueue() const;
+
+  inline bool hasBody() const;
+  inline  ::capnp::Data::Reader getBody() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class JobCall::Builder {
+public:
+  typedef JobCall Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getExchange();
+  inline void setExchange( ::uint64_t value);
+
+  inline bool hasReplyTo();
+  inline  ::capnp::Text::Builder getReplyTo();
+  inline void setReplyTo( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initReplyTo(unsigned int size);
+  inline void adoptReplyTo(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownReplyTo();
+
+  inline  ::rattanrack::peer::wire::JobOperation getOperation();
+  inline void setOperation( ::rattanrack::peer::wire::JobOperation value);
+
+  inline bool hasCell();
+  inline  ::capnp::Text::Builder getCell();
+  inline void setCell( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCell(unsigned int size);
+  inline void adoptCell(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCell();
+
+  inline bool hasJob();
+  inline  ::capnp::Text::Builder getJob();
+  inline void setJob( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initJob(unsigned int size);
+  inline void adoptJob(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownJob();
+
+  inline bool hasQueue();
+  inline  ::capnp::Text::Builder getQueue();
+  inline void setQueue( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initQueue(unsigned int size);
+  inline void adoptQueue(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownQueue();
+
+  inline bool hasBody();
+  inline  ::capnp::Data::Builder getBody();
+  inline void setBody( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBody();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class JobCall::Pipeline {
+public:
+  typedef JobCall Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class JobReply::Reader {
+public:
+  typedef JobReply Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getExchange() const;
+
+  inline  ::rattanrack::peer::wire::JobCallStatus getStatus() const;
+
+  inline  ::uint8_t getState() const;
+
+  inline  ::int32_t getPending() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class JobReply::Builder {
+public:
+  typedef JobReply Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getExchange();
+  inline void setExchange( ::uint64_t value);
+
+  inline  ::rattanrack::peer::wire::JobCallStatus getStatus();
+  inline void setStatus( ::rattanrack::peer::wire::JobCallStatus value);
+
+  inline  ::uint8_t getState();
+  inline void setState( ::uint8_t value);
+
+  inline  ::int32_t getPending();
+  inline void setPending( ::int32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class JobReply::Pipeline {
+public:
+  typedef JobReply Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+#if !CAPNP_LITE
+inline PeerService::Client::Client(decltype(nullptr))
+    : ::capnp::Capability::Client(nullptr) {}
+inline PeerService::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
+    : ::capnp::Capability::Client(::kj::mv(hook)) {}
+template <typename _t, typename>
+inline PeerService::Client::Client(::kj::Own<_t>&& server)
+    : ::capnp::Capability::Client(::kj::mv(server)) {}
+template <typename _t, typename>
+inline PeerService::Client::Client(::kj::Promise<_t>&& promise)
+    : ::capnp::Capability::Client(::kj::mv(promise)) {}
+inline PeerService::Client::Client(::kj::Exception&& exception)
+    : ::capnp::Capability::Client(::kj::mv(exception)) {}
+inline  ::rattanrack::peer::wire::PeerService::Client& PeerService::Client::operator=(Client& other) {
+  ::capnp::Capability::Client::operator=(other);
+  return *this;
+}
+inline  ::rattanrack::peer::wire::PeerService::Client& PeerService::Client::operator=(Client&& other) {
+  ::capnp::Capability::Client::operator=(kj::mv(other));
+  return *this;
+}
+
+#endif  // !CAPNP_LITE
+inline bool PeerService::DeliverParams::Reader::hasMessages() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerService::DeliverParams::Builder::hasMessages() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::rattanrack::peer::wire::Message,  ::capnp::Kind::STRUCT>::Reader PeerService::DeliverParams::Reader::getMessages() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Message,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::rattanrack::peer::wire::Message,  ::capnp::Kind::STRUCT>::Builder PeerService::DeliverParams::Builder::getMessages() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Message,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerService::DeliverParams::Builder::setMessages( ::capnp::List< ::rattanrack::peer::wire::Message,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Message,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::rattanrack::peer::wire::Message,  ::capnp::Kind::STRUCT>::Builder PeerService::DeliverParams::Builder::initMessages(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Message,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PeerService::DeliverParams::Builder::adoptMessages(
+    ::capnp::Orphan< ::capnp::List< ::rattanrack::peer::wire::Message,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Message,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::rattanrack::peer::wire::Message,  ::capnp::Kind::STRUCT>> PeerService::DeliverParams::Builder::disownMessages() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Message,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::rattanrack::peer::wire::Message::Which Message::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline  ::rattanrack::peer::wire::Message::Which Message::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Message::Reader::isHeartbeat() const {
+  return which() == Message::HEARTBEAT;
+}
+inline bool Message::Builder::isHeartbeat() {
+  return which() == Message::HEARTBEAT;
+}
+inline bool Message::Reader::hasHeartbeat() const {
+  if (which() != Message::HEARTBEAT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasHeartbeat() {
+  if (which() != Message::HEARTBEAT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::rattanrack::peer::wire::Heartbeat::Reader Message::Reader::getHeartbeat() const {
+  KJ_IREQUIRE((which() == Message::HEARTBEAT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::Heartbeat>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::rattanrack::peer::wire::Heartbeat::Builder Message::Builder::getHeartbeat() {
+  KJ_IREQUIRE((which() == Message::HEARTBEAT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::Heartbeat>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setHeartbeat( ::rattanrack::peer::wire::Heartbeat::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::HEARTBEAT);
+  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::Heartbeat>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::rattanrack::peer::wire::Heartbeat::Builder Message::Builder::initHeartbeat() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::HEARTBEAT);
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::Heartbeat>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptHeartbeat(
+    ::capnp::Orphan< ::rattanrack::peer::wire::Heartbeat>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::HEARTBEAT);
+  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::Heartbeat>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::rattanrack::peer::wire::Heartbeat> Message::Builder::disownHeartbeat() {
+  KJ_IREQUIRE((which() == Message::HEARTBEAT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::Heartbeat>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Message::Reader::isConfigAnnouncement() const {
+  return which() == Message::CONFIG_ANNOUNCEMENT;
+}
+inline bool Message::Builder::isConfigAnnouncement() {
+  return which() == Message::CONFIG_ANNOUNCEMENT;
+}
+inline bool Message::Reader::hasConfigAnnouncement() const {
+  if (which() != Message::CONFIG_ANNOUNCEMENT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasConfigAnnouncement() {
+  if (which() != Message::CONFIG_ANNOUNCEMENT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::rattanrack::peer::wire::ConfigAnnouncement::Reader Message::Reader::getConfigAnnouncement() const {
+  KJ_IREQUIRE((which() == Message::CONFIG_ANNOUNCEMENT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ConfigAnnouncement>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::rattanrack::peer::wire::ConfigAnnouncement::Builder Message::Builder::getConfigAnnouncement() {
+  KJ_IREQUIRE((which() == Message::CONFIG_ANNOUNCEMENT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ConfigAnnouncement>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setConfigAnnouncement( ::rattanrack::peer::wire::ConfigAnnouncement::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::CONFIG_ANNOUNCEMENT);
+  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ConfigAnnouncement>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::rattanrack::peer::wire::ConfigAnnouncement::Builder Message::Builder::initConfigAnnouncement() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::CONFIG_ANNOUNCEMENT);
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ConfigAnnouncement>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptConfigAnnouncement(
+    ::capnp::Orphan< ::rattanrack::peer::wire::ConfigAnnouncement>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::CONFIG_ANNOUNCEMENT);
+  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ConfigAnnouncement>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::rattanrack::peer::wire::ConfigAnnouncement> Message::Builder::disownConfigAnnouncement() {
+  KJ_IREQUIRE((which() == Message::CONFIG_ANNOUNCEMENT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ConfigAnnouncement>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Message::Reader::isCreditAsk() const {
+  return which() == Message::CREDIT_ASK;
+}
+inline bool Message::Builder::isCreditAsk() {
+  return which() == Message::CREDIT_ASK;
+}
+inline bool Message::Reader::hasCreditAsk() const {
+  if (which() != Message::CREDIT_ASK) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasCreditAsk() {
+  if (which() != Message::CREDIT_ASK) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::rattanrack::peer::wire::CreditAsk::Reader Message::Reader::getCreditAsk() const {
+  KJ_IREQUIRE((which() == Message::CREDIT_ASK),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::CreditAsk>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::rattanrack::peer::wire::CreditAsk::Builder Message::Builder::getCreditAsk() {
+  KJ_IREQUIRE((which() == Message::CREDIT_ASK),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::CreditAsk>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setCreditAsk( ::rattanrack::peer::wire::CreditAsk::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::CREDIT_ASK);
+  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::CreditAsk>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::rattanrack::peer::wire::CreditAsk::Builder Message::Builder::initCreditAsk() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::CREDIT_ASK);
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::CreditAsk>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptCreditAsk(
+    ::capnp::Orphan< ::rattanrack::peer::wire::CreditAsk>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::CREDIT_ASK);
+  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::CreditAsk>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::rattanrack::peer::wire::CreditAsk> Message::Builder::disownCreditAsk() {
+  KJ_IREQUIRE((which() == Message::CREDIT_ASK),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::CreditAsk>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Message::Reader::isCreditGrant() const {
+  return which() == Message::CREDIT_GRANT;
+}
+inline bool Message::Builder::isCreditGrant() {
+  return which() == Message::CREDIT_GRANT;
+}
+inline bool Message::Reader::hasCreditGrant() const {
+  if (which() != Message::CREDIT_GRANT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasCreditGrant() {
+  if (which() != Message::CREDIT_GRANT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::rattanrack::peer::wire::CreditGrant::Reader Message::Reader::getCreditGrant() const {
+  KJ_IREQUIRE((which() == Message::CREDIT_GRANT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::CreditGrant>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::rattanrack::peer::wire::CreditGrant::Builder Message::Builder::getCreditGrant() {
+  KJ_IREQUIRE((which() == Message::CREDIT_GRANT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::CreditGrant>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setCreditGrant( ::rattanrack::peer::wire::CreditGrant::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::CREDIT_GRANT);
+  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::CreditGrant>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::rattanrack::peer::wire::CreditGrant::Builder Message::Builder::initCreditGrant() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::CREDIT_GRANT);
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::CreditGrant>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptCreditGrant(
+    ::capnp::Orphan< ::rattanrack::peer::wire::CreditGrant>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::CREDIT_GRANT);
+  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::CreditGrant>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::rattanrack::peer::wire::CreditGrant> Message::Builder::disownCreditGrant() {
+  KJ_IREQUIRE((which() == Message::CREDIT_GRANT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::CreditGrant>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Message::Reader::isClaimRequest() const {
+  return which() == Message::CLAIM_REQUEST;
+}
+inline bool Message::Builder::isClaimRequest() {
+  return which() == Message::CLAIM_REQUEST;
+}
+inline bool Message::Reader::hasClaimRequest() const {
+  if (which() != Message::CLAIM_REQUEST) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasClaimRequest() {
+  if (which() != Message::CLAIM_REQUEST) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::rattanrack::peer::wire::ClaimRequest::Reader Message::Reader::getClaimRequest() const {
+  KJ_IREQUIRE((which() == Message::CLAIM_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ClaimRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::rattanrack::peer::wire::ClaimRequest::Builder Message::Builder::getClaimRequest() {
+  KJ_IREQUIRE((which() == Message::CLAIM_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ClaimRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setClaimRequest( ::rattanrack::peer::wire::ClaimRequest::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::CLAIM_REQUEST);
+  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ClaimRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::rattanrack::peer::wire::ClaimRequest::Builder Message::Builder::initClaimRequest() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::CLAIM_REQUEST);
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ClaimRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptClaimRequest(
+    ::capnp::Orphan< ::rattanrack::peer::wire::ClaimRequest>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::CLAIM_REQUEST);
+  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ClaimRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::rattanrack::peer::wire::ClaimRequest> Message::Builder::disownClaimRequest() {
+  KJ_IREQUIRE((which() == Message::CLAIM_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ClaimRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Message::Reader::isClaimReply() const {
+  return which() == Message::CLAIM_REPLY;
+}
+inline bool Message::Builder::isClaimReply() {
+  return which() == Message::CLAIM_REPLY;
+}
+inline bool Message::Reader::hasClaimReply() const {
+  if (which() != Message::CLAIM_REPLY) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasClaimReply() {
+  if (which() != Message::CLAIM_REPLY) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::rattanrack::peer::wire::ClaimReply::Reader Message::Reader::getClaimReply() const {
+  KJ_IREQUIRE((which() == Message::CLAIM_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ClaimReply>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::rattanrack::peer::wire::ClaimReply::Builder Message::Builder::getClaimReply() {
+  KJ_IREQUIRE((which() == Message::CLAIM_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ClaimReply>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setClaimReply( ::rattanrack::peer::wire::ClaimReply::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::CLAIM_REPLY);
+  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ClaimReply>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::rattanrack::peer::wire::ClaimReply::Builder Message::Builder::initClaimReply() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::CLAIM_REPLY);
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ClaimReply>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptClaimReply(
+    ::capnp::Orphan< ::rattanrack::peer::wire::ClaimReply>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::CLAIM_REPLY);
+  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ClaimReply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::rattanrack::peer::wire::ClaimReply> Message::Builder::disownClaimReply() {
+  KJ_IREQUIRE((which() == Message::CLAIM_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ClaimReply>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Message::Reader::isAnswerQuery() const {
+  return which() == Message::ANSWER_QUERY;
+}
+inline bool Message::Builder::isAnswerQuery() {
+  return which() == Message::ANSWER_QUERY;
+}
+inline bool Message::Reader::hasAnswerQuery() const {
+  if (which() != Message::ANSWER_QUERY) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasAnswerQuery() {
+  if (which() != Message::ANSWER_QUERY) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::rattanrack::peer::wire::AnswerQuery::Reader Message::Reader::getAnswerQuery() const {
+  KJ_IREQUIRE((which() == Message::ANSWER_QUERY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::AnswerQuery>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::rattanrack::peer::wire::AnswerQuery::Builder Message::Builder::getAnswerQuery() {
+  KJ_IREQUIRE((which() == Message::ANSWER_QUERY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::AnswerQuery>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setAnswerQuery( ::rattanrack::peer::wire::AnswerQuery::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::ANSWER_QUERY);
+  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::AnswerQuery>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::rattanrack::peer::wire::AnswerQuery::Builder Message::Builder::initAnswerQuery() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::ANSWER_QUERY);
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::AnswerQuery>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptAnswerQuery(
+    ::capnp::Orphan< ::rattanrack::peer::wire::AnswerQuery>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::ANSWER_QUERY);
+  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::AnswerQuery>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::rattanrack::peer::wire::AnswerQuery> Message::Builder::disownAnswerQuery() {
+  KJ_IREQUIRE((which() == Message::ANSWER_QUERY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::AnswerQuery>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Message::Reader::isAnswerReply() const {
+  return which() == Message::ANSWER_REPLY;
+}
+inline bool Message::Builder::isAnswerReply() {
+  return which() == Message::ANSWER_REPLY;
+}
+inline bool Message::Reader::hasAnswerReply() const {
+  if (which() != Message::ANSWER_REPLY) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasAnswerReply() {
+  if (which() != Message::ANSWER_REPLY) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::rattanrack::peer::wire::AnswerReply::Reader Message::Reader::getAnswerReply() const {
+  KJ_IREQUIRE((which() == Message::ANSWER_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::AnswerReply>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::rattanrack::peer::wire::AnswerReply::Builder Message::Builder::getAnswerReply() {
+  KJ_IREQUIRE((which() == Message::ANSWER_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::AnswerReply>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setAnswerReply( ::rattanrack::peer::wire::AnswerReply::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::ANSWER_REPLY);
+  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::AnswerReply>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::rattanrack::peer::wire::AnswerReply::Builder Message::Builder::initAnswerReply() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::ANSWER_REPLY);
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::AnswerReply>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptAnswerReply(
+    ::capnp::Orphan< ::rattanrack::peer::wire::AnswerReply>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::ANSWER_REPLY);
+  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::AnswerReply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::rattanrack::peer::wire::AnswerReply> Message::Builder::disownAnswerReply() {
+  KJ_IREQUIRE((which() == Message::ANSWER_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::AnswerReply>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Message::Reader::isNodeNews() const {
+  return which() == Message::NODE_NEWS;
+}
+inline bool Message::Builder::isNodeNews() {
+  return which() == Message::NODE_NEWS;
+}
+inline bool Message::Reader::hasNodeNews() const {
+  if (which() != Message::NODE_NEWS) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Message::Builder::hasCreditAsk() {
-  if (which() != Message::CREDIT_ASK) return false;
+inline bool Message::Builder::hasNodeNews() {
+  if (which() != Message::NODE_NEWS) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::rattanrack::peer::wire::CreditAsk::Reader Message::Reader::getCreditAsk() const {
-  KJ_IREQUIRE((which() == Message::CREDIT_ASK),
+inline  ::rattanrack::peer::wire::NodeNews::Reader Message::Reader::getNodeNews() const {
+  KJ_IREQUIRE((which() == Message::NODE_NEWS),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::CreditAsk>::get(_reader.getPointerField(
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::NodeNews>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::rattanrack::peer::wire::CreditAsk::Builder Message::Builder::getCreditAsk() {
-  KJ_IREQUIRE((which() == Message::CREDIT_ASK),
+inline  ::rattanrack::peer::wire::NodeNews::Builder Message::Builder::getNodeNews() {
+  KJ_IREQUIRE((which() == Message::NODE_NEWS),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::CreditAsk>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::NodeNews>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Message::Builder::setCreditAsk( ::rattanrack::peer::wire::CreditAsk::Reader value) {
+inline void Message::Builder::setNodeNews( ::rattanrack::peer::wire::NodeNews::Reader value) {
   _builder.setDataField<Message::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::CREDIT_ASK);
-  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::CreditAsk>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::NODE_NEWS);
+  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::NodeNews>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::rattanrack::peer::wire::CreditAsk::Builder Message::Builder::initCreditAsk() {
+inline  ::rattanrack::peer::wire::NodeNews::Builder Message::Builder::initNodeNews() {
   _builder.setDataField<Message::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::CREDIT_ASK);
-  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::CreditAsk>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::NODE_NEWS);
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::NodeNews>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Message::Builder::adoptCreditAsk(
-    ::capnp::Orphan< ::rattanrack::peer::wire::CreditAsk>&& value) {
+inline void Message::Builder::adoptNodeNews(
+    ::capnp::Orphan< ::rattanrack::peer::wire::NodeNews>&& value) {
   _builder.setDataField<Message::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::CREDIT_ASK);
-  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::CreditAsk>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::NODE_NEWS);
+  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::NodeNews>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::rattanrack::peer::wire::CreditAsk> Message::Builder::disownCreditAsk() {
-  KJ_IREQUIRE((which() == Message::CREDIT_ASK),
+inline ::capnp::Orphan< ::rattanrack::peer::wire::NodeNews> Message::Builder::disownNodeNews() {
+  KJ_IREQUIRE((which() == Message::NODE_NEWS),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::CreditAsk>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::NodeNews>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Message::Reader::isCreditGrant() const {
-  return which() == Message::CREDIT_GRANT;
+inline bool Message::Reader::isJobCall() const {
+  return which() == Message::JOB_CALL;
 }
-inline bool Message::Builder::isCreditGrant() {
-  return which() == Message::CREDIT_GRANT;
+inline bool Message::Builder::isJobCall() {
+  return which() == Message::JOB_CALL;
 }
-inline bool Message::Reader::hasCreditGrant() const {
-  if (which() != Message::CREDIT_GRANT) return false;
+inline bool Message::Reader::hasJobCall() const {
+  if (which() != Message::JOB_CALL) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Message::Builder::hasCreditGrant() {
-  if (which() != Message::CREDIT_GRANT) return false;
+inline bool Message::Builder::hasJobCall() {
+  if (which() != Message::JOB_CALL) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::rattanrack::peer::wire::CreditGrant::Reader Message::Reader::getCreditGrant() const {
-  KJ_IREQUIRE((which() == Message::CREDIT_GRANT),
+inline  ::rattanrack::peer::wire::JobCall::Reader Message::Reader::getJobCall() const {
+  KJ_IREQUIRE((which() == Message::JOB_CALL),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::CreditGrant>::get(_reader.getPointerField(
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::JobCall>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::rattanrack::peer::wire::CreditGrant::Builder Message::Builder::getCreditGrant() {
-  KJ_IREQUIRE((which() == Message::CREDIT_GRANT),
+inline  ::rattanrack::peer::wire::JobCall::Builder Message::Builder::getJobCall() {
+  KJ_IREQUIRE((which() == Message::JOB_CALL),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::CreditGrant>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::JobCall>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Message::Builder::setCreditGrant( ::rattanrack::peer::wire::CreditGrant::Reader value) {
+inline void Message::Builder::setJobCall( ::rattanrack::peer::wire::JobCall::Reader value) {
   _builder.setDataField<Message::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::CREDIT_GRANT);
-  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::CreditGrant>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::JOB_CALL);
+  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::JobCall>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::rattanrack::peer::wire::CreditGrant::Builder Message::Builder::initCreditGrant() {
+inline  ::rattanrack::peer::wire::JobCall::Builder Message::Builder::initJobCall() {
   _builder.setDataField<Message::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::CREDIT_GRANT);
-  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::CreditGrant>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::JOB_CALL);
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::JobCall>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Message::Builder::adoptCreditGrant(
-    ::capnp::Orphan< ::rattanrack::peer::wire::CreditGrant>&& value) {
+inline void Message::Builder::adoptJobCall(
+    ::capnp::Orphan< ::rattanrack::peer::wire::JobCall>&& value) {
   _builder.setDataField<Message::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::CREDIT_GRANT);
-  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::CreditGrant>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::JOB_CALL);
+  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::JobCall>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::rattanrack::peer::wire::CreditGrant> Message::Builder::disownCreditGrant() {
-  KJ_IREQUIRE((which() == Message::CREDIT_GRANT),
+inline ::capnp::Orphan< ::rattanrack::peer::wire::JobCall> Message::Builder::disownJobCall() {
+  KJ_IREQUIRE((which() == Message::JOB_CALL),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::CreditGrant>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::JobCall>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Message::Reader::isClaimRequest() const {
-  return which() == Message::CLAIM_REQUEST;
+inline bool Message::Reader::isJobReply() const {
+  return which() == Message::JOB_REPLY;
 }
-inline bool Message::Builder::isClaimRequest() {
-  return which() == Message::CLAIM_REQUEST;
+inline bool Message::Builder::isJobReply() {
+  return which() == Message::JOB_REPLY;
 }
-inline bool Message::Reader::hasClaimRequest() const {
-  if (which() != Message::CLAIM_REQUEST) return false;
+inline bool Message::Reader::hasJobReply() const {
+  if (which() != Message::JOB_REPLY) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Message::Builder::hasClaimRequest() {
-  if (which() != Message::CLAIM_REQUEST) return false;
+inline bool Message::Builder::hasJobReply() {
+  if (which() != Message::JOB_REPLY) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::rattanrack::peer::wire::ClaimRequest::Reader Message::Reader::getClaimRequest() const {
-  KJ_IREQUIRE((which() == Message::CLAIM_REQUEST),
+inline  ::rattanrack::peer::wire::JobReply::Reader Message::Reader::getJobReply() const {
+  KJ_IREQUIRE((which() == Message::JOB_REPLY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ClaimRequest>::get(_reader.getPointerField(
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::JobReply>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::rattanrack::peer::wire::ClaimRequest::Builder Message::Builder::getClaimRequest() {
-  KJ_IREQUIRE((which() == Message::CLAIM_REQUEST),
+inline  ::rattanrack::peer::wire::JobReply::Builder Message::Builder::getJobReply() {
+  KJ_IREQUIRE((which() == Message::JOB_REPLY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ClaimRequest>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::JobReply>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Message::Builder::setClaimRequest( ::rattanrack::peer::wire::ClaimRequest::Reader value) {
+inline void Message::Builder::setJobReply( ::rattanrack::peer::wire::JobReply::Reader value) {
   _builder.setDataField<Message::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::CLAIM_REQUEST);
-  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ClaimRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::JOB_REPLY);
+  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::JobReply>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::rattanrack::peer::wire::ClaimRequest::Builder Message::Builder::initClaimRequest() {
+inline  ::rattanrack::peer::wire::JobReply::Builder Message::Builder::initJobReply() {
   _builder.setDataField<Message::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::CLAIM_REQUEST);
-  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ClaimRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::JOB_REPLY);
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::JobReply>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptJobReply(
+    ::capnp::Orphan< ::rattanrack::peer::wire::JobReply>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::JOB_REPLY);
+  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::JobReply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::rattanrack::peer::wire::JobReply> Message::Builder::disownJobReply() {
+  KJ_IREQUIRE((which() == Message::JOB_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::JobReply>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Heartbeat::Reader::hasFrom() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Heartbeat::Builder::hasFrom() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Heartbeat::Reader::getFrom() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Heartbeat::Builder::getFrom() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Heartbeat::Builder::setFrom( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Heartbeat::Builder::initFrom(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Heartbeat::Builder::adoptFrom(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Heartbeat::Builder::disownFrom() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Message::Builder::adoptClaimRequest(
-    ::capnp::Orphan< ::rattanrack::peer::wire::ClaimRequest>&& value) {
-  _builder.setDataField<Message::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::CLAIM_REQUEST);
-  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ClaimRequest>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+
+inline bool Heartbeat::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Heartbeat::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Heartbeat::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Heartbeat::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Heartbeat::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Heartbeat::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Heartbeat::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Heartbeat::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Heartbeat::Reader::hasDataCenter() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Heartbeat::Builder::hasDataCenter() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Heartbeat::Reader::getDataCenter() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Heartbeat::Builder::getDataCenter() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Heartbeat::Builder::setDataCenter( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Heartbeat::Builder::initDataCenter(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Heartbeat::Builder::adoptDataCenter(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Heartbeat::Builder::disownDataCenter() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Heartbeat::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Heartbeat::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Heartbeat::Reader::getConfigVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Heartbeat::Builder::getConfigVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setConfigVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Heartbeat::Reader::getViewVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Heartbeat::Builder::getViewVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setViewVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Heartbeat::Reader::getIsLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+
+inline bool Heartbeat::Builder::getIsLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setIsLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
 }
-inline ::capnp::Orphan< ::rattanrack::peer::wire::ClaimRequest> Message::Builder::disownClaimRequest() {
-  KJ_IREQUIRE((which() == Message::CLAIM_REQUEST),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ClaimRequest>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::uint32_t Heartbeat::Reader::getLoad() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
 
-inline bool Message::Reader::isClaimReply() const {
-  return which() == Message::CLAIM_REPLY;
+inline  ::uint32_t Heartbeat::Builder::getLoad() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
-inline bool Message::Builder::isClaimReply() {
-  return which() == Message::CLAIM_REPLY;
+inline void Heartbeat::Builder::setLoad( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
-inline bool Message::Reader::hasClaimReply() const {
-  if (which() != Message::CLAIM_REPLY) return false;
+
+inline bool Heartbeat::Reader::hasSeen() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool Message::Builder::hasClaimReply() {
-  if (which() != Message::CLAIM_REPLY) return false;
+inline bool Heartbeat::Builder::hasSeen() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::rattanrack::peer::wire::ClaimReply::Reader Message::Reader::getClaimReply() const {
-  KJ_IREQUIRE((which() == Message::CLAIM_REPLY),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ClaimReply>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::rattanrack::peer::wire::SeenNode,  ::capnp::Kind::STRUCT>::Reader Heartbeat::Reader::getSeen() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::SeenNode,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::rattanrack::peer::wire::ClaimReply::Builder Message::Builder::getClaimReply() {
-  KJ_IREQUIRE((which() == Message::CLAIM_REPLY),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ClaimReply>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::rattanrack::peer::wire::SeenNode,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::getSeen() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::SeenNode,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void Message::Builder::setClaimReply( ::rattanrack::peer::wire::ClaimReply::Reader value) {
-  _builder.setDataField<Message::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::CLAIM_REPLY);
-  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ClaimReply>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Heartbeat::Builder::setSeen( ::capnp::List< ::rattanrack::peer::wire::SeenNode,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::SeenNode,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::rattanrack::peer::wire::ClaimReply::Builder Message::Builder::initClaimReply() {
-  _builder.setDataField<Message::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::CLAIM_REPLY);
-  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ClaimReply>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::rattanrack::peer::wire::SeenNode,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::initSeen(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::SeenNode,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void Message::Builder::adoptClaimReply(
-    ::capnp::Orphan< ::rattanrack::peer::wire::ClaimReply>&& value) {
-  _builder.setDataField<Message::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::CLAIM_REPLY);
-  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ClaimReply>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Heartbeat::Builder::adoptSeen(
+    ::capnp::Orphan< ::capnp::List< ::rattanrack::peer::wire::SeenNode,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::SeenNode,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::rattanrack::peer::wire::ClaimReply> Message::Builder::disownClaimReply() {
-  KJ_IREQUIRE((which() == Message::CLAIM_REPLY),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ClaimReply>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::rattanrack::peer::wire::SeenNode,  ::capnp::Kind::STRUCT>> Heartbeat::Builder::disownSeen() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::SeenNode,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool Message::Reader::isAnswerQuery() const {
-  return which() == Message::ANSWER_QUERY;
-}
-inline bool Message::Builder::isAnswerQuery() {
-  return which() == Message::ANSWER_QUERY;
-}
-inline bool Message::Reader::hasAnswerQuery() const {
-  if (which() != Message::ANSWER_QUERY) return false;
+inline bool Heartbeat::Reader::hasIntroductions() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool Message::Builder::hasAnswerQuery() {
-  if (which() != Message::ANSWER_QUERY) return false;
+inline bool Heartbeat::Builder::hasIntroductions() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::rattanrack::peer::wire::AnswerQuery::Reader Message::Reader::getAnswerQuery() const {
-  KJ_IREQUIRE((which() == Message::ANSWER_QUERY),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::AnswerQuery>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::rattanrack::peer::wire::Introduction,  ::capnp::Kind::STRUCT>::Reader Heartbeat::Reader::getIntroductions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Introduction,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::rattanrack::peer::wire::AnswerQuery::Builder Message::Builder::getAnswerQuery() {
-  KJ_IREQUIRE((which() == Message::ANSWER_QUERY),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::AnswerQuery>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::rattanrack::peer::wire::Introduction,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::getIntroductions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Introduction,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void Message::Builder::setAnswerQuery( ::rattanrack::peer::wire::AnswerQuery::Reader value) {
-  _builder.setDataField<Message::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::ANSWER_QUERY);
-  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::AnswerQuery>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Heartbeat::Builder::setIntroductions( ::capnp::List< ::rattanrack::peer::wire::Introduction,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Introduction,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::rattanrack::peer::wire::AnswerQuery::Builder Message::Builder::initAnswerQuery() {
-  _builder.setDataField<Message::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::ANSWER_QUERY);
-  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::AnswerQuery>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::rattanrack::peer::wire::Introduction,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::initIntroductions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Introduction,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void Message::Builder::adoptAnswerQuery(
-    ::capnp::Orphan< ::rattanrack::peer::wire::AnswerQuery>&& value) {
-  _builder.setDataField<Message::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::ANSWER_QUERY);
-  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::AnswerQuery>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Heartbeat::Builder::adoptIntroductions(
+    ::capnp::Orphan< ::capnp::List< ::rattanrack::peer::wire::Introduction,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Introduction,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::rattanrack::peer::wire::AnswerQuery> Message::Builder::disownAnswerQuery() {
-  KJ_IREQUIRE((which() == Message::ANSWER_QUERY),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::AnswerQuery>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::rattanrack::peer::wire::Introduction,  ::capnp::Kind::STRUCT>> Heartbeat::Builder::disownIntroductions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Introduction,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline bool Message::Reader::isAnswerReply() const {
-  return which() == Message::ANSWER_REPLY;
-}
-inline bool Message::Builder::isAnswerReply() {
-  return which() == Message::ANSWER_REPLY;
+inline  ::uint32_t SeenNode::Reader::getNode() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline bool Message::Reader::hasAnswerReply() const {
-  if (which() != Message::ANSWER_REPLY) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+
+inline  ::uint32_t SeenNode::Builder::getNode() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline bool Message::Builder::hasAnswerReply() {
-  if (which() != Message::ANSWER_REPLY) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline void SeenNode::Builder::setNode( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline  ::rattanrack::peer::wire::AnswerReply::Reader Message::Reader::getAnswerReply() const {
-  KJ_IREQUIRE((which() == Message::ANSWER_REPLY),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::AnswerReply>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::uint32_t SeenNode::Reader::getSequence() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline  ::rattanrack::peer::wire::AnswerReply::Builder Message::Builder::getAnswerReply() {
-  KJ_IREQUIRE((which() == Message::ANSWER_REPLY),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::AnswerReply>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::uint32_t SeenNode::Builder::getSequence() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Message::Builder::setAnswerReply( ::rattanrack::peer::wire::AnswerReply::Reader value) {
-  _builder.setDataField<Message::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::ANSWER_REPLY);
-  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::AnswerReply>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void SeenNode::Builder::setSequence( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
-inline  ::rattanrack::peer::wire::AnswerReply::Builder Message::Builder::initAnswerReply() {
-  _builder.setDataField<Message::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::ANSWER_REPLY);
-  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::AnswerReply>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::uint32_t SeenNode::Reader::getConfigVersion() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Message::Builder::adoptAnswerReply(
-    ::capnp::Orphan< ::rattanrack::peer::wire::AnswerReply>&& value) {
-  _builder.setDataField<Message::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::ANSWER_REPLY);
-  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::AnswerReply>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint32_t SeenNode::Builder::getConfigVersion() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::rattanrack::peer::wire::AnswerReply> Message::Builder::disownAnswerReply() {
-  KJ_IREQUIRE((which() == Message::ANSWER_REPLY),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::AnswerReply>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void SeenNode::Builder::setConfigVersion( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Heartbeat::Reader::hasFrom() const {
+inline bool Introduction::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Heartbeat::Builder::hasFrom() {
+inline bool Introduction::Builder::hasId() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Heartbeat::Reader::getFrom() const {
+inline  ::capnp::Text::Reader Introduction::Reader::getId() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Heartbeat::Builder::getFrom() {
+inline  ::capnp::Text::Builder Introduction::Builder::getId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Heartbeat::Builder::setFrom( ::capnp::Text::Reader value) {
+inline void Introduction::Builder::setId( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Heartbeat::Builder::initFrom(unsigned int size) {
+inline  ::capnp::Text::Builder Introduction::Builder::initId(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Heartbeat::Builder::adoptFrom(
+inline void Introduction::Builder::adoptId(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Heartbeat::Builder::disownFrom() {
+inline ::capnp::Orphan< ::capnp::Text> Introduction::Builder::disownId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Heartbeat::Reader::hasAddress() const {
+inline bool Introduction::Reader::hasAddress() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Heartbeat::Builder::hasAddress() {
+inline bool Introduction::Builder::hasAddress() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Heartbeat::Reader::getAddress() const {
+inline  ::capnp::Text::Reader Introduction::Reader::getAddress() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Heartbeat::Builder::getAddress() {
+inline  ::capnp::Text::Builder Introduction::Builder::getAddress() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Heartbeat::Builder::setAddress( ::capnp::Text::Reader value) {
+inline void Introduction::Builder::setAddress( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Heartbeat::Builder::initAddress(unsigned int size) {
+inline  ::capnp::Text::Builder Introduction::Builder::initAddress(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Heartbeat::Builder::adoptAddress(
+inline void Introduction::Builder::adoptAddress(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Heartbeat::Builder::disownAddress() {
+inline ::capnp::Orphan< ::capnp::Text> Introduction::Builder::disownAddress() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Heartbeat::Reader::hasDataCenter() const {
+inline bool Introduction::Reader::hasDataCenter() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Heartbeat::Builder::hasDataCenter() {
+inline bool Introduction::Builder::hasDataCenter() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Heartbeat::Reader::getDataCenter() const {
+inline  ::capnp::Text::Reader Introduction::Reader::getDataCenter() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Heartbeat::Builder::getDataCenter() {
+inline  ::capnp::Text::Builder Introduction::Builder::getDataCenter() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Heartbeat::Builder::setDataCenter( ::capnp::Text::Reader value) {
+inline void Introduction::Builder::setDataCenter( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Heartbeat::Builder::initDataCenter(unsigned int size) {
+inline  ::capnp::Text::Builder Introduction::Builder::initDataCenter(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Heartbeat::Builder::adoptDataCenter(
+inline void Introduction::Builder::adoptDataCenter(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Heartbeat::Builder::disownDataCenter() {
+inline ::capnp::Orphan< ::capnp::Text> Introduction::Builder::disownDataCenter() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Heartbeat::Reader::getSequence() const {
+inline  ::uint64_t Introduction::Reader::getSequence() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Heartbeat::Builder::getSequence() {
+inline  ::uint64_t Introduction::Builder::getSequence() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Heartbeat::Builder::setSequence( ::uint64_t value) {
+inline void Introduction::Builder::setSequence( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Heartbeat::Reader::getConfigVersion() const {
+inline bool Introduction::Reader::getIsLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool Introduction::Builder::getIsLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void Introduction::Builder::setIsLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ConfigAnnouncement::Reader::getVersion() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Heartbeat::Builder::getConfigVersion() {
+inline  ::uint64_t ConfigAnnouncement::Builder::getVersion() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Heartbeat::Builder::setConfigVersion( ::uint64_t value) {
+inline void ConfigAnnouncement::Builder::setVersion( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Heartbeat::Reader::getViewVersion() const {
+inline bool ConfigAnnouncement::Reader::hasDocument() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ConfigAnnouncement::Builder::hasDocument() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ConfigAnnouncement::Reader::getDocument() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ConfigAnnouncement::Builder::getDocument() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ConfigAnnouncement::Builder::setDocument( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ConfigAnnouncement::Builder::initDocument(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ConfigAnnouncement::Builder::adoptDocument(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ConfigAnnouncement::Builder::disownDocument() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t ConfigAnnouncement::Reader::getBasedOn() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Heartbeat::Builder::getViewVersion() {
+inline  ::uint64_t ConfigAnnouncement::Builder::getBasedOn() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Heartbeat::Builder::setViewVersion( ::uint64_t value) {
+inline void ConfigAnnouncement::Builder::setBasedOn( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Heartbeat::Reader::getIsLeaving() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+inline  ::uint32_t ConfigAnnouncement::Reader::getKeptPrefix() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline bool Heartbeat::Builder::getIsLeaving() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+inline  ::uint32_t ConfigAnnouncement::Builder::getKeptPrefix() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void Heartbeat::Builder::setIsLeaving(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+inline void ConfigAnnouncement::Builder::setKeptPrefix( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Heartbeat::Reader::getLoad() const {
+inline  ::uint32_t ConfigAnnouncement::Reader::getKeptSuffix() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Heartbeat::Builder::getLoad() {
+inline  ::uint32_t ConfigAnnouncement::Builder::getKeptSuffix() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void Heartbeat::Builder::setLoad( ::uint32_t value) {
+inline void ConfigAnnouncement::Builder::setKeptSuffix( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Heartbeat::Reader::hasSeen() const {
+inline  ::uint64_t ConfigAnnouncement::Reader::getContentHash() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ConfigAnnouncement::Builder::getContentHash() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void ConfigAnnouncement::Builder::setContentHash( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ConfigAnnouncement::Reader::hasReplyTo() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Heartbeat::Builder::hasSeen() {
+inline bool ConfigAnnouncement::Builder::hasReplyTo() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::rattanrack::peer::wire::SeenNode,  ::capnp::Kind::STRUCT>::Reader Heartbeat::Reader::getSeen() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::SeenNode,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader ConfigAnnouncement::Reader::getReplyTo() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::rattanrack::peer::wire::SeenNode,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::getSeen() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::SeenNode,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ConfigAnnouncement::Builder::getReplyTo() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Heartbeat::Builder::setSeen( ::capnp::List< ::rattanrack::peer::wire::SeenNode,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::SeenNode,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline void ConfigAnnouncement::Builder::setReplyTo( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::rattanrack::peer::wire::SeenNode,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::initSeen(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::SeenNode,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder ConfigAnnouncement::Builder::initReplyTo(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Heartbeat::Builder::adoptSeen(
-    ::capnp::Orphan< ::capnp::List< ::rattanrack::peer::wire::SeenNode,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::SeenNode,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline void ConfigAnnouncement::Builder::adoptReplyTo(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::rattanrack::peer::wire::SeenNode,  ::capnp::Kind::STRUCT>> Heartbeat::Builder::disownSeen() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::SeenNode,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> ConfigAnnouncement::Builder::disownReplyTo() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Heartbeat::Reader::hasIntroductions() const {
+inline bool Credit::Reader::hasWorker() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Heartbeat::Builder::hasIntroductions() {
+inline bool Credit::Builder::hasWorker() {
   return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::rattanrack::peer::wire::Introduction,  ::capnp::Kind::STRUCT>::Reader Heartbeat::Reader::getIntroductions() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Introduction,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Credit::Reader::getWorker() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::rattanrack::peer::wire::Introduction,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::getIntroductions() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Introduction,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Credit::Builder::getWorker() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Heartbeat::Builder::setIntroductions( ::capnp::List< ::rattanrack::peer::wire::Introduction,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Introduction,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline void Credit::Builder::setWorker( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::rattanrack::peer::wire::Introduction,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::initIntroductions(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Introduction,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder Credit::Builder::initWorker(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Heartbeat::Builder::adoptIntroductions(
-    ::capnp::Orphan< ::capnp::List< ::rattanrack::peer::wire::Introduction,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Introduction,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+inline void Credit::Builder::adoptWorker(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::rattanrack::peer::wire::Introduction,  ::capnp::Kind::STRUCT>> Heartbeat::Builder::disownIntroductions() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Introduction,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Credit::Builder::disownWorker() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t SeenNode::Reader::getNode() const {
+inline  ::uint32_t Credit::Reader::getCount() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t SeenNode::Builder::getNode() {
-  return _builder.getDataField< ::uint32_t>(
+inline  ::uint32_t Credit::Builder::getCount() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Credit::Builder::setCount( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t ResourceSize::Reader::getMillicores() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t ResourceSize::Builder::getMillicores() {
+  return _builder.getDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void SeenNode::Builder::setNode( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void ResourceSize::Builder::setMillicores( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t SeenNode::Reader::getSequence() const {
-  return _reader.getDataField< ::uint32_t>(
+inline  ::int64_t ResourceSize::Reader::getMebibytes() const {
+  return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t SeenNode::Builder::getSequence() {
-  return _builder.getDataField< ::uint32_t>(
+inline  ::int64_t ResourceSize::Builder::getMebibytes() {
+  return _builder.getDataField< ::int64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void SeenNode::Builder::setSequence( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void ResourceSize::Builder::setMebibytes( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t SeenNode::Reader::getConfigVersion() const {
-  return _reader.getDataField< ::uint32_t>(
+inline  ::int64_t ResourceSize::Reader::getAccelerators() const {
+  return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t SeenNode::Builder::getConfigVersion() {
-  return _builder.getDataField< ::uint32_t>(
+inline  ::int64_t ResourceSize::Builder::getAccelerators() {
+  return _builder.getDataField< ::int64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void SeenNode::Builder::setConfigVersion( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void ResourceSize::Builder::setAccelerators( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Introduction::Reader::hasId() const {
+inline bool CreditAsk::Reader::hasPool() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Introduction::Builder::hasId() {
+inline bool CreditAsk::Builder::hasPool() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Introduction::Reader::getId() const {
+inline  ::capnp::Text::Reader CreditAsk::Reader::getPool() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Introduction::Builder::getId() {
+inline  ::capnp::Text::Builder CreditAsk::Builder::getPool() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Introduction::Builder::setId( ::capnp::Text::Reader value) {
+inline void CreditAsk::Builder::setPool( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Introduction::Builder::initId(unsigned int size) {
+inline  ::capnp::Text::Builder CreditAsk::Builder::initPool(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Introduction::Builder::adoptId(
+inline void CreditAsk::Builder::adoptPool(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Introduction::Builder::disownId() {
+inline ::capnp::Orphan< ::capnp::Text> CreditAsk::Builder::disownPool() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Introduction::Reader::hasAddress() const {
+inline bool CreditAsk::Reader::hasFrom() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Introduction::Builder::hasAddress() {
+inline bool CreditAsk::Builder::hasFrom() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Introduction::Reader::getAddress() const {
+inline  ::capnp::Text::Reader CreditAsk::Reader::getFrom() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Introduction::Builder::getAddress() {
+inline  ::capnp::Text::Builder CreditAsk::Builder::getFrom() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Introduction::Builder::setAddress( ::capnp::Text::Reader value) {
+inline void CreditAsk::Builder::setFrom( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Introduction::Builder::initAddress(unsigned int size) {
+inline  ::capnp::Text::Builder CreditAsk::Builder::initFrom(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Introduction::Builder::adoptAddress(
+inline void CreditAsk::Builder::adoptFrom(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Introduction::Builder::disownAddress() {
+inline ::capnp::Orphan< ::capnp::Text> CreditAsk::Builder::disownFrom() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Introduction::Reader::hasDataCenter() const {
+inline  ::uint32_t CreditAsk::Reader::getUrgentWaiting() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CreditAsk::Builder::getUrgentWaiting() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CreditAsk::Builder::setUrgentWaiting( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t CreditAsk::Reader::getNormalWaiting() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CreditAsk::Builder::getNormalWaiting() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void CreditAsk::Builder::setNormalWaiting( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t CreditAsk::Reader::getBackgroundWaiting() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CreditAsk::Builder::getBackgroundWaiting() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void CreditAsk::Builder::setBackgroundWaiting( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t CreditAsk::Reader::getOldestWaitMicroseconds() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t CreditAsk::Builder::getOldestWaitMicroseconds() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void CreditAsk::Builder::setOldestWaitMicroseconds( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CreditAsk::Reader::hasIdle() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Introduction::Builder::hasDataCenter() {
+inline bool CreditAsk::Builder::hasIdle() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Introduction::Reader::getDataCenter() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>::Reader CreditAsk::Reader::getIdle() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Introduction::Builder::getDataCenter() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>::Builder CreditAsk::Builder::getIdle() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Introduction::Builder::setDataCenter( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void CreditAsk::Builder::setIdle( ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Introduction::Builder::initDataCenter(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>::Builder CreditAsk::Builder::initIdle(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Introduction::Builder::adoptDataCenter(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void CreditAsk::Builder::adoptIdle(
+    ::capnp::Orphan< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Introduction::Builder::disownDataCenter() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>> CreditAsk::Builder::disownIdle() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Introduction::Reader::getSequence() const {
+inline bool CreditAsk::Reader::hasInUse() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool CreditAsk::Builder::hasInUse() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>::Reader CreditAsk::Reader::getInUse() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>::Builder CreditAsk::Builder::getInUse() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void CreditAsk::Builder::setInUse( ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>::Builder CreditAsk::Builder::initInUse(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void CreditAsk::Builder::adoptInUse(
+    ::capnp::Orphan< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>> CreditAsk::Builder::disownInUse() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t CreditAsk::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Introduction::Builder::getSequence() {
+inline  ::uint64_t CreditAsk::Builder::getNumber() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Introduction::Builder::setSequence( ::uint64_t value) {
+inline void CreditAsk::Builder::setNumber( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Introduction::Reader::getIsLeaving() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline  ::uint64_t CreditAsk::Reader::getLastGrant() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline bool Introduction::Builder::getIsLeaving() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline  ::uint64_t CreditAsk::Builder::getLastGrant() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void Introduction::Builder::setIsLeaving(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+inline void CreditAsk::Builder::setLastGrant( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t ConfigAnnouncement::Reader::getVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool CreditAsk::Reader::hasFirstSize() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool CreditAsk::Builder::hasFirstSize() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::rattanrack::peer::wire::ResourceSize::Reader CreditAsk::Reader::getFirstSize() const {
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ResourceSize>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::rattanrack::peer::wire::ResourceSize::Builder CreditAsk::Builder::getFirstSize() {
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ResourceSize>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::rattanrack::peer::wire::ResourceSize::Pipeline CreditAsk::Pipeline::getFirstSize() {
+  return  ::rattanrack::peer::wire::ResourceSize::Pipeline(_typeless.getPointerField(4));
+}
+#endif  // !CAPNP_LITE
+inline void CreditAsk::Builder::setFirstSize( ::rattanrack::peer::wire::ResourceSize::Reader value) {
+  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ResourceSize>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::rattanrack::peer::wire::ResourceSize::Builder CreditAsk::Builder::initFirstSize() {
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ResourceSize>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void CreditAsk::Builder::adoptFirstSize(
+    ::capnp::Orphan< ::rattanrack::peer::wire::ResourceSize>&& value) {
+  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ResourceSize>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::rattanrack::peer::wire::ResourceSize> CreditAsk::Builder::disownFirstSize() {
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ResourceSize>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t CreditAsk::Reader::getFirstCredits() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ConfigAnnouncement::Builder::getVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint32_t CreditAsk::Builder::getFirstCredits() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void ConfigAnnouncement::Builder::setVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void CreditAsk::Builder::setFirstCredits( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ConfigAnnouncement::Reader::hasDocument() const {
+inline bool CreditGrant::Reader::hasPool() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ConfigAnnouncement::Builder::hasDocument() {
+inline bool CreditGrant::Builder::hasPool() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ConfigAnnouncement::Reader::getDocument() const {
+inline  ::capnp::Text::Reader CreditGrant::Reader::getPool() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ConfigAnnouncement::Builder::getDocument() {
+inline  ::capnp::Text::Builder CreditGrant::Builder::getPool() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ConfigAnnouncement::Builder::setDocument( ::capnp::Text::Reader value) {
+inline void CreditGrant::Builder::setPool( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ConfigAnnouncement::Builder::initDocument(unsigned int size) {
+inline  ::capnp::Text::Builder CreditGrant::Builder::initPool(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ConfigAnnouncement::Builder::adoptDocument(
+inline void CreditGrant::Builder::adoptPool(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ConfigAnnouncement::Builder::disownDocument() {
+inline ::capnp::Orphan< ::capnp::Text> CreditGrant::Builder::disownPool() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t ConfigAnnouncement::Reader::getBasedOn() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t ConfigAnnouncement::Builder::getBasedOn() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool CreditGrant::Reader::hasTo() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void ConfigAnnouncement::Builder::setBasedOn( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline bool CreditGrant::Builder::hasTo() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint32_t ConfigAnnouncement::Reader::getKeptPrefix() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Reader CreditGrant::Reader::getTo() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t ConfigAnnouncement::Builder::getKeptPrefix() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder CreditGrant::Builder::getTo() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ConfigAnnouncement::Builder::setKeptPrefix( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void CreditGrant::Builder::setTo( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint32_t ConfigAnnouncement::Reader::getKeptSuffix() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder CreditGrant::Builder::initTo(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint32_t ConfigAnnouncement::Builder::getKeptSuffix() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline void CreditGrant::Builder::adoptTo(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void ConfigAnnouncement::Builder::setKeptSuffix( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::Text> CreditGrant::Builder::disownTo() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t ConfigAnnouncement::Reader::getContentHash() const {
+inline  ::uint64_t CreditGrant::Reader::getTerm() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ConfigAnnouncement::Builder::getContentHash() {
+inline  ::uint64_t CreditGrant::Builder::getTerm() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ConfigAnnouncement::Builder::setContentHash( ::uint64_t value) {
+inline void CreditGrant::Builder::setTerm( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ConfigAnnouncement::Reader::hasReplyTo() const {
+inline bool CreditGrant::Reader::hasGranted() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool ConfigAnnouncement::Builder::hasReplyTo() {
+inline bool CreditGrant::Builder::hasGranted() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ConfigAnnouncement::Reader::getReplyTo() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>::Reader CreditGrant::Reader::getGranted() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ConfigAnnouncement::Builder::getReplyTo() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>::Builder CreditGrant::Builder::getGranted() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void ConfigAnnouncement::Builder::setReplyTo( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void CreditGrant::Builder::setGranted( ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ConfigAnnouncement::Builder::initReplyTo(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>::Builder CreditGrant::Builder::initGranted(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void ConfigAnnouncement::Builder::adoptReplyTo(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void CreditGrant::Builder::adoptGranted(
+    ::capnp::Orphan< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ConfigAnnouncement::Builder::disownReplyTo() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>> CreditGrant::Builder::disownGranted() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool Credit::Reader::hasWorker() const {
+inline bool CreditGrant::Reader::hasRecalled() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool Credit::Builder::hasWorker() {
+inline bool CreditGrant::Builder::hasRecalled() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Credit::Reader::getWorker() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>::Reader CreditGrant::Reader::getRecalled() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Credit::Builder::getWorker() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>::Builder CreditGrant::Builder::getRecalled() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void Credit::Builder::setWorker( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void CreditGrant::Builder::setRecalled( ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Credit::Builder::initWorker(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>::Builder CreditGrant::Builder::initRecalled(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void Credit::Builder::adoptWorker(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void CreditGrant::Builder::adoptRecalled(
+    ::capnp::Orphan< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Credit::Builder::disownWorker() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>> CreditGrant::Builder::disownRecalled() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Credit::Reader::getCount() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t CreditGrant::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Credit::Builder::getCount() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t CreditGrant::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Credit::Builder::setCount( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void CreditGrant::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t ResourceSize::Reader::getMillicores() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint32_t CreditGrant::Reader::getWanted() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t ResourceSize::Builder::getMillicores() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint32_t CreditGrant::Builder::getWanted() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void ResourceSize::Builder::setMillicores( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void CreditGrant::Builder::setWanted( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t ResourceSize::Reader::getMebibytes() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint8_t CreditGrant::Reader::getFirstUrgency() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t ResourceSize::Builder::getMebibytes() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint8_t CreditGrant::Builder::getFirstUrgency() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS);
 }
-inline void ResourceSize::Builder::setMebibytes( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void CreditGrant::Builder::setFirstUrgency( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t ResourceSize::Reader::getAccelerators() const {
+inline  ::int64_t CreditGrant::Reader::getFirstWaitMicroseconds() const {
   return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t ResourceSize::Builder::getAccelerators() {
+inline  ::int64_t CreditGrant::Builder::getFirstWaitMicroseconds() {
   return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void ResourceSize::Builder::setAccelerators( ::int64_t value) {
+inline void CreditGrant::Builder::setFirstWaitMicroseconds( ::int64_t value) {
   _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool CreditAsk::Reader::hasPool() const {
+inline bool Claim::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool CreditAsk::Builder::hasPool() {
+inline bool Claim::Builder::hasKey() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader CreditAsk::Reader::getPool() const {
+inline  ::capnp::Text::Reader Claim::Reader::getKey() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder CreditAsk::Builder::getPool() {
+inline  ::capnp::Text::Builder Claim::Builder::getKey() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void CreditAsk::Builder::setPool( ::capnp::Text::Reader value) {
+inline void Claim::Builder::setKey( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder CreditAsk::Builder::initPool(unsigned int size) {
+inline  ::capnp::Text::Builder Claim::Builder::initKey(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void CreditAsk::Builder::adoptPool(
+inline void Claim::Builder::adoptKey(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> CreditAsk::Builder::disownPool() {
+inline ::capnp::Orphan< ::capnp::Text> Claim::Builder::disownKey() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool CreditAsk::Reader::hasFrom() const {
+inline  ::uint64_t Claim::Reader::getFingerprint() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Claim::Builder::getFingerprint() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Claim::Builder::setFingerprint( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Claim::Reader::hasAttempt() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool CreditAsk::Builder::hasFrom() {
+inline bool Claim::Builder::hasAttempt() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader CreditAsk::Reader::getFrom() const {
+inline  ::capnp::Text::Reader Claim::Reader::getAttempt() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder CreditAsk::Builder::getFrom() {
+inline  ::capnp::Text::Builder Claim::Builder::getAttempt() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void CreditAsk::Builder::setFrom( ::capnp::Text::Reader value) {
+inline void Claim::Builder::setAttempt( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder CreditAsk::Builder::initFrom(unsigned int size) {
+inline  ::capnp::Text::Builder Claim::Builder::initAttempt(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void CreditAsk::Builder::adoptFrom(
+inline void Claim::Builder::adoptAttempt(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> CreditAsk::Builder::disownFrom() {
+inline ::capnp::Orphan< ::capnp::Text> Claim::Builder::disownAttempt() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t CreditAsk::Reader::getUrgentWaiting() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Claim::Reader::hasOwner() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint32_t CreditAsk::Builder::getUrgentWaiting() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Claim::Builder::hasOwner() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline void CreditAsk::Builder::setUrgentWaiting( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Reader Claim::Reader::getOwner() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Claim::Builder::getOwner() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Claim::Builder::setOwner( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Claim::Builder::initOwner(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Claim::Builder::adoptOwner(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Claim::Builder::disownOwner() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t CreditAsk::Reader::getNormalWaiting() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::rattanrack::peer::wire::ClaimState Claim::Reader::getState() const {
+  return _reader.getDataField< ::rattanrack::peer::wire::ClaimState>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t CreditAsk::Builder::getNormalWaiting() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::rattanrack::peer::wire::ClaimState Claim::Builder::getState() {
+  return _builder.getDataField< ::rattanrack::peer::wire::ClaimState>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void CreditAsk::Builder::setNormalWaiting( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Claim::Builder::setState( ::rattanrack::peer::wire::ClaimState value) {
+  _builder.setDataField< ::rattanrack::peer::wire::ClaimState>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t CreditAsk::Reader::getBackgroundWaiting() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool Claim::Reader::hasOutput() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint32_t CreditAsk::Builder::getBackgroundWaiting() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool Claim::Builder::hasOutput() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline void CreditAsk::Builder::setBackgroundWaiting( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Data::Reader Claim::Reader::getOutput() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Claim::Builder::getOutput() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Claim::Builder::setOutput( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Claim::Builder::initOutput(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Claim::Builder::adoptOutput(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Claim::Builder::disownOutput() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t CreditAsk::Reader::getOldestWaitMicroseconds() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint64_t ClaimRequest::Reader::getExchange() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t CreditAsk::Builder::getOldestWaitMicroseconds() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint64_t ClaimRequest::Builder::getExchange() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void CreditAsk::Builder::setOldestWaitMicroseconds( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void ClaimRequest::Builder::setExchange( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool CreditAsk::Reader::hasIdle() const {
+inline bool ClaimRequest::Reader::hasFrom() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool CreditAsk::Builder::hasIdle() {
+inline bool ClaimRequest::Builder::hasFrom() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>::Reader CreditAsk::Reader::getIdle() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader ClaimRequest::Reader::getFrom() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>::Builder CreditAsk::Builder::getIdle() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ClaimRequest::Builder::getFrom() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void CreditAsk::Builder::setIdle( ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void ClaimRequest::Builder::setFrom( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>::Builder CreditAsk::Builder::initIdle(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder ClaimRequest::Builder::initFrom(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void CreditAsk::Builder::adoptIdle(
-    ::capnp::Orphan< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void ClaimRequest::Builder::adoptFrom(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>> CreditAsk::Builder::disownIdle() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> ClaimRequest::Builder::disownFrom() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool CreditAsk::Reader::hasInUse() const {
+inline bool ClaimRequest::Reader::hasClaim() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool CreditAsk::Builder::hasInUse() {
+inline bool ClaimRequest::Builder::hasClaim() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>::Reader CreditAsk::Reader::getInUse() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::rattanrack::peer::wire::Claim::Reader ClaimRequest::Reader::getClaim() const {
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::Claim>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>::Builder CreditAsk::Builder::getInUse() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::rattanrack::peer::wire::Claim::Builder ClaimRequest::Builder::getClaim() {
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::Claim>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void CreditAsk::Builder::setInUse( ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+#if !CAPNP_LITE
+inline  ::rattanrack::peer::wire::Claim::Pipeline ClaimRequest::Pipeline::getClaim() {
+  return  ::rattanrack::peer::wire::Claim::Pipeline(_typeless.getPointerField(1));
 }
-inline  ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>::Builder CreditAsk::Builder::initInUse(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+#endif  // !CAPNP_LITE
+inline void ClaimRequest::Builder::setClaim( ::rattanrack::peer::wire::Claim::Reader value) {
+  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::Claim>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline void CreditAsk::Builder::adoptInUse(
-    ::capnp::Orphan< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::rattanrack::peer::wire::Claim::Builder ClaimRequest::Builder::initClaim() {
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::Claim>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ClaimRequest::Builder::adoptClaim(
+    ::capnp::Orphan< ::rattanrack::peer::wire::Claim>&& value) {
+  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::Claim>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>> CreditAsk::Builder::disownInUse() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::rattanrack::peer::wire::Claim> ClaimRequest::Builder::disownClaim() {
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::Claim>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t CreditAsk::Reader::getNumber() const {
+inline  ::uint64_t ClaimReply::Reader::getExchange() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t CreditAsk::Builder::getNumber() {
+inline  ::uint64_t ClaimReply::Builder::getExchange() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void CreditAsk::Builder::setNumber( ::uint64_t value) {
+inline void ClaimReply::Builder::setExchange( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t CreditAsk::Reader::getLastGrant() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::rattanrack::peer::wire::ClaimVerdict ClaimReply::Reader::getVerdict() const {
+  return _reader.getDataField< ::rattanrack::peer::wire::ClaimVerdict>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t CreditAsk::Builder::getLastGrant() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::rattanrack::peer::wire::ClaimVerdict ClaimReply::Builder::getVerdict() {
+  return _builder.getDataField< ::rattanrack::peer::wire::ClaimVerdict>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void CreditAsk::Builder::setLastGrant( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void ClaimReply::Builder::setVerdict( ::rattanrack::peer::wire::ClaimVerdict value) {
+  _builder.setDataField< ::rattanrack::peer::wire::ClaimVerdict>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool CreditAsk::Reader::hasFirstSize() const {
+inline bool ClaimReply::Reader::hasClaim() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool CreditAsk::Builder::hasFirstSize() {
+inline bool ClaimReply::Builder::hasClaim() {
   return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::rattanrack::peer::wire::ResourceSize::Reader CreditAsk::Reader::getFirstSize() const {
-  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ResourceSize>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::rattanrack::peer::wire::Claim::Reader ClaimReply::Reader::getClaim() const {
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::Claim>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::rattanrack::peer::wire::ResourceSize::Builder CreditAsk::Builder::getFirstSize() {
-  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ResourceSize>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::rattanrack::peer::wire::Claim::Builder ClaimReply::Builder::getClaim() {
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::Claim>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::rattanrack::peer::wire::ResourceSize::Pipeline CreditAsk::Pipeline::getFirstSize() {
-  return  ::rattanrack::peer::wire::ResourceSize::Pipeline(_typeless.getPointerField(4));
+inline  ::rattanrack::peer::wire::Claim::Pipeline ClaimReply::Pipeline::getClaim() {
+  return  ::rattanrack::peer::wire::Claim::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void CreditAsk::Builder::setFirstSize( ::rattanrack::peer::wire::ResourceSize::Reader value) {
-  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ResourceSize>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline void ClaimReply::Builder::setClaim( ::rattanrack::peer::wire::Claim::Reader value) {
+  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::Claim>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::rattanrack::peer::wire::ResourceSize::Builder CreditAsk::Builder::initFirstSize() {
-  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ResourceSize>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::rattanrack::peer::wire::Claim::Builder ClaimReply::Builder::initClaim() {
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::Claim>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void CreditAsk::Builder::adoptFirstSize(
-    ::capnp::Orphan< ::rattanrack::peer::wire::ResourceSize>&& value) {
-  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ResourceSize>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+inline void ClaimReply::Builder::adoptClaim(
+    ::capnp::Orphan< ::rattanrack::peer::wire::Claim>&& value) {
+  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::Claim>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::rattanrack::peer::wire::ResourceSize> CreditAsk::Builder::disownFirstSize() {
-  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::ResourceSize>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::rattanrack::peer::wire::Claim> ClaimReply::Builder::disownClaim() {
+  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::Claim>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t CreditAsk::Reader::getFirstCredits() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint64_t AnswerQuery::Reader::getExchange() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t CreditAsk::Builder::getFirstCredits() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint64_t AnswerQuery::Builder::getExchange() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void CreditAsk::Builder::setFirstCredits( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void AnswerQuery::Builder::setExchange( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool CreditGrant::Reader::hasPool() const {
+inline bool AnswerQuery::Reader::hasFrom() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool CreditGrant::Builder::hasPool() {
+inline bool AnswerQuery::Builder::hasFrom() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader CreditGrant::Reader::getPool() const {
+inline  ::capnp::Text::Reader AnswerQuery::Reader::getFrom() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder CreditGrant::Builder::getPool() {
+inline  ::capnp::Text::Builder AnswerQuery::Builder::getFrom() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void CreditGrant::Builder::setPool( ::capnp::Text::Reader value) {
+inline void AnswerQuery::Builder::setFrom( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder CreditGrant::Builder::initPool(unsigned int size) {
+inline  ::capnp::Text::Builder AnswerQuery::Builder::initFrom(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void CreditGrant::Builder::adoptPool(
+inline void AnswerQuery::Builder::adoptFrom(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> CreditGrant::Builder::disownPool() {
+inline ::capnp::Orphan< ::capnp::Text> AnswerQuery::Builder::disownFrom() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool CreditGrant::Reader::hasTo() const {
+inline bool AnswerQuery::Reader::hasRequest() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool CreditGrant::Builder::hasTo() {
+inline bool AnswerQuery::Builder::hasRequest() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader CreditGrant::Reader::getTo() const {
+inline  ::capnp::Text::Reader AnswerQuery::Reader::getRequest() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder CreditGrant::Builder::getTo() {
+inline  ::capnp::Text::Builder AnswerQuery::Builder::getRequest() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void CreditGrant::Builder::setTo( ::capnp::Text::Reader value) {
+inline void AnswerQuery::Builder::setRequest( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder CreditGrant::Builder::initTo(unsigned int size) {
+inline  ::capnp::Text::Builder AnswerQuery::Builder::initRequest(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void CreditGrant::Builder::adoptTo(
+inline void AnswerQuery::Builder::adoptRequest(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> CreditGrant::Builder::disownTo() {
+inline ::capnp::Orphan< ::capnp::Text> AnswerQuery::Builder::disownRequest() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t CreditGrant::Reader::getTerm() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t CreditGrant::Builder::getTerm() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void CreditGrant::Builder::setTerm( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool CreditGrant::Reader::hasGranted() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool CreditGrant::Builder::hasGranted() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>::Reader CreditGrant::Reader::getGranted() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>::Builder CreditGrant::Builder::getGranted() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void CreditGrant::Builder::setGranted( ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>::Builder CreditGrant::Builder::initGranted(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
-}
-inline void CreditGrant::Builder::adoptGranted(
-    ::capnp::Orphan< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>> CreditGrant::Builder::disownGranted() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline bool AnswerQuery::Reader::getCancels() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 
-inline bool CreditGrant::Reader::hasRecalled() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline bool CreditGrant::Builder::hasRecalled() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>::Reader CreditGrant::Reader::getRecalled() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>::Builder CreditGrant::Builder::getRecalled() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline void CreditGrant::Builder::setRecalled( ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>::Builder CreditGrant::Builder::initRecalled(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
-}
-inline void CreditGrant::Builder::adoptRecalled(
-    ::capnp::Orphan< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline bool AnswerQuery::Builder::getCancels() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>> CreditGrant::Builder::disownRecalled() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::Credit,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline void AnswerQuery::Builder::setCancels(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t CreditGrant::Reader::getNumber() const {
+inline  ::uint64_t AnswerReply::Reader::getExchange() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t CreditGrant::Builder::getNumber() {
+inline  ::uint64_t AnswerReply::Builder::getExchange() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void CreditGrant::Builder::setNumber( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint32_t CreditGrant::Reader::getWanted() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t CreditGrant::Builder::getWanted() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-inline void CreditGrant::Builder::setWanted( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint8_t CreditGrant::Reader::getFirstUrgency() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<20>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint8_t CreditGrant::Builder::getFirstUrgency() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<20>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void CreditGrant::Builder::setFirstUrgency( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<20>() * ::capnp::ELEMENTS, value);
+inline void AnswerReply::Builder::setExchange( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t CreditGrant::Reader::getFirstWaitMicroseconds() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint8_t AnswerReply::Reader::getState() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t CreditGrant::Builder::getFirstWaitMicroseconds() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint8_t AnswerReply::Builder::getState() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline void CreditGrant::Builder::setFirstWaitMicroseconds( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void AnswerReply::Builder::setState( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Claim::Reader::hasKey() const {
+inline bool AnswerReply::Reader::hasOutput() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Claim::Builder::hasKey() {
+inline bool AnswerReply::Builder::hasOutput() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Claim::Reader::getKey() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::Data::Reader AnswerReply::Reader::getOutput() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Claim::Builder::getKey() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::Data::Builder AnswerReply::Builder::getOutput() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Claim::Builder::setKey( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void AnswerReply::Builder::setOutput( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Claim::Builder::initKey(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::Data::Builder AnswerReply::Builder::initOutput(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Claim::Builder::adoptKey(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void AnswerReply::Builder::adoptOutput(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Claim::Builder::disownKey() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Data> AnswerReply::Builder::disownOutput() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Claim::Reader::getFingerprint() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Claim::Builder::getFingerprint() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Claim::Builder::setFingerprint( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Claim::Reader::hasAttempt() const {
+inline bool AnswerReply::Reader::hasReason() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Claim::Builder::hasAttempt() {
+inline bool AnswerReply::Builder::hasReason() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Claim::Reader::getAttempt() const {
+inline  ::capnp::Text::Reader AnswerReply::Reader::getReason() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Claim::Builder::getAttempt() {
+inline  ::capnp::Text::Builder AnswerReply::Builder::getReason() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Claim::Builder::setAttempt( ::capnp::Text::Reader value) {
+inline void AnswerReply::Builder::setReason( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Claim::Builder::initAttempt(unsigned int size) {
+inline  ::capnp::Text::Builder AnswerReply::Builder::initReason(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Claim::Builder::adoptAttempt(
+inline void AnswerReply::Builder::adoptReason(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Claim::Builder::disownAttempt() {
+inline ::capnp::Orphan< ::capnp::Text> AnswerReply::Builder::disownReason() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Claim::Reader::hasOwner() const {
+inline  ::int64_t AnswerReply::Reader::getRetryAfterMicroseconds() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t AnswerReply::Builder::getRetryAfterMicroseconds() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void AnswerReply::Builder::setRetryAfterMicroseconds( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool HeldCell::Reader::hasCell() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Claim::Builder::hasOwner() {
+inline bool HeldCell::Builder::hasCell() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Claim::Reader::getOwner() const {
+inline  ::capnp::Text::Reader HeldCell::Reader::getCell() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Claim::Builder::getOwner() {
+inline  ::capnp::Text::Builder HeldCell::Builder::getCell() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Claim::Builder::setOwner( ::capnp::Text::Reader value) {
+inline void HeldCell::Builder::setCell( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Claim::Builder::initOwner(unsigned int size) {
+inline  ::capnp::Text::Builder HeldCell::Builder::initCell(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Claim::Builder::adoptOwner(
+inline void HeldCell::Builder::adoptCell(
