     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Claim::Builder::disownOwner() {
+inline ::capnp::Orphan< ::capnp::Text> HeldCell::Builder::disownCell() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
-inline  ::rattanrack::peer::wire::ClaimState Claim::Reader::getState() const {
-  return _reader.getDataField< ::rattanrack::peer::wire::ClaimState>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-
-inline  ::rattanrack::peer::wire::ClaimState Claim::Builder::getState() {
-  return _builder.getDataField< ::rattanrack::peer::wire::ClaimState>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-inline void Claim::Builder::setState( ::rattanrack::peer::wire::ClaimState value) {
-  _builder.setDataField< ::rattanrack::peer::wire::ClaimState>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Claim::Reader::hasOutput() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline bool Claim::Builder::hasOutput() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Data::Reader Claim::Reader::getOutput() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Data::Builder Claim::Builder::getOutput() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline void Claim::Builder::setOutput( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Data::Builder Claim::Builder::initOutput(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
-}
-inline void Claim::Builder::adoptOutput(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Data> Claim::Builder::disownOutput() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t ClaimRequest::Reader::getExchange() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::int64_t HeldCell::Reader::getTerm() const {
+  return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ClaimRequest::Builder::getExchange() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::int64_t HeldCell::Builder::getTerm() {
+  return _builder.getDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ClaimRequest::Builder::setExchange( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void HeldCell::Builder::setTerm( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ClaimRequest::Reader::hasFrom() const {
+inline bool NodeNews::Reader::hasNode() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ClaimRequest::Builder::hasFrom() {
+inline bool NodeNews::Builder::hasNode() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ClaimRequest::Reader::getFrom() const {
+inline  ::capnp::Text::Reader NodeNews::Reader::getNode() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ClaimRequest::Builder::getFrom() {
+inline  ::capnp::Text::Builder NodeNews::Builder::getNode() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ClaimRequest::Builder::setFrom( ::capnp::Text::Reader value) {
+inline void NodeNews::Builder::setNode( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ClaimRequest::Builder::initFrom(unsigned int size) {
+inline  ::capnp::Text::Builder NodeNews::Builder::initNode(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ClaimRequest::Builder::adoptFrom(
+inline void NodeNews::Builder::adoptNode(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ClaimRequest::Builder::disownFrom() {
+inline ::capnp::Orphan< ::capnp::Text> NodeNews::Builder::disownNode() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool ClaimRequest::Reader::hasClaim() const {
+inline bool NodeNews::Reader::hasAddress() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool ClaimRequest::Builder::hasClaim() {
+inline bool NodeNews::Builder::hasAddress() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::rattanrack::peer::wire::Claim::Reader ClaimRequest::Reader::getClaim() const {
-  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::Claim>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader NodeNews::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::rattanrack::peer::wire::Claim::Builder ClaimRequest::Builder::getClaim() {
-  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::Claim>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder NodeNews::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::rattanrack::peer::wire::Claim::Pipeline ClaimRequest::Pipeline::getClaim() {
-  return  ::rattanrack::peer::wire::Claim::Pipeline(_typeless.getPointerField(1));
-}
-#endif  // !CAPNP_LITE
-inline void ClaimRequest::Builder::setClaim( ::rattanrack::peer::wire::Claim::Reader value) {
-  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::Claim>::set(_builder.getPointerField(
+inline void NodeNews::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::rattanrack::peer::wire::Claim::Builder ClaimRequest::Builder::initClaim() {
-  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::Claim>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder NodeNews::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void ClaimRequest::Builder::adoptClaim(
-    ::capnp::Orphan< ::rattanrack::peer::wire::Claim>&& value) {
-  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::Claim>::adopt(_builder.getPointerField(
+inline void NodeNews::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::rattanrack::peer::wire::Claim> ClaimRequest::Builder::disownClaim() {
-  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::Claim>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> NodeNews::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t NodeNews::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t NodeNews::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void NodeNews::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NodeNews::Reader::getIsLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool NodeNews::Builder::getIsLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void NodeNews::Builder::setIsLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NodeNews::Reader::getIsStoreInReach() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+
+inline bool NodeNews::Builder::getIsStoreInReach() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+inline void NodeNews::Builder::setIsStoreInReach(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NodeNews::Reader::hasCells() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeNews::Builder::hasCells() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::rattanrack::peer::wire::HeldCell,  ::capnp::Kind::STRUCT>::Reader NodeNews::Reader::getCells() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::HeldCell,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::rattanrack::peer::wire::HeldCell,  ::capnp::Kind::STRUCT>::Builder NodeNews::Builder::getCells() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::HeldCell,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void NodeNews::Builder::setCells( ::capnp::List< ::rattanrack::peer::wire::HeldCell,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::HeldCell,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::rattanrack::peer::wire::HeldCell,  ::capnp::Kind::STRUCT>::Builder NodeNews::Builder::initCells(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::HeldCell,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void NodeNews::Builder::adoptCells(
+    ::capnp::Orphan< ::capnp::List< ::rattanrack::peer::wire::HeldCell,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::HeldCell,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-
-inline  ::uint64_t ClaimReply::Reader::getExchange() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::capnp::Orphan< ::capnp::List< ::rattanrack::peer::wire::HeldCell,  ::capnp::Kind::STRUCT>> NodeNews::Builder::disownCells() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::HeldCell,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t ClaimReply::Builder::getExchange() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool NodeNews::Reader::hasClosing() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline void ClaimReply::Builder::setExchange( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline bool NodeNews::Builder::hasClosing() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::rattanrack::peer::wire::ClaimVerdict ClaimReply::Reader::getVerdict() const {
-  return _reader.getDataField< ::rattanrack::peer::wire::ClaimVerdict>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader NodeNews::Reader::getClosing() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-
-inline  ::rattanrack::peer::wire::ClaimVerdict ClaimReply::Builder::getVerdict() {
-  return _builder.getDataField< ::rattanrack::peer::wire::ClaimVerdict>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder NodeNews::Builder::getClosing() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void ClaimReply::Builder::setVerdict( ::rattanrack::peer::wire::ClaimVerdict value) {
-  _builder.setDataField< ::rattanrack::peer::wire::ClaimVerdict>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void NodeNews::Builder::setClosing( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline void NodeNews::Builder::setClosing(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder NodeNews::Builder::initClosing(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void NodeNews::Builder::adoptClosing(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> NodeNews::Builder::disownClosing() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool ClaimReply::Reader::hasClaim() const {
+inline bool NodeNews::Reader::hasEmptied() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool ClaimReply::Builder::hasClaim() {
+inline bool NodeNews::Builder::hasEmptied() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::rattanrack::peer::wire::Claim::Reader ClaimReply::Reader::getClaim() const {
-  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::Claim>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader NodeNews::Reader::getEmptied() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::rattanrack::peer::wire::Claim::Builder ClaimReply::Builder::getClaim() {
-  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::Claim>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder NodeNews::Builder::getEmptied() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::rattanrack::peer::wire::Claim::Pipeline ClaimReply::Pipeline::getClaim() {
-  return  ::rattanrack::peer::wire::Claim::Pipeline(_typeless.getPointerField(0));
+inline void NodeNews::Builder::setEmptied( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-#endif  // !CAPNP_LITE
-inline void ClaimReply::Builder::setClaim( ::rattanrack::peer::wire::Claim::Reader value) {
-  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::Claim>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void NodeNews::Builder::setEmptied(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::rattanrack::peer::wire::Claim::Builder ClaimReply::Builder::initClaim() {
-  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::Claim>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder NodeNews::Builder::initEmptied(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void ClaimReply::Builder::adoptClaim(
-    ::capnp::Orphan< ::rattanrack::peer::wire::Claim>&& value) {
-  ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::Claim>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void NodeNews::Builder::adoptEmptied(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::rattanrack::peer::wire::Claim> ClaimReply::Builder::disownClaim() {
-  return ::capnp::_::PointerHelpers< ::rattanrack::peer::wire::Claim>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> NodeNews::Builder::disownEmptied() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t AnswerQuery::Reader::getExchange() const {
+inline  ::uint64_t JobCall::Reader::getExchange() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t AnswerQuery::Builder::getExchange() {
+inline  ::uint64_t JobCall::Builder::getExchange() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void AnswerQuery::Builder::setExchange( ::uint64_t value) {
+inline void JobCall::Builder::setExchange( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool AnswerQuery::Reader::hasFrom() const {
+inline bool JobCall::Reader::hasReplyTo() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool AnswerQuery::Builder::hasFrom() {
+inline bool JobCall::Builder::hasReplyTo() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader AnswerQuery::Reader::getFrom() const {
+inline  ::capnp::Text::Reader JobCall::Reader::getReplyTo() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder AnswerQuery::Builder::getFrom() {
+inline  ::capnp::Text::Builder JobCall::Builder::getReplyTo() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void AnswerQuery::Builder::setFrom( ::capnp::Text::Reader value) {
+inline void JobCall::Builder::setReplyTo( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder AnswerQuery::Builder::initFrom(unsigned int size) {
+inline  ::capnp::Text::Builder JobCall::Builder::initReplyTo(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void AnswerQuery::Builder::adoptFrom(
+inline void JobCall::Builder::adoptReplyTo(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> AnswerQuery::Builder::disownFrom() {
+inline ::capnp::Orphan< ::capnp::Text> JobCall::Builder::disownReplyTo() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool AnswerQuery::Reader::hasRequest() const {
+inline  ::rattanrack::peer::wire::JobOperation JobCall::Reader::getOperation() const {
+  return _reader.getDataField< ::rattanrack::peer::wire::JobOperation>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::rattanrack::peer::wire::JobOperation JobCall::Builder::getOperation() {
+  return _builder.getDataField< ::rattanrack::peer::wire::JobOperation>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void JobCall::Builder::setOperation( ::rattanrack::peer::wire::JobOperation value) {
+  _builder.setDataField< ::rattanrack::peer::wire::JobOperation>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool JobCall::Reader::hasCell() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool AnswerQuery::Builder::hasRequest() {
+inline bool JobCall::Builder::hasCell() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader AnswerQuery::Reader::getRequest() const {
+inline  ::capnp::Text::Reader JobCall::Reader::getCell() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder AnswerQuery::Builder::getRequest() {
+inline  ::capnp::Text::Builder JobCall::Builder::getCell() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void AnswerQuery::Builder::setRequest( ::capnp::Text::Reader value) {
+inline void JobCall::Builder::setCell( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder AnswerQuery::Builder::initRequest(unsigned int size) {
+inline  ::capnp::Text::Builder JobCall::Builder::initCell(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void AnswerQuery::Builder::adoptRequest(
+inline void JobCall::Builder::adoptCell(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> AnswerQuery::Builder::disownRequest() {
+inline ::capnp::Orphan< ::capnp::Text> JobCall::Builder::disownCell() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool AnswerQuery::Reader::getCancels() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline bool JobCall::Reader::hasJob() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-
-inline bool AnswerQuery::Builder::getCancels() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline bool JobCall::Builder::hasJob() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline void AnswerQuery::Builder::setCancels(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Reader JobCall::Reader::getJob() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t AnswerReply::Reader::getExchange() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder JobCall::Builder::getJob() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t AnswerReply::Builder::getExchange() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline void JobCall::Builder::setJob( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline void AnswerReply::Builder::setExchange( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Builder JobCall::Builder::initJob(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint8_t AnswerReply::Reader::getState() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline void JobCall::Builder::adoptJob(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> JobCall::Builder::disownJob() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint8_t AnswerReply::Builder::getState() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline bool JobCall::Reader::hasQueue() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline void AnswerReply::Builder::setState( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline bool JobCall::Builder::hasQueue() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader JobCall::Reader::getQueue() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder JobCall::Builder::getQueue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void JobCall::Builder::setQueue( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder JobCall::Builder::initQueue(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void JobCall::Builder::adoptQueue(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> JobCall::Builder::disownQueue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool AnswerReply::Reader::hasOutput() const {
+inline bool JobCall::Reader::hasBody() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool AnswerReply::Builder::hasOutput() {
+inline bool JobCall::Builder::hasBody() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader AnswerReply::Reader::getOutput() const {
+inline  ::capnp::Data::Reader JobCall::Reader::getBody() const {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder AnswerReply::Builder::getOutput() {
+inline  ::capnp::Data::Builder JobCall::Builder::getBody() {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void AnswerReply::Builder::setOutput( ::capnp::Data::Reader value) {
+inline void JobCall::Builder::setBody( ::capnp::Data::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder AnswerReply::Builder::initOutput(unsigned int size) {
+inline  ::capnp::Data::Builder JobCall::Builder::initBody(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void AnswerReply::Builder::adoptOutput(
+inline void JobCall::Builder::adoptBody(
     ::capnp::Orphan< ::capnp::Data>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> AnswerReply::Builder::disownOutput() {
+inline ::capnp::Orphan< ::capnp::Data> JobCall::Builder::disownBody() {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline bool AnswerReply::Reader::hasReason() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline  ::uint64_t JobReply::Reader::getExchange() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline bool AnswerReply::Builder::hasReason() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+
+inline  ::uint64_t JobReply::Builder::getExchange() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Text::Reader AnswerReply::Reader::getReason() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void JobReply::Builder::setExchange( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::Text::Builder AnswerReply::Builder::getReason() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline  ::rattanrack::peer::wire::JobCallStatus JobReply::Reader::getStatus() const {
+  return _reader.getDataField< ::rattanrack::peer::wire::JobCallStatus>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void AnswerReply::Builder::setReason( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+
+inline  ::rattanrack::peer::wire::JobCallStatus JobReply::Builder::getStatus() {
+  return _builder.getDataField< ::rattanrack::peer::wire::JobCallStatus>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Text::Builder AnswerReply::Builder::initReason(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline void JobReply::Builder::setStatus( ::rattanrack::peer::wire::JobCallStatus value) {
+  _builder.setDataField< ::rattanrack::peer::wire::JobCallStatus>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
-inline void AnswerReply::Builder::adoptReason(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint8_t JobReply::Reader::getState() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> AnswerReply::Builder::disownReason() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline  ::uint8_t JobReply::Builder::getState() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void JobReply::Builder::setState( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t AnswerReply::Reader::getRetryAfterMicroseconds() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::int32_t JobReply::Reader::getPending() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t AnswerReply::Builder::getRetryAfterMicroseconds() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::int32_t JobReply::Builder::getPending() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void AnswerReply::Builder::setRetryAfterMicroseconds( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void JobReply::Builder::setPending( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
 }  // namespace
