--- a/packages/jobs/include/rattanrack/jobs/cell.h
+++ b/packages/jobs/include/rattanrack/jobs/cell.h
@@ -2,6 +2,7 @@
 
 #include "rattanrack/jobs/job.h"
 #include "rattanrack/jobs/job_progress.h"
+#include "rattanrack/jobs/maintenance.h"
 #include "rattanrack/jobs/worker.h"
 
 #include <cstdint>
@@ -133,6 +134,9 @@
     /// Accepted jobs of the queue of which nothing has started.
     int pending(const QueueId& queue) const;
 
+    /// How full the pool is, and how much more is wanted.
+    CellLoad load() const;
+
     /// Jobs that have not ended.
     std::size_t openJobs() const;
 
--- a/packages/jobs/include/rattanrack/jobs/configuration.h
+++ b/packages/jobs/include/rattanrack/jobs/configuration.h
@@ -48,7 +48,6 @@
     std::vector<MachineId> machines;
     Duration within {}; ///< From its arrival on.
     int maxAtOnce { 1 };
-    bool isCompleted { false }; ///< As its status is stored.
 
     friend bool operator==(const Wave&, const Wave&) = default;
 };
--- a/packages/jobs/include/rattanrack/jobs/owned_part.h
+++ b/packages/jobs/include/rattanrack/jobs/owned_part.h
@@ -48,7 +48,7 @@
     OwnedPart(PoolId cell, NodeId self, const std::optional<OwnerRow>& found, RowVersion foundVersion);
 
     /// Writes `rows` and the list of workers. With `handsBack` the part is given up by the same transaction.
-    const PartTransaction& take(const std::vector<CellRow>& rows, WorkerMachines workers, bool handsBack = false);
+    const PartTransaction& take(std::vector<RowWrite> rows, WorkerMachines workers, bool handsBack = false);
 
     bool isOnItsWay() const { return m_isOnItsWay; }
     const PartTransaction& transaction() const { return m_transaction; }
--- a/packages/jobs/include/rattanrack/jobs/ports.h
+++ b/packages/jobs/include/rattanrack/jobs/ports.h
@@ -2,6 +2,7 @@
 
 #include "rattanrack/jobs/cell.h"
 #include "rattanrack/jobs/configuration.h"
+#include "rattanrack/jobs/machine.h"
 #include "rattanrack/jobs/part_store.h"
 #include "rattanrack/jobs/worker.h"
 
@@ -38,6 +39,17 @@
     virtual AdviceAnswer advise(const AdviceQuestion&) = 0;
 };
 
+/// The platform's machines. Safe from every thread.
+class MachineService {
+public:
+    virtual ~MachineService() = default;
+
+    /// All machines. Errors: Unavailable, MalformedMessage.
+    virtual Result<std::vector<Machine>> list() = 0;
+    virtual MachineCallStatus maintain(const MaintenanceOrder&, const std::string& holder, Fence fence) = 0;
+    virtual MachineCallStatus move(const MoveOrder&, const std::string& holder, Fence fence) = 0;
+};
+
 /// What operators ask for, as far as it can be read; what can't be read is left out.
 struct FleetOrders {
     std::optional<Configuration> configuration;
@@ -56,6 +68,9 @@
     /// Returns when something has changed after `version`, or after `wait`. Errors: Unavailable.
     virtual Result<bool> awaitChange(RowVersion version, Duration wait) = 0;
 
+    /// Tells the operators how far a wave is. False: not stored.
+    [[nodiscard]] virtual bool report(std::int64_t wave, bool isCompleted) = 0;
+
     /// Workers of all pools that have registered. Errors: Unavailable.
     virtual Result<std::vector<WorkerDescription>> workers() = 0;
 };
--- a/packages/jobs/src/cell.cpp
+++ b/packages/jobs/src/cell.cpp
@@ -180,6 +180,14 @@
     }));
 }
 
+CellLoad Cell::load() const
+{
+    CellLoad load { m_state->settings.pool, {}, m_state->waiting };
+    for (const auto& [id, worker] : m_state->workers)
+        load.used += worker.used.processors;
+    return load;
+}
+
 std::size_t Cell::openJobs() const
 {
     return static_cast<std::size_t>(std::count_if(m_state->jobs.begin(), m_state->jobs.end(),
--- a/packages/jobs/src/cell_schedule.cpp
+++ b/packages/jobs/src/cell_schedule.cpp
@@ -239,6 +239,7 @@
             }
         }
     }
+    waiting = {};
     if (ready.empty())
         return;
     std::sort(
@@ -283,6 +284,8 @@
             chosen.emplace_back(index, place);
         }
         const bool isWhole = static_cast<int>(chosen.size()) == entry.progress.waitingTasks(each.occurrence, each.step);
+        const int left = entry.progress.waitingTasks(each.occurrence, each.step) - static_cast<int>(chosen.size());
+        waiting += Millicores { roomTaken(step).processors.count() * left };
         const bool isGangSplit
             = step.isGang && (!isWhole || entry.progress.waitingTasks(each.occurrence, each.step) != step.count);
         if (!isWhole && each.rank <= Rank::Begun)
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -126,6 +126,7 @@
     bool isCommitOnItsWay { false };
     bool isUrgent { false };
     std::int64_t unixMs { 0 }; ///< Wall clock of the latest step.
+    Millicores waiting; ///< Wanted by what was ready at the latest decision and found no place.
     CellOutput output;
 
     JobEntry* find(const JobId& job);
--- a/packages/jobs/src/owned_part.cpp
+++ b/packages/jobs/src/owned_part.cpp
@@ -2,14 +2,15 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <iterator>
+
 namespace rattanrack::jobs {
 
 namespace {
 
 using Json = nlohmann::json;
 
-const char* tableOf(CellRow::Kind kind) { return kind == CellRow::Kind::Job ? jobTable : progressTable; }
-
 } // namespace
 
 std::string encode(const OwnerRow& row)
@@ -52,15 +53,14 @@
     m_row.sequence = 0;
 }
 
-const PartTransaction& OwnedPart::take(const std::vector<CellRow>& rows, WorkerMachines workers, bool handsBack)
+const PartTransaction& OwnedPart::take(std::vector<RowWrite> rows, WorkerMachines workers, bool handsBack)
 {
     ++m_row.sequence;
     m_row.workers = std::move(workers);
     m_row.holder = handsBack ? NodeId {} : m_self;
     m_transaction
         = { m_part, { { { ownerTable, ownerKey }, m_version } }, { { { ownerTable, ownerKey }, encode(m_row) } } };
-    for (const CellRow& row : rows)
-        m_transaction.writes.push_back({ { tableOf(row.kind), row.job.value() }, row.value });
+    std::move(rows.begin(), rows.end(), std::back_inserter(m_transaction.writes));
     m_isOnItsWay = true;
     m_mayTakeEffect = false;
     return m_transaction;
--- a/packages/node/include/rattanrack/node/cell_host.h
+++ b/packages/node/include/rattanrack/node/cell_host.h
@@ -2,10 +2,10 @@
 
 #include "rattanrack/base/metrics.h"
 #include "rattanrack/jobs/cell.h"
-#include "rattanrack/jobs/owned_part.h"
 #include "rattanrack/jobs/ports.h"
 #include "rattanrack/node/control_loop.h"
 #include "rattanrack/node/elastic_thread_pool.h"
+#include "rattanrack/node/part_writer.h"
 #include "rattanrack/node/worker_links.h"
 
 #include <functional>
@@ -17,13 +17,12 @@
 
 /// What a takeover has brought: the part, and all that is stored in it.
 struct Takeover {
-    jobs::OwnedPart part;
-    jobs::WorkerMachines workers;
+    TakenPart taken;
     std::vector<jobs::StoredJob> jobs;
 };
 
 /// Takes a cell over: becomes the owner of its part and reads it. Blocks; for a thread of the store. Errors: Conflict
-/// (another node was faster), Unavailable, MalformedMessage.
+/// (another node was faster), Unavailable, OutcomeUnknown, MalformedMessage.
 Result<Takeover> takeOver(jobs::PartStore& store, const PoolId& cell, const NodeId& self);
 
 struct CellTimes {
@@ -67,7 +66,8 @@
     /// Starts nothing more, stores what is open, and gives the part up; `onLost` follows.
     void handBack();
 
-    jobs::Fence term() const { return m_part.term(); }
+    jobs::CellLoad load() const { return m_cell.load(); }
+    jobs::Fence term() const { return m_writer.term(); }
 
 private:
     void wake();
@@ -75,10 +75,10 @@
     void handleOutput(jobs::CellOutput output);
     void ask(const jobs::AdviceQuestion& question);
     void log(const jobs::CellEvent& event);
+    PartWriter::Events writerEvents();
     void commitIfDue();
-    void sendCommit();
-    void committed(const jobs::TransactionOutcome& outcome, TimePoint sentAt);
-    void lose();
+    void stored();
+    void notStored();
     bool mayStart() const;
 
     /// Runs `work` on the control thread unless this object is gone by then.
@@ -86,18 +86,13 @@
 
     Parts m_parts;
     PoolId m_pool;
-    jobs::OwnedPart m_part;
     jobs::Cell m_cell;
-    WorkerLinks m_links;
     std::shared_ptr<bool> m_isAlive;
-    TimePoint m_confirmedAt; ///< When the latest transaction that proved the ownership was sent.
-    TimePoint m_committedAt {}; ///< When the latest transaction was sent.
-    TimePoint m_tryAgainAt {};
+    PartWriter m_writer;
+    WorkerLinks m_links;
     bool m_isPumpPlanned { false };
     bool m_isHandingBack { false };
-    bool m_hasHandedBack { false };
-    bool m_isLost { false };
-    bool m_isStoreInReach { true };
+    bool m_isOwnershipInDoubt { false }; ///< A worker has seen a higher fence.
 };
 
 } // namespace rattanrack::node
--- a/packages/node/include/rattanrack/node/job_node.h
+++ b/packages/node/include/rattanrack/node/job_node.h
@@ -20,6 +20,7 @@
     jobs::PartStore& store;
     jobs::FleetSource& fleet;
     jobs::WorkerConnector& workers;
+    jobs::MachineService& machines;
     jobs::Advisor* advisor { nullptr }; ///< Null: there is none.
 };
 
--- /dev/null
+++ b/packages/node/include/rattanrack/node/machine_duty.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "rattanrack/jobs/maintenance.h"
+#include "rattanrack/jobs/ports.h"
+#include "rattanrack/node/part_writer.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace rattanrack::node {
+
+/// The part whose owner alone gives orders to machines.
+extern const PoolId machineDutyName;
+
+struct MachineDutyTakeover {
+    TakenPart taken;
+    std::vector<jobs::WaveProgress> waves;
+};
+
+/// Blocks; for a thread of the store. Errors as for `takePart`.
+Result<MachineDutyTakeover> takeMachineDuty(jobs::PartStore& store, const NodeId& self);
+
+/// Orders to machines, in the hands of one node at a time. Belongs to the control thread.
+class MachineDuty {
+public:
+    struct Parts {
+        ControlLoop& control;
+        const Clock& clock;
+        ElasticThreadPool& threads;
+        jobs::PartStore& store;
+        jobs::MachineService& machines;
+        jobs::FleetSource& fleet;
+        NodeId self;
+        std::function<void()> onLost;
+        std::function<void(bool isInReach)> onStore;
+    };
+
+    MachineDuty(Parts parts, MachineDutyTakeover takeover);
+    ~MachineDuty();
+    MachineDuty(const MachineDuty&) = delete;
+    MachineDuty& operator=(const MachineDuty&) = delete;
+
+    void setWaves(const std::vector<jobs::Wave>& waves);
+    void setCells(std::set<PoolId> cells) { m_maintenance.setCells(std::move(cells)); }
+    void setEmptied(std::set<jobs::MachineId> machines) { m_maintenance.setEmptied(std::move(machines)); }
+    void setLoads(const std::vector<jobs::CellLoad>& loads) { m_maintenance.setLoads(loads); }
+    std::set<jobs::MachineId> closing() const { return m_maintenance.closing(); }
+    jobs::Fence term() const { return m_writer.term(); }
+
+    /// Call several times a second.
+    void tick();
+    void handBack() { m_isHandingBack = true; }
+
+private:
+    template <typename Work, typename Then> bool run(Work work, Then then);
+    void askForList();
+    void order(const jobs::MaintenanceOrder& order);
+    void report();
+    void write();
+
+    Parts m_parts;
+    jobs::Maintenance m_maintenance;
+    std::shared_ptr<bool> m_isAlive;
+    PartWriter m_writer;
+    std::vector<jobs::RowWrite> m_unwritten;
+    std::vector<jobs::RowWrite> m_written; ///< In the transaction on its way.
+    std::map<std::int64_t, bool> m_reported; ///< Waves whose status is stored; whether as completed.
+    TimePoint m_listAt {};
+    bool m_isListAsked { false };
+    bool m_isReporting { false };
+    bool m_isHandingBack { false };
+    int m_ordersOnTheirWay { 0 };
+    bool m_hasWaves { false };
+};
+
+} // namespace rattanrack::node
--- a/packages/node/src/cell_host.cpp
+++ b/packages/node/src/cell_host.cpp
@@ -4,7 +4,6 @@
 #include "rattanrack/jobs/job_codec.h"
 
 #include <map>
-#include <thread>
 #include <utility>
 
 namespace rattanrack::node {
@@ -20,10 +19,8 @@
 constexpr Duration commitPause = 120ms;
 constexpr Duration renewalPeriod = 1s;
 constexpr Duration ownerTrust = 5s; ///< Without a transaction for this long, this node takes itself for replaced.
-constexpr Duration storePause = 100ms; ///< After a transaction that did not succeed.
 constexpr double clockSlack = 1.03; ///< Workers' clocks may be slow.
 constexpr Duration takeoverSlack = 500ms;
-constexpr int takeoverTries = 8;
 
 Duration foreignLease(Duration leaseLength)
 {
@@ -37,60 +34,27 @@
     return { pool, fence, times.leaseLength, foreignLease(times.leaseLength), times.keepEnded };
 }
 
-Result<jobs::RowVersion> become(jobs::PartStore& store, jobs::OwnedPart& part, const jobs::WorkerMachines& workers)
+std::vector<jobs::RowWrite> rowsOf(const jobs::CellCommit& commit)
 {
-    part.take({}, workers);
-    for (int tries = 0; tries < takeoverTries; ++tries) {
-        const jobs::TransactionOutcome outcome = store.commit(part.transaction());
-        switch (part.settle(outcome)) {
-        case jobs::OwnedOutcome::Done:
-            return outcome.version;
-        case jobs::OwnedOutcome::Lost:
-            return fail(ErrorCode::Conflict, "cell.take_over", part.transaction().part);
-        case jobs::OwnedOutcome::Again:
-            return fail(ErrorCode::Unavailable, "cell.take_over", part.transaction().part, outcome.detail);
-        case jobs::OwnedOutcome::Unsettled:
-            std::this_thread::sleep_for(storePause);
-            break;
-        }
-    }
-    return fail(ErrorCode::OutcomeUnknown, "cell.take_over", part.transaction().part);
-}
-
-Result<std::vector<jobs::PartRow>> readAll(jobs::PartStore& store, const PoolId& cell, const char* table)
-{
-    std::vector<jobs::PartRow> all;
-    jobs::RowRange range { table, cell.value(), {} };
-    while (true) {
-        BOOST_LEAF_AUTO(page, store.read(range));
-        std::move(page.rows.begin(), page.rows.end(), std::back_inserter(all));
-        if (!page.hasMore || all.empty())
-            return all;
-        range.from = all.back().row.key + '\0';
+    std::vector<jobs::RowWrite> rows;
+    for (const jobs::CellRow& row : commit.rows) {
+        const char* table = row.kind == jobs::CellRow::Kind::Job ? jobs::jobTable : jobs::progressTable;
+        rows.push_back({ { table, row.job.value() }, row.value });
     }
+    return rows;
 }
 
 } // namespace
 
 Result<Takeover> takeOver(jobs::PartStore& store, const PoolId& cell, const NodeId& self)
 {
-    BOOST_LEAF_AUTO(ownerRows, store.read({ jobs::ownerTable, cell.value(), {} }));
-    std::optional<jobs::OwnerRow> found;
-    jobs::RowVersion version = 0;
-    for (const jobs::PartRow& row : ownerRows.rows) {
-        if (row.row.key != jobs::ownerKey)
-            continue;
-        BOOST_LEAF_AUTO(decoded, jobs::decodeOwnerRow(row.value));
-        found = std::move(decoded);
-        version = row.version;
-    }
-    Takeover takeover { { cell, self, found, version }, found ? found->workers : jobs::WorkerMachines {}, {} };
-    BOOST_LEAF_CHECK(become(store, takeover.part, takeover.workers));
+    BOOST_LEAF_AUTO(taken, takePart(store, cell, self));
     BOOST_LEAF_AUTO(jobRows, readAll(store, cell, jobs::jobTable));
     BOOST_LEAF_AUTO(progressRows, readAll(store, cell, jobs::progressTable));
     std::map<std::string, const std::string*> progressByJob;
     for (const jobs::PartRow& row : progressRows)
         progressByJob[row.row.key] = &row.value;
+    Takeover takeover { std::move(taken), {} };
     for (const jobs::PartRow& row : jobRows) {
         BOOST_LEAF_AUTO(job, jobs::decodeJob(row.value));
         jobs::StoredJob stored { std::move(job), {} };
@@ -107,9 +71,11 @@
 CellHost::CellHost(Parts parts, const PoolId& pool, const CellTimes& times, Takeover takeover)
     : m_parts(std::move(parts))
     , m_pool(pool)
-    , m_part(std::move(takeover.part))
-    , m_cell(settingsOf(pool, m_part.term(), times), std::move(takeover.jobs), std::move(takeover.workers),
-          m_parts.clock.now(), wallClockMilliseconds())
+    , m_cell(settingsOf(pool, takeover.taken.part.term(), times), std::move(takeover.jobs),
+          std::move(takeover.taken.workers), m_parts.clock.now(), wallClockMilliseconds())
+    , m_isAlive(std::make_shared<bool>(true))
+    , m_writer({ m_parts.control, m_parts.clock, m_parts.storeThreads, m_parts.store }, std::move(takeover.taken.part),
+          writerEvents())
     , m_links(m_parts.control, m_parts.clock, m_parts.connector,
           { [this](const auto& order, const auto& answer) {
                m_cell.onAnswer(order, answer, m_parts.clock.now());
@@ -127,8 +93,6 @@
                   m_cell.onAnswer(order, answer, sentAt, m_parts.clock.now());
                   wake();
               } })
-    , m_isAlive(std::make_shared<bool>(true))
-    , m_confirmedAt(m_parts.clock.now())
 {
     wake();
 }
@@ -162,7 +126,8 @@
 
 jobs::Acceptance CellHost::submit(jobs::Job job, jobs::CallToken token)
 {
-    if (m_isHandingBack || !m_isStoreInReach)
+    const bool isKnown = m_cell.state(job.id).has_value();
+    if (!isKnown && (m_isHandingBack || !m_writer.isStoreInReach()))
         return jobs::Acceptance::Refused;
     const auto acceptance = m_cell.submit(std::move(job), token, m_parts.clock.now());
     wake();
@@ -192,15 +157,18 @@
     }));
 }
 
-bool CellHost::mayStart() const { return !m_isHandingBack && m_parts.clock.now() - m_confirmedAt < ownerTrust; }
+bool CellHost::mayStart() const
+{
+    return !m_isHandingBack && m_parts.clock.now() - m_writer.confirmedAt() < ownerTrust;
+}
 
 void CellHost::pump()
 {
-    if (m_isLost)
+    if (m_writer.isOver())
         return;
     handleOutput(m_cell.step(m_parts.clock.now(), wallClockMilliseconds(), mayStart()));
     commitIfDue();
-    if (m_isLost || m_isPumpPlanned)
+    if (m_writer.isOver() || m_isPumpPlanned)
         return;
     m_isPumpPlanned = true;
     const Duration period = m_cell.openJobs() > 0 ? busyPeriod : idlePeriod;
@@ -249,94 +217,48 @@
             { "ageMs", event.age.count() / 1000 } });
     m_parts.metrics.increment("rattanrack_cell_events_total", { { "event", name } });
     if (event.kind == jobs::CellEvent::Kind::FenceSeen)
-        m_committedAt = {}; // Somebody has a higher term: the next transaction tells.
+        m_isOwnershipInDoubt = true; // The next transaction tells.
+}
+
+PartWriter::Events CellHost::writerEvents()
+{
+    return { [this] { stored(); }, [this] { notStored(); },
+        [this] { m_parts.control.post(guarded([this] { m_parts.onLost(); })); },
+        [this](bool isInReach) { m_parts.onStore(isInReach); } };
 }
 
 void CellHost::commitIfDue()
 {
-    const TimePoint now = m_parts.clock.now();
-    if (now < m_tryAgainAt)
-        return;
-    if (m_part.isOnItsWay()) {
-        if (std::exchange(m_tryAgainAt, {}) != TimePoint {})
-            sendCommit();
-        return;
-    }
-    const Duration sinceLast = now - m_committedAt;
-    if (sinceLast < urgentCommitPause)
+    m_writer.poll();
+    const Duration sinceLast = m_parts.clock.now() - m_writer.sentAt();
+    if (!m_writer.isFree() || sinceLast < urgentCommitPause)
         return;
-    const auto workers = m_cell.workersInUse();
-    const bool haveWorkersChanged = workers != m_part.workersWritten();
-    const bool isRenewalDue = sinceLast >= renewalPeriod;
-    const bool isDue = m_cell.hasUrgentCommit() || sinceLast >= commitPause || m_isHandingBack;
-    if (!isDue && !haveWorkersChanged)
+    auto workers = m_cell.workersInUse();
+    const bool haveWorkersChanged = workers != m_writer.workersWritten();
+    const bool isRenewalDue = sinceLast >= renewalPeriod || m_isHandingBack || m_isOwnershipInDoubt;
+    const bool isDue = isRenewalDue || haveWorkersChanged || m_cell.hasUrgentCommit() || sinceLast >= commitPause;
+    if (!isDue)
         return;
-    auto commit = m_cell.takeCommit(wallClockMilliseconds());
-    if (!commit && !haveWorkersChanged && !isRenewalDue && !m_isHandingBack)
+    const auto commit = m_cell.takeCommit(wallClockMilliseconds());
+    if (!commit && !haveWorkersChanged && !isRenewalDue)
         return;
-    const bool isLast = m_isHandingBack && !commit;
-    m_hasHandedBack = isLast;
-    m_part.take(commit ? commit->rows : std::vector<jobs::CellRow> {}, workers, isLast);
-    sendCommit();
-}
-
-void CellHost::sendCommit()
-{
-    const TimePoint sentAt = m_parts.clock.now();
-    m_committedAt = sentAt;
-    const bool isSent
-        = m_parts.storeThreads.submit([this, transaction = m_part.transaction(), sentAt, alive = m_isAlive,
-                                          &store = m_parts.store, &control = m_parts.control] {
-              auto outcome = store.commit(transaction);
-              control.post([this, alive, outcome = std::move(outcome), sentAt] {
-                  if (*alive)
-                      committed(outcome, sentAt);
-              });
-          });
-    if (!isSent)
-        m_tryAgainAt = sentAt + storePause;
+    m_isOwnershipInDoubt = false;
+    m_writer.write(
+        commit ? rowsOf(*commit) : std::vector<jobs::RowWrite> {}, std::move(workers), m_isHandingBack && !commit);
 }
 
-void CellHost::committed(const jobs::TransactionOutcome& outcome, TimePoint sentAt)
+void CellHost::stored()
 {
-    if (m_isLost)
-        return;
-    switch (m_part.settle(outcome)) {
-    case jobs::OwnedOutcome::Done:
-        m_confirmedAt = sentAt;
-        m_cell.workersStored(m_part.workersWritten());
-        m_cell.onCommitted(wallClockMilliseconds());
-        if (!std::exchange(m_isStoreInReach, true))
-            m_parts.onStore(true);
-        if (m_hasHandedBack)
-            return lose();
-        break;
-    case jobs::OwnedOutcome::Lost:
-        logEvent("cell.lost", { { "cell", m_pool.value() }, { "term", m_part.term() } }, LogLevel::Warning);
-        return lose();
-    case jobs::OwnedOutcome::Again:
-        m_part.giveUp();
-        m_cell.onCommitFailed();
-        m_cell.refuseWaiting();
-        m_tryAgainAt = m_parts.clock.now() + storePause;
-        break;
-    case jobs::OwnedOutcome::Unsettled:
-        m_tryAgainAt = m_parts.clock.now() + storePause;
-        break;
-    }
-    if (outcome.status != jobs::TransactionStatus::Done && outcome.status != jobs::TransactionStatus::Conflict) {
-        if (std::exchange(m_isStoreInReach, false)) {
-            logEvent("store.lost", { { "cell", m_pool.value() }, { "detail", outcome.detail } }, LogLevel::Warning);
-            m_parts.onStore(false);
-        }
-    }
+    m_cell.workersStored(m_writer.workersWritten());
+    m_cell.onCommitted(wallClockMilliseconds());
     wake();
 }
 
-void CellHost::lose()
+void CellHost::notStored()
 {
-    m_isLost = true;
-    m_parts.control.post(guarded([this] { m_parts.onLost(); }));
+    m_cell.onCommitFailed();
+    m_cell.refuseWaiting();
+    wake();
 }
 
 } // namespace rattanrack::node
--- a/packages/node/src/job_node.cpp
+++ b/packages/node/src/job_node.cpp
@@ -4,6 +4,7 @@
 #include "rattanrack/jobs/job_codec.h"
 #include "rattanrack/node/cell_host.h"
 #include "rattanrack/node/job_calls.h"
+#include "rattanrack/node/machine_duty.h"
 #include "rattanrack/peer/peer_network.h"
 
 #include <atomic>
@@ -52,6 +53,12 @@
     void take(const PoolId& cell);
     void taken(const PoolId& cell, std::optional<Takeover> takeover);
     void cellLost(const PoolId& cell);
+    void takeDuty();
+    void dutyTaken(std::optional<MachineDutyTakeover> takeover);
+    void dutyLost();
+    bool holds(const PoolId& cell) const { return cells.contains(cell) || (duty && cell == machineDutyName); }
+    void handBack(const PoolId& cell);
+    void shareMachineNews();
 
     void route(peer::JobCall call, Deadline deadline, CallReply reply);
     void callHere(CellHost& host, const peer::JobCall& call, CallReply reply);
@@ -75,7 +82,10 @@
     jobs::Ownership ownership;
     JobCalls calls;
     std::map<PoolId, std::unique_ptr<CellHost>> cells;
+    std::unique_ptr<MachineDuty> duty;
     std::set<PoolId> beingTaken;
+    std::vector<jobs::Wave> waves;
+    std::set<jobs::MachineId> closing;
     std::vector<jobs::WorkerDescription> workers;
     std::map<jobs::CallToken, std::pair<CallReply, peer::JobReply>> waiting;
     jobs::CallToken lastToken { 0 };
@@ -113,7 +123,10 @@
         watcher.join();
     storePool.shutdown();
     advisorPool.shutdown();
-    control.run([this] { cells.clear(); });
+    control.run([this] {
+        cells.clear();
+        duty.reset();
+    });
     control.stop();
 }
 
@@ -141,20 +154,62 @@
     control.at(Deadline::after(now, newsPeriod), [this] { tick(); });
     calls.expire(now);
     takeCells();
-    if (const auto cell = ownership.toHandBack(now)) {
-        const auto held = cells.find(*cell);
-        if (held != cells.end())
-            held->second->handBack();
-    }
+    if (const auto cell = ownership.toHandBack(now))
+        handBack(*cell);
+    shareMachineNews();
+    if (duty)
+        duty->tick();
     sendNews();
     // A node that knows neither the configuration nor any owner can't serve.
     isReady = !isLeaving && hasCells && ownership.liveNodes(now) >= 1;
-    holdsAny = !cells.empty();
+    holdsAny = !cells.empty() || duty;
+}
+
+void JobNode::State::handBack(const PoolId& cell)
+{
+    const auto held = cells.find(cell);
+    if (held != cells.end())
+        held->second->handBack();
+    else if (duty && cell == machineDutyName)
+        duty->handBack();
+}
+
+void JobNode::State::shareMachineNews()
+{
+    closing.clear();
+    std::set<jobs::MachineId> emptied;
+    std::vector<jobs::CellLoad> loads;
+    for (const jobs::NodeNews* news : ownership.liveNews(clock.now())) {
+        closing.insert(news->closing.begin(), news->closing.end());
+        emptied.insert(news->emptied.begin(), news->emptied.end());
+        loads.insert(loads.end(), news->loads.begin(), news->loads.end());
+    }
+    if (duty)
+        closing = duty->closing();
+    for (const auto& [cell, host] : cells) {
+        host->setClosing(closing);
+        for (const jobs::MachineId& machine : host->emptied())
+            emptied.insert(machine);
+        loads.push_back(host->load());
+    }
+    if (!duty)
+        return;
+    duty->setEmptied(std::move(emptied));
+    duty->setLoads(loads);
 }
 
 void JobNode::State::sendNews()
 {
-    const jobs::NodeNews news = ownership.news();
+    jobs::NodeNews news = ownership.news();
+    if (duty) {
+        const auto machines = duty->closing();
+        news.closing.assign(machines.begin(), machines.end());
+    }
+    for (const auto& [cell, host] : cells) {
+        const auto machines = host->emptied();
+        news.emptied.insert(news.emptied.end(), machines.begin(), machines.end());
+        news.loads.push_back(host->load());
+    }
     for (const std::string& address : ownership.addresses(clock.now()))
         network->send(address, news);
 }
@@ -180,7 +235,11 @@
 void JobNode::State::takeCells()
 {
     for (const PoolId& cell : ownership.toTake(clock.now())) {
-        if (!cells.contains(cell) && beingTaken.insert(cell).second)
+        if (holds(cell) || !beingTaken.insert(cell).second)
+            continue;
+        if (cell == machineDutyName)
+            takeDuty();
+        else
             take(cell);
     }
 }
@@ -209,7 +268,7 @@
         return;
     }
     logEvent("cell.taken",
-        { { "cell", cell.value() }, { "term", takeover->part.term() }, { "jobs", takeover->jobs.size() } });
+        { { "cell", cell.value() }, { "term", takeover->taken.part.term() }, { "jobs", takeover->jobs.size() } });
     CellHost::Parts parts { control, clock, metrics, storePool, ports.store, ports.workers, ports.advisor, &advisorPool,
         [this](jobs::CallToken token, bool isStored) { stored(token, isStored); }, [this, cell] { cellLost(cell); },
         [this](bool isInReach) { ownership.setStoreInReach(isInReach); } };
@@ -225,13 +284,56 @@
     sendNews();
 }
 
+void JobNode::State::takeDuty()
+{
+    const bool isSubmitted = storePool.submit([this] {
+        auto takeover = valueOrNothing([&] { return takeMachineDuty(ports.store, self); },
+            [&](const Error& error) {
+                logEvent("machines.not_taken", { { "error", describe(error) } }, LogLevel::Warning);
+            });
+        control.post([this, shared = std::make_shared<std::optional<MachineDutyTakeover>>(std::move(takeover))] {
+            dutyTaken(std::move(*shared));
+        });
+    });
+    if (!isSubmitted)
+        dutyTaken(std::nullopt);
+}
+
+void JobNode::State::dutyTaken(std::optional<MachineDutyTakeover> takeover)
+{
+    beingTaken.erase(machineDutyName);
+    if (!takeover) {
+        ownership.takingFailed(machineDutyName, clock.now());
+        return;
+    }
+    duty = std::make_unique<MachineDuty>(
+        MachineDuty::Parts { control, clock, storePool, ports.store, ports.machines, ports.fleet, self,
+            [this] { dutyLost(); }, [this](bool isInReach) { ownership.setStoreInReach(isInReach); } },
+        std::move(*takeover));
+    logEvent("machines.taken", { { "term", duty->term() } });
+    const auto pools = configuration ? configuration->cells() : std::vector<PoolId> {};
+    duty->setCells({ pools.begin(), pools.end() });
+    duty->setWaves(waves);
+    ownership.taken(machineDutyName, duty->term());
+    if (isLeaving)
+        duty->handBack();
+}
+
+void JobNode::State::dutyLost()
+{
+    logEvent("machines.dropped");
+    duty.reset();
+    ownership.dropped(machineDutyName);
+    ownership.takingFailed(machineDutyName, clock.now());
+}
+
 void JobNode::State::cellLost(const PoolId& cell)
 {
     logEvent("cell.dropped", { { "cell", cell.value() } });
     cells.erase(cell);
     ownership.dropped(cell);
     ownership.takingFailed(cell, clock.now());
-    holdsAny = !cells.empty();
+    holdsAny = !cells.empty() || duty;
     sendNews();
 }
 
@@ -312,7 +414,11 @@
         const std::lock_guard lock(configurationMutex);
         configuration = shared;
     }
-    ownership.setCells(shared->cells(), clock.now());
+    auto owned = shared->cells();
+    if (duty)
+        duty->setCells({ owned.begin(), owned.end() });
+    owned.push_back(machineDutyName);
+    ownership.setCells(std::move(owned), clock.now());
     hasCells = true;
     for (auto& [cell, host] : cells)
         host->configure(shared->queuesOf(cell));
@@ -331,8 +437,13 @@
             continue;
         }
         known = orders->version;
-        if (orders->configuration)
-            control.post([this, next = *orders->configuration] { inForce(next); });
+        control.post([this, next = *orders] {
+            if (next.configuration)
+                inForce(*next.configuration);
+            waves = next.waves;
+            if (duty)
+                duty->setWaves(waves);
+        });
         bool hasChanged = false;
         while (!isStopped && !hasChanged) {
             const auto answer = valueOrNothing(
@@ -442,6 +553,8 @@
         state->ownership.leave();
         for (auto& [cell, host] : state->cells)
             host->handBack();
+        if (state->duty)
+            state->duty->handBack();
         state->sendNews();
     });
     while (m_state->holdsAny && !deadline.hasPassed(m_state->clock.now()))
--- /dev/null
+++ b/packages/node/src/machine_duty.cpp
@@ -0,0 +1,166 @@
+#include "rattanrack/node/machine_duty.h"
+
+#include "rattanrack/base/log.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace rattanrack::node {
+
+const PoolId machineDutyName { "~machines" };
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr const char* waveTable = "wave";
+constexpr Duration listPeriod = 350ms;
+constexpr Duration idleListPeriod = 5s;
+constexpr Duration renewalPeriod = 1s;
+constexpr Duration ownerTrust = 2s; ///< Orders only while the ownership was confirmed within it.
+constexpr Duration earlierHolderTime = 3300ms; ///< An earlier holder's orders may still arrive.
+
+constexpr const char* statusNames[]
+    = { "done", "busy", "not_of_wave", "fence_too_low", "impossible", "not_now", "unknown" };
+
+} // namespace
+
+Result<MachineDutyTakeover> takeMachineDuty(jobs::PartStore& store, const NodeId& self)
+{
+    BOOST_LEAF_AUTO(taken, takePart(store, machineDutyName, self));
+    BOOST_LEAF_AUTO(rows, readAll(store, machineDutyName, waveTable));
+    MachineDutyTakeover takeover { std::move(taken), {} };
+    for (const jobs::PartRow& row : rows) {
+        BOOST_LEAF_AUTO(progress, jobs::decodeWaveProgress(row.value));
+        takeover.waves.push_back(std::move(progress));
+    }
+    return takeover;
+}
+
+MachineDuty::MachineDuty(Parts parts, MachineDutyTakeover takeover)
+    : m_parts(std::move(parts))
+    , m_maintenance(std::move(takeover.waves),
+          takeover.taken.part.term() > 1 ? m_parts.clock.now() + earlierHolderTime : TimePoint {})
+    , m_isAlive(std::make_shared<bool>(true))
+    , m_writer({ m_parts.control, m_parts.clock, m_parts.threads, m_parts.store }, std::move(takeover.taken.part),
+          { [this] { m_written.clear(); },
+              [this] {
+                  std::move(m_unwritten.begin(), m_unwritten.end(), std::back_inserter(m_written));
+                  m_unwritten = std::exchange(m_written, {});
+              },
+              [this] {
+                  m_parts.control.post([this, alive = m_isAlive] {
+                      if (*alive)
+                          m_parts.onLost();
+                  });
+              },
+              [this](bool isInReach) { m_parts.onStore(isInReach); } })
+{
+}
+
+MachineDuty::~MachineDuty() { *m_isAlive = false; }
+
+/// Runs `work` on a thread of the store and `then` with its result on the control thread.
+template <typename Work, typename Then> bool MachineDuty::run(Work work, Then then)
+{
+    return m_parts.threads.submit(
+        [work = std::move(work), then = std::move(then), alive = m_isAlive, &control = m_parts.control] {
+            auto result = std::make_shared<decltype(work())>(work());
+            control.post([alive, result, then] {
+                if (*alive)
+                    then(*result);
+            });
+        });
+}
+
+void MachineDuty::setWaves(const std::vector<jobs::Wave>& waves)
+{
+    m_maintenance.setWaves(waves, wallClockMilliseconds());
+}
+
+void MachineDuty::askForList()
+{
+    const TimePoint now = m_parts.clock.now();
+    if (m_isListAsked || now < m_listAt)
+        return;
+    const auto list = [&machines = m_parts.machines] {
+        return valueOrNothing([&] { return machines.list(); },
+            [](const Error& error) {
+                logEvent("machines.unread", { { "error", describe(error) } }, LogLevel::Warning);
+            });
+    };
+    m_isListAsked = run(list, [this, askedAt = now](const std::optional<std::vector<jobs::Machine>>& machines) {
+        m_isListAsked = false;
+        m_listAt = m_parts.clock.now() + (m_hasWaves ? listPeriod : idleListPeriod);
+        if (machines)
+            m_maintenance.setMachines(*machines, askedAt, m_parts.clock.now());
+    });
+}
+
+void MachineDuty::order(const jobs::MaintenanceOrder& order)
+{
+    const auto call = [&machines = m_parts.machines, order, holder = m_parts.self.value(), fence = term()] {
+        return machines.maintain(order, holder, fence);
+    };
+    const auto then = [this, order](jobs::MachineCallStatus status) {
+        --m_ordersOnTheirWay;
+        logEvent("machine.maintained",
+            { { "machine", order.machine.value() }, { "wave", order.wave },
+                { "outcome", statusNames[static_cast<std::size_t>(status)] }, { "term", term() } });
+        m_maintenance.onAnswer(order, status, m_parts.clock.now());
+    };
+    ++m_ordersOnTheirWay;
+    if (!run(call, then))
+        then(jobs::MachineCallStatus::NotNow);
+}
+
+void MachineDuty::report()
+{
+    if (m_isReporting)
+        return;
+    for (const jobs::WaveProgress& wave : m_maintenance.waves()) {
+        const auto known = m_reported.find(wave.number);
+        if (known != m_reported.end() && known->second == wave.isCompleted)
+            continue;
+        const auto tell = [&fleet = m_parts.fleet, wave] { return fleet.report(wave.number, wave.isCompleted); };
+        m_isReporting = run(tell, [this, wave](bool isStored) {
+            m_isReporting = false;
+            if (isStored)
+                m_reported[wave.number] = wave.isCompleted;
+        });
+        return;
+    }
+}
+
+void MachineDuty::write()
+{
+    m_writer.poll();
+    const bool isDue = !m_unwritten.empty() || m_parts.clock.now() - m_writer.sentAt() >= renewalPeriod;
+    if (!m_writer.isFree() || (!isDue && !m_isHandingBack))
+        return;
+    m_written = std::exchange(m_unwritten, {});
+    m_writer.write(m_written, {}, m_isHandingBack && m_written.empty() && m_ordersOnTheirWay == 0);
+}
+
+void MachineDuty::tick()
+{
+    if (m_writer.isOver())
+        return;
+    askForList();
+    const TimePoint now = m_parts.clock.now();
+    const bool mayOrder = !m_isHandingBack && now - m_writer.confirmedAt() < ownerTrust;
+    if (mayOrder) {
+        jobs::MaintenanceOutput output = m_maintenance.step(now, wallClockMilliseconds());
+        for (const jobs::MaintenanceOrder& each : output.orders)
+            order(each);
+        for (const jobs::WaveProgress& wave : output.changed)
+            m_unwritten.push_back({ { waveTable, std::to_string(wave.number) }, encode(wave) });
+        const auto waves = m_maintenance.waves();
+        m_hasWaves = std::any_of(waves.begin(), waves.end(), [](const auto& wave) { return !wave.isCompleted; });
+        report();
+    }
+    write();
+}
+
+} // namespace rattanrack::node
--- /dev/null
+++ b/packages/node/src/part_writer.cpp
@@ -0,0 +1,150 @@
+#include "rattanrack/node/part_writer.h"
+
+#include <iterator>
+#include <thread>
+#include <utility>
+
+namespace rattanrack::node {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration pauseAfterFailure = 100ms;
+constexpr int takeoverTries = 8;
+
+Result<void> become(jobs::PartStore& store, jobs::OwnedPart& part, const jobs::WorkerMachines& workers)
+{
+    part.take({}, workers);
+    const std::string& name = part.transaction().part;
+    for (int tries = 0; tries < takeoverTries; ++tries) {
+        const jobs::TransactionOutcome outcome = store.commit(part.transaction());
+        switch (part.settle(outcome)) {
+        case jobs::OwnedOutcome::Done:
+            return {};
+        case jobs::OwnedOutcome::Lost:
+            return fail(ErrorCode::Conflict, "part.take", name);
+        case jobs::OwnedOutcome::Again:
+            return fail(ErrorCode::Unavailable, "part.take", name, outcome.detail);
+        case jobs::OwnedOutcome::Unsettled:
+            std::this_thread::sleep_for(pauseAfterFailure);
+            break;
+        }
+    }
+    return fail(ErrorCode::OutcomeUnknown, "part.take", name);
+}
+
+} // namespace
+
+Result<std::vector<jobs::PartRow>> readAll(jobs::PartStore& store, const PoolId& part, const char* table)
+{
+    std::vector<jobs::PartRow> all;
+    jobs::RowRange range { table, part.value(), {} };
+    while (true) {
+        BOOST_LEAF_AUTO(page, store.read(range));
+        std::move(page.rows.begin(), page.rows.end(), std::back_inserter(all));
+        if (!page.hasMore || page.rows.empty())
+            return all;
+        range.from = all.back().row.key + '\0';
+    }
+}
+
+Result<TakenPart> takePart(jobs::PartStore& store, const PoolId& name, const NodeId& self)
+{
+    BOOST_LEAF_AUTO(rows, store.read({ jobs::ownerTable, name.value(), {} }));
+    std::optional<jobs::OwnerRow> found;
+    jobs::RowVersion version = 0;
+    for (const jobs::PartRow& row : rows.rows) {
+        if (row.row.key != jobs::ownerKey)
+            continue;
+        BOOST_LEAF_AUTO(decoded, jobs::decodeOwnerRow(row.value));
+        found = std::move(decoded);
+        version = row.version;
+    }
+    TakenPart taken { { name, self, found, version }, found ? found->workers : jobs::WorkerMachines {} };
+    BOOST_LEAF_CHECK(become(store, taken.part, taken.workers));
+    return taken;
+}
+
+PartWriter::PartWriter(Parts parts, jobs::OwnedPart part, Events events)
+    : m_parts(parts)
+    , m_part(std::move(part))
+    , m_events(std::move(events))
+    , m_isAlive(std::make_shared<bool>(true))
+    , m_confirmedAt(parts.clock.now())
+{
+}
+
+PartWriter::~PartWriter() { *m_isAlive = false; }
+
+bool PartWriter::isFree() const { return !m_isOver && !m_part.isOnItsWay() && m_parts.clock.now() >= m_pauseUntil; }
+
+void PartWriter::write(std::vector<jobs::RowWrite> rows, jobs::WorkerMachines workers, bool handsBack)
+{
+    m_handsBack = handsBack;
+    m_part.take(std::move(rows), std::move(workers), handsBack);
+    send();
+}
+
+void PartWriter::poll()
+{
+    const bool isToRepeat = !m_isOver && m_part.isOnItsWay() && !m_isSending;
+    if (isToRepeat && m_parts.clock.now() >= m_pauseUntil)
+        send();
+}
+
+void PartWriter::send()
+{
+    m_sentAt = m_parts.clock.now();
+    m_isSending = m_parts.threads.submit([this, transaction = m_part.transaction(), sentAt = m_sentAt,
+                                             alive = m_isAlive, &store = m_parts.store, &control = m_parts.control] {
+        auto outcome = store.commit(transaction);
+        control.post([this, alive, outcome = std::move(outcome), sentAt] {
+            if (*alive)
+                settled(outcome, sentAt);
+        });
+    });
+    if (!m_isSending)
+        m_pauseUntil = m_sentAt + pauseAfterFailure;
+}
+
+void PartWriter::setStoreInReach(bool isInReach, const std::string& detail)
+{
+    if (std::exchange(m_isStoreInReach, isInReach) == isInReach)
+        return;
+    logEvent(isInReach ? "store.regained" : "store.lost",
+        { { "part", m_part.transaction().part }, { "detail", detail } }, LogLevel::Warning);
+    m_events.onStore(isInReach);
+}
+
+void PartWriter::settled(const jobs::TransactionOutcome& outcome, TimePoint sentAt)
+{
+    m_isSending = false;
+    const auto result = m_part.settle(outcome);
+    const bool isAnswered = result == jobs::OwnedOutcome::Done || result == jobs::OwnedOutcome::Lost;
+    setStoreInReach(isAnswered, outcome.detail);
+    switch (result) {
+    case jobs::OwnedOutcome::Done:
+        m_confirmedAt = sentAt;
+        m_isOver = m_handsBack;
+        m_events.onStored();
+        if (m_isOver)
+            m_events.onLost();
+        return;
+    case jobs::OwnedOutcome::Lost:
+        logEvent("part.lost", { { "part", m_part.transaction().part }, { "term", m_part.term() } }, LogLevel::Warning);
+        m_isOver = true;
+        m_events.onLost();
+        return;
+    case jobs::OwnedOutcome::Again:
+        m_part.giveUp();
+        m_pauseUntil = m_parts.clock.now() + pauseAfterFailure;
+        m_events.onNotStored();
+        return;
+    case jobs::OwnedOutcome::Unsettled:
+        m_pauseUntil = m_parts.clock.now() + pauseAfterFailure;
+        return;
+    }
+}
+
+} // namespace rattanrack::node
--- a/packages/peer/src/codec.cpp
+++ b/packages/peer/src/codec.cpp
@@ -225,6 +225,12 @@
         }
         encodeMachines(message.closing, news.initClosing(static_cast<unsigned>(message.closing.size())));
         encodeMachines(message.emptied, news.initEmptied(static_cast<unsigned>(message.emptied.size())));
+        auto loads = news.initLoads(static_cast<unsigned>(message.loads.size()));
+        for (unsigned i = 0; i < loads.size(); ++i) {
+            loads[i].setCell(message.loads[i].cell.value());
+            loads[i].setUsedMillicores(message.loads[i].used.count());
+            loads[i].setWaitingMillicores(message.loads[i].waiting.count());
+        }
     }
 
     void operator()(const JobCall& message)
@@ -354,7 +360,11 @@
 {
     jobs::NodeNews news { NodeId { text(source.getNode()) }, text(source.getAddress()), source.getSequence(),
         source.getIsLeaving(), source.getIsStoreInReach(), {}, decodeMachines(source.getClosing()),
-        decodeMachines(source.getEmptied()) };
+        decodeMachines(source.getEmptied()), {} };
+    for (const auto load : source.getLoads()) {
+        news.loads.push_back({ PoolId { text(load.getCell()) }, Millicores { load.getUsedMillicores() },
+            Millicores { load.getWaitingMillicores() } });
+    }
     for (const auto cell : source.getCells())
         news.cells.push_back({ PoolId { text(cell.getCell()) }, cell.getTerm() });
     return news;
@@ -431,7 +441,8 @@
 
     std::size_t operator()(const jobs::NodeNews& message) const
     {
-        return (message.cells.size() + message.closing.size() + message.emptied.size()) * nameSizeBound;
+        return (message.cells.size() + message.closing.size() + message.emptied.size() + message.loads.size())
+            * nameSizeBound;
     }
     std::size_t operator()(const JobCall& message) const { return message.body.size(); }
     std::size_t operator()(const JobReply&) const { return 0; }
--- a/packages/peer/src/peer.capnp
+++ b/packages/peer/src/peer.capnp
@@ -164,6 +164,13 @@
   cells @5 :List(HeldCell);
   closing @6 :List(Text);
   emptied @7 :List(Text);
+  loads @8 :List(CellLoad);
+}
+
+struct CellLoad {
+  cell @0 :Text;
+  usedMillicores @1 :Int64;
+  waitingMillicores @2 :Int64;
 }
 
 enum JobOperation {
--- a/packages/peer/src/peer.capnp.h
+++ b/packages/peer/src/peer.capnp.h
@@ -54,6 +54,7 @@
 CAPNP_DECLARE_SCHEMA(bb378b7a7dcda204);
 CAPNP_DECLARE_SCHEMA(b639cb6b70830832);
 CAPNP_DECLARE_SCHEMA(9072e06186a0c7b8);
+CAPNP_DECLARE_SCHEMA(ec3d697675e4eb98);
 CAPNP_DECLARE_SCHEMA(aad2b5ced463b6c7);
 enum class JobOperation_aad2b5ced463b6c7: uint16_t {
   SUBMIT,
@@ -380,7 +381,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9072e06186a0c7b8, 2, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(9072e06186a0c7b8, 2, 6)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct CellLoad {
+  CellLoad() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ec3d697675e4eb98, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2398,6 +2414,9 @@
   inline bool hasEmptied() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getEmptied() const;
 
+  inline bool hasLoads() const;
+  inline  ::capnp::List< ::rattanrack::peer::wire::CellLoad,  ::capnp::Kind::STRUCT>::Reader getLoads() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2472,6 +2491,13 @@
   inline void adoptEmptied(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownEmptied();
 
+  inline bool hasLoads();
+  inline  ::capnp::List< ::rattanrack::peer::wire::CellLoad,  ::capnp::Kind::STRUCT>::Builder getLoads();
+  inline void setLoads( ::capnp::List< ::rattanrack::peer::wire::CellLoad,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::rattanrack::peer::wire::CellLoad,  ::capnp::Kind::STRUCT>::Builder initLoads(unsigned int size);
+  inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::rattanrack::peer::wire::CellLoad,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::rattanrack::peer::wire::CellLoad,  ::capnp::Kind::STRUCT>> disownLoads();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2498,6 +2524,97 @@
 };
 #endif  // !CAPNP_LITE
 
+class CellLoad::Reader {
+public:
+  typedef CellLoad Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasCell() const;
+  inline  ::capnp::Text::Reader getCell() const;
+
+  inline  ::int64_t getUsedMillicores() const;
+
+  inline  ::int64_t getWaitingMillicores() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CellLoad::Builder {
+public:
+  typedef CellLoad Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasCell();
+  inline  ::capnp::Text::Builder getCell();
+  inline void setCell( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCell(unsigned int size);
+  inline void adoptCell(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCell();
+
+  inline  ::int64_t getUsedMillicores();
+  inline void setUsedMillicores( ::int64_t value);
+
+  inline  ::int64_t getWaitingMillicores();
+  inline void setWaitingMillicores( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CellLoad::Pipeline {
+public:
+  typedef CellLoad Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class JobCall::Reader {
 public:
   typedef JobCall Reads;
@@ -5294,6 +5411,102 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline bool NodeNews::Reader::hasLoads() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeNews::Builder::hasLoads() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::rattanrack::peer::wire::CellLoad,  ::capnp::Kind::STRUCT>::Reader NodeNews::Reader::getLoads() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::CellLoad,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::rattanrack::peer::wire::CellLoad,  ::capnp::Kind::STRUCT>::Builder NodeNews::Builder::getLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::CellLoad,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void NodeNews::Builder::setLoads( ::capnp::List< ::rattanrack::peer::wire::CellLoad,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::CellLoad,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::rattanrack::peer::wire::CellLoad,  ::capnp::Kind::STRUCT>::Builder NodeNews::Builder::initLoads(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::CellLoad,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void NodeNews::Builder::adoptLoads(
+    ::capnp::Orphan< ::capnp::List< ::rattanrack::peer::wire::CellLoad,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::CellLoad,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::rattanrack::peer::wire::CellLoad,  ::capnp::Kind::STRUCT>> NodeNews::Builder::disownLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattanrack::peer::wire::CellLoad,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline bool CellLoad::Reader::hasCell() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CellLoad::Builder::hasCell() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader CellLoad::Reader::getCell() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder CellLoad::Builder::getCell() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CellLoad::Builder::setCell( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder CellLoad::Builder::initCell(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CellLoad::Builder::adoptCell(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> CellLoad::Builder::disownCell() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t CellLoad::Reader::getUsedMillicores() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t CellLoad::Builder::getUsedMillicores() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CellLoad::Builder::setUsedMillicores( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t CellLoad::Reader::getWaitingMillicores() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t CellLoad::Builder::getWaitingMillicores() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void CellLoad::Builder::setWaitingMillicores( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t JobCall::Reader::getExchange() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
