Keep no worker free for lasting subtasks that find no place

A step that finds no place kept the emptiest worker free for itself; a lasting step that already has one subtask on each worker it may use did so for as long as it ran, and several such steps kept all. Ruled out: recovery after a change of owner (the walk with takeovers completes all), lost or late orders. Change: only finite steps keep a worker, where the step may still go, and at most a third of the workers. The cell's model in virtual time (workers with leases, fences, lives; orders late or lost; owners that follow each other) and walks over it; LastingSubtasksWithoutPlaceKeepNothingFromOthers failed before and passes now.

--- a/packages/jobs/src/cell_schedule.cpp
+++ b/packages/jobs/src/cell_schedule.cpp
@@ -17,6 +17,7 @@
 constexpr double hopeful = 0.7; ///< Work may turn out this much shorter than estimated.
 constexpr int lateFactor = 3; ///< A job later than this many objectives is worth nothing any more.
 constexpr double widestShare = 0.25; ///< A step that takes a larger share of the room runs in several waves.
+constexpr int reservedShare = 3; ///< One worker of this many may be kept free for large work.
 constexpr Duration ticketMargin = 300ms;
 constexpr Duration askAgainAfter = 300ms;
 constexpr std::size_t maxWorkersInQuestion = 30;
@@ -168,22 +169,30 @@
             other.sameStepInRack += other.worker->rack == candidate.worker->rack ? 1 : 0;
     }
 
-    /// Keeps the emptiest worker that could ever hold the step free of smaller work that comes after it.
+    /// Keeps the emptiest worker that could hold the step free of smaller work that comes after it. What lasts has no
+    /// claim: it may find no place for as long as it runs.
     void reserveFor(const Step& step)
     {
+        const auto most = static_cast<int>(m_candidates.size()) / reservedShare;
+        if (step.isLasting || m_reserved >= most)
+            return;
         Candidate* best = nullptr;
         for (Candidate& candidate : m_candidates) {
+            const bool isFull = step.maxPerWorker > 0 && candidate.sameStep >= step.maxPerWorker;
             const bool isBetter = !best || candidate.free.processors > best->free.processors;
-            if (!candidate.isReserved && isAllowed(step, *candidate.worker) && isBetter)
+            if (!candidate.isReserved && !isFull && isAllowed(step, *candidate.worker) && isBetter)
                 best = &candidate;
         }
-        if (best)
-            best->isReserved = true;
+        if (!best)
+            return;
+        best->isReserved = true;
+        ++m_reserved;
     }
 
 private:
     std::vector<Worker*> m_workers;
     std::vector<Candidate> m_candidates;
+    int m_reserved { 0 };
 };
 
 /// Counts what runs beside, for one step.
--- /dev/null
+++ b/packages/jobs/tests/cell_walk_tests.cpp
@@ -0,0 +1,166 @@
+#include "../model/cell_world.h"
+
+#include <gtest/gtest.h>
+
+using namespace rattanrack;
+using namespace rattanrack::jobs;
+using namespace rattanrack::jobs::model;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Random jobs over random trouble; the world's oracle watches.
+class Walk {
+public:
+    Walk(std::uint64_t seed, const WorldFaults& faults)
+        : m_random(seed * 7919)
+        , m_world(seed, 8, faults)
+    {
+        m_world.run(2s);
+    }
+
+    CellWorld& world() { return m_world; }
+    const std::vector<JobId>& finite() const { return m_finite; }
+    const std::vector<JobId>& lasting() const { return m_lasting; }
+
+    void submitSome(int count)
+    {
+        for (int i = 0; i < count; ++i) {
+            submitFinite();
+            m_world.run(Duration { pick(20, 400) * 1000 });
+        }
+    }
+
+    void submitLasting()
+    {
+        Job job = newJob();
+        Step step;
+        step.count = 4;
+        step.size = { Millicores { 1300 }, Mebibytes { 4000 }, {} };
+        step.isLasting = true;
+        step.mayMiss = 1;
+        step.maxPerWorker = 1;
+        job.spec.steps = { step };
+        m_world.submit(job, { { step.size, 0us, false, true } });
+        m_lasting.push_back(job.id);
+    }
+
+private:
+    int pick(int least, int most) { return std::uniform_int_distribution<> { least, most }(m_random); }
+
+    Job newJob()
+    {
+        Job job;
+        job.id = JobId { "job" + std::to_string(++m_lastJob) };
+        job.queue = QueueId { "queue" };
+        job.acceptedAtUnixMs = m_world.now().time_since_epoch().count() / 1000;
+        return job;
+    }
+
+    void submitFinite()
+    {
+        Job job = newJob();
+        std::vector<ModelWork> works;
+        const int steps = pick(1, 3);
+        for (int number = 0; number < steps; ++number) {
+            Step step;
+            step.count = pick(1, 6);
+            step.size = { Millicores { pick(500, 4000) }, Mebibytes { pick(200, 4000) }, {} };
+            step.estimate = Duration { pick(200, 1500) * 1000 };
+            if (number > 0)
+                step.after = { number - 1 };
+            works.push_back({ step.size, Duration { pick(100, 1600) * 1000 }, false, false });
+            job.spec.steps.push_back(std::move(step));
+        }
+        m_world.submit(job, works);
+        m_finite.push_back(job.id);
+    }
+
+    std::mt19937_64 m_random;
+    CellWorld m_world;
+    int m_lastJob { 0 };
+    std::vector<JobId> m_finite;
+    std::vector<JobId> m_lasting;
+};
+
+void expectSound(Walk& walk, std::uint64_t seed)
+{
+    walk.world().calm();
+    walk.world().run(40s);
+    for (const std::string& violation : walk.world().violations())
+        ADD_FAILURE() << "seed " << seed << ": " << violation;
+    for (const JobId& job : walk.finite()) {
+        if (!walk.world().isAccepted(job))
+            continue;
+        const auto state = walk.world().shown(job);
+        EXPECT_TRUE(state == JobState::Completed || state == JobState::Failed)
+            << "seed " << seed << ": " << job << ' ' << walk.world().openJobs();
+    }
+    for (const JobId& job : walk.lasting()) {
+        if (!walk.world().isAccepted(job))
+            continue;
+        EXPECT_EQ(walk.world().runningOf(job), 4) << "seed " << seed << ": " << job;
+    }
+}
+
+void walkMany(const WorldFaults& faults, int seeds, int jobs)
+{
+    for (int seed = 1; seed <= seeds; ++seed) {
+        Walk walk { static_cast<std::uint64_t>(seed), faults };
+        walk.submitLasting();
+        walk.submitSome(jobs);
+        expectSound(walk, static_cast<std::uint64_t>(seed));
+    }
+}
+
+} // namespace
+
+TEST(CellWalk, CalmDayCompletesEverything) { walkMany({}, 10, 60); }
+
+TEST(CellWalk, OrdersCarriedOutLate) { walkMany({ .lostOrders = 0.08, .lostAnswers = 0.05 }, 15, 60); }
+
+TEST(CellWalk, WorkersCrashAndComeBack) { walkMany({ .lostAnswers = 0.02, .crashesPerSecond = 0.5 }, 15, 60); }
+
+TEST(CellWalk, WorkersAreCutOffAndRunOn) { walkMany({ .cutsPerSecond = 0.6 }, 15, 60); }
+
+TEST(CellWalk, OwnersFollowEachOther)
+{
+    walkMany({ .lostOrders = 0.03, .failedRuns = 0.05, .takeoversPerSecond = 0.2 }, 20, 60);
+}
+
+TEST(CellWalk, EverythingTogether)
+{
+    walkMany({ .lostOrders = 0.04,
+                 .lostAnswers = 0.03,
+                 .failedRuns = 0.08,
+                 .crashesPerSecond = 0.3,
+                 .cutsPerSecond = 0.3,
+                 .takeoversPerSecond = 0.15,
+                 .failedCommits = 0.05 },
+        40, 60);
+}
+
+TEST(CellWalk, LastingSubtasksWithoutPlaceKeepNothingFromOthers)
+{
+    CellWorld world { 1, 3, {} };
+    world.run(2s);
+    const auto submit = [&](const std::string& id, const Step& step, const ModelWork& work) {
+        Job job { JobId { id }, QueueId { "queue" }, world.now().time_since_epoch().count() / 1000 };
+        job.spec.steps = { step };
+        world.submit(job, { work });
+    };
+    Step lasting;
+    lasting.count = 5; // Two more than there are workers.
+    lasting.size = { Millicores { 500 }, Mebibytes { 100 }, {} };
+    lasting.isLasting = true;
+    lasting.maxPerWorker = 1;
+    for (const char* id : { "lasting1", "lasting2", "lasting3" })
+        submit(id, lasting, { lasting.size, 0us, false, true });
+    Step finite;
+    finite.size = { Millicores { 1000 }, Mebibytes { 100 }, {} };
+    finite.estimate = 500ms;
+    submit("finite", finite, { finite.size, 500ms });
+    world.run(5s);
+    EXPECT_EQ(world.runningOf(JobId { "lasting1" }), 3);
+    EXPECT_EQ(world.shown(JobId { "finite" }), JobState::Completed);
+}
