--- a/packages/node/include/rattanrack/node/cell_host.h
+++ b/packages/node/include/rattanrack/node/cell_host.h
@@ -39,6 +39,7 @@
         const Clock& clock;
         Metrics& metrics;
         ElasticThreadPool& storeThreads;
+        ElasticThreadPool& workerThreads;
         jobs::PartStore& store;
         jobs::WorkerConnector& connector;
         jobs::Advisor* advisor { nullptr }; ///< Null: no queue needs advice.
--- a/packages/node/include/rattanrack/node/worker_links.h
+++ b/packages/node/include/rattanrack/node/worker_links.h
@@ -2,6 +2,7 @@
 
 #include "rattanrack/jobs/ports.h"
 #include "rattanrack/node/control_loop.h"
+#include "rattanrack/node/elastic_thread_pool.h"
 
 #include <functional>
 #include <map>
@@ -21,8 +22,10 @@
         std::function<void(const jobs::LookOrder&, const jobs::LookAnswer&, TimePoint sentAt)> looked;
     };
 
-    /// `answers` are called on the control thread, until this object is destroyed.
-    WorkerLinks(ControlLoop& control, const Clock& clock, jobs::WorkerConnector& connector, Answers answers);
+    /// `answers` are called on the control thread, until this object is destroyed. `threads` must outlive what is on
+    /// its way then.
+    WorkerLinks(ControlLoop& control, const Clock& clock, ElasticThreadPool& threads, jobs::WorkerConnector& connector,
+        Answers answers);
     ~WorkerLinks();
     WorkerLinks(const WorkerLinks&) = delete;
     WorkerLinks& operator=(const WorkerLinks&) = delete;
@@ -39,6 +42,7 @@
 
     ControlLoop& m_control;
     const Clock& m_clock;
+    ElasticThreadPool& m_threads;
     jobs::WorkerConnector& m_connector;
     std::shared_ptr<Sink> m_sink;
     std::map<jobs::WorkerId, std::shared_ptr<Link>> m_links;
--- a/packages/node/src/cell_host.cpp
+++ b/packages/node/src/cell_host.cpp
@@ -76,7 +76,7 @@
     , m_isAlive(std::make_shared<bool>(true))
     , m_writer({ m_parts.control, m_parts.clock, m_parts.storeThreads, m_parts.store }, std::move(takeover.taken.part),
           writerEvents())
-    , m_links(m_parts.control, m_parts.clock, m_parts.connector,
+    , m_links(m_parts.control, m_parts.clock, m_parts.workerThreads, m_parts.connector,
           { [this](const auto& order, const auto& answer) {
                m_cell.onAnswer(order, answer, m_parts.clock.now());
                wake();
--- a/packages/node/src/job_node.cpp
+++ b/packages/node/src/job_node.cpp
@@ -24,10 +24,11 @@
 constexpr Duration newsPeriod = 200ms;
 constexpr Duration membersPeriod = 3s; ///< Between looks at the list of nodes in the store.
 constexpr Duration workersPeriod = 700ms;
-constexpr Duration configurationWait = 15s; ///< Of one question for news of the operators' orders.
+constexpr Duration configurationWait = 1500ms; ///< Of one question for news of the operators' orders.
 constexpr Duration pauseAfterError = 300ms;
 constexpr Duration pollStep = 20ms;
 constexpr std::size_t storeThreads = 12;
+constexpr std::size_t workerThreads = 600; ///< Two for each worker of the cells that this node may own.
 constexpr std::size_t maxQueuedStoreCalls = 256;
 constexpr const char* nodeTable = "node";
 constexpr const char* nodePart = "nodes";
@@ -99,6 +100,7 @@
     std::shared_ptr<const jobs::Configuration> configuration;
 
     ElasticThreadPool storePool { storeThreads, maxQueuedStoreCalls };
+    ElasticThreadPool workerPool { workerThreads, workerThreads };
     ElasticThreadPool advisorPool { 1, maxQueuedStoreCalls };
     std::unique_ptr<peer::PeerNetwork> network;
     std::vector<std::thread> watchers;
@@ -127,6 +129,7 @@
         cells.clear();
         duty.reset();
     });
+    workerPool.shutdown();
     control.stop();
 }
 
@@ -269,9 +272,9 @@
     }
     logEvent("cell.taken",
         { { "cell", cell.value() }, { "term", takeover->taken.part.term() }, { "jobs", takeover->jobs.size() } });
-    CellHost::Parts parts { control, clock, metrics, storePool, ports.store, ports.workers, ports.advisor, &advisorPool,
-        [this](jobs::CallToken token, bool isStored) { stored(token, isStored); }, [this, cell] { cellLost(cell); },
-        [this](bool isInReach) { ownership.setStoreInReach(isInReach); } };
+    CellHost::Parts parts { control, clock, metrics, storePool, workerPool, ports.store, ports.workers, ports.advisor,
+        &advisorPool, [this](jobs::CallToken token, bool isStored) { stored(token, isStored); },
+        [this, cell] { cellLost(cell); }, [this](bool isInReach) { ownership.setStoreInReach(isInReach); } };
     auto host = std::make_unique<CellHost>(
         std::move(parts), cell, CellTimes { settings.leaseLength, settings.keepEnded }, std::move(*takeover));
     if (configuration)
--- a/packages/node/src/worker_links.cpp
+++ b/packages/node/src/worker_links.cpp
@@ -3,7 +3,6 @@
 #include <condition_variable>
 #include <deque>
 #include <mutex>
-#include <thread>
 #include <utility>
 
 namespace rattanrack::node {
@@ -28,8 +27,10 @@
 /// A queue of orders and the thread that carries them out.
 class WorkerLinks::Link {
 public:
-    Link(std::shared_ptr<Sink> sink, jobs::WorkerConnector& connector, jobs::WorkerId worker, std::string address)
+    Link(std::shared_ptr<Sink> sink, ElasticThreadPool& threads, jobs::WorkerConnector& connector,
+        jobs::WorkerId worker, std::string address)
         : m_sink(std::move(sink))
+        , m_threads(threads)
         , m_connector(connector)
         , m_worker(std::move(worker))
         , m_address(std::move(address))
@@ -45,8 +46,8 @@
         {
             const std::lock_guard lock(m_mutex);
             lane.queue.push_back(std::move(order));
-            if (!std::exchange(lane.hasThread, true))
-                std::thread([self, &lane] { self->run(lane); }).detach();
+            if (!lane.hasThread)
+                lane.hasThread = m_threads.submit([self, &lane] { self->run(lane); });
         }
         lane.wakeUp.notify_one();
     }
@@ -116,6 +117,7 @@
     }
 
     std::shared_ptr<Sink> m_sink;
+    ElasticThreadPool& m_threads;
     jobs::WorkerConnector& m_connector;
     const jobs::WorkerId m_worker;
     const std::string m_address;
@@ -125,9 +127,11 @@
     bool m_isClosed { false };
 };
 
-WorkerLinks::WorkerLinks(ControlLoop& control, const Clock& clock, jobs::WorkerConnector& connector, Answers answers)
+WorkerLinks::WorkerLinks(ControlLoop& control, const Clock& clock, ElasticThreadPool& threads,
+    jobs::WorkerConnector& connector, Answers answers)
     : m_control(control)
     , m_clock(clock)
+    , m_threads(threads)
     , m_connector(connector)
     , m_sink(std::make_shared<Sink>(Sink { control, clock, std::move(answers) }))
 {
@@ -157,7 +161,7 @@
 {
     auto& link = m_links[worker];
     if (!link)
-        link = std::make_shared<Link>(m_sink, m_connector, worker, address);
+        link = std::make_shared<Link>(m_sink, m_threads, m_connector, worker, address);
     return link;
 }
 
