Free machines whose maintenance turns out to have been done; tests of the cores; schedule() in small pieces

Cause: the test LostAnswersCountAsDown showed a wave that stalls at 6 of 20: an order that had been carried out before leaves the machine up under the same worker, which the list never shows as back, so it counted as down for good. Change: a list asked for three seconds after the answer settles it. The decision on what runs next is split into Room (places) and steps of a few lines.

--- a/packages/jobs/include/rattanrack/jobs/maintenance.h
+++ b/packages/jobs/include/rattanrack/jobs/maintenance.h
@@ -76,6 +76,7 @@
         std::int64_t wave { 0 }; ///< For which it is down.
         WorkerId workerBefore;
         bool isUnsettled { false }; ///< The last order had no answer.
+        bool mayBeDown { false }; ///< An order without an answer may have been carried out.
         TimePoint answeredAt {};
         TimePoint orderAgainAt {};
     };
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -7,6 +7,7 @@
 
 #include <deque>
 #include <map>
+#include <tuple>
 #include <unordered_map>
 
 /// The insides of a cell, shared by its source files.
@@ -103,6 +104,25 @@
     std::map<std::pair<int, int>, StepTicket> tickets; ///< By occurrence and step.
 };
 
+/// Flood of one kind: what can't be in time any more waits behind what can; what has begun is brought to its end; among
+/// the rest small jobs come first, which serves the most callers by the same work.
+enum class Rank : std::uint8_t { Lasting, Begun, InTime, Late, Worthless };
+
+/// A step that could run now.
+struct ReadyStep {
+    JobEntry* entry { nullptr };
+    int occurrence { 0 };
+    int step { 0 };
+    Rank rank { Rank::InTime };
+    int priority { 0 };
+    std::int64_t order { 0 }; ///< Within the rank: work, or time due.
+
+    const Step& spec() const { return entry->job.spec.steps[static_cast<std::size_t>(step)]; }
+    auto key() const { return std::tuple { rank, priority, order, entry->job.acceptedAtUnixMs, entry->job.id }; }
+};
+
+class Room;
+
 struct CellState {
     explicit CellState(CellSettings cellSettings)
         : settings(std::move(cellSettings))
@@ -162,7 +182,12 @@
     int awayOf(const JobEntry& entry, const TaskRef& member) const;
 
     // Decisions: cell_schedule.cpp
-    void schedule(TimePoint now, std::int64_t unixMs);
+    void schedule(TimePoint now, std::int64_t wallMs);
+    std::vector<ReadyStep> readySteps(TimePoint now, std::int64_t wallMs);
+    void startStep(const ReadyStep& ready, Room& space, TimePoint now);
+    const StepTicket* validTicket(const ReadyStep& ready, const Room& space, TimePoint now);
+    void startOn(
+        Worker& worker, const ReadyStep& ready, int index, RunNumber number, const StepTicket* ticket, TimePoint now);
     void estimateChain(JobEntry& entry);
     ResourceSize room() const;
 };
--- a/packages/jobs/src/maintenance.cpp
+++ b/packages/jobs/src/maintenance.cpp
@@ -17,6 +17,7 @@
 constexpr int poolShareWhenLate = 3;
 constexpr int lookAhead = 3; ///< Machines that are emptied while others are down.
 constexpr Duration pauseAfterRefusal = 400ms;
+constexpr Duration listLag = 3s; ///< A list asked for this long after an answer shows what came of it.
 constexpr Duration unlistedTime = 4s; ///< A machine that the list lacks for this long has gone.
 constexpr double fullPool = 0.85; ///< Pools beyond this load are left alone while there is time.
 constexpr double lateShare = 0.5; ///< Of the time: from then on full pools are not spared.
@@ -95,10 +96,14 @@
         tracked.isListed = true;
         tracked.listedAt = now;
         ++m_poolSizes[machine.pool];
-        const bool isBack
-            = machine.state == MachineState::Up && !machine.worker.isEmpty() && machine.worker != tracked.workerBefore;
-        if (tracked.isDown && isBack && !tracked.isOrderOnItsWay && askedAt > tracked.answeredAt)
-            tracked.isDown = false;
+        if (!tracked.isDown || tracked.isOrderOnItsWay || askedAt <= tracked.answeredAt)
+            continue;
+        // An order that had been carried out before leaves the machine as it is.
+        const bool isUp = machine.state == MachineState::Up && !machine.worker.isEmpty();
+        const bool isBack = isUp && machine.worker != tracked.workerBefore;
+        const bool wasNotTaken = isUp && askedAt - tracked.answeredAt >= listLag;
+        if (isBack || wasNotTaken)
+            tracked.isDown = tracked.mayBeDown = false;
     }
 }
 
@@ -255,10 +260,11 @@
     case MachineCallStatus::Busy:
     case MachineCallStatus::FenceTooLow:
     case MachineCallStatus::NotNow:
-        tracked.isDown = false;
+        tracked.isDown = tracked.mayBeDown;
         tracked.orderAgainAt = now + pauseAfterRefusal;
         return;
     case MachineCallStatus::Unknown:
+        tracked.mayBeDown = true;
         tracked.isUnsettled = true; // It counts as down; asking again is harmless and tells.
         tracked.orderAgainAt = now + pauseAfterRefusal;
         return;
--- /dev/null
+++ b/packages/jobs/src/room.cpp
@@ -0,0 +1,126 @@
+#include "room.h"
+
+namespace rattanrack::jobs {
+
+namespace {
+
+constexpr int reservedShare = 3; ///< One worker of this many may be kept free for large work.
+
+bool isUsable(const Worker& worker, const CellState& state, TimePoint now)
+{
+    return worker.isListed && worker.contact == WorkerContact::InTouch && worker.clock.isKnown()
+        && !worker.description.isDraining && !worker.isClosedFor(now)
+        && state.storedWorkers.contains(worker.description.id) && !state.closing.contains(worker.description.machine);
+}
+
+bool looksAtNeighbours(const Step& step)
+{
+    return step.isLasting || step.isFiller || step.maxPerWorker > 0 || step.wantsOneRack || step.mayMiss > 0;
+}
+
+bool serves(const Step& step) { return step.latencyTarget > Duration::zero(); }
+
+} // namespace
+
+Room::Room(CellState& state, TimePoint now)
+    : m_state(state)
+{
+    for (auto& [id, worker] : state.workers) {
+        if (!isUsable(worker, state, now))
+            continue;
+        Candidate candidate { &worker.description, worker.description.capacity };
+        candidate.free.processors -= worker.used.processors;
+        candidate.free.memory -= worker.used.memory;
+        candidate.free.accelerators -= worker.used.accelerators;
+        m_workers.push_back(&worker);
+        m_candidates.push_back(candidate);
+    }
+}
+
+void Room::countNeighbours(const JobEntry& entry, int occurrence, int step)
+{
+    for (Candidate& candidate : m_candidates)
+        candidate.sameStep = candidate.sameStepInRack = candidate.serving = candidate.fillers = 0;
+    for (std::size_t at = 0; at < m_candidates.size(); ++at) {
+        for (const auto& [task, run] : m_workers[at]->runs) {
+            const JobEntry* other = m_state.find(task.job);
+            if (!other || !other->progress.has(task))
+                continue;
+            const Step& otherStep = CellState::stepOf(*other, task);
+            m_candidates[at].fillers += otherStep.isFiller ? 1 : 0;
+            m_candidates[at].serving += serves(otherStep) ? 1 : 0;
+            if (other != &entry || task.occurrence != occurrence || task.step != step)
+                continue;
+            ++m_candidates[at].sameStep;
+            for (Candidate& each : m_candidates)
+                each.sameStepInRack += each.worker->rack == m_candidates[at].worker->rack ? 1 : 0;
+        }
+    }
+}
+
+void Room::take(int place, const Step& step)
+{
+    Candidate& candidate = m_candidates[static_cast<std::size_t>(place)];
+    const ResourceSize taken = roomTaken(step);
+    candidate.free.processors -= taken.processors;
+    candidate.free.memory -= taken.memory;
+    candidate.free.accelerators -= taken.accelerators;
+    ++candidate.sameStep;
+    candidate.fillers += step.isFiller ? 1 : 0;
+    candidate.serving += serves(step) ? 1 : 0;
+    for (Candidate& other : m_candidates)
+        other.sameStepInRack += other.worker->rack == candidate.worker->rack ? 1 : 0;
+}
+
+void Room::give(const std::vector<Placement>& placements, const Step& step)
+{
+    const ResourceSize taken = roomTaken(step);
+    for (const Placement& each : placements) {
+        Candidate& candidate = m_candidates[static_cast<std::size_t>(each.place)];
+        candidate.free.processors += taken.processors;
+        candidate.free.memory += taken.memory;
+        candidate.free.accelerators += taken.accelerators;
+    }
+}
+
+std::vector<Placement> Room::place(
+    const JobEntry& entry, int occurrence, int stepNumber, const std::map<WorkerId, std::string>* tickets)
+{
+    const Step& step = entry.job.spec.steps[static_cast<std::size_t>(stepNumber)];
+    if (looksAtNeighbours(step))
+        countNeighbours(entry, occurrence, stepNumber);
+    std::vector<Placement> placements;
+    for (int index = 0; index < step.count; ++index) {
+        if (entry.progress.task({ entry.job.id, occurrence, stepNumber, index }).phase != TaskPhase::Waiting)
+            continue;
+        auto candidates = m_candidates;
+        for (Candidate& candidate : candidates)
+            candidate.isReserved = candidate.isReserved || (tickets && !tickets->contains(candidate.worker->id));
+        const int place = choosePlace(step, candidates);
+        if (place < 0)
+            break;
+        take(place, step);
+        placements.push_back({ index, place });
+    }
+    return placements;
+}
+
+void Room::reserveFor(const Step& step)
+{
+    const int most = static_cast<int>(m_candidates.size()) / reservedShare;
+    if (step.isLasting || m_reserved >= most)
+        return;
+    Candidate* best = nullptr;
+    for (Candidate& candidate : m_candidates) {
+        const bool isFull = step.maxPerWorker > 0 && candidate.sameStep >= step.maxPerWorker;
+        const bool isBetter = !best || candidate.free.processors > best->free.processors;
+        if (!candidate.isReserved && !isFull && isAllowed(step, *candidate.worker) && isBetter)
+            best = &candidate;
+    }
+    if (!best)
+        return;
+    best->isReserved = true;
+    ++m_reserved;
+}
+
+} // namespace rattanrack::jobs
--- /dev/null
+++ b/packages/jobs/src/room.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "cell_state.h"
+#include "rattanrack/jobs/placement.h"
+
+#include <optional>
+#include <vector>
+
+namespace rattanrack::jobs {
+
+/// A place for one subtask of a step.
+struct Placement {
+    int index { 0 }; ///< Of the subtask.
+    int place { 0 }; ///< Of the worker among the room's.
+};
+
+/// The room that is left on each usable worker, while one pass of decisions takes from it.
+class Room {
+public:
+    Room(CellState& state, TimePoint now);
+
+    const std::vector<Worker*>& workers() const { return m_workers; }
+
+    /// Places for the waiting subtasks of a step, as many as there are; their room is taken. With `tickets`, only
+    /// workers that have one.
+    std::vector<Placement> place(
+        const JobEntry& entry, int occurrence, int step, const std::map<WorkerId, std::string>* tickets);
+
+    /// Gives room back that was not used after all.
+    void give(const std::vector<Placement>& placements, const Step& step);
+
+    /// Keeps the emptiest worker that could hold the step free of smaller work that comes after it. What lasts has no
+    /// claim: it may find no place for as long as it runs.
+    void reserveFor(const Step& step);
+
+private:
+    void countNeighbours(const JobEntry& entry, int occurrence, int step);
+    void take(int place, const Step& step);
+
+    CellState& m_state;
+    std::vector<Worker*> m_workers;
+    std::vector<Candidate> m_candidates;
+    int m_reserved { 0 };
+};
+
+} // namespace rattanrack::jobs
--- /dev/null
+++ b/packages/jobs/tests/job_tests.cpp
@@ -0,0 +1,214 @@
+#include "rattanrack/jobs/job_codec.h"
+#include "rattanrack/jobs/lease_clock.h"
+#include "rattanrack/jobs/pacing.h"
+#include "rattanrack/jobs/placement.h"
+#include "rattanrack/jobs/runtime_estimate.h"
+
+#include <gtest/gtest.h>
+
+using namespace rattanrack;
+using namespace rattanrack::jobs;
+using namespace std::chrono_literals;
+
+namespace {
+
+Job twoSteps()
+{
+    Job job { JobId { "j" }, QueueId { "q" }, 5, { "text", { {}, {} }, {} } };
+    job.spec.steps[0].count = 2;
+    job.spec.steps[1].after = { 0 };
+    return job;
+}
+
+Candidate candidate(const WorkerDescription& worker) { return { &worker, worker.capacity }; }
+
+WorkerDescription workerIn(const std::string& name, const std::string& rack)
+{
+    WorkerDescription worker { WorkerId { name } };
+    worker.capacity = { Millicores { 16000 }, Mebibytes { 64000 }, {} };
+    worker.rack = rack;
+    worker.labels = { "a", rack };
+    return worker;
+}
+
+} // namespace
+
+TEST(JobSpec, DefectsAreNamed)
+{
+    JobSpec spec = twoSteps().spec;
+    EXPECT_EQ(defectOf(spec), "");
+    spec.steps[1].after = { 1 };
+    EXPECT_NE(defectOf(spec), "");
+    spec.steps[1].after = {};
+    spec.steps[1].count = 0;
+    EXPECT_NE(defectOf(spec), "");
+    spec.steps[1].count = maxSubtasksPerJob;
+    EXPECT_NE(defectOf(spec), "");
+    EXPECT_NE(defectOf({}), "");
+}
+
+TEST(JobProgress, StepsWaitForTheirPredecessors)
+{
+    const Job job = twoSteps();
+    JobProgress progress { job };
+    EXPECT_TRUE(progress.isReady(0, 0, 0));
+    EXPECT_FALSE(progress.isReady(0, 1, 0));
+    EXPECT_EQ(progress.state(), JobState::Queued);
+    for (int index : { 0, 1 }) {
+        progress.starting({ job.id, 0, 0, index }, 1);
+        progress.running({ job.id, 0, 0, index });
+        progress.done({ job.id, 0, 0, index });
+    }
+    EXPECT_TRUE(progress.isReady(0, 1, 0));
+    EXPECT_EQ(progress.state(), JobState::Active);
+    progress.done({ job.id, 0, 1, 0 });
+    EXPECT_EQ(progress.state(), JobState::Completed);
+    progress.cancel(9);
+    EXPECT_EQ(progress.state(), JobState::Completed);
+}
+
+TEST(JobProgress, StoredFormKeepsEndsAndFailures)
+{
+    const Job job = twoSteps();
+    JobProgress progress { job };
+    progress.starting({ job.id, 0, 0, 1 }, 1);
+    progress.running({ job.id, 0, 0, 1 });
+    progress.ended({ job.id, 0, 0, 1 }, true);
+    progress.done({ job.id, 0, 0, 0 });
+    const auto stored = valueOrNothing([&] { return decodeProgress(encode(progress.stored())); });
+    ASSERT_TRUE(stored);
+    const JobProgress again { job, *stored };
+    EXPECT_EQ(again.state(), JobState::Active);
+    EXPECT_EQ(again.task({ job.id, 0, 0, 0 }).phase, TaskPhase::Done);
+    EXPECT_EQ(again.task({ job.id, 0, 0, 1 }).failures, 1);
+    EXPECT_EQ(again.waitingTasks(0, 0), 1);
+}
+
+TEST(JobProgress, OccurrencesBecomeReadyInTime)
+{
+    Job job = twoSteps();
+    job.spec.schedule = { 2, 1000, 500 };
+    const JobProgress progress { job };
+    EXPECT_FALSE(progress.isReady(0, 0, 999));
+    EXPECT_TRUE(progress.isReady(0, 0, 1000));
+    EXPECT_FALSE(progress.isReady(1, 0, 1499));
+}
+
+TEST(JobProgress, OneEndOfAGangEndsAll)
+{
+    Job job = twoSteps();
+    job.spec.steps[0].isGang = true;
+    JobProgress progress { job };
+    progress.done({ job.id, 0, 0, 1 });
+    EXPECT_TRUE(progress.isStepDone(0, 0));
+}
+
+TEST(JobCodec, JobsGoThereAndBack)
+{
+    Job job = twoSteps();
+    job.spec.steps[0] = { 3, { Millicores { 5 }, Mebibytes { 6 }, Accelerators { 7 } }, 9ms, {}, true, true, true, "l",
+        "r", 2, true, true, "i", 40ms, true, 1 };
+    job.spec.schedule = { 2, 3, 4 };
+    EXPECT_EQ(valueOrNothing([&] { return decodeJob(encode(job)); }), job);
+    EXPECT_FALSE(valueOrNothing([] { return decodeJob("nothing"); }));
+}
+
+TEST(LeaseClock, LapseAllowsForASlowClock)
+{
+    LeaseClock clock;
+    const TimePoint now { 100s };
+    clock.observe(5000, now);
+    EXPECT_EQ(clock.grant(4s, now), 9000);
+    EXPECT_GE(clock.lapsedAt() - now, Duration { 4081ms });
+    EXPECT_LE(clock.lapsedAt() - now, Duration { 4300ms });
+    EXPECT_EQ(clock.grant(1s, now), 9000); // A lease is never made shorter.
+}
+
+TEST(Pacing, StepOfHarmEndsWithinTwoSecondsAndComesBackSlowly)
+{
+    Pacing pacing;
+    TimePoint now { 100s };
+    EXPECT_EQ(pacing.observe(0.3, now), 100);
+    // The tail shows the fillers' share: 1.4 times the target in full, nothing of it without them.
+    TimePoint calmAt {};
+    for (int look = 0; look < 20; ++look) {
+        now += 500ms;
+        const int percent = pacing.observe(0.3 + 1.1 * pacing.percent() / 100, now);
+        if (percent < 60 && calmAt == TimePoint {})
+            calmAt = now;
+    }
+    EXPECT_LE(calmAt - TimePoint { 100s }, Duration { 2s });
+    int swings = 0;
+    int last = pacing.percent();
+    for (int look = 0; look < 60; ++look) {
+        now += 500ms;
+        const int percent = pacing.observe(0.3 + 1.1 * pacing.percent() / 100, now);
+        EXPECT_LT(0.3 + 1.1 * percent / 100, 1.0);
+        swings += percent < last ? 1 : 0;
+        last = percent;
+    }
+    EXPECT_LE(swings, 6);
+}
+
+TEST(RuntimeEstimate, LearnsWhichOfDeclaredAndMeanToTrust)
+{
+    RuntimeEstimate honest;
+    RuntimeEstimate random;
+    const QueueId queue { "q" };
+    for (int run = 1; run <= 200; ++run) {
+        const Duration actual = 100ms * (1 + run % 10);
+        honest.observe(queue, actual * 2, actual); // Declared times are twice too long, always.
+        random.observe(queue, 100ms * (1 + run * 7 % 13), actual);
+    }
+    EXPECT_NEAR(static_cast<double>(honest.estimate(queue, 2s).count()), 1e6, 1.5e5);
+    EXPECT_LT(random.estimate(queue, 1300ms), Duration { 900ms });
+    EXPECT_EQ(RuntimeEstimate {}.estimate(queue, 7ms), Duration { 7ms });
+}
+
+TEST(Placement, DataComesFirstThenTheEmptiestWorker)
+{
+    const auto near = workerIn("near", "r1");
+    const auto far = workerIn("far", "r2");
+    Step step;
+    step.size.processors = Millicores { 1000 };
+    std::vector<Candidate> candidates { candidate(far), candidate(near) };
+    candidates[1].free.processors = Millicores { 1500 };
+    EXPECT_EQ(choosePlace(step, candidates), 0);
+    step.dataRack = "r1";
+    EXPECT_EQ(choosePlace(step, candidates), 1);
+    candidates[1].free.processors = Millicores { 500 };
+    EXPECT_EQ(choosePlace(step, candidates), 0);
+}
+
+TEST(Placement, LastingSubtasksAreSpreadAndFillersKeptFromWhatServes)
+{
+    const auto first = workerIn("1", "r1");
+    const auto second = workerIn("2", "r2");
+    Step lasting;
+    lasting.isLasting = true;
+    std::vector<Candidate> candidates { candidate(first), candidate(second) };
+    candidates[0].sameStep = 1;
+    candidates[1].free.processors = Millicores { 3000 };
+    EXPECT_EQ(choosePlace(lasting, candidates), 1);
+    Step filler;
+    filler.isFiller = true;
+    filler.isLasting = true;
+    candidates[0].sameStep = 0;
+    candidates[1].serving = 1;
+    EXPECT_EQ(choosePlace(filler, candidates), 0);
+    lasting.maxPerWorker = 1;
+    candidates[0].sameStep = candidates[1].sameStep = 1;
+    EXPECT_EQ(choosePlace(lasting, candidates), -1);
+}
+
+TEST(Placement, LabelsAndRoomAreNeeded)
+{
+    const auto worker = workerIn("1", "r1");
+    Step step;
+    step.requiredLabel = "gpu";
+    EXPECT_EQ(choosePlace(step, { candidate(worker) }), -1);
+    step.requiredLabel = "a";
+    EXPECT_EQ(choosePlace(step, { candidate(worker) }), 0);
+    step.size.memory = Mebibytes { 64001 };
+    EXPECT_FALSE(isAllowed(step, worker));
+}
--- /dev/null
+++ b/packages/jobs/tests/owned_part_tests.cpp
@@ -0,0 +1,71 @@
+#include "rattanrack/jobs/owned_part.h"
+
+#include <gtest/gtest.h>
+
+using namespace rattanrack;
+using namespace rattanrack::jobs;
+
+namespace {
+
+const NodeId self { "n1" };
+const PoolId pool { "p" };
+
+/// What a store answers to a transaction of which an earlier sending took effect.
+TransactionOutcome conflictShowing(const OwnerRow& row, RowVersion version)
+{
+    return { TransactionStatus::Conflict, 0, { { { ownerTable, ownerKey }, encode(row), version } }, {} };
+}
+
+} // namespace
+
+TEST(OwnedPart, TermGrowsWithEachOwner)
+{
+    OwnedPart first { pool, self, std::nullopt, 0 };
+    EXPECT_EQ(first.term(), 1);
+    OwnedPart next { pool, NodeId { "n2" }, OwnerRow { self, 7, 3, {} }, 90 };
+    EXPECT_EQ(next.term(), 8);
+    next.take({}, {});
+    EXPECT_EQ(next.transaction().conditions.at(0).version, 90U);
+}
+
+TEST(OwnedPart, EachTransactionExpectsTheLastOne)
+{
+    OwnedPart part { pool, self, std::nullopt, 0 };
+    part.take({}, {});
+    EXPECT_EQ(part.settle({ TransactionStatus::Done, 5 }), OwnedOutcome::Done);
+    part.take({ { { jobTable, "j" }, "value" } }, {});
+    EXPECT_EQ(part.transaction().conditions.at(0).version, 5U);
+    EXPECT_EQ(part.transaction().writes.size(), 2U);
+}
+
+TEST(OwnedPart, LostAnswerIsSettledByTheSameTransaction)
+{
+    OwnedPart part { pool, self, std::nullopt, 0 };
+    part.take({}, {});
+    const auto sent = part.transaction();
+    EXPECT_EQ(part.settle({ TransactionStatus::Unknown }), OwnedOutcome::Unsettled);
+    EXPECT_EQ(part.settle({ TransactionStatus::Unavailable }), OwnedOutcome::Unsettled); // The first may yet be done.
+    EXPECT_EQ(part.transaction().writes.at(0).value, sent.writes.at(0).value);
+    const OwnerRow written { self, 1, 1, {} };
+    EXPECT_EQ(part.settle(conflictShowing(written, 6)), OwnedOutcome::Done);
+    part.take({}, {});
+    EXPECT_EQ(part.transaction().conditions.at(0).version, 6U);
+}
+
+TEST(OwnedPart, AnotherOwnerIsSeen)
+{
+    OwnedPart part { pool, self, std::nullopt, 0 };
+    part.take({}, {});
+    EXPECT_EQ(part.settle(conflictShowing({ NodeId { "n2" }, 1, 1, {} }, 6)), OwnedOutcome::Lost);
+}
+
+TEST(OwnedPart, WhatWasNotDoneMayBeGivenUp)
+{
+    OwnedPart part { pool, self, std::nullopt, 0 };
+    part.take({ { { jobTable, "j" }, "value" } }, {});
+    EXPECT_EQ(part.settle({ TransactionStatus::Unavailable }), OwnedOutcome::Again);
+    part.giveUp();
+    EXPECT_FALSE(part.isOnItsWay());
+    part.take({}, {});
+    EXPECT_EQ(part.transaction().writes.size(), 1U);
+}
--- /dev/null
+++ b/packages/jobs/tests/ownership_tests.cpp
@@ -0,0 +1,147 @@
+#include "rattanrack/jobs/ownership.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <memory>
+
+using namespace rattanrack;
+using namespace rattanrack::jobs;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::vector<PoolId> cells { PoolId { "a" }, PoolId { "b" }, PoolId { "c" }, PoolId { "d" }, PoolId { "e" } };
+
+/// Nodes that hear each other unless cut, and take cells the moment they should; the first to take wins the row.
+class Nodes {
+public:
+    explicit Nodes(int count)
+    {
+        for (int number = 0; number < count; ++number)
+            add(number);
+    }
+
+    void add(int number)
+    {
+        const std::string name = "n" + std::to_string(number);
+        m_nodes[number] = std::make_unique<Ownership>(NodeId { name }, address(number), m_now);
+        m_nodes[number]->setCells(cells, m_now);
+        for (const auto& [other, node] : m_nodes) {
+            node->learnAddress(address(number));
+            m_nodes[number]->learnAddress(address(other));
+        }
+    }
+
+    void kill(int number) { m_nodes.erase(number); }
+    Ownership& operator[](int number) { return *m_nodes.at(number); }
+
+    void run(Duration time)
+    {
+        for (const TimePoint until = m_now + time; m_now < until; m_now += 100ms) {
+            for (auto& [number, node] : m_nodes) {
+                const NodeNews news = node->news();
+                for (auto& [other, receiver] : m_nodes) {
+                    if (other != number)
+                        receiver->onNews(news, m_now);
+                }
+            }
+            for (auto& [number, node] : m_nodes) {
+                for (const PoolId& cell : node->toTake(m_now))
+                    node->taken(cell, ++m_terms[cell]);
+            }
+        }
+    }
+
+    std::map<int, int> held()
+    {
+        std::map<int, int> counts;
+        for (auto& [number, node] : m_nodes) {
+            for (const PoolId& cell : cells)
+                counts[number] += node->isHeldHere(cell) ? 1 : 0;
+        }
+        return counts;
+    }
+    int total()
+    {
+        int all = 0;
+        for (const auto& [number, count] : held())
+            all += count;
+        return all;
+    }
+    TimePoint now() const { return m_now; }
+
+private:
+    static std::string address(int number) { return "10.0.0." + std::to_string(number + 1) + ":7000"; }
+
+    TimePoint m_now { 1000s };
+    std::map<int, std::unique_ptr<Ownership>> m_nodes;
+    std::map<PoolId, Fence> m_terms;
+};
+
+} // namespace
+
+TEST(Ownership, CellsAreSpreadOverTheNodes)
+{
+    Nodes nodes { 7 };
+    nodes.run(3s);
+    EXPECT_EQ(nodes.total(), 5);
+    for (const auto& [number, count] : nodes.held())
+        EXPECT_LE(count, 1) << number;
+}
+
+TEST(Ownership, CellsOfADeadNodeAreTakenWithinTwoSeconds)
+{
+    Nodes nodes { 3 };
+    nodes.run(3s);
+    nodes.kill(0);
+    nodes.run(2s);
+    EXPECT_EQ(nodes.total(), 5);
+}
+
+TEST(Ownership, NodeThatLeavesTakesNothing)
+{
+    Nodes nodes { 2 };
+    nodes[0].leave();
+    nodes.run(3s);
+    EXPECT_EQ(nodes.held().at(0), 0);
+    EXPECT_EQ(nodes.held().at(1), 5);
+}
+
+TEST(Ownership, NodeWithoutTheStoreTakesNothing)
+{
+    Nodes nodes { 2 };
+    nodes[0].setStoreInReach(false);
+    nodes.run(3s);
+    EXPECT_EQ(nodes.held().at(1), 5);
+}
+
+TEST(Ownership, HigherTermIsTheOwner)
+{
+    Ownership node { NodeId { "n0" }, "10.0.0.1:7000", TimePoint { 1s } };
+    node.setCells(cells, TimePoint { 1s });
+    node.taken(cells[0], 3);
+    node.onNews(
+        { NodeId { "n1" }, "10.0.0.2:7000", 1, false, true, { { cells[0], 4 } }, {}, {}, {} }, TimePoint { 2s });
+    EXPECT_EQ(node.owner(cells[0], TimePoint { 2s })->node, NodeId { "n1" });
+    EXPECT_EQ(node.owner(cells[0], TimePoint { 9s })->node, NodeId { "n0" });
+}
+
+TEST(Ownership, NewNodeIsGivenItsShare)
+{
+    Nodes nodes { 1 };
+    nodes.run(3s);
+    nodes.add(1);
+    nodes.run(6s);
+    EXPECT_TRUE(nodes[0].toHandBack(nodes.now()).has_value());
+}
+
+TEST(Ownership, NextLifeAtAnAddressReplacesTheLast)
+{
+    Ownership node { NodeId { "n0" }, "10.0.0.1:7000", TimePoint { 1s } };
+    node.onNews(
+        { NodeId { "old" }, "10.0.0.2:7000", 9, false, true, { { cells[0], 1 } }, {}, {}, {} }, TimePoint { 2s });
+    node.onNews({ NodeId { "new" }, "10.0.0.2:7000", 1, false, true, {}, {}, {}, {} }, TimePoint { 2s });
+    EXPECT_FALSE(node.owner(cells[0], TimePoint { 2s }).has_value());
+    EXPECT_EQ(node.liveNodes(TimePoint { 2s }), 2U);
+}
