Trial: lend machines of idle pools and of the standby pool to flooded ones

Cause: a flooded pool lacks room for some seconds while others idle; waiting work is worth far more than a machine costs. Change: CapacityPlan in the machines' duty, fed by the loads and idle machines in the news between nodes. Worse: a pool that has lent machines lacks them when its own flood begins, and they come back 2.5 s later.

--- a/packages/jobs/include/rattanrack/jobs/cell.h
+++ b/packages/jobs/include/rattanrack/jobs/cell.h
@@ -119,6 +119,9 @@
     /// Machines among the closing ones on which nothing runs.
     std::vector<MachineId> emptied() const;
 
+    /// Machines on which nothing runs.
+    std::vector<MachineId> idle() const;
+
     /// Every worker on which something of this cell may run. Must be stored before anything is started there.
     WorkerMachines workersInUse() const;
     void workersStored(WorkerMachines workers);
--- a/packages/jobs/include/rattanrack/jobs/machine.h
+++ b/packages/jobs/include/rattanrack/jobs/machine.h
@@ -15,6 +15,7 @@
     MachineId id;
     PoolId pool;
     MachineState state { MachineState::Down };
+    std::string kind; ///< Pools take machines of some kinds only.
     std::string rack;
     ResourceSize capacity;
     WorkerId worker; ///< Of its present life; empty while there is none.
--- a/packages/jobs/include/rattanrack/jobs/maintenance.h
+++ b/packages/jobs/include/rattanrack/jobs/maintenance.h
@@ -60,6 +60,12 @@
     /// Machines that are to be emptied now.
     std::set<MachineId> closing() const { return m_closing; }
 
+    /// Machines that are closed for maintenance or down.
+    std::set<MachineId> busy() const;
+
+    /// Machines that are on their way to another pool.
+    void setMoving(std::set<MachineId> machines) { m_moving = std::move(machines); }
+
     MaintenanceOutput step(TimePoint now, std::int64_t unixMs);
     void onAnswer(const MaintenanceOrder& order, MachineCallStatus status, TimePoint now);
 
@@ -102,6 +108,7 @@
     std::set<PoolId> m_cells;
     std::set<MachineId> m_emptied;
     std::set<MachineId> m_closing;
+    std::set<MachineId> m_moving;
     bool m_hasList { false };
 };
 
--- a/packages/jobs/include/rattanrack/jobs/ownership.h
+++ b/packages/jobs/include/rattanrack/jobs/ownership.h
@@ -33,6 +33,7 @@
     std::vector<HeldCell> cells;
     std::vector<MachineId> closing; ///< From the holder of the machines' duty: machines to be emptied.
     std::vector<MachineId> emptied; ///< From owners of cells: closing machines on which nothing runs.
+    std::vector<MachineId> idle; ///< From owners of cells: machines on which nothing runs.
     std::vector<CellLoad> loads; ///< Of the cells that it owns.
 
     friend bool operator==(const NodeNews&, const NodeNews&) = default;
--- /dev/null
+++ b/packages/jobs/src/capacity_plan.cpp
@@ -0,0 +1,262 @@
+#include "rattanrack/jobs/capacity_plan.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace rattanrack::jobs {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr double fullShare = 0.75; ///< A pool that uses more of its room is about to be flooded.
+constexpr int mostAtOnce = 10; ///< Transfers to one pool at the same time.
+constexpr double lendableShare = 0.4; ///< Of a pool's machines, while it needs them not.
+constexpr Duration quietBeforeLending = 700ms; ///< A pool lends only after it has not been full for this long.
+constexpr Duration quietBeforeReturn = 2500ms; ///< Lent machines stay this long after the flood has ended.
+constexpr Duration emptyingPatience = 1500ms; ///< A machine that is not empty by then is not moved.
+constexpr Duration arrivalPatience = 8s;
+constexpr Duration pauseAfterRefusal = 400ms;
+constexpr Duration listLag = 3s; ///< A list asked for this long after an answer shows what came of it.
+
+} // namespace
+
+CapacityPlan::CapacityPlan(std::map<PoolId, int> sizes, TimePoint mayOrderFrom)
+    : m_mayOrderFrom(mayOrderFrom)
+    , m_sizes(std::move(sizes))
+{
+}
+
+void CapacityPlan::setPools(std::set<PoolId> owned, std::set<PoolId> standby)
+{
+    m_owned = std::move(owned);
+    m_standby = std::move(standby);
+}
+
+void CapacityPlan::setMachines(const std::vector<Machine>& machines, TimePoint askedAt)
+{
+    m_machines.clear();
+    const bool isFirst = m_sizes.empty();
+    for (const Machine& machine : machines) {
+        m_machines[machine.id] = machine;
+        if (isFirst)
+            ++m_sizes[machine.pool];
+        const auto transfer = m_transfers.find(machine.id);
+        if (transfer == m_transfers.end() || !transfer->second.isAnswered || askedAt <= transfer->second.at)
+            continue;
+        const bool isUp = machine.state == MachineState::Up && !machine.worker.isEmpty();
+        const bool hasArrived
+            = isUp && machine.pool == transfer->second.to && machine.worker != transfer->second.workerBefore;
+        const bool wasNotTaken = isUp && askedAt - transfer->second.at >= listLag;
+        if (hasArrived || wasNotTaken)
+            m_transfers.erase(transfer);
+    }
+}
+
+void CapacityPlan::setLoads(const std::vector<CellLoad>& loads, TimePoint now)
+{
+    m_loads.clear();
+    for (const CellLoad& load : loads)
+        m_loads[load.cell] = load;
+    countPools(now);
+}
+
+void CapacityPlan::countPools(TimePoint now)
+{
+    m_pools.clear();
+    for (const auto& [id, machine] : m_machines) {
+        const auto transfer = m_transfers.find(id);
+        Pool& here = m_pools[machine.pool];
+        here.machineSize = std::max(here.machineSize, machine.capacity.processors);
+        if (transfer != m_transfers.end())
+            ++m_pools[transfer->second.to].arriving;
+        else if (machine.state == MachineState::Up && !m_reserved.contains(id))
+            ++here.present;
+    }
+    for (auto& [id, pool] : m_pools) {
+        const auto load = m_loads.find(id);
+        if (load == m_loads.end() || pool.machineSize.count() == 0)
+            continue;
+        const double machineSize = static_cast<double>(pool.machineSize.count()) * fullShare;
+        const double demand = static_cast<double>(load->second.used.count() + load->second.waiting.count());
+        pool.wanted = static_cast<int>(std::ceil(demand / machineSize));
+        if (pool.wanted >= pool.present)
+            m_busyAt[id] = now;
+    }
+}
+
+int CapacityPlan::sizeOf(const PoolId& pool) const
+{
+    const auto found = m_sizes.find(pool);
+    return found == m_sizes.end() ? 0 : found->second;
+}
+
+int CapacityPlan::floorOf(const PoolId& pool) const
+{
+    const int kept = static_cast<int>(std::ceil(sizeOf(pool) * (1 - lendableShare)));
+    const auto found = m_pools.find(pool);
+    return std::max(kept, found == m_pools.end() ? 0 : found->second.wanted + 1);
+}
+
+bool CapacityPlan::mayMove(const Machine& machine, const PoolId& to) const
+{
+    const bool isFree = m_standby.contains(machine.pool) || m_idle.contains(machine.id);
+    return isFree && machine.state == MachineState::Up && !machine.worker.isEmpty() && machine.pool != to
+        && !m_reserved.contains(machine.id) && !m_transfers.contains(machine.id)
+        && !m_impossible.contains({ machine.kind, to });
+}
+
+const Machine* CapacityPlan::bestSource(const PoolId& to) const
+{
+    const Machine* best = nullptr;
+    const auto key = [&](const Machine& machine) {
+        // Standby machines first, then pools above their size, then those that were full most lately.
+        const Pool& pool = m_pools.at(machine.pool);
+        const bool isStandby = m_standby.contains(machine.pool);
+        const bool isSurplus = pool.present > sizeOf(machine.pool);
+        const auto busy = m_busyAt.find(machine.pool);
+        const TimePoint busyAt = busy == m_busyAt.end() ? TimePoint {} : busy->second;
+        return std::tuple { !isSurplus || isStandby, !isStandby, TimePoint::max() - busyAt, machine.id };
+    };
+    for (const auto& [id, machine] : m_machines) {
+        if (!mayMove(machine, to) || (!m_standby.contains(machine.pool) && !m_owned.contains(machine.pool)))
+            continue;
+        const bool mayLend
+            = m_standby.contains(machine.pool) || m_pools.at(machine.pool).present > floorOf(machine.pool);
+        if (mayLend && (!best || key(machine) < key(*best)))
+            best = &machine;
+    }
+    return best;
+}
+
+bool CapacityPlan::take(const PoolId& to, TimePoint now)
+{
+    const Machine* source = bestSource(to);
+    if (!source)
+        return false;
+    if (!m_standby.contains(source->pool)) {
+        const auto busy = m_busyAt.find(source->pool);
+        if (busy != m_busyAt.end() && now - busy->second < quietBeforeLending)
+            return false;
+    }
+    m_transfers[source->id] = { to, source->worker, false, false, false, now, {} };
+    --m_pools[source->pool].present;
+    ++m_pools[to].arriving;
+    return true;
+}
+
+void CapacityPlan::growFlooded(TimePoint now)
+{
+    for (const PoolId& id : m_owned) {
+        const auto found = m_pools.find(id);
+        if (found == m_pools.end())
+            continue;
+        Pool& pool = found->second;
+        while (pool.wanted > pool.present + pool.arriving && pool.arriving < mostAtOnce) {
+            if (!take(id, now))
+                break;
+        }
+    }
+}
+
+void CapacityPlan::giveBack(TimePoint now)
+{
+    for (const auto& [id, machine] : m_machines) {
+        if (!m_owned.contains(machine.pool) || m_pools.at(machine.pool).present <= sizeOf(machine.pool))
+            continue;
+        const auto busy = m_busyAt.find(machine.pool);
+        if (busy != m_busyAt.end() && now - busy->second < quietBeforeReturn)
+            continue;
+        PoolId to;
+        for (const auto& [other, size] : m_sizes) {
+            const auto found = m_pools.find(other);
+            const int have = found == m_pools.end() ? 0 : found->second.present + found->second.arriving;
+            const bool isBetter = to.isEmpty() || (m_standby.contains(to) && m_owned.contains(other));
+            if (other != machine.pool && have < size && isBetter && mayMove(machine, other))
+                to = other;
+        }
+        if (to.isEmpty())
+            continue;
+        m_transfers[id] = { to, machine.worker, false, false, false, now, {} };
+        --m_pools[machine.pool].present;
+        ++m_pools[to].arriving;
+    }
+}
+
+void CapacityPlan::giveUpOld(TimePoint now)
+{
+    std::erase_if(m_transfers, [&](const auto& each) {
+        const Transfer& transfer = each.second;
+        if (transfer.isOrderOnItsWay)
+            return false;
+        const bool isStuck = !transfer.isOrdered && now - transfer.at > emptyingPatience;
+        const bool isReserved = !transfer.isOrdered && m_reserved.contains(each.first);
+        const bool isLost = transfer.isAnswered && now - transfer.at > arrivalPatience;
+        return isStuck || isReserved || isLost;
+    });
+}
+
+std::vector<MoveOrder> CapacityPlan::step(TimePoint now)
+{
+    std::vector<MoveOrder> orders;
+    if (m_machines.empty() || now < m_mayOrderFrom)
+        return orders;
+    giveUpOld(now);
+    countPools(now);
+    growFlooded(now);
+    giveBack(now);
+    for (auto& [id, transfer] : m_transfers) {
+        const auto machine = m_machines.find(id);
+        const bool isDue = !transfer.isOrderOnItsWay && !transfer.isAnswered && now >= transfer.orderAgainAt;
+        if (!isDue || machine == m_machines.end())
+            continue;
+        const bool isEmpty = m_standby.contains(machine->second.pool) || m_emptied.contains(id);
+        if (!isEmpty && !transfer.isOrdered)
+            continue;
+        transfer.isOrdered = true;
+        transfer.isOrderOnItsWay = true;
+        orders.push_back({ id, transfer.to });
+    }
+    return orders;
+}
+
+std::set<MachineId> CapacityPlan::closing() const
+{
+    std::set<MachineId> machines;
+    for (const auto& [id, transfer] : m_transfers) {
+        if (!transfer.isAnswered)
+            machines.insert(id);
+    }
+    return machines;
+}
+
+void CapacityPlan::onAnswer(const MoveOrder& order, MachineCallStatus status, TimePoint now)
+{
+    const auto found = m_transfers.find(order.machine);
+    if (found == m_transfers.end())
+        return;
+    Transfer& transfer = found->second;
+    transfer.isOrderOnItsWay = false;
+    switch (status) {
+    case MachineCallStatus::Done:
+        transfer.isAnswered = true;
+        transfer.at = now;
+        return;
+    case MachineCallStatus::Unknown: // Asking again is harmless and tells.
+        transfer.orderAgainAt = now + pauseAfterRefusal;
+        return;
+    case MachineCallStatus::Impossible:
+        if (const auto machine = m_machines.find(order.machine); machine != m_machines.end())
+            m_impossible.insert({ machine->second.kind, order.pool });
+        break;
+    case MachineCallStatus::Busy:
+    case MachineCallStatus::NotOfWave:
+    case MachineCallStatus::FenceTooLow:
+    case MachineCallStatus::NotNow:
+        break;
+    }
+    m_transfers.erase(found);
+}
+
+} // namespace rattanrack::jobs
--- a/packages/jobs/src/cell.cpp
+++ b/packages/jobs/src/cell.cpp
@@ -113,6 +113,17 @@
     return machines;
 }
 
+std::vector<MachineId> Cell::idle() const
+{
+    std::vector<MachineId> machines;
+    for (const auto& [id, worker] : m_state->workers) {
+        const bool isIdle = worker.isListed && worker.contact == WorkerContact::InTouch && worker.runs.empty();
+        if (isIdle && !m_state->isRecovering)
+            machines.push_back(worker.description.machine);
+    }
+    return machines;
+}
+
 WorkerMachines Cell::workersInUse() const
 {
     WorkerMachines used = m_state->foreignWorkers;
--- a/packages/jobs/src/maintenance.cpp
+++ b/packages/jobs/src/maintenance.cpp
@@ -136,8 +136,8 @@
 
 bool Maintenance::isUpForOrders(const Tracked& tracked, TimePoint now) const
 {
-    return tracked.isListed && tracked.machine.state == MachineState::Up && !tracked.isDown && !tracked.isOrderOnItsWay
-        && now >= tracked.orderAgainAt;
+    return !m_moving.contains(tracked.machine.id) && tracked.isListed && tracked.machine.state == MachineState::Up
+        && !tracked.isDown && !tracked.isOrderOnItsWay && now >= tracked.orderAgainAt;
 }
 
 bool Maintenance::isEmpty(const Tracked& tracked) const
@@ -271,6 +271,16 @@
     }
 }
 
+std::set<MachineId> Maintenance::busy() const
+{
+    std::set<MachineId> machines = m_closing;
+    for (const auto& [id, tracked] : m_machines) {
+        if (tracked.isDown || tracked.isOrderOnItsWay)
+            machines.insert(id);
+    }
+    return machines;
+}
+
 std::vector<WaveProgress> Maintenance::waves() const
 {
     std::vector<WaveProgress> all;
--- a/packages/jobs/src/ownership.cpp
+++ b/packages/jobs/src/ownership.cpp
@@ -164,7 +164,7 @@
 
 NodeNews Ownership::news()
 {
-    NodeNews news { m_self, m_address, ++m_sequence, m_isLeaving, m_isStoreInReach, {}, {}, {}, {} };
+    NodeNews news { m_self, m_address, ++m_sequence, m_isLeaving, m_isStoreInReach, {}, {}, {}, {}, {} };
     for (const auto& [cell, term] : m_held)
         news.cells.push_back({ cell, term });
     return news;
--- a/packages/jobs/tests/maintenance_tests.cpp
+++ b/packages/jobs/tests/maintenance_tests.cpp
@@ -24,7 +24,8 @@
         for (int number = 0; number < machines; ++number) {
             const MachineId id { "m" + std::to_string(number) };
             const PoolId pool { number % 5 == 4 ? "standby" : "pool" + std::to_string(number % 2) };
-            m_machines[id] = { { id, pool, MachineState::Up, "r", { Millicores { 16000 }, {}, {} }, worker(id, 1) } };
+            m_machines[id]
+                = { { id, pool, MachineState::Up, "a", "r", { Millicores { 16000 }, {}, {} }, worker(id, 1) } };
             m_wave.machines.push_back(id);
         }
         m_maintenance.setCells({ PoolId { "pool0" }, PoolId { "pool1" } });
--- a/packages/jobs/tests/ownership_tests.cpp
+++ b/packages/jobs/tests/ownership_tests.cpp
@@ -122,7 +122,7 @@
     node.setCells(cells, TimePoint { 1s });
     node.taken(cells[0], 3);
     node.onNews(
-        { NodeId { "n1" }, "10.0.0.2:7000", 1, false, true, { { cells[0], 4 } }, {}, {}, {} }, TimePoint { 2s });
+        { NodeId { "n1" }, "10.0.0.2:7000", 1, false, true, { { cells[0], 4 } }, {}, {}, {}, {} }, TimePoint { 2s });
     EXPECT_EQ(node.owner(cells[0], TimePoint { 2s })->node, NodeId { "n1" });
     EXPECT_EQ(node.owner(cells[0], TimePoint { 9s })->node, NodeId { "n0" });
 }
@@ -140,8 +140,8 @@
 {
     Ownership node { NodeId { "n0" }, "10.0.0.1:7000", TimePoint { 1s } };
     node.onNews(
-        { NodeId { "old" }, "10.0.0.2:7000", 9, false, true, { { cells[0], 1 } }, {}, {}, {} }, TimePoint { 2s });
-    node.onNews({ NodeId { "new" }, "10.0.0.2:7000", 1, false, true, {}, {}, {}, {} }, TimePoint { 2s });
+        { NodeId { "old" }, "10.0.0.2:7000", 9, false, true, { { cells[0], 1 } }, {}, {}, {}, {} }, TimePoint { 2s });
+    node.onNews({ NodeId { "new" }, "10.0.0.2:7000", 1, false, true, {}, {}, {}, {}, {} }, TimePoint { 2s });
     EXPECT_FALSE(node.owner(cells[0], TimePoint { 2s }).has_value());
     EXPECT_EQ(node.liveNodes(TimePoint { 2s }), 2U);
 }
--- a/packages/node/include/rattanrack/node/cell_host.h
+++ b/packages/node/include/rattanrack/node/cell_host.h
@@ -67,6 +67,7 @@
     /// Starts nothing more, stores what is open, and gives the part up; `onLost` follows.
     void handBack();
 
+    std::vector<jobs::MachineId> idle() const { return m_cell.idle(); }
     jobs::CellLoad load() const { return m_cell.load(); }
     jobs::Fence term() const { return m_writer.term(); }
 
--- a/packages/node/include/rattanrack/node/machine_duty.h
+++ b/packages/node/include/rattanrack/node/machine_duty.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "rattanrack/jobs/capacity_plan.h"
 #include "rattanrack/jobs/maintenance.h"
 #include "rattanrack/jobs/ports.h"
 #include "rattanrack/node/part_writer.h"
@@ -18,6 +19,7 @@
 struct MachineDutyTakeover {
     TakenPart taken;
     std::vector<jobs::WaveProgress> waves;
+    std::map<PoolId, int> poolSizes; ///< As the pools were set up; empty: not known yet.
 };
 
 /// Blocks; for a thread of the store. Errors as for `takePart`.
@@ -44,10 +46,14 @@
     MachineDuty& operator=(const MachineDuty&) = delete;
 
     void setWaves(const std::vector<jobs::Wave>& waves);
-    void setCells(std::set<PoolId> cells) { m_maintenance.setCells(std::move(cells)); }
-    void setEmptied(std::set<jobs::MachineId> machines) { m_maintenance.setEmptied(std::move(machines)); }
-    void setLoads(const std::vector<jobs::CellLoad>& loads) { m_maintenance.setLoads(loads); }
-    std::set<jobs::MachineId> closing() const { return m_maintenance.closing(); }
+    void configure(const jobs::Configuration& configuration);
+
+    /// What the owners of cells say of their machines and loads.
+    void setCellNews(const std::set<jobs::MachineId>& idle, std::set<jobs::MachineId> emptied,
+        const std::vector<jobs::CellLoad>& loads);
+
+    /// Machines that are to get nothing new.
+    std::set<jobs::MachineId> closing() const;
     jobs::Fence term() const { return m_writer.term(); }
 
     /// Call several times a second.
@@ -58,11 +64,15 @@
     template <typename Work, typename Then> bool run(Work work, Then then);
     void askForList();
     void order(const jobs::MaintenanceOrder& order);
+    void order(const jobs::MoveOrder& order);
+    void keepSizes();
     void report();
     void write();
 
     Parts m_parts;
     jobs::Maintenance m_maintenance;
+    jobs::CapacityPlan m_plan;
+    bool m_areSizesKept { false };
     std::shared_ptr<bool> m_isAlive;
     PartWriter m_writer;
     std::vector<jobs::RowWrite> m_unwritten;
@@ -73,7 +83,6 @@
     bool m_isReporting { false };
     bool m_isHandingBack { false };
     int m_ordersOnTheirWay { 0 };
-    bool m_hasWaves { false };
 };
 
 } // namespace rattanrack::node
--- a/packages/node/src/job_node.cpp
+++ b/packages/node/src/job_node.cpp
@@ -23,7 +23,7 @@
 
 constexpr Duration newsPeriod = 200ms;
 constexpr Duration membersPeriod = 3s; ///< Between looks at the list of nodes in the store.
-constexpr Duration workersPeriod = 700ms;
+constexpr Duration workersPeriod = 400ms; ///< A machine that has moved is of use once its worker is known.
 constexpr Duration configurationWait = 1500ms; ///< Of one question for news of the operators' orders.
 constexpr Duration pauseAfterError = 300ms;
 constexpr Duration pollStep = 20ms;
@@ -181,10 +181,12 @@
 {
     closing.clear();
     std::set<jobs::MachineId> emptied;
+    std::set<jobs::MachineId> idle;
     std::vector<jobs::CellLoad> loads;
     for (const jobs::NodeNews* news : ownership.liveNews(clock.now())) {
         closing.insert(news->closing.begin(), news->closing.end());
         emptied.insert(news->emptied.begin(), news->emptied.end());
+        idle.insert(news->idle.begin(), news->idle.end());
         loads.insert(loads.end(), news->loads.begin(), news->loads.end());
     }
     if (duty)
@@ -193,12 +195,12 @@
         host->setClosing(closing);
         for (const jobs::MachineId& machine : host->emptied())
             emptied.insert(machine);
+        for (const jobs::MachineId& machine : host->idle())
+            idle.insert(machine);
         loads.push_back(host->load());
     }
-    if (!duty)
-        return;
-    duty->setEmptied(std::move(emptied));
-    duty->setLoads(loads);
+    if (duty)
+        duty->setCellNews(idle, std::move(emptied), loads);
 }
 
 void JobNode::State::sendNews()
@@ -211,6 +213,8 @@
     for (const auto& [cell, host] : cells) {
         const auto machines = host->emptied();
         news.emptied.insert(news.emptied.end(), machines.begin(), machines.end());
+        const auto idle = host->idle();
+        news.idle.insert(news.idle.end(), idle.begin(), idle.end());
         news.loads.push_back(host->load());
     }
     for (const std::string& address : ownership.addresses(clock.now()))
@@ -314,8 +318,8 @@
             [this] { dutyLost(); }, [this](bool isInReach) { ownership.setStoreInReach(isInReach); } },
         std::move(*takeover));
     logEvent("machines.taken", { { "term", duty->term() } });
-    const auto pools = configuration ? configuration->cells() : std::vector<PoolId> {};
-    duty->setCells({ pools.begin(), pools.end() });
+    if (configuration)
+        duty->configure(*configuration);
     duty->setWaves(waves);
     ownership.taken(machineDutyName, duty->term());
     if (isLeaving)
@@ -419,7 +423,7 @@
     }
     auto owned = shared->cells();
     if (duty)
-        duty->setCells({ owned.begin(), owned.end() });
+        duty->configure(*shared);
     owned.push_back(machineDutyName);
     ownership.setCells(std::move(owned), clock.now());
     hasCells = true;
--- a/packages/node/src/machine_duty.cpp
+++ b/packages/node/src/machine_duty.cpp
@@ -2,7 +2,7 @@
 
 #include "rattanrack/base/log.h"
 
-#include <algorithm>
+#include <cstdlib>
 #include <iterator>
 #include <utility>
 
@@ -15,8 +15,8 @@
 using namespace std::chrono_literals;
 
 constexpr const char* waveTable = "wave";
+constexpr const char* sizeTable = "size";
 constexpr Duration listPeriod = 350ms;
-constexpr Duration idleListPeriod = 5s;
 constexpr Duration renewalPeriod = 1s;
 constexpr Duration ownerTrust = 2s; ///< Orders only while the ownership was confirmed within it.
 constexpr Duration earlierHolderTime = 3300ms; ///< An earlier holder's orders may still arrive.
@@ -24,13 +24,22 @@
 constexpr const char* statusNames[]
     = { "done", "busy", "not_of_wave", "fence_too_low", "impossible", "not_now", "unknown" };
 
+/// From then on no earlier holder gives orders any more.
+TimePoint orderTime(const MachineDutyTakeover& takeover, TimePoint now)
+{
+    return takeover.taken.part.term() > 1 ? now + earlierHolderTime : TimePoint {};
+}
+
 } // namespace
 
 Result<MachineDutyTakeover> takeMachineDuty(jobs::PartStore& store, const NodeId& self)
 {
     BOOST_LEAF_AUTO(taken, takePart(store, machineDutyName, self));
     BOOST_LEAF_AUTO(rows, readAll(store, machineDutyName, waveTable));
-    MachineDutyTakeover takeover { std::move(taken), {} };
+    BOOST_LEAF_AUTO(sizes, readAll(store, machineDutyName, sizeTable));
+    MachineDutyTakeover takeover { std::move(taken), {}, {} };
+    for (const jobs::PartRow& row : sizes)
+        takeover.poolSizes[PoolId { row.row.key }] = std::atoi(row.value.c_str());
     for (const jobs::PartRow& row : rows) {
         BOOST_LEAF_AUTO(progress, jobs::decodeWaveProgress(row.value));
         takeover.waves.push_back(std::move(progress));
@@ -40,8 +49,9 @@
 
 MachineDuty::MachineDuty(Parts parts, MachineDutyTakeover takeover)
     : m_parts(std::move(parts))
-    , m_maintenance(std::move(takeover.waves),
-          takeover.taken.part.term() > 1 ? m_parts.clock.now() + earlierHolderTime : TimePoint {})
+    , m_maintenance(std::move(takeover.waves), orderTime(takeover, m_parts.clock.now()))
+    , m_plan(takeover.poolSizes, orderTime(takeover, m_parts.clock.now()))
+    , m_areSizesKept(!takeover.poolSizes.empty())
     , m_isAlive(std::make_shared<bool>(true))
     , m_writer({ m_parts.control, m_parts.clock, m_parts.threads, m_parts.store }, std::move(takeover.taken.part),
           { [this] { m_written.clear(); },
@@ -74,6 +84,36 @@
         });
 }
 
+void MachineDuty::configure(const jobs::Configuration& configuration)
+{
+    const auto cells = configuration.cells();
+    const std::set<PoolId> owned { cells.begin(), cells.end() };
+    std::set<PoolId> standby;
+    for (const jobs::PoolSettings& pool : configuration.pools) {
+        if (pool.isStandby)
+            standby.insert(pool.id);
+    }
+    m_maintenance.setCells(owned);
+    m_plan.setPools(owned, std::move(standby));
+}
+
+void MachineDuty::setCellNews(
+    const std::set<jobs::MachineId>& idle, std::set<jobs::MachineId> emptied, const std::vector<jobs::CellLoad>& loads)
+{
+    m_maintenance.setLoads(loads);
+    m_maintenance.setEmptied(emptied);
+    m_plan.setIdle(idle);
+    m_plan.setEmptied(std::move(emptied));
+    m_plan.setLoads(loads, m_parts.clock.now());
+}
+
+std::set<jobs::MachineId> MachineDuty::closing() const
+{
+    auto machines = m_maintenance.closing();
+    machines.merge(m_plan.closing());
+    return machines;
+}
+
 void MachineDuty::setWaves(const std::vector<jobs::Wave>& waves)
 {
     m_maintenance.setWaves(waves, wallClockMilliseconds());
@@ -92,9 +132,11 @@
     };
     m_isListAsked = run(list, [this, askedAt = now](const std::optional<std::vector<jobs::Machine>>& machines) {
         m_isListAsked = false;
-        m_listAt = m_parts.clock.now() + (m_hasWaves ? listPeriod : idleListPeriod);
-        if (machines)
-            m_maintenance.setMachines(*machines, askedAt, m_parts.clock.now());
+        m_listAt = m_parts.clock.now() + listPeriod;
+        if (!machines)
+            return;
+        m_maintenance.setMachines(*machines, askedAt, m_parts.clock.now());
+        m_plan.setMachines(*machines, askedAt);
     });
 }
 
@@ -115,6 +157,32 @@
         then(jobs::MachineCallStatus::NotNow);
 }
 
+void MachineDuty::order(const jobs::MoveOrder& order)
+{
+    const auto call = [&machines = m_parts.machines, order, holder = m_parts.self.value(), fence = term()] {
+        return machines.move(order, holder, fence);
+    };
+    const auto then = [this, order](jobs::MachineCallStatus status) {
+        --m_ordersOnTheirWay;
+        logEvent("machine.moved",
+            { { "machine", order.machine.value() }, { "pool", order.pool.value() },
+                { "outcome", statusNames[static_cast<std::size_t>(status)] }, { "term", term() } });
+        m_plan.onAnswer(order, status, m_parts.clock.now());
+    };
+    ++m_ordersOnTheirWay;
+    if (!run(call, then))
+        then(jobs::MachineCallStatus::NotNow);
+}
+
+void MachineDuty::keepSizes()
+{
+    if (m_areSizesKept || m_plan.sizes().empty())
+        return;
+    m_areSizesKept = true;
+    for (const auto& [pool, size] : m_plan.sizes())
+        m_unwritten.push_back({ { sizeTable, pool.value() }, std::to_string(size) });
+}
+
 void MachineDuty::report()
 {
     if (m_isReporting)
@@ -151,14 +219,17 @@
     const TimePoint now = m_parts.clock.now();
     const bool mayOrder = !m_isHandingBack && now - m_writer.confirmedAt() < ownerTrust;
     if (mayOrder) {
+        m_maintenance.setMoving(m_plan.closing());
         jobs::MaintenanceOutput output = m_maintenance.step(now, wallClockMilliseconds());
         for (const jobs::MaintenanceOrder& each : output.orders)
             order(each);
         for (const jobs::WaveProgress& wave : output.changed)
             m_unwritten.push_back({ { waveTable, std::to_string(wave.number) }, encode(wave) });
-        const auto waves = m_maintenance.waves();
-        m_hasWaves = std::any_of(waves.begin(), waves.end(), [](const auto& wave) { return !wave.isCompleted; });
         report();
+        m_plan.setReserved(m_maintenance.busy());
+        for (const jobs::MoveOrder& each : m_plan.step(now))
+            order(each);
+        keepSizes();
     }
     write();
 }
--- a/packages/peer/src/codec.cpp
+++ b/packages/peer/src/codec.cpp
@@ -225,6 +225,7 @@
         }
         encodeMachines(message.closing, news.initClosing(static_cast<unsigned>(message.closing.size())));
         encodeMachines(message.emptied, news.initEmptied(static_cast<unsigned>(message.emptied.size())));
+        encodeMachines(message.idle, news.initIdle(static_cast<unsigned>(message.idle.size())));
         auto loads = news.initLoads(static_cast<unsigned>(message.loads.size()));
         for (unsigned i = 0; i < loads.size(); ++i) {
             loads[i].setCell(message.loads[i].cell.value());
@@ -360,7 +361,7 @@
 {
     jobs::NodeNews news { NodeId { text(source.getNode()) }, text(source.getAddress()), source.getSequence(),
         source.getIsLeaving(), source.getIsStoreInReach(), {}, decodeMachines(source.getClosing()),
-        decodeMachines(source.getEmptied()), {} };
+        decodeMachines(source.getEmptied()), decodeMachines(source.getIdle()), {} };
     for (const auto load : source.getLoads()) {
         news.loads.push_back({ PoolId { text(load.getCell()) }, Millicores { load.getUsedMillicores() },
             Millicores { load.getWaitingMillicores() } });
@@ -441,7 +442,8 @@
 
     std::size_t operator()(const jobs::NodeNews& message) const
     {
-        return (message.cells.size() + message.closing.size() + message.emptied.size() + message.loads.size())
+        return (message.cells.size() + message.closing.size() + message.emptied.size() + message.idle.size()
+                   + message.loads.size())
             * nameSizeBound;
     }
     std::size_t operator()(const JobCall& message) const { return message.body.size(); }
--- a/packages/peer/src/peer.capnp
+++ b/packages/peer/src/peer.capnp
@@ -165,6 +165,7 @@
   closing @6 :List(Text);
   emptied @7 :List(Text);
   loads @8 :List(CellLoad);
+  idle @9 :List(Text);
 }
 
 struct CellLoad {
--- a/packages/peer/src/peer.capnp.h
+++ b/packages/peer/src/peer.capnp.h
@@ -381,7 +381,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9072e06186a0c7b8, 2, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(9072e06186a0c7b8, 2, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2417,6 +2417,9 @@
   inline bool hasLoads() const;
   inline  ::capnp::List< ::rattanrack::peer::wire::CellLoad,  ::capnp::Kind::STRUCT>::Reader getLoads() const;
 
+  inline bool hasIdle() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getIdle() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2498,6 +2501,14 @@
   inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::rattanrack::peer::wire::CellLoad,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::rattanrack::peer::wire::CellLoad,  ::capnp::Kind::STRUCT>> disownLoads();
 
+  inline bool hasIdle();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getIdle();
+  inline void setIdle( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setIdle(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initIdle(unsigned int size);
+  inline void adoptIdle(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownIdle();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5445,6 +5456,44 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
+inline bool NodeNews::Reader::hasIdle() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeNews::Builder::hasIdle() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader NodeNews::Reader::getIdle() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder NodeNews::Builder::getIdle() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void NodeNews::Builder::setIdle( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline void NodeNews::Builder::setIdle(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder NodeNews::Builder::initIdle(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void NodeNews::Builder::adoptIdle(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> NodeNews::Builder::disownIdle() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
 inline bool CellLoad::Reader::hasCell() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
