--- a/packages/jobs/src/capacity_plan.cpp
+++ b/packages/jobs/src/capacity_plan.cpp
@@ -12,7 +12,7 @@
 
 constexpr double fullShare = 0.75; ///< A pool that uses more of its room is about to be flooded.
 constexpr int mostAtOnce = 10; ///< Transfers to one pool at the same time.
-constexpr double lendableShare = 0.4; ///< Of a pool's machines, while it needs them not.
+constexpr double lendableShare = 0; ///< Of a pool's machines, while it needs them not.
 constexpr Duration quietBeforeLending = 700ms; ///< A pool lends only after it has not been full for this long.
 constexpr Duration quietBeforeReturn = 2500ms; ///< Lent machines stay this long after the flood has ended.
 constexpr Duration emptyingPatience = 1500ms; ///< A machine that is not empty by then is not moved.
@@ -45,7 +45,9 @@
         const auto transfer = m_transfers.find(machine.id);
         if (transfer == m_transfers.end() || !transfer->second.isAnswered || askedAt <= transfer->second.at)
             continue;
-        const bool isUp = machine.state == MachineState::Up && !machine.worker.isEmpty();
+        // A standby machine is off: it has no worker.
+        const bool isUp
+            = machine.state == MachineState::Up && (!machine.worker.isEmpty() || m_standby.contains(machine.pool));
         const bool hasArrived
             = isUp && machine.pool == transfer->second.to && machine.worker != transfer->second.workerBefore;
         const bool wasNotTaken = isUp && askedAt - transfer->second.at >= listLag;
@@ -102,9 +104,8 @@
 bool CapacityPlan::mayMove(const Machine& machine, const PoolId& to) const
 {
     const bool isFree = m_standby.contains(machine.pool) || m_idle.contains(machine.id);
-    return isFree && machine.state == MachineState::Up && !machine.worker.isEmpty() && machine.pool != to
-        && !m_reserved.contains(machine.id) && !m_transfers.contains(machine.id)
-        && !m_impossible.contains({ machine.kind, to });
+    return isFree && machine.state == MachineState::Up && machine.pool != to && !m_reserved.contains(machine.id)
+        && !m_transfers.contains(machine.id) && !m_impossible.contains({ machine.kind, to });
 }
 
 const Machine* CapacityPlan::bestSource(const PoolId& to) const
--- a/packages/jobs/src/maintenance.cpp
+++ b/packages/jobs/src/maintenance.cpp
@@ -99,8 +99,8 @@
         if (!tracked.isDown || tracked.isOrderOnItsWay || askedAt <= tracked.answeredAt)
             continue;
         // An order that had been carried out before leaves the machine as it is.
-        const bool isUp = machine.state == MachineState::Up && !machine.worker.isEmpty();
-        const bool isBack = isUp && machine.worker != tracked.workerBefore;
+        const bool isUp = machine.state == MachineState::Up;
+        const bool isBack = isUp && !machine.worker.isEmpty() && machine.worker != tracked.workerBefore;
         const bool wasNotTaken = isUp && askedAt - tracked.answeredAt >= listLag;
         if (isBack || wasNotTaken)
             tracked.isDown = tracked.mayBeDown = false;
