--- /dev/null
+++ b/packages/jobs/tests/cell_tests.cpp
@@ -0,0 +1,198 @@
+#include "rattanrack/jobs/cell.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+using namespace rattanrack;
+using namespace rattanrack::jobs;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A cell of two workers whose answers a test gives by hand.
+class Desk {
+public:
+    Desk()
+        : m_cell({ PoolId { "p" }, 1, 4500ms, 10500ms, 120s }, {}, {}, m_now, unixMs())
+    {
+        m_cell.configure({ { QueueId { "q" }, PoolId { "p" }, 0, 3, 1.6, 600ms } });
+        std::vector<WorkerDescription> workers;
+        for (const char* name : { "w1", "w2" }) {
+            WorkerDescription worker { WorkerId { name }, MachineId { name }, PoolId { "p" }, "10.0.0.1:1" };
+            worker.capacity = { Millicores { 1000 }, Mebibytes { 1000 }, {} };
+            worker.bornUnixMs = 1;
+            workers.push_back(worker);
+        }
+        m_cell.setWorkers(workers, m_now);
+        m_cell.workersStored(m_cell.workersInUse());
+        step(10ms);
+        for (const LookOrder& look : take<LookOrder>())
+            answer(look, {});
+    }
+
+    Cell& cell() { return m_cell; }
+    TimePoint now() const { return m_now; }
+
+    void submitAndStore(const std::string& id)
+    {
+        Job job { JobId { id }, QueueId { "q" }, unixMs(), { "text", { {} }, {} } };
+        job.spec.steps[0].size = { Millicores { 800 }, Mebibytes { 100 }, {} };
+        job.spec.steps[0].estimate = 500ms;
+        EXPECT_EQ(m_cell.submit(job, 1, m_now), Acceptance::Waiting);
+        store();
+    }
+
+    void store()
+    {
+        if (m_cell.takeCommit(unixMs()))
+            m_cell.onCommitted(unixMs());
+    }
+
+    void step(Duration time)
+    {
+        m_now += time;
+        CellOutput output = m_cell.step(m_now, unixMs(), true);
+        std::move(output.orders.begin(), output.orders.end(), std::back_inserter(m_orders));
+    }
+
+    /// The orders of one kind that have been given since the last time.
+    template <typename OrderType> std::vector<OrderType> take()
+    {
+        std::vector<OrderType> taken;
+        std::erase_if(m_orders, [&](const Order& order) {
+            const auto* one = std::get_if<OrderType>(&order);
+            if (one)
+                taken.push_back(*one);
+            return one != nullptr;
+        });
+        return taken;
+    }
+
+    void answer(const LookOrder& look, std::vector<RunningEntry> running, std::vector<EndEntry> ends = {})
+    {
+        const TimePoint sentAt = m_now;
+        m_now += 2ms;
+        m_cell.onAnswer(look,
+            { CallStatus::Done, Refusal::None, { 1, clockMs(), std::move(running), std::move(ends) } }, sentAt, m_now);
+    }
+    void answer(const StartOrder& order, CallStatus status, Refusal refusal = Refusal::None)
+    {
+        m_cell.onAnswer(order, { status, refusal, status == CallStatus::NoAnswer ? 0 : clockMs() }, m_now);
+    }
+    void loseLooks()
+    {
+        for (const LookOrder& look : take<LookOrder>())
+            m_cell.onAnswer(look, { CallStatus::NoAnswer }, m_now, m_now);
+    }
+
+private:
+    std::int64_t unixMs() const { return m_now.time_since_epoch().count() / 1000; }
+    std::int64_t clockMs() const { return unixMs() - 900'000; }
+
+    TimePoint m_now { 1000s };
+    Cell m_cell;
+    std::vector<Order> m_orders;
+};
+
+} // namespace
+
+TEST(Cell, NothingStartsBeforeTheJobIsStored)
+{
+    Desk desk;
+    Job job { JobId { "a" }, QueueId { "q" }, 1, { "", { {} }, {} } };
+    EXPECT_EQ(desk.cell().submit(job, 1, desk.now()), Acceptance::Waiting);
+    desk.step(50ms);
+    EXPECT_TRUE(desk.take<StartOrder>().empty());
+    EXPECT_FALSE(desk.cell().state(JobId { "a" }).has_value());
+    desk.store();
+    desk.step(50ms);
+    EXPECT_EQ(desk.take<StartOrder>().size(), 1U);
+}
+
+TEST(Cell, RefusedRetryOfAnUnansweredStartIsStoppedBeforeItGoesElsewhere)
+{
+    Desk desk;
+    desk.submitAndStore("a");
+    desk.step(10ms);
+    const StartOrder first = desk.take<StartOrder>().at(0);
+    desk.answer(first, CallStatus::NoAnswer);
+    desk.step(300ms);
+    const StartOrder again = desk.take<StartOrder>().at(0);
+    EXPECT_EQ(again.run, first.run);
+    EXPECT_EQ(again.worker, first.worker);
+    desk.answer(again, CallStatus::Refused, Refusal::Room);
+    desk.step(10ms);
+    EXPECT_TRUE(desk.take<StartOrder>().empty());
+    const StopOrder stop = desk.take<StopOrder>().at(0);
+    EXPECT_EQ(stop.run, first.run);
+    desk.cell().onAnswer(stop, { CallStatus::Done, Refusal::None, 0 }, desk.now());
+    desk.step(60ms);
+    for (const LookOrder& look : desk.take<LookOrder>())
+        desk.answer(look, {});
+    desk.step(400ms);
+    const StartOrder next = desk.take<StartOrder>().at(0);
+    EXPECT_GT(next.run, first.run);
+}
+
+TEST(Cell, RunsOfASilentWorkerAreWaitedOut)
+{
+    Desk desk;
+    desk.submitAndStore("a");
+    desk.step(10ms);
+    const StartOrder first = desk.take<StartOrder>().at(0);
+    desk.answer(first, CallStatus::Done);
+    desk.step(60ms); // The look renews the lease for 4.5 s; from then on the worker is silent.
+    const TimePoint renewedAt = desk.now();
+    desk.loseLooks();
+    std::vector<StartOrder> starts;
+    while (starts.empty() && desk.now() - renewedAt < 10s) {
+        desk.step(100ms);
+        desk.loseLooks();
+        starts = desk.take<StartOrder>();
+    }
+    ASSERT_EQ(starts.size(), 1U);
+    EXPECT_NE(starts[0].worker, first.worker);
+    EXPECT_GE(desk.now() - renewedAt, Duration { 4500ms });
+    EXPECT_LE(desk.now() - renewedAt, Duration { 5s });
+}
+
+TEST(Cell, EndIsAcknowledgedOnlyWhenItIsStored)
+{
+    Desk desk;
+    desk.submitAndStore("a");
+    desk.step(10ms);
+    const StartOrder start = desk.take<StartOrder>().at(0);
+    desk.answer(start, CallStatus::Done);
+    desk.step(60ms);
+    for (const LookOrder& look : desk.take<LookOrder>())
+        desk.answer(look, {}, { { 1, start.task, start.run, EndKind::Done, "" } });
+    desk.step(60ms);
+    for (const LookOrder& look : desk.take<LookOrder>())
+        EXPECT_EQ(look.ackedThrough, 0);
+    EXPECT_NE(desk.cell().state(JobId { "a" }), JobState::Completed);
+    desk.store();
+    EXPECT_EQ(desk.cell().state(JobId { "a" }), JobState::Completed);
+    desk.step(60ms);
+    const auto looks = desk.take<LookOrder>();
+    ASSERT_FALSE(looks.empty());
+    EXPECT_EQ(looks[0].ackedThrough, 1);
+}
+
+TEST(Cell, StoreThatRefusesGivesUpOnlyWhatIsNew)
+{
+    Desk desk;
+    desk.submitAndStore("old");
+    desk.step(10ms);
+    Job job { JobId { "new" }, QueueId { "q" }, 1, { "", { {} }, {} } };
+    EXPECT_EQ(desk.cell().submit(job, 7, desk.now()), Acceptance::Waiting);
+    ASSERT_TRUE(desk.cell().takeCommit(1).has_value());
+    desk.cell().refuseWaiting(); // It may be stored yet: nothing is given up.
+    EXPECT_EQ(desk.cell().submit(job, 8, desk.now()), Acceptance::Waiting);
+    desk.cell().onCommitFailed();
+    desk.cell().refuseWaiting();
+    const auto replies = desk.cell().step(desk.now(), 1, true).replies;
+    ASSERT_EQ(replies.size(), 2U);
+    EXPECT_FALSE(replies[0].isStored || replies[1].isStored);
+    EXPECT_TRUE(desk.cell().state(JobId { "old" }).has_value());
+}
