Count a failure once however often it is listed; keep a machine closed until it is seen back

An owner had stored the failure and was gone before the worker heard the acknowledgement; the next owner heard of the same end and counted it again. Change: a subtask keeps the highest run whose failure is counted, stored with it; machines stay closed from the order until the list shows them back.

--- a/packages/jobs/include/rattanrack/jobs/cell.h
+++ b/packages/jobs/include/rattanrack/jobs/cell.h
@@ -126,7 +126,7 @@
     WorkerMachines workersInUse() const;
     void workersStored(WorkerMachines workers);
 
-    Acceptance submit(Job job, CallToken token, TimePoint now);
+    Acceptance submit(const Job& job, CallToken token, TimePoint now);
 
     /// Cancels a job. Empty: there is no such job.
     std::optional<Acceptance> cancel(const JobId& job, CallToken token, std::int64_t unixMs);
--- a/packages/jobs/include/rattanrack/jobs/configuration.h
+++ b/packages/jobs/include/rattanrack/jobs/configuration.h
@@ -32,7 +32,7 @@
     std::uint64_t version { 0 };
     std::vector<Route> routes;
     std::vector<PoolSettings> pools;
-    std::size_t maxBodyBytes { 256 * 1024 };
+    std::size_t maxBodyBytes { std::size_t { 256 } * 1024 };
 
     /// The route of a request: the longest prefix wins. Null: none. Lives as long as this object.
     const Route* find(std::string_view host, std::string_view path) const;
--- a/packages/jobs/include/rattanrack/jobs/job_progress.h
+++ b/packages/jobs/include/rattanrack/jobs/job_progress.h
@@ -20,6 +20,7 @@
     TaskPhase phase { TaskPhase::Waiting };
     RunNumber lastRun { 0 }; ///< Highest number used so far.
     int failures { 0 };
+    RunNumber lastFailedRun { 0 }; ///< Highest run whose failure has been counted; it may be listed again.
     std::string checkpoint; ///< Newest one known; empty: none.
 };
 
@@ -30,6 +31,7 @@
     int index { 0 };
     bool isDone { false };
     int failures { 0 };
+    RunNumber lastFailedRun { 0 };
 
     friend bool operator==(const StoredTask&, const StoredTask&) = default;
 };
@@ -71,8 +73,11 @@
     void starting(const TaskRef& ref, RunNumber run);
     void running(const TaskRef& ref);
 
-    /// The run of a subtask is over without being done; `isFailure` counts it as an attempt.
-    void ended(const TaskRef& ref, bool isFailure);
+    /// The run of a subtask is over without being done.
+    void ended(const TaskRef& ref);
+
+    /// Counts a failed run of a subtask once, however often its end is listed. False: it had been counted.
+    bool countFailure(const TaskRef& ref, RunNumber run);
 
     /// A subtask is done, or all of them when the step is a gang.
     void done(const TaskRef& ref);
--- a/packages/jobs/include/rattanrack/jobs/maintenance.h
+++ b/packages/jobs/include/rattanrack/jobs/maintenance.h
@@ -57,11 +57,8 @@
     void setEmptied(std::set<MachineId> machines) { m_emptied = std::move(machines); }
     void setLoads(const std::vector<CellLoad>& loads);
 
-    /// Machines that are to be emptied now.
-    std::set<MachineId> closing() const { return m_closing; }
-
-    /// Machines that are closed for maintenance or down.
-    std::set<MachineId> busy() const;
+    /// Machines that are to get nothing new: those to be emptied, and those ordered down until they are seen back.
+    std::set<MachineId> closing() const;
 
     /// Machines that are on their way to another pool.
     void setMoving(std::set<MachineId> machines) { m_moving = std::move(machines); }
--- a/packages/jobs/include/rattanrack/jobs/owned_part.h
+++ b/packages/jobs/include/rattanrack/jobs/owned_part.h
@@ -45,7 +45,7 @@
 class OwnedPart {
 public:
     /// To take the part over from what `found` says; empty when nobody has ever owned it.
-    OwnedPart(PoolId cell, NodeId self, const std::optional<OwnerRow>& found, RowVersion foundVersion);
+    OwnedPart(const PoolId& cell, NodeId self, const std::optional<OwnerRow>& found, RowVersion foundVersion);
 
     /// Writes `rows` and the list of workers. With `handsBack` the part is given up by the same transaction.
     const PartTransaction& take(std::vector<RowWrite> rows, WorkerMachines workers, bool handsBack = false);
--- a/packages/jobs/model/cell_world.cpp
+++ b/packages/jobs/model/cell_world.cpp
@@ -344,6 +344,8 @@
     for (const EndEntry& end : report.ends) {
         if (end.kind == EndKind::Done)
             m_done[end.task] = true;
+        if (end.kind == EndKind::Failed)
+            m_failed[end.task].insert(end.run);
     }
 }
 
@@ -393,6 +395,16 @@
     return count;
 }
 
+int CellWorld::mostFailures(const JobId& job) const
+{
+    std::size_t most = 0;
+    for (const auto& [task, runs] : m_failed) {
+        if (task.job == job)
+            most = std::max(most, runs.size());
+    }
+    return static_cast<int>(most);
+}
+
 std::string CellWorld::openJobs() const
 {
     std::string open;
--- a/packages/jobs/model/cell_world.h
+++ b/packages/jobs/model/cell_world.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <queue>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -48,6 +49,9 @@
     TimePoint now() const { return m_now; }
     int runningOf(const JobId& job) const;
 
+    /// Failed runs of that subtask of the job which failed most often, as far as its workers have listed them.
+    int mostFailures(const JobId& job) const;
+
     /// Jobs that were accepted and are not shown as ended, with what they wait for.
     std::string openJobs() const;
 
@@ -123,6 +127,7 @@
     std::map<JobId, TimePoint> m_accepted;
     std::map<JobId, TimePoint> m_cancelled; ///< When the cancel was stored.
     std::map<CallToken, JobId> m_cancels;
+    std::map<TaskRef, std::set<RunNumber>> m_failed;
     std::map<TaskRef, bool> m_done; ///< Ended as done anywhere.
     std::vector<std::string> m_violations;
     int m_starts { 0 };
--- a/packages/jobs/src/cell.cpp
+++ b/packages/jobs/src/cell.cpp
@@ -136,7 +136,7 @@
 
 void Cell::workersStored(WorkerMachines workers) { m_state->storedWorkers = std::move(workers); }
 
-Acceptance Cell::submit(Job job, CallToken token, TimePoint now)
+Acceptance Cell::submit(const Job& job, CallToken token, TimePoint now)
 {
     CellState& state = *m_state;
     if (JobEntry* known = state.find(job.id)) {
--- a/packages/jobs/src/cell_runs.cpp
+++ b/packages/jobs/src/cell_runs.cpp
@@ -49,13 +49,13 @@
         places.erase(place);
 }
 
-void CellState::runOver(Worker& worker, const TaskRef& taskInRuns, bool isFailure)
+void CellState::runOver(Worker& worker, const TaskRef& taskInRuns)
 {
     const TaskRef task = taskInRuns; // The one handed in may lie in the run that goes.
     release(worker, task);
     JobEntry* entry = find(task.job);
     if (entry && entry->progress.has(task))
-        entry->progress.ended(task, isFailure);
+        entry->progress.ended(task);
 }
 
 void CellState::lost(Worker& worker)
@@ -64,7 +64,7 @@
     for (const auto& [task, run] : worker.runs)
         tasks.push_back(task);
     for (const TaskRef& task : tasks)
-        runOver(worker, task, false);
+        runOver(worker, task);
     foreignWorkers.erase(worker.description.id);
 }
 
@@ -153,11 +153,9 @@
         if (isFailure)
             noteFailure(worker, now);
         if (isKnownRun)
-            entry->progress.ended(end.task, false);
-        if (isFailure && isOpen && !step.isLasting) {
-            const TaskRef counted { end.task.job, end.task.occurrence, end.task.step,
-                step.isGang ? 0 : end.task.index };
-            ++entry->progress.task(counted).failures;
+            entry->progress.ended(end.task);
+        const TaskRef counted { end.task.job, end.task.occurrence, end.task.step, step.isGang ? 0 : end.task.index };
+        if (isFailure && isOpen && !step.isLasting && entry->progress.countFailure(counted, end.run)) {
             changed(*entry);
             endIfOver(*entry, counted);
             isUrgent = isUrgent || entry->progress.hasEnded();
@@ -243,7 +241,7 @@
             gone.push_back(task);
     }
     for (const TaskRef& task : gone)
-        runOver(worker, task, false);
+        runOver(worker, task);
 }
 
 void CellState::startFailed(Worker& worker, const StartOrder& order, Run& run)
@@ -251,7 +249,7 @@
     if (run.mayComeLate || run.phase == RunPhase::Stopping)
         sendStop(worker, order.task, order.run);
     else
-        runOver(worker, order.task, false);
+        runOver(worker, order.task);
 }
 
 void Cell::onAnswer(const StartOrder& order, const CallAnswer& answer, TimePoint now)
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -158,7 +158,7 @@
     // Runs: cell_runs.cpp
     Run& addRun(Worker& worker, const TaskRef& task, RunNumber number, const Step& step);
     void release(Worker& worker, const TaskRef& task);
-    void runOver(Worker& worker, const TaskRef& task, bool isFailure);
+    void runOver(Worker& worker, const TaskRef& task);
     void lost(Worker& worker);
     void takeEnd(Worker& worker, const EndEntry& end, TimePoint now);
     void takeRunning(Worker& worker, const LookReport& report, TimePoint sentAt, TimePoint now);
--- a/packages/jobs/src/job_progress.cpp
+++ b/packages/jobs/src/job_progress.cpp
@@ -37,6 +37,7 @@
             continue;
         m_hasStarted = true;
         task(ref).failures = entry.failures;
+        task(ref).lastFailedRun = entry.lastFailedRun;
         if (entry.isDone)
             markDone(ref);
     }
@@ -122,14 +123,22 @@
         setPhase(ref, TaskPhase::Running);
 }
 
-void JobProgress::ended(const TaskRef& ref, bool isFailure)
+void JobProgress::ended(const TaskRef& ref)
 {
-    Task& changed = task(ref);
-    changed.failures += isFailure ? 1 : 0;
-    if (changed.phase != TaskPhase::Done)
+    if (task(ref).phase != TaskPhase::Done)
         setPhase(ref, TaskPhase::Waiting);
 }
 
+bool JobProgress::countFailure(const TaskRef& ref, RunNumber run)
+{
+    Task& changed = task(ref);
+    if (run <= changed.lastFailedRun)
+        return false;
+    changed.lastFailedRun = run;
+    ++changed.failures;
+    return true;
+}
+
 void JobProgress::markDone(const TaskRef& ref)
 {
     if (task(ref).phase != TaskPhase::Done)
@@ -184,7 +193,7 @@
                 const Task& each = tasks[static_cast<std::size_t>(index)];
                 const bool isDone = each.phase == TaskPhase::Done;
                 if (isDone || each.failures > 0)
-                    stored.tasks.push_back({ occurrence, step, index, isDone, each.failures });
+                    stored.tasks.push_back({ occurrence, step, index, isDone, each.failures, each.lastFailedRun });
             }
         }
     }
--- a/packages/jobs/src/maintenance.cpp
+++ b/packages/jobs/src/maintenance.cpp
@@ -271,7 +271,7 @@
     }
 }
 
-std::set<MachineId> Maintenance::busy() const
+std::set<MachineId> Maintenance::closing() const
 {
     std::set<MachineId> machines = m_closing;
     for (const auto& [id, tracked] : m_machines) {
--- a/packages/jobs/src/owned_part.cpp
+++ b/packages/jobs/src/owned_part.cpp
@@ -41,7 +41,7 @@
     }
 }
 
-OwnedPart::OwnedPart(PoolId cell, NodeId self, const std::optional<OwnerRow>& found, RowVersion foundVersion)
+OwnedPart::OwnedPart(const PoolId& cell, NodeId self, const std::optional<OwnerRow>& found, RowVersion foundVersion)
     : m_part(cell.value())
     , m_self(std::move(self))
     , m_version(foundVersion)
--- a/packages/jobs/tests/cell_walk_tests.cpp
+++ b/packages/jobs/tests/cell_walk_tests.cpp
@@ -95,6 +95,8 @@
         const auto state = walk.world().shown(job);
         EXPECT_TRUE(state == JobState::Completed || state == JobState::Failed)
             << "seed " << seed << ": " << job << ' ' << walk.world().openJobs();
+        EXPECT_TRUE(state != JobState::Failed || walk.world().mostFailures(job) >= 3)
+            << "seed " << seed << ": " << job << " failed after " << walk.world().mostFailures(job) << " failures";
     }
     for (const JobId& job : walk.lasting()) {
         if (!walk.world().isAccepted(job))
@@ -125,7 +127,7 @@
 
 TEST(CellWalk, OwnersFollowEachOther)
 {
-    walkMany({ .lostOrders = 0.03, .failedRuns = 0.05, .takeoversPerSecond = 0.2 }, 20, 60);
+    walkMany({ .lostOrders = 0.03, .failedRuns = 0.2, .takeoversPerSecond = 0.4 }, 30, 60);
 }
 
 TEST(CellWalk, EverythingTogether)
--- a/packages/jobs/tests/job_tests.cpp
+++ b/packages/jobs/tests/job_tests.cpp
@@ -73,7 +73,8 @@
     JobProgress progress { job };
     progress.starting({ job.id, 0, 0, 1 }, 1);
     progress.running({ job.id, 0, 0, 1 });
-    progress.ended({ job.id, 0, 0, 1 }, true);
+    progress.ended({ job.id, 0, 0, 1 });
+    EXPECT_TRUE(progress.countFailure({ job.id, 0, 0, 1 }, 1));
     progress.done({ job.id, 0, 0, 0 });
     const auto stored = valueOrNothing([&] { return decodeProgress(encode(progress.stored())); });
     ASSERT_TRUE(stored);
@@ -84,6 +85,19 @@
     EXPECT_EQ(again.waitingTasks(0, 0), 1);
 }
 
+TEST(JobProgress, FailureThatIsListedAgainToTheNextOwnerCountsOnce)
+{
+    const Job job = twoSteps();
+    JobProgress progress { job };
+    const TaskRef task { job.id, 0, 0, 1 };
+    EXPECT_TRUE(progress.countFailure(task, 7));
+    JobProgress next { job, progress.stored() };
+    EXPECT_FALSE(next.countFailure(task, 7));
+    EXPECT_EQ(next.task(task).failures, 1);
+    EXPECT_TRUE(next.countFailure(task, 8));
+    EXPECT_EQ(next.task(task).failures, 2);
+}
+
 TEST(JobProgress, OccurrencesBecomeReadyInTime)
 {
     Job job = twoSteps();
--- a/packages/jobs/tests/maintenance_tests.cpp
+++ b/packages/jobs/tests/maintenance_tests.cpp
@@ -181,6 +181,32 @@
     EXPECT_LE(fleet.mostDown(), 4);
 }
 
+TEST(Maintenance, MachineStaysClosedUntilItIsBack)
+{
+    const TimePoint now { 1000s };
+    const MachineId id { "m" };
+    const std::set<MachineId> only { id };
+    Machine machine { id, PoolId { "p" }, MachineState::Up, "a", "r", { Millicores { 1 }, {}, {} }, WorkerId { "1" } };
+    Maintenance maintenance { {}, TimePoint {} };
+    maintenance.setCells({ PoolId { "p" } });
+    maintenance.setWaves({ { 1, { id }, 20s, 1 } }, 0);
+    maintenance.setMachines({ machine }, now, now);
+    EXPECT_TRUE(maintenance.step(now, 0).orders.empty());
+    EXPECT_EQ(maintenance.closing(), only);
+    maintenance.setEmptied(only);
+    ASSERT_EQ(maintenance.step(now, 0).orders.size(), 1U);
+    EXPECT_EQ(maintenance.closing(), only); // While the order is on its way, nothing may be put there.
+    (void)maintenance.step(now + 200ms, 200);
+    EXPECT_EQ(maintenance.closing(), only);
+    maintenance.onAnswer({ id, 1 }, MachineCallStatus::Done, now + 300ms);
+    (void)maintenance.step(now + 400ms, 400);
+    EXPECT_EQ(maintenance.closing(), only);
+    machine.worker = WorkerId { "2" };
+    maintenance.setMachines({ machine }, now + 3s, now + 3s);
+    (void)maintenance.step(now + 3s, 3000);
+    EXPECT_TRUE(maintenance.closing().empty());
+}
+
 TEST(Maintenance, StoredProgressGoesThereAndBack)
 {
     const WaveProgress progress { 4, 99, { MachineId { "a" }, MachineId { "b" } }, true };
--- a/packages/node/include/rattanrack/node/cell_host.h
+++ b/packages/node/include/rattanrack/node/cell_host.h
@@ -59,7 +59,7 @@
     void setClosing(std::set<jobs::MachineId> machines);
     std::vector<jobs::MachineId> emptied() const { return m_cell.emptied(); }
 
-    jobs::Acceptance submit(jobs::Job job, jobs::CallToken token);
+    jobs::Acceptance submit(const jobs::Job& job, jobs::CallToken token);
     std::optional<jobs::Acceptance> cancel(const jobs::JobId& job, jobs::CallToken token);
     std::optional<jobs::JobState> state(const jobs::JobId& job) const { return m_cell.state(job); }
     int pending(const jobs::QueueId& queue) const { return m_cell.pending(queue); }
--- a/packages/node/include/rattanrack/node/worker_links.h
+++ b/packages/node/include/rattanrack/node/worker_links.h
@@ -40,8 +40,6 @@
     struct Sink;
     std::shared_ptr<Link> open(const jobs::WorkerId& worker, const std::string& address);
 
-    ControlLoop& m_control;
-    const Clock& m_clock;
     ElasticThreadPool& m_threads;
     jobs::WorkerConnector& m_connector;
     std::shared_ptr<Sink> m_sink;
--- a/packages/node/src/cell_host.cpp
+++ b/packages/node/src/cell_host.cpp
@@ -124,12 +124,12 @@
 
 void CellHost::setClosing(std::set<jobs::MachineId> machines) { m_cell.setClosing(std::move(machines)); }
 
-jobs::Acceptance CellHost::submit(jobs::Job job, jobs::CallToken token)
+jobs::Acceptance CellHost::submit(const jobs::Job& job, jobs::CallToken token)
 {
     const bool isKnown = m_cell.state(job.id).has_value();
     if (!isKnown && (m_isHandingBack || !m_writer.isStoreInReach()))
         return jobs::Acceptance::Refused;
-    const auto acceptance = m_cell.submit(std::move(job), token, m_parts.clock.now());
+    const auto acceptance = m_cell.submit(job, token, m_parts.clock.now());
     wake();
     return acceptance;
 }
--- a/packages/node/src/job_node.cpp
+++ b/packages/node/src/job_node.cpp
@@ -374,11 +374,11 @@
 
 void JobNode::State::submitHere(CellHost& host, const peer::JobCall& call, CallReply reply)
 {
-    auto job = valueOrNothing([&] { return jobs::decodeJob(call.body); });
+    const auto job = valueOrNothing([&] { return jobs::decodeJob(call.body); });
     if (!job)
         return reply({ 0, peer::JobCallStatus::Refused });
     const jobs::CallToken token = ++lastToken;
-    switch (host.submit(std::move(*job), token)) {
+    switch (host.submit(*job, token)) {
     case jobs::Acceptance::Stored:
         return reply({ 0, peer::JobCallStatus::Done });
     case jobs::Acceptance::Refused:
--- a/packages/node/src/machine_duty.cpp
+++ b/packages/node/src/machine_duty.cpp
@@ -226,7 +226,7 @@
         for (const jobs::WaveProgress& wave : output.changed)
             m_unwritten.push_back({ { waveTable, std::to_string(wave.number) }, encode(wave) });
         report();
-        m_plan.setReserved(m_maintenance.busy());
+        m_plan.setReserved(m_maintenance.closing());
         for (const jobs::MoveOrder& each : m_plan.step(now))
             order(each);
         keepSizes();
--- a/packages/node/src/worker_links.cpp
+++ b/packages/node/src/worker_links.cpp
@@ -129,9 +129,7 @@
 
 WorkerLinks::WorkerLinks(ControlLoop& control, const Clock& clock, ElasticThreadPool& threads,
     jobs::WorkerConnector& connector, Answers answers)
-    : m_control(control)
-    , m_clock(clock)
-    , m_threads(threads)
+    : m_threads(threads)
     , m_connector(connector)
     , m_sink(std::make_shared<Sink>(Sink { control, clock, std::move(answers) }))
 {
