Close links to workers that are used no more

Cause: each maintenance and move gives a machine a new worker, and the link to the old one kept its two threads until the cell was lost; after some three hundred workers a cell would have got no thread for the next one. Change: links to workers that the cell does not use are closed, their threads serve the next. What nothing used is gone.

--- a/packages/jobs/include/rattanrack/jobs/cell.h
+++ b/packages/jobs/include/rattanrack/jobs/cell.h
@@ -71,7 +71,7 @@
 
 /// What happened, for logs and metrics.
 struct CellEvent {
-    enum class Kind : std::uint8_t { JobAccepted, JobEnded, RunEnded, WorkerSilent, WorkerBack, FenceSeen };
+    enum class Kind : std::uint8_t { JobAccepted, JobEnded, WorkerSilent, WorkerBack, FenceSeen };
     Kind kind { Kind::JobAccepted };
     std::string subject; ///< Id of the job, name of the worker.
     std::string detail;
--- a/packages/jobs/include/rattanrack/jobs/lease_clock.h
+++ b/packages/jobs/include/rattanrack/jobs/lease_clock.h
@@ -23,9 +23,6 @@
     /// Forgets the clock, not the grants.
     void forgetClock() { m_isKnown = false; }
 
-    /// Takes into account what an earlier owner may have granted.
-    void noteForeignGrant(TimePoint lapsedAt);
-
 private:
     bool m_isKnown { false };
     std::int64_t m_clockMs { 0 };
--- a/packages/jobs/model/cell_world.cpp
+++ b/packages/jobs/model/cell_world.cpp
@@ -128,9 +128,9 @@
 void CellWorld::takeOver()
 {
     std::vector<StoredJob> stored;
-    for (const auto& [id, row] : m_jobRows) {
-        StoredJob job { valueOrNothing([&] { return decodeJob(row); }).value(), {} };
-        const auto progress = m_progressRows.find(id);
+    for (const auto& row : m_jobRows) {
+        StoredJob job { valueOrNothing([&] { return decodeJob(row.second); }).value(), {} };
+        const auto progress = m_progressRows.find(row.first);
         if (progress != m_progressRows.end())
             job.progress = valueOrNothing([&] { return decodeProgress(progress->second); }).value();
         stored.push_back(std::move(job));
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -63,7 +63,6 @@
     bool isLookOnItsWay { false };
     bool isLookWanted { true };
     TimePoint lookAt {};
-    TimePoint lookedAt {}; ///< When the last answered look was sent.
     int failuresInRow { 0 };
     TimePoint avoidUntil {};
     Pacing pacing;
--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -117,7 +117,6 @@
         state.tell(CellEvent::Kind::WorkerBack, order.worker.value());
     worker.contact = WorkerContact::InTouch;
     worker.clock.observe(report.workerClockMs, now);
-    worker.lookedAt = sentAt;
     state.foreignWorkers.erase(order.worker);
     for (const EndEntry& end : report.ends)
         state.takeEnd(worker, end, now);
--- a/packages/jobs/src/lease_clock.cpp
+++ b/packages/jobs/src/lease_clock.cpp
@@ -34,6 +34,4 @@
     return m_latestEndMs;
 }
 
-void LeaseClock::noteForeignGrant(TimePoint lapsedAt) { m_lapsedAt = std::max(m_lapsedAt, lapsedAt); }
-
 } // namespace rattanrack::jobs
--- a/packages/node/include/rattanrack/node/worker_links.h
+++ b/packages/node/include/rattanrack/node/worker_links.h
@@ -30,8 +30,9 @@
     WorkerLinks(const WorkerLinks&) = delete;
     WorkerLinks& operator=(const WorkerLinks&) = delete;
 
-    /// Where the workers are now; links to others that have nothing left to carry are closed.
-    void setAddresses(const std::map<jobs::WorkerId, std::string>& addresses);
+    /// Where the workers are now. Links to workers that are not in use any more are closed, and so are those whose
+    /// worker has moved; a worker in use that is not listed keeps its last address.
+    void setAddresses(const std::map<jobs::WorkerId, std::string>& listed, const jobs::WorkerMachines& inUse);
 
     void send(jobs::Order order);
 
--- a/packages/node/src/cell_host.cpp
+++ b/packages/node/src/cell_host.cpp
@@ -117,8 +117,8 @@
         addresses[worker.id] = worker.address;
         own.push_back(worker);
     }
-    m_links.setAddresses(addresses);
     m_cell.setWorkers(own, m_parts.clock.now());
+    m_links.setAddresses(addresses, m_cell.workersInUse());
     wake();
 }
 
@@ -209,8 +209,7 @@
 
 void CellHost::log(const jobs::CellEvent& event)
 {
-    constexpr const char* names[]
-        = { "job.accepted", "job.ended", "run.ended", "worker.silent", "worker.back", "fence.seen" };
+    constexpr const char* names[] = { "job.accepted", "job.ended", "worker.silent", "worker.back", "fence.seen" };
     const char* name = names[static_cast<std::size_t>(event.kind)];
     logEvent(name,
         { { "cell", m_pool.value() }, { "subject", event.subject }, { "detail", event.detail },
--- a/packages/node/src/worker_links.cpp
+++ b/packages/node/src/worker_links.cpp
@@ -142,16 +142,17 @@
         link->close();
 }
 
-void WorkerLinks::setAddresses(const std::map<jobs::WorkerId, std::string>& addresses)
+void WorkerLinks::setAddresses(const std::map<jobs::WorkerId, std::string>& listed, const jobs::WorkerMachines& inUse)
 {
-    // A worker that is listed no more may still be there: its last address is kept.
-    for (const auto& [worker, address] : addresses)
+    for (const auto& [worker, address] : listed)
         m_addresses[worker] = address;
+    std::erase_if(m_addresses, [&](const auto& each) { return !inUse.contains(each.first); });
     std::erase_if(m_links, [&](const auto& link) {
-        const bool isElsewhere = m_addresses.at(link.first) != link.second->address();
-        if (isElsewhere)
+        const auto address = m_addresses.find(link.first);
+        const bool isOver = address == m_addresses.end() || address->second != link.second->address();
+        if (isOver)
             link.second->close();
-        return isElsewhere;
+        return isOver;
     });
 }
 
