--- a/packages/jobs/include/rattanrack/jobs/capacity_plan.h
+++ b/packages/jobs/include/rattanrack/jobs/capacity_plan.h
@@ -65,6 +65,7 @@
     void giveUpOld(TimePoint now);
     void growFlooded(TimePoint now);
     void giveBack(TimePoint now);
+    void begin(const Machine& machine, const PoolId& to, TimePoint now);
     bool take(const PoolId& to, TimePoint now);
     const Machine* bestSource(const PoolId& to) const;
     bool mayMove(const Machine& machine, const PoolId& to) const;
--- a/packages/jobs/include/rattanrack/jobs/job_progress.h
+++ b/packages/jobs/include/rattanrack/jobs/job_progress.h
@@ -91,7 +91,6 @@
     StoredProgress stored() const;
     std::int64_t endedAtUnixMs() const { return m_endedAtUnixMs; }
     int occurrences() const { return static_cast<int>(m_occurrences.size()); }
-    int remainingTasks() const { return m_totalTasks - m_doneTasks; }
 
 private:
     struct StepProgress {
--- a/packages/jobs/include/rattanrack/jobs/ownership.h
+++ b/packages/jobs/include/rattanrack/jobs/ownership.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -50,7 +51,7 @@
 public:
     Ownership(NodeId self, std::string address, TimePoint now);
 
-    void setCells(std::vector<PoolId> cells, TimePoint now);
+    void setCells(std::vector<PoolId> cells);
 
     /// A node that the store lists; it is live once it has been heard.
     void learnAddress(const std::string& address);
@@ -101,8 +102,7 @@
     std::map<PoolId, Fence> m_held;
     std::map<PoolId, TimePoint> m_tryAgainAt;
     std::map<NodeId, Peer> m_peers;
-    std::map<std::string, TimePoint> m_learned; ///< Addresses without news, and when they were learned.
-    TimePoint m_cellsKnownAt {};
+    std::set<std::string> m_learned; ///< Addresses without news.
     mutable TimePoint m_unbalancedSince {};
 };
 
--- a/packages/jobs/include/rattanrack/jobs/part_store.h
+++ b/packages/jobs/include/rattanrack/jobs/part_store.h
@@ -85,4 +85,8 @@
     virtual Result<RowPage> changes(const std::string& table, RowVersion version, Duration wait) = 0;
 };
 
+/// All rows of a table in a part, page by page; the version is that of the first page, so that nothing is missed by
+/// asking for changes after it. Blocks. Errors: Unavailable, MalformedMessage.
+Result<RowPage> readAll(PartStore& store, const std::string& table, const std::string& part);
+
 } // namespace rattanrack::jobs
--- a/packages/jobs/model/cell_world.cpp
+++ b/packages/jobs/model/cell_world.cpp
@@ -17,19 +17,11 @@
 constexpr Duration storeTime = 10ms;
 constexpr Duration commitPause = 40ms;
 constexpr Duration takeoverTime = 1500ms;
-constexpr Duration cancelTime = 3s;
-constexpr int attempts = 3;
 constexpr const char* queueName = "queue";
 const PoolId poolName { "pool" };
 
 CellSettings settingsOf(Fence term) { return { poolName, term, 4500ms, 10500ms, 120s }; }
 
-std::string describe(const TaskRef& task)
-{
-    return task.job.value() + '.' + std::to_string(task.occurrence) + '.' + std::to_string(task.step) + '.'
-        + std::to_string(task.index);
-}
-
 } // namespace
 
 CellWorld::CellWorld(std::uint64_t seed, int workers, const WorldFaults& faults)
@@ -65,11 +57,6 @@
     m_events.push({ m_now + delay, ++m_sequence, std::move(work) });
 }
 
-void CellWorld::violate(const std::string& what)
-{
-    m_violations.push_back(std::to_string(m_now.time_since_epoch().count() / 1000) + " ms: " + what);
-}
-
 void CellWorld::run(Duration time)
 {
     const TimePoint until = m_now + time;
@@ -339,83 +326,4 @@
     after(wayThere, [tell, answer] { tell(answer); });
 }
 
-void CellWorld::noteEnds(const LookReport& report)
-{
-    for (const EndEntry& end : report.ends) {
-        if (end.kind == EndKind::Done)
-            m_done[end.task] = true;
-        if (end.kind == EndKind::Failed)
-            m_failed[end.task].insert(end.run);
-    }
-}
-
-void CellWorld::checkStart(const ModelWorker& worker, const StartOrder& order)
-{
-    ++m_starts;
-    const Job& job = m_jobs.at(order.task.job);
-    const Step& step = job.spec.steps[static_cast<std::size_t>(order.task.step)];
-    for (const ModelWorker& other : m_workers) {
-        const bool isOther = other.description().id != worker.description().id;
-        if (isOther && other.isUp() && other.runs().contains(order.task))
-            violate("two runs at once of " + describe(order.task) + " on " + worker.description().id.value() + " and "
-                + other.description().id.value());
-    }
-    for (const int earlier : step.after) {
-        const int count = job.spec.steps[static_cast<std::size_t>(earlier)].count;
-        for (int index = 0; index < count; ++index) {
-            if (!m_done[{ job.id, order.task.occurrence, earlier, index }])
-                violate("started before what it comes after: " + describe(order.task));
-        }
-    }
-    const auto stored = m_progressRows.find(job.id);
-    if (stored != m_progressRows.end()) {
-        const auto progress = valueOrNothing([&] { return decodeProgress(stored->second); }).value();
-        for (const StoredTask& task : progress.tasks) {
-            const bool isIt = task.occurrence == order.task.occurrence && task.step == order.task.step
-                && task.index == order.task.index;
-            if (isIt && task.isDone)
-                violate("started after it was done and stored: " + describe(order.task));
-            if (isIt && task.failures >= attempts && !step.isLasting)
-                violate("started after its attempts were used up: " + describe(order.task));
-        }
-    }
-    const auto cancelled = m_cancelled.find(job.id);
-    const bool isByPresentOwner = order.fence == m_term;
-    if (cancelled != m_cancelled.end() && m_now > cancelled->second + cancelTime && isByPresentOwner)
-        violate("started long after its cancel: " + describe(order.task));
-}
-
-int CellWorld::runningOf(const JobId& job) const
-{
-    int count = 0;
-    for (const ModelWorker& worker : m_workers) {
-        for (const auto& [task, run] : worker.runs())
-            count += task.job == job ? 1 : 0;
-    }
-    return count;
-}
-
-int CellWorld::mostFailures(const JobId& job) const
-{
-    std::size_t most = 0;
-    for (const auto& [task, runs] : m_failed) {
-        if (task.job == job)
-            most = std::max(most, runs.size());
-    }
-    return static_cast<int>(most);
-}
-
-std::string CellWorld::openJobs() const
-{
-    std::string open;
-    for (const auto& [id, at] : m_accepted) {
-        const auto state = shown(id);
-        if (!state)
-            open += id.value() + " unknown; ";
-        else if (*state == JobState::Queued || *state == JobState::Active)
-            open += id.value() + " open, " + std::to_string(runningOf(id)) + " running; ";
-    }
-    return open;
-}
-
 } // namespace rattanrack::jobs::model
--- a/packages/jobs/model/cell_world.h
+++ b/packages/jobs/model/cell_world.h
@@ -17,6 +17,8 @@
 /// only what workers and callers see.
 namespace rattanrack::jobs::model {
 
+constexpr int attempts = 3; ///< Of each subtask.
+
 struct WorldFaults {
     double lostOrders { 0 }; ///< Share of the orders that get no answer and are carried out seconds later.
     double lostAnswers { 0 }; ///< Share of the orders that are carried out at once and get no answer.
--- a/packages/jobs/src/capacity_plan.cpp
+++ b/packages/jobs/src/capacity_plan.cpp
@@ -131,6 +131,13 @@
     return best;
 }
 
+void CapacityPlan::begin(const Machine& machine, const PoolId& to, TimePoint now)
+{
+    m_transfers[machine.id] = { to, machine.worker, false, false, false, now, {} };
+    --m_pools[machine.pool].present;
+    ++m_pools[to].arriving;
+}
+
 bool CapacityPlan::take(const PoolId& to, TimePoint now)
 {
     const Machine* source = bestSource(to);
@@ -141,9 +148,7 @@
         if (busy != m_busyAt.end() && now - busy->second < quietBeforeLending)
             return false;
     }
-    m_transfers[source->id] = { to, source->worker, false, false, false, now, {} };
-    --m_pools[source->pool].present;
-    ++m_pools[to].arriving;
+    begin(*source, to, now);
     return true;
 }
 
@@ -179,9 +184,7 @@
         }
         if (to.isEmpty())
             continue;
-        m_transfers[id] = { to, machine.worker, false, false, false, now, {} };
-        --m_pools[machine.pool].present;
-        ++m_pools[to].arriving;
+        begin(machine, to, now);
     }
 }
 
--- /dev/null
+++ b/packages/jobs/src/cbor.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "rattanrack/base/error.h"
+
+#include <nlohmann/json.hpp>
+
+#include <string>
+#include <utility>
+
+/// The bytes of rows and messages.
+namespace rattanrack::jobs {
+
+inline std::string toCbor(const nlohmann::json& json)
+{
+    std::string bytes;
+    nlohmann::json::to_cbor(json, bytes);
+    return bytes;
+}
+
+/// What `decoder` makes of the document; it may meet fields that are absent or of another type anywhere. Errors:
+/// MalformedMessage.
+template <typename Decoder>
+auto fromCbor(const char* step, const std::string& bytes, const Decoder& decoder)
+    -> Result<decltype(decoder(std::declval<nlohmann::json>()))>
+{
+    const auto json = nlohmann::json::from_cbor(bytes, true, false);
+    if (json.is_discarded())
+        return fail(ErrorCode::MalformedMessage, step, "", "not CBOR");
+    try {
+        return decoder(json);
+    } catch (const nlohmann::json::exception& error) {
+        return fail(ErrorCode::MalformedMessage, step, "", error.what());
+    }
+}
+
+} // namespace rattanrack::jobs
--- a/packages/jobs/src/cell.cpp
+++ b/packages/jobs/src/cell.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::size_t maxRowsInCommit = 90;
 constexpr std::size_t maxBytesInCommit = 600'000;
+constexpr Duration forgetPeriod = std::chrono::seconds { 1 };
 
 std::int64_t milliseconds(Duration duration)
 {
@@ -65,10 +66,11 @@
     return found == jobs.end() ? nullptr : found->second.get();
 }
 
-QueueSettings CellState::queueOf(const JobEntry& entry) const
+const QueueSettings& CellState::queueOf(const JobEntry& entry) const
 {
+    static const QueueSettings s_unknownQueue;
     const auto found = queues.find(entry.job.queue);
-    return found == queues.end() ? QueueSettings { entry.job.queue, settings.pool } : found->second;
+    return found == queues.end() ? s_unknownQueue : found->second;
 }
 
 const Step& CellState::stepOf(const JobEntry& entry, const TaskRef& task)
@@ -310,15 +312,23 @@
     if (mayStart)
         state.schedule(now, unixMs);
     state.sendLooks(now, mayStart);
-    for (auto& [id, entry] : state.jobs) {
+    if (now >= state.forgetAt) {
+        state.forgetAt = now + forgetPeriod;
+        state.forgetOldJobs();
+    }
+    return std::exchange(state.output, {});
+}
+
+void CellState::forgetOldJobs()
+{
+    for (auto& [id, entry] : jobs) {
         const bool isOver = entry->progress.hasEnded() && entry->progress.endedAtUnixMs() > 0
-            && unixMs - entry->progress.endedAtUnixMs() > milliseconds(state.settings.keepEnded);
+            && unixMs - entry->progress.endedAtUnixMs() > milliseconds(settings.keepEnded);
         if (isOver && entry->isStored && !entry->isForgotten && entry->revision == entry->storedRevision) {
             entry->isForgotten = true;
-            state.changed(*entry);
+            changed(*entry);
         }
     }
-    return std::exchange(state.output, {});
 }
 
 } // namespace rattanrack::jobs
--- a/packages/jobs/src/cell_runs.cpp
+++ b/packages/jobs/src/cell_runs.cpp
@@ -19,6 +19,13 @@
 
 bool isSame(const Run& run, RunNumber number) { return run.number == number; }
 
+/// Carried out, now or before: a later look tells what came of it.
+bool isTaken(const CallAnswer& answer)
+{
+    return answer.status == CallStatus::Done
+        || (answer.status == CallStatus::Refused && answer.refusal == Refusal::Old);
+}
+
 } // namespace
 
 Run& CellState::addRun(Worker& worker, const TaskRef& task, RunNumber number, const Step& step)
@@ -244,6 +251,21 @@
         runOver(worker, task);
 }
 
+AnsweredRun CellState::answeredRun(
+    const WorkerId& id, const TaskRef& task, RunNumber number, const CallAnswer& answer, TimePoint now)
+{
+    const auto worker = workers.find(id);
+    if (worker == workers.end())
+        return {};
+    if (answer.workerClockMs > 0)
+        worker->second.clock.observe(answer.workerClockMs, now);
+    const auto run = worker->second.runs.find(task);
+    if (run == worker->second.runs.end() || !isSame(run->second, number))
+        return {};
+    run->second.isOrderOnItsWay = false;
+    return { &worker->second, &run->second };
+}
+
 void CellState::startFailed(Worker& worker, const StartOrder& order, Run& run)
 {
     if (run.mayComeLate || run.phase == RunPhase::Stopping)
@@ -255,20 +277,12 @@
 void Cell::onAnswer(const StartOrder& order, const CallAnswer& answer, TimePoint now)
 {
     CellState& state = *m_state;
-    const auto known = state.workers.find(order.worker);
-    if (known == state.workers.end())
+    const AnsweredRun answered = state.answeredRun(order.worker, order.task, order.run, answer, now);
+    if (!answered.run)
         return;
-    Worker& worker = known->second;
-    if (answer.workerClockMs > 0)
-        worker.clock.observe(answer.workerClockMs, now);
-    const auto found = worker.runs.find(order.task);
-    if (found == worker.runs.end() || !isSame(found->second, order.run))
-        return;
-    Run& run = found->second;
-    run.isOrderOnItsWay = false;
-    const bool isThere
-        = answer.status == CallStatus::Done || (answer.status == CallStatus::Refused && answer.refusal == Refusal::Old);
-    if (isThere) {
+    Worker& worker = *answered.worker;
+    Run& run = *answered.run;
+    if (isTaken(answer)) {
         run.settledAt = now;
         run.mayComeLate = false;
         worker.isLookWanted = true;
@@ -312,24 +326,16 @@
 void Cell::onAnswer(const StopOrder& order, const CallAnswer& answer, TimePoint now)
 {
     CellState& state = *m_state;
-    const auto known = state.workers.find(order.worker);
-    if (known == state.workers.end())
+    const AnsweredRun answered = state.answeredRun(order.worker, order.task, order.run, answer, now);
+    if (!answered.run)
         return;
-    Worker& worker = known->second;
-    if (answer.workerClockMs > 0)
-        worker.clock.observe(answer.workerClockMs, now);
-    const auto found = worker.runs.find(order.task);
-    if (found == worker.runs.end() || !isSame(found->second, order.run))
-        return;
-    Run& run = found->second;
-    run.isOrderOnItsWay = false;
+    Worker& worker = *answered.worker;
+    Run& run = *answered.run;
     if (answer.status == CallStatus::WrongWorker) {
         state.lost(worker);
         return;
     }
-    const bool isTaken
-        = answer.status == CallStatus::Done || (answer.status == CallStatus::Refused && answer.refusal == Refusal::Old);
-    if (isTaken) {
+    if (isTaken(answer)) {
         run.settledAt = now;
         run.mayComeLate = false;
         worker.isLookWanted = true;
--- a/packages/jobs/src/cell_schedule.cpp
+++ b/packages/jobs/src/cell_schedule.cpp
@@ -77,7 +77,7 @@
         longestWhole = std::max(longestWhole, whole.back());
         longestLeft = std::max(longestLeft, left.back());
     }
-    const QueueSettings queue = queueOf(entry);
+    const QueueSettings& queue = queueOf(entry);
     const auto objective
         = Duration { static_cast<std::int64_t>(static_cast<double>(longestWhole.count()) * queue.stretch) }
         + queue.latencyTarget;
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -70,6 +70,12 @@
     bool isClosedFor(TimePoint now) const { return now < avoidUntil; }
 };
 
+/// What the answer to a start or stop is about; no run when it has been released since.
+struct AnsweredRun {
+    Worker* worker { nullptr };
+    Run* run { nullptr };
+};
+
 struct StepTicket {
     std::map<WorkerId, std::string> tickets;
     TimePoint validUntil {};
@@ -145,12 +151,13 @@
     bool isCommitOnItsWay { false };
     bool isUrgent { false };
     std::int64_t unixMs { 0 }; ///< Wall clock of the latest step.
+    TimePoint forgetAt {}; ///< When jobs that ended long ago are looked for next.
     Millicores waiting; ///< Wanted by what was ready at the latest decision and found no place.
     CellOutput output;
 
     JobEntry* find(const JobId& job);
     const JobEntry* find(const JobId& job) const;
-    QueueSettings queueOf(const JobEntry& entry) const;
+    const QueueSettings& queueOf(const JobEntry& entry) const;
     static const Step& stepOf(const JobEntry& entry, const TaskRef& task);
     void tell(CellEvent::Kind kind, std::string subject, std::string detail = {}, Duration age = {});
 
@@ -166,10 +173,13 @@
     void stopAll(JobEntry& entry);
     void stopGang(JobEntry& entry, const TaskRef& member);
     void noteFailure(Worker& worker, TimePoint now);
+    AnsweredRun answeredRun(
+        const WorkerId& id, const TaskRef& task, RunNumber number, const CallAnswer& answer, TimePoint now);
     void startFailed(Worker& worker, const StartOrder& order, Run& run);
     void changed(JobEntry& entry);
     void endIfOver(JobEntry& entry, const TaskRef& failed);
     void advanceAcks();
+    void forgetOldJobs();
 
     // Workers: cell_workers.cpp
     void sendLooks(TimePoint now, bool mayRenew);
--- a/packages/jobs/src/job_codec.cpp
+++ b/packages/jobs/src/job_codec.cpp
@@ -1,8 +1,6 @@
 #include "rattanrack/jobs/job_codec.h"
 
-#include <nlohmann/json.hpp>
-
-#include <utility>
+#include "cbor.h"
 
 namespace rattanrack::jobs {
 
@@ -10,13 +8,6 @@
 
 using Json = nlohmann::json;
 
-std::string toBytes(const Json& json)
-{
-    std::string bytes;
-    Json::to_cbor(json, bytes);
-    return bytes;
-}
-
 Json toJson(const Step& step)
 {
     return Json::array({ step.count, step.size.processors.count(), step.size.memory.count(),
@@ -77,21 +68,6 @@
     return progress;
 }
 
-/// Runs a decoder that may meet wrong types anywhere.
-template <typename Decoder>
-auto decode(const char* step, const std::string& bytes, const Decoder& decoder)
-    -> Result<decltype(decoder(std::declval<Json>()))>
-{
-    const Json json = Json::from_cbor(bytes, true, false);
-    if (json.is_discarded())
-        return fail(ErrorCode::MalformedMessage, step, "", "not CBOR");
-    try {
-        return decoder(json);
-    } catch (const Json::exception& error) {
-        return fail(ErrorCode::MalformedMessage, step, "", error.what());
-    }
-}
-
 } // namespace
 
 std::string encode(const Job& job)
@@ -100,14 +76,14 @@
     for (const Step& step : job.spec.steps)
         steps.push_back(toJson(step));
     const Schedule& schedule = job.spec.schedule;
-    return toBytes({ { "id", job.id.value() }, { "queue", job.queue.value() }, { "at", job.acceptedAtUnixMs },
+    return toCbor({ { "id", job.id.value() }, { "queue", job.queue.value() }, { "at", job.acceptedAtUnixMs },
         { "text", job.spec.text }, { "steps", std::move(steps) },
         { "schedule", Json::array({ schedule.times, schedule.firstAtUnixMs, schedule.intervalMs }) } });
 }
 
 Result<Job> decodeJob(const std::string& bytes)
 {
-    BOOST_LEAF_AUTO(job, decode("job.decode", bytes, jobFrom));
+    BOOST_LEAF_AUTO(job, fromCbor("job.decode", bytes, jobFrom));
     const std::string_view defect = defectOf(job.spec);
     if (!defect.empty())
         return fail(ErrorCode::MalformedMessage, "job.decode", "", std::string(defect));
@@ -120,13 +96,13 @@
     for (const StoredTask& task : progress.tasks)
         tasks.push_back(
             Json::array({ task.occurrence, task.step, task.index, task.isDone, task.failures, task.lastFailedRun }));
-    return toBytes({ { "ended", progress.endedAtUnixMs }, { "cancelled", progress.isCancelled },
+    return toCbor({ { "ended", progress.endedAtUnixMs }, { "cancelled", progress.isCancelled },
         { "failed", progress.isFailed }, { "completed", progress.isCompleted }, { "tasks", std::move(tasks) } });
 }
 
 Result<StoredProgress> decodeProgress(const std::string& bytes)
 {
-    return decode("progress.decode", bytes, progressFrom);
+    return fromCbor("progress.decode", bytes, progressFrom);
 }
 
 } // namespace rattanrack::jobs
--- a/packages/jobs/src/maintenance.cpp
+++ b/packages/jobs/src/maintenance.cpp
@@ -1,6 +1,6 @@
 #include "rattanrack/jobs/maintenance.h"
 
-#include <nlohmann/json.hpp>
+#include "cbor.h"
 
 #include <algorithm>
 #include <tuple>
@@ -29,27 +29,19 @@
     Json begun = Json::array();
     for (const MachineId& machine : progress.begun)
         begun.push_back(machine.value());
-    std::string bytes;
-    Json::to_cbor({ { "number", progress.number }, { "arrived", progress.arrivedUnixMs }, { "begun", std::move(begun) },
-                      { "completed", progress.isCompleted } },
-        bytes);
-    return bytes;
+    return toCbor({ { "number", progress.number }, { "arrived", progress.arrivedUnixMs }, { "begun", std::move(begun) },
+        { "completed", progress.isCompleted } });
 }
 
 Result<WaveProgress> decodeWaveProgress(const std::string& bytes)
 {
-    const Json json = Json::from_cbor(bytes, true, false);
-    if (json.is_discarded())
-        return fail(ErrorCode::MalformedMessage, "wave.decode", "", "not CBOR");
-    try {
+    return fromCbor("wave.decode", bytes, [](const Json& json) {
         WaveProgress progress { json.at("number").get<std::int64_t>(), json.at("arrived").get<std::int64_t>(), {},
             json.at("completed").get<bool>() };
         for (const Json& machine : json.at("begun"))
             progress.begun.insert(MachineId { machine.get<std::string>() });
         return progress;
-    } catch (const Json::exception& error) {
-        return fail(ErrorCode::MalformedMessage, "wave.decode", "", error.what());
-    }
+    });
 }
 
 Maintenance::Maintenance(std::vector<WaveProgress> stored, TimePoint mayOrderFrom)
--- a/packages/jobs/src/owned_part.cpp
+++ b/packages/jobs/src/owned_part.cpp
@@ -1,6 +1,6 @@
 #include "rattanrack/jobs/owned_part.h"
 
-#include <nlohmann/json.hpp>
+#include "cbor.h"
 
 #include <algorithm>
 #include <iterator>
@@ -18,27 +18,19 @@
     Json workers = Json::array();
     for (const auto& [worker, machine] : row.workers)
         workers.push_back(Json::array({ worker.value(), machine.value() }));
-    const Json json { { "holder", row.holder.value() }, { "term", row.term }, { "sequence", row.sequence },
-        { "workers", std::move(workers) } };
-    std::string bytes;
-    Json::to_cbor(json, bytes);
-    return bytes;
+    return toCbor({ { "holder", row.holder.value() }, { "term", row.term }, { "sequence", row.sequence },
+        { "workers", std::move(workers) } });
 }
 
 Result<OwnerRow> decodeOwnerRow(const std::string& bytes)
 {
-    const Json json = Json::from_cbor(bytes, true, false);
-    if (json.is_discarded())
-        return fail(ErrorCode::MalformedMessage, "owner.decode", "", "not CBOR");
-    try {
+    return fromCbor("owner.decode", bytes, [](const Json& json) {
         OwnerRow row { NodeId { json.at("holder").get<std::string>() }, json.at("term").get<Fence>(),
             json.at("sequence").get<std::uint64_t>(), {} };
         for (const Json& worker : json.at("workers"))
             row.workers[WorkerId { worker.at(0).get<std::string>() }] = MachineId { worker.at(1).get<std::string>() };
         return row;
-    } catch (const Json::exception& error) {
-        return fail(ErrorCode::MalformedMessage, "owner.decode", "", error.what());
-    }
+    });
 }
 
 OwnedPart::OwnedPart(const PoolId& cell, NodeId self, const std::optional<OwnerRow>& found, RowVersion foundVersion)
--- a/packages/jobs/src/ownership.cpp
+++ b/packages/jobs/src/ownership.cpp
@@ -33,10 +33,8 @@
 {
 }
 
-void Ownership::setCells(std::vector<PoolId> cells, TimePoint now)
+void Ownership::setCells(std::vector<PoolId> cells)
 {
-    if (m_cells.empty())
-        m_cellsKnownAt = now;
     std::sort(cells.begin(), cells.end());
     m_cells = std::move(cells);
 }
@@ -46,7 +44,7 @@
     const bool isKnown = std::any_of(
         m_peers.begin(), m_peers.end(), [&](const auto& peer) { return peer.second.news.address == address; });
     if (address != m_address && !isKnown)
-        m_learned.emplace(address, TimePoint {});
+        m_learned.insert(address);
 }
 
 void Ownership::onNews(const NodeNews& news, TimePoint now)
@@ -148,8 +146,7 @@
         if (now - peer.heardAt < unlearnAfter)
             all.push_back(peer.news.address);
     }
-    for (const auto& [address, learnedAt] : m_learned)
-        all.push_back(address);
+    all.insert(all.end(), m_learned.begin(), m_learned.end());
     std::sort(all.begin(), all.end());
     all.erase(std::unique(all.begin(), all.end()), all.end());
     return all;
--- a/packages/jobs/src/room.cpp
+++ b/packages/jobs/src/room.cpp
@@ -18,6 +18,13 @@
     return step.isLasting || step.isFiller || step.maxPerWorker > 0 || step.wantsOneRack || step.mayMiss > 0;
 }
 
+std::vector<Candidate> withTickets(std::vector<Candidate> candidates, const std::map<WorkerId, std::string>& tickets)
+{
+    for (Candidate& candidate : candidates)
+        candidate.isReserved = candidate.isReserved || !tickets.contains(candidate.worker->id);
+    return candidates;
+}
+
 bool serves(const Step& step) { return step.latencyTarget > Duration::zero(); }
 
 } // namespace
@@ -93,10 +100,8 @@
     for (int index = 0; index < step.count; ++index) {
         if (entry.progress.task({ entry.job.id, occurrence, stepNumber, index }).phase != TaskPhase::Waiting)
             continue;
-        auto candidates = m_candidates;
-        for (Candidate& candidate : candidates)
-            candidate.isReserved = candidate.isReserved || (tickets && !tickets->contains(candidate.worker->id));
-        const int place = choosePlace(step, candidates);
+        const int place
+            = tickets ? choosePlace(step, withTickets(m_candidates, *tickets)) : choosePlace(step, m_candidates);
         if (place < 0)
             break;
         take(place, step);
--- a/packages/jobs/tests/ownership_tests.cpp
+++ b/packages/jobs/tests/ownership_tests.cpp
@@ -26,7 +26,7 @@
     {
         const std::string name = "n" + std::to_string(number);
         m_nodes[number] = std::make_unique<Ownership>(NodeId { name }, address(number), m_now);
-        m_nodes[number]->setCells(cells, m_now);
+        m_nodes[number]->setCells(cells);
         for (const auto& [other, node] : m_nodes) {
             node->learnAddress(address(number));
             m_nodes[number]->learnAddress(address(other));
@@ -119,7 +119,7 @@
 TEST(Ownership, HigherTermIsTheOwner)
 {
     Ownership node { NodeId { "n0" }, "10.0.0.1:7000", TimePoint { 1s } };
-    node.setCells(cells, TimePoint { 1s });
+    node.setCells(cells);
     node.taken(cells[0], 3);
     node.onNews(
         { NodeId { "n1" }, "10.0.0.2:7000", 1, false, true, { { cells[0], 4 } }, {}, {}, {}, {} }, TimePoint { 2s });
--- a/packages/node/include/rattanrack/node/machine_duty.h
+++ b/packages/node/include/rattanrack/node/machine_duty.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "rattanrack/base/log.h"
 #include "rattanrack/jobs/capacity_plan.h"
 #include "rattanrack/jobs/maintenance.h"
 #include "rattanrack/jobs/ports.h"
@@ -63,8 +64,11 @@
 private:
     template <typename Work, typename Then> bool run(Work work, Then then);
     void askForList();
-    void order(const jobs::MaintenanceOrder& order);
-    void order(const jobs::MoveOrder& order);
+    template <typename OrderType>
+    using SendOrder
+        = jobs::MachineCallStatus (jobs::MachineService::*)(const OrderType&, const std::string& holder, jobs::Fence);
+    template <typename OrderType, typename Taker>
+    void send(const OrderType& order, SendOrder<OrderType> call, Taker& taker, const char* event, LogField detail);
     void keepSizes();
     void report();
     void write();
--- a/packages/node/include/rattanrack/node/part_writer.h
+++ b/packages/node/include/rattanrack/node/part_writer.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "rattanrack/base/log.h"
 #include "rattanrack/jobs/owned_part.h"
 #include "rattanrack/jobs/part_store.h"
 #include "rattanrack/node/control_loop.h"
@@ -24,9 +23,6 @@
 /// Unavailable, OutcomeUnknown, MalformedMessage.
 Result<TakenPart> takePart(jobs::PartStore& store, const PoolId& name, const NodeId& self);
 
-/// All rows of a table in a part. Blocks. Errors: Unavailable, MalformedMessage.
-Result<std::vector<jobs::PartRow>> readAll(jobs::PartStore& store, const PoolId& part, const char* table);
-
 /// Writes to an owned part, one transaction after the other, and repeats those whose outcome is not known. Belongs to
 /// the control thread.
 class PartWriter {
--- /dev/null
+++ b/packages/node/include/rattanrack/node/relayed_store.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "rattanrack/jobs/part_store.h"
+#include "rattanrack/peer/messages.h"
+
+#include <functional>
+#include <mutex>
+#include <optional>
+
+namespace rattanrack::node {
+
+/// The store by the direct way, or through a peer while it turns only this node away. Safe from every thread.
+///
+/// A call goes the direct way first. After a failure it goes through a peer first, and the direct way is tried again
+/// twice a second. A transaction whose outcome by one way is not known stays so until another way proves it.
+class RelayedStore final : public jobs::PartStore {
+public:
+    /// Asks a peer that reaches the store, and waits. Empty: there is none.
+    using AskPeer = std::function<std::optional<peer::StoreAnswer>(const peer::StoreRequest&)>;
+
+    RelayedStore(jobs::PartStore& direct, const Clock& clock)
+        : m_direct(direct)
+        , m_clock(clock)
+    {
+    }
+
+    /// Calls go the direct way alone until there is somebody to ask. An empty `ask` ends it.
+    void connect(AskPeer ask);
+
+    jobs::TransactionOutcome commit(const jobs::PartTransaction& transaction) override;
+    Result<jobs::RowPage> read(const jobs::RowRange& range) override;
+    Result<jobs::RowPage> changes(const std::string& table, jobs::RowVersion version, Duration wait) override;
+
+    /// Whether the latest call by the direct way was answered.
+    bool isInReach() const;
+
+    /// Carries a peer's call out, by the direct way alone.
+    peer::StoreAnswer carryOut(const peer::StoreRequest& request);
+
+private:
+    peer::StoreAnswer call(const peer::StoreRequest& request);
+    jobs::ReadOutcome readBy(const peer::StoreRequest& request);
+    bool isDirectFirst();
+    std::optional<peer::StoreAnswer> askPeer(const peer::StoreRequest& request) const;
+
+    jobs::PartStore& m_direct;
+    const Clock& m_clock;
+    mutable std::mutex m_mutex;
+    AskPeer m_askPeer;
+    bool m_isInReach { true };
+    Deadline m_nextTry;
+};
+
+} // namespace rattanrack::node
--- a/packages/node/src/cell_host.cpp
+++ b/packages/node/src/cell_host.cpp
@@ -49,13 +49,13 @@
 Result<Takeover> takeOver(jobs::PartStore& store, const PoolId& cell, const NodeId& self)
 {
     BOOST_LEAF_AUTO(taken, takePart(store, cell, self));
-    BOOST_LEAF_AUTO(jobRows, readAll(store, cell, jobs::jobTable));
-    BOOST_LEAF_AUTO(progressRows, readAll(store, cell, jobs::progressTable));
+    BOOST_LEAF_AUTO(jobRows, jobs::readAll(store, jobs::jobTable, cell.value()));
+    BOOST_LEAF_AUTO(progressRows, jobs::readAll(store, jobs::progressTable, cell.value()));
     std::map<std::string, const std::string*> progressByJob;
-    for (const jobs::PartRow& row : progressRows)
+    for (const jobs::PartRow& row : progressRows.rows)
         progressByJob[row.row.key] = &row.value;
     Takeover takeover { std::move(taken), {} };
-    for (const jobs::PartRow& row : jobRows) {
+    for (const jobs::PartRow& row : jobRows.rows) {
         BOOST_LEAF_AUTO(job, jobs::decodeJob(row.value));
         jobs::StoredJob stored { std::move(job), {} };
         const auto progress = progressByJob.find(row.row.key);
--- /dev/null
+++ b/packages/node/src/job_node_calls.cpp
@@ -0,0 +1,101 @@
+#include "job_node_state.h"
+#include "rattanrack/jobs/job_codec.h"
+
+#include <future>
+
+/// Requests of callers: to the owner, here or elsewhere, and back.
+namespace rattanrack::node {
+
+void JobNode::State::received(const peer::JobCall& call)
+{
+    const auto reply = [this, exchange = call.exchange, address = call.replyTo](peer::JobReply answer) {
+        answer.exchange = exchange;
+        network->send(address, answer);
+    };
+    const auto held = cells.find(call.cell);
+    if (held == cells.end())
+        reply({ 0, peer::JobCallStatus::NotOwner });
+    else
+        callHere(*held->second, call, reply);
+}
+
+void JobNode::State::route(peer::JobCall call, Deadline deadline, CallReply reply)
+{
+    const auto held = cells.find(call.cell);
+    if (held != cells.end())
+        return callHere(*held->second, call, std::move(reply));
+    const auto owner = ownership.owner(call.cell, clock.now());
+    if (!owner || owner->node == self)
+        return reply({ 0, peer::JobCallStatus::NotOwner });
+    calls.forward(std::move(call), owner->address, deadline, std::move(reply));
+}
+
+void JobNode::State::callHere(CellHost& host, const peer::JobCall& call, CallReply reply)
+{
+    switch (call.operation) {
+    case peer::JobOperation::Submit:
+        return submitHere(host, call, std::move(reply));
+    case peer::JobOperation::Cancel:
+        return cancelHere(host, call, std::move(reply));
+    case peer::JobOperation::State: {
+        const auto state = host.state(call.job);
+        return reply({ 0, state ? peer::JobCallStatus::Done : peer::JobCallStatus::NotKnown,
+            state.value_or(jobs::JobState::Queued) });
+    }
+    case peer::JobOperation::Pending:
+        return reply({ 0, peer::JobCallStatus::Done, jobs::JobState::Queued, host.pending(call.queue) });
+    }
+}
+
+void JobNode::State::submitHere(CellHost& host, const peer::JobCall& call, CallReply reply)
+{
+    const auto job = valueOrNothing([&] { return jobs::decodeJob(call.body); });
+    if (!job)
+        return reply({ 0, peer::JobCallStatus::Refused });
+    const jobs::CallToken token = ++lastToken;
+    switch (host.submit(*job, token)) {
+    case jobs::Acceptance::Stored:
+        return reply({ 0, peer::JobCallStatus::Done });
+    case jobs::Acceptance::Refused:
+        return reply({ 0, peer::JobCallStatus::Refused });
+    case jobs::Acceptance::Waiting:
+        waiting.emplace(token, std::pair { std::move(reply), peer::JobReply { 0, peer::JobCallStatus::Done } });
+    }
+}
+
+void JobNode::State::cancelHere(CellHost& host, const peer::JobCall& call, CallReply reply)
+{
+    const jobs::CallToken token = ++lastToken;
+    const auto acceptance = host.cancel(call.job, token);
+    if (!acceptance)
+        return reply({ 0, peer::JobCallStatus::NotKnown });
+    if (*acceptance == jobs::Acceptance::Stored)
+        return reply({ 0, peer::JobCallStatus::Done });
+    waiting.emplace(token, std::pair { std::move(reply), peer::JobReply { 0, peer::JobCallStatus::Done } });
+}
+
+void JobNode::State::stored(jobs::CallToken token, bool isStored)
+{
+    auto found = waiting.extract(token);
+    if (found.empty())
+        return;
+    auto& [reply, answer] = found.mapped();
+    if (!isStored)
+        answer.status = peer::JobCallStatus::Refused;
+    reply(answer);
+}
+
+peer::JobReply JobNode::call(peer::JobCall call, Deadline deadline)
+{
+    auto promise = std::make_shared<std::promise<peer::JobReply>>();
+    auto reply = promise->get_future();
+    m_state->control.post([state = m_state.get(), call = std::move(call), deadline, promise] {
+        state->route(call, deadline, [promise](const peer::JobReply& answer) { promise->set_value(answer); });
+    });
+    const auto left = deadline.remaining(m_state->clock.now());
+    if (reply.wait_for(left) != std::future_status::ready)
+        return { 0, peer::JobCallStatus::Unsettled };
+    return reply.get();
+}
+
+} // namespace rattanrack::node
--- /dev/null
+++ b/packages/node/src/job_node_state.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "rattanrack/node/cell_host.h"
+#include "rattanrack/node/job_calls.h"
+#include "rattanrack/node/job_node.h"
+#include "rattanrack/node/machine_duty.h"
+#include "rattanrack/peer/peer_network.h"
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <thread>
+#include <utility>
+#include <vector>
+
+/// The insides of a job node, shared by its source files. What has no lock belongs to the control thread.
+namespace rattanrack::node {
+
+using CallReply = std::function<void(const peer::JobReply&)>;
+
+constexpr std::size_t storeThreads = 12;
+constexpr std::size_t workerThreads = 600; ///< Two for each worker of the cells that this node may own.
+constexpr std::size_t maxQueuedStoreCalls = 256;
+
+struct JobNode::State {
+    State(JobNodeSettings nodeSettings, JobNodePorts nodePorts, Metrics& nodeMetrics);
+    ~State();
+
+    // Life and news: job_node.cpp
+    void start();
+    void tick();
+    void sendNews();
+    void shareMachineNews();
+    void addOwnCells(jobs::NodeNews& news) const;
+    void receive(const peer::Message& message);
+    void received(const jobs::NodeNews& news) { ownership.onNews(news, clock.now()); }
+    void received(const peer::JobCall& call);
+    void received(const peer::JobReply& reply) { calls.replied(reply); }
+    template <typename Other> void received(const Other&) { }
+
+    // What this node owns: job_node_cells.cpp
+    void takeCells();
+    void take(const PoolId& cell);
+    void taken(const PoolId& cell, std::optional<Takeover> takeover);
+    void cellLost(const PoolId& cell);
+    void takeDuty();
+    void dutyTaken(std::optional<MachineDutyTakeover> takeover);
+    void dutyLost();
+    bool holds(const PoolId& cell) const { return cells.contains(cell) || (duty && cell == machineDutyName); }
+    void handBack(const PoolId& cell);
+
+    // Requests of callers: job_node_calls.cpp
+    void route(peer::JobCall call, Deadline deadline, CallReply reply);
+    void callHere(CellHost& host, const peer::JobCall& call, CallReply reply);
+    void submitHere(CellHost& host, const peer::JobCall& call, CallReply reply);
+    void cancelHere(CellHost& host, const peer::JobCall& call, CallReply reply);
+    void stored(jobs::CallToken token, bool isStored);
+
+    // What the store tells: job_node_watchers.cpp
+    void watchConfiguration();
+    void watchWorkers();
+    void watchMembers();
+    void inForce(jobs::Configuration configuration);
+    void registerSelf();
+
+    template <typename Work> void loopUntilStopped(Duration period, Work work);
+
+    const JobNodeSettings settings;
+    JobNodePorts ports;
+    Metrics& metrics;
+    SystemClock clock;
+    NodeId self;
+    jobs::Ownership ownership;
+    JobCalls calls;
+    std::map<PoolId, std::unique_ptr<CellHost>> cells;
+    std::unique_ptr<MachineDuty> duty;
+    std::set<PoolId> beingTaken;
+    std::vector<jobs::Wave> waves;
+    std::vector<jobs::WorkerDescription> workers;
+    std::map<jobs::CallToken, std::pair<CallReply, peer::JobReply>> waiting;
+    jobs::CallToken lastToken { 0 };
+    bool isLeaving { false };
+
+    std::atomic<bool> isStopped { false };
+    std::atomic<bool> isReady { false };
+    std::atomic<bool> hasCells { false };
+    std::atomic<bool> holdsAny { false };
+    mutable std::mutex configurationMutex;
+    std::shared_ptr<const jobs::Configuration> configuration;
+
+    ElasticThreadPool storePool { storeThreads, maxQueuedStoreCalls };
+    ElasticThreadPool workerPool { workerThreads, workerThreads };
+    ElasticThreadPool advisorPool { 1, maxQueuedStoreCalls };
+    std::unique_ptr<peer::PeerNetwork> network;
+    std::vector<std::thread> watchers;
+    ControlLoop control { clock };
+};
+
+} // namespace rattanrack::node
--- /dev/null
+++ b/packages/node/src/job_node_watchers.cpp
@@ -0,0 +1,133 @@
+#include "job_node_state.h"
+#include "rattanrack/base/log.h"
+
+#include <algorithm>
+
+/// What the store tells: the operators' orders, the workers, the other nodes.
+namespace rattanrack::node {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration membersPeriod = 3s; ///< Between looks at the list of nodes in the store.
+constexpr Duration workersPeriod = 400ms; ///< A machine that has moved is of use once its worker is known.
+constexpr Duration configurationWait = 1500ms; ///< Of one question for news of the operators' orders.
+constexpr Duration pauseAfterError = 300ms;
+constexpr const char* nodeTable = "node";
+constexpr const char* nodePart = "nodes";
+
+} // namespace
+
+template <typename Work> void JobNode::State::loopUntilStopped(Duration period, Work work)
+{
+    while (!isStopped) {
+        work();
+        const auto next = Deadline::after(clock.now(), period);
+        while (!isStopped && !next.hasPassed(clock.now()))
+            std::this_thread::sleep_for(std::min(next.remaining(clock.now()), Duration { 100ms }));
+    }
+}
+
+void JobNode::State::inForce(jobs::Configuration next)
+{
+    const auto current = configuration;
+    if (current && current->version >= next.version)
+        return;
+    logEvent("configuration.in_force", { { "version", next.version }, { "routes", next.routes.size() } });
+    auto shared = std::make_shared<const jobs::Configuration>(std::move(next));
+    {
+        const std::lock_guard lock(configurationMutex);
+        configuration = shared;
+    }
+    auto owned = shared->cells();
+    if (duty)
+        duty->configure(*shared);
+    owned.push_back(machineDutyName);
+    ownership.setCells(std::move(owned));
+    hasCells = true;
+    for (auto& [cell, host] : cells)
+        host->configure(shared->queuesOf(cell));
+}
+
+void JobNode::State::watchConfiguration()
+{
+    jobs::RowVersion known = 0;
+    while (!isStopped) {
+        const auto orders = valueOrNothing([&] { return ports.fleet.orders(); },
+            [](const Error& error) {
+                logEvent("orders.unread", { { "error", describe(error) } }, LogLevel::Warning);
+            });
+        if (!orders) {
+            std::this_thread::sleep_for(pauseAfterError);
+            continue;
+        }
+        known = orders->version;
+        control.post([this, next = *orders] {
+            if (next.configuration)
+                inForce(*next.configuration);
+            waves = next.waves;
+            if (duty)
+                duty->setWaves(waves);
+        });
+        bool hasChanged = false;
+        while (!isStopped && !hasChanged) {
+            const auto answer = valueOrNothing(
+                [&] { return ports.fleet.awaitChange(known, configurationWait); }, [](const Error&) {});
+            hasChanged = !answer || *answer;
+            if (!answer)
+                std::this_thread::sleep_for(pauseAfterError);
+        }
+    }
+}
+
+void JobNode::State::watchWorkers()
+{
+    loopUntilStopped(workersPeriod, [this] {
+        if (!holdsAny)
+            return;
+        auto listed = valueOrNothing([&] { return ports.fleet.workers(); },
+            [](const Error& error) {
+                logEvent("workers.unread", { { "error", describe(error) } }, LogLevel::Warning);
+            });
+        if (!listed)
+            return;
+        control.post([this, shared = std::make_shared<std::vector<jobs::WorkerDescription>>(std::move(*listed))] {
+            workers = std::move(*shared);
+            for (auto& [cell, host] : cells)
+                host->setWorkers(workers);
+        });
+    });
+}
+
+void JobNode::State::registerSelf()
+{
+    const jobs::RowKey row { nodeTable, settings.peerAddress };
+    const auto outcome = ports.store.commit({ nodePart, {}, { { row, self.value() } } });
+    if (outcome.status != jobs::TransactionStatus::Done)
+        logEvent("node.not_registered", { { "detail", outcome.detail } }, LogLevel::Warning);
+}
+
+void JobNode::State::watchMembers()
+{
+    registerSelf();
+    loopUntilStopped(membersPeriod, [this] {
+        auto rows = valueOrNothing([&] { return ports.store.read({ nodeTable, nodePart, {} }); });
+        if (!rows)
+            return;
+        bool isListed = false;
+        std::vector<std::string> addresses;
+        for (const jobs::PartRow& row : rows->rows) {
+            isListed = isListed || row.row.key == settings.peerAddress;
+            addresses.push_back(row.row.key);
+        }
+        if (!isListed)
+            registerSelf();
+        control.post([this, addresses = std::move(addresses)] {
+            for (const std::string& address : addresses)
+                ownership.learnAddress(address);
+        });
+    });
+}
+
+} // namespace rattanrack::node
--- a/packages/node/src/machine_duty.cpp
+++ b/packages/node/src/machine_duty.cpp
@@ -35,12 +35,12 @@
 Result<MachineDutyTakeover> takeMachineDuty(jobs::PartStore& store, const NodeId& self)
 {
     BOOST_LEAF_AUTO(taken, takePart(store, machineDutyName, self));
-    BOOST_LEAF_AUTO(rows, readAll(store, machineDutyName, waveTable));
-    BOOST_LEAF_AUTO(sizes, readAll(store, machineDutyName, sizeTable));
+    BOOST_LEAF_AUTO(rows, jobs::readAll(store, waveTable, machineDutyName.value()));
+    BOOST_LEAF_AUTO(sizes, jobs::readAll(store, sizeTable, machineDutyName.value()));
     MachineDutyTakeover takeover { std::move(taken), {}, {} };
-    for (const jobs::PartRow& row : sizes)
+    for (const jobs::PartRow& row : sizes.rows)
         takeover.poolSizes[PoolId { row.row.key }] = std::atoi(row.value.c_str());
-    for (const jobs::PartRow& row : rows) {
+    for (const jobs::PartRow& row : rows.rows) {
         BOOST_LEAF_AUTO(progress, jobs::decodeWaveProgress(row.value));
         takeover.waves.push_back(std::move(progress));
     }
@@ -140,37 +140,23 @@
     });
 }
 
-void MachineDuty::order(const jobs::MaintenanceOrder& order)
+/// Sends an order, logs its outcome and tells `taker`, which decided on it.
+template <typename OrderType, typename Taker>
+void MachineDuty::send(
+    const OrderType& order, SendOrder<OrderType> call, Taker& taker, const char* event, LogField detail)
 {
-    const auto call = [&machines = m_parts.machines, order, holder = m_parts.self.value(), fence = term()] {
-        return machines.maintain(order, holder, fence);
+    const auto work = [&machines = m_parts.machines, order, call, holder = m_parts.self.value(), fence = term()] {
+        return (machines.*call)(order, holder, fence);
     };
-    const auto then = [this, order](jobs::MachineCallStatus status) {
+    const auto then = [this, order, &taker, event, detail = std::move(detail)](jobs::MachineCallStatus status) {
         --m_ordersOnTheirWay;
-        logEvent("machine.maintained",
-            { { "machine", order.machine.value() }, { "wave", order.wave },
+        logEvent(event,
+            { { "machine", order.machine.value() }, detail,
                 { "outcome", statusNames[static_cast<std::size_t>(status)] }, { "term", term() } });
-        m_maintenance.onAnswer(order, status, m_parts.clock.now());
+        taker.onAnswer(order, status, m_parts.clock.now());
     };
     ++m_ordersOnTheirWay;
-    if (!run(call, then))
-        then(jobs::MachineCallStatus::NotNow);
-}
-
-void MachineDuty::order(const jobs::MoveOrder& order)
-{
-    const auto call = [&machines = m_parts.machines, order, holder = m_parts.self.value(), fence = term()] {
-        return machines.move(order, holder, fence);
-    };
-    const auto then = [this, order](jobs::MachineCallStatus status) {
-        --m_ordersOnTheirWay;
-        logEvent("machine.moved",
-            { { "machine", order.machine.value() }, { "pool", order.pool.value() },
-                { "outcome", statusNames[static_cast<std::size_t>(status)] }, { "term", term() } });
-        m_plan.onAnswer(order, status, m_parts.clock.now());
-    };
-    ++m_ordersOnTheirWay;
-    if (!run(call, then))
+    if (!run(work, then))
         then(jobs::MachineCallStatus::NotNow);
 }
 
@@ -222,13 +208,13 @@
         m_maintenance.setMoving(m_plan.closing());
         jobs::MaintenanceOutput output = m_maintenance.step(now, wallClockMilliseconds());
         for (const jobs::MaintenanceOrder& each : output.orders)
-            order(each);
+            send(each, &jobs::MachineService::maintain, m_maintenance, "machine.maintained", { "wave", each.wave });
         for (const jobs::WaveProgress& wave : output.changed)
             m_unwritten.push_back({ { waveTable, std::to_string(wave.number) }, encode(wave) });
         report();
         m_plan.setReserved(m_maintenance.closing());
         for (const jobs::MoveOrder& each : m_plan.step(now))
-            order(each);
+            send(each, &jobs::MachineService::move, m_plan, "machine.moved", { "pool", each.pool.value() });
         keepSizes();
     }
     write();
--- a/packages/node/src/main.cpp
+++ b/packages/node/src/main.cpp
@@ -48,12 +48,15 @@
     return signals;
 }
 
+/// SIGHUP announces other settings, of which none concerns a running node.
 void waitForStopSignal()
 {
     const sigset_t signals = stopSignals();
     int received = SIGHUP;
-    while (received == SIGHUP)
+    while (received == SIGHUP) {
         sigwait(&signals, &received);
+        logEvent("node.signal", { { "signal", received } });
+    }
 }
 
 int printError(const Error& error, int exitCode)
@@ -90,7 +93,7 @@
         return 0;
     return handle(
         [&]() -> Result<int> {
-            BOOST_LEAF_CHECK(adapter::serve(*settings));
+            BOOST_LEAF_CHECK(adapter::serve(*settings, waitForStopSignal));
             return 0;
         },
         [](const Error& error) { return printError(error, exitCannotStart); });
--- a/packages/node/src/part_writer.cpp
+++ b/packages/node/src/part_writer.cpp
@@ -1,6 +1,7 @@
 #include "rattanrack/node/part_writer.h"
 
-#include <iterator>
+#include "rattanrack/base/log.h"
+
 #include <thread>
 #include <utility>
 
@@ -36,19 +37,6 @@
 
 } // namespace
 
-Result<std::vector<jobs::PartRow>> readAll(jobs::PartStore& store, const PoolId& part, const char* table)
-{
-    std::vector<jobs::PartRow> all;
-    jobs::RowRange range { table, part.value(), {} };
-    while (true) {
-        BOOST_LEAF_AUTO(page, store.read(range));
-        std::move(page.rows.begin(), page.rows.end(), std::back_inserter(all));
-        if (!page.hasMore || page.rows.empty())
-            return all;
-        range.from = all.back().row.key + '\0';
-    }
-}
-
 Result<TakenPart> takePart(jobs::PartStore& store, const PoolId& name, const NodeId& self)
 {
     BOOST_LEAF_AUTO(rows, store.read({ jobs::ownerTable, name.value(), {} }));
--- /dev/null
+++ b/packages/node/src/relayed_store.cpp
@@ -0,0 +1,156 @@
+#include "rattanrack/node/relayed_store.h"
+
+#include "rattanrack/base/log.h"
+
+#include <utility>
+
+namespace rattanrack::node {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration tryPeriod = 500ms; ///< Of the direct way while it fails.
+
+/// Whether the store itself has spoken.
+struct IsAnswered {
+    bool operator()(const jobs::TransactionOutcome& outcome) const
+    {
+        return outcome.status != jobs::TransactionStatus::Unavailable
+            && outcome.status != jobs::TransactionStatus::Unknown;
+    }
+    bool operator()(const jobs::ReadOutcome& outcome) const { return outcome.status != jobs::ReadStatus::Unavailable; }
+    bool operator()(std::monostate) const { return false; }
+};
+
+bool isAnswered(const peer::StoreAnswer& answer) { return std::visit(IsAnswered {}, answer); }
+
+jobs::TransactionStatus statusOf(const peer::StoreAnswer& answer)
+{
+    const auto* outcome = std::get_if<jobs::TransactionOutcome>(&answer);
+    return outcome ? outcome->status : jobs::TransactionStatus::Unknown; // No answer came from the peer.
+}
+
+/// What is known of a call that has gone two ways.
+peer::StoreAnswer together(peer::StoreAnswer earlier, peer::StoreAnswer later)
+{
+    if (isAnswered(later))
+        return later;
+    // By either way it may have taken effect.
+    return statusOf(later) == jobs::TransactionStatus::Unknown ? later : earlier;
+}
+
+jobs::ReadOutcome outcomeOf(const std::function<Result<jobs::RowPage>()>& read)
+{
+    return handle(
+        [&]() -> Result<jobs::ReadOutcome> {
+            BOOST_LEAF_AUTO(page, read());
+            return jobs::ReadOutcome { jobs::ReadStatus::Done, std::move(page), {} };
+        },
+        [](const Error& error) {
+            const bool isHistoryGone = error.code == ErrorCode::NotFound;
+            return jobs::ReadOutcome { isHistoryGone ? jobs::ReadStatus::HistoryGone : jobs::ReadStatus::Unavailable,
+                {}, error.detail };
+        });
+}
+
+Result<jobs::RowPage> resultOf(jobs::ReadOutcome outcome)
+{
+    switch (outcome.status) {
+    case jobs::ReadStatus::Done:
+        return std::move(outcome.page);
+    case jobs::ReadStatus::HistoryGone:
+        return fail(ErrorCode::NotFound, "store.read", "", outcome.detail);
+    case jobs::ReadStatus::Unavailable:
+        break;
+    }
+    return fail(ErrorCode::Unavailable, "store.read", "", outcome.detail);
+}
+
+} // namespace
+
+void RelayedStore::connect(AskPeer ask)
+{
+    const std::lock_guard lock(m_mutex);
+    m_askPeer = std::move(ask);
+}
+
+bool RelayedStore::isInReach() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_isInReach;
+}
+
+bool RelayedStore::isDirectFirst()
+{
+    const std::lock_guard lock(m_mutex);
+    const TimePoint now = m_clock.now();
+    if (!m_isInReach && !m_nextTry.hasPassed(now))
+        return false;
+    m_nextTry = Deadline::after(now, tryPeriod);
+    return true;
+}
+
+std::optional<peer::StoreAnswer> RelayedStore::askPeer(const peer::StoreRequest& request) const
+{
+    AskPeer ask;
+    {
+        const std::lock_guard lock(m_mutex);
+        ask = m_askPeer;
+    }
+    return ask ? ask(request) : std::nullopt;
+}
+
+peer::StoreAnswer RelayedStore::carryOut(const peer::StoreRequest& request)
+{
+    peer::StoreAnswer answer;
+    if (const auto* transaction = std::get_if<jobs::PartTransaction>(&request))
+        answer = m_direct.commit(*transaction);
+    else if (const auto* range = std::get_if<jobs::RowRange>(&request))
+        answer = outcomeOf([&] { return m_direct.read(*range); });
+    else if (const auto* query = std::get_if<jobs::ChangesQuery>(&request))
+        answer = outcomeOf([&] { return m_direct.changes(query->table, query->version, query->wait); });
+    const bool isInReach = isAnswered(answer);
+    const std::lock_guard lock(m_mutex);
+    if (std::exchange(m_isInReach, isInReach) != isInReach)
+        logEvent(isInReach ? "store.direct" : "store.through_peers", {}, LogLevel::Warning);
+    return answer;
+}
+
+peer::StoreAnswer RelayedStore::call(const peer::StoreRequest& request)
+{
+    std::optional<peer::StoreAnswer> direct;
+    if (isDirectFirst())
+        direct = carryOut(request);
+    if (direct && isAnswered(*direct))
+        return *std::move(direct);
+    auto relayed = askPeer(request);
+    if (!relayed)
+        return direct ? *std::move(direct) : carryOut(request);
+    return direct ? together(*std::move(direct), *std::move(relayed)) : *std::move(relayed);
+}
+
+jobs::TransactionOutcome RelayedStore::commit(const jobs::PartTransaction& transaction)
+{
+    const auto answer = call(transaction);
+    const auto* outcome = std::get_if<jobs::TransactionOutcome>(&answer);
+    return outcome ? *outcome
+                   : jobs::TransactionOutcome { jobs::TransactionStatus::Unknown, 0, {}, "no answer from the peer" };
+}
+
+jobs::ReadOutcome RelayedStore::readBy(const peer::StoreRequest& request)
+{
+    auto answer = call(request);
+    auto* outcome = std::get_if<jobs::ReadOutcome>(&answer);
+    return outcome ? std::move(*outcome)
+                   : jobs::ReadOutcome { jobs::ReadStatus::Unavailable, {}, "no answer from the peer" };
+}
+
+Result<jobs::RowPage> RelayedStore::read(const jobs::RowRange& range) { return resultOf(readBy(range)); }
+
+Result<jobs::RowPage> RelayedStore::changes(const std::string& table, jobs::RowVersion version, Duration wait)
+{
+    return resultOf(readBy(jobs::ChangesQuery { table, version, wait }));
+}
+
+} // namespace rattanrack::node
--- /dev/null
+++ b/packages/node/tests/relayed_store_tests.cpp
@@ -0,0 +1,148 @@
+#include "rattanrack/node/relayed_store.h"
+
+#include <gtest/gtest.h>
+
+using namespace rattanrack;
+using namespace rattanrack::node;
+using namespace std::chrono_literals;
+using jobs::TransactionStatus;
+
+namespace {
+
+/// Answers as it is told, and counts.
+class Store final : public jobs::PartStore {
+public:
+    jobs::TransactionOutcome commit(const jobs::PartTransaction&) override
+    {
+        ++calls;
+        return { status, 5, {}, {} };
+    }
+    Result<jobs::RowPage> read(const jobs::RowRange&) override { return page(); }
+    Result<jobs::RowPage> changes(const std::string&, jobs::RowVersion, Duration) override { return page(); }
+
+    TransactionStatus status { TransactionStatus::Done };
+    ErrorCode readError { ErrorCode::Unavailable };
+    int calls { 0 };
+
+private:
+    Result<jobs::RowPage> page()
+    {
+        ++calls;
+        if (status == TransactionStatus::Done)
+            return jobs::RowPage { {}, false, 5 };
+        return fail(readError, "store.read", "stand-in");
+    }
+};
+
+class RelayedStoreTest : public testing::Test {
+protected:
+    void connect()
+    {
+        store.connect([this](const peer::StoreRequest& request) -> std::optional<peer::StoreAnswer> {
+            ++asked;
+            if (isPeerSilent)
+                return peer::StoreAnswer {};
+            return peerStore.carryOut(request);
+        });
+    }
+    TransactionStatus commit() { return store.commit({ "part", {}, {} }).status; }
+    std::optional<jobs::RowPage> read()
+    {
+        return valueOrNothing([&] { return store.read({ "table", "part", {} }); });
+    }
+
+    ManualClock clock;
+    Store direct;
+    Store peersDirect;
+    RelayedStore store { direct, clock };
+    RelayedStore peerStore { peersDirect, clock };
+    bool isPeerSilent { false };
+    int asked { 0 };
+};
+
+} // namespace
+
+TEST_F(RelayedStoreTest, AsksNobodyWhileTheStoreAnswers)
+{
+    connect();
+    for (const auto status : { TransactionStatus::Done, TransactionStatus::Conflict, TransactionStatus::Refused }) {
+        direct.status = status;
+        EXPECT_EQ(commit(), status);
+    }
+    EXPECT_EQ(asked, 0);
+    EXPECT_TRUE(store.isInReach());
+}
+
+TEST_F(RelayedStoreTest, GoesThroughAPeerWhileItAloneIsTurnedAway)
+{
+    connect();
+    direct.status = TransactionStatus::Unavailable;
+    EXPECT_EQ(commit(), TransactionStatus::Done);
+    EXPECT_TRUE(read());
+    EXPECT_FALSE(store.isInReach());
+    EXPECT_TRUE(peerStore.isInReach());
+}
+
+TEST_F(RelayedStoreTest, TriesTheDirectWayTwiceASecondAndReturnsToIt)
+{
+    connect();
+    direct.status = TransactionStatus::Unknown;
+    for (int step = 0; step < 100; ++step) { // Two seconds.
+        EXPECT_EQ(commit(), TransactionStatus::Done);
+        clock.advance(20ms);
+    }
+    EXPECT_LE(direct.calls, 5);
+    EXPECT_GE(direct.calls, 4);
+    direct.status = TransactionStatus::Done;
+    clock.advance(500ms);
+    ASSERT_EQ(commit(), TransactionStatus::Done);
+    const int askedBefore = asked;
+    EXPECT_EQ(commit(), TransactionStatus::Done);
+    EXPECT_EQ(asked, askedBefore);
+    EXPECT_TRUE(store.isInReach());
+}
+
+TEST_F(RelayedStoreTest, WithoutAPeerTheDirectAnswerStands)
+{
+    direct.status = TransactionStatus::Unavailable;
+    EXPECT_EQ(commit(), TransactionStatus::Unavailable);
+    EXPECT_EQ(commit(), TransactionStatus::Unavailable);
+    EXPECT_EQ(direct.calls, 2); // No call is given up without having been tried.
+}
+
+TEST_F(RelayedStoreTest, WhatMayHaveTakenEffectByEitherWayIsNotKnown)
+{
+    connect();
+    direct.status = TransactionStatus::Unknown;
+    peersDirect.status = TransactionStatus::Unavailable;
+    EXPECT_EQ(commit(), TransactionStatus::Unknown);
+
+    clock.advance(1s);
+    direct.status = TransactionStatus::Unavailable;
+    peersDirect.status = TransactionStatus::Unknown;
+    EXPECT_EQ(commit(), TransactionStatus::Unknown);
+
+    clock.advance(1s);
+    isPeerSilent = true;
+    EXPECT_EQ(commit(), TransactionStatus::Unknown);
+
+    clock.advance(1s);
+    isPeerSilent = false;
+    peersDirect.status = TransactionStatus::Unavailable;
+    EXPECT_EQ(commit(), TransactionStatus::Unavailable);
+}
+
+TEST_F(RelayedStoreTest, HistoryThatIsGoneIsAnAnswer)
+{
+    connect();
+    direct.status = TransactionStatus::Unavailable;
+    direct.readError = ErrorCode::NotFound;
+    const auto code = handle(
+        [&]() -> Result<ErrorCode> {
+            BOOST_LEAF_CHECK(store.changes("table", 3, 1s));
+            return ErrorCode::Internal;
+        },
+        [](const Error& error) { return error.code; });
+    EXPECT_EQ(code, ErrorCode::NotFound);
+    EXPECT_EQ(asked, 0);
+}
--- a/packages/node/tests/traffic_service_tests.cpp
+++ b/packages/node/tests/traffic_service_tests.cpp
@@ -31,7 +31,11 @@
         control.run([this] { service.handle(policy::PeersChanged { NodeId { "n" }, { NodeId { "n" } } }); });
         control.run([this] { service.handle(view()); });
     }
-    ~TrafficServiceTest() override { control.stop(); }
+    ~TrafficServiceTest() override
+    {
+        control.stop();
+        traffic.shutdown(); // What is under way uses the gate, which goes before the pool.
+    }
 
     static policy::ViewChanged view()
     {
@@ -251,5 +255,8 @@
         thread.join();
     EXPECT_EQ(mixedUp.load(), 0);
     EXPECT_EQ(worker->orders().size(), static_cast<std::size_t>(callers * requestsEach));
+    // An answer does not wait for the control thread to keep the books.
+    traffic.shutdown();
+    control.run([] {});
     EXPECT_EQ(service.liveRequests(), 0U);
 }
