Reach the store through a peer while it turns only this node away

Cause: the store may answer 503, reset or be silent to single nodes for seconds. The owner of a cell then refused every new job, although each of its peers could have stored it; and a node that had lost the store once and held no cell never took one again, as only the success of an own transaction said that the store was back. Ruled out: giving the cell up to a peer that reaches the store. It costs a silence, a takeover and a look at every worker, and the owner has to know that others fare better. Change: RelayedStore (packages/node) in front of the platform's store: a call that the store does not answer goes to a peer whose news says that it is answered; transactions settle by the owner row as ever. Whether the store is in reach is told by the direct way of all calls, not by the writers. Workers' entries and operators' orders go the same way, so a node cut off from the store learns new configuration in time. Exchanges between nodes that get no reply end with the default reply (JobNode::call could end in a broken promise in the moment of its deadline).

--- a/packages/jobs/include/rattanrack/jobs/ownership.h
+++ b/packages/jobs/include/rattanrack/jobs/ownership.h
@@ -79,6 +79,9 @@
     std::vector<std::string> addresses(TimePoint now) const;
     std::size_t liveNodes(TimePoint now) const;
 
+    /// Peers that reach the store.
+    std::vector<std::string> peersInReach(TimePoint now) const;
+
     /// What this node tells others; the lists of machines are left to the caller.
     NodeNews news();
 
--- a/packages/jobs/include/rattanrack/jobs/part_store.h
+++ b/packages/jobs/include/rattanrack/jobs/part_store.h
@@ -25,16 +25,22 @@
     std::string value;
     RowVersion version { 0 };
     bool isRemoved { false }; ///< Only in changes.
+
+    friend bool operator==(const PartRow&, const PartRow&) = default;
 };
 
 struct RowCondition {
     RowKey row;
     RowVersion version { 0 };
+
+    friend bool operator==(const RowCondition&, const RowCondition&) = default;
 };
 
 struct RowWrite {
     RowKey row;
     std::optional<std::string> value; ///< Empty: removed.
+
+    friend bool operator==(const RowWrite&, const RowWrite&) = default;
 };
 
 /// All of it takes effect, and only if all conditions hold, or none.
@@ -42,6 +48,8 @@
     std::string part;
     std::vector<RowCondition> conditions;
     std::vector<RowWrite> writes;
+
+    friend bool operator==(const PartTransaction&, const PartTransaction&) = default;
 };
 
 enum class TransactionStatus : std::uint8_t {
@@ -57,18 +65,48 @@
     RowVersion version { 0 }; ///< Of all rows written, when Done.
     std::vector<PartRow> current; ///< The rows of the conditions, on Conflict.
     std::string detail;
+
+    friend bool operator==(const TransactionOutcome&, const TransactionOutcome&) = default;
 };
 
 struct RowRange {
     std::string table;
     std::string part;
     std::string from; ///< First key; empty: from the start.
+
+    friend bool operator==(const RowRange&, const RowRange&) = default;
 };
 
 struct RowPage {
     std::vector<PartRow> rows; ///< Ascending by key.
     bool hasMore { false };
     RowVersion version { 0 }; ///< Newest version of the whole store.
+
+    friend bool operator==(const RowPage&, const RowPage&) = default;
+};
+
+/// Asks for what has changed in a table after `version`.
+struct ChangesQuery {
+    std::string table;
+    RowVersion version { 0 };
+    Duration wait {};
+
+    friend bool operator==(const ChangesQuery&, const ChangesQuery&) = default;
+};
+
+enum class ReadStatus : std::uint8_t {
+    Done,
+    HistoryGone, ///< Of changes: read everything anew.
+    Unavailable,
+};
+
+/// An answer to a question as a value, for those who hand it on.
+struct ReadOutcome {
+    ReadStatus status { ReadStatus::Unavailable };
+    RowPage page; ///< When Done.
+    std::string detail;
+
+    friend bool operator==(const ReadOutcome&, const ReadOutcome&) = default;
 };
 
 /// Safe from every thread. Every call ends by a timeout of its own.
--- a/packages/jobs/src/ownership.cpp
+++ b/packages/jobs/src/ownership.cpp
@@ -159,6 +159,16 @@
     }));
 }
 
+std::vector<std::string> Ownership::peersInReach(TimePoint now) const
+{
+    std::vector<std::string> all;
+    for (const NodeNews* news : liveNews(now)) {
+        if (news->isStoreInReach)
+            all.push_back(news->address);
+    }
+    return all;
+}
+
 NodeNews Ownership::news()
 {
     NodeNews news { m_self, m_address, ++m_sequence, m_isLeaving, m_isStoreInReach, {}, {}, {}, {}, {} };
--- a/packages/node/include/rattanrack/node/cell_host.h
+++ b/packages/node/include/rattanrack/node/cell_host.h
@@ -46,7 +46,6 @@
         ElasticThreadPool* advisorThread { nullptr };
         std::function<void(jobs::CallToken, bool isStored)> onReply;
         std::function<void()> onLost; ///< The cell is in other hands, or handed back. Called once.
-        std::function<void(bool isInReach)> onStore;
     };
 
     CellHost(Parts parts, const PoolId& pool, const CellTimes& times, Takeover takeover);
--- a/packages/node/include/rattanrack/node/coordination_service.h
+++ b/packages/node/include/rattanrack/node/coordination_service.h
@@ -97,6 +97,8 @@
     void received(const jobs::NodeNews&) { }
     void received(const peer::JobCall&) { }
     void received(const peer::JobReply&) { }
+    void received(const peer::StoreCall&) { }
+    void received(const peer::StoreReply&) { }
 
     Parts m_parts;
     peer::Membership m_membership;
--- a/packages/node/include/rattanrack/node/job_node.h
+++ b/packages/node/include/rattanrack/node/job_node.h
@@ -2,6 +2,7 @@
 
 #include "rattanrack/base/metrics.h"
 #include "rattanrack/jobs/ports.h"
+#include "rattanrack/node/relayed_store.h"
 #include "rattanrack/peer/messages.h"
 
 #include <memory>
@@ -17,7 +18,7 @@
 };
 
 struct JobNodePorts {
-    jobs::PartStore& store;
+    RelayedStore& store; ///< Of its own; outlives the node.
     jobs::FleetSource& fleet;
     jobs::WorkerConnector& workers;
     jobs::MachineService& machines;
--- a/packages/node/include/rattanrack/node/machine_duty.h
+++ b/packages/node/include/rattanrack/node/machine_duty.h
@@ -38,7 +38,6 @@
         jobs::FleetSource& fleet;
         NodeId self;
         std::function<void()> onLost;
-        std::function<void(bool isInReach)> onStore;
     };
 
     MachineDuty(Parts parts, MachineDutyTakeover takeover);
--- a/packages/node/include/rattanrack/node/part_writer.h
+++ b/packages/node/include/rattanrack/node/part_writer.h
@@ -37,7 +37,6 @@
         std::function<void()> onStored;
         std::function<void()> onNotStored; ///< Proved; what was in the transaction is to be written again.
         std::function<void()> onLost; ///< The part is in other hands, or given up.
-        std::function<void(bool isInReach)> onStore;
     };
 
     PartWriter(Parts parts, jobs::OwnedPart part, Events events);
--- /dev/null
+++ b/packages/node/include/rattanrack/node/pending_exchanges.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "rattanrack/base/time.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <utility>
+#include <vector>
+
+namespace rattanrack::node {
+
+/// Questions to other nodes that wait for their replies. Belongs to the control thread. `Reply` has a member
+/// `exchange`, and its default says that nothing has come.
+template <typename Reply> class PendingExchanges {
+public:
+    using OnReply = std::function<void(const Reply&)>;
+
+    /// The number that the question carries. `onReply` is called once: with the reply, or with the default one when the
+    /// deadline has passed.
+    std::uint64_t add(Deadline deadline, OnReply onReply)
+    {
+        m_waiting.emplace(++m_last, Waiting { deadline, std::move(onReply) });
+        return m_last;
+    }
+
+    void replied(const Reply& reply)
+    {
+        auto waiting = m_waiting.extract(reply.exchange);
+        if (!waiting.empty())
+            waiting.mapped().onReply(reply);
+    }
+
+    /// Ends those whose deadline has passed.
+    void expire(TimePoint now)
+    {
+        std::vector<std::uint64_t> late;
+        for (const auto& [exchange, waiting] : m_waiting) {
+            if (waiting.deadline.hasPassed(now))
+                late.push_back(exchange);
+        }
+        for (const std::uint64_t exchange : late)
+            replied(Reply { exchange });
+    }
+
+private:
+    struct Waiting {
+        Deadline deadline;
+        OnReply onReply;
+    };
+
+    std::uint64_t m_last { 0 };
+    std::map<std::uint64_t, Waiting> m_waiting;
+};
+
+} // namespace rattanrack::node
--- a/packages/node/src/cell_host.cpp
+++ b/packages/node/src/cell_host.cpp
@@ -222,8 +222,7 @@
 PartWriter::Events CellHost::writerEvents()
 {
     return { [this] { stored(); }, [this] { notStored(); },
-        [this] { m_parts.control.post(guarded([this] { m_parts.onLost(); })); },
-        [this](bool isInReach) { m_parts.onStore(isInReach); } };
+        [this] { m_parts.control.post(guarded([this] { m_parts.onLost(); })); } };
 }
 
 void CellHost::commitIfDue()
--- a/packages/node/src/job_node.cpp
+++ b/packages/node/src/job_node.cpp
@@ -19,14 +19,13 @@
     , metrics(nodeMetrics)
     , self(settings.name + '-' + std::to_string(wallClockMilliseconds()))
     , ownership(self, settings.peerAddress, clock.now())
-    , calls(settings.peerAddress,
-          [this](const std::string& address, peer::Message message) { network->send(address, std::move(message)); })
 {
 }
 
 JobNode::State::~State()
 {
     isStopped = true;
+    ports.store.connect({});
     for (std::thread& watcher : watchers)
         watcher.join();
     storePool.shutdown();
@@ -46,13 +45,16 @@
     watchers.emplace_back([this] { watchWorkers(); });
     watchers.emplace_back([this] { watchMembers(); });
     control.post([this] { tick(); });
+    ports.store.connect([this](const peer::StoreRequest& request) { return askPeer(request); });
 }
 
 void JobNode::State::tick()
 {
     const TimePoint now = clock.now();
     control.at(Deadline::after(now, newsPeriod), [this] { tick(); });
-    calls.expire(now);
+    jobCalls.expire(now);
+    storeCalls.expire(now);
+    ownership.setStoreInReach(ports.store.isInReach());
     takeCells();
     if (const auto cell = ownership.toHandBack(now))
         handBack(*cell);
--- a/packages/node/src/job_node_calls.cpp
+++ b/packages/node/src/job_node_calls.cpp
@@ -27,7 +27,9 @@
     const auto owner = ownership.owner(call.cell, clock.now());
     if (!owner || owner->node == self)
         return reply({ 0, peer::JobCallStatus::NotOwner });
-    calls.forward(std::move(call), owner->address, deadline, std::move(reply));
+    call.exchange = jobCalls.add(deadline, std::move(reply));
+    call.replyTo = settings.peerAddress;
+    network->send(owner->address, std::move(call));
 }
 
 void JobNode::State::callHere(CellHost& host, const peer::JobCall& call, CallReply reply)
--- a/packages/node/src/job_node_cells.cpp
+++ b/packages/node/src/job_node_cells.cpp
@@ -43,7 +43,7 @@
         { { "cell", cell.value() }, { "term", takeover->taken.part.term() }, { "jobs", takeover->jobs.size() } });
     CellHost::Parts parts { control, clock, metrics, storePool, workerPool, ports.store, ports.workers, ports.advisor,
         &advisorPool, [this](jobs::CallToken token, bool isStored) { stored(token, isStored); },
-        [this, cell] { cellLost(cell); }, [this](bool isInReach) { ownership.setStoreInReach(isInReach); } };
+        [this, cell] { cellLost(cell); } };
     auto host = std::make_unique<CellHost>(
         std::move(parts), cell, CellTimes { settings.leaseLength, settings.keepEnded }, std::move(*takeover));
     if (configuration)
@@ -78,9 +78,8 @@
         ownership.takingFailed(machineDutyName, clock.now());
         return;
     }
-    duty = std::make_unique<MachineDuty>(
-        MachineDuty::Parts { control, clock, storePool, ports.store, ports.machines, ports.fleet, self,
-            [this] { dutyLost(); }, [this](bool isInReach) { ownership.setStoreInReach(isInReach); } },
+    duty = std::make_unique<MachineDuty>(MachineDuty::Parts { control, clock, storePool, ports.store, ports.machines,
+                                             ports.fleet, self, [this] { dutyLost(); } },
         std::move(*takeover));
     logEvent("machines.taken", { { "term", duty->term() } });
     if (configuration)
--- a/packages/node/src/job_node_state.h
+++ b/packages/node/src/job_node_state.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "rattanrack/node/cell_host.h"
-#include "rattanrack/node/job_calls.h"
 #include "rattanrack/node/job_node.h"
 #include "rattanrack/node/machine_duty.h"
+#include "rattanrack/node/pending_exchanges.h"
 #include "rattanrack/peer/peer_network.h"
 
 #include <atomic>
@@ -39,7 +39,9 @@
     void receive(const peer::Message& message);
     void received(const jobs::NodeNews& news) { ownership.onNews(news, clock.now()); }
     void received(const peer::JobCall& call);
-    void received(const peer::JobReply& reply) { calls.replied(reply); }
+    void received(const peer::JobReply& reply) { jobCalls.replied(reply); }
+    void received(const peer::StoreCall& call);
+    void received(const peer::StoreReply& reply) { storeCalls.replied(reply); }
     template <typename Other> void received(const Other&) { }
 
     // What this node owns: job_node_cells.cpp
@@ -60,6 +62,11 @@
     void cancelHere(CellHost& host, const peer::JobCall& call, CallReply reply);
     void stored(jobs::CallToken token, bool isStored);
 
+    // Calls to the store through peers: job_node_store.cpp
+    std::optional<peer::StoreAnswer> askPeer(const peer::StoreRequest& request);
+    bool sendToPeer(
+        const peer::StoreRequest& request, Deadline deadline, PendingExchanges<peer::StoreReply>::OnReply onReply);
+
     // What the store tells: job_node_watchers.cpp
     void watchConfiguration();
     void watchWorkers();
@@ -75,7 +82,9 @@
     SystemClock clock;
     NodeId self;
     jobs::Ownership ownership;
-    JobCalls calls;
+    PendingExchanges<peer::JobReply> jobCalls;
+    PendingExchanges<peer::StoreReply> storeCalls;
+    std::size_t lastAsked { 0 };
     std::map<PoolId, std::unique_ptr<CellHost>> cells;
     std::unique_ptr<MachineDuty> duty;
     std::set<PoolId> beingTaken;
--- a/packages/node/src/machine_duty.cpp
+++ b/packages/node/src/machine_duty.cpp
@@ -64,8 +64,7 @@
                       if (*alive)
                           m_parts.onLost();
                   });
-              },
-              [this](bool isInReach) { m_parts.onStore(isInReach); } })
+              } })
 {
 }
 
--- a/packages/node/src/part_writer.cpp
+++ b/packages/node/src/part_writer.cpp
@@ -102,7 +102,6 @@
         return;
     logEvent(isInReach ? "store.regained" : "store.lost",
         { { "part", m_part.transaction().part }, { "detail", detail } }, LogLevel::Warning);
-    m_events.onStore(isInReach);
 }
 
 void PartWriter::settled(const jobs::TransactionOutcome& outcome, TimePoint sentAt)
--- a/packages/peer/include/rattanrack/peer/messages.h
+++ b/packages/peer/include/rattanrack/peer/messages.h
@@ -2,6 +2,7 @@
 
 #include "rattanrack/base/ids.h"
 #include "rattanrack/jobs/ownership.h"
+#include "rattanrack/jobs/part_store.h"
 #include "rattanrack/policy/claims.h"
 #include "rattanrack/policy/traffic.h"
 
@@ -127,7 +128,28 @@
     friend bool operator==(const JobReply&, const JobReply&) = default;
 };
 
+using StoreRequest = std::variant<jobs::PartTransaction, jobs::RowRange, jobs::ChangesQuery>;
+
+/// As the store gave it to the peer that was asked; `monostate` while none has come.
+using StoreAnswer = std::variant<std::monostate, jobs::TransactionOutcome, jobs::ReadOutcome>;
+
+/// A call to the store that turns the sender away, for a peer that reaches it.
+struct StoreCall {
+    std::uint64_t exchange { 0 }; ///< Chosen by the sender; comes back in the reply.
+    std::string replyTo; ///< "ip:port" of the sender.
+    StoreRequest request;
+
+    friend bool operator==(const StoreCall&, const StoreCall&) = default;
+};
+
+struct StoreReply {
+    std::uint64_t exchange { 0 };
+    StoreAnswer answer;
+
+    friend bool operator==(const StoreReply&, const StoreReply&) = default;
+};
+
 using Message = std::variant<Heartbeat, ConfigAnnouncement, CreditAskMessage, CreditGrantMessage, ClaimRequest,
-    ClaimReply, AnswerQuery, AnswerReply, jobs::NodeNews, JobCall, JobReply>;
+    ClaimReply, AnswerQuery, AnswerReply, jobs::NodeNews, JobCall, JobReply, StoreCall, StoreReply>;
 
 } // namespace rattanrack::peer
--- a/packages/peer/src/codec.cpp
+++ b/packages/peer/src/codec.cpp
@@ -1,5 +1,8 @@
 #include "codec.h"
 
+#include "store_codec.h"
+#include "wire_text.h"
+
 #include <kj/exception.h>
 
 #include <optional>
@@ -13,18 +16,6 @@
 constexpr std::size_t creditSizeBound = 32;
 constexpr std::size_t nameSizeBound = 64;
 
-std::string text(capnp::Text::Reader reader) { return { reader.cStr(), reader.size() }; }
-
-std::string bytes(capnp::Data::Reader reader)
-{
-    return { reinterpret_cast<const char*>(reader.begin()), reader.size() };
-}
-
-capnp::Data::Reader dataOf(const std::string& value)
-{
-    return { reinterpret_cast<const kj::byte*>(value.data()), value.size() };
-}
-
 void encodeCredits(const std::vector<policy::Credit>& credits, capnp::List<wire::Credit>::Builder target)
 {
     for (unsigned i = 0; i < target.size(); ++i) {
@@ -254,6 +245,9 @@
         reply.setState(static_cast<std::uint8_t>(message.state));
         reply.setPending(message.pending);
     }
+
+    void operator()(const StoreCall& message) { encodeStoreCall(message, target.initStoreCall()); }
+    void operator()(const StoreReply& message) { encodeStoreReply(message, target.initStoreReply()); }
 };
 
 Introduction decodeIntroduction(wire::Introduction::Reader source)
@@ -415,6 +409,10 @@
         return decodeJobCall(source.getJobCall());
     case wire::Message::JOB_REPLY:
         return decodeJobReply(source.getJobReply());
+    case wire::Message::STORE_CALL:
+        return decodeStoreCall(source.getStoreCall());
+    case wire::Message::STORE_REPLY:
+        return decodeStoreReply(source.getStoreReply());
     }
     return std::nullopt;
 }
@@ -448,6 +446,8 @@
     }
     std::size_t operator()(const JobCall& message) const { return message.body.size(); }
     std::size_t operator()(const JobReply&) const { return 0; }
+    std::size_t operator()(const StoreCall& message) const { return variableSize(message); }
+    std::size_t operator()(const StoreReply& message) const { return variableSize(message); }
 
     static std::size_t credits(const std::vector<policy::Credit>& credits)
     {
--- a/packages/peer/src/peer.capnp
+++ b/packages/peer/src/peer.capnp
@@ -22,6 +22,8 @@
     nodeNews @8 :NodeNews;
     jobCall @9 :JobCall;
     jobReply @10 :JobReply;
+    storeCall @11 :StoreCall;
+    storeReply @12 :StoreReply;
   }
 }
 
@@ -205,3 +207,90 @@
   state @2 :UInt8;
   pending @3 :Int32;
 }
+
+struct RowCondition {
+  table @0 :Text;
+  key @1 :Text;
+  version @2 :UInt64;
+}
+
+struct RowWrite {
+  table @0 :Text;
+  key @1 :Text;
+  value @2 :Data;
+  isRemoval @3 :Bool;
+}
+
+struct PartTransaction {
+  part @0 :Text;
+  conditions @1 :List(RowCondition);
+  writes @2 :List(RowWrite);
+}
+
+struct RowRange {
+  table @0 :Text;
+  part @1 :Text;
+  from @2 :Text;
+}
+
+struct ChangesQuery {
+  table @0 :Text;
+  version @1 :UInt64;
+  waitMicroseconds @2 :Int64;
+}
+
+struct StoreCall {
+  exchange @0 :UInt64;
+  replyTo @1 :Text;
+  union {
+    transaction @2 :PartTransaction;
+    range @3 :RowRange;
+    changes @4 :ChangesQuery;
+  }
+}
+
+struct PartRow {
+  table @0 :Text;
+  key @1 :Text;
+  value @2 :Data;
+  version @3 :UInt64;
+  isRemoved @4 :Bool;
+}
+
+enum TransactionStatus {
+  done @0;
+  conflict @1;
+  refused @2;
+  unavailable @3;
+  unknown @4;
+}
+
+struct TransactionOutcome {
+  status @0 :TransactionStatus;
+  version @1 :UInt64;
+  current @2 :List(PartRow);
+  detail @3 :Text;
+}
+
+enum ReadStatus {
+  done @0;
+  historyGone @1;
+  unavailable @2;
+}
+
+struct ReadOutcome {
+  status @0 :ReadStatus;
+  rows @1 :List(PartRow);
+  hasMore @2 :Bool;
+  version @3 :UInt64;
+  detail @4 :Text;
+}
+
+struct StoreReply {
+  exchange @0 :UInt64;
+  union {
+    none @1 :Void;
+    transaction @2 :TransactionOutcome;
+    read @3 :ReadOutcome;
+  }
+}
--- /dev/null
+++ b/packages/peer/src/wire_text.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <capnp/blob.h>
+
+#include <string>
+
+/// Texts and bytes of messages.
+namespace rattanrack::peer {
+
+inline std::string text(capnp::Text::Reader reader) { return { reader.cStr(), reader.size() }; }
+
+inline std::string bytes(capnp::Data::Reader reader)
+{
+    return { reinterpret_cast<const char*>(reader.begin()), reader.size() };
+}
+
+inline capnp::Data::Reader dataOf(const std::string& value)
+{
+    return { reinterpret_cast<const kj::byte*>(value.data()), value.size() };
+}
+
+} // namespace rattanrack::peer
--- a/packages/peer/tests/peer_network_tests.cpp
+++ b/packages/peer/tests/peer_network_tests.cpp
@@ -171,6 +171,36 @@
     EXPECT_GT(receiver->traffic().bytesReceived, 0U);
 }
 
+TEST(PeerNetwork, CarriesCallsToTheStoreWhole)
+{
+    Inbox inbox;
+    Inbox unused;
+    const std::string target = freeAddress();
+    const auto receiver = networkAt(target, inbox);
+    const auto sender = networkAt(freeAddress(), unused);
+    const std::string bytes("\0value", 6);
+    const std::vector<jobs::PartRow> rows { { { "table", "key" }, bytes, 7, false },
+        { { "table", "gone" }, "", 8, true } };
+    const jobs::PartTransaction transaction { "part", { { { "table", "key" }, 6 } },
+        { { { "table", "key" }, bytes }, { { "table", "gone" }, std::nullopt }, { { "table", "empty" }, "" } } };
+    const std::vector<StoreCall> calls { { 1, "127.0.0.1:2", transaction },
+        { 2, "127.0.0.1:2", jobs::RowRange { "table", "part", "from" } },
+        { 3, "127.0.0.1:2", jobs::ChangesQuery { "table", 9, Duration { 10 } } } };
+    const std::vector<StoreReply> replies { { 1, {} },
+        { 2, jobs::TransactionOutcome { jobs::TransactionStatus::Conflict, 4, rows, "detail" } },
+        { 3, jobs::ReadOutcome { jobs::ReadStatus::Done, { rows, true, 11 }, "detail" } },
+        { 4, jobs::ReadOutcome { jobs::ReadStatus::HistoryGone, {}, "gone" } } };
+    for (const StoreCall& call : calls)
+        sender->send(target, call);
+    for (const StoreReply& reply : replies)
+        sender->send(target, reply);
+    ASSERT_TRUE(inbox.waitFor(calls.size() + replies.size()));
+    for (std::size_t i = 0; i < calls.size(); ++i)
+        EXPECT_EQ(std::get<StoreCall>(inbox.messages()[i]), calls[i]);
+    for (std::size_t i = 0; i < replies.size(); ++i)
+        EXPECT_EQ(std::get<StoreReply>(inbox.messages()[calls.size() + i]), replies[i]);
+}
+
 TEST(PeerNetwork, KeepsOrderOverManyBatchesAndConnections)
 {
     Inbox inbox;
