What lasts may claim a place; a machine is empty only when its ends are stored and its owner knows that it is closed

Small finite work took each piece of room as it came free, as what lasts had no claim to a worker. It has one now, on a worker where it fits once all finite work there has ended; that condition keeps the case for which the claim was taken away (lasting work that fits nowhere, CellWalk.LastingSubtasksWithoutPlaceKeepNothing- FromOthers). A machine was called empty when nothing ran there, though ends of its last runs were not stored: an owner lost in that moment would have taken them with it. A machine closed, opened and closed again could be moved on the word of its emptiness from before.

--- a/packages/jobs/include/rattanrack/jobs/capacity_plan.h
+++ b/packages/jobs/include/rattanrack/jobs/capacity_plan.h
@@ -14,9 +14,10 @@
 
 /// Lends machines to pools that are flooded, and gives them back. The load pattern it answers: each kind of work in
 /// turn asks for more than its pool holds, for a few moves' time. A machine in a flooded pool is worth many times what
-/// it costs, so pools grow at the first sign; nobody shrinks below its own size before a flood ends elsewhere, as a
-/// pool that waits for its machines to come back loses more than they cost meanwhile. Only machines on which nothing
-/// runs move. Pure: no I/O, no clock. Not thread-safe.
+/// it costs, so pools grow at the first sign, which is the work that callers hand in; nobody shrinks below its own
+/// size, as a pool that waits for its machines to come back loses more than they cost meanwhile. Only machines on which
+/// nothing runs move, and only those are emptied for it where all that runs soon ends by itself. Pure: no I/O, no
+/// clock. Not thread-safe.
 class CapacityPlan {
 public:
     /// `sizes`: machines of each pool as it was set up; empty: as the first list shows them.
@@ -27,8 +28,8 @@
     void setMachines(const std::vector<Machine>& machines, TimePoint askedAt);
     void setLoads(const std::vector<CellLoad>& loads, TimePoint now);
 
-    /// Machines of owned pools on which nothing runs, and those among the closing ones where nothing will.
-    void setIdle(std::set<MachineId> machines) { m_idle = std::move(machines); }
+    /// Machines of owned pools on which nothing runs that lasts, and those among the closing ones where nothing does.
+    void setMovable(std::set<MachineId> machines) { m_movable = std::move(machines); }
     void setEmptied(std::set<MachineId> machines) { m_emptied = std::move(machines); }
 
     /// Machines that are to be left alone: they are maintained, or about to be.
@@ -67,9 +68,10 @@
     void giveBack(TimePoint now);
     void begin(const Machine& machine, const PoolId& to, TimePoint now);
     bool take(const PoolId& to, TimePoint now);
-    const Machine* bestSource(const PoolId& to) const;
+    const Machine* bestSource(const PoolId& to, TimePoint now) const;
+    bool lends(const PoolId& pool, TimePoint now) const;
     bool mayMove(const Machine& machine, const PoolId& to) const;
-    int floorOf(const PoolId& pool) const;
+    int neededBy(const PoolId& pool) const;
     int sizeOf(const PoolId& pool) const;
 
     TimePoint m_mayOrderFrom;
@@ -79,7 +81,7 @@
     std::map<MachineId, Machine> m_machines;
     std::map<PoolId, CellLoad> m_loads;
     std::map<PoolId, TimePoint> m_busyAt; ///< When a pool last needed all that it had.
-    std::set<MachineId> m_idle;
+    std::set<MachineId> m_movable;
     std::set<MachineId> m_emptied;
     std::set<MachineId> m_reserved;
     std::map<MachineId, Transfer> m_transfers;
--- a/packages/jobs/include/rattanrack/jobs/cell.h
+++ b/packages/jobs/include/rattanrack/jobs/cell.h
@@ -116,11 +116,11 @@
     /// Machines that get nothing new and are emptied.
     void setClosing(std::set<MachineId> machines);
 
-    /// Machines among the closing ones on which nothing runs.
+    /// Machines among the closing ones on which nothing runs, and whose ends are all stored.
     std::vector<MachineId> emptied() const;
 
-    /// Machines on which nothing runs.
-    std::vector<MachineId> idle() const;
+    /// Machines on which nothing runs but work that soon ends by itself, if anything.
+    std::vector<MachineId> movable() const;
 
     /// Every worker on which something of this cell may run. Must be stored before anything is started there.
     WorkerMachines workersInUse() const;
@@ -138,7 +138,7 @@
     int pending(const QueueId& queue) const;
 
     /// How full the pool is, and how much more is wanted.
-    CellLoad load() const;
+    CellLoad load(TimePoint now) const;
 
     /// Jobs that have not ended.
     std::size_t openJobs() const;
--- a/packages/jobs/include/rattanrack/jobs/maintenance.h
+++ b/packages/jobs/include/rattanrack/jobs/maintenance.h
@@ -32,7 +32,8 @@
 struct CellLoad {
     PoolId cell;
     Millicores used; ///< Taken by what runs.
-    Millicores waiting; ///< Wanted by what could run now.
+    Millicores waiting; ///< Wanted by what could run now, and still be in time.
+    Millicores offered; ///< That what callers hand in would keep busy.
 
     friend bool operator==(const CellLoad&, const CellLoad&) = default;
 };
--- a/packages/jobs/include/rattanrack/jobs/ownership.h
+++ b/packages/jobs/include/rattanrack/jobs/ownership.h
@@ -33,8 +33,9 @@
     bool isStoreInReach { true };
     std::vector<HeldCell> cells;
     std::vector<MachineId> closing; ///< From the holder of the machines' duty: machines to be emptied.
+    std::uint64_t closingHeard { 0 }; ///< Number of the news that the sender knows the closing machines from.
     std::vector<MachineId> emptied; ///< From owners of cells: closing machines on which nothing runs.
-    std::vector<MachineId> idle; ///< From owners of cells: machines on which nothing runs.
+    std::vector<MachineId> movable; ///< From owners of cells: machines on which nothing runs that lasts.
     std::vector<CellLoad> loads; ///< Of the cells that it owns.
 
     friend bool operator==(const NodeNews&, const NodeNews&) = default;
@@ -82,6 +83,9 @@
     /// Peers that reach the store.
     std::vector<std::string> peersInReach(TimePoint now) const;
 
+    /// Number of the latest news of a live node; 0: there is none.
+    std::uint64_t heardOf(const NodeId& node, TimePoint now) const;
+
     /// What this node tells others; the lists of machines are left to the caller.
     NodeNews news();
 
--- a/packages/jobs/include/rattanrack/jobs/placement.h
+++ b/packages/jobs/include/rattanrack/jobs/placement.h
@@ -10,8 +10,10 @@
 struct Candidate {
     const WorkerDescription* worker { nullptr };
     ResourceSize free;
+    ResourceSize freeSoon; ///< Once all has ended there that ends by itself.
     int sameStep { 0 }; ///< Runs of the step (and occurrence) there.
     int sameStepInRack { 0 };
+    int lasting { 0 }; ///< Subtasks that last, other than fillers, on this worker.
     int serving { 0 }; ///< Runs with a latency target there.
     int fillers { 0 };
     bool isReserved { false }; ///< Kept for something larger.
--- a/packages/jobs/src/capacity_plan.cpp
+++ b/packages/jobs/src/capacity_plan.cpp
@@ -12,10 +12,10 @@
 
 constexpr double fullShare = 0.75; ///< A pool that uses more of its room is about to be flooded.
 constexpr int mostAtOnce = 10; ///< Transfers to one pool at the same time.
-constexpr double lendableShare = 0; ///< Of a pool's machines, while it needs them not.
+constexpr int headroom = 1; ///< Machines that a pool keeps beyond its need while it lends.
 constexpr Duration quietBeforeLending = 700ms; ///< A pool lends only after it has not been full for this long.
 constexpr Duration quietBeforeReturn = 2500ms; ///< Lent machines stay this long after the flood has ended.
-constexpr Duration emptyingPatience = 1500ms; ///< A machine that is not empty by then is not moved.
+constexpr Duration emptyingPatience = 4s; ///< A machine that is not empty by then is not moved.
 constexpr Duration arrivalPatience = 8s;
 constexpr Duration pauseAfterRefusal = 400ms;
 constexpr Duration listLag = 3s; ///< A list asked for this long after an answer shows what came of it.
@@ -81,7 +81,8 @@
         if (load == m_loads.end() || pool.machineSize.count() == 0)
             continue;
         const double machineSize = static_cast<double>(pool.machineSize.count()) * fullShare;
-        const double demand = static_cast<double>(load->second.used.count() + load->second.waiting.count());
+        const Millicores present = load->second.used + load->second.waiting;
+        const double demand = static_cast<double>(std::max(present, load->second.offered).count());
         pool.wanted = static_cast<int>(std::ceil(demand / machineSize));
         if (pool.wanted >= pool.present)
             m_busyAt[id] = now;
@@ -94,38 +95,40 @@
     return found == m_sizes.end() ? 0 : found->second;
 }
 
-int CapacityPlan::floorOf(const PoolId& pool) const
+int CapacityPlan::neededBy(const PoolId& pool) const
 {
-    const int kept = static_cast<int>(std::ceil(sizeOf(pool) * (1 - lendableShare)));
     const auto found = m_pools.find(pool);
-    return std::max(kept, found == m_pools.end() ? 0 : found->second.wanted + 1);
+    return std::max(sizeOf(pool), found == m_pools.end() ? 0 : found->second.wanted + headroom);
 }
 
 bool CapacityPlan::mayMove(const Machine& machine, const PoolId& to) const
 {
-    const bool isFree = m_standby.contains(machine.pool) || m_idle.contains(machine.id);
+    const bool isFree = m_standby.contains(machine.pool) || m_movable.contains(machine.id);
     return isFree && machine.state == MachineState::Up && machine.pool != to && !m_reserved.contains(machine.id)
         && !m_transfers.contains(machine.id) && !m_impossible.contains({ machine.kind, to });
 }
 
-const Machine* CapacityPlan::bestSource(const PoolId& to) const
+bool CapacityPlan::lends(const PoolId& pool, TimePoint now) const
+{
+    if (m_standby.contains(pool))
+        return true;
+    const auto busy = m_busyAt.find(pool);
+    const bool isQuiet = busy == m_busyAt.end() || now - busy->second >= quietBeforeLending;
+    return m_owned.contains(pool) && isQuiet && m_pools.at(pool).present > neededBy(pool);
+}
+
+const Machine* CapacityPlan::bestSource(const PoolId& to, TimePoint now) const
 {
     const Machine* best = nullptr;
     const auto key = [&](const Machine& machine) {
-        // Standby machines first, then pools above their size, then those that were full most lately.
-        const Pool& pool = m_pools.at(machine.pool);
+        // Pools that have more than they need first, and of these the one that was full most lately; then standby.
         const bool isStandby = m_standby.contains(machine.pool);
-        const bool isSurplus = pool.present > sizeOf(machine.pool);
         const auto busy = m_busyAt.find(machine.pool);
         const TimePoint busyAt = busy == m_busyAt.end() ? TimePoint {} : busy->second;
-        return std::tuple { !isSurplus || isStandby, !isStandby, TimePoint::max() - busyAt, machine.id };
+        return std::tuple { isStandby, TimePoint::max() - busyAt, machine.id };
     };
     for (const auto& [id, machine] : m_machines) {
-        if (!mayMove(machine, to) || (!m_standby.contains(machine.pool) && !m_owned.contains(machine.pool)))
-            continue;
-        const bool mayLend
-            = m_standby.contains(machine.pool) || m_pools.at(machine.pool).present > floorOf(machine.pool);
-        if (mayLend && (!best || key(machine) < key(*best)))
+        if (mayMove(machine, to) && lends(machine.pool, now) && (!best || key(machine) < key(*best)))
             best = &machine;
     }
     return best;
@@ -140,14 +143,9 @@
 
 bool CapacityPlan::take(const PoolId& to, TimePoint now)
 {
-    const Machine* source = bestSource(to);
+    const Machine* source = bestSource(to, now);
     if (!source)
         return false;
-    if (!m_standby.contains(source->pool)) {
-        const auto busy = m_busyAt.find(source->pool);
-        if (busy != m_busyAt.end() && now - busy->second < quietBeforeLending)
-            return false;
-    }
     begin(*source, to, now);
     return true;
 }
@@ -169,7 +167,7 @@
 void CapacityPlan::giveBack(TimePoint now)
 {
     for (const auto& [id, machine] : m_machines) {
-        if (!m_owned.contains(machine.pool) || m_pools.at(machine.pool).present <= sizeOf(machine.pool))
+        if (!m_owned.contains(machine.pool) || m_pools.at(machine.pool).present <= neededBy(machine.pool))
             continue;
         const auto busy = m_busyAt.find(machine.pool);
         if (busy != m_busyAt.end() && now - busy->second < quietBeforeReturn)
--- a/packages/jobs/src/cell.cpp
+++ b/packages/jobs/src/cell.cpp
@@ -107,7 +107,8 @@
             if (worker.description.machine != machine)
                 continue;
             isHere = isHere || worker.isListed;
-            isInUse = isInUse || !worker.runs.empty();
+            // What has ended there is known here alone until it is stored.
+            isInUse = isInUse || !worker.runs.empty() || !worker.pendingEnds.empty();
         }
         if (isHere && !isInUse)
             machines.push_back(machine);
@@ -115,12 +116,12 @@
     return machines;
 }
 
-std::vector<MachineId> Cell::idle() const
+std::vector<MachineId> Cell::movable() const
 {
     std::vector<MachineId> machines;
     for (const auto& [id, worker] : m_state->workers) {
-        const bool isIdle = worker.isListed && worker.contact == WorkerContact::InTouch && worker.runs.empty();
-        if (isIdle && !m_state->isRecovering)
+        const bool isUsable = worker.isListed && worker.contact == WorkerContact::InTouch && !m_state->isRecovering;
+        if (isUsable && !worker.holdsLasting())
             machines.push_back(worker.description.machine);
     }
     return machines;
@@ -152,10 +153,28 @@
     entry->waiting.push_back(token);
     state.changed(*entry);
     state.isUrgent = true;
+    state.noteOffered(*entry, now);
     state.jobs.emplace(job.id, std::move(entry));
     return Acceptance::Waiting;
 }
 
+void CellState::noteOffered(const JobEntry& entry, TimePoint now)
+{
+    if (entry.job.spec.schedule.times > 0)
+        return;
+    Duration time {};
+    std::int64_t work = 0; // In millicores times microseconds.
+    for (const Step& step : entry.job.spec.steps) {
+        if (step.isLasting)
+            return;
+        const Duration each = runtimes.estimate(entry.job.queue, step.estimate);
+        time += each;
+        work += step.count * step.size.processors.count() * each.count();
+    }
+    if (time > Duration::zero())
+        offered.accept(Millicores { work / time.count() }, time, room().processors, now);
+}
+
 std::optional<Acceptance> Cell::cancel(const JobId& job, CallToken token, std::int64_t unixMs)
 {
     CellState& state = *m_state;
@@ -193,9 +212,9 @@
     }));
 }
 
-CellLoad Cell::load() const
+CellLoad Cell::load(TimePoint now) const
 {
-    CellLoad load { m_state->settings.pool, {}, m_state->waiting };
+    CellLoad load { m_state->settings.pool, {}, m_state->waiting, m_state->offered.rate(now) };
     for (const auto& [id, worker] : m_state->workers)
         load.used += worker.used.processors;
     return load;
--- a/packages/jobs/src/cell_runs.cpp
+++ b/packages/jobs/src/cell_runs.cpp
@@ -28,11 +28,30 @@
 
 } // namespace
 
+ResourceSize Worker::usedByLasting() const
+{
+    ResourceSize size;
+    for (const auto& [task, run] : runs) {
+        if (!run.isLasting)
+            continue;
+        size.processors += run.size.processors;
+        size.memory += run.size.memory;
+        size.accelerators += run.size.accelerators;
+    }
+    return size;
+}
+
+bool Worker::holdsLasting() const
+{
+    return std::any_of(runs.begin(), runs.end(), [](const auto& each) { return each.second.isLasting; });
+}
+
 Run& CellState::addRun(Worker& worker, const TaskRef& task, RunNumber number, const Step& step)
 {
     Run run;
     run.number = number;
     run.size = step.size;
+    run.isLasting = step.isLasting;
     if (step.isFiller)
         run.size.processors = {};
     worker.used.processors += run.size.processors;
--- a/packages/jobs/src/cell_schedule.cpp
+++ b/packages/jobs/src/cell_schedule.cpp
@@ -171,7 +171,8 @@
     const int wanted = entry.progress.waitingTasks(ready.occurrence, ready.step);
     const auto placements = space.place(entry, ready.occurrence, ready.step, ticket ? &ticket->tickets : nullptr);
     const int missing = wanted - static_cast<int>(placements.size());
-    waiting += Millicores { roomTaken(step).processors.count() * missing };
+    if (ready.rank <= Rank::InTime)
+        waiting += Millicores { roomTaken(step).processors.count() * missing };
     if (missing > 0 && ready.rank <= Rank::Begun)
         space.reserveFor(step);
     const bool isGangSplit = step.isGang && (missing > 0 || wanted != step.count);
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -2,6 +2,7 @@
 
 #include "rattanrack/jobs/cell.h"
 #include "rattanrack/jobs/lease_clock.h"
+#include "rattanrack/jobs/offered_load.h"
 #include "rattanrack/jobs/pacing.h"
 #include "rattanrack/jobs/runtime_estimate.h"
 
@@ -24,6 +25,7 @@
     RunNumber number { 0 };
     RunPhase phase { RunPhase::Ordered };
     ResourceSize size; ///< What it takes of the worker's room.
+    bool isLasting { false };
     bool mayComeLate { false }; ///< A start had no answer: it may still be carried out.
     bool isOrderOnItsWay { false }; ///< A start or stop waits for its answer.
     TimePoint confirmedAt {};
@@ -68,6 +70,10 @@
     Pacing pacing;
 
     bool isClosedFor(TimePoint now) const { return now < avoidUntil; }
+
+    /// Room taken by what does not end by itself.
+    ResourceSize usedByLasting() const;
+    bool holdsLasting() const;
 };
 
 /// What the answer to a start or stop is about; no run when it has been released since.
@@ -152,7 +158,8 @@
     bool isUrgent { false };
     std::int64_t unixMs { 0 }; ///< Wall clock of the latest step.
     TimePoint forgetAt {}; ///< When jobs that ended long ago are looked for next.
-    Millicores waiting; ///< Wanted by what was ready at the latest decision and found no place.
+    Millicores waiting; ///< Wanted by what was ready and in time at the latest decision, and found no place.
+    OfferedLoad offered;
     CellOutput output;
 
     JobEntry* find(const JobId& job);
@@ -177,6 +184,7 @@
         const WorkerId& id, const TaskRef& task, RunNumber number, const CallAnswer& answer, TimePoint now);
     void startFailed(Worker& worker, const StartOrder& order, Run& run);
     void changed(JobEntry& entry);
+    void noteOffered(const JobEntry& entry, TimePoint now);
     void endIfOver(JobEntry& entry, const TaskRef& failed);
     void advanceAcks();
     void forgetOldJobs();
--- a/packages/jobs/src/ownership.cpp
+++ b/packages/jobs/src/ownership.cpp
@@ -169,9 +169,15 @@
     return all;
 }
 
+std::uint64_t Ownership::heardOf(const NodeId& node, TimePoint now) const
+{
+    const auto peer = m_peers.find(node);
+    return peer != m_peers.end() && isLive(peer->second, now) ? peer->second.news.sequence : 0;
+}
+
 NodeNews Ownership::news()
 {
-    NodeNews news { m_self, m_address, ++m_sequence, m_isLeaving, m_isStoreInReach, {}, {}, {}, {}, {} };
+    NodeNews news { m_self, m_address, ++m_sequence, m_isLeaving, m_isStoreInReach, {}, {}, 0, {}, {}, {} };
     for (const auto& [cell, term] : m_held)
         news.cells.push_back({ cell, term });
     return news;
--- a/packages/jobs/src/placement.cpp
+++ b/packages/jobs/src/placement.cpp
@@ -18,7 +18,9 @@
     const int neighbours
         = step.isFiller ? candidate.fillers : (step.isLasting ? candidate.fillers + candidate.serving : 0);
     const int outsideRack = step.wantsOneRack ? -candidate.sameStepInRack : 0;
-    return std::tuple { isFarFromData, outsideRack, disturbed, onWorker, inRack, neighbours,
+    // What lasts keeps to few workers, so that the others can be emptied soon.
+    const int together = step.isLasting && !step.isFiller ? -candidate.lasting : 0;
+    return std::tuple { isFarFromData, outsideRack, disturbed, onWorker, inRack, neighbours, together,
         -candidate.free.processors.count(), -candidate.free.memory.count(), candidate.worker->id };
 }
 
--- a/packages/jobs/src/room.cpp
+++ b/packages/jobs/src/room.cpp
@@ -1,5 +1,7 @@
 #include "room.h"
 
+#include <algorithm>
+
 namespace rattanrack::jobs {
 
 namespace {
@@ -39,6 +41,11 @@
         candidate.free.processors -= worker.used.processors;
         candidate.free.memory -= worker.used.memory;
         candidate.free.accelerators -= worker.used.accelerators;
+        candidate.freeSoon = worker.description.capacity;
+        const ResourceSize lasting = worker.usedByLasting();
+        candidate.freeSoon.processors -= lasting.processors;
+        candidate.freeSoon.memory -= lasting.memory;
+        candidate.freeSoon.accelerators -= lasting.accelerators;
         m_workers.push_back(&worker);
         m_candidates.push_back(candidate);
     }
@@ -47,7 +54,7 @@
 void Room::countNeighbours(const JobEntry& entry, int occurrence, int step)
 {
     for (Candidate& candidate : m_candidates)
-        candidate.sameStep = candidate.sameStepInRack = candidate.serving = candidate.fillers = 0;
+        candidate.sameStep = candidate.sameStepInRack = candidate.lasting = candidate.serving = candidate.fillers = 0;
     for (std::size_t at = 0; at < m_candidates.size(); ++at) {
         for (const auto& [task, run] : m_workers[at]->runs) {
             const JobEntry* other = m_state.find(task.job);
@@ -55,6 +62,7 @@
                 continue;
             const Step& otherStep = CellState::stepOf(*other, task);
             m_candidates[at].fillers += otherStep.isFiller ? 1 : 0;
+            m_candidates[at].lasting += otherStep.isLasting && !otherStep.isFiller ? 1 : 0;
             m_candidates[at].serving += serves(otherStep) ? 1 : 0;
             if (other != &entry || task.occurrence != occurrence || task.step != step)
                 continue;
@@ -74,6 +82,7 @@
     candidate.free.accelerators -= taken.accelerators;
     ++candidate.sameStep;
     candidate.fillers += step.isFiller ? 1 : 0;
+    candidate.lasting += step.isLasting && !step.isFiller ? 1 : 0;
     candidate.serving += serves(step) ? 1 : 0;
     for (Candidate& other : m_candidates)
         other.sameStepInRack += other.worker->rack == candidate.worker->rack ? 1 : 0;
@@ -112,14 +121,15 @@
 
 void Room::reserveFor(const Step& step)
 {
-    const int most = static_cast<int>(m_candidates.size()) / reservedShare;
-    if (step.isLasting || m_reserved >= most)
+    const int most = std::max(1, static_cast<int>(m_candidates.size()) / reservedShare);
+    if (m_reserved >= most)
         return;
     Candidate* best = nullptr;
     for (Candidate& candidate : m_candidates) {
         const bool isFull = step.maxPerWorker > 0 && candidate.sameStep >= step.maxPerWorker;
         const bool isBetter = !best || candidate.free.processors > best->free.processors;
-        if (!candidate.isReserved && !isFull && isAllowed(step, *candidate.worker) && isBetter)
+        const bool fitsSoon = fits(roomTaken(step), candidate.freeSoon);
+        if (!candidate.isReserved && !isFull && fitsSoon && isAllowed(step, *candidate.worker) && isBetter)
             best = &candidate;
     }
     if (!best)
--- a/packages/jobs/src/room.h
+++ b/packages/jobs/src/room.h
@@ -29,8 +29,8 @@
     /// Gives room back that was not used after all.
     void give(const std::vector<Placement>& placements, const Step& step);
 
-    /// Keeps the emptiest worker that could hold the step free of smaller work that comes after it. What lasts has no
-    /// claim: it may find no place for as long as it runs.
+    /// Keeps the emptiest worker that could hold the step, once the finite work there has ended, free of smaller work
+    /// that comes after it.
     void reserveFor(const Step& step);
 
 private:
--- a/packages/jobs/tests/capacity_plan_tests.cpp
+++ b/packages/jobs/tests/capacity_plan_tests.cpp
@@ -1,4 +1,6 @@
 #include "rattanrack/jobs/capacity_plan.h"
+#include "rattanrack/jobs/closing_ledger.h"
+#include "rattanrack/jobs/offered_load.h"
 
 #include <gtest/gtest.h>
 
@@ -85,7 +87,7 @@
             machines.push_back(state.machine);
         }
         m_plan.setMachines(machines, m_now);
-        m_plan.setIdle(idle);
+        m_plan.setMovable(idle);
         m_plan.setEmptied(idle);
         m_plan.setLoads(loads, m_now);
         for (const MoveOrder& order : m_plan.step(m_now))
@@ -124,6 +126,44 @@
 
 } // namespace
 
+TEST(ClosingLedger, WordFromBeforeTheMachineWasClosedAgainDoesNotCount)
+{
+    const MachineId machine { "m" };
+    ClosingLedger ledger;
+    ledger.announced({ machine }, 5);
+    EXPECT_FALSE(ledger.isKnown(machine, 4));
+    EXPECT_TRUE(ledger.isKnown(machine, 5));
+    ledger.announced({}, 6);
+    EXPECT_FALSE(ledger.isKnown(machine, 6));
+    ledger.announced({ machine }, 8);
+    ledger.announced({ machine }, 9);
+    EXPECT_FALSE(ledger.isKnown(machine, 7)); // Opened in between, for all that this owner knows.
+    EXPECT_TRUE(ledger.isKnown(machine, 8));
+}
+
+TEST(OfferedLoad, ShowsAFloodWhileItsWorkIsStillAhead)
+{
+    const Millicores room { 160'000 };
+    TimePoint now { 1000s };
+    OfferedLoad load;
+    for (int job = 0; job < 40; ++job) { // Forty jobs a second of five core-seconds each.
+        load.accept(Millicores { 10'000 }, 500ms, room, now);
+        now += 25ms;
+    }
+    EXPECT_GT(load.rate(now).count(), 150'000);
+    EXPECT_LT(load.rate(now).count(), 250'000);
+    EXPECT_EQ(load.rate(now + 2s).count(), 0);
+}
+
+TEST(OfferedLoad, OneLargeJobIsNoFlood)
+{
+    const Millicores room { 160'000 };
+    const TimePoint now { 1000s };
+    OfferedLoad load;
+    load.accept(Millicores { 200'000 }, 4s, room, now);
+    EXPECT_LE(load.rate(now).count(), room.count() / 5);
+}
+
 TEST(CapacityPlan, CalmLoadMovesNothing)
 {
     Pools pools;
--- a/packages/jobs/tests/cell_tests.cpp
+++ b/packages/jobs/tests/cell_tests.cpp
@@ -179,6 +179,26 @@
     EXPECT_EQ(looks[0].ackedThrough, 1);
 }
 
+TEST(Cell, MachineIsEmptyOnlyWhenItsEndsAreStored)
+{
+    Desk desk;
+    desk.submitAndStore("a");
+    desk.step(10ms);
+    const StartOrder start = desk.take<StartOrder>().at(0);
+    const MachineId machine { start.worker.value() };
+    desk.answer(start, CallStatus::Done);
+    desk.cell().setClosing({ machine });
+    EXPECT_TRUE(desk.cell().emptied().empty());
+    desk.step(60ms);
+    for (const LookOrder& look : desk.take<LookOrder>())
+        desk.answer(look, {}, { { 1, start.task, start.run, EndKind::Done, "" } });
+    desk.step(10ms);
+    EXPECT_TRUE(desk.cell().emptied().empty()); // The next owner would not hear of the end.
+    desk.store();
+    desk.step(60ms);
+    EXPECT_EQ(desk.cell().emptied(), std::vector<MachineId> { machine });
+}
+
 TEST(Cell, StoreThatRefusesGivesUpOnlyWhatIsNew)
 {
     Desk desk;
--- a/packages/jobs/tests/cell_walk_tests.cpp
+++ b/packages/jobs/tests/cell_walk_tests.cpp
@@ -142,6 +142,31 @@
         40, 60);
 }
 
+TEST(CellWalk, LastingSubtaskFindsItsPlaceInAFlood)
+{
+    CellWorld world { 1, 2, {} };
+    world.run(2s);
+    const auto submit = [&](const std::string& id, const Step& step, const ModelWork& work) {
+        Job job { JobId { id }, QueueId { "queue" }, world.now().time_since_epoch().count() / 1000 };
+        job.spec.steps = { step };
+        world.submit(job, { work });
+    };
+    for (int number = 0; number < 60; ++number) { // Of different lengths, so that room comes in small pieces.
+        Step small;
+        small.count = 4;
+        small.size = { Millicores { 4800 }, Mebibytes { 10 }, {} };
+        small.estimate = 400ms;
+        submit("small" + std::to_string(number), small, { small.size, 300ms + number % 7 * 50ms });
+    }
+    world.run(1s);
+    Step lasting;
+    lasting.size = { Millicores { 12800 }, Mebibytes { 10 }, {} };
+    lasting.isLasting = true;
+    submit("lasting", lasting, { lasting.size, 0us, false, true });
+    world.run(3s);
+    EXPECT_EQ(world.runningOf(JobId { "lasting" }), 1);
+}
+
 TEST(CellWalk, LastingSubtasksWithoutPlaceKeepNothingFromOthers)
 {
     CellWorld world { 1, 3, {} };
--- a/packages/node/include/rattanrack/node/cell_host.h
+++ b/packages/node/include/rattanrack/node/cell_host.h
@@ -66,8 +66,8 @@
     /// Starts nothing more, stores what is open, and gives the part up; `onLost` follows.
     void handBack();
 
-    std::vector<jobs::MachineId> idle() const { return m_cell.idle(); }
-    jobs::CellLoad load() const { return m_cell.load(); }
+    std::vector<jobs::MachineId> movable() const { return m_cell.movable(); }
+    jobs::CellLoad load() const { return m_cell.load(m_parts.clock.now()); }
     jobs::Fence term() const { return m_writer.term(); }
 
 private:
--- a/packages/node/include/rattanrack/node/machine_duty.h
+++ b/packages/node/include/rattanrack/node/machine_duty.h
@@ -49,8 +49,8 @@
     void configure(const jobs::Configuration& configuration);
 
     /// What the owners of cells say of their machines and loads.
-    void setCellNews(const std::set<jobs::MachineId>& idle, std::set<jobs::MachineId> emptied,
-        const std::vector<jobs::CellLoad>& loads);
+    void setCellNews(
+        std::set<jobs::MachineId> movable, std::set<jobs::MachineId> emptied, const std::vector<jobs::CellLoad>& loads);
 
     /// Machines that are to get nothing new.
     std::set<jobs::MachineId> closing() const;
--- a/packages/node/src/job_node.cpp
+++ b/packages/node/src/job_node.cpp
@@ -82,7 +82,7 @@
     };
     for (const auto& [cell, host] : cells) {
         append(news.emptied, host->emptied());
-        append(news.idle, host->idle());
+        append(news.movable, host->movable());
         news.loads.push_back(host->load());
     }
 }
@@ -97,18 +97,23 @@
         closing = duty->closing();
     for (const auto& [cell, host] : cells)
         host->setClosing(closing);
+    const auto holder = ownership.owner(machineDutyName, clock.now());
+    closingHeard = holder ? ownership.heardOf(holder->node, clock.now()) : 0;
     if (!duty)
         return;
     jobs::NodeNews all;
     addOwnCells(all);
     std::set<jobs::MachineId> emptied { all.emptied.begin(), all.emptied.end() };
-    std::set<jobs::MachineId> idle { all.idle.begin(), all.idle.end() };
+    std::set<jobs::MachineId> movable { all.movable.begin(), all.movable.end() };
     for (const jobs::NodeNews* news : others) {
-        emptied.insert(news->emptied.begin(), news->emptied.end());
-        idle.insert(news->idle.begin(), news->idle.end());
+        for (const jobs::MachineId& machine : news->emptied) {
+            if (closingLedger.isKnown(machine, news->closingHeard))
+                emptied.insert(machine);
+        }
+        movable.insert(news->movable.begin(), news->movable.end());
         all.loads.insert(all.loads.end(), news->loads.begin(), news->loads.end());
     }
-    duty->setCellNews(idle, std::move(emptied), all.loads);
+    duty->setCellNews(std::move(movable), std::move(emptied), all.loads);
 }
 
 void JobNode::State::sendNews()
@@ -116,8 +121,10 @@
     jobs::NodeNews news = ownership.news();
     if (duty) {
         const auto machines = duty->closing();
+        closingLedger.announced(machines, news.sequence);
         news.closing.assign(machines.begin(), machines.end());
     }
+    news.closingHeard = closingHeard;
     addOwnCells(news);
     for (const std::string& address : ownership.addresses(clock.now()))
         network->send(address, news);
--- a/packages/node/src/job_node_state.h
+++ b/packages/node/src/job_node_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "rattanrack/jobs/closing_ledger.h"
 #include "rattanrack/node/cell_host.h"
 #include "rattanrack/node/job_node.h"
 #include "rattanrack/node/machine_duty.h"
@@ -87,6 +88,8 @@
     std::size_t lastAsked { 0 };
     std::map<PoolId, std::unique_ptr<CellHost>> cells;
     std::unique_ptr<MachineDuty> duty;
+    jobs::ClosingLedger closingLedger;
+    std::uint64_t closingHeard { 0 };
     std::set<PoolId> beingTaken;
     std::vector<jobs::Wave> waves;
     std::vector<jobs::WorkerDescription> workers;
--- a/packages/node/src/machine_duty.cpp
+++ b/packages/node/src/machine_duty.cpp
@@ -97,11 +97,11 @@
 }
 
 void MachineDuty::setCellNews(
-    const std::set<jobs::MachineId>& idle, std::set<jobs::MachineId> emptied, const std::vector<jobs::CellLoad>& loads)
+    std::set<jobs::MachineId> movable, std::set<jobs::MachineId> emptied, const std::vector<jobs::CellLoad>& loads)
 {
     m_maintenance.setLoads(loads);
     m_maintenance.setEmptied(emptied);
-    m_plan.setIdle(idle);
+    m_plan.setMovable(std::move(movable));
     m_plan.setEmptied(std::move(emptied));
     m_plan.setLoads(loads, m_parts.clock.now());
 }
--- a/packages/peer/src/codec.cpp
+++ b/packages/peer/src/codec.cpp
@@ -209,6 +209,7 @@
         news.setSequence(message.sequence);
         news.setIsLeaving(message.isLeaving);
         news.setIsStoreInReach(message.isStoreInReach);
+        news.setClosingHeard(message.closingHeard);
         auto cells = news.initCells(static_cast<unsigned>(message.cells.size()));
         for (unsigned i = 0; i < cells.size(); ++i) {
             cells[i].setCell(message.cells[i].cell.value());
@@ -216,12 +217,13 @@
         }
         encodeMachines(message.closing, news.initClosing(static_cast<unsigned>(message.closing.size())));
         encodeMachines(message.emptied, news.initEmptied(static_cast<unsigned>(message.emptied.size())));
-        encodeMachines(message.idle, news.initIdle(static_cast<unsigned>(message.idle.size())));
+        encodeMachines(message.movable, news.initMovable(static_cast<unsigned>(message.movable.size())));
         auto loads = news.initLoads(static_cast<unsigned>(message.loads.size()));
         for (unsigned i = 0; i < loads.size(); ++i) {
             loads[i].setCell(message.loads[i].cell.value());
             loads[i].setUsedMillicores(message.loads[i].used.count());
             loads[i].setWaitingMillicores(message.loads[i].waiting.count());
+            loads[i].setOfferedMillicores(message.loads[i].offered.count());
         }
     }
 
@@ -355,10 +357,10 @@
 {
     jobs::NodeNews news { NodeId { text(source.getNode()) }, text(source.getAddress()), source.getSequence(),
         source.getIsLeaving(), source.getIsStoreInReach(), {}, decodeMachines(source.getClosing()),
-        decodeMachines(source.getEmptied()), decodeMachines(source.getIdle()), {} };
+        source.getClosingHeard(), decodeMachines(source.getEmptied()), decodeMachines(source.getMovable()), {} };
     for (const auto load : source.getLoads()) {
         news.loads.push_back({ PoolId { text(load.getCell()) }, Millicores { load.getUsedMillicores() },
-            Millicores { load.getWaitingMillicores() } });
+            Millicores { load.getWaitingMillicores() }, Millicores { load.getOfferedMillicores() } });
     }
     for (const auto cell : source.getCells())
         news.cells.push_back({ PoolId { text(cell.getCell()) }, cell.getTerm() });
@@ -440,7 +442,7 @@
 
     std::size_t operator()(const jobs::NodeNews& message) const
     {
-        return (message.cells.size() + message.closing.size() + message.emptied.size() + message.idle.size()
+        return (message.cells.size() + message.closing.size() + message.emptied.size() + message.movable.size()
                    + message.loads.size())
             * nameSizeBound;
     }
--- a/packages/peer/src/peer.capnp
+++ b/packages/peer/src/peer.capnp
@@ -167,13 +167,15 @@
   closing @6 :List(Text);
   emptied @7 :List(Text);
   loads @8 :List(CellLoad);
-  idle @9 :List(Text);
+  movable @9 :List(Text);
+  closingHeard @10 :UInt64;
 }
 
 struct CellLoad {
   cell @0 :Text;
   usedMillicores @1 :Int64;
   waitingMillicores @2 :Int64;
+  offeredMillicores @3 :Int64;
 }
 
 enum JobOperation {
