A takeover waits no more for silent workers on which nothing can run

Cause, found by reading while LOST was traced: the owner row named every listed worker. One that had been dark for long, all its leases lapsed, was still named; the next owner, which can't reach it either, started nothing of the jobs taken over for ten seconds, and the owner after it began that wait anew. Change: a silent worker on which nothing can run leaves the row, and is used again only once a row that names it is stored. While a list is on its way, only workers of both lists are used.

--- a/packages/jobs/include/rattanrack/jobs/cell.h
+++ b/packages/jobs/include/rattanrack/jobs/cell.h
@@ -122,8 +122,16 @@
     /// Machines on which nothing runs but work that soon ends by itself, if anything.
     std::vector<MachineId> movable() const;
 
-    /// Every worker on which something of this cell may run. Must be stored before anything is started there.
+    /// Workers that are listed, or on which something may run.
+    WorkerMachines workersKnown() const;
+
+    /// Every worker on which something of this cell may run, or may be started soon. The next owner waits for those that
+    /// it can't reach, so that silent ones on which nothing can run any more are left out.
     WorkerMachines workersInUse() const;
+
+    /// The list is on its way to the store; from now on only workers that are in it and in the one stored before are
+    /// used. Once it is stored, those in it are.
+    void workersSent(const WorkerMachines& workers);
     void workersStored(WorkerMachines workers);
 
     Acceptance submit(const Job& job, CallToken token, TimePoint now);
--- a/packages/jobs/include/rattanrack/jobs/placement.h
+++ b/packages/jobs/include/rattanrack/jobs/placement.h
@@ -26,7 +26,8 @@
 bool isAllowed(const Step& step, const WorkerDescription& worker);
 
 /// The best place for one more subtask, as an index into `candidates`; -1 when none has room. Data, then spread of what
-/// lasts over racks and workers, then fillers away from what serves, then the emptiest worker.
+/// lasts over racks and workers, then fillers away from what serves, then few workers for what lasts, then the emptiest
+/// worker.
 int choosePlace(const Step& step, const std::vector<Candidate>& candidates);
 
 } // namespace rattanrack::jobs
--- a/packages/jobs/model/cell_world.cpp
+++ b/packages/jobs/model/cell_world.cpp
@@ -198,6 +198,7 @@
         return;
     m_isCommitting = true;
     m_lastCommit = m_now;
+    m_cell->workersSent(workers);
     after(storeTime, [this, commit, workers, owner = m_owner] {
         if (owner != m_owner)
             return; // Its row has changed hands: nothing is written.
--- a/packages/jobs/src/cell.cpp
+++ b/packages/jobs/src/cell.cpp
@@ -127,16 +127,32 @@
     return machines;
 }
 
-WorkerMachines Cell::workersInUse() const
+WorkerMachines Cell::workersKnown() const
 {
-    WorkerMachines used = m_state->foreignWorkers;
+    WorkerMachines known = m_state->foreignWorkers;
     for (const auto& [id, worker] : m_state->workers) {
         if (worker.isListed || !worker.runs.empty())
-            used[id] = worker.description.machine;
+            known[id] = worker.description.machine;
     }
+    return known;
+}
+
+WorkerMachines Cell::workersInUse() const
+{
+    WorkerMachines used = workersKnown();
+    std::erase_if(used, [&](const auto& each) {
+        const auto worker = m_state->workers.find(each.first);
+        return worker != m_state->workers.end() && worker->second.contact == WorkerContact::Silent
+            && worker->second.runs.empty() && !m_state->foreignWorkers.contains(each.first);
+    });
     return used;
 }
 
+void Cell::workersSent(const WorkerMachines& workers)
+{
+    std::erase_if(m_state->storedWorkers, [&](const auto& each) { return !workers.contains(each.first); });
+}
+
 void Cell::workersStored(WorkerMachines workers) { m_state->storedWorkers = std::move(workers); }
 
 Acceptance Cell::submit(const Job& job, CallToken token, TimePoint now)
--- a/packages/jobs/tests/cell_tests.cpp
+++ b/packages/jobs/tests/cell_tests.cpp
@@ -179,6 +179,62 @@
     EXPECT_EQ(looks[0].ackedThrough, 1);
 }
 
+TEST(Cell, NextOwnerNeedNotWaitForASilentWorkerOnWhichNothingRuns)
+{
+    Desk desk;
+    ASSERT_EQ(desk.cell().workersInUse().size(), 2U);
+    const auto loseUntilSilent = [&] {
+        desk.step(300ms);
+        desk.loseLooks();
+    };
+    desk.submitAndStore("a");
+    desk.step(10ms);
+    const StartOrder start = desk.take<StartOrder>().at(0);
+    desk.answer(start, CallStatus::Done);
+    for (int tries = 0; tries < 5; ++tries)
+        loseUntilSilent();
+    EXPECT_TRUE(desk.cell().workersInUse().contains(start.worker)); // Its lease has not lapsed.
+    for (int tries = 0; tries < 20; ++tries)
+        loseUntilSilent();
+    EXPECT_FALSE(desk.cell().workersInUse().contains(start.worker));
+    EXPECT_TRUE(desk.cell().workersKnown().contains(start.worker)); // It is still looked at.
+}
+
+TEST(Cell, WorkerThatIsBackIsUsedOnceTheNextOwnerWouldKnow)
+{
+    Desk desk;
+    desk.submitAndStore("a");
+    desk.submitAndStore("b"); // One for each worker.
+    desk.step(10ms);
+    const auto first = desk.take<StartOrder>();
+    ASSERT_EQ(first.size(), 2U);
+    for (const StartOrder& start : first)
+        desk.answer(start, CallStatus::Done);
+    for (int tries = 0; tries < 30; ++tries) { // All workers are silent, and all that ran there has lapsed.
+        desk.step(300ms);
+        desk.loseLooks();
+    }
+    const WorkerMachines none = desk.cell().workersInUse();
+    ASSERT_TRUE(none.empty());
+    const auto startsOnceBack = [&] {
+        desk.step(300ms);
+        for (const LookOrder& look : desk.take<LookOrder>())
+            desk.answer(look, {});
+        desk.step(100ms);
+        return desk.take<StartOrder>().size();
+    };
+    desk.cell().workersSent(none); // Its answer is still to come when the workers are back.
+    EXPECT_EQ(startsOnceBack(), 0U);
+    desk.cell().workersStored(none);
+    EXPECT_EQ(startsOnceBack(), 0U);
+    const WorkerMachines both = desk.cell().workersInUse();
+    EXPECT_EQ(both.size(), 2U);
+    desk.cell().workersSent(both);
+    EXPECT_EQ(startsOnceBack(), 0U);
+    desk.cell().workersStored(both);
+    EXPECT_EQ(startsOnceBack(), 2U);
+}
+
 TEST(Cell, MachineIsEmptyOnlyWhenItsEndsAreStored)
 {
     Desk desk;
--- a/packages/node/src/cell_host.cpp
+++ b/packages/node/src/cell_host.cpp
@@ -118,7 +118,7 @@
         own.push_back(worker);
     }
     m_cell.setWorkers(own, m_parts.clock.now());
-    m_links.setAddresses(addresses, m_cell.workersInUse());
+    m_links.setAddresses(addresses, m_cell.workersKnown());
     wake();
 }
 
@@ -241,6 +241,7 @@
     if (!commit && !haveWorkersChanged && !isRenewalDue)
         return;
     m_isOwnershipInDoubt = false;
+    m_cell.workersSent(workers);
     m_writer.write(
         commit ? rowsOf(*commit) : std::vector<jobs::RowWrite> {}, std::move(workers), m_isHandingBack && !commit);
 }
