Count failures in whatever order workers list them

It kept the highest run counted, so an end with a lower number that came later was taken for one heard before, and the subtask was started once more than its attempts allow. The numbers of the failed runs are kept now.

--- a/packages/jobs/include/rattanrack/jobs/job_progress.h
+++ b/packages/jobs/include/rattanrack/jobs/job_progress.h
@@ -19,9 +19,10 @@
 struct Task {
     TaskPhase phase { TaskPhase::Waiting };
     RunNumber lastRun { 0 }; ///< Highest number used so far.
-    int failures { 0 };
-    RunNumber lastFailedRun { 0 }; ///< Highest run whose failure has been counted; it may be listed again.
+    std::vector<RunNumber> failedRuns; ///< Each is counted once, in whatever order and how often workers list them.
     std::string checkpoint; ///< Newest one known; empty: none.
+
+    int failures() const { return static_cast<int>(failedRuns.size()); }
 };
 
 /// What outlives an owner: ends that workers were told to forget. One entry a subtask that differs from a new one.
@@ -30,8 +31,7 @@
     int step { 0 };
     int index { 0 };
     bool isDone { false };
-    int failures { 0 };
-    RunNumber lastFailedRun { 0 };
+    std::vector<RunNumber> failedRuns;
 
     friend bool operator==(const StoredTask&, const StoredTask&) = default;
 };
--- a/packages/jobs/model/cell_world_oracle.cpp
+++ b/packages/jobs/model/cell_world_oracle.cpp
@@ -62,7 +62,7 @@
                 && task.index == order.task.index;
             if (isIt && task.isDone)
                 violate("started after it was done and stored: " + describe(order.task));
-            if (isIt && task.failures >= attempts && !step.isLasting)
+            if (isIt && static_cast<int>(task.failedRuns.size()) >= attempts && !step.isLasting)
                 violate("started after its attempts were used up: " + describe(order.task));
         }
     }
--- a/packages/jobs/src/cell_runs.cpp
+++ b/packages/jobs/src/cell_runs.cpp
@@ -133,7 +133,7 @@
     if (entry.progress.hasEnded())
         return;
     const Step& step = stepOf(entry, failed);
-    if (!step.isLasting && entry.progress.task(failed).failures >= queueOf(entry).attempts) {
+    if (!step.isLasting && entry.progress.task(failed).failures() >= queueOf(entry).attempts) {
         entry.progress.fail(unixMs);
         stopAll(entry);
     }
--- a/packages/jobs/src/job_codec.cpp
+++ b/packages/jobs/src/job_codec.cpp
@@ -63,7 +63,7 @@
         json.at("failed").get<bool>(), json.at("completed").get<bool>(), {} };
     for (const Json& task : json.at("tasks")) {
         progress.tasks.push_back({ task.at(0).get<int>(), task.at(1).get<int>(), task.at(2).get<int>(),
-            task.at(3).get<bool>(), task.at(4).get<int>(), task.at(5).get<RunNumber>() });
+            task.at(3).get<bool>(), task.at(4).get<std::vector<RunNumber>>() });
     }
     return progress;
 }
@@ -94,8 +94,7 @@
 {
     Json tasks = Json::array();
     for (const StoredTask& task : progress.tasks)
-        tasks.push_back(
-            Json::array({ task.occurrence, task.step, task.index, task.isDone, task.failures, task.lastFailedRun }));
+        tasks.push_back(Json::array({ task.occurrence, task.step, task.index, task.isDone, task.failedRuns }));
     return toCbor({ { "ended", progress.endedAtUnixMs }, { "cancelled", progress.isCancelled },
         { "failed", progress.isFailed }, { "completed", progress.isCompleted }, { "tasks", std::move(tasks) } });
 }
--- a/packages/jobs/src/job_progress.cpp
+++ b/packages/jobs/src/job_progress.cpp
@@ -36,8 +36,7 @@
         if (stored.isCompleted || !has(ref))
             continue;
         m_hasStarted = true;
-        task(ref).failures = entry.failures;
-        task(ref).lastFailedRun = entry.lastFailedRun;
+        task(ref).failedRuns = entry.failedRuns;
         if (entry.isDone)
             markDone(ref);
     }
@@ -131,11 +130,10 @@
 
 bool JobProgress::countFailure(const TaskRef& ref, RunNumber run)
 {
-    Task& changed = task(ref);
-    if (run <= changed.lastFailedRun)
+    std::vector<RunNumber>& counted = task(ref).failedRuns;
+    if (std::find(counted.begin(), counted.end(), run) != counted.end())
         return false;
-    changed.lastFailedRun = run;
-    ++changed.failures;
+    counted.push_back(run);
     return true;
 }
 
@@ -192,8 +190,8 @@
             for (int index = 0; index < static_cast<int>(tasks.size()); ++index) {
                 const Task& each = tasks[static_cast<std::size_t>(index)];
                 const bool isDone = each.phase == TaskPhase::Done;
-                if (isDone || each.failures > 0)
-                    stored.tasks.push_back({ occurrence, step, index, isDone, each.failures, each.lastFailedRun });
+                if (isDone || each.failures() > 0)
+                    stored.tasks.push_back({ occurrence, step, index, isDone, each.failedRuns });
             }
         }
     }
--- a/packages/jobs/tests/job_tests.cpp
+++ b/packages/jobs/tests/job_tests.cpp
@@ -81,7 +81,7 @@
     const JobProgress again { job, *stored };
     EXPECT_EQ(again.state(), JobState::Active);
     EXPECT_EQ(again.task({ job.id, 0, 0, 0 }).phase, TaskPhase::Done);
-    EXPECT_EQ(again.task({ job.id, 0, 0, 1 }).failures, 1);
+    EXPECT_EQ(again.task({ job.id, 0, 0, 1 }).failures(), 1);
     EXPECT_EQ(again.waitingTasks(0, 0), 1);
 }
 
@@ -93,9 +93,24 @@
     EXPECT_TRUE(progress.countFailure(task, 7));
     JobProgress next { job, progress.stored() };
     EXPECT_FALSE(next.countFailure(task, 7));
-    EXPECT_EQ(next.task(task).failures, 1);
+    EXPECT_EQ(next.task(task).failures(), 1);
     EXPECT_TRUE(next.countFailure(task, 8));
-    EXPECT_EQ(next.task(task).failures, 2);
+    EXPECT_EQ(next.task(task).failures(), 2);
+}
+
+TEST(JobProgress, FailuresCountInWhateverOrderWorkersListThem)
+{
+    const Job job = twoSteps();
+    JobProgress progress { job };
+    const TaskRef task { job.id, 0, 0, 1 };
+    for (const RunNumber run : { 9, 7, 8 })
+        EXPECT_TRUE(progress.countFailure(task, run));
+    const auto stored = valueOrNothing([&] { return decodeProgress(encode(progress.stored())); });
+    ASSERT_TRUE(stored);
+    JobProgress next { job, *stored };
+    for (const RunNumber run : { 8, 9, 7 })
+        EXPECT_FALSE(next.countFailure(task, run));
+    EXPECT_EQ(next.task(task).failures(), 3);
 }
 
 TEST(JobProgress, OccurrencesBecomeReadyInTime)
