--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -199,10 +199,14 @@
         if (other.index == member.index)
             continue;
         const auto place = places.find(other);
-        const Run* run = nullptr;
-        if (place != places.end())
-            run = &workers.at(place->second).runs.at(other);
-        const bool isAtWork = run && run->phase == RunPhase::Confirmed && run->percent >= 100;
+        if (place == places.end()) {
+            ++away;
+            continue;
+        }
+        const Worker& worker = workers.at(place->second);
+        const Run& run = worker.runs.at(other);
+        const bool isAtWork
+            = worker.contact == WorkerContact::InTouch && run.phase == RunPhase::Confirmed && run.percent >= 100;
         away += isAtWork ? 0 : 1;
     }
     return away;
--- a/packages/jobs/tests/cell_tests.cpp
+++ b/packages/jobs/tests/cell_tests.cpp
@@ -235,6 +235,41 @@
     EXPECT_EQ(startsOnceBack(), 2U);
 }
 
+TEST(Cell, SubtaskOnASilentWorkerIsAwayWhenAnotherIsToBeMoved)
+{
+    Desk desk;
+    Job job { JobId { "a" }, QueueId { "q" }, 1, { "text", { {} }, {} } };
+    Step& step = job.spec.steps[0];
+    step.count = 2;
+    step.size = { Millicores { 800 }, Mebibytes { 100 }, {} };
+    step.isLasting = true;
+    step.mayMiss = 1;
+    EXPECT_EQ(desk.cell().submit(job, 1, desk.now()), Acceptance::Waiting);
+    desk.store();
+    desk.step(10ms);
+    const auto starts = desk.take<StartOrder>();
+    ASSERT_EQ(starts.size(), 2U);
+    for (const StartOrder& start : starts)
+        desk.answer(start, CallStatus::Done);
+    const auto look = [&](bool isFirstSilent) {
+        desk.step(300ms);
+        for (const LookOrder& each : desk.take<LookOrder>()) {
+            const StartOrder& start = each.worker == starts[0].worker ? starts[0] : starts[1];
+            if (isFirstSilent && each.worker == starts[0].worker)
+                desk.cell().onAnswer(each, { CallStatus::NoAnswer }, desk.now(), desk.now());
+            else
+                desk.answer(each, { { start.task, start.run, "", 100 } });
+        }
+    };
+    look(false);
+    look(true);
+    desk.cell().setClosing({ MachineId { starts[1].worker.value() } });
+    for (int tries = 0; tries < 10; ++tries) { // Until shortly before the silent worker's lease has lapsed.
+        look(true);
+        EXPECT_TRUE(desk.take<StopOrder>().empty());
+    }
+}
+
 TEST(Cell, MachineIsEmptyOnlyWhenItsEndsAreStored)
 {
     Desk desk;
