--- a/fuzz/adapter_driver.cpp
+++ b/fuzz/adapter_driver.cpp
@@ -59,7 +59,7 @@
     constexpr std::uint64_t seed = 20261204;
     constexpr long defaultTexts = 20000;
     const long texts = argc > 1 ? std::atol(argv[1]) : defaultTexts;
-    const std::string progress = encode(jobs::StoredProgress { 1, false, false, false, { { 0, 0, 0, true, 1 } } });
+    const std::string progress = encode(jobs::StoredProgress { 1, false, false, false, { { 0, 0, 0, true, { 1 } } } });
     const std::string owner = encode(jobs::OwnerRow { NodeId { "n" }, 3, 4, {} });
     fuzz::Mutator mutator { { job, configuration, worker, wave, look, "a.0.1.2", storedJob(), progress, owner }, seed };
     for (long number = 0; number < texts; ++number)
