--- a/packages/node/src/relayed_store.cpp
+++ b/packages/node/src/relayed_store.cpp
@@ -32,7 +32,7 @@
 }
 
 /// What is known of a call that has gone two ways.
-peer::StoreAnswer together(peer::StoreAnswer earlier, peer::StoreAnswer later)
+peer::StoreAnswer together(const peer::StoreAnswer& earlier, const peer::StoreAnswer& later)
 {
     if (isAnswered(later))
         return later;
@@ -127,7 +127,7 @@
     auto relayed = askPeer(request);
     if (!relayed)
         return direct ? *std::move(direct) : carryOut(request);
-    return direct ? together(*std::move(direct), *std::move(relayed)) : *std::move(relayed);
+    return direct ? together(*direct, *relayed) : *std::move(relayed);
 }
 
 jobs::TransactionOutcome RelayedStore::commit(const jobs::PartTransaction& transaction)
