Read the whole change once more: sizes add up in one place, one way to take a part over, loads of pools once a step

What stood several times stands once: ResourceSize has += and -= (six places spelt out its three fields, one of them in UsageGuard); what a filler takes (roomTaken) and what counts as a neighbour (Room); the answers of workers and the planned pump in CellHost; taking over a cell and the duty over machines (takePartBy); preludes of cell, walk and peer network tests. workersInUse says what it names in place of what it leaves out. Work done twice: Maintenance summed a pool's machines anew for each comparison of its sort and each machine due, at every tick; it does so once a step.

--- a/packages/base/include/rattanrack/base/units.h
+++ b/packages/base/include/rattanrack/base/units.h
@@ -45,6 +45,21 @@
     Mebibytes memory;
     Accelerators accelerators;
 
+    constexpr ResourceSize& operator+=(const ResourceSize& other)
+    {
+        processors += other.processors;
+        memory += other.memory;
+        accelerators += other.accelerators;
+        return *this;
+    }
+    constexpr ResourceSize& operator-=(const ResourceSize& other)
+    {
+        processors -= other.processors;
+        memory -= other.memory;
+        accelerators -= other.accelerators;
+        return *this;
+    }
+
     friend constexpr bool operator==(const ResourceSize&, const ResourceSize&) = default;
 };
 
--- a/packages/jobs/include/rattanrack/jobs/maintenance.h
+++ b/packages/jobs/include/rattanrack/jobs/maintenance.h
@@ -95,7 +95,7 @@
     void chooseClosing(TimePoint now, std::int64_t unixMs);
     bool isUpForOrders(const Tracked& machine, TimePoint now) const;
     bool isEmpty(const Tracked& machine) const;
-    double loadOf(const PoolId& pool) const;
+    std::map<PoolId, double> poolLoads() const;
 
     TimePoint m_mayOrderFrom;
     std::map<std::int64_t, ActiveWave> m_waves;
--- a/packages/jobs/include/rattanrack/jobs/ownership.h
+++ b/packages/jobs/include/rattanrack/jobs/ownership.h
@@ -71,14 +71,13 @@
     std::vector<PoolId> toTake(TimePoint now) const;
 
     /// A cell that this node should hand back, as another node holds far fewer.
-    std::optional<PoolId> toHandBack(TimePoint now) const;
+    std::optional<PoolId> toHandBack(TimePoint now);
 
     std::optional<CellOwner> owner(const PoolId& cell, TimePoint now) const;
     bool isHeldHere(const PoolId& cell) const { return m_held.contains(cell); }
 
     /// Where news goes to: all nodes known, dead ones for a while too.
     std::vector<std::string> addresses(TimePoint now) const;
-    std::size_t liveNodes(TimePoint now) const;
 
     /// Peers that reach the store.
     std::vector<std::string> peersInReach(TimePoint now) const;
@@ -110,7 +109,7 @@
     std::map<PoolId, TimePoint> m_tryAgainAt;
     std::map<NodeId, Peer> m_peers;
     std::set<std::string> m_learned; ///< Addresses without news.
-    mutable TimePoint m_unbalancedSince {};
+    TimePoint m_unbalancedSince {};
 };
 
 } // namespace rattanrack::jobs
--- a/packages/jobs/model/model_worker.cpp
+++ b/packages/jobs/model/model_worker.cpp
@@ -57,10 +57,8 @@
     if (present != m_runs.end() || (highest != m_highest.end() && order.run <= highest->second))
         return refuse(Refusal::Old);
     ResourceSize free = m_description.capacity;
-    for (const auto& [task, run] : m_runs) {
-        free.processors -= run.size.processors;
-        free.memory -= run.size.memory;
-    }
+    for (const auto& [task, run] : m_runs)
+        free -= run.size;
     if (!fits(work.size, free))
         return refuse(Refusal::Room);
     m_runs[order.task] = { order.run, now + work.time, fails || work.alwaysFails, work.isLasting, work.size };
--- a/packages/jobs/src/cell.cpp
+++ b/packages/jobs/src/cell.cpp
@@ -139,12 +139,12 @@
 
 WorkerMachines Cell::workersInUse() const
 {
-    WorkerMachines used = workersKnown();
-    std::erase_if(used, [&](const auto& each) {
-        const auto worker = m_state->workers.find(each.first);
-        return worker != m_state->workers.end() && worker->second.contact == WorkerContact::Silent
-            && worker->second.runs.empty() && !m_state->foreignWorkers.contains(each.first);
-    });
+    WorkerMachines used = m_state->foreignWorkers;
+    for (const auto& [id, worker] : m_state->workers) {
+        const bool isUsable = worker.isListed && worker.contact != WorkerContact::Silent;
+        if (isUsable || !worker.runs.empty())
+            used[id] = worker.description.machine;
+    }
     return used;
 }
 
@@ -343,7 +343,7 @@
     state.checkRecovery(now);
     state.checkSilent(now);
     state.sendAgain(now);
-    state.emptyClosing(now);
+    state.emptyClosing();
     if (mayStart)
         state.schedule(now, unixMs);
     state.sendLooks(now, mayStart);
--- a/packages/jobs/src/cell_runs.cpp
+++ b/packages/jobs/src/cell_runs.cpp
@@ -1,4 +1,5 @@
 #include "cell_state.h"
+#include "rattanrack/jobs/placement.h"
 
 #include <algorithm>
 #include <utility>
@@ -32,11 +33,8 @@
 {
     ResourceSize size;
     for (const auto& [task, run] : runs) {
-        if (!run.isLasting)
-            continue;
-        size.processors += run.size.processors;
-        size.memory += run.size.memory;
-        size.accelerators += run.size.accelerators;
+        if (run.isLasting)
+            size += run.size;
     }
     return size;
 }
@@ -50,13 +48,9 @@
 {
     Run run;
     run.number = number;
-    run.size = step.size;
+    run.size = roomTaken(step);
     run.isLasting = step.isLasting;
-    if (step.isFiller)
-        run.size.processors = {};
-    worker.used.processors += run.size.processors;
-    worker.used.memory += run.size.memory;
-    worker.used.accelerators += run.size.accelerators;
+    worker.used += run.size;
     places[task] = worker.description.id;
     return worker.runs.insert_or_assign(task, std::move(run)).first->second;
 }
@@ -66,9 +60,7 @@
     const auto found = worker.runs.find(task);
     if (found == worker.runs.end())
         return;
-    worker.used.processors -= found->second.size.processors;
-    worker.used.memory -= found->second.size.memory;
-    worker.used.accelerators -= found->second.size.accelerators;
+    worker.used -= found->second.size;
     worker.runs.erase(found);
     const auto place = places.find(task);
     if (place != places.end() && place->second == worker.description.id)
@@ -206,15 +198,14 @@
 
 void CellState::adopt(Worker& worker, const RunningEntry& running, TimePoint now)
 {
-    JobEntry* entry = find(running.task.job);
-    const bool isKnownTask = entry && entry->progress.has(running.task);
-    const bool isWanted = isKnownTask && !entry->progress.hasEnded()
-        && entry->progress.task(running.task).phase == TaskPhase::Waiting && !places.contains(running.task)
-        && !worker.runs.contains(running.task);
     if (worker.runs.contains(running.task))
         return; // Another run of it is being settled there; this one is seen again afterwards.
     static const Step s_unknownStep;
+    JobEntry* entry = find(running.task.job);
+    const bool isKnownTask = entry && entry->progress.has(running.task);
     const bool hadPlace = places.contains(running.task);
+    const bool isWanted = isKnownTask && !hadPlace && !entry->progress.hasEnded()
+        && entry->progress.task(running.task).phase == TaskPhase::Waiting;
     const WorkerId earlierPlace = hadPlace ? places.at(running.task) : WorkerId {};
     Run& run = addRun(worker, running.task, running.run, isKnownTask ? stepOf(*entry, running.task) : s_unknownStep);
     if (hadPlace)
--- a/packages/jobs/src/cell_schedule.cpp
+++ b/packages/jobs/src/cell_schedule.cpp
@@ -44,10 +44,8 @@
 {
     ResourceSize room;
     for (const auto& [id, worker] : workers) {
-        if (!worker.isListed)
-            continue;
-        room.processors += worker.description.capacity.processors;
-        room.memory += worker.description.capacity.memory;
+        if (worker.isListed)
+            room += worker.description.capacity;
     }
     return room;
 }
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -194,7 +194,7 @@
     void sendAgain(TimePoint now);
     void checkSilent(TimePoint now);
     void pace(Worker& worker, TimePoint now);
-    void emptyClosing(TimePoint now);
+    void emptyClosing();
     void checkRecovery(TimePoint now);
     int awayOf(const JobEntry& entry, const TaskRef& member) const;
 
--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -153,14 +153,9 @@
 
 void CellState::checkRecovery(TimePoint now)
 {
-    if (!isRecovering)
-        return;
-    if (now >= takenOverAt + settings.foreignLease)
+    if (isRecovering && now >= takenOverAt + settings.foreignLease)
         foreignWorkers.clear();
-    const bool isAllSeen = foreignWorkers.empty();
-    if (!isAllSeen)
-        return;
-    isRecovering = false;
+    isRecovering = isRecovering && !foreignWorkers.empty();
 }
 
 void CellState::pace(Worker& worker, TimePoint now)
@@ -212,7 +207,7 @@
     return away;
 }
 
-void CellState::emptyClosing(TimePoint)
+void CellState::emptyClosing()
 {
     if (closing.empty() || isRecovering)
         return;
--- a/packages/jobs/src/maintenance.cpp
+++ b/packages/jobs/src/maintenance.cpp
@@ -99,18 +99,20 @@
     }
 }
 
-double Maintenance::loadOf(const PoolId& pool) const
+std::map<PoolId, double> Maintenance::poolLoads() const
 {
-    const auto load = m_loads.find(pool);
-    if (load == m_loads.end())
-        return 0;
-    std::int64_t capacity = 0;
+    std::map<PoolId, Millicores> capacities;
     for (const auto& [id, tracked] : m_machines) {
-        if (tracked.isListed && tracked.machine.pool == pool && tracked.machine.state == MachineState::Up)
-            capacity += tracked.machine.capacity.processors.count();
+        if (tracked.isListed && tracked.machine.state == MachineState::Up)
+            capacities[tracked.machine.pool] += tracked.machine.capacity.processors;
     }
-    const std::int64_t wanted = load->second.used.count() + load->second.waiting.count();
-    return capacity > 0 ? static_cast<double>(wanted) / static_cast<double>(capacity) : 1;
+    std::map<PoolId, double> loads;
+    for (const auto& [pool, load] : m_loads) {
+        const double capacity = static_cast<double>(capacities[pool].count());
+        const double wanted = static_cast<double>((load.used + load.waiting).count());
+        loads[pool] = capacity > 0 ? wanted / capacity : 1;
+    }
+    return loads;
 }
 
 int Maintenance::downOf(const ActiveWave& wave) const
@@ -149,6 +151,7 @@
 
 void Maintenance::chooseClosing(TimePoint now, std::int64_t unixMs)
 {
+    auto loads = poolLoads();
     std::map<PoolId, int> taken; // Machines of each pool that are closed or down.
     for (const auto& [id, tracked] : m_machines) {
         if (tracked.isListed
@@ -171,8 +174,7 @@
         // What is closed already comes first; then empty machines, then pools with little to do.
         std::stable_sort(due.begin(), due.end(), [&](const Tracked* left, const Tracked* right) {
             const auto key = [&](const Tracked* each) {
-                return std::tuple { !m_closing.contains(each->machine.id), !isEmpty(*each),
-                    loadOf(each->machine.pool) };
+                return std::tuple { !m_closing.contains(each->machine.id), !isEmpty(*each), loads[each->machine.pool] };
             };
             return key(left) < key(right);
         });
@@ -182,7 +184,7 @@
             const bool isOwned = m_cells.contains(pool);
             const int limit = std::max(1, m_poolSizes[pool] / (isLate ? poolShareWhenLate : poolShare));
             const bool isTooFull
-                = isOwned && !isLate && loadOf(pool) > fullPool && !m_closing.contains(each->machine.id);
+                = isOwned && !isLate && loads[pool] > fullPool && !m_closing.contains(each->machine.id);
             if (room <= 0 || isTooFull || (isOwned && taken[pool] >= limit))
                 continue;
             --room;
--- a/packages/jobs/src/ownership.cpp
+++ b/packages/jobs/src/ownership.cpp
@@ -122,7 +122,7 @@
     return mine;
 }
 
-std::optional<PoolId> Ownership::toHandBack(TimePoint now) const
+std::optional<PoolId> Ownership::toHandBack(TimePoint now)
 {
     std::size_t fewest = m_held.size();
     for (const auto& [node, peer] : m_peers) {
@@ -152,13 +152,6 @@
     return all;
 }
 
-std::size_t Ownership::liveNodes(TimePoint now) const
-{
-    return 1 + static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), [&](const auto& peer) {
-        return isLive(peer.second, now);
-    }));
-}
-
 std::vector<std::string> Ownership::peersInReach(TimePoint now) const
 {
     std::vector<std::string> all;
--- a/packages/jobs/src/room.cpp
+++ b/packages/jobs/src/room.cpp
@@ -27,7 +27,13 @@
     return candidates;
 }
 
-bool serves(const Step& step) { return step.latencyTarget > Duration::zero(); }
+/// One more subtask of the step runs there.
+void addNeighbour(Candidate& candidate, const Step& step)
+{
+    candidate.fillers += step.isFiller ? 1 : 0;
+    candidate.lasting += step.isLasting && !step.isFiller ? 1 : 0;
+    candidate.serving += step.latencyTarget > Duration::zero() ? 1 : 0;
+}
 
 } // namespace
 
@@ -38,14 +44,9 @@
         if (!isUsable(worker, state, now))
             continue;
         Candidate candidate { &worker.description, worker.description.capacity };
-        candidate.free.processors -= worker.used.processors;
-        candidate.free.memory -= worker.used.memory;
-        candidate.free.accelerators -= worker.used.accelerators;
+        candidate.free -= worker.used;
         candidate.freeSoon = worker.description.capacity;
-        const ResourceSize lasting = worker.usedByLasting();
-        candidate.freeSoon.processors -= lasting.processors;
-        candidate.freeSoon.memory -= lasting.memory;
-        candidate.freeSoon.accelerators -= lasting.accelerators;
+        candidate.freeSoon -= worker.usedByLasting();
         m_workers.push_back(&worker);
         m_candidates.push_back(candidate);
     }
@@ -60,10 +61,7 @@
             const JobEntry* other = m_state.find(task.job);
             if (!other || !other->progress.has(task))
                 continue;
-            const Step& otherStep = CellState::stepOf(*other, task);
-            m_candidates[at].fillers += otherStep.isFiller ? 1 : 0;
-            m_candidates[at].lasting += otherStep.isLasting && !otherStep.isFiller ? 1 : 0;
-            m_candidates[at].serving += serves(otherStep) ? 1 : 0;
+            addNeighbour(m_candidates[at], CellState::stepOf(*other, task));
             if (other != &entry || task.occurrence != occurrence || task.step != step)
                 continue;
             ++m_candidates[at].sameStep;
@@ -76,27 +74,17 @@
 void Room::take(int place, const Step& step)
 {
     Candidate& candidate = m_candidates[static_cast<std::size_t>(place)];
-    const ResourceSize taken = roomTaken(step);
-    candidate.free.processors -= taken.processors;
-    candidate.free.memory -= taken.memory;
-    candidate.free.accelerators -= taken.accelerators;
+    candidate.free -= roomTaken(step);
     ++candidate.sameStep;
-    candidate.fillers += step.isFiller ? 1 : 0;
-    candidate.lasting += step.isLasting && !step.isFiller ? 1 : 0;
-    candidate.serving += serves(step) ? 1 : 0;
+    addNeighbour(candidate, step);
     for (Candidate& other : m_candidates)
         other.sameStepInRack += other.worker->rack == candidate.worker->rack ? 1 : 0;
 }
 
 void Room::give(const std::vector<Placement>& placements, const Step& step)
 {
-    const ResourceSize taken = roomTaken(step);
-    for (const Placement& each : placements) {
-        Candidate& candidate = m_candidates[static_cast<std::size_t>(each.place)];
-        candidate.free.processors += taken.processors;
-        candidate.free.memory += taken.memory;
-        candidate.free.accelerators += taken.accelerators;
-    }
+    for (const Placement& each : placements)
+        m_candidates[static_cast<std::size_t>(each.place)].free += roomTaken(step);
 }
 
 std::vector<Placement> Room::place(
--- a/packages/jobs/tests/cell_tests.cpp
+++ b/packages/jobs/tests/cell_tests.cpp
@@ -43,6 +43,14 @@
         store();
     }
 
+    /// The start of the only subtask of a new job.
+    StartOrder startOf(const std::string& id)
+    {
+        submitAndStore(id);
+        step(10ms);
+        return take<StartOrder>().at(0);
+    }
+
     void store()
     {
         if (m_cell.takeCommit(unixMs()))
@@ -113,9 +121,7 @@
 TEST(Cell, RefusedRetryOfAnUnansweredStartIsStoppedBeforeItGoesElsewhere)
 {
     Desk desk;
-    desk.submitAndStore("a");
-    desk.step(10ms);
-    const StartOrder first = desk.take<StartOrder>().at(0);
+    const StartOrder first = desk.startOf("a");
     desk.answer(first, CallStatus::NoAnswer);
     desk.step(300ms);
     const StartOrder again = desk.take<StartOrder>().at(0);
@@ -138,9 +144,7 @@
 TEST(Cell, RunsOfASilentWorkerAreWaitedOut)
 {
     Desk desk;
-    desk.submitAndStore("a");
-    desk.step(10ms);
-    const StartOrder first = desk.take<StartOrder>().at(0);
+    const StartOrder first = desk.startOf("a");
     desk.answer(first, CallStatus::Done);
     desk.step(60ms); // The look renews the lease for 4.5 s; from then on the worker is silent.
     const TimePoint renewedAt = desk.now();
@@ -160,9 +164,7 @@
 TEST(Cell, EndIsAcknowledgedOnlyWhenItIsStored)
 {
     Desk desk;
-    desk.submitAndStore("a");
-    desk.step(10ms);
-    const StartOrder start = desk.take<StartOrder>().at(0);
+    const StartOrder start = desk.startOf("a");
     desk.answer(start, CallStatus::Done);
     desk.step(60ms);
     for (const LookOrder& look : desk.take<LookOrder>())
@@ -187,9 +189,7 @@
         desk.step(300ms);
         desk.loseLooks();
     };
-    desk.submitAndStore("a");
-    desk.step(10ms);
-    const StartOrder start = desk.take<StartOrder>().at(0);
+    const StartOrder start = desk.startOf("a");
     desk.answer(start, CallStatus::Done);
     for (int tries = 0; tries < 5; ++tries)
         loseUntilSilent();
@@ -273,9 +273,7 @@
 TEST(Cell, MachineIsEmptyOnlyWhenItsEndsAreStored)
 {
     Desk desk;
-    desk.submitAndStore("a");
-    desk.step(10ms);
-    const StartOrder start = desk.take<StartOrder>().at(0);
+    const StartOrder start = desk.startOf("a");
     const MachineId machine { start.worker.value() };
     desk.answer(start, CallStatus::Done);
     desk.cell().setClosing({ machine });
--- a/packages/jobs/tests/cell_walk_tests.cpp
+++ b/packages/jobs/tests/cell_walk_tests.cpp
@@ -115,6 +115,14 @@
     }
 }
 
+/// A job of one step.
+void submit(CellWorld& world, const std::string& id, const Step& step, const ModelWork& work)
+{
+    Job job { JobId { id }, QueueId { "queue" }, world.now().time_since_epoch().count() / 1000 };
+    job.spec.steps = { step };
+    world.submit(job, { work });
+}
+
 } // namespace
 
 TEST(CellWalk, CalmDayCompletesEverything) { walkMany({}, 10, 60); }
@@ -146,23 +154,18 @@
 {
     CellWorld world { 1, 2, {} };
     world.run(2s);
-    const auto submit = [&](const std::string& id, const Step& step, const ModelWork& work) {
-        Job job { JobId { id }, QueueId { "queue" }, world.now().time_since_epoch().count() / 1000 };
-        job.spec.steps = { step };
-        world.submit(job, { work });
-    };
     for (int number = 0; number < 60; ++number) { // Of different lengths, so that room comes in small pieces.
         Step small;
         small.count = 4;
         small.size = { Millicores { 4800 }, Mebibytes { 10 }, {} };
         small.estimate = 400ms;
-        submit("small" + std::to_string(number), small, { small.size, 300ms + number % 7 * 50ms });
+        submit(world, "small" + std::to_string(number), small, { small.size, 300ms + number % 7 * 50ms });
     }
     world.run(1s);
     Step lasting;
     lasting.size = { Millicores { 12800 }, Mebibytes { 10 }, {} };
     lasting.isLasting = true;
-    submit("lasting", lasting, { lasting.size, 0us, false, true });
+    submit(world, "lasting", lasting, { lasting.size, 0us, false, true });
     world.run(3s);
     EXPECT_EQ(world.runningOf(JobId { "lasting" }), 1);
 }
@@ -171,22 +174,17 @@
 {
     CellWorld world { 1, 3, {} };
     world.run(2s);
-    const auto submit = [&](const std::string& id, const Step& step, const ModelWork& work) {
-        Job job { JobId { id }, QueueId { "queue" }, world.now().time_since_epoch().count() / 1000 };
-        job.spec.steps = { step };
-        world.submit(job, { work });
-    };
     Step lasting;
     lasting.count = 5; // Two more than there are workers.
     lasting.size = { Millicores { 500 }, Mebibytes { 100 }, {} };
     lasting.isLasting = true;
     lasting.maxPerWorker = 1;
     for (const char* id : { "lasting1", "lasting2", "lasting3" })
-        submit(id, lasting, { lasting.size, 0us, false, true });
+        submit(world, id, lasting, { lasting.size, 0us, false, true });
     Step finite;
     finite.size = { Millicores { 1000 }, Mebibytes { 100 }, {} };
     finite.estimate = 500ms;
-    submit("finite", finite, { finite.size, 500ms });
+    submit(world, "finite", finite, { finite.size, 500ms });
     world.run(5s);
     EXPECT_EQ(world.runningOf(JobId { "lasting1" }), 3);
     EXPECT_EQ(world.shown(JobId { "finite" }), JobState::Completed);
--- a/packages/jobs/tests/ownership_tests.cpp
+++ b/packages/jobs/tests/ownership_tests.cpp
@@ -143,5 +143,5 @@
         { NodeId { "old" }, "10.0.0.2:7000", 9, false, true, { { cells[0], 1 } }, {}, {}, {}, {} }, TimePoint { 2s });
     node.onNews({ NodeId { "new" }, "10.0.0.2:7000", 1, false, true, {}, {}, {}, {}, {} }, TimePoint { 2s });
     EXPECT_FALSE(node.owner(cells[0], TimePoint { 2s }).has_value());
-    EXPECT_EQ(node.liveNodes(TimePoint { 2s }), 2U);
+    EXPECT_EQ(node.liveNews(TimePoint { 2s }).size(), 1U); // Beside itself.
 }
--- a/packages/node/include/rattanrack/node/cell_host.h
+++ b/packages/node/include/rattanrack/node/cell_host.h
@@ -72,11 +72,13 @@
 
 private:
     void wake();
+    void planPump(Duration delay);
     void pump();
     void handleOutput(jobs::CellOutput output);
     void ask(const jobs::AdviceQuestion& question);
     void log(const jobs::CellEvent& event);
     PartWriter::Events writerEvents();
+    WorkerLinks::Answers linkAnswers();
     void commitIfDue();
     void stored();
     void notStored();
--- a/packages/node/include/rattanrack/node/relayed_store.h
+++ b/packages/node/include/rattanrack/node/relayed_store.h
@@ -39,7 +39,7 @@
 
 private:
     peer::StoreAnswer call(const peer::StoreRequest& request);
-    jobs::ReadOutcome readBy(const peer::StoreRequest& request);
+    jobs::ReadOutcome ask(const peer::StoreRequest& request);
     bool isDirectFirst();
     std::optional<peer::StoreAnswer> askPeer(const peer::StoreRequest& request) const;
 
--- a/packages/node/src/cell_host.cpp
+++ b/packages/node/src/cell_host.cpp
@@ -76,23 +76,7 @@
     , m_isAlive(std::make_shared<bool>(true))
     , m_writer({ m_parts.control, m_parts.clock, m_parts.storeThreads, m_parts.store }, std::move(takeover.taken.part),
           writerEvents())
-    , m_links(m_parts.control, m_parts.clock, m_parts.workerThreads, m_parts.connector,
-          { [this](const auto& order, const auto& answer) {
-               m_cell.onAnswer(order, answer, m_parts.clock.now());
-               wake();
-           },
-              [this](const auto& order, const auto& answer) {
-                  m_cell.onAnswer(order, answer, m_parts.clock.now());
-                  wake();
-              },
-              [this](const auto& order, const auto& answer) {
-                  m_cell.onAnswer(order, answer, m_parts.clock.now());
-                  wake();
-              },
-              [this](const auto& order, const auto& answer, TimePoint sentAt) {
-                  m_cell.onAnswer(order, answer, sentAt, m_parts.clock.now());
-                  wake();
-              } })
+    , m_links(m_parts.control, m_parts.clock, m_parts.workerThreads, m_parts.connector, linkAnswers())
 {
     wake();
 }
@@ -147,11 +131,13 @@
     wake();
 }
 
-void CellHost::wake()
+void CellHost::wake() { planPump(coalescing); }
+
+void CellHost::planPump(Duration delay)
 {
     if (std::exchange(m_isPumpPlanned, true))
         return;
-    m_parts.control.at(Deadline::after(m_parts.clock.now(), coalescing), guarded([this] {
+    m_parts.control.at(Deadline::after(m_parts.clock.now(), delay), guarded([this] {
         m_isPumpPlanned = false;
         pump();
     }));
@@ -168,14 +154,8 @@
         return;
     handleOutput(m_cell.step(m_parts.clock.now(), wallClockMilliseconds(), mayStart()));
     commitIfDue();
-    if (m_writer.isOver() || m_isPumpPlanned)
-        return;
-    m_isPumpPlanned = true;
-    const Duration period = m_cell.openJobs() > 0 ? busyPeriod : idlePeriod;
-    m_parts.control.at(Deadline::after(m_parts.clock.now(), period), guarded([this] {
-        m_isPumpPlanned = false;
-        pump();
-    }));
+    if (!m_writer.isOver())
+        planPump(m_cell.openJobs() > 0 ? busyPeriod : idlePeriod);
 }
 
 void CellHost::handleOutput(jobs::CellOutput output)
@@ -219,6 +199,19 @@
         m_isOwnershipInDoubt = true; // The next transaction tells.
 }
 
+WorkerLinks::Answers CellHost::linkAnswers()
+{
+    const auto take = [this](const auto& order, const auto& answer) {
+        m_cell.onAnswer(order, answer, m_parts.clock.now());
+        wake();
+    };
+    const auto takeLook = [this](const auto& order, const auto& answer, TimePoint sentAt) {
+        m_cell.onAnswer(order, answer, sentAt, m_parts.clock.now());
+        wake();
+    };
+    return { take, take, take, takeLook };
+}
+
 PartWriter::Events CellHost::writerEvents()
 {
     return { [this] { stored(); }, [this] { notStored(); },
--- a/packages/node/src/job_node_cells.cpp
+++ b/packages/node/src/job_node_cells.cpp
@@ -16,36 +16,45 @@
     }
 }
 
-void JobNode::State::take(const PoolId& cell)
+/// Runs `work`, which takes a part over, on a thread of the store, and `then` with what it brought on the control
+/// thread.
+template <typename Work, typename Then>
+void JobNode::State::takePartBy(const PoolId& part, const char* failure, Work work, Then then)
 {
-    const bool isSubmitted = storePool.submit([this, cell] {
-        auto takeover = valueOrNothing([&] { return takeOver(ports.store, cell, self); },
-            [&](const Error& error) {
-                logEvent(
-                    "cell.not_taken", { { "cell", cell.value() }, { "error", describe(error) } }, LogLevel::Warning);
-            });
-        control.post([this, cell, shared = std::make_shared<std::optional<Takeover>>(std::move(takeover))] {
-            taken(cell, std::move(*shared));
+    const auto finish = [this, part, then = std::move(then)](auto takeover) {
+        beingTaken.erase(part);
+        if (takeover)
+            then(*std::move(takeover));
+        else
+            ownership.takingFailed(part, clock.now());
+    };
+    using Outcome = decltype(valueOrNothing(work));
+    const bool isSubmitted = storePool.submit([this, part, failure, work = std::move(work), finish] {
+        auto takeover = valueOrNothing(work, [&](const Error& error) {
+            logEvent(failure, { { "cell", part.value() }, { "error", describe(error) } }, LogLevel::Warning);
         });
+        control.post([finish, shared = std::make_shared<Outcome>(std::move(takeover))] { finish(std::move(*shared)); });
     });
     if (!isSubmitted)
-        taken(cell, std::nullopt);
+        finish(Outcome {});
 }
 
-void JobNode::State::taken(const PoolId& cell, std::optional<Takeover> takeover)
+void JobNode::State::take(const PoolId& cell)
+{
+    takePartBy(
+        cell, "cell.not_taken", [this, cell] { return takeOver(ports.store, cell, self); },
+        [this, cell](Takeover takeover) { taken(cell, std::move(takeover)); });
+}
+
+void JobNode::State::taken(const PoolId& cell, Takeover takeover)
 {
-    beingTaken.erase(cell);
-    if (!takeover) {
-        ownership.takingFailed(cell, clock.now());
-        return;
-    }
     logEvent("cell.taken",
-        { { "cell", cell.value() }, { "term", takeover->taken.part.term() }, { "jobs", takeover->jobs.size() } });
+        { { "cell", cell.value() }, { "term", takeover.taken.part.term() }, { "jobs", takeover.jobs.size() } });
     CellHost::Parts parts { control, clock, metrics, storePool, workerPool, ports.store, ports.workers, ports.advisor,
         &advisorPool, [this](jobs::CallToken token, bool isStored) { stored(token, isStored); },
         [this, cell] { cellLost(cell); } };
     auto host = std::make_unique<CellHost>(
-        std::move(parts), cell, CellTimes { settings.leaseLength, settings.keepEnded }, std::move(*takeover));
+        std::move(parts), cell, CellTimes { settings.leaseLength, settings.keepEnded }, std::move(takeover));
     if (configuration)
         host->configure(configuration->queuesOf(cell));
     host->setWorkers(workers);
@@ -58,29 +67,16 @@
 
 void JobNode::State::takeDuty()
 {
-    const bool isSubmitted = storePool.submit([this] {
-        auto takeover = valueOrNothing([&] { return takeMachineDuty(ports.store, self); },
-            [&](const Error& error) {
-                logEvent("machines.not_taken", { { "error", describe(error) } }, LogLevel::Warning);
-            });
-        control.post([this, shared = std::make_shared<std::optional<MachineDutyTakeover>>(std::move(takeover))] {
-            dutyTaken(std::move(*shared));
-        });
-    });
-    if (!isSubmitted)
-        dutyTaken(std::nullopt);
+    takePartBy(
+        machineDutyName, "machines.not_taken", [this] { return takeMachineDuty(ports.store, self); },
+        [this](MachineDutyTakeover takeover) { dutyTaken(std::move(takeover)); });
 }
 
-void JobNode::State::dutyTaken(std::optional<MachineDutyTakeover> takeover)
+void JobNode::State::dutyTaken(MachineDutyTakeover takeover)
 {
-    beingTaken.erase(machineDutyName);
-    if (!takeover) {
-        ownership.takingFailed(machineDutyName, clock.now());
-        return;
-    }
     duty = std::make_unique<MachineDuty>(MachineDuty::Parts { control, clock, storePool, ports.store, ports.machines,
                                              ports.fleet, self, [this] { dutyLost(); } },
-        std::move(*takeover));
+        std::move(takeover));
     logEvent("machines.taken", { { "term", duty->term() } });
     if (configuration)
         duty->configure(*configuration);
--- a/packages/node/src/job_node_state.h
+++ b/packages/node/src/job_node_state.h
@@ -48,10 +48,10 @@
     // What this node owns: job_node_cells.cpp
     void takeCells();
     void take(const PoolId& cell);
-    void taken(const PoolId& cell, std::optional<Takeover> takeover);
+    void taken(const PoolId& cell, Takeover takeover);
     void cellLost(const PoolId& cell);
     void takeDuty();
-    void dutyTaken(std::optional<MachineDutyTakeover> takeover);
+    void dutyTaken(MachineDutyTakeover takeover);
     void dutyLost();
     bool holds(const PoolId& cell) const { return cells.contains(cell) || (duty && cell == machineDutyName); }
     void handBack(const PoolId& cell);
@@ -75,6 +75,8 @@
     void inForce(jobs::Configuration configuration);
     void registerSelf();
 
+    template <typename Work, typename Then>
+    void takePartBy(const PoolId& part, const char* failure, Work work, Then then);
     template <typename Work> void loopUntilStopped(Duration period, Work work);
 
     const JobNodeSettings settings;
--- a/packages/node/src/relayed_store.cpp
+++ b/packages/node/src/relayed_store.cpp
@@ -54,6 +54,20 @@
         });
 }
 
+struct CallTo {
+    jobs::PartStore& store;
+
+    peer::StoreAnswer operator()(const jobs::PartTransaction& transaction) const { return store.commit(transaction); }
+    peer::StoreAnswer operator()(const jobs::RowRange& range) const
+    {
+        return outcomeOf([&] { return store.read(range); });
+    }
+    peer::StoreAnswer operator()(const jobs::ChangesQuery& query) const
+    {
+        return outcomeOf([&] { return store.changes(query.table, query.version, query.wait); });
+    }
+};
+
 Result<jobs::RowPage> resultOf(jobs::ReadOutcome outcome)
 {
     switch (outcome.status) {
@@ -103,13 +117,7 @@
 
 peer::StoreAnswer RelayedStore::carryOut(const peer::StoreRequest& request)
 {
-    peer::StoreAnswer answer;
-    if (const auto* transaction = std::get_if<jobs::PartTransaction>(&request))
-        answer = m_direct.commit(*transaction);
-    else if (const auto* range = std::get_if<jobs::RowRange>(&request))
-        answer = outcomeOf([&] { return m_direct.read(*range); });
-    else if (const auto* query = std::get_if<jobs::ChangesQuery>(&request))
-        answer = outcomeOf([&] { return m_direct.changes(query->table, query->version, query->wait); });
+    auto answer = std::visit(CallTo { m_direct }, request);
     const bool isInReach = isAnswered(answer);
     const std::lock_guard lock(m_mutex);
     if (std::exchange(m_isInReach, isInReach) != isInReach)
@@ -138,7 +146,7 @@
                    : jobs::TransactionOutcome { jobs::TransactionStatus::Unknown, 0, {}, "no answer from the peer" };
 }
 
-jobs::ReadOutcome RelayedStore::readBy(const peer::StoreRequest& request)
+jobs::ReadOutcome RelayedStore::ask(const peer::StoreRequest& request)
 {
     auto answer = call(request);
     auto* outcome = std::get_if<jobs::ReadOutcome>(&answer);
@@ -146,11 +154,11 @@
                    : jobs::ReadOutcome { jobs::ReadStatus::Unavailable, {}, "no answer from the peer" };
 }
 
-Result<jobs::RowPage> RelayedStore::read(const jobs::RowRange& range) { return resultOf(readBy(range)); }
+Result<jobs::RowPage> RelayedStore::read(const jobs::RowRange& range) { return resultOf(ask(range)); }
 
 Result<jobs::RowPage> RelayedStore::changes(const std::string& table, jobs::RowVersion version, Duration wait)
 {
-    return resultOf(readBy(jobs::ChangesQuery { table, version, wait }));
+    return resultOf(ask(jobs::ChangesQuery { table, version, wait }));
 }
 
 } // namespace rattanrack::node
--- a/packages/peer/src/codec.cpp
+++ b/packages/peer/src/codec.cpp
@@ -1,5 +1,6 @@
 #include "codec.h"
 
+#include "job_messages_codec.h"
 #include "store_codec.h"
 #include "wire_text.h"
 
@@ -14,7 +15,6 @@
 
 constexpr std::size_t fixedSizeBound = 512;
 constexpr std::size_t creditSizeBound = 32;
-constexpr std::size_t nameSizeBound = 64;
 
 void encodeCredits(const std::vector<policy::Credit>& credits, capnp::List<wire::Credit>::Builder target)
 {
@@ -32,20 +32,6 @@
     return credits;
 }
 
-void encodeMachines(const std::vector<jobs::MachineId>& machines, capnp::List<capnp::Text>::Builder target)
-{
-    for (unsigned i = 0; i < target.size(); ++i)
-        target.set(i, machines[i].value());
-}
-
-std::vector<jobs::MachineId> decodeMachines(capnp::List<capnp::Text>::Reader source)
-{
-    std::vector<jobs::MachineId> machines;
-    for (const auto machine : source)
-        machines.emplace_back(text(machine));
-    return machines;
-}
-
 void encodeSize(const ResourceSize& size, wire::ResourceSize::Builder target)
 {
     target.setMillicores(size.processors.count());
@@ -201,53 +187,9 @@
         reply.setRetryAfterMicroseconds(message.retryAfter.count());
     }
 
-    void operator()(const jobs::NodeNews& message)
-    {
-        auto news = target.initNodeNews();
-        news.setNode(message.node.value());
-        news.setAddress(message.address);
-        news.setSequence(message.sequence);
-        news.setIsLeaving(message.isLeaving);
-        news.setIsStoreInReach(message.isStoreInReach);
-        news.setClosingHeard(message.closingHeard);
-        auto cells = news.initCells(static_cast<unsigned>(message.cells.size()));
-        for (unsigned i = 0; i < cells.size(); ++i) {
-            cells[i].setCell(message.cells[i].cell.value());
-            cells[i].setTerm(message.cells[i].term);
-        }
-        encodeMachines(message.closing, news.initClosing(static_cast<unsigned>(message.closing.size())));
-        encodeMachines(message.emptied, news.initEmptied(static_cast<unsigned>(message.emptied.size())));
-        encodeMachines(message.movable, news.initMovable(static_cast<unsigned>(message.movable.size())));
-        auto loads = news.initLoads(static_cast<unsigned>(message.loads.size()));
-        for (unsigned i = 0; i < loads.size(); ++i) {
-            loads[i].setCell(message.loads[i].cell.value());
-            loads[i].setUsedMillicores(message.loads[i].used.count());
-            loads[i].setWaitingMillicores(message.loads[i].waiting.count());
-            loads[i].setOfferedMillicores(message.loads[i].offered.count());
-        }
-    }
-
-    void operator()(const JobCall& message)
-    {
-        auto call = target.initJobCall();
-        call.setExchange(message.exchange);
-        call.setReplyTo(message.replyTo);
-        call.setOperation(static_cast<wire::JobOperation>(message.operation));
-        call.setCell(message.cell.value());
-        call.setJob(message.job.value());
-        call.setQueue(message.queue.value());
-        call.setBody(dataOf(message.body));
-    }
-
-    void operator()(const JobReply& message)
-    {
-        auto reply = target.initJobReply();
-        reply.setExchange(message.exchange);
-        reply.setStatus(static_cast<wire::JobCallStatus>(message.status));
-        reply.setState(static_cast<std::uint8_t>(message.state));
-        reply.setPending(message.pending);
-    }
-
+    void operator()(const jobs::NodeNews& message) { encodeNodeNews(message, target.initNodeNews()); }
+    void operator()(const JobCall& message) { encodeJobCall(message, target.initJobCall()); }
+    void operator()(const JobReply& message) { encodeJobReply(message, target.initJobReply()); }
     void operator()(const StoreCall& message) { encodeStoreCall(message, target.initStoreCall()); }
     void operator()(const StoreReply& message) { encodeStoreReply(message, target.initStoreReply()); }
 };
@@ -353,39 +295,6 @@
         text(source.getReason()), Duration { source.getRetryAfterMicroseconds() } };
 }
 
-jobs::NodeNews decodeNodeNews(wire::NodeNews::Reader source)
-{
-    jobs::NodeNews news { NodeId { text(source.getNode()) }, text(source.getAddress()), source.getSequence(),
-        source.getIsLeaving(), source.getIsStoreInReach(), {}, decodeMachines(source.getClosing()),
-        source.getClosingHeard(), decodeMachines(source.getEmptied()), decodeMachines(source.getMovable()), {} };
-    for (const auto load : source.getLoads()) {
-        news.loads.push_back({ PoolId { text(load.getCell()) }, Millicores { load.getUsedMillicores() },
-            Millicores { load.getWaitingMillicores() }, Millicores { load.getOfferedMillicores() } });
-    }
-    for (const auto cell : source.getCells())
-        news.cells.push_back({ PoolId { text(cell.getCell()) }, cell.getTerm() });
-    return news;
-}
-
-std::optional<Message> decodeJobCall(wire::JobCall::Reader source)
-{
-    if (source.getOperation() > wire::JobOperation::PENDING)
-        return std::nullopt;
-    return JobCall { source.getExchange(), text(source.getReplyTo()), static_cast<JobOperation>(source.getOperation()),
-        PoolId { text(source.getCell()) }, jobs::JobId { text(source.getJob()) },
-        jobs::QueueId { text(source.getQueue()) }, bytes(source.getBody()) };
-}
-
-std::optional<Message> decodeJobReply(wire::JobReply::Reader source)
-{
-    const bool isInRange = source.getStatus() <= wire::JobCallStatus::UNSETTLED
-        && source.getState() <= static_cast<std::uint8_t>(jobs::JobState::Cancelled);
-    if (!isInRange)
-        return std::nullopt;
-    return JobReply { source.getExchange(), static_cast<JobCallStatus>(source.getStatus()),
-        static_cast<jobs::JobState>(source.getState()), source.getPending() };
-}
-
 std::optional<Message> decodeAny(wire::Message::Reader source)
 {
     switch (source.which()) {
@@ -440,12 +349,7 @@
     std::size_t operator()(const AnswerQuery& message) const { return message.request.value().size(); }
     std::size_t operator()(const AnswerReply& message) const { return message.output.size() + message.reason.size(); }
 
-    std::size_t operator()(const jobs::NodeNews& message) const
-    {
-        return (message.cells.size() + message.closing.size() + message.emptied.size() + message.movable.size()
-                   + message.loads.size())
-            * nameSizeBound;
-    }
+    std::size_t operator()(const jobs::NodeNews& message) const { return variableSize(message); }
     std::size_t operator()(const JobCall& message) const { return message.body.size(); }
     std::size_t operator()(const JobReply&) const { return 0; }
     std::size_t operator()(const StoreCall& message) const { return variableSize(message); }
--- /dev/null
+++ b/packages/peer/src/job_messages_codec.cpp
@@ -0,0 +1,111 @@
+#include "job_messages_codec.h"
+
+#include "wire_text.h"
+
+namespace rattanrack::peer {
+
+namespace {
+
+constexpr std::size_t nameSizeBound = 64;
+
+void encodeMachines(const std::vector<jobs::MachineId>& machines, capnp::List<capnp::Text>::Builder target)
+{
+    for (unsigned i = 0; i < target.size(); ++i)
+        target.set(i, machines[i].value());
+}
+
+std::vector<jobs::MachineId> decodeMachines(capnp::List<capnp::Text>::Reader source)
+{
+    std::vector<jobs::MachineId> machines;
+    for (const auto machine : source)
+        machines.emplace_back(text(machine));
+    return machines;
+}
+
+} // namespace
+
+void encodeNodeNews(const jobs::NodeNews& message, wire::NodeNews::Builder news)
+{
+    news.setNode(message.node.value());
+    news.setAddress(message.address);
+    news.setSequence(message.sequence);
+    news.setIsLeaving(message.isLeaving);
+    news.setIsStoreInReach(message.isStoreInReach);
+    news.setClosingHeard(message.closingHeard);
+    auto cells = news.initCells(static_cast<unsigned>(message.cells.size()));
+    for (unsigned i = 0; i < cells.size(); ++i) {
+        cells[i].setCell(message.cells[i].cell.value());
+        cells[i].setTerm(message.cells[i].term);
+    }
+    encodeMachines(message.closing, news.initClosing(static_cast<unsigned>(message.closing.size())));
+    encodeMachines(message.emptied, news.initEmptied(static_cast<unsigned>(message.emptied.size())));
+    encodeMachines(message.movable, news.initMovable(static_cast<unsigned>(message.movable.size())));
+    auto loads = news.initLoads(static_cast<unsigned>(message.loads.size()));
+    for (unsigned i = 0; i < loads.size(); ++i) {
+        loads[i].setCell(message.loads[i].cell.value());
+        loads[i].setUsedMillicores(message.loads[i].used.count());
+        loads[i].setWaitingMillicores(message.loads[i].waiting.count());
+        loads[i].setOfferedMillicores(message.loads[i].offered.count());
+    }
+}
+
+void encodeJobCall(const JobCall& message, wire::JobCall::Builder call)
+{
+    call.setExchange(message.exchange);
+    call.setReplyTo(message.replyTo);
+    call.setOperation(static_cast<wire::JobOperation>(message.operation));
+    call.setCell(message.cell.value());
+    call.setJob(message.job.value());
+    call.setQueue(message.queue.value());
+    call.setBody(dataOf(message.body));
+}
+
+void encodeJobReply(const JobReply& message, wire::JobReply::Builder reply)
+{
+    reply.setExchange(message.exchange);
+    reply.setStatus(static_cast<wire::JobCallStatus>(message.status));
+    reply.setState(static_cast<std::uint8_t>(message.state));
+    reply.setPending(message.pending);
+}
+
+jobs::NodeNews decodeNodeNews(wire::NodeNews::Reader source)
+{
+    jobs::NodeNews news { NodeId { text(source.getNode()) }, text(source.getAddress()), source.getSequence(),
+        source.getIsLeaving(), source.getIsStoreInReach(), {}, decodeMachines(source.getClosing()),
+        source.getClosingHeard(), decodeMachines(source.getEmptied()), decodeMachines(source.getMovable()), {} };
+    for (const auto load : source.getLoads()) {
+        news.loads.push_back({ PoolId { text(load.getCell()) }, Millicores { load.getUsedMillicores() },
+            Millicores { load.getWaitingMillicores() }, Millicores { load.getOfferedMillicores() } });
+    }
+    for (const auto cell : source.getCells())
+        news.cells.push_back({ PoolId { text(cell.getCell()) }, cell.getTerm() });
+    return news;
+}
+
+std::optional<JobCall> decodeJobCall(wire::JobCall::Reader source)
+{
+    if (source.getOperation() > wire::JobOperation::PENDING)
+        return std::nullopt;
+    return JobCall { source.getExchange(), text(source.getReplyTo()), static_cast<JobOperation>(source.getOperation()),
+        PoolId { text(source.getCell()) }, jobs::JobId { text(source.getJob()) },
+        jobs::QueueId { text(source.getQueue()) }, bytes(source.getBody()) };
+}
+
+std::optional<JobReply> decodeJobReply(wire::JobReply::Reader source)
+{
+    const bool isInRange = source.getStatus() <= wire::JobCallStatus::UNSETTLED
+        && source.getState() <= static_cast<std::uint8_t>(jobs::JobState::Cancelled);
+    if (!isInRange)
+        return std::nullopt;
+    return JobReply { source.getExchange(), static_cast<JobCallStatus>(source.getStatus()),
+        static_cast<jobs::JobState>(source.getState()), source.getPending() };
+}
+
+std::size_t variableSize(const jobs::NodeNews& message)
+{
+    return (message.cells.size() + message.closing.size() + message.emptied.size() + message.movable.size()
+               + message.loads.size())
+        * nameSizeBound;
+}
+
+} // namespace rattanrack::peer
--- a/packages/peer/tests/peer_network_tests.cpp
+++ b/packages/peer/tests/peer_network_tests.cpp
@@ -100,6 +100,15 @@
         });
 }
 
+/// Two networks, and what one of them hears.
+struct Pair {
+    Inbox inbox;
+    Inbox unused;
+    std::string target = freeAddress();
+    std::unique_ptr<PeerNetwork> receiver = networkAt(target, inbox);
+    std::unique_ptr<PeerNetwork> sender = networkAt(freeAddress(), unused);
+};
+
 ErrorCode createError(const std::string& address)
 {
     return handle(
@@ -118,11 +127,8 @@
 
 TEST(PeerNetwork, CarriesEveryKindOfMessageWhole)
 {
-    Inbox inbox;
-    Inbox unused;
-    const std::string target = freeAddress();
-    const auto receiver = networkAt(target, inbox);
-    const auto sender = networkAt(freeAddress(), unused);
+    Pair pair;
+    auto& [inbox, unused, target, receiver, sender] = pair;
     const policy::Claim claim { IdempotencyKey { "k" }, 5, AttemptId { "a" }, NodeId { "n" },
         policy::ClaimState::Completed, std::string("\0out", 4) };
     const policy::CreditAsk ask { PoolId { "p" }, NodeId { "n" }, 1, 2, 3, Duration { 4 }, { { VmId { "w1" }, 5 } },
@@ -173,11 +179,8 @@
 
 TEST(PeerNetwork, CarriesCallsToTheStoreWhole)
 {
-    Inbox inbox;
-    Inbox unused;
-    const std::string target = freeAddress();
-    const auto receiver = networkAt(target, inbox);
-    const auto sender = networkAt(freeAddress(), unused);
+    Pair pair;
+    auto& [inbox, unused, target, receiver, sender] = pair;
     const std::string bytes("\0value", 6);
     const std::vector<jobs::PartRow> rows { { { "table", "key" }, bytes, 7, false },
         { { "table", "gone" }, "", 8, true } };
@@ -203,11 +206,8 @@
 
 TEST(PeerNetwork, KeepsOrderOverManyBatchesAndConnections)
 {
-    Inbox inbox;
-    Inbox unused;
-    const std::string target = freeAddress();
-    const auto receiver = networkAt(target, inbox);
-    const auto sender = networkAt(freeAddress(), unused);
+    Pair pair;
+    auto& [inbox, unused, target, receiver, sender] = pair;
     constexpr std::uint64_t count = 30;
     const std::string document(200'000, 'x'); // together beyond what one connection carries
     for (std::uint64_t i = 0; i < count; ++i) {
--- a/packages/policy/src/traffic/usage_guard.cpp
+++ b/packages/policy/src/traffic/usage_guard.cpp
@@ -55,8 +55,7 @@
     std::int64_t credits = 0;
     Request* worst = nullptr;
     for (auto* running : m_running[request.worker]) {
-        sum.processors += running->used.processors;
-        sum.memory += running->used.memory;
+        sum += running->used;
         credits += running->credits;
         if (!running->isStopping && isAboveItsSize(*running) && (!worst || comesFirst(running, worst)))
             worst = running;
