Log each decision on a run: job, subtask, run, worker, term, failures known, workers not heard, age of the list

A cell now tells typed events (JobEvent, RunEvent, WorkerEvent), each one line: run.ordered, run.adopted, run.stopping with the reason, run.ended with how, run.over with the proof, worker.heard, worker.not_heard, ends.acknowledged. The list of workers carries when the store was asked for it.

No decision changes.

--- a/packages/jobs/include/rattanrack/jobs/cell.h
+++ b/packages/jobs/include/rattanrack/jobs/cell.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "rattanrack/jobs/cell_event.h"
 #include "rattanrack/jobs/job.h"
 #include "rattanrack/jobs/job_progress.h"
 #include "rattanrack/jobs/maintenance.h"
@@ -69,15 +70,6 @@
     Duration validFor {};
 };
 
-/// What happened, for logs and metrics.
-struct CellEvent {
-    enum class Kind : std::uint8_t { JobAccepted, JobEnded, WorkerSilent, WorkerBack, FenceSeen };
-    Kind kind { Kind::JobAccepted };
-    std::string subject; ///< Id of the job, name of the worker.
-    std::string detail;
-    Duration age {};
-};
-
 struct CellOutput {
     std::vector<Order> orders;
     std::vector<CallReply> replies;
@@ -110,8 +102,8 @@
     /// What the configuration in force says of this cell's queues. Queues that are no longer named keep their settings.
     void configure(const std::vector<QueueSettings>& queues);
 
-    /// All workers of the pool that the store lists now.
-    void setWorkers(const std::vector<WorkerDescription>& workers, TimePoint now);
+    /// All workers of the pool that the store listed when it was asked at `askedAt`.
+    void setWorkers(const std::vector<WorkerDescription>& workers, TimePoint askedAt, TimePoint now);
 
     /// Machines that get nothing new and are emptied.
     void setClosing(std::set<MachineId> machines);
--- a/packages/jobs/model/cell_world.cpp
+++ b/packages/jobs/model/cell_world.cpp
@@ -136,7 +136,7 @@
             listed.push_back(worker.description());
     }
     if (m_cell)
-        m_cell->setWorkers(listed, m_now);
+        m_cell->setWorkers(listed, m_now, m_now);
 }
 
 void CellWorld::submit(const Job& job, const std::vector<ModelWork>& workOfSteps)
--- a/packages/jobs/src/cell.cpp
+++ b/packages/jobs/src/cell.cpp
@@ -46,6 +46,9 @@
         entry->storedState = entry->progress.state();
         entry->acceptedAt = now - Duration { (unixMs - entry->job.acceptedAtUnixMs) * 1000 };
         const JobId id = entry->job.id;
+        if (!entry->progress.hasEnded())
+            state.tell(JobEvent {
+                JobEvent::Kind::TakenOver, id, std::string(name(entry->storedState)), now - entry->acceptedAt });
         state.jobs.emplace(id, std::move(entry));
     }
 }
@@ -78,9 +81,13 @@
     return entry.job.spec.steps[static_cast<std::size_t>(task.step)];
 }
 
-void CellState::tell(CellEvent::Kind kind, std::string subject, std::string detail, Duration age)
+void CellState::tellRun(RunEvent::Kind kind, const Worker& worker, const TaskRef& task, RunNumber run,
+    std::string_view detail, Duration age)
 {
-    output.events.push_back({ kind, std::move(subject), std::move(detail), age });
+    const JobEntry* entry = find(task.job);
+    const bool isKnown = entry && entry->progress.has(task);
+    tell(RunEvent { kind, task, run, worker.description.id, isKnown ? entry->progress.task(task).failures() : 0,
+        foreignWorkers.size(), std::string(detail), age });
 }
 
 void CellState::changed(JobEntry& entry)
@@ -200,8 +207,8 @@
     if (!entry->progress.hasEnded()) {
         entry->progress.cancel(unixMs);
         state.changed(*entry);
-        state.stopAll(*entry);
-        state.tell(CellEvent::Kind::JobEnded, job.value(), "cancelled");
+        state.stopAll(*entry, "cancelled");
+        state.tell(JobEvent { JobEvent::Kind::Ended, job, "cancelled" });
     }
     if (entry->storedRevision == entry->revision)
         return Acceptance::Stored;
@@ -293,10 +300,10 @@
             continue;
         }
         if (!entry.isStored)
-            state.tell(CellEvent::Kind::JobAccepted, id.value(), entry.job.queue.value());
+            state.tell(JobEvent { JobEvent::Kind::Accepted, id, entry.job.queue.value() });
         if (isLast(entry.stateInCommit) && !isLast(entry.storedState))
-            state.tell(CellEvent::Kind::JobEnded, id.value(), std::string(name(entry.stateInCommit)),
-                Duration { (unixMs - entry.job.acceptedAtUnixMs) * 1000 });
+            state.tell(JobEvent { JobEvent::Kind::Ended, id, std::string(name(entry.stateInCommit)),
+                Duration { (unixMs - entry.job.acceptedAtUnixMs) * 1000 } });
         entry.isStored = true;
         entry.storedRevision = std::exchange(entry.revisionInCommit, 0);
         entry.storedState = entry.stateInCommit;
--- a/packages/jobs/src/cell_runs.cpp
+++ b/packages/jobs/src/cell_runs.cpp
@@ -20,6 +20,12 @@
 
 bool isSame(const Run& run, RunNumber number) { return run.number == number; }
 
+std::string_view name(EndKind kind)
+{
+    constexpr std::string_view names[] = { "done", "failed", "stopped", "lapsed", "broken", "alone" };
+    return names[static_cast<std::size_t>(kind)];
+}
+
 /// Carried out, now or before: a later look tells what came of it.
 bool isTaken(const CallAnswer& answer)
 {
@@ -67,31 +73,36 @@
         places.erase(place);
 }
 
-void CellState::runOver(Worker& worker, const TaskRef& taskInRuns)
+void CellState::runOver(Worker& worker, const TaskRef& taskInRuns, std::string_view proof)
 {
     const TaskRef task = taskInRuns; // The one handed in may lie in the run that goes.
+    const auto found = worker.runs.find(task);
+    if (found != worker.runs.end())
+        tellRun(RunEvent::Kind::Over, worker, task, found->second.number, proof);
     release(worker, task);
     JobEntry* entry = find(task.job);
     if (entry && entry->progress.has(task))
         entry->progress.ended(task);
 }
 
-void CellState::lost(Worker& worker)
+void CellState::lost(Worker& worker, std::string_view proof)
 {
     std::vector<TaskRef> tasks;
     for (const auto& [task, run] : worker.runs)
         tasks.push_back(task);
     for (const TaskRef& task : tasks)
-        runOver(worker, task);
+        runOver(worker, task, proof);
     foreignWorkers.erase(worker.description.id);
 }
 
-void CellState::sendStop(Worker& worker, const TaskRef& task, RunNumber number)
+void CellState::sendStop(Worker& worker, const TaskRef& task, RunNumber number, std::string_view reason)
 {
     const auto found = worker.runs.find(task);
     if (found == worker.runs.end() || !isSame(found->second, number))
         return;
     Run& run = found->second;
+    if (run.phase != RunPhase::Stopping)
+        tellRun(RunEvent::Kind::Stopping, worker, task, number, reason);
     run.phase = RunPhase::Stopping;
     if (run.isOrderOnItsWay)
         return; // The answer to the start decides.
@@ -99,7 +110,7 @@
     output.orders.emplace_back(StopOrder { worker.description.id, task, number, settings.fence });
 }
 
-void CellState::stopAll(JobEntry& entry)
+void CellState::stopAll(JobEntry& entry, std::string_view reason)
 {
     for (auto& [id, worker] : workers) {
         std::vector<std::pair<TaskRef, RunNumber>> runs;
@@ -108,7 +119,7 @@
                 runs.emplace_back(task, run.number);
         }
         for (const auto& [task, number] : runs)
-            sendStop(worker, task, number);
+            sendStop(worker, task, number, reason);
     }
 }
 
@@ -127,7 +138,7 @@
     const Step& step = stepOf(entry, failed);
     if (!step.isLasting && entry.progress.task(failed).failures() >= queueOf(entry).attempts) {
         entry.progress.fail(unixMs);
-        stopAll(entry);
+        stopAll(entry, "job failed");
     }
 }
 
@@ -139,6 +150,8 @@
     worker.pendingEnds.push_back({ end.number, end.task.job, 0 });
     const auto found = worker.runs.find(end.task);
     const bool isKnownRun = found != worker.runs.end() && isSame(found->second, end.run);
+    tellRun(RunEvent::Kind::Ended, worker, end.task, end.run, name(end.kind),
+        isKnownRun ? now - found->second.confirmedAt : Duration {});
     JobEntry* entry = find(end.task.job);
     if (!entry || !entry->progress.has(end.task)) {
         if (isKnownRun)
@@ -164,7 +177,7 @@
         const auto elsewhere = places.find(end.task);
         if (elsewhere != places.end()) {
             Worker& other = workers.at(elsewhere->second);
-            sendStop(other, end.task, other.runs.at(end.task).number);
+            sendStop(other, end.task, other.runs.at(end.task).number, "done elsewhere");
         }
     } else {
         const bool isFailure = end.kind == EndKind::Failed;
@@ -185,6 +198,7 @@
 void CellState::advanceAcks()
 {
     for (auto& [id, worker] : workers) {
+        const std::int64_t ackedBefore = worker.ackedThrough;
         while (!worker.pendingEnds.empty()) {
             const PendingEnd& end = worker.pendingEnds.front();
             const JobEntry* entry = find(end.job);
@@ -193,6 +207,8 @@
             worker.ackedThrough = end.number;
             worker.pendingEnds.pop_front();
         }
+        if (worker.ackedThrough > ackedBefore)
+            tell(WorkerEvent { WorkerEvent::Kind::EndsAcknowledged, id, std::to_string(worker.ackedThrough) });
     }
 }
 
@@ -215,8 +231,9 @@
     run.settledAt = now;
     run.percent = running.percent;
     run.figure = running.figure;
+    tellRun(RunEvent::Kind::Adopted, worker, running.task, running.run, isWanted ? "wanted" : "not wanted");
     if (!isWanted) {
-        sendStop(worker, running.task, running.run);
+        sendStop(worker, running.task, running.run, "not wanted");
         return;
     }
     entry->progress.starting(running.task, running.run);
@@ -258,7 +275,7 @@
             gone.push_back(task);
     }
     for (const TaskRef& task : gone)
-        runOver(worker, task);
+        runOver(worker, task, "not listed any more");
 }
 
 AnsweredRun CellState::answeredRun(
@@ -279,9 +296,9 @@
 void CellState::startFailed(Worker& worker, const StartOrder& order, Run& run)
 {
     if (run.mayComeLate || run.phase == RunPhase::Stopping)
-        sendStop(worker, order.task, order.run);
+        sendStop(worker, order.task, order.run, "may come late");
     else
-        runOver(worker, order.task);
+        runOver(worker, order.task, "start refused");
 }
 
 void Cell::onAnswer(const StartOrder& order, const CallAnswer& answer, TimePoint now)
@@ -298,7 +315,7 @@
         worker.isLookWanted = true;
         JobEntry* entry = state.find(order.task.job);
         if (run.phase == RunPhase::Stopping || !entry || entry->progress.hasEnded()) {
-            state.sendStop(worker, order.task, order.run);
+            state.sendStop(worker, order.task, order.run, "not wanted any more");
         } else if (run.phase == RunPhase::Ordered) {
             run.phase = RunPhase::Confirmed;
             run.confirmedAt = now;
@@ -314,7 +331,7 @@
         return;
     }
     if (answer.status == CallStatus::WrongWorker) {
-        state.lost(worker);
+        state.lost(worker, "another worker answers");
         worker.contact = WorkerContact::Unknown;
         worker.isLookWanted = true;
         return;
@@ -322,7 +339,7 @@
     if (answer.status == CallStatus::Busy)
         state.noteFailure(worker, now);
     if (answer.refusal == Refusal::Fence)
-        state.tell(CellEvent::Kind::FenceSeen, order.worker.value());
+        state.tell(WorkerEvent { WorkerEvent::Kind::FenceSeen, order.worker });
     if (answer.refusal == Refusal::Ticket) {
         if (JobEntry* entry = state.find(order.task.job))
             entry->tickets.erase({ order.task.occurrence, order.task.step });
@@ -342,7 +359,7 @@
     Worker& worker = *answered.worker;
     Run& run = *answered.run;
     if (answer.status == CallStatus::WrongWorker) {
-        state.lost(worker);
+        state.lost(worker, "another worker answers");
         return;
     }
     if (isTaken(answer)) {
@@ -353,7 +370,7 @@
         run.orderAgainAt = now + orderAgainAfter;
     }
     if (answer.refusal == Refusal::Fence)
-        state.tell(CellEvent::Kind::FenceSeen, order.worker.value());
+        state.tell(WorkerEvent { WorkerEvent::Kind::FenceSeen, order.worker });
 }
 
 void Cell::onAnswer(const PaceOrder& order, const CallAnswer& answer, TimePoint)
--- a/packages/jobs/src/cell_schedule.cpp
+++ b/packages/jobs/src/cell_schedule.cpp
@@ -155,6 +155,7 @@
         settings.fence, entry.progress.task(task).checkpoint,
         ticket ? ticket->tickets.at(worker.description.id) : std::string {} };
     entry.progress.starting(task, number);
+    tellRun(RunEvent::Kind::Ordered, worker, task, number, {}, now - listAskedAt);
     output.orders.emplace_back(run.start);
 }
 
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -151,6 +151,7 @@
     RuntimeEstimate runtimes;
     RunNumber firstRun { 1 };
     TimePoint takenOverAt {};
+    TimePoint listAskedAt {}; ///< When the store was asked for the list of workers in use.
     bool isRecovering { true };
     std::set<JobId> dirty; ///< Jobs with changes that are to be stored.
     std::set<JobId> inCommit;
@@ -166,18 +167,20 @@
     const JobEntry* find(const JobId& job) const;
     const QueueSettings& queueOf(const JobEntry& entry) const;
     static const Step& stepOf(const JobEntry& entry, const TaskRef& task);
-    void tell(CellEvent::Kind kind, std::string subject, std::string detail = {}, Duration age = {});
+    void tell(CellEvent event) { output.events.push_back(std::move(event)); }
+    void tellRun(RunEvent::Kind kind, const Worker& worker, const TaskRef& task, RunNumber run, std::string_view detail,
+        Duration age = {});
 
     // Runs: cell_runs.cpp
     Run& addRun(Worker& worker, const TaskRef& task, RunNumber number, const Step& step);
     void release(Worker& worker, const TaskRef& task);
-    void runOver(Worker& worker, const TaskRef& task);
-    void lost(Worker& worker);
+    void runOver(Worker& worker, const TaskRef& task, std::string_view proof);
+    void lost(Worker& worker, std::string_view proof);
     void takeEnd(Worker& worker, const EndEntry& end, TimePoint now);
     void takeRunning(Worker& worker, const LookReport& report, TimePoint sentAt, TimePoint now);
     void adopt(Worker& worker, const RunningEntry& entry, TimePoint now);
-    void sendStop(Worker& worker, const TaskRef& task, RunNumber run);
-    void stopAll(JobEntry& entry);
+    void sendStop(Worker& worker, const TaskRef& task, RunNumber run, std::string_view reason);
+    void stopAll(JobEntry& entry, std::string_view reason);
     void stopGang(JobEntry& entry, const TaskRef& member);
     void noteFailure(Worker& worker, TimePoint now);
     AnsweredRun answeredRun(
--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -2,6 +2,7 @@
 #include "rattanrack/jobs/placement.h"
 
 #include <algorithm>
+#include <utility>
 
 /// Workers as a cell's owner keeps in touch with them.
 namespace rattanrack::jobs {
@@ -19,9 +20,10 @@
 
 } // namespace
 
-void Cell::setWorkers(const std::vector<WorkerDescription>& listed, TimePoint now)
+void Cell::setWorkers(const std::vector<WorkerDescription>& listed, TimePoint askedAt, TimePoint now)
 {
     CellState& state = *m_state;
+    state.listAskedAt = askedAt;
     for (auto& [id, worker] : state.workers)
         worker.isListed = false;
     for (const WorkerDescription& description : listed) {
@@ -38,7 +40,7 @@
                 && other.bornUnixMs > early.description.bornUnixMs && !other.machine.isEmpty();
         };
         if (!worker.isListed && std::any_of(listed.begin(), listed.end(), isSuccessor))
-            state.lost(worker);
+            state.lost(worker, "a later worker on its machine");
     }
     std::erase_if(state.foreignWorkers, [&](const auto& foreign) {
         return std::any_of(listed.begin(), listed.end(), [&](const WorkerDescription& each) {
@@ -92,12 +94,12 @@
         worker.lookAt = now + silentLookPause;
         worker.isLookWanted = worker.isLookWanted || worker.contact != WorkerContact::InTouch || worker.isListed;
         if (answer.status == CallStatus::WrongWorker)
-            state.lost(worker);
+            state.lost(worker, "another worker answers");
         if (answer.refusal == Refusal::Fence)
-            state.tell(CellEvent::Kind::FenceSeen, order.worker.value());
+            state.tell(WorkerEvent { WorkerEvent::Kind::FenceSeen, order.worker });
         if (worker.contact == WorkerContact::InTouch) {
             worker.contact = WorkerContact::Silent;
-            state.tell(CellEvent::Kind::WorkerSilent, order.worker.value());
+            state.tell(WorkerEvent { WorkerEvent::Kind::Silent, order.worker });
         }
         return;
     }
@@ -113,8 +115,11 @@
     } else {
         worker.sentAck = std::max(worker.sentAck, order.ackedThrough);
     }
-    if (worker.contact == WorkerContact::Silent)
-        state.tell(CellEvent::Kind::WorkerBack, order.worker.value());
+    if (worker.contact != WorkerContact::InTouch) {
+        const bool isBack = worker.contact == WorkerContact::Silent;
+        state.tell(WorkerEvent {
+            isBack ? WorkerEvent::Kind::Back : WorkerEvent::Kind::Heard, order.worker, {}, now - state.takenOverAt });
+    }
     worker.contact = WorkerContact::InTouch;
     worker.clock.observe(report.workerClockMs, now);
     state.foreignWorkers.erase(order.worker);
@@ -147,14 +152,16 @@
 {
     for (auto& [id, worker] : workers) {
         if (worker.contact == WorkerContact::Silent && !worker.runs.empty() && now >= worker.clock.lapsedAt())
-            lost(worker);
+            lost(worker, "lease lapsed");
     }
 }
 
 void CellState::checkRecovery(TimePoint now)
 {
-    if (isRecovering && now >= takenOverAt + settings.foreignLease)
-        foreignWorkers.clear();
+    if (isRecovering && now >= takenOverAt + settings.foreignLease) {
+        for (const auto& [id, machine] : std::exchange(foreignWorkers, {}))
+            tell(WorkerEvent { WorkerEvent::Kind::NotHeard, id, {}, now - takenOverAt });
+    }
     isRecovering = isRecovering && !foreignWorkers.empty();
 }
 
@@ -227,7 +234,7 @@
         const JobEntry& entry = *find(task.job);
         const int allowed = std::max(stepOf(entry, task).mayMiss, 1);
         if (awayOf(entry, task) < allowed)
-            sendStop(workers.at(id), task, workers.at(id).runs.at(task).number);
+            sendStop(workers.at(id), task, workers.at(id).runs.at(task).number, "its machine is to be emptied");
     }
 }
 
--- a/packages/jobs/tests/cell_tests.cpp
+++ b/packages/jobs/tests/cell_tests.cpp
@@ -24,7 +24,7 @@
             worker.bornUnixMs = 1;
             workers.push_back(worker);
         }
-        m_cell.setWorkers(workers, m_now);
+        m_cell.setWorkers(workers, m_now, m_now);
         m_cell.workersStored(m_cell.workersInUse());
         step(10ms);
         for (const LookOrder& look : take<LookOrder>())
--- a/packages/node/include/rattanrack/node/cell_host.h
+++ b/packages/node/include/rattanrack/node/cell_host.h
@@ -25,6 +25,12 @@
 /// (another node was faster), Unavailable, OutcomeUnknown, MalformedMessage.
 Result<Takeover> takeOver(jobs::PartStore& store, const PoolId& cell, const NodeId& self);
 
+/// The workers of all pools, as the store listed them.
+struct WorkerList {
+    std::vector<jobs::WorkerDescription> workers;
+    TimePoint askedAt {}; ///< Older than what it says.
+};
+
 struct CellTimes {
     Duration leaseLength {};
     Duration keepEnded {};
@@ -54,7 +60,7 @@
     CellHost& operator=(const CellHost&) = delete;
 
     void configure(const std::vector<jobs::QueueSettings>& queues) { m_cell.configure(queues); }
-    void setWorkers(const std::vector<jobs::WorkerDescription>& workers);
+    void setWorkers(const WorkerList& list);
     void setClosing(std::set<jobs::MachineId> machines);
     std::vector<jobs::MachineId> emptied() const { return m_cell.emptied(); }
 
@@ -76,7 +82,7 @@
     void pump();
     void handleOutput(jobs::CellOutput output);
     void ask(const jobs::AdviceQuestion& question);
-    void log(const jobs::CellEvent& event);
+    void handleEvent(const jobs::CellEvent& event);
     PartWriter::Events writerEvents();
     WorkerLinks::Answers linkAnswers();
     void commitIfDue();
--- a/packages/node/src/cell_host.cpp
+++ b/packages/node/src/cell_host.cpp
@@ -1,6 +1,6 @@
 #include "rattanrack/node/cell_host.h"
 
-#include "rattanrack/base/log.h"
+#include "cell_log.h"
 #include "rattanrack/jobs/job_codec.h"
 
 #include <map>
@@ -91,17 +91,17 @@
     };
 }
 
-void CellHost::setWorkers(const std::vector<jobs::WorkerDescription>& workers)
+void CellHost::setWorkers(const WorkerList& list)
 {
     std::map<jobs::WorkerId, std::string> addresses;
     std::vector<jobs::WorkerDescription> own;
-    for (const jobs::WorkerDescription& worker : workers) {
+    for (const jobs::WorkerDescription& worker : list.workers) {
         if (worker.pool != m_pool)
             continue;
         addresses[worker.id] = worker.address;
         own.push_back(worker);
     }
-    m_cell.setWorkers(own, m_parts.clock.now());
+    m_cell.setWorkers(own, list.askedAt, m_parts.clock.now());
     m_links.setAddresses(addresses, m_cell.workersKnown());
     wake();
 }
@@ -167,7 +167,7 @@
     for (const jobs::AdviceQuestion& question : output.questions)
         ask(question);
     for (const jobs::CellEvent& event : output.events)
-        log(event);
+        handleEvent(event);
 }
 
 void CellHost::ask(const jobs::AdviceQuestion& question)
@@ -187,15 +187,12 @@
         m_cell.onAdvice({ question.step }, m_parts.clock.now());
 }
 
-void CellHost::log(const jobs::CellEvent& event)
+void CellHost::handleEvent(const jobs::CellEvent& event)
 {
-    constexpr const char* names[] = { "job.accepted", "job.ended", "worker.silent", "worker.back", "fence.seen" };
-    const char* name = names[static_cast<std::size_t>(event.kind)];
-    logEvent(name,
-        { { "cell", m_pool.value() }, { "subject", event.subject }, { "detail", event.detail },
-            { "ageMs", event.age.count() / 1000 } });
+    const std::string name = logCellEvent(m_pool, m_writer.term(), event);
     m_parts.metrics.increment("rattanrack_cell_events_total", { { "event", name } });
-    if (event.kind == jobs::CellEvent::Kind::FenceSeen)
+    const auto* ofWorker = std::get_if<jobs::WorkerEvent>(&event);
+    if (ofWorker && ofWorker->kind == jobs::WorkerEvent::Kind::FenceSeen)
         m_isOwnershipInDoubt = true; // The next transaction tells.
 }
 
--- a/packages/node/src/job_node_state.h
+++ b/packages/node/src/job_node_state.h
@@ -94,7 +94,7 @@
     std::uint64_t closingHeard { 0 };
     std::set<PoolId> beingTaken;
     std::vector<jobs::Wave> waves;
-    std::vector<jobs::WorkerDescription> workers;
+    WorkerList workers;
     std::map<jobs::CallToken, std::pair<CallReply, peer::JobReply>> waiting;
     jobs::CallToken lastToken { 0 };
     bool isLeaving { false };
--- a/packages/node/src/job_node_watchers.cpp
+++ b/packages/node/src/job_node_watchers.cpp
@@ -86,13 +86,14 @@
     loopUntilStopped(workersPeriod, [this] {
         if (!holdsAny)
             return;
+        const TimePoint askedAt = clock.now();
         auto listed = valueOrNothing([&] { return ports.fleet.workers(); },
             [](const Error& error) {
                 logEvent("workers.unread", { { "error", describe(error) } }, LogLevel::Warning);
             });
         if (!listed)
             return;
-        control.post([this, shared = std::make_shared<std::vector<jobs::WorkerDescription>>(std::move(*listed))] {
+        control.post([this, shared = std::make_shared<WorkerList>(WorkerList { std::move(*listed), askedAt })] {
             workers = std::move(*shared);
             for (auto& [cell, host] : cells)
                 host->setWorkers(workers);
