--- /dev/null
+++ b/packages/jobs/tests/cell_takeover_tests.cpp
@@ -0,0 +1,134 @@
+#include "desk.h"
+
+using namespace rattanrack;
+using namespace rattanrack::jobs;
+using namespace rattanrack::jobs::tests;
+using namespace std::chrono_literals;
+
+/// What a cell's owner may do on what it knows: ends not stored, workers not heard, orders of an earlier owner.
+namespace {
+
+constexpr auto longestStop = 900ms; ///< Of a run that has been told to stop.
+
+Job finiteJob()
+{
+    Job job { JobId { "a" }, QueueId { "q" }, 1, { "text", { {} }, {} } };
+    job.spec.steps[0].size = { Millicores { 800 }, Mebibytes { 100 }, {} };
+    job.spec.steps[0].estimate = 500ms;
+    return job;
+}
+
+/// Two subtasks, one on each worker, of which one may miss.
+Job lastingJob()
+{
+    Job job = finiteJob();
+    Step& step = job.spec.steps[0];
+    step.count = 2;
+    step.isLasting = true;
+    step.mayMiss = 1;
+    return job;
+}
+
+TaskRef taskOf(const char* job, int index = 0) { return { JobId { job }, 0, 0, index }; }
+
+/// Starts the job's only subtask; the worker says that it runs.
+StartOrder startAndConfirm(Desk& desk)
+{
+    const StartOrder start = desk.startOf("a");
+    desk.answer(start, CallStatus::Done);
+    desk.step(60ms);
+    return start;
+}
+
+} // namespace
+
+TEST(CellTakeover, FailuresOfEarlierRunsCountInWhateverOrderTheirWorkersAreHeard)
+{
+    Desk desk { 2, { { finiteJob(), { 0, false, false, false, { { 0, 0, 0, false, { 1 } } } } } } };
+    desk.hear("w2", {}, { { 24, taskOf("a"), 3, EndKind::Failed, "" } });
+    desk.hear("w1", {}, { { 26, taskOf("a"), 2, EndKind::Failed, "" } });
+    desk.store();
+    desk.step(500ms);
+    EXPECT_TRUE(desk.take<StartOrder>().empty());
+    EXPECT_EQ(desk.cell().state(JobId { "a" }), JobState::Failed);
+}
+
+TEST(CellTakeover, NoRunAfterAFailureThatTheNextOwnerMightNotHearOf)
+{
+    Desk desk;
+    const StartOrder first = startAndConfirm(desk);
+    desk.hear(first.worker.value().c_str(), {}, { { 1, first.task, first.run, EndKind::Failed, "" } });
+    desk.step(500ms);
+    EXPECT_TRUE(desk.take<StartOrder>().empty()); // The failure is known to this owner alone.
+    desk.store();
+    desk.step(10ms);
+    EXPECT_EQ(desk.take<StartOrder>().size(), 1U);
+}
+
+TEST(CellTakeover, NextOwnerWaitsForAnUnlistedWorkerWhoseEndsAreNotStored)
+{
+    Desk desk;
+    const StartOrder start = startAndConfirm(desk);
+    desk.hear(start.worker.value().c_str(), {}, { { 1, start.task, start.run, EndKind::Done, "" } });
+    auto workers = desk.listed();
+    std::erase_if(workers, [&](const WorkerDescription& worker) { return worker.id == start.worker; });
+    desk.list(workers);
+    EXPECT_TRUE(desk.cell().workersInUse().contains(start.worker));
+    desk.store();
+    EXPECT_FALSE(desk.cell().workersInUse().contains(start.worker));
+}
+
+TEST(CellTakeover, RunOfEarlierOwnerThatIsBeingStoppedCountsAsAway)
+{
+    Desk desk { 2, { { lastingJob(), {} } } };
+    desk.hear("w1", { { taskOf("a", 0), 1, "", 100 } }); // Told to stop: listed until it has ended.
+    desk.hear("w2", { { taskOf("a", 1), 1, "", 100 } });
+    desk.cell().setClosing({ MachineId { "w2" } });
+    const TimePoint heardAt = desk.now();
+    while (desk.now() - heardAt < longestStop) {
+        desk.step(30ms);
+        EXPECT_TRUE(desk.take<StopOrder>().empty()) << (desk.now() - heardAt).count() << " us after the takeover";
+    }
+}
+
+TEST(CellTakeover, UnansweredStartIsNotSentAgainToAWorkerThatDrains)
+{
+    Desk desk;
+    const StartOrder start = desk.startOf("a");
+    desk.answer(start, CallStatus::NoAnswer);
+    auto workers = desk.listed();
+    for (WorkerDescription& worker : workers)
+        worker.isDraining = worker.id == start.worker;
+    desk.list(workers);
+    desk.step(300ms);
+    EXPECT_TRUE(desk.take<StartOrder>().empty());
+    EXPECT_EQ(desk.take<StopOrder>().size(), 1U); // Its answer proves that the start comes to nothing.
+}
+
+TEST(CellTakeover, JobOfAQueueThatTheNextOwnerDoesNotKnowKeepsItsAttempts)
+{
+    Job job = finiteJob();
+    job.queue = QueueId { "of a route that was removed" };
+    Desk desk { 2, { { job, {} } } };
+    desk.hear("w1", {}, { { 1, taskOf("a"), 1, EndKind::Failed, "" } });
+    desk.hear("w2", {});
+    desk.store();
+    EXPECT_NE(desk.cell().state(JobId { "a" }), JobState::Failed);
+}
+
+TEST(CellTakeover, StartTellsTheFailuresAndWorkersItRestsOn)
+{
+    Desk desk { 2, { { finiteJob(), { 0, false, false, false, { { 0, 0, 0, false, { 1 } } } } } } };
+    desk.hear("w2", {}, { { 24, taskOf("a"), 3, EndKind::Failed, "" } });
+    desk.hear("w1", {});
+    desk.store();
+    desk.step(500ms);
+    const auto ended = desk.runEvents(RunEvent::Kind::Ended);
+    ASSERT_EQ(ended.size(), 1U);
+    EXPECT_EQ(ended[0].run, 3);
+    EXPECT_EQ(ended[0].workersUnheard, 1U);
+    const auto ordered = desk.runEvents(RunEvent::Kind::Ordered);
+    ASSERT_EQ(ordered.size(), 1U);
+    EXPECT_EQ(ordered[0].failures, 2);
+    EXPECT_EQ(ordered[0].workersUnheard, 0U);
+}
--- /dev/null
+++ b/packages/jobs/tests/desk.h
@@ -0,0 +1,165 @@
+#pragma once
+
+#include "rattanrack/jobs/cell.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <optional>
+
+namespace rattanrack::jobs::tests {
+
+using namespace std::chrono_literals;
+
+/// A cell of two workers whose answers a test gives by hand.
+class Desk {
+public:
+    /// As the first owner, who has heard both workers.
+    Desk()
+        : Desk(1, {})
+    {
+        hearAll();
+    }
+
+    /// As an owner who has just taken the cell over with these jobs, and has heard no worker yet.
+    Desk(Fence fence, std::vector<StoredJob> jobs)
+        : m_cell(
+            { PoolId { "p" }, fence, 4500ms, 10500ms, 120s }, std::move(jobs), earlierWorkers(fence), m_now, unixMs())
+    {
+        m_cell.configure({ { QueueId { "q" }, PoolId { "p" }, 0, 3, 1.6, 600ms } });
+        std::vector<WorkerDescription> workers;
+        for (const char* name : { "w1", "w2" }) {
+            WorkerDescription worker { WorkerId { name }, MachineId { name }, PoolId { "p" }, "10.0.0.1:1" };
+            worker.capacity = { Millicores { 1000 }, Mebibytes { 1000 }, {} };
+            worker.bornUnixMs = 1;
+            workers.push_back(worker);
+        }
+        list(workers);
+        m_cell.workersStored(m_cell.workersInUse());
+        step(10ms);
+    }
+
+    /// Answers all looks: nothing runs, nothing has ended.
+    void hearAll()
+    {
+        for (const LookOrder& look : take<LookOrder>())
+            answer(look, {});
+    }
+
+    void list(std::vector<WorkerDescription> workers)
+    {
+        m_listed = std::move(workers);
+        m_cell.setWorkers(m_listed, m_now, m_now);
+    }
+    std::vector<WorkerDescription> listed() const { return m_listed; }
+
+    /// Answers the look at one worker; others that are on their way stay unanswered.
+    void hear(const char* worker, std::vector<RunningEntry> running, std::vector<EndEntry> ends = {})
+    {
+        std::optional<LookOrder> look;
+        std::erase_if(m_orders, [&](const Order& order) {
+            const auto* one = std::get_if<LookOrder>(&order);
+            const bool isIt = one && one->worker.value() == worker;
+            if (isIt)
+                look = *one;
+            return isIt;
+        });
+        ASSERT_TRUE(look.has_value()) << "no look at " << worker;
+        answer(*look, std::move(running), std::move(ends));
+    }
+
+    Cell& cell() { return m_cell; }
+    TimePoint now() const { return m_now; }
+
+    void submitAndStore(const std::string& id)
+    {
+        Job job { JobId { id }, QueueId { "q" }, unixMs(), { "text", { {} }, {} } };
+        job.spec.steps[0].size = { Millicores { 800 }, Mebibytes { 100 }, {} };
+        job.spec.steps[0].estimate = 500ms;
+        EXPECT_EQ(m_cell.submit(job, 1, m_now), Acceptance::Waiting);
+        store();
+    }
+
+    /// The start of the only subtask of a new job.
+    StartOrder startOf(const std::string& id)
+    {
+        submitAndStore(id);
+        step(10ms);
+        return take<StartOrder>().at(0);
+    }
+
+    void store()
+    {
+        if (m_cell.takeCommit(unixMs()))
+            m_cell.onCommitted(unixMs());
+    }
+
+    void step(Duration time)
+    {
+        m_now += time;
+        CellOutput output = m_cell.step(m_now, unixMs(), true);
+        std::move(output.orders.begin(), output.orders.end(), std::back_inserter(m_orders));
+        std::move(output.events.begin(), output.events.end(), std::back_inserter(m_events));
+    }
+
+    /// The orders of one kind that have been given since the last time.
+    template <typename OrderType> std::vector<OrderType> take()
+    {
+        std::vector<OrderType> taken;
+        std::erase_if(m_orders, [&](const Order& order) {
+            const auto* one = std::get_if<OrderType>(&order);
+            if (one)
+                taken.push_back(*one);
+            return one != nullptr;
+        });
+        return taken;
+    }
+
+    void answer(const LookOrder& look, std::vector<RunningEntry> running, std::vector<EndEntry> ends = {})
+    {
+        const TimePoint sentAt = m_now;
+        m_now += 2ms;
+        m_cell.onAnswer(look,
+            { CallStatus::Done, Refusal::None, { 1, clockMs(), std::move(running), std::move(ends) } }, sentAt, m_now);
+    }
+    void answer(const StartOrder& order, CallStatus status, Refusal refusal = Refusal::None)
+    {
+        m_cell.onAnswer(order, { status, refusal, status == CallStatus::NoAnswer ? 0 : clockMs() }, m_now);
+    }
+    /// What the cell has told of its runs so far.
+    std::vector<RunEvent> runEvents(RunEvent::Kind kind) const
+    {
+        std::vector<RunEvent> found;
+        for (const CellEvent& event : m_events) {
+            const auto* ofRun = std::get_if<RunEvent>(&event);
+            if (ofRun && ofRun->kind == kind)
+                found.push_back(*ofRun);
+        }
+        return found;
+    }
+
+    void loseLooks()
+    {
+        for (const LookOrder& look : take<LookOrder>())
+            m_cell.onAnswer(look, { CallStatus::NoAnswer }, m_now, m_now);
+    }
+
+private:
+    static WorkerMachines earlierWorkers(Fence fence)
+    {
+        if (fence == 1)
+            return {};
+        return { { WorkerId { "w1" }, MachineId { "w1" } }, { WorkerId { "w2" }, MachineId { "w2" } } };
+    }
+
+    std::int64_t unixMs() const { return m_now.time_since_epoch().count() / 1000; }
+    std::int64_t clockMs() const { return unixMs() - 900'000; }
+
+    TimePoint m_now { 1000s };
+    Cell m_cell;
+    std::vector<Order> m_orders;
+    std::vector<WorkerDescription> m_listed;
+    std::vector<CellEvent> m_events;
+};
+
+} // namespace rattanrack::jobs::tests
