A worker stays in the owner row while its ends are not stored

What the next owner did: not wait for a worker that had left the list with ends that this owner alone knew, so that a failure or an end was not counted and the subtask ran again. Cause: workersInUse() asked whether something runs there, not whether something has ended there that is not stored; setWorkers() forgot such workers too. Now both ask Worker::hasOpenWork(), as the emptiness of machines did.

--- a/packages/jobs/include/rattanrack/jobs/cell.h
+++ b/packages/jobs/include/rattanrack/jobs/cell.h
@@ -117,8 +117,8 @@
     /// Workers that are listed, or on which something may run.
     WorkerMachines workersKnown() const;
 
-    /// Every worker on which something of this cell may run, or may be started soon. The next owner waits for those
-    /// that it can't reach, so that silent ones on which nothing can run any more are left out.
+    /// Every worker on which something of this cell may run or may be started soon, or has ended and is not stored.
+    /// The next owner waits for those that it can't reach, so that silent ones without any of it are left out.
     WorkerMachines workersInUse() const;
 
     /// The list is on its way to the store; from now on only workers that are in it and in the one stored before are
--- a/packages/jobs/src/cell.cpp
+++ b/packages/jobs/src/cell.cpp
@@ -115,7 +115,7 @@
                 continue;
             isHere = isHere || worker.isListed;
             // What has ended there is known here alone until it is stored.
-            isInUse = isInUse || !worker.runs.empty() || !worker.pendingEnds.empty();
+            isInUse = isInUse || worker.hasOpenWork();
         }
         if (isHere && !isInUse)
             machines.push_back(machine);
@@ -149,7 +149,7 @@
     WorkerMachines used = m_state->foreignWorkers;
     for (const auto& [id, worker] : m_state->workers) {
         const bool isUsable = worker.isListed && worker.contact != WorkerContact::Silent;
-        if (isUsable || !worker.runs.empty())
+        if (isUsable || worker.hasOpenWork())
             used[id] = worker.description.machine;
     }
     return used;
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -71,6 +71,9 @@
 
     bool isClosedFor(TimePoint now) const { return now < avoidUntil; }
 
+    /// Something may run there, or has ended and is known to this owner alone.
+    bool hasOpenWork() const { return !runs.empty() || !pendingEnds.empty(); }
+
     /// Room taken by what does not end by itself.
     ResourceSize usedByLasting() const;
     bool holdsLasting() const;
--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -49,7 +49,7 @@
     });
     std::erase_if(state.workers, [&](const auto& each) {
         const Worker& worker = each.second;
-        return !worker.isListed && worker.runs.empty() && !worker.isLookOnItsWay && now >= worker.clock.lapsedAt();
+        return !worker.isListed && !worker.hasOpenWork() && !worker.isLookOnItsWay && now >= worker.clock.lapsedAt();
     });
 }
 
