Send an unanswered start again only where a new one might be ordered

What callers' targets saw: a subtask that starts on a worker long after it has said that it leaves. Cause: sendAgain() repeated the order every 150 ms whatever had become known since, and also while this owner may not start anything. Now a start whose worker drains or is being emptied is settled by a stop, whose answer proves that it comes to nothing; while nothing may be started it waits.

--- a/packages/jobs/src/cell.cpp
+++ b/packages/jobs/src/cell.cpp
@@ -349,7 +349,7 @@
     state.unixMs = unixMs;
     state.checkRecovery(now);
     state.checkSilent(now);
-    state.sendAgain(now);
+    state.sendAgain(now, mayStart);
     state.emptyClosing();
     if (mayStart)
         state.schedule(now, unixMs);
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -197,7 +197,7 @@
 
     // Workers: cell_workers.cpp
     void sendLooks(TimePoint now, bool mayRenew);
-    void sendAgain(TimePoint now);
+    void sendAgain(TimePoint now, bool mayStart);
     void checkSilent(TimePoint now);
     void pace(Worker& worker, TimePoint now);
     void emptyClosing();
--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -130,20 +130,23 @@
     state.pace(worker, now);
 }
 
-void CellState::sendAgain(TimePoint now)
+/// An unanswered start is sent again only where a new one might be; elsewhere a stop settles what became of it.
+void CellState::sendAgain(TimePoint now, bool mayStart)
 {
     for (auto& [id, worker] : workers) {
+        const bool isLeaving = worker.description.isDraining || closing.contains(worker.description.machine);
         for (auto& [task, run] : worker.runs) {
             if (run.isOrderOnItsWay || run.orderAgainAt == TimePoint {} || now < run.orderAgainAt)
                 continue;
+            const bool isStart = run.phase == RunPhase::Ordered && !isLeaving;
+            if (isStart && !mayStart)
+                continue;
             run.orderAgainAt = {};
-            run.isOrderOnItsWay = true;
-            if (run.phase == RunPhase::Ordered)
+            if (isStart)
                 output.orders.emplace_back(run.start);
-            else if (run.phase == RunPhase::Stopping)
-                output.orders.emplace_back(StopOrder { id, task, run.number, settings.fence });
-            else
-                run.isOrderOnItsWay = false;
+            else if (run.phase != RunPhase::Confirmed)
+                sendStop(worker, task, run.number, "unanswered, and its worker is leaving");
+            run.isOrderOnItsWay = run.phase != RunPhase::Confirmed;
         }
     }
 }
