Start a subtask again only once its failure is stored

In the record run 3 began 70 ms after run 2 had failed, and the owner was gone before that failure was stored: whether the next owner counts it then hangs on whom it hears, and when. Cause: the decision to run again rested on an end that only this owner knew.

--- a/packages/jobs/src/cell_runs.cpp
+++ b/packages/jobs/src/cell_runs.cpp
@@ -188,8 +188,9 @@
         const TaskRef counted { end.task.job, end.task.occurrence, end.task.step, step.isGang ? 0 : end.task.index };
         if (isFailure && isOpen && !step.isLasting && entry->progress.countFailure(counted, end.run)) {
             changed(*entry);
+            entry->failureRevision = entry->revision;
             endIfOver(*entry, counted);
-            isUrgent = isUrgent || entry->progress.hasEnded();
+            isUrgent = true;
         }
     }
     worker.pendingEnds.back().revision = dirty.contains(end.task.job) ? entry->revision : 0;
--- a/packages/jobs/src/cell_schedule.cpp
+++ b/packages/jobs/src/cell_schedule.cpp
@@ -40,6 +40,26 @@
 
 } // namespace
 
+bool JobEntry::isStartable(const TaskRef& task) const
+{
+    if (progress.task(task).phase != TaskPhase::Waiting)
+        return false;
+    const bool isGang = job.spec.steps[static_cast<std::size_t>(task.step)].isGang;
+    const TaskRef counted { task.job, task.occurrence, task.step, isGang ? 0 : task.index };
+    return storedRevision >= failureRevision || progress.task(counted).failures() == 0;
+}
+
+int JobEntry::startableTasks(int occurrence, int step) const
+{
+    const int waiting = progress.waitingTasks(occurrence, step);
+    if (waiting == 0 || storedRevision >= failureRevision)
+        return waiting;
+    int startable = 0;
+    for (int index = 0; index < job.spec.steps[static_cast<std::size_t>(step)].count; ++index)
+        startable += isStartable({ job.id, occurrence, step, index }) ? 1 : 0;
+    return startable;
+}
+
 ResourceSize CellState::room() const
 {
     ResourceSize room;
@@ -110,7 +130,7 @@
             estimateChain(entry);
         for (int occurrence = 0; occurrence < entry.progress.occurrences(); ++occurrence) {
             for (int step = 0; step < static_cast<int>(entry.job.spec.steps.size()); ++step) {
-                const bool isWaiting = entry.progress.waitingTasks(occurrence, step) > 0;
+                const bool isWaiting = entry.startableTasks(occurrence, step) > 0;
                 if (!isWaiting || !entry.progress.isReady(occurrence, step, wallMs))
                     continue;
                 ReadyStep each { &entry, occurrence, step };
@@ -167,7 +187,7 @@
     const StepTicket* ticket = needsTicket ? validTicket(ready, space, now) : nullptr;
     if (needsTicket && !ticket)
         return;
-    const int wanted = entry.progress.waitingTasks(ready.occurrence, ready.step);
+    const int wanted = entry.startableTasks(ready.occurrence, ready.step);
     const auto placements = space.place(entry, ready.occurrence, ready.step, ticket ? &ticket->tickets : nullptr);
     const int missing = wanted - static_cast<int>(placements.size());
     if (ready.rank <= Rank::InTime)
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -107,6 +107,7 @@
     std::uint64_t revision { 0 }; ///< Grows with each change that is to be stored.
     std::uint64_t revisionInCommit { 0 };
     std::uint64_t storedRevision { 0 };
+    std::uint64_t failureRevision { 0 }; ///< With which the latest failure is stored.
     JobState stateInCommit { JobState::Queued };
     JobState storedState { JobState::Queued };
     std::vector<CallToken> waiting; ///< Callers that wait for the next commit.
@@ -116,6 +117,11 @@
     TimePoint dueAt {}; ///< Later than this is late.
     bool isChainStale { true };
     std::map<std::pair<int, int>, StepTicket> tickets; ///< By occurrence and step.
+
+    /// Whether the subtask waits for its start. One that has failed waits also until that is stored, since the next
+    /// owner would not count a failure that it hears of only after a further run has begun.
+    bool isStartable(const TaskRef& task) const;
+    int startableTasks(int occurrence, int step) const;
 };
 
 /// Flood of one kind: what can't be in time any more waits behind what can; what has begun is brought to its end; among
--- a/packages/jobs/src/room.cpp
+++ b/packages/jobs/src/room.cpp
@@ -95,7 +95,7 @@
         countNeighbours(entry, occurrence, stepNumber);
     std::vector<Placement> placements;
     for (int index = 0; index < step.count; ++index) {
-        if (entry.progress.task({ entry.job.id, occurrence, stepNumber, index }).phase != TaskPhase::Waiting)
+        if (!entry.isStartable({ entry.job.id, occurrence, stepNumber, index }))
             continue;
         const int place
             = tickets ? choosePlace(step, withTickets(m_candidates, *tickets)) : choosePlace(step, m_candidates);
