A run that an earlier owner may be stopping counts as away

AVAIL: a lasting subtask is stopped while another of its step, of which one may miss, is ending on the order of the owner before. Ruled out: orders of the earlier owner that arrive after the first look, as the worker has seen the higher fence by then. An adopted run counts as at work only longestStop (a setting, from the deployment's bound) after it was first listed.

--- a/packages/config/include/rattanrack/config/job_node_settings.h
+++ b/packages/config/include/rattanrack/config/job_node_settings.h
@@ -22,6 +22,7 @@
     std::optional<Address> advice; ///< The service that allows workers to run steps.
     Duration longestLease {}; ///< Workers shorten leases that are longer.
     Duration keepEnded {}; ///< Jobs can be asked for this long after their end.
+    Duration longestStop { std::chrono::seconds { 1 } }; ///< Workers end a run within it once they are told to.
     Duration stopGrace {}; ///< From SIGTERM until the process is killed.
     LogLevel logLevel { LogLevel::Info };
 };
--- a/packages/config/src/job_node_settings.cpp
+++ b/packages/config/src/job_node_settings.cpp
@@ -11,6 +11,7 @@
 
 constexpr DurationRange leaseRange { 1s, 60s };
 constexpr DurationRange keepRange { 1s, 24h };
+constexpr DurationRange stopRange { 1ms, 60s };
 constexpr DurationRange graceRange { 1s, 600s };
 
 void readAdvice(Section& section, std::optional<Address>& output)
@@ -34,6 +35,7 @@
     readAdvice(top, settings.advice);
     top.readDuration("longestLease", leaseRange, settings.longestLease);
     top.readDuration("keepEnded", keepRange, settings.keepEnded);
+    top.readDuration("longestStop", stopRange, settings.longestStop);
     top.readDuration("stopGrace", graceRange, settings.stopGrace);
     readLogLevel(top, settings.logLevel);
     top.reportUnknownKeys();
--- a/packages/jobs/src/cell.cpp
+++ b/packages/jobs/src/cell.cpp
@@ -350,7 +350,7 @@
     state.checkRecovery(now);
     state.checkSilent(now);
     state.sendAgain(now, mayStart);
-    state.emptyClosing();
+    state.emptyClosing(now);
     if (mayStart)
         state.schedule(now, unixMs);
     state.sendLooks(now, mayStart);
--- a/packages/jobs/src/cell_runs.cpp
+++ b/packages/jobs/src/cell_runs.cpp
@@ -229,6 +229,7 @@
         places[running.task] = earlierPlace;
     run.phase = RunPhase::Confirmed;
     run.confirmedAt = now;
+    run.keptFrom = now + settings.longestStop;
     run.settledAt = now;
     run.percent = running.percent;
     run.figure = running.figure;
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -29,6 +29,7 @@
     bool mayComeLate { false }; ///< A start had no answer: it may still be carried out.
     bool isOrderOnItsWay { false }; ///< A start or stop waits for its answer.
     TimePoint confirmedAt {};
+    TimePoint keptFrom {}; ///< From then on no stop by an earlier owner can be ending it any more.
     TimePoint settledAt {}; ///< When the worker last said yes to a start or stop; a later look tells whether it runs.
     TimePoint orderAgainAt {};
     int percent { 0 };
@@ -206,9 +207,9 @@
     void sendAgain(TimePoint now, bool mayStart);
     void checkSilent(TimePoint now);
     void pace(Worker& worker, TimePoint now);
-    void emptyClosing();
+    void emptyClosing(TimePoint now);
     void checkRecovery(TimePoint now);
-    int awayOf(const JobEntry& entry, const TaskRef& member) const;
+    int awayOf(const JobEntry& entry, const TaskRef& member, TimePoint now) const;
 
     // Decisions: cell_schedule.cpp
     void schedule(TimePoint now, std::int64_t wallMs);
--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -196,7 +196,7 @@
     }
 }
 
-int CellState::awayOf(const JobEntry& entry, const TaskRef& member) const
+int CellState::awayOf(const JobEntry& entry, const TaskRef& member, TimePoint now) const
 {
     int away = 0;
     TaskRef other = member;
@@ -210,14 +210,14 @@
         }
         const Worker& worker = workers.at(place->second);
         const Run& run = worker.runs.at(other);
-        const bool isAtWork
-            = worker.contact == WorkerContact::InTouch && run.phase == RunPhase::Confirmed && run.percent >= 100;
+        const bool isKept = run.phase == RunPhase::Confirmed && now >= run.keptFrom;
+        const bool isAtWork = worker.contact == WorkerContact::InTouch && isKept && run.percent >= 100;
         away += isAtWork ? 0 : 1;
     }
     return away;
 }
 
-void CellState::emptyClosing()
+void CellState::emptyClosing(TimePoint now)
 {
     if (closing.empty() || isRecovering)
         return;
@@ -236,7 +236,7 @@
     for (const auto& [id, task] : stops) {
         const JobEntry& entry = *find(task.job);
         const int allowed = std::max(stepOf(entry, task).mayMiss, 1);
-        if (awayOf(entry, task) < allowed)
+        if (awayOf(entry, task, now) < allowed)
             sendStop(workers.at(id), task, workers.at(id).runs.at(task).number, "its machine is to be emptied");
     }
 }
--- a/packages/jobs/tests/cell_takeover_tests.cpp
+++ b/packages/jobs/tests/cell_takeover_tests.cpp
@@ -85,10 +85,13 @@
     desk.hear("w2", { { taskOf("a", 1), 1, "", 100 } });
     desk.cell().setClosing({ MachineId { "w2" } });
     const TimePoint heardAt = desk.now();
-    while (desk.now() - heardAt < longestStop) {
-        desk.step(30ms);
+    constexpr auto period = 30ms;
+    while (desk.now() - heardAt < longestStop - period) {
+        desk.step(period);
         EXPECT_TRUE(desk.take<StopOrder>().empty()) << (desk.now() - heardAt).count() << " us after the takeover";
     }
+    desk.step(2 * period);
+    EXPECT_EQ(desk.take<StopOrder>().size(), 1U); // Neither was being stopped.
 }
 
 TEST(CellTakeover, UnansweredStartIsNotSentAgainToAWorkerThatDrains)
--- a/packages/jobs/tests/desk.h
+++ b/packages/jobs/tests/desk.h
@@ -23,8 +23,8 @@
 
     /// As an owner who has just taken the cell over with these jobs, and has heard no worker yet.
     Desk(Fence fence, std::vector<StoredJob> jobs)
-        : m_cell(
-            { PoolId { "p" }, fence, 4500ms, 10500ms, 120s }, std::move(jobs), earlierWorkers(fence), m_now, unixMs())
+        : m_cell({ PoolId { "p" }, fence, 4500ms, 10500ms, 120s, 900ms }, std::move(jobs), earlierWorkers(fence), m_now,
+            unixMs())
     {
         m_cell.configure({ { QueueId { "q" }, PoolId { "p" }, 0, 3, 1.6, 600ms } });
         std::vector<WorkerDescription> workers;
--- a/packages/node/include/rattanrack/node/cell_host.h
+++ b/packages/node/include/rattanrack/node/cell_host.h
@@ -34,6 +34,7 @@
 struct CellTimes {
     Duration leaseLength {};
     Duration keepEnded {};
+    Duration longestStop {};
 };
 
 /// One cell that this node owns: drives its decisions, stores what they need, and carries orders to the workers. All
--- a/packages/node/include/rattanrack/node/job_node.h
+++ b/packages/node/include/rattanrack/node/job_node.h
@@ -15,6 +15,7 @@
     std::string peerAddress; ///< "ip:port" at which peers reach this node.
     Duration leaseLength {}; ///< Of what runs on workers.
     Duration keepEnded {}; ///< Jobs are remembered this long after their end.
+    Duration longestStop {}; ///< From an answered stop until the run has ended.
 };
 
 struct JobNodePorts {
--- a/packages/node/src/job_node_cells.cpp
+++ b/packages/node/src/job_node_cells.cpp
@@ -53,8 +53,8 @@
     CellHost::Parts parts { control, clock, metrics, storePool, workerPool, ports.store, ports.workers, ports.advisor,
         &advisorPool, [this](jobs::CallToken token, bool isStored) { stored(token, isStored); },
         [this, cell] { cellLost(cell); } };
-    auto host = std::make_unique<CellHost>(
-        std::move(parts), cell, CellTimes { settings.leaseLength, settings.keepEnded }, std::move(takeover));
+    auto host = std::make_unique<CellHost>(std::move(parts), cell,
+        CellTimes { settings.leaseLength, settings.keepEnded, settings.longestStop }, std::move(takeover));
     if (configuration)
         host->configure(configuration->queuesOf(cell));
     host->setWorkers(workers);
