A job keeps the attempts that it was accepted with

LOST: a job shown as failed after fewer failures than its queue allows. Cause: the number of attempts was that of the configuration that the owner has now, and 1 where it does not name the queue: after a takeover by a node that has not seen the route yet, or after the route was removed. The job's row now carries the attempts of the route it came by; a job whose attempts nobody knows waits for its queue instead of being failed.

--- a/packages/jobs/include/rattanrack/jobs/job.h
+++ b/packages/jobs/include/rattanrack/jobs/job.h
@@ -71,6 +71,7 @@
     QueueId queue;
     std::int64_t acceptedAtUnixMs { 0 };
     JobSpec spec;
+    int attempts { 0 }; ///< Failed runs of a subtask that fail the job, when it was accepted; 0: not known.
 
     friend bool operator==(const Job&, const Job&) = default;
 };
--- a/packages/jobs/src/cell.cpp
+++ b/packages/jobs/src/cell.cpp
@@ -76,6 +76,12 @@
     return found == queues.end() ? s_unknownQueue : found->second;
 }
 
+int CellState::attemptsOf(const JobEntry& entry) const
+{
+    const auto found = queues.find(entry.job.queue);
+    return found == queues.end() ? entry.job.attempts : found->second.attempts;
+}
+
 const Step& CellState::stepOf(const JobEntry& entry, const TaskRef& task)
 {
     return entry.job.spec.steps[static_cast<std::size_t>(task.step)];
--- a/packages/jobs/src/cell_runs.cpp
+++ b/packages/jobs/src/cell_runs.cpp
@@ -136,7 +136,8 @@
     if (entry.progress.hasEnded())
         return;
     const Step& step = stepOf(entry, failed);
-    if (!step.isLasting && entry.progress.task(failed).failures() >= queueOf(entry).attempts) {
+    const int attempts = attemptsOf(entry);
+    if (!step.isLasting && attempts > 0 && entry.progress.task(failed).failures() >= attempts) {
         entry.progress.fail(unixMs);
         stopAll(entry, "job failed");
     }
--- a/packages/jobs/src/cell_schedule.cpp
+++ b/packages/jobs/src/cell_schedule.cpp
@@ -124,7 +124,7 @@
     std::vector<ReadyStep> ready;
     for (auto& [id, owned] : jobs) {
         JobEntry& entry = *owned;
-        if (!entry.isStored || entry.progress.hasEnded() || (entry.isOld && isRecovering))
+        if (!entry.isStored || entry.progress.hasEnded() || (entry.isOld && isRecovering) || attemptsOf(entry) == 0)
             continue;
         if (entry.isChainStale)
             estimateChain(entry);
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -176,6 +176,9 @@
     JobEntry* find(const JobId& job);
     const JobEntry* find(const JobId& job) const;
     const QueueSettings& queueOf(const JobEntry& entry) const;
+
+    /// By the configuration, and where that does not name the queue, as accepted. 0: not known.
+    int attemptsOf(const JobEntry& entry) const;
     static const Step& stepOf(const JobEntry& entry, const TaskRef& task);
     void tell(CellEvent event) { output.events.push_back(std::move(event)); }
     void tellRun(RunEvent::Kind kind, const Worker& worker, const TaskRef& task, RunNumber run, std::string_view detail,
--- a/packages/jobs/src/job_codec.cpp
+++ b/packages/jobs/src/job_codec.cpp
@@ -49,6 +49,7 @@
     job.queue = QueueId { json.at("queue").get<std::string>() };
     job.acceptedAtUnixMs = json.at("at").get<std::int64_t>();
     job.spec.text = json.at("text").get<std::string>();
+    job.attempts = json.value("attempts", 0); // Rows of earlier versions have none.
     for (const Json& step : json.at("steps"))
         job.spec.steps.push_back(stepFrom(step));
     const Json& schedule = json.at("schedule");
@@ -77,7 +78,7 @@
         steps.push_back(toJson(step));
     const Schedule& schedule = job.spec.schedule;
     return toCbor({ { "id", job.id.value() }, { "queue", job.queue.value() }, { "at", job.acceptedAtUnixMs },
-        { "text", job.spec.text }, { "steps", std::move(steps) },
+        { "attempts", job.attempts }, { "text", job.spec.text }, { "steps", std::move(steps) },
         { "schedule", Json::array({ schedule.times, schedule.firstAtUnixMs, schedule.intervalMs }) } });
 }
 
--- a/packages/jobs/tests/cell_takeover_tests.cpp
+++ b/packages/jobs/tests/cell_takeover_tests.cpp
@@ -112,11 +112,33 @@
 {
     Job job = finiteJob();
     job.queue = QueueId { "of a route that was removed" };
+    job.attempts = 2;
     Desk desk { 2, { { job, {} } } };
     desk.hear("w1", {}, { { 1, taskOf("a"), 1, EndKind::Failed, "" } });
     desk.hear("w2", {});
     desk.store();
     EXPECT_NE(desk.cell().state(JobId { "a" }), JobState::Failed);
+    desk.step(500ms);
+    const auto starts = desk.take<StartOrder>();
+    ASSERT_EQ(starts.size(), 1U);
+    desk.answer(starts[0], CallStatus::Done);
+    desk.step(60ms);
+    desk.hear(starts[0].worker.value().c_str(), {}, { { 2, taskOf("a"), starts[0].run, EndKind::Failed, "" } });
+    desk.store();
+    EXPECT_EQ(desk.cell().state(JobId { "a" }), JobState::Failed);
+}
+
+TEST(CellTakeover, JobOfUnknownAttemptsWaitsForItsQueue)
+{
+    Job job = finiteJob();
+    job.queue = QueueId { "not yet in force here" };
+    Desk desk { 2, { { job, {} } } };
+    desk.hearAll();
+    desk.step(500ms);
+    EXPECT_TRUE(desk.take<StartOrder>().empty());
+    desk.cell().configure({ { job.queue, PoolId { "p" }, 0, 3, 1.6, 600ms } });
+    desk.step(30ms);
+    EXPECT_EQ(desk.take<StartOrder>().size(), 1U);
 }
 
 TEST(CellTakeover, StartTellsTheFailuresAndWorkersItRestsOn)
