A list of ends that is cut at its limit proves nothing of what it leaves out

A run that was neither listed as running nor among them counted as over without an end and was started again, and a new owner took such a worker for heard. Reports now say whether their ends are complete; only a complete one proves that a run is gone or that a worker has been heard.

--- a/packages/jobs/include/rattanrack/jobs/worker.h
+++ b/packages/jobs/include/rattanrack/jobs/worker.h
@@ -105,7 +105,8 @@
     std::int64_t bornUnixMs { 0 };
     std::int64_t workerClockMs { 0 };
     std::vector<RunningEntry> running;
-    std::vector<EndEntry> ends; ///< Ascending by number; all that are not acknowledged, or the first some hundred.
+    std::vector<EndEntry> ends; ///< Ascending by number; those that are not acknowledged.
+    bool areEndsComplete { true }; ///< False: there may be more, listed once these are acknowledged.
 };
 
 struct LookAnswer {
--- a/packages/jobs/src/cell_runs.cpp
+++ b/packages/jobs/src/cell_runs.cpp
@@ -274,7 +274,7 @@
     std::vector<TaskRef> gone;
     for (const auto& [task, run] : worker.runs) {
         const bool isSettled = run.settledAt != TimePoint {} && run.settledAt < sentAt && !run.isOrderOnItsWay;
-        if (isSettled && !seen.contains(task))
+        if (isSettled && report.areEndsComplete && !seen.contains(task))
             gone.push_back(task);
     }
     for (const TaskRef& task : gone)
--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -122,7 +122,9 @@
     }
     worker.contact = WorkerContact::InTouch;
     worker.clock.observe(report.workerClockMs, now);
-    state.foreignWorkers.erase(order.worker);
+    if (report.areEndsComplete)
+        state.foreignWorkers.erase(order.worker);
+    worker.isLookWanted = worker.isLookWanted || !report.areEndsComplete;
     for (const EndEntry& end : report.ends)
         state.takeEnd(worker, end, now);
     state.takeRunning(worker, report, sentAt, now);
--- a/packages/jobs/tests/cell_takeover_tests.cpp
+++ b/packages/jobs/tests/cell_takeover_tests.cpp
@@ -141,6 +141,32 @@
     EXPECT_EQ(desk.take<StartOrder>().size(), 1U);
 }
 
+TEST(CellTakeover, RunWhoseEndIsNotListedYetIsNotOver)
+{
+    Desk desk;
+    const StartOrder start = startAndConfirm(desk);
+    const LookOrder look = desk.take<LookOrder>().at(0);
+    LookReport report { 1, desk.clockMs(), {}, { { 1, taskOf("another"), 1, EndKind::Done, "" } }, false };
+    desk.cell().onAnswer(look, { CallStatus::Done, Refusal::None, report }, desk.now(), desk.now());
+    desk.step(500ms);
+    EXPECT_TRUE(desk.take<StartOrder>().empty());
+    EXPECT_TRUE(desk.cell().workersInUse().contains(start.worker));
+}
+
+TEST(CellTakeover, NextOwnerWaitsForTheWholeListOfEnds)
+{
+    Desk desk { 2, { { finiteJob(), {} } } };
+    desk.hear("w1", {});
+    const LookOrder look = desk.take<LookOrder>().at(0);
+    LookReport report { 1, desk.clockMs(), {}, { { 1, taskOf("another"), 1, EndKind::Done, "" } }, false };
+    desk.cell().onAnswer(look, { CallStatus::Done, Refusal::None, report }, desk.now(), desk.now());
+    desk.step(500ms);
+    EXPECT_TRUE(desk.take<StartOrder>().empty());
+    desk.hear("w2", {}, { { 2, taskOf("a"), 1, EndKind::Done, "" } });
+    desk.store();
+    EXPECT_EQ(desk.cell().state(JobId { "a" }), JobState::Completed);
+}
+
 TEST(CellTakeover, StartTellsTheFailuresAndWorkersItRestsOn)
 {
     Desk desk { 2, { { finiteJob(), { 0, false, false, false, { { 0, 0, 0, false, { 1 } } } } } } };
--- a/packages/jobs/tests/desk.h
+++ b/packages/jobs/tests/desk.h
@@ -144,6 +144,9 @@
             m_cell.onAnswer(look, { CallStatus::NoAnswer }, m_now, m_now);
     }
 
+    /// The workers' clock.
+    std::int64_t clockMs() const { return unixMs() - 900'000; }
+
 private:
     static WorkerMachines earlierWorkers(Fence fence)
     {
@@ -153,8 +156,6 @@
     }
 
     std::int64_t unixMs() const { return m_now.time_since_epoch().count() / 1000; }
-    std::int64_t clockMs() const { return unixMs() - 900'000; }
-
     TimePoint m_now { 1000s };
     Cell m_cell;
     std::vector<Order> m_orders;
