An owner that hands its cell back renews leases and ends nothing

An owner that handed back was treated as one that may have been replaced: it renewed no lease, for as long as it went on storing ends, up to the 2 s that a leaving node waits, and then 1.3 s of silence and the takeover follow, against leases of 4.5 s of which a look has used up to one. On the other hand it went on stopping lasting subtasks on machines to be emptied, whose ends only the next owner hears. The two cases are apart now (Authority): Full, HandingBack, InDoubt.

--- a/packages/jobs/include/rattanrack/jobs/cell.h
+++ b/packages/jobs/include/rattanrack/jobs/cell.h
@@ -78,6 +78,13 @@
     std::vector<CellEvent> events;
 };
 
+/// What an owner may do by the age of the proof that it owns the cell.
+enum class Authority : std::uint8_t {
+    Full,
+    HandingBack, ///< Owns it and is giving it up: keeps up what runs, and begins or ends nothing.
+    InDoubt, ///< May have been replaced: leaves leases as they are, too.
+};
+
 enum class Acceptance : std::uint8_t {
     Stored, ///< Known already, and stored.
     Waiting, ///< A reply with the token follows.
@@ -165,9 +172,8 @@
     /// New jobs that are in no commit are given up: proved not to be stored.
     void refuseWaiting();
 
-    /// Decides what runs next and hands out all that has come up since. Starts nothing while `mayStart` is false, when
-    /// this node can't be sure that it still owns the cell.
-    CellOutput step(TimePoint now, std::int64_t unixMs, bool mayStart);
+    /// Decides what runs next, as far as `authority` allows, and hands out all that has come up since.
+    CellOutput step(TimePoint now, std::int64_t unixMs, Authority authority);
 
 private:
     std::unique_ptr<CellState> m_state;
--- a/packages/jobs/model/cell_world.cpp
+++ b/packages/jobs/model/cell_world.cpp
@@ -174,7 +174,7 @@
         listWorkers();
     if (!m_cell)
         return;
-    CellOutput output = m_cell->step(m_now, unixMs(), true);
+    CellOutput output = m_cell->step(m_now, unixMs(), Authority::Full);
     for (const Order& order : output.orders)
         perform(order);
     for (const CallReply& reply : output.replies) {
--- a/packages/jobs/src/cell.cpp
+++ b/packages/jobs/src/cell.cpp
@@ -349,17 +349,19 @@
     }
 }
 
-CellOutput Cell::step(TimePoint now, std::int64_t unixMs, bool mayStart)
+CellOutput Cell::step(TimePoint now, std::int64_t unixMs, Authority authority)
 {
     CellState& state = *m_state;
+    const bool mayStart = authority == Authority::Full;
     state.unixMs = unixMs;
     state.checkRecovery(now);
     state.checkSilent(now);
     state.sendAgain(now, mayStart);
-    state.emptyClosing(now);
-    if (mayStart)
+    if (mayStart) {
+        state.emptyClosing(now);
         state.schedule(now, unixMs);
-    state.sendLooks(now, mayStart);
+    }
+    state.sendLooks(now, authority != Authority::InDoubt);
     if (now >= state.forgetAt) {
         state.forgetAt = now + forgetPeriod;
         state.forgetOldJobs();
--- a/packages/jobs/tests/cell_takeover_tests.cpp
+++ b/packages/jobs/tests/cell_takeover_tests.cpp
@@ -167,6 +167,33 @@
     EXPECT_EQ(desk.cell().state(JobId { "a" }), JobState::Completed);
 }
 
+TEST(CellTakeover, LeasesAreRenewedUntilTheCellIsHandedBack)
+{
+    Desk desk;
+    const StartOrder start = startAndConfirm(desk);
+    desk.hear(start.worker.value().c_str(), { { start.task, start.run, "", 0 } });
+    const auto renewal = [&](Authority authority) {
+        desk.step(60ms, authority);
+        const auto looks = desk.take<LookOrder>();
+        EXPECT_EQ(looks.size(), 1U);
+        for (const LookOrder& look : looks)
+            desk.answer(look, { { start.task, start.run, "", 0 } });
+        return looks.empty() ? 0 : looks[0].leaseUntilWorkerMs;
+    };
+    EXPECT_GT(renewal(Authority::HandingBack), desk.clockMs());
+    EXPECT_EQ(renewal(Authority::InDoubt), 0);
+}
+
+TEST(CellTakeover, OwnerThatHandsBackEndsNothing)
+{
+    Desk desk { 2, { { lastingJob(), {} } } };
+    desk.hear("w1", { { taskOf("a", 0), 1, "", 100 } });
+    desk.hear("w2", { { taskOf("a", 1), 1, "", 100 } });
+    desk.cell().setClosing({ MachineId { "w2" } });
+    desk.step(longestStop + 60ms, Authority::HandingBack);
+    EXPECT_TRUE(desk.take<StopOrder>().empty());
+}
+
 TEST(CellTakeover, StartTellsTheFailuresAndWorkersItRestsOn)
 {
     Desk desk { 2, { { finiteJob(), { 0, false, false, false, { { 0, 0, 0, false, { 1 } } } } } } };
--- a/packages/jobs/tests/cell_tests.cpp
+++ b/packages/jobs/tests/cell_tests.cpp
@@ -200,7 +200,7 @@
     EXPECT_EQ(desk.cell().submit(job, 8, desk.now()), Acceptance::Waiting);
     desk.cell().onCommitFailed();
     desk.cell().refuseWaiting();
-    const auto replies = desk.cell().step(desk.now(), 1, true).replies;
+    const auto replies = desk.cell().step(desk.now(), 1, Authority::Full).replies;
     ASSERT_EQ(replies.size(), 2U);
     EXPECT_FALSE(replies[0].isStored || replies[1].isStored);
     EXPECT_TRUE(desk.cell().state(JobId { "old" }).has_value());
--- a/packages/jobs/tests/desk.h
+++ b/packages/jobs/tests/desk.h
@@ -94,10 +94,10 @@
             m_cell.onCommitted(unixMs());
     }
 
-    void step(Duration time)
+    void step(Duration time, Authority authority = Authority::Full)
     {
         m_now += time;
-        CellOutput output = m_cell.step(m_now, unixMs(), true);
+        CellOutput output = m_cell.step(m_now, unixMs(), authority);
         std::move(output.orders.begin(), output.orders.end(), std::back_inserter(m_orders));
         std::move(output.events.begin(), output.events.end(), std::back_inserter(m_events));
     }
--- a/packages/node/include/rattanrack/node/cell_host.h
+++ b/packages/node/include/rattanrack/node/cell_host.h
@@ -89,7 +89,7 @@
     void commitIfDue();
     void stored();
     void notStored();
-    bool mayStart() const;
+    jobs::Authority authority() const;
 
     /// Runs `work` on the control thread unless this object is gone by then.
     ControlLoop::Work guarded(ControlLoop::Work work) const;
--- a/packages/node/src/cell_host.cpp
+++ b/packages/node/src/cell_host.cpp
@@ -143,16 +143,18 @@
     }));
 }
 
-bool CellHost::mayStart() const
+jobs::Authority CellHost::authority() const
 {
-    return !m_isHandingBack && m_parts.clock.now() - m_writer.confirmedAt() < ownerTrust;
+    if (m_parts.clock.now() - m_writer.confirmedAt() >= ownerTrust)
+        return jobs::Authority::InDoubt;
+    return m_isHandingBack ? jobs::Authority::HandingBack : jobs::Authority::Full;
 }
 
 void CellHost::pump()
 {
     if (m_writer.isOver())
         return;
-    handleOutput(m_cell.step(m_parts.clock.now(), wallClockMilliseconds(), mayStart()));
+    handleOutput(m_cell.step(m_parts.clock.now(), wallClockMilliseconds(), authority()));
     commitIfDue();
     if (!m_writer.isOver())
         planPump(m_cell.openJobs() > 0 ? busyPeriod : idlePeriod);
