--- a/packages/node/include/rattanrack/node/cell_host.h
+++ b/packages/node/include/rattanrack/node/cell_host.h
@@ -35,6 +35,7 @@
     Duration leaseLength {};
     Duration keepEnded {};
     Duration longestStop {};
+    Duration longestListAge {}; ///< Nothing starts on a list of workers that is older.
 };
 
 /// One cell that this node owns: drives its decisions, stores what they need, and carries orders to the workers. All
@@ -68,6 +69,9 @@
     jobs::Acceptance submit(const jobs::Job& job, jobs::CallToken token);
     std::optional<jobs::Acceptance> cancel(const jobs::JobId& job, jobs::CallToken token);
     std::optional<jobs::JobState> state(const jobs::JobId& job) const { return m_cell.state(job); }
+
+    /// False: another owner may have accepted jobs that this one does not know.
+    bool knowsAllJobs() const;
     int pending(const jobs::QueueId& queue) const { return m_cell.pending(queue); }
 
     /// Starts nothing more, stores what is open, and gives the part up; `onLost` follows.
--- a/packages/node/src/cell_host.cpp
+++ b/packages/node/src/cell_host.cpp
@@ -125,6 +125,8 @@
     return acceptance;
 }
 
+bool CellHost::knowsAllJobs() const { return true; }
+
 void CellHost::handBack()
 {
     m_isHandingBack = true;
--- /dev/null
+++ b/packages/node/tests/cell_host_tests.cpp
@@ -0,0 +1,156 @@
+#include "memory_part_store.h"
+#include "rattanrack/base/log.h"
+#include "rattanrack/node/cell_host.h"
+
+#include <gtest/gtest.h>
+
+#include <mutex>
+#include <thread>
+
+using namespace rattanrack;
+using namespace rattanrack::node;
+using namespace std::chrono_literals;
+
+namespace {
+
+const PoolId pool { "p" };
+const jobs::QueueId queue { "q" };
+
+/// Workers that start all they are told to, and never list an end.
+class Workers final : public jobs::WorkerConnector {
+public:
+    std::unique_ptr<jobs::WorkerChannel> connect(const jobs::WorkerId&, const std::string&) override
+    {
+        return std::make_unique<Channel>(*this);
+    }
+
+    std::atomic<int> starts { 0 };
+
+private:
+    class Channel final : public jobs::WorkerChannel {
+    public:
+        explicit Channel(Workers& workers)
+            : m_workers(workers)
+        {
+        }
+
+        jobs::CallAnswer start(const jobs::StartOrder& order) override
+        {
+            const std::lock_guard lock(m_workers.m_mutex);
+            ++m_workers.starts;
+            m_workers.m_running.push_back({ order.task, order.run });
+            return { jobs::CallStatus::Done, jobs::Refusal::None, wallClockMilliseconds() };
+        }
+        jobs::CallAnswer stop(const jobs::StopOrder&) override { return { jobs::CallStatus::Done }; }
+        jobs::CallAnswer pace(const jobs::PaceOrder&) override { return { jobs::CallStatus::Done }; }
+        jobs::LookAnswer look(const jobs::LookOrder&) override
+        {
+            const std::lock_guard lock(m_workers.m_mutex);
+            return { jobs::CallStatus::Done, jobs::Refusal::None,
+                { 1, wallClockMilliseconds(), m_workers.m_running, {} } };
+        }
+
+    private:
+        Workers& m_workers;
+    };
+
+    std::mutex m_mutex;
+    std::vector<jobs::RunningEntry> m_running;
+};
+
+class CellHostTest : public testing::Test {
+protected:
+    void SetUp() override
+    {
+        setLogLevel(LogLevel::Error);
+        auto takeover = valueOrNothing([&] { return takeOver(store, pool, NodeId { "n1" }); }).value();
+        control.run([&] {
+            CellHost::Parts parts { control, clock, metrics, storeThreads, workerThreads, store, workers, nullptr,
+                nullptr, [this](jobs::CallToken, bool isStored) { stored += isStored ? 1 : 0; }, [this] { ++lost; } };
+            host = std::make_unique<CellHost>(
+                std::move(parts), pool, CellTimes { 4500ms, 120s, 900ms, 1500ms }, std::move(takeover));
+            host->configure({ { queue, pool, 0, 3, 1.6, 600ms } });
+        });
+    }
+
+    void TearDown() override
+    {
+        control.run([this] { host.reset(); });
+        storeThreads.shutdown();
+        workerThreads.shutdown();
+    }
+
+    void listWorkers(Duration age)
+    {
+        jobs::WorkerDescription worker { jobs::WorkerId { "w1" }, jobs::MachineId { "m1" }, pool, "10.0.0.1:1" };
+        worker.capacity = { Millicores { 1000 }, Mebibytes { 1000 }, {} };
+        worker.bornUnixMs = 1;
+        control.run([&] { host->setWorkers({ { worker }, clock.now() - age }); });
+    }
+
+    jobs::Acceptance submit(const char* id)
+    {
+        jobs::Job job { jobs::JobId { id }, queue, wallClockMilliseconds(), { "text", { {} }, {} }, 3 };
+        job.spec.steps[0].size = { Millicores { 100 }, Mebibytes { 10 }, {} };
+        auto acceptance = jobs::Acceptance::Refused;
+        control.run([&] { acceptance = host->submit(job, 1); });
+        return acceptance;
+    }
+
+    /// Polls until `condition` holds; a test that waits in vain fails by its own assertion afterwards.
+    template <typename Condition> static bool eventually(Condition condition)
+    {
+        for (int tries = 0; tries < 300 && !condition(); ++tries)
+            std::this_thread::sleep_for(10ms);
+        return condition();
+    }
+
+    SystemClock clock;
+    Metrics metrics;
+    tests::MemoryPartStore store;
+    Workers workers;
+    ElasticThreadPool storeThreads { 4, 16 };
+    ElasticThreadPool workerThreads { 8, 16 };
+    std::atomic<int> stored { 0 };
+    std::atomic<int> lost { 0 };
+    std::unique_ptr<CellHost> host;
+    ControlLoop control { clock };
+};
+
+} // namespace
+
+TEST_F(CellHostTest, NothingStartsOnAnOldListOfWorkers)
+{
+    listWorkers(10s);
+    ASSERT_EQ(submit("a"), jobs::Acceptance::Waiting);
+    ASSERT_TRUE(eventually([&] { return stored == 1; }));
+    std::this_thread::sleep_for(300ms);
+    EXPECT_EQ(workers.starts, 0);
+    listWorkers(0s);
+    EXPECT_TRUE(eventually([&] { return workers.starts == 1; }));
+}
+
+TEST_F(CellHostTest, JobIsNotDeniedByAnOwnerThatMayHaveBeenReplaced)
+{
+    const auto isDenied = [&] {
+        bool denied = false;
+        control.run([&] { denied = !host->state(jobs::JobId { "a" }) && host->knowsAllJobs(); });
+        return denied;
+    };
+    EXPECT_TRUE(isDenied());
+    store.isDown = true;
+    EXPECT_TRUE(eventually([&] { return !isDenied(); })); // Another owner may have accepted it meanwhile.
+    store.isDown = false;
+    EXPECT_TRUE(eventually(isDenied));
+}
+
+TEST_F(CellHostTest, CallerHearsWhetherTheJobIsStoredWhenTheCellIsHandedBack)
+{
+    ASSERT_EQ(submit("a"), jobs::Acceptance::Waiting);
+    control.run([&] { host->handBack(); });
+    EXPECT_TRUE(eventually([&] { return lost == 1; }));
+    EXPECT_EQ(stored, 1);
+    const auto next = valueOrNothing([&] { return takeOver(store, pool, NodeId { "n2" }); });
+    ASSERT_TRUE(next.has_value());
+    EXPECT_EQ(next->jobs.size(), 1U);
+}
--- /dev/null
+++ b/packages/node/tests/memory_part_store.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "rattanrack/jobs/part_store.h"
+
+#include <atomic>
+#include <map>
+#include <mutex>
+
+namespace rattanrack::node::tests {
+
+/// Parts of a store in memory, whose outage a test switches on.
+class MemoryPartStore final : public jobs::PartStore {
+public:
+    jobs::TransactionOutcome commit(const jobs::PartTransaction& transaction) override
+    {
+        if (isDown)
+            return { jobs::TransactionStatus::Unavailable, 0, {}, "down" };
+        const std::lock_guard lock(m_mutex);
+        auto& rows = m_parts[transaction.part];
+        for (const jobs::RowCondition& condition : transaction.conditions) {
+            const auto found = rows.find(condition.row);
+            if ((found == rows.end() ? 0 : found->second.version) != condition.version)
+                return { jobs::TransactionStatus::Conflict, 0, current(rows, transaction), "conflict" };
+        }
+        ++m_version;
+        for (const jobs::RowWrite& write : transaction.writes) {
+            if (write.value)
+                rows[write.row] = { write.row, *write.value, m_version };
+            else
+                rows.erase(write.row);
+        }
+        return { jobs::TransactionStatus::Done, m_version, {}, {} };
+    }
+
+    Result<jobs::RowPage> read(const jobs::RowRange& range) override
+    {
+        if (isDown)
+            return fail(ErrorCode::Unavailable, "store.read", "memory");
+        const std::lock_guard lock(m_mutex);
+        jobs::RowPage page;
+        page.version = m_version;
+        for (const auto& [key, row] : m_parts[range.part]) {
+            if (key.table == range.table && key.key >= range.from)
+                page.rows.push_back(row);
+        }
+        return page;
+    }
+
+    Result<jobs::RowPage> changes(const std::string&, jobs::RowVersion, Duration) override
+    {
+        return fail(ErrorCode::Unavailable, "store.changes", "memory");
+    }
+
+    std::atomic<bool> isDown { false };
+
+private:
+    using Rows = std::map<jobs::RowKey, jobs::PartRow>;
+
+    static std::vector<jobs::PartRow> current(const Rows& rows, const jobs::PartTransaction& transaction)
+    {
+        std::vector<jobs::PartRow> found;
+        for (const jobs::RowCondition& condition : transaction.conditions) {
+            const auto row = rows.find(condition.row);
+            if (row != rows.end())
+                found.push_back(row->second);
+        }
+        return found;
+    }
+
+    std::mutex m_mutex;
+    std::map<std::string, Rows> m_parts;
+    jobs::RowVersion m_version { 0 };
+};
+
+} // namespace rattanrack::node::tests
