Start nothing on an old list of workers, and read it with each takeover

DRAIN: the first starts of a next owner go to a worker that has said seconds ago that it leaves. Cause: a node that holds nothing does not read the list of workers (with 5 pools and the duty over machines on 7 nodes, one holds nothing), and a takeover used whatever list the node had read when it last held something, until the next read 0.1 to 0.6 s later; a list whose reads fail was used for good. While the store is out of reach no worker can have told anybody, and the list holds.

--- a/packages/config/src/job_node_settings.cpp
+++ b/packages/config/src/job_node_settings.cpp
@@ -12,6 +12,7 @@
 constexpr DurationRange leaseRange { 1s, 60s };
 constexpr DurationRange keepRange { 1s, 24h };
 constexpr DurationRange stopRange { 1ms, 60s };
+constexpr DurationRange drainRange { 1s, 60s };
 constexpr DurationRange graceRange { 1s, 600s };
 
 void readAdvice(Section& section, std::optional<Address>& output)
@@ -36,6 +37,7 @@
     top.readDuration("longestLease", leaseRange, settings.longestLease);
     top.readDuration("keepEnded", keepRange, settings.keepEnded);
     top.readDuration("longestStop", stopRange, settings.longestStop);
+    top.readDuration("drainBound", drainRange, settings.drainBound);
     top.readDuration("stopGrace", graceRange, settings.stopGrace);
     readLogLevel(top, settings.logLevel);
     top.reportUnknownKeys();
--- a/packages/jobs/include/rattanrack/jobs/cell.h
+++ b/packages/jobs/include/rattanrack/jobs/cell.h
@@ -78,10 +78,11 @@
     std::vector<CellEvent> events;
 };
 
-/// What an owner may do by the age of the proof that it owns the cell.
+/// What an owner may do by the age of what it knows.
 enum class Authority : std::uint8_t {
     Full,
-    HandingBack, ///< Owns it and is giving it up: keeps up what runs, and begins or ends nothing.
+    KeepUp, ///< Keeps up what runs, and begins or ends nothing: gives the cell up, or does not know which workers
+            ///< leave.
     InDoubt, ///< May have been replaced: leaves leases as they are, too.
 };
 
--- a/packages/jobs/tests/cell_takeover_tests.cpp
+++ b/packages/jobs/tests/cell_takeover_tests.cpp
@@ -180,7 +180,7 @@
             desk.answer(look, { { start.task, start.run, "", 0 } });
         return looks.empty() ? 0 : looks[0].leaseUntilWorkerMs;
     };
-    EXPECT_GT(renewal(Authority::HandingBack), desk.clockMs());
+    EXPECT_GT(renewal(Authority::KeepUp), desk.clockMs());
     EXPECT_EQ(renewal(Authority::InDoubt), 0);
 }
 
@@ -190,7 +190,7 @@
     desk.hear("w1", { { taskOf("a", 0), 1, "", 100 } });
     desk.hear("w2", { { taskOf("a", 1), 1, "", 100 } });
     desk.cell().setClosing({ MachineId { "w2" } });
-    desk.step(longestStop + 60ms, Authority::HandingBack);
+    desk.step(longestStop + 60ms, Authority::KeepUp);
     EXPECT_TRUE(desk.take<StopOrder>().empty());
 }
 
--- a/packages/node/include/rattanrack/node/cell_host.h
+++ b/packages/node/include/rattanrack/node/cell_host.h
@@ -15,22 +15,23 @@
 
 namespace rattanrack::node {
 
+/// The workers of all pools, as the store listed them.
+struct WorkerList {
+    std::vector<jobs::WorkerDescription> workers;
+    TimePoint askedAt {}; ///< What it says is at most this old.
+};
+
 /// What a takeover has brought: the part, and all that is stored in it.
 struct Takeover {
     TakenPart taken;
     std::vector<jobs::StoredJob> jobs;
+    std::optional<WorkerList> workers; ///< Read on the way; empty when that failed.
 };
 
 /// Takes a cell over: becomes the owner of its part and reads it. Blocks; for a thread of the store. Errors: Conflict
 /// (another node was faster), Unavailable, OutcomeUnknown, MalformedMessage.
 Result<Takeover> takeOver(jobs::PartStore& store, const PoolId& cell, const NodeId& self);
 
-/// The workers of all pools, as the store listed them.
-struct WorkerList {
-    std::vector<jobs::WorkerDescription> workers;
-    TimePoint askedAt {}; ///< Older than what it says.
-};
-
 struct CellTimes {
     Duration leaseLength {};
     Duration keepEnded {};
@@ -94,6 +95,7 @@
     void stored();
     void notStored();
     jobs::Authority authority() const;
+    bool isListTooOld() const;
 
     /// Runs `work` on the control thread unless this object is gone by then.
     ControlLoop::Work guarded(ControlLoop::Work work) const;
@@ -101,6 +103,8 @@
     Parts m_parts;
     PoolId m_pool;
     jobs::Cell m_cell;
+    const Duration m_longestListAge;
+    TimePoint m_listAskedAt {}; ///< When the store was asked for the list of workers in use.
     std::shared_ptr<bool> m_isAlive;
     PartWriter m_writer;
     WorkerLinks m_links;
--- a/packages/node/include/rattanrack/node/job_node.h
+++ b/packages/node/include/rattanrack/node/job_node.h
@@ -16,6 +16,7 @@
     Duration leaseLength {}; ///< Of what runs on workers.
     Duration keepEnded {}; ///< Jobs are remembered this long after their end.
     Duration longestStop {}; ///< From an answered stop until the run has ended.
+    Duration longestListAge {}; ///< Nothing starts on a list of workers that is older.
 };
 
 struct JobNodePorts {
--- a/packages/node/src/cell_host.cpp
+++ b/packages/node/src/cell_host.cpp
@@ -73,6 +73,7 @@
     , m_pool(pool)
     , m_cell(settingsOf(pool, takeover.taken.part.term(), times), std::move(takeover.jobs),
           std::move(takeover.taken.workers), m_parts.clock.now(), wallClockMilliseconds())
+    , m_longestListAge(times.longestListAge)
     , m_isAlive(std::make_shared<bool>(true))
     , m_writer({ m_parts.control, m_parts.clock, m_parts.storeThreads, m_parts.store }, std::move(takeover.taken.part),
           writerEvents())
@@ -101,6 +102,7 @@
         addresses[worker.id] = worker.address;
         own.push_back(worker);
     }
+    m_listAskedAt = list.askedAt;
     m_cell.setWorkers(own, list.askedAt, m_parts.clock.now());
     m_links.setAddresses(addresses, m_cell.workersKnown());
     wake();
@@ -149,7 +151,13 @@
 {
     if (m_parts.clock.now() - m_writer.confirmedAt() >= ownerTrust)
         return jobs::Authority::InDoubt;
-    return m_isHandingBack ? jobs::Authority::HandingBack : jobs::Authority::Full;
+    return m_isHandingBack || isListTooOld() ? jobs::Authority::KeepUp : jobs::Authority::Full;
+}
+
+/// While the store is out of reach, workers can't have told anybody that they leave.
+bool CellHost::isListTooOld() const
+{
+    return m_writer.isStoreInReach() && m_parts.clock.now() - m_listAskedAt > m_longestListAge;
 }
 
 void CellHost::pump()
--- a/packages/node/src/job_node_cells.cpp
+++ b/packages/node/src/job_node_cells.cpp
@@ -42,19 +42,28 @@
 void JobNode::State::take(const PoolId& cell)
 {
     takePartBy(
-        cell, "cell.not_taken", [this, cell] { return takeOver(ports.store, cell, self); },
+        cell, "cell.not_taken",
+        [this, cell]() -> Result<Takeover> {
+            BOOST_LEAF_AUTO(takeover, takeOver(ports.store, cell, self));
+            takeover.workers = readWorkers();
+            return takeover;
+        },
         [this, cell](Takeover takeover) { taken(cell, std::move(takeover)); });
 }
 
 void JobNode::State::taken(const PoolId& cell, Takeover takeover)
 {
     logEvent("cell.taken",
-        { { "cell", cell.value() }, { "term", takeover.taken.part.term() }, { "jobs", takeover.jobs.size() } });
+        { { "cell", cell.value() }, { "term", takeover.taken.part.term() }, { "jobs", takeover.jobs.size() },
+            { "workersUsed", takeover.taken.workers.size() } });
+    if (takeover.workers)
+        workers = *std::move(takeover.workers);
     CellHost::Parts parts { control, clock, metrics, storePool, workerPool, ports.store, ports.workers, ports.advisor,
         &advisorPool, [this](jobs::CallToken token, bool isStored) { stored(token, isStored); },
         [this, cell] { cellLost(cell); } };
     auto host = std::make_unique<CellHost>(std::move(parts), cell,
-        CellTimes { settings.leaseLength, settings.keepEnded, settings.longestStop }, std::move(takeover));
+        CellTimes { settings.leaseLength, settings.keepEnded, settings.longestStop, settings.longestListAge },
+        std::move(takeover));
     if (configuration)
         host->configure(configuration->queuesOf(cell));
     host->setWorkers(workers);
--- a/packages/node/src/job_node_state.h
+++ b/packages/node/src/job_node_state.h
@@ -71,6 +71,7 @@
     // What the store tells: job_node_watchers.cpp
     void watchConfiguration();
     void watchWorkers();
+    std::optional<WorkerList> readWorkers();
     void watchMembers();
     void inForce(jobs::Configuration configuration);
     void registerSelf();
--- a/packages/node/src/job_node_watchers.cpp
+++ b/packages/node/src/job_node_watchers.cpp
@@ -81,19 +81,27 @@
     }
 }
 
+std::optional<WorkerList> JobNode::State::readWorkers()
+{
+    const TimePoint askedAt = clock.now();
+    auto listed = valueOrNothing([&] { return ports.fleet.workers(); },
+        [](const Error& error) {
+            logEvent("workers.unread", { { "error", describe(error) } }, LogLevel::Warning);
+        });
+    if (!listed)
+        return std::nullopt;
+    return WorkerList { std::move(*listed), askedAt };
+}
+
 void JobNode::State::watchWorkers()
 {
     loopUntilStopped(workersPeriod, [this] {
         if (!holdsAny)
             return;
-        const TimePoint askedAt = clock.now();
-        auto listed = valueOrNothing([&] { return ports.fleet.workers(); },
-            [](const Error& error) {
-                logEvent("workers.unread", { { "error", describe(error) } }, LogLevel::Warning);
-            });
-        if (!listed)
+        auto list = readWorkers();
+        if (!list)
             return;
-        control.post([this, shared = std::make_shared<WorkerList>(WorkerList { std::move(*listed), askedAt })] {
+        control.post([this, shared = std::make_shared<WorkerList>(std::move(*list))] {
             workers = std::move(*shared);
             for (auto& [cell, host] : cells)
                 host->setWorkers(workers);
