Say that there is no such job only with recent proof of owning the cell

LOST: an accepted job is answered with 410. Cause: a node answered from memory for every cell that it believed to own, also when a peer's news named an owner of a higher term, and however long ago its last transaction had succeeded (up to 5 s it went on as the owner, and without an answer from the store beyond that). Jobs that the next owner had accepted meanwhile were denied, their cancels too. Calls now go to the owner of the highest term; a job that is not known is denied only within 2 s of the last confirmed transaction, and is "out of reach" (503) after it.

--- a/packages/node/src/cell_host.cpp
+++ b/packages/node/src/cell_host.cpp
@@ -19,6 +19,7 @@
 constexpr Duration commitPause = 120ms;
 constexpr Duration renewalPeriod = 1s;
 constexpr Duration ownerTrust = 5s; ///< Without a transaction for this long, this node takes itself for replaced.
+constexpr Duration knowledgeTrust = 2s; ///< Jobs that another owner accepts may be asked for soon afterwards.
 constexpr double clockSlack = 1.03; ///< Workers' clocks may be slow.
 constexpr Duration takeoverSlack = 500ms;
 
@@ -127,7 +128,7 @@
     return acceptance;
 }
 
-bool CellHost::knowsAllJobs() const { return true; }
+bool CellHost::knowsAllJobs() const { return m_parts.clock.now() - m_writer.confirmedAt() < knowledgeTrust; }
 
 void CellHost::handBack()
 {
--- a/packages/node/src/job_node_calls.cpp
+++ b/packages/node/src/job_node_calls.cpp
@@ -6,6 +6,15 @@
 /// Requests of callers: to the owner, here or elsewhere, and back.
 namespace rattanrack::node {
 
+namespace {
+
+peer::JobCallStatus statusOfUnknownJob(const CellHost& host)
+{
+    return host.knowsAllJobs() ? peer::JobCallStatus::NotKnown : peer::JobCallStatus::NotOwner;
+}
+
+} // namespace
+
 void JobNode::State::received(const peer::JobCall& call)
 {
     const auto reply = [this, exchange = call.exchange, address = call.replyTo](peer::JobReply answer) {
@@ -21,10 +30,10 @@
 
 void JobNode::State::route(peer::JobCall call, Deadline deadline, CallReply reply)
 {
+    const auto owner = ownership.owner(call.cell, clock.now()); // Of the highest term: ours may be over.
     const auto held = cells.find(call.cell);
-    if (held != cells.end())
+    if (owner && owner->node == self && held != cells.end())
         return callHere(*held->second, call, std::move(reply));
-    const auto owner = ownership.owner(call.cell, clock.now());
     if (!owner || owner->node == self)
         return reply({ 0, peer::JobCallStatus::NotOwner });
     call.exchange = jobCalls.add(deadline, std::move(reply));
@@ -41,7 +50,7 @@
         return cancelHere(host, call, std::move(reply));
     case peer::JobOperation::State: {
         const auto state = host.state(call.job);
-        return reply({ 0, state ? peer::JobCallStatus::Done : peer::JobCallStatus::NotKnown,
+        return reply({ 0, state ? peer::JobCallStatus::Done : statusOfUnknownJob(host),
             state.value_or(jobs::JobState::Queued) });
     }
     case peer::JobOperation::Pending:
@@ -70,7 +79,7 @@
     const jobs::CallToken token = ++lastToken;
     const auto acceptance = host.cancel(call.job, token);
     if (!acceptance)
-        return reply({ 0, peer::JobCallStatus::NotKnown });
+        return reply({ 0, statusOfUnknownJob(host) });
     if (*acceptance == jobs::Acceptance::Stored)
         return reply({ 0, peer::JobCallStatus::Done });
     waiting.emplace(token, std::pair { std::move(reply), peer::JobReply { 0, peer::JobCallStatus::Done } });
