Hand a cell back with the last rows, and answer at once who still waits

A leaving owner stored what was open first and gave the cell up with a transaction of its own; while ends came in, one followed the other, up to the 2 s that a leaving node waits, after which the cell was found by silence. A cancel that came meanwhile waited for a commit that never came, and so did every caller of a cell that was lost: 504 after 2.5 s, or nothing when the process was gone before. Now the cell is given up by the first transaction that holds all that is open, a cancel is refused at once while a cell is handed back (503, the caller goes to the next owner), and callers of a lost cell hear at once that the outcome is not known (504, the same id again). The callers' map no longer grows by those never answered.

--- a/packages/jobs/include/rattanrack/jobs/cell.h
+++ b/packages/jobs/include/rattanrack/jobs/cell.h
@@ -161,6 +161,9 @@
     /// Somebody waits for the next commit.
     bool hasUrgentCommit() const;
 
+    /// Something is to be stored that is in no commit yet.
+    bool hasUncommitted() const;
+
     /// What is to be stored next; empty when nothing is, or the last commit is still on its way.
     std::optional<CellCommit> takeCommit(std::int64_t unixMs);
 
@@ -176,6 +179,9 @@
     /// Decides what runs next, as far as `authority` allows, and hands out all that has come up since.
     CellOutput step(TimePoint now, std::int64_t unixMs, Authority authority);
 
+    /// What has come up since, without any decision.
+    CellOutput takeOutput();
+
 private:
     std::unique_ptr<CellState> m_state;
 };
--- a/packages/jobs/src/cell.cpp
+++ b/packages/jobs/src/cell.cpp
@@ -257,6 +257,8 @@
 
 bool Cell::hasUrgentCommit() const { return m_state->isUrgent; }
 
+bool Cell::hasUncommitted() const { return !m_state->dirty.empty(); }
+
 std::optional<CellCommit> Cell::takeCommit(std::int64_t unixMs)
 {
     CellState& state = *m_state;
@@ -366,9 +368,11 @@
         state.forgetAt = now + forgetPeriod;
         state.forgetOldJobs();
     }
-    return std::exchange(state.output, {});
+    return takeOutput();
 }
 
+CellOutput Cell::takeOutput() { return std::exchange(m_state->output, {}); }
+
 void CellState::forgetOldJobs()
 {
     for (auto& [id, entry] : jobs) {
--- a/packages/node/src/cell_host.cpp
+++ b/packages/node/src/cell_host.cpp
@@ -123,6 +123,8 @@
 
 std::optional<jobs::Acceptance> CellHost::cancel(const jobs::JobId& job, jobs::CallToken token)
 {
+    if (m_isHandingBack)
+        return jobs::Acceptance::Refused;
     const auto acceptance = m_cell.cancel(job, token, wallClockMilliseconds());
     wake();
     return acceptance;
@@ -245,14 +247,16 @@
         return;
     m_isOwnershipInDoubt = false;
     m_cell.workersSent(workers);
-    m_writer.write(
-        commit ? rowsOf(*commit) : std::vector<jobs::RowWrite> {}, std::move(workers), m_isHandingBack && !commit);
+    const bool isLast = m_isHandingBack && !m_cell.hasUncommitted();
+    m_writer.write(commit ? rowsOf(*commit) : std::vector<jobs::RowWrite> {}, std::move(workers), isLast);
 }
 
 void CellHost::stored()
 {
     m_cell.workersStored(m_writer.workersWritten());
     m_cell.onCommitted(wallClockMilliseconds());
+    if (m_writer.isOver())
+        handleOutput(m_cell.takeOutput());
     wake();
 }
 
--- a/packages/node/src/job_node_calls.cpp
+++ b/packages/node/src/job_node_calls.cpp
@@ -70,7 +70,7 @@
     case jobs::Acceptance::Refused:
         return reply({ 0, peer::JobCallStatus::Refused });
     case jobs::Acceptance::Waiting:
-        waiting.emplace(token, std::pair { std::move(reply), peer::JobReply { 0, peer::JobCallStatus::Done } });
+        waiting.emplace(token, WaitingCall { call.cell, std::move(reply) });
     }
 }
 
@@ -80,9 +80,24 @@
     const auto acceptance = host.cancel(call.job, token);
     if (!acceptance)
         return reply({ 0, statusOfUnknownJob(host) });
+    if (*acceptance == jobs::Acceptance::Refused)
+        return reply({ 0, peer::JobCallStatus::NotOwner });
     if (*acceptance == jobs::Acceptance::Stored)
         return reply({ 0, peer::JobCallStatus::Done });
-    waiting.emplace(token, std::pair { std::move(reply), peer::JobReply { 0, peer::JobCallStatus::Done } });
+    waiting.emplace(token, WaitingCall { call.cell, std::move(reply) });
+}
+
+void JobNode::State::giveUpWaiting(const PoolId& cell)
+{
+    std::vector<CallReply> replies;
+    std::erase_if(waiting, [&](auto& each) {
+        const bool isOfCell = each.second.cell == cell;
+        if (isOfCell)
+            replies.push_back(std::move(each.second.reply));
+        return isOfCell;
+    });
+    for (const CallReply& reply : replies)
+        reply({ 0, peer::JobCallStatus::Unsettled });
 }
 
 void JobNode::State::stored(jobs::CallToken token, bool isStored)
@@ -90,10 +105,7 @@
     auto found = waiting.extract(token);
     if (found.empty())
         return;
-    auto& [reply, answer] = found.mapped();
-    if (!isStored)
-        answer.status = peer::JobCallStatus::Refused;
-    reply(answer);
+    found.mapped().reply({ 0, isStored ? peer::JobCallStatus::Done : peer::JobCallStatus::Refused });
 }
 
 peer::JobReply JobNode::call(peer::JobCall call, Deadline deadline)
--- a/packages/node/src/job_node_cells.cpp
+++ b/packages/node/src/job_node_cells.cpp
@@ -107,6 +107,7 @@
 {
     logEvent("cell.dropped", { { "cell", cell.value() } });
     cells.erase(cell);
+    giveUpWaiting(cell);
     ownership.dropped(cell);
     ownership.takingFailed(cell, clock.now());
     holdsAny = !cells.empty() || duty;
--- a/packages/node/src/job_node_state.h
+++ b/packages/node/src/job_node_state.h
@@ -23,6 +23,12 @@
 
 using CallReply = std::function<void(const peer::JobReply&)>;
 
+/// A caller's request that waits for a commit.
+struct WaitingCall {
+    PoolId cell;
+    CallReply reply;
+};
+
 constexpr std::size_t storeThreads = 12;
 constexpr std::size_t workerThreads = 600; ///< Two for each worker of the cells that this node may own.
 constexpr std::size_t maxQueuedStoreCalls = 256;
@@ -62,6 +68,7 @@
     void submitHere(CellHost& host, const peer::JobCall& call, CallReply reply);
     void cancelHere(CellHost& host, const peer::JobCall& call, CallReply reply);
     void stored(jobs::CallToken token, bool isStored);
+    void giveUpWaiting(const PoolId& cell);
 
     // Calls to the store through peers: job_node_store.cpp
     std::optional<peer::StoreAnswer> askPeer(const peer::StoreRequest& request);
@@ -96,7 +103,7 @@
     std::set<PoolId> beingTaken;
     std::vector<jobs::Wave> waves;
     WorkerList workers;
-    std::map<jobs::CallToken, std::pair<CallReply, peer::JobReply>> waiting;
+    std::map<jobs::CallToken, WaitingCall> waiting;
     jobs::CallToken lastToken { 0 };
     bool isLeaving { false };
 
--- a/packages/node/tests/cell_host_tests.cpp
+++ b/packages/node/tests/cell_host_tests.cpp
@@ -154,3 +154,15 @@
     ASSERT_TRUE(next.has_value());
     EXPECT_EQ(next->jobs.size(), 1U);
 }
+
+TEST_F(CellHostTest, CancelIsRefusedAtOnceWhileTheCellIsHandedBack)
+{
+    ASSERT_EQ(submit("a"), jobs::Acceptance::Waiting);
+    ASSERT_TRUE(eventually([&] { return stored == 1; }));
+    std::optional<jobs::Acceptance> acceptance;
+    control.run([&] {
+        host->handBack();
+        acceptance = host->cancel(jobs::JobId { "a" }, 2);
+    });
+    EXPECT_EQ(acceptance, jobs::Acceptance::Refused);
+}
