End idle connections with the server, and close those of a leaving one with their answers

LOST: a request that is read whole around a planned stop and gets no answer. Cause: the library looks for the next request on an open connection until it has been idle for 5 s, also after the server has stopped. 2.6 s of notice to the balancer and 5 s of idleness exceed the grace time of 6 s; requests that clients sent on such connections in the last seconds were read, and cut by the kill. From SIGTERM on each answer closes its connection, so that clients go to a node that stays.

--- a/packages/node/include/rattanrack/node/http_server.h
+++ b/packages/node/include/rattanrack/node/http_server.h
@@ -31,7 +31,10 @@
     HttpServer(const HttpServer&) = delete;
     HttpServer& operator=(const HttpServer&) = delete;
 
-    /// Takes no new connections; calls in progress end. Returns when they have.
+    /// From now on each answer closes its connection, so that callers go elsewhere.
+    void leave();
+
+    /// Takes no new connections and no further calls on open ones; calls in progress end. Returns when they have.
     void stop();
 
 private:
--- a/packages/node/src/http_server.cpp
+++ b/packages/node/src/http_server.cpp
@@ -1,9 +1,8 @@
 #include "rattanrack/node/http_server.h"
 
+#include "connection_server.h"
 #include "rattanrack/node/elastic_thread_pool.h"
 
-#include <httplib.h>
-
 #include <chrono>
 #include <limits>
 #include <thread>
@@ -57,7 +56,7 @@
 } // namespace
 
 struct HttpServer::State {
-    httplib::Server server;
+    ConnectionServer server;
     std::thread thread;
 };
 
@@ -65,7 +64,7 @@
     const std::string& host, int port, const HttpLimits& limits, const std::function<void(httplib::Server&)>& addRoutes)
 {
     auto state = std::make_unique<State>();
-    httplib::Server& server = state->server;
+    ConnectionServer& server = state->server;
     server.new_task_queue = [threads = limits.threads] { return new ConnectionThreads(threads); };
     server.set_tcp_nodelay(true);
     server.set_socket_options(allowQuickRestart);
@@ -91,9 +90,12 @@
 
 HttpServer::~HttpServer() { stop(); }
 
+void HttpServer::leave() { m_state->server.leave(); }
+
 void HttpServer::stop()
 {
     m_state->server.stop();
+    m_state->server.endIdleConnections();
     if (m_state->thread.joinable())
         m_state->thread.join();
 }
--- /dev/null
+++ b/packages/node/tests/http_server_tests.cpp
@@ -0,0 +1,83 @@
+#include "free_port.h"
+#include "rattanrack/node/http_server.h"
+
+#include <gtest/gtest.h>
+#include <httplib.h>
+
+#include <future>
+#include <thread>
+
+using namespace rattanrack;
+using namespace rattanrack::node;
+using node::tests::freePort;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto slowCall = 300ms;
+constexpr auto graceLeft = 900ms; ///< Of 6 s, after 2.6 s of notice to the balancer and a call of 2.5 s.
+
+class HttpServerTest : public testing::Test {
+protected:
+    void SetUp() override
+    {
+        const int port = freePort();
+        server = valueOrNothing([&] {
+            return HttpServer::create("127.0.0.1", port, { 4 }, [](httplib::Server& routes) {
+                routes.Get("/slow", [](const httplib::Request&, httplib::Response& response) {
+                    std::this_thread::sleep_for(slowCall);
+                    response.set_content("all of it", "text/plain");
+                });
+                routes.Get("/", [](const httplib::Request&, httplib::Response& response) {
+                    response.set_content("here", "text/plain");
+                });
+            });
+        }).value();
+        client = std::make_unique<httplib::Client>("127.0.0.1", port);
+        client->set_keep_alive(true);
+        client->set_read_timeout(5s);
+    }
+
+    int get(const char* path) const
+    {
+        const auto result = client->Get(path);
+        return result ? result->status : 0;
+    }
+
+    std::unique_ptr<HttpServer> server;
+    std::unique_ptr<httplib::Client> client;
+};
+
+} // namespace
+
+TEST_F(HttpServerTest, IdleConnectionDoesNotOutliveTheServer)
+{
+    ASSERT_EQ(get("/"), 200);
+    const auto stopAt = std::chrono::steady_clock::now();
+    server->stop();
+    EXPECT_LT(std::chrono::steady_clock::now() - stopAt, graceLeft);
+}
+
+TEST_F(HttpServerTest, CallInProgressIsAnsweredBeforeTheServerStops)
+{
+    auto answer = std::async(std::launch::async, [&] { return client->Get("/slow"); });
+    std::this_thread::sleep_for(slowCall / 3);
+    server->stop();
+    const auto result = answer.get();
+    ASSERT_TRUE(result);
+    EXPECT_EQ(result->body, "all of it");
+}
+
+TEST_F(HttpServerTest, ConnectionIsClosedByTheLastAnswerOnceTheServerLeaves)
+{
+    ASSERT_EQ(client->Get("/")->get_header_value("Connection"), "");
+    server->leave();
+    EXPECT_EQ(client->Get("/")->get_header_value("Connection"), "close");
+    EXPECT_EQ(get("/"), 200); // On a connection of its own.
+}
+
+TEST_F(HttpServerTest, RequestsOfOneConnectionAreAnsweredOneAfterTheOther)
+{
+    for (int number = 0; number < 20; ++number)
+        EXPECT_EQ(get("/"), 200);
+}
