--- a/packages/jobs/tests/cell_takeover_tests.cpp
+++ b/packages/jobs/tests/cell_takeover_tests.cpp
@@ -34,7 +34,7 @@
 /// Starts the job's only subtask; the worker says that it runs.
 StartOrder startAndConfirm(Desk& desk)
 {
-    const StartOrder start = desk.startOf("a");
+    StartOrder start = desk.startOf("a");
     desk.answer(start, CallStatus::Done);
     desk.step(60ms);
     return start;
