--- a/packages/node/src/job_node_cells.cpp
+++ b/packages/node/src/job_node_cells.cpp
@@ -103,7 +103,8 @@
     ownership.takingFailed(machineDutyName, clock.now());
 }
 
-void JobNode::State::cellLost(const PoolId& cell)
+/// By value: the name handed in may lie in the host that goes.
+void JobNode::State::cellLost(PoolId cell) // NOLINT(performance-unnecessary-value-param)
 {
     logEvent("cell.dropped", { { "cell", cell.value() } });
     cells.erase(cell);
--- a/packages/node/src/job_node_state.h
+++ b/packages/node/src/job_node_state.h
@@ -55,7 +55,7 @@
     void takeCells();
     void take(const PoolId& cell);
     void taken(const PoolId& cell, Takeover takeover);
-    void cellLost(const PoolId& cell);
+    void cellLost(PoolId cell);
     void takeDuty();
     void dutyTaken(MachineDutyTakeover takeover);
     void dutyLost();
