Explain a job's fate from the logs of several nodes

Change: `rattanrack explain ID LOG...` keeps the lines that name the job, and between them those of its cells and of the workers of its runs that change what an owner believes; merges them by time; prints one sentence an event with the seconds since the job was accepted; and judges. It names two runs of a subtask open at once, a start after a listed `done`, a start of a job taken over with workers unheard, and ends listed and never acknowledged. Two things that may be, but explain much, are notes: an end that only a later owner has acknowledged, and a start on fewer known failures than had been listed (a gang counts its failures at its first subtask, so that it isn't always a fault). How many attempts the queue allows is in no line, and isn't judged. run.ended doesn't name the number of the end, so that the owner's next acknowledgement to the worker counts for it. Nodes' clocks are taken as they are.

--- a/packages/cli/src/command_line.cpp
+++ b/packages/cli/src/command_line.cpp
@@ -120,12 +120,15 @@
         if (isSet(arguments, subcommand))
             invocation.verb = subcommand;
     }
+    if (!listOf(arguments, "LOG").empty())
+        invocation.command = Command::ExplainJob;
 }
 
 void readTexts(const Arguments& arguments, Invocation& invocation)
 {
     invocation.base = textOf(arguments, "BASE").value_or("");
     invocation.overlays = listOf(arguments, "OVERLAY");
+    invocation.logs = listOf(arguments, "LOG");
     invocation.against = textOf(arguments, "--with");
     invocation.target = textOf(arguments, "ID").value_or(textOf(arguments, "PROFILE").value_or(""));
     invocation.htmlFile = textOf(arguments, "--html");
@@ -182,6 +185,7 @@
   rattanrack rollout start ID (--pool=POOL|--rack=RACK|--all) [--node=ADDRESS]... [options]
   rattanrack rollout (pause|resume|abort) ID [--node=ADDRESS]... [options]
   rattanrack explain (vm|request) ID [--node=ADDRESS]... [options]
+  rattanrack explain ID LOG... [options]
   rattanrack report burn [--node=ADDRESS]... [options]
   rattanrack load PROFILE [--node=ADDRESS]... [options]
   rattanrack (-h|--help)
@@ -206,6 +210,9 @@
 Exit status:
   0 done  1 invalid configuration or broken invariant  2 misuse  3 conflict  4 unavailable  5 outcome unknown
   6 refused  7 accepted but not yet in force everywhere
+
+Exit status of explain ID LOG..., which reads the nodes' log files for what became of a job:
+  0 nothing that doesn't fit  1 something doesn't fit  2 a log cannot be read, or no line names the job
 )";
     return s_text;
 }
--- a/packages/cli/src/command_line.h
+++ b/packages/cli/src/command_line.h
@@ -22,6 +22,7 @@
     StartRollOut,
     SteerRollOut,
     Explain,
+    ExplainJob,
     ReportBurn,
     Load,
 };
@@ -50,7 +51,8 @@
     std::string verb; ///< "drain", "pause", "vm" and so on, for commands that have several.
     Selection selection;
     std::optional<PoolId> toPool;
-    std::string target; ///< Id of a roll-out, VM or request, or the load profile's file.
+    std::vector<std::string> logs; ///< Files that nodes have written.
+    std::string target; ///< Id of a roll-out, VM, request or job, or the load profile's file.
     std::optional<std::string> htmlFile;
     std::optional<std::string> measuresFile;
     std::uint64_t seed { 1 };
--- a/packages/cli/src/commands.cpp
+++ b/packages/cli/src/commands.cpp
@@ -24,6 +24,7 @@
     { Command::StartRollOut, startRollOut },
     { Command::SteerRollOut, steerRollOut },
     { Command::Explain, explain },
+    { Command::ExplainJob, explainJob },
     { Command::ReportBurn, reportBurn },
     { Command::Load, load },
 };
--- a/packages/cli/src/commands.h
+++ b/packages/cli/src/commands.h
@@ -46,6 +46,7 @@
 Result<Outcome> startRollOut(Context& context);
 Result<Outcome> steerRollOut(Context& context);
 Result<Outcome> explain(Context& context);
+Result<Outcome> explainJob(Context& context);
 Result<Outcome> reportBurn(Context& context);
 Result<Outcome> load(Context& context);
 
