Bound the log lines that come with every subtask

Cause: each start, end and acknowledgement is a line now. A flood, or a takeover of many jobs, would fill the disk of a node and hold up its control thread, which writes them.

Change: starts, ends `done` and acknowledgements pass 400 lines a second, node and kind of event; the first one after a gap follows `event=log.left_out kind=... count=...`. Failures and other ends, run.over, run.adopted, run.stopping, worker.*, fence.seen and job.* are always written. The bound holds for the node, not for each cell, so that CellLog belongs to the node. The counter rattanrack_cell_events_total counts lines left out as well. When no further line of the kind follows, the count of the last gap stays unsaid.

In virtual time, a minute of 60 subtasks a second with a turn of 200 more each ten seconds leaves nothing out; 2000 starts in one instant write 400 lines, and the next second's first line says that 1600 were left out. The cost of a line wasn't measured.

Conclusion: the volume is bounded, and no line that changes what an owner believes of a run's fate is lost, save a start or an end `done` in a flood, which the log says.

--- a/packages/node/include/rattanrack/node/cell_host.h
+++ b/packages/node/include/rattanrack/node/cell_host.h
@@ -3,6 +3,7 @@
 #include "rattanrack/base/metrics.h"
 #include "rattanrack/jobs/cell.h"
 #include "rattanrack/jobs/ports.h"
+#include "rattanrack/node/cell_log.h"
 #include "rattanrack/node/control_loop.h"
 #include "rattanrack/node/elastic_thread_pool.h"
 #include "rattanrack/node/part_writer.h"
@@ -47,6 +48,7 @@
         ControlLoop& control;
         const Clock& clock;
         Metrics& metrics;
+        CellLog& log;
         ElasticThreadPool& storeThreads;
         ElasticThreadPool& workerThreads;
         jobs::PartStore& store;
--- a/packages/node/src/cell_host.cpp
+++ b/packages/node/src/cell_host.cpp
@@ -1,6 +1,5 @@
 #include "rattanrack/node/cell_host.h"
 
-#include "cell_log.h"
 #include "rattanrack/jobs/job_codec.h"
 
 #include <map>
@@ -204,7 +203,7 @@
 
 void CellHost::handleEvent(const jobs::CellEvent& event)
 {
-    const std::string name = logCellEvent(m_pool, m_writer.term(), event);
+    const std::string name = m_parts.log.write(m_pool, m_writer.term(), event);
     m_parts.metrics.increment("rattanrack_cell_events_total", { { "event", name } });
     const auto* ofWorker = std::get_if<jobs::WorkerEvent>(&event);
     if (ofWorker && ofWorker->kind == jobs::WorkerEvent::Kind::FenceSeen)
--- a/packages/node/src/cell_log.cpp
+++ b/packages/node/src/cell_log.cpp
@@ -1,4 +1,4 @@
-#include "cell_log.h"
+#include "rattanrack/node/cell_log.h"
 
 #include "rattanrack/base/log.h"
 
@@ -21,49 +21,82 @@
     return names[static_cast<std::size_t>(kind)];
 }
 
+struct EventName {
+    std::string operator()(const jobs::JobEvent& event) const
+    {
+        constexpr const char* names[] = { "job.taken_over", "job.accepted", "job.ended" };
+        return nameOf(event.kind, names);
+    }
+
+    std::string operator()(const jobs::RunEvent& event) const
+    {
+        constexpr const char* names[] = { "run.ordered", "run.adopted", "run.stopping", "run.ended", "run.over" };
+        return nameOf(event.kind, names);
+    }
+
+    std::string operator()(const jobs::WorkerEvent& event) const
+    {
+        constexpr const char* names[]
+            = { "worker.heard", "worker.not_heard", "worker.silent", "worker.back", "fence.seen", "ends.acknowledged" };
+        return nameOf(event.kind, names);
+    }
+};
+
 struct EventLog {
     const std::string& cell;
     jobs::Fence term;
+    const std::string& name;
 
-    std::string operator()(const jobs::JobEvent& event) const
+    void operator()(const jobs::JobEvent& event) const
     {
-        constexpr const char* names[] = { "job.taken_over", "job.accepted", "job.ended" };
-        const char* name = nameOf(event.kind, names);
         logEvent(name,
             { { "cell", cell }, { "term", term }, { "job", event.job.value() }, { "detail", event.detail },
                 { "ageMs", milliseconds(event.age) } });
-        return name;
     }
 
-    std::string operator()(const jobs::RunEvent& event) const
+    void operator()(const jobs::RunEvent& event) const
     {
-        constexpr const char* names[] = { "run.ordered", "run.adopted", "run.stopping", "run.ended", "run.over" };
-        const char* name = nameOf(event.kind, names);
         logEvent(name,
             { { "cell", cell }, { "term", term }, { "job", event.task.job.value() }, { "task", taskName(event.task) },
                 { "run", event.run }, { "worker", event.worker.value() }, { "failures", event.failures },
                 { "unheard", event.workersUnheard }, { "detail", event.detail },
                 { "ageMs", milliseconds(event.age) } });
-        return name;
     }
 
-    std::string operator()(const jobs::WorkerEvent& event) const
+    void operator()(const jobs::WorkerEvent& event) const
     {
-        constexpr const char* names[]
-            = { "worker.heard", "worker.not_heard", "worker.silent", "worker.back", "fence.seen", "ends.acknowledged" };
-        const char* name = nameOf(event.kind, names);
         logEvent(name,
             { { "cell", cell }, { "term", term }, { "worker", event.worker.value() }, { "detail", event.detail },
                 { "ageMs", milliseconds(event.age) } });
-        return name;
     }
 };
 
 } // namespace
 
-std::string logCellEvent(const PoolId& cell, jobs::Fence term, const jobs::CellEvent& event)
+LogBound* CellLog::boundOf(const jobs::CellEvent& event)
+{
+    if (const auto* ofRun = std::get_if<jobs::RunEvent>(&event)) {
+        if (ofRun->kind == jobs::RunEvent::Kind::Ordered)
+            return &m_starts;
+        const bool isDone = ofRun->kind == jobs::RunEvent::Kind::Ended && ofRun->detail == "done";
+        return isDone ? &m_endsDone : nullptr;
+    }
+    const auto* ofWorker = std::get_if<jobs::WorkerEvent>(&event);
+    const bool isAcknowledgement = ofWorker && ofWorker->kind == jobs::WorkerEvent::Kind::EndsAcknowledged;
+    return isAcknowledgement ? &m_acknowledgements : nullptr;
+}
+
+std::string CellLog::write(const PoolId& cell, jobs::Fence term, const jobs::CellEvent& event)
 {
-    return std::visit(EventLog { cell.value(), term }, event);
+    std::string name = std::visit(EventName {}, event);
+    LogBound* const bound = boundOf(event);
+    if (bound && !bound->admits(m_clock.now()))
+        return name;
+    const std::size_t leftOut = bound ? bound->takeLeftOut() : 0;
+    if (leftOut > 0)
+        logEvent("log.left_out", { { "kind", name }, { "count", leftOut } }, LogLevel::Warning);
+    std::visit(EventLog { cell.value(), term, name }, event);
+    return name;
 }
 
 } // namespace rattanrack::node
--- a/packages/node/src/job_node_state.h
+++ b/packages/node/src/job_node_state.h
@@ -91,6 +91,7 @@
     JobNodePorts ports;
     Metrics& metrics;
     SystemClock clock;
+    CellLog cellLog { clock };
     NodeId self;
     jobs::Ownership ownership;
     PendingExchanges<peer::JobReply> jobCalls;
--- /dev/null
+++ b/packages/node/src/log_bound.cpp
@@ -0,0 +1,23 @@
+#include "rattanrack/node/log_bound.h"
+
+#include <utility>
+
+namespace rattanrack::node {
+
+bool LogBound::admits(TimePoint now)
+{
+    if (m_secondEnds.hasPassed(now)) {
+        m_secondEnds = Deadline::after(now, std::chrono::seconds { 1 });
+        m_written = 0;
+    }
+    if (m_written >= linesPerSecond) {
+        ++m_leftOut;
+        return false;
+    }
+    ++m_written;
+    return true;
+}
+
+std::size_t LogBound::takeLeftOut() { return std::exchange(m_leftOut, 0); }
+
+} // namespace rattanrack::node
--- a/packages/node/tests/cell_host_tests.cpp
+++ b/packages/node/tests/cell_host_tests.cpp
@@ -65,7 +65,7 @@
         setLogLevel(LogLevel::Error);
         auto takeover = valueOrNothing([&] { return takeOver(store, pool, NodeId { "n1" }); }).value();
         control.run([&] {
-            CellHost::Parts parts { control, clock, metrics, storeThreads, workerThreads, store, workers, nullptr,
+            CellHost::Parts parts { control, clock, metrics, log, storeThreads, workerThreads, store, workers, nullptr,
                 nullptr, [this](jobs::CallToken, bool isStored) { stored += isStored ? 1 : 0; }, [this] { ++lost; } };
             host = std::make_unique<CellHost>(
                 std::move(parts), pool, CellTimes { 4500ms, 120s, 900ms, 1500ms }, std::move(takeover));
@@ -107,6 +107,7 @@
 
     SystemClock clock;
     Metrics metrics;
+    CellLog log { clock };
     tests::MemoryPartStore store;
     Workers workers;
     ElasticThreadPool storeThreads { 4, 16 };
--- /dev/null
+++ b/packages/node/tests/cell_log_tests.cpp
@@ -0,0 +1,134 @@
+#include "rattanrack/base/log.h"
+#include "rattanrack/node/cell_log.h"
+
+#include <gtest/gtest.h>
+
+#include <iostream>
+#include <sstream>
+
+using namespace rattanrack;
+using namespace rattanrack::node;
+using namespace std::chrono_literals;
+using jobs::JobEvent;
+using jobs::RunEvent;
+using jobs::WorkerEvent;
+
+namespace {
+
+constexpr std::size_t flood = 5 * LogBound::linesPerSecond;
+
+RunEvent runEvent(RunEvent::Kind kind, const std::string& detail = {})
+{
+    RunEvent event;
+    event.kind = kind;
+    event.detail = detail;
+    return event;
+}
+
+WorkerEvent workerEvent(WorkerEvent::Kind kind) { return { kind, jobs::WorkerId { "w1" }, {}, {} }; }
+
+class CellLogTest : public testing::Test {
+protected:
+    void SetUp() override
+    {
+        setLogLevel(LogLevel::Info);
+        m_before = std::clog.rdbuf(m_written.rdbuf());
+    }
+    void TearDown() override { std::clog.rdbuf(m_before); }
+
+    void write(const jobs::CellEvent& event, std::size_t times = 1)
+    {
+        for (std::size_t i = 0; i < times; ++i)
+            log.write(PoolId { "c1" }, 1, event);
+    }
+
+    std::size_t linesWith(const std::string& text) const
+    {
+        std::istringstream lines { m_written.str() };
+        std::size_t count = 0;
+        for (std::string line; std::getline(lines, line);)
+            count += line.find(text) != std::string::npos ? 1 : 0;
+        return count;
+    }
+
+    ManualClock clock;
+    CellLog log { clock };
+
+private:
+    std::ostringstream m_written;
+    std::streambuf* m_before { nullptr };
+};
+
+} // namespace
+
+TEST(LogBound, SecondBeginsWithTheFirstLineAfterThePreviousOne)
+{
+    LogBound bound;
+    ManualClock clock;
+    clock.setNow(TimePoint { 10s });
+    for (std::size_t i = 0; i < LogBound::linesPerSecond; ++i)
+        EXPECT_TRUE(bound.admits(clock.now()));
+    EXPECT_FALSE(bound.admits(clock.now()));
+    clock.advance(1s - 1us);
+    EXPECT_FALSE(bound.admits(clock.now()));
+    clock.advance(1us);
+    EXPECT_TRUE(bound.admits(clock.now()));
+    EXPECT_EQ(bound.takeLeftOut(), 2U);
+    EXPECT_EQ(bound.takeLeftOut(), 0U);
+}
+
+TEST_F(CellLogTest, CalmDayLeavesNothingOut)
+{
+    constexpr int seconds = 60;
+    constexpr std::size_t perSecond = 60;
+    constexpr std::size_t perTurn = 200;
+    for (int second = 0; second < seconds; ++second) {
+        const std::size_t subtasks = perSecond + (second % 10 == 0 ? perTurn : 0);
+        write(runEvent(RunEvent::Kind::Ordered), subtasks);
+        write(runEvent(RunEvent::Kind::Ended, "done"), subtasks);
+        write(workerEvent(WorkerEvent::Kind::EndsAcknowledged), subtasks);
+        clock.advance(1s);
+    }
+    EXPECT_EQ(linesWith("event=run.ordered"), seconds * perSecond + 6 * perTurn);
+    EXPECT_EQ(linesWith("event=run.ended"), seconds * perSecond + 6 * perTurn);
+    EXPECT_EQ(linesWith("event=ends.acknowledged"), seconds * perSecond + 6 * perTurn);
+    EXPECT_EQ(linesWith("event=log.left_out"), 0U);
+}
+
+TEST_F(CellLogTest, FloodIsBoundedByKindAndTheNextLineTellsTheGap)
+{
+    write(runEvent(RunEvent::Kind::Ordered), flood);
+    write(runEvent(RunEvent::Kind::Ended, "done"), 3);
+    EXPECT_EQ(linesWith("event=run.ordered"), LogBound::linesPerSecond);
+    EXPECT_EQ(linesWith("event=run.ended"), 3U);
+    EXPECT_EQ(linesWith("event=log.left_out"), 0U);
+    clock.advance(1s);
+    write(runEvent(RunEvent::Kind::Ordered), 2);
+    EXPECT_EQ(
+        linesWith("event=log.left_out kind=run.ordered count=" + std::to_string(flood - LogBound::linesPerSecond)), 1U);
+    EXPECT_EQ(linesWith("event=log.left_out"), 1U);
+    EXPECT_EQ(linesWith("event=run.ordered"), LogBound::linesPerSecond + 2);
+}
+
+TEST_F(CellLogTest, AcknowledgementsAndEndsDoneAreBounded)
+{
+    write(runEvent(RunEvent::Kind::Ended, "done"), flood);
+    write(workerEvent(WorkerEvent::Kind::EndsAcknowledged), flood);
+    EXPECT_EQ(linesWith("event=run.ended"), LogBound::linesPerSecond);
+    EXPECT_EQ(linesWith("event=ends.acknowledged"), LogBound::linesPerSecond);
+}
+
+TEST_F(CellLogTest, FailuresAndChangesOfBeliefAreNeverLeftOut)
+{
+    const std::vector<jobs::CellEvent> events { runEvent(RunEvent::Kind::Ended, "failed"),
+        runEvent(RunEvent::Kind::Ended, "lapsed"), runEvent(RunEvent::Kind::Over), runEvent(RunEvent::Kind::Adopted),
+        runEvent(RunEvent::Kind::Stopping), workerEvent(WorkerEvent::Kind::Heard),
+        workerEvent(WorkerEvent::Kind::NotHeard), workerEvent(WorkerEvent::Kind::Silent),
+        workerEvent(WorkerEvent::Kind::Back), workerEvent(WorkerEvent::Kind::FenceSeen),
+        JobEvent { JobEvent::Kind::TakenOver, {}, {}, {} }, JobEvent { JobEvent::Kind::Accepted, {}, {}, {} },
+        JobEvent { JobEvent::Kind::Ended, {}, {}, {} } };
+    write(runEvent(RunEvent::Kind::Ended, "done"), flood);
+    for (const jobs::CellEvent& event : events)
+        write(event, flood);
+    EXPECT_EQ(linesWith("event="), LogBound::linesPerSecond + events.size() * flood);
+}
