Don't blame an owner for an acknowledgement that its log left out

Cause: acknowledgements are bounded per second, so that an end without one may have had it in a gap of the log.

Change: when the node says after the end that it has left acknowledgements out, the end is a note in place of a misfit. A test reads back what formatLogLine writes, quotes and line breaks included.

--- a/packages/cli/src/job_verdict.cpp
+++ b/packages/cli/src/job_verdict.cpp
@@ -40,7 +40,7 @@
 
     void take(const StoryLine& each)
     {
-        static constexpr EventHandler handlers[] {
+        static constexpr EventHandler s_handlers[] {
             { "job.taken_over", &Judge::takenOver },
             { "run.ordered", &Judge::ordered },
             { "run.adopted", &Judge::opened },
@@ -51,7 +51,7 @@
         };
         noteTerm(each.line.number("term"));
         const Run run { each.line.text("task"), each.line.number("run") };
-        for (const EventHandler& handler : handlers) {
+        for (const EventHandler& handler : s_handlers) {
             if (handler.event == each.line.event())
                 (this->*handler.handler)(each, run);
         }
@@ -131,7 +131,12 @@
         }
     }
 
-    void leftOut(const StoryLine& each, const Run&) { m_verdict.leftOut += each.line.number("count"); }
+    void leftOut(const StoryLine& each, const Run&)
+    {
+        m_verdict.leftOut += each.line.number("count");
+        if (each.line.text("kind") == "ends.acknowledged")
+            m_nodesWithGaps.insert(each.node);
+    }
 
     void judgeEnds()
     {
@@ -143,7 +148,9 @@
             const auto elsewhere = std::find_if(m_ends.begin(), m_ends.end(), [&](const ListedEnd& other) {
                 return other.run == end.run && other.worker == end.worker && other.isAcknowledged;
             });
-            if (elsewhere == m_ends.end())
+            if (elsewhere == m_ends.end() && m_nodesWithGaps.contains(end.node))
+                m_verdict.remarks.push_back(listed + ", or that line was left out");
+            else if (elsewhere == m_ends.end())
                 m_verdict.misfits.push_back(listed);
             else
                 m_verdict.remarks.push_back(
@@ -158,6 +165,7 @@
     std::set<Run> m_closed;
     std::set<Run> m_failed;
     std::set<std::string> m_done;
+    std::set<std::string> m_nodesWithGaps; ///< They have left acknowledgements out.
     std::vector<ListedEnd> m_ends;
 };
 
--- a/packages/cli/tests/explain_job_tests.cpp
+++ b/packages/cli/tests/explain_job_tests.cpp
@@ -1,5 +1,8 @@
+#include "log_line.h"
 #include "program_run.h"
 
+#include "rattanrack/base/log.h"
+
 #include <gtest/gtest.h>
 
 #include <fstream>
@@ -105,6 +108,19 @@
 
 } // namespace
 
+TEST(LogLine, ReadsBackWhatTheNodeWrites)
+{
+    const std::string detail = "lease \"a\\b\" = c\nhas run out";
+    const auto line = rattanrack::cli::LogLine::parse("time=2026-12-04T08:00:01.250000 level=info "
+        + rattanrack::formatLogLine("run.over", { { "detail", detail }, { "task", "" }, { "run", 1000001 } }));
+    ASSERT_TRUE(line);
+    EXPECT_EQ(line->event(), "run.over");
+    EXPECT_EQ(line->text("detail"), detail);
+    EXPECT_EQ(line->text("task"), "");
+    EXPECT_EQ(line->number("run"), 1000001);
+    EXPECT_EQ(line->time().time_since_epoch() % std::chrono::seconds { 1 }, std::chrono::milliseconds { 250 });
+}
+
 TEST(ExplainJob, TellsCase1OfTheIncidentInOrderOfTime)
 {
     const auto run = explainLogs({ nextOwnerOfCase1().file(), firstOwnerOfCase1().file() });
@@ -213,6 +229,17 @@
     EXPECT_EQ(explainLogs({ log.file() }, { "--json" }).json()["leftOut"], 7);
 }
 
+TEST(ExplainJob, EndWhoseAcknowledgementMayHaveBeenLeftOutIsANote)
+{
+    MadeLog log { "n1", 1 };
+    log.ordered("01.000000", 1, "w1", 0).ended("02.000000", 1, "w1", 0, "done");
+    log.add("03.000000", "log.left_out", "kind=ends.acknowledged count=9").acknowledged("03.000000", "w2");
+    const auto run = explainLogs({ log.file() });
+    EXPECT_EQ(run.status, 0);
+    EXPECT_TRUE(has(run, "note: end of run 1 of 0.0.1 listed to n1 (term 1) and never acknowledged, or that line was"))
+        << run.output;
+}
+
 TEST(ExplainJob, NodeWithoutAStartLineIsNamedAfterItsFile)
 {
     const std::string path = temporaryPath("late.log");
