Do not send a start that has waited behind slow orders

A start that has waited for more than 250 ms, or whose link is closed, now counts as not sent, and the cell decides anew.

WorkerLinks.StartThatHasWaitedBehindSlowOnesIsNotSent failed before (four starts of 400 ms each: all were sent).

--- a/packages/node/src/worker_links.cpp
+++ b/packages/node/src/worker_links.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+constexpr Duration longestQueueing = std::chrono::milliseconds { 250 }; ///< Of a start, behind slow orders.
+
 const jobs::WorkerId& workerOf(const jobs::Order& order)
 {
     return std::visit([](const auto& each) -> const jobs::WorkerId& { return each.worker; }, order);
@@ -45,7 +47,7 @@
         Lane& lane = isLook ? m_looks : m_orders;
         {
             const std::lock_guard lock(m_mutex);
-            lane.queue.push_back(std::move(order));
+            lane.queue.push_back({ std::move(order), m_sink->clock.now() });
             if (!lane.hasThread)
                 lane.hasThread = m_threads.submit([self, &lane] { self->run(lane); });
         }
@@ -64,8 +66,12 @@
     }
 
 private:
+    struct QueuedOrder {
+        jobs::Order order;
+        TimePoint decidedAt;
+    };
     struct Lane {
-        std::deque<jobs::Order> queue;
+        std::deque<QueuedOrder> queue;
         std::condition_variable wakeUp;
         bool hasThread { false };
     };
@@ -78,10 +84,16 @@
             lane.wakeUp.wait(lock, [&] { return m_isClosed || !lane.queue.empty(); });
             if (lane.queue.empty())
                 return;
-            const jobs::Order order = std::move(lane.queue.front());
+            const QueuedOrder queued = std::move(lane.queue.front());
             lane.queue.pop_front();
+            const bool isStart = std::holds_alternative<jobs::StartOrder>(queued.order);
+            const bool isStale = m_isClosed || m_sink->clock.now() - queued.decidedAt > longestQueueing;
             lock.unlock();
-            std::visit([&](const auto& each) { carryOut(*channel, each); }, order);
+            if (isStart && isStale)
+                report(std::get<jobs::StartOrder>(queued.order), jobs::CallAnswer { jobs::CallStatus::NotSent },
+                    &Answers::started);
+            else
+                std::visit([&](const auto& each) { carryOut(*channel, each); }, queued.order);
             lock.lock();
         }
     }
--- a/packages/node/tests/worker_links_tests.cpp
+++ b/packages/node/tests/worker_links_tests.cpp
@@ -4,19 +4,32 @@
 
 #include <atomic>
 #include <future>
+#include <thread>
 
 using namespace rattanrack;
 using namespace rattanrack::node;
 
 namespace {
 
-/// Says yes to every order at once.
+/// Says yes to every order, at once unless starts are slow.
 class Channel final : public jobs::WorkerChannel {
 public:
-    jobs::CallAnswer start(const jobs::StartOrder&) override { return { jobs::CallStatus::Done }; }
+    explicit Channel(Duration startTime)
+        : m_startTime(startTime)
+    {
+    }
+
+    jobs::CallAnswer start(const jobs::StartOrder&) override
+    {
+        std::this_thread::sleep_for(m_startTime);
+        return { jobs::CallStatus::Done };
+    }
     jobs::CallAnswer stop(const jobs::StopOrder&) override { return { jobs::CallStatus::Done }; }
     jobs::CallAnswer pace(const jobs::PaceOrder&) override { return { jobs::CallStatus::Done }; }
     jobs::LookAnswer look(const jobs::LookOrder&) override { return { jobs::CallStatus::Done }; }
+
+private:
+    Duration m_startTime;
 };
 
 class Connector final : public jobs::WorkerConnector {
@@ -24,8 +37,10 @@
     std::unique_ptr<jobs::WorkerChannel> connect(const jobs::WorkerId&, const std::string&) override
     {
         ++connections;
-        return std::make_unique<Channel>();
+        return std::make_unique<Channel>(startTime);
     }
+
+    Duration startTime {};
     std::atomic<int> connections { 0 };
 };
 
@@ -65,3 +80,36 @@
     control.run([&] { links.reset(); });
     threads.shutdown();
 }
+
+TEST(WorkerLinks, StartThatHasWaitedBehindSlowOnesIsNotSent)
+{
+    using namespace std::chrono_literals;
+    constexpr int starts = 4;
+    const SystemClock clock;
+    Connector connector;
+    connector.startTime = 400ms;
+    ElasticThreadPool threads { 2, 100 };
+    ControlLoop control { clock };
+    std::vector<jobs::CallStatus> answers;
+    std::promise<void> isAnswered;
+    const auto note = [&](const jobs::StartOrder&, const jobs::CallAnswer& answer) {
+        answers.push_back(answer.status);
+        if (answers.size() == starts)
+            isAnswered.set_value();
+    };
+    const auto ignore = [](const auto&...) {};
+    std::unique_ptr<WorkerLinks> links;
+    control.run([&] {
+        links = std::make_unique<WorkerLinks>(
+            control, clock, threads, connector, WorkerLinks::Answers { note, ignore, ignore, ignore });
+        links->setAddresses(
+            { { jobs::WorkerId { "w" }, "10.0.0.1:1" } }, { { jobs::WorkerId { "w" }, jobs::MachineId {} } });
+        for (int number = 0; number < starts; ++number)
+            links->send(jobs::StartOrder { jobs::WorkerId { "w" } });
+    });
+    isAnswered.get_future().wait();
+    EXPECT_EQ(answers.front(), jobs::CallStatus::Done);
+    EXPECT_EQ(answers.back(), jobs::CallStatus::NotSent);
+    control.run([&] { links.reset(); });
+    threads.shutdown();
+}
