--- a/packages/jobs/src/owned_part.cpp
+++ b/packages/jobs/src/owned_part.cpp
@@ -84,10 +84,6 @@
     return m_mayTakeEffect ? OwnedOutcome::Unsettled : OwnedOutcome::Again;
 }
 
-void OwnedPart::giveUp()
-{
-    m_isOnItsWay = false;
-    --m_row.sequence;
-}
+void OwnedPart::giveUp() { m_isOnItsWay = false; }
 
 } // namespace rattanrack::jobs
--- a/packages/jobs/tests/owned_part_tests.cpp
+++ b/packages/jobs/tests/owned_part_tests.cpp
@@ -69,3 +69,16 @@
     part.take({}, {});
     EXPECT_EQ(part.transaction().writes.size(), 1U);
 }
+
+TEST(OwnedPart, RowsOfAGivenUpTransactionAreNotTakenForThoseOfTheNext)
+{
+    OwnedPart part { pool, self, std::nullopt, 0 };
+    part.take({ { { jobTable, "j" }, "value" } }, {});
+    const std::string ownerRow = part.transaction().writes[0].value.value();
+    EXPECT_EQ(part.settle({ TransactionStatus::Unavailable }), OwnedOutcome::Again);
+    part.giveUp();
+    part.take({ { { jobTable, "k" }, "value" } }, {});
+    // It has taken effect all the same: the owner row stands as it was written, the second row does not.
+    const PartRow written { { ownerTable, ownerKey }, ownerRow, 7 };
+    EXPECT_NE(part.settle({ TransactionStatus::Conflict, 0, { written }, "" }), OwnedOutcome::Done);
+}
