Settle an unanswered start by a stop only where the worker drains

Such a start is sent again as before; once it runs, emptyClosing() ends it in its turn.

No test of its own.

--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -136,7 +136,7 @@
 void CellState::sendAgain(TimePoint now, bool mayStart)
 {
     for (auto& [id, worker] : workers) {
-        const bool isLeaving = worker.description.isDraining || closing.contains(worker.description.machine);
+        const bool isLeaving = worker.description.isDraining;
         for (auto& [task, run] : worker.runs) {
             if (run.isOrderOnItsWay || run.orderAgainAt == TimePoint {} || now < run.orderAgainAt)
                 continue;
