An outage of the store makes an old list of workers no better

During an outage the list now counts as old as it was when the store last answered.

CellHostTest.OutageOfTheStoreMakesAnOldListNoBetter failed before (a start on a list of ten seconds, with the first renewal that failed).

--- a/packages/node/src/cell_host.cpp
+++ b/packages/node/src/cell_host.cpp
@@ -156,10 +156,11 @@
     return m_isHandingBack || isListTooOld() ? jobs::Authority::KeepUp : jobs::Authority::Full;
 }
 
-/// While the store is out of reach, workers can't have told anybody that they leave.
+/// Since the store was last in reach, workers can't have told anybody that they leave.
 bool CellHost::isListTooOld() const
 {
-    return m_writer.isStoreInReach() && m_parts.clock.now() - m_listAskedAt > m_longestListAge;
+    const TimePoint until = m_writer.isStoreInReach() ? m_parts.clock.now() : m_writer.confirmedAt();
+    return until - m_listAskedAt > m_longestListAge;
 }
 
 void CellHost::pump()
--- a/packages/node/tests/cell_host_tests.cpp
+++ b/packages/node/tests/cell_host_tests.cpp
@@ -131,6 +131,17 @@
     EXPECT_TRUE(eventually([&] { return workers.starts == 1; }));
 }
 
+TEST_F(CellHostTest, OutageOfTheStoreMakesAnOldListNoBetter)
+{
+    ASSERT_EQ(submit("a"), jobs::Acceptance::Waiting);
+    ASSERT_TRUE(eventually([&] { return stored == 1; }));
+    listWorkers(10s);
+    std::this_thread::sleep_for(300ms); // The worker is in the owner row.
+    store.isDown = true;
+    std::this_thread::sleep_for(2s); // A renewal fails in between.
+    EXPECT_EQ(workers.starts, 0);
+}
+
 TEST_F(CellHostTest, JobIsNotDeniedByAnOwnerThatMayHaveBeenReplaced)
 {
     const auto isDenied = [&] {
