A new owner knows at once which machines are closed, and forgets them no sooner than their orders

The set is handed over with the takeover, and the last word of a holder stays for 5 s or until the next one speaks. By reading; Federation passes; no test of its own.

--- a/packages/node/src/job_node.cpp
+++ b/packages/node/src/job_node.cpp
@@ -10,6 +10,7 @@
 
 constexpr Duration newsPeriod = 200ms;
 constexpr Duration pollStep = 20ms;
+constexpr Duration ordersSettle = 5s; ///< After the last word of a holder, orders to machines have come or are known.
 
 } // namespace
 
@@ -87,14 +88,28 @@
     }
 }
 
+/// What the holder of the duty over machines closes. Its last word holds until its orders can't arrive any more.
+std::set<jobs::MachineId> JobNode::State::closingMachines()
+{
+    if (duty)
+        return duty->closing();
+    const TimePoint now = clock.now();
+    const auto holder = ownership.owner(machineDutyName, now);
+    for (const jobs::NodeNews* news : ownership.liveNews(now)) {
+        if (!holder || news->node != holder->node)
+            continue;
+        lastClosing = { news->closing.begin(), news->closing.end() };
+        closingHeardAt = now;
+    }
+    if (now - closingHeardAt > ordersSettle)
+        lastClosing.clear();
+    return lastClosing;
+}
+
 void JobNode::State::shareMachineNews()
 {
     const auto others = ownership.liveNews(clock.now());
-    std::set<jobs::MachineId> closing;
-    for (const jobs::NodeNews* news : others)
-        closing.insert(news->closing.begin(), news->closing.end());
-    if (duty)
-        closing = duty->closing();
+    const auto closing = closingMachines();
     for (const auto& [cell, host] : cells)
         host->setClosing(closing);
     const auto holder = ownership.owner(machineDutyName, clock.now());
--- a/packages/node/src/job_node_cells.cpp
+++ b/packages/node/src/job_node_cells.cpp
@@ -67,6 +67,7 @@
     if (configuration)
         host->configure(configuration->queuesOf(cell));
     host->setWorkers(workers);
+    host->setClosing(closingMachines());
     ownership.taken(cell, host->term());
     cells[cell] = std::move(host);
     if (isLeaving)
--- a/packages/node/src/job_node_state.h
+++ b/packages/node/src/job_node_state.h
@@ -42,6 +42,7 @@
     void tick();
     void sendNews();
     void shareMachineNews();
+    std::set<jobs::MachineId> closingMachines();
     void addOwnCells(jobs::NodeNews& news) const;
     void receive(const peer::Message& message);
     void received(const jobs::NodeNews& news) { ownership.onNews(news, clock.now()); }
@@ -101,6 +102,8 @@
     std::unique_ptr<MachineDuty> duty;
     jobs::ClosingLedger closingLedger;
     std::uint64_t closingHeard { 0 };
+    std::set<jobs::MachineId> lastClosing; ///< Of the duty's holder, as last heard.
+    TimePoint closingHeardAt {};
     std::set<PoolId> beingTaken;
     std::vector<jobs::Wave> waves;
     WorkerList workers;
