Walk a cell through drains, closings, planned changes of owner and cuts at the ends of runs

Change: a rate for each in WorldFaults, default 0; an oracle for attempts, starts after a success, what a lasting step may miss, and drains, judged by what workers carry out and are told to forget (rule_oracle). Six walks; more seeds by RATTANRACK_WALK_FIRST and RATTANRACK_WALK_SEEDS, a trace of a worker or subtask by RATTANRACK_WALK_TRACE.

The seeds' random numbers differ from before, so that the older walks take other ways than they did.

--- a/packages/jobs/model/cell_world.cpp
+++ b/packages/jobs/model/cell_world.cpp
@@ -16,11 +16,16 @@
 constexpr Duration orderTimeout = 700ms;
 constexpr Duration storeTime = 10ms;
 constexpr Duration commitPause = 40ms;
-constexpr Duration takeoverTime = 1500ms;
+constexpr Duration renewalPeriod = 1s;
+constexpr Duration ownerTrust = 5s; ///< Without a transaction for this long, an owner takes itself for replaced.
+constexpr Duration longestStop = 900ms;
+constexpr Duration longestListAge = 1500ms;
+constexpr std::size_t wholeList = 500; ///< Ends that a worker lists at most.
+constexpr std::size_t shortList = 1;
 constexpr const char* queueName = "queue";
 const PoolId poolName { "pool" };
 
-CellSettings settingsOf(Fence term) { return { poolName, term, 4500ms, 10500ms, 120s }; }
+CellSettings settingsOf(Fence term) { return { poolName, term, 4500ms, 10500ms, 120s, longestStop }; }
 
 } // namespace
 
@@ -39,12 +44,11 @@
     }
     takeOver();
     tick();
-    listWorkers();
 }
 
 bool CellWorld::happens(double probability)
 {
-    return std::uniform_real_distribution<> { 0, 1 }(m_random) < probability;
+    return probability > 0 && std::uniform_real_distribution<> { 0, 1 }(m_random) < probability;
 }
 
 Duration CellWorld::between(Duration least, Duration most)
@@ -72,44 +76,28 @@
 void CellWorld::tick()
 {
     after(tickPeriod, [this] { tick(); });
-    for (ModelWorker& worker : m_workers)
+    for (ModelWorker& worker : m_workers) {
         worker.advance(m_now);
-    misfortune();
-    pump();
+        hear(worker);
+    }
+    misfortune(tickPeriod);
+    std::vector<int> owners;
+    for (const auto& [number, owner] : m_owners)
+        owners.push_back(number);
+    for (const int number : owners)
+        pump(number);
 }
 
-void CellWorld::misfortune()
+CellWorld::Owner* CellWorld::ownerOf(int number)
 {
-    const double seconds = static_cast<double>(tickPeriod.count()) / 1e6;
-    const auto anyWorker = [&] {
-        return std::uniform_int_distribution<std::size_t> { 0, m_workers.size() - 1 }(m_random);
-    };
-    if (happens(m_faults.crashesPerSecond * seconds))
-        crash(anyWorker());
-    if (happens(m_faults.cutsPerSecond * seconds))
-        m_cutUntil[m_workers[anyWorker()].description().id] = m_now + between(500ms, 8s);
-    if (m_cell && happens(m_faults.takeoversPerSecond * seconds)) {
-        m_cell.reset();
-        ++m_owner;
-        m_isCommitting = false;
-        after(takeoverTime, [this] { takeOver(); });
-    }
+    const auto found = m_owners.find(number);
+    return found == m_owners.end() ? nullptr : &found->second;
 }
 
-void CellWorld::crash(std::size_t index)
+const CellWorld::Owner* CellWorld::present() const
 {
-    if (!m_workers[index].isUp())
-        return;
-    m_workers[index].crash();
-    after(between(500ms, 7s), [this, index] {
-        WorkerDescription description = m_workers[index].description();
-        const bool isRenamed = happens(0.5);
-        if (isRenamed)
-            description.id = WorkerId { "w" + std::to_string(++m_births) + "x" };
-        if (isRenamed)
-            m_workers[index] = ModelWorker { description, 0.99 };
-        m_workers[index].rise(++m_births, m_now);
-    });
+    const auto found = m_owners.find(m_owner);
+    return found == m_owners.end() || found->second.isReplaced ? nullptr : &found->second;
 }
 
 void CellWorld::takeOver()
@@ -122,31 +110,58 @@
             job.progress = valueOrNothing([&] { return decodeProgress(progress->second); }).value();
         stored.push_back(std::move(job));
     }
-    m_cell = std::make_unique<Cell>(settingsOf(++m_term), std::move(stored), m_workerRow, m_now, unixMs());
-    m_cell->configure({ { QueueId { queueName }, poolName, 0, attempts, 1.6, 600ms } });
-    m_isCommitting = false;
-    listWorkers();
+    Owner& owner = m_owners[++m_owner];
+    owner.term = ++m_term;
+    owner.cell = std::make_unique<Cell>(settingsOf(m_term), std::move(stored), m_workerRow, m_now, unixMs());
+    owner.cell->configure({ { QueueId { queueName }, poolName, 0, attempts, 1.6, 600ms } });
+    owner.cell->setClosing(m_closing);
+    owner.confirmedAt = m_now;
+    listWorkers(m_owner, false);
 }
 
-void CellWorld::listWorkers()
+void CellWorld::listWorkers(int number, bool mayTakeLong)
 {
+    Owner* owner = ownerOf(number);
+    if (!owner || owner->isReplaced || owner->isListOnItsWay)
+        return;
     std::vector<WorkerDescription> listed;
     for (const ModelWorker& worker : m_workers) {
         if (worker.isUp())
             listed.push_back(worker.description());
     }
-    if (m_cell)
-        m_cell->setWorkers(listed, m_now, m_now);
+    const auto deliver = [this, number, listed, askedAt = m_now] {
+        Owner* reader = ownerOf(number);
+        if (!reader)
+            return;
+        reader->isListOnItsWay = false;
+        reader->listAskedAt = askedAt;
+        reader->cell->setWorkers(listed, askedAt, m_now);
+    };
+    owner->isListOnItsWay = mayTakeLong && happens(m_faults.staleLists);
+    if (owner->isListOnItsWay)
+        after(between(1s, 4s), deliver);
+    else
+        deliver();
+}
+
+/// As the cell's host has it: an owner that the store does not answer can't have a younger list.
+Authority CellWorld::authorityOf(const Owner& owner) const
+{
+    if (m_now - owner.confirmedAt >= ownerTrust)
+        return Authority::InDoubt;
+    const bool isListTooOld = !owner.isReplaced && m_now - owner.listAskedAt > longestListAge;
+    return owner.isHandingBack || isListTooOld ? Authority::KeepUp : Authority::Full;
 }
 
 void CellWorld::submit(const Job& job, const std::vector<ModelWork>& workOfSteps)
 {
     m_jobs[job.id] = job;
     m_work[job.id] = workOfSteps;
-    if (!m_cell)
+    m_oracle.submitted(job, m_now);
+    if (!present() || present()->isHandingBack)
         return;
     const CallToken token = ++m_lastToken;
-    switch (m_cell->submit(job, token, m_now)) {
+    switch (present()->cell->submit(job, token, m_now)) {
     case Acceptance::Stored:
         m_accepted.emplace(job.id, m_now);
         break;
@@ -160,23 +175,32 @@
 
 void CellWorld::cancel(const JobId& job)
 {
-    if (!m_cell)
+    if (!present() || present()->isHandingBack)
         return;
+    m_oracle.cancelled(job);
     const CallToken token = ++m_lastToken;
-    const auto acceptance = m_cell->cancel(job, token, unixMs());
+    const auto acceptance = present()->cell->cancel(job, token, unixMs());
     if (acceptance == Acceptance::Waiting)
         m_cancels[token] = job;
 }
 
-void CellWorld::pump()
+void CellWorld::pump(int number)
 {
     if (m_now.time_since_epoch().count() % listPeriod.count() < tickPeriod.count())
-        listWorkers();
-    if (!m_cell)
-        return;
-    CellOutput output = m_cell->step(m_now, unixMs(), Authority::Full);
+        listWorkers(number, true);
+    Owner& owner = *ownerOf(number);
+    take(owner.cell->step(m_now, unixMs(), authorityOf(owner)), number);
+    commit(number);
+}
+
+void CellWorld::take(const CellOutput& output, int number)
+{
+    for (const CellEvent& event : output.events) {
+        if (m_watcher)
+            m_watcher(m_now, number, event);
+    }
     for (const Order& order : output.orders)
-        perform(order);
+        perform(order, number);
     for (const CallReply& reply : output.replies) {
         if (!reply.isStored)
             continue;
@@ -185,43 +209,51 @@
         if (const auto cancelled = m_cancels.find(reply.token); cancelled != m_cancels.end())
             m_cancelled.emplace(cancelled->second, m_now);
     }
-    commit();
 }
 
-void CellWorld::commit()
+void CellWorld::commit(int number)
 {
-    if (m_isCommitting || m_now - m_lastCommit < commitPause)
+    Owner& owner = *ownerOf(number);
+    if (owner.isCommitting || m_now - owner.lastCommit < commitPause)
         return;
-    const auto commit = m_cell->takeCommit(unixMs());
-    const auto workers = m_cell->workersInUse();
-    if (!commit && workers == m_workerRow)
+    const auto commit = owner.cell->takeCommit(unixMs());
+    const auto workers = owner.cell->workersInUse();
+    const bool isRenewalDue = m_now - owner.lastCommit >= renewalPeriod;
+    if (!commit && workers == m_workerRow && !isRenewalDue)
         return;
-    m_isCommitting = true;
-    m_lastCommit = m_now;
-    m_cell->workersSent(workers);
-    after(storeTime, [this, commit, workers, owner = m_owner] {
-        if (owner != m_owner)
-            return; // Its row has changed hands: nothing is written.
-        m_isCommitting = false;
+    owner.isCommitting = true;
+    owner.lastCommit = m_now;
+    owner.cell->workersSent(workers);
+    after(storeTime, [this, commit, workers, number] {
+        Owner* writer = ownerOf(number);
+        if (!writer || writer->isReplaced)
+            return; // Its row has changed hands: nothing is written, and no answer comes.
+        writer->isCommitting = false;
         if (happens(m_faults.failedCommits)) {
             if (commit)
-                m_cell->onCommitFailed();
+                writer->cell->onCommitFailed();
             return;
         }
-        for (const CellRow& row : commit ? commit->rows : std::vector<CellRow> {}) {
-            auto& rows = row.kind == CellRow::Kind::Job ? m_jobRows : m_progressRows;
-            if (row.value)
-                rows[row.job] = *row.value;
-            else
-                rows.erase(row.job);
-        }
-        m_workerRow = workers;
-        m_cell->workersStored(workers);
+        write(commit, workers);
+        writer->confirmedAt = m_now;
+        writer->cell->workersStored(workers);
         if (commit)
-            m_cell->onCommitted(unixMs());
+            writer->cell->onCommitted(unixMs());
     });
 }
 
+void CellWorld::write(const std::optional<CellCommit>& commit, const WorkerMachines& workers)
+{
+    for (const CellRow& row : commit ? commit->rows : std::vector<CellRow> {}) {
+        auto& rows = row.kind == CellRow::Kind::Job ? m_jobRows : m_progressRows;
+        if (row.value)
+            rows[row.job] = *row.value;
+        else
+            rows.erase(row.job);
+    }
+    m_workerRow = workers;
+}
+
 ModelWorker* CellWorld::find(const WorkerId& id)
 {
     const auto found = std::find_if(
@@ -240,82 +272,100 @@
     return m_work.at(task.job).at(static_cast<std::size_t>(task.step));
 }
 
-void CellWorld::perform(const Order& order)
+void CellWorld::perform(const Order& order, int owner)
 {
     std::visit(
-        [this](const auto& each) {
+        [this, owner](const auto& each) {
             if constexpr (std::is_same_v<std::decay_t<decltype(each)>, LookOrder>)
-                look(each);
+                look(each, owner);
             else
-                performOrder(each);
+                performOrder(each, owner);
         },
         order);
 }
 
-template <typename OrderType> void CellWorld::performOrder(const OrderType& order)
+template <typename OrderType> void CellWorld::performOrder(const OrderType& order, int owner)
 {
     const bool isLost = happens(m_faults.lostOrders);
     const bool isAnswerLost = isLost || happens(m_faults.lostAnswers);
-    const int owner = m_owner;
+    const CarriedOut how { m_now, isLost, owner == m_owner && present() };
     const auto tell = [this, order, owner](const CallAnswer& answer) {
-        if (owner == m_owner && m_cell)
-            m_cell->onAnswer(order, answer, m_now);
+        if (Owner* asking = ownerOf(owner))
+            asking->cell->onAnswer(order, answer, m_now);
     };
     if (isAnswerLost)
         after(orderTimeout, [tell] { tell({ CallStatus::NoAnswer }); });
-    after(wayThere, [this, order, tell, isAnswerLost, isLost] {
+    after(wayThere, [this, order, tell, isAnswerLost, how] {
         ModelWorker* worker = find(order.worker);
         if (!worker || isCut(order.worker)) {
             if (!isAnswerLost)
                 after(orderTimeout, [tell] { tell({ CallStatus::NoAnswer }); });
             return;
         }
-        if (isLost)
-            return carryOutLate(order, worker->description().bornUnixMs);
-        const CallAnswer answer = carryOut(*worker, order);
+        if (how.isHeldUp)
+            return carryOutLate(order, worker->description().bornUnixMs, how);
+        const CallAnswer answer = carryOut(*worker, order, how);
         if (!isAnswerLost)
             after(wayThere, [tell, answer] { tell(answer); });
     });
 }
 
 /// The life of the worker that has received the order carries it out, if it lasts until then.
-template <typename OrderType> void CellWorld::carryOutLate(const OrderType& order, std::int64_t bornUnixMs)
+template <typename OrderType>
+void CellWorld::carryOutLate(const OrderType& order, std::int64_t bornUnixMs, const CarriedOut& how)
 {
-    after(between(2s, 12s), [this, order, bornUnixMs] {
+    after(between(2s, 12s), [this, order, bornUnixMs, how] {
         ModelWorker* worker = find(order.worker);
         if (worker && worker->description().bornUnixMs == bornUnixMs)
-            carryOut(*worker, order);
+            carryOut(*worker, order, how);
     });
 }
 
-CallAnswer CellWorld::carryOut(ModelWorker& worker, const StartOrder& order)
+CallAnswer CellWorld::carryOut(ModelWorker& worker, const StartOrder& order, const CarriedOut& how)
 {
     const auto before = worker.runs().find(order.task);
     const bool wasThere = before != worker.runs().end() && before->second.number == order.run;
     const CallAnswer answer = worker.start(order, workOf(order.task), happens(m_faults.failedRuns), m_now);
-    if (answer.status == CallStatus::Done && !wasThere)
+    hear(worker);
+    if (answer.status == CallStatus::Done && !wasThere) {
+        m_oracle.started(order, how, m_now);
         checkStart(worker, order);
+    }
+    hear(worker);
+    return answer;
+}
+
+CallAnswer CellWorld::carryOut(ModelWorker& worker, const StopOrder& order, const CarriedOut& how)
+{
+    worker.advance(m_now);
+    hear(worker);
+    if (worker.wouldAccept(order.fence) && worker.isAtWork(order.task, order.run))
+        m_oracle.stopped(order, how, m_now);
+    const Duration time = happens(m_faults.slowStops) ? between(0us, longestStop) : Duration {};
+    const CallAnswer answer = worker.stop(order, time, m_now);
+    hear(worker);
     return answer;
 }
 
-void CellWorld::look(const LookOrder& order)
+void CellWorld::look(const LookOrder& order, int owner)
 {
     const TimePoint sentAt = m_now;
-    after(wayThere, [this, order, sentAt, owner = m_owner] { finishLook(order, sentAt, m_now + order.wait, owner); });
+    after(wayThere, [this, order, sentAt, owner] { finishLook(order, sentAt, m_now + order.wait, owner); });
 }
 
 void CellWorld::finishLook(const LookOrder& order, TimePoint sentAt, TimePoint deadline, int owner)
 {
     const auto tell = [this, order, sentAt, owner](const LookAnswer& answer) {
-        if (owner == m_owner && m_cell)
-            m_cell->onAnswer(order, answer, sentAt, m_now);
+        if (Owner* asking = ownerOf(owner))
+            asking->cell->onAnswer(order, answer, sentAt, m_now);
     };
     ModelWorker* worker = find(order.worker);
     if (!worker || isCut(order.worker)) {
         after(orderTimeout, [tell] { tell({ CallStatus::NoAnswer }); });
         return;
     }
-    LookAnswer answer = worker->look(order, m_now);
+    LookAnswer answer = worker->look(order, happens(m_faults.shortLists) ? shortList : wholeList, m_now);
+    hear(*worker);
     if (answer.status == CallStatus::Done && answer.report.ends.empty() && m_now < deadline) {
         after(tickPeriod, [this, order, sentAt, deadline, owner] { finishLook(order, sentAt, deadline, owner); });
         return;
--- a/packages/jobs/model/cell_world.h
+++ b/packages/jobs/model/cell_world.h
@@ -2,6 +2,7 @@
 
 #include "model_worker.h"
 #include "rattanrack/jobs/cell.h"
+#include "rule_oracle.h"
 
 #include <functional>
 #include <map>
@@ -27,6 +28,15 @@
     double cutsPerSecond { 0 }; ///< Workers that can't be reached for seconds, and run on.
     double takeoversPerSecond { 0 }; ///< The owner is gone at once; another one follows.
     double failedCommits { 0 }; ///< Share of the transactions that the store refuses.
+    double slowStops { 0 }; ///< Share of the stops after which a run is listed as running for up to the longest time.
+    double drainsPerSecond { 0 }; ///< Workers that say so in the list, and leave seconds later.
+    double closingsPerSecond { 0 }; ///< Machines that are to be emptied for some seconds.
+    double handBacksPerSecond { 0 }; ///< Planned changes of owner.
+    double cutsAtEnds { 0 }; ///< Share of the runs' own ends at or just after which their worker is cut off.
+    double ownerChangesInCuts { 0 }; ///< Share of those cuts soon after whose beginning the owner changes.
+    double shortLists { 0 }; ///< Share of the looks that list one end at most.
+    double parallelOwners { 0 }; ///< Share of the owners lost that go on beside the next one, without the store.
+    double staleLists { 0 }; ///< Share of the reads of the list of workers that take seconds.
 };
 
 class CellWorld {
@@ -45,9 +55,20 @@
 
     /// What the oracle has seen that must not be; empty when all is well.
     const std::vector<std::string>& violations() const { return m_violations; }
-    std::optional<JobState> shown(const JobId& job) const { return m_cell ? m_cell->state(job) : std::nullopt; }
+    std::optional<JobState> shown(const JobId& job) const
+    {
+        return present() ? present()->cell->state(job) : std::nullopt;
+    }
     bool isAccepted(const JobId& job) const { return m_accepted.contains(job); }
     int starts() const { return m_starts; }
+    int ownerChanges() const { return m_owner - 1; }
+    int stopsAtWork() const { return m_oracle.stopsAtWork(); }
+
+    /// Is told of all that the owners decide, to trace a walk.
+    void watch(std::function<void(TimePoint now, int owner, const CellEvent& event)> watcher)
+    {
+        m_watcher = std::move(watcher);
+    }
     TimePoint now() const { return m_now; }
     int runningOf(const JobId& job) const;
 
@@ -57,7 +78,6 @@
     /// Jobs that were accepted and are not shown as ended, with what they wait for.
     std::string openJobs() const;
 
-    Cell* cell() { return m_cell.get(); }
     std::vector<ModelWorker>& workers() { return m_workers; }
 
 private:
@@ -73,30 +93,59 @@
         }
     };
 
+    struct Owner {
+        std::unique_ptr<Cell> cell;
+        Fence term { 0 };
+        bool isCommitting { false };
+        bool isReplaced { false };
+        bool isHandingBack { false };
+        bool isListOnItsWay { false };
+        TimePoint lastCommit {};
+        TimePoint confirmedAt {}; ///< When its last transaction succeeded.
+        TimePoint listAskedAt {};
+    };
+
     bool happens(double probability);
     Duration between(Duration least, Duration most);
     void after(Duration delay, std::function<void()> work);
     std::int64_t unixMs() const { return m_now.time_since_epoch().count() / 1000; }
 
     void tick();
-    void misfortune();
+    void misfortune(Duration period);
+    void misfortuneAtEnd(const WorkerId& worker);
     void crash(std::size_t worker);
+    void drain(std::size_t worker);
+    void close(const MachineId& machine);
+    void cut(const WorkerId& worker, Duration least, Duration most);
+    void loseOwner();
+    void handBack();
+    void finishHandBack(int owner);
     void takeOver();
-    void listWorkers();
-    void pump();
-    void commit();
-    void perform(const Order& order);
-    template <typename OrderType> void performOrder(const OrderType& order);
-    template <typename OrderType> void carryOutLate(const OrderType& order, std::int64_t bornUnixMs);
-    CallAnswer carryOut(ModelWorker& worker, const StartOrder& order);
-    CallAnswer carryOut(ModelWorker& worker, const StopOrder& order) { return worker.stop(order, m_now); }
-    CallAnswer carryOut(ModelWorker&, const PaceOrder&) { return { CallStatus::Done, Refusal::None, 0 }; }
-    void look(const LookOrder& order);
+    void listWorkers(int owner, bool mayTakeLong);
+    Authority authorityOf(const Owner& owner) const;
+    void pump(int owner);
+    void take(const CellOutput& output, int owner);
+    void commit(int owner);
+    void write(const std::optional<CellCommit>& commit, const WorkerMachines& workers);
+    Owner* ownerOf(int number);
+    const Owner* present() const;
+    void perform(const Order& order, int owner);
+    template <typename OrderType> void performOrder(const OrderType& order, int owner);
+    template <typename OrderType>
+    void carryOutLate(const OrderType& order, std::int64_t bornUnixMs, const CarriedOut& how);
+    CallAnswer carryOut(ModelWorker& worker, const StartOrder& order, const CarriedOut& how);
+    CallAnswer carryOut(ModelWorker& worker, const StopOrder& order, const CarriedOut& how);
+    CallAnswer carryOut(ModelWorker&, const PaceOrder&, const CarriedOut&)
+    {
+        return { CallStatus::Done, Refusal::None, 0 };
+    }
+    void look(const LookOrder& order, int owner);
     void finishLook(const LookOrder& order, TimePoint sentAt, TimePoint deadline, int owner);
     ModelWorker* find(const WorkerId& id);
     bool isCut(const WorkerId& id) const;
     const ModelWork& workOf(const TaskRef& task) const;
     void checkStart(const ModelWorker& worker, const StartOrder& order);
+    void hear(ModelWorker& worker);
     void noteEnds(const LookReport& report);
     void violate(const std::string& what);
 
@@ -110,10 +159,10 @@
     std::map<WorkerId, TimePoint> m_cutUntil;
     int m_births { 0 };
 
-    std::unique_ptr<Cell> m_cell;
-    int m_owner { 0 }; ///< Counts owners; answers to earlier ones go nowhere.
-    bool m_isCommitting { false };
-    TimePoint m_lastCommit {};
+    std::map<int, Owner> m_owners; ///< The present one, and earlier ones that do not know it yet.
+    int m_owner { 0 }; ///< Counts owners; answers to those that are gone go nowhere.
+    std::set<MachineId> m_closing;
+    std::function<void(TimePoint, int, const CellEvent&)> m_watcher;
     CallToken m_lastToken { 0 };
     std::map<CallToken, JobId> m_submissions;
 
@@ -124,6 +173,7 @@
     Fence m_term { 0 };
 
     // The oracle.
+    RuleOracle m_oracle { attempts };
     std::map<JobId, Job> m_jobs;
     std::map<JobId, std::vector<ModelWork>> m_work;
     std::map<JobId, TimePoint> m_accepted;
--- a/packages/jobs/model/cell_world_oracle.cpp
+++ b/packages/jobs/model/cell_world_oracle.cpp
@@ -13,12 +13,6 @@
 
 constexpr Duration cancelTime = 3s;
 
-std::string describe(const TaskRef& task)
-{
-    return task.job.value() + '.' + std::to_string(task.occurrence) + '.' + std::to_string(task.step) + '.'
-        + std::to_string(task.index);
-}
-
 } // namespace
 
 void CellWorld::violate(const std::string& what)
@@ -26,6 +20,18 @@
     m_violations.push_back(std::to_string(m_now.time_since_epoch().count() / 1000) + " ms: " + what);
 }
 
+void CellWorld::hear(ModelWorker& worker)
+{
+    for (const WorkerNews& news : worker.takeNews()) {
+        m_oracle.heard(news);
+        const bool isOwn = news.end.entry.kind == EndKind::Done || news.end.entry.kind == EndKind::Failed;
+        if (news.kind == WorkerNews::Kind::Ended && isOwn)
+            misfortuneAtEnd(worker.description().id);
+    }
+    for (const std::string& each : m_oracle.takeViolations())
+        violate(each);
+}
+
 void CellWorld::noteEnds(const LookReport& report)
 {
     for (const EndEntry& end : report.ends) {
--- a/packages/jobs/model/model_worker.cpp
+++ b/packages/jobs/model/model_worker.cpp
@@ -9,10 +9,11 @@
     return 1000 + static_cast<std::int64_t>(static_cast<double>((now - m_bornAt).count()) * m_clockRate / 1000);
 }
 
-void ModelWorker::end(const TaskRef& task, EndKind kind)
+void ModelWorker::end(const TaskRef& task, EndKind kind, TimePoint now)
 {
     const auto run = m_runs.find(task);
-    m_ends.push_back({ ++m_lastEnd, task, run->second.number, kind, {} });
+    m_ends.push_back({ { ++m_lastEnd, task, run->second.number, kind, {} }, now });
+    m_news.push_back({ WorkerNews::Kind::Ended, m_ends.back() });
     m_highest[task] = std::max(m_highest[task], run->second.number);
     m_runs.erase(run);
 }
@@ -26,11 +27,15 @@
     for (const auto& [task, run] : m_runs) {
         if (!run.isLasting && now >= run.endsAt)
             over.emplace_back(task, run.willFail ? EndKind::Failed : EndKind::Done);
+        else if (run.stopsAt != TimePoint {} && now >= run.stopsAt)
+            over.emplace_back(task, EndKind::Stopped);
         else if (hasLapsed)
             over.emplace_back(task, EndKind::Lapsed);
     }
     for (const auto& [task, kind] : over)
-        end(task, kind);
+        end(task, kind, now);
+    for (KeptEnd& each : m_ends)
+        each.hasLeaseLapsedSince = each.hasLeaseLapsedSince || hasLapsed;
 }
 
 bool ModelWorker::accepts(Fence fence)
@@ -65,26 +70,41 @@
     return { CallStatus::Done, Refusal::None, clockMs(now) };
 }
 
-CallAnswer ModelWorker::stop(const StopOrder& order, TimePoint now)
+bool ModelWorker::isAtWork(const TaskRef& task, RunNumber run) const
+{
+    const auto present = m_runs.find(task);
+    return present != m_runs.end() && present->second.number == run && present->second.stopsAt == TimePoint {};
+}
+
+CallAnswer ModelWorker::stop(const StopOrder& order, Duration time, TimePoint now)
 {
     advance(now);
     if (!accepts(order.fence))
         return { CallStatus::Refused, Refusal::Fence, clockMs(now) };
-    const auto present = m_runs.find(order.task);
-    if (present != m_runs.end() && present->second.number == order.run)
-        end(order.task, EndKind::Stopped);
+    const bool isNew = isAtWork(order.task, order.run);
+    if (isNew && time > Duration::zero())
+        m_runs.at(order.task).stopsAt = now + time;
+    else if (isNew)
+        end(order.task, EndKind::Stopped, now);
     m_highest[order.task] = std::max(m_highest[order.task], order.run);
     return { CallStatus::Done, Refusal::None, clockMs(now) };
 }
 
-LookAnswer ModelWorker::look(const LookOrder& order, TimePoint now)
+LookAnswer ModelWorker::look(const LookOrder& order, std::size_t maxEnds, TimePoint now)
 {
     advance(now);
     if (!accepts(order.fence))
         return { CallStatus::Refused, Refusal::Fence, {} };
     m_leaseUntilMs = std::max(m_leaseUntilMs, order.leaseUntilWorkerMs);
-    std::erase_if(m_ends, [&](const EndEntry& each) { return each.number <= order.ackedThrough; });
-    LookAnswer answer { CallStatus::Done, Refusal::None, { m_description.bornUnixMs, clockMs(now), {}, m_ends } };
+    for (const KeptEnd& each : m_ends) {
+        if (each.entry.number <= order.ackedThrough)
+            m_news.push_back({ WorkerNews::Kind::Acknowledged, each });
+    }
+    std::erase_if(m_ends, [&](const KeptEnd& each) { return each.entry.number <= order.ackedThrough; });
+    LookAnswer answer { CallStatus::Done, Refusal::None, { m_description.bornUnixMs, clockMs(now), {}, {} } };
+    for (std::size_t at = 0; at < std::min(maxEnds, m_ends.size()); ++at)
+        answer.report.ends.push_back(m_ends[at].entry);
+    answer.report.areEndsComplete = m_ends.size() <= maxEnds;
     for (const auto& [task, run] : m_runs)
         answer.report.running.push_back({ task, run.number, {}, run.isLasting ? 100 : 0, 0 });
     return answer;
@@ -96,6 +116,7 @@
     m_runs.clear();
     m_highest.clear();
     m_ends.clear();
+    m_news.clear();
     m_lastEnd = 0;
     m_leaseUntilMs = 0;
     m_fence = 0;
@@ -106,6 +127,7 @@
     m_isUp = true;
     m_bornAt = now;
     m_description.bornUnixMs = bornUnixMs;
+    m_description.isDraining = false;
 }
 
 } // namespace rattanrack::jobs::model
--- a/packages/jobs/model/model_worker.h
+++ b/packages/jobs/model/model_worker.h
@@ -14,6 +14,7 @@
     bool willFail { false };
     bool isLasting { false };
     ResourceSize size;
+    TimePoint stopsAt {}; ///< Has been told to stop, and is listed until then.
 };
 
 /// How a subtask behaves wherever it runs.
@@ -24,6 +25,20 @@
     bool isLasting { false };
 };
 
+/// An end that the worker keeps until it is acknowledged.
+struct KeptEnd {
+    EndEntry entry;
+    TimePoint endedAt {};
+    bool hasLeaseLapsedSince { false };
+};
+
+/// What has come up at a worker, for the oracle.
+struct WorkerNews {
+    enum class Kind : std::uint8_t { Ended, Acknowledged };
+    Kind kind { Kind::Ended };
+    KeptEnd end;
+};
+
 /// A worker in virtual time: leases on its own slow clock, fences, numbered ends, tombstones, lives.
 class ModelWorker {
 public:
@@ -41,18 +56,24 @@
     void advance(TimePoint now);
 
     CallAnswer start(const StartOrder& order, const ModelWork& work, bool fails, TimePoint now);
-    CallAnswer stop(const StopOrder& order, TimePoint now);
-    LookAnswer look(const LookOrder& order, TimePoint now);
+    /// The run is listed as running for `time`, if it does not end by itself before.
+    CallAnswer stop(const StopOrder& order, Duration time, TimePoint now);
+
+    /// Lists at most `maxEnds` ends.
+    LookAnswer look(const LookOrder& order, std::size_t maxEnds, TimePoint now);
 
-    /// Whether a look that waits would answer now.
-    bool hasUnseenEnds() const { return !m_ends.empty(); }
+    /// Whether the run goes on and has not been told to stop.
+    bool isAtWork(const TaskRef& task, RunNumber run) const;
+    bool wouldAccept(Fence fence) const { return m_isUp && fence >= m_fence; }
+    void setDraining() { m_description.isDraining = true; }
+    std::vector<WorkerNews> takeNews() { return std::exchange(m_news, {}); }
 
     void crash();
     void rise(std::int64_t bornUnixMs, TimePoint now);
 
 private:
     std::int64_t clockMs(TimePoint now) const;
-    void end(const TaskRef& task, EndKind kind);
+    void end(const TaskRef& task, EndKind kind, TimePoint now);
     bool accepts(Fence fence);
 
     WorkerDescription m_description;
@@ -61,7 +82,8 @@
     TimePoint m_bornAt {};
     std::map<TaskRef, ModelRun> m_runs;
     std::map<TaskRef, RunNumber> m_highest; ///< Stopped or ended; lower ones and this one are refused.
-    std::vector<EndEntry> m_ends;
+    std::vector<KeptEnd> m_ends;
+    std::vector<WorkerNews> m_news;
     std::int64_t m_lastEnd { 0 };
     std::int64_t m_leaseUntilMs { 0 };
     Fence m_fence { 0 };
--- a/packages/jobs/tests/cell_walk_tests.cpp
+++ b/packages/jobs/tests/cell_walk_tests.cpp
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <cstdlib>
+#include <iostream>
+
 using namespace rattanrack;
 using namespace rattanrack::jobs;
 using namespace rattanrack::jobs::model;
@@ -105,11 +108,49 @@
     }
 }
 
-void walkMany(const WorldFaults& faults, int seeds, int jobs)
+/// A number from the environment, by which a walk is taken by hand over more seeds or others.
+int fromEnvironment(const char* name, int otherwise)
 {
-    for (int seed = 1; seed <= seeds; ++seed) {
+    const char* value = std::getenv(name);
+    return value ? std::atoi(value) : otherwise;
+}
+
+std::string line(const RunEvent& event)
+{
+    constexpr const char* names[] = { "ordered", "adopted", "stopping", "ended", "over" };
+    return describe(event.task) + " run " + std::to_string(event.run) + ' ' + names[static_cast<int>(event.kind)]
+        + " on " + event.worker.value() + ", " + event.detail + "; failures " + std::to_string(event.failures)
+        + ", unheard " + std::to_string(event.workersUnheard);
+}
+
+std::string line(const WorkerEvent& event)
+{
+    constexpr const char* names[] = { "heard", "not heard", "silent", "back", "fence seen", "acknowledged" };
+    return event.worker.value() + ' ' + names[static_cast<int>(event.kind)] + ' ' + event.detail;
+}
+
+std::string line(const JobEvent& event) { return event.job.value() + ' ' + event.detail; }
+
+/// Prints what the owners decide on jobs or workers whose names begin so.
+void trace(CellWorld& world, const std::string& beginning)
+{
+    world.watch([beginning](TimePoint now, int owner, const CellEvent& event) {
+        const std::string text = std::visit([](const auto& each) { return line(each); }, event);
+        if (text.starts_with(beginning) || text.find(" on " + beginning + ',') != std::string::npos)
+            std::cerr << now.time_since_epoch().count() / 1000 << " ms, owner " << owner << ": " << text << '\n';
+    });
+}
+
+void walkMany(const WorldFaults& faults, int usualSeeds, int jobs, int lastingJobs = 1)
+{
+    const int first = fromEnvironment("RATTANRACK_WALK_FIRST", 1);
+    const int seeds = fromEnvironment("RATTANRACK_WALK_SEEDS", usualSeeds);
+    for (int seed = first; seed < first + seeds; ++seed) {
         Walk walk { static_cast<std::uint64_t>(seed), faults };
-        walk.submitLasting();
+        if (const char* beginning = std::getenv("RATTANRACK_WALK_TRACE"))
+            trace(walk.world(), beginning);
+        for (int count = 0; count < lastingJobs; ++count)
+            walk.submitLasting();
         walk.submitSome(jobs);
         expectSound(walk, static_cast<std::uint64_t>(seed));
     }
@@ -150,6 +191,70 @@
         40, 60);
 }
 
+TEST(CellWalk, EndsUnacknowledgedAsOwnersChange)
+{
+    walkMany({ .failedRuns = 0.35, .cutsAtEnds = 0.05, .ownerChangesInCuts = 0.4 }, 40, 40);
+}
+
+TEST(CellWalk, ListsOfEndsAreShortAsOwnersChange)
+{
+    walkMany({ .failedRuns = 0.3, .handBacksPerSecond = 0.3, .cutsAtEnds = 0.05, .shortLists = 0.5 }, 30, 40);
+}
+
+TEST(CellWalk, MachinesAreEmptiedAsOwnersChange)
+{
+    walkMany({ .takeoversPerSecond = 0.15,
+                 .slowStops = 0.8,
+                 .closingsPerSecond = 1,
+                 .handBacksPerSecond = 0.5,
+                 .parallelOwners = 0.5 },
+        30, 20, 3);
+}
+
+TEST(CellWalk, WorkersDrainWhileListsAreOld)
+{
+    walkMany({ .lostOrders = 0.05,
+                 .lostAnswers = 0.05,
+                 .drainsPerSecond = 0.6,
+                 .handBacksPerSecond = 0.2,
+                 .staleLists = 0.4 },
+        30, 40);
+}
+
+TEST(CellWalk, EarlierOwnersGoOn)
+{
+    walkMany({ .lostAnswers = 0.03,
+                 .failedRuns = 0.3,
+                 .cutsPerSecond = 0.3,
+                 .takeoversPerSecond = 0.3,
+                 .failedCommits = 0.1,
+                 .slowStops = 0.5,
+                 .cutsAtEnds = 0.02,
+                 .parallelOwners = 1 },
+        30, 40, 2);
+}
+
+TEST(CellWalk, AllTroubleAtOnce)
+{
+    walkMany({ .lostOrders = 0.03,
+                 .lostAnswers = 0.03,
+                 .failedRuns = 0.25,
+                 .crashesPerSecond = 0.1,
+                 .cutsPerSecond = 0.2,
+                 .takeoversPerSecond = 0.1,
+                 .failedCommits = 0.1,
+                 .slowStops = 0.5,
+                 .drainsPerSecond = 0.15,
+                 .closingsPerSecond = 0.5,
+                 .handBacksPerSecond = 0.2,
+                 .cutsAtEnds = 0.03,
+                 .ownerChangesInCuts = 0.3,
+                 .shortLists = 0.2,
+                 .parallelOwners = 0.5,
+                 .staleLists = 0.1 },
+        40, 40, 2);
+}
+
 TEST(CellWalk, LastingSubtaskFindsItsPlaceInAFlood)
 {
     CellWorld world { 1, 2, {} };
