An owner that a worker refuses for its fence decides nothing until its next transaction

Cause: an owner cut off from the store goes on for up to 5 s. Refused by a worker for a lower fence, it took the worker's silence for a lapsed lease, while the next owner had renewed it or had acknowledged the end, and started the subtask again on a worker that the next owner had not reached yet.

Change: a refusal for the fence puts the owner in doubt until a transaction sent after it has succeeded.

--- a/packages/jobs/src/cell.cpp
+++ b/packages/jobs/src/cell.cpp
@@ -163,10 +163,15 @@
 
 void Cell::workersSent(const WorkerMachines& workers)
 {
+    m_state->fencesSeenBeforeWrite = m_state->fencesSeen;
     std::erase_if(m_state->storedWorkers, [&](const auto& each) { return !workers.contains(each.first); });
 }
 
-void Cell::workersStored(WorkerMachines workers) { m_state->storedWorkers = std::move(workers); }
+void Cell::workersStored(WorkerMachines workers)
+{
+    m_state->fencesSettled = m_state->fencesSeenBeforeWrite;
+    m_state->storedWorkers = std::move(workers);
+}
 
 Acceptance Cell::submit(const Job& job, CallToken token, TimePoint now)
 {
@@ -354,6 +359,8 @@
 CellOutput Cell::step(TimePoint now, std::int64_t unixMs, Authority authority)
 {
     CellState& state = *m_state;
+    if (state.fencesSeen > state.fencesSettled)
+        authority = Authority::InDoubt;
     const bool mayStart = authority == Authority::Full;
     state.unixMs = unixMs;
     state.checkRecovery(now);
--- a/packages/jobs/src/cell_runs.cpp
+++ b/packages/jobs/src/cell_runs.cpp
@@ -131,6 +131,14 @@
     worker.avoidUntil = now + std::min(longestAvoidance, firstAvoidance * (1 << doublings));
 }
 
+/// The next owner may renew what this one takes for lapsed, so that nothing is decided until a transaction tells who
+/// owns the cell.
+void CellState::noteFence(const WorkerId& worker)
+{
+    ++fencesSeen;
+    tell(WorkerEvent { WorkerEvent::Kind::FenceSeen, worker });
+}
+
 void CellState::endIfOver(JobEntry& entry, const TaskRef& failed)
 {
     if (entry.progress.hasEnded())
@@ -342,7 +350,7 @@
     if (answer.status == CallStatus::Busy)
         state.noteFailure(worker, now);
     if (answer.refusal == Refusal::Fence)
-        state.tell(WorkerEvent { WorkerEvent::Kind::FenceSeen, order.worker });
+        state.noteFence(order.worker);
     if (answer.refusal == Refusal::Ticket) {
         if (JobEntry* entry = state.find(order.task.job))
             entry->tickets.erase({ order.task.occurrence, order.task.step });
@@ -373,7 +381,7 @@
         run.orderAgainAt = now + orderAgainAfter;
     }
     if (answer.refusal == Refusal::Fence)
-        state.tell(WorkerEvent { WorkerEvent::Kind::FenceSeen, order.worker });
+        state.noteFence(order.worker);
 }
 
 void Cell::onAnswer(const PaceOrder& order, const CallAnswer& answer, TimePoint)
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -163,6 +163,9 @@
     TimePoint takenOverAt {};
     TimePoint listAskedAt {}; ///< When the store was asked for the list of workers in use.
     bool isRecovering { true };
+    std::uint64_t fencesSeen { 0 }; ///< Refusals of workers that have seen a higher fence than this owner's.
+    std::uint64_t fencesSeenBeforeWrite { 0 };
+    std::uint64_t fencesSettled { 0 }; ///< Seen before the latest transaction that has succeeded was sent.
     std::set<JobId> dirty; ///< Jobs with changes that are to be stored.
     std::set<JobId> inCommit;
     bool isCommitOnItsWay { false };
@@ -196,6 +199,7 @@
     void stopAll(JobEntry& entry, std::string_view reason);
     void stopGang(JobEntry& entry, const TaskRef& member);
     void noteFailure(Worker& worker, TimePoint now);
+    void noteFence(const WorkerId& worker);
     AnsweredRun answeredRun(
         const WorkerId& id, const TaskRef& task, RunNumber number, const CallAnswer& answer, TimePoint now);
     void startFailed(Worker& worker, const StartOrder& order, Run& run);
--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -96,7 +96,7 @@
         if (answer.status == CallStatus::WrongWorker)
             state.lost(worker, "another worker answers");
         if (answer.refusal == Refusal::Fence)
-            state.tell(WorkerEvent { WorkerEvent::Kind::FenceSeen, order.worker });
+            state.noteFence(order.worker);
         if (worker.contact == WorkerContact::InTouch) {
             worker.contact = WorkerContact::Silent;
             state.tell(WorkerEvent { WorkerEvent::Kind::Silent, order.worker });
--- a/packages/jobs/tests/cell_takeover_tests.cpp
+++ b/packages/jobs/tests/cell_takeover_tests.cpp
@@ -194,6 +194,19 @@
     EXPECT_TRUE(desk.take<StopOrder>().empty());
 }
 
+TEST(CellTakeover, OwnerRefusedForItsFenceDecidesNothingUntilItsNextTransaction)
+{
+    Desk desk;
+    const StartOrder start = desk.startOf("a");
+    desk.answer(start, CallStatus::Refused, Refusal::Fence);
+    desk.step(500ms);
+    EXPECT_TRUE(desk.take<StartOrder>().empty());
+    desk.cell().workersSent(desk.cell().workersInUse());
+    desk.cell().workersStored(desk.cell().workersInUse());
+    desk.step(30ms);
+    EXPECT_EQ(desk.take<StartOrder>().size(), 1U);
+}
+
 TEST(CellTakeover, StartTellsTheFailuresAndWorkersItRestsOn)
 {
     Desk desk { 2, { { finiteJob(), { 0, false, false, false, { { 0, 0, 0, false, { 1 } } } } } } };
