Acknowledge ends only to a worker in touch, and wait for a reborn one to be heard

Cause: a worker may come back under its id and count its ends anew. A look at it while it was silent, or known by the list alone to have a new life, carried the acknowledgement meant for the earlier life, and the new one forgot ends that nobody had heard. The subtask was started again after it was done.

Change: looks acknowledge nothing while the worker is not in touch; a worker whose entry names a later life counts as silent until it has answered.

--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -30,6 +30,9 @@
         Worker& worker = state.workers[description.id];
         const bool isNewLife = worker.bornUnixMs != description.bornUnixMs;
         worker.isLookWanted = worker.isLookWanted || isNewLife;
+        const bool isReborn = worker.bornUnixMs > 0 && description.bornUnixMs > worker.bornUnixMs;
+        if (isReborn && worker.contact == WorkerContact::InTouch)
+            worker.contact = WorkerContact::Silent;
         worker.description = description;
         worker.isListed = true;
     }
@@ -63,8 +66,9 @@
         LookOrder look;
         look.worker = id;
         look.fence = settings.fence;
-        look.ackedThrough = worker.ackedThrough;
         const bool isInTouch = worker.contact == WorkerContact::InTouch;
+        if (isInTouch) // Another life of the worker would forget ends that nobody has heard.
+            look.ackedThrough = worker.ackedThrough;
         if (isInTouch && mayRenew && !worker.runs.empty() && worker.clock.isKnown())
             look.leaseUntilWorkerMs = worker.clock.grant(settings.leaseLength, now);
         const bool hasFillers = std::any_of(worker.runs.begin(), worker.runs.end(), [&](const auto& each) {
