Walk with slow transactions, quicker hand-backs and more machines being emptied

Cause: the walk that empties machines seldom has a stop of an earlier owner going on when the next one decides.

Change: the store may take seconds for its transactions; a planned change of owner takes 20 to 800 ms; three machines a second close in the walk that empties machines.

--- a/packages/jobs/model/cell_world.cpp
+++ b/packages/jobs/model/cell_world.cpp
@@ -224,7 +224,7 @@
     owner.isCommitting = true;
     owner.lastCommit = m_now;
     owner.cell->workersSent(workers);
-    after(storeTime, [this, commit, workers, number] {
+    after(std::max(storeTime, m_storeStalledUntil - m_now), [this, commit, workers, number] {
         Owner* writer = ownerOf(number);
         if (!writer || writer->isReplaced)
             return; // Its row has changed hands: nothing is written, and no answer comes.
--- a/packages/jobs/model/cell_world.h
+++ b/packages/jobs/model/cell_world.h
@@ -35,6 +35,7 @@
     double cutsAtEnds { 0 }; ///< Share of the runs' own ends at or just after which their worker is cut off.
     double ownerChangesInCuts { 0 }; ///< Share of those cuts soon after whose beginning the owner changes.
     double shortLists { 0 }; ///< Share of the looks that list one end at most.
+    double storeStallsPerSecond { 0 }; ///< Times in which transactions take up to seconds.
     double parallelOwners { 0 }; ///< Share of the owners lost that go on beside the next one, without the store.
     double staleLists { 0 }; ///< Share of the reads of the list of workers that take seconds.
 };
@@ -162,6 +163,7 @@
     std::map<int, Owner> m_owners; ///< The present one, and earlier ones that do not know it yet.
     int m_owner { 0 }; ///< Counts owners; answers to those that are gone go nowhere.
     std::set<MachineId> m_closing;
+    TimePoint m_storeStalledUntil {};
     std::function<void(TimePoint, int, const CellEvent&)> m_watcher;
     CallToken m_lastToken { 0 };
     std::map<CallToken, JobId> m_submissions;
--- a/packages/jobs/model/cell_world_faults.cpp
+++ b/packages/jobs/model/cell_world_faults.cpp
@@ -25,6 +25,8 @@
         close(m_workers[anyWorker()].description().machine);
     if (happens(m_faults.cutsPerSecond * seconds))
         cut(m_workers[anyWorker()].description().id, 500ms, 8s);
+    if (happens(m_faults.storeStallsPerSecond * seconds))
+        m_storeStalledUntil = m_now + between(500ms, 3s);
     if (happens(m_faults.takeoversPerSecond * seconds))
         loseOwner();
     if (happens(m_faults.handBacksPerSecond * seconds))
@@ -117,7 +119,7 @@
     if (!owner || owner->isReplaced || owner->isHandingBack)
         return;
     owner->isHandingBack = true;
-    after(between(200ms, 800ms), [this, number = m_owner] { finishHandBack(number); });
+    after(between(20ms, 800ms), [this, number = m_owner] { finishHandBack(number); });
 }
 
 /// With the last rows; the next owner takes over at once.
--- a/packages/jobs/tests/cell_walk_tests.cpp
+++ b/packages/jobs/tests/cell_walk_tests.cpp
@@ -193,7 +193,8 @@
 
 TEST(CellWalk, EndsUnacknowledgedAsOwnersChange)
 {
-    walkMany({ .failedRuns = 0.35, .cutsAtEnds = 0.05, .ownerChangesInCuts = 0.4 }, 40, 40);
+    walkMany(
+        { .failedRuns = 0.35, .cutsAtEnds = 0.05, .ownerChangesInCuts = 0.4, .storeStallsPerSecond = 0.2 }, 40, 40);
 }
 
 TEST(CellWalk, ListsOfEndsAreShortAsOwnersChange)
@@ -205,8 +206,8 @@
 {
     walkMany({ .takeoversPerSecond = 0.15,
                  .slowStops = 0.8,
-                 .closingsPerSecond = 1,
-                 .handBacksPerSecond = 0.5,
+                 .closingsPerSecond = 3,
+                 .handBacksPerSecond = 1,
                  .parallelOwners = 0.5 },
         30, 20, 3);
 }
