Workers of the walk shorten leases that are too long

Cause: a worker that comes back under its id starts its clock anew; a start or look by its earlier clock gave it a lease for all the time that the earlier life had been up. The platform's workers shorten a lease to their maximum.

Change: the model's workers do so, at 5 s.

--- a/packages/jobs/model/model_worker.cpp
+++ b/packages/jobs/model/model_worker.cpp
@@ -4,6 +4,12 @@
 
 namespace rattanrack::jobs::model {
 
+namespace {
+
+constexpr std::int64_t longestLeaseMs = 5000; ///< A longer one is shortened.
+
+} // namespace
+
 std::int64_t ModelWorker::clockMs(TimePoint now) const
 {
     return 1000 + static_cast<std::int64_t>(static_cast<double>((now - m_bornAt).count()) * m_clockRate / 1000);
@@ -38,6 +44,11 @@
         each.hasLeaseLapsedSince = each.hasLeaseLapsedSince || hasLapsed;
 }
 
+void ModelWorker::holdUntil(std::int64_t untilMs, TimePoint now)
+{
+    m_leaseUntilMs = std::max(m_leaseUntilMs, std::min(untilMs, clockMs(now) + longestLeaseMs));
+}
+
 bool ModelWorker::accepts(Fence fence)
 {
     if (fence < m_fence)
@@ -54,7 +65,7 @@
         return refuse(Refusal::Fence);
     if (order.leaseUntilWorkerMs <= clockMs(now))
         return refuse(Refusal::Late);
-    m_leaseUntilMs = std::max(m_leaseUntilMs, order.leaseUntilWorkerMs);
+    holdUntil(order.leaseUntilWorkerMs, now);
     const auto present = m_runs.find(order.task);
     if (present != m_runs.end() && present->second.number == order.run)
         return { CallStatus::Done, Refusal::None, clockMs(now) };
@@ -95,7 +106,7 @@
     advance(now);
     if (!accepts(order.fence))
         return { CallStatus::Refused, Refusal::Fence, {} };
-    m_leaseUntilMs = std::max(m_leaseUntilMs, order.leaseUntilWorkerMs);
+    holdUntil(order.leaseUntilWorkerMs, now);
     for (const KeptEnd& each : m_ends) {
         if (each.entry.number <= order.ackedThrough)
             m_news.push_back({ WorkerNews::Kind::Acknowledged, each });
--- a/packages/jobs/model/model_worker.h
+++ b/packages/jobs/model/model_worker.h
@@ -74,6 +74,7 @@
 private:
     std::int64_t clockMs(TimePoint now) const;
     void end(const TaskRef& task, EndKind kind, TimePoint now);
+    void holdUntil(std::int64_t untilMs, TimePoint now);
     bool accepts(Fence fence);
 
     WorkerDescription m_description;
