--- a/packages/jobs/model/model_worker.cpp
+++ b/packages/jobs/model/model_worker.cpp
@@ -121,6 +121,14 @@
     return answer;
 }
 
+std::vector<EndEntry> ModelWorker::openEnds() const
+{
+    std::vector<EndEntry> ends;
+    for (const KeptEnd& each : m_ends)
+        ends.push_back(each.entry);
+    return ends;
+}
+
 void ModelWorker::crash()
 {
     m_isUp = false;
--- a/packages/jobs/model/model_worker.h
+++ b/packages/jobs/model/model_worker.h
@@ -68,6 +68,10 @@
     void setDraining() { m_description.isDraining = true; }
     std::vector<WorkerNews> takeNews() { return std::exchange(m_news, {}); }
 
+    /// Ends that are not acknowledged, by number.
+    std::vector<EndEntry> openEnds() const;
+    bool hasLease(TimePoint now) const { return clockMs(now) < m_leaseUntilMs; }
+
     void crash();
     void rise(std::int64_t bornUnixMs, TimePoint now);
 
