Avoid workers for their failures only where most others do not fail

Cause: three failures in a row on a worker closed it for 1 to 8 s whatever had failed there; jobs that always fail closed the whole pool. Ruled out: the rig's own workers, which were idle and in touch; the change of owner, as the gaps go on long after it. Now a subtask that has failed before says nothing of its worker, and at most a third of the workers (one at least) are avoided at once.

--- a/packages/jobs/src/cell_runs.cpp
+++ b/packages/jobs/src/cell_runs.cpp
@@ -17,6 +17,7 @@
 constexpr Duration firstAvoidance = 1s; ///< Of a worker on which all fails; doubles with each further failure.
 constexpr Duration longestAvoidance = 8s;
 constexpr int failuresToAvoid = 3;
+constexpr int avoidableShare = 3; ///< One worker of this many may be avoided for its failures at once.
 
 bool isSame(const Run& run, RunNumber number) { return run.number == number; }
 
@@ -123,9 +124,22 @@
     }
 }
 
+/// Where most workers fail, it is the work that fails.
+bool CellState::mayAvoidOneMore(const Worker& worker, TimePoint now) const
+{
+    int listed = 0;
+    int avoided = 0;
+    for (const auto& [id, other] : workers) {
+        listed += other.isListed ? 1 : 0;
+        const bool isAvoided = other.failuresInRow >= failuresToAvoid && other.isClosedFor(now);
+        avoided += isAvoided && id != worker.description.id ? 1 : 0;
+    }
+    return avoided < std::max(1, listed / avoidableShare);
+}
+
 void CellState::noteFailure(Worker& worker, TimePoint now)
 {
-    if (++worker.failuresInRow < failuresToAvoid)
+    if (++worker.failuresInRow < failuresToAvoid || !mayAvoidOneMore(worker, now))
         return;
     const int doublings = std::min(worker.failuresInRow - failuresToAvoid, 3);
     worker.avoidUntil = now + std::min(longestAvoidance, firstAvoidance * (1 << doublings));
@@ -190,11 +204,12 @@
         }
     } else {
         const bool isFailure = end.kind == EndKind::Failed;
-        if (isFailure)
+        const TaskRef counted { end.task.job, end.task.occurrence, end.task.step, step.isGang ? 0 : end.task.index };
+        // What has failed before says little of the worker.
+        if (isFailure && entry->progress.task(counted).failures() == 0)
             noteFailure(worker, now);
         if (isKnownRun)
             entry->progress.ended(end.task);
-        const TaskRef counted { end.task.job, end.task.occurrence, end.task.step, step.isGang ? 0 : end.task.index };
         if (isFailure && isOpen && !step.isLasting && entry->progress.countFailure(counted, end.run)) {
             changed(*entry);
             entry->failureRevision = entry->revision;
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -198,6 +198,7 @@
     void sendStop(Worker& worker, const TaskRef& task, RunNumber run, std::string_view reason);
     void stopAll(JobEntry& entry, std::string_view reason);
     void stopGang(JobEntry& entry, const TaskRef& member);
+    bool mayAvoidOneMore(const Worker& worker, TimePoint now) const;
     void noteFailure(Worker& worker, TimePoint now);
     void noteFence(const WorkerId& worker);
     AnsweredRun answeredRun(
--- a/packages/jobs/tests/cell_tests.cpp
+++ b/packages/jobs/tests/cell_tests.cpp
@@ -170,6 +170,34 @@
     }
 }
 
+TEST(Cell, JobsThatAlwaysFailKeepNotAllWorkersFromOthers)
+{
+    Desk desk;
+    std::int64_t lastEnd = 0;
+    for (const char* id : { "bad1", "bad2", "bad3", "bad4" }) {
+        desk.submitAndStore(id);
+        for (int tries = 0; tries < 400 && desk.cell().state(JobId { id }) != JobState::Failed; ++tries) {
+            desk.step(60ms);
+            const auto starts = desk.take<StartOrder>();
+            for (const StartOrder& start : starts)
+                desk.answer(start, CallStatus::Done);
+            for (const LookOrder& look : desk.take<LookOrder>()) {
+                std::vector<EndEntry> ends;
+                for (const StartOrder& start : starts) {
+                    if (start.worker == look.worker)
+                        ends.push_back({ ++lastEnd, start.task, start.run, EndKind::Failed, "" });
+                }
+                desk.answer(look, {}, ends);
+            }
+            desk.store();
+        }
+        ASSERT_EQ(desk.cell().state(JobId { id }), JobState::Failed);
+    }
+    desk.submitAndStore("good");
+    desk.step(60ms);
+    EXPECT_EQ(desk.take<StartOrder>().size(), 1U);
+}
+
 TEST(Cell, MachineIsEmptyOnlyWhenItsEndsAreStored)
 {
     Desk desk;
