Process soak: one seed of four has jobs of which half fail; lint

The mix that showed jobs standing still is part of the seeds (1, 5, 9, ...) instead of an edit by hand.

--- a/tools/process_soak/callers.cpp
+++ b/tools/process_soak/callers.cpp
@@ -19,8 +19,12 @@
 constexpr Duration probePause = 1s;
 constexpr auto probePatience = 500ms;
 constexpr std::uint64_t longestPauseMs = 250;
-constexpr std::array<const char*, 12> specs { "60", "90", "120", "200", "250", "300", "400", "500", "700", "80", "150?",
+/// Milliseconds of a job's runs; "?": those of odd number fail, "!": all fail.
+using Specs = std::array<const char*, 12>;
+constexpr Specs usualSpecs { "60", "90", "120", "200", "250", "300", "400", "500", "700", "80", "150?", "100!" };
+constexpr Specs failingSpecs { "60", "120", "200", "300", "500", "700", "150?", "150?", "400?", "400?", "100!",
     "100!" };
+constexpr std::uint64_t failingEvery = 4; ///< One seed of this many has the failing jobs.
 
 enum class Outcome { Answered, Broken, Silent };
 
@@ -78,7 +82,7 @@
             return {};
         }
         const TimePoint sentAt = m_recorder.now();
-        const Answer answer = receive(sentAt + answerPatience);
+        Answer answer = receive(sentAt + answerPatience);
         if (answer.outcome == Outcome::Broken)
             m_recorder.broke({ m_node, method + (" " + path), sentAt, m_recorder.now() });
         if (answer.outcome != Outcome::Answered || answer.closes)
@@ -124,6 +128,7 @@
     Caller(Recorder& recorder, std::vector<std::unique_ptr<Entry>>& entries, std::uint64_t seed, int number)
         : m_recorder(recorder)
         , m_entries(entries)
+        , m_specs(seed % failingEvery == 1 ? failingSpecs : usualSpecs)
         , m_random(seed * callerCount + static_cast<std::uint64_t>(number))
         , m_number(number)
         , m_connection(recorder)
@@ -180,7 +185,7 @@
         const bool isLasting = m_drawn == 1;
         const int count = isLasting ? lastingCount : 1 + static_cast<int>(m_random.below(3));
         const std::string step = R"({"cpu":1000,"mem_mb":100,"estimated_ms":200,"count":)" + std::to_string(count);
-        const std::string spec = isLasting ? "lasting" : m_random.pick(specs);
+        const std::string spec = isLasting ? "lasting" : m_random.pick(m_specs);
         const std::string second = m_random.oneIn(3) ? "," + step + R"(,"after":[0]})" : "";
         m_body = R"({"spec":")" + spec + R"(","steps":[)" + step
             + (isLasting ? R"(,"long_running":true,"may_miss":1}]})" : "}" + second + "]}");
@@ -203,6 +208,7 @@
 
     Recorder& m_recorder;
     std::vector<std::unique_ptr<Entry>>& m_entries;
+    const Specs& m_specs;
     fakes::Random m_random;
     int m_number;
     Connection m_connection;
--- a/tools/process_soak/judge.cpp
+++ b/tools/process_soak/judge.cpp
@@ -217,8 +217,8 @@
             jobs::TaskRef other = run.task;
             other.index = index;
             const auto runs = tasks.find(other);
-            static const std::vector<const RunRecord*> none;
-            if (other != run.task && isAway(runs == tasks.end() ? none : runs->second, *job->second.acceptedAt, *at))
+            static const std::vector<const RunRecord*> s_none;
+            if (other != run.task && isAway(runs == tasks.end() ? s_none : runs->second, *job->second.acceptedAt, *at))
                 found.push_back({ "AVAIL", run.task.job,
                     placeOf(history, run) + " was ended by an order while " + adapter::taskName(other) + " was away" });
         }
--- a/tools/process_soak/loopback_proxy.cpp
+++ b/tools/process_soak/loopback_proxy.cpp
@@ -26,8 +26,8 @@
 {
     sockaddr_in address = loopbackAddress(0);
     socklen_t size = sizeof(address);
-    bind(m_listener, reinterpret_cast<const sockaddr*>(&address), size);
-    listen(m_listener, backlog);
+    if (bind(m_listener, reinterpret_cast<const sockaddr*>(&address), size) != 0 || listen(m_listener, backlog) != 0)
+        throw std::system_error(errno, std::generic_category(), "proxy");
     getsockname(m_listener, reinterpret_cast<sockaddr*>(&address), &size);
     m_address = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
     m_thread = std::thread([this] { run(); });
