Call a copy of the callback that ends its host

The host, and the duty over machines beside it, which had the same form, now hand the control loop a copy of the callback, so that what it captures lives as long as the call; the name goes by reference again.

--- a/packages/node/src/cell_host.cpp
+++ b/packages/node/src/cell_host.cpp
@@ -227,7 +227,7 @@
 PartWriter::Events CellHost::writerEvents()
 {
     return { [this] { stored(); }, [this] { notStored(); },
-        [this] { m_parts.control.post(guarded([this] { m_parts.onLost(); })); } };
+        [this] { m_parts.control.post(guarded([onLost = m_parts.onLost] { onLost(); })); } }; // It ends this host.
 }
 
 void CellHost::commitIfDue()
--- a/packages/node/src/job_node_cells.cpp
+++ b/packages/node/src/job_node_cells.cpp
@@ -104,8 +104,7 @@
     ownership.takingFailed(machineDutyName, clock.now());
 }
 
-/// By value: the name handed in may lie in the host that goes.
-void JobNode::State::cellLost(PoolId cell) // NOLINT(performance-unnecessary-value-param)
+void JobNode::State::cellLost(const PoolId& cell)
 {
     logEvent("cell.dropped", { { "cell", cell.value() } });
     cells.erase(cell);
--- a/packages/node/src/job_node_state.h
+++ b/packages/node/src/job_node_state.h
@@ -56,7 +56,7 @@
     void takeCells();
     void take(const PoolId& cell);
     void taken(const PoolId& cell, Takeover takeover);
-    void cellLost(PoolId cell);
+    void cellLost(const PoolId& cell);
     void takeDuty();
     void dutyTaken(MachineDutyTakeover takeover);
     void dutyLost();
--- a/packages/node/src/machine_duty.cpp
+++ b/packages/node/src/machine_duty.cpp
@@ -60,9 +60,9 @@
                   m_unwritten = std::exchange(m_written, {});
               },
               [this] {
-                  m_parts.control.post([this, alive = m_isAlive] {
+                  m_parts.control.post([onLost = m_parts.onLost, alive = m_isAlive] { // It ends this duty.
                       if (*alive)
-                          m_parts.onLost();
+                          onLost();
                   });
               } })
 {
