--- a/packages/jobs/model/model_worker.h
+++ b/packages/jobs/model/model_worker.h
@@ -3,6 +3,7 @@
 #include "rattanrack/jobs/worker.h"
 
 #include <map>
+#include <optional>
 #include <set>
 
 namespace rattanrack::jobs::model {
@@ -14,6 +15,7 @@
     bool willFail { false };
     bool isLasting { false };
     ResourceSize size;
+    std::optional<TimePoint> stopsAt; ///< Set once it was told to stop.
 };
 
 /// How a subtask behaves wherever it runs.
@@ -47,6 +49,14 @@
     /// Whether a look that waits would answer now.
     bool hasUnseenEnds() const { return !m_ends.empty(); }
 
+    /// Ends that are not acknowledged, by number.
+    const std::vector<EndEntry>& openEnds() const { return m_ends; }
+
+    bool hasLease(TimePoint now) const { return clockMs(now) < m_leaseUntilMs; }
+
+    /// How long a run goes on after it was told to stop; zero at first.
+    void setStopTime(Duration time) { m_stopTime = time; }
+
     void crash();
     void rise(std::int64_t bornUnixMs, TimePoint now);
 
@@ -57,6 +67,7 @@
 
     WorkerDescription m_description;
     double m_clockRate;
+    Duration m_stopTime {};
     bool m_isUp { true };
     TimePoint m_bornAt {};
     std::map<TaskRef, ModelRun> m_runs;
--- /dev/null
+++ b/tools/process_soak/main.cpp
@@ -0,0 +1,70 @@
+#include "judge.h"
+#include "play.h"
+
+#include "rattanrack/base/log.h"
+
+#include <docopt/docopt.h>
+
+#include <algorithm>
+#include <csignal>
+#include <filesystem>
+#include <iostream>
+#include <set>
+
+namespace {
+
+using namespace rattanrack;
+using namespace rattanrack::tools;
+
+constexpr const char* usage
+    = R"(process-soak: plays daemons as processes through seeded troubles and judges what callers and workers saw.
+
+Usage:
+  process-soak --daemon=PATH --seed=N [--seconds=S] [--dir=DIR]
+
+Options:
+  --daemon=PATH  The rattanrackd to start.
+  --seed=N       Chooses the troubles; even ones play planned work alone.
+  --seconds=S    Length of the traffic; the play takes some 20 s more [default: 40].
+  --dir=DIR      For settings and logs of the daemons [default: process-soak].
+
+Exit status 1 when a promise was broken; each one is printed with the record of its job.
+)";
+
+void print(const History& history, const std::vector<Violation>& found)
+{
+    std::set<jobs::JobId> printed;
+    for (const Violation& violation : found) {
+        std::cout << violation.rule << ": " << violation.text << '\n';
+        if (!violation.job.isEmpty() && printed.insert(violation.job).second)
+            std::cout << recordOf(history, violation.job);
+    }
+    if (!found.empty())
+        std::cout << "troubles:\n" << troublesOf(history);
+}
+
+} // namespace
+
+int main(int argumentCount, char** arguments)
+{
+    const auto options = docopt::docopt(usage, { arguments + 1, arguments + argumentCount });
+    signal(SIGPIPE, SIG_IGN);
+    setLogLevel(LogLevel::Error);
+    PlaySettings settings { options.at("--daemon").asString(), options.at("--dir").asString() };
+    settings.seed = static_cast<std::uint64_t>(options.at("--seed").asLong());
+    settings.length = std::chrono::seconds { options.at("--seconds").asLong() };
+    std::filesystem::create_directories(settings.directory);
+    Play play { settings };
+    const History history = play.run();
+    const std::vector<Violation> found = judge(history);
+    print(history, found);
+    for (const std::string& fault : play.faults())
+        std::cout << "FAULT: " << fault << '\n';
+    const auto accepted = std::count_if(
+        history.jobs.begin(), history.jobs.end(), [](const auto& each) { return each.second.acceptedAt.has_value(); });
+    std::cout << "process-soak: seed " << settings.seed << ", " << accepted << " jobs accepted, " << history.runs.size()
+              << " runs, " << history.troubles.size() << " troubles, " << history.brokenCalls.size()
+              << " calls broken off, " << play.killedAtGrace() << " processes killed at the end of their grace time, "
+              << found.size() << " violations, " << play.faults().size() << " faults\n";
+    return found.empty() && play.faults().empty() && accepted > 0 ? 0 : 1;
+}
--- /dev/null
+++ b/tools/process_soak/play.cpp
@@ -0,0 +1,271 @@
+#include "play.h"
+
+#include "../../packages/node/tests/free_port.h"
+
+#include <csignal>
+
+namespace rattanrack::tools {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t workerCount = 6;
+constexpr std::size_t fewestNodes = 3;
+constexpr int attempts = 3;
+constexpr Duration grace = 6s; ///< From SIGTERM to SIGKILL.
+constexpr Duration restartPause = 300ms;
+constexpr Duration settleTime = 14s; ///< After the last trouble, until all jobs must be in order.
+constexpr Duration stopTime = 400ms;
+constexpr Duration shortestDrain = 2500ms;
+constexpr Duration entryLife = 1500ms; ///< Of a worker that is silent.
+constexpr Duration tickStep = 5ms;
+constexpr std::size_t waveSize = 2;
+
+constexpr const char* configuration = R"({"version":7,"routes":[
+    {"name":"q1","host":"a.example","path_prefix":"/jobs/","type":"non_idempotent","timeout_ms":3000,
+     "target_latency_ms":600,"priority":0,"backend":"poolA","attempts":3,"stretch":1.6},
+    {"name":"q2","host":"a.example","path_prefix":"/work/","type":"non_idempotent","timeout_ms":3000,
+     "target_latency_ms":600,"priority":0,"backend":"poolB","attempts":3,"stretch":1.6}],
+    "backends":[{"name":"poolA","enforces_capacity":true,"standby":false},
+     {"name":"poolB","enforces_capacity":true,"standby":false}],
+    "limits":{"max_body_bytes":5000}})";
+
+const char* nameOf(LinkMode mode)
+{
+    constexpr const char* names[] = { "pass", "delay", "silence", "resets", "cut answers" };
+    return names[static_cast<std::size_t>(mode)];
+}
+
+} // namespace
+
+Play::Play(PlaySettings settings)
+    : m_settings(std::move(settings))
+    , m_recorder(attempts)
+{
+    m_store.workerServed = [this](const std::string& key, const std::string& value) { m_recorder.served(key, value); };
+    m_store.put("op", "config", configuration);
+    addWorkers();
+    addNodes();
+}
+
+void Play::addWorkers()
+{
+    std::vector<adapter::standin::UsersWorker*> all;
+    for (std::size_t number = 0; number < workerCount; ++number) {
+        m_workers.push_back(std::make_unique<adapter::standin::UsersWorker>(
+            m_store, "w" + std::to_string(number), number % 2 == 0 ? "poolA" : "poolB", "r1"));
+        m_workerLinks.push_back(std::make_unique<LoopbackProxy>(m_workers.back()->address()));
+        m_workers.back()->observe(m_recorder, stopTime, m_workerLinks.back()->address());
+        all.push_back(m_workers.back().get());
+    }
+    m_machines = std::make_unique<adapter::standin::UsersMachines>(all);
+}
+
+void Play::addNodes()
+{
+    const std::size_t count = fewestNodes + m_settings.seed % 3;
+    for (std::size_t number = 0; number < count; ++number) {
+        auto entry = std::make_unique<Entry>();
+        entry->node = "n" + std::to_string(number);
+        entry->port = node::tests::freePort();
+        entry->readinessPort = node::tests::freePort();
+        Node node { std::make_unique<LoopbackProxy>(m_store.address()) };
+        node.daemon = std::make_unique<Daemon>(
+            m_settings.program, m_settings.directory, entry->node, settingsOf(entry->node, *node.storeLink, *entry));
+        if (!node.daemon->start())
+            m_faults.push_back(entry->node + " can't be started");
+        m_nodes.push_back(std::move(node));
+        m_entries.push_back(std::move(entry));
+    }
+}
+
+std::string Play::settingsOf(const std::string& name, const LoopbackProxy& storeLink, const Entry& entry) const
+{
+    const std::string host = "127.0.0.1:";
+    return "node: " + name + "\nlisten: " + host + std::to_string(entry.port) + "\nreadiness: " + host
+        + std::to_string(entry.readinessPort) + "\npeerListen: " + host + std::to_string(node::tests::freePort())
+        + "\nstore: " + storeLink.address() + "\nmachineList: " + m_machines->address()
+        + "\nlongestLease: 4500ms\nkeepEnded: 120s\nlongestStop: 900ms\ndrainBound: 2000ms\nstopGrace: 6s\n"
+          "logLevel: info\n";
+}
+
+void Play::later(Duration after, std::function<void()> action)
+{
+    m_due.emplace(m_recorder.now() + after, std::move(action));
+}
+
+void Play::perform(const Step& step)
+{
+    switch (step.action) {
+    case Action::Terminate:
+        return end(m_nodes[step.target], SIGTERM, "SIGTERM", true);
+    case Action::Kill:
+        return end(m_nodes[step.target], SIGKILL, "SIGKILL", false);
+    case Action::Freeze:
+        return freeze(m_nodes[step.target], step.length);
+    case Action::Reload:
+        return reload(m_nodes[step.target]);
+    case Action::StoreLink:
+        return trouble(*m_nodes[step.target].storeLink, step, m_nodes[step.target].daemon->name(), true);
+    case Action::WorkerLink:
+        return trouble(*m_workerLinks[step.target], step, m_workers[step.target]->id(), false);
+    case Action::Drain:
+        return drain(*m_workers[step.target], step.length);
+    case Action::Crash:
+        return crash(*m_workers[step.target], step.length);
+    case Action::Wave:
+        return orderWave(step.target);
+    }
+}
+
+void Play::end(Node& node, int signal, const std::string& what, bool isPlanned)
+{
+    if (node.isLeaving || node.isKilled || node.daemon->process() == 0)
+        return;
+    node.trouble = m_recorder.beginTrouble(what, node.daemon->name(), true, isPlanned);
+    node.isLeaving = signal == SIGTERM;
+    node.isKilled = signal == SIGKILL;
+    node.killAt = m_recorder.now() + grace;
+    node.daemon->signal(signal);
+}
+
+void Play::freeze(Node& node, Duration length)
+{
+    const pid_t process = node.daemon->process();
+    if (process == 0 || node.isLeaving || node.isKilled)
+        return;
+    const std::size_t number = m_recorder.beginTrouble("SIGSTOP", node.daemon->name(), true, false);
+    node.daemon->signal(SIGSTOP);
+    later(length, [this, &node, process, number] {
+        if (node.daemon->process() == process)
+            node.daemon->signal(SIGCONT);
+        m_recorder.endTrouble(number);
+    });
+}
+
+void Play::reload(Node& node)
+{
+    m_recorder.endTrouble(m_recorder.beginTrouble("SIGHUP", node.daemon->name(), true, true));
+    node.daemon->signal(SIGHUP);
+}
+
+void Play::trouble(LoopbackProxy& link, const Step& step, const std::string& target, bool isOfNode)
+{
+    const std::size_t number = m_recorder.beginTrouble(
+        std::string(isOfNode ? "store link " : "worker link ") + nameOf(step.mode), target, isOfNode, false);
+    link.setMode(step.mode);
+    later(step.length, [this, &link, number] {
+        link.setMode(LinkMode::Pass);
+        m_recorder.endTrouble(number);
+    });
+}
+
+void Play::drain(adapter::standin::UsersWorker& worker, Duration length)
+{
+    if (worker.isDraining())
+        return;
+    const std::size_t number = m_recorder.beginTrouble("drain", worker.id(), false, true);
+    worker.drain(shortestDrain);
+    later(shortestDrain + length, [this, &worker, number] {
+        if (worker.isDraining())
+            worker.replace();
+        m_recorder.endTrouble(number);
+    });
+}
+
+void Play::crash(adapter::standin::UsersWorker& worker, Duration length)
+{
+    const std::size_t number = m_recorder.beginTrouble("crash", worker.id(), false, false);
+    worker.crash();
+    later(entryLife, [&worker] { worker.expire(); });
+    later(length, [this, &worker, number] {
+        worker.rise();
+        m_recorder.endTrouble(number);
+    });
+}
+
+void Play::orderWave(std::size_t first)
+{
+    const std::string number = std::to_string(++m_waves);
+    std::string machines;
+    for (std::size_t each = 0; each < waveSize; ++each)
+        machines += (each == 0 ? "\"" : ",\"") + m_workers[(first + each) % workerCount]->machine() + "\"";
+    m_recorder.endTrouble(m_recorder.beginTrouble("wave", number, false, true));
+    m_store.put("op", "wave/" + number,
+        R"({"wave":)" + number + R"(,"machines":[)" + machines + R"(],"duration_s":15,"cap":1})");
+}
+
+void Play::supervise(Node& node)
+{
+    if (node.isLeaving && !node.isKilled && m_recorder.now() >= node.killAt) {
+        node.isKilled = true;
+        ++m_killedAtGrace;
+        node.daemon->signal(SIGKILL);
+    }
+    const auto status = node.daemon->takeEnd();
+    if (!status)
+        return;
+    const bool wasAsked = node.isLeaving || node.isKilled;
+    if (!wasAsked || (!node.isKilled && *status != 0))
+        m_faults.push_back(node.daemon->name() + " ended with wait status " + std::to_string(*status));
+    later(restartPause, [this, &node, wasAsked] {
+        if (!node.daemon->start())
+            m_faults.push_back(node.daemon->name() + " can't be started");
+        node.isLeaving = false;
+        node.isKilled = false;
+        if (wasAsked)
+            m_recorder.endTrouble(node.trouble);
+    });
+}
+
+void Play::tick()
+{
+    while (!m_due.empty() && m_due.begin()->first <= m_recorder.now()) {
+        const auto action = std::move(m_due.begin()->second);
+        m_due.erase(m_due.begin());
+        action();
+    }
+    for (Node& node : m_nodes)
+        supervise(node);
+    for (const auto& worker : m_workers)
+        worker->advance();
+    std::this_thread::sleep_for(tickStep);
+}
+
+void Play::playUntil(TimePoint until)
+{
+    const auto isAnyDown = [&] {
+        return std::any_of(
+            m_nodes.begin(), m_nodes.end(), [](const Node& node) { return node.isLeaving || node.isKilled; });
+    };
+    while (m_recorder.now() < until || !m_due.empty() || isAnyDown())
+        tick();
+}
+
+void Play::askForJobs()
+{
+    for (const auto& [job, record] : m_recorder.history().jobs) {
+        if (!record.acceptedAt || record.cancelSentAt)
+            continue;
+        std::optional<std::string> state;
+        for (std::size_t tries = 0; tries < m_entries.size() && !state; ++tries)
+            state = askState(m_entries[tries]->port, job);
+        m_recorder.shown(job, state.value_or("silent"));
+    }
+}
+
+History Play::run()
+{
+    for (const Step& step : scheduleOf(m_settings.seed, m_settings.length, m_nodes.size(), workerCount))
+        later(step.at, [this, step] { perform(step); });
+    {
+        const Callers callers { m_recorder, m_entries, m_settings.seed };
+        playUntil(m_recorder.now() + m_settings.length);
+    }
+    playUntil(m_recorder.now() + settleTime);
+    askForJobs();
+    return m_recorder.history();
+}
+
+} // namespace rattanrack::tools
--- /dev/null
+++ b/tools/process_soak/play.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "../../platform/standin/users_machines.h"
+#include "callers.h"
+#include "daemon.h"
+#include "loopback_proxy.h"
+#include "recorder.h"
+#include "schedule.h"
+
+#include <functional>
+#include <memory>
+
+namespace rattanrack::tools {
+
+struct PlaySettings {
+    std::string program;
+    std::string directory; ///< Exists.
+    std::uint64_t seed { 1 };
+    Duration length {}; ///< Of the traffic and the troubles.
+};
+
+/// A fleet of daemons as processes among stand-ins of the users' platform, played through one schedule.
+class Play {
+public:
+    explicit Play(PlaySettings settings);
+
+    /// Takes `length` and some twenty seconds more. Returns what was seen.
+    History run();
+
+    /// Processes that ended by themselves, with their wait status.
+    const std::vector<std::string>& faults() const { return m_faults; }
+    int killedAtGrace() const { return m_killedAtGrace; }
+
+private:
+    struct Node {
+        std::unique_ptr<LoopbackProxy> storeLink;
+        std::unique_ptr<Daemon> daemon;
+        bool isLeaving { false };
+        bool isKilled { false };
+        TimePoint killAt {}; ///< While it is leaving.
+        std::size_t trouble { 0 }; ///< That of its end.
+    };
+
+    void addWorkers();
+    void addNodes();
+    std::string settingsOf(const std::string& name, const LoopbackProxy& storeLink, const Entry& entry) const;
+    void perform(const Step& step);
+    void end(Node& node, int signal, const std::string& what, bool isPlanned);
+    void freeze(Node& node, Duration length);
+    void reload(Node& node);
+    void trouble(LoopbackProxy& link, const Step& step, const std::string& target, bool isOfNode);
+    void drain(adapter::standin::UsersWorker& worker, Duration length);
+    void crash(adapter::standin::UsersWorker& worker, Duration length);
+    void orderWave(std::size_t first);
+    void later(Duration after, std::function<void()> action);
+    void tick();
+    void supervise(Node& node);
+    void playUntil(TimePoint until);
+    void askForJobs();
+
+    PlaySettings m_settings;
+    Recorder m_recorder;
+    adapter::standin::UsersStore m_store;
+    std::vector<std::unique_ptr<adapter::standin::UsersWorker>> m_workers;
+    std::vector<std::unique_ptr<LoopbackProxy>> m_workerLinks;
+    std::unique_ptr<adapter::standin::UsersMachines> m_machines;
+    std::vector<std::unique_ptr<Entry>> m_entries;
+    std::vector<Node> m_nodes;
+    std::multimap<TimePoint, std::function<void()>> m_due;
+    std::vector<std::string> m_faults;
+    int m_killedAtGrace { 0 };
+    int m_waves { 0 };
+};
+
+} // namespace rattanrack::tools
--- /dev/null
+++ b/tools/process_soak/recorder.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "../../platform/standin/users_worker.h"
+#include "history.h"
+
+#include <mutex>
+#include <set>
+
+namespace rattanrack::tools {
+
+/// Collects the history of a play from all threads.
+class Recorder final : public adapter::standin::RunObserver {
+public:
+    explicit Recorder(int attempts);
+
+    void started(const jobs::StartOrder& order, bool isLasting) override;
+    void stopOrdered(const jobs::StopOrder& order, bool isDraining) override;
+    void ended(const jobs::WorkerId& worker, const jobs::EndEntry& end) override;
+    void acknowledged(const jobs::WorkerId& worker, std::int64_t endNumber) override;
+    void lapsed(const jobs::WorkerId& worker) override;
+    void gone(const jobs::WorkerId& worker, bool byOrder) override;
+
+    /// A worker's entry was handed out; only those of leaving workers are kept.
+    void served(const std::string& worker, const std::string& entry);
+
+    void submitted(const jobs::JobId& job, int count, bool isLasting);
+    void accepted(const jobs::JobId& job);
+    void cancelSent(const jobs::JobId& job);
+    void denied(const std::string& node, const jobs::JobId& job, TimePoint sentAt);
+    void broke(BrokenCall call);
+    void shown(const jobs::JobId& job, const std::string& state);
+
+    /// Names the trouble for `endTrouble`.
+    std::size_t beginTrouble(const std::string& what, const std::string& target, bool isOfNode, bool isPlanned);
+    void endTrouble(std::size_t number);
+
+    /// What was collected until now.
+    History history();
+    TimePoint now() const { return m_clock.now(); }
+
+private:
+    RunRecord* openRun(const jobs::WorkerId& worker, const jobs::TaskRef& task, jobs::RunNumber run);
+
+    SystemClock m_clock;
+    std::mutex m_mutex;
+    History m_history;
+    std::set<std::size_t> m_open; ///< Runs at work, and those with ends that may be acknowledged.
+};
+
+} // namespace rattanrack::tools
