--- a/packages/config/include/rattanrack/config/job_node_settings.h
+++ b/packages/config/include/rattanrack/config/job_node_settings.h
@@ -23,8 +23,8 @@
     Duration longestLease {}; ///< Workers shorten leases that are longer.
     Duration keepEnded {}; ///< Jobs can be asked for this long after their end.
     Duration longestStop { std::chrono::seconds { 1 } }; ///< Workers end a run within it once they are told to.
-    Duration drainBound { std::chrono::seconds {
-        2 } }; ///< From a worker's word that it leaves until nothing starts there.
+    /// From a worker's word that it leaves until nothing starts there.
+    Duration drainBound { std::chrono::seconds { 2 } };
     Duration stopGrace {}; ///< From SIGTERM until the process is killed.
     LogLevel logLevel { LogLevel::Info };
 };
--- a/packages/jobs/include/rattanrack/jobs/cell.h
+++ b/packages/jobs/include/rattanrack/jobs/cell.h
@@ -81,8 +81,8 @@
 /// What an owner may do by the age of what it knows.
 enum class Authority : std::uint8_t {
     Full,
-    KeepUp, ///< Keeps up what runs, and begins or ends nothing: gives the cell up, or does not know which workers
-            ///< leave.
+    /// Keeps up what runs, and begins or ends nothing: gives the cell up, or does not know which workers leave.
+    KeepUp,
     InDoubt, ///< May have been replaced: leaves leases as they are, too.
 };
 
--- a/packages/jobs/src/cell_runs.cpp
+++ b/packages/jobs/src/cell_runs.cpp
@@ -14,10 +14,6 @@
 constexpr Duration orderAgainAfter = 150ms; ///< After an order without an answer.
 constexpr Duration avoidAfterNoRoom = 250ms;
 constexpr Duration avoidAfterNoAnswer = 700ms;
-constexpr Duration firstAvoidance = 1s; ///< Of a worker on which all fails; doubles with each further failure.
-constexpr Duration longestAvoidance = 8s;
-constexpr int failuresToAvoid = 3;
-constexpr int avoidableShare = 3; ///< One worker of this many may be avoided for its failures at once.
 
 bool isSame(const Run& run, RunNumber number) { return run.number == number; }
 
@@ -124,35 +120,6 @@
     }
 }
 
-/// Where most workers fail, it is the work that fails.
-bool CellState::mayAvoidOneMore(const Worker& worker, TimePoint now) const
-{
-    int listed = 0;
-    int avoided = 0;
-    for (const auto& [id, other] : workers) {
-        listed += other.isListed ? 1 : 0;
-        const bool isAvoided = other.failuresInRow >= failuresToAvoid && other.isClosedFor(now);
-        avoided += isAvoided && id != worker.description.id ? 1 : 0;
-    }
-    return avoided < std::max(1, listed / avoidableShare);
-}
-
-void CellState::noteFailure(Worker& worker, TimePoint now)
-{
-    if (++worker.failuresInRow < failuresToAvoid || !mayAvoidOneMore(worker, now))
-        return;
-    const int doublings = std::min(worker.failuresInRow - failuresToAvoid, 3);
-    worker.avoidUntil = now + std::min(longestAvoidance, firstAvoidance * (1 << doublings));
-}
-
-/// The next owner may renew what this one takes for lapsed, so that nothing is decided until a transaction tells who
-/// owns the cell.
-void CellState::noteFence(const WorkerId& worker)
-{
-    ++fencesSeen;
-    tell(WorkerEvent { WorkerEvent::Kind::FenceSeen, worker });
-}
-
 void CellState::endIfOver(JobEntry& entry, const TaskRef& failed)
 {
     if (entry.progress.hasEnded())
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -198,9 +198,6 @@
     void sendStop(Worker& worker, const TaskRef& task, RunNumber run, std::string_view reason);
     void stopAll(JobEntry& entry, std::string_view reason);
     void stopGang(JobEntry& entry, const TaskRef& member);
-    bool mayAvoidOneMore(const Worker& worker, TimePoint now) const;
-    void noteFailure(Worker& worker, TimePoint now);
-    void noteFence(const WorkerId& worker);
     AnsweredRun answeredRun(
         const WorkerId& id, const TaskRef& task, RunNumber number, const CallAnswer& answer, TimePoint now);
     void startFailed(Worker& worker, const StartOrder& order, Run& run);
@@ -215,6 +212,9 @@
     void sendAgain(TimePoint now, bool mayStart);
     void checkSilent(TimePoint now);
     void pace(Worker& worker, TimePoint now);
+    bool mayAvoidOneMore(const Worker& worker, TimePoint now) const;
+    void noteFailure(Worker& worker, TimePoint now);
+    void noteFence(const WorkerId& worker);
     void emptyClosing(TimePoint now);
     void checkRecovery(TimePoint now);
     int awayOf(const JobEntry& entry, const TaskRef& member, TimePoint now) const;
