Show how late a node is, and starts that it dropped itself

Cause: a start that waited over 250 ms in an owner's queue came back as NotSent, like a connection that could not be made, and its line said "start refused". Nothing told how late the control loop ran, or how long orders waited.

Change: CallStatus::Expired is a status of its own; run.over names the outcome ("start expired in our queue", "start not sent", "start refused: room" and so on) and is bounded for starts that came to nothing, as RunEvent::NotBegun. An answer carries its time in the queue. ControlLoop measures how late work begins. NodeLoad writes one line node.load each 2 s where cells are held or the loop ran 250 ms late, and the same as metrics: loop delay, time in queues, starts expired, age of the list of workers at decisions, orders in flight. No decision has changed.

Conclusion: the next run of a starving owner shows its delays and tells our own drops from refusals.

--- a/packages/jobs/include/rattanrack/jobs/cell.h
+++ b/packages/jobs/include/rattanrack/jobs/cell.h
@@ -152,6 +152,9 @@
     /// Jobs that have not ended.
     std::size_t openJobs() const;
 
+    /// Starts and stops that have no answer yet.
+    std::size_t ordersInFlight() const;
+
     void onAnswer(const StartOrder& order, const CallAnswer& answer, TimePoint now);
     void onAnswer(const StopOrder& order, const CallAnswer& answer, TimePoint now);
     void onAnswer(const PaceOrder& order, const CallAnswer& answer, TimePoint now);
--- a/packages/jobs/include/rattanrack/jobs/cell_event.h
+++ b/packages/jobs/include/rattanrack/jobs/cell_event.h
@@ -25,6 +25,7 @@
         Stopping, ///< A stop is on its way, or follows the answer to the start; `detail` says why.
         Ended, ///< Its worker has listed its end; `detail` says how, `age` is the time since it was confirmed.
         Over, ///< Taken for over without a listed end; `detail` names the proof.
+        NotBegun, ///< Over, since its start was refused or not sent; `detail` says why.
     };
     Kind kind { Kind::Ordered };
     TaskRef task;
--- a/packages/jobs/include/rattanrack/jobs/worker.h
+++ b/packages/jobs/include/rattanrack/jobs/worker.h
@@ -72,7 +72,8 @@
     Busy, ///< The worker is unhealthy; nothing was done.
     WrongWorker, ///< Another worker answers at that address.
     Malformed, ///< The order can't be understood; nothing was done.
-    NotSent, ///< Nothing was done.
+    NotSent, ///< No connection could be made; nothing was done.
+    Expired, ///< Dropped by this node after too long in its queue; nothing was done.
     NoAnswer, ///< May have been done, or may be done seconds later.
 };
 
@@ -83,6 +84,7 @@
     CallStatus status { CallStatus::NoAnswer };
     Refusal refusal { Refusal::None };
     std::int64_t workerClockMs { 0 }; ///< 0 when the answer told none.
+    Duration queuedFor {}; ///< Time in this node's queue, before the order was sent or dropped.
 };
 
 struct RunningEntry {
--- a/packages/jobs/src/cell_runs.cpp
+++ b/packages/jobs/src/cell_runs.cpp
@@ -70,12 +70,12 @@
         places.erase(place);
 }
 
-void CellState::runOver(Worker& worker, const TaskRef& taskInRuns, std::string_view proof)
+void CellState::runOver(Worker& worker, const TaskRef& taskInRuns, std::string_view proof, RunEvent::Kind kind)
 {
     const TaskRef task = taskInRuns; // The one handed in may lie in the run that goes.
     const auto found = worker.runs.find(task);
     if (found != worker.runs.end())
-        tellRun(RunEvent::Kind::Over, worker, task, found->second.number, proof);
+        tellRun(kind, worker, task, found->second.number, proof);
     release(worker, task);
     JobEntry* entry = find(task.job);
     if (entry && entry->progress.has(task))
@@ -286,14 +286,6 @@
     return { &worker->second, &run->second };
 }
 
-void CellState::startFailed(Worker& worker, const StartOrder& order, Run& run)
-{
-    if (run.mayComeLate || run.phase == RunPhase::Stopping)
-        sendStop(worker, order.task, order.run, "may come late");
-    else
-        runOver(worker, order.task, "start refused");
-}
-
 void Cell::onAnswer(const StartOrder& order, const CallAnswer& answer, TimePoint now)
 {
     CellState& state = *m_state;
@@ -337,10 +329,10 @@
         if (JobEntry* entry = state.find(order.task.job))
             entry->tickets.erase({ order.task.occurrence, order.task.step });
     }
-    worker.avoidUntil = std::max(
-        worker.avoidUntil, now + (answer.status == CallStatus::NotSent ? avoidAfterNoAnswer : avoidAfterNoRoom));
+    const bool isUnsent = answer.status == CallStatus::NotSent || answer.status == CallStatus::Expired;
+    worker.avoidUntil = std::max(worker.avoidUntil, now + (isUnsent ? avoidAfterNoAnswer : avoidAfterNoRoom));
     worker.isLookWanted = true;
-    state.startFailed(worker, order, run);
+    state.startFailed(worker, order, run, answer);
 }
 
 void Cell::onAnswer(const StopOrder& order, const CallAnswer& answer, TimePoint now)
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -190,7 +190,8 @@
     // Runs: cell_runs.cpp
     Run& addRun(Worker& worker, const TaskRef& task, RunNumber number, const Step& step);
     void release(Worker& worker, const TaskRef& task);
-    void runOver(Worker& worker, const TaskRef& task, std::string_view proof);
+    void runOver(
+        Worker& worker, const TaskRef& task, std::string_view proof, RunEvent::Kind kind = RunEvent::Kind::Over);
     void lost(Worker& worker, std::string_view proof);
     void takeEnd(Worker& worker, const EndEntry& end, TimePoint now);
     void takeRunning(Worker& worker, const LookReport& report, TimePoint sentAt, TimePoint now);
@@ -200,13 +201,15 @@
     void stopGang(JobEntry& entry, const TaskRef& member);
     AnsweredRun answeredRun(
         const WorkerId& id, const TaskRef& task, RunNumber number, const CallAnswer& answer, TimePoint now);
-    void startFailed(Worker& worker, const StartOrder& order, Run& run);
     void changed(JobEntry& entry);
     void noteOffered(const JobEntry& entry, TimePoint now);
     void endIfOver(JobEntry& entry, const TaskRef& failed);
     void advanceAcks();
     void forgetOldJobs();
 
+    // Starts: cell_starts.cpp
+    void startFailed(Worker& worker, const StartOrder& order, Run& run, const CallAnswer& answer);
+
     // Workers: cell_workers.cpp
     void sendLooks(TimePoint now, bool mayRenew);
     void sendAgain(TimePoint now, bool mayStart);
--- a/packages/jobs/tests/cell_tests.cpp
+++ b/packages/jobs/tests/cell_tests.cpp
@@ -41,6 +41,24 @@
     EXPECT_GT(next.run, first.run);
 }
 
+TEST(Cell, StartThatCameToNothingTellsWhy)
+{
+    const auto whyNot = [](CallStatus status, Refusal refusal) {
+        Desk desk;
+        const StartOrder start = desk.startOf("a");
+        EXPECT_EQ(desk.cell().ordersInFlight(), 1U);
+        desk.answer(start, status, refusal);
+        EXPECT_EQ(desk.cell().ordersInFlight(), 0U);
+        desk.step(10ms);
+        return desk.runEvents(RunEvent::Kind::NotBegun).at(0).detail;
+    };
+    EXPECT_EQ(whyNot(CallStatus::Expired, Refusal::None), "start expired in our queue");
+    EXPECT_EQ(whyNot(CallStatus::NotSent, Refusal::None), "start not sent");
+    EXPECT_EQ(whyNot(CallStatus::Refused, Refusal::Room), "start refused: room");
+    EXPECT_EQ(whyNot(CallStatus::Refused, Refusal::Ticket), "start refused: ticket");
+    EXPECT_EQ(whyNot(CallStatus::Busy, Refusal::None), "start refused: unhealthy");
+}
+
 TEST(Cell, RunsOfASilentWorkerAreWaitedOut)
 {
     Desk desk;
--- a/packages/node/include/rattanrack/node/cell_host.h
+++ b/packages/node/include/rattanrack/node/cell_host.h
@@ -6,6 +6,7 @@
 #include "rattanrack/node/cell_log.h"
 #include "rattanrack/node/control_loop.h"
 #include "rattanrack/node/elastic_thread_pool.h"
+#include "rattanrack/node/node_load.h"
 #include "rattanrack/node/part_writer.h"
 #include "rattanrack/node/worker_links.h"
 
@@ -49,6 +50,7 @@
         const Clock& clock;
         Metrics& metrics;
         CellLog& log;
+        NodeLoad& nodeLoad;
         ElasticThreadPool& storeThreads;
         ElasticThreadPool& workerThreads;
         jobs::PartStore& store;
@@ -82,6 +84,7 @@
 
     std::vector<jobs::MachineId> movable() const { return m_cell.movable(); }
     jobs::CellLoad load() const { return m_cell.load(m_parts.clock.now()); }
+    std::size_t ordersInFlight() const { return m_cell.ordersInFlight(); }
     jobs::Fence term() const { return m_writer.term(); }
 
 private:
@@ -91,6 +94,7 @@
     void handleOutput(jobs::CellOutput output);
     void ask(const jobs::AdviceQuestion& question);
     void handleEvent(const jobs::CellEvent& event);
+    void noteRun(const jobs::RunEvent& event);
     PartWriter::Events writerEvents();
     WorkerLinks::Answers linkAnswers();
     void commitIfDue();
--- a/packages/node/include/rattanrack/node/cell_log.h
+++ b/packages/node/include/rattanrack/node/cell_log.h
@@ -9,8 +9,8 @@
 namespace rattanrack::node {
 
 /// The log of what the cells of one node have decided or come to believe. Lines that come with every subtask are
-/// bounded (starts, ends `done`, acknowledgements); the first one after a gap follows `event=log.left_out kind=...
-/// count=...`. All others are always written. For the control thread.
+/// bounded (starts, starts that came to nothing, ends `done`, acknowledgements); the first one after a gap follows
+/// `event=log.left_out kind=... count=...`. All others are always written. For the control thread.
 class CellLog {
 public:
     explicit CellLog(const Clock& clock)
@@ -27,6 +27,7 @@
 
     const Clock& m_clock;
     LogBound m_starts;
+    LogBound m_startsWithoutRun;
     LogBound m_endsDone;
     LogBound m_acknowledgements;
 };
--- a/packages/node/include/rattanrack/node/control_loop.h
+++ b/packages/node/include/rattanrack/node/control_loop.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "rattanrack/base/time.h"
+#include "rattanrack/node/delay_summary.h"
 
 #include <condition_variable>
 #include <functional>
@@ -35,6 +36,10 @@
     /// Runs `work` on the control thread and waits for its end. Not to be called on the control thread.
     void run(const Work& work);
 
+    /// How late work has begun since the last call: behind the time at which it was posted or due. For the control
+    /// thread.
+    DelaySummary takeDelays();
+
     /// Ends the thread after the work that it is in. Later posts are dropped.
     void stop();
 
@@ -45,18 +50,24 @@
         Work work;
     };
 
+    struct DueWork {
+        TimePoint dueAt;
+        Work work;
+    };
+
     void loop();
-    std::vector<Work> waitForWork();
-    void takeDueTimers(std::vector<Work>& due);
+    std::vector<DueWork> waitForWork();
+    void takeDueTimers(std::vector<DueWork>& due);
     static bool firesLater(const Timer& left, const Timer& right);
 
     const Clock& m_clock;
     std::mutex m_mutex;
     std::condition_variable m_wakeUp;
-    std::vector<Work> m_queue;
+    std::vector<DueWork> m_queue;
     std::vector<Timer> m_timers; ///< A heap; the next to fire is at the front.
     std::uint64_t m_nextSequence { 0 };
     bool m_isStopping { false };
+    DelaySummary m_delays; ///< Touched on the control thread only.
     std::thread m_thread;
 };
 
--- a/packages/node/src/cell_host.cpp
+++ b/packages/node/src/cell_host.cpp
@@ -206,14 +206,25 @@
 {
     const std::string name = m_parts.log.write(m_pool, m_writer.term(), event);
     m_parts.metrics.increment("rattanrack_cell_events_total", { { "event", name } });
+    if (const auto* ofRun = std::get_if<jobs::RunEvent>(&event))
+        noteRun(*ofRun);
     const auto* ofWorker = std::get_if<jobs::WorkerEvent>(&event);
     if (ofWorker && ofWorker->kind == jobs::WorkerEvent::Kind::FenceSeen)
         m_isOwnershipInDoubt = true; // The next transaction tells.
 }
 
+void CellHost::noteRun(const jobs::RunEvent& event)
+{
+    if (event.kind == jobs::RunEvent::Kind::Ordered)
+        m_parts.nodeLoad.startDecided(event.age);
+    if (event.kind == jobs::RunEvent::Kind::NotBegun)
+        m_parts.metrics.increment("rattanrack_starts_without_run_total", { { "reason", event.detail } });
+}
+
 WorkerLinks::Answers CellHost::linkAnswers()
 {
-    const auto take = [this](const auto& order, const auto& answer) {
+    const auto take = [this](const auto& order, const jobs::CallAnswer& answer) {
+        m_parts.nodeLoad.orderAnswered(answer);
         m_cell.onAnswer(order, answer, m_parts.clock.now());
         wake();
     };
--- a/packages/node/src/cell_log.cpp
+++ b/packages/node/src/cell_log.cpp
@@ -30,7 +30,8 @@
 
     std::string operator()(const jobs::RunEvent& event) const
     {
-        constexpr const char* names[] = { "run.ordered", "run.adopted", "run.stopping", "run.ended", "run.over" };
+        constexpr const char* names[]
+            = { "run.ordered", "run.adopted", "run.stopping", "run.ended", "run.over", "run.over" };
         return nameOf(event.kind, names);
     }
 
@@ -78,6 +79,8 @@
     if (const auto* ofRun = std::get_if<jobs::RunEvent>(&event)) {
         if (ofRun->kind == jobs::RunEvent::Kind::Ordered)
             return &m_starts;
+        if (ofRun->kind == jobs::RunEvent::Kind::NotBegun)
+            return &m_startsWithoutRun;
         const bool isDone = ofRun->kind == jobs::RunEvent::Kind::Ended && ofRun->detail == "done";
         return isDone ? &m_endsDone : nullptr;
     }
--- a/packages/node/src/control_loop.cpp
+++ b/packages/node/src/control_loop.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <future>
 #include <memory>
+#include <utility>
 
 namespace rattanrack::node {
 
@@ -20,7 +21,7 @@
         const std::lock_guard lock(m_mutex);
         if (m_isStopping)
             return;
-        m_queue.push_back(std::move(work));
+        m_queue.push_back({ m_clock.now(), std::move(work) });
     }
     m_wakeUp.notify_one();
 }
@@ -66,21 +67,24 @@
 void ControlLoop::loop()
 {
     while (true) {
-        std::vector<Work> due = waitForWork();
+        std::vector<DueWork> due = waitForWork();
         if (due.empty())
             return;
-        for (Work& work : due) {
-            work();
-            work = nullptr;
+        for (DueWork& each : due) {
+            m_delays.observe(m_clock.now() - each.dueAt);
+            each.work();
+            each.work = nullptr;
         }
     }
 }
 
-std::vector<ControlLoop::Work> ControlLoop::waitForWork()
+DelaySummary ControlLoop::takeDelays() { return std::exchange(m_delays, {}); }
+
+std::vector<ControlLoop::DueWork> ControlLoop::waitForWork()
 {
     std::unique_lock lock(m_mutex);
     while (!m_isStopping) {
-        std::vector<Work> due;
+        std::vector<DueWork> due;
         due.swap(m_queue);
         takeDueTimers(due);
         if (!due.empty())
@@ -93,12 +97,13 @@
     return {};
 }
 
-void ControlLoop::takeDueTimers(std::vector<Work>& due)
+void ControlLoop::takeDueTimers(std::vector<DueWork>& due)
 {
     const TimePoint now = m_clock.now();
     while (!m_timers.empty() && m_timers.front().deadline.hasPassed(now)) {
         std::pop_heap(m_timers.begin(), m_timers.end(), firesLater);
-        due.push_back(std::move(m_timers.back().work));
+        Timer& timer = m_timers.back();
+        due.push_back({ timer.deadline.at(), std::move(timer.work) });
         m_timers.pop_back();
     }
 }
--- a/packages/node/src/job_node.cpp
+++ b/packages/node/src/job_node.cpp
@@ -63,10 +63,22 @@
     if (duty)
         duty->tick();
     sendNews();
+    reportLoad();
     isReady = !isLeaving && hasCells;
     holdsAny = !cells.empty() || duty;
 }
 
+void JobNode::State::reportLoad()
+{
+    const TimePoint now = clock.now();
+    if (!nodeLoad.isReportDue(now))
+        return;
+    NodeLoadContext context { cells.size() };
+    for (const auto& [cell, host] : cells)
+        context.ordersInFlight += host->ordersInFlight();
+    nodeLoad.report(control.takeDelays(), context, now);
+}
+
 void JobNode::State::handBack(const PoolId& cell)
 {
     const auto held = cells.find(cell);
--- a/packages/node/src/job_node_cells.cpp
+++ b/packages/node/src/job_node_cells.cpp
@@ -58,9 +58,9 @@
             { "workersUsed", takeover.taken.workers.size() } });
     if (takeover.workers)
         workers = *std::move(takeover.workers);
-    CellHost::Parts parts { control, clock, metrics, cellLog, storePool, workerPool, ports.store, ports.workers,
-        ports.advisor, &advisorPool, [this](jobs::CallToken token, bool isStored) { stored(token, isStored); },
-        [this, cell] { cellLost(cell); } };
+    CellHost::Parts parts { control, clock, metrics, cellLog, nodeLoad, storePool, workerPool, ports.store,
+        ports.workers, ports.advisor, &advisorPool,
+        [this](jobs::CallToken token, bool isStored) { stored(token, isStored); }, [this, cell] { cellLost(cell); } };
     auto host = std::make_unique<CellHost>(std::move(parts), cell,
         CellTimes { settings.leaseLength, settings.keepEnded, settings.longestStop, settings.longestListAge },
         std::move(takeover));
--- a/packages/node/src/job_node_state.h
+++ b/packages/node/src/job_node_state.h
@@ -41,6 +41,7 @@
     void start();
     void tick();
     void sendNews();
+    void reportLoad();
     void shareMachineNews();
     std::set<jobs::MachineId> closingMachines();
     void addOwnCells(jobs::NodeNews& news) const;
@@ -93,6 +94,7 @@
     Metrics& metrics;
     SystemClock clock;
     CellLog cellLog { clock };
+    NodeLoad nodeLoad { metrics };
     NodeId self;
     jobs::Ownership ownership;
     PendingExchanges<peer::JobReply> jobCalls;
--- /dev/null
+++ b/packages/node/src/node_load.cpp
@@ -0,0 +1,52 @@
+#include "rattanrack/node/node_load.h"
+
+#include "rattanrack/base/log.h"
+
+namespace rattanrack::node {
+
+namespace {
+
+std::int64_t milliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+double seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+} // namespace
+
+void NodeLoad::orderAnswered(const jobs::CallAnswer& answer)
+{
+    m_queueing.observe(answer.queuedFor);
+    m_expired += answer.status == jobs::CallStatus::Expired ? 1 : 0;
+}
+
+void NodeLoad::report(const DelaySummary& loop, const NodeLoadContext& context, TimePoint now)
+{
+    m_reportedAt = now;
+    setGauges(loop, context);
+    if (context.cells > 0 || loop.worst() >= lateLoop)
+        logEvent("node.load",
+            { { "cells", context.cells }, { "loopRuns", loop.count() }, { "loopMeanMs", milliseconds(loop.mean()) },
+                { "loopWorstMs", milliseconds(loop.worst()) }, { "orders", m_queueing.count() },
+                { "queuedMeanMs", milliseconds(m_queueing.mean()) },
+                { "queuedWorstMs", milliseconds(m_queueing.worst()) }, { "startsExpired", m_expired },
+                { "starts", m_listAges.count() }, { "listAgeWorstMs", milliseconds(m_listAges.worst()) },
+                { "ordersInFlight", context.ordersInFlight } });
+    m_queueing = {};
+    m_listAges = {};
+    m_expired = 0;
+}
+
+void NodeLoad::setGauges(const DelaySummary& loop, const NodeLoadContext& context)
+{
+    m_metrics.setGauge("rattanrack_loop_delay_seconds", { { "of", "mean" } }, seconds(loop.mean()));
+    m_metrics.setGauge("rattanrack_loop_delay_seconds", { { "of", "worst" } }, seconds(loop.worst()));
+    m_metrics.setGauge("rattanrack_order_queueing_seconds", { { "of", "mean" } }, seconds(m_queueing.mean()));
+    m_metrics.setGauge("rattanrack_order_queueing_seconds", { { "of", "worst" } }, seconds(m_queueing.worst()));
+    m_metrics.setGauge("rattanrack_worker_list_age_seconds", { { "of", "worst" } }, seconds(m_listAges.worst()));
+    m_metrics.setGauge("rattanrack_orders_in_flight", {}, static_cast<double>(context.ordersInFlight));
+    m_metrics.increment("rattanrack_starts_expired_total", {}, static_cast<double>(m_expired));
+}
+
+} // namespace rattanrack::node
--- a/packages/node/src/worker_links.cpp
+++ b/packages/node/src/worker_links.cpp
@@ -86,40 +86,44 @@
                 return;
             const QueuedOrder queued = std::move(lane.queue.front());
             lane.queue.pop_front();
-            const bool isStart = std::holds_alternative<jobs::StartOrder>(queued.order);
-            const bool isStale = m_isClosed || m_sink->clock.now() - queued.decidedAt > longestQueueing;
+            const Duration queuedFor = m_sink->clock.now() - queued.decidedAt;
+            const bool isClosed = m_isClosed;
             lock.unlock();
-            if (isStart && isStale)
-                report(std::get<jobs::StartOrder>(queued.order), jobs::CallAnswer { jobs::CallStatus::NotSent },
-                    &Answers::started);
+            const auto* start = std::get_if<jobs::StartOrder>(&queued.order);
+            if (start && isClosed)
+                report(*start, { jobs::CallStatus::NotSent }, queuedFor, &Answers::started);
+            else if (start && queuedFor > longestQueueing)
+                report(*start, { jobs::CallStatus::Expired }, queuedFor, &Answers::started);
             else
-                std::visit([&](const auto& each) { carryOut(*channel, each); }, queued.order);
+                std::visit([&](const auto& each) { carryOut(*channel, each, queuedFor); }, queued.order);
             lock.lock();
         }
     }
 
-    template <typename OrderType, typename Answer>
-    void report(OrderType order, Answer answer, std::function<void(const OrderType&, const Answer&)> Answers::*target)
+    template <typename OrderType>
+    void report(OrderType order, jobs::CallAnswer answer, Duration queuedFor,
+        std::function<void(const OrderType&, const jobs::CallAnswer&)> Answers::*target)
     {
-        m_sink->control.post([sink = m_sink, order = std::move(order), answer = std::move(answer), target] {
+        answer.queuedFor = queuedFor;
+        m_sink->control.post([sink = m_sink, order = std::move(order), answer, target] {
             if (!sink->isCut)
                 (sink->answers.*target)(order, answer);
         });
     }
 
-    void carryOut(jobs::WorkerChannel& channel, const jobs::StartOrder& order)
+    void carryOut(jobs::WorkerChannel& channel, const jobs::StartOrder& order, Duration queuedFor)
     {
-        report(order, channel.start(order), &Answers::started);
+        report(order, channel.start(order), queuedFor, &Answers::started);
     }
-    void carryOut(jobs::WorkerChannel& channel, const jobs::StopOrder& order)
+    void carryOut(jobs::WorkerChannel& channel, const jobs::StopOrder& order, Duration queuedFor)
     {
-        report(order, channel.stop(order), &Answers::stopped);
+        report(order, channel.stop(order), queuedFor, &Answers::stopped);
     }
-    void carryOut(jobs::WorkerChannel& channel, const jobs::PaceOrder& order)
+    void carryOut(jobs::WorkerChannel& channel, const jobs::PaceOrder& order, Duration queuedFor)
     {
-        report(order, channel.pace(order), &Answers::paced);
+        report(order, channel.pace(order), queuedFor, &Answers::paced);
     }
-    void carryOut(jobs::WorkerChannel& channel, const jobs::LookOrder& order)
+    void carryOut(jobs::WorkerChannel& channel, const jobs::LookOrder& order, Duration)
     {
         const TimePoint sentAt = m_sink->clock.now();
         m_sink->control.post([sink = m_sink, order, answer = channel.look(order), sentAt] {
--- a/packages/node/tests/cell_log_tests.cpp
+++ b/packages/node/tests/cell_log_tests.cpp
@@ -118,6 +118,13 @@
     EXPECT_EQ(linesWith("event=ends.acknowledged"), LogBound::linesPerSecond);
 }
 
+TEST_F(CellLogTest, StartsThatCameToNothingAreBounded)
+{
+    write(runEvent(RunEvent::Kind::NotBegun, "start expired in our queue"), flood);
+    EXPECT_EQ(linesWith("event=run.over"), LogBound::linesPerSecond);
+    EXPECT_EQ(linesWith("detail=\"start expired in our queue\""), LogBound::linesPerSecond);
+}
+
 TEST_F(CellLogTest, FailuresAndChangesOfBeliefAreNeverLeftOut)
 {
     const std::vector<jobs::CellEvent> events { runEvent(RunEvent::Kind::Ended, "failed"),
