Test that a starved owner's own queues throw its starts away

Those that wait over 250 ms in its queues are dropped, their workers avoided for 700 ms, and all is decided on again: the processor time that would send goes into decisions and drops.

--- /dev/null
+++ b/packages/jobs/tests/starved_owner_tests.cpp
@@ -0,0 +1,30 @@
+#include "../model/starved_owner.h"
+
+#include <gtest/gtest.h>
+
+using namespace rattanrack;
+using namespace rattanrack::jobs;
+using namespace rattanrack::jobs::model;
+using namespace std::chrono_literals;
+
+TEST(StarvedOwner, StartsThatItCannotSendAreNotDecidedOn)
+{
+    constexpr int seconds = 20;
+    constexpr int perSecond = 50;
+    for (const int demand : { 2, 3, 4 }) {
+        StarvedOwner owner { { 64, perSecond } };
+        owner.run(Duration { 1s } * seconds, demand * perSecond);
+        EXPECT_GE(owner.begun(), 0.9 * perSecond * seconds) << "demand " << demand;
+        EXPECT_LE(owner.expired(), 0.05 * owner.decided()) << "demand " << demand << ", decided " << owner.decided();
+    }
+}
+
+TEST(StarvedOwner, FloodThatIsOverLeavesNoCollapse)
+{
+    constexpr int flood = 300;
+    constexpr int perSecond = 50;
+    StarvedOwner owner { { 64, perSecond } };
+    owner.submit(flood);
+    owner.run(20s, perSecond / 2);
+    EXPECT_GE(owner.begun(), 0.95 * (flood + 20 * perSecond / 2));
+}
