Lend machines to a flooded pool in proportion to its size

Cause: at most ten transfers to one pool at a time, whatever the pool's size. At ten machines a pool that was no bound; at eighty it makes the time to lend grow with the pool.

Change: as many as the pool's own size, ten for small ones. Pools of up to ten machines behave as before.

CapacityPlan.LargePoolIsLentItsMachinesAsSoonAsASmallOne (pools of 80, standby 48, the bounds of the test for ten times eight) failed before: 90 of 128 machines, 1,456 core-seconds unmet (bound 1,176). Now it passes, as do the other seven.

--- a/packages/jobs/src/capacity_plan.cpp
+++ b/packages/jobs/src/capacity_plan.cpp
@@ -11,7 +11,8 @@
 using namespace std::chrono_literals;
 
 constexpr double fullShare = 0.75; ///< A pool that uses more of its room is about to be flooded.
-constexpr int mostAtOnce = 10; ///< Transfers to one pool at the same time.
+/// Transfers that any pool may have at the same time; a larger pool as many as its size.
+constexpr int smallestTransferBound = 10;
 constexpr int headroom = 1; ///< Machines that a pool keeps beyond its need while it lends.
 constexpr Duration quietBeforeLending = 700ms; ///< A pool lends only after it has not been full for this long.
 constexpr Duration quietBeforeReturn = 2500ms; ///< Lent machines stay this long after the flood has ended.
@@ -157,6 +158,7 @@
         if (found == m_pools.end())
             continue;
         Pool& pool = found->second;
+        const int mostAtOnce = std::max(smallestTransferBound, sizeOf(id));
         while (pool.wanted > pool.present + pool.arriving && pool.arriving < mostAtOnce) {
             if (!take(id, now))
                 break;
--- a/packages/jobs/tests/capacity_plan_tests.cpp
+++ b/packages/jobs/tests/capacity_plan_tests.cpp
@@ -16,14 +16,15 @@
 const PoolId right { "right" };
 const PoolId spare { "spare" };
 
-/// Two pools of ten machines and six on standby in virtual time; a pool's demand is met as far as its machines reach.
+/// Two pools of ten machines and six on standby, or `scale` times as many, in virtual time; a pool's demand is met as
+/// far as its machines reach.
 class Pools {
 public:
-    Pools()
+    explicit Pools(int scale = 1)
     {
-        for (int number = 0; number < 26; ++number) {
+        for (int number = 0; number < 26 * scale; ++number) {
             const MachineId id { "m" + std::to_string(number) };
-            const PoolId pool = number < 10 ? left : number < 20 ? right : spare;
+            const PoolId pool = number < 10 * scale ? left : number < 20 * scale ? right : spare;
             m_machines[id] = { { id, pool, MachineState::Up, "a", "r", { Millicores { machineSize }, {}, {} },
                 pool == spare ? WorkerId {} : WorkerId { id.value() + "-1" } } };
         }
@@ -183,6 +184,16 @@
     EXPECT_LT(pools.unmetCoreSeconds(), 70 * 3.0 * 0.7);
 }
 
+TEST(CapacityPlan, LargePoolIsLentItsMachinesAsSoonAsASmallOne)
+{
+    constexpr int scale = 8;
+    Pools pools { scale };
+    pools.run(20 * scale, 20 * scale, 5s);
+    pools.run(230 * scale, 20 * scale, 3s);
+    EXPECT_EQ(pools.machinesOf(left), 16 * scale);
+    EXPECT_LT(pools.unmetCoreSeconds(), 70 * 3.0 * 0.7 * scale);
+}
+
 TEST(CapacityPlan, LentMachinesGoBackAfterTheFlood)
 {
     Pools pools;
