Choose owners by processor share

Cause: owners were chosen by count of cells, whatever the processor of their node. On the grown sites (10 nodes of 0.5 core, 25 of 0.12) cells of 61 to 85 workers lay on 0.12-core nodes.

Change: the settings name the processor of a node (processorShare times processorCores, rendered from limits.cpu_share and limits.cores; 1 when absent), news carries it, and a free cell goes to the node with the least load after it: cells held by processor, the machines' duty a quarter of a cell, ties as before. A cell is handed on when the loads even out with it, which for equal shares is the rule of before, or when the receiver would have less than half of the giver's load; after 4 s as before. A peer that names no usable share counts as one core. Every such move lowers the higher load, so cells don't go to and fro.

All large nodes lost at once: five small ones hold the cells within 1.6 s; large ones back: five moves, then none in 60 s. The older tests of ownership pass unchanged.

Conclusion: cells lie on large nodes while there are any.

--- a/packages/config/src/job_node_settings.cpp
+++ b/packages/config/src/job_node_settings.cpp
@@ -14,6 +14,8 @@
 constexpr DurationRange stopRange { 1ms, 60s };
 constexpr DurationRange drainRange { 1s, 60s };
 constexpr DurationRange graceRange { 1s, 600s };
+constexpr NumberRange shareRange { 0, 1, true };
+constexpr NumberRange coresRange { 0, 1024, true };
 
 void readAdvice(Section& section, std::optional<Address>& output)
 {
@@ -39,6 +41,8 @@
     top.readDuration("longestStop", stopRange, settings.longestStop);
     top.readDuration("drainBound", drainRange, settings.drainBound);
     top.readDuration("stopGrace", graceRange, settings.stopGrace);
+    top.readNumber("processorShare", shareRange, settings.processorShare);
+    top.readNumber("processorCores", coresRange, settings.processorCores);
     readLogLevel(top, settings.logLevel);
     top.reportUnknownKeys();
     return settings;
--- a/packages/jobs/include/rattanrack/jobs/ownership.h
+++ b/packages/jobs/include/rattanrack/jobs/ownership.h
@@ -14,7 +14,7 @@
 #include <vector>
 
 /// Which node owns which cell. Nodes tell each other several times a second what they hold; whoever is silent loses
-/// its cells to the nodes that hold the fewest. The owner row in the cell's part decides races.
+/// its cells to the nodes that have the most processor for them. The owner row in the cell's part decides races.
 namespace rattanrack::jobs {
 
 struct HeldCell {
@@ -24,6 +24,8 @@
     friend bool operator==(const HeldCell&, const HeldCell&) = default;
 };
 
+constexpr double defaultProcessorShare = 1; ///< In cores, of a node that names none.
+
 /// What a node says of itself to all others.
 struct NodeNews {
     NodeId node;
@@ -37,6 +39,7 @@
     std::vector<MachineId> emptied; ///< From owners of cells: closing machines on which nothing runs.
     std::vector<MachineId> movable; ///< From owners of cells: machines on which nothing runs that lasts.
     std::vector<CellLoad> loads; ///< Of the cells that it owns.
+    double processorShare { defaultProcessorShare }; ///< Cores, above 0: what the node may use.
 
     friend bool operator==(const NodeNews&, const NodeNews&) = default;
 };
@@ -50,9 +53,11 @@
 /// Pure: no I/O, no clock. Not thread-safe.
 class Ownership {
 public:
-    Ownership(NodeId self, std::string address, TimePoint now);
+    /// `processorShare`: cores that this node may use, above 0.
+    Ownership(NodeId self, std::string address, TimePoint now, double processorShare = defaultProcessorShare);
 
-    void setCells(std::vector<PoolId> cells);
+    /// All that is to be owned. `duties` are those of the cells that cost their holder little.
+    void setCells(std::vector<PoolId> cells, std::set<PoolId> duties = {});
 
     /// A node that the store lists; it is live once it has been heard.
     void learnAddress(const std::string& address);
@@ -70,7 +75,7 @@
     /// Cells that this node should take now. Each is named until `taken` or `takingFailed`.
     std::vector<PoolId> toTake(TimePoint now) const;
 
-    /// A cell that this node should hand back, as another node holds far fewer.
+    /// A cell that this node should hand back, as another node has far more processor for it.
     std::optional<PoolId> toHandBack(TimePoint now);
 
     std::optional<CellOwner> owner(const PoolId& cell, TimePoint now) const;
@@ -97,6 +102,9 @@
         TimePoint heardAt {};
     };
     bool isLive(const Peer& peer, TimePoint now) const;
+    bool mayTake(const Peer& peer, TimePoint now) const;
+    double weightOf(const PoolId& cell) const;
+    bool isHandBackWorthwhile(const PoolId& cell, TimePoint now) const;
 
     NodeId m_self;
     std::string m_address;
@@ -104,7 +112,9 @@
     bool m_isLeaving { false };
     bool m_isStoreInReach { true };
     std::uint64_t m_sequence { 0 };
+    double m_processorShare;
     std::vector<PoolId> m_cells;
+    std::set<PoolId> m_duties;
     std::map<PoolId, Fence> m_held;
     std::map<PoolId, TimePoint> m_tryAgainAt;
     std::map<NodeId, Peer> m_peers;
--- a/packages/jobs/src/ownership.cpp
+++ b/packages/jobs/src/ownership.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace rattanrack::jobs {
 
@@ -15,7 +16,16 @@
 constexpr Duration pauseAfterFailure = 400ms;
 constexpr Duration unlearnAfter = 20s; ///< An address that stays silent is told no more.
 constexpr Duration imbalancePatience = 4s;
-constexpr std::size_t imbalance = 2; ///< Cells more than the node with the fewest.
+constexpr double dutyWeight = 0.25; ///< Of a duty; a cell weighs 1.
+constexpr double farLessLoad = 0.5; ///< Share of the giver's load; a takeover for less is not worth its pause.
+
+/// What a node holds, by weight, and the processor that it has for it.
+struct Burden {
+    double weight { 0 };
+    double processorShare { defaultProcessorShare };
+
+    double loadWith(double more) const { return (weight + more) / processorShare; }
+};
 
 /// The same on each node.
 std::uint64_t preference(const PoolId& cell, const NodeId& node)
@@ -26,17 +36,19 @@
 
 } // namespace
 
-Ownership::Ownership(NodeId self, std::string address, TimePoint now)
+Ownership::Ownership(NodeId self, std::string address, TimePoint now, double processorShare)
     : m_self(std::move(self))
     , m_address(std::move(address))
     , m_startedAt(now)
+    , m_processorShare(processorShare)
 {
 }
 
-void Ownership::setCells(std::vector<PoolId> cells)
+void Ownership::setCells(std::vector<PoolId> cells, std::set<PoolId> duties)
 {
     std::sort(cells.begin(), cells.end());
     m_cells = std::move(cells);
+    m_duties = std::move(duties);
 }
 
 void Ownership::learnAddress(const std::string& address)
@@ -55,6 +67,8 @@
     if (peer.news.sequence >= news.sequence)
         return;
     peer = { news, now };
+    if (!std::isfinite(news.processorShare) || news.processorShare <= 0)
+        peer.news.processorShare = defaultProcessorShare;
     m_learned.erase(news.address);
     // A node that starts again at the same address has taken the place of its earlier life.
     std::erase_if(m_peers,
@@ -63,6 +77,13 @@
 
 bool Ownership::isLive(const Peer& peer, TimePoint now) const { return now - peer.heardAt < silence; }
 
+bool Ownership::mayTake(const Peer& peer, TimePoint now) const
+{
+    return isLive(peer, now) && !peer.news.isLeaving && peer.news.isStoreInReach;
+}
+
+double Ownership::weightOf(const PoolId& cell) const { return m_duties.contains(cell) ? dutyWeight : 1; }
+
 void Ownership::taken(const PoolId& cell, Fence term)
 {
     m_held[cell] = term;
@@ -94,27 +115,28 @@
 {
     if (m_isLeaving || !m_isStoreInReach || m_cells.empty() || now - m_startedAt < acquaintance)
         return {};
-    std::map<NodeId, std::size_t> counts { { m_self, 0 } };
+    std::map<NodeId, Burden> burdens { { m_self, { 0, m_processorShare } } };
     for (const auto& [node, peer] : m_peers) {
-        if (isLive(peer, now) && !peer.news.isLeaving && peer.news.isStoreInReach)
-            counts[node] = 0;
+        if (mayTake(peer, now))
+            burdens[node] = { 0, peer.news.processorShare };
     }
     std::vector<PoolId> free;
     for (const PoolId& cell : m_cells) {
         const auto holder = owner(cell, now);
         if (!holder)
             free.push_back(cell);
-        else if (counts.contains(holder->node))
-            ++counts[holder->node];
+        else if (burdens.contains(holder->node))
+            burdens[holder->node].weight += weightOf(cell);
     }
     std::vector<PoolId> mine;
     for (const PoolId& cell : free) {
+        const double weight = weightOf(cell);
         const auto isBetter = [&](const auto& left, const auto& right) {
-            return std::pair { left.second, preference(cell, left.first) }
-            < std::pair { right.second, preference(cell, right.first) };
+            return std::pair { left.second.loadWith(weight), preference(cell, left.first) }
+            < std::pair { right.second.loadWith(weight), preference(cell, right.first) };
         };
-        const auto chosen = std::min_element(counts.begin(), counts.end(), isBetter);
-        ++chosen->second;
+        const auto chosen = std::min_element(burdens.begin(), burdens.end(), isBetter);
+        chosen->second.weight += weight;
         const auto pause = m_tryAgainAt.find(cell);
         if (chosen->first == m_self && (pause == m_tryAgainAt.end() || now >= pause->second))
             mine.push_back(cell);
@@ -122,21 +144,38 @@
     return mine;
 }
 
+/// Loads even out with each such move, so that cells don't go to and fro.
+bool Ownership::isHandBackWorthwhile(const PoolId& cell, TimePoint now) const
+{
+    const double weight = weightOf(cell);
+    Burden here { 0, m_processorShare };
+    for (const auto& [held, term] : m_held)
+        here.weight += weightOf(held);
+    const auto isRelief = [&](const Burden& there) {
+        const double load = there.loadWith(weight);
+        return load <= here.loadWith(-weight) || load < here.loadWith(0) * farLessLoad;
+    };
+    return std::any_of(m_peers.begin(), m_peers.end(), [&](const auto& each) {
+        const Peer& peer = each.second;
+        Burden there { 0, peer.news.processorShare };
+        for (const HeldCell& held : peer.news.cells)
+            there.weight += weightOf(held.cell);
+        return mayTake(peer, now) && isRelief(there);
+    });
+}
+
 std::optional<PoolId> Ownership::toHandBack(TimePoint now)
 {
-    std::size_t fewest = m_held.size();
-    for (const auto& [node, peer] : m_peers) {
-        if (isLive(peer, now) && !peer.news.isLeaving && peer.news.isStoreInReach)
-            fewest = std::min(fewest, peer.news.cells.size());
-    }
-    if (m_held.size() < fewest + imbalance) {
+    const auto found = std::find_if(
+        m_held.begin(), m_held.end(), [&](const auto& held) { return isHandBackWorthwhile(held.first, now); });
+    if (found == m_held.end()) {
         m_unbalancedSince = now;
         return std::nullopt;
     }
     if (now - m_unbalancedSince < imbalancePatience)
         return std::nullopt;
     m_unbalancedSince = now;
-    return m_held.begin()->first;
+    return found->first;
 }
 
 std::vector<std::string> Ownership::addresses(TimePoint now) const
@@ -170,7 +209,8 @@
 
 NodeNews Ownership::news()
 {
-    NodeNews news { m_self, m_address, ++m_sequence, m_isLeaving, m_isStoreInReach, {}, {}, 0, {}, {}, {} };
+    NodeNews news { m_self, m_address, ++m_sequence, m_isLeaving, m_isStoreInReach, {}, {}, 0, {}, {}, {},
+        m_processorShare };
     for (const auto& [cell, term] : m_held)
         news.cells.push_back({ cell, term });
     return news;
--- a/packages/jobs/tests/ownership_tests.cpp
+++ b/packages/jobs/tests/ownership_tests.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <limits>
 #include <map>
 #include <memory>
 
@@ -11,22 +12,23 @@
 
 namespace {
 
+const PoolId duty { "~duty" };
 const std::vector<PoolId> cells { PoolId { "a" }, PoolId { "b" }, PoolId { "c" }, PoolId { "d" }, PoolId { "e" } };
 
 /// Nodes that hear each other unless cut, and take cells the moment they should; the first to take wins the row.
 class Nodes {
 public:
-    explicit Nodes(int count)
+    explicit Nodes(int count, double share = 1)
     {
         for (int number = 0; number < count; ++number)
-            add(number);
+            add(number, share);
     }
 
-    void add(int number)
+    void add(int number, double share = 1)
     {
         const std::string name = "n" + std::to_string(number);
-        m_nodes[number] = std::make_unique<Ownership>(NodeId { name }, address(number), m_now);
-        m_nodes[number]->setCells(cells);
+        m_nodes[number] = std::make_unique<Ownership>(NodeId { name }, address(number), m_now, share);
+        m_nodes[number]->setCells(cells, { duty });
         for (const auto& [other, node] : m_nodes) {
             node->learnAddress(address(number));
             m_nodes[number]->learnAddress(address(other));
@@ -53,6 +55,23 @@
         }
     }
 
+    /// As `run`; nodes also hand back what they should. Returns how often.
+    int runHandingBack(Duration time)
+    {
+        int count = 0;
+        for (const TimePoint until = m_now + time; m_now < until;) {
+            for (auto& [number, node] : m_nodes) {
+                if (const auto cell = node->toHandBack(m_now)) {
+                    node->dropped(*cell);
+                    node->takingFailed(*cell, m_now);
+                    ++count;
+                }
+            }
+            run(200ms);
+        }
+        return count;
+    }
+
     std::map<int, int> held()
     {
         std::map<int, int> counts;
@@ -62,6 +81,13 @@
         }
         return counts;
     }
+    int heldBy(int first, int last)
+    {
+        int all = 0;
+        for (const auto& [number, count] : held())
+            all += number >= first && number <= last ? count : 0;
+        return all;
+    }
     int total()
     {
         int all = 0;
@@ -145,3 +171,112 @@
     EXPECT_FALSE(node.owner(cells[0], TimePoint { 2s }).has_value());
     EXPECT_EQ(node.liveNews(TimePoint { 2s }).size(), 1U); // Beside itself.
 }
+
+namespace {
+
+constexpr double largeShare = 0.5;
+constexpr double smallShare = 0.12;
+constexpr int large = 10;
+constexpr int all = 35;
+
+/// Ten large nodes and 25 small ones.
+Nodes mixedNodes()
+{
+    Nodes nodes { large, largeShare };
+    for (int number = large; number < all; ++number)
+        nodes.add(number, smallShare);
+    return nodes;
+}
+
+} // namespace
+
+TEST(Ownership, CellsGoToTheNodesWithMoreProcessor)
+{
+    Nodes nodes = mixedNodes();
+    nodes.run(3s);
+    EXPECT_EQ(nodes.heldBy(0, large - 1), 5);
+    EXPECT_EQ(nodes.total(), 5);
+}
+
+TEST(Ownership, LargeNodeTakesSecondCellBeforeSmallNodeTakesFirst)
+{
+    Nodes nodes { 2, largeShare };
+    for (int number = 2; number < 9; ++number)
+        nodes.add(number, smallShare);
+    nodes.run(3s);
+    EXPECT_EQ(nodes.heldBy(0, 1), 5);
+}
+
+TEST(Ownership, SmallNodesTakeOverWhenAllLargeOnesAreLost)
+{
+    Nodes nodes = mixedNodes();
+    nodes.run(3s);
+    for (int number = 0; number < large; ++number)
+        nodes.kill(number);
+    nodes.run(1600ms);
+    EXPECT_EQ(nodes.total(), 5);
+    for (const auto& [number, count] : nodes.held())
+        EXPECT_LE(count, 1) << number;
+}
+
+TEST(Ownership, CellsReturnToLargeNodesOnceAndStay)
+{
+    Nodes nodes = mixedNodes();
+    nodes.run(3s);
+    for (int number = 0; number < large; ++number)
+        nodes.kill(number);
+    nodes.run(3s);
+    ASSERT_EQ(nodes.total(), 5);
+    for (int number = 0; number < large; ++number)
+        nodes.add(number, largeShare);
+    EXPECT_EQ(nodes.runHandingBack(20s), 5);
+    EXPECT_EQ(nodes.heldBy(0, large - 1), 5);
+    EXPECT_EQ(nodes.runHandingBack(60s), 0);
+}
+
+TEST(Ownership, CellsDoNotFlapWhileNodesComeAndGo)
+{
+    Nodes nodes = mixedNodes();
+    nodes.run(3s);
+    int moves = 0;
+    for (int round = 0; round < 10; ++round) {
+        nodes.kill(all - 1 - round);
+        nodes.add(all + round, round % 2 == 0 ? largeShare : smallShare);
+        moves += nodes.runHandingBack(6s);
+    }
+    EXPECT_EQ(moves, 0);
+    EXPECT_EQ(nodes.total(), 5);
+}
+
+TEST(Ownership, CellStaysWhereTheGainIsSmall)
+{
+    Nodes nodes { 5, 0.3 };
+    nodes.run(3s);
+    for (int number = 5; number < 10; ++number)
+        nodes.add(number, largeShare); // Load 2 there instead of 3.3.
+    EXPECT_EQ(nodes.runHandingBack(20s), 0);
+    EXPECT_EQ(nodes.total(), 5);
+}
+
+TEST(Ownership, DutyOverMachinesWeighsLessThanACell)
+{
+    Ownership node { NodeId { "n0" }, "10.0.0.1:7000", TimePoint { 1s } };
+    node.setCells({ cells[0], cells[1], duty }, { duty });
+    node.taken(duty, 1);
+    const NodeNews other { NodeId { "n1" }, "10.0.0.2:7000", 1, false, true, { { cells[0], 1 } } };
+    node.onNews(other, TimePoint { 3s });
+    EXPECT_EQ(node.toTake(TimePoint { 3s }), std::vector { cells[1] });
+}
+
+TEST(Ownership, ShareThatIsNoneCountsAsTheDefault)
+{
+    for (const double share : { 0.0, -1.0, std::numeric_limits<double>::quiet_NaN() }) {
+        Ownership node { NodeId { "n0" }, "10.0.0.1:7000", TimePoint { 1s }, largeShare };
+        NodeNews other { NodeId { "n1" }, "10.0.0.2:7000", 1, false, true };
+        other.processorShare = share;
+        node.setCells({ cells[0] });
+        node.onNews(other, TimePoint { 3s });
+        EXPECT_EQ(node.liveNews(TimePoint { 3s }).front()->processorShare, defaultProcessorShare) << share;
+        EXPECT_TRUE(node.toTake(TimePoint { 3s }).empty()) << share;
+    }
+}
--- a/packages/node/include/rattanrack/node/job_node.h
+++ b/packages/node/include/rattanrack/node/job_node.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "rattanrack/base/metrics.h"
+#include "rattanrack/jobs/ownership.h"
 #include "rattanrack/jobs/ports.h"
 #include "rattanrack/node/relayed_store.h"
 #include "rattanrack/peer/messages.h"
@@ -17,6 +18,7 @@
     Duration keepEnded {}; ///< Jobs are remembered this long after their end.
     Duration longestStop {}; ///< From an answered stop until the run has ended.
     Duration longestListAge {}; ///< Nothing starts on a list of workers that is older.
+    double processorShare { jobs::defaultProcessorShare }; ///< Cores that this node may use, above 0.
 };
 
 struct JobNodePorts {
--- a/packages/node/src/job_node.cpp
+++ b/packages/node/src/job_node.cpp
@@ -19,7 +19,7 @@
     , ports(nodePorts)
     , metrics(nodeMetrics)
     , self(settings.name + '-' + std::to_string(wallClockMilliseconds()))
-    , ownership(self, settings.peerAddress, clock.now())
+    , ownership(self, settings.peerAddress, clock.now(), settings.processorShare)
 {
 }
 
--- a/packages/node/src/job_node_watchers.cpp
+++ b/packages/node/src/job_node_watchers.cpp
@@ -44,7 +44,7 @@
     if (duty)
         duty->configure(*shared);
     owned.push_back(machineDutyName);
-    ownership.setCells(std::move(owned));
+    ownership.setCells(std::move(owned), { machineDutyName });
     hasCells = true;
     for (auto& [cell, host] : cells)
         host->configure(shared->queuesOf(cell));
--- a/packages/peer/src/job_messages_codec.cpp
+++ b/packages/peer/src/job_messages_codec.cpp
@@ -32,6 +32,7 @@
     news.setIsLeaving(message.isLeaving);
     news.setIsStoreInReach(message.isStoreInReach);
     news.setClosingHeard(message.closingHeard);
+    news.setProcessorShare(message.processorShare);
     auto cells = news.initCells(static_cast<unsigned>(message.cells.size()));
     for (unsigned i = 0; i < cells.size(); ++i) {
         cells[i].setCell(message.cells[i].cell.value());
@@ -72,7 +73,8 @@
 {
     jobs::NodeNews news { NodeId { text(source.getNode()) }, text(source.getAddress()), source.getSequence(),
         source.getIsLeaving(), source.getIsStoreInReach(), {}, decodeMachines(source.getClosing()),
-        source.getClosingHeard(), decodeMachines(source.getEmptied()), decodeMachines(source.getMovable()), {} };
+        source.getClosingHeard(), decodeMachines(source.getEmptied()), decodeMachines(source.getMovable()), {},
+        source.getProcessorShare() };
     for (const auto load : source.getLoads()) {
         news.loads.push_back({ PoolId { text(load.getCell()) }, Millicores { load.getUsedMillicores() },
             Millicores { load.getWaitingMillicores() }, Millicores { load.getOfferedMillicores() } });
--- a/packages/peer/src/peer.capnp
+++ b/packages/peer/src/peer.capnp
@@ -169,6 +169,7 @@
   loads @8 :List(CellLoad);
   movable @9 :List(Text);
   closingHeard @10 :UInt64;
+  processorShare @11 :Float64 = 1; # Cores.
 }
 
 struct CellLoad {
--- a/packages/peer/src/peer.capnp.h
+++ b/packages/peer/src/peer.capnp.h
@@ -409,7 +409,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9072e06186a0c7b8, 3, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(9072e06186a0c7b8, 4, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2638,6 +2638,8 @@
 
   inline  ::uint64_t getClosingHeard() const;
 
+  inline double getProcessorShare() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2730,6 +2732,9 @@
   inline  ::uint64_t getClosingHeard();
   inline void setClosingHeard( ::uint64_t value);
 
+  inline double getProcessorShare();
+  inline void setProcessorShare(double value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6888,6 +6893,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline double NodeNews::Reader::getProcessorShare() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, 4607182418800017408ull);
+}
+
+inline double NodeNews::Builder::getProcessorShare() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, 4607182418800017408ull);
+}
+inline void NodeNews::Builder::setProcessorShare(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value, 4607182418800017408ull);
+}
+
 inline bool CellLoad::Reader::hasCell() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/peer/tests/peer_network_tests.cpp
+++ b/packages/peer/tests/peer_network_tests.cpp
@@ -204,6 +204,18 @@
         EXPECT_EQ(std::get<StoreReply>(inbox.messages()[calls.size() + i]), replies[i]);
 }
 
+TEST(PeerNetwork, CarriesNewsOfANodeWhole)
+{
+    Pair pair;
+    auto& [inbox, unused, target, receiver, sender] = pair;
+    const jobs::NodeNews news { NodeId { "n1" }, "127.0.0.1:2", 7, true, false, { { PoolId { "a" }, 3 } },
+        { jobs::MachineId { "m1" } }, 5, { jobs::MachineId { "m2" } }, { jobs::MachineId { "m3" } },
+        { { PoolId { "a" }, Millicores { 1 }, Millicores { 2 }, Millicores { 3 } } }, 0.12 };
+    sender->send(target, news);
+    ASSERT_TRUE(inbox.waitFor(1));
+    EXPECT_EQ(std::get<jobs::NodeNews>(inbox.messages()[0]), news);
+}
+
 TEST(PeerNetwork, KeepsOrderOverManyBatchesAndConnections)
 {
     Pair pair;
