Benchmark what a cell's step costs in a flood

A cell with workers of 16 cores, 400 accepted jobs that wait, 4,000 ended ones that are remembered, lasting steps and fillers is driven in virtual time: one step with nothing new to hear, and ticks of 10 ms with all answers, ends and commits (processor time of the cell alone). `decisions` is a digest of all starts and their order: equal when the cell has decided the same.

--- /dev/null
+++ b/packages/jobs/tests/flood.cpp
@@ -0,0 +1,222 @@
+#include "flood.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+namespace rattanrack::jobs::tests {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration tickLength = 10ms;
+constexpr int ticksPerCommit = 2;
+constexpr int warmUpTicks = 400;
+constexpr int workersPerRack = 8;
+constexpr int workersPerLastingJob = 8;
+constexpr int subtasksPerStep = 8;
+constexpr Fence fence = 2;
+
+/// As long as the ids of callers and workers are.
+std::string hexId(std::uint64_t number)
+{
+    char text[17];
+    std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>((number + 1) * 0x9e3779b97f4a7c15ULL));
+    return text;
+}
+
+std::string rackOf(int number) { return "r1-" + std::to_string(number / workersPerRack); }
+
+std::vector<StoredJob> endedJobs(int count, std::int64_t unixMs)
+{
+    std::vector<StoredJob> jobs;
+    for (int number = 0; number < count; ++number) {
+        Job job { JobId { hexId(1'000'000U + static_cast<std::uint64_t>(number)) }, QueueId { "queue-1" },
+            unixMs - 2000, { "text", { {} }, {} } };
+        jobs.push_back({ std::move(job), { unixMs - 1000, false, false, true, {} } });
+    }
+    return jobs;
+}
+
+} // namespace
+
+Flood::Flood(FloodSize size)
+    : m_size(size)
+    , m_cell({ PoolId { "p" }, fence, 4500ms, 10500ms, 120s, 900ms }, endedJobs(size.endedJobs, unixMs()), {}, m_now,
+          unixMs())
+{
+    std::vector<QueueSettings> queues;
+    for (int queue = 0; queue < 4; ++queue)
+        queues.push_back({ QueueId { "queue-" + std::to_string(queue) }, PoolId { "p" }, queue / 3, 3, 1.6, 600ms });
+    m_cell.configure(queues);
+    std::vector<WorkerDescription> listed;
+    for (int number = 0; number < size.workers; ++number) {
+        WorkerDescription worker { WorkerId { hexId(static_cast<std::uint64_t>(number)) },
+            MachineId { "machine-" + std::to_string(number) }, PoolId { "p" }, "10.0.0.1:1" };
+        worker.capacity = { Millicores { 16'000 }, Mebibytes { 65'536 }, {} };
+        worker.rack = rackOf(number);
+        worker.labels = { worker.rack, number % 2 == 0 ? "kind-even" : "kind-odd" };
+        worker.bornUnixMs = 1;
+        listed.push_back(worker);
+        m_places[worker.id] = m_workers.size();
+        m_workers.push_back({ worker, {}, {}, 0, 0, {}, {} });
+    }
+    m_cell.setWorkers(listed, m_now, m_now);
+    m_cell.workersStored(m_cell.workersInUse());
+    submitLasting();
+}
+
+void Flood::submitLasting()
+{
+    for (int number = 0; number < m_size.workers; number += workersPerLastingJob) {
+        for (const bool isFiller : { false, true }) {
+            Job job { JobId { hexId(2'000'000U + static_cast<std::uint64_t>(number * 2 + (isFiller ? 1 : 0))) },
+                QueueId { "queue-0" }, unixMs(), { "text", { {} }, {} } };
+            Step& step = job.spec.steps[0];
+            step.count = workersPerLastingJob;
+            step.size = { Millicores { 500 }, Mebibytes { 512 }, {} };
+            step.isLasting = true;
+            step.isFiller = isFiller;
+            step.latencyTarget = isFiller ? 0ms : 100ms;
+            step.mayMiss = isFiller ? 0 : 1;
+            m_arrivals.push_back(std::move(job));
+        }
+    }
+}
+
+Job Flood::nextJob()
+{
+    const std::int64_t number = m_nextJob++;
+    Job job { JobId { hexId(10'000'000U + static_cast<std::uint64_t>(number)) },
+        QueueId { "queue-" + std::to_string(number % 4) }, unixMs(), { std::string(200, 't'), {}, {} } };
+    const int steps = number % 2 == 0 ? 1 : 2;
+    for (int position = 0; position < steps; ++position) {
+        Step step;
+        step.count = subtasksPerStep;
+        step.size = { Millicores { 500 * (1 + number % 4) }, Mebibytes { 256 * (1 + number % 5) }, {} };
+        step.estimate = 800ms + 100ms * (number * 7 % 9);
+        step.hasCheckpoints = number % 3 == 0;
+        step.isGang = number % 32 == 5;
+        step.maxPerWorker = number % 8 == 0 ? 2 : 0;
+        if (number % 4 == 1)
+            step.dataRack = rackOf(static_cast<int>(number * 13 % m_size.workers));
+        if (number % 10 == 3)
+            step.requiredLabel = "kind-even";
+        if (position > 0)
+            step.after.push_back(position - 1);
+        job.spec.steps.push_back(std::move(step));
+    }
+    return job;
+}
+
+void Flood::advance(FloodWorker& worker)
+{
+    std::erase_if(worker.runs, [&](const Present& present) {
+        if (m_now < present.endsAt)
+            return false;
+        worker.ends.push_back({ ++worker.lastEnd, present.task, present.run, EndKind::Done, {} });
+        ++m_ended;
+        return true;
+    });
+}
+
+void Flood::answerLook(FloodWorker& worker)
+{
+    if (!worker.look)
+        return;
+    const bool hasNews = worker.lastEnd > worker.listedThrough;
+    if (!hasNews && m_now < worker.lookSentAt + worker.look->wait)
+        return;
+    const std::int64_t acked = worker.look->ackedThrough;
+    std::erase_if(worker.ends, [&](const EndEntry& end) { return end.number <= acked; });
+    LookReport report { worker.description.bornUnixMs, clockMs(), {}, worker.ends, true };
+    for (const Present& present : worker.runs)
+        report.running.push_back({ present.task, present.run, {}, 100, 10 });
+    worker.listedThrough = worker.lastEnd;
+    m_looks.push_back({ *worker.look, { CallStatus::Done, Refusal::None, std::move(report) }, worker.lookSentAt });
+    worker.look.reset();
+}
+
+void Flood::begin(const StartOrder& start)
+{
+    const Job& job = m_jobs.at(start.task.job);
+    const Step& step = job.spec.steps[static_cast<std::size_t>(start.task.step)];
+    const Duration time = step.estimate * (70 + std::hash<TaskRef> {}(start.task) % 60) / 100;
+    m_workers[m_places.at(start.worker)].runs.push_back(
+        { start.task, start.run, step.isLasting ? TimePoint::max() : m_now + time });
+    ++m_started;
+    const std::uint64_t place = std::hash<WorkerId> {}(start.worker);
+    const std::uint64_t what = std::hash<TaskRef> {}(start.task) ^ static_cast<std::uint64_t>(start.run);
+    m_fingerprint = (m_fingerprint ^ place) * 0x100000001b3ULL + what;
+    m_waiting.erase(start.task.job);
+}
+
+void Flood::prepare()
+{
+    m_now += tickLength;
+    ++m_ticks;
+    for (const StartOrder& start : m_starts)
+        begin(start);
+    m_looks.clear();
+    for (FloodWorker& worker : m_workers) {
+        advance(worker);
+        answerLook(worker);
+    }
+    const auto waiting = static_cast<int>(m_waiting.size());
+    for (int missing = m_size.waitingJobs - waiting; missing > 0; --missing) {
+        m_arrivals.push_back(nextJob());
+        m_waiting.insert(m_arrivals.back().id);
+    }
+    for (const Job& job : m_arrivals)
+        m_jobs.emplace(job.id, job);
+}
+
+void Flood::hearAndStep()
+{
+    const CallAnswer yes { CallStatus::Done, Refusal::None, clockMs() };
+    for (const StartOrder& start : m_starts)
+        m_cell.onAnswer(start, yes, m_now);
+    for (const StopOrder& stop : m_stops)
+        m_cell.onAnswer(stop, yes, m_now);
+    for (const HeardLook& look : m_looks)
+        m_cell.onAnswer(look.order, look.answer, look.sentAt, m_now);
+    for (const Job& job : m_arrivals)
+        m_cell.submit(job, 1, m_now);
+    if (m_ticks % ticksPerCommit == 0 && m_cell.takeCommit(unixMs()))
+        m_cell.onCommitted(unixMs());
+    m_output = m_cell.step(m_now, unixMs(), Authority::Full);
+}
+
+void Flood::takeOutput()
+{
+    m_arrivals.clear();
+    m_starts.clear();
+    m_stops.clear();
+    for (Order& order : m_output.orders) {
+        if (auto* start = std::get_if<StartOrder>(&order)) {
+            m_starts.push_back(std::move(*start));
+        } else if (auto* stop = std::get_if<StopOrder>(&order)) {
+            m_stops.push_back(std::move(*stop));
+        } else if (auto* look = std::get_if<LookOrder>(&order)) {
+            FloodWorker& worker = m_workers[m_places.at(look->worker)];
+            worker.look = std::move(*look);
+            worker.lookSentAt = m_now;
+        }
+    }
+    m_output = {};
+}
+
+void Flood::warmUp()
+{
+    for (int number = 0; number < warmUpTicks; ++number)
+        tick();
+}
+
+void Flood::stepWithNothingNew()
+{
+    m_output = m_cell.step(m_now, unixMs(), Authority::Full);
+    takeOutput();
+}
+
+} // namespace rattanrack::jobs::tests
