Count what a cell's decisions go through; steps with a limit a worker wait in the benchmark

In the benchmark's flood the steps with a limit a worker were small, and started at once; nothing that looks at neighbours waited. Now they are among the large ones that wait, and one lasting step finds no worker of its kind, as on the sites.

`Cell::effort` counts jobs, places and runs that decisions have looked at, for tests without a clock.

--- a/packages/jobs/include/rattanrack/jobs/cell.h
+++ b/packages/jobs/include/rattanrack/jobs/cell.h
@@ -92,6 +92,14 @@
     Refused, ///< Will not be stored.
 };
 
+/// What decisions have gone through so far. It has to grow with what starts and ends, not with that times the size of
+/// the cell.
+struct DecisionEffort {
+    std::uint64_t jobs { 0 }; ///< Jobs looked at for steps that could run.
+    std::uint64_t places { 0 }; ///< Workers looked at for a place.
+    std::uint64_t runs { 0 }; ///< Runs looked at as neighbours.
+};
+
 struct CellState;
 
 /// The jobs and workers of one pool, in the hands of the node that owns it: decides what runs where, and what is
@@ -152,6 +160,9 @@
     /// Jobs that have not ended.
     std::size_t openJobs() const;
 
+    /// Since this owner took over.
+    DecisionEffort effort() const;
+
     void onAnswer(const StartOrder& order, const CallAnswer& answer, TimePoint now);
     void onAnswer(const StopOrder& order, const CallAnswer& answer, TimePoint now);
     void onAnswer(const PaceOrder& order, const CallAnswer& answer, TimePoint now);
--- a/packages/jobs/src/cell.cpp
+++ b/packages/jobs/src/cell.cpp
@@ -260,6 +260,8 @@
         [](const auto& each) { return !each.second->progress.hasEnded(); }));
 }
 
+DecisionEffort Cell::effort() const { return m_state->effort; }
+
 bool Cell::hasUrgentCommit() const { return m_state->isUrgent; }
 
 bool Cell::hasUncommitted() const { return !m_state->dirty.empty(); }
--- a/packages/jobs/src/cell_schedule.cpp
+++ b/packages/jobs/src/cell_schedule.cpp
@@ -122,6 +122,7 @@
 std::vector<ReadyStep> CellState::readySteps(TimePoint now, std::int64_t wallMs)
 {
     std::vector<ReadyStep> ready;
+    effort.jobs += jobs.size();
     for (auto& [id, owned] : jobs) {
         JobEntry& entry = *owned;
         if (!entry.isStored || entry.progress.hasEnded() || (entry.isOld && isRecovering) || attemptsOf(entry) == 0)
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -174,6 +174,7 @@
     TimePoint forgetAt {}; ///< When jobs that ended long ago are looked for next.
     Millicores waiting; ///< Wanted by what was ready and in time at the latest decision, and found no place.
     OfferedLoad offered;
+    DecisionEffort effort;
     CellOutput output;
 
     JobEntry* find(const JobId& job);
--- a/packages/jobs/src/room.cpp
+++ b/packages/jobs/src/room.cpp
@@ -57,6 +57,7 @@
     for (Candidate& candidate : m_candidates)
         candidate.sameStep = candidate.sameStepInRack = candidate.lasting = candidate.serving = candidate.fillers = 0;
     for (std::size_t at = 0; at < m_candidates.size(); ++at) {
+        m_state.effort.runs += m_workers[at]->runs.size();
         for (const auto& [task, run] : m_workers[at]->runs) {
             const JobEntry* other = m_state.find(task.job);
             if (!other || !other->progress.has(task))
@@ -97,6 +98,7 @@
     for (int index = 0; index < step.count; ++index) {
         if (!entry.isStartable({ entry.job.id, occurrence, stepNumber, index }))
             continue;
+        m_state.effort.places += m_candidates.size();
         const int place
             = tickets ? choosePlace(step, withTickets(m_candidates, *tickets)) : choosePlace(step, m_candidates);
         if (place < 0)
--- a/packages/jobs/tests/flood.cpp
+++ b/packages/jobs/tests/flood.cpp
@@ -83,6 +83,10 @@
             m_arrivals.push_back(std::move(job));
         }
     }
+    Job homeless { JobId { hexId(3'000'000U) }, QueueId { "queue-0" }, unixMs(), { "text", { {} }, {} } };
+    homeless.spec.steps[0].isLasting = true;
+    homeless.spec.steps[0].requiredLabel = "kind-none";
+    m_arrivals.push_back(std::move(homeless));
 }
 
 Job Flood::nextJob()
@@ -98,7 +102,7 @@
         step.estimate = 800ms + 100ms * (number * 7 % 9);
         step.hasCheckpoints = number % 3 == 0;
         step.isGang = number % 32 == 5;
-        step.maxPerWorker = number % 8 == 0 ? 2 : 0;
+        step.maxPerWorker = number % 8 == 3 ? 2 : 0;
         if (number % 4 == 1)
             step.dataRack = rackOf(static_cast<int>(number * 13 % m_size.workers));
         if (number % 10 == 3)
