Rank places without copying ids

choosePlace copied the id of two workers and ranked both for each comparison. The best one's rank is kept, and ids are compared among equals only.

--- a/packages/jobs/src/placement.cpp
+++ b/packages/jobs/src/placement.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-/// Lower is better.
+/// Lower is better. Ids decide among equals, by the caller.
 auto rank(const Step& step, const Candidate& candidate)
 {
     const bool isFarFromData = !step.dataRack.empty() && candidate.worker->rack != step.dataRack;
@@ -21,7 +21,7 @@
     // What lasts keeps to few workers, so that the others can be emptied soon.
     const int together = step.isLasting && !step.isFiller ? -candidate.lasting : 0;
     return std::tuple { isFarFromData, outsideRack, disturbed, onWorker, inRack, neighbours, together,
-        -candidate.free.processors.count(), -candidate.free.memory.count(), candidate.worker->id };
+        -candidate.free.processors.count(), -candidate.free.memory.count() };
 }
 
 } // namespace
@@ -43,15 +43,22 @@
 
 int choosePlace(const Step& step, const std::vector<Candidate>& candidates)
 {
+    const ResourceSize needed = roomTaken(step);
     int best = -1;
+    decltype(rank(step, candidates.front())) bestRank;
     for (std::size_t at = 0; at < candidates.size(); ++at) {
         const Candidate& candidate = candidates[at];
         const bool isFull = step.maxPerWorker > 0 && candidate.sameStep >= step.maxPerWorker;
-        if (candidate.isReserved || isFull || !fits(roomTaken(step), candidate.free)
-            || !isAllowed(step, *candidate.worker))
+        // In a flood hardly any worker has room: the cheapest question comes first.
+        if (candidate.isReserved || isFull || !fits(needed, candidate.free) || !isAllowed(step, *candidate.worker))
             continue;
-        if (best < 0 || rank(step, candidate) < rank(step, candidates[static_cast<std::size_t>(best)]))
-            best = static_cast<int>(at);
+        const auto each = rank(step, candidate);
+        const bool isBetter = best < 0 || each < bestRank
+            || (each == bestRank && candidate.worker->id < candidates[static_cast<std::size_t>(best)].worker->id);
+        if (!isBetter)
+            continue;
+        best = static_cast<int>(at);
+        bestRank = each;
     }
     return best;
 }
