Do not try a step that asks for no less than one that found no room

Each step of a cell tried every ready step on every worker, and counted all runs of the cell as neighbours for each step that has a limit a worker, lasts or fills: workers x runs x racks for each of them, though the pool was full.

Within a pass room only shrinks. What has found no place by its size and label alone is remembered (Shortage); steps that ask for no less are passed over, before neighbours are counted. The same holds for workers that are to be kept free. When a gang gives room back, the memory is cleared. Asking whether a subtask can start copies no ids any more; tickets mark workers once a step, not by a copy of all candidates for each subtask.

--- a/packages/jobs/include/rattanrack/jobs/job_progress.h
+++ b/packages/jobs/include/rattanrack/jobs/job_progress.h
@@ -61,7 +61,8 @@
     bool hasStarted() const { return m_hasStarted; }
 
     Task& task(const TaskRef& ref) { return taskAt(ref.occurrence, ref.step, ref.index); }
-    const Task& task(const TaskRef& ref) const;
+    const Task& task(const TaskRef& ref) const { return task(ref.occurrence, ref.step, ref.index); }
+    const Task& task(int occurrence, int step, int index) const;
     bool has(const TaskRef& ref) const;
 
     /// Whether the order of steps and the schedule let the step run at `unixMs`.
--- a/packages/jobs/src/cell_schedule.cpp
+++ b/packages/jobs/src/cell_schedule.cpp
@@ -40,13 +40,12 @@
 
 } // namespace
 
-bool JobEntry::isStartable(const TaskRef& task) const
+bool JobEntry::isStartable(int occurrence, int step, int index) const
 {
-    if (progress.task(task).phase != TaskPhase::Waiting)
+    if (progress.task(occurrence, step, index).phase != TaskPhase::Waiting)
         return false;
-    const bool isGang = job.spec.steps[static_cast<std::size_t>(task.step)].isGang;
-    const TaskRef counted { task.job, task.occurrence, task.step, isGang ? 0 : task.index };
-    return storedRevision >= failureRevision || progress.task(counted).failures() == 0;
+    const bool isGang = job.spec.steps[static_cast<std::size_t>(step)].isGang;
+    return storedRevision >= failureRevision || progress.task(occurrence, step, isGang ? 0 : index).failures() == 0;
 }
 
 int JobEntry::startableTasks(int occurrence, int step) const
@@ -56,7 +55,7 @@
         return waiting;
     int startable = 0;
     for (int index = 0; index < job.spec.steps[static_cast<std::size_t>(step)].count; ++index)
-        startable += isStartable({ job.id, occurrence, step, index }) ? 1 : 0;
+        startable += isStartable(occurrence, step, index) ? 1 : 0;
     return startable;
 }
 
@@ -194,7 +193,7 @@
     if (ready.rank <= Rank::InTime)
         waiting += Millicores { roomTaken(step).processors.count() * missing };
     if (missing > 0 && ready.rank <= Rank::Begun)
-        space.reserveFor(step);
+        space.reserveFor(entry, ready.occurrence, ready.step);
     const bool isGangSplit = step.isGang && (missing > 0 || wanted != step.count);
     if (isGangSplit) {
         space.give(placements, step);
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -121,7 +121,7 @@
 
     /// Whether the subtask waits for its start. One that has failed waits also until that is stored, since the next
     /// owner would not count a failure that it hears of only after a further run has begun.
-    bool isStartable(const TaskRef& task) const;
+    bool isStartable(int occurrence, int step, int index) const;
     int startableTasks(int occurrence, int step) const;
 };
 
--- a/packages/jobs/src/job_progress.cpp
+++ b/packages/jobs/src/job_progress.cpp
@@ -60,11 +60,11 @@
         .tasks[static_cast<std::size_t>(index)];
 }
 
-const Task& JobProgress::task(const TaskRef& ref) const
+const Task& JobProgress::task(int occurrence, int step, int index) const
 {
-    return m_occurrences[static_cast<std::size_t>(ref.occurrence)]
-        .steps[static_cast<std::size_t>(ref.step)]
-        .tasks[static_cast<std::size_t>(ref.index)];
+    return m_occurrences[static_cast<std::size_t>(occurrence)]
+        .steps[static_cast<std::size_t>(step)]
+        .tasks[static_cast<std::size_t>(index)];
 }
 
 bool JobProgress::has(const TaskRef& ref) const
--- a/packages/jobs/src/room.cpp
+++ b/packages/jobs/src/room.cpp
@@ -20,12 +20,8 @@
     return step.isLasting || step.isFiller || step.maxPerWorker > 0 || step.wantsOneRack || step.mayMiss > 0;
 }
 
-std::vector<Candidate> withTickets(std::vector<Candidate> candidates, const std::map<WorkerId, std::string>& tickets)
-{
-    for (Candidate& candidate : candidates)
-        candidate.isReserved = candidate.isReserved || !tickets.contains(candidate.worker->id);
-    return candidates;
-}
+/// Whether size and label alone decide if the step finds a place.
+bool isPlain(const Step& step) { return step.maxPerWorker == 0; }
 
 /// One more subtask of the step runs there.
 void addNeighbour(Candidate& candidate, const Step& step)
@@ -54,6 +50,7 @@
 
 void Room::countNeighbours(const JobEntry& entry, int occurrence, int step)
 {
+    m_areNeighboursCounted = true;
     for (Candidate& candidate : m_candidates)
         candidate.sameStep = candidate.sameStepInRack = candidate.lasting = candidate.serving = candidate.fillers = 0;
     for (std::size_t at = 0; at < m_candidates.size(); ++at) {
@@ -86,44 +83,76 @@
 {
     for (const Placement& each : placements)
         m_candidates[static_cast<std::size_t>(each.place)].free += roomTaken(step);
+    if (!placements.empty())
+        m_withoutPlace.clear();
 }
 
 std::vector<Placement> Room::place(
     const JobEntry& entry, int occurrence, int stepNumber, const std::map<WorkerId, std::string>* tickets)
 {
     const Step& step = entry.job.spec.steps[static_cast<std::size_t>(stepNumber)];
+    m_areNeighboursCounted = false;
+    if (m_withoutPlace.covers(step))
+        return {};
     if (looksAtNeighbours(step))
         countNeighbours(entry, occurrence, stepNumber);
+    if (!tickets)
+        return placeEach(entry, occurrence, stepNumber, false);
+    std::vector<Candidate*> withoutTicket;
+    for (Candidate& candidate : m_candidates) {
+        if (!candidate.isReserved && !tickets->contains(candidate.worker->id))
+            withoutTicket.push_back(&candidate);
+    }
+    for (Candidate* candidate : withoutTicket)
+        candidate->isReserved = true;
+    auto placements = placeEach(entry, occurrence, stepNumber, true);
+    for (Candidate* candidate : withoutTicket)
+        candidate->isReserved = false;
+    return placements;
+}
+
+std::vector<Placement> Room::placeEach(const JobEntry& entry, int occurrence, int stepNumber, bool isLimitedByTickets)
+{
+    const Step& step = entry.job.spec.steps[static_cast<std::size_t>(stepNumber)];
     std::vector<Placement> placements;
     for (int index = 0; index < step.count; ++index) {
-        if (!entry.isStartable({ entry.job.id, occurrence, stepNumber, index }))
+        if (!entry.isStartable(occurrence, stepNumber, index))
             continue;
         m_state.effort.places += m_candidates.size();
-        const int place
-            = tickets ? choosePlace(step, withTickets(m_candidates, *tickets)) : choosePlace(step, m_candidates);
-        if (place < 0)
+        const int place = choosePlace(step, m_candidates);
+        if (place < 0) {
+            if (isPlain(step) && !isLimitedByTickets)
+                m_withoutPlace.note(step);
             break;
+        }
         take(place, step);
         placements.push_back({ index, place });
     }
     return placements;
 }
 
-void Room::reserveFor(const Step& step)
+void Room::reserveFor(const JobEntry& entry, int occurrence, int stepNumber)
 {
+    const Step& step = entry.job.spec.steps[static_cast<std::size_t>(stepNumber)];
     const int most = std::max(1, static_cast<int>(m_candidates.size()) / reservedShare);
-    if (m_reserved >= most)
+    if (m_reserved >= most || m_withoutReserve.covers(step))
         return;
+    if (looksAtNeighbours(step) && !m_areNeighboursCounted)
+        countNeighbours(entry, occurrence, stepNumber);
+    m_state.effort.places += m_candidates.size();
     Candidate* best = nullptr;
     for (Candidate& candidate : m_candidates) {
         const bool isFull = step.maxPerWorker > 0 && candidate.sameStep >= step.maxPerWorker;
         const bool isBetter = !best || candidate.free.processors > best->free.processors;
         const bool fitsSoon = fits(roomTaken(step), candidate.freeSoon);
-        if (!candidate.isReserved && !isFull && fitsSoon && isAllowed(step, *candidate.worker) && isBetter)
+        if (!candidate.isReserved && !isFull && fitsSoon && isBetter && isAllowed(step, *candidate.worker))
             best = &candidate;
     }
-    if (!best)
+    if (!best) {
+        if (isPlain(step))
+            m_withoutReserve.note(step);
         return;
+    }
     best->isReserved = true;
     ++m_reserved;
 }
--- a/packages/jobs/src/room.h
+++ b/packages/jobs/src/room.h
@@ -2,6 +2,7 @@
 
 #include "cell_state.h"
 #include "rattanrack/jobs/placement.h"
+#include "shortage.h"
 
 #include <optional>
 #include <vector>
@@ -31,16 +32,20 @@
 
     /// Keeps the emptiest worker that could hold the step, once the finite work there has ended, free of smaller work
     /// that comes after it.
-    void reserveFor(const Step& step);
+    void reserveFor(const JobEntry& entry, int occurrence, int step);
 
 private:
     void countNeighbours(const JobEntry& entry, int occurrence, int step);
+    std::vector<Placement> placeEach(const JobEntry& entry, int occurrence, int step, bool isLimitedByTickets);
     void take(int place, const Step& step);
 
     CellState& m_state;
     std::vector<Worker*> m_workers;
     std::vector<Candidate> m_candidates;
     int m_reserved { 0 };
+    Shortage m_withoutPlace;
+    Shortage m_withoutReserve;
+    bool m_areNeighboursCounted { false }; ///< For the step that was handed to `place` last.
 };
 
 } // namespace rattanrack::jobs
--- /dev/null
+++ b/packages/jobs/src/shortage.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "rattanrack/jobs/placement.h"
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace rattanrack::jobs {
+
+/// What found no place in one pass of decisions, while room only shrinks: whatever asks for no less finds none either,
+/// and need not be tried.
+class Shortage {
+public:
+    /// No worker that the step may run on has room for one subtask. Only for steps whose limits are their size and
+    /// label alone.
+    void note(const Step& step)
+    {
+        if (!covers(step))
+            m_needs.push_back({ roomTaken(step), step.requiredLabel });
+    }
+
+    bool covers(const Step& step) const
+    {
+        const ResourceSize size = roomTaken(step);
+        return std::any_of(m_needs.begin(), m_needs.end(), [&](const Need& need) {
+            return fits(need.size, size) && (need.label.empty() || need.label == step.requiredLabel);
+        });
+    }
+
+    /// Room has been given back.
+    void clear() { m_needs.clear(); }
+
+private:
+    struct Need {
+        ResourceSize size;
+        std::string label;
+    };
+    std::vector<Need> m_needs;
+};
+
+} // namespace rattanrack::jobs
