--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -121,7 +121,7 @@
 
     /// Whether the subtask waits for its start. One that has failed waits also until that is stored, since the next
     /// owner would not count a failure that it hears of only after a further run has begun.
-    bool isStartable(const TaskRef& task) const;
+    bool isStartable(int occurrence, int step, int index) const;
     int startableTasks(int occurrence, int step) const;
 };
 
@@ -174,6 +174,7 @@
     TimePoint forgetAt {}; ///< When jobs that ended long ago are looked for next.
     Millicores waiting; ///< Wanted by what was ready and in time at the latest decision, and found no place.
     OfferedLoad offered;
+    DecisionEffort effort;
     CellOutput output;
 
     JobEntry* find(const JobId& job);
