Keep counts of neighbours as runs come and go

What decides on a place by its neighbours counted them anew: all runs of the cell, with a look-up of the job of each, once a step. Each decision pass also summed what lasts over all runs. Now a worker's sums (lasting, serving, fillers, room that what lasts takes) and where each step's runs are (`runsOfJobs`) change with each run, in one place (countRun); racks are compared only for steps that ask for them. Decisions are the same. Two corners differ: a run stays counted after its job was forgotten, as it is still there; and a run that takes the place of another of the same subtask on the same worker no longer leaves the room of the first taken for good.

--- a/packages/jobs/src/cell_runs.cpp
+++ b/packages/jobs/src/cell_runs.cpp
@@ -32,28 +32,44 @@
 
 } // namespace
 
-ResourceSize Worker::usedByLasting() const
+bool Worker::holdsLasting() const
 {
-    ResourceSize size;
-    for (const auto& [task, run] : runs) {
-        if (run.isLasting)
-            size += run.size;
-    }
-    return size;
+    return std::any_of(runs.begin(), runs.end(), [](const auto& each) { return each.second.isLasting; });
 }
 
-bool Worker::holdsLasting() const
+/// Takes a run into all sums over runs, or out of them.
+void CellState::countRun(Worker& worker, const TaskRef& task, const Run& run, int count)
 {
-    return std::any_of(runs.begin(), runs.end(), [](const auto& each) { return each.second.isLasting; });
+    ResourceSize& lasting = worker.usedByLasting;
+    if (count > 0)
+        worker.used += run.size;
+    else
+        worker.used -= run.size;
+    if (run.isLasting && count > 0)
+        lasting += run.size;
+    else if (run.isLasting)
+        lasting -= run.size;
+    worker.neighbours.add(run, count);
+    StepPlaces& ofJob = runsOfJobs[task.job];
+    const StepPlace place { task.occurrence, task.step, &worker };
+    if ((ofJob[place] += count) == 0)
+        ofJob.erase(place);
+    if (ofJob.empty())
+        runsOfJobs.erase(task.job);
 }
 
 Run& CellState::addRun(Worker& worker, const TaskRef& task, RunNumber number, const Step& step)
 {
+    const auto present = worker.runs.find(task);
+    if (present != worker.runs.end())
+        countRun(worker, task, present->second, -1);
     Run run;
     run.number = number;
     run.size = roomTaken(step);
     run.isLasting = step.isLasting;
-    worker.used += run.size;
+    run.isFiller = step.isFiller;
+    run.isServing = step.latencyTarget > Duration::zero();
+    countRun(worker, task, run, 1);
     places[task] = worker.description.id;
     return worker.runs.insert_or_assign(task, std::move(run)).first->second;
 }
@@ -63,7 +79,7 @@
     const auto found = worker.runs.find(task);
     if (found == worker.runs.end())
         return;
-    worker.used -= found->second.size;
+    countRun(worker, task, found->second, -1);
     worker.runs.erase(found);
     const auto place = places.find(task);
     if (place != places.end() && place->second == worker.description.id)
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -26,6 +26,8 @@
     RunPhase phase { RunPhase::Ordered };
     ResourceSize size; ///< What it takes of the worker's room.
     bool isLasting { false };
+    bool isFiller { false };
+    bool isServing { false }; ///< Has a latency target.
     bool mayComeLate { false }; ///< A start had no answer: it may still be carried out.
     bool isOrderOnItsWay { false }; ///< A start or stop waits for its answer.
     TimePoint confirmedAt {};
@@ -51,6 +53,21 @@
     Silent,
 };
 
+/// Runs on a worker that others notice beside them. Kept up as runs come and go.
+struct Neighbours {
+    int lasting { 0 }; ///< Other than fillers.
+    int serving { 0 }; ///< With a latency target.
+    int fillers { 0 };
+
+    /// `count`: 1 for a run that comes, -1 for one that goes.
+    void add(const Run& run, int count)
+    {
+        fillers += run.isFiller ? count : 0;
+        lasting += run.isLasting && !run.isFiller ? count : 0;
+        serving += run.isServing ? count : 0;
+    }
+};
+
 struct Worker {
     WorkerDescription description;
     bool isListed { false };
@@ -59,6 +76,9 @@
     std::int64_t bornUnixMs { 0 };
     std::unordered_map<TaskRef, Run> runs;
     ResourceSize used;
+    ResourceSize usedByLasting; ///< By what does not end by itself.
+    Neighbours neighbours;
+    int placeInRoom { -1 }; ///< Among the usable workers of the present pass of decisions.
     std::int64_t processedThrough { 0 };
     std::int64_t ackedThrough { 0 };
     std::int64_t sentAck { 0 }; ///< What the last answered look acknowledged.
@@ -75,8 +95,6 @@
     /// Something may run there, or has ended and is known to this owner alone.
     bool hasOpenWork() const { return !runs.empty() || !pendingEnds.empty(); }
 
-    /// Room taken by what does not end by itself.
-    ResourceSize usedByLasting() const;
     bool holdsLasting() const;
 };
 
@@ -86,6 +104,16 @@
     Run* run { nullptr };
 };
 
+/// Where runs of a step are.
+struct StepPlace {
+    int occurrence { 0 };
+    int step { 0 };
+    Worker* worker { nullptr };
+
+    friend auto operator<=>(const StepPlace&, const StepPlace&) = default;
+};
+using StepPlaces = std::map<StepPlace, int>; ///< Number of runs.
+
 struct StepTicket {
     std::map<WorkerId, std::string> tickets;
     TimePoint validUntil {};
@@ -158,6 +186,7 @@
     std::set<MachineId> closing;
     std::unordered_map<JobId, std::unique_ptr<JobEntry>> jobs;
     std::unordered_map<TaskRef, WorkerId> places; ///< Where a subtask's run is.
+    std::unordered_map<JobId, StepPlaces> runsOfJobs; ///< All that workers hold, by job.
     RuntimeEstimate runtimes;
     RunNumber firstRun { 1 };
     TimePoint takenOverAt {};
@@ -191,6 +220,7 @@
     // Runs: cell_runs.cpp
     Run& addRun(Worker& worker, const TaskRef& task, RunNumber number, const Step& step);
     void release(Worker& worker, const TaskRef& task);
+    void countRun(Worker& worker, const TaskRef& task, const Run& run, int count);
     void runOver(Worker& worker, const TaskRef& task, std::string_view proof);
     void lost(Worker& worker, std::string_view proof);
     void takeEnd(Worker& worker, const EndEntry& end, TimePoint now);
--- a/packages/jobs/src/room.cpp
+++ b/packages/jobs/src/room.cpp
@@ -20,6 +20,8 @@
     return step.isLasting || step.isFiller || step.maxPerWorker > 0 || step.wantsOneRack || step.mayMiss > 0;
 }
 
+bool looksAtRacks(const Step& step) { return step.isLasting || step.wantsOneRack || step.mayMiss > 0; }
+
 /// Whether size and label alone decide if the step finds a place.
 bool isPlain(const Step& step) { return step.maxPerWorker == 0; }
 
@@ -37,12 +39,14 @@
     : m_state(state)
 {
     for (auto& [id, worker] : state.workers) {
+        worker.placeInRoom = -1;
         if (!isUsable(worker, state, now))
             continue;
+        worker.placeInRoom = static_cast<int>(m_workers.size());
         Candidate candidate { &worker.description, worker.description.capacity };
         candidate.free -= worker.used;
         candidate.freeSoon = worker.description.capacity;
-        candidate.freeSoon -= worker.usedByLasting();
+        candidate.freeSoon -= worker.usedByLasting;
         m_workers.push_back(&worker);
         m_candidates.push_back(candidate);
     }
@@ -51,32 +55,46 @@
 void Room::countNeighbours(const JobEntry& entry, int occurrence, int step)
 {
     m_areNeighboursCounted = true;
-    for (Candidate& candidate : m_candidates)
-        candidate.sameStep = candidate.sameStepInRack = candidate.lasting = candidate.serving = candidate.fillers = 0;
     for (std::size_t at = 0; at < m_candidates.size(); ++at) {
-        m_state.effort.runs += m_workers[at]->runs.size();
-        for (const auto& [task, run] : m_workers[at]->runs) {
-            const JobEntry* other = m_state.find(task.job);
-            if (!other || !other->progress.has(task))
-                continue;
-            addNeighbour(m_candidates[at], CellState::stepOf(*other, task));
-            if (other != &entry || task.occurrence != occurrence || task.step != step)
-                continue;
-            ++m_candidates[at].sameStep;
-            for (Candidate& each : m_candidates)
-                each.sameStepInRack += each.worker->rack == m_candidates[at].worker->rack ? 1 : 0;
-        }
+        const Neighbours& neighbours = m_workers[at]->neighbours;
+        Candidate& candidate = m_candidates[at];
+        candidate.lasting = neighbours.lasting;
+        candidate.serving = neighbours.serving;
+        candidate.fillers = neighbours.fillers;
+        candidate.sameStep = candidate.sameStepInRack = 0;
     }
+    const auto ofJob = m_state.runsOfJobs.find(entry.job.id);
+    if (ofJob == m_state.runsOfJobs.end())
+        return;
+    const auto& places = ofJob->second;
+    for (auto each = places.lower_bound({ occurrence, step, nullptr }); each != places.end(); ++each) {
+        const auto& [place, runs] = *each;
+        if (place.occurrence != occurrence || place.step != step)
+            break;
+        ++m_state.effort.runs;
+        if (place.worker->placeInRoom >= 0)
+            addSameStep(place.worker->placeInRoom, runs, entry.job.spec.steps[static_cast<std::size_t>(step)]);
+    }
+}
+
+void Room::addSameStep(int place, int runs, const Step& step)
+{
+    Candidate& candidate = m_candidates[static_cast<std::size_t>(place)];
+    candidate.sameStep += runs;
+    if (!looksAtRacks(step))
+        return;
+    m_state.effort.places += m_candidates.size();
+    for (Candidate& other : m_candidates)
+        other.sameStepInRack += other.worker->rack == candidate.worker->rack ? runs : 0;
 }
 
 void Room::take(int place, const Step& step)
 {
     Candidate& candidate = m_candidates[static_cast<std::size_t>(place)];
     candidate.free -= roomTaken(step);
-    ++candidate.sameStep;
     addNeighbour(candidate, step);
-    for (Candidate& other : m_candidates)
-        other.sameStepInRack += other.worker->rack == candidate.worker->rack ? 1 : 0;
+    if (looksAtNeighbours(step))
+        addSameStep(place, 1, step);
 }
 
 void Room::give(const std::vector<Placement>& placements, const Step& step)
--- a/packages/jobs/src/room.h
+++ b/packages/jobs/src/room.h
@@ -37,6 +37,7 @@
 private:
     void countNeighbours(const JobEntry& entry, int occurrence, int step);
     std::vector<Placement> placeEach(const JobEntry& entry, int occurrence, int step, bool isLimitedByTickets);
+    void addSameStep(int place, int runs, const Step& step);
     void take(int place, const Step& step);
 
     CellState& m_state;
