Let decisions look at open jobs only, and at what they need of each

Every decision pass went over all jobs that a cell remembers (ended ones for 120 s: thousands), looked the queue of each up up to three times by name, added up its declared work, and sorted steps with a copy of the job's id for each key. So did the counts of open and pending jobs, once a pump; the room of the pool was summed for each job whose estimate was stale and for each job handed in.

Jobs that have not ended are kept apart (`open`), a job knows its queue's settings and its work, the room is summed when the list of workers changes, and keys refer to ids. Steps of one job that were equal in all of the key, in an order left to the sort, now keep the order of the job; else decisions are the same.

--- a/packages/jobs/src/cell.cpp
+++ b/packages/jobs/src/cell.cpp
@@ -49,7 +49,7 @@
         if (!entry->progress.hasEnded())
             state.tell(JobEvent {
                 JobEvent::Kind::TakenOver, id, std::string(name(entry->storedState)), now - entry->acceptedAt });
-        state.jobs.emplace(id, std::move(entry));
+        state.addJob(std::move(entry));
     }
 }
 
@@ -69,19 +69,32 @@
     return found == jobs.end() ? nullptr : found->second.get();
 }
 
-const QueueSettings& CellState::queueOf(const JobEntry& entry) const
+void CellState::addJob(std::unique_ptr<JobEntry> entry)
 {
-    static const QueueSettings s_unknownQueue;
-    const auto found = queues.find(entry.job.queue);
-    return found == queues.end() ? s_unknownQueue : found->second;
+    const auto queue = queues.find(entry->job.queue);
+    entry->queue = queue == queues.end() ? nullptr : &queue->second;
+    entry->isAmongOpen = !entry->progress.hasEnded();
+    if (entry->isAmongOpen)
+        open.push_back(entry.get());
+    const JobId id = entry->job.id;
+    jobs.emplace(id, std::move(entry));
 }
 
-int CellState::attemptsOf(const JobEntry& entry) const
+/// Before the entry goes.
+void CellState::forgetOpen(JobEntry& entry)
 {
-    const auto found = queues.find(entry.job.queue);
-    return found == queues.end() ? entry.job.attempts : found->second.attempts;
+    if (std::exchange(entry.isAmongOpen, false))
+        std::erase(open, &entry);
 }
 
+const QueueSettings& CellState::queueOf(const JobEntry& entry)
+{
+    static const QueueSettings s_unknownQueue;
+    return entry.queue ? *entry.queue : s_unknownQueue;
+}
+
+int CellState::attemptsOf(const JobEntry& entry) { return entry.queue ? entry.queue->attempts : entry.job.attempts; }
+
 const Step& CellState::stepOf(const JobEntry& entry, const TaskRef& task)
 {
     return entry.job.spec.steps[static_cast<std::size_t>(task.step)];
@@ -106,6 +119,10 @@
 {
     for (const QueueSettings& queue : queues)
         m_state->queues[queue.id] = queue;
+    for (JobEntry* entry : m_state->open) {
+        const auto found = m_state->queues.find(entry->job.queue);
+        entry->queue = found == m_state->queues.end() ? nullptr : &found->second;
+    }
 }
 
 void Cell::setClosing(std::set<MachineId> machines) { m_state->closing = std::move(machines); }
@@ -188,7 +205,7 @@
     state.changed(*entry);
     state.isUrgent = true;
     state.noteOffered(*entry, now);
-    state.jobs.emplace(job.id, std::move(entry));
+    state.addJob(std::move(entry));
     return Acceptance::Waiting;
 }
 
@@ -206,7 +223,7 @@
         work += step.count * step.size.processors.count() * each.count();
     }
     if (time > Duration::zero())
-        offered.accept(Millicores { work / time.count() }, time, room().processors, now);
+        offered.accept(Millicores { work / time.count() }, time, listedRoom.processors, now);
 }
 
 std::optional<Acceptance> Cell::cancel(const JobId& job, CallToken token, std::int64_t unixMs)
@@ -240,9 +257,8 @@
 
 int Cell::pending(const QueueId& queue) const
 {
-    return static_cast<int>(std::count_if(m_state->jobs.begin(), m_state->jobs.end(), [&](const auto& each) {
-        const JobEntry& entry = *each.second;
-        return entry.job.queue == queue && entry.isStored && entry.progress.state() == JobState::Queued;
+    return static_cast<int>(std::count_if(m_state->open.begin(), m_state->open.end(), [&](const JobEntry* entry) {
+        return entry->isStored && entry->progress.state() == JobState::Queued && entry->job.queue == queue;
     }));
 }
 
@@ -256,8 +272,8 @@
 
 std::size_t Cell::openJobs() const
 {
-    return static_cast<std::size_t>(std::count_if(m_state->jobs.begin(), m_state->jobs.end(),
-        [](const auto& each) { return !each.second->progress.hasEnded(); }));
+    return static_cast<std::size_t>(std::count_if(
+        m_state->open.begin(), m_state->open.end(), [](const JobEntry* entry) { return !entry->progress.hasEnded(); }));
 }
 
 DecisionEffort Cell::effort() const { return m_state->effort; }
@@ -311,6 +327,7 @@
     for (const JobId& id : std::exchange(state.inCommit, {})) {
         JobEntry& entry = *state.find(id);
         if (entry.isForgotten) {
+            state.forgetOpen(entry);
             state.jobs.erase(id);
             continue;
         }
@@ -354,6 +371,7 @@
         for (const CallToken token : entry.waiting)
             state.output.replies.push_back({ token, false });
         state.dirty.erase(next->first);
+        state.forgetOpen(entry);
         next = state.jobs.erase(next);
     }
 }
--- a/packages/jobs/src/cell_schedule.cpp
+++ b/packages/jobs/src/cell_schedule.cpp
@@ -72,14 +72,14 @@
 void CellState::estimateChain(JobEntry& entry)
 {
     entry.isChainStale = false;
-    const ResourceSize all = room();
+    entry.work = workOf(entry.job);
     std::vector<Duration> whole;
     std::vector<Duration> left;
     Duration longestWhole {};
     Duration longestLeft {};
     int number = 0;
     for (const Step& step : entry.job.spec.steps) {
-        const double stepShare = share(step.size, all) * step.count;
+        const double stepShare = share(step.size, listedRoom) * step.count;
         const int waves = std::max(1, static_cast<int>(stepShare / widestShare + 0.99));
         const Duration time = runtimes.estimate(entry.job.queue, step.estimate) * waves;
         const bool isDone = entry.progress.isStepDone(0, number++);
@@ -121,10 +121,14 @@
 std::vector<ReadyStep> CellState::readySteps(TimePoint now, std::int64_t wallMs)
 {
     std::vector<ReadyStep> ready;
-    effort.jobs += jobs.size();
-    for (auto& [id, owned] : jobs) {
-        JobEntry& entry = *owned;
-        if (!entry.isStored || entry.progress.hasEnded() || (entry.isOld && isRecovering) || attemptsOf(entry) == 0)
+    std::erase_if(open, [](JobEntry* entry) {
+        entry->isAmongOpen = !entry->progress.hasEnded();
+        return !entry->isAmongOpen;
+    });
+    effort.jobs += open.size();
+    for (JobEntry* each : open) {
+        JobEntry& entry = *each;
+        if (!entry.isStored || (entry.isOld && isRecovering) || attemptsOf(entry) == 0)
             continue;
         if (entry.isChainStale)
             estimateChain(entry);
@@ -133,11 +137,11 @@
                 const bool isWaiting = entry.startableTasks(occurrence, step) > 0;
                 if (!isWaiting || !entry.progress.isReady(occurrence, step, wallMs))
                     continue;
-                ReadyStep each { &entry, occurrence, step };
-                each.rank = rankOf(entry, each.spec(), now);
-                each.priority = queueOf(entry).priority;
-                each.order = each.rank == Rank::InTime ? workOf(entry.job) : entry.dueAt.time_since_epoch().count();
-                ready.push_back(each);
+                ReadyStep found { &entry, occurrence, step };
+                found.rank = rankOf(entry, found.spec(), now);
+                found.priority = queueOf(entry).priority;
+                found.order = found.rank == Rank::InTime ? entry.work : entry.dueAt.time_since_epoch().count();
+                ready.push_back(found);
             }
         }
     }
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -130,6 +130,8 @@
 
     Job job;
     JobProgress progress;
+    const QueueSettings* queue { nullptr }; ///< As configured; none while it is not.
+    bool isAmongOpen { false }; ///< In `CellState::open`.
     bool isOld { false }; ///< Taken over: an earlier owner may have started parts of it.
     bool isStored { false };
     bool isForgotten { false }; ///< Its rows are to be removed.
@@ -144,6 +146,7 @@
     TimePoint acceptedAt {};
     Duration chain {}; ///< Longest chain of work left.
     TimePoint dueAt {}; ///< Later than this is late.
+    std::int64_t work { 0 }; ///< Declared, in millicores times milliseconds.
     bool isChainStale { true };
     std::map<std::pair<int, int>, StepTicket> tickets; ///< By occurrence and step.
 
@@ -167,7 +170,11 @@
     std::int64_t order { 0 }; ///< Within the rank: work, or time due.
 
     const Step& spec() const { return entry->job.spec.steps[static_cast<std::size_t>(step)]; }
-    auto key() const { return std::tuple { rank, priority, order, entry->job.acceptedAtUnixMs, entry->job.id }; }
+    auto key() const
+    {
+        return std::tuple<Rank, int, std::int64_t, std::int64_t, const JobId&, int, int> { rank, priority, order,
+            entry->job.acceptedAtUnixMs, entry->job.id, occurrence, step };
+    }
 };
 
 class Room;
@@ -185,6 +192,7 @@
     WorkerMachines foreignWorkers; ///< Used by earlier owners, and not looked at yet.
     std::set<MachineId> closing;
     std::unordered_map<JobId, std::unique_ptr<JobEntry>> jobs;
+    std::vector<JobEntry*> open; ///< All jobs that have not ended, and some that have since the last decisions.
     std::unordered_map<TaskRef, WorkerId> places; ///< Where a subtask's run is.
     std::unordered_map<JobId, StepPlaces> runsOfJobs; ///< All that workers hold, by job.
     RuntimeEstimate runtimes;
@@ -201,6 +209,7 @@
     bool isUrgent { false };
     std::int64_t unixMs { 0 }; ///< Wall clock of the latest step.
     TimePoint forgetAt {}; ///< When jobs that ended long ago are looked for next.
+    ResourceSize listedRoom; ///< Of all listed workers.
     Millicores waiting; ///< Wanted by what was ready and in time at the latest decision, and found no place.
     OfferedLoad offered;
     DecisionEffort effort;
@@ -208,10 +217,12 @@
 
     JobEntry* find(const JobId& job);
     const JobEntry* find(const JobId& job) const;
-    const QueueSettings& queueOf(const JobEntry& entry) const;
+    void addJob(std::unique_ptr<JobEntry> entry);
+    void forgetOpen(JobEntry& entry);
+    static const QueueSettings& queueOf(const JobEntry& entry);
 
     /// By the configuration, and where that does not name the queue, as accepted. 0: not known.
-    int attemptsOf(const JobEntry& entry) const;
+    static int attemptsOf(const JobEntry& entry);
     static const Step& stepOf(const JobEntry& entry, const TaskRef& task);
     void tell(CellEvent event) { output.events.push_back(std::move(event)); }
     void tellRun(RunEvent::Kind kind, const Worker& worker, const TaskRef& task, RunNumber run, std::string_view detail,
--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -54,6 +54,7 @@
             return each.id != foreign.first && each.machine == foreign.second && !each.machine.isEmpty();
         });
     });
+    state.listedRoom = state.room();
     std::erase_if(state.workers, [&](const auto& each) {
         const Worker& worker = each.second;
         return !worker.isListed && !worker.hasOpenWork() && !worker.isLookOnItsWay && now >= worker.clock.lapsedAt();
