Take a look's answer in without going over the cell

Each answer to a look went over all workers to advance acknowledgements, though only the worker that answered can have news (what waits for the store is advanced with each commit); held what it lists in a sorted set of copied ids; and looked each run's job up for fillers, once for pacing and once for the next look. Runs carry the number of the look that listed them, and the worker's count of fillers answers the rest. Looks grow with workers, so this grew with their square. Decisions are the same.

--- a/packages/jobs/src/cell.cpp
+++ b/packages/jobs/src/cell.cpp
@@ -342,7 +342,7 @@
         for (const CallToken token : std::exchange(entry.inCommit, {}))
             state.output.replies.push_back({ token, true });
     }
-    state.advanceAcks();
+    state.advanceAllAcks();
 }
 
 void Cell::onCommitFailed()
--- a/packages/jobs/src/cell_runs.cpp
+++ b/packages/jobs/src/cell_runs.cpp
@@ -203,21 +203,25 @@
     worker.pendingEnds.back().revision = dirty.contains(end.task.job) ? entry->revision : 0;
 }
 
-void CellState::advanceAcks()
+void CellState::advanceAcks(const WorkerId& id, Worker& worker)
 {
-    for (auto& [id, worker] : workers) {
-        const std::int64_t ackedBefore = worker.ackedThrough;
-        while (!worker.pendingEnds.empty()) {
-            const PendingEnd& end = worker.pendingEnds.front();
-            const JobEntry* entry = find(end.job);
-            if (entry && entry->storedRevision < end.revision)
-                break;
-            worker.ackedThrough = end.number;
-            worker.pendingEnds.pop_front();
-        }
-        if (worker.ackedThrough > ackedBefore)
-            tell(WorkerEvent { WorkerEvent::Kind::EndsAcknowledged, id, std::to_string(worker.ackedThrough) });
+    const std::int64_t ackedBefore = worker.ackedThrough;
+    while (!worker.pendingEnds.empty()) {
+        const PendingEnd& end = worker.pendingEnds.front();
+        const JobEntry* entry = find(end.job);
+        if (entry && entry->storedRevision < end.revision)
+            break;
+        worker.ackedThrough = end.number;
+        worker.pendingEnds.pop_front();
     }
+    if (worker.ackedThrough > ackedBefore)
+        tell(WorkerEvent { WorkerEvent::Kind::EndsAcknowledged, id, std::to_string(worker.ackedThrough) });
+}
+
+void CellState::advanceAllAcks()
+{
+    for (auto& [id, worker] : workers)
+        advanceAcks(id, worker);
 }
 
 void CellState::adopt(Worker& worker, const RunningEntry& running, TimePoint now)
@@ -253,15 +257,15 @@
 
 void CellState::takeRunning(Worker& worker, const LookReport& report, TimePoint sentAt, TimePoint now)
 {
-    std::set<TaskRef> seen;
+    const std::uint64_t look = ++worker.looksTaken;
     for (const RunningEntry& running : report.running) {
         const auto found = worker.runs.find(running.task);
         if (found == worker.runs.end() || !isSame(found->second, running.run)) {
             adopt(worker, running, now);
             continue;
         }
-        seen.insert(running.task);
         Run& run = found->second;
+        run.seenInLook = look;
         run.percent = running.percent;
         run.figure = running.figure;
         JobEntry* entry = find(running.task.job);
@@ -280,7 +284,7 @@
     std::vector<TaskRef> gone;
     for (const auto& [task, run] : worker.runs) {
         const bool isSettled = run.settledAt != TimePoint {} && run.settledAt < sentAt && !run.isOrderOnItsWay;
-        if (isSettled && report.areEndsComplete && !seen.contains(task))
+        if (isSettled && report.areEndsComplete && run.seenInLook != look)
             gone.push_back(task);
     }
     for (const TaskRef& task : gone)
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -34,6 +34,7 @@
     TimePoint keptFrom {}; ///< From then on no stop by an earlier owner can be ending it any more.
     TimePoint settledAt {}; ///< When the worker last said yes to a start or stop; a later look tells whether it runs.
     TimePoint orderAgainAt {};
+    std::uint64_t seenInLook { 0 }; ///< Number of the latest look that listed it as running.
     int percent { 0 };
     int pace { 100 };
     double figure { 0 };
@@ -83,6 +84,7 @@
     std::int64_t ackedThrough { 0 };
     std::int64_t sentAck { 0 }; ///< What the last answered look acknowledged.
     std::deque<PendingEnd> pendingEnds;
+    std::uint64_t looksTaken { 0 };
     bool isLookOnItsWay { false };
     bool isLookWanted { true };
     TimePoint lookAt {};
@@ -246,7 +248,8 @@
     void changed(JobEntry& entry);
     void noteOffered(const JobEntry& entry, TimePoint now);
     void endIfOver(JobEntry& entry, const TaskRef& failed);
-    void advanceAcks();
+    void advanceAcks(const WorkerId& id, Worker& worker);
+    void advanceAllAcks();
     void forgetOldJobs();
 
     // Workers: cell_workers.cpp
--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -76,10 +76,7 @@
             look.ackedThrough = worker.ackedThrough;
         if (isInTouch && mayRenew && !worker.runs.empty() && worker.clock.isKnown())
             look.leaseUntilWorkerMs = worker.clock.grant(settings.leaseLength, now);
-        const bool hasFillers = std::any_of(worker.runs.begin(), worker.runs.end(), [&](const auto& each) {
-            const JobEntry* entry = find(each.first.job);
-            return entry && entry->progress.has(each.first) && stepOf(*entry, each.first).isFiller;
-        });
+        const bool hasFillers = worker.neighbours.fillers > 0;
         const bool isSettling = std::any_of(worker.runs.begin(), worker.runs.end(),
             [](const auto& each) { return each.second.phase == RunPhase::Stopping; });
         if (isInTouch && !worker.runs.empty() && !isSettling)
@@ -137,7 +134,7 @@
     for (const EndEntry& end : report.ends)
         state.takeEnd(worker, end, now);
     state.takeRunning(worker, report, sentAt, now);
-    state.advanceAcks();
+    state.advanceAcks(order.worker, worker);
     state.pace(worker, now);
 }
 
@@ -181,6 +178,10 @@
 
 void CellState::pace(Worker& worker, TimePoint now)
 {
+    if (worker.neighbours.fillers == 0) {
+        worker.pacing = {};
+        return;
+    }
     double worstTail = 0;
     std::vector<TaskRef> fillers;
     for (const auto& [task, run] : worker.runs) {
