--- a/packages/jobs/tests/flood.cpp
+++ b/packages/jobs/tests/flood.cpp
@@ -46,8 +46,10 @@
     , m_cell({ PoolId { "p" }, fence, 4500ms, 10500ms, 120s, 900ms }, endedJobs(size.endedJobs, unixMs()), {}, m_now,
           unixMs())
 {
+    constexpr int queueCount = 4;
     std::vector<QueueSettings> queues;
-    for (int queue = 0; queue < 4; ++queue)
+    queues.reserve(queueCount);
+    for (int queue = 0; queue < queueCount; ++queue)
         queues.push_back({ QueueId { "queue-" + std::to_string(queue) }, PoolId { "p" }, queue / 3, 3, 1.6, 600ms });
     m_cell.configure(queues);
     std::vector<WorkerDescription> listed;
