Look for orders to send again only where one had no answer

Each step went over all runs of the cell to find orders without an answer that are due again; hardly ever is there one. A worker says whether it may have some. What a look lists is looked up by job only when it brings something. Decisions are the same.

--- a/packages/jobs/src/cell_runs.cpp
+++ b/packages/jobs/src/cell_runs.cpp
@@ -268,9 +268,10 @@
         run.seenInLook = look;
         run.percent = running.percent;
         run.figure = running.figure;
-        JobEntry* entry = find(running.task.job);
+        const bool isNew = run.phase == RunPhase::Ordered;
+        JobEntry* entry = isNew || !running.checkpoint.empty() ? find(running.task.job) : nullptr;
         const bool isKnownTask = entry && entry->progress.has(running.task);
-        if (run.phase == RunPhase::Ordered) {
+        if (isNew) {
             run.phase = RunPhase::Confirmed;
             run.confirmedAt = now;
             run.settledAt = now;
@@ -339,6 +340,7 @@
     if (answer.status == CallStatus::NoAnswer) {
         run.mayComeLate = true;
         run.orderAgainAt = now + orderAgainAfter;
+        worker.hasUnanswered = true;
         worker.avoidUntil = std::max(worker.avoidUntil, now + avoidAfterNoAnswer);
         worker.isLookWanted = true;
         return;
@@ -381,6 +383,7 @@
         worker.isLookWanted = true;
     } else {
         run.orderAgainAt = now + orderAgainAfter;
+        worker.hasUnanswered = true;
     }
     if (answer.refusal == Refusal::Fence)
         state.noteFence(order.worker);
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -85,6 +85,7 @@
     std::int64_t sentAck { 0 }; ///< What the last answered look acknowledged.
     std::deque<PendingEnd> pendingEnds;
     std::uint64_t looksTaken { 0 };
+    bool hasUnanswered { false }; ///< Some run may have an order that is due again.
     bool isLookOnItsWay { false };
     bool isLookWanted { true };
     TimePoint lookAt {};
--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -142,8 +142,12 @@
 void CellState::sendAgain(TimePoint now, bool mayStart)
 {
     for (auto& [id, worker] : workers) {
+        if (!worker.hasUnanswered)
+            continue;
         const bool isLeaving = worker.description.isDraining;
+        worker.hasUnanswered = false;
         for (auto& [task, run] : worker.runs) {
+            worker.hasUnanswered = worker.hasUnanswered || run.orderAgainAt != TimePoint {};
             if (run.isOrderOnItsWay || run.orderAgainAt == TimePoint {} || now < run.orderAgainAt)
                 continue;
             const bool isStart = run.phase == RunPhase::Ordered && !isLeaving;
