Give no turn to steps that no worker has had room for since the pass began

Hundreds of steps that could not start were ranked, sorted (by ids among equals) and asked one by one. Room only shrinks within a pass, and what a gang gives back was taken in it: steps larger than the most that any worker has free as the pass begins are counted as waiting and left out of the sort, unless a worker is kept free for them or they need tickets. Jobs without a waiting subtask are passed at once, and the workers in use are found by going along both lists instead of a search each. Decisions are the same.

--- a/packages/jobs/include/rattanrack/jobs/job_progress.h
+++ b/packages/jobs/include/rattanrack/jobs/job_progress.h
@@ -68,6 +68,7 @@
     /// Whether the order of steps and the schedule let the step run at `unixMs`.
     bool isReady(int occurrence, int step, std::int64_t unixMs) const;
     bool isStepDone(int occurrence, int step) const;
+    bool hasWaitingTasks() const { return m_waitingTasks > 0; }
     int waitingTasks(int occurrence, int step) const;
 
     /// Called when a subtask goes to a worker.
@@ -112,6 +113,7 @@
     std::vector<bool> m_isGang; ///< By step.
     std::vector<Occurrence> m_occurrences;
     int m_totalTasks { 0 };
+    int m_waitingTasks { 0 };
     int m_doneTasks { 0 };
     bool m_hasStarted { false };
     bool m_isCancelled { false };
--- a/packages/jobs/src/cell_schedule.cpp
+++ b/packages/jobs/src/cell_schedule.cpp
@@ -132,6 +132,8 @@
             continue;
         if (entry.isChainStale)
             estimateChain(entry);
+        if (!entry.progress.hasWaitingTasks())
+            continue;
         for (int occurrence = 0; occurrence < entry.progress.occurrences(); ++occurrence) {
             for (int step = 0; step < static_cast<int>(entry.job.spec.steps.size()); ++step) {
                 const bool isWaiting = entry.startableTasks(occurrence, step) > 0;
@@ -145,8 +147,6 @@
             }
         }
     }
-    std::sort(ready.begin(), ready.end(),
-        [](const ReadyStep& left, const ReadyStep& right) { return left.key() < right.key(); });
     return ready;
 }
 
@@ -194,8 +194,7 @@
     const int wanted = entry.startableTasks(ready.occurrence, ready.step);
     const auto placements = space.place(entry, ready.occurrence, ready.step, ticket ? &ticket->tickets : nullptr);
     const int missing = wanted - static_cast<int>(placements.size());
-    if (ready.rank <= Rank::InTime)
-        waiting += Millicores { roomTaken(step).processors.count() * missing };
+    noteWaiting(ready, missing);
     if (missing > 0 && ready.rank <= Rank::Begun)
         space.reserveFor(entry, ready.occurrence, ready.step);
     const bool isGangSplit = step.isGang && (missing > 0 || wanted != step.count);
@@ -215,13 +214,34 @@
     }
 }
 
+/// In a flood most steps wait for room that no worker has: they need no turn, unless one is kept free for them or they
+/// need tickets.
+bool CellState::passOver(const ReadyStep& ready, const Room& space)
+{
+    const bool hasTurn = ready.rank <= Rank::Begun || queueOf(*ready.entry).needsTickets;
+    if (hasTurn || space.mayHold(ready.spec()))
+        return false;
+    noteWaiting(ready, ready.entry->startableTasks(ready.occurrence, ready.step));
+    return true;
+}
+
+/// So many subtasks of the step find no place.
+void CellState::noteWaiting(const ReadyStep& ready, int missing)
+{
+    if (ready.rank <= Rank::InTime)
+        waiting += Millicores { roomTaken(ready.spec()).processors.count() * missing };
+}
+
 void CellState::schedule(TimePoint now, std::int64_t wallMs)
 {
     waiting = {};
-    const auto ready = readySteps(now, wallMs);
+    auto ready = readySteps(now, wallMs);
     if (ready.empty())
         return;
     Room space { *this, now };
+    std::erase_if(ready, [&](const ReadyStep& each) { return passOver(each, space); });
+    std::sort(ready.begin(), ready.end(),
+        [](const ReadyStep& left, const ReadyStep& right) { return left.key() < right.key(); });
     for (const ReadyStep& each : ready)
         startStep(each, space, now);
 }
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -267,7 +267,9 @@
 
     // Decisions: cell_schedule.cpp
     void schedule(TimePoint now, std::int64_t wallMs);
-    std::vector<ReadyStep> readySteps(TimePoint now, std::int64_t wallMs);
+    std::vector<ReadyStep> readySteps(TimePoint now, std::int64_t wallMs); ///< In no order.
+    bool passOver(const ReadyStep& ready, const Room& space);
+    void noteWaiting(const ReadyStep& ready, int missing);
     void startStep(const ReadyStep& ready, Room& space, TimePoint now);
     const StepTicket* validTicket(const ReadyStep& ready, const Room& space, TimePoint now);
     void startOn(
--- a/packages/jobs/src/job_progress.cpp
+++ b/packages/jobs/src/job_progress.cpp
@@ -13,6 +13,7 @@
         m_totalTasks += step.count;
     }
     m_totalTasks *= spec.schedule.occurrences();
+    m_waitingTasks = m_totalTasks;
     for (int number = 0; number < spec.schedule.occurrences(); ++number) {
         Occurrence occurrence;
         if (spec.schedule.times > 0)
@@ -102,8 +103,9 @@
     StepProgress& step
         = m_occurrences[static_cast<std::size_t>(ref.occurrence)].steps[static_cast<std::size_t>(ref.step)];
     Task& changed = step.tasks[static_cast<std::size_t>(ref.index)];
-    step.waitingCount -= changed.phase == TaskPhase::Waiting ? 1 : 0;
-    step.waitingCount += phase == TaskPhase::Waiting ? 1 : 0;
+    const int waits = (phase == TaskPhase::Waiting ? 1 : 0) - (changed.phase == TaskPhase::Waiting ? 1 : 0);
+    step.waitingCount += waits;
+    m_waitingTasks += waits;
     step.doneCount += phase == TaskPhase::Done ? 1 : 0;
     m_doneTasks += phase == TaskPhase::Done ? 1 : 0;
     changed.phase = phase;
--- a/packages/jobs/src/room.cpp
+++ b/packages/jobs/src/room.cpp
@@ -8,11 +8,12 @@
 
 constexpr int reservedShare = 3; ///< One worker of this many may be kept free for large work.
 
+/// Whether a worker that the store names may be used.
 bool isUsable(const Worker& worker, const CellState& state, TimePoint now)
 {
     return worker.isListed && worker.contact == WorkerContact::InTouch && worker.clock.isKnown()
         && !worker.description.isDraining && !worker.isClosedFor(now)
-        && state.storedWorkers.contains(worker.description.id) && !state.closing.contains(worker.description.machine);
+        && !state.closing.contains(worker.description.machine);
 }
 
 bool looksAtNeighbours(const Step& step)
@@ -38,15 +39,24 @@
 Room::Room(CellState& state, TimePoint now)
     : m_state(state)
 {
+    m_workers.reserve(state.workers.size());
+    m_candidates.reserve(state.workers.size());
+    auto stored = state.storedWorkers.begin(); // In the order of ids, as the workers are.
     for (auto& [id, worker] : state.workers) {
         worker.placeInRoom = -1;
-        if (!isUsable(worker, state, now))
+        while (stored != state.storedWorkers.end() && stored->first < id)
+            ++stored;
+        const bool isStored = stored != state.storedWorkers.end() && stored->first == id;
+        if (!isStored || !isUsable(worker, state, now))
             continue;
         worker.placeInRoom = static_cast<int>(m_workers.size());
         Candidate candidate { &worker.description, worker.description.capacity };
         candidate.free -= worker.used;
         candidate.freeSoon = worker.description.capacity;
         candidate.freeSoon -= worker.usedByLasting;
+        m_largestFree.processors = std::max(m_largestFree.processors, candidate.free.processors);
+        m_largestFree.memory = std::max(m_largestFree.memory, candidate.free.memory);
+        m_largestFree.accelerators = std::max(m_largestFree.accelerators, candidate.free.accelerators);
         m_workers.push_back(&worker);
         m_candidates.push_back(candidate);
     }
@@ -110,7 +120,7 @@
 {
     const Step& step = entry.job.spec.steps[static_cast<std::size_t>(stepNumber)];
     m_areNeighboursCounted = false;
-    if (m_withoutPlace.covers(step))
+    if (!mayHold(step) || m_withoutPlace.covers(step))
         return {};
     if (looksAtNeighbours(step))
         countNeighbours(entry, occurrence, stepNumber);
--- a/packages/jobs/src/room.h
+++ b/packages/jobs/src/room.h
@@ -22,6 +22,9 @@
 
     const std::vector<Worker*>& workers() const { return m_workers; }
 
+    /// False: no worker has had room for one subtask since this pass began.
+    bool mayHold(const Step& step) const { return fits(roomTaken(step), m_largestFree); }
+
     /// Places for the waiting subtasks of a step, as many as there are; their room is taken. With `tickets`, only
     /// workers that have one.
     std::vector<Placement> place(
@@ -43,6 +46,7 @@
     CellState& m_state;
     std::vector<Worker*> m_workers;
     std::vector<Candidate> m_candidates;
+    ResourceSize m_largestFree; ///< When the pass began: of each kind, the most that some worker has.
     int m_reserved { 0 };
     Shortage m_withoutPlace;
     Shortage m_withoutReserve;
