--- a/packages/jobs/src/cell_runs.cpp
+++ b/packages/jobs/src/cell_runs.cpp
@@ -32,28 +32,44 @@
 
 } // namespace
 
-ResourceSize Worker::usedByLasting() const
+bool Worker::holdsLasting() const
 {
-    ResourceSize size;
-    for (const auto& [task, run] : runs) {
-        if (run.isLasting)
-            size += run.size;
-    }
-    return size;
+    return std::any_of(runs.begin(), runs.end(), [](const auto& each) { return each.second.isLasting; });
 }
 
-bool Worker::holdsLasting() const
+/// Takes a run into all sums over runs, or out of them.
+void CellState::countRun(Worker& worker, const TaskRef& task, const Run& run, int count)
 {
-    return std::any_of(runs.begin(), runs.end(), [](const auto& each) { return each.second.isLasting; });
+    ResourceSize& lasting = worker.usedByLasting;
+    if (count > 0)
+        worker.used += run.size;
+    else
+        worker.used -= run.size;
+    if (run.isLasting && count > 0)
+        lasting += run.size;
+    else if (run.isLasting)
+        lasting -= run.size;
+    worker.neighbours.add(run, count);
+    StepPlaces& ofJob = runsOfJobs[task.job];
+    const StepPlace place { task.occurrence, task.step, &worker };
+    if ((ofJob[place] += count) == 0)
+        ofJob.erase(place);
+    if (ofJob.empty())
+        runsOfJobs.erase(task.job);
 }
 
 Run& CellState::addRun(Worker& worker, const TaskRef& task, RunNumber number, const Step& step)
 {
+    const auto present = worker.runs.find(task);
+    if (present != worker.runs.end())
+        countRun(worker, task, present->second, -1);
     Run run;
     run.number = number;
     run.size = roomTaken(step);
     run.isLasting = step.isLasting;
-    worker.used += run.size;
+    run.isFiller = step.isFiller;
+    run.isServing = step.latencyTarget > Duration::zero();
+    countRun(worker, task, run, 1);
     places[task] = worker.description.id;
     return worker.runs.insert_or_assign(task, std::move(run)).first->second;
 }
@@ -63,7 +79,7 @@
     const auto found = worker.runs.find(task);
     if (found == worker.runs.end())
         return;
-    worker.used -= found->second.size;
+    countRun(worker, task, found->second, -1);
     worker.runs.erase(found);
     const auto place = places.find(task);
     if (place != places.end() && place->second == worker.description.id)
@@ -187,21 +203,25 @@
     worker.pendingEnds.back().revision = dirty.contains(end.task.job) ? entry->revision : 0;
 }
 
-void CellState::advanceAcks()
+void CellState::advanceAcks(const WorkerId& id, Worker& worker)
 {
-    for (auto& [id, worker] : workers) {
-        const std::int64_t ackedBefore = worker.ackedThrough;
-        while (!worker.pendingEnds.empty()) {
-            const PendingEnd& end = worker.pendingEnds.front();
-            const JobEntry* entry = find(end.job);
-            if (entry && entry->storedRevision < end.revision)
-                break;
-            worker.ackedThrough = end.number;
-            worker.pendingEnds.pop_front();
-        }
-        if (worker.ackedThrough > ackedBefore)
-            tell(WorkerEvent { WorkerEvent::Kind::EndsAcknowledged, id, std::to_string(worker.ackedThrough) });
+    const std::int64_t ackedBefore = worker.ackedThrough;
+    while (!worker.pendingEnds.empty()) {
+        const PendingEnd& end = worker.pendingEnds.front();
+        const JobEntry* entry = find(end.job);
+        if (entry && entry->storedRevision < end.revision)
+            break;
+        worker.ackedThrough = end.number;
+        worker.pendingEnds.pop_front();
     }
+    if (worker.ackedThrough > ackedBefore)
+        tell(WorkerEvent { WorkerEvent::Kind::EndsAcknowledged, id, std::to_string(worker.ackedThrough) });
+}
+
+void CellState::advanceAllAcks()
+{
+    for (auto& [id, worker] : workers)
+        advanceAcks(id, worker);
 }
 
 void CellState::adopt(Worker& worker, const RunningEntry& running, TimePoint now)
@@ -237,20 +257,21 @@
 
 void CellState::takeRunning(Worker& worker, const LookReport& report, TimePoint sentAt, TimePoint now)
 {
-    std::set<TaskRef> seen;
+    const std::uint64_t look = ++worker.looksTaken;
     for (const RunningEntry& running : report.running) {
         const auto found = worker.runs.find(running.task);
         if (found == worker.runs.end() || !isSame(found->second, running.run)) {
             adopt(worker, running, now);
             continue;
         }
-        seen.insert(running.task);
         Run& run = found->second;
+        run.seenInLook = look;
         run.percent = running.percent;
         run.figure = running.figure;
-        JobEntry* entry = find(running.task.job);
+        const bool isNew = run.phase == RunPhase::Ordered;
+        JobEntry* entry = isNew || !running.checkpoint.empty() ? find(running.task.job) : nullptr;
         const bool isKnownTask = entry && entry->progress.has(running.task);
-        if (run.phase == RunPhase::Ordered) {
+        if (isNew) {
             run.phase = RunPhase::Confirmed;
             run.confirmedAt = now;
             run.settledAt = now;
@@ -264,7 +285,7 @@
     std::vector<TaskRef> gone;
     for (const auto& [task, run] : worker.runs) {
         const bool isSettled = run.settledAt != TimePoint {} && run.settledAt < sentAt && !run.isOrderOnItsWay;
-        if (isSettled && report.areEndsComplete && !seen.contains(task))
+        if (isSettled && report.areEndsComplete && run.seenInLook != look)
             gone.push_back(task);
     }
     for (const TaskRef& task : gone)
@@ -311,6 +332,7 @@
     if (answer.status == CallStatus::NoAnswer) {
         run.mayComeLate = true;
         run.orderAgainAt = now + orderAgainAfter;
+        worker.hasUnanswered = true;
         worker.avoidUntil = std::max(worker.avoidUntil, now + avoidAfterNoAnswer);
         worker.isLookWanted = true;
         return;
@@ -353,6 +375,7 @@
         worker.isLookWanted = true;
     } else {
         run.orderAgainAt = now + orderAgainAfter;
+        worker.hasUnanswered = true;
     }
     if (answer.refusal == Refusal::Fence)
         state.noteFence(order.worker);
--- a/packages/jobs/src/cell_schedule.cpp
+++ b/packages/jobs/src/cell_schedule.cpp
@@ -72,14 +72,14 @@
 void CellState::estimateChain(JobEntry& entry)
 {
     entry.isChainStale = false;
-    const ResourceSize all = room();
+    entry.work = workOf(entry.job);
     std::vector<Duration> whole;
     std::vector<Duration> left;
     Duration longestWhole {};
     Duration longestLeft {};
     int number = 0;
     for (const Step& step : entry.job.spec.steps) {
-        const double stepShare = share(step.size, all) * step.count;
+        const double stepShare = share(step.size, listedRoom) * step.count;
         const int waves = std::max(1, static_cast<int>(stepShare / widestShare + 0.99));
         const Duration time = runtimes.estimate(entry.job.queue, step.estimate) * waves;
         const bool isDone = entry.progress.isStepDone(0, number++);
@@ -121,28 +121,32 @@
 std::vector<ReadyStep> CellState::readySteps(TimePoint now, std::int64_t wallMs)
 {
     std::vector<ReadyStep> ready;
-    effort.jobs += jobs.size();
-    for (auto& [id, owned] : jobs) {
-        JobEntry& entry = *owned;
-        if (!entry.isStored || entry.progress.hasEnded() || (entry.isOld && isRecovering) || attemptsOf(entry) == 0)
+    std::erase_if(open, [](JobEntry* entry) {
+        entry->isAmongOpen = !entry->progress.hasEnded();
+        return !entry->isAmongOpen;
+    });
+    effort.jobs += open.size();
+    for (JobEntry* each : open) {
+        JobEntry& entry = *each;
+        if (!entry.isStored || (entry.isOld && isRecovering) || attemptsOf(entry) == 0)
             continue;
         if (entry.isChainStale)
             estimateChain(entry);
+        if (!entry.progress.hasWaitingTasks())
+            continue;
         for (int occurrence = 0; occurrence < entry.progress.occurrences(); ++occurrence) {
             for (int step = 0; step < static_cast<int>(entry.job.spec.steps.size()); ++step) {
                 const bool isWaiting = entry.startableTasks(occurrence, step) > 0;
                 if (!isWaiting || !entry.progress.isReady(occurrence, step, wallMs))
                     continue;
-                ReadyStep each { &entry, occurrence, step };
-                each.rank = rankOf(entry, each.spec(), now);
-                each.priority = queueOf(entry).priority;
-                each.order = each.rank == Rank::InTime ? workOf(entry.job) : entry.dueAt.time_since_epoch().count();
-                ready.push_back(each);
+                ReadyStep found { &entry, occurrence, step };
+                found.rank = rankOf(entry, found.spec(), now);
+                found.priority = queueOf(entry).priority;
+                found.order = found.rank == Rank::InTime ? entry.work : entry.dueAt.time_since_epoch().count();
+                ready.push_back(found);
             }
         }
     }
-    std::sort(ready.begin(), ready.end(),
-        [](const ReadyStep& left, const ReadyStep& right) { return left.key() < right.key(); });
     return ready;
 }
 
@@ -190,8 +194,7 @@
     const int wanted = entry.startableTasks(ready.occurrence, ready.step);
     const auto placements = space.place(entry, ready.occurrence, ready.step, ticket ? &ticket->tickets : nullptr);
     const int missing = wanted - static_cast<int>(placements.size());
-    if (ready.rank <= Rank::InTime)
-        waiting += Millicores { roomTaken(step).processors.count() * missing };
+    noteWaiting(ready, missing);
     if (missing > 0 && ready.rank <= Rank::Begun)
         space.reserveFor(entry, ready.occurrence, ready.step);
     const bool isGangSplit = step.isGang && (missing > 0 || wanted != step.count);
@@ -211,13 +214,34 @@
     }
 }
 
+/// In a flood most steps wait for room that no worker has: they need no turn, unless one is kept free for them or they
+/// need tickets.
+bool CellState::passOver(const ReadyStep& ready, const Room& space)
+{
+    const bool hasTurn = ready.rank <= Rank::Begun || queueOf(*ready.entry).needsTickets;
+    if (hasTurn || space.mayHold(ready.spec()))
+        return false;
+    noteWaiting(ready, ready.entry->startableTasks(ready.occurrence, ready.step));
+    return true;
+}
+
+/// So many subtasks of the step find no place.
+void CellState::noteWaiting(const ReadyStep& ready, int missing)
+{
+    if (ready.rank <= Rank::InTime)
+        waiting += Millicores { roomTaken(ready.spec()).processors.count() * missing };
+}
+
 void CellState::schedule(TimePoint now, std::int64_t wallMs)
 {
     waiting = {};
-    const auto ready = readySteps(now, wallMs);
+    auto ready = readySteps(now, wallMs);
     if (ready.empty())
         return;
     Room space { *this, now };
+    std::erase_if(ready, [&](const ReadyStep& each) { return passOver(each, space); });
+    std::sort(ready.begin(), ready.end(),
+        [](const ReadyStep& left, const ReadyStep& right) { return left.key() < right.key(); });
     for (const ReadyStep& each : ready)
         startStep(each, space, now);
 }
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -26,12 +26,15 @@
     RunPhase phase { RunPhase::Ordered };
     ResourceSize size; ///< What it takes of the worker's room.
     bool isLasting { false };
+    bool isFiller { false };
+    bool isServing { false }; ///< Has a latency target.
     bool mayComeLate { false }; ///< A start had no answer: it may still be carried out.
     bool isOrderOnItsWay { false }; ///< A start or stop waits for its answer.
     TimePoint confirmedAt {};
     TimePoint keptFrom {}; ///< From then on no stop by an earlier owner can be ending it any more.
     TimePoint settledAt {}; ///< When the worker last said yes to a start or stop; a later look tells whether it runs.
     TimePoint orderAgainAt {};
+    std::uint64_t seenInLook { 0 }; ///< Number of the latest look that listed it as running.
     int percent { 0 };
     int pace { 100 };
     double figure { 0 };
@@ -51,6 +54,21 @@
     Silent,
 };
 
+/// Runs on a worker that others notice beside them. Kept up as runs come and go.
+struct Neighbours {
+    int lasting { 0 }; ///< Other than fillers.
+    int serving { 0 }; ///< With a latency target.
+    int fillers { 0 };
+
+    /// `count`: 1 for a run that comes, -1 for one that goes.
+    void add(const Run& run, int count)
+    {
+        fillers += run.isFiller ? count : 0;
+        lasting += run.isLasting && !run.isFiller ? count : 0;
+        serving += run.isServing ? count : 0;
+    }
+};
+
 struct Worker {
     WorkerDescription description;
     bool isListed { false };
@@ -59,10 +77,15 @@
     std::int64_t bornUnixMs { 0 };
     std::unordered_map<TaskRef, Run> runs;
     ResourceSize used;
+    ResourceSize usedByLasting; ///< By what does not end by itself.
+    Neighbours neighbours;
+    int placeInRoom { -1 }; ///< Among the usable workers of the present pass of decisions.
     std::int64_t processedThrough { 0 };
     std::int64_t ackedThrough { 0 };
     std::int64_t sentAck { 0 }; ///< What the last answered look acknowledged.
     std::deque<PendingEnd> pendingEnds;
+    std::uint64_t looksTaken { 0 };
+    bool hasUnanswered { false }; ///< Some run may have an order that is due again.
     bool isLookOnItsWay { false };
     bool isLookWanted { true };
     TimePoint lookAt {};
@@ -75,8 +98,6 @@
     /// Something may run there, or has ended and is known to this owner alone.
     bool hasOpenWork() const { return !runs.empty() || !pendingEnds.empty(); }
 
-    /// Room taken by what does not end by itself.
-    ResourceSize usedByLasting() const;
     bool holdsLasting() const;
 };
 
@@ -86,6 +107,16 @@
     Run* run { nullptr };
 };
 
+/// Where runs of a step are.
+struct StepPlace {
+    int occurrence { 0 };
+    int step { 0 };
+    Worker* worker { nullptr };
+
+    friend auto operator<=>(const StepPlace&, const StepPlace&) = default;
+};
+using StepPlaces = std::map<StepPlace, int>; ///< Number of runs.
+
 struct StepTicket {
     std::map<WorkerId, std::string> tickets;
     TimePoint validUntil {};
@@ -102,6 +133,8 @@
 
     Job job;
     JobProgress progress;
+    const QueueSettings* queue { nullptr }; ///< As configured; none while it is not.
+    bool isAmongOpen { false }; ///< In `CellState::open`.
     bool isOld { false }; ///< Taken over: an earlier owner may have started parts of it.
     bool isStored { false };
     bool isForgotten { false }; ///< Its rows are to be removed.
@@ -116,6 +149,7 @@
     TimePoint acceptedAt {};
     Duration chain {}; ///< Longest chain of work left.
     TimePoint dueAt {}; ///< Later than this is late.
+    std::int64_t work { 0 }; ///< Declared, in millicores times milliseconds.
     bool isChainStale { true };
     std::map<std::pair<int, int>, StepTicket> tickets; ///< By occurrence and step.
 
@@ -139,7 +173,11 @@
     std::int64_t order { 0 }; ///< Within the rank: work, or time due.
 
     const Step& spec() const { return entry->job.spec.steps[static_cast<std::size_t>(step)]; }
-    auto key() const { return std::tuple { rank, priority, order, entry->job.acceptedAtUnixMs, entry->job.id }; }
+    auto key() const
+    {
+        return std::tuple<Rank, int, std::int64_t, std::int64_t, const JobId&, int, int> { rank, priority, order,
+            entry->job.acceptedAtUnixMs, entry->job.id, occurrence, step };
+    }
 };
 
 class Room;
@@ -157,7 +195,9 @@
     WorkerMachines foreignWorkers; ///< Used by earlier owners, and not looked at yet.
     std::set<MachineId> closing;
     std::unordered_map<JobId, std::unique_ptr<JobEntry>> jobs;
+    std::vector<JobEntry*> open; ///< All jobs that have not ended, and some that have since the last decisions.
     std::unordered_map<TaskRef, WorkerId> places; ///< Where a subtask's run is.
+    std::unordered_map<JobId, StepPlaces> runsOfJobs; ///< All that workers hold, by job.
     RuntimeEstimate runtimes;
     RunNumber firstRun { 1 };
     TimePoint takenOverAt {};
@@ -172,6 +212,7 @@
     bool isUrgent { false };
     std::int64_t unixMs { 0 }; ///< Wall clock of the latest step.
     TimePoint forgetAt {}; ///< When jobs that ended long ago are looked for next.
+    ResourceSize listedRoom; ///< Of all listed workers.
     Millicores waiting; ///< Wanted by what was ready and in time at the latest decision, and found no place.
     OfferedLoad offered;
     DecisionEffort effort;
@@ -179,10 +220,12 @@
 
     JobEntry* find(const JobId& job);
     const JobEntry* find(const JobId& job) const;
-    const QueueSettings& queueOf(const JobEntry& entry) const;
+    void addJob(std::unique_ptr<JobEntry> entry);
+    void forgetOpen(JobEntry& entry);
+    static const QueueSettings& queueOf(const JobEntry& entry);
 
     /// By the configuration, and where that does not name the queue, as accepted. 0: not known.
-    int attemptsOf(const JobEntry& entry) const;
+    static int attemptsOf(const JobEntry& entry);
     static const Step& stepOf(const JobEntry& entry, const TaskRef& task);
     void tell(CellEvent event) { output.events.push_back(std::move(event)); }
     void tellRun(RunEvent::Kind kind, const Worker& worker, const TaskRef& task, RunNumber run, std::string_view detail,
@@ -191,6 +234,7 @@
     // Runs: cell_runs.cpp
     Run& addRun(Worker& worker, const TaskRef& task, RunNumber number, const Step& step);
     void release(Worker& worker, const TaskRef& task);
+    void countRun(Worker& worker, const TaskRef& task, const Run& run, int count);
     void runOver(
         Worker& worker, const TaskRef& task, std::string_view proof, RunEvent::Kind kind = RunEvent::Kind::Over);
     void lost(Worker& worker, std::string_view proof);
@@ -205,7 +249,8 @@
     void changed(JobEntry& entry);
     void noteOffered(const JobEntry& entry, TimePoint now);
     void endIfOver(JobEntry& entry, const TaskRef& failed);
-    void advanceAcks();
+    void advanceAcks(const WorkerId& id, Worker& worker);
+    void advanceAllAcks();
     void forgetOldJobs();
 
     // Starts: cell_starts.cpp
@@ -225,7 +270,9 @@
 
     // Decisions: cell_schedule.cpp
     void schedule(TimePoint now, std::int64_t wallMs);
-    std::vector<ReadyStep> readySteps(TimePoint now, std::int64_t wallMs);
+    std::vector<ReadyStep> readySteps(TimePoint now, std::int64_t wallMs); ///< In no order.
+    bool passOver(const ReadyStep& ready, const Room& space);
+    void noteWaiting(const ReadyStep& ready, int missing);
     void startStep(const ReadyStep& ready, Room& space, TimePoint now);
     const StepTicket* validTicket(const ReadyStep& ready, const Room& space, TimePoint now);
     void startOn(
--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -54,6 +54,7 @@
             return each.id != foreign.first && each.machine == foreign.second && !each.machine.isEmpty();
         });
     });
+    state.listedRoom = state.room();
     std::erase_if(state.workers, [&](const auto& each) {
         const Worker& worker = each.second;
         return !worker.isListed && !worker.hasOpenWork() && !worker.isLookOnItsWay && now >= worker.clock.lapsedAt();
@@ -75,10 +76,7 @@
             look.ackedThrough = worker.ackedThrough;
         if (isInTouch && mayRenew && !worker.runs.empty() && worker.clock.isKnown())
             look.leaseUntilWorkerMs = worker.clock.grant(settings.leaseLength, now);
-        const bool hasFillers = std::any_of(worker.runs.begin(), worker.runs.end(), [&](const auto& each) {
-            const JobEntry* entry = find(each.first.job);
-            return entry && entry->progress.has(each.first) && stepOf(*entry, each.first).isFiller;
-        });
+        const bool hasFillers = worker.neighbours.fillers > 0;
         const bool isSettling = std::any_of(worker.runs.begin(), worker.runs.end(),
             [](const auto& each) { return each.second.phase == RunPhase::Stopping; });
         if (isInTouch && !worker.runs.empty() && !isSettling)
@@ -136,7 +134,7 @@
     for (const EndEntry& end : report.ends)
         state.takeEnd(worker, end, now);
     state.takeRunning(worker, report, sentAt, now);
-    state.advanceAcks();
+    state.advanceAcks(order.worker, worker);
     state.pace(worker, now);
 }
 
@@ -144,8 +142,12 @@
 void CellState::sendAgain(TimePoint now, bool mayStart)
 {
     for (auto& [id, worker] : workers) {
+        if (!worker.hasUnanswered)
+            continue;
         const bool isLeaving = worker.description.isDraining;
+        worker.hasUnanswered = false;
         for (auto& [task, run] : worker.runs) {
+            worker.hasUnanswered = worker.hasUnanswered || run.orderAgainAt != TimePoint {};
             if (run.isOrderOnItsWay || run.orderAgainAt == TimePoint {} || now < run.orderAgainAt)
                 continue;
             const bool isStart = run.phase == RunPhase::Ordered && !isLeaving;
@@ -180,6 +182,10 @@
 
 void CellState::pace(Worker& worker, TimePoint now)
 {
+    if (worker.neighbours.fillers == 0) {
+        worker.pacing = {};
+        return;
+    }
     double worstTail = 0;
     std::vector<TaskRef> fillers;
     for (const auto& [task, run] : worker.runs) {
--- a/packages/jobs/src/room.cpp
+++ b/packages/jobs/src/room.cpp
@@ -8,11 +8,12 @@
 
 constexpr int reservedShare = 3; ///< One worker of this many may be kept free for large work.
 
+/// Whether a worker that the store names may be used.
 bool isUsable(const Worker& worker, const CellState& state, TimePoint now)
 {
     return worker.isListed && worker.contact == WorkerContact::InTouch && worker.clock.isKnown()
         && !worker.description.isDraining && !worker.isClosedFor(now)
-        && state.storedWorkers.contains(worker.description.id) && !state.closing.contains(worker.description.machine);
+        && !state.closing.contains(worker.description.machine);
 }
 
 bool looksAtNeighbours(const Step& step)
@@ -20,6 +21,8 @@
     return step.isLasting || step.isFiller || step.maxPerWorker > 0 || step.wantsOneRack || step.mayMiss > 0;
 }
 
+bool looksAtRacks(const Step& step) { return step.isLasting || step.wantsOneRack || step.mayMiss > 0; }
+
 /// Whether size and label alone decide if the step finds a place.
 bool isPlain(const Step& step) { return step.maxPerWorker == 0; }
 
@@ -36,13 +39,24 @@
 Room::Room(CellState& state, TimePoint now)
     : m_state(state)
 {
+    m_workers.reserve(state.workers.size());
+    m_candidates.reserve(state.workers.size());
+    auto stored = state.storedWorkers.begin(); // In the order of ids, as the workers are.
     for (auto& [id, worker] : state.workers) {
-        if (!isUsable(worker, state, now))
+        worker.placeInRoom = -1;
+        while (stored != state.storedWorkers.end() && stored->first < id)
+            ++stored;
+        const bool isStored = stored != state.storedWorkers.end() && stored->first == id;
+        if (!isStored || !isUsable(worker, state, now))
             continue;
+        worker.placeInRoom = static_cast<int>(m_workers.size());
         Candidate candidate { &worker.description, worker.description.capacity };
         candidate.free -= worker.used;
         candidate.freeSoon = worker.description.capacity;
-        candidate.freeSoon -= worker.usedByLasting();
+        candidate.freeSoon -= worker.usedByLasting;
+        m_largestFree.processors = std::max(m_largestFree.processors, candidate.free.processors);
+        m_largestFree.memory = std::max(m_largestFree.memory, candidate.free.memory);
+        m_largestFree.accelerators = std::max(m_largestFree.accelerators, candidate.free.accelerators);
         m_workers.push_back(&worker);
         m_candidates.push_back(candidate);
     }
@@ -51,32 +65,46 @@
 void Room::countNeighbours(const JobEntry& entry, int occurrence, int step)
 {
     m_areNeighboursCounted = true;
-    for (Candidate& candidate : m_candidates)
-        candidate.sameStep = candidate.sameStepInRack = candidate.lasting = candidate.serving = candidate.fillers = 0;
     for (std::size_t at = 0; at < m_candidates.size(); ++at) {
-        m_state.effort.runs += m_workers[at]->runs.size();
-        for (const auto& [task, run] : m_workers[at]->runs) {
-            const JobEntry* other = m_state.find(task.job);
-            if (!other || !other->progress.has(task))
-                continue;
-            addNeighbour(m_candidates[at], CellState::stepOf(*other, task));
-            if (other != &entry || task.occurrence != occurrence || task.step != step)
-                continue;
-            ++m_candidates[at].sameStep;
-            for (Candidate& each : m_candidates)
-                each.sameStepInRack += each.worker->rack == m_candidates[at].worker->rack ? 1 : 0;
-        }
+        const Neighbours& neighbours = m_workers[at]->neighbours;
+        Candidate& candidate = m_candidates[at];
+        candidate.lasting = neighbours.lasting;
+        candidate.serving = neighbours.serving;
+        candidate.fillers = neighbours.fillers;
+        candidate.sameStep = candidate.sameStepInRack = 0;
     }
+    const auto ofJob = m_state.runsOfJobs.find(entry.job.id);
+    if (ofJob == m_state.runsOfJobs.end())
+        return;
+    const auto& places = ofJob->second;
+    for (auto each = places.lower_bound({ occurrence, step, nullptr }); each != places.end(); ++each) {
+        const auto& [place, runs] = *each;
+        if (place.occurrence != occurrence || place.step != step)
+            break;
+        ++m_state.effort.runs;
+        if (place.worker->placeInRoom >= 0)
+            addSameStep(place.worker->placeInRoom, runs, entry.job.spec.steps[static_cast<std::size_t>(step)]);
+    }
+}
+
+void Room::addSameStep(int place, int runs, const Step& step)
+{
+    Candidate& candidate = m_candidates[static_cast<std::size_t>(place)];
+    candidate.sameStep += runs;
+    if (!looksAtRacks(step))
+        return;
+    m_state.effort.places += m_candidates.size();
+    for (Candidate& other : m_candidates)
+        other.sameStepInRack += other.worker->rack == candidate.worker->rack ? runs : 0;
 }
 
 void Room::take(int place, const Step& step)
 {
     Candidate& candidate = m_candidates[static_cast<std::size_t>(place)];
     candidate.free -= roomTaken(step);
-    ++candidate.sameStep;
     addNeighbour(candidate, step);
-    for (Candidate& other : m_candidates)
-        other.sameStepInRack += other.worker->rack == candidate.worker->rack ? 1 : 0;
+    if (looksAtNeighbours(step))
+        addSameStep(place, 1, step);
 }
 
 void Room::give(const std::vector<Placement>& placements, const Step& step)
@@ -92,7 +120,7 @@
 {
     const Step& step = entry.job.spec.steps[static_cast<std::size_t>(stepNumber)];
     m_areNeighboursCounted = false;
-    if (m_withoutPlace.covers(step))
+    if (!mayHold(step) || m_withoutPlace.covers(step))
         return {};
     if (looksAtNeighbours(step))
         countNeighbours(entry, occurrence, stepNumber);
--- a/packages/jobs/src/room.h
+++ b/packages/jobs/src/room.h
@@ -22,6 +22,9 @@
 
     const std::vector<Worker*>& workers() const { return m_workers; }
 
+    /// False: no worker has had room for one subtask since this pass began.
+    bool mayHold(const Step& step) const { return fits(roomTaken(step), m_largestFree); }
+
     /// Places for the waiting subtasks of a step, as many as there are; their room is taken. With `tickets`, only
     /// workers that have one.
     std::vector<Placement> place(
@@ -37,11 +40,13 @@
 private:
     void countNeighbours(const JobEntry& entry, int occurrence, int step);
     std::vector<Placement> placeEach(const JobEntry& entry, int occurrence, int step, bool isLimitedByTickets);
+    void addSameStep(int place, int runs, const Step& step);
     void take(int place, const Step& step);
 
     CellState& m_state;
     std::vector<Worker*> m_workers;
     std::vector<Candidate> m_candidates;
+    ResourceSize m_largestFree; ///< When the pass began: of each kind, the most that some worker has.
     int m_reserved { 0 };
     Shortage m_withoutPlace;
     Shortage m_withoutReserve;
