Judge no lease by the clock of another life of its worker

Cause: a worker that comes back under its id starts its clock anew. An order names the id alone, so that a start or look with a lease by the earlier clock is taken by the later life, which holds it for the longest lease there is. The owner counted such a lease by the earlier clock (2 s for a start) and took the run for lapsed while it went on. The same class three times more: an unanswered start was sent again as it was, with the earlier clock's lease, after the later life had been heard; answers to starts were taken for the present life's clock whatever life gave them; and the latest end granted by the earlier clock stayed the end of each later lease, so that the runs of a worker that was silent after its rebirth were not given up until the earlier life's uptime had passed.

Change: orders with a lease keep the life by whose clock it is (not sent). A run is bound to a life by the worker's list, or by the clock in the answer to its start where no later life's clock can show it. What is bound to the present life lapses by its clock; anything else is given up only once the longest lease (the setting longestLease) has passed, on the slowest clock, since the last order with a lease was answered or given up; never while one is on its way; and, where a later life is known or listed, 12 s later if it had no answer. Starts are sent again only to a worker in touch, by the clock that it has now. The clock is read from looks alone, which tell the life.

CellLives: 6 of 7 fail on the code before (e.g. given up after 4.7 s instead of 6.1 s; not given up within 40 s after a rebirth), all pass.

Conclusion: the only run that waits longer is one on a worker that goes silent before it has listed the run or answered its start.

--- a/packages/jobs/include/rattanrack/jobs/cell.h
+++ b/packages/jobs/include/rattanrack/jobs/cell.h
@@ -23,6 +23,7 @@
     Duration foreignLease {}; ///< From the takeover on, what an earlier owner granted may hold this long.
     Duration keepEnded {}; ///< Jobs are remembered this long after their end.
     Duration longestStop {}; ///< A run that has been told to stop is listed as running this long at most.
+    Duration longestLease {}; ///< Workers shorten leases that are longer.
 };
 
 /// A row to store in the cell's part, or to remove.
--- a/packages/jobs/include/rattanrack/jobs/lease_clock.h
+++ b/packages/jobs/include/rattanrack/jobs/lease_clock.h
@@ -6,29 +6,46 @@
 
 namespace rattanrack::jobs {
 
-/// A worker's clock as seen from here, and the latest moment up to which anything on the worker may hold a lease. The
-/// worker's clock may be slow by up to 2 %, never fast.
+/// The clock of a worker's present life as seen from here, and the latest moments up to which anything that this node
+/// has sent may hold a lease on the worker. A worker's clock may be slow by up to 2 %, never fast; a later life begins
+/// with a new clock, to which a lease by an earlier one means the longest there is.
 class LeaseClock {
 public:
-    /// An answer that told the worker's clock arrived at `now`. A clock that went back belongs to another life.
-    void observe(std::int64_t workerClockMs, TimePoint now);
+    /// The worker is in this life; whatever carried a lease before may have reached it.
+    void beginLife(std::int64_t bornUnixMs, Duration longestLease);
+    bool isOfLife(std::int64_t bornUnixMs) const { return m_bornUnixMs == bornUnixMs; }
+
+    /// The present life's clock, from an answer that arrived at `now` to a question sent at `sentAt`.
+    void observe(std::int64_t workerClockMs, TimePoint sentAt, TimePoint now);
     bool isKnown() const { return m_isKnown; }
 
+    /// Whether an answer that tells this clock can be of no other life than the present one.
+    bool isByThisLife(std::int64_t workerClockMs, TimePoint now) const;
+
     /// The end, on the worker's clock, of a lease that is `length` long from now. Notes the grant.
     std::int64_t grant(Duration length, TimePoint now);
 
-    /// From then on no grant of this node holds.
+    /// An order with a lease by the clock of the life that began at `bornUnixMs` is on its way no more: it has reached
+    /// whatever life it reached, or is held up there.
+    void noteDelivered(std::int64_t bornUnixMs, bool isAnswered, Duration longestLease, TimePoint now);
+
+    /// From then on no grant of this node holds for what the present life is known to run.
     TimePoint lapsedAt() const { return m_lapsedAt; }
 
-    /// Forgets the clock, not the grants.
-    void forgetClock() { m_isKnown = false; }
+    /// From then on no grant of this node holds on any life, be it a later one that is not known. `isLaterListed`:
+    /// there is one.
+    TimePoint lapsedInAllLivesAt(bool isLaterListed, Duration longestLease) const;
 
 private:
+    std::int64_t m_bornUnixMs { 0 };
     bool m_isKnown { false };
     std::int64_t m_clockMs { 0 };
-    TimePoint m_observedAt {};
+    TimePoint m_askedAt {}; ///< The clock was read after this,
+    TimePoint m_observedAt {}; ///< and before this.
     std::int64_t m_latestEndMs { 0 };
     TimePoint m_lapsedAt {};
+    TimePoint m_deliveredBy {}; ///< Orders with a lease have been delivered by then,
+    TimePoint m_carriedOutBy {}; ///< and carried out by then, if they were held up.
 };
 
 } // namespace rattanrack::jobs
--- a/packages/jobs/include/rattanrack/jobs/worker.h
+++ b/packages/jobs/include/rattanrack/jobs/worker.h
@@ -36,6 +36,7 @@
     Fence fence { 0 };
     std::string checkpoint;
     std::string ticket;
+    std::int64_t bornUnixMs { 0 }; ///< Life by whose clock the lease is; the worker is not told.
 };
 
 /// Ends a run; one that is not there will not begin any more.
@@ -62,6 +63,7 @@
     std::int64_t ackedThrough { 0 };
     std::int64_t leaseUntilWorkerMs { 0 }; ///< On the worker's clock; 0: leaves the lease as it is.
     Duration wait {}; ///< The worker answers at the next end, or after this.
+    std::int64_t bornUnixMs { 0 }; ///< Life by whose clock the lease is; the worker is not told.
 };
 
 using Order = std::variant<StartOrder, StopOrder, PaceOrder, LookOrder>;
--- a/packages/jobs/model/cell_world.cpp
+++ b/packages/jobs/model/cell_world.cpp
@@ -25,7 +25,7 @@
 constexpr const char* queueName = "queue";
 const PoolId poolName { "pool" };
 
-CellSettings settingsOf(Fence term) { return { poolName, term, 4500ms, 10500ms, 120s, longestStop }; }
+CellSettings settingsOf(Fence term) { return { poolName, term, 4500ms, 10500ms, 120s, longestStop, 5000ms }; }
 
 } // namespace
 
--- a/packages/jobs/src/cell_runs.cpp
+++ b/packages/jobs/src/cell_runs.cpp
@@ -47,6 +47,12 @@
     return std::any_of(runs.begin(), runs.end(), [](const auto& each) { return each.second.isLasting; });
 }
 
+bool Worker::isLeaseOnItsWay() const
+{
+    return isRenewalOnItsWay
+        || std::any_of(runs.begin(), runs.end(), [](const auto& each) { return each.second.isStartOnItsWay; });
+}
+
 Run& CellState::addRun(Worker& worker, const TaskRef& task, RunNumber number, const Step& step)
 {
     Run run;
@@ -219,6 +225,7 @@
     if (hadPlace)
         places[running.task] = earlierPlace;
     run.phase = RunPhase::Confirmed;
+    run.seenInLife = worker.bornUnixMs;
     run.confirmedAt = now;
     run.keptFrom = now + settings.longestStop;
     run.settledAt = now;
@@ -246,6 +253,7 @@
         }
         seen.insert(running.task);
         Run& run = found->second;
+        run.seenInLife = worker.bornUnixMs;
         run.percent = running.percent;
         run.figure = running.figure;
         JobEntry* entry = find(running.task.job);
@@ -271,18 +279,16 @@
         runOver(worker, task, "not listed any more");
 }
 
-AnsweredRun CellState::answeredRun(
-    const WorkerId& id, const TaskRef& task, RunNumber number, const CallAnswer& answer, TimePoint now)
+AnsweredRun CellState::answeredRun(const WorkerId& id, const TaskRef& task, RunNumber number)
 {
     const auto worker = workers.find(id);
     if (worker == workers.end())
         return {};
-    if (answer.workerClockMs > 0)
-        worker->second.clock.observe(answer.workerClockMs, now);
     const auto run = worker->second.runs.find(task);
     if (run == worker->second.runs.end() || !isSame(run->second, number))
-        return {};
+        return { &worker->second };
     run->second.isOrderOnItsWay = false;
+    run->second.isStartOnItsWay = false;
     return { &worker->second, &run->second };
 }
 
@@ -297,7 +303,9 @@
 void Cell::onAnswer(const StartOrder& order, const CallAnswer& answer, TimePoint now)
 {
     CellState& state = *m_state;
-    const AnsweredRun answered = state.answeredRun(order.worker, order.task, order.run, answer, now);
+    const AnsweredRun answered = state.answeredRun(order.worker, order.task, order.run);
+    if (answered.worker)
+        state.noteDelivered(*answered.worker, order.bornUnixMs, answer.status, now);
     if (!answered.run)
         return;
     Worker& worker = *answered.worker;
@@ -305,6 +313,8 @@
     if (isTaken(answer)) {
         run.settledAt = now;
         run.mayComeLate = false;
+        if (worker.clock.isOfLife(order.bornUnixMs) && worker.clock.isByThisLife(answer.workerClockMs, now))
+            run.seenInLife = order.bornUnixMs;
         worker.isLookWanted = true;
         JobEntry* entry = state.find(order.task.job);
         if (run.phase == RunPhase::Stopping || !entry || entry->progress.hasEnded()) {
@@ -346,7 +356,7 @@
 void Cell::onAnswer(const StopOrder& order, const CallAnswer& answer, TimePoint now)
 {
     CellState& state = *m_state;
-    const AnsweredRun answered = state.answeredRun(order.worker, order.task, order.run, answer, now);
+    const AnsweredRun answered = state.answeredRun(order.worker, order.task, order.run);
     if (!answered.run)
         return;
     Worker& worker = *answered.worker;
--- a/packages/jobs/src/cell_schedule.cpp
+++ b/packages/jobs/src/cell_schedule.cpp
@@ -13,7 +13,6 @@
 
 constexpr Duration startOverhead = 60ms; ///< From an end to the start of what comes after it.
 constexpr Duration answerMargin = 150ms; ///< From the last end until a caller sees the job completed.
-constexpr Duration firstLease = 2s; ///< Of a start; looks renew it.
 constexpr double hopeful = 0.7; ///< Work may turn out this much shorter than estimated.
 constexpr int lateFactor = 3; ///< A job later than this many objectives is worth nothing any more.
 constexpr double widestShare = 0.25; ///< A step that takes a larger share of the room runs in several waves.
@@ -170,10 +169,9 @@
     JobEntry& entry = *ready.entry;
     const TaskRef task { entry.job.id, ready.occurrence, ready.step, index };
     Run& run = addRun(worker, task, number, ready.spec());
-    run.isOrderOnItsWay = true;
-    run.start = { worker.description.id, task, number, entry.job.spec.text, worker.clock.grant(firstLease, now),
-        settings.fence, entry.progress.task(task).checkpoint,
-        ticket ? ticket->tickets.at(worker.description.id) : std::string {} };
+    run.start = { worker.description.id, task, number, entry.job.spec.text, 0, settings.fence,
+        entry.progress.task(task).checkpoint, ticket ? ticket->tickets.at(worker.description.id) : std::string {} };
+    grantStart(worker, run, now);
     entry.progress.starting(task, number);
     tellRun(RunEvent::Kind::Ordered, worker, task, number, {}, now - listAskedAt);
     output.orders.emplace_back(run.start);
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -8,6 +8,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <tuple>
 #include <unordered_map>
 
@@ -28,6 +29,8 @@
     bool isLasting { false };
     bool mayComeLate { false }; ///< A start had no answer: it may still be carried out.
     bool isOrderOnItsWay { false }; ///< A start or stop waits for its answer.
+    bool isStartOnItsWay { false }; ///< It is a start, and carries a lease.
+    std::optional<std::int64_t> seenInLife; ///< Life of the worker that is known to run it, by its birth.
     TimePoint confirmedAt {};
     TimePoint keptFrom {}; ///< From then on no stop by an earlier owner can be ending it any more.
     TimePoint settledAt {}; ///< When the worker last said yes to a start or stop; a later look tells whether it runs.
@@ -64,6 +67,7 @@
     std::int64_t sentAck { 0 }; ///< What the last answered look acknowledged.
     std::deque<PendingEnd> pendingEnds;
     bool isLookOnItsWay { false };
+    bool isRenewalOnItsWay { false }; ///< It is a look that carries a lease.
     bool isLookWanted { true };
     TimePoint lookAt {};
     int failuresInRow { 0 };
@@ -78,6 +82,12 @@
     /// Room taken by what does not end by itself.
     ResourceSize usedByLasting() const;
     bool holdsLasting() const;
+
+    /// An order that carries a lease has no answer yet.
+    bool isLeaseOnItsWay() const;
+
+    /// The list names a later life than any that has answered.
+    bool isLaterLifeListed() const { return description.bornUnixMs > bornUnixMs; }
 };
 
 /// What the answer to a start or stop is about; no run when it has been released since.
@@ -198,8 +208,7 @@
     void sendStop(Worker& worker, const TaskRef& task, RunNumber run, std::string_view reason);
     void stopAll(JobEntry& entry, std::string_view reason);
     void stopGang(JobEntry& entry, const TaskRef& member);
-    AnsweredRun answeredRun(
-        const WorkerId& id, const TaskRef& task, RunNumber number, const CallAnswer& answer, TimePoint now);
+    AnsweredRun answeredRun(const WorkerId& id, const TaskRef& task, RunNumber number);
     void startFailed(Worker& worker, const StartOrder& order, Run& run);
     void changed(JobEntry& entry);
     void noteOffered(const JobEntry& entry, TimePoint now);
@@ -211,6 +220,11 @@
     void sendLooks(TimePoint now, bool mayRenew);
     void sendAgain(TimePoint now, bool mayStart);
     void checkSilent(TimePoint now);
+    bool mayHoldLease(const Worker& worker, const Run& run, TimePoint now) const;
+    void grantStart(Worker& worker, Run& run, TimePoint now);
+
+    /// An order that carried a lease by the clock of that life has been answered, or is given up.
+    void noteDelivered(Worker& worker, std::int64_t bornUnixMs, CallStatus status, TimePoint now) const;
     void pace(Worker& worker, TimePoint now);
     bool mayAvoidOneMore(const Worker& worker, TimePoint now) const;
     void noteFailure(Worker& worker, TimePoint now);
--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -15,6 +15,7 @@
 constexpr Duration longestLookBesideFillers = 500ms;
 constexpr Duration lookPause = 50ms; ///< Ends that come within it are heard of together.
 constexpr Duration silentLookPause = 250ms;
+constexpr Duration firstLease = 2s; ///< Of a start; looks renew it.
 constexpr Duration firstAvoidance = 1s; ///< Of a worker on which all fails; doubles with each further failure.
 constexpr Duration longestAvoidance = 8s;
 constexpr int failuresToAvoid = 3;
@@ -75,6 +76,8 @@
             look.ackedThrough = worker.ackedThrough;
         if (isInTouch && mayRenew && !worker.runs.empty() && worker.clock.isKnown())
             look.leaseUntilWorkerMs = worker.clock.grant(settings.leaseLength, now);
+        look.bornUnixMs = worker.bornUnixMs;
+        worker.isRenewalOnItsWay = look.leaseUntilWorkerMs > 0;
         const bool hasFillers = std::any_of(worker.runs.begin(), worker.runs.end(), [&](const auto& each) {
             const JobEntry* entry = find(each.first.job);
             return entry && entry->progress.has(each.first) && stepOf(*entry, each.first).isFiller;
@@ -97,7 +100,10 @@
         return;
     Worker& worker = known->second;
     worker.isLookOnItsWay = false;
+    worker.isRenewalOnItsWay = false;
     worker.lookAt = now + lookPause;
+    if (order.leaseUntilWorkerMs > 0)
+        state.noteDelivered(worker, order.bornUnixMs, answer.status, now);
     if (answer.status != CallStatus::Done) {
         worker.lookAt = now + silentLookPause;
         worker.isLookWanted = worker.isLookWanted || worker.contact != WorkerContact::InTouch || worker.isListed;
@@ -114,7 +120,7 @@
     const LookReport& report = answer.report;
     if (worker.bornUnixMs != report.bornUnixMs) {
         worker.bornUnixMs = report.bornUnixMs;
-        worker.clock.forgetClock();
+        worker.clock.beginLife(report.bornUnixMs, state.settings.longestLease);
         worker.processedThrough = 0;
         worker.ackedThrough = 0;
         worker.sentAck = 0;
@@ -129,7 +135,7 @@
             isBack ? WorkerEvent::Kind::Back : WorkerEvent::Kind::Heard, order.worker, {}, now - state.takenOverAt });
     }
     worker.contact = WorkerContact::InTouch;
-    worker.clock.observe(report.workerClockMs, now);
+    worker.clock.observe(report.workerClockMs, sentAt, now);
     if (report.areEndsComplete)
         state.foreignWorkers.erase(order.worker);
     worker.isLookWanted = worker.isLookWanted || !report.areEndsComplete;
@@ -140,6 +146,20 @@
     state.pace(worker, now);
 }
 
+void CellState::grantStart(Worker& worker, Run& run, TimePoint now)
+{
+    run.start.leaseUntilWorkerMs = worker.clock.grant(firstLease, now);
+    run.start.bornUnixMs = worker.bornUnixMs;
+    run.isOrderOnItsWay = true;
+    run.isStartOnItsWay = true;
+}
+
+void CellState::noteDelivered(Worker& worker, std::int64_t bornUnixMs, CallStatus status, TimePoint now) const
+{
+    if (status != CallStatus::NotSent)
+        worker.clock.noteDelivered(bornUnixMs, status != CallStatus::NoAnswer, settings.longestLease, now);
+}
+
 /// An unanswered start is sent again only where a new one might be; elsewhere a stop settles what became of it.
 void CellState::sendAgain(TimePoint now, bool mayStart)
 {
@@ -149,14 +169,17 @@
             if (run.isOrderOnItsWay || run.orderAgainAt == TimePoint {} || now < run.orderAgainAt)
                 continue;
             const bool isStart = run.phase == RunPhase::Ordered && !isLeaving;
-            if (isStart && !mayStart)
+            // Its lease must be by the clock of the life that is there now.
+            const bool mayBeStarted = mayStart && worker.contact == WorkerContact::InTouch && worker.clock.isKnown();
+            if (isStart && !mayBeStarted)
                 continue;
             run.orderAgainAt = {};
-            if (isStart)
+            if (isStart) {
+                grantStart(worker, run, now);
                 output.orders.emplace_back(run.start);
-            else if (run.phase != RunPhase::Confirmed)
+            } else if (run.phase != RunPhase::Confirmed) {
                 sendStop(worker, task, run.number, "unanswered, and its worker is leaving");
-            run.isOrderOnItsWay = run.phase != RunPhase::Confirmed;
+            }
         }
     }
 }
@@ -164,11 +187,31 @@
 void CellState::checkSilent(TimePoint now)
 {
     for (auto& [id, worker] : workers) {
-        if (worker.contact == WorkerContact::Silent && !worker.runs.empty() && now >= worker.clock.lapsedAt())
-            lost(worker, "lease lapsed");
+        if (worker.contact != WorkerContact::Silent || now < worker.clock.lapsedAt())
+            continue;
+        std::vector<TaskRef> lapsed;
+        for (const auto& [task, run] : worker.runs) {
+            if (!mayHoldLease(worker, run, now))
+                lapsed.push_back(task);
+        }
+        for (const TaskRef& task : lapsed)
+            runOver(worker, task, "lease lapsed");
+        if (!lapsed.empty() && worker.runs.empty())
+            foreignWorkers.erase(id);
     }
 }
 
+/// What the present life of the worker is not known to run may be run by a later one, which reads the leases sent to
+/// the present one by its own clock.
+bool CellState::mayHoldLease(const Worker& worker, const Run& run, TimePoint now) const
+{
+    const bool isOfPresentLife = run.seenInLife == worker.bornUnixMs;
+    if (isOfPresentLife)
+        return now < worker.clock.lapsedAt();
+    return worker.isLeaseOnItsWay()
+        || now < worker.clock.lapsedInAllLivesAt(worker.isLaterLifeListed(), settings.longestLease);
+}
+
 void CellState::checkRecovery(TimePoint now)
 {
     if (isRecovering && now >= takenOverAt + settings.foreignLease) {
--- a/packages/jobs/src/lease_clock.cpp
+++ b/packages/jobs/src/lease_clock.cpp
@@ -10,28 +10,80 @@
 
 constexpr double slowestClock = 0.98; ///< Ticks of a worker's clock in one second of ours, at least.
 constexpr Duration roundingSlack = 50ms;
+constexpr Duration longestHeldUp = 12s; ///< An order without an answer is carried out so much later at most.
+constexpr Duration clockAtBirth = 2s; ///< A new life's clock shows less.
+
+std::int64_t milliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+Duration onSlowestClock(Duration length)
+{
+    return Duration { static_cast<std::int64_t>(static_cast<double>(length.count()) / slowestClock) };
+}
+
+/// A lease that began then, and is as long as a worker allows, has ended.
+TimePoint endOfLongest(TimePoint begin, Duration longestLease)
+{
+    return begin == TimePoint {} ? begin : begin + onSlowestClock(longestLease) + roundingSlack;
+}
 
 } // namespace
 
-void LeaseClock::observe(std::int64_t workerClockMs, TimePoint now)
+void LeaseClock::beginLife(std::int64_t bornUnixMs, Duration longestLease)
+{
+    if (isOfLife(bornUnixMs))
+        return;
+    m_bornUnixMs = bornUnixMs;
+    m_isKnown = false;
+    m_latestEndMs = 0;
+    m_lapsedAt = std::max(m_lapsedAt, endOfLongest(std::max(m_deliveredBy, m_carriedOutBy), longestLease));
+}
+
+void LeaseClock::observe(std::int64_t workerClockMs, TimePoint sentAt, TimePoint now)
 {
     const bool isNewer = !m_isKnown || workerClockMs >= m_clockMs;
     if (!isNewer)
         return;
     m_isKnown = true;
     m_clockMs = workerClockMs;
+    m_askedAt = sentAt;
     m_observedAt = now;
 }
 
+bool LeaseClock::isByThisLife(std::int64_t workerClockMs, TimePoint now) const
+{
+    // Any later life has begun since the question was sent.
+    const std::int64_t sinceAskedMs = milliseconds(now - m_askedAt) + 1;
+    const bool isOlderThanAnyLater = workerClockMs > sinceAskedMs + milliseconds(clockAtBirth);
+    const bool isPossible = workerClockMs >= m_clockMs && workerClockMs <= m_clockMs + sinceAskedMs;
+    return m_isKnown && isPossible && isOlderThanAnyLater;
+}
+
 std::int64_t LeaseClock::grant(Duration length, TimePoint now)
 {
-    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_observedAt).count();
-    const auto lengthMs = std::chrono::duration_cast<std::chrono::milliseconds>(length).count();
-    m_latestEndMs = std::max(m_latestEndMs, m_clockMs + age + lengthMs);
+    const std::int64_t age = milliseconds(now - m_observedAt);
+    m_latestEndMs = std::max(m_latestEndMs, m_clockMs + age + milliseconds(length));
     const double earliestClockMs = static_cast<double>(m_clockMs) + static_cast<double>(age) * slowestClock;
     const double longestMs = (static_cast<double>(m_latestEndMs) - earliestClockMs) / slowestClock;
     m_lapsedAt = std::max(m_lapsedAt, now + Duration { static_cast<std::int64_t>(longestMs * 1000) } + roundingSlack);
     return m_latestEndMs;
 }
 
+void LeaseClock::noteDelivered(std::int64_t bornUnixMs, bool isAnswered, Duration longestLease, TimePoint now)
+{
+    m_deliveredBy = std::max(m_deliveredBy, now);
+    if (!isAnswered)
+        m_carriedOutBy = std::max(m_carriedOutBy, now + longestHeldUp);
+    if (!isOfLife(bornUnixMs))
+        m_lapsedAt = std::max(m_lapsedAt, endOfLongest(isAnswered ? now : now + longestHeldUp, longestLease));
+}
+
+TimePoint LeaseClock::lapsedInAllLivesAt(bool isLaterListed, Duration longestLease) const
+{
+    const TimePoint latest = isLaterListed ? std::max(m_deliveredBy, m_carriedOutBy) : m_deliveredBy;
+    return std::max(m_lapsedAt, endOfLongest(latest, longestLease));
+}
+
 } // namespace rattanrack::jobs
--- /dev/null
+++ b/packages/jobs/tests/cell_lives_tests.cpp
@@ -0,0 +1,194 @@
+#include "desk.h"
+
+#include "rattanrack/jobs/lease_clock.h"
+
+using namespace rattanrack;
+using namespace rattanrack::jobs;
+using namespace rattanrack::jobs::tests;
+using namespace std::chrono_literals;
+
+/// Workers that are reborn under their id: what was sent by one life's clock may reach another.
+namespace {
+
+constexpr Duration heldAtMost = 6123ms + 50ms; ///< The longest lease on the slowest clock, and the rounding.
+constexpr Duration renewedAtMost = 4592ms + 50ms;
+constexpr Duration period = 30ms;
+
+void answerOthers(Desk& desk, const WorkerId& silent)
+{
+    for (const LookOrder& look : desk.take<LookOrder>()) {
+        if (look.worker == silent)
+            desk.cell().onAnswer(look, { CallStatus::NoAnswer }, desk.now(), desk.now());
+        else
+            desk.answer(look, {});
+    }
+}
+
+/// When the job's subtask is ordered again, from now on, while one worker answers nothing. At most 40 s.
+Duration untilStartElsewhere(Desk& desk, const WorkerId& silent)
+{
+    const TimePoint from = desk.now();
+    while (desk.now() - from < 40s) {
+        desk.step(period);
+        answerOthers(desk, silent);
+        for (const StopOrder& stop : desk.take<StopOrder>())
+            desk.cell().onAnswer(stop, { CallStatus::NoAnswer }, desk.now());
+        if (!desk.take<StartOrder>().empty())
+            break;
+    }
+    return desk.now() - from;
+}
+
+} // namespace
+
+TEST(CellLives, StartTakenByALaterLifeHoldsTheLongestLease)
+{
+    Desk desk;
+    const StartOrder start = desk.startOf("a");
+    desk.rebear(start.worker);
+    desk.answer(start, CallStatus::Done); // By the later life, to which the earlier clock's lease is far ahead.
+    EXPECT_GE(untilStartElsewhere(desk, start.worker), heldAtMost - period);
+}
+
+TEST(CellLives, UnansweredStartMayHaveReachedALaterLife)
+{
+    Desk desk;
+    const StartOrder start = desk.startOf("a");
+    desk.answer(start, CallStatus::NoAnswer);
+    EXPECT_GE(untilStartElsewhere(desk, start.worker), heldAtMost - period);
+}
+
+TEST(CellLives, StartTakenByTheKnownLifeHoldsItsOwnLease)
+{
+    Desk desk;
+    const StartOrder start = desk.startOf("a");
+    desk.answer(start, CallStatus::Done);
+    const Duration waited = untilStartElsewhere(desk, start.worker);
+    EXPECT_GE(waited, 4500ms); // A look has renewed it.
+    EXPECT_LE(waited, renewedAtMost + 200ms);
+}
+
+TEST(CellLives, StartOnItsWayIsNotTakenForLapsed)
+{
+    Desk desk;
+    const StartOrder start = desk.startOf("a"); // Neither answered nor given up.
+    EXPECT_GE(untilStartElsewhere(desk, start.worker), 40s);
+}
+
+TEST(CellLives, UnansweredStartIsSentAgainByTheClockOfTheLifeThatIsThere)
+{
+    Desk desk;
+    const StartOrder start = desk.startOf("a");
+    desk.answer(start, CallStatus::NoAnswer);
+    desk.rebear(start.worker);
+    desk.step(60ms);
+    EXPECT_TRUE(desk.take<StartOrder>().empty());
+    desk.hear(start.worker.value().c_str(), {});
+    desk.step(200ms);
+    const auto again = desk.take<StartOrder>();
+    ASSERT_EQ(again.size(), 1U);
+    EXPECT_EQ(again[0].run, start.run);
+    EXPECT_LT(again[0].leaseUntilWorkerMs, 3000); // The later life has hardly begun.
+}
+
+TEST(CellLives, UnansweredStartIsNotSentAgainToASilentWorker)
+{
+    Desk desk;
+    const StartOrder start = desk.startOf("a");
+    desk.answer(start, CallStatus::NoAnswer);
+    desk.step(60ms);
+    desk.loseLooks();
+    desk.step(200ms);
+    EXPECT_TRUE(desk.take<StartOrder>().empty());
+}
+
+TEST(CellLives, RunsOfASilentLaterLifeLapseByItsOwnClock)
+{
+    Desk desk;
+    const StartOrder start = desk.startOf("a");
+    desk.answer(start, CallStatus::Done);
+    desk.rebear(start.worker);
+    desk.step(60ms);
+    desk.hear(start.worker.value().c_str(), {});
+    desk.step(60ms);
+    desk.hear(start.worker.value().c_str(), {}); // The run is gone.
+    desk.step(30ms);
+    const auto again = desk.take<StartOrder>();
+    ASSERT_EQ(again.size(), 1U);
+    desk.answer(again[0], CallStatus::Done);
+    desk.step(60ms);
+    desk.hear(again[0].worker.value().c_str(), { { again[0].task, again[0].run, "", 0 } });
+    EXPECT_LE(untilStartElsewhere(desk, again[0].worker), heldAtMost);
+}
+
+TEST(LeaseClock, LeaseOfAnEarlierLifeIsNoLeaseOfTheNext)
+{
+    LeaseClock clock;
+    const TimePoint now { 1000s };
+    clock.beginLife(1, longestLease);
+    clock.observe(500'000, now, now);
+    clock.grant(4500ms, now);
+    clock.beginLife(2, longestLease);
+    clock.observe(700, now + 1s, now + 1s);
+    EXPECT_EQ(clock.grant(2s, now + 1s), 2700);
+}
+
+TEST(LeaseClock, LaterLifeHoldsWhatWasDeliveredBeforeItsFirstAnswer)
+{
+    LeaseClock clock;
+    const TimePoint now { 1000s };
+    clock.beginLife(1, longestLease);
+    clock.observe(500'000, now, now);
+    clock.grant(2s, now);
+    clock.noteDelivered(1, true, longestLease, now + 1s);
+    EXPECT_LT(clock.lapsedAt(), now + 3s);
+    EXPECT_GE(clock.lapsedInAllLivesAt(false, longestLease), now + 1s + heldAtMost - 1ms);
+    clock.beginLife(2, longestLease);
+    EXPECT_GE(clock.lapsedAt(), now + 1s + heldAtMost - 1ms);
+}
+
+TEST(LeaseClock, OrderHeldUpInALaterLifeIsCarriedOutLate)
+{
+    LeaseClock clock;
+    const TimePoint now { 1000s };
+    clock.beginLife(1, longestLease);
+    clock.observe(500'000, now, now);
+    clock.grant(2s, now);
+    clock.noteDelivered(1, false, longestLease, now + 1s);
+    EXPECT_LT(clock.lapsedInAllLivesAt(false, longestLease), now + 8s);
+    EXPECT_GE(clock.lapsedInAllLivesAt(true, longestLease), now + 1s + 12s + heldAtMost - 1ms);
+    clock.beginLife(2, longestLease);
+    EXPECT_GE(clock.lapsedAt(), now + 1s + 12s + heldAtMost - 1ms);
+}
+
+TEST(LeaseClock, OrderByAnEarlierClockThatArrivesLaterExtendsThePresentLife)
+{
+    LeaseClock clock;
+    const TimePoint now { 1000s };
+    clock.beginLife(1, longestLease);
+    clock.observe(500'000, now, now);
+    clock.beginLife(2, longestLease);
+    clock.observe(100, now, now);
+    clock.noteDelivered(1, true, longestLease, now + 3s);
+    EXPECT_GE(clock.lapsedAt(), now + 3s + heldAtMost - 1ms);
+}
+
+TEST(LeaseClock, AnswerTellsItsLifeByTheClock)
+{
+    LeaseClock clock;
+    const TimePoint asked { 1000s };
+    clock.beginLife(1, longestLease);
+    clock.observe(500'000, asked, asked + 100ms);
+    EXPECT_TRUE(clock.isByThisLife(500'900, asked + 1s));
+    EXPECT_FALSE(clock.isByThisLife(400, asked + 1s)); // Of a later life.
+    EXPECT_FALSE(clock.isByThisLife(501'100, asked + 1s)); // Of an earlier one.
+}
+
+TEST(LeaseClock, ClockOfAYoungLifeTellsNothing)
+{
+    LeaseClock clock;
+    const TimePoint asked { 1000s };
+    clock.beginLife(1, longestLease);
+    clock.observe(1200, asked, asked);
+    EXPECT_FALSE(clock.isByThisLife(1500, asked + 3s)); // A life that began since may show as much.
+}
--- a/packages/jobs/tests/desk.h
+++ b/packages/jobs/tests/desk.h
@@ -11,6 +11,8 @@
 
 using namespace std::chrono_literals;
 
+constexpr Duration longestLease = 6s; ///< Workers shorten leases that are longer.
+
 /// A cell of two workers whose answers a test gives by hand.
 class Desk {
 public:
@@ -23,8 +25,8 @@
 
     /// As an owner who has just taken the cell over with these jobs, and has heard no worker yet.
     Desk(Fence fence, std::vector<StoredJob> jobs)
-        : m_cell({ PoolId { "p" }, fence, 4500ms, 10500ms, 120s, 900ms }, std::move(jobs), earlierWorkers(fence), m_now,
-            unixMs())
+        : m_cell({ PoolId { "p" }, fence, 4500ms, 10500ms, 120s, 900ms, longestLease }, std::move(jobs),
+            earlierWorkers(fence), m_now, unixMs())
     {
         m_cell.configure({ { QueueId { "q" }, PoolId { "p" }, 0, 3, 1.6, 600ms } });
         std::vector<WorkerDescription> workers;
@@ -120,11 +122,13 @@
         const TimePoint sentAt = m_now;
         m_now += 2ms;
         m_cell.onAnswer(look,
-            { CallStatus::Done, Refusal::None, { 1, clockMs(), std::move(running), std::move(ends) } }, sentAt, m_now);
+            { CallStatus::Done, Refusal::None,
+                { lifeOf(look.worker).bornUnixMs, clockMs(look.worker), std::move(running), std::move(ends) } },
+            sentAt, m_now);
     }
     void answer(const StartOrder& order, CallStatus status, Refusal refusal = Refusal::None)
     {
-        m_cell.onAnswer(order, { status, refusal, status == CallStatus::NoAnswer ? 0 : clockMs() }, m_now);
+        m_cell.onAnswer(order, { status, refusal, status == CallStatus::NoAnswer ? 0 : clockMs(order.worker) }, m_now);
     }
     /// What the cell has told of its runs so far.
     std::vector<RunEvent> runEvents(RunEvent::Kind kind) const
@@ -144,10 +148,24 @@
             m_cell.onAnswer(look, { CallStatus::NoAnswer }, m_now, m_now);
     }
 
-    /// The workers' clock.
+    /// The workers' clock in their first life.
     std::int64_t clockMs() const { return unixMs() - 900'000; }
 
+    /// The worker crashes and is there again at once, under its id: runs nothing, and its clock starts anew.
+    void rebear(const WorkerId& worker) { m_later[worker] = { lifeOf(worker).bornUnixMs + 1, unixMs() }; }
+
 private:
+    struct Life {
+        std::int64_t bornUnixMs { 1 };
+        std::int64_t clockBeganMs { 900'000 };
+    };
+    Life lifeOf(const WorkerId& worker) const
+    {
+        const auto later = m_later.find(worker);
+        return later == m_later.end() ? Life {} : later->second;
+    }
+    std::int64_t clockMs(const WorkerId& worker) const { return unixMs() - lifeOf(worker).clockBeganMs; }
+
     static WorkerMachines earlierWorkers(Fence fence)
     {
         if (fence == 1)
@@ -161,6 +179,7 @@
     std::vector<Order> m_orders;
     std::vector<WorkerDescription> m_listed;
     std::vector<CellEvent> m_events;
+    std::map<WorkerId, Life> m_later; ///< Lives after the first.
 };
 
 } // namespace rattanrack::jobs::tests
--- a/packages/jobs/tests/job_tests.cpp
+++ b/packages/jobs/tests/job_tests.cpp
@@ -146,7 +146,7 @@
 {
     LeaseClock clock;
     const TimePoint now { 100s };
-    clock.observe(5000, now);
+    clock.observe(5000, now, now);
     EXPECT_EQ(clock.grant(4s, now), 9000);
     EXPECT_GE(clock.lapsedAt() - now, Duration { 4081ms });
     EXPECT_LE(clock.lapsedAt() - now, Duration { 4300ms });
--- a/packages/node/include/rattanrack/node/cell_host.h
+++ b/packages/node/include/rattanrack/node/cell_host.h
@@ -38,6 +38,7 @@
     Duration keepEnded {};
     Duration longestStop {};
     Duration longestListAge {}; ///< Nothing starts on a list of workers that is older.
+    Duration longestLease {}; ///< Workers shorten leases that are longer.
 };
 
 /// One cell that this node owns: drives its decisions, stores what they need, and carries orders to the workers. All
--- a/packages/node/include/rattanrack/node/job_node.h
+++ b/packages/node/include/rattanrack/node/job_node.h
@@ -17,6 +17,7 @@
     Duration keepEnded {}; ///< Jobs are remembered this long after their end.
     Duration longestStop {}; ///< From an answered stop until the run has ended.
     Duration longestListAge {}; ///< Nothing starts on a list of workers that is older.
+    Duration longestLease {}; ///< Workers shorten leases that are longer.
 };
 
 struct JobNodePorts {
--- a/packages/node/src/cell_host.cpp
+++ b/packages/node/src/cell_host.cpp
@@ -31,7 +31,8 @@
 
 jobs::CellSettings settingsOf(const PoolId& pool, jobs::Fence fence, const CellTimes& times)
 {
-    return { pool, fence, times.leaseLength, foreignLease(times.leaseLength), times.keepEnded, times.longestStop };
+    return { pool, fence, times.leaseLength, foreignLease(times.leaseLength), times.keepEnded, times.longestStop,
+        times.longestLease };
 }
 
 std::vector<jobs::RowWrite> rowsOf(const jobs::CellCommit& commit)
--- a/packages/node/src/job_node_cells.cpp
+++ b/packages/node/src/job_node_cells.cpp
@@ -62,7 +62,8 @@
         ports.advisor, &advisorPool, [this](jobs::CallToken token, bool isStored) { stored(token, isStored); },
         [this, cell] { cellLost(cell); } };
     auto host = std::make_unique<CellHost>(std::move(parts), cell,
-        CellTimes { settings.leaseLength, settings.keepEnded, settings.longestStop, settings.longestListAge },
+        CellTimes { settings.leaseLength, settings.keepEnded, settings.longestStop, settings.longestListAge,
+            settings.longestLease },
         std::move(takeover));
     if (configuration)
         host->configure(configuration->queuesOf(cell));
--- a/packages/node/tests/cell_host_tests.cpp
+++ b/packages/node/tests/cell_host_tests.cpp
@@ -68,7 +68,7 @@
             CellHost::Parts parts { control, clock, metrics, log, storeThreads, workerThreads, store, workers, nullptr,
                 nullptr, [this](jobs::CallToken, bool isStored) { stored += isStored ? 1 : 0; }, [this] { ++lost; } };
             host = std::make_unique<CellHost>(
-                std::move(parts), pool, CellTimes { 4500ms, 120s, 900ms, 1500ms }, std::move(takeover));
+                std::move(parts), pool, CellTimes { 4500ms, 120s, 900ms, 1500ms, 6s }, std::move(takeover));
             host->configure({ { queue, pool, 0, 3, 1.6, 600ms } });
         });
     }
