Take a list of workers for proof of an end only since the takeover

Cause: a new owner waits for the workers that its predecessor used, but not for one on whose machine the list shows another. Births are not in the owner row, so that the other may be the one before it: in a list read before the takeover (the cached one is used when the read on the way fails), or while the entry of a crashed life is still listed beside the next one's. The new owner then started jobs that ran on the worker that it had given up.

What callers saw: a subtask that ran twice (TWICE) after a change of owner, some seconds after its worker had crashed and come back.

Evidence: CellTakeover.EntryOfAMachinesEarlierWorkerIsNoProofOfItsLater- OnesEnd and .ListFromBeforeTheTakeoverIsNoProofOfAWorkersEnd fail on the code before (the job starts within 500 ms, the worker not heard), and pass.

Change: such a worker is given up only when it is not listed itself, by a list asked for since the takeover.

Conclusion: a list says who is there, not in which order they came.

--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -50,10 +50,15 @@
         if (!worker.isListed && std::any_of(listed.begin(), listed.end(), isSuccessor))
             state.lost(worker, "a later worker on its machine");
     }
+    // Their births are not known here. An older list, or one that still names the worker, may show an earlier one.
+    const bool isSinceTakeover = askedAt >= state.takenOverAt;
     std::erase_if(state.foreignWorkers, [&](const auto& foreign) {
-        return std::any_of(listed.begin(), listed.end(), [&](const WorkerDescription& each) {
-            return each.id != foreign.first && each.machine == foreign.second && !each.machine.isEmpty();
-        });
+        const auto known = state.workers.find(foreign.first);
+        const bool isListed = known != state.workers.end() && known->second.isListed;
+        const auto isOnItsMachine = [&](const WorkerDescription& other) {
+            return other.machine == foreign.second && !other.machine.isEmpty();
+        };
+        return isSinceTakeover && !isListed && std::any_of(listed.begin(), listed.end(), isOnItsMachine);
     });
     std::erase_if(state.workers, [&](const auto& each) {
         const Worker& worker = each.second;
--- a/packages/jobs/tests/cell_takeover_tests.cpp
+++ b/packages/jobs/tests/cell_takeover_tests.cpp
@@ -78,6 +78,34 @@
     EXPECT_FALSE(desk.cell().workersInUse().contains(start.worker));
 }
 
+TEST(CellTakeover, EntryOfAMachinesEarlierWorkerIsNoProofOfItsLaterOnesEnd)
+{
+    Desk desk { 2, { { finiteJob(), {} } } };
+    auto workers = desk.listed(); // The later worker, and the entry of the crashed one before it.
+    workers.push_back(workers[0]);
+    workers.back().id = WorkerId { "w0" };
+    workers.back().bornUnixMs = 0;
+    desk.list(workers);
+    desk.hear("w2", {});
+    desk.step(500ms);
+    EXPECT_TRUE(desk.take<StartOrder>().empty());
+    desk.hear("w1", {});
+    desk.step(500ms);
+    EXPECT_EQ(desk.take<StartOrder>().size(), 1U);
+}
+
+TEST(CellTakeover, ListFromBeforeTheTakeoverIsNoProofOfAWorkersEnd)
+{
+    Desk desk { 2, { { finiteJob(), {} } } };
+    auto workers = desk.listed();
+    workers[0].id = WorkerId { "w0" }; // The worker before w1 on its machine.
+    desk.listAsOf(workers, desk.now() - 5s);
+    desk.list(desk.listed()); // The next one is fresh.
+    desk.hear("w2", {});
+    desk.step(500ms);
+    EXPECT_TRUE(desk.take<StartOrder>().empty());
+}
+
 TEST(CellTakeover, RunOfEarlierOwnerThatIsBeingStoppedCountsAsAway)
 {
     Desk desk { 2, { { lastingJob(), {} } } };
--- a/packages/jobs/tests/desk.h
+++ b/packages/jobs/tests/desk.h
@@ -53,6 +53,10 @@
         m_listed = std::move(workers);
         m_cell.setWorkers(m_listed, m_now, m_now);
     }
+    void listAsOf(const std::vector<WorkerDescription>& workers, TimePoint askedAt)
+    {
+        m_cell.setWorkers(workers, askedAt, m_now);
+    }
     std::vector<WorkerDescription> listed() const { return m_listed; }
 
     /// Answers the look at one worker; others that are on their way stay unanswered.
