--- a/packages/jobs/src/cell_runs.cpp
+++ b/packages/jobs/src/cell_runs.cpp
@@ -58,6 +58,12 @@
         runsOfJobs.erase(task.job);
 }
 
+bool Worker::isLeaseOnItsWay() const
+{
+    return isRenewalOnItsWay
+        || std::any_of(runs.begin(), runs.end(), [](const auto& each) { return each.second.isStartOnItsWay; });
+}
+
 Run& CellState::addRun(Worker& worker, const TaskRef& task, RunNumber number, const Step& step)
 {
     const auto present = worker.runs.find(task);
@@ -239,6 +245,7 @@
     if (hadPlace)
         places[running.task] = earlierPlace;
     run.phase = RunPhase::Confirmed;
+    run.seenInLife = worker.bornUnixMs;
     run.confirmedAt = now;
     run.keptFrom = now + settings.longestStop;
     run.settledAt = now;
@@ -266,6 +273,7 @@
         }
         Run& run = found->second;
         run.seenInLook = look;
+        run.seenInLife = worker.bornUnixMs;
         run.percent = running.percent;
         run.figure = running.figure;
         const bool isNew = run.phase == RunPhase::Ordered;
@@ -292,25 +300,25 @@
         runOver(worker, task, "not listed any more");
 }
 
-AnsweredRun CellState::answeredRun(
-    const WorkerId& id, const TaskRef& task, RunNumber number, const CallAnswer& answer, TimePoint now)
+AnsweredRun CellState::answeredRun(const WorkerId& id, const TaskRef& task, RunNumber number)
 {
     const auto worker = workers.find(id);
     if (worker == workers.end())
         return {};
-    if (answer.workerClockMs > 0)
-        worker->second.clock.observe(answer.workerClockMs, now);
     const auto run = worker->second.runs.find(task);
     if (run == worker->second.runs.end() || !isSame(run->second, number))
-        return {};
+        return { &worker->second };
     run->second.isOrderOnItsWay = false;
+    run->second.isStartOnItsWay = false;
     return { &worker->second, &run->second };
 }
 
 void Cell::onAnswer(const StartOrder& order, const CallAnswer& answer, TimePoint now)
 {
     CellState& state = *m_state;
-    const AnsweredRun answered = state.answeredRun(order.worker, order.task, order.run, answer, now);
+    const AnsweredRun answered = state.answeredRun(order.worker, order.task, order.run);
+    if (answered.worker)
+        state.noteDelivered(*answered.worker, order.bornUnixMs, answer.status, now);
     if (!answered.run)
         return;
     Worker& worker = *answered.worker;
@@ -318,6 +326,8 @@
     if (isTaken(answer)) {
         run.settledAt = now;
         run.mayComeLate = false;
+        if (worker.clock.isOfLife(order.bornUnixMs) && worker.clock.isByThisLife(answer.workerClockMs, now))
+            run.seenInLife = order.bornUnixMs;
         worker.isLookWanted = true;
         JobEntry* entry = state.find(order.task.job);
         if (run.phase == RunPhase::Stopping || !entry || entry->progress.hasEnded()) {
@@ -360,7 +370,7 @@
 void Cell::onAnswer(const StopOrder& order, const CallAnswer& answer, TimePoint now)
 {
     CellState& state = *m_state;
-    const AnsweredRun answered = state.answeredRun(order.worker, order.task, order.run, answer, now);
+    const AnsweredRun answered = state.answeredRun(order.worker, order.task, order.run);
     if (!answered.run)
         return;
     Worker& worker = *answered.worker;
--- a/packages/node/include/rattanrack/node/job_node.h
+++ b/packages/node/include/rattanrack/node/job_node.h
@@ -19,6 +19,7 @@
     Duration longestStop {}; ///< From an answered stop until the run has ended.
     Duration longestListAge {}; ///< Nothing starts on a list of workers that is older.
     double processorShare { jobs::defaultProcessorShare }; ///< Cores that this node may use, above 0.
+    Duration longestLease {}; ///< Workers shorten leases that are longer.
 };
 
 struct JobNodePorts {
