--- a/packages/jobs/src/cell.cpp
+++ b/packages/jobs/src/cell.cpp
@@ -19,8 +19,6 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
-bool isLast(JobState state) { return state != JobState::Queued && state != JobState::Active; }
-
 std::string_view name(JobState state)
 {
     constexpr std::string_view names[] = { "queued", "active", "completed", "failed", "cancelled" };
@@ -127,57 +125,6 @@
 
 void Cell::setClosing(std::set<MachineId> machines) { m_state->closing = std::move(machines); }
 
-std::vector<MachineId> Cell::emptied() const
-{
-    std::vector<MachineId> machines;
-    for (const MachineId& machine : m_state->closing) {
-        bool isHere = false;
-        bool isInUse = m_state->isRecovering;
-        for (const auto& [id, worker] : m_state->workers) {
-            if (worker.description.machine != machine)
-                continue;
-            isHere = isHere || worker.isListed;
-            // What has ended there is known here alone until it is stored.
-            isInUse = isInUse || worker.hasOpenWork();
-        }
-        if (isHere && !isInUse)
-            machines.push_back(machine);
-    }
-    return machines;
-}
-
-std::vector<MachineId> Cell::movable() const
-{
-    std::vector<MachineId> machines;
-    for (const auto& [id, worker] : m_state->workers) {
-        const bool isUsable = worker.isListed && worker.contact == WorkerContact::InTouch && !m_state->isRecovering;
-        if (isUsable && !worker.holdsLasting())
-            machines.push_back(worker.description.machine);
-    }
-    return machines;
-}
-
-WorkerMachines Cell::workersKnown() const
-{
-    WorkerMachines known = m_state->foreignWorkers;
-    for (const auto& [id, worker] : m_state->workers) {
-        if (worker.isListed || !worker.runs.empty())
-            known[id] = worker.description.machine;
-    }
-    return known;
-}
-
-WorkerMachines Cell::workersInUse() const
-{
-    WorkerMachines used = m_state->foreignWorkers;
-    for (const auto& [id, worker] : m_state->workers) {
-        const bool isUsable = worker.isListed && worker.contact != WorkerContact::Silent;
-        if (isUsable || worker.hasOpenWork())
-            used[id] = worker.description.machine;
-    }
-    return used;
-}
-
 void Cell::workersSent(const WorkerMachines& workers)
 {
     m_state->fencesSeenBeforeWrite = m_state->fencesSeen;
@@ -245,39 +192,6 @@
     return Acceptance::Waiting;
 }
 
-std::optional<JobState> Cell::state(const JobId& job) const
-{
-    const JobEntry* entry = m_state->find(job);
-    if (!entry || !entry->isStored || entry->isForgotten)
-        return std::nullopt;
-    if (isLast(entry->storedState))
-        return entry->storedState;
-    return entry->progress.hasStarted() ? JobState::Active : JobState::Queued;
-}
-
-int Cell::pending(const QueueId& queue) const
-{
-    return static_cast<int>(std::count_if(m_state->open.begin(), m_state->open.end(), [&](const JobEntry* entry) {
-        return entry->isStored && entry->progress.state() == JobState::Queued && entry->job.queue == queue;
-    }));
-}
-
-CellLoad Cell::load(TimePoint now) const
-{
-    CellLoad load { m_state->settings.pool, {}, m_state->waiting, m_state->offered.rate(now) };
-    for (const auto& [id, worker] : m_state->workers)
-        load.used += worker.used.processors;
-    return load;
-}
-
-std::size_t Cell::openJobs() const
-{
-    return static_cast<std::size_t>(std::count_if(
-        m_state->open.begin(), m_state->open.end(), [](const JobEntry* entry) { return !entry->progress.hasEnded(); }));
-}
-
-DecisionEffort Cell::effort() const { return m_state->effort; }
-
 bool Cell::hasUrgentCommit() const { return m_state->isUrgent; }
 
 bool Cell::hasUncommitted() const { return !m_state->dirty.empty(); }
--- /dev/null
+++ b/packages/jobs/src/cell_run_sums.cpp
@@ -0,0 +1,34 @@
+#include "cell_state.h"
+
+#include <algorithm>
+
+/// Sums over runs, kept up so that decisions need not go over the runs.
+namespace rattanrack::jobs {
+
+bool Worker::holdsLasting() const
+{
+    return std::any_of(runs.begin(), runs.end(), [](const auto& each) { return each.second.isLasting; });
+}
+
+/// Takes a run into all sums over runs, or out of them.
+void CellState::countRun(Worker& worker, const TaskRef& task, const Run& run, int count)
+{
+    ResourceSize& lasting = worker.usedByLasting;
+    if (count > 0)
+        worker.used += run.size;
+    else
+        worker.used -= run.size;
+    if (run.isLasting && count > 0)
+        lasting += run.size;
+    else if (run.isLasting)
+        lasting -= run.size;
+    worker.neighbours.add(run, count);
+    StepPlaces& ofJob = runsOfJobs[task.job];
+    const StepPlace place { task.occurrence, task.step, &worker };
+    if ((ofJob[place] += count) == 0)
+        ofJob.erase(place);
+    if (ofJob.empty())
+        runsOfJobs.erase(task.job);
+}
+
+} // namespace rattanrack::jobs
--- a/packages/jobs/src/cell_runs.cpp
+++ b/packages/jobs/src/cell_runs.cpp
@@ -32,32 +32,6 @@
 
 } // namespace
 
-bool Worker::holdsLasting() const
-{
-    return std::any_of(runs.begin(), runs.end(), [](const auto& each) { return each.second.isLasting; });
-}
-
-/// Takes a run into all sums over runs, or out of them.
-void CellState::countRun(Worker& worker, const TaskRef& task, const Run& run, int count)
-{
-    ResourceSize& lasting = worker.usedByLasting;
-    if (count > 0)
-        worker.used += run.size;
-    else
-        worker.used -= run.size;
-    if (run.isLasting && count > 0)
-        lasting += run.size;
-    else if (run.isLasting)
-        lasting -= run.size;
-    worker.neighbours.add(run, count);
-    StepPlaces& ofJob = runsOfJobs[task.job];
-    const StepPlace place { task.occurrence, task.step, &worker };
-    if ((ofJob[place] += count) == 0)
-        ofJob.erase(place);
-    if (ofJob.empty())
-        runsOfJobs.erase(task.job);
-}
-
 Run& CellState::addRun(Worker& worker, const TaskRef& task, RunNumber number, const Step& step)
 {
     const auto present = worker.runs.find(task);
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -14,6 +14,9 @@
 /// The insides of a cell, shared by its source files.
 namespace rattanrack::jobs {
 
+/// Whether a job in this state leaves it no more.
+constexpr bool isLast(JobState state) { return state != JobState::Queued && state != JobState::Active; }
+
 enum class RunPhase : std::uint8_t {
     Ordered, ///< The start has no answer yet.
     Confirmed, ///< The worker has said that it runs.
