Compare ready steps field by field

Each comparison of the sort built two keys of seven fields; nearly all are decided by the first three. The number of a step's next run is found without an id for each subtask.

--- a/packages/jobs/src/cell_schedule.cpp
+++ b/packages/jobs/src/cell_schedule.cpp
@@ -202,14 +202,14 @@
         space.give(placements, step);
         return;
     }
+    const auto lastRunOf = [&](const Placement& each) {
+        return std::max(firstRun, entry.progress.task(ready.occurrence, ready.step, each.index).lastRun);
+    };
     RunNumber highest = firstRun;
+    for (const Placement& each : placements)
+        highest = std::max(highest, lastRunOf(each));
     for (const Placement& each : placements) {
-        const TaskRef task { entry.job.id, ready.occurrence, ready.step, each.index };
-        highest = std::max(highest, entry.progress.task(task).lastRun);
-    }
-    for (const Placement& each : placements) {
-        const TaskRef task { entry.job.id, ready.occurrence, ready.step, each.index };
-        const RunNumber last = step.isGang ? highest : std::max(firstRun, entry.progress.task(task).lastRun);
+        const RunNumber last = step.isGang ? highest : lastRunOf(each);
         startOn(*space.workers()[static_cast<std::size_t>(each.place)], ready, each.index, last + 1, ticket, now);
     }
 }
@@ -240,8 +240,7 @@
         return;
     Room space { *this, now };
     std::erase_if(ready, [&](const ReadyStep& each) { return passOver(each, space); });
-    std::sort(ready.begin(), ready.end(),
-        [](const ReadyStep& left, const ReadyStep& right) { return left.key() < right.key(); });
+    std::sort(ready.begin(), ready.end());
     for (const ReadyStep& each : ready)
         startStep(each, space, now);
 }
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -8,7 +8,6 @@
 
 #include <deque>
 #include <map>
-#include <tuple>
 #include <unordered_map>
 
 /// The insides of a cell, shared by its source files.
@@ -176,10 +175,22 @@
     std::int64_t order { 0 }; ///< Within the rank: work, or time due.
 
     const Step& spec() const { return entry->job.spec.steps[static_cast<std::size_t>(step)]; }
-    auto key() const
+    /// What comes first. Ids decide among jobs that are equal in all else.
+    friend bool operator<(const ReadyStep& left, const ReadyStep& right)
     {
-        return std::tuple<Rank, int, std::int64_t, std::int64_t, const JobId&, int, int> { rank, priority, order,
-            entry->job.acceptedAtUnixMs, entry->job.id, occurrence, step };
+        if (left.rank != right.rank)
+            return left.rank < right.rank;
+        if (left.priority != right.priority)
+            return left.priority < right.priority;
+        if (left.order != right.order)
+            return left.order < right.order;
+        const Job& leftJob = left.entry->job;
+        const Job& rightJob = right.entry->job;
+        if (leftJob.acceptedAtUnixMs != rightJob.acceptedAtUnixMs)
+            return leftJob.acceptedAtUnixMs < rightJob.acceptedAtUnixMs;
+        if (left.entry != right.entry)
+            return leftJob.id < rightJob.id;
+        return std::pair { left.occurrence, left.step } < std::pair { right.occurrence, right.step };
     }
 };
 
