Stop a job's runs without going over those of the cell

A cancelled or failed job went over all runs of all workers, comparing ids; with a wave of cancels, most of them of jobs that run nowhere, that is jobs x runs. The workers that hold its runs are known (`runsOfJobs`); they are taken in the order of their ids as before, so the stops and their order are the same.

--- a/packages/jobs/include/rattanrack/jobs/cell.h
+++ b/packages/jobs/include/rattanrack/jobs/cell.h
@@ -97,7 +97,7 @@
 struct DecisionEffort {
     std::uint64_t jobs { 0 }; ///< Jobs looked at for steps that could run.
     std::uint64_t places { 0 }; ///< Workers looked at for a place.
-    std::uint64_t runs { 0 }; ///< Runs looked at as neighbours.
+    std::uint64_t runs { 0 }; ///< Runs looked at, as neighbours or to be stopped.
 };
 
 struct CellState;
--- a/packages/jobs/src/cell_runs.cpp
+++ b/packages/jobs/src/cell_runs.cpp
@@ -99,7 +99,15 @@
 
 void CellState::stopAll(JobEntry& entry, std::string_view reason)
 {
-    for (auto& [id, worker] : workers) {
+    const auto ofJob = runsOfJobs.find(entry.job.id);
+    if (ofJob == runsOfJobs.end())
+        return;
+    std::map<WorkerId, Worker*> holders;
+    for (const auto& [place, count] : ofJob->second)
+        holders.emplace(place.worker->description.id, place.worker);
+    for (const auto& [id, holder] : holders) {
+        Worker& worker = *holder;
+        effort.runs += worker.runs.size();
         std::vector<std::pair<TaskRef, RunNumber>> runs;
         for (const auto& [task, run] : worker.runs) {
             if (task.job == entry.job.id && run.phase != RunPhase::Stopping)
--- a/packages/jobs/tests/cell_effort_tests.cpp
+++ b/packages/jobs/tests/cell_effort_tests.cpp
@@ -58,6 +58,15 @@
     EXPECT_LE(effortOfIdleStep({ 12, 100, 2000 }).jobs, effortOfIdleStep({ 12, 100, 0 }).jobs);
 }
 
+TEST(CellEffort, CancellingAJobThatRunsNowhereLooksAtNoRuns)
+{
+    Flood flood { { 40, 400, 0 } };
+    flood.warmUp();
+    const auto before = flood.cell().effort().runs;
+    ASSERT_TRUE(flood.cell().cancel(flood.jobThatWaits(), 1, 1).has_value());
+    EXPECT_EQ(flood.cell().effort().runs, before);
+}
+
 TEST(CellEffort, TwiceTheWorkersAndJobsAreAtMostTwiceTheEffort)
 {
     EXPECT_LE(effortOfStart({ 80, 400, 0 }), 2 * effortOfStart({ 40, 200, 0 }));
--- a/packages/jobs/tests/flood.h
+++ b/packages/jobs/tests/flood.h
@@ -43,6 +43,7 @@
     void stepWithNothingNew();
 
     Cell& cell() { return m_cell; }
+    const JobId& jobThatWaits() const { return *m_waiting.begin(); }
     std::int64_t started() const { return m_started; }
     std::int64_t ended() const { return m_ended; }
 
