--- a/packages/jobs/src/cell_runs.cpp
+++ b/packages/jobs/src/cell_runs.cpp
@@ -32,32 +32,6 @@
 
 } // namespace
 
-bool Worker::holdsLasting() const
-{
-    return std::any_of(runs.begin(), runs.end(), [](const auto& each) { return each.second.isLasting; });
-}
-
-/// Takes a run into all sums over runs, or out of them.
-void CellState::countRun(Worker& worker, const TaskRef& task, const Run& run, int count)
-{
-    ResourceSize& lasting = worker.usedByLasting;
-    if (count > 0)
-        worker.used += run.size;
-    else
-        worker.used -= run.size;
-    if (run.isLasting && count > 0)
-        lasting += run.size;
-    else if (run.isLasting)
-        lasting -= run.size;
-    worker.neighbours.add(run, count);
-    StepPlaces& ofJob = runsOfJobs[task.job];
-    const StepPlace place { task.occurrence, task.step, &worker };
-    if ((ofJob[place] += count) == 0)
-        ofJob.erase(place);
-    if (ofJob.empty())
-        runsOfJobs.erase(task.job);
-}
-
 bool Worker::isLeaseOnItsWay() const
 {
     return isRenewalOnItsWay
@@ -131,7 +105,15 @@
 
 void CellState::stopAll(JobEntry& entry, std::string_view reason)
 {
-    for (auto& [id, worker] : workers) {
+    const auto ofJob = runsOfJobs.find(entry.job.id);
+    if (ofJob == runsOfJobs.end())
+        return;
+    std::map<WorkerId, Worker*> holders;
+    for (const auto& [place, count] : ofJob->second)
+        holders.emplace(place.worker->description.id, place.worker);
+    for (const auto& [id, holder] : holders) {
+        Worker& worker = *holder;
+        effort.runs += worker.runs.size();
         std::vector<std::pair<TaskRef, RunNumber>> runs;
         for (const auto& [task, run] : worker.runs) {
             if (task.job == entry.job.id && run.phase != RunPhase::Stopping)
