--- a/benchmark/news_cost.cpp
+++ b/benchmark/news_cost.cpp
@@ -122,9 +122,11 @@
     const int seconds = std::atoi(arguments[2]);
     const bool isPaced = std::string_view { arguments[3] } == "paced";
     std::vector<std::string> addresses;
+    addresses.reserve(static_cast<std::size_t>(count));
     for (int number = 0; number < count; ++number)
         addresses.push_back("127.1.0." + std::to_string(number + 1) + port);
     std::vector<std::unique_ptr<Node>> nodes;
+    nodes.reserve(addresses.size());
     for (int number = 0; number < count; ++number)
         nodes.push_back(std::make_unique<Node>(
             "node-" + std::to_string(number), addresses[static_cast<std::size_t>(number)], addresses, isPaced));
