--- a/packages/jobs/include/rattanrack/jobs/part_store.h
+++ b/packages/jobs/include/rattanrack/jobs/part_store.h
@@ -25,6 +25,7 @@
     std::string value;
     RowVersion version { 0 };
     bool isRemoved { false }; ///< Only in changes.
+    std::string part; ///< Only in changes, which span all parts of a table.
 
     friend bool operator==(const PartRow&, const PartRow&) = default;
 };
--- a/packages/peer/src/peer.capnp
+++ b/packages/peer/src/peer.capnp
@@ -258,6 +258,7 @@
   value @2 :Data;
   version @3 :UInt64;
   isRemoved @4 :Bool;
+  part @5 :Text;
 }
 
 enum TransactionStatus {
--- a/packages/peer/src/peer.capnp.h
+++ b/packages/peer/src/peer.capnp.h
@@ -568,7 +568,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(93c4de2393d552b0, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(93c4de2393d552b0, 2, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3728,6 +3728,9 @@
 
   inline bool getIsRemoved() const;
 
+  inline bool hasPart() const;
+  inline  ::capnp::Text::Reader getPart() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3783,6 +3786,13 @@
   inline bool getIsRemoved();
   inline void setIsRemoved(bool value);
 
+  inline bool hasPart();
+  inline  ::capnp::Text::Builder getPart();
+  inline void setPart( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPart(unsigned int size);
+  inline void adoptPart(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPart();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -8050,6 +8060,40 @@
       ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PartRow::Reader::hasPart() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool PartRow::Builder::hasPart() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader PartRow::Reader::getPart() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder PartRow::Builder::getPart() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void PartRow::Builder::setPart( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder PartRow::Builder::initPart(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void PartRow::Builder::adoptPart(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> PartRow::Builder::disownPart() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline  ::rattanrack::peer::wire::TransactionStatus TransactionOutcome::Reader::getStatus() const {
   return _reader.getDataField< ::rattanrack::peer::wire::TransactionStatus>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/packages/peer/src/store_codec.cpp
+++ b/packages/peer/src/store_codec.cpp
@@ -30,6 +30,7 @@
         to.setValue(dataOf(row.value));
         to.setVersion(row.version);
         to.setIsRemoved(row.isRemoved);
+        to.setPart(row.part);
     });
 }
 
@@ -37,7 +38,8 @@
 {
     std::vector<jobs::PartRow> rows;
     for (const auto row : source)
-        rows.push_back({ keyOf(row), bytes(row.getValue()), row.getVersion(), row.getIsRemoved() });
+        rows.push_back(
+            { keyOf(row), bytes(row.getValue()), row.getVersion(), row.getIsRemoved(), text(row.getPart()) });
     return rows;
 }
 
@@ -151,7 +153,7 @@
 {
     std::size_t total = 0;
     for (const jobs::PartRow& row : rows)
-        total += rowSizeBound + row.row.table.size() + row.row.key.size() + row.value.size();
+        total += rowSizeBound + row.row.table.size() + row.row.key.size() + row.value.size() + row.part.size();
     return total;
 }
 
--- a/packages/peer/tests/peer_network_tests.cpp
+++ b/packages/peer/tests/peer_network_tests.cpp
@@ -183,7 +183,7 @@
     auto& [inbox, unused, target, receiver, sender] = pair;
     const std::string bytes("\0value", 6);
     const std::vector<jobs::PartRow> rows { { { "table", "key" }, bytes, 7, false },
-        { { "table", "gone" }, "", 8, true } };
+        { { "table", "gone" }, "", 8, true, "part" } };
     const jobs::PartTransaction transaction { "part", { { { "table", "key" }, 6 } },
         { { { "table", "key" }, bytes }, { { "table", "gone" }, std::nullopt }, { { "table", "empty" }, "" } } };
     const std::vector<StoreCall> calls { { 1, "127.0.0.1:2", transaction },
