Decide on no more starts than an owner can send

Cause: a cell decided on every start that found room, whatever its owner's links could send. What waited over 250 ms there was dropped, its worker avoided for 700 ms though nothing was wrong with it, and all was decided on again.

Change: StartWindow bounds the starts of a cell that are on their way. It begins at 32 and doubles with each round of quick answers until one comes late; then it grows by a tenth a round, and shrinks to what came in time when most answers take over 120 ms or two workers' starts expire, never below 4. schedule() ends its pass when the window is used up, so that what ranks first goes first. A gang goes as a whole, if need be once nothing else is on its way. A worker gets at most 4 starts at once outside of gangs. Starts that were clearly overtaken by others', or have no answer for 350 ms, take nothing of the window, and one slow worker doesn't shrink it. An expired start no longer avoids its worker. The 250 ms bound in the queues stays. Answers carry their time since the decision, without the wait for the control thread, so that a late loop doesn't close the window.

--- a/packages/jobs/include/rattanrack/jobs/cell.h
+++ b/packages/jobs/include/rattanrack/jobs/cell.h
@@ -155,6 +155,9 @@
     /// Starts and stops that have no answer yet.
     std::size_t ordersInFlight() const;
 
+    /// Starts that may be on their way at once.
+    int startLimit() const;
+
     void onAnswer(const StartOrder& order, const CallAnswer& answer, TimePoint now);
     void onAnswer(const StopOrder& order, const CallAnswer& answer, TimePoint now);
     void onAnswer(const PaceOrder& order, const CallAnswer& answer, TimePoint now);
--- a/packages/jobs/include/rattanrack/jobs/worker.h
+++ b/packages/jobs/include/rattanrack/jobs/worker.h
@@ -85,6 +85,8 @@
     Refusal refusal { Refusal::None };
     std::int64_t workerClockMs { 0 }; ///< 0 when the answer told none.
     Duration queuedFor {}; ///< Time in this node's queue, before the order was sent or dropped.
+    Duration
+        answeredAfter {}; ///< From the decision to the answer, without the wait for the control thread; 0: unknown.
 };
 
 struct RunningEntry {
--- a/packages/jobs/model/starved_owner.cpp
+++ b/packages/jobs/model/starved_owner.cpp
@@ -183,6 +183,7 @@
 void StarvedOwner::answer(const OrderType& order, CallAnswer answer, TimePoint decidedAt, Duration after)
 {
     answer.queuedFor = m_now - decidedAt;
+    answer.answeredAfter = m_now + after - decidedAt;
     m_later.push({ m_now + after, ++m_sequence, [this, order, answer] { m_cell.onAnswer(order, answer, m_now); } });
 }
 
--- a/packages/jobs/model/starved_owner.h
+++ b/packages/jobs/model/starved_owner.h
@@ -33,6 +33,7 @@
 
     int decided() const { return m_decided; } ///< Starts that the cell has handed out.
     int expired() const { return m_expired; } ///< Starts that waited too long in the queues and were dropped.
+    int startLimit() const { return m_cell.startLimit(); }
     int begun() const { return m_begun; } ///< Runs that workers have begun.
 
 private:
--- a/packages/jobs/src/cell_runs.cpp
+++ b/packages/jobs/src/cell_runs.cpp
@@ -294,6 +294,7 @@
         return;
     Worker& worker = *answered.worker;
     Run& run = *answered.run;
+    state.noteAnswer(worker, run, answer, now);
     if (isTaken(answer)) {
         run.settledAt = now;
         run.mayComeLate = false;
@@ -329,9 +330,11 @@
         if (JobEntry* entry = state.find(order.task.job))
             entry->tickets.erase({ order.task.occurrence, order.task.step });
     }
-    const bool isUnsent = answer.status == CallStatus::NotSent || answer.status == CallStatus::Expired;
-    worker.avoidUntil = std::max(worker.avoidUntil, now + (isUnsent ? avoidAfterNoAnswer : avoidAfterNoRoom));
-    worker.isLookWanted = true;
+    if (answer.status != CallStatus::Expired) {
+        const bool isOutOfReach = answer.status == CallStatus::NotSent;
+        worker.avoidUntil = std::max(worker.avoidUntil, now + (isOutOfReach ? avoidAfterNoAnswer : avoidAfterNoRoom));
+        worker.isLookWanted = true;
+    }
     state.startFailed(worker, order, run, answer);
 }
 
--- a/packages/jobs/src/cell_schedule.cpp
+++ b/packages/jobs/src/cell_schedule.cpp
@@ -171,6 +171,7 @@
     const TaskRef task { entry.job.id, ready.occurrence, ready.step, index };
     Run& run = addRun(worker, task, number, ready.spec());
     run.isOrderOnItsWay = true;
+    run.orderedAt = now;
     run.start = { worker.description.id, task, number, entry.job.spec.text, worker.clock.grant(firstLease, now),
         settings.fence, entry.progress.task(task).checkpoint,
         ticket ? ticket->tickets.at(worker.description.id) : std::string {} };
@@ -188,7 +189,7 @@
     if (needsTicket && !ticket)
         return;
     const int wanted = entry.startableTasks(ready.occurrence, ready.step);
-    const auto placements = space.place(entry, ready.occurrence, ready.step, ticket ? &ticket->tickets : nullptr);
+    auto placements = space.place(entry, ready.occurrence, ready.step, ticket ? &ticket->tickets : nullptr);
     const int missing = wanted - static_cast<int>(placements.size());
     if (ready.rank <= Rank::InTime)
         waiting += Millicores { roomTaken(step).processors.count() * missing };
@@ -199,6 +200,7 @@
         space.give(placements, step);
         return;
     }
+    placements = admitStarts(step, placements, space);
     RunNumber highest = firstRun;
     for (const Placement& each : placements) {
         const TaskRef task { entry.job.id, ready.occurrence, ready.step, each.index };
@@ -217,9 +219,13 @@
     const auto ready = readySteps(now, wallMs);
     if (ready.empty())
         return;
+    countStarts(now);
     Room space { *this, now };
-    for (const ReadyStep& each : ready)
+    for (const ReadyStep& each : ready) {
+        if (!mayStartMore(now))
+            return;
         startStep(each, space, now);
+    }
 }
 
 void Cell::onAdvice(const AdviceAnswer& answer, TimePoint now)
--- a/packages/jobs/src/cell_starts.cpp
+++ b/packages/jobs/src/cell_starts.cpp
@@ -1,4 +1,5 @@
 #include "cell_state.h"
+#include "room.h"
 
 /// Starts on their way, and what became of those that began no run.
 namespace rattanrack::jobs {
@@ -36,6 +37,78 @@
     return count;
 }
 
+int Cell::startLimit() const { return m_state->startWindow.limit(); }
+
+void CellState::countStarts(TimePoint now)
+{
+    startsInFlight = 0;
+    isGangHeldBack = false;
+    for (auto& [id, worker] : workers) {
+        worker.startsInFlight = 0;
+        worker.isBehind = false;
+        for (const auto& [task, run] : worker.runs) {
+            if (run.phase != RunPhase::Ordered || !run.isOrderOnItsWay)
+                continue;
+            ++worker.startsInFlight;
+            worker.isBehind = worker.isBehind || startWindow.isOvertaken(run.orderedAt);
+            startsInFlight += startWindow.isApart(run.orderedAt, now) ? 0 : 1;
+        }
+    }
+}
+
+bool CellState::mayStartMore(TimePoint now)
+{
+    const bool mayStart = startsInFlight < startWindow.limit() && !isGangHeldBack;
+    if (!mayStart)
+        startWindow.reached(now);
+    return mayStart;
+}
+
+/// Of the placements those whose starts may go now; of a gang all or none. One larger than what is free of the window
+/// waits until that is enough, or until nothing else is on its way, and meanwhile nothing that ranks lower starts.
+std::vector<Placement> CellState::admitStarts(
+    const Step& step, const std::vector<Placement>& placements, const Room& space)
+{
+    const int wanted = static_cast<int>(placements.size());
+    if (step.isGang && startsInFlight > 0 && startsInFlight + wanted > startWindow.limit()) {
+        isGangHeldBack = true;
+        return {};
+    }
+    std::vector<Placement> admitted;
+    for (const Placement& each : placements) {
+        Worker& worker = *space.workers()[static_cast<std::size_t>(each.place)];
+        const bool isFree = startsInFlight < startWindow.limit() && worker.mayTakeStarts();
+        if (!step.isGang && !isFree)
+            continue;
+        ++worker.startsInFlight;
+        ++startsInFlight;
+        admitted.push_back(each);
+    }
+    return admitted;
+}
+
+void CellState::noteAnswer(const Worker& worker, const Run& run, const CallAnswer& answer, TimePoint now)
+{
+    const WorkerId& id = worker.description.id;
+    switch (answer.status) {
+    case CallStatus::Done:
+    case CallStatus::Refused:
+    case CallStatus::Busy:
+    case CallStatus::Malformed: {
+        const bool isMeasured = answer.answeredAfter > Duration::zero();
+        startWindow.answered(id, run.orderedAt, isMeasured ? answer.answeredAfter : now - run.orderedAt, now);
+        break;
+    }
+    case CallStatus::Expired:
+        startWindow.expired(id, run.orderedAt, now);
+        break;
+    case CallStatus::WrongWorker:
+    case CallStatus::NotSent:
+    case CallStatus::NoAnswer:
+        break;
+    }
+}
+
 void CellState::startFailed(Worker& worker, const StartOrder& order, Run& run, const CallAnswer& answer)
 {
     if (run.mayComeLate || run.phase == RunPhase::Stopping) {
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -5,6 +5,7 @@
 #include "rattanrack/jobs/offered_load.h"
 #include "rattanrack/jobs/pacing.h"
 #include "rattanrack/jobs/runtime_estimate.h"
+#include "rattanrack/jobs/start_window.h"
 
 #include <deque>
 #include <map>
@@ -28,6 +29,7 @@
     bool isLasting { false };
     bool mayComeLate { false }; ///< A start had no answer: it may still be carried out.
     bool isOrderOnItsWay { false }; ///< A start or stop waits for its answer.
+    TimePoint orderedAt {};
     TimePoint confirmedAt {};
     TimePoint keptFrom {}; ///< From then on no stop by an earlier owner can be ending it any more.
     TimePoint settledAt {}; ///< When the worker last said yes to a start or stop; a later look tells whether it runs.
@@ -68,9 +70,12 @@
     TimePoint lookAt {};
     int failuresInRow { 0 };
     TimePoint avoidUntil {};
+    int startsInFlight { 0 };
+    bool isBehind { false }; ///< Answers starts more slowly than others do.
     Pacing pacing;
 
     bool isClosedFor(TimePoint now) const { return now < avoidUntil; }
+    bool mayTakeStarts() const { return !isBehind && startsInFlight < StartWindow::maxPerWorker; }
 
     /// Something may run there, or has ended and is known to this owner alone.
     bool hasOpenWork() const { return !runs.empty() || !pendingEnds.empty(); }
@@ -143,6 +148,7 @@
 };
 
 class Room;
+struct Placement;
 
 struct CellState {
     explicit CellState(CellSettings cellSettings)
@@ -174,6 +180,9 @@
     TimePoint forgetAt {}; ///< When jobs that ended long ago are looked for next.
     Millicores waiting; ///< Wanted by what was ready and in time at the latest decision, and found no place.
     OfferedLoad offered;
+    StartWindow startWindow;
+    int startsInFlight { 0 }; ///< That take of the window, in the present pass of decisions.
+    bool isGangHeldBack { false }; ///< In the present pass, until enough of the window is free.
     CellOutput output;
 
     JobEntry* find(const JobId& job);
@@ -208,6 +217,10 @@
     void forgetOldJobs();
 
     // Starts: cell_starts.cpp
+    void countStarts(TimePoint now);
+    bool mayStartMore(TimePoint now);
+    std::vector<Placement> admitStarts(const Step& step, const std::vector<Placement>& placements, const Room& space);
+    void noteAnswer(const Worker& worker, const Run& run, const CallAnswer& answer, TimePoint now);
     void startFailed(Worker& worker, const StartOrder& order, Run& run, const CallAnswer& answer);
 
     // Workers: cell_workers.cpp
--- a/packages/jobs/src/room.cpp
+++ b/packages/jobs/src/room.cpp
@@ -11,7 +11,7 @@
 bool isUsable(const Worker& worker, const CellState& state, TimePoint now)
 {
     return worker.isListed && worker.contact == WorkerContact::InTouch && worker.clock.isKnown()
-        && !worker.description.isDraining && !worker.isClosedFor(now)
+        && !worker.description.isDraining && !worker.isClosedFor(now) && worker.mayTakeStarts()
         && state.storedWorkers.contains(worker.description.id) && !state.closing.contains(worker.description.machine);
 }
 
--- a/packages/jobs/tests/starved_owner_tests.cpp
+++ b/packages/jobs/tests/starved_owner_tests.cpp
@@ -22,9 +22,27 @@
 TEST(StarvedOwner, FloodThatIsOverLeavesNoCollapse)
 {
     constexpr int flood = 300;
+    constexpr int later = 500;
     constexpr int perSecond = 50;
     StarvedOwner owner { { 64, perSecond } };
     owner.submit(flood);
-    owner.run(20s, perSecond / 2);
-    EXPECT_GE(owner.begun(), 0.95 * (flood + 20 * perSecond / 2));
+    owner.run(20s, later / 20);
+    EXPECT_GE(owner.begun(), 0.95 * (flood + later));
+}
+
+TEST(StarvedOwner, SilentWorkersDoNotHoldUpTheOthers)
+{
+    constexpr int perSecond = 50;
+    StarvedOwner owner { { 64, perSecond, 10ms, { 3, 17, 40 } } };
+    owner.run(20s, 2 * perSecond);
+    EXPECT_GE(owner.begun(), 0.9 * perSecond * 20);
+}
+
+TEST(StarvedOwner, TurnOfASmallSiteIsStartedAtOnce)
+{
+    StarvedOwner owner { { 12, 2000, 10ms, {} } };
+    owner.submit(200);
+    owner.run(250ms);
+    EXPECT_EQ(owner.begun(), 200);
+    EXPECT_EQ(owner.expired(), 0);
 }
--- a/packages/node/src/worker_links.cpp
+++ b/packages/node/src/worker_links.cpp
@@ -70,6 +70,11 @@
         jobs::Order order;
         TimePoint decidedAt;
     };
+    struct Timing {
+        TimePoint decidedAt;
+        TimePoint takenAt; ///< From the queue.
+        Duration queuedFor() const { return takenAt - decidedAt; }
+    };
     struct Lane {
         std::deque<QueuedOrder> queue;
         std::condition_variable wakeUp;
@@ -86,47 +91,47 @@
                 return;
             const QueuedOrder queued = std::move(lane.queue.front());
             lane.queue.pop_front();
-            const Duration queuedFor = m_sink->clock.now() - queued.decidedAt;
+            const Timing timing { queued.decidedAt, m_sink->clock.now() };
             const bool isClosed = m_isClosed;
             lock.unlock();
             const auto* start = std::get_if<jobs::StartOrder>(&queued.order);
             if (start && isClosed)
-                report(*start, { jobs::CallStatus::NotSent }, queuedFor, &Answers::started);
-            else if (start && queuedFor > longestQueueing)
-                report(*start, { jobs::CallStatus::Expired }, queuedFor, &Answers::started);
+                report(*start, { jobs::CallStatus::NotSent }, timing, &Answers::started);
+            else if (start && timing.queuedFor() > longestQueueing)
+                report(*start, { jobs::CallStatus::Expired }, timing, &Answers::started);
             else
-                std::visit([&](const auto& each) { carryOut(*channel, each, queuedFor); }, queued.order);
+                std::visit([&](const auto& each) { carryOut(*channel, each, timing); }, queued.order);
             lock.lock();
         }
     }
 
     template <typename OrderType>
-    void report(OrderType order, jobs::CallAnswer answer, Duration queuedFor,
+    void report(OrderType order, jobs::CallAnswer answer, const Timing& timing,
         std::function<void(const OrderType&, const jobs::CallAnswer&)> Answers::*target)
     {
-        answer.queuedFor = queuedFor;
+        answer.queuedFor = timing.queuedFor();
+        answer.answeredAfter = m_sink->clock.now() - timing.decidedAt;
         m_sink->control.post([sink = m_sink, order = std::move(order), answer, target] {
             if (!sink->isCut)
                 (sink->answers.*target)(order, answer);
         });
     }
 
-    void carryOut(jobs::WorkerChannel& channel, const jobs::StartOrder& order, Duration queuedFor)
+    void carryOut(jobs::WorkerChannel& channel, const jobs::StartOrder& order, const Timing& timing)
     {
-        report(order, channel.start(order), queuedFor, &Answers::started);
+        report(order, channel.start(order), timing, &Answers::started);
     }
-    void carryOut(jobs::WorkerChannel& channel, const jobs::StopOrder& order, Duration queuedFor)
+    void carryOut(jobs::WorkerChannel& channel, const jobs::StopOrder& order, const Timing& timing)
     {
-        report(order, channel.stop(order), queuedFor, &Answers::stopped);
+        report(order, channel.stop(order), timing, &Answers::stopped);
     }
-    void carryOut(jobs::WorkerChannel& channel, const jobs::PaceOrder& order, Duration queuedFor)
+    void carryOut(jobs::WorkerChannel& channel, const jobs::PaceOrder& order, const Timing& timing)
     {
-        report(order, channel.pace(order), queuedFor, &Answers::paced);
+        report(order, channel.pace(order), timing, &Answers::paced);
     }
-    void carryOut(jobs::WorkerChannel& channel, const jobs::LookOrder& order, Duration)
+    void carryOut(jobs::WorkerChannel& channel, const jobs::LookOrder& order, const Timing& timing)
     {
-        const TimePoint sentAt = m_sink->clock.now();
-        m_sink->control.post([sink = m_sink, order, answer = channel.look(order), sentAt] {
+        m_sink->control.post([sink = m_sink, order, answer = channel.look(order), sentAt = timing.takenAt] {
             if (!sink->isCut)
                 sink->answers.looked(order, answer, sentAt);
         });
