Let an event bring the next pass of decisions forward

Cause: a pass plans the next one, 30 ms (250 ms in a cell without open jobs) later, and a plan that was there kept later requests out: wake(), which is to decide 6 ms after an event, had no effect after the first pass. New jobs waited for their first transaction, and answers for the next starts.

Change: PassPlan keeps the earliest time that anything has asked for.

--- a/packages/node/include/rattanrack/node/cell_host.h
+++ b/packages/node/include/rattanrack/node/cell_host.h
@@ -8,6 +8,7 @@
 #include "rattanrack/node/elastic_thread_pool.h"
 #include "rattanrack/node/node_load.h"
 #include "rattanrack/node/part_writer.h"
+#include "rattanrack/node/pass_plan.h"
 #include "rattanrack/node/worker_links.h"
 
 #include <functional>
@@ -114,7 +115,7 @@
     std::shared_ptr<bool> m_isAlive;
     PartWriter m_writer;
     WorkerLinks m_links;
-    bool m_isPumpPlanned { false };
+    PassPlan m_plan;
     bool m_isHandingBack { false };
     bool m_isOwnershipInDoubt { false }; ///< A worker has seen a higher fence.
 };
--- /dev/null
+++ b/packages/node/include/rattanrack/node/pass_plan.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "rattanrack/base/time.h"
+
+#include <optional>
+
+namespace rattanrack::node {
+
+/// When a cell's next pass of decisions runs: at the earliest time that anything asks for. For one thread.
+///
+///     if (const auto at = plan.ask(clock.now() + 6ms))
+///         loop.at(Deadline { *at }, [&, at] { if (plan.begins(*at)) decide(); });
+class PassPlan {
+public:
+    /// Asks for a pass at `at`. Returns when to run it; empty when one that is planned comes no later.
+    std::optional<TimePoint> ask(TimePoint at);
+
+    /// Whether the pass that was planned for `at` is to run now; an earlier one has taken the place of others.
+    bool begins(TimePoint at);
+
+private:
+    std::optional<TimePoint> m_plannedFor;
+};
+
+} // namespace rattanrack::node
--- a/packages/node/src/cell_host.cpp
+++ b/packages/node/src/cell_host.cpp
@@ -141,11 +141,12 @@
 
 void CellHost::planPump(Duration delay)
 {
-    if (std::exchange(m_isPumpPlanned, true))
+    const auto at = m_plan.ask(m_parts.clock.now() + delay);
+    if (!at)
         return;
-    m_parts.control.at(Deadline::after(m_parts.clock.now(), delay), guarded([this] {
-        m_isPumpPlanned = false;
-        pump();
+    m_parts.control.at(Deadline { *at }, guarded([this, at = *at] {
+        if (m_plan.begins(at))
+            pump();
     }));
 }
 
--- /dev/null
+++ b/packages/node/tests/pass_plan_tests.cpp
@@ -0,0 +1,32 @@
+#include "rattanrack/node/pass_plan.h"
+
+#include <gtest/gtest.h>
+
+using namespace rattanrack;
+using namespace rattanrack::node;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint start { 10s };
+
+} // namespace
+
+TEST(PassPlan, EventDoesNotWaitForThePassOfAnIdleCell)
+{
+    PassPlan plan;
+    ASSERT_EQ(plan.ask(start + 250ms), start + 250ms);
+    EXPECT_EQ(plan.ask(start + 6ms), start + 6ms);
+    EXPECT_TRUE(plan.begins(start + 6ms));
+    EXPECT_FALSE(plan.begins(start + 250ms));
+}
+
+TEST(PassPlan, EventsUntilThePassAreDecidedOnTogether)
+{
+    PassPlan plan;
+    ASSERT_EQ(plan.ask(start + 6ms), start + 6ms);
+    EXPECT_FALSE(plan.ask(start + 8ms).has_value());
+    EXPECT_FALSE(plan.ask(start + 6ms).has_value());
+    EXPECT_TRUE(plan.begins(start + 6ms));
+    EXPECT_EQ(plan.ask(start + 14ms), start + 14ms);
+}
