Rest after a pass of decisions in proportion to what it took

Change: PassPlan keeps ten times the duration of a pass free after it, at most 100 ms. A pass of up to 0.6 ms delays no event.

Conclusion: passes take at most a tenth of the time until they last 10 ms, and a third at 50 ms.

--- a/packages/node/src/cell_host.cpp
+++ b/packages/node/src/cell_host.cpp
@@ -168,8 +168,10 @@
 {
     if (m_writer.isOver())
         return;
-    handleOutput(m_cell.step(m_parts.clock.now(), wallClockMilliseconds(), authority()));
+    const TimePoint begunAt = m_parts.clock.now();
+    handleOutput(m_cell.step(begunAt, wallClockMilliseconds(), authority()));
     commitIfDue();
+    m_plan.ended(begunAt, m_parts.clock.now());
     if (!m_writer.isOver())
         planPump(m_cell.openJobs() > 0 ? busyPeriod : idlePeriod);
 }
--- a/packages/node/src/pass_plan.cpp
+++ b/packages/node/src/pass_plan.cpp
@@ -1,15 +1,30 @@
 #include "rattanrack/node/pass_plan.h"
 
+#include <algorithm>
+
 namespace rattanrack::node {
 
-std::optional<TimePoint> PassPlan::ask(TimePoint at)
+namespace {
+
+constexpr int restPerPass = 10; ///< Times the duration of a pass.
+constexpr Duration longestRest = std::chrono::milliseconds { 100 };
+
+} // namespace
+
+std::optional<TimePoint> PassPlan::ask(TimePoint wishedAt)
 {
+    const TimePoint at = std::max(wishedAt, m_restUntil);
     if (m_plannedFor && *m_plannedFor <= at)
         return std::nullopt;
     m_plannedFor = at;
     return at;
 }
 
+void PassPlan::ended(TimePoint begunAt, TimePoint now)
+{
+    m_restUntil = now + std::min(longestRest, (now - begunAt) * restPerPass);
+}
+
 bool PassPlan::begins(TimePoint at)
 {
     if (m_plannedFor != at)
--- a/packages/node/tests/pass_plan_tests.cpp
+++ b/packages/node/tests/pass_plan_tests.cpp
@@ -30,3 +30,20 @@
     EXPECT_TRUE(plan.begins(start + 6ms));
     EXPECT_EQ(plan.ask(start + 14ms), start + 14ms);
 }
+
+TEST(PassPlan, StarvedOwnerRestsAfterALongPass)
+{
+    PassPlan plan;
+    plan.ended(start, start + 3ms);
+    EXPECT_EQ(plan.ask(start + 9ms), start + 33ms);
+    EXPECT_TRUE(plan.begins(start + 33ms));
+    plan.ended(start + 33ms, start + 533ms);
+    EXPECT_EQ(plan.ask(start + 539ms), start + 633ms);
+}
+
+TEST(PassPlan, ShortPassesDelayNoEvent)
+{
+    PassPlan plan;
+    plan.ended(start, start + 500us);
+    EXPECT_EQ(plan.ask(start + 6ms), start + 6ms);
+}
