--- a/packages/jobs/include/rattanrack/jobs/cell.h
+++ b/packages/jobs/include/rattanrack/jobs/cell.h
@@ -166,6 +166,9 @@
     /// Since this owner took over.
     DecisionEffort effort() const;
 
+    /// Starts that may be on their way at once.
+    int startLimit() const;
+
     void onAnswer(const StartOrder& order, const CallAnswer& answer, TimePoint now);
     void onAnswer(const StopOrder& order, const CallAnswer& answer, TimePoint now);
     void onAnswer(const PaceOrder& order, const CallAnswer& answer, TimePoint now);
--- a/packages/jobs/src/cell_schedule.cpp
+++ b/packages/jobs/src/cell_schedule.cpp
@@ -176,6 +176,7 @@
     run.start = { worker.description.id, task, number, entry.job.spec.text, 0, settings.fence,
         entry.progress.task(task).checkpoint, ticket ? ticket->tickets.at(worker.description.id) : std::string {} };
     grantStart(worker, run, now);
+    run.orderedAt = now;
     entry.progress.starting(task, number);
     tellRun(RunEvent::Kind::Ordered, worker, task, number, {}, now - listAskedAt);
     output.orders.emplace_back(run.start);
@@ -190,7 +191,7 @@
     if (needsTicket && !ticket)
         return;
     const int wanted = entry.startableTasks(ready.occurrence, ready.step);
-    const auto placements = space.place(entry, ready.occurrence, ready.step, ticket ? &ticket->tickets : nullptr);
+    auto placements = space.place(entry, ready.occurrence, ready.step, ticket ? &ticket->tickets : nullptr);
     const int missing = wanted - static_cast<int>(placements.size());
     noteWaiting(ready, missing);
     if (missing > 0 && ready.rank <= Rank::Begun)
@@ -200,6 +201,9 @@
         space.give(placements, step);
         return;
     }
+    const auto placed = placements.size();
+    placements = admitStarts(step, placements, space);
+    noteWaiting(ready, static_cast<int>(placed - placements.size()));
     const auto lastRunOf = [&](const Placement& each) {
         return std::max(firstRun, entry.progress.task(ready.occurrence, ready.step, each.index).lastRun);
     };
@@ -236,11 +240,16 @@
     auto ready = readySteps(now, wallMs);
     if (ready.empty())
         return;
+    countStarts(now);
     Room space { *this, now };
     std::erase_if(ready, [&](const ReadyStep& each) { return passOver(each, space); });
     std::sort(ready.begin(), ready.end());
-    for (const ReadyStep& each : ready)
-        startStep(each, space, now);
+    for (const ReadyStep& each : ready) {
+        if (mayStartMore(now))
+            startStep(each, space, now);
+        else
+            noteWaiting(each, each.entry->startableTasks(each.occurrence, each.step));
+    }
 }
 
 void Cell::onAdvice(const AdviceAnswer& answer, TimePoint now)
--- a/packages/node/src/cell_host.cpp
+++ b/packages/node/src/cell_host.cpp
@@ -142,11 +142,12 @@
 
 void CellHost::planPump(Duration delay)
 {
-    if (std::exchange(m_isPumpPlanned, true))
+    const auto at = m_plan.ask(m_parts.clock.now() + delay);
+    if (!at)
         return;
-    m_parts.control.at(Deadline::after(m_parts.clock.now(), delay), guarded([this] {
-        m_isPumpPlanned = false;
-        pump();
+    m_parts.control.at(Deadline { *at }, guarded([this, at = *at] {
+        if (m_plan.begins(at))
+            pump();
     }));
 }
 
@@ -168,8 +169,10 @@
 {
     if (m_writer.isOver())
         return;
-    handleOutput(m_cell.step(m_parts.clock.now(), wallClockMilliseconds(), authority()));
+    const TimePoint begunAt = m_parts.clock.now();
+    handleOutput(m_cell.step(begunAt, wallClockMilliseconds(), authority()));
     commitIfDue();
+    m_plan.ended(begunAt, m_parts.clock.now());
     if (!m_writer.isOver())
         planPump(m_cell.openJobs() > 0 ? busyPeriod : idlePeriod);
 }
