Keep a run that is listed when its start fails the second time

Cause: a start without an answer is sent again. Between the two a look may list the run, begun by the first sending: it counts as confirmed, and as not to come late any more. When the second sending then failed (dropped in our own queue after 250 ms, refused as late, worker unhealthy) the run was taken for over ("start refused"), and started elsewhere while it went on.

What callers saw: a subtask that ran twice at the same time (TWICE), where owners starve or workers answer late: the drop in the queue makes the case common, as orders then wait seconds.

CellLives.RunThatIsListedOutlivesTheFailureOfItsStartSentAgain fails before for NotSent, Busy and Refused, and passes.

Change: a failed start ends no run that is confirmed. What became of it, looks tell.

Conclusion: the answer to one sending says nothing of another.

--- a/packages/jobs/src/cell_runs.cpp
+++ b/packages/jobs/src/cell_runs.cpp
@@ -294,6 +294,8 @@
 
 void CellState::startFailed(Worker& worker, const StartOrder& order, Run& run)
 {
+    if (run.phase == RunPhase::Confirmed)
+        return; // Begun by an earlier sending, and listed since.
     if (run.mayComeLate || run.phase == RunPhase::Stopping)
         sendStop(worker, order.task, order.run, "may come late");
     else
--- a/packages/jobs/tests/cell_lives_tests.cpp
+++ b/packages/jobs/tests/cell_lives_tests.cpp
@@ -102,6 +102,23 @@
     EXPECT_TRUE(desk.take<StartOrder>().empty());
 }
 
+TEST(CellLives, RunThatIsListedOutlivesTheFailureOfItsStartSentAgain)
+{
+    for (const CallStatus status : { CallStatus::NotSent, CallStatus::Busy, CallStatus::Refused }) {
+        Desk desk;
+        const StartOrder start = desk.startOf("a");
+        desk.answer(start, CallStatus::NoAnswer);
+        desk.step(160ms);
+        const auto again = desk.take<StartOrder>();
+        ASSERT_EQ(again.size(), 1U);
+        desk.hear(start.worker.value().c_str(), { { start.task, start.run, "", 0 } }); // Of the first sending.
+        desk.answer(again[0], status, status == CallStatus::Refused ? Refusal::Late : Refusal::None);
+        desk.step(30ms);
+        EXPECT_TRUE(desk.take<StartOrder>().empty());
+        EXPECT_TRUE(desk.cell().workersInUse().contains(start.worker));
+    }
+}
+
 TEST(CellLives, RunsOfASilentLaterLifeLapseByItsOwnClock)
 {
     Desk desk;
