Acknowledge ends once, so that no later life forgets its own

Cause: each look repeated the highest acknowledged end. Numbers of ends start anew in each life, and an order names the id alone: a look for the earlier life that reaches the next one, or is held up there and carried out seconds later, makes it forget ends that nobody has heard. Their runs were then gone without an end, and started again after they were done.

What callers saw: a subtask that ran again after it was done (TWICE), on workers that go down and up.

CellLives.AcknowledgementIsNotRepeatedToWhatMayBeALaterLife fails with the old line put back (1 instead of 0), and passes.

Change: a look acknowledges only what no answered look has acknowledged to this life. An acknowledgement so follows the answer that listed the ends, and an idle worker, which is not looked at, gets none.

Conclusion: what remains is a worker that is reborn between its list of ends and the acknowledgement of it, and holds that up.

--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -77,7 +77,8 @@
         look.worker = id;
         look.fence = settings.fence;
         const bool isInTouch = worker.contact == WorkerContact::InTouch;
-        if (isInTouch) // Another life of the worker would forget ends that nobody has heard.
+        // Once only: a later life of the worker would forget ends that nobody has heard.
+        if (isInTouch && worker.ackedThrough > worker.sentAck)
             look.ackedThrough = worker.ackedThrough;
         if (isInTouch && mayRenew && !worker.runs.empty() && worker.clock.isKnown())
             look.leaseUntilWorkerMs = worker.clock.grant(settings.leaseLength, now);
--- a/packages/jobs/tests/cell_lives_tests.cpp
+++ b/packages/jobs/tests/cell_lives_tests.cpp
@@ -119,6 +119,28 @@
     }
 }
 
+TEST(CellLives, AcknowledgementIsNotRepeatedToWhatMayBeALaterLife)
+{
+    Desk desk;
+    const StartOrder start = desk.startOf("a");
+    desk.answer(start, CallStatus::Done);
+    desk.step(60ms);
+    desk.hear(start.worker.value().c_str(), {}, { { 1, start.task, start.run, EndKind::Done, "" } });
+    desk.store();
+    desk.step(60ms);
+    auto looks = desk.take<LookOrder>();
+    ASSERT_EQ(looks.size(), 1U);
+    EXPECT_EQ(looks[0].ackedThrough, 1);
+    desk.answer(looks[0], {});
+    const StartOrder next = desk.startOf("b");
+    desk.step(60ms);
+    looks = desk.take<LookOrder>();
+    ASSERT_EQ(looks.size(), 1U);
+    EXPECT_EQ(looks[0].worker, next.worker);
+    EXPECT_EQ(next.worker, start.worker);
+    EXPECT_EQ(looks[0].ackedThrough, 0);
+}
+
 TEST(CellLives, RunsOfASilentLaterLifeLapseByItsOwnClock)
 {
     Desk desk;
