Wait for the leases of earlier owners on workers that turn silent

Cause: an owner counted its own leases alone. What its predecessor had renewed just before the change of owner holds for the whole worker, also for the next owner's runs: a start with 2 s of lease on a worker that was cut off at once was taken for lapsed after 2.1 s, while the worker held it for what was left of 4.5 s.

What callers saw: a subtask that ran twice (TWICE) soon after a change of owner, where a worker was cut off.

CellLives.LeaseOfAnEarlierOwnerOutlivesAStartOfTheNext guards it.

Change: when a worker answers in a life for the first time under a later owner, the longest lease from then on counts as granted. The first owner of a cell counts none.

Conclusion: a lease belongs to the worker, not to who granted it.

--- a/packages/jobs/include/rattanrack/jobs/lease_clock.h
+++ b/packages/jobs/include/rattanrack/jobs/lease_clock.h
@@ -3,6 +3,7 @@
 #include "rattanrack/base/time.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace rattanrack::jobs {
 
@@ -11,8 +12,9 @@
 /// with a new clock, to which a lease by an earlier one means the longest there is.
 class LeaseClock {
 public:
-    /// The worker is in this life; whatever carried a lease before may have reached it.
-    void beginLife(std::int64_t bornUnixMs, Duration longestLease);
+    /// The worker has answered in this life. What this node has sent before may have reached it, and until
+    /// `foreignUntil` what earlier owners have.
+    void beginLife(std::int64_t bornUnixMs, Duration longestLease, TimePoint foreignUntil);
     bool isOfLife(std::int64_t bornUnixMs) const { return m_bornUnixMs == bornUnixMs; }
 
     /// The present life's clock, from an answer that arrived at `now` to a question sent at `sentAt`.
@@ -37,7 +39,7 @@
     TimePoint lapsedInAllLivesAt(bool isLaterListed, Duration longestLease) const;
 
 private:
-    std::int64_t m_bornUnixMs { 0 };
+    std::optional<std::int64_t> m_bornUnixMs;
     bool m_isKnown { false };
     std::int64_t m_clockMs { 0 };
     TimePoint m_askedAt {}; ///< The clock was read after this,
--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -126,7 +126,6 @@
     const LookReport& report = answer.report;
     if (worker.bornUnixMs != report.bornUnixMs) {
         worker.bornUnixMs = report.bornUnixMs;
-        worker.clock.beginLife(report.bornUnixMs, state.settings.longestLease);
         worker.processedThrough = 0;
         worker.ackedThrough = 0;
         worker.sentAck = 0;
@@ -141,6 +140,8 @@
             isBack ? WorkerEvent::Kind::Back : WorkerEvent::Kind::Heard, order.worker, {}, now - state.takenOverAt });
     }
     worker.contact = WorkerContact::InTouch;
+    const bool isFirstOwner = state.settings.fence <= 1;
+    worker.clock.beginLife(report.bornUnixMs, state.settings.longestLease, isFirstOwner ? TimePoint {} : now);
     worker.clock.observe(report.workerClockMs, sentAt, now);
     if (report.areEndsComplete)
         state.foreignWorkers.erase(order.worker);
--- a/packages/jobs/src/lease_clock.cpp
+++ b/packages/jobs/src/lease_clock.cpp
@@ -31,14 +31,15 @@
 
 } // namespace
 
-void LeaseClock::beginLife(std::int64_t bornUnixMs, Duration longestLease)
+void LeaseClock::beginLife(std::int64_t bornUnixMs, Duration longestLease, TimePoint foreignUntil)
 {
     if (isOfLife(bornUnixMs))
         return;
     m_bornUnixMs = bornUnixMs;
     m_isKnown = false;
     m_latestEndMs = 0;
-    m_lapsedAt = std::max(m_lapsedAt, endOfLongest(std::max(m_deliveredBy, m_carriedOutBy), longestLease));
+    m_lapsedAt
+        = std::max(m_lapsedAt, endOfLongest(std::max({ foreignUntil, m_deliveredBy, m_carriedOutBy }), longestLease));
 }
 
 void LeaseClock::observe(std::int64_t workerClockMs, TimePoint sentAt, TimePoint now)
--- a/packages/jobs/tests/cell_lives_tests.cpp
+++ b/packages/jobs/tests/cell_lives_tests.cpp
@@ -58,9 +58,19 @@
     EXPECT_GE(untilStartElsewhere(desk, start.worker), heldAtMost - period);
 }
 
+TEST(CellLives, LeaseOfAnEarlierOwnerOutlivesAStartOfTheNext)
+{
+    Desk desk { 2, {} };
+    desk.hearAll(); // Their leases may have been renewed by the earlier owner just before.
+    const StartOrder start = desk.startOf("a");
+    desk.answer(start, CallStatus::Done);
+    EXPECT_GE(untilStartElsewhere(desk, start.worker), heldAtMost - period);
+}
+
 TEST(CellLives, StartTakenByTheKnownLifeHoldsItsOwnLease)
 {
     Desk desk;
+    desk.step(7s); // Nothing of an earlier owner holds any more.
     const StartOrder start = desk.startOf("a");
     desk.answer(start, CallStatus::Done);
     const Duration waited = untilStartElsewhere(desk, start.worker);
@@ -164,10 +174,10 @@
 {
     LeaseClock clock;
     const TimePoint now { 1000s };
-    clock.beginLife(1, longestLease);
+    clock.beginLife(1, longestLease, {});
     clock.observe(500'000, now, now);
     clock.grant(4500ms, now);
-    clock.beginLife(2, longestLease);
+    clock.beginLife(2, longestLease, {});
     clock.observe(700, now + 1s, now + 1s);
     EXPECT_EQ(clock.grant(2s, now + 1s), 2700);
 }
@@ -176,13 +186,13 @@
 {
     LeaseClock clock;
     const TimePoint now { 1000s };
-    clock.beginLife(1, longestLease);
+    clock.beginLife(1, longestLease, {});
     clock.observe(500'000, now, now);
     clock.grant(2s, now);
     clock.noteDelivered(1, true, longestLease, now + 1s);
     EXPECT_LT(clock.lapsedAt(), now + 3s);
     EXPECT_GE(clock.lapsedInAllLivesAt(false, longestLease), now + 1s + heldAtMost - 1ms);
-    clock.beginLife(2, longestLease);
+    clock.beginLife(2, longestLease, {});
     EXPECT_GE(clock.lapsedAt(), now + 1s + heldAtMost - 1ms);
 }
 
@@ -190,13 +200,13 @@
 {
     LeaseClock clock;
     const TimePoint now { 1000s };
-    clock.beginLife(1, longestLease);
+    clock.beginLife(1, longestLease, {});
     clock.observe(500'000, now, now);
     clock.grant(2s, now);
     clock.noteDelivered(1, false, longestLease, now + 1s);
     EXPECT_LT(clock.lapsedInAllLivesAt(false, longestLease), now + 8s);
     EXPECT_GE(clock.lapsedInAllLivesAt(true, longestLease), now + 1s + 12s + heldAtMost - 1ms);
-    clock.beginLife(2, longestLease);
+    clock.beginLife(2, longestLease, {});
     EXPECT_GE(clock.lapsedAt(), now + 1s + 12s + heldAtMost - 1ms);
 }
 
@@ -204,9 +214,9 @@
 {
     LeaseClock clock;
     const TimePoint now { 1000s };
-    clock.beginLife(1, longestLease);
+    clock.beginLife(1, longestLease, {});
     clock.observe(500'000, now, now);
-    clock.beginLife(2, longestLease);
+    clock.beginLife(2, longestLease, {});
     clock.observe(100, now, now);
     clock.noteDelivered(1, true, longestLease, now + 3s);
     EXPECT_GE(clock.lapsedAt(), now + 3s + heldAtMost - 1ms);
@@ -216,7 +226,7 @@
 {
     LeaseClock clock;
     const TimePoint asked { 1000s };
-    clock.beginLife(1, longestLease);
+    clock.beginLife(1, longestLease, {});
     clock.observe(500'000, asked, asked + 100ms);
     EXPECT_TRUE(clock.isByThisLife(500'900, asked + 1s));
     EXPECT_FALSE(clock.isByThisLife(400, asked + 1s)); // Of a later life.
@@ -227,7 +237,7 @@
 {
     LeaseClock clock;
     const TimePoint asked { 1000s };
-    clock.beginLife(1, longestLease);
+    clock.beginLife(1, longestLease, {});
     clock.observe(1200, asked, asked);
     EXPECT_FALSE(clock.isByThisLife(1500, asked + 3s)); // A life that began since may show as much.
 }
