Send no acknowledgement that has waited in a worker's queue

Cause: a look behind slow ones, or in a process that gets no processor time, is sent seconds after it was decided. The worker may have been reborn under its id since, and forgets by an acknowledgement for its earlier life ends that nobody has heard; their runs were started again.

What callers saw: a subtask that ran again after it was done (TWICE), where owners starve and workers go down and up.

WorkerLinks.LookThatHasWaitedAcknowledgesNothing passes.

Change: a look that has waited for more than 250 ms, the bound of starts, is sent without its acknowledgement, which the next look carries again.

Conclusion: what is bound to a life goes stale with the order.

--- a/packages/node/src/worker_links.cpp
+++ b/packages/node/src/worker_links.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-constexpr Duration longestQueueing = std::chrono::milliseconds { 250 }; ///< Of a start, behind slow orders.
+/// Of a start, and of the acknowledgement in a look, behind slow orders.
+constexpr Duration longestQueueing = std::chrono::milliseconds { 250 };
 
 const jobs::WorkerId& workerOf(const jobs::Order& order)
 {
@@ -84,11 +85,14 @@
             lane.wakeUp.wait(lock, [&] { return m_isClosed || !lane.queue.empty(); });
             if (lane.queue.empty())
                 return;
-            const QueuedOrder queued = std::move(lane.queue.front());
+            QueuedOrder queued = std::move(lane.queue.front());
             lane.queue.pop_front();
             const bool isStart = std::holds_alternative<jobs::StartOrder>(queued.order);
             const bool isStale = m_isClosed || m_sink->clock.now() - queued.decidedAt > longestQueueing;
             lock.unlock();
+            // Meant for a life of the worker that may be over; the next one would forget ends that nobody has heard.
+            if (auto* look = std::get_if<jobs::LookOrder>(&queued.order); look && isStale)
+                look->ackedThrough = 0;
             if (isStart && isStale)
                 report(std::get<jobs::StartOrder>(queued.order), jobs::CallAnswer { jobs::CallStatus::NotSent },
                     &Answers::started);
--- a/packages/node/tests/worker_links_tests.cpp
+++ b/packages/node/tests/worker_links_tests.cpp
@@ -26,7 +26,11 @@
     }
     jobs::CallAnswer stop(const jobs::StopOrder&) override { return { jobs::CallStatus::Done }; }
     jobs::CallAnswer pace(const jobs::PaceOrder&) override { return { jobs::CallStatus::Done }; }
-    jobs::LookAnswer look(const jobs::LookOrder&) override { return { jobs::CallStatus::Done }; }
+    jobs::LookAnswer look(const jobs::LookOrder&) override
+    {
+        std::this_thread::sleep_for(m_startTime);
+        return { jobs::CallStatus::Done };
+    }
 
 private:
     Duration m_startTime;
@@ -113,3 +117,34 @@
     control.run([&] { links.reset(); });
     threads.shutdown();
 }
+
+TEST(WorkerLinks, LookThatHasWaitedAcknowledgesNothing)
+{
+    using namespace std::chrono_literals;
+    const SystemClock clock;
+    Connector connector;
+    connector.startTime = 400ms;
+    ElasticThreadPool threads { 2, 100 };
+    ControlLoop control { clock };
+    std::vector<std::int64_t> acknowledged;
+    std::promise<void> isAnswered;
+    const auto note = [&](const jobs::LookOrder& look, const jobs::LookAnswer&, TimePoint) {
+        acknowledged.push_back(look.ackedThrough);
+        if (acknowledged.size() == 2)
+            isAnswered.set_value();
+    };
+    const auto ignore = [](const auto&...) {};
+    std::unique_ptr<WorkerLinks> links;
+    control.run([&] {
+        links = std::make_unique<WorkerLinks>(
+            control, clock, threads, connector, WorkerLinks::Answers { ignore, ignore, ignore, note });
+        const jobs::WorkerId worker { "w" };
+        links->setAddresses({ { worker, "10.0.0.1:1" } }, { { worker, jobs::MachineId {} } });
+        for (int number = 0; number < 2; ++number)
+            links->send(jobs::LookOrder { worker, 1, 7 });
+    });
+    isAnswered.get_future().wait();
+    EXPECT_EQ(acknowledged, (std::vector<std::int64_t> { 7, 0 }));
+    control.run([&] { links.reset(); });
+    threads.shutdown();
+}
