Walk with late loops, waiting orders and flapping workers

Cause: the walks in virtual time had free processors: each answer was handled as it came, each order sent as it was given, a worker was down for half a second at least, and its entry went with it.

Change: an owner's loop may stand still for up to 4 s, while answers, lists and outcomes of transactions wait in order; orders and looks may wait for up to 3 s before they are sent (a start is dropped after 250 ms, a look then acknowledges nothing, as in WorkerLinks); workers go down and up under their id three times in quick succession; the entry of a life that is over may stay listed for 1.5 s; looks may be held up as other orders are. Four new walks.

--- a/packages/jobs/model/cell_world_faults.cpp
+++ b/packages/jobs/model/cell_world_faults.cpp
@@ -19,6 +19,10 @@
     };
     if (happens(m_faults.crashesPerSecond * seconds))
         crash(anyWorker());
+    if (happens(m_faults.flapsPerSecond * seconds))
+        flap(anyWorker(), 3);
+    if (happens(m_faults.lateSteps * seconds))
+        stall();
     if (happens(m_faults.drainsPerSecond * seconds))
         drain(anyWorker());
     if (happens(m_faults.closingsPerSecond * seconds))
@@ -55,8 +59,7 @@
 {
     if (!m_workers[index].isUp())
         return;
-    m_workers[index].crash();
-    m_oracle.crashed(m_workers[index].description().id, m_now);
+    down(index);
     after(between(500ms, 7s), [this, index] {
         WorkerDescription description = m_workers[index].description();
         const bool isRenamed = description.isDraining || happens(0.5);
@@ -68,6 +71,35 @@
     });
 }
 
+void CellWorld::down(std::size_t index)
+{
+    const WorkerDescription description = m_workers[index].description();
+    m_workers[index].crash();
+    m_oracle.crashed(description.id, m_now);
+    if (happens(m_faults.staleEntries))
+        m_ghosts.push_back({ description, m_now + between(200ms, 1500ms) });
+}
+
+/// Down and up by turns, under the same id.
+void CellWorld::flap(std::size_t index, int times)
+{
+    if (times == 0 || !m_workers[index].isUp() || m_workers[index].description().isDraining)
+        return;
+    down(index);
+    after(between(50ms, 1400ms), [this, index, times] {
+        m_workers[index].rise(++m_births, m_now);
+        after(between(50ms, 1400ms), [this, index, times] { flap(index, times - 1); });
+    });
+}
+
+/// The loops of all owners stand still; what arrives waits.
+void CellWorld::stall()
+{
+    const TimePoint until = m_now + between(100ms, 4s);
+    for (auto& [number, owner] : m_owners)
+        owner.stalledUntil = std::max(owner.stalledUntil, until);
+}
+
 void CellWorld::drain(std::size_t index)
 {
     const std::int64_t life = m_workers[index].description().bornUnixMs;
--- a/packages/jobs/tests/cell_walk_tests.cpp
+++ b/packages/jobs/tests/cell_walk_tests.cpp
@@ -256,6 +256,61 @@
         40, 40, 2);
 }
 
+TEST(CellWalk, OwnersStandStill)
+{
+    walkMany({ .lostOrders = 0.03,
+                 .lostAnswers = 0.03,
+                 .failedRuns = 0.1,
+                 .crashesPerSecond = 0.2,
+                 .cutsPerSecond = 0.2,
+                 .lateSteps = 0.3 },
+        30, 40);
+}
+
+TEST(CellWalk, OrdersWaitToBeSent)
+{
+    walkMany({ .lostOrders = 0.03,
+                 .failedRuns = 0.1,
+                 .crashesPerSecond = 0.2,
+                 .cutsPerSecond = 0.2,
+                 .takeoversPerSecond = 0.1,
+                 .parallelOwners = 0.5,
+                 .slowOrders = 0.1 },
+        30, 40);
+}
+
+TEST(CellWalk, WorkersFlap)
+{
+    walkMany({ .lostOrders = 0.05,
+                 .lostAnswers = 0.03,
+                 .cutsPerSecond = 0.2,
+                 .staleLists = 0.1,
+                 .flapsPerSecond = 0.3,
+                 .staleEntries = 0.5,
+                 .heldUpLooks = 0.03 },
+        30, 40);
+}
+
+TEST(CellWalk, StarvingOwnersOfFlappingWorkersFollowEachOther)
+{
+    walkMany({ .lostOrders = 0.03,
+                 .lostAnswers = 0.02,
+                 .failedRuns = 0.1,
+                 .crashesPerSecond = 0.15,
+                 .cutsPerSecond = 0.15,
+                 .takeoversPerSecond = 0.15,
+                 .slowStops = 0.3,
+                 .handBacksPerSecond = 0.1,
+                 .parallelOwners = 0.5,
+                 .staleLists = 0.1,
+                 .lateSteps = 0.15,
+                 .slowOrders = 0.05,
+                 .flapsPerSecond = 0.15,
+                 .staleEntries = 0.5,
+                 .heldUpLooks = 0.02 },
+        30, 40);
+}
+
 TEST(CellWalk, LastingSubtaskFindsItsPlaceInAFlood)
 {
     CellWorld world { 1, 2, {} };
