--- a/packages/jobs/src/cell_starts.cpp
+++ b/packages/jobs/src/cell_starts.cpp
@@ -111,6 +111,8 @@
 
 void CellState::startFailed(Worker& worker, const StartOrder& order, Run& run, const CallAnswer& answer)
 {
+    if (run.phase == RunPhase::Confirmed)
+        return; // Begun by an earlier sending, and listed since.
     if (run.mayComeLate || run.phase == RunPhase::Stopping) {
         sendStop(worker, order.task, order.run, "may come late");
         return;
--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -78,7 +78,8 @@
         look.worker = id;
         look.fence = settings.fence;
         const bool isInTouch = worker.contact == WorkerContact::InTouch;
-        if (isInTouch) // Another life of the worker would forget ends that nobody has heard.
+        // Once only: a later life of the worker would forget ends that nobody has heard.
+        if (isInTouch && worker.ackedThrough > worker.sentAck)
             look.ackedThrough = worker.ackedThrough;
         if (isInTouch && mayRenew && !worker.runs.empty() && worker.clock.isKnown())
             look.leaseUntilWorkerMs = worker.clock.grant(settings.leaseLength, now);
@@ -123,7 +124,6 @@
     const LookReport& report = answer.report;
     if (worker.bornUnixMs != report.bornUnixMs) {
         worker.bornUnixMs = report.bornUnixMs;
-        worker.clock.beginLife(report.bornUnixMs, state.settings.longestLease);
         worker.processedThrough = 0;
         worker.ackedThrough = 0;
         worker.sentAck = 0;
@@ -138,6 +138,8 @@
             isBack ? WorkerEvent::Kind::Back : WorkerEvent::Kind::Heard, order.worker, {}, now - state.takenOverAt });
     }
     worker.contact = WorkerContact::InTouch;
+    const bool isFirstOwner = state.settings.fence <= 1;
+    worker.clock.beginLife(report.bornUnixMs, state.settings.longestLease, isFirstOwner ? TimePoint {} : now);
     worker.clock.observe(report.workerClockMs, sentAt, now);
     if (report.areEndsComplete)
         state.foreignWorkers.erase(order.worker);
--- a/packages/jobs/tests/cell_lives_tests.cpp
+++ b/packages/jobs/tests/cell_lives_tests.cpp
@@ -58,9 +58,19 @@
     EXPECT_GE(untilStartElsewhere(desk, start.worker), heldAtMost - period);
 }
 
+TEST(CellLives, LeaseOfAnEarlierOwnerOutlivesAStartOfTheNext)
+{
+    Desk desk { 2, {} };
+    desk.hearAll(); // Their leases may have been renewed by the earlier owner just before.
+    const StartOrder start = desk.startOf("a");
+    desk.answer(start, CallStatus::Done);
+    EXPECT_GE(untilStartElsewhere(desk, start.worker), heldAtMost - period);
+}
+
 TEST(CellLives, StartTakenByTheKnownLifeHoldsItsOwnLease)
 {
     Desk desk;
+    desk.step(7s); // Nothing of an earlier owner holds any more.
     const StartOrder start = desk.startOf("a");
     desk.answer(start, CallStatus::Done);
     const Duration waited = untilStartElsewhere(desk, start.worker);
@@ -102,6 +112,45 @@
     EXPECT_TRUE(desk.take<StartOrder>().empty());
 }
 
+TEST(CellLives, RunThatIsListedOutlivesTheFailureOfItsStartSentAgain)
+{
+    for (const CallStatus status : { CallStatus::NotSent, CallStatus::Busy, CallStatus::Refused }) {
+        Desk desk;
+        const StartOrder start = desk.startOf("a");
+        desk.answer(start, CallStatus::NoAnswer);
+        desk.step(160ms);
+        const auto again = desk.take<StartOrder>();
+        ASSERT_EQ(again.size(), 1U);
+        desk.hear(start.worker.value().c_str(), { { start.task, start.run, "", 0 } }); // Of the first sending.
+        desk.answer(again[0], status, status == CallStatus::Refused ? Refusal::Late : Refusal::None);
+        desk.step(30ms);
+        EXPECT_TRUE(desk.take<StartOrder>().empty());
+        EXPECT_TRUE(desk.cell().workersInUse().contains(start.worker));
+    }
+}
+
+TEST(CellLives, AcknowledgementIsNotRepeatedToWhatMayBeALaterLife)
+{
+    Desk desk;
+    const StartOrder start = desk.startOf("a");
+    desk.answer(start, CallStatus::Done);
+    desk.step(60ms);
+    desk.hear(start.worker.value().c_str(), {}, { { 1, start.task, start.run, EndKind::Done, "" } });
+    desk.store();
+    desk.step(60ms);
+    auto looks = desk.take<LookOrder>();
+    ASSERT_EQ(looks.size(), 1U);
+    EXPECT_EQ(looks[0].ackedThrough, 1);
+    desk.answer(looks[0], {});
+    const StartOrder next = desk.startOf("b");
+    desk.step(60ms);
+    looks = desk.take<LookOrder>();
+    ASSERT_EQ(looks.size(), 1U);
+    EXPECT_EQ(looks[0].worker, next.worker);
+    EXPECT_EQ(next.worker, start.worker);
+    EXPECT_EQ(looks[0].ackedThrough, 0);
+}
+
 TEST(CellLives, RunsOfASilentLaterLifeLapseByItsOwnClock)
 {
     Desk desk;
@@ -125,10 +174,10 @@
 {
     LeaseClock clock;
     const TimePoint now { 1000s };
-    clock.beginLife(1, longestLease);
+    clock.beginLife(1, longestLease, {});
     clock.observe(500'000, now, now);
     clock.grant(4500ms, now);
-    clock.beginLife(2, longestLease);
+    clock.beginLife(2, longestLease, {});
     clock.observe(700, now + 1s, now + 1s);
     EXPECT_EQ(clock.grant(2s, now + 1s), 2700);
 }
@@ -137,13 +186,13 @@
 {
     LeaseClock clock;
     const TimePoint now { 1000s };
-    clock.beginLife(1, longestLease);
+    clock.beginLife(1, longestLease, {});
     clock.observe(500'000, now, now);
     clock.grant(2s, now);
     clock.noteDelivered(1, true, longestLease, now + 1s);
     EXPECT_LT(clock.lapsedAt(), now + 3s);
     EXPECT_GE(clock.lapsedInAllLivesAt(false, longestLease), now + 1s + heldAtMost - 1ms);
-    clock.beginLife(2, longestLease);
+    clock.beginLife(2, longestLease, {});
     EXPECT_GE(clock.lapsedAt(), now + 1s + heldAtMost - 1ms);
 }
 
@@ -151,13 +200,13 @@
 {
     LeaseClock clock;
     const TimePoint now { 1000s };
-    clock.beginLife(1, longestLease);
+    clock.beginLife(1, longestLease, {});
     clock.observe(500'000, now, now);
     clock.grant(2s, now);
     clock.noteDelivered(1, false, longestLease, now + 1s);
     EXPECT_LT(clock.lapsedInAllLivesAt(false, longestLease), now + 8s);
     EXPECT_GE(clock.lapsedInAllLivesAt(true, longestLease), now + 1s + 12s + heldAtMost - 1ms);
-    clock.beginLife(2, longestLease);
+    clock.beginLife(2, longestLease, {});
     EXPECT_GE(clock.lapsedAt(), now + 1s + 12s + heldAtMost - 1ms);
 }
 
@@ -165,9 +214,9 @@
 {
     LeaseClock clock;
     const TimePoint now { 1000s };
-    clock.beginLife(1, longestLease);
+    clock.beginLife(1, longestLease, {});
     clock.observe(500'000, now, now);
-    clock.beginLife(2, longestLease);
+    clock.beginLife(2, longestLease, {});
     clock.observe(100, now, now);
     clock.noteDelivered(1, true, longestLease, now + 3s);
     EXPECT_GE(clock.lapsedAt(), now + 3s + heldAtMost - 1ms);
@@ -177,7 +226,7 @@
 {
     LeaseClock clock;
     const TimePoint asked { 1000s };
-    clock.beginLife(1, longestLease);
+    clock.beginLife(1, longestLease, {});
     clock.observe(500'000, asked, asked + 100ms);
     EXPECT_TRUE(clock.isByThisLife(500'900, asked + 1s));
     EXPECT_FALSE(clock.isByThisLife(400, asked + 1s)); // Of a later life.
@@ -188,7 +237,7 @@
 {
     LeaseClock clock;
     const TimePoint asked { 1000s };
-    clock.beginLife(1, longestLease);
+    clock.beginLife(1, longestLease, {});
     clock.observe(1200, asked, asked);
     EXPECT_FALSE(clock.isByThisLife(1500, asked + 3s)); // A life that began since may show as much.
 }
--- a/packages/node/src/worker_links.cpp
+++ b/packages/node/src/worker_links.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-constexpr Duration longestQueueing = std::chrono::milliseconds { 250 }; ///< Of a start, behind slow orders.
+/// Of a start, and of the acknowledgement in a look, behind slow orders.
+constexpr Duration longestQueueing = std::chrono::milliseconds { 250 };
 
 const jobs::WorkerId& workerOf(const jobs::Order& order)
 {
@@ -89,11 +90,15 @@
             lane.wakeUp.wait(lock, [&] { return m_isClosed || !lane.queue.empty(); });
             if (lane.queue.empty())
                 return;
-            const QueuedOrder queued = std::move(lane.queue.front());
+            QueuedOrder queued = std::move(lane.queue.front());
             lane.queue.pop_front();
             const Timing timing { queued.decidedAt, m_sink->clock.now() };
             const bool isClosed = m_isClosed;
             lock.unlock();
+            const bool isStale = isClosed || timing.queuedFor() > longestQueueing;
+            // Meant for a life of the worker that may be over; the next one would forget ends that nobody has heard.
+            if (auto* look = std::get_if<jobs::LookOrder>(&queued.order); look && isStale)
+                look->ackedThrough = 0;
             const auto* start = std::get_if<jobs::StartOrder>(&queued.order);
             if (start && isClosed)
                 report(*start, { jobs::CallStatus::NotSent }, timing, &Answers::started);
