A subtask waits again only when no worker holds a run of it

Cause: where an earlier owner's late start has made a second run, the end of either (stopped, lapsed, not listed any more) made the subtask wait, and be started again, while the other run went on.

What callers saw: from one run too many, further ones (TWICE).

Change: a run that goes hands the subtask's place to another that some worker still holds; the subtask waits once there is none.

CellLives.EndOfASecondRunDoesNotFreeTheFirst failed before (a third run is ordered) and passes.

--- a/packages/jobs/src/cell_runs.cpp
+++ b/packages/jobs/src/cell_runs.cpp
@@ -54,16 +54,36 @@
     return worker.runs.insert_or_assign(task, std::move(run)).first->second;
 }
 
-void CellState::release(Worker& worker, const TaskRef& task)
+bool CellState::release(Worker& worker, const TaskRef& task)
 {
     const auto found = worker.runs.find(task);
-    if (found == worker.runs.end())
-        return;
-    countRun(worker, task, found->second, -1);
-    worker.runs.erase(found);
+    if (found != worker.runs.end()) {
+        countRun(worker, task, found->second, -1);
+        worker.runs.erase(found);
+    }
+    const Worker* other = holderOf(task);
     const auto place = places.find(task);
-    if (place != places.end() && place->second == worker.description.id)
-        places.erase(place);
+    if (place != places.end() && place->second == worker.description.id) {
+        if (other)
+            place->second = other->description.id;
+        else
+            places.erase(place);
+    }
+    return !other;
+}
+
+/// Some worker that holds a run of the subtask. There may be several after an earlier owner's late start.
+const Worker* CellState::holderOf(const TaskRef& task) const
+{
+    const auto ofJob = runsOfJobs.find(task.job);
+    if (ofJob == runsOfJobs.end())
+        return nullptr;
+    for (const auto& [place, count] : ofJob->second) {
+        const bool isOfStep = place.occurrence == task.occurrence && place.step == task.step;
+        if (isOfStep && place.worker->runs.contains(task))
+            return place.worker;
+    }
+    return nullptr;
 }
 
 void CellState::runOver(Worker& worker, const TaskRef& taskInRuns, std::string_view proof, RunEvent::Kind kind)
@@ -72,9 +92,9 @@
     const auto found = worker.runs.find(task);
     if (found != worker.runs.end())
         tellRun(kind, worker, task, found->second.number, proof);
-    release(worker, task);
+    const bool hasNoRun = release(worker, task);
     JobEntry* entry = find(task.job);
-    if (entry && entry->progress.has(task))
+    if (hasNoRun && entry && entry->progress.has(task))
         entry->progress.ended(task);
 }
 
@@ -155,8 +175,7 @@
     const Step& step = stepOf(*entry, end.task);
     if (end.kind == EndKind::Done && isKnownRun && found->second.confirmedAt != TimePoint {})
         runtimes.observe(entry->job.queue, step.estimate, now - found->second.confirmedAt);
-    if (isKnownRun)
-        release(worker, end.task);
+    const bool hasNoRun = isKnownRun && release(worker, end.task);
     const bool isOpen = !entry->progress.hasEnded();
     if (!end.checkpoint.empty() && step.hasCheckpoints)
         entry->progress.task(end.task).checkpoint = end.checkpoint;
@@ -179,7 +198,7 @@
         // What has failed before says little of the worker.
         if (isFailure && entry->progress.task(counted).failures() == 0)
             noteFailure(worker, now);
-        if (isKnownRun)
+        if (hasNoRun)
             entry->progress.ended(end.task);
         if (isFailure && isOpen && !step.isLasting && entry->progress.countFailure(counted, end.run)) {
             changed(*entry);
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -266,7 +266,10 @@
 
     // Runs: cell_runs.cpp
     Run& addRun(Worker& worker, const TaskRef& task, RunNumber number, const Step& step);
-    void release(Worker& worker, const TaskRef& task);
+
+    /// Takes a run off its worker. Returns whether no worker holds any run of the subtask now.
+    bool release(Worker& worker, const TaskRef& task);
+    const Worker* holderOf(const TaskRef& task) const;
     void countRun(Worker& worker, const TaskRef& task, const Run& run, int count);
     void runOver(
         Worker& worker, const TaskRef& task, std::string_view proof, RunEvent::Kind kind = RunEvent::Kind::Over);
--- a/packages/jobs/tests/cell_lives_tests.cpp
+++ b/packages/jobs/tests/cell_lives_tests.cpp
@@ -170,6 +170,32 @@
     EXPECT_LE(untilStartElsewhere(desk, again[0].worker), heldAtMost);
 }
 
+TEST(CellLives, EndOfASecondRunDoesNotFreeTheFirst)
+{
+    Desk desk;
+    const StartOrder start = desk.startOf("a");
+    desk.answer(start, CallStatus::Done);
+    const bool isOnFirst = start.worker.value() == "w1";
+    const char* first = isOnFirst ? "w1" : "w2";
+    const char* second = isOnFirst ? "w2" : "w1";
+    const StartOrder other = desk.startOf("b");
+    ASSERT_EQ(other.worker.value(), second);
+    desk.answer(other, CallStatus::Done);
+    desk.step(100ms);
+    const RunningEntry otherRuns { other.task, other.run, {}, 50, 0 };
+    // Beside it an earlier owner's start, which that worker has carried out late.
+    desk.hear(second, { otherRuns, { start.task, start.run - 1, {}, 50, 0 } });
+    for (const StopOrder& stop : desk.take<StopOrder>())
+        desk.cell().onAnswer(stop, { CallStatus::Done, Refusal::None, desk.clockMs() }, desk.now());
+    desk.step(100ms);
+    desk.hear(second, {},
+        { { 1, other.task, other.run, EndKind::Done, {} }, { 2, start.task, start.run - 1, EndKind::Stopped, {} } });
+    for (int passes = 0; passes < 10; ++passes) {
+        desk.step(period);
+        EXPECT_TRUE(desk.take<StartOrder>().empty()) << "runs on " << first;
+    }
+}
+
 TEST(LeaseClock, LeaseOfAnEarlierLifeIsNoLeaseOfTheNext)
 {
     LeaseClock clock;
