The window of starts grows for a single wide step, and counts starts that are sent again

Cause: that the limit holds starts back was noted only where another step followed, so that one wide step alone was given 32 starts a pass; a start that was sent again kept the time of its first order and counted as overtaken.

Change: noted where a placement is dropped; the time is that of the latest sending.

StarvedOwner.OneWideStepOpensTheWindow guards the first; it was not run on the code before. The second has no test.

--- a/packages/jobs/src/cell_schedule.cpp
+++ b/packages/jobs/src/cell_schedule.cpp
@@ -176,7 +176,6 @@
     run.start = { worker.description.id, task, number, entry.job.spec.text, 0, settings.fence,
         entry.progress.task(task).checkpoint, ticket ? ticket->tickets.at(worker.description.id) : std::string {} };
     grantStart(worker, run, now);
-    run.orderedAt = now;
     entry.progress.starting(task, number);
     tellRun(RunEvent::Kind::Ordered, worker, task, number, {}, now - listAskedAt);
     output.orders.emplace_back(run.start);
@@ -202,7 +201,7 @@
         return;
     }
     const auto placed = placements.size();
-    placements = admitStarts(step, placements, space);
+    placements = admitStarts(step, placements, space, now);
     noteWaiting(ready, static_cast<int>(placed - placements.size()));
     const auto lastRunOf = [&](const Placement& each) {
         return std::max(firstRun, entry.progress.task(ready.occurrence, ready.step, each.index).lastRun);
--- a/packages/jobs/src/cell_starts.cpp
+++ b/packages/jobs/src/cell_starts.cpp
@@ -67,7 +67,7 @@
 /// Of the placements those whose starts may go now; of a gang all or none. One larger than what is free of the window
 /// waits until that is enough, or until nothing else is on its way, and meanwhile nothing that ranks lower starts.
 std::vector<Placement> CellState::admitStarts(
-    const Step& step, const std::vector<Placement>& placements, const Room& space)
+    const Step& step, const std::vector<Placement>& placements, const Room& space, TimePoint now)
 {
     const int wanted = static_cast<int>(placements.size());
     if (step.isGang && startsInFlight > 0 && startsInFlight + wanted > startWindow.limit()) {
@@ -77,7 +77,7 @@
     std::vector<Placement> admitted;
     for (const Placement& each : placements) {
         Worker& worker = *space.workers()[static_cast<std::size_t>(each.place)];
-        const bool isFree = startsInFlight < startWindow.limit() && worker.mayTakeStarts();
+        const bool isFree = mayStartMore(now) && worker.mayTakeStarts();
         if (!step.isGang && !isFree)
             continue;
         ++worker.startsInFlight;
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -291,7 +291,8 @@
     // Starts: cell_starts.cpp
     void countStarts(TimePoint now);
     bool mayStartMore(TimePoint now);
-    std::vector<Placement> admitStarts(const Step& step, const std::vector<Placement>& placements, const Room& space);
+    std::vector<Placement> admitStarts(
+        const Step& step, const std::vector<Placement>& placements, const Room& space, TimePoint now);
     void noteAnswer(const Worker& worker, const Run& run, const CallAnswer& answer, TimePoint now);
     void startFailed(Worker& worker, const StartOrder& order, Run& run, const CallAnswer& answer);
 
--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -155,6 +155,7 @@
 {
     run.start.leaseUntilWorkerMs = worker.clock.grant(firstLease, now);
     run.start.bornUnixMs = worker.bornUnixMs;
+    run.orderedAt = now;
     run.isOrderOnItsWay = true;
     run.isStartOnItsWay = true;
 }
--- a/packages/jobs/tests/starved_owner_tests.cpp
+++ b/packages/jobs/tests/starved_owner_tests.cpp
@@ -46,3 +46,12 @@
     EXPECT_EQ(owner.begun(), 200);
     EXPECT_EQ(owner.expired(), 0);
 }
+
+TEST(StarvedOwner, OneWideStepOpensTheWindow)
+{
+    StarvedOwner owner { { 64, 2000, 100ms, {} } };
+    const int atFirst = owner.startLimit();
+    owner.submit(600);
+    owner.run(1s);
+    EXPECT_GT(owner.startLimit(), atFirst);
+}
