--- a/packages/jobs/model/cell_world_orders.cpp
+++ b/packages/jobs/model/cell_world_orders.cpp
@@ -44,7 +44,7 @@
             return; // Its queues have gone with it.
         if (isStart && m_now - how.orderedAt > longestQueueing)
             onLoop(
-                owner, [this, order](Owner& asking) { asking.cell->onAnswer(order, { CallStatus::NotSent }, m_now); });
+                owner, [this, order](Owner& asking) { asking.cell->onAnswer(order, { CallStatus::Expired }, m_now); });
         else
             send(order, owner, how, isAnswerLost);
     });
