Orders to machines don't hold up the cells' calls to the store

Cause: the holder of the machines' duty sends its orders by the store's twelve threads. Since machines are lent in proportion to a pool, eighty orders may be due at once; with a platform that is slow to answer each takes up to 1.2 s, and the transactions of the cells on that node wait behind them. Beyond some sixty a second the platform refuses them. Found by the review, by reading.

Change: the duty has threads of its own, and no more than ten orders go out in a step of 200 ms. Threads for workers suffice for a node that owns every cell of 700 workers: beyond 300 workers lanes had waited for threads that never came.

No test of its own; CapacityPlan.LargePoolIsLentItsMachinesAsSoonAsASmallOne holds with the bound.

--- a/packages/jobs/src/capacity_plan.cpp
+++ b/packages/jobs/src/capacity_plan.cpp
@@ -13,6 +13,7 @@
 constexpr double fullShare = 0.75; ///< A pool that uses more of its room is about to be flooded.
 /// Transfers that any pool may have at the same time; a larger pool as many as its size.
 constexpr int smallestTransferBound = 10;
+constexpr std::size_t mostOrdersInStep = 10; ///< The platform takes some sixty a second from all nodes.
 constexpr int headroom = 1; ///< Machines that a pool keeps beyond its need while it lends.
 constexpr Duration quietBeforeLending = 700ms; ///< A pool lends only after it has not been full for this long.
 constexpr Duration quietBeforeReturn = 2500ms; ///< Lent machines stay this long after the flood has ended.
@@ -213,7 +214,7 @@
     for (auto& [id, transfer] : m_transfers) {
         const auto machine = m_machines.find(id);
         const bool isDue = !transfer.isOrderOnItsWay && !transfer.isAnswered && now >= transfer.orderAgainAt;
-        if (!isDue || machine == m_machines.end())
+        if (!isDue || machine == m_machines.end() || orders.size() >= mostOrdersInStep)
             continue;
         const bool isEmpty = m_standby.contains(machine->second.pool) || m_emptied.contains(id);
         if (!isEmpty && !transfer.isOrdered)
--- a/packages/node/src/job_node.cpp
+++ b/packages/node/src/job_node.cpp
@@ -30,6 +30,7 @@
     for (std::thread& watcher : watchers)
         watcher.join();
     storePool.shutdown();
+    machinePool.shutdown();
     advisorPool.shutdown();
     control.run([this] {
         cells.clear();
--- a/packages/node/src/job_node_cells.cpp
+++ b/packages/node/src/job_node_cells.cpp
@@ -85,7 +85,7 @@
 
 void JobNode::State::dutyTaken(MachineDutyTakeover takeover)
 {
-    duty = std::make_unique<MachineDuty>(MachineDuty::Parts { control, clock, storePool, ports.store, ports.machines,
+    duty = std::make_unique<MachineDuty>(MachineDuty::Parts { control, clock, machinePool, ports.store, ports.machines,
                                              ports.fleet, self, [this] { dutyLost(); } },
         std::move(takeover));
     logEvent("machines.taken", { { "term", duty->term() } });
--- a/packages/node/src/job_node_state.h
+++ b/packages/node/src/job_node_state.h
@@ -32,7 +32,9 @@
 };
 
 constexpr std::size_t storeThreads = 12;
-constexpr std::size_t workerThreads = 600; ///< Two for each worker of the cells that this node may own.
+constexpr std::size_t workerThreads
+    = 1500; ///< Two for each worker of the cells that this node may own, be it the last.
+constexpr std::size_t machineThreads = 12; ///< Calls to machines at the same time.
 constexpr std::size_t maxQueuedStoreCalls = 256;
 
 struct JobNode::State {
@@ -126,6 +128,7 @@
     std::shared_ptr<const jobs::Configuration> configuration;
 
     ElasticThreadPool storePool { storeThreads, maxQueuedStoreCalls };
+    ElasticThreadPool machinePool { machineThreads, maxQueuedStoreCalls };
     ElasticThreadPool workerPool { workerThreads, workerThreads };
     ElasticThreadPool advisorPool { 1, maxQueuedStoreCalls };
     std::unique_ptr<peer::PeerNetwork> network;
