--- a/packages/node/include/rattanrack/node/job_node.h
+++ b/packages/node/include/rattanrack/node/job_node.h
@@ -18,8 +18,8 @@
     Duration keepEnded {}; ///< Jobs are remembered this long after their end.
     Duration longestStop {}; ///< From an answered stop until the run has ended.
     Duration longestListAge {}; ///< Nothing starts on a list of workers that is older.
-    double processorShare { jobs::defaultProcessorShare }; ///< Cores that this node may use, above 0.
     Duration longestLease {}; ///< Workers shorten leases that are longer.
+    double processorShare { jobs::defaultProcessorShare }; ///< Cores that this node may use, above 0.
 };
 
 struct JobNodePorts {
