A node that has stood still listens before it takes cells

Change: after more than 600 ms between two of its ticks a node takes nothing for 1.2 s, in which it hears the others again.

Not mended: the wait itself, where a planned change of owner meets a worker that leaves.

--- a/packages/node/src/job_node.cpp
+++ b/packages/node/src/job_node.cpp
@@ -56,6 +56,7 @@
     control.at(Deadline::after(now, newsPeriod), [this] { tick(); });
     jobCalls.expire(now);
     storeCalls.expire(now);
+    standstill.tick(now);
     ownership.setStoreInReach(ports.store.isInReach());
     takeCells();
     if (const auto cell = ownership.toHandBack(now))
--- a/packages/node/src/job_node_cells.cpp
+++ b/packages/node/src/job_node_cells.cpp
@@ -6,6 +6,8 @@
 
 void JobNode::State::takeCells()
 {
+    if (standstill.isViewOld(clock.now()))
+        return;
     for (const PoolId& cell : ownership.toTake(clock.now())) {
         if (holds(cell) || !beingTaken.insert(cell).second)
             continue;
--- a/packages/node/src/job_node_state.h
+++ b/packages/node/src/job_node_state.h
@@ -6,6 +6,7 @@
 #include "rattanrack/node/job_node.h"
 #include "rattanrack/node/machine_duty.h"
 #include "rattanrack/node/pending_exchanges.h"
+#include "rattanrack/node/standstill.h"
 #include "rattanrack/peer/peer_network.h"
 
 #include <atomic>
@@ -102,6 +103,7 @@
     NodeLoad nodeLoad { metrics };
     NodeId self;
     jobs::Ownership ownership;
+    Standstill standstill;
     PendingExchanges<peer::JobReply> jobCalls;
     PendingExchanges<peer::StoreReply> storeCalls;
     std::size_t lastAsked { 0 };
