--- a/packages/jobs/tests/cell_walk_tests.cpp
+++ b/packages/jobs/tests/cell_walk_tests.cpp
@@ -117,7 +117,7 @@
 
 std::string line(const RunEvent& event)
 {
-    constexpr const char* names[] = { "ordered", "adopted", "stopping", "ended", "over" };
+    constexpr const char* names[] = { "ordered", "adopted", "stopping", "ended", "over", "not begun" };
     return describe(event.task) + " run " + std::to_string(event.run) + ' ' + names[static_cast<int>(event.kind)]
         + " on " + event.worker.value() + ", " + event.detail + "; failures " + std::to_string(event.failures)
         + ", unheard " + std::to_string(event.workersUnheard);
