--- a/packages/node/src/job_node.cpp
+++ b/packages/node/src/job_node.cpp
@@ -64,8 +64,7 @@
     shareMachineNews();
     if (duty)
         duty->tick();
-    if (isNewsDue(now))
-        sendNews();
+    sendNewsIfDue(now);
     reportLoad();
     isReady = !isLeaving && hasCells;
     holdsAny = !cells.empty() || duty;
@@ -146,17 +145,23 @@
     duty->setCellNews(std::move(movable), std::move(emptied), all.loads);
 }
 
-bool JobNode::State::isNewsDue(TimePoint now)
+void JobNode::State::sendNews()
 {
-    return newsPace.isDue(ownership.news(), ownership.addresses(now), now);
+    const TimePoint now = clock.now();
+    send(ownership.news(), ownership.addresses(now), now);
 }
 
-/// Whole news goes to the holder of the duty over machines alone; the others need to know what is owned and closing.
-void JobNode::State::sendNews()
+void JobNode::State::sendNewsIfDue(TimePoint now)
 {
-    const TimePoint now = clock.now();
     jobs::NodeNews news = ownership.news();
     const auto addresses = ownership.addresses(now);
+    if (newsPace.isDue(news, addresses, now))
+        send(std::move(news), addresses, now);
+}
+
+/// Whole news goes to the holder of the duty over machines alone; the others need to know what is owned and closing.
+void JobNode::State::send(jobs::NodeNews news, const std::vector<std::string>& addresses, TimePoint now)
+{
     newsPace.sent(news, addresses, now);
     if (duty) {
         const auto machines = duty->closing();
--- a/packages/node/src/job_node_state.h
+++ b/packages/node/src/job_node_state.h
@@ -45,8 +45,9 @@
     // Life and news: job_node.cpp
     void start();
     void tick();
-    bool isNewsDue(TimePoint now);
     void sendNews();
+    void sendNewsIfDue(TimePoint now);
+    void send(jobs::NodeNews news, const std::vector<std::string>& addresses, TimePoint now);
     void reportLoad();
     void shareMachineNews();
     std::set<jobs::MachineId> closingMachines();
