--- a/packages/node/src/worker_links.cpp
+++ b/packages/node/src/worker_links.cpp
@@ -95,14 +95,14 @@
             const Timing timing { queued.decidedAt, m_sink->clock.now() };
             const bool isClosed = m_isClosed;
             lock.unlock();
-            const bool isStale = isClosed || timing.queuedFor() > longestQueueing;
+            const bool isTooOld = timing.queuedFor() > longestQueueing;
             // Meant for a life of the worker that may be over; the next one would forget ends that nobody has heard.
-            if (auto* look = std::get_if<jobs::LookOrder>(&queued.order); look && isStale)
+            if (auto* look = std::get_if<jobs::LookOrder>(&queued.order); look && (isClosed || isTooOld))
                 look->ackedThrough = 0;
             const auto* start = std::get_if<jobs::StartOrder>(&queued.order);
             if (start && isClosed)
                 report(*start, { jobs::CallStatus::NotSent }, timing, &Answers::started);
-            else if (start && timing.queuedFor() > longestQueueing)
+            else if (start && isTooOld)
                 report(*start, { jobs::CallStatus::Expired }, timing, &Answers::started);
             else
                 std::visit([&](const auto& each) { carryOut(*channel, each, timing); }, queued.order);
--- a/packages/node/tests/worker_links_tests.cpp
+++ b/packages/node/tests/worker_links_tests.cpp
@@ -48,6 +48,43 @@
     std::atomic<int> connections { 0 };
 };
 
+/// Links to one worker that answers each order slowly.
+class SlowWorker {
+public:
+    explicit SlowWorker(WorkerLinks::Answers answers)
+    {
+        m_connector.startTime = std::chrono::milliseconds { 400 };
+        m_control.run([&] {
+            m_links = std::make_unique<WorkerLinks>(m_control, m_clock, m_threads, m_connector, std::move(answers));
+            m_links->setAddresses({ { m_worker, "10.0.0.1:1" } }, { { m_worker, jobs::MachineId {} } });
+        });
+    }
+    ~SlowWorker()
+    {
+        m_control.run([&] { m_links.reset(); });
+        m_threads.shutdown();
+    }
+    SlowWorker(const SlowWorker&) = delete;
+    SlowWorker& operator=(const SlowWorker&) = delete;
+
+    const jobs::WorkerId& id() const { return m_worker; }
+    void send(int count, const jobs::Order& order)
+    {
+        m_control.run([&] {
+            for (int number = 0; number < count; ++number)
+                m_links->send(order);
+        });
+    }
+
+private:
+    const jobs::WorkerId m_worker { "w" };
+    const SystemClock m_clock;
+    Connector m_connector;
+    ElasticThreadPool m_threads { 2, 100 };
+    ControlLoop m_control { m_clock };
+    std::unique_ptr<WorkerLinks> m_links;
+};
+
 } // namespace
 
 TEST(WorkerLinks, ThreadsOfWorkersThatHaveGoneServeThoseThatFollow)
@@ -89,11 +126,6 @@
 {
     using namespace std::chrono_literals;
     constexpr int starts = 4;
-    const SystemClock clock;
-    Connector connector;
-    connector.startTime = 400ms;
-    ElasticThreadPool threads { 2, 100 };
-    ControlLoop control { clock };
     std::vector<jobs::CallAnswer> answers;
     std::promise<void> isAnswered;
     const auto note = [&](const jobs::StartOrder&, const jobs::CallAnswer& answer) {
@@ -102,31 +134,16 @@
             isAnswered.set_value();
     };
     const auto ignore = [](const auto&...) {};
-    std::unique_ptr<WorkerLinks> links;
-    control.run([&] {
-        links = std::make_unique<WorkerLinks>(
-            control, clock, threads, connector, WorkerLinks::Answers { note, ignore, ignore, ignore });
-        links->setAddresses(
-            { { jobs::WorkerId { "w" }, "10.0.0.1:1" } }, { { jobs::WorkerId { "w" }, jobs::MachineId {} } });
-        for (int number = 0; number < starts; ++number)
-            links->send(jobs::StartOrder { jobs::WorkerId { "w" } });
-    });
+    SlowWorker worker { { note, ignore, ignore, ignore } };
+    worker.send(starts, jobs::StartOrder { worker.id() });
     isAnswered.get_future().wait();
     EXPECT_EQ(answers.front().status, jobs::CallStatus::Done);
     EXPECT_EQ(answers.back().status, jobs::CallStatus::Expired);
     EXPECT_GT(answers.back().queuedFor, 250ms);
-    control.run([&] { links.reset(); });
-    threads.shutdown();
 }
 
 TEST(WorkerLinks, LookThatHasWaitedAcknowledgesNothing)
 {
-    using namespace std::chrono_literals;
-    const SystemClock clock;
-    Connector connector;
-    connector.startTime = 400ms;
-    ElasticThreadPool threads { 2, 100 };
-    ControlLoop control { clock };
     std::vector<std::int64_t> acknowledged;
     std::promise<void> isAnswered;
     const auto note = [&](const jobs::LookOrder& look, const jobs::LookAnswer&, TimePoint) {
@@ -135,17 +152,8 @@
             isAnswered.set_value();
     };
     const auto ignore = [](const auto&...) {};
-    std::unique_ptr<WorkerLinks> links;
-    control.run([&] {
-        links = std::make_unique<WorkerLinks>(
-            control, clock, threads, connector, WorkerLinks::Answers { ignore, ignore, ignore, note });
-        const jobs::WorkerId worker { "w" };
-        links->setAddresses({ { worker, "10.0.0.1:1" } }, { { worker, jobs::MachineId {} } });
-        for (int number = 0; number < 2; ++number)
-            links->send(jobs::LookOrder { worker, 1, 7 });
-    });
+    SlowWorker worker { { ignore, ignore, ignore, note } };
+    worker.send(2, jobs::LookOrder { worker.id(), 1, 7 });
     isAnswered.get_future().wait();
     EXPECT_EQ(acknowledged, (std::vector<std::int64_t> { 7, 0 }));
-    control.run([&] { links.reset(); });
-    threads.shutdown();
 }
