--- a/packages/jobs/tests/cell_lives_tests.cpp
+++ b/packages/jobs/tests/cell_lives_tests.cpp
@@ -39,6 +39,15 @@
     return desk.now() - from;
 }
 
+/// Of a worker that has answered just now, in its first life, that its clock shows 500 s.
+LeaseClock clockOfFirstLife(TimePoint now)
+{
+    LeaseClock clock;
+    clock.beginLife(1, longestLease, {});
+    clock.observe(500'000, now, now);
+    return clock;
+}
+
 } // namespace
 
 TEST(CellLives, StartTakenByALaterLifeHoldsTheLongestLease)
@@ -198,10 +207,8 @@
 
 TEST(LeaseClock, LeaseOfAnEarlierLifeIsNoLeaseOfTheNext)
 {
-    LeaseClock clock;
     const TimePoint now { 1000s };
-    clock.beginLife(1, longestLease, {});
-    clock.observe(500'000, now, now);
+    LeaseClock clock = clockOfFirstLife(now);
     clock.grant(4500ms, now);
     clock.beginLife(2, longestLease, {});
     clock.observe(700, now + 1s, now + 1s);
@@ -210,10 +217,8 @@
 
 TEST(LeaseClock, LaterLifeHoldsWhatWasDeliveredBeforeItsFirstAnswer)
 {
-    LeaseClock clock;
     const TimePoint now { 1000s };
-    clock.beginLife(1, longestLease, {});
-    clock.observe(500'000, now, now);
+    LeaseClock clock = clockOfFirstLife(now);
     clock.grant(2s, now);
     clock.noteDelivered(1, true, longestLease, now + 1s);
     EXPECT_LT(clock.lapsedAt(), now + 3s);
@@ -224,10 +229,8 @@
 
 TEST(LeaseClock, OrderHeldUpInALaterLifeIsCarriedOutLate)
 {
-    LeaseClock clock;
     const TimePoint now { 1000s };
-    clock.beginLife(1, longestLease, {});
-    clock.observe(500'000, now, now);
+    LeaseClock clock = clockOfFirstLife(now);
     clock.grant(2s, now);
     clock.noteDelivered(1, false, longestLease, now + 1s);
     EXPECT_LT(clock.lapsedInAllLivesAt(false, longestLease), now + 8s);
@@ -238,10 +241,8 @@
 
 TEST(LeaseClock, OrderByAnEarlierClockThatArrivesLaterExtendsThePresentLife)
 {
-    LeaseClock clock;
     const TimePoint now { 1000s };
-    clock.beginLife(1, longestLease, {});
-    clock.observe(500'000, now, now);
+    LeaseClock clock = clockOfFirstLife(now);
     clock.beginLife(2, longestLease, {});
     clock.observe(100, now, now);
     clock.noteDelivered(1, true, longestLease, now + 3s);
