Answers to orders in a file of their own; runs of a step are found in one place

cell_runs.cpp had 408 lines, and nothing in it said that the last third is answers: moved to cell_answers.cpp, unchanged but for isSame, which is a member of Run now. Who holds a run of a subtask was looked for over all steps of its job, beside a search by step in Room: both go by CellState::placesOf. stopGang was declared and neither defined nor called.

--- a/packages/jobs/include/rattanrack/jobs/cell.h
+++ b/packages/jobs/include/rattanrack/jobs/cell.h
@@ -163,6 +163,7 @@
 
     /// Starts and stops that have no answer yet.
     std::size_t ordersInFlight() const;
+
     /// Since this owner took over.
     DecisionEffort effort() const;
 
--- a/packages/jobs/src/cell_run_sums.cpp
+++ b/packages/jobs/src/cell_run_sums.cpp
@@ -31,4 +31,13 @@
         runsOfJobs.erase(task.job);
 }
 
+/// Where runs of the step are.
+StepPlaceRange CellState::placesOf(const JobId& job, int occurrence, int step) const
+{
+    static const StepPlaces s_none;
+    const auto ofJob = runsOfJobs.find(job);
+    const StepPlaces& all = ofJob == runsOfJobs.end() ? s_none : ofJob->second;
+    return { all.lower_bound({ occurrence, step, nullptr }), all.lower_bound({ occurrence, step + 1, nullptr }) };
+}
+
 } // namespace rattanrack::jobs
--- a/packages/jobs/src/cell_runs.cpp
+++ b/packages/jobs/src/cell_runs.cpp
@@ -11,25 +11,12 @@
 
 using namespace std::chrono_literals;
 
-constexpr Duration orderAgainAfter = 150ms; ///< After an order without an answer.
-constexpr Duration avoidAfterNoRoom = 250ms;
-constexpr Duration avoidAfterNoAnswer = 700ms;
-
-bool isSame(const Run& run, RunNumber number) { return run.number == number; }
-
 std::string_view name(EndKind kind)
 {
     constexpr std::string_view names[] = { "done", "failed", "stopped", "lapsed", "broken", "alone" };
     return names[static_cast<std::size_t>(kind)];
 }
 
-/// Carried out, now or before: a later look tells what came of it.
-bool isTaken(const CallAnswer& answer)
-{
-    return answer.status == CallStatus::Done
-        || (answer.status == CallStatus::Refused && answer.refusal == Refusal::Old);
-}
-
 } // namespace
 
 bool Worker::isLeaseOnItsWay() const
@@ -75,12 +62,8 @@
 /// Some worker that holds a run of the subtask. There may be several after an earlier owner's late start.
 const Worker* CellState::holderOf(const TaskRef& task) const
 {
-    const auto ofJob = runsOfJobs.find(task.job);
-    if (ofJob == runsOfJobs.end())
-        return nullptr;
-    for (const auto& [place, count] : ofJob->second) {
-        const bool isOfStep = place.occurrence == task.occurrence && place.step == task.step;
-        if (isOfStep && place.worker->runs.contains(task))
+    for (const auto& [place, count] : placesOf(task.job, task.occurrence, task.step)) {
+        if (place.worker->runs.contains(task))
             return place.worker;
     }
     return nullptr;
@@ -111,7 +94,7 @@
 void CellState::sendStop(Worker& worker, const TaskRef& task, RunNumber number, std::string_view reason)
 {
     const auto found = worker.runs.find(task);
-    if (found == worker.runs.end() || !isSame(found->second, number))
+    if (found == worker.runs.end() || !found->second.is(number))
         return;
     Run& run = found->second;
     if (run.phase != RunPhase::Stopping)
@@ -163,7 +146,7 @@
     worker.processedThrough = end.number;
     worker.pendingEnds.push_back({ end.number, end.task.job, 0 });
     const auto found = worker.runs.find(end.task);
-    const bool isKnownRun = found != worker.runs.end() && isSame(found->second, end.run);
+    const bool isKnownRun = found != worker.runs.end() && found->second.is(end.run);
     tellRun(RunEvent::Kind::Ended, worker, end.task, end.run, name(end.kind),
         isKnownRun ? now - found->second.confirmedAt : Duration {});
     JobEntry* entry = find(end.task.job);
@@ -268,7 +251,7 @@
     const std::uint64_t look = ++worker.looksTaken;
     for (const RunningEntry& running : report.running) {
         const auto found = worker.runs.find(running.task);
-        if (found == worker.runs.end() || !isSame(found->second, running.run)) {
+        if (found == worker.runs.end() || !found->second.is(running.run)) {
             adopt(worker, running, now);
             continue;
         }
@@ -301,108 +284,4 @@
         runOver(worker, task, "not listed any more");
 }
 
-AnsweredRun CellState::answeredRun(const WorkerId& id, const TaskRef& task, RunNumber number)
-{
-    const auto worker = workers.find(id);
-    if (worker == workers.end())
-        return {};
-    const auto run = worker->second.runs.find(task);
-    if (run == worker->second.runs.end() || !isSame(run->second, number))
-        return { &worker->second };
-    run->second.isOrderOnItsWay = false;
-    run->second.isStartOnItsWay = false;
-    return { &worker->second, &run->second };
-}
-
-void Cell::onAnswer(const StartOrder& order, const CallAnswer& answer, TimePoint now)
-{
-    CellState& state = *m_state;
-    const AnsweredRun answered = state.answeredRun(order.worker, order.task, order.run);
-    if (answered.worker)
-        state.noteDelivered(*answered.worker, order.bornUnixMs, answer.status, now);
-    if (!answered.run)
-        return;
-    Worker& worker = *answered.worker;
-    Run& run = *answered.run;
-    state.noteAnswer(worker, run, answer, now);
-    if (isTaken(answer)) {
-        run.settledAt = now;
-        run.mayComeLate = false;
-        if (worker.clock.isOfLife(order.bornUnixMs) && worker.clock.isByThisLife(answer.workerClockMs, now))
-            run.seenInLife = order.bornUnixMs;
-        worker.isLookWanted = true;
-        JobEntry* entry = state.find(order.task.job);
-        if (run.phase == RunPhase::Stopping || !entry || entry->progress.hasEnded()) {
-            state.sendStop(worker, order.task, order.run, "not wanted any more");
-        } else if (run.phase == RunPhase::Ordered) {
-            run.phase = RunPhase::Confirmed;
-            run.confirmedAt = now;
-            entry->progress.running(order.task);
-        }
-        return;
-    }
-    if (answer.status == CallStatus::NoAnswer) {
-        run.mayComeLate = true;
-        run.orderAgainAt = now + orderAgainAfter;
-        worker.hasUnanswered = true;
-        worker.avoidUntil = std::max(worker.avoidUntil, now + avoidAfterNoAnswer);
-        worker.isLookWanted = true;
-        return;
-    }
-    if (answer.status == CallStatus::WrongWorker) {
-        state.lost(worker, "another worker answers");
-        worker.contact = WorkerContact::Unknown;
-        worker.isLookWanted = true;
-        return;
-    }
-    if (answer.status == CallStatus::Busy)
-        state.noteFailure(worker, now);
-    if (answer.refusal == Refusal::Fence)
-        state.noteFence(order.worker);
-    if (answer.refusal == Refusal::Ticket) {
-        if (JobEntry* entry = state.find(order.task.job))
-            entry->tickets.erase({ order.task.occurrence, order.task.step });
-    }
-    if (answer.status != CallStatus::Expired) {
-        const bool isOutOfReach = answer.status == CallStatus::NotSent;
-        worker.avoidUntil = std::max(worker.avoidUntil, now + (isOutOfReach ? avoidAfterNoAnswer : avoidAfterNoRoom));
-        worker.isLookWanted = true;
-    }
-    state.startFailed(worker, order, run, answer);
-}
-
-void Cell::onAnswer(const StopOrder& order, const CallAnswer& answer, TimePoint now)
-{
-    CellState& state = *m_state;
-    const AnsweredRun answered = state.answeredRun(order.worker, order.task, order.run);
-    if (!answered.run)
-        return;
-    Worker& worker = *answered.worker;
-    Run& run = *answered.run;
-    if (answer.status == CallStatus::WrongWorker) {
-        state.lost(worker, "another worker answers");
-        return;
-    }
-    if (isTaken(answer)) {
-        run.settledAt = now;
-        run.mayComeLate = false;
-        worker.isLookWanted = true;
-    } else {
-        run.orderAgainAt = now + orderAgainAfter;
-        worker.hasUnanswered = true;
-    }
-    if (answer.refusal == Refusal::Fence)
-        state.noteFence(order.worker);
-}
-
-void Cell::onAnswer(const PaceOrder& order, const CallAnswer& answer, TimePoint)
-{
-    const auto known = m_state->workers.find(order.worker);
-    if (known == m_state->workers.end())
-        return;
-    const auto found = known->second.runs.find(order.task);
-    if (found != known->second.runs.end() && isSame(found->second, order.run) && answer.status != CallStatus::Done)
-        found->second.pace = -1; // Unknown: set again with the next look.
-}
-
 } // namespace rattanrack::jobs
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -46,6 +46,8 @@
     int pace { 100 };
     double figure { 0 };
     StartOrder start; ///< Sent again while it has no answer.
+
+    bool is(RunNumber other) const { return number == other; }
 };
 
 /// An end that has been taken in, until it may be acknowledged.
@@ -134,6 +136,15 @@
 };
 using StepPlaces = std::map<StepPlace, int>; ///< Number of runs.
 
+/// A part of a `StepPlaces`, valid while that is left as it is.
+struct StepPlaceRange {
+    StepPlaces::const_iterator first;
+    StepPlaces::const_iterator last;
+
+    StepPlaces::const_iterator begin() const { return first; }
+    StepPlaces::const_iterator end() const { return last; }
+};
+
 struct StepTicket {
     std::map<WorkerId, std::string> tickets;
     TimePoint validUntil {};
@@ -270,7 +281,6 @@
     /// Takes a run off its worker. Returns whether no worker holds any run of the subtask now.
     bool release(Worker& worker, const TaskRef& task);
     const Worker* holderOf(const TaskRef& task) const;
-    void countRun(Worker& worker, const TaskRef& task, const Run& run, int count);
     void runOver(
         Worker& worker, const TaskRef& task, std::string_view proof, RunEvent::Kind kind = RunEvent::Kind::Over);
     void lost(Worker& worker, std::string_view proof);
@@ -279,8 +289,6 @@
     void adopt(Worker& worker, const RunningEntry& entry, TimePoint now);
     void sendStop(Worker& worker, const TaskRef& task, RunNumber run, std::string_view reason);
     void stopAll(JobEntry& entry, std::string_view reason);
-    void stopGang(JobEntry& entry, const TaskRef& member);
-    AnsweredRun answeredRun(const WorkerId& id, const TaskRef& task, RunNumber number);
     void changed(JobEntry& entry);
     void noteOffered(const JobEntry& entry, TimePoint now);
     void endIfOver(JobEntry& entry, const TaskRef& failed);
@@ -288,6 +296,13 @@
     void advanceAllAcks();
     void forgetOldJobs();
 
+    // Sums over runs: cell_run_sums.cpp
+    void countRun(Worker& worker, const TaskRef& task, const Run& run, int count);
+    StepPlaceRange placesOf(const JobId& job, int occurrence, int step) const;
+
+    // Answers: cell_answers.cpp
+    AnsweredRun answeredRun(const WorkerId& id, const TaskRef& task, RunNumber number);
+
     // Starts: cell_starts.cpp
     void countStarts(TimePoint now);
     bool mayStartMore(TimePoint now);
--- a/packages/jobs/src/room.cpp
+++ b/packages/jobs/src/room.cpp
@@ -73,14 +73,7 @@
         candidate.fillers = neighbours.fillers;
         candidate.sameStep = candidate.sameStepInRack = 0;
     }
-    const auto ofJob = m_state.runsOfJobs.find(entry.job.id);
-    if (ofJob == m_state.runsOfJobs.end())
-        return;
-    const auto& places = ofJob->second;
-    for (auto each = places.lower_bound({ occurrence, step, nullptr }); each != places.end(); ++each) {
-        const auto& [place, runs] = *each;
-        if (place.occurrence != occurrence || place.step != step)
-            break;
+    for (const auto& [place, runs] : m_state.placesOf(entry.job.id, occurrence, step)) {
         ++m_state.effort.runs;
         if (place.worker->placeInRoom >= 0)
             addSameStep(place.worker->placeInRoom, runs, entry.job.spec.steps[static_cast<std::size_t>(step)]);
