Use a later life of a worker only once its owner is confirmed since it began

What callers could see: a subtask that runs twice (TWICE). An owner that has been replaced without knowing it trusts itself for 5 s. A worker that was reborn after the next owner's look at it has seen no fence, so that it takes the earlier owner's start of a subtask that the next owner runs elsewhere.

Change: a life is used only after a transaction that was sent since it began has succeeded. The next owner then takes over later, and looks at that life itself. Its birth is bounded by the clock that it shows, so that long-lived workers of a new owner wait for nothing; a young one makes the owner send a transaction at once.

Failed without the check, pass with it: CellLives.EarlierOwner* (2), CellLives.TransactionSentBeforeALifeBeganConfirmsNothingForIt. Two tests of CellLives confirm the owner now where the host would.

--- a/packages/jobs/include/rattanrack/jobs/cell.h
+++ b/packages/jobs/include/rattanrack/jobs/cell.h
@@ -141,7 +141,7 @@
 
     /// The list is on its way to the store; from now on only workers that are in it and in the one stored before are
     /// used. Once it is stored, those in it are.
-    void workersSent(const WorkerMachines& workers);
+    void workersSent(const WorkerMachines& workers, TimePoint now);
     void workersStored(WorkerMachines workers);
 
     Acceptance submit(const Job& job, CallToken token, TimePoint now);
@@ -179,6 +179,9 @@
     /// Somebody waits for the next commit.
     bool hasUrgentCommit() const;
 
+    /// A worker is used only once a transaction that was sent since its birth has succeeded.
+    bool wantsConfirmation() const;
+
     /// Something is to be stored that is in no commit yet.
     bool hasUncommitted() const;
 
--- a/packages/jobs/include/rattanrack/jobs/lease_clock.h
+++ b/packages/jobs/include/rattanrack/jobs/lease_clock.h
@@ -7,6 +7,8 @@
 
 namespace rattanrack::jobs {
 
+constexpr Duration clockAtBirth = std::chrono::seconds { 2 }; ///< A new life's clock shows less.
+
 /// The clock of a worker's present life as seen from here, and the latest moments up to which anything that this node
 /// has sent may hold a lease on the worker. A worker's clock may be slow by up to 2 %, never fast; a later life begins
 /// with a new clock, to which a lease by an earlier one means the longest there is.
--- a/packages/jobs/model/cell_world.cpp
+++ b/packages/jobs/model/cell_world.cpp
@@ -244,12 +244,12 @@
         return;
     const auto commit = owner.cell->takeCommit(unixMs());
     const auto workers = owner.cell->workersInUse();
-    const bool isRenewalDue = m_now - owner.lastCommit >= renewalPeriod;
+    const bool isRenewalDue = m_now - owner.lastCommit >= renewalPeriod || owner.cell->wantsConfirmation();
     if (!commit && workers == m_workerRow && !isRenewalDue)
         return;
     owner.isCommitting = true;
     owner.lastCommit = m_now;
-    owner.cell->workersSent(workers);
+    owner.cell->workersSent(workers, m_now);
     after(std::max(storeTime, m_storeStalledUntil - m_now), [this, commit, workers, number, sentAt = m_now] {
         const Owner* sender = ownerOf(number);
         if (!sender || sender->isReplaced)
--- a/packages/jobs/model/starved_owner.cpp
+++ b/packages/jobs/model/starved_owner.cpp
@@ -42,6 +42,7 @@
         m_workers.emplace_back(describe(number), 1.0);
     m_cell.configure({ { queueName, poolName, 0, 3, 1.6, 600ms } });
     run(1s);
+    m_cell.workersSent(m_cell.workersInUse(), m_now);
     m_cell.workersStored(m_cell.workersInUse());
 }
 
--- a/packages/jobs/src/cell.cpp
+++ b/packages/jobs/src/cell.cpp
@@ -33,6 +33,7 @@
 {
     CellState& state = *m_state;
     state.takenOverAt = now;
+    state.confirmedAt = now;
     state.unixMs = unixMs;
     state.firstRun = (state.settings.fence - 1) * runsPerTerm;
     state.storedWorkers = workersOfEarlierOwners;
@@ -125,14 +126,16 @@
 
 void Cell::setClosing(std::set<MachineId> machines) { m_state->closing = std::move(machines); }
 
-void Cell::workersSent(const WorkerMachines& workers)
+void Cell::workersSent(const WorkerMachines& workers, TimePoint now)
 {
+    m_state->transactionSentAt = now;
     m_state->fencesSeenBeforeWrite = m_state->fencesSeen;
     std::erase_if(m_state->storedWorkers, [&](const auto& each) { return !workers.contains(each.first); });
 }
 
 void Cell::workersStored(WorkerMachines workers)
 {
+    m_state->confirmedAt = m_state->transactionSentAt;
     m_state->fencesSettled = m_state->fencesSeenBeforeWrite;
     m_state->storedWorkers = std::move(workers);
 }
@@ -194,6 +197,16 @@
 
 bool Cell::hasUrgentCommit() const { return m_state->isUrgent; }
 
+bool Cell::wantsConfirmation() const
+{
+    const CellState& state = *m_state;
+    return std::any_of(state.workers.begin(), state.workers.end(), [&](const auto& each) {
+        const Worker& worker = each.second;
+        const bool isUsable = worker.isListed && worker.contact == WorkerContact::InTouch;
+        return isUsable && worker.bornBy > std::max(state.transactionSentAt, state.confirmedAt);
+    });
+}
+
 bool Cell::hasUncommitted() const { return !m_state->dirty.empty(); }
 
 std::optional<CellCommit> Cell::takeCommit(std::int64_t unixMs)
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -84,6 +84,7 @@
     WorkerContact contact { WorkerContact::Unknown };
     LeaseClock clock;
     std::int64_t bornUnixMs { 0 };
+    TimePoint bornBy {}; ///< The life that answers began then at the latest.
     std::unordered_map<TaskRef, Run> runs;
     ResourceSize used;
     ResourceSize usedByLasting; ///< By what does not end by itself.
@@ -242,6 +243,8 @@
     RuntimeEstimate runtimes;
     RunNumber firstRun { 1 };
     TimePoint takenOverAt {};
+    TimePoint transactionSentAt {}; ///< The latest one.
+    TimePoint confirmedAt {}; ///< When the latest transaction that has succeeded was sent.
     TimePoint listAskedAt {}; ///< When the store was asked for the list of workers in use.
     bool isRecovering { true };
     std::uint64_t fencesSeen { 0 }; ///< Refusals of workers that have seen a higher fence than this owner's.
@@ -315,6 +318,7 @@
     void sendLooks(TimePoint now, bool mayRenew);
     void sendAgain(TimePoint now, bool mayStart);
     void checkSilent(TimePoint now);
+    bool isConfirmedFor(const Worker& worker) const;
     bool mayHoldLease(const Worker& worker, const Run& run, TimePoint now) const;
     void grantStart(Worker& worker, Run& run, TimePoint now);
 
--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -21,6 +21,13 @@
 constexpr int failuresToAvoid = 3;
 constexpr int avoidableShare = 3; ///< One worker of this many may be avoided for its failures at once.
 
+/// Of a life whose clock shows that.
+Duration ageAtLeast(std::int64_t workerClockMs)
+{
+    const Duration shown = Duration { workerClockMs * 1000 };
+    return std::max(shown - clockAtBirth, Duration {});
+}
+
 bool isServing(const Step& step) { return step.isLasting && step.latencyTarget > Duration::zero(); }
 
 } // namespace
@@ -124,6 +131,7 @@
     const LookReport& report = answer.report;
     if (worker.bornUnixMs != report.bornUnixMs) {
         worker.bornUnixMs = report.bornUnixMs;
+        worker.bornBy = now - ageAtLeast(report.workerClockMs);
         worker.processedThrough = 0;
         worker.ackedThrough = 0;
         worker.sentAck = 0;
@@ -180,7 +188,8 @@
                 continue;
             const bool isStart = run.phase == RunPhase::Ordered && !isLeaving;
             // Its lease must be by the clock of the life that is there now.
-            const bool mayBeStarted = mayStart && worker.contact == WorkerContact::InTouch && worker.clock.isKnown();
+            const bool mayBeStarted = mayStart && worker.contact == WorkerContact::InTouch && worker.clock.isKnown()
+                && isConfirmedFor(worker);
             if (isStart && !mayBeStarted)
                 continue;
             run.orderAgainAt = {};
@@ -211,6 +220,10 @@
     }
 }
 
+/// An owner that has been replaced does not know it until its next transaction, and a life that began after the next
+/// owner's look has seen no fence that would tell.
+bool CellState::isConfirmedFor(const Worker& worker) const { return worker.bornBy <= confirmedAt; }
+
 /// What the present life of the worker is not known to run may be run by a later one, which reads the leases sent to
 /// the present one by its own clock.
 bool CellState::mayHoldLease(const Worker& worker, const Run& run, TimePoint now) const
--- a/packages/jobs/src/lease_clock.cpp
+++ b/packages/jobs/src/lease_clock.cpp
@@ -11,7 +11,6 @@
 constexpr double slowestClock = 0.98; ///< Ticks of a worker's clock in one second of ours, at least.
 constexpr Duration roundingSlack = 50ms;
 constexpr Duration longestHeldUp = 12s; ///< An order without an answer is carried out so much later at most.
-constexpr Duration clockAtBirth = 2s; ///< A new life's clock shows less.
 
 std::int64_t milliseconds(Duration duration)
 {
--- a/packages/jobs/src/room.cpp
+++ b/packages/jobs/src/room.cpp
@@ -13,7 +13,7 @@
 {
     return worker.isListed && worker.contact == WorkerContact::InTouch && worker.clock.isKnown()
         && !worker.description.isDraining && !worker.isClosedFor(now) && worker.mayTakeStarts()
-        && !state.closing.contains(worker.description.machine);
+        && state.isConfirmedFor(worker) && !state.closing.contains(worker.description.machine);
 }
 
 bool looksAtNeighbours(const Step& step)
--- a/packages/jobs/tests/cell_lives_tests.cpp
+++ b/packages/jobs/tests/cell_lives_tests.cpp
@@ -103,6 +103,7 @@
     desk.step(60ms);
     EXPECT_TRUE(desk.take<StartOrder>().empty());
     desk.hear(start.worker.value().c_str(), {});
+    desk.confirm();
     desk.step(200ms);
     const auto again = desk.take<StartOrder>();
     ASSERT_EQ(again.size(), 1U);
@@ -121,6 +122,53 @@
     EXPECT_TRUE(desk.take<StartOrder>().empty());
 }
 
+TEST(CellLives, EarlierOwnerSendsNothingAgainToALifeThatBeganAfterItsReplacement)
+{
+    Desk desk;
+    const StartOrder start = desk.startOf("a");
+    desk.answer(start, CallStatus::NoAnswer);
+    desk.rebear(start.worker);
+    desk.step(60ms);
+    desk.hear(start.worker.value().c_str(), {});
+    desk.step(200ms);
+    EXPECT_TRUE(desk.take<StartOrder>().empty());
+    desk.confirm();
+    desk.step(period);
+    EXPECT_EQ(desk.take<StartOrder>().size(), 1U);
+}
+
+TEST(CellLives, EarlierOwnerStartsNothingInALifeThatBeganAfterItsReplacement)
+{
+    Desk desk;
+    desk.rebearAll();
+    desk.step(300ms);
+    desk.hearAll();
+    desk.submitAndStore("a");
+    desk.step(period);
+    EXPECT_TRUE(desk.take<StartOrder>().empty());
+    EXPECT_TRUE(desk.cell().wantsConfirmation());
+    desk.confirm();
+    EXPECT_FALSE(desk.cell().wantsConfirmation());
+    desk.step(period);
+    EXPECT_EQ(desk.take<StartOrder>().size(), 1U);
+}
+
+TEST(CellLives, TransactionSentBeforeALifeBeganConfirmsNothingForIt)
+{
+    Desk desk;
+    const WorkerMachines both = desk.cell().workersInUse();
+    desk.cell().workersSent(both, desk.now());
+    desk.step(10ms);
+    desk.rebearAll();
+    desk.step(300ms);
+    desk.hearAll();
+    desk.cell().workersStored(both);
+    desk.submitAndStore("a");
+    desk.step(period);
+    EXPECT_TRUE(desk.take<StartOrder>().empty());
+    EXPECT_TRUE(desk.cell().wantsConfirmation());
+}
+
 TEST(CellLives, RunThatIsListedOutlivesTheFailureOfItsStartSentAgain)
 {
     for (const CallStatus status : { CallStatus::NotSent, CallStatus::Busy, CallStatus::Refused }) {
@@ -167,9 +215,10 @@
     desk.answer(start, CallStatus::Done);
     desk.rebear(start.worker);
     desk.step(60ms);
-    desk.hear(start.worker.value().c_str(), {});
-    desk.step(60ms);
     desk.hear(start.worker.value().c_str(), {}); // The run is gone.
+    desk.confirm();
+    desk.step(60ms);
+    desk.hear(start.worker.value().c_str(), {});
     desk.step(30ms);
     const auto again = desk.take<StartOrder>();
     ASSERT_EQ(again.size(), 1U);
--- a/packages/jobs/tests/cell_takeover_tests.cpp
+++ b/packages/jobs/tests/cell_takeover_tests.cpp
@@ -229,8 +229,7 @@
     desk.answer(start, CallStatus::Refused, Refusal::Fence);
     desk.step(500ms);
     EXPECT_TRUE(desk.take<StartOrder>().empty());
-    desk.cell().workersSent(desk.cell().workersInUse());
-    desk.cell().workersStored(desk.cell().workersInUse());
+    desk.confirm();
     desk.step(30ms);
     EXPECT_EQ(desk.take<StartOrder>().size(), 1U);
 }
--- a/packages/jobs/tests/cell_tests.cpp
+++ b/packages/jobs/tests/cell_tests.cpp
@@ -141,13 +141,13 @@
         desk.step(100ms);
         return desk.take<StartOrder>().size();
     };
-    desk.cell().workersSent(none); // Its answer is still to come when the workers are back.
+    desk.cell().workersSent(none, desk.now()); // Its answer is still to come when the workers are back.
     EXPECT_EQ(startsOnceBack(), 0U);
     desk.cell().workersStored(none);
     EXPECT_EQ(startsOnceBack(), 0U);
     const WorkerMachines both = desk.cell().workersInUse();
     EXPECT_EQ(both.size(), 2U);
-    desk.cell().workersSent(both);
+    desk.cell().workersSent(both, desk.now());
     EXPECT_EQ(startsOnceBack(), 0U);
     desk.cell().workersStored(both);
     EXPECT_EQ(startsOnceBack(), 2U);
--- a/packages/jobs/tests/desk.h
+++ b/packages/jobs/tests/desk.h
@@ -37,7 +37,7 @@
             workers.push_back(worker);
         }
         list(workers);
-        m_cell.workersStored(m_cell.workersInUse());
+        confirm();
         step(10ms);
     }
 
@@ -74,6 +74,14 @@
         answer(*look, std::move(running), std::move(ends));
     }
 
+    /// A transaction is sent now and succeeds.
+    void confirm()
+    {
+        const WorkerMachines workers = m_cell.workersInUse();
+        m_cell.workersSent(workers, m_now);
+        m_cell.workersStored(workers);
+    }
+
     Cell& cell() { return m_cell; }
     TimePoint now() const { return m_now; }
 
@@ -156,7 +164,20 @@
     std::int64_t clockMs() const { return unixMs() - 900'000; }
 
     /// The worker crashes and is there again at once, under its id: runs nothing, and its clock starts anew.
-    void rebear(const WorkerId& worker) { m_later[worker] = { lifeOf(worker).bornUnixMs + 1, unixMs() }; }
+    void rebear(const WorkerId& worker)
+    {
+        m_later[worker] = { lifeOf(worker).bornUnixMs + 1, unixMs() };
+    }
+
+    /// All workers do so, and the list tells.
+    void rebearAll()
+    {
+        for (WorkerDescription& worker : m_listed) {
+            rebear(worker.id);
+            worker.bornUnixMs = lifeOf(worker.id).bornUnixMs;
+        }
+        list(m_listed);
+    }
 
 private:
     struct Life {
--- a/packages/jobs/tests/flood.cpp
+++ b/packages/jobs/tests/flood.cpp
@@ -65,6 +65,7 @@
         m_workers.push_back({ worker, {}, {}, 0, 0, {}, {} });
     }
     m_cell.setWorkers(listed, m_now, m_now);
+    m_cell.workersSent(m_cell.workersInUse(), m_now);
     m_cell.workersStored(m_cell.workersInUse());
     submitLasting();
 }
--- a/packages/node/src/cell_host.cpp
+++ b/packages/node/src/cell_host.cpp
@@ -253,7 +253,8 @@
         return;
     auto workers = m_cell.workersInUse();
     const bool haveWorkersChanged = workers != m_writer.workersWritten();
-    const bool isRenewalDue = sinceLast >= renewalPeriod || m_isHandingBack || m_isOwnershipInDoubt;
+    const bool isRenewalDue
+        = sinceLast >= renewalPeriod || m_isHandingBack || m_isOwnershipInDoubt || m_cell.wantsConfirmation();
     const bool isDue = isRenewalDue || haveWorkersChanged || m_cell.hasUrgentCommit() || sinceLast >= commitPause;
     if (!isDue)
         return;
@@ -261,7 +262,7 @@
     if (!commit && !haveWorkersChanged && !isRenewalDue)
         return;
     m_isOwnershipInDoubt = false;
-    m_cell.workersSent(workers);
+    m_cell.workersSent(workers, m_parts.clock.now());
     const bool isLast = m_isHandingBack && !m_cell.hasUncommitted();
     m_writer.write(commit ? rowsOf(*commit) : std::vector<jobs::RowWrite> {}, std::move(workers), isLast);
 }
