Send starts and acknowledgements to no other life of a worker than their own

What callers could see: a subtask that runs twice, or an end that nobody hears and that is taken for a lost run (TWICE, LOST).

Cause: an order names the worker, by its id, and the id outlives its lives. A connection that had ended was made anew without a word, and the order went to whatever life was there. Class: what belongs to one life applied to another.

The model has the same promise, the stand-in worker's connections end with its lives.

--- a/packages/jobs/include/rattanrack/jobs/ports.h
+++ b/packages/jobs/include/rattanrack/jobs/ports.h
@@ -13,7 +13,8 @@
 /// What the product needs of the platform beside its store. Every call ends by a timeout of its own.
 namespace rattanrack::jobs {
 
-/// One worker, over one connection. For one thread.
+/// One worker, over one connection. For one thread. Starts and acknowledgements reach the life of the worker that they
+/// are for or none.
 class WorkerChannel {
 public:
     virtual ~WorkerChannel() = default;
--- a/packages/jobs/include/rattanrack/jobs/worker.h
+++ b/packages/jobs/include/rattanrack/jobs/worker.h
@@ -36,7 +36,7 @@
     Fence fence { 0 };
     std::string checkpoint;
     std::string ticket;
-    std::int64_t bornUnixMs { 0 }; ///< Life by whose clock the lease is; the worker is not told.
+    std::int64_t bornUnixMs { 0 }; ///< Life that it is for. The worker is not told; a `WorkerChannel` sees to it.
 };
 
 /// Ends a run; one that is not there will not begin any more.
@@ -63,7 +63,7 @@
     std::int64_t ackedThrough { 0 };
     std::int64_t leaseUntilWorkerMs { 0 }; ///< On the worker's clock; 0: leaves the lease as it is.
     Duration wait {}; ///< The worker answers at the next end, or after this.
-    std::int64_t bornUnixMs { 0 }; ///< Life by whose clock the lease is; the worker is not told.
+    std::int64_t bornUnixMs { 0 }; ///< Life whose ends are acknowledged, and by whose clock the lease is.
 };
 
 using Order = std::variant<StartOrder, StopOrder, PaceOrder, LookOrder>;
@@ -74,7 +74,7 @@
     Busy, ///< The worker is unhealthy; nothing was done.
     WrongWorker, ///< Another worker answers at that address.
     Malformed, ///< The order can't be understood; nothing was done.
-    NotSent, ///< No connection could be made; nothing was done.
+    NotSent, ///< No connection to the worker in the order's life could be made; nothing was done.
     Expired, ///< Dropped by this node after too long in its queue; nothing was done.
     NoAnswer, ///< May have been done, or may be done seconds later.
 };
@@ -119,6 +119,7 @@
     CallStatus status { CallStatus::NoAnswer };
     Refusal refusal { Refusal::None };
     LookReport report; ///< When Done.
+    std::int64_t ackedThrough { 0 }; ///< Sent with the question; 0 where its life could not be made sure of.
 };
 
 } // namespace rattanrack::jobs
--- a/packages/jobs/model/cell_world.h
+++ b/packages/jobs/model/cell_world.h
@@ -167,7 +167,7 @@
     }
     void look(const LookOrder& order, int owner);
     void lookLate(const LookOrder& order, std::int64_t bornUnixMs);
-    void finishLook(const LookOrder& order, TimePoint sentAt, TimePoint deadline, int owner);
+    void finishLook(LookOrder order, TimePoint sentAt, TimePoint deadline, int owner);
     ModelWorker* find(const WorkerId& id);
     bool isCut(const WorkerId& id) const;
     const ModelWork& workOf(const TaskRef& task) const;
--- a/packages/jobs/model/cell_world_orders.cpp
+++ b/packages/jobs/model/cell_world_orders.cpp
@@ -74,6 +74,13 @@
                 after(orderTimeout, [tell] { tell({ CallStatus::NoAnswer }); });
             return;
         }
+        if constexpr (std::is_same_v<OrderType, StartOrder>) {
+            const bool isOfOtherLife = worker->description().bornUnixMs != order.bornUnixMs;
+            if (isOfOtherLife && !isAnswerLost)
+                tell({ CallStatus::NotSent }); // The connection has ended with the life that it was to.
+            if (isOfOtherLife)
+                return;
+        }
         if (how.isHeldUp)
             return carryOutLate(order, worker->description().bornUnixMs, how);
         const CallAnswer answer = carryOut(*worker, order, how);
@@ -145,7 +152,7 @@
     });
 }
 
-void CellWorld::finishLook(const LookOrder& order, TimePoint sentAt, TimePoint deadline, int owner)
+void CellWorld::finishLook(LookOrder order, TimePoint sentAt, TimePoint deadline, int owner)
 {
     const auto tell = [this, order, sentAt, owner](const LookAnswer& answer) {
         onLoop(owner,
@@ -153,6 +160,8 @@
     };
     ModelWorker* worker = find(order.worker);
     const bool isReached = worker && !isCut(order.worker);
+    if (isReached && worker->description().bornUnixMs != order.bornUnixMs)
+        order.ackedThrough = 0; // Over a new connection.
     const bool isHeldUp = isReached && happens(m_faults.heldUpLooks);
     if (isHeldUp)
         lookLate(order, worker->description().bornUnixMs);
--- a/packages/jobs/model/model_worker.cpp
+++ b/packages/jobs/model/model_worker.cpp
@@ -112,7 +112,8 @@
             m_news.push_back({ WorkerNews::Kind::Acknowledged, each });
     }
     std::erase_if(m_ends, [&](const KeptEnd& each) { return each.entry.number <= order.ackedThrough; });
-    LookAnswer answer { CallStatus::Done, Refusal::None, { m_description.bornUnixMs, clockMs(now), {}, {} } };
+    LookAnswer answer { CallStatus::Done, Refusal::None, { m_description.bornUnixMs, clockMs(now), {}, {} },
+        order.ackedThrough };
     for (std::size_t at = 0; at < std::min(maxEnds, m_ends.size()); ++at)
         answer.report.ends.push_back(m_ends[at].entry);
     answer.report.areEndsComplete = m_ends.size() <= maxEnds;
--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -138,7 +138,7 @@
         worker.pendingEnds.clear();
         worker.failuresInRow = 0;
     } else {
-        worker.sentAck = std::max(worker.sentAck, order.ackedThrough);
+        worker.sentAck = std::max(worker.sentAck, answer.ackedThrough);
     }
     if (worker.contact != WorkerContact::InTouch) {
         const bool isBack = worker.contact == WorkerContact::Silent;
--- a/packages/jobs/tests/desk.h
+++ b/packages/jobs/tests/desk.h
@@ -135,7 +135,8 @@
         m_now += 2ms;
         m_cell.onAnswer(look,
             { CallStatus::Done, Refusal::None,
-                { lifeOf(look.worker).bornUnixMs, clockMs(look.worker), std::move(running), std::move(ends) } },
+                { lifeOf(look.worker).bornUnixMs, clockMs(look.worker), std::move(running), std::move(ends) },
+                look.ackedThrough },
             sentAt, m_now);
     }
     void answer(const StartOrder& order, CallStatus status, Refusal refusal = Refusal::None)
@@ -164,10 +165,7 @@
     std::int64_t clockMs() const { return unixMs() - 900'000; }
 
     /// The worker crashes and is there again at once, under its id: runs nothing, and its clock starts anew.
-    void rebear(const WorkerId& worker)
-    {
-        m_later[worker] = { lifeOf(worker).bornUnixMs + 1, unixMs() };
-    }
+    void rebear(const WorkerId& worker) { m_later[worker] = { lifeOf(worker).bornUnixMs + 1, unixMs() }; }
 
     /// All workers do so, and the list tells.
     void rebearAll()
