Replies to an earlier life of a node answer nothing of the next

What callers could see: a job told as accepted that nobody has (LOST), or a state of another job. Questions between nodes are numbered, and the numbers began at 1 in each process. A reply to the process before comes to the same address and answered whichever question had that number now.

Class: what belongs to one life applied to another. Change: each process counts from a random number. The older request path is not affected: its questions go by node ids, which no two lives share.

--- a/packages/node/include/rattanrack/node/pending_exchanges.h
+++ b/packages/node/include/rattanrack/node/pending_exchanges.h
@@ -5,13 +5,15 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <random>
 #include <utility>
 #include <vector>
 
 namespace rattanrack::node {
 
 /// Questions to other nodes that wait for their replies. Belongs to the control thread. `Reply` has a member
-/// `exchange`, and its default says that nothing has come.
+/// `exchange`, and its default says that nothing has come. Each object counts from a random number: replies to an
+/// earlier process of the node, which come to the same address, answer none of its questions.
 template <typename Reply> class PendingExchanges {
 public:
     using OnReply = std::function<void(const Reply&)>;
@@ -49,7 +51,13 @@
         OnReply onReply;
     };
 
-    std::uint64_t m_last { 0 };
+    static std::uint64_t randomNumber()
+    {
+        std::random_device random;
+        return std::uniform_int_distribution<std::uint64_t> {}(random);
+    }
+
+    std::uint64_t m_last { randomNumber() };
     std::map<std::uint64_t, Waiting> m_waiting;
 };
 
