Ports of tests are no longer taken between their choice and their use

Cause: freePort() closed a port that the system had picked, and the node bound it later; any server that took a free port meanwhile, of this test or of those beside it, could have it.

Ruled out: nothing else; the error itself was not printed, so that the port is the likely cause, not the proven one.

--- a/packages/node/tests/free_port.h
+++ b/packages/node/tests/free_port.h
@@ -4,20 +4,47 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <random>
+
 namespace rattanrack::node::tests {
 
-/// A port of the loopback interface that nobody uses now; 0 when there is none.
-inline int freePort()
+/// Ports below those that the system hands out by itself, be it to callers or to servers that take any port.
+constexpr int firstTestPort = 20'000;
+constexpr int lastTestPort = 31'999;
+
+/// A socket that has the port of the loopback interface to itself; -1 when another one has it.
+inline int bindPort(int type, int port)
 {
-    const int probe = socket(AF_INET, SOCK_STREAM, 0);
+    const int bound = socket(AF_INET, type, 0);
     sockaddr_in address {};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(address);
-    const bool isBound = bind(probe, reinterpret_cast<const sockaddr*>(&address), size) == 0
-        && getsockname(probe, reinterpret_cast<sockaddr*>(&address), &size) == 0;
-    close(probe);
-    return isBound ? ntohs(address.sin_port) : 0;
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    if (bind(bound, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0)
+        return bound;
+    close(bound);
+    return -1;
+}
+
+/// A TCP port that nobody uses, and that no other caller of this function is given while this process lives: the
+/// process keeps the UDP port of the same number. 0 when there is none.
+inline int freePort()
+{
+    constexpr int tries = 1000;
+    std::random_device random;
+    std::uniform_int_distribution<int> anyPort { firstTestPort, lastTestPort };
+    for (int count = 0; count < tries; ++count) {
+        const int port = anyPort(random);
+        const int claim = bindPort(SOCK_DGRAM, port);
+        const int probe = claim < 0 ? -1 : bindPort(SOCK_STREAM, port);
+        if (probe >= 0) {
+            close(probe);
+            return port;
+        }
+        if (claim >= 0)
+            close(claim);
+    }
+    return 0;
 }
 
 } // namespace rattanrack::node::tests
