--- a/packages/cli/src/load_report.cpp
+++ b/packages/cli/src/load_report.cpp
@@ -1,5 +1,6 @@
 #include "load_report.h"
 
+#include "rattanrack/base/milliseconds.h"
 #include "text_table.h"
 
 #include <algorithm>
@@ -9,10 +10,7 @@
 
 namespace {
 
-std::string millisecondsText(Duration duration)
-{
-    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-}
+std::string millisecondsText(Duration duration) { return std::to_string(milliseconds(duration)); }
 
 std::string_view coverageText(LogCoverage coverage)
 {
--- a/packages/jobs/src/cell.cpp
+++ b/packages/jobs/src/cell.cpp
@@ -1,6 +1,7 @@
 #include "rattanrack/jobs/cell.h"
 
 #include "cell_state.h"
+#include "rattanrack/base/milliseconds.h"
 #include "rattanrack/jobs/job_codec.h"
 
 #include <algorithm>
@@ -14,11 +15,6 @@
 constexpr std::size_t maxBytesInCommit = 600'000;
 constexpr Duration forgetPeriod = std::chrono::seconds { 1 };
 
-std::int64_t milliseconds(Duration duration)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 std::string_view name(JobState state)
 {
     constexpr std::string_view names[] = { "queued", "active", "completed", "failed", "cancelled" };
--- a/packages/jobs/src/lease_clock.cpp
+++ b/packages/jobs/src/lease_clock.cpp
@@ -1,5 +1,7 @@
 #include "rattanrack/jobs/lease_clock.h"
 
+#include "rattanrack/base/milliseconds.h"
+
 #include <algorithm>
 
 namespace rattanrack::jobs {
@@ -12,11 +14,6 @@
 constexpr Duration roundingSlack = 50ms;
 constexpr Duration longestHeldUp = 12s; ///< An order without an answer is carried out so much later at most.
 
-std::int64_t milliseconds(Duration duration)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 Duration onSlowestClock(Duration length)
 {
     return Duration { static_cast<std::int64_t>(static_cast<double>(length.count()) / slowestClock) };
--- a/packages/node/src/burn_service.cpp
+++ b/packages/node/src/burn_service.cpp
@@ -1,6 +1,7 @@
 #include "rattanrack/node/burn_service.h"
 
 #include "rattanrack/base/log.h"
+#include "rattanrack/base/milliseconds.h"
 
 #include <nlohmann/json.hpp>
 
@@ -61,8 +62,7 @@
 {
     json latency;
     for (std::size_t index = 0; index < urgencyNames.size(); ++index)
-        latency[urgencyNames[index]]
-            = std::chrono::duration_cast<std::chrono::milliseconds>(objective.latency[index]).count();
+        latency[urgencyNames[index]] = milliseconds(objective.latency[index]);
     return { { "pool", objective.pool.value() }, { "kind", objective.kind.value() }, { "weight", objective.weight },
         { "target", objective.target }, { "latencyMs", latency } };
 }
--- a/packages/node/src/cell_log.cpp
+++ b/packages/node/src/cell_log.cpp
@@ -1,16 +1,12 @@
 #include "rattanrack/node/cell_log.h"
 
 #include "rattanrack/base/log.h"
+#include "rattanrack/base/milliseconds.h"
 
 namespace rattanrack::node {
 
 namespace {
 
-std::int64_t milliseconds(Duration duration)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 std::string taskName(const jobs::TaskRef& task)
 {
     return std::to_string(task.occurrence) + '.' + std::to_string(task.step) + '.' + std::to_string(task.index);
--- a/packages/node/src/node_load.cpp
+++ b/packages/node/src/node_load.cpp
@@ -1,16 +1,12 @@
 #include "rattanrack/node/node_load.h"
 
 #include "rattanrack/base/log.h"
+#include "rattanrack/base/milliseconds.h"
 
 namespace rattanrack::node {
 
 namespace {
 
-std::int64_t milliseconds(Duration duration)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 double seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
 } // namespace
