An owner's trust counts from its takeover's transaction, not from the reads after it

What callers could see: 410 for a job that the next owner has accepted; a subtask that runs twice (TWICE). A takeover reads the part's rows after its transaction, which takes seconds where the store is slow or the node paused. Meanwhile another node may take the cell.

Change: a taken part says when its transaction was sent, and its writer counts from there; a cell takes no life for confirmed before the first transaction of its own, which follows the first answer of a worker.

--- a/packages/jobs/src/cell.cpp
+++ b/packages/jobs/src/cell.cpp
@@ -29,7 +29,6 @@
 {
     CellState& state = *m_state;
     state.takenOverAt = now;
-    state.confirmedAt = now;
     state.unixMs = unixMs;
     state.firstRun = (state.settings.fence - 1) * runsPerTerm;
     state.storedWorkers = workersOfEarlierOwners;
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -244,7 +244,7 @@
     RunNumber firstRun { 1 };
     TimePoint takenOverAt {};
     TimePoint transactionSentAt {}; ///< The latest one.
-    TimePoint confirmedAt {}; ///< When the latest transaction that has succeeded was sent.
+    TimePoint confirmedAt {}; ///< When the latest one that has succeeded was sent, since the takeover.
     TimePoint listAskedAt {}; ///< When the store was asked for the list of workers in use.
     bool isRecovering { true };
     std::uint64_t fencesSeen { 0 }; ///< Refusals of workers that have seen a higher fence than this owner's.
--- a/packages/node/include/rattanrack/node/cell_host.h
+++ b/packages/node/include/rattanrack/node/cell_host.h
@@ -33,7 +33,7 @@
 
 /// Takes a cell over: becomes the owner of its part and reads it. Blocks; for a thread of the store. Errors: Conflict
 /// (another node was faster), Unavailable, OutcomeUnknown, MalformedMessage.
-Result<Takeover> takeOver(jobs::PartStore& store, const PoolId& cell, const NodeId& self);
+Result<Takeover> takeOver(jobs::PartStore& store, const Clock& clock, const PoolId& cell, const NodeId& self);
 
 struct CellTimes {
     Duration leaseLength {};
--- a/packages/node/include/rattanrack/node/machine_duty.h
+++ b/packages/node/include/rattanrack/node/machine_duty.h
@@ -24,7 +24,7 @@
 };
 
 /// Blocks; for a thread of the store. Errors as for `takePart`.
-Result<MachineDutyTakeover> takeMachineDuty(jobs::PartStore& store, const NodeId& self);
+Result<MachineDutyTakeover> takeMachineDuty(jobs::PartStore& store, const Clock& clock, const NodeId& self);
 
 /// Orders to machines, in the hands of one node at a time. Belongs to the control thread.
 class MachineDuty {
--- a/packages/node/include/rattanrack/node/part_writer.h
+++ b/packages/node/include/rattanrack/node/part_writer.h
@@ -17,11 +17,12 @@
 struct TakenPart {
     jobs::OwnedPart part;
     jobs::WorkerMachines workers; ///< Of earlier owners.
+    TimePoint confirmedAt {}; ///< Before the transaction that took it. Other nodes may have taken it since.
 };
 
 /// Becomes the owner of a part. Blocks; for a thread of the store. Errors: Conflict (another node was faster),
 /// Unavailable, OutcomeUnknown, MalformedMessage.
-Result<TakenPart> takePart(jobs::PartStore& store, const PoolId& name, const NodeId& self);
+Result<TakenPart> takePart(jobs::PartStore& store, const Clock& clock, const PoolId& name, const NodeId& self);
 
 /// Writes to an owned part, one transaction after the other, and repeats those whose outcome is not known. Belongs to
 /// the control thread.
@@ -39,7 +40,7 @@
         std::function<void()> onLost; ///< The part is in other hands, or given up.
     };
 
-    PartWriter(Parts parts, jobs::OwnedPart part, Events events);
+    PartWriter(Parts parts, TakenPart taken, Events events);
     ~PartWriter();
     PartWriter(const PartWriter&) = delete;
     PartWriter& operator=(const PartWriter&) = delete;
--- a/packages/node/src/cell_host.cpp
+++ b/packages/node/src/cell_host.cpp
@@ -47,9 +47,9 @@
 
 } // namespace
 
-Result<Takeover> takeOver(jobs::PartStore& store, const PoolId& cell, const NodeId& self)
+Result<Takeover> takeOver(jobs::PartStore& store, const Clock& clock, const PoolId& cell, const NodeId& self)
 {
-    BOOST_LEAF_AUTO(taken, takePart(store, cell, self));
+    BOOST_LEAF_AUTO(taken, takePart(store, clock, cell, self));
     BOOST_LEAF_AUTO(jobRows, jobs::readAll(store, jobs::jobTable, cell.value()));
     BOOST_LEAF_AUTO(progressRows, jobs::readAll(store, jobs::progressTable, cell.value()));
     std::map<std::string, const std::string*> progressByJob;
@@ -76,7 +76,7 @@
           std::move(takeover.taken.workers), m_parts.clock.now(), wallClockMilliseconds())
     , m_longestListAge(times.longestListAge)
     , m_isAlive(std::make_shared<bool>(true))
-    , m_writer({ m_parts.control, m_parts.clock, m_parts.storeThreads, m_parts.store }, std::move(takeover.taken.part),
+    , m_writer({ m_parts.control, m_parts.clock, m_parts.storeThreads, m_parts.store }, std::move(takeover.taken),
           writerEvents())
     , m_links(m_parts.control, m_parts.clock, m_parts.workerThreads, m_parts.connector, linkAnswers())
 {
--- a/packages/node/src/job_node_cells.cpp
+++ b/packages/node/src/job_node_cells.cpp
@@ -46,7 +46,7 @@
     takePartBy(
         cell, "cell.not_taken",
         [this, cell]() -> Result<Takeover> {
-            BOOST_LEAF_AUTO(takeover, takeOver(ports.store, cell, self));
+            BOOST_LEAF_AUTO(takeover, takeOver(ports.store, clock, cell, self));
             takeover.workers = readWorkers();
             return takeover;
         },
@@ -81,7 +81,7 @@
 void JobNode::State::takeDuty()
 {
     takePartBy(
-        machineDutyName, "machines.not_taken", [this] { return takeMachineDuty(ports.store, self); },
+        machineDutyName, "machines.not_taken", [this] { return takeMachineDuty(ports.store, clock, self); },
         [this](MachineDutyTakeover takeover) { dutyTaken(std::move(takeover)); });
 }
 
--- a/packages/node/src/machine_duty.cpp
+++ b/packages/node/src/machine_duty.cpp
@@ -32,9 +32,9 @@
 
 } // namespace
 
-Result<MachineDutyTakeover> takeMachineDuty(jobs::PartStore& store, const NodeId& self)
+Result<MachineDutyTakeover> takeMachineDuty(jobs::PartStore& store, const Clock& clock, const NodeId& self)
 {
-    BOOST_LEAF_AUTO(taken, takePart(store, machineDutyName, self));
+    BOOST_LEAF_AUTO(taken, takePart(store, clock, machineDutyName, self));
     BOOST_LEAF_AUTO(rows, jobs::readAll(store, waveTable, machineDutyName.value()));
     BOOST_LEAF_AUTO(sizes, jobs::readAll(store, sizeTable, machineDutyName.value()));
     MachineDutyTakeover takeover { std::move(taken), {}, {} };
@@ -53,7 +53,7 @@
     , m_plan(takeover.poolSizes, orderTime(takeover, m_parts.clock.now()))
     , m_areSizesKept(!takeover.poolSizes.empty())
     , m_isAlive(std::make_shared<bool>(true))
-    , m_writer({ m_parts.control, m_parts.clock, m_parts.threads, m_parts.store }, std::move(takeover.taken.part),
+    , m_writer({ m_parts.control, m_parts.clock, m_parts.threads, m_parts.store }, std::move(takeover.taken),
           { [this] { m_written.clear(); },
               [this] {
                   std::move(m_unwritten.begin(), m_unwritten.end(), std::back_inserter(m_written));
--- a/packages/node/src/part_writer.cpp
+++ b/packages/node/src/part_writer.cpp
@@ -37,7 +37,7 @@
 
 } // namespace
 
-Result<TakenPart> takePart(jobs::PartStore& store, const PoolId& name, const NodeId& self)
+Result<TakenPart> takePart(jobs::PartStore& store, const Clock& clock, const PoolId& name, const NodeId& self)
 {
     BOOST_LEAF_AUTO(rows, store.read({ jobs::ownerTable, name.value(), {} }));
     std::optional<jobs::OwnerRow> found;
@@ -49,17 +49,17 @@
         found = std::move(decoded);
         version = row.version;
     }
-    TakenPart taken { { name, self, found, version }, found ? found->workers : jobs::WorkerMachines {} };
+    TakenPart taken { { name, self, found, version }, found ? found->workers : jobs::WorkerMachines {}, clock.now() };
     BOOST_LEAF_CHECK(become(store, taken.part, taken.workers));
     return taken;
 }
 
-PartWriter::PartWriter(Parts parts, jobs::OwnedPart part, Events events)
+PartWriter::PartWriter(Parts parts, TakenPart taken, Events events)
     : m_parts(parts)
-    , m_part(std::move(part))
+    , m_part(std::move(taken.part))
     , m_events(std::move(events))
     , m_isAlive(std::make_shared<bool>(true))
-    , m_confirmedAt(parts.clock.now())
+    , m_confirmedAt(taken.confirmedAt)
 {
 }
 
--- a/packages/node/tests/cell_host_tests.cpp
+++ b/packages/node/tests/cell_host_tests.cpp
@@ -63,7 +63,7 @@
     void SetUp() override
     {
         setLogLevel(LogLevel::Error);
-        auto takeover = valueOrNothing([&] { return takeOver(store, pool, NodeId { "n1" }); }).value();
+        auto takeover = valueOrNothing([&] { return takeOver(store, clock, pool, NodeId { "n1" }); }).value();
         control.run([&] {
             CellHost::Parts parts { control, clock, metrics, log, nodeLoad, storeThreads, workerThreads, store, workers,
                 nullptr, nullptr, [this](jobs::CallToken, bool isStored) { stored += isStored ? 1 : 0; },
@@ -164,7 +164,7 @@
     control.run([&] { host->handBack(); });
     EXPECT_TRUE(eventually([&] { return lost == 1; }));
     EXPECT_EQ(stored, 1);
-    const auto next = valueOrNothing([&] { return takeOver(store, pool, NodeId { "n2" }); });
+    const auto next = valueOrNothing([&] { return takeOver(store, clock, pool, NodeId { "n2" }); });
     ASSERT_TRUE(next.has_value());
     EXPECT_EQ(next->jobs.size(), 1U);
 }
@@ -180,3 +180,19 @@
     });
     EXPECT_EQ(acceptance, jobs::Acceptance::Refused);
 }
+
+TEST_F(CellHostTest, OwnerThatWasReplacedBeforeItsHostWasMadeDoesNotTrustItself)
+{
+    const PoolId other { "other" };
+    auto takeover = valueOrNothing([&] { return takeOver(store, clock, other, NodeId { "n1" }); }).value();
+    ASSERT_TRUE(valueOrNothing([&] { return takeOver(store, clock, other, NodeId { "n2" }); }).has_value());
+    std::this_thread::sleep_for(2100ms); // Paused, or the rows are read slowly.
+    bool knowsAllJobs = true;
+    control.run([&] {
+        CellHost::Parts parts { control, clock, metrics, log, nodeLoad, storeThreads, workerThreads, store, workers,
+            nullptr, nullptr, [](jobs::CallToken, bool) {}, [] {} };
+        CellHost late { std::move(parts), other, CellTimes { 4500ms, 120s, 900ms, 1500ms, 6s }, std::move(takeover) };
+        knowsAllJobs = late.knowsAllJobs();
+    });
+    EXPECT_FALSE(knowsAllJobs);
+}
