A confirmation that failed is asked for again at once

What callers could see: a reborn worker stays without work for up to 1 s after each transaction that the store refused. The time of the failed transaction stood for that of a confirmation on its way. Failed before, passes now: CellLives.ConfirmationThatFailedIsStillWanted.

--- a/packages/jobs/src/cell.cpp
+++ b/packages/jobs/src/cell.cpp
@@ -270,6 +270,7 @@
 void Cell::onCommitFailed()
 {
     CellState& state = *m_state;
+    state.transactionSentAt = state.confirmedAt;
     state.isCommitOnItsWay = false;
     state.isUrgent = true;
     for (const JobId& id : std::exchange(state.inCommit, {})) {
--- a/packages/jobs/tests/cell_lives_tests.cpp
+++ b/packages/jobs/tests/cell_lives_tests.cpp
@@ -317,3 +317,16 @@
     clock.observe(1200, asked, asked);
     EXPECT_FALSE(clock.isByThisLife(1500, asked + 3s)); // A life that began since may show as much.
 }
+
+TEST(CellLives, ConfirmationThatFailedIsStillWanted)
+{
+    Desk desk;
+    desk.rebearAll();
+    desk.step(300ms);
+    desk.hearAll();
+    ASSERT_TRUE(desk.cell().wantsConfirmation());
+    desk.cell().workersSent(desk.cell().workersInUse(), desk.now());
+    desk.step(50ms);
+    desk.cell().onCommitFailed();
+    EXPECT_TRUE(desk.cell().wantsConfirmation());
+}
