Use no life of a worker by the description of an earlier one

What callers could see: a start on a worker that lacks the step's label or its room, or that has said in its new life that it leaves. A look may tell of a new life before the list does; starts were decided by what the list said of the life before. Class: what belongs to one life applied to another. Now a life is used only once the list tells of it, for new starts and for those sent again. Three other tests list the new life where the list would.

--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -117,6 +117,9 @@
     /// An order that carries a lease has no answer yet.
     bool isLeaseOnItsWay() const;
 
+    /// The list tells of the life that has answered. A life may be of another kind than the one before, or leave.
+    bool isDescribed() const { return description.bornUnixMs >= bornUnixMs; }
+
     /// The list names a later life than any that has answered.
     bool isLaterLifeListed() const { return description.bornUnixMs > bornUnixMs; }
 };
--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -189,7 +189,7 @@
             const bool isStart = run.phase == RunPhase::Ordered && !isLeaving;
             // Its lease must be by the clock of the life that is there now.
             const bool mayBeStarted = mayStart && worker.contact == WorkerContact::InTouch && worker.clock.isKnown()
-                && isConfirmedFor(worker);
+                && worker.isDescribed() && isConfirmedFor(worker);
             if (isStart && !mayBeStarted)
                 continue;
             run.orderAgainAt = {};
--- a/packages/jobs/tests/cell_lives_tests.cpp
+++ b/packages/jobs/tests/cell_lives_tests.cpp
@@ -103,6 +103,7 @@
     desk.step(60ms);
     EXPECT_TRUE(desk.take<StartOrder>().empty());
     desk.hear(start.worker.value().c_str(), {});
+    desk.listLives();
     desk.confirm();
     desk.step(200ms);
     const auto again = desk.take<StartOrder>();
@@ -130,6 +131,7 @@
     desk.rebear(start.worker);
     desk.step(60ms);
     desk.hear(start.worker.value().c_str(), {});
+    desk.listLives();
     desk.step(200ms);
     EXPECT_TRUE(desk.take<StartOrder>().empty());
     desk.confirm();
@@ -216,6 +218,7 @@
     desk.rebear(start.worker);
     desk.step(60ms);
     desk.hear(start.worker.value().c_str(), {}); // The run is gone.
+    desk.listLives();
     desk.confirm();
     desk.step(60ms);
     desk.hear(start.worker.value().c_str(), {});
@@ -330,3 +333,20 @@
     desk.cell().onCommitFailed();
     EXPECT_TRUE(desk.cell().wantsConfirmation());
 }
+
+TEST(CellLives, LifeIsNotUsedByTheDescriptionOfAnEarlierOne)
+{
+    Desk desk;
+    for (const char* job : { "a", "b" })
+        desk.answer(desk.startOf(job), CallStatus::Done);
+    for (const WorkerDescription& worker : desk.listed())
+        desk.rebear(worker.id);
+    desk.step(60ms);
+    desk.hearAll(); // The next lives answer, and run nothing; the list still tells of the first ones.
+    desk.confirm();
+    desk.step(period);
+    EXPECT_TRUE(desk.take<StartOrder>().empty());
+    desk.listLives();
+    desk.step(period);
+    EXPECT_EQ(desk.take<StartOrder>().size(), 2U);
+}
