Wait for the longest lease of earlier owners that workers allow

What callers could see: a subtask that runs twice (TWICE) after a change of owner, on a worker that the next owner can't reach.

Cause: the next owner took what an unheard worker runs for over after the earlier owner's trust and the length of our leases (4.5 s). A worker that was reborn under its id reads a lease by its earlier life's clock as the longest that it allows. An earlier owner's look may bring such a lease to the later life up to the end of that owner's trust, and the owner, which learns of the life by the answer, may then start there. Class: what belongs to one life applied to another.

Change: the wait is the trust and the setting longestLease, on a slow clock; the length of our leases has no part in it, since workers shorten leases to the longest. The computation lies beside the other arithmetic of leases, and the walk's world uses it.

Where the longest lease holds else: LeaseClock::beginLife counts it from the first answer under our fence on, after which earlier owners are refused, and checkSilent goes by that clock; both were right and are left.

Failed first (function moved as it was): ForeignLease.LeaseByTheClockOfAn- EarlierLifeHasEndedWhenTheNextOwnerGoesOn, leases of 2 s, 5 s allowed: the run goes on when it is taken for over. With the model's 5 s of longest lease the old wait (10.5 s) was long enough, so that no walk shows the fault.

Open: a look by an earlier clock that has no answer and is held up in the later life for up to 12 s may lengthen a lease beyond this wait. It needs the channel to send a lease to the life that it is for or to none, as it does starts; the channel is not touched here.

--- a/packages/jobs/include/rattanrack/jobs/lease_clock.h
+++ b/packages/jobs/include/rattanrack/jobs/lease_clock.h
@@ -9,6 +9,10 @@
 
 constexpr Duration clockAtBirth = std::chrono::seconds { 2 }; ///< A new life's clock shows less.
 
+/// From a takeover on, a worker that the next owner has not heard may hold this long what the earlier one granted,
+/// which goes on for `ownerTrust`: a later life of the worker reads a lease by an earlier clock as the longest.
+Duration foreignLease(Duration ownerTrust, Duration longestLease);
+
 /// The clock of a worker's present life as seen from here, and the latest moments up to which anything that this node
 /// has sent may hold a lease on the worker. A worker's clock may be slow by up to 2 %, never fast; a later life begins
 /// with a new clock, to which a lease by an earlier one means the longest there is.
--- a/packages/jobs/model/cell_world.cpp
+++ b/packages/jobs/model/cell_world.cpp
@@ -1,6 +1,7 @@
 #include "cell_world.h"
 
 #include "rattanrack/jobs/job_codec.h"
+#include "rattanrack/jobs/lease_clock.h"
 
 #include <algorithm>
 
@@ -20,7 +21,10 @@
 constexpr const char* queueName = "queue";
 const PoolId poolName { "pool" };
 
-CellSettings settingsOf(Fence term) { return { poolName, term, 4500ms, 10500ms, 120s, longestStop, 5000ms }; }
+CellSettings settingsOf(Fence term)
+{
+    return { poolName, term, 4500ms, foreignLease(ownerTrust, longestLease), 120s, longestStop, longestLease };
+}
 
 } // namespace
 
--- a/packages/jobs/model/model_worker.cpp
+++ b/packages/jobs/model/model_worker.cpp
@@ -4,12 +4,6 @@
 
 namespace rattanrack::jobs::model {
 
-namespace {
-
-constexpr std::int64_t longestLeaseMs = 5000; ///< A longer one is shortened.
-
-} // namespace
-
 std::int64_t ModelWorker::clockMs(TimePoint now) const
 {
     return 1000 + static_cast<std::int64_t>(static_cast<double>((now - m_bornAt).count()) * m_clockRate / 1000);
@@ -46,7 +40,7 @@
 
 void ModelWorker::holdUntil(std::int64_t untilMs, TimePoint now)
 {
-    m_leaseUntilMs = std::max(m_leaseUntilMs, std::min(untilMs, clockMs(now) + longestLeaseMs));
+    m_leaseUntilMs = std::max(m_leaseUntilMs, std::min(untilMs, clockMs(now) + longestLease.count() / 1000));
 }
 
 bool ModelWorker::accepts(Fence fence)
--- a/packages/jobs/model/model_worker.h
+++ b/packages/jobs/model/model_worker.h
@@ -7,6 +7,8 @@
 
 namespace rattanrack::jobs::model {
 
+constexpr Duration longestLease = std::chrono::seconds { 5 }; ///< A longer one is shortened.
+
 /// A run as the model's worker carries it out.
 struct ModelRun {
     RunNumber number { 0 };
--- a/packages/jobs/src/lease_clock.cpp
+++ b/packages/jobs/src/lease_clock.cpp
@@ -9,6 +9,8 @@
 using namespace std::chrono_literals;
 
 constexpr double slowestClock = 0.98; ///< Ticks of a worker's clock in one second of ours, at least.
+constexpr double clockSlack = 1.03; ///< Of a lease whose beginning is known to another node alone.
+constexpr Duration takeoverSlack = 500ms;
 constexpr Duration roundingSlack = 50ms;
 constexpr Duration longestHeldUp = 12s; ///< An order without an answer is carried out so much later at most.
 
@@ -30,6 +32,13 @@
 
 } // namespace
 
+Duration foreignLease(Duration ownerTrust, Duration longestLease)
+{
+    const auto stretched
+        = Duration { static_cast<std::int64_t>(static_cast<double>(longestLease.count()) * clockSlack) };
+    return ownerTrust + stretched + takeoverSlack;
+}
+
 void LeaseClock::beginLife(std::int64_t bornUnixMs, Duration longestLease, TimePoint foreignUntil)
 {
     if (isOfLife(bornUnixMs))
--- /dev/null
+++ b/packages/jobs/tests/foreign_lease_tests.cpp
@@ -0,0 +1,38 @@
+#include "../model/model_worker.h"
+#include "rattanrack/jobs/lease_clock.h"
+
+#include <gtest/gtest.h>
+
+using namespace rattanrack;
+using namespace rattanrack::jobs;
+using namespace std::chrono_literals;
+
+/// What an earlier owner has granted is over when the next one takes it for over.
+namespace {
+
+constexpr Duration ownerTrust = 5s;
+constexpr double slowestClock = 0.98;
+const TaskRef task { JobId { "a" }, 0, 0, 0 };
+
+} // namespace
+
+TEST(ForeignLease, LeaseByTheClockOfAnEarlierLifeHasEndedWhenTheNextOwnerGoesOn)
+{
+    const TimePoint takenOverAt { 1000s };
+    model::ModelWorker worker { { WorkerId { "w1" } }, slowestClock };
+    worker.rise(2, takenOverAt - 1s);
+    const TimePoint lastGrantAt = takenOverAt + ownerTrust;
+    // The earlier owner does not know yet of the life that its look reaches.
+    worker.look({ worker.description().id, 1, 0, 500'000, 0us, 1 }, 500, lastGrantAt);
+    const StartOrder start { worker.description().id, task, 1, {}, 8000, 1, {}, {}, 2 };
+    ASSERT_EQ(worker.start(start, { {}, 0us, false, true }, false, lastGrantAt).status, CallStatus::Done);
+    worker.advance(takenOverAt + foreignLease(ownerTrust, model::longestLease));
+    EXPECT_FALSE(worker.isAtWork(task, 1));
+}
+
+TEST(ForeignLease, WaitIsNoLongerThanTheLongestLeaseNeeds)
+{
+    constexpr Duration slack = 700ms;
+    const Duration held = Duration { static_cast<std::int64_t>(5'000'000 / slowestClock) };
+    EXPECT_LE(foreignLease(ownerTrust, model::longestLease), ownerTrust + held + slack);
+}
--- a/packages/node/src/cell_host.cpp
+++ b/packages/node/src/cell_host.cpp
@@ -1,6 +1,7 @@
 #include "rattanrack/node/cell_host.h"
 
 #include "rattanrack/jobs/job_codec.h"
+#include "rattanrack/jobs/lease_clock.h"
 
 #include <map>
 #include <utility>
@@ -19,20 +20,11 @@
 constexpr Duration renewalPeriod = 1s;
 constexpr Duration ownerTrust = 5s; ///< Without a transaction for this long, this node takes itself for replaced.
 constexpr Duration knowledgeTrust = 2s; ///< Jobs that another owner accepts may be asked for soon afterwards.
-constexpr double clockSlack = 1.03; ///< Workers' clocks may be slow.
-constexpr Duration takeoverSlack = 500ms;
-
-Duration foreignLease(Duration leaseLength)
-{
-    const auto stretched
-        = Duration { static_cast<std::int64_t>(static_cast<double>(leaseLength.count()) * clockSlack) };
-    return ownerTrust + stretched + takeoverSlack;
-}
 
 jobs::CellSettings settingsOf(const PoolId& pool, jobs::Fence fence, const CellTimes& times)
 {
-    return { pool, fence, times.leaseLength, foreignLease(times.leaseLength), times.keepEnded, times.longestStop,
-        times.longestLease };
+    const Duration foreignLease = jobs::foreignLease(ownerTrust, times.longestLease);
+    return { pool, fence, times.leaseLength, foreignLease, times.keepEnded, times.longestStop, times.longestLease };
 }
 
 std::vector<jobs::RowWrite> rowsOf(const jobs::CellCommit& commit)
