After a hand-back wait only for what its owner has granted

What callers saw: a planned change of owner (SIGTERM, rebalancing) that met a worker which had just left kept that worker's subtasks away for 10 s. The next owner waited for the earlier one's trust in itself (5 s) and a lease, though that owner had said that it was done.

Change: with its last transaction an owner writes into the row, for each worker in use, how long what has been granted holds there at most ("heldMs"). From the moment at which that is computed it grants nothing, neither starts nor renewals, unless the store proves that the transaction was not done; before, it renewed leases until it heard the answer, or for 5 s without one. The next owner waits for each unheard worker that long and 0.5 s. A row without the word, or a worker that it does not name, is waited for as before; a row that is not handed back has the bytes that it had, and earlier versions pass over the word.

Why nothing can run twice that could not before: - A lease is a time on its worker's clock. Late, queued or held-up orders (looks that closing links still send, starts carried out up to 12 s later) bring a life no more than what was granted by its clock, which LeaseClock::lapsedAt bounds by the slowest pace; the order is refused as late after that. Starts in closing links are not sent. - Starts reach the life that they are for or none. A look by an earlier clock that reaches a later life finds no run of this owner there, unless the owner has heard that life; then lapsedAt counts the longest lease from that answer, or from 12 s after an order that had none. - Runs not known in the present life count as their owner itself counts them, with a lease on its way taken as delivered now. - Workers heard under this owner's fence refuse earlier owners; what those granted before counts from that answer. A worker not wholly heard keeps what is left of this owner's own wait for it. - A worker without runs of this owner, heard whole, holds nothing. - A lost answer: the same transaction is sent again, with nothing granted since, so that its times are too long at worst. Not covered, as before: a worker that ends its connection after each answer can't be held to a life. Cost: if the store does not answer the last transaction, leases are not renewed meanwhile.

In the walk's world hand-backs write the row, and the earlier owner may hear late of it.

--- a/packages/jobs/include/rattanrack/jobs/cell.h
+++ b/packages/jobs/include/rattanrack/jobs/cell.h
@@ -47,6 +47,9 @@
 
 using WorkerMachines = std::map<WorkerId, MachineId>;
 
+/// How long at most what an owner has granted holds on each worker, from the moment on at which it grants nothing more.
+using HeldLeases = std::map<WorkerId, Duration>;
+
 using CallToken = std::uint64_t; ///< Names a caller's request that waits for a commit.
 
 struct CallReply {
@@ -111,8 +114,9 @@
 /// ended only when that is stored.
 class Cell {
 public:
+    /// `held`: of the earlier owner, if it has handed the cell back.
     Cell(CellSettings settings, std::vector<StoredJob> jobs, WorkerMachines workersOfEarlierOwners, TimePoint now,
-        std::int64_t unixMs);
+        std::int64_t unixMs, const HeldLeases& held = {});
     ~Cell();
     Cell(Cell&&) noexcept;
     Cell& operator=(Cell&&) noexcept;
@@ -139,6 +143,9 @@
     /// The next owner waits for those that it can't reach, so that silent ones without any of it are left out.
     WorkerMachines workersInUse() const;
 
+    /// Of all workers in use, if nothing is granted from `now` on.
+    HeldLeases held(TimePoint now) const;
+
     /// The list is on its way to the store; from now on only workers that are in it and in the one stored before are
     /// used. Once it is stored, those in it are.
     void workersSent(const WorkerMachines& workers, TimePoint now);
--- a/packages/jobs/include/rattanrack/jobs/lease_clock.h
+++ b/packages/jobs/include/rattanrack/jobs/lease_clock.h
@@ -7,6 +7,7 @@
 
 namespace rattanrack::jobs {
 
+constexpr Duration takeoverSlack = std::chrono::milliseconds { 500 }; ///< Of a wait for what another node granted.
 constexpr Duration clockAtBirth = std::chrono::seconds { 2 }; ///< A new life's clock shows less.
 
 /// From a takeover on, a worker that the next owner has not heard may hold this long what the earlier one granted,
--- a/packages/jobs/include/rattanrack/jobs/owned_part.h
+++ b/packages/jobs/include/rattanrack/jobs/owned_part.h
@@ -17,6 +17,7 @@
     Fence term { 0 }; ///< Grows with each change of holder.
     std::uint64_t sequence { 0 }; ///< Transactions of this term.
     WorkerMachines workers; ///< Where something may run.
+    HeldLeases held; ///< As the part was handed back; empty while it is not.
 
     friend bool operator==(const OwnerRow&, const OwnerRow&) = default;
 };
@@ -47,8 +48,10 @@
     /// To take the part over from what `found` says; empty when nobody has ever owned it.
     OwnedPart(const PoolId& cell, NodeId self, const std::optional<OwnerRow>& found, RowVersion foundVersion);
 
-    /// Writes `rows` and the list of workers. With `handsBack` the part is given up by the same transaction.
-    const PartTransaction& take(std::vector<RowWrite> rows, WorkerMachines workers, bool handsBack = false);
+    /// Writes `rows` and the list of workers. With `handsBack` the part is given up by the same transaction, and
+    /// nothing may be granted from then on.
+    const PartTransaction& take(
+        std::vector<RowWrite> rows, WorkerMachines workers, std::optional<HeldLeases> handsBack = {});
 
     bool isOnItsWay() const { return m_isOnItsWay; }
     const PartTransaction& transaction() const { return m_transaction; }
--- a/packages/jobs/model/cell_world.cpp
+++ b/packages/jobs/model/cell_world.cpp
@@ -138,7 +138,8 @@
     }
     Owner& owner = m_owners[++m_owner];
     owner.term = ++m_term;
-    owner.cell = std::make_unique<Cell>(settingsOf(m_term), std::move(stored), m_workerRow, m_now, unixMs());
+    owner.cell = std::make_unique<Cell>(
+        settingsOf(m_term), std::move(stored), m_workerRow, m_now, unixMs(), std::exchange(m_heldRow, {}));
     owner.cell->configure({ { QueueId { queueName }, poolName, 0, attempts, 1.6, 600ms } });
     owner.cell->setClosing(m_closing);
     owner.confirmedAt = m_now;
@@ -177,7 +178,7 @@
 /// As the cell's host has it: an owner that the store does not answer can't have a younger list.
 Authority CellWorld::authorityOf(const Owner& owner) const
 {
-    if (m_now - owner.confirmedAt >= ownerTrust)
+    if (owner.mayBeHandedBack || m_now - owner.confirmedAt >= ownerTrust)
         return Authority::InDoubt;
     const bool isListTooOld = !owner.isReplaced && m_now - owner.listAskedAt > longestListAge;
     return owner.isHandingBack || isListTooOld ? Authority::KeepUp : Authority::Full;
--- a/packages/jobs/model/cell_world.h
+++ b/packages/jobs/model/cell_world.h
@@ -108,6 +108,7 @@
         bool isCommitting { false };
         bool isReplaced { false };
         bool isHandingBack { false };
+        bool mayBeHandedBack { false }; ///< Its last row is on its way, or written.
         bool isListOnItsWay { false };
         TimePoint lastCommit {};
         TimePoint confirmedAt {}; ///< When its last transaction succeeded.
@@ -201,6 +202,7 @@
     std::map<JobId, std::string> m_jobRows;
     std::map<JobId, std::string> m_progressRows;
     WorkerMachines m_workerRow;
+    HeldLeases m_heldRow;
     Fence m_term { 0 };
 
     // The oracle.
--- a/packages/jobs/model/cell_world_faults.cpp
+++ b/packages/jobs/model/cell_world_faults.cpp
@@ -154,7 +154,7 @@
     after(between(20ms, 800ms), [this, number = m_owner] { finishHandBack(number); });
 }
 
-/// With the last rows; the next owner takes over at once.
+/// With the last rows; the next owner takes over at once. The earlier one may hear late that they are written.
 void CellWorld::finishHandBack(int number)
 {
     Owner* owner = ownerOf(number);
@@ -164,7 +164,14 @@
         after(10ms, [this, number] { finishHandBack(number); });
         return;
     }
-    m_owners.erase(number);
+    m_workerRow = owner->cell->workersInUse();
+    m_heldRow = owner->cell->held(m_now);
+    owner->mayBeHandedBack = true;
+    owner->isReplaced = true;
+    if (happens(m_faults.parallelOwners))
+        after(between(20ms, 6s), [this, number] { m_owners.erase(number); });
+    else
+        m_owners.erase(number);
     takeOver();
 }
 
--- a/packages/jobs/src/cell.cpp
+++ b/packages/jobs/src/cell.cpp
@@ -28,7 +28,7 @@
 } // namespace
 
 Cell::Cell(CellSettings settings, std::vector<StoredJob> jobs, WorkerMachines workersOfEarlierOwners, TimePoint now,
-    std::int64_t unixMs)
+    std::int64_t unixMs, const HeldLeases& held)
     : m_state(std::make_unique<CellState>(std::move(settings)))
 {
     CellState& state = *m_state;
@@ -38,6 +38,11 @@
     state.firstRun = (state.settings.fence - 1) * runsPerTerm;
     state.storedWorkers = workersOfEarlierOwners;
     state.foreignWorkers = std::move(workersOfEarlierOwners);
+    for (const auto& [worker, machine] : state.foreignWorkers) {
+        const auto known = held.find(worker);
+        state.foreignUntil[worker]
+            = now + (known == held.end() ? state.settings.foreignLease : known->second + takeoverSlack);
+    }
     for (StoredJob& stored : jobs) {
         auto entry = std::make_unique<JobEntry>(std::move(stored.job), JobProgress { stored.job, stored.progress });
         entry->isOld = true;
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -235,6 +235,7 @@
     std::map<WorkerId, Worker> workers;
     WorkerMachines storedWorkers; ///< May be used.
     WorkerMachines foreignWorkers; ///< Used by earlier owners, and not looked at yet.
+    std::map<WorkerId, TimePoint> foreignUntil; ///< What earlier owners granted has ended by then.
     std::set<MachineId> closing;
     std::unordered_map<JobId, std::unique_ptr<JobEntry>> jobs;
     std::vector<JobEntry*> open; ///< All jobs that have not ended, and some that have since the last decisions.
@@ -330,6 +331,9 @@
     void noteFence(const WorkerId& worker);
     void emptyClosing(TimePoint now);
     void checkRecovery(TimePoint now);
+
+    /// What this owner and earlier ones have granted on the worker has ended by then, if nothing more is granted.
+    TimePoint heldUntil(const Worker& worker, TimePoint now) const;
     int awayOf(const JobEntry& entry, const TaskRef& member, TimePoint now) const;
 
     // Decisions: cell_schedule.cpp
--- a/packages/jobs/src/cell_view.cpp
+++ b/packages/jobs/src/cell_view.cpp
@@ -56,6 +56,20 @@
     return used;
 }
 
+HeldLeases Cell::held(TimePoint now) const
+{
+    const CellState& state = *m_state;
+    HeldLeases held;
+    for (const auto& [id, machine] : workersInUse()) {
+        const auto known = state.workers.find(id);
+        TimePoint until = known == state.workers.end() ? now : state.heldUntil(known->second, now);
+        if (state.foreignWorkers.contains(id))
+            until = std::max(until, state.foreignUntil.at(id));
+        held[id] = std::max(until - now, Duration {});
+    }
+    return held;
+}
+
 std::optional<JobState> Cell::state(const JobId& job) const
 {
     const JobEntry* entry = m_state->find(job);
--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -237,13 +237,29 @@
 
 void CellState::checkRecovery(TimePoint now)
 {
-    if (isRecovering && now >= takenOverAt + settings.foreignLease) {
-        for (const auto& [id, machine] : std::exchange(foreignWorkers, {}))
-            tell(WorkerEvent { WorkerEvent::Kind::NotHeard, id, {}, now - takenOverAt });
-    }
+    std::erase_if(foreignWorkers, [&](const auto& foreign) {
+        const bool isOver = now >= foreignUntil.at(foreign.first);
+        if (isOver)
+            tell(WorkerEvent { WorkerEvent::Kind::NotHeard, foreign.first, {}, now - takenOverAt });
+        return isOver;
+    });
     isRecovering = isRecovering && !foreignWorkers.empty();
 }
 
+TimePoint CellState::heldUntil(const Worker& worker, TimePoint now) const
+{
+    if (worker.runs.empty())
+        return now;
+    const bool areAllOfPresentLife = std::all_of(worker.runs.begin(), worker.runs.end(),
+        [&](const auto& each) { return each.second.seenInLife == worker.bornUnixMs; });
+    if (areAllOfPresentLife)
+        return worker.clock.lapsedAt();
+    LeaseClock delivered = worker.clock;
+    if (worker.isLeaseOnItsWay())
+        delivered.noteDelivered(worker.bornUnixMs, true, settings.longestLease, now);
+    return delivered.lapsedInAllLivesAt(worker.isLaterLifeListed(), settings.longestLease);
+}
+
 void CellState::pace(Worker& worker, TimePoint now)
 {
     if (worker.neighbours.fillers == 0) {
--- a/packages/jobs/src/lease_clock.cpp
+++ b/packages/jobs/src/lease_clock.cpp
@@ -10,7 +10,6 @@
 
 constexpr double slowestClock = 0.98; ///< Ticks of a worker's clock in one second of ours, at least.
 constexpr double clockSlack = 1.03; ///< Of a lease whose beginning is known to another node alone.
-constexpr Duration takeoverSlack = 500ms;
 constexpr Duration roundingSlack = 50ms;
 constexpr Duration longestHeldUp = 12s; ///< An order without an answer is carried out so much later at most.
 
--- a/packages/jobs/src/owned_part.cpp
+++ b/packages/jobs/src/owned_part.cpp
@@ -18,17 +18,24 @@
     Json workers = Json::array();
     for (const auto& [worker, machine] : row.workers)
         workers.push_back(Json::array({ worker.value(), machine.value() }));
-    return toCbor({ { "holder", row.holder.value() }, { "term", row.term }, { "sequence", row.sequence },
-        { "workers", std::move(workers) } });
+    Json json { { "holder", row.holder.value() }, { "term", row.term }, { "sequence", row.sequence },
+        { "workers", std::move(workers) } };
+    for (const auto& [worker, held] : row.held)
+        json["heldMs"][worker.value()] = std::chrono::ceil<std::chrono::milliseconds>(held).count();
+    return toCbor(json);
 }
 
 Result<OwnerRow> decodeOwnerRow(const std::string& bytes)
 {
     return fromCbor("owner.decode", bytes, [](const Json& json) {
         OwnerRow row { NodeId { json.at("holder").get<std::string>() }, json.at("term").get<Fence>(),
-            json.at("sequence").get<std::uint64_t>(), {} };
+            json.at("sequence").get<std::uint64_t>(), {}, {} };
         for (const Json& worker : json.at("workers"))
             row.workers[WorkerId { worker.at(0).get<std::string>() }] = MachineId { worker.at(1).get<std::string>() };
+        if (const auto held = json.find("heldMs"); held != json.end()) {
+            for (const auto& [worker, time] : held->items())
+                row.held[WorkerId { worker }] = std::chrono::milliseconds { time.get<std::int64_t>() };
+        }
         return row;
     });
 }
@@ -41,15 +48,18 @@
     if (found)
         m_row = *found;
     m_row.holder = m_self;
+    m_row.held = {};
     m_row.term += 1;
     m_row.sequence = 0;
 }
 
-const PartTransaction& OwnedPart::take(std::vector<RowWrite> rows, WorkerMachines workers, bool handsBack)
+const PartTransaction& OwnedPart::take(
+    std::vector<RowWrite> rows, WorkerMachines workers, std::optional<HeldLeases> handsBack)
 {
     ++m_row.sequence;
     m_row.workers = std::move(workers);
     m_row.holder = handsBack ? NodeId {} : m_self;
+    m_row.held = std::move(handsBack).value_or(HeldLeases {});
     m_transaction
         = { m_part, { { { ownerTable, ownerKey }, m_version } }, { { { ownerTable, ownerKey }, encode(m_row) } } };
     std::move(rows.begin(), rows.end(), std::back_inserter(m_transaction.writes));
--- a/packages/jobs/tests/cell_takeover_tests.cpp
+++ b/packages/jobs/tests/cell_takeover_tests.cpp
@@ -40,6 +40,24 @@
     return start;
 }
 
+/// From a takeover on, until the job's only subtask is ordered; w1 is gone, w2 answers. At most 40 s.
+Duration untilStartWithoutW1(Desk& next)
+{
+    const TimePoint from = next.now();
+    while (next.now() - from < 40s) {
+        for (const LookOrder& look : next.take<LookOrder>()) {
+            if (look.worker.value() == "w1")
+                next.cell().onAnswer(look, { CallStatus::NoAnswer }, next.now(), next.now());
+            else
+                next.answer(look, {});
+        }
+        next.step(30ms);
+        if (!next.take<StartOrder>().empty())
+            break;
+    }
+    return next.now() - from;
+}
+
 } // namespace
 
 TEST(CellTakeover, FailuresOfEarlierRunsCountInWhateverOrderTheirWorkersAreHeard)
@@ -250,3 +268,48 @@
     EXPECT_EQ(ordered[0].failures, 2);
     EXPECT_EQ(ordered[0].workersUnheard, 0U);
 }
+
+TEST(CellTakeover, AfterAHandBackOnlyWhatIsGrantedIsWaitedFor)
+{
+    Desk earlier;
+    const StartOrder start = startAndConfirm(earlier);
+    ASSERT_EQ(start.worker.value(), "w1");
+    earlier.hear("w1", { { start.task, start.run, "", 0 } });
+    earlier.step(60ms);
+    const auto renewals = earlier.take<LookOrder>();
+    ASSERT_EQ(renewals.size(), 1U); // It is the last that w1 gets.
+    const std::int64_t heldMs = renewals[0].leaseUntilWorkerMs - earlier.clockMs();
+    ASSERT_GE(heldMs, 4500);
+    const HeldLeases held = earlier.cell().held(earlier.now());
+    Desk next { 2, { { finiteJob(), {} } }, held };
+    const Duration waited = untilStartWithoutW1(next);
+    EXPECT_GE(waited, heldMs * 1ms);
+    EXPECT_LE(waited, 5300ms);
+    EXPECT_EQ(held.at(WorkerId { "w2" }), 0ms);
+}
+
+TEST(CellTakeover, WithoutAHandBackTheEarlierOwnersTrustIsWaitedFor)
+{
+    Desk next { 2, { { finiteJob(), {} } } };
+    EXPECT_GE(untilStartWithoutW1(next), 10500ms);
+}
+
+TEST(CellTakeover, OwnerThatHandsBackAtOnceTellsWhatIsLeftOfItsOwnWait)
+{
+    Desk next { 2, { { finiteJob(), {} } } };
+    next.hear("w2", {});
+    next.step(4s);
+    const HeldLeases held = next.cell().held(next.now());
+    EXPECT_GE(held.at(WorkerId { "w1" }), 6400ms);
+    EXPECT_LE(held.at(WorkerId { "w1" }), 6500ms);
+    EXPECT_EQ(held.at(WorkerId { "w2" }), 0ms);
+}
+
+TEST(CellTakeover, LeaseByTheClockOfAnEarlierLifeCountsAsTheLongestAtAHandBack)
+{
+    Desk earlier;
+    const StartOrder start = earlier.startOf("a");
+    earlier.rebear(start.worker);
+    earlier.answer(start, CallStatus::Done);
+    EXPECT_GE(earlier.cell().held(earlier.now()).at(start.worker), longestLease);
+}
--- a/packages/jobs/tests/desk.h
+++ b/packages/jobs/tests/desk.h
@@ -24,9 +24,9 @@
     }
 
     /// As an owner who has just taken the cell over with these jobs, and has heard no worker yet.
-    Desk(Fence fence, std::vector<StoredJob> jobs)
+    Desk(Fence fence, std::vector<StoredJob> jobs, const HeldLeases& held = {})
         : m_cell({ PoolId { "p" }, fence, 4500ms, 10500ms, 120s, 900ms, longestLease }, std::move(jobs),
-            earlierWorkers(fence), m_now, unixMs())
+            earlierWorkers(fence), m_now, unixMs(), held)
     {
         m_cell.configure({ { QueueId { "q" }, PoolId { "p" }, 0, 3, 1.6, 600ms } });
         std::vector<WorkerDescription> workers;
--- a/packages/jobs/tests/owned_part_tests.cpp
+++ b/packages/jobs/tests/owned_part_tests.cpp
@@ -2,8 +2,11 @@
 
 #include <gtest/gtest.h>
 
+#include <nlohmann/json.hpp>
+
 using namespace rattanrack;
 using namespace rattanrack::jobs;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -82,3 +85,41 @@
     const PartRow written { { ownerTable, ownerKey }, ownerRow, 7 };
     EXPECT_NE(part.settle({ TransactionStatus::Conflict, 0, { written }, "" }), OwnedOutcome::Done);
 }
+
+TEST(OwnedPart, PartHandedBackTellsWhatIsHeld)
+{
+    const WorkerMachines workers { { WorkerId { "w1" }, MachineId { "m1" } } };
+    OwnedPart part { pool, self, std::nullopt, 0 };
+    part.take({}, workers, HeldLeases { { WorkerId { "w1" }, 1200us } });
+    const std::string bytes = part.transaction().writes.at(0).value.value();
+    const OwnerRow row = valueOrNothing([&] { return decodeOwnerRow(bytes); }).value();
+    EXPECT_TRUE(row.holder.isEmpty());
+    EXPECT_EQ(row.held, (HeldLeases { { WorkerId { "w1" }, 2ms } })); // Never less than the owner said.
+    OwnedPart next { pool, NodeId { "n2" }, row, 6 };
+    next.take({}, workers);
+    const std::string taken = next.transaction().writes.at(0).value.value();
+    EXPECT_TRUE(valueOrNothing([&] { return decodeOwnerRow(taken); }).value().held.empty());
+}
+
+TEST(OwnedPart, RowsOfOtherVersionsAreRead)
+{
+    nlohmann::json earlier { { "holder", "" }, { "term", 3 }, { "sequence", 4 },
+        { "workers", nlohmann::json::array({ nlohmann::json::array({ "w1", "m1" }) }) } };
+    const auto read = [](const nlohmann::json& json) {
+        std::string bytes;
+        nlohmann::json::to_cbor(json, bytes);
+        return valueOrNothing([&] { return decodeOwnerRow(bytes); });
+    };
+    ASSERT_TRUE(read(earlier).has_value());
+    EXPECT_TRUE(read(earlier)->held.empty()); // Not known to be handed back.
+    EXPECT_EQ(read(earlier)->workers.size(), 1U);
+    earlier["word of a later version"] = 1;
+    EXPECT_TRUE(read(earlier).has_value());
+    // What the owner writes is what earlier versions wrote, but for the word.
+    const OwnerRow row { self, 1, 1, { { WorkerId { "w1" }, MachineId { "m1" } } }, {} };
+    std::string bytes;
+    nlohmann::json::to_cbor({ { "holder", "n1" }, { "term", 1 }, { "sequence", 1 },
+                                { "workers", nlohmann::json::array({ nlohmann::json::array({ "w1", "m1" }) }) } },
+        bytes);
+    EXPECT_EQ(encode(row), bytes);
+}
--- a/packages/node/include/rattanrack/node/part_writer.h
+++ b/packages/node/include/rattanrack/node/part_writer.h
@@ -17,6 +17,7 @@
 struct TakenPart {
     jobs::OwnedPart part;
     jobs::WorkerMachines workers; ///< Of earlier owners.
+    jobs::HeldLeases held; ///< As the latest of them handed the part back; empty when it did not.
 };
 
 /// Becomes the owner of a part. Blocks; for a thread of the store. Errors: Conflict (another node was faster),
@@ -46,7 +47,11 @@
 
     /// Whether `write` may be called now.
     bool isFree() const;
-    void write(std::vector<jobs::RowWrite> rows, jobs::WorkerMachines workers, bool handsBack = false);
+    void write(
+        std::vector<jobs::RowWrite> rows, jobs::WorkerMachines workers, std::optional<jobs::HeldLeases> handsBack = {});
+
+    /// The transaction that hands the part back may have been done: nothing may be granted any more.
+    bool mayBeHandedBack() const { return m_handsBack && m_part.isOnItsWay(); }
 
     /// Call several times a second.
     void poll();
--- a/packages/node/src/cell_host.cpp
+++ b/packages/node/src/cell_host.cpp
@@ -65,7 +65,7 @@
     : m_parts(std::move(parts))
     , m_pool(pool)
     , m_cell(settingsOf(pool, takeover.taken.part.term(), times), std::move(takeover.jobs),
-          std::move(takeover.taken.workers), m_parts.clock.now(), wallClockMilliseconds())
+          std::move(takeover.taken.workers), m_parts.clock.now(), wallClockMilliseconds(), takeover.taken.held)
     , m_longestListAge(times.longestListAge)
     , m_isAlive(std::make_shared<bool>(true))
     , m_writer({ m_parts.control, m_parts.clock, m_parts.storeThreads, m_parts.store }, std::move(takeover.taken.part),
@@ -145,7 +145,7 @@
 
 jobs::Authority CellHost::authority() const
 {
-    if (m_parts.clock.now() - m_writer.confirmedAt() >= ownerTrust)
+    if (m_writer.mayBeHandedBack() || m_parts.clock.now() - m_writer.confirmedAt() >= ownerTrust)
         return jobs::Authority::InDoubt;
     return m_isHandingBack || isListTooOld() ? jobs::Authority::KeepUp : jobs::Authority::Full;
 }
@@ -256,7 +256,8 @@
     m_isOwnershipInDoubt = false;
     m_cell.workersSent(workers, m_parts.clock.now());
     const bool isLast = m_isHandingBack && !m_cell.hasUncommitted();
-    m_writer.write(commit ? rowsOf(*commit) : std::vector<jobs::RowWrite> {}, std::move(workers), isLast);
+    auto held = isLast ? std::optional { m_cell.held(m_parts.clock.now()) } : std::nullopt;
+    m_writer.write(commit ? rowsOf(*commit) : std::vector<jobs::RowWrite> {}, std::move(workers), std::move(held));
 }
 
 void CellHost::stored()
--- a/packages/node/src/machine_duty.cpp
+++ b/packages/node/src/machine_duty.cpp
@@ -193,7 +193,8 @@
     if (!m_writer.isFree() || (!isDue && !m_isHandingBack))
         return;
     m_written = std::exchange(m_unwritten, {});
-    m_writer.write(m_written, {}, m_isHandingBack && m_written.empty() && m_ordersOnTheirWay == 0);
+    const bool isLast = m_isHandingBack && m_written.empty() && m_ordersOnTheirWay == 0;
+    m_writer.write(m_written, {}, isLast ? std::optional { jobs::HeldLeases {} } : std::nullopt);
 }
 
 void MachineDuty::tick()
--- a/packages/node/src/part_writer.cpp
+++ b/packages/node/src/part_writer.cpp
@@ -49,7 +49,8 @@
         found = std::move(decoded);
         version = row.version;
     }
-    TakenPart taken { { name, self, found, version }, found ? found->workers : jobs::WorkerMachines {} };
+    TakenPart taken { { name, self, found, version }, found ? found->workers : jobs::WorkerMachines {},
+        found ? found->held : jobs::HeldLeases {} };
     BOOST_LEAF_CHECK(become(store, taken.part, taken.workers));
     return taken;
 }
@@ -67,10 +68,11 @@
 
 bool PartWriter::isFree() const { return !m_isOver && !m_part.isOnItsWay() && m_parts.clock.now() >= m_pauseUntil; }
 
-void PartWriter::write(std::vector<jobs::RowWrite> rows, jobs::WorkerMachines workers, bool handsBack)
+void PartWriter::write(
+    std::vector<jobs::RowWrite> rows, jobs::WorkerMachines workers, std::optional<jobs::HeldLeases> handsBack)
 {
-    m_handsBack = handsBack;
-    m_part.take(std::move(rows), std::move(workers), handsBack);
+    m_handsBack = handsBack.has_value();
+    m_part.take(std::move(rows), std::move(workers), std::move(handsBack));
     send();
 }
 
--- a/packages/node/tests/cell_host_tests.cpp
+++ b/packages/node/tests/cell_host_tests.cpp
@@ -25,6 +25,8 @@
     }
 
     std::atomic<int> starts { 0 };
+    std::atomic<int> looks { 0 };
+    std::atomic<int> renewals { 0 }; ///< Looks that carried a lease.
 
 private:
     class Channel final : public jobs::WorkerChannel {
@@ -43,9 +45,11 @@
         }
         jobs::CallAnswer stop(const jobs::StopOrder&) override { return { jobs::CallStatus::Done }; }
         jobs::CallAnswer pace(const jobs::PaceOrder&) override { return { jobs::CallStatus::Done }; }
-        jobs::LookAnswer look(const jobs::LookOrder&) override
+        jobs::LookAnswer look(const jobs::LookOrder& order) override
         {
             const std::lock_guard lock(m_workers.m_mutex);
+            m_workers.renewals += order.leaseUntilWorkerMs > 0 ? 1 : 0;
+            ++m_workers.looks;
             return { jobs::CallStatus::Done, jobs::Refusal::None,
                 { 1, wallClockMilliseconds(), m_workers.m_running, {} } };
         }
@@ -180,3 +184,25 @@
     });
     EXPECT_EQ(acceptance, jobs::Acceptance::Refused);
 }
+
+TEST_F(CellHostTest, NothingIsGrantedOnceTheCellMayBeHandedBack)
+{
+    listWorkers(0s);
+    ASSERT_EQ(submit("a"), jobs::Acceptance::Waiting);
+    ASSERT_TRUE(eventually([&] { return workers.renewals > 0; }));
+    store.areHandBacksUnanswered = true;
+    control.run([&] { host->handBack(); });
+    ASSERT_TRUE(eventually([&] {
+        const auto rows = valueOrNothing([&] { return store.read({ jobs::ownerTable, pool.value(), {} }); });
+        const auto row = valueOrNothing([&] { return jobs::decodeOwnerRow(rows->rows.at(0).value); });
+        return row && !row->held.empty();
+    }));
+    std::this_thread::sleep_for(100ms); // Looks that were on their way.
+    const int renewals = workers.renewals;
+    const int looks = workers.looks;
+    ASSERT_TRUE(eventually([&] { return workers.looks > looks + 3; }));
+    EXPECT_EQ(workers.renewals, renewals);
+    EXPECT_EQ(lost, 0);
+    store.areHandBacksUnanswered = false;
+    EXPECT_TRUE(eventually([&] { return lost == 1; }));
+}
--- a/packages/node/tests/memory_part_store.h
+++ b/packages/node/tests/memory_part_store.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "rattanrack/jobs/owned_part.h"
 #include "rattanrack/jobs/part_store.h"
 
 #include <atomic>
@@ -19,7 +20,10 @@
         auto& rows = m_parts[transaction.part];
         for (const jobs::RowCondition& condition : transaction.conditions) {
             const auto found = rows.find(condition.row);
-            if ((found == rows.end() ? 0 : found->second.version) != condition.version)
+            const jobs::RowVersion version = found == rows.end() ? 0 : found->second.version;
+            if (version != condition.version && isAnswerLost(transaction))
+                return { jobs::TransactionStatus::Unknown, 0, {}, "answer lost" };
+            if (version != condition.version)
                 return { jobs::TransactionStatus::Conflict, 0, current(rows, transaction), "conflict" };
         }
         ++m_version;
@@ -29,6 +33,8 @@
             else
                 rows.erase(write.row);
         }
+        if (isAnswerLost(transaction))
+            return { jobs::TransactionStatus::Unknown, 0, {}, "answer lost" };
         return { jobs::TransactionStatus::Done, m_version, {}, {} };
     }
 
@@ -52,10 +58,18 @@
     }
 
     std::atomic<bool> isDown { false };
+    std::atomic<bool> areHandBacksUnanswered { false }; ///< They are done, and nobody hears of it.
 
 private:
     using Rows = std::map<jobs::RowKey, jobs::PartRow>;
 
+    bool isAnswerLost(const jobs::PartTransaction& transaction) const
+    {
+        const std::string& bytes = transaction.writes.at(0).value.value();
+        const auto row = valueOrNothing([&] { return jobs::decodeOwnerRow(bytes); });
+        return areHandBacksUnanswered && row && !row->held.empty();
+    }
+
     static std::vector<jobs::PartRow> current(const Rows& rows, const jobs::PartTransaction& transaction)
     {
         std::vector<jobs::PartRow> found;
