Test that looks at all workers keep no start back in the links

Review finding: looks have no bound of their own, one a worker may be on its way. By reading: a worker's link has a lane and a thread for looks and another for orders, and a node has 1,500 such threads, more than two for each of 350 workers; at most one look a worker is on its way, and one that waits for ends takes a thread and a connection but no processor.

WorkerLinks.LooksAtAllWorkersKeepNoStartBack: with a look pending at each of 85 workers, a start to each is answered. Not shown either way: whether the handling of looks' answers takes processor time from starts at an owner that starves; that needs the model of a starved owner, and no test of it was made.

--- a/packages/node/tests/worker_links_tests.cpp
+++ b/packages/node/tests/worker_links_tests.cpp
@@ -157,3 +157,87 @@
     isAnswered.get_future().wait();
     EXPECT_EQ(acknowledged, (std::vector<std::int64_t> { 7, 0 }));
 }
+
+namespace {
+
+/// Looks wait until they are released; all else is answered at once.
+class WaitingLooks final : public jobs::WorkerConnector {
+public:
+    std::unique_ptr<jobs::WorkerChannel> connect(const jobs::WorkerId&, const std::string&) override
+    {
+        return std::make_unique<Waiting>(*this);
+    }
+
+    std::promise<void> release;
+    std::shared_future<void> released { release.get_future().share() };
+    std::atomic<int> looking { 0 };
+
+private:
+    class Waiting final : public jobs::WorkerChannel {
+    public:
+        explicit Waiting(WaitingLooks& looks)
+            : m_looks(looks)
+        {
+        }
+
+        jobs::CallAnswer start(const jobs::StartOrder&) override { return { jobs::CallStatus::Done }; }
+        jobs::CallAnswer stop(const jobs::StopOrder&) override { return { jobs::CallStatus::Done }; }
+        jobs::CallAnswer pace(const jobs::PaceOrder&) override { return { jobs::CallStatus::Done }; }
+        jobs::LookAnswer look(const jobs::LookOrder&) override
+        {
+            ++m_looks.looking;
+            m_looks.released.wait();
+            return { jobs::CallStatus::Done };
+        }
+
+    private:
+        WaitingLooks& m_looks;
+    };
+};
+
+bool reaches(const std::atomic<int>& count, int wanted)
+{
+    for (int tries = 0; tries < 500 && count < wanted; ++tries)
+        std::this_thread::sleep_for(std::chrono::milliseconds { 10 });
+    return count == wanted;
+}
+
+} // namespace
+
+TEST(WorkerLinks, LooksAtAllWorkersKeepNoStartBack)
+{
+    constexpr int workers = 85;
+    WaitingLooks connector;
+    std::atomic<int> started { 0 };
+    SystemClock clock;
+    ElasticThreadPool threads { 2 * workers, 2 * workers };
+    ControlLoop control { clock };
+    std::unique_ptr<WorkerLinks> links;
+    const auto named = [](int number) { return jobs::WorkerId { "w" + std::to_string(number) }; };
+    control.run([&] {
+        links = std::make_unique<WorkerLinks>(control, clock, threads, connector,
+            WorkerLinks::Answers { [&](const jobs::StartOrder&, const jobs::CallAnswer& answer) {
+                                      started += answer.status == jobs::CallStatus::Done ? 1 : 0;
+                                  },
+                [](const auto&, const auto&) {}, [](const auto&, const auto&) {},
+                [](const auto&, const auto&, TimePoint) {} });
+        std::map<jobs::WorkerId, std::string> addresses;
+        jobs::WorkerMachines inUse;
+        for (int number = 0; number < workers; ++number) {
+            addresses[named(number)] = "10.0.0.1:1";
+            inUse[named(number)] = jobs::MachineId {};
+        }
+        links->setAddresses(addresses, inUse);
+        for (int number = 0; number < workers; ++number)
+            links->send(jobs::LookOrder { named(number) });
+    });
+    EXPECT_TRUE(reaches(connector.looking, workers));
+    control.run([&] {
+        for (int number = 0; number < workers; ++number)
+            links->send(jobs::StartOrder { named(number) });
+    });
+    EXPECT_TRUE(reaches(started, workers));
+    connector.release.set_value();
+    control.run([&] { links.reset(); });
+    threads.shutdown();
+}
