--- a/packages/jobs/model/cell_world.cpp
+++ b/packages/jobs/model/cell_world.cpp
@@ -1,6 +1,7 @@
 #include "cell_world.h"
 
 #include "rattanrack/jobs/job_codec.h"
+#include "rattanrack/jobs/lease_clock.h"
 
 #include <algorithm>
 
@@ -20,7 +21,10 @@
 constexpr const char* queueName = "queue";
 const PoolId poolName { "pool" };
 
-CellSettings settingsOf(Fence term) { return { poolName, term, 4500ms, 10500ms, 120s, longestStop, 5000ms }; }
+CellSettings settingsOf(Fence term)
+{
+    return { poolName, term, 4500ms, foreignLease(ownerTrust, longestLease), 120s, longestStop, longestLease };
+}
 
 } // namespace
 
@@ -134,7 +138,8 @@
     }
     Owner& owner = m_owners[++m_owner];
     owner.term = ++m_term;
-    owner.cell = std::make_unique<Cell>(settingsOf(m_term), std::move(stored), m_workerRow, m_now, unixMs());
+    owner.cell = std::make_unique<Cell>(
+        settingsOf(m_term), std::move(stored), m_workerRow, m_now, unixMs(), std::exchange(m_heldRow, {}));
     owner.cell->configure({ { QueueId { queueName }, poolName, 0, attempts, 1.6, 600ms } });
     owner.cell->setClosing(m_closing);
     owner.confirmedAt = m_now;
@@ -173,7 +178,7 @@
 /// As the cell's host has it: an owner that the store does not answer can't have a younger list.
 Authority CellWorld::authorityOf(const Owner& owner) const
 {
-    if (m_now - owner.confirmedAt >= ownerTrust)
+    if (owner.mayBeHandedBack || m_now - owner.confirmedAt >= ownerTrust)
         return Authority::InDoubt;
     const bool isListTooOld = !owner.isReplaced && m_now - owner.listAskedAt > longestListAge;
     return owner.isHandingBack || isListTooOld ? Authority::KeepUp : Authority::Full;
--- a/packages/node/src/cell_host.cpp
+++ b/packages/node/src/cell_host.cpp
@@ -1,6 +1,7 @@
 #include "rattanrack/node/cell_host.h"
 
 #include "rattanrack/jobs/job_codec.h"
+#include "rattanrack/jobs/lease_clock.h"
 
 #include <map>
 #include <utility>
@@ -19,20 +20,11 @@
 constexpr Duration renewalPeriod = 1s;
 constexpr Duration ownerTrust = 5s; ///< Without a transaction for this long, this node takes itself for replaced.
 constexpr Duration knowledgeTrust = 2s; ///< Jobs that another owner accepts may be asked for soon afterwards.
-constexpr double clockSlack = 1.03; ///< Workers' clocks may be slow.
-constexpr Duration takeoverSlack = 500ms;
-
-Duration foreignLease(Duration leaseLength)
-{
-    const auto stretched
-        = Duration { static_cast<std::int64_t>(static_cast<double>(leaseLength.count()) * clockSlack) };
-    return ownerTrust + stretched + takeoverSlack;
-}
 
 jobs::CellSettings settingsOf(const PoolId& pool, jobs::Fence fence, const CellTimes& times)
 {
-    return { pool, fence, times.leaseLength, foreignLease(times.leaseLength), times.keepEnded, times.longestStop,
-        times.longestLease };
+    const Duration foreignLease = jobs::foreignLease(ownerTrust, times.longestLease);
+    return { pool, fence, times.leaseLength, foreignLease, times.keepEnded, times.longestStop, times.longestLease };
 }
 
 std::vector<jobs::RowWrite> rowsOf(const jobs::CellCommit& commit)
@@ -73,7 +65,7 @@
     : m_parts(std::move(parts))
     , m_pool(pool)
     , m_cell(settingsOf(pool, takeover.taken.part.term(), times), std::move(takeover.jobs),
-          std::move(takeover.taken.workers), m_parts.clock.now(), wallClockMilliseconds())
+          std::move(takeover.taken.workers), m_parts.clock.now(), wallClockMilliseconds(), takeover.taken.held)
     , m_longestListAge(times.longestListAge)
     , m_isAlive(std::make_shared<bool>(true))
     , m_writer({ m_parts.control, m_parts.clock, m_parts.storeThreads, m_parts.store }, std::move(takeover.taken),
@@ -153,7 +145,7 @@
 
 jobs::Authority CellHost::authority() const
 {
-    if (m_parts.clock.now() - m_writer.confirmedAt() >= ownerTrust)
+    if (m_writer.mayBeHandedBack() || m_parts.clock.now() - m_writer.confirmedAt() >= ownerTrust)
         return jobs::Authority::InDoubt;
     return m_isHandingBack || isListTooOld() ? jobs::Authority::KeepUp : jobs::Authority::Full;
 }
@@ -264,7 +256,8 @@
     m_isOwnershipInDoubt = false;
     m_cell.workersSent(workers, m_parts.clock.now());
     const bool isLast = m_isHandingBack && !m_cell.hasUncommitted();
-    m_writer.write(commit ? rowsOf(*commit) : std::vector<jobs::RowWrite> {}, std::move(workers), isLast);
+    auto held = isLast ? std::optional { m_cell.held(m_parts.clock.now()) } : std::nullopt;
+    m_writer.write(commit ? rowsOf(*commit) : std::vector<jobs::RowWrite> {}, std::move(workers), std::move(held));
 }
 
 void CellHost::stored()
