Workers that all answer slowly no longer close the start window

Where all workers took more than 120 ms for an answer, their owner took itself for starved and had no more than four starts on their way, with room and processor time free.

Cause: the window judged a start by its whole time from decision to answer, of which the network's and the worker's part says nothing of the owner.

Change: an exchange that is late by itself (over latestAnswer, without the wait in the queue) is judged by that wait alone. Other answers are judged as before, so that the window closes for a starved owner as it did.

Evidence, an owner that can send 2,000 a second, 64 workers, 200 jobs a second for 20 s (starved_owner_tests): StarvedOwner.WorkersThatAllAnswerSlowlyCloseNoWindow failed before, with 638, 562 and 432 of 4,000 begun at 130, 150 and 200 ms, limit 4; passes after (at least 3,800 begun, at most 5 % of starts expired). The five older tests pass unchanged; jobs_tests 118 and cell_walk_tests 18 pass.

Ruled out: judging all answers by the queue alone. With it (trial) StartsThatItCannotSendAreNotDecidedOn fails: 55 of 1,049 and 60 of 1,052 expired at 3 and 4 times what can be sent, 5 % allowed. It passes at limits of 116 ms and less, but such a limit would be fitted to the model. A dead band in which the window doesn't grow (trial) fails it too, 89 of 1,076. The delay of the control loop is left out: fewer starts on their way don't shorten it.

Not covered: an owner that is slow within the exchange, by its processor or a full link, while its queue is short: this can't be told from slow workers by time alone. Its starts expire in the queue in the end, which still shrinks the window.

--- a/packages/jobs/include/rattanrack/jobs/start_window.h
+++ b/packages/jobs/include/rattanrack/jobs/start_window.h
@@ -15,13 +15,17 @@
 public:
     static constexpr int maxPerWorker = 4; ///< Keeps its connection busy; more would wait behind each other.
 
+    /// Later answers are late. Below the time after which the queues drop a start.
+    static constexpr Duration latestAnswer = std::chrono::milliseconds { 120 };
+
     /// Starts that may be on their way at once. At least 4.
     int limit() const { return static_cast<int>(m_limit); }
 
     /// Starts are held back at `now`, as the limit is reached.
     void reached(TimePoint now) { m_reachedAt = now; }
 
-    /// The worker has answered a start, `after` it had been ordered.
+    /// The worker has answered a start, `after` it had been ordered. Where the exchange itself takes longer than
+    /// `latestAnswer`, `after` is the wait in this node's queue alone.
     void answered(const WorkerId& worker, TimePoint orderedAt, Duration after, TimePoint now);
 
     /// A start has waited too long in this node's queues and was not sent.
--- a/packages/jobs/model/starved_owner.cpp
+++ b/packages/jobs/model/starved_owner.cpp
@@ -9,7 +9,6 @@
 using namespace std::chrono_literals;
 
 constexpr Duration tickPeriod = 1ms;
-constexpr Duration wayThereAndBack = 4ms;
 constexpr Duration orderTimeout = 700ms;
 constexpr Duration longestQueueing = 250ms; ///< As in the links of a node.
 constexpr Duration runTime = 200ms;
@@ -167,7 +166,7 @@
 void StarvedOwner::carryOut(const QueuedOrder& queued, std::size_t number)
 {
     const bool isSilent = m_settings.silentWorkers.contains(static_cast<int>(number));
-    const Duration time = isSilent ? orderTimeout : wayThereAndBack;
+    const Duration time = isSilent ? orderTimeout : m_settings.answerTime;
     m_lanes[number].busyUntil = m_now + time;
     if (const auto* start = std::get_if<StartOrder>(&queued.order)) {
         if (isSilent)
--- a/packages/jobs/model/starved_owner.h
+++ b/packages/jobs/model/starved_owner.h
@@ -19,6 +19,7 @@
     int ordersPerSecond { 50 }; ///< Starts that the owner can decide on and send.
     Duration pumpPeriod { std::chrono::milliseconds { 10 } }; ///< Between passes of decisions.
     std::set<int> silentWorkers; ///< Do not answer starts.
+    Duration answerTime { std::chrono::milliseconds { 4 } }; ///< Of the network and the worker, for an order.
 };
 
 class StarvedOwner {
--- a/packages/jobs/src/cell_starts.cpp
+++ b/packages/jobs/src/cell_starts.cpp
@@ -25,6 +25,13 @@
     return refusals[static_cast<std::size_t>(answer.refusal)];
 }
 
+/// An exchange that is late by itself tells of the worker and the network: of this node, only the wait before it does.
+Duration timeToJudge(const CallAnswer& answer)
+{
+    const Duration exchange = answer.answeredAfter - answer.queuedFor;
+    return exchange > StartWindow::latestAnswer ? answer.queuedFor : answer.answeredAfter;
+}
+
 } // namespace
 
 std::size_t Cell::ordersInFlight() const
@@ -96,7 +103,7 @@
     case CallStatus::Busy:
     case CallStatus::Malformed: {
         const bool isMeasured = answer.answeredAfter > Duration::zero();
-        startWindow.answered(id, run.orderedAt, isMeasured ? answer.answeredAfter : now - run.orderedAt, now);
+        startWindow.answered(id, run.orderedAt, isMeasured ? timeToJudge(answer) : now - run.orderedAt, now);
         break;
     }
     case CallStatus::Expired:
--- a/packages/jobs/src/start_window.cpp
+++ b/packages/jobs/src/start_window.cpp
@@ -13,7 +13,6 @@
 constexpr double slowGrowth = 0.1; ///< For each answer in time, once it has shrunk.
 constexpr double mostKept = 0.8; ///< Of the limit when it shrinks.
 constexpr double leastKept = 0.25;
-constexpr Duration latestAnswer = 120ms; ///< Below the time after which the queues drop a start.
 constexpr Duration overtakenBy = 200ms;
 constexpr Duration longestInFlight = 350ms; ///< A start counts no longer; its answer may take until the call's timeout.
 
--- a/packages/jobs/tests/starved_owner_tests.cpp
+++ b/packages/jobs/tests/starved_owner_tests.cpp
@@ -55,3 +55,15 @@
     owner.run(1s);
     EXPECT_GT(owner.startLimit(), atFirst);
 }
+
+TEST(StarvedOwner, WorkersThatAllAnswerSlowlyCloseNoWindow)
+{
+    constexpr int perSecond = 200;
+    constexpr int seconds = 20;
+    for (const Duration answerTime : { 130ms, 150ms, 200ms }) {
+        StarvedOwner owner { { 64, 2000, 10ms, {}, answerTime } };
+        owner.run(Duration { 1s } * seconds, perSecond);
+        EXPECT_GE(owner.begun(), 0.95 * perSecond * seconds) << "limit " << owner.startLimit();
+        EXPECT_LE(owner.expired(), 0.05 * owner.decided()) << "decided " << owner.decided();
+    }
+}
