process-soak plays as many daemons and workers as it is told

The schedule draws its targets from these numbers.

Limit: the four callers don't load 60 workers, so these plays say something of owners that change, and nothing of floods at this size. The judge has no rule for SHORT beyond jobs that are out of order at the end of the play.

--- a/tools/process_soak/main.cpp
+++ b/tools/process_soak/main.cpp
@@ -7,8 +7,10 @@
 
 #include <algorithm>
 #include <csignal>
+#include <cstdlib>
 #include <filesystem>
 #include <iostream>
+#include <map>
 #include <set>
 
 namespace {
@@ -20,17 +22,29 @@
     = R"(process-soak: plays daemons as processes through seeded troubles and judges what callers and workers saw.
 
 Usage:
-  process-soak --daemon=PATH --seed=N [--seconds=S] [--dir=DIR]
+  process-soak --daemon=PATH --seed=N [--seconds=S] [--daemons=N] [--workers=N] [--dir=DIR]
 
 Options:
   --daemon=PATH  The rattanrackd to start.
   --seed=N       Chooses the troubles; even ones play planned work alone.
   --seconds=S    Length of the traffic; the play takes some 20 s more [default: 40].
+  --daemons=N    How many daemons; 0: three to five, by the seed [default: 0].
+  --workers=N    How many workers, two or more, in two pools [default: 6].
   --dir=DIR      For settings and logs of the daemons [default: process-soak].
 
 Exit status 1 when a promise was broken; each one is printed with the record of its job.
 )";
 
+/// Ends the process with a message when the option is below `least`.
+std::size_t countOf(const std::map<std::string, docopt::value>& options, const char* name, long least)
+{
+    const long count = options.at(name).asLong();
+    if (count >= least)
+        return static_cast<std::size_t>(count);
+    std::cerr << "process-soak: " << name << " is below " << least << '\n';
+    std::exit(2);
+}
+
 void print(const History& history, const std::vector<Violation>& found)
 {
     std::set<jobs::JobId> printed;
@@ -53,6 +67,8 @@
     PlaySettings settings { options.at("--daemon").asString(), options.at("--dir").asString() };
     settings.seed = static_cast<std::uint64_t>(options.at("--seed").asLong());
     settings.length = std::chrono::seconds { options.at("--seconds").asLong() };
+    settings.daemons = countOf(options, "--daemons", 0);
+    settings.workers = countOf(options, "--workers", 2);
     std::filesystem::create_directories(settings.directory);
     Play play { settings };
     const History history = play.run();
--- a/tools/process_soak/play.cpp
+++ b/tools/process_soak/play.cpp
@@ -10,7 +10,6 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::size_t workerCount = 6;
 constexpr std::size_t fewestNodes = 3;
 constexpr int attempts = 3;
 constexpr Duration grace = 6s; ///< From SIGTERM to SIGKILL.
@@ -52,7 +51,7 @@
 void Play::addWorkers()
 {
     std::vector<adapter::standin::UsersWorker*> all;
-    for (std::size_t number = 0; number < workerCount; ++number) {
+    for (std::size_t number = 0; number < m_settings.workers; ++number) {
         m_workers.push_back(std::make_unique<adapter::standin::UsersWorker>(
             m_store, "w" + std::to_string(number), number % 2 == 0 ? "poolA" : "poolB", "r1"));
         m_workerLinks.push_back(std::make_unique<LoopbackProxy>(m_workers.back()->address()));
@@ -64,7 +63,7 @@
 
 void Play::addNodes()
 {
-    const std::size_t count = fewestNodes + m_settings.seed % 3;
+    const std::size_t count = m_settings.daemons > 0 ? m_settings.daemons : fewestNodes + m_settings.seed % 3;
     for (std::size_t number = 0; number < count; ++number) {
         auto entry = std::make_unique<Entry>();
         entry->node = "n" + std::to_string(number);
@@ -190,7 +189,7 @@
     const std::string number = std::to_string(++m_waves);
     std::string machines;
     for (std::size_t each = 0; each < waveSize; ++each)
-        machines += (each == 0 ? "\"" : ",\"") + m_workers[(first + each) % workerCount]->machine() + "\"";
+        machines += (each == 0 ? "\"" : ",\"") + m_workers[(first + each) % m_workers.size()]->machine() + "\"";
     m_recorder.endTrouble(m_recorder.beginTrouble("wave", number, false, true));
     m_store.put("op", "wave/" + number,
         R"({"wave":)" + number + R"(,"machines":[)" + machines + R"(],"duration_s":15,"cap":1})");
@@ -257,7 +256,7 @@
 
 History Play::run()
 {
-    for (const Step& step : scheduleOf(m_settings.seed, m_settings.length, m_nodes.size(), workerCount))
+    for (const Step& step : scheduleOf(m_settings.seed, m_settings.length, m_nodes.size(), m_workers.size()))
         later(step.at, [this, step] { perform(step); });
     {
         const Callers callers { m_recorder, m_entries, m_settings.seed };
--- a/tools/process_soak/play.h
+++ b/tools/process_soak/play.h
@@ -17,6 +17,8 @@
     std::string directory; ///< Exists.
     std::uint64_t seed { 1 };
     Duration length {}; ///< Of the traffic and the troubles.
+    std::size_t daemons { 0 }; ///< 0: three to five, by the seed.
+    std::size_t workers { 6 }; ///< At least two.
 };
 
 /// A fleet of daemons as processes among stand-ins of the users' platform, played through one schedule.
