A success ends the avoidance of a worker for its failures

Cause: a success cleared the count of failures and left the time of the avoidance, which was shared with other reasons to leave a worker out; the bound of one avoided worker in three went by the count, so that the next one was avoided as well. A worker's next life inherited it too.

Change: avoidance for failures has a time of its own, which the bound counts and a success or a new life ends.

--- a/packages/jobs/src/cell_runs.cpp
+++ b/packages/jobs/src/cell_runs.cpp
@@ -164,6 +164,7 @@
         entry->progress.task(end.task).checkpoint = end.checkpoint;
     if (end.kind == EndKind::Done) {
         worker.failuresInRow = 0;
+        worker.failingUntil = {};
         if (isOpen && entry->progress.task(end.task).phase != TaskPhase::Done) {
             entry->progress.done(end.task);
             entry->isChainStale = true;
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -102,11 +102,13 @@
     TimePoint lookAt {};
     int failuresInRow { 0 };
     TimePoint avoidUntil {};
+    TimePoint failingUntil {}; ///< Avoided for its failures; the next success ends it.
     int startsInFlight { 0 };
     bool isBehind { false }; ///< Answers starts more slowly than others do.
     Pacing pacing;
 
-    bool isClosedFor(TimePoint now) const { return now < avoidUntil; }
+    bool isClosedFor(TimePoint now) const { return now < avoidUntil || isAvoidedForFailures(now); }
+    bool isAvoidedForFailures(TimePoint now) const { return now < failingUntil; }
     bool mayTakeStarts() const { return !isBehind && startsInFlight < StartWindow::maxPerWorker; }
 
     /// Something may run there, or has ended and is known to this owner alone.
--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -137,6 +137,7 @@
         worker.sentAck = 0;
         worker.pendingEnds.clear();
         worker.failuresInRow = 0;
+        worker.failingUntil = {};
     } else {
         worker.sentAck = std::max(worker.sentAck, answer.ackedThrough);
     }
@@ -299,8 +300,7 @@
     int avoided = 0;
     for (const auto& [id, other] : workers) {
         listed += other.isListed ? 1 : 0;
-        const bool isAvoided = other.failuresInRow >= failuresToAvoid && other.isClosedFor(now);
-        avoided += isAvoided && id != worker.description.id ? 1 : 0;
+        avoided += other.isAvoidedForFailures(now) && id != worker.description.id ? 1 : 0;
     }
     return avoided < std::max(1, listed / avoidableShare);
 }
@@ -310,7 +310,7 @@
     if (++worker.failuresInRow < failuresToAvoid || !mayAvoidOneMore(worker, now))
         return;
     const int doublings = std::min(worker.failuresInRow - failuresToAvoid, 3);
-    worker.avoidUntil = now + std::min(longestAvoidance, firstAvoidance * (1 << doublings));
+    worker.failingUntil = now + std::min(longestAvoidance, firstAvoidance * (1 << doublings));
 }
 
 /// The next owner may renew what this one takes for lapsed, so that nothing is decided until a transaction tells who
