--- a/packages/node/tests/worker_links_tests.cpp
+++ b/packages/node/tests/worker_links_tests.cpp
@@ -210,7 +210,8 @@
     WaitingLooks connector;
     std::atomic<int> started { 0 };
     SystemClock clock;
-    ElasticThreadPool threads { 2 * workers, 2 * workers };
+    constexpr std::size_t threadCount = 2UL * workers;
+    ElasticThreadPool threads { threadCount, threadCount };
     ControlLoop control { clock };
     std::unique_ptr<WorkerLinks> links;
     const auto named = [](int number) { return jobs::WorkerId { "w" + std::to_string(number) }; };
