--- a/packages/jobs/tests/cell_tests.cpp
+++ b/packages/jobs/tests/cell_tests.cpp
@@ -227,7 +227,8 @@
         for (const StartOrder& start : desk.take<StartOrder>()) {
             desk.answer(start, CallStatus::Done);
             if (start.worker == WorkerId { "w1" })
-                ends.push_back({ static_cast<std::int64_t>(ends.size()) + 1, start.task, start.run, EndKind::Failed, "" });
+                ends.push_back(
+                    { static_cast<std::int64_t>(ends.size()) + 1, start.task, start.run, EndKind::Failed, "" });
         }
     }
     ASSERT_EQ(ends.size(), 5U);
