--- a/packages/jobs/src/cell.cpp
+++ b/packages/jobs/src/cell.cpp
@@ -203,7 +203,7 @@
     return std::any_of(state.workers.begin(), state.workers.end(), [&](const auto& each) {
         const Worker& worker = each.second;
         const bool isUsable = worker.isListed && worker.contact == WorkerContact::InTouch;
-        return isUsable && worker.bornBy > std::max(state.transactionSentAt, state.confirmedAt);
+        return isUsable && worker.bornAtLatest > std::max(state.transactionSentAt, state.confirmedAt);
     });
 }
 
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -84,7 +84,7 @@
     WorkerContact contact { WorkerContact::Unknown };
     LeaseClock clock;
     std::int64_t bornUnixMs { 0 };
-    TimePoint bornBy {}; ///< The life that answers began then at the latest.
+    TimePoint bornAtLatest {}; ///< The life that answers began then at the latest.
     std::unordered_map<TaskRef, Run> runs;
     ResourceSize used;
     ResourceSize usedByLasting; ///< By what does not end by itself.
@@ -111,6 +111,9 @@
     bool isAvoidedForFailures(TimePoint now) const { return now < failingUntil; }
     bool mayTakeStarts() const { return !isBehind && startsInFlight < StartWindow::maxPerWorker; }
 
+    /// A life has answered that has not before. What earlier ones have said is over, but for what may still run.
+    void beginLife(std::int64_t unixMs, TimePoint atLatest);
+
     /// Something may run there, or has ended and is known to this owner alone.
     bool hasOpenWork() const { return !runs.empty() || !pendingEnds.empty(); }
 
--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -21,7 +21,7 @@
 constexpr int failuresToAvoid = 3;
 constexpr int avoidableShare = 3; ///< One worker of this many may be avoided for its failures at once.
 
-/// Of a life whose clock shows that.
+/// How old a life is whose clock shows that.
 Duration ageAtLeast(std::int64_t workerClockMs)
 {
     const Duration shown = Duration { workerClockMs * 1000 };
@@ -32,6 +32,18 @@
 
 } // namespace
 
+void Worker::beginLife(std::int64_t unixMs, TimePoint atLatest)
+{
+    bornUnixMs = unixMs;
+    bornAtLatest = atLatest;
+    processedThrough = 0;
+    ackedThrough = 0;
+    sentAck = 0;
+    pendingEnds.clear();
+    failuresInRow = 0;
+    failingUntil = {};
+}
+
 void Cell::setWorkers(const std::vector<WorkerDescription>& listed, TimePoint askedAt, TimePoint now)
 {
     CellState& state = *m_state;
@@ -129,18 +141,10 @@
         return;
     }
     const LookReport& report = answer.report;
-    if (worker.bornUnixMs != report.bornUnixMs) {
-        worker.bornUnixMs = report.bornUnixMs;
-        worker.bornBy = now - ageAtLeast(report.workerClockMs);
-        worker.processedThrough = 0;
-        worker.ackedThrough = 0;
-        worker.sentAck = 0;
-        worker.pendingEnds.clear();
-        worker.failuresInRow = 0;
-        worker.failingUntil = {};
-    } else {
+    if (worker.bornUnixMs != report.bornUnixMs)
+        worker.beginLife(report.bornUnixMs, now - ageAtLeast(report.workerClockMs));
+    else
         worker.sentAck = std::max(worker.sentAck, answer.ackedThrough);
-    }
     if (worker.contact != WorkerContact::InTouch) {
         const bool isBack = worker.contact == WorkerContact::Silent;
         state.tell(WorkerEvent {
@@ -223,7 +227,7 @@
 
 /// An owner that has been replaced does not know it until its next transaction, and a life that began after the next
 /// owner's look has seen no fence that would tell.
-bool CellState::isConfirmedFor(const Worker& worker) const { return worker.bornBy <= confirmedAt; }
+bool CellState::isConfirmedFor(const Worker& worker) const { return worker.bornAtLatest <= confirmedAt; }
 
 /// What the present life of the worker is not known to run may be run by a later one, which reads the leases sent to
 /// the present one by its own clock.
