One rule for what a transaction must still confirm

Refusals for a higher fence were counted three times over (seen, seen before the transaction, settled), with a flag beside them in the host; the age of a worker's life was judged by the times of transactions. Both ask the same: has a transaction that was sent since then succeeded? One time now, compared with those of the transactions; the host asks the cell alone.

What an owner decides is the same: a refusal counts until a transaction sent after it has succeeded.

--- a/packages/jobs/include/rattanrack/jobs/cell.h
+++ b/packages/jobs/include/rattanrack/jobs/cell.h
@@ -186,7 +186,8 @@
     /// Somebody waits for the next commit.
     bool hasUrgentCommit() const;
 
-    /// A worker is used only once a transaction that was sent since its birth has succeeded.
+    /// A worker is used only once a transaction that was sent since its birth has succeeded, and after a refusal for a
+    /// higher fence nothing is decided until one tells who owns the cell.
     bool wantsConfirmation() const;
 
     /// Something is to be stored that is in no commit yet.
--- a/packages/jobs/src/cell.cpp
+++ b/packages/jobs/src/cell.cpp
@@ -129,14 +129,12 @@
 void Cell::workersSent(const WorkerMachines& workers, TimePoint now)
 {
     m_state->transactionSentAt = now;
-    m_state->fencesSeenBeforeWrite = m_state->fencesSeen;
     std::erase_if(m_state->storedWorkers, [&](const auto& each) { return !workers.contains(each.first); });
 }
 
 void Cell::workersStored(WorkerMachines workers)
 {
     m_state->confirmedAt = m_state->transactionSentAt;
-    m_state->fencesSettled = m_state->fencesSeenBeforeWrite;
     m_state->storedWorkers = std::move(workers);
 }
 
@@ -200,11 +198,12 @@
 bool Cell::wantsConfirmation() const
 {
     const CellState& state = *m_state;
-    return std::any_of(state.workers.begin(), state.workers.end(), [&](const auto& each) {
+    const TimePoint latest = std::max(state.transactionSentAt, state.confirmedAt);
+    const auto isYoung = [&](const auto& each) {
         const Worker& worker = each.second;
-        const bool isUsable = worker.isListed && worker.contact == WorkerContact::InTouch;
-        return isUsable && worker.bornAtLatest > std::max(state.transactionSentAt, state.confirmedAt);
-    });
+        return worker.isListed && worker.contact == WorkerContact::InTouch && worker.bornAtLatest > latest;
+    };
+    return state.fenceSeenAt > latest || std::any_of(state.workers.begin(), state.workers.end(), isYoung);
 }
 
 bool Cell::hasUncommitted() const { return !m_state->dirty.empty(); }
@@ -307,7 +306,7 @@
 CellOutput Cell::step(TimePoint now, std::int64_t unixMs, Authority authority)
 {
     CellState& state = *m_state;
-    if (state.fencesSeen > state.fencesSettled)
+    if (state.fenceSeenAt > state.confirmedAt)
         authority = Authority::InDoubt;
     const bool mayStart = authority == Authority::Full;
     state.unixMs = unixMs;
--- a/packages/jobs/src/cell_answers.cpp
+++ b/packages/jobs/src/cell_answers.cpp
@@ -79,7 +79,7 @@
     if (answer.status == CallStatus::Busy)
         state.noteFailure(worker, now);
     if (answer.refusal == Refusal::Fence)
-        state.noteFence(order.worker);
+        state.noteFence(order.worker, now);
     if (answer.refusal == Refusal::Ticket) {
         if (JobEntry* entry = state.find(order.task.job))
             entry->tickets.erase({ order.task.occurrence, order.task.step });
@@ -113,7 +113,7 @@
         worker.hasUnanswered = true;
     }
     if (answer.refusal == Refusal::Fence)
-        state.noteFence(order.worker);
+        state.noteFence(order.worker, now);
 }
 
 void Cell::onAnswer(const PaceOrder& order, const CallAnswer& answer, TimePoint)
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -256,9 +256,7 @@
     TimePoint confirmedAt {}; ///< When the latest one that has succeeded was sent, since the takeover.
     TimePoint listAskedAt {}; ///< When the store was asked for the list of workers in use.
     bool isRecovering { true };
-    std::uint64_t fencesSeen { 0 }; ///< Refusals of workers that have seen a higher fence than this owner's.
-    std::uint64_t fencesSeenBeforeWrite { 0 };
-    std::uint64_t fencesSettled { 0 }; ///< Seen before the latest transaction that has succeeded was sent.
+    TimePoint fenceSeenAt {}; ///< When a worker last refused for a higher fence than this owner's.
     std::set<JobId> dirty; ///< Jobs with changes that are to be stored.
     std::set<JobId> inCommit;
     bool isCommitOnItsWay { false };
@@ -336,7 +334,7 @@
     void pace(Worker& worker, TimePoint now);
     bool mayAvoidOneMore(const Worker& worker, TimePoint now) const;
     void noteFailure(Worker& worker, TimePoint now);
-    void noteFence(const WorkerId& worker);
+    void noteFence(const WorkerId& worker, TimePoint now);
     void emptyClosing(TimePoint now);
     void checkRecovery(TimePoint now);
 
--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -133,7 +133,7 @@
         if (answer.status == CallStatus::WrongWorker)
             state.lost(worker, "another worker answers");
         if (answer.refusal == Refusal::Fence)
-            state.noteFence(order.worker);
+            state.noteFence(order.worker, now);
         if (worker.contact == WorkerContact::InTouch) {
             worker.contact = WorkerContact::Silent;
             state.tell(WorkerEvent { WorkerEvent::Kind::Silent, order.worker });
@@ -319,9 +319,9 @@
 
 /// The next owner may renew what this one takes for lapsed, so that nothing is decided until a transaction tells who
 /// owns the cell.
-void CellState::noteFence(const WorkerId& worker)
+void CellState::noteFence(const WorkerId& worker, TimePoint now)
 {
-    ++fencesSeen;
+    fenceSeenAt = now;
     tell(WorkerEvent { WorkerEvent::Kind::FenceSeen, worker });
 }
 
--- a/packages/node/include/rattanrack/node/cell_host.h
+++ b/packages/node/include/rattanrack/node/cell_host.h
@@ -118,7 +118,6 @@
     WorkerLinks m_links;
     PassPlan m_plan;
     bool m_isHandingBack { false };
-    bool m_isOwnershipInDoubt { false }; ///< A worker has seen a higher fence.
 };
 
 } // namespace rattanrack::node
--- a/packages/node/src/cell_host.cpp
+++ b/packages/node/src/cell_host.cpp
@@ -204,9 +204,6 @@
     m_parts.metrics.increment("rattanrack_cell_events_total", { { "event", name } });
     if (const auto* ofRun = std::get_if<jobs::RunEvent>(&event))
         noteRun(*ofRun);
-    const auto* ofWorker = std::get_if<jobs::WorkerEvent>(&event);
-    if (ofWorker && ofWorker->kind == jobs::WorkerEvent::Kind::FenceSeen)
-        m_isOwnershipInDoubt = true; // The next transaction tells.
 }
 
 void CellHost::noteRun(const jobs::RunEvent& event)
@@ -245,15 +242,13 @@
         return;
     auto workers = m_cell.workersInUse();
     const bool haveWorkersChanged = workers != m_writer.workersWritten();
-    const bool isRenewalDue
-        = sinceLast >= renewalPeriod || m_isHandingBack || m_isOwnershipInDoubt || m_cell.wantsConfirmation();
+    const bool isRenewalDue = sinceLast >= renewalPeriod || m_isHandingBack || m_cell.wantsConfirmation();
     const bool isDue = isRenewalDue || haveWorkersChanged || m_cell.hasUrgentCommit() || sinceLast >= commitPause;
     if (!isDue)
         return;
     const auto commit = m_cell.takeCommit(wallClockMilliseconds());
     if (!commit && !haveWorkersChanged && !isRenewalDue)
         return;
-    m_isOwnershipInDoubt = false;
     m_cell.workersSent(workers, m_parts.clock.now());
     const bool isLast = m_isHandingBack && !m_cell.hasUncommitted();
     auto held = isLast ? std::optional { m_cell.held(m_parts.clock.now()) } : std::nullopt;
