State once until when a run may be held, and to which life starts may go

The end of what was granted was worked out twice, for silent workers run by run and for a hand-back worker by worker; the second is the latest of the first. Whether a life may be started on stood in two places, for new starts and for those sent again, and had grown apart before. One function each now.

--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -325,8 +325,12 @@
     void sendLooks(TimePoint now, bool mayRenew);
     void sendAgain(TimePoint now, bool mayStart);
     void checkSilent(TimePoint now);
-    bool isConfirmedFor(const Worker& worker) const;
-    bool mayHoldLease(const Worker& worker, const Run& run, TimePoint now) const;
+
+    /// Whether starts may go to the life of the worker that answers.
+    bool isLifeKnown(const Worker& worker) const;
+
+    /// What this owner and earlier ones have granted to the run has ended by then, if nothing more is granted.
+    TimePoint heldUntil(const Worker& worker, const Run& run, TimePoint now) const;
     void grantStart(Worker& worker, Run& run, TimePoint now);
 
     /// An order that carried a lease by the clock of that life has been answered, or is given up.
@@ -337,9 +341,6 @@
     void noteFence(const WorkerId& worker, TimePoint now);
     void emptyClosing(TimePoint now);
     void checkRecovery(TimePoint now);
-
-    /// What this owner and earlier ones have granted on the worker has ended by then, if nothing more is granted.
-    TimePoint heldUntil(const Worker& worker, TimePoint now) const;
     int awayOf(const JobEntry& entry, const TaskRef& member, TimePoint now) const;
 
     // Decisions: cell_schedule.cpp
--- a/packages/jobs/src/cell_view.cpp
+++ b/packages/jobs/src/cell_view.cpp
@@ -62,9 +62,11 @@
     HeldLeases held;
     for (const auto& [id, machine] : workersInUse()) {
         const auto known = state.workers.find(id);
-        TimePoint until = known == state.workers.end() ? now : state.heldUntil(known->second, now);
-        if (state.foreignWorkers.contains(id))
-            until = std::max(until, state.foreignUntil.at(id));
+        TimePoint until = state.foreignWorkers.contains(id) ? state.foreignUntil.at(id) : now;
+        if (known != state.workers.end()) {
+            for (const auto& [task, run] : known->second.runs)
+                until = std::max(until, state.heldUntil(known->second, run, now));
+        }
         held[id] = std::max(until - now, Duration {});
     }
     return held;
--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -192,10 +192,7 @@
             if (run.isOrderOnItsWay || run.orderAgainAt == TimePoint {} || now < run.orderAgainAt)
                 continue;
             const bool isStart = run.phase == RunPhase::Ordered && !isLeaving;
-            // Its lease must be by the clock of the life that is there now.
-            const bool mayBeStarted = mayStart && worker.contact == WorkerContact::InTouch && worker.clock.isKnown()
-                && worker.isDescribed() && isConfirmedFor(worker);
-            if (isStart && !mayBeStarted)
+            if (isStart && !(mayStart && isLifeKnown(worker)))
                 continue;
             run.orderAgainAt = {};
             if (isStart) {
@@ -215,7 +212,7 @@
             continue;
         std::vector<TaskRef> lapsed;
         for (const auto& [task, run] : worker.runs) {
-            if (!mayHoldLease(worker, run, now))
+            if (now >= heldUntil(worker, run, now))
                 lapsed.push_back(task);
         }
         for (const TaskRef& task : lapsed)
@@ -225,19 +222,24 @@
     }
 }
 
-/// An owner that has been replaced does not know it until its next transaction, and a life that began after the next
-/// owner's look has seen no fence that would tell.
-bool CellState::isConfirmedFor(const Worker& worker) const { return worker.bornAtLatest <= confirmedAt; }
+/// The list and a lease must be of the life that is there. An owner that has been replaced does not know it until its
+/// next transaction, and a life that began after the next owner's look has seen no fence that would tell.
+bool CellState::isLifeKnown(const Worker& worker) const
+{
+    return worker.contact == WorkerContact::InTouch && worker.clock.isKnown() && worker.isDescribed()
+        && worker.bornAtLatest <= confirmedAt;
+}
 
 /// What the present life of the worker is not known to run may be run by a later one, which reads the leases sent to
-/// the present one by its own clock.
-bool CellState::mayHoldLease(const Worker& worker, const Run& run, TimePoint now) const
+/// the present one by its own clock. What is on its way arrives now at the earliest.
+TimePoint CellState::heldUntil(const Worker& worker, const Run& run, TimePoint now) const
 {
-    const bool isOfPresentLife = run.seenInLife == worker.bornUnixMs;
-    if (isOfPresentLife)
-        return now < worker.clock.lapsedAt();
-    return worker.isLeaseOnItsWay()
-        || now < worker.clock.lapsedInAllLivesAt(worker.isLaterLifeListed(), settings.longestLease);
+    if (run.seenInLife == worker.bornUnixMs)
+        return worker.clock.lapsedAt();
+    LeaseClock delivered = worker.clock;
+    if (worker.isLeaseOnItsWay())
+        delivered.noteDelivered(worker.bornUnixMs, true, settings.longestLease, now);
+    return delivered.lapsedInAllLivesAt(worker.isLaterLifeListed(), settings.longestLease);
 }
 
 void CellState::checkRecovery(TimePoint now)
@@ -251,20 +253,6 @@
     isRecovering = isRecovering && !foreignWorkers.empty();
 }
 
-TimePoint CellState::heldUntil(const Worker& worker, TimePoint now) const
-{
-    if (worker.runs.empty())
-        return now;
-    const bool areAllOfPresentLife = std::all_of(worker.runs.begin(), worker.runs.end(),
-        [&](const auto& each) { return each.second.seenInLife == worker.bornUnixMs; });
-    if (areAllOfPresentLife)
-        return worker.clock.lapsedAt();
-    LeaseClock delivered = worker.clock;
-    if (worker.isLeaseOnItsWay())
-        delivered.noteDelivered(worker.bornUnixMs, true, settings.longestLease, now);
-    return delivered.lapsedInAllLivesAt(worker.isLaterLifeListed(), settings.longestLease);
-}
-
 void CellState::pace(Worker& worker, TimePoint now)
 {
     if (worker.neighbours.fillers == 0) {
--- a/packages/jobs/src/room.cpp
+++ b/packages/jobs/src/room.cpp
@@ -11,9 +11,8 @@
 /// Whether a worker that the store names may be used.
 bool isUsable(const Worker& worker, const CellState& state, TimePoint now)
 {
-    return worker.isListed && worker.contact == WorkerContact::InTouch && worker.clock.isKnown() && worker.isDescribed()
-        && !worker.description.isDraining && !worker.isClosedFor(now) && worker.mayTakeStarts()
-        && state.isConfirmedFor(worker) && !state.closing.contains(worker.description.machine);
+    return worker.isListed && state.isLifeKnown(worker) && !worker.description.isDraining && !worker.isClosedFor(now)
+        && worker.mayTakeStarts() && !state.closing.contains(worker.description.machine);
 }
 
 bool looksAtNeighbours(const Step& step)
