--- a/packages/jobs/tests/cell_lives_tests.cpp
+++ b/packages/jobs/tests/cell_lives_tests.cpp
@@ -48,6 +48,19 @@
     return clock;
 }
 
+/// The start of a new job, which gets no answer. Its worker is reborn, is heard and listed, and nothing is sent again.
+StartOrder unansweredBeforeARebirth(Desk& desk)
+{
+    StartOrder start = desk.startOf("a");
+    desk.answer(start, CallStatus::NoAnswer);
+    desk.rebear(start.worker);
+    desk.step(60ms);
+    EXPECT_TRUE(desk.take<StartOrder>().empty());
+    desk.hear(start.worker.value().c_str(), {});
+    desk.listLives();
+    return start;
+}
+
 } // namespace
 
 TEST(CellLives, StartTakenByALaterLifeHoldsTheLongestLease)
@@ -97,13 +110,7 @@
 TEST(CellLives, UnansweredStartIsSentAgainByTheClockOfTheLifeThatIsThere)
 {
     Desk desk;
-    const StartOrder start = desk.startOf("a");
-    desk.answer(start, CallStatus::NoAnswer);
-    desk.rebear(start.worker);
-    desk.step(60ms);
-    EXPECT_TRUE(desk.take<StartOrder>().empty());
-    desk.hear(start.worker.value().c_str(), {});
-    desk.listLives();
+    const StartOrder start = unansweredBeforeARebirth(desk);
     desk.confirm();
     desk.step(200ms);
     const auto again = desk.take<StartOrder>();
@@ -126,12 +133,7 @@
 TEST(CellLives, EarlierOwnerSendsNothingAgainToALifeThatBeganAfterItsReplacement)
 {
     Desk desk;
-    const StartOrder start = desk.startOf("a");
-    desk.answer(start, CallStatus::NoAnswer);
-    desk.rebear(start.worker);
-    desk.step(60ms);
-    desk.hear(start.worker.value().c_str(), {});
-    desk.listLives();
+    unansweredBeforeARebirth(desk);
     desk.step(200ms);
     EXPECT_TRUE(desk.take<StartOrder>().empty());
     desk.confirm();
