Report long-running tasks without a run, and the age of runs presumed ended

The logs could not tell why a long-running task had no run (no room, an unresolved run, an unfinished takeover, starts held back), nor how long a run was waited for before it was presumed ended.

No decision changes.

--- a/packages/cli/src/explain_job_command.cpp
+++ b/packages/cli/src/explain_job_command.cpp
@@ -22,6 +22,7 @@
     { "run.stopping", "orders the stop of" },
     { "run.ended", "is told the end of" },
     { "run.over", "takes for over" },
+    { "task.without_run", "has no active run of" },
     { "worker.heard", "hears for the first time from" },
     { "worker.not_heard", "waits no longer for" },
     { "worker.silent", "gets no answer from" },
--- a/packages/jobs/include/rattanrack/jobs/cell_event.h
+++ b/packages/jobs/include/rattanrack/jobs/cell_event.h
@@ -24,8 +24,10 @@
         Adopted, ///< Found on a worker; a previous owner had started it.
         Stopping, ///< A stop has been sent, or follows the result of the start; `detail` is the reason.
         Ended, ///< Listed as ended by its worker; `detail` is the outcome, `age` the time since it was confirmed.
-        PresumedEnded, ///< Assumed to be over although no worker listed its end; `detail` is the evidence.
-        NotStarted, ///< Over, since its start was refused or not sent; `detail` is the reason.
+        /// Assumed to be over although no worker listed its end; `detail` is the evidence, `age` the time since its
+        /// start was last sent, 0 if a previous owner sent it.
+        PresumedEnded,
+        NotStarted, ///< Over, since its start was refused or not sent; `detail` is the reason, `age` as above.
     };
     Kind kind { Kind::Starting };
     TaskRef task;
@@ -53,6 +55,15 @@
     Duration age {};
 };
 
-using CellEvent = std::variant<JobEvent, RunEvent, WorkerEvent>;
+/// A long-running task has had no active run for some seconds.
+struct MissingRunEvent {
+    TaskRef task;
+    RunNumber run { 0 }; ///< The run that is not resolved; 0: none.
+    WorkerId worker; ///< Of that run.
+    std::string detail; ///< What keeps the task from its next run.
+    Duration age {}; ///< Since this owner first saw the task without an active run.
+};
+
+using CellEvent = std::variant<JobEvent, RunEvent, WorkerEvent, MissingRunEvent>;
 
 } // namespace rattanrack::jobs
--- a/packages/jobs/src/cell_results.cpp
+++ b/packages/jobs/src/cell_results.cpp
@@ -72,7 +72,7 @@
         return;
     }
     if (result.status == CommandStatus::WrongWorker) {
-        state.onWorkerLost(worker, "another worker responds at its address");
+        state.onWorkerLost(worker, "another worker responds at its address", now);
         worker.contact = WorkerContact::Unknown;
         worker.needsPoll = true;
         return;
@@ -91,7 +91,7 @@
             = std::max(worker.avoidUntil, now + (isUnreachable ? avoidAfterNoResponse : avoidAfterNoCapacity));
         worker.needsPoll = true;
     }
-    state.onStartFailed(worker, command, run, result);
+    state.onStartFailed(worker, command, run, result, now);
 }
 
 void Cell::onResult(const StopCommand& command, const CommandResult& result, TimePoint now)
@@ -103,7 +103,7 @@
     Worker& worker = *target.worker;
     Run& run = *target.run;
     if (result.status == CommandStatus::WrongWorker) {
-        state.onWorkerLost(worker, "another worker responds at its address");
+        state.onWorkerLost(worker, "another worker responds at its address", now);
         return;
     }
     if (isAccepted(result)) {
--- a/packages/jobs/src/cell_runs.cpp
+++ b/packages/jobs/src/cell_runs.cpp
@@ -69,25 +69,29 @@
     return nullptr;
 }
 
-void CellState::presumeEnded(Worker& worker, const TaskRef& taskInRuns, std::string_view evidence, RunEvent::Kind kind)
+void CellState::presumeEnded(
+    Worker& worker, const TaskRef& taskInRuns, std::string_view evidence, TimePoint now, RunEvent::Kind kind)
 {
     const TaskRef task = taskInRuns; // The argument may be a key in the map that the run is removed from.
     const auto found = worker.runs.find(task);
-    if (found != worker.runs.end())
-        addRunEvent(kind, worker, task, found->second.number, evidence);
+    if (found != worker.runs.end()) {
+        const TimePoint sentAt = found->second.startSentAt;
+        addRunEvent(
+            kind, worker, task, found->second.number, evidence, sentAt == TimePoint {} ? Duration {} : now - sentAt);
+    }
     const bool hasNoRun = releaseRun(worker, task);
     JobEntry* entry = find(task.job);
     if (hasNoRun && entry && entry->progress.contains(task))
         entry->progress.onRunEnded(task);
 }
 
-void CellState::onWorkerLost(Worker& worker, std::string_view evidence)
+void CellState::onWorkerLost(Worker& worker, std::string_view evidence, TimePoint now)
 {
     std::vector<TaskRef> tasks;
     for (const auto& [task, run] : worker.runs)
         tasks.push_back(task);
     for (const TaskRef& task : tasks)
-        presumeEnded(worker, task, evidence);
+        presumeEnded(worker, task, evidence, now);
     inheritedWorkers.erase(worker.description.id);
 }
 
@@ -284,7 +288,7 @@
             missing.push_back(task);
     }
     for (const TaskRef& task : missing)
-        presumeEnded(worker, task, "no longer listed by the worker");
+        presumeEnded(worker, task, "no longer listed by the worker", now);
 }
 
 } // namespace rattanrack::jobs
--- a/packages/jobs/src/cell_starts.cpp
+++ b/packages/jobs/src/cell_starts.cpp
@@ -51,6 +51,7 @@
 {
     startsInFlight = 0;
     isGangHeldBack = false;
+    isWindowFull = false;
     for (auto& [id, worker] : workers) {
         worker.startsInFlight = 0;
         worker.isSlow = false;
@@ -67,6 +68,7 @@
 bool CellState::mayStartMore(TimePoint now)
 {
     const bool mayStart = startsInFlight < startWindow.limit() && !isGangHeldBack;
+    isWindowFull = isWindowFull || !mayStart;
     if (!mayStart)
         startWindow.onLimitReached(now);
     return mayStart;
@@ -118,7 +120,8 @@
     }
 }
 
-void CellState::onStartFailed(Worker& worker, const StartCommand& command, Run& run, const CommandResult& result)
+void CellState::onStartFailed(
+    Worker& worker, const StartCommand& command, Run& run, const CommandResult& result, TimePoint now)
 {
     if (run.phase == RunPhase::Confirmed)
         return; // Started by an earlier transmission, and listed since.
@@ -126,7 +129,7 @@
         sendStop(worker, command.task, command.run, "the start may be carried out late");
         return;
     }
-    presumeEnded(worker, command.task, reasonNotStarted(result), RunEvent::Kind::NotStarted);
+    presumeEnded(worker, command.task, reasonNotStarted(result), now, RunEvent::Kind::NotStarted);
 }
 
 } // namespace rattanrack::jobs
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -232,6 +232,12 @@
     }
 };
 
+/// A long-running task without an active run.
+struct MissingRun {
+    TimePoint since {};
+    TimePoint reportAt {};
+};
+
 class FreeCapacity;
 struct Placement;
 
@@ -275,6 +281,9 @@
     StartWindow startWindow;
     int startsInFlight { 0 }; ///< Starts that count towards the window, in the current pass.
     bool isGangHeldBack { false }; ///< In the current pass, until enough of the window is free.
+    bool isWindowFull { false }; ///< In the latest pass, starts waited for others to get a response.
+    std::map<TaskRef, MissingRun> missingRuns; ///< Long-running tasks without an active run.
+    TimePoint nextMissingRunCheckAt {};
     CellOutput output;
 
     JobEntry* find(const JobId& job);
@@ -297,9 +306,9 @@
     /// Removes a run from its worker. Returns whether no worker has a run of the task any more.
     bool releaseRun(Worker& worker, const TaskRef& task);
     const Worker* workerRunning(const TaskRef& task) const;
-    void presumeEnded(Worker& worker, const TaskRef& task, std::string_view evidence,
+    void presumeEnded(Worker& worker, const TaskRef& task, std::string_view evidence, TimePoint now,
         RunEvent::Kind kind = RunEvent::Kind::PresumedEnded);
-    void onWorkerLost(Worker& worker, std::string_view evidence);
+    void onWorkerLost(Worker& worker, std::string_view evidence, TimePoint now);
     void processEndedRun(Worker& worker, const EndedRun& ended, TimePoint now);
     void processRunning(Worker& worker, const PollReport& report, TimePoint sentAt, TimePoint now);
     void adoptRun(Worker& worker, const RunningRun& running, TimePoint now);
@@ -325,7 +334,8 @@
     std::vector<Placement> admitStarts(
         const Step& step, const std::vector<Placement>& placements, const FreeCapacity& capacity, TimePoint now);
     void recordStartResult(const Worker& worker, const Run& run, const CommandResult& result, TimePoint now);
-    void onStartFailed(Worker& worker, const StartCommand& command, Run& run, const CommandResult& result);
+    void onStartFailed(
+        Worker& worker, const StartCommand& command, Run& run, const CommandResult& result, TimePoint now);
 
     // Workers: cell_workers.cpp
     void sendPolls(TimePoint now, bool mayRenew);
@@ -349,6 +359,11 @@
     void checkRecovery(TimePoint now);
     int unavailableMembers(const JobEntry& entry, const TaskRef& member, TimePoint now) const;
 
+    // Long-running tasks without a run: cell_missing_runs.cpp
+    void checkMissingRuns(TimePoint now);
+    void checkMissingRun(const JobEntry& entry, const TaskRef& task, TimePoint now);
+    MissingRunEvent describeMissingRun(const JobEntry& entry, const TaskRef& task) const;
+
     // Scheduling: cell_schedule.cpp
     void schedule(TimePoint now, std::int64_t wallMs);
     std::vector<ReadyStep> readySteps(TimePoint now, std::int64_t wallMs); ///< Unsorted.
--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -68,7 +68,7 @@
                 && other.incarnationUnixMs > earlier.description.incarnationUnixMs && !other.machine.isEmpty();
         };
         if (!worker.isListed && std::any_of(listed.begin(), listed.end(), isSuccessor))
-            state.onWorkerLost(worker, "a later worker is listed on its machine");
+            state.onWorkerLost(worker, "a later worker is listed on its machine", now);
     }
     // The starts of inherited workers are not known here. A list from before the takeover, or one that still contains
     // the worker, may show an earlier worker on its machine.
@@ -135,7 +135,7 @@
         worker.nextPollAt = now + unresponsivePollPause;
         worker.needsPoll = worker.needsPoll || worker.contact != WorkerContact::Responsive || worker.isListed;
         if (result.status == CommandStatus::WrongWorker)
-            state.onWorkerLost(worker, "another worker responds at its address");
+            state.onWorkerLost(worker, "another worker responds at its address", now);
         if (result.refusal == RefusalReason::StaleFence)
             state.recordHigherFence(command.worker, now);
         if (worker.contact == WorkerContact::Responsive) {
@@ -223,7 +223,7 @@
                 expired.push_back(task);
         }
         for (const TaskRef& task : expired)
-            presumeEnded(worker, task, "lease expired");
+            presumeEnded(worker, task, "lease expired", now);
         if (!expired.empty() && worker.runs.empty())
             inheritedWorkers.erase(id);
     }
--- a/packages/jobs/tests/cell_harness.h
+++ b/packages/jobs/tests/cell_harness.h
@@ -157,6 +157,16 @@
         return found;
     }
 
+    std::vector<MissingRunEvent> missingRunEvents() const
+    {
+        std::vector<MissingRunEvent> found;
+        for (const CellEvent& event : m_events) {
+            if (const auto* missing = std::get_if<MissingRunEvent>(&event))
+                found.push_back(*missing);
+        }
+        return found;
+    }
+
     void dropPolls()
     {
         for (const PollCommand& poll : takeCommands<PollCommand>())
--- a/packages/jobs/tests/cell_walk_tests.cpp
+++ b/packages/jobs/tests/cell_walk_tests.cpp
@@ -131,6 +131,11 @@
     return event.worker.value() + ' ' + names[static_cast<int>(event.kind)] + ' ' + event.detail;
 }
 
+std::string describeEvent(const MissingRunEvent& event)
+{
+    return describe(event.task) + " without a run, " + event.detail + ' ' + event.worker.value();
+}
+
 std::string describeEvent(const JobEvent& event) { return event.job.value() + ' ' + event.detail; }
 
 /// Prints the owners' events for jobs and workers whose names have the given prefix.
--- a/packages/node/include/rattanrack/node/cell_log.h
+++ b/packages/node/include/rattanrack/node/cell_log.h
@@ -30,6 +30,7 @@
     LogRateLimiter m_unsuccessfulStarts;
     LogRateLimiter m_doneRuns;
     LogRateLimiter m_acknowledgements;
+    LogRateLimiter m_missingRuns;
 };
 
 } // namespace rattanrack::node
--- a/packages/node/src/cell_log.cpp
+++ b/packages/node/src/cell_log.cpp
@@ -37,6 +37,8 @@
             = { "worker.heard", "worker.not_heard", "worker.silent", "worker.back", "fence.seen", "ends.acknowledged" };
         return nameOf(event.kind, names);
     }
+
+    std::string operator()(const jobs::MissingRunEvent&) const { return "task.without_run"; }
 };
 
 struct EventLog {
@@ -66,6 +68,14 @@
             { { "cell", cell }, { "term", term }, { "worker", event.worker.value() }, { "detail", event.detail },
                 { "ageMs", milliseconds(event.age) } });
     }
+
+    void operator()(const jobs::MissingRunEvent& event) const
+    {
+        logEvent(name,
+            { { "cell", cell }, { "term", term }, { "job", event.task.job.value() }, { "task", taskName(event.task) },
+                { "run", event.run }, { "worker", event.worker.value() }, { "detail", event.detail },
+                { "ageMs", milliseconds(event.age) } });
+    }
 };
 
 } // namespace
@@ -80,6 +90,8 @@
         const bool isDone = runEvent->kind == jobs::RunEvent::Kind::Ended && runEvent->detail == "done";
         return isDone ? &m_doneRuns : nullptr;
     }
+    if (std::holds_alternative<jobs::MissingRunEvent>(event))
+        return &m_missingRuns;
     const auto* workerEvent = std::get_if<jobs::WorkerEvent>(&event);
     const bool isAcknowledgement = workerEvent && workerEvent->kind == jobs::WorkerEvent::Kind::EndedRunsAcknowledged;
     return isAcknowledgement ? &m_acknowledgements : nullptr;
--- a/packages/node/tests/cell_log_tests.cpp
+++ b/packages/node/tests/cell_log_tests.cpp
@@ -126,6 +126,13 @@
     EXPECT_EQ(linesWith("detail=\"start expired in our queue\""), LogRateLimiter::maxLinesPerSecond);
 }
 
+TEST_F(CellLogTest, ReportsOfMissingRunsAreLimited)
+{
+    write(jobs::MissingRunEvent { {}, 0, {}, "no worker has room for it", 3s }, burst);
+    EXPECT_EQ(linesWith("event=task.without_run"), LogRateLimiter::maxLinesPerSecond);
+    EXPECT_EQ(linesWith("detail=\"no worker has room for it\" ageMs=3000"), LogRateLimiter::maxLinesPerSecond);
+}
+
 TEST_F(CellLogTest, FailuresAndStateChangesAreNeverSuppressed)
 {
     const std::vector<jobs::CellEvent> events { runEvent(RunEvent::Kind::Ended, "failed"),
