--- a/packages/jobs/model/cell_simulation.cpp
+++ b/packages/jobs/model/cell_simulation.cpp
@@ -22,7 +22,7 @@
 constexpr const char* queueName = "queue";
 const PoolId poolName { "pool" };
 
-CellSettings settingsOf(Fence term)
+CellSettings settingsOf(Fence term, Duration longestLease)
 {
     return { poolName, term, 4500ms, inheritedLease(maxConfirmationAge, longestLease), 120s, longestStop,
         longestLease };
@@ -30,9 +30,10 @@
 
 } // namespace
 
-CellSimulation::CellSimulation(std::uint64_t seed, int workers, const FaultRates& faults)
+CellSimulation::CellSimulation(std::uint64_t seed, int workers, const FaultRates& faults, Duration longestLease)
     : m_random(seed)
     , m_faults(faults)
+    , m_longestLease(longestLease)
 {
     for (int number = 0; number < workers; ++number) {
         const std::string name = std::to_string(number);
@@ -41,7 +42,7 @@
         description.rack = "r" + std::to_string(number / 4);
         description.labels = { "a", description.rack };
         description.incarnationUnixMs = ++m_incarnations;
-        m_workers.emplace_back(description, 0.98 + 0.02 * static_cast<double>(number % 3) / 2);
+        m_workers.emplace_back(description, 0.98 + 0.02 * static_cast<double>(number % 3) / 2, m_longestLease);
     }
     takeOver();
     tick();
@@ -140,8 +141,8 @@
     }
     Owner& owner = m_owners[++m_ownerNumber];
     owner.term = ++m_term;
-    owner.cell = std::make_unique<Cell>(
-        settingsOf(m_term), std::move(stored), m_workerRow, m_now, unixMs(), std::exchange(m_outstandingLeasesRow, {}));
+    owner.cell = std::make_unique<Cell>(settingsOf(m_term, m_longestLease), std::move(stored), m_workerRow, m_now,
+        unixMs(), std::exchange(m_outstandingLeasesRow, {}));
     owner.cell->configure({ { QueueId { queueName }, poolName, 0, maxAttempts, 1.6, 600ms } });
     owner.cell->setDrainingMachines(m_drainingMachines);
     owner.confirmedAt = m_now;
--- a/packages/jobs/model/cell_simulation.h
+++ b/packages/jobs/model/cell_simulation.h
@@ -51,12 +51,21 @@
 
 class CellSimulation {
 public:
-    CellSimulation(std::uint64_t seed, int workers, const FaultRates& faults);
+    /// `longestLease`: workers shorten longer leases to this.
+    CellSimulation(
+        std::uint64_t seed, int workers, const FaultRates& faults, Duration longestLease = defaultLongestLease);
 
     /// Submits a job, which counts as accepted once it is stored.
     void submit(const Job& job, const std::vector<TaskBehavior>& behaviorOfSteps);
     void cancel(const JobId& job);
 
+    /// `count` workers are lost for good within `period`. Each stays listed until its heartbeats have been missing for
+    /// some seconds; a new worker on a new machine is listed about as late.
+    void loseWorkers(std::size_t count, Duration period);
+
+    /// The owner is lost without notice, together with its node; another one takes over.
+    void loseOwner() { dropOwner(); }
+
     /// Advances virtual time by `time`.
     void run(Duration time);
 
@@ -82,6 +91,10 @@
     TimePoint now() const { return m_now; }
     int runningOf(const JobId& job) const;
 
+    /// Long-running tasks of accepted jobs that do not run although 6 s have passed since their last run and 7 s since
+    /// the last worker was lost, each with these times.
+    std::vector<std::string> overdueLongRunningTasks() const;
+
     /// Failed runs, as far as workers have listed them, of the job's task that failed most often.
     int highestFailureCount(const JobId& job) const;
 
@@ -133,6 +146,7 @@
     void injectFaultsAtRunEnd(const WorkerId& worker);
     void crashWorker(std::size_t worker);
     void takeDown(std::size_t worker);
+    void replaceWorker(std::size_t worker);
     void flapWorker(std::size_t worker, int count);
     void stallOwners();
     void drainWorker(std::size_t worker);
@@ -182,6 +196,8 @@
 
     std::mt19937_64 m_random;
     FaultRates m_faults;
+    Duration m_longestLease;
+    TimePoint m_lastWorkerLostAt {};
     TimePoint m_now { std::chrono::seconds { 1000 } };
     std::uint64_t m_sequence { 0 };
     std::priority_queue<ScheduledEvent, std::vector<ScheduledEvent>, IsLater> m_events;
--- a/packages/jobs/model/cell_simulation_faults.cpp
+++ b/packages/jobs/model/cell_simulation_faults.cpp
@@ -8,6 +8,8 @@
 using namespace std::chrono_literals;
 
 constexpr Duration takeoverTime = 1500ms;
+constexpr Duration heartbeatsMissing = 4500ms; ///< From the loss of a worker until it is no longer listed.
+constexpr Duration replacementTime = 4s;
 
 } // namespace
 
@@ -66,7 +68,7 @@
         if (isRenamed)
             description.id = WorkerId { "w" + std::to_string(++m_incarnations) + "x" };
         if (isRenamed)
-            m_workers[index] = ModelWorker { description, 0.99 };
+            m_workers[index] = ModelWorker { description, 0.99, m_longestLease };
         m_workers[index].restart(++m_incarnations, m_now);
     });
 }
@@ -80,6 +82,32 @@
         m_staleEntries.push_back({ description, m_now + randomBetween(200ms, 1500ms) });
 }
 
+void CellSimulation::loseWorkers(std::size_t count, Duration period)
+{
+    for (std::size_t index = 0; index < count; ++index) {
+        schedule(randomBetween(0us, period), [this, index] {
+            if (m_workers[index].isUp())
+                replaceWorker(index);
+        });
+    }
+}
+
+void CellSimulation::replaceWorker(std::size_t index)
+{
+    WorkerDescription description = m_workers[index].description();
+    m_workers[index].crash();
+    m_oracle.onCrashed(description.id, m_now);
+    m_staleEntries.push_back({ description, m_now + heartbeatsMissing });
+    m_lastWorkerLostAt = m_now;
+    schedule(replacementTime, [this, index, description]() mutable {
+        const std::string number = std::to_string(++m_incarnations);
+        description.id = WorkerId { "w" + number + "n" };
+        description.machine = MachineId { "m" + number + "n" };
+        m_workers[index] = ModelWorker { description, 0.99, m_longestLease };
+        m_workers[index].restart(m_incarnations, m_now);
+    });
+}
+
 /// Takes the worker down and up several times under the same id.
 void CellSimulation::flapWorker(std::size_t index, int count)
 {
--- a/packages/jobs/model/cell_simulation_oracle.cpp
+++ b/packages/jobs/model/cell_simulation_oracle.cpp
@@ -13,6 +13,9 @@
 
 constexpr Duration cancelGrace = 3s;
 constexpr Duration startGrace = 1s;
+constexpr Duration maxTimeWithoutRun = 6s; ///< Of a long-running task.
+/// Without a disturbance, before a long-running task without a run is overdue: 3 s without it, and 4 s before them.
+constexpr Duration undisturbedTime = 7s;
 
 } // namespace
 
@@ -113,6 +116,22 @@
     return count;
 }
 
+std::vector<std::string> CellSimulation::overdueLongRunningTasks() const
+{
+    std::vector<std::string> overdue;
+    if (m_now < m_lastWorkerLostAt + undisturbedTime)
+        return overdue;
+    for (const auto& [task, state] : m_oracle.longRunningTasks()) {
+        if (state.isActive || !m_accepted.contains(task.job) || m_cancelled.contains(task.job))
+            continue;
+        if (m_now >= state.inactiveSince + maxTimeWithoutRun)
+            overdue.push_back(describe(task) + " has not run for "
+                + std::to_string((m_now - state.inactiveSince).count() / 1000) + " ms, last worker lost "
+                + std::to_string((m_now - m_lastWorkerLostAt).count() / 1000) + " ms ago");
+    }
+    return overdue;
+}
+
 int CellSimulation::highestFailureCount(const JobId& job) const
 {
     std::size_t most = 0;
--- a/packages/jobs/model/model_worker.h
+++ b/packages/jobs/model/model_worker.h
@@ -7,7 +7,7 @@
 
 namespace rattanrack::jobs::model {
 
-constexpr Duration longestLease = std::chrono::seconds { 5 }; ///< A longer one is shortened.
+constexpr Duration defaultLongestLease = std::chrono::seconds { 5 };
 
 /// A run on a model worker.
 struct ModelRun {
@@ -45,9 +45,11 @@
 /// and incarnations.
 class ModelWorker {
 public:
-    ModelWorker(WorkerDescription description, double clockRate)
+    /// `longestLease`: a longer one is shortened.
+    ModelWorker(WorkerDescription description, double clockRate, Duration longestLease = defaultLongestLease)
         : m_description(std::move(description))
         , m_clockRate(clockRate)
+        , m_longestLease(longestLease)
     {
     }
 
@@ -86,6 +88,7 @@
 
     WorkerDescription m_description;
     double m_clockRate;
+    Duration m_longestLease;
     bool m_isUp { true };
     TimePoint m_startedAt {};
     std::map<TaskRef, ModelRun> m_runs;
--- a/packages/jobs/model/rule_oracle.h
+++ b/packages/jobs/model/rule_oracle.h
@@ -21,6 +21,14 @@
 /// tasks of a long-running step that may be unavailable at once, and no start on a draining worker.
 class RuleOracle {
 public:
+    struct LongRunningTaskState {
+        RunNumber run { 0 };
+        WorkerId worker;
+        bool isActive { false };
+        bool isStoppedByCommand { false };
+        TimePoint inactiveSince {};
+    };
+
     explicit RuleOracle(int maxAttempts)
         : m_maxAttempts(maxAttempts)
     {
@@ -39,6 +47,7 @@
     /// Returns and clears the violations found since the last call.
     std::vector<std::string> takeViolations() { return std::exchange(m_violations, {}); }
     int stopsOfActiveRuns() const { return m_stopsOfActiveRuns; }
+    const std::map<TaskRef, LongRunningTaskState>& longRunningTasks() const { return m_longRunningTasks; }
 
 private:
     struct TaskRecord {
@@ -46,13 +55,6 @@
         std::map<RunNumber, TimePoint> failedAt; ///< Acknowledged ends.
         std::map<RunNumber, TimePoint> doneAt;
     };
-    struct LongRunningTaskState {
-        RunNumber run { 0 };
-        WorkerId worker;
-        bool isActive { false };
-        bool isStoppedByCommand { false };
-        TimePoint inactiveSince {};
-    };
 
     const Step& stepOf(const TaskRef& task) const;
     void checkStarts(const TaskRef& task);
--- a/packages/jobs/tests/inherited_lease_tests.cpp
+++ b/packages/jobs/tests/inherited_lease_tests.cpp
@@ -26,7 +26,7 @@
     worker.poll({ worker.description().id, 1, 0, 500'000, 0us, 1 }, 500, lastGrantAt);
     const StartCommand start { worker.description().id, task, 1, {}, 8000, 1, {}, {}, 2 };
     ASSERT_EQ(worker.start(start, { {}, 0us, false, true }, false, lastGrantAt).status, CommandStatus::Done);
-    worker.advance(takenOverAt + inheritedLease(ownershipTimeout, model::longestLease));
+    worker.advance(takenOverAt + inheritedLease(ownershipTimeout, model::defaultLongestLease));
     EXPECT_FALSE(worker.isActive(task, 1));
 }
 
@@ -34,5 +34,5 @@
 {
     constexpr Duration slack = 700ms;
     const Duration leaseTime = Duration { static_cast<std::int64_t>(5'000'000 / minClockRate) };
-    EXPECT_LE(inheritedLease(ownershipTimeout, model::longestLease), ownershipTimeout + leaseTime + slack);
+    EXPECT_LE(inheritedLease(ownershipTimeout, model::defaultLongestLease), ownershipTimeout + leaseTime + slack);
 }
