Wait for an unanswered start no longer than its own lease

What callers saw: a long-running task without a run for longer than 6 s although there was room for it.

Class: a wait by the longest possible time-out where a proof with a shorter one is at hand. A start has reached only its own incarnation since "Commands for one life of a worker reach no other"; renewals did not.

A shorter lease for all runs: it would let work end in takeovers and outages.

Change: a lease, like an acknowledgement, goes only over a connection on which the incarnation it is meant for has responded; results say whether that was so (isBound). Only where it was not, on workers that close their connections, does the longest lease count. A poll renews nothing while no run on the worker is confirmed, and comes back after 250 ms then, so that a start on an idle worker that is lost costs 2.1 s.

The walks with crashes and flapping workers run also with workers that close their connections (four new walks, as many seeds), which is how all of them behaved before.

--- a/packages/jobs/include/rattanrack/jobs/ports.h
+++ b/packages/jobs/include/rattanrack/jobs/ports.h
@@ -13,8 +13,8 @@
 /// Ports to the platform's services other than its store. Every call has its own timeout.
 namespace rattanrack::jobs {
 
-/// One connection to one worker, for use by one thread. A start or an acknowledgement reaches the incarnation of the
-/// worker that it is meant for, or none.
+/// One connection to one worker, for use by one thread. A start, a lease or an acknowledgement reaches the incarnation
+/// of the worker that it is meant for, or none, unless the result says that it is not bound to the incarnation.
 class WorkerChannel {
 public:
     virtual ~WorkerChannel() = default;
--- a/packages/jobs/include/rattanrack/jobs/worker.h
+++ b/packages/jobs/include/rattanrack/jobs/worker.h
@@ -89,6 +89,8 @@
     CommandStatus status { CommandStatus::NoResponse };
     RefusalReason refusal { RefusalReason::None };
     std::int64_t workerClockMs { 0 }; ///< 0: not in the response.
+    /// No incarnation but the one that the start is meant for can have received it.
+    bool isBound { false };
     Duration queuedFor {}; ///< Time in this node's queue, before the command was sent or dropped.
     /// From the decision to the response, without the wait for the control thread; 0: unknown.
     Duration responseTime {};
@@ -123,6 +125,8 @@
     RefusalReason refusal { RefusalReason::None };
     PollReport report; ///< When Done.
     std::int64_t ackedThrough { 0 }; ///< As sent with the poll; 0 if the poll could not be bound to the incarnation.
+    /// No incarnation but the one that the poll's lease is meant for can have received the lease.
+    bool isBound { false };
 };
 
 } // namespace rattanrack::jobs
--- a/packages/jobs/model/cell_simulation.h
+++ b/packages/jobs/model/cell_simulation.h
@@ -47,6 +47,8 @@
     double flapsPerSecond { 0 }; ///< Workers that go down and up under the same id in quick succession.
     double staleListEntries { 0 }; ///< Share of the crashes after which the ended incarnation stays listed for a while.
     double delayedPolls { 0 }; ///< Share of the polls that get no response and are carried out seconds later.
+    /// Workers close each connection after one response, so that no lease is bound to an incarnation.
+    bool areConnectionsClosed { false };
 };
 
 class CellSimulation {
@@ -70,7 +72,7 @@
     void run(Duration time);
 
     /// Injects no more faults from now on.
-    void stopFaults() { m_faults = {}; }
+    void stopFaults() { m_faults = { .areConnectionsClosed = m_faults.areConnectionsClosed }; }
 
     /// Violations that the oracle has found.
     const std::vector<std::string>& violations() const { return m_violations; }
--- a/packages/jobs/model/cell_simulation_commands.cpp
+++ b/packages/jobs/model/cell_simulation_commands.cpp
@@ -62,7 +62,8 @@
 template <typename CommandType>
 void CellSimulation::send(const CommandType& command, int owner, const CommandExecution& execution, bool isResponseLost)
 {
-    const auto deliver = [this, command, owner](const CommandResult& result) {
+    const auto deliver = [this, command, owner](CommandResult result) {
+        result.isBound = !m_faults.areConnectionsClosed;
         runOnLoop(owner, [this, command, result](Owner& issuer) { issuer.cell->onResult(command, result, m_now); });
     };
     if (isResponseLost)
@@ -159,14 +160,18 @@
 
 void CellSimulation::finishPoll(PollCommand command, TimePoint sentAt, TimePoint deadline, int owner)
 {
-    const auto deliver = [this, command, sentAt, owner](const PollResult& result) {
+    const auto deliver = [this, command, sentAt, owner](PollResult result) {
+        result.isBound = !m_faults.areConnectionsClosed;
         runOnLoop(owner,
             [this, command, sentAt, result](Owner& issuer) { issuer.cell->onResult(command, result, sentAt, m_now); });
     };
     ModelWorker* worker = find(command.worker);
     const bool isReachable = worker && !isPartitioned(command.worker);
-    if (isReachable && worker->description().incarnationUnixMs != command.incarnationUnixMs)
+    if (isReachable && worker->description().incarnationUnixMs != command.incarnationUnixMs) {
         command.ackedThrough = 0; // The poll goes over a new connection.
+        if (!m_faults.areConnectionsClosed)
+            command.leaseUntilWorkerMs = 0;
+    }
     const bool isDelayed = isReachable && happens(m_faults.delayedPolls);
     if (isDelayed)
         pollLate(command, worker->description().incarnationUnixMs);
--- a/packages/jobs/src/cell_results.cpp
+++ b/packages/jobs/src/cell_results.cpp
@@ -39,7 +39,7 @@
 {
     CellState& state = *m_state;
     const CommandedRun target = state.commandedRun(command.worker, command.task, command.run);
-    if (target.worker)
+    if (target.worker && !result.isBound)
         state.recordDelivery(*target.worker, command.incarnationUnixMs, result.status, now);
     if (!target.run)
         return;
--- a/packages/jobs/src/cell_runs.cpp
+++ b/packages/jobs/src/cell_runs.cpp
@@ -25,6 +25,12 @@
         || std::any_of(runs.begin(), runs.end(), [](const auto& each) { return each.second.hasStartInFlight; });
 }
 
+bool Worker::hasConfirmedRun() const
+{
+    return std::any_of(
+        runs.begin(), runs.end(), [](const auto& each) { return each.second.acknowledgedAt != TimePoint {}; });
+}
+
 Run& CellState::addRun(Worker& worker, const TaskRef& task, RunNumber number, const Step& step)
 {
     const auto present = worker.runs.find(task);
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -121,6 +121,10 @@
 
     bool hasLongRunning() const;
 
+    /// Whether the worker has accepted a start or a stop of some run. A start carries the lease that its run needs until
+    /// then.
+    bool hasConfirmedRun() const;
+
     /// Whether a command that carries a lease has no result yet.
     bool hasLeaseInFlight() const;
 
@@ -349,7 +353,8 @@
     TimePoint leaseEndOf(const Worker& worker, const Run& run, TimePoint now) const;
     void grantStart(Worker& worker, Run& run, TimePoint now);
 
-    /// A command that carried a lease by the clock of that incarnation has a result or is abandoned.
+    /// A command that carried a lease by the clock of that incarnation, and was not bound to it, has a result or is
+    /// abandoned.
     void recordDelivery(Worker& worker, std::int64_t incarnationUnixMs, CommandStatus status, TimePoint now) const;
     void throttleBestEffort(Worker& worker, TimePoint now);
     bool mayAvoidOneMore(const Worker& worker, TimePoint now) const;
--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -13,6 +13,7 @@
 
 constexpr Duration maxPollTime = 1000ms;
 constexpr Duration maxPollTimeBesideBestEffort = 500ms;
+constexpr Duration maxPollTimeBeforeRenewal = 250ms; ///< While no run is confirmed; the next poll renews the lease.
 constexpr Duration pollPause = 50ms; ///< Runs that end within this time are listed by the same poll.
 constexpr Duration unresponsivePollPause = 250ms;
 constexpr Duration startLease = 2s; ///< Lease of a start; polls renew it.
@@ -104,7 +105,7 @@
         // no owner has processed.
         if (isResponsive && worker.ackedThrough > worker.lastAckSent)
             poll.ackedThrough = worker.ackedThrough;
-        if (isResponsive && mayRenew && !worker.runs.empty() && worker.clock.isKnown())
+        if (isResponsive && mayRenew && worker.hasConfirmedRun() && worker.clock.isKnown())
             poll.leaseUntilWorkerMs = worker.clock.grant(settings.leaseLength, now);
         poll.incarnationUnixMs = worker.incarnationUnixMs;
         worker.hasRenewalInFlight = poll.leaseUntilWorkerMs > 0;
@@ -113,6 +114,8 @@
             [](const auto& each) { return each.second.phase == RunPhase::Stopping; });
         if (isResponsive && !worker.runs.empty() && !isStopping)
             poll.longestWait = hasBestEffort ? maxPollTimeBesideBestEffort : maxPollTime;
+        if (!worker.hasConfirmedRun())
+            poll.longestWait = std::min(poll.longestWait, maxPollTimeBeforeRenewal);
         worker.hasPollInFlight = true;
         worker.needsPoll = false;
         output.commands.emplace_back(std::move(poll));
@@ -129,7 +132,7 @@
     worker.hasPollInFlight = false;
     worker.hasRenewalInFlight = false;
     worker.nextPollAt = now + pollPause;
-    if (command.leaseUntilWorkerMs > 0)
+    if (command.leaseUntilWorkerMs > 0 && !result.isBound)
         state.recordDelivery(worker, command.incarnationUnixMs, result.status, now);
     if (result.status != CommandStatus::Done) {
         worker.nextPollAt = now + unresponsivePollPause;
@@ -238,8 +241,9 @@
         && worker.startedAtLatest <= ownershipConfirmedAt;
 }
 
-/// A run that the current incarnation is not known to have may be active in a later one, which interprets leases sent
-/// to the current one by its own clock. A command in flight arrives now at the earliest.
+/// A run that the current incarnation is not known to have may be active in a later one, if a lease sent to the current
+/// one was not bound to it: the later one interprets that lease by its own clock. A command in flight arrives now at
+/// the earliest, and whether it was bound is not known yet.
 TimePoint CellState::leaseEndOf(const Worker& worker, const Run& run, TimePoint now) const
 {
     if (run.seenInIncarnation == worker.incarnationUnixMs)
--- a/packages/jobs/tests/cell_harness.h
+++ b/packages/jobs/tests/cell_harness.h
@@ -140,10 +140,11 @@
                 poll.ackedThrough },
             sentAt, m_now);
     }
-    void respond(const StartCommand& command, CommandStatus status, RefusalReason refusal = RefusalReason::None)
+    void respond(const StartCommand& command, CommandStatus status, RefusalReason refusal = RefusalReason::None,
+        bool isBound = false)
     {
-        m_cell.onResult(
-            command, { status, refusal, status == CommandStatus::NoResponse ? 0 : clockMs(command.worker) }, m_now);
+        const std::int64_t shownClockMs = status == CommandStatus::NoResponse ? 0 : clockMs(command.worker);
+        m_cell.onResult(command, { status, refusal, shownClockMs, isBound }, m_now);
     }
     /// Run events of one kind so far.
     std::vector<RunEvent> runEvents(RunEvent::Kind kind) const
--- a/packages/jobs/tests/cell_incarnation_tests.cpp
+++ b/packages/jobs/tests/cell_incarnation_tests.cpp
@@ -12,25 +12,29 @@
 
 constexpr Duration longestLeaseTime = 6123ms + 50ms; ///< The longest lease on the slowest clock, and the rounding.
 constexpr Duration longestRenewalTime = 4592ms + 50ms;
+constexpr Duration startLeaseTime = 2041ms + 50ms; ///< The lease of a start on the slowest clock, and the rounding.
 constexpr Duration period = 30ms;
 
-void answerOtherPolls(CellHarness& harness, const WorkerId& unresponsive)
+void answerOtherPolls(CellHarness& harness, const WorkerId& unresponsive, bool isBound)
 {
+    PollResult noResponse;
+    noResponse.isBound = isBound;
     for (const PollCommand& poll : harness.takeCommands<PollCommand>()) {
         if (poll.worker == unresponsive)
-            harness.cell().onResult(poll, { CommandStatus::NoResponse }, harness.now(), harness.now());
+            harness.cell().onResult(poll, noResponse, harness.now(), harness.now());
         else
             harness.respond(poll, {});
     }
 }
 
 /// Time from now until the job's task is started again, while one worker does not respond. At most 40 s.
-Duration timeUntilStartElsewhere(CellHarness& harness, const WorkerId& unresponsive)
+/// `isBound`: no poll of it can have reached a later incarnation.
+Duration timeUntilStartElsewhere(CellHarness& harness, const WorkerId& unresponsive, bool isBound = false)
 {
     const TimePoint from = harness.now();
     while (harness.now() - from < 40s) {
         harness.advance(period);
-        answerOtherPolls(harness, unresponsive);
+        answerOtherPolls(harness, unresponsive, isBound);
         for (const StopCommand& stop : harness.takeCommands<StopCommand>())
             harness.cell().onResult(stop, { CommandStatus::NoResponse }, harness.now());
         if (!harness.takeCommands<StartCommand>().empty())
@@ -81,6 +85,16 @@
     EXPECT_GE(timeUntilStartElsewhere(harness, start.worker), longestLeaseTime - period);
 }
 
+TEST(CellIncarnation, UnansweredBoundStartIsWaitedForNoLongerThanItsOwnLease)
+{
+    CellHarness harness;
+    const StartCommand start = harness.submitAndTakeStart("a");
+    harness.respond(start, CommandStatus::NoResponse, RefusalReason::None, true);
+    const Duration waited = timeUntilStartElsewhere(harness, start.worker, true);
+    EXPECT_GE(waited, startLeaseTime - period);
+    EXPECT_LE(waited, startLeaseTime + 200ms);
+}
+
 TEST(CellIncarnation, InheritedLeaseMayOutlastAStartOfTheNextOwner)
 {
     CellHarness harness { 2, {} };
@@ -96,6 +110,8 @@
     harness.advance(7s); // No lease of a previous owner is left.
     const StartCommand start = harness.submitAndTakeStart("a");
     harness.respond(start, CommandStatus::Done);
+    harness.advance(period);
+    harness.answerPoll(start.worker.value().c_str(), { { start.task, start.run, "", 0 } });
     const Duration waited = timeUntilStartElsewhere(harness, start.worker);
     EXPECT_GE(waited, 4500ms); // A poll has renewed the lease.
     EXPECT_LE(waited, longestRenewalTime + 200ms);
--- a/packages/jobs/tests/cell_walk_tests.cpp
+++ b/packages/jobs/tests/cell_walk_tests.cpp
@@ -322,6 +322,59 @@
         30, 40);
 }
 
+/// Workers whose connections end with each response: their leases are not bound to an incarnation.
+TEST(CellWalk, WorkersThatCloseConnectionsCrashAndRestart)
+{
+    runWalks({ .lostResponses = 0.02, .crashesPerSecond = 0.5, .areConnectionsClosed = true }, 15, 60);
+}
+
+TEST(CellWalk, CommonFaultsWithClosedConnections)
+{
+    runWalks({ .lostCommands = 0.04,
+                 .lostResponses = 0.03,
+                 .failedRuns = 0.08,
+                 .crashesPerSecond = 0.3,
+                 .partitionsPerSecond = 0.3,
+                 .ownerLossesPerSecond = 0.15,
+                 .failedCommits = 0.05,
+                 .areConnectionsClosed = true },
+        40, 60);
+}
+
+TEST(CellWalk, WorkersThatCloseConnectionsFlap)
+{
+    runWalks({ .lostCommands = 0.05,
+                 .lostResponses = 0.03,
+                 .partitionsPerSecond = 0.2,
+                 .slowListReads = 0.1,
+                 .flapsPerSecond = 0.3,
+                 .staleListEntries = 0.5,
+                 .delayedPolls = 0.03,
+                 .areConnectionsClosed = true },
+        30, 40);
+}
+
+TEST(CellWalk, StarvedOwnersOfWorkersThatCloseConnectionsAreReplaced)
+{
+    runWalks({ .lostCommands = 0.03,
+                 .lostResponses = 0.02,
+                 .failedRuns = 0.1,
+                 .crashesPerSecond = 0.15,
+                 .partitionsPerSecond = 0.15,
+                 .ownerLossesPerSecond = 0.15,
+                 .slowStops = 0.3,
+                 .handBacksPerSecond = 0.1,
+                 .survivingOwners = 0.5,
+                 .slowListReads = 0.1,
+                 .loopStallsPerSecond = 0.15,
+                 .delayedCommands = 0.05,
+                 .flapsPerSecond = 0.15,
+                 .staleListEntries = 0.5,
+                 .delayedPolls = 0.02,
+                 .areConnectionsClosed = true },
+        30, 40);
+}
+
 TEST(CellWalk, LongRunningTaskIsPlacedDuringAnOverload)
 {
     CellSimulation simulation { 1, 2, {} };
