Wait for leases of previous owners by the length that owners grant

What callers saw: a long-running task whose worker was lost together with its cell's owner had no run for more than 6 s.

The longest lease counted because a lease by an earlier incarnation's clock might have reached the incarnation in which a run was started.

Change: an owner starts nothing in an incarnation until leases that it sent unbound to an earlier one have ended there, so that a run holds leases by its own incarnation's clock alone; the wait is 5 s + 1.03 x 4.5 s + 0.5 s = 10.1 s. A contacted worker that keeps its connections is waited for by 4.5 s too.

--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -103,6 +103,8 @@
     TimePoint nextPollAt {};
     int consecutiveFailures { 0 };
     TimePoint avoidUntil {};
+    /// Leases meant for an earlier incarnation, which would keep a run of this one active, have ended by then.
+    TimePoint startsAllowedAt {};
     TimePoint failingUntil {}; ///< Avoided for its failures; the next success ends this.
     int startsInFlight { 0 };
     bool isSlow { false }; ///< Responds to starts more slowly than other workers.
@@ -121,8 +123,8 @@
 
     bool hasLongRunning() const;
 
-    /// Whether the worker has accepted a start or a stop of some run. A start carries the lease that its run needs until
-    /// then.
+    /// Whether the worker has accepted a start or a stop of some run. A start carries the lease that its run needs
+    /// until then.
     bool hasConfirmedRun() const;
 
     /// Whether a command that carries a lease has no result yet.
@@ -352,6 +354,7 @@
     /// When the leases that this owner and previous ones have granted to the run have ended, if no more are granted.
     TimePoint leaseEndOf(const Worker& worker, const Run& run, TimePoint now) const;
     void grantStart(Worker& worker, Run& run, TimePoint now);
+    void recordIncarnation(Worker& worker, std::int64_t incarnationUnixMs, bool isBound, TimePoint now) const;
 
     /// A command that carried a lease by the clock of that incarnation, and was not bound to it, has a result or is
     /// abandoned.
--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -158,9 +158,7 @@
             command.worker, {}, now - state.takenOverAt });
     }
     worker.contact = WorkerContact::Responsive;
-    const bool isFirstOwner = state.settings.fence <= 1;
-    worker.clock.beginIncarnation(
-        report.incarnationUnixMs, state.settings.longestLease, isFirstOwner ? TimePoint {} : now);
+    state.recordIncarnation(worker, report.incarnationUnixMs, result.isBound, now);
     worker.clock.observe(report.workerClockMs, sentAt, now);
     if (report.areEndedRunsComplete)
         state.inheritedWorkers.erase(command.worker);
@@ -172,6 +170,18 @@
     state.throttleBestEffort(worker, now);
 }
 
+/// `isBound`: the worker keeps its connections, so that leases of previous owners reached no later incarnation either.
+void CellState::recordIncarnation(Worker& worker, std::int64_t incarnationUnixMs, bool isBound, TimePoint now) const
+{
+    if (worker.clock.isOfIncarnation(incarnationUnixMs))
+        return;
+    worker.startsAllowedAt = worker.clock.unboundLeasesEndAt(settings.longestLease);
+    worker.clock.beginIncarnation(incarnationUnixMs, settings.longestLease, {});
+    const bool isFirstOwner = settings.fence <= 1;
+    if (!isFirstOwner)
+        worker.clock.inherit(now, isBound ? settings.leaseLength : settings.longestLease);
+}
+
 void CellState::grantStart(Worker& worker, Run& run, TimePoint now)
 {
     run.start.leaseUntilWorkerMs = worker.clock.grant(startLease, now);
@@ -202,7 +212,7 @@
             if (run.hasCommandInFlight || run.retryAt == TimePoint {} || now < run.retryAt)
                 continue;
             const bool isStart = run.phase == RunPhase::Starting && !isDraining;
-            if (isStart && !(mayStart && isIncarnationConfirmed(worker)))
+            if (isStart && !(mayStart && isIncarnationConfirmed(worker) && now >= worker.startsAllowedAt))
                 continue;
             run.retryAt = {};
             if (isStart) {
--- a/packages/jobs/src/lease_clock.cpp
+++ b/packages/jobs/src/lease_clock.cpp
@@ -20,18 +20,18 @@
     return Duration { static_cast<std::int64_t>(static_cast<double>(length.count()) / minClockRate) };
 }
 
-/// Latest end of a lease that starts at `begin` and has the longest length that a worker permits.
-TimePoint latestLeaseEnd(TimePoint begin, Duration longestLease)
+/// Latest end of a lease of this length that starts at `begin`.
+TimePoint latestLeaseEnd(TimePoint begin, Duration length)
 {
-    return begin == TimePoint {} ? begin : begin + onSlowestClock(longestLease) + roundingSlack;
+    return begin == TimePoint {} ? begin : begin + onSlowestClock(length) + roundingSlack;
 }
 
 } // namespace
 
-Duration inheritedLease(Duration ownershipTimeout, Duration longestLease)
+Duration inheritedLease(Duration ownershipTimeout, Duration leaseLength)
 {
     const auto stretched
-        = Duration { static_cast<std::int64_t>(static_cast<double>(longestLease.count()) * unknownStartFactor) };
+        = Duration { static_cast<std::int64_t>(static_cast<double>(leaseLength.count()) * unknownStartFactor) };
     return ownershipTimeout + stretched + takeoverSlack;
 }
 
@@ -46,6 +46,16 @@
         m_leasesEndAt, latestLeaseEnd(std::max({ inheritedUntil, m_deliveredBy, m_carriedOutBy }), longestLease));
 }
 
+void LeaseClock::inherit(TimePoint until, Duration length)
+{
+    m_leasesEndAt = std::max(m_leasesEndAt, latestLeaseEnd(until, length));
+}
+
+TimePoint LeaseClock::unboundLeasesEndAt(Duration longestLease) const
+{
+    return latestLeaseEnd(std::max(m_deliveredBy, m_carriedOutBy), longestLease);
+}
+
 void LeaseClock::observe(std::int64_t workerClockMs, TimePoint sentAt, TimePoint now)
 {
     const bool isNewer = !m_isKnown || workerClockMs >= m_clockMs;
--- a/packages/node/src/cell_host.cpp
+++ b/packages/node/src/cell_host.cpp
@@ -28,7 +28,7 @@
 
 jobs::CellSettings settingsOf(const PoolId& pool, jobs::Fence fence, const CellTimeLimits& times)
 {
-    const Duration inheritedLease = jobs::inheritedLease(ownershipTimeout, times.longestLease);
+    const Duration inheritedLease = jobs::inheritedLease(ownershipTimeout, times.leaseLength);
     return { pool, fence, times.leaseLength, inheritedLease, times.keepEnded, times.longestStop, times.longestLease };
 }
 
