A previous owner whose process has ended grants no leases

Cause: the next owner waits for workers that it can't contact until the previous owner can have no authority any more, 5 s after the takeover, and then for a lease. Meanwhile it starts nothing of the jobs taken over. It didn't use what it was told: a node that restarts announces itself as another process at the same address, and a node that has lost the cell announces itself without it. A second takeover began the whole wait anew.

Terms before the previous one count too. A late message of an ended process proves nothing, nor does an announcement from before its owner took the cell.

--- a/packages/jobs/include/rattanrack/jobs/cell.h
+++ b/packages/jobs/include/rattanrack/jobs/cell.h
@@ -128,6 +128,13 @@
     /// Sets all workers of the pool, as listed by the store. `requestedAt`: when the list was requested.
     void setWorkers(const std::vector<WorkerDescription>& workers, TimePoint requestedAt, TimePoint now);
 
+    /// Whether some worker of previous owners may still run tasks that this owner has not found.
+    bool isRecovering() const;
+
+    /// Leases of previous owners have ended by `latestEnd`. Without effect if the previous owner handed the cell back,
+    /// which tells more.
+    void limitInheritedLeases(TimePoint latestEnd);
+
     /// Sets the machines to drain: nothing new starts on them, and their long-running tasks are stopped as far as
     /// `Step::maxUnavailable` permits.
     void setDrainingMachines(std::set<MachineId> machines);
--- a/packages/jobs/include/rattanrack/jobs/ownership.h
+++ b/packages/jobs/include/rattanrack/jobs/ownership.h
@@ -69,8 +69,8 @@
     void setStoreReachable(bool isReachable) { m_isStoreReachable = isReachable; }
     void leave() { m_isLeaving = true; }
 
-    void onCellTaken(const PoolId& cell, Fence term);
-    void onCellDropped(const PoolId& cell);
+    void onCellTaken(const PoolId& cell, Fence term, TimePoint now);
+    void onCellDropped(const PoolId& cell, TimePoint now);
 
     /// A takeover has failed; it is tried again after a pause.
     void onTakeFailed(const PoolId& cell, TimePoint now);
@@ -82,6 +82,13 @@
     std::optional<PoolId> cellToHandBack(TimePoint now);
 
     std::optional<CellOwner> owner(const PoolId& cell, TimePoint now) const;
+
+    /// Latest time at which the owners of earlier terms than `term` may have granted a lease. An owner grants leases
+    /// until its announcements no longer contain the cell, its process has ended, or `ownershipTimeout` after the next
+    /// takeover. `takenOverAt`: when this node took the cell over under `term`.
+    TimePoint latestEarlierGrant(
+        const PoolId& cell, Fence term, TimePoint takenOverAt, Duration ownershipTimeout) const;
+
     bool isOwnedHere(const PoolId& cell) const { return m_ownedCells.contains(cell); }
 
     /// Where announcements are sent: addresses of all known nodes, including dead ones for a while.
@@ -104,7 +111,16 @@
         NodeAnnouncement announcement;
         TimePoint receivedAt {};
     };
+    /// What announcements have shown of a cell's owner in one term.
+    struct Tenure {
+        TimePoint firstSeenAt {}; ///< The term had begun by then.
+        std::optional<TimePoint> releasedAt; ///< The owner had given the cell up, or its process had ended, by then.
+    };
+
     bool isLive(const Peer& peer, TimePoint now) const;
+    void recordOwned(const OwnedCell& owned, TimePoint now);
+    void recordReleased(const OwnedCell& released, TimePoint now);
+    void recordAnnouncedCells(const std::vector<OwnedCell>& before, const std::vector<OwnedCell>& after, TimePoint now);
     bool mayTake(const Peer& peer, TimePoint now) const;
     double weightOf(const PoolId& cell) const;
     bool isHandBackWorthwhile(const PoolId& cell, TimePoint now) const;
@@ -123,6 +139,8 @@
     std::map<NodeId, Peer> m_peers;
     std::set<std::string> m_addressesWithoutPeer; ///< Addresses that no announcement has come from.
     TimePoint m_unbalancedSince {};
+    std::set<NodeId> m_knownProcesses; ///< All nodes that have sent an announcement.
+    std::map<PoolId, std::map<Fence, Tenure>> m_tenures;
 };
 
 } // namespace rattanrack::jobs
--- a/packages/jobs/model/cell_simulation.cpp
+++ b/packages/jobs/model/cell_simulation.cpp
@@ -142,6 +142,7 @@
     }
     Owner& owner = m_owners[++m_ownerNumber];
     owner.term = ++m_term;
+    m_takenOverAt[m_ownerNumber] = m_now;
     owner.cell = std::make_unique<Cell>(settingsOf(m_term, m_longestLease), std::move(stored), m_workerRow, m_now,
         unixMs(), std::exchange(m_outstandingLeasesRow, {}));
     owner.cell->configure({ { QueueId { queueName }, poolName, 0, maxAttempts, 1.6, 600ms } });
@@ -219,11 +220,31 @@
         m_cancels[token] = job;
 }
 
+/// Latest time at which an owner before this one may have granted a lease.
+TimePoint CellSimulation::latestGrantBefore(int number) const
+{
+    TimePoint latest {};
+    for (int earlier = 1; earlier < number; ++earlier) {
+        const auto ended = m_ownerEndedAt.find(earlier);
+        const TimePoint longest = m_takenOverAt.at(earlier + 1) + maxConfirmationAge;
+        latest = std::max(latest, ended == m_ownerEndedAt.end() ? longest : std::min(ended->second, longest));
+    }
+    return latest;
+}
+
+void CellSimulation::endOwner(int number)
+{
+    if (m_owners.erase(number) > 0)
+        m_ownerEndedAt[number] = m_now;
+}
+
 void CellSimulation::runPass(int number)
 {
     if (m_now.time_since_epoch().count() % listPeriod.count() < tickPeriod.count())
         listWorkers(number, true);
     Owner& owner = *findOwner(number);
+    if (owner.cell->isRecovering())
+        owner.cell->limitInheritedLeases(latestGrantBefore(number) + inheritedLease({}, leaseLength));
     processOutput(owner.cell->advance(m_now, unixMs(), authorityOf(owner)), number);
     commit(number);
 }
--- a/packages/jobs/model/cell_simulation.h
+++ b/packages/jobs/model/cell_simulation.h
@@ -160,6 +160,8 @@
     void takeOver();
     void listWorkers(int owner, bool mayTakeLong);
     Authority authorityOf(const Owner& owner) const;
+    TimePoint latestGrantBefore(int owner) const;
+    void endOwner(int owner);
     void runPass(int owner);
 
     /// Runs `work` on the owner's loop, if the owner still exists then.
@@ -212,6 +214,8 @@
     /// The present owner, and earlier ones that have not noticed that they are replaced.
     std::map<int, Owner> m_owners;
     int m_ownerNumber { 0 }; ///< Number of the present owner; results for owners that no longer exist are dropped.
+    std::map<int, TimePoint> m_takenOverAt; ///< By the number of the owner.
+    std::map<int, TimePoint> m_ownerEndedAt; ///< When the owner's process ended, as the next ones know at once.
     std::set<MachineId> m_drainingMachines;
     TimePoint m_storeStalledUntil {};
     std::function<void(TimePoint, int, const CellEvent&)> m_observer;
--- a/packages/jobs/model/cell_simulation_faults.cpp
+++ b/packages/jobs/model/cell_simulation_faults.cpp
@@ -168,9 +168,9 @@
     owner->isReplaced = true;
     const int number = m_ownerNumber;
     if (happens(m_faults.survivingOwners))
-        schedule(randomBetween(200ms, 6s), [this, number] { m_owners.erase(number); });
+        schedule(randomBetween(200ms, 6s), [this, number] { endOwner(number); });
     else
-        m_owners.erase(number);
+        endOwner(number);
     schedule(takeoverTime, [this] { takeOver(); });
 }
 
@@ -199,9 +199,9 @@
     owner->mayBeHandedBack = true;
     owner->isReplaced = true;
     if (happens(m_faults.survivingOwners))
-        schedule(randomBetween(20ms, 6s), [this, number] { m_owners.erase(number); });
+        schedule(randomBetween(20ms, 6s), [this, number] { endOwner(number); });
     else
-        m_owners.erase(number);
+        endOwner(number);
     takeOver();
 }
 
--- a/packages/jobs/src/cell.cpp
+++ b/packages/jobs/src/cell.cpp
@@ -33,6 +33,7 @@
     state.firstRun = (state.settings.fence - 1) * runsPerTerm;
     state.storedWorkers = inheritedWorkers;
     state.inheritedWorkers = std::move(inheritedWorkers);
+    state.wasHandedBack = !leasesAtHandBack.empty();
     for (const auto& [worker, machine] : state.inheritedWorkers) {
         const auto known = leasesAtHandBack.find(worker);
         state.inheritedLeaseEnd[worker]
@@ -127,6 +128,16 @@
     }
 }
 
+bool Cell::isRecovering() const { return m_state->isRecovering; }
+
+void Cell::limitInheritedLeases(TimePoint latestEnd)
+{
+    if (m_state->wasHandedBack)
+        return;
+    for (auto& [worker, end] : m_state->inheritedLeaseEnd)
+        end = std::min(end, latestEnd);
+}
+
 void Cell::setDrainingMachines(std::set<MachineId> machines) { m_state->drainingMachines = std::move(machines); }
 
 void Cell::onWorkerListSent(const WorkerMachines& workers, TimePoint now)
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -259,6 +259,7 @@
     WorkerMachines storedWorkers; ///< In the stored list: only these may be used.
     WorkerMachines inheritedWorkers; ///< Used by previous owners, and not polled yet.
     std::map<WorkerId, TimePoint> inheritedLeaseEnd; ///< Leases of previous owners have ended by then.
+    bool wasHandedBack { false }; ///< The previous owner handed the cell back with its outstanding leases.
     std::set<MachineId> drainingMachines;
     std::unordered_map<JobId, std::unique_ptr<JobEntry>> jobs;
     /// All jobs that have not ended, and some that have since the last scheduling pass.
--- a/packages/jobs/src/ownership.cpp
+++ b/packages/jobs/src/ownership.cpp
@@ -17,6 +17,7 @@
 constexpr Duration pauseAfterFailure = 400ms;
 constexpr Duration addressRetention = 20s; ///< A node without announcements for this long is sent none any more.
 constexpr Duration imbalanceDelay = 4s;
+constexpr std::size_t keptTenures = 6; ///< Of each cell.
 constexpr double dutyWeight = 0.25; ///< Of a duty; a cell weighs 1.
 /// Share of the giver's load; for a smaller gain the pause of a takeover is not worthwhile.
 constexpr double maxLoadRatio = 0.5;
@@ -68,16 +69,70 @@
     Peer& peer = m_peers[announcement.node];
     if (peer.announcement.sequence >= announcement.sequence)
         return;
+    recordAnnouncedCells(peer.announcement.cells, announcement.cells, now);
     peer = { announcement, now };
     if (!std::isfinite(announcement.processorShare) || announcement.processorShare <= 0)
         peer.announcement.processorShare = defaultProcessorShare;
     m_addressesWithoutPeer.erase(announcement.address);
     // A node that restarts at the same address replaces its earlier process.
+    const bool isNewProcess = m_knownProcesses.insert(announcement.node).second;
     std::erase_if(m_peers, [&](const auto& other) {
-        return other.first != announcement.node && other.second.announcement.address == announcement.address;
+        const bool isReplaced
+            = other.first != announcement.node && other.second.announcement.address == announcement.address;
+        if (isReplaced && isNewProcess)
+            recordAnnouncedCells(other.second.announcement.cells, {}, now);
+        return isReplaced;
     });
 }
 
+void Ownership::recordOwned(const OwnedCell& owned, TimePoint now)
+{
+    auto& tenures = m_tenures[owned.cell];
+    tenures.try_emplace(owned.term, Tenure { now, std::nullopt });
+    if (tenures.size() > keptTenures)
+        tenures.erase(tenures.begin());
+}
+
+void Ownership::recordReleased(const OwnedCell& released, TimePoint now)
+{
+    const auto tenures = m_tenures.find(released.cell);
+    if (tenures == m_tenures.end())
+        return;
+    const auto tenure = tenures->second.find(released.term);
+    if (tenure != tenures->second.end() && !tenure->second.releasedAt)
+        tenure->second.releasedAt = now;
+}
+
+/// `before`, `after`: the cells of two successive announcements of one process; `after` is empty if it has ended.
+void Ownership::recordAnnouncedCells(
+    const std::vector<OwnedCell>& before, const std::vector<OwnedCell>& after, TimePoint now)
+{
+    for (const OwnedCell& each : after)
+        recordOwned(each, now);
+    for (const OwnedCell& each : before) {
+        if (std::find(after.begin(), after.end(), each) == after.end())
+            recordReleased(each, now);
+    }
+}
+
+TimePoint Ownership::latestEarlierGrant(
+    const PoolId& cell, Fence term, TimePoint takenOverAt, Duration ownershipTimeout) const
+{
+    TimePoint latest {};
+    TimePoint replacedAt = takenOverAt;
+    const auto tenures = m_tenures.find(cell);
+    for (Fence earlier = term - 1; earlier > 0; --earlier) {
+        const TimePoint longest = replacedAt + ownershipTimeout;
+        const bool isAnyKnown = tenures != m_tenures.end() && tenures->second.contains(earlier);
+        if (!isAnyKnown)
+            return std::max(latest, longest);
+        const Tenure& tenure = tenures->second.at(earlier);
+        latest = std::max(latest, std::min(tenure.releasedAt.value_or(longest), longest));
+        replacedAt = tenure.firstSeenAt;
+    }
+    return latest;
+}
+
 bool Ownership::isLive(const Peer& peer, TimePoint now) const { return now - peer.receivedAt < nodeTimeout; }
 
 bool Ownership::mayTake(const Peer& peer, TimePoint now) const
@@ -87,13 +142,21 @@
 
 double Ownership::weightOf(const PoolId& cell) const { return m_duties.contains(cell) ? dutyWeight : 1; }
 
-void Ownership::onCellTaken(const PoolId& cell, Fence term)
+void Ownership::onCellTaken(const PoolId& cell, Fence term, TimePoint now)
 {
     m_ownedCells[cell] = term;
     m_retryAt.erase(cell);
+    recordOwned({ cell, term }, now);
 }
 
-void Ownership::onCellDropped(const PoolId& cell) { m_ownedCells.erase(cell); }
+void Ownership::onCellDropped(const PoolId& cell, TimePoint now)
+{
+    const auto owned = m_ownedCells.find(cell);
+    if (owned == m_ownedCells.end())
+        return;
+    recordReleased({ cell, owned->second }, now);
+    m_ownedCells.erase(owned);
+}
 
 void Ownership::onTakeFailed(const PoolId& cell, TimePoint now) { m_retryAt[cell] = now + pauseAfterFailure; }
 
--- a/packages/jobs/tests/announcement_pacer_tests.cpp
+++ b/packages/jobs/tests/announcement_pacer_tests.cpp
@@ -92,7 +92,7 @@
     {
         node.nextTick = m_now + tick;
         for (const PoolId& cell : node.ownership.cellsToTake(m_now)) {
-            node.ownership.onCellTaken(cell, ++m_terms[cell]);
+            node.ownership.onCellTaken(cell, ++m_terms[cell], m_now);
             send(node);
         }
         if (node.pacer.isDue(node.ownership.announcement(), node.ownership.announcementAddresses(m_now), m_now))
--- a/packages/jobs/tests/ownership_tests.cpp
+++ b/packages/jobs/tests/ownership_tests.cpp
@@ -50,7 +50,7 @@
             }
             for (auto& [number, node] : m_nodes) {
                 for (const PoolId& cell : node->cellsToTake(m_now))
-                    node->onCellTaken(cell, ++m_terms[cell]);
+                    node->onCellTaken(cell, ++m_terms[cell], m_now);
             }
         }
     }
@@ -62,7 +62,7 @@
         for (const TimePoint until = m_now + time; m_now < until;) {
             for (auto& [number, node] : m_nodes) {
                 if (const auto cell = node->cellToHandBack(m_now)) {
-                    node->onCellDropped(*cell);
+                    node->onCellDropped(*cell, m_now);
                     node->onTakeFailed(*cell, m_now);
                     ++count;
                 }
@@ -146,7 +146,7 @@
 {
     Ownership node { NodeId { "n0" }, "10.0.0.1:7000", TimePoint { 1s } };
     node.setCells(cells);
-    node.onCellTaken(cells[0], 3);
+    node.onCellTaken(cells[0], 3, TimePoint { 1s });
     node.onAnnouncement(
         { NodeId { "n1" }, "10.0.0.2:7000", 1, false, true, { { cells[0], 4 } }, {}, {}, {}, {} }, TimePoint { 2s });
     EXPECT_EQ(node.owner(cells[0], TimePoint { 2s })->node, NodeId { "n1" });
@@ -262,7 +262,7 @@
 {
     Ownership node { NodeId { "n0" }, "10.0.0.1:7000", TimePoint { 1s } };
     node.setCells({ cells[0], cells[1], duty }, { duty });
-    node.onCellTaken(duty, 1);
+    node.onCellTaken(duty, 1, TimePoint { 1s });
     const NodeAnnouncement other { NodeId { "n1" }, "10.0.0.2:7000", 1, false, true, { { cells[0], 1 } } };
     node.onAnnouncement(other, TimePoint { 3s });
     EXPECT_EQ(node.cellsToTake(TimePoint { 3s }), std::vector { cells[1] });
--- a/packages/node/include/rattanrack/node/cell_host.h
+++ b/packages/node/include/rattanrack/node/cell_host.h
@@ -2,6 +2,7 @@
 
 #include "rattanrack/base/metrics.h"
 #include "rattanrack/jobs/cell.h"
+#include "rattanrack/jobs/ownership.h"
 #include "rattanrack/jobs/ports.h"
 #include "rattanrack/node/cell_log.h"
 #include "rattanrack/node/control_loop.h"
@@ -72,6 +73,10 @@
     void configure(const std::vector<jobs::QueueSettings>& queues) { m_cell.configure(queues); }
     void setWorkers(const WorkerList& list);
     void setDrainingMachines(std::set<jobs::MachineId> machines);
+
+    /// After a takeover, waits for workers that can't be contacted only as long as leases of earlier owners may last,
+    /// by what `ownership` has recorded of these owners.
+    void shortenRecovery(const jobs::Ownership& ownership);
     std::vector<jobs::MachineId> drainedMachines() const { return m_cell.drainedMachines(); }
 
     jobs::Acceptance submit(const jobs::Job& job, jobs::CallerToken token);
@@ -113,6 +118,8 @@
     PoolId m_pool;
     jobs::Cell m_cell;
     const Duration m_longestListAge;
+    const Duration m_leaseLength;
+    const TimePoint m_takenOverAt;
     TimePoint m_listRequestedAt {}; ///< When the worker list in use was requested from the store.
     std::shared_ptr<bool> m_isAlive;
     PartWriter m_writer;
--- a/packages/node/src/cell_host.cpp
+++ b/packages/node/src/cell_host.cpp
@@ -73,6 +73,8 @@
           std::move(takeover.partTakeover.workers), m_parts.clock.now(), wallClockMilliseconds(),
           takeover.partTakeover.outstandingLeases)
     , m_longestListAge(times.longestListAge)
+    , m_leaseLength(times.leaseLength)
+    , m_takenOverAt(m_parts.clock.now())
     , m_isAlive(std::make_shared<bool>(true))
     , m_writer({ m_parts.control, m_parts.clock, m_parts.storeThreads, m_parts.store },
           std::move(takeover.partTakeover), writerCallbacks())
@@ -112,6 +114,15 @@
     m_cell.setDrainingMachines(std::move(machines));
 }
 
+void CellHost::shortenRecovery(const jobs::Ownership& ownership)
+{
+    if (!m_cell.isRecovering())
+        return;
+    const TimePoint latestGrant
+        = ownership.latestEarlierGrant(m_pool, m_writer.term(), m_takenOverAt, ownershipTimeout);
+    m_cell.limitInheritedLeases(latestGrant + jobs::inheritedLease({}, m_leaseLength));
+}
+
 jobs::Acceptance CellHost::submit(const jobs::Job& job, jobs::CallerToken token)
 {
     const bool isKnown = m_cell.state(job.id).has_value();
--- a/packages/node/src/job_node.cpp
+++ b/packages/node/src/job_node.cpp
@@ -61,6 +61,8 @@
     stallDetector.tick(now);
     ownership.setStoreReachable(ports.store.isReachable());
     takeOverCells();
+    for (const auto& [cell, host] : cells)
+        host->shortenRecovery(ownership);
     if (const auto cell = ownership.cellToHandBack(now))
         handBack(*cell);
     exchangeMachineStatus();
--- a/packages/node/src/job_node_cells.cpp
+++ b/packages/node/src/job_node_cells.cpp
@@ -72,7 +72,7 @@
         host->configure(configuration->queuesOf(cell));
     host->setWorkers(workers);
     host->setDrainingMachines(drainingMachines());
-    ownership.onCellTaken(cell, host->term());
+    ownership.onCellTaken(cell, host->term(), clock.now());
     cells[cell] = std::move(host);
     if (isLeaving)
         cells[cell]->handBack();
@@ -96,7 +96,7 @@
     if (configuration)
         machineController->configure(*configuration);
     machineController->setWaves(waves);
-    ownership.onCellTaken(machinePart, machineController->term());
+    ownership.onCellTaken(machinePart, machineController->term(), clock.now());
     if (isLeaving)
         machineController->handBack();
 }
@@ -105,7 +105,7 @@
 {
     logEvent("machines.dropped");
     machineController.reset();
-    ownership.onCellDropped(machinePart);
+    ownership.onCellDropped(machinePart, clock.now());
     ownership.onTakeFailed(machinePart, clock.now());
 }
 
@@ -114,7 +114,7 @@
     logEvent("cell.dropped", { { "cell", cell.value() } });
     cells.erase(cell);
     failWaitingCalls(cell);
-    ownership.onCellDropped(cell);
+    ownership.onCellDropped(cell, clock.now());
     ownership.onTakeFailed(cell, clock.now());
     ownsAnyPart = !cells.empty() || machineController;
     sendAnnouncement();
