Model: workers that don't guard their capacity and shrink while they run

A worker's capacity may shrink and grow again while it runs, and workers of a service with enforces_capacity false start whatever they are told to start. Change: workers of the model shrink to 5 to 60 percent for 3 to 15 s, their description shows it up to a heartbeat later, and the oracle compares what runs after each start, runs that are being stopped included, with the largest capacity of the 4.5 s before (stable window and one heartbeat). Three walks and two tests of single decisions.

--- a/packages/jobs/model/cell_simulation.cpp
+++ b/packages/jobs/model/cell_simulation.cpp
@@ -37,11 +37,12 @@
     for (int number = 0; number < workers; ++number) {
         const std::string name = std::to_string(number);
         WorkerDescription description { WorkerId { "w" + name }, MachineId { "m" + name }, poolName, "10.0.0.1:1" };
-        description.capacity = { Millicores { 16000 }, Mebibytes { 65536 }, Accelerators { 0 } };
+        description.capacity = wholeCapacity;
         description.rack = "r" + std::to_string(number / 4);
         description.labels = { "a", description.rack };
         description.incarnationUnixMs = ++m_incarnations;
         m_workers.emplace_back(description, 0.98 + 0.02 * static_cast<double>(number % 3) / 2);
+        m_workers.back().setEnforcesCapacity(!faults.isCapacityUnenforced);
     }
     takeOver();
     tick();
--- a/packages/jobs/model/cell_simulation.h
+++ b/packages/jobs/model/cell_simulation.h
@@ -23,6 +23,9 @@
 /// A run that is being stopped is listed as running this long at most.
 constexpr Duration longestStop = std::chrono::milliseconds { 900 };
 
+/// Of each worker that has not shrunk.
+constexpr ResourceSize wholeCapacity { Millicores { 16000 }, Mebibytes { 65536 }, Accelerators { 0 } };
+
 struct FaultRates {
     double lostCommands { 0 }; ///< Share of the commands that get no response and are carried out seconds later.
     double lostResponses { 0 }; ///< Share of the commands that are carried out at once and get no response.
@@ -47,6 +50,8 @@
     double flapsPerSecond { 0 }; ///< Workers that go down and up under the same id in quick succession.
     double staleListEntries { 0 }; ///< Share of the crashes after which the ended incarnation stays listed for a while.
     double delayedPolls { 0 }; ///< Share of the polls that get no response and are carried out seconds later.
+    double shrinksPerSecond { 0 }; ///< Workers whose capacity is smaller for some seconds while they run.
+    bool isCapacityUnenforced { false }; ///< Workers start whatever they are told to start.
 };
 
 class CellSimulation {
@@ -137,6 +142,8 @@
     void stallOwners();
     void drainWorker(std::size_t worker);
     void drainMachine(const MachineId& machine);
+    void shrinkWorker(std::size_t worker);
+    void setCapacity(std::size_t worker, const ResourceSize& capacity);
     void partition(const WorkerId& worker, Duration least, Duration most);
     void dropOwner();
     void handBack();
--- a/packages/jobs/model/cell_simulation_commands.cpp
+++ b/packages/jobs/model/cell_simulation_commands.cpp
@@ -111,6 +111,8 @@
     processWorkerEvents(worker);
     if (result.status == CommandStatus::Done && !wasThere) {
         m_oracle.onStarted(command, execution, m_now);
+        if (!worker.enforcesCapacity())
+            m_oracle.checkCapacity(command, worker.used(), worker.capacity(), m_now);
         checkStart(worker, command, execution);
     }
     processWorkerEvents(worker);
--- a/packages/jobs/model/cell_simulation_faults.cpp
+++ b/packages/jobs/model/cell_simulation_faults.cpp
@@ -8,6 +8,7 @@
 using namespace std::chrono_literals;
 
 constexpr Duration takeoverTime = 1500ms;
+constexpr Duration heartbeat = 1500ms; ///< A worker's description shows a change after this time at the latest.
 
 } // namespace
 
@@ -23,6 +24,8 @@
         flapWorker(anyWorker(), 3);
     if (happens(m_faults.loopStallsPerSecond * seconds))
         stallOwners();
+    if (happens(m_faults.shrinksPerSecond * seconds))
+        shrinkWorker(anyWorker());
     if (happens(m_faults.workerDrainsPerSecond * seconds))
         drainWorker(anyWorker());
     if (happens(m_faults.machineDrainsPerSecond * seconds))
@@ -65,8 +68,11 @@
         const bool isRenamed = description.isDraining || happens(0.5);
         if (isRenamed)
             description.id = WorkerId { "w" + std::to_string(++m_incarnations) + "x" };
-        if (isRenamed)
+        if (isRenamed) {
+            const bool enforcesCapacity = m_workers[index].enforcesCapacity();
             m_workers[index] = ModelWorker { description, 0.99 };
+            m_workers[index].setEnforcesCapacity(enforcesCapacity);
+        }
         m_workers[index].restart(++m_incarnations, m_now);
     });
 }
@@ -100,6 +106,22 @@
         owner.stalledUntil = std::max(owner.stalledUntil, until);
 }
 
+void CellSimulation::shrinkWorker(std::size_t index)
+{
+    const std::int64_t percent = std::uniform_int_distribution<> { 5, 60 }(m_random);
+    setCapacity(index,
+        { Millicores { wholeCapacity.processors.count() * percent / 100 },
+            Mebibytes { wholeCapacity.memory.count() * percent / 100 }, wholeCapacity.accelerators });
+    schedule(randomBetween(3s, 15s), [this, index] { setCapacity(index, wholeCapacity); });
+}
+
+void CellSimulation::setCapacity(std::size_t index, const ResourceSize& capacity)
+{
+    m_oracle.onCapacityChanged(m_workers[index].description().id, m_workers[index].capacity(), m_now);
+    m_workers[index].setCapacity(capacity);
+    schedule(randomBetween(0us, heartbeat), [this, index] { m_workers[index].publishCapacity(); });
+}
+
 void CellSimulation::drainWorker(std::size_t index)
 {
     const std::int64_t incarnation = m_workers[index].description().incarnationUnixMs;
--- a/packages/jobs/model/model_worker.cpp
+++ b/packages/jobs/model/model_worker.cpp
@@ -68,16 +68,23 @@
     const auto highest = m_highestRuns.find(command.task);
     if (present != m_runs.end() || (highest != m_highestRuns.end() && command.run <= highest->second))
         return refuse(RefusalReason::StaleRun);
-    ResourceSize free = m_description.capacity;
-    for (const auto& [task, run] : m_runs)
-        free -= run.size;
-    if (!fits(behavior.size, free))
+    ResourceSize free = m_capacity;
+    free -= used();
+    if (m_enforcesCapacity && !fits(behavior.size, free))
         return refuse(RefusalReason::NoCapacity);
     m_runs[command.task]
         = { command.run, now + behavior.time, fails || behavior.alwaysFails, behavior.isLongRunning, behavior.size };
     return { CommandStatus::Done, RefusalReason::None, clockMs(now) };
 }
 
+ResourceSize ModelWorker::used() const
+{
+    ResourceSize sum;
+    for (const auto& [task, run] : m_runs)
+        sum += run.size;
+    return sum;
+}
+
 bool ModelWorker::isActive(const TaskRef& task, RunNumber run) const
 {
     const auto present = m_runs.find(task);
@@ -145,6 +152,7 @@
     m_startedAt = now;
     m_description.incarnationUnixMs = incarnationUnixMs;
     m_description.isDraining = false;
+    publishCapacity();
 }
 
 } // namespace rattanrack::jobs::model
--- a/packages/jobs/model/model_worker.h
+++ b/packages/jobs/model/model_worker.h
@@ -48,6 +48,7 @@
     ModelWorker(WorkerDescription description, double clockRate)
         : m_description(std::move(description))
         , m_clockRate(clockRate)
+        , m_capacity(m_description.capacity)
     {
     }
 
@@ -69,6 +70,18 @@
     bool isActive(const TaskRef& task, RunNumber run) const;
     bool wouldAccept(Fence fence) const { return m_isUp && fence >= m_fence; }
     void setDraining() { m_description.isDraining = true; }
+
+    /// Changes the capacity of the running worker, which its description shows only after `publishCapacity`.
+    void setCapacity(const ResourceSize& capacity) { m_capacity = capacity; }
+    void publishCapacity() { m_description.capacity = m_capacity; }
+
+    /// Whether starts that do not fit are refused.
+    void setEnforcesCapacity(bool enforces) { m_enforcesCapacity = enforces; }
+    bool enforcesCapacity() const { return m_enforcesCapacity; }
+    const ResourceSize& capacity() const { return m_capacity; }
+
+    /// What the runs reserve that are listed as running, including those that are being stopped.
+    ResourceSize used() const;
     std::vector<ModelWorkerEvent> takeEvents() { return std::exchange(m_events, {}); }
 
     /// Ended runs that are not acknowledged, ordered by sequence number.
@@ -86,6 +99,8 @@
 
     WorkerDescription m_description;
     double m_clockRate;
+    ResourceSize m_capacity;
+    bool m_enforcesCapacity { true };
     bool m_isUp { true };
     TimePoint m_startedAt {};
     std::map<TaskRef, ModelRun> m_runs;
--- a/packages/jobs/model/rule_oracle.cpp
+++ b/packages/jobs/model/rule_oracle.cpp
@@ -9,6 +9,8 @@
 using namespace std::chrono_literals;
 
 constexpr Duration drainGrace = 2s;
+/// A capacity that has shrunk counts from this time on: the platform's stable window and one heartbeat.
+constexpr Duration shrinkGrace = 4500ms;
 /// A task that has not been active for this long counts as unavailable, whatever the cause.
 constexpr Duration unavailableAfter = 4500ms;
 
@@ -47,6 +49,23 @@
         m_longRunningTasks[command.task] = { command.run, command.worker, true, false, {} };
 }
 
+void RuleOracle::checkCapacity(
+    const StartCommand& command, const ResourceSize& used, ResourceSize capacity, TimePoint now)
+{
+    for (const auto& [until, earlier] : m_earlierCapacities[command.worker]) {
+        if (now - until > shrinkGrace)
+            continue;
+        capacity.processors = std::max(capacity.processors, earlier.processors);
+        capacity.memory = std::max(capacity.memory, earlier.memory);
+        capacity.accelerators = std::max(capacity.accelerators, earlier.accelerators);
+    }
+    if (!fits(used, capacity))
+        m_violations.push_back("LIMIT: start of " + describe(command.task) + " run " + std::to_string(command.run)
+            + " on " + command.worker.value() + ", which then uses " + std::to_string(used.processors.count()) + " of "
+            + std::to_string(capacity.processors.count()) + " millicores, " + std::to_string(used.memory.count())
+            + " of " + std::to_string(capacity.memory.count()) + " MiB");
+}
+
 int RuleOracle::countOtherUnavailableTasks(const TaskRef& task, TimePoint now) const
 {
     int unavailable = 0;
--- a/packages/jobs/model/rule_oracle.h
+++ b/packages/jobs/model/rule_oracle.h
@@ -16,9 +16,10 @@
     bool isByPresentOwner { true };
 };
 
-/// Checks four of the platform's rules against the commands that workers have carried out, the ended runs that they
+/// Checks five of the platform's rules against the commands that workers have carried out, the ended runs that they
 /// have listed, and the acknowledgements that they have received: the limit of attempts, no start after a success, the
-/// tasks of a long-running step that may be unavailable at once, and no start on a draining worker.
+/// tasks of a long-running step that may be unavailable at once, no start on a draining worker, and no start that takes
+/// a worker over its capacity.
 class RuleOracle {
 public:
     explicit RuleOracle(int maxAttempts)
@@ -31,6 +32,15 @@
     void onDrainListed(const WorkerId& worker, TimePoint now) { m_drainListedAt.emplace(worker, now); }
     void onStarted(const StartCommand& command, const CommandExecution& execution, TimePoint now);
 
+    /// The worker has had `earlier` until now.
+    void onCapacityChanged(const WorkerId& worker, const ResourceSize& earlier, TimePoint now)
+    {
+        m_earlierCapacities[worker].emplace_back(now, earlier);
+    }
+
+    /// To be called after a start with what then runs on the worker.
+    void checkCapacity(const StartCommand& command, const ResourceSize& used, ResourceSize capacity, TimePoint now);
+
     /// Records the stop of an active run. To be called before the worker's event for it.
     void onStopped(const StopCommand& command, const CommandExecution& execution, TimePoint now);
     void onCrashed(const WorkerId& worker, TimePoint now);
@@ -64,6 +74,7 @@
     std::map<TaskRef, TaskRecord> m_tasks;
     std::map<TaskRef, LongRunningTaskState> m_longRunningTasks;
     std::map<WorkerId, TimePoint> m_drainListedAt;
+    std::map<WorkerId, std::vector<std::pair<TimePoint, ResourceSize>>> m_earlierCapacities; ///< Until when.
     std::vector<std::string> m_violations;
     int m_stopsOfActiveRuns { 0 };
 };
--- a/packages/jobs/tests/cell_takeover_tests.cpp
+++ b/packages/jobs/tests/cell_takeover_tests.cpp
@@ -157,6 +157,32 @@
     EXPECT_EQ(harness.takeCommands<StopCommand>().size(), 1U); // Its result proves that the start has no effect.
 }
 
+TEST(CellTakeover, StartIsNotRetriedOnAWorkerThatHasShrunk)
+{
+    CellHarness harness;
+    const StartCommand start = harness.submitAndTakeStart("a");
+    harness.respond(start, CommandStatus::NoResponse);
+    auto workers = harness.listed();
+    for (WorkerDescription& worker : workers)
+        worker.capacity.processors = Millicores { 700 };
+    harness.listWorkers(workers);
+    harness.advance(300ms);
+    EXPECT_TRUE(harness.takeCommands<StartCommand>().empty());
+    EXPECT_EQ(harness.takeCommands<StopCommand>().size(), 1U); // Its result proves that the start has no effect.
+}
+
+TEST(CellTakeover, RunOfAnUnknownJobUsesCapacityUntilItIsGone)
+{
+    CellHarness harness { 2, {} };
+    const RunningRun unknown { { JobId { "removed" }, 0, 0, 0 }, 1 };
+    for (const char* worker : { "w1", "w2" })
+        harness.answerPoll(worker, { unknown });
+    harness.submitAndStore("a");
+    harness.advance(100ms);
+    EXPECT_TRUE(harness.takeCommands<StartCommand>().empty());
+    EXPECT_EQ(harness.takeCommands<StopCommand>().size(), 2U);
+}
+
 TEST(CellTakeover, JobOfAnUnknownQueueKeepsItsAcceptedAttempts)
 {
     Job job = finiteJob();
--- a/packages/jobs/tests/cell_walk_tests.cpp
+++ b/packages/jobs/tests/cell_walk_tests.cpp
@@ -317,6 +317,44 @@
         30, 40);
 }
 
+TEST(CellWalk, CapacityShrinksWithoutOtherFaults)
+{
+    runWalks({ .slowStops = 0.5, .shrinksPerSecond = 2, .isCapacityUnenforced = true }, 20, 80, 2);
+}
+
+TEST(CellWalk, CapacityShrinksWhileResponsesAreLost)
+{
+    runWalks({ .lostCommands = 0.06,
+                 .lostResponses = 0.06,
+                 .partitionsPerSecond = 0.4,
+                 .slowStops = 0.5,
+                 .slowListReads = 0.2,
+                 .delayedCommands = 0.05,
+                 .shrinksPerSecond = 2,
+                 .isCapacityUnenforced = true },
+        30, 80, 2);
+}
+
+TEST(CellWalk, CapacityShrinksDuringOwnerChanges)
+{
+    runWalks({ .lostCommands = 0.04,
+                 .lostResponses = 0.03,
+                 .failedRuns = 0.1,
+                 .crashesPerSecond = 0.2,
+                 .partitionsPerSecond = 0.2,
+                 .ownerLossesPerSecond = 0.2,
+                 .failedCommits = 0.05,
+                 .slowStops = 0.5,
+                 .machineDrainsPerSecond = 0.5,
+                 .handBacksPerSecond = 0.2,
+                 .survivingOwners = 0.5,
+                 .flapsPerSecond = 0.1,
+                 .staleListEntries = 0.5,
+                 .shrinksPerSecond = 2,
+                 .isCapacityUnenforced = true },
+        30, 80, 2);
+}
+
 TEST(CellWalk, LongRunningTaskIsPlacedDuringAnOverload)
 {
     CellSimulation simulation { 1, 2, {} };
