Send no start again to a worker whose capacity has shrunk since

Cause: a start without a response is sent again as long as a new start would be permitted, but the worker's listed capacity was not looked at. Ruled out: the age of the list (1.5 s at most at each decision), what counts as used (starts without a response, runs that are being stopped and adopted runs all do), a decision of several starts in one pass. Change: such a start is sent again only if all that counts as used on the worker fits its listed capacity. Otherwise a stop resolves it, after a poll that was sent since and doesn't list the run, as the run may be at work and then goes on.

--- a/packages/jobs/src/cell_runs.cpp
+++ b/packages/jobs/src/cell_runs.cpp
@@ -251,6 +251,7 @@
 void CellState::processRunning(Worker& worker, const PollReport& report, TimePoint sentAt, TimePoint now)
 {
     const std::uint64_t poll = ++worker.pollsProcessed;
+    worker.lastPollSentAt = std::max(worker.lastPollSentAt, sentAt);
     for (const RunningRun& running : report.running) {
         const auto found = worker.runs.find(running.task);
         if (found == worker.runs.end() || !found->second.is(running.run)) {
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -101,6 +101,7 @@
     bool hasRenewalInFlight { false }; ///< The poll in flight carries a lease.
     bool needsPoll { true };
     TimePoint nextPollAt {};
+    TimePoint lastPollSentAt {}; ///< Of the polls that have had a response.
     int consecutiveFailures { 0 };
     TimePoint avoidUntil {};
     TimePoint failingUntil {}; ///< Avoided for its failures; the next success ends this.
--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -185,28 +185,35 @@
         worker.clock.recordDelivery(incarnationUnixMs, status != CommandStatus::NoResponse, settings.longestLease, now);
 }
 
-/// Sends a start without a response again only where a new start would be permitted; on a draining worker a stop
-/// resolves whether the start took effect.
+/// Sends a start without a response again only where a new start would be permitted; on a worker that is draining or
+/// whose capacity has shrunk below what it runs, a stop resolves whether the start took effect. On the latter the run
+/// may be at work, which the next poll shows, so that the stop waits for it.
 void CellState::retryCommands(TimePoint now, bool mayStart)
 {
     for (auto& [id, worker] : workers) {
         if (!worker.mayHaveRetries)
             continue;
         const bool isDraining = worker.description.isDraining;
+        const bool hasCapacity = fits(worker.used, worker.description.capacity);
         worker.mayHaveRetries = false;
         for (auto& [task, run] : worker.runs) {
             worker.mayHaveRetries = worker.mayHaveRetries || run.retryAt != TimePoint {};
             if (run.hasCommandInFlight || run.retryAt == TimePoint {} || now < run.retryAt)
                 continue;
-            const bool isStart = run.phase == RunPhase::Starting && !isDraining;
+            const bool isUnresolved = run.phase == RunPhase::Starting;
+            const bool isStart = isUnresolved && !isDraining && hasCapacity;
             if (isStart && !(mayStart && isIncarnationConfirmed(worker)))
                 continue;
+            if (isUnresolved && !isDraining && !hasCapacity && worker.lastPollSentAt < run.retryAt)
+                continue;
             run.retryAt = {};
             if (isStart) {
                 grantStart(worker, run, now);
                 output.commands.emplace_back(run.start);
             } else if (run.phase != RunPhase::Confirmed) {
-                sendStop(worker, task, run.number, "start got no response, and the worker is draining");
+                sendStop(worker, task, run.number,
+                    isDraining ? "start got no response, and the worker is draining"
+                               : "start got no response, and the worker's capacity has shrunk");
             }
         }
     }
--- a/packages/jobs/tests/cell_takeover_tests.cpp
+++ b/packages/jobs/tests/cell_takeover_tests.cpp
@@ -166,11 +166,32 @@
     for (WorkerDescription& worker : workers)
         worker.capacity.processors = Millicores { 700 };
     harness.listWorkers(workers);
+    harness.dropPolls();
     harness.advance(300ms);
     EXPECT_TRUE(harness.takeCommands<StartCommand>().empty());
+    EXPECT_TRUE(harness.takeCommands<StopCommand>().empty()); // The run may be at work.
+    harness.answerPoll(start.worker.value().c_str(), {});
+    harness.advance(60ms);
+    EXPECT_TRUE(harness.takeCommands<StartCommand>().empty());
     EXPECT_EQ(harness.takeCommands<StopCommand>().size(), 1U); // Its result proves that the start has no effect.
 }
 
+TEST(CellTakeover, UnansweredStartIsNotStoppedOnAWorkerThatHasShrunkOnceItIsListed)
+{
+    CellHarness harness;
+    const StartCommand start = harness.submitAndTakeStart("a");
+    harness.respond(start, CommandStatus::NoResponse);
+    auto workers = harness.listed();
+    for (WorkerDescription& worker : workers)
+        worker.capacity.processors = Millicores { 700 };
+    harness.listWorkers(workers);
+    harness.dropPolls();
+    harness.advance(300ms);
+    harness.answerPoll(start.worker.value().c_str(), { { start.task, start.run } });
+    harness.advance(300ms);
+    EXPECT_TRUE(harness.takeCommands<StopCommand>().empty());
+}
+
 TEST(CellTakeover, RunOfAnUnknownJobUsesCapacityUntilItIsGone)
 {
     CellHarness harness { 2, {} };
