Test: what is being stopped uses capacity until it is no longer listed

Change: a test of one decision: a worker whose only run is being stopped takes no start until a poll no longer lists the run.

--- a/packages/jobs/tests/cell_tests.cpp
+++ b/packages/jobs/tests/cell_tests.cpp
@@ -118,6 +118,32 @@
     EXPECT_TRUE(harness.cell().knownWorkers().contains(start.worker)); // It is still polled.
 }
 
+TEST(Cell, RunBeingStoppedUsesCapacityUntilItIsNoLongerListed)
+{
+    CellHarness harness;
+    std::vector<StartCommand> first;
+    for (const char* id : { "a", "b" }) { // One for each worker.
+        first.push_back(harness.submitAndTakeStart(id));
+        harness.respond(first.back(), CommandStatus::Done);
+    }
+    harness.cell().cancel(JobId { "a" }, 2, 0);
+    harness.storeChanges();
+    harness.submitAndStore("c");
+    harness.advance(10ms);
+    const auto stops = harness.takeCommands<StopCommand>();
+    ASSERT_EQ(stops.size(), 1U);
+    harness.cell().onResult(stops[0], { CommandStatus::Done, RefusalReason::None, harness.clockMs() }, harness.now());
+    const RunningRun stopping { first[0].task, first[0].run };
+    harness.dropPolls();
+    harness.advance(300ms);
+    harness.answerPoll(first[0].worker.value().c_str(), { stopping });
+    harness.advance(60ms);
+    EXPECT_TRUE(harness.takeCommands<StartCommand>().empty());
+    harness.answerPoll(first[0].worker.value().c_str(), {});
+    harness.advance(60ms);
+    EXPECT_EQ(harness.takeCommands<StartCommand>().size(), 1U);
+}
+
 TEST(Cell, RecoveredWorkerIsUsedOnlyOnceTheStoredListContainsIt)
 {
     CellHarness harness;
