Start nothing beside a run of an unknown job

Cause: an adopted run whose job the owner doesn't know reserved nothing, so that its worker could be filled up before the stop of the run had ended (CellTakeover.RunOfAnUnknownJobUsesCapacityUntilItIsGone: a start beside the run at once). Seen in that test only: jobs are stored before their first start, so that it takes a job that was removed after its end, or a row that can't be read. Change: such a run has no size, and its worker takes no start until the run is gone. Ruled out: taking the worker's whole capacity for the size, which would raise the load that the capacity planner sees.

--- a/packages/jobs/src/cell_runs.cpp
+++ b/packages/jobs/src/cell_runs.cpp
@@ -25,17 +25,20 @@
         || std::any_of(runs.begin(), runs.end(), [](const auto& each) { return each.second.hasStartInFlight; });
 }
 
-Run& CellState::addRun(Worker& worker, const TaskRef& task, RunNumber number, const Step& step)
+Run& CellState::addRun(Worker& worker, const TaskRef& task, RunNumber number, const Step* step)
 {
     const auto present = worker.runs.find(task);
     if (present != worker.runs.end())
         updateSums(worker, task, present->second, -1);
     Run run;
     run.number = number;
-    run.size = reservedSize(step);
-    run.isLongRunning = step.isLongRunning;
-    run.isBestEffort = step.isBestEffort;
-    run.isServing = step.latencyTarget > Duration::zero();
+    run.isSizeUnknown = !step;
+    if (step) {
+        run.size = reservedSize(*step);
+        run.isLongRunning = step->isLongRunning;
+        run.isBestEffort = step->isBestEffort;
+        run.isServing = step->latencyTarget > Duration::zero();
+    }
     updateSums(worker, task, run, 1);
     workerOfTask[task] = worker.description.id;
     return worker.runs.insert_or_assign(task, std::move(run)).first->second;
@@ -220,14 +223,13 @@
 {
     if (worker.runs.contains(running.task))
         return; // Another run of the task is being resolved there; this one will be listed again afterwards.
-    static const Step s_unknownStep;
     JobEntry* entry = find(running.task.job);
     const bool isKnownTask = entry && entry->progress.contains(running.task);
     const bool hadWorker = workerOfTask.contains(running.task);
     const bool isWanted = isKnownTask && !hadWorker && !entry->progress.hasEnded()
         && entry->progress.task(running.task).phase == TaskPhase::Waiting;
     const WorkerId earlierWorker = hadWorker ? workerOfTask.at(running.task) : WorkerId {};
-    Run& run = addRun(worker, running.task, running.run, isKnownTask ? stepOf(*entry, running.task) : s_unknownStep);
+    Run& run = addRun(worker, running.task, running.run, isKnownTask ? &stepOf(*entry, running.task) : nullptr);
     if (hadWorker)
         workerOfTask[running.task] = earlierWorker;
     run.phase = RunPhase::Confirmed;
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -32,6 +32,7 @@
     bool isLongRunning { false };
     bool isBestEffort { false };
     bool isServing { false }; ///< Has a latency target.
+    bool isSizeUnknown { false }; ///< Adopted, of a job that this owner does not know.
     bool mayStartLate { false }; ///< A start without a response may still be carried out.
     bool hasCommandInFlight { false }; ///< A start or stop has no result yet.
     bool hasStartInFlight { false }; ///< The command is a start, which carries a lease.
@@ -69,6 +70,7 @@
     int longRunning { 0 }; ///< Other than best-effort runs.
     int serving { 0 }; ///< With a latency target.
     int bestEffortRuns { 0 };
+    int ofUnknownSize { 0 };
 
     /// `count`: 1 for a run that is added, -1 for one that is removed.
     void add(const Run& run, int count)
@@ -76,6 +78,7 @@
         bestEffortRuns += run.isBestEffort ? count : 0;
         longRunning += run.isLongRunning && !run.isBestEffort ? count : 0;
         serving += run.isServing ? count : 0;
+        ofUnknownSize += run.isSizeUnknown ? count : 0;
     }
 };
 
@@ -293,7 +296,8 @@
         std::string_view detail, Duration age = {});
 
     // Runs: cell_runs.cpp
-    Run& addRun(Worker& worker, const TaskRef& task, RunNumber number, const Step& step);
+    /// `step`: null if the job is not known.
+    Run& addRun(Worker& worker, const TaskRef& task, RunNumber number, const Step* step);
 
     /// Removes a run from its worker. Returns whether no worker has a run of the task any more.
     bool releaseRun(Worker& worker, const TaskRef& task);
--- a/packages/jobs/src/free_capacity.cpp
+++ b/packages/jobs/src/free_capacity.cpp
@@ -12,7 +12,7 @@
 bool isUsable(const Worker& worker, const CellState& state, TimePoint now)
 {
     return worker.isListed && state.isIncarnationConfirmed(worker) && !worker.description.isDraining
-        && !worker.isAvoided(now) && worker.mayTakeStarts()
+        && !worker.isAvoided(now) && worker.mayTakeStarts() && worker.colocatedRuns.ofUnknownSize == 0
         && !state.drainingMachines.contains(worker.description.machine);
 }
 
