Without the store, start nothing on an old list where workers don't guard their capacity

Cause: while the store is unreachable for an owner, the age of its worker list at its last transaction counts, since workers can't have announced since then that they leave. Their capacity can have shrunk. LIMIT counts a room that has shrunk after stable_window_ms and one beat (4.5 s on the small sites), and holds for machines out of touch too. Ruled out: a list that is delivered late (its age counts from its request), starts that wait in a queue. Change: for a service with enforces_capacity false (not read before) the list must be as young without the store as with it. A service that guards its capacity goes on as before.

--- a/packages/jobs/include/rattanrack/jobs/configuration.h
+++ b/packages/jobs/include/rattanrack/jobs/configuration.h
@@ -23,6 +23,7 @@
 struct PoolSettings {
     PoolId id;
     bool isStandby { false }; ///< Its machines are off and cost nothing.
+    bool enforcesCapacity { false }; ///< Its workers refuse a start that does not fit.
 
     friend bool operator==(const PoolSettings&, const PoolSettings&) = default;
 };
@@ -41,6 +42,9 @@
     /// Pools that at least one queue uses, in ascending order.
     std::vector<PoolId> cellPools() const;
     std::vector<QueueSettings> queuesOf(const PoolId& pool) const;
+
+    /// Whether the pool's workers refuse a start that does not fit.
+    bool enforcesCapacity(const PoolId& pool) const;
 };
 
 /// Maintenance of a set of machines, as requested by operators.
--- a/packages/jobs/model/cell_simulation.cpp
+++ b/packages/jobs/model/cell_simulation.cpp
@@ -33,6 +33,7 @@
 CellSimulation::CellSimulation(std::uint64_t seed, int workers, const FaultRates& faults)
     : m_random(seed)
     , m_faults(faults)
+    , m_isCapacityUnenforced(faults.isCapacityUnenforced)
 {
     for (int number = 0; number < workers; ++number) {
         const std::string name = std::to_string(number);
@@ -178,12 +179,14 @@
         deliver();
 }
 
-/// Same rule as in the cell's host: an owner that gets no response from the store can't have a newer list.
+/// Same rule as in the cell's host: an owner that gets no response from the store can't have a newer list, and needs
+/// none unless the workers' capacity may have shrunk unnoticed.
 Authority CellSimulation::authorityOf(const Owner& owner) const
 {
     if (owner.mayBeHandedBack || m_now - owner.confirmedAt >= maxConfirmationAge)
         return Authority::Unconfirmed;
-    const bool isListTooOld = !owner.isReplaced && m_now - owner.listRequestedAt > maxListAge;
+    const bool mustListBeRecent = !owner.isReplaced || m_isCapacityUnenforced;
+    const bool isListTooOld = mustListBeRecent && m_now - owner.listRequestedAt > maxListAge;
     return owner.isHandingBack || isListTooOld ? Authority::RenewOnly : Authority::Full;
 }
 
--- a/packages/jobs/model/cell_simulation.h
+++ b/packages/jobs/model/cell_simulation.h
@@ -189,6 +189,7 @@
 
     std::mt19937_64 m_random;
     FaultRates m_faults;
+    const bool m_isCapacityUnenforced;
     TimePoint m_now { std::chrono::seconds { 1000 } };
     std::uint64_t m_sequence { 0 };
     std::priority_queue<ScheduledEvent, std::vector<ScheduledEvent>, IsLater> m_events;
--- a/packages/jobs/src/configuration.cpp
+++ b/packages/jobs/src/configuration.cpp
@@ -35,4 +35,10 @@
     return queues;
 }
 
+bool Configuration::enforcesCapacity(const PoolId& pool) const
+{
+    return std::any_of(
+        pools.begin(), pools.end(), [&](const PoolSettings& each) { return each.id == pool && each.enforcesCapacity; });
+}
+
 } // namespace rattanrack::jobs
--- a/packages/node/include/rattanrack/node/cell_host.h
+++ b/packages/node/include/rattanrack/node/cell_host.h
@@ -69,7 +69,8 @@
     CellHost(const CellHost&) = delete;
     CellHost& operator=(const CellHost&) = delete;
 
-    void configure(const std::vector<jobs::QueueSettings>& queues) { m_cell.configure(queues); }
+    /// `enforcesCapacity`: whether the pool's workers refuse a start that does not fit.
+    void configure(const std::vector<jobs::QueueSettings>& queues, bool enforcesCapacity);
     void setWorkers(const WorkerList& list);
     void setDrainingMachines(std::set<jobs::MachineId> machines);
     std::vector<jobs::MachineId> drainedMachines() const { return m_cell.drainedMachines(); }
@@ -113,6 +114,7 @@
     PoolId m_pool;
     jobs::Cell m_cell;
     const Duration m_longestListAge;
+    bool m_enforcesCapacity { false };
     TimePoint m_listRequestedAt {}; ///< When the worker list in use was requested from the store.
     std::shared_ptr<bool> m_isAlive;
     PartWriter m_writer;
--- a/packages/node/src/cell_host.cpp
+++ b/packages/node/src/cell_host.cpp
@@ -91,6 +91,12 @@
     };
 }
 
+void CellHost::configure(const std::vector<jobs::QueueSettings>& queues, bool enforcesCapacity)
+{
+    m_cell.configure(queues);
+    m_enforcesCapacity = enforcesCapacity;
+}
+
 void CellHost::setWorkers(const WorkerList& list)
 {
     std::map<jobs::WorkerId, std::string> addresses;
@@ -160,10 +166,12 @@
 }
 
 /// Whether the worker list is too old for runs to start on it. While the store is unreachable, the age at the last
-/// confirmed transaction counts: workers can't have announced since then that they leave.
+/// confirmed transaction counts: workers can't have announced since then that they leave. Their capacity may have
+/// shrunk since, which matters where they start whatever they are told to start.
 bool CellHost::isListTooOld() const
 {
-    const TimePoint until = m_writer.isStoreReachable() ? m_parts.clock.now() : m_writer.confirmedAt();
+    const bool isAgeUntilNow = m_writer.isStoreReachable() || !m_enforcesCapacity;
+    const TimePoint until = isAgeUntilNow ? m_parts.clock.now() : m_writer.confirmedAt();
     return until - m_listRequestedAt > m_longestListAge;
 }
 
--- a/packages/node/src/job_node_cells.cpp
+++ b/packages/node/src/job_node_cells.cpp
@@ -69,7 +69,7 @@
             settings.longestLease },
         std::move(takeover));
     if (configuration)
-        host->configure(configuration->queuesOf(cell));
+        host->configure(configuration->queuesOf(cell), configuration->enforcesCapacity(cell));
     host->setWorkers(workers);
     host->setDrainingMachines(drainingMachines());
     ownership.onCellTaken(cell, host->term());
--- a/packages/node/src/job_node_watchers.cpp
+++ b/packages/node/src/job_node_watchers.cpp
@@ -48,7 +48,7 @@
     ownership.setCells(std::move(owned), { machinePart });
     hasConfiguredCells = true;
     for (auto& [cell, host] : cells)
-        host->configure(shared->queuesOf(cell));
+        host->configure(shared->queuesOf(cell), shared->enforcesCapacity(cell));
 }
 
 void JobNode::State::watchConfiguration()
--- a/packages/node/tests/cell_host_tests.cpp
+++ b/packages/node/tests/cell_host_tests.cpp
@@ -74,8 +74,13 @@
                 [this] { ++lost; } };
             host = std::make_unique<CellHost>(
                 std::move(parts), pool, CellTimeLimits { 4500ms, 120s, 900ms, 1500ms, 6s }, std::move(takeover));
-            host->configure({ { queue, pool, 0, 3, 1.6, 600ms } });
         });
+        configure(true);
+    }
+
+    void configure(bool enforcesCapacity)
+    {
+        control.run([&] { host->configure({ { queue, pool, 0, 3, 1.6, 600ms } }, enforcesCapacity); });
     }
 
     void TearDown() override
@@ -85,10 +90,10 @@
         workerThreads.shutdown();
     }
 
-    void listWorkers(Duration age)
+    void listWorkers(Duration age, Millicores capacity = Millicores { 1000 })
     {
         jobs::WorkerDescription worker { jobs::WorkerId { "w1" }, jobs::MachineId { "m1" }, pool, "10.0.0.1:1" };
-        worker.capacity = { Millicores { 1000 }, Mebibytes { 1000 }, {} };
+        worker.capacity = { capacity, Mebibytes { 1000 }, {} };
         worker.incarnationUnixMs = 1;
         control.run([&] { host->setWorkers({ { worker }, clock.now() - age }); });
     }
@@ -148,6 +153,22 @@
     EXPECT_EQ(workers.starts, 0);
 }
 
+TEST_F(CellHostTest, NoRunStartsOnAListFromBeforeAStoreOutageWhereWorkersMayHaveShrunk)
+{
+    configure(false);
+    listWorkers(0s, Millicores { 0 });
+    ASSERT_EQ(submit("a"), jobs::Acceptance::Pending);
+    ASSERT_TRUE(eventually([&] { return stored == 1; }));
+    std::this_thread::sleep_for(300ms); // Until the worker is stored in the owner row.
+    store.isDown = true;
+    std::this_thread::sleep_for(2s); // A renewal fails in between.
+    listWorkers(2200ms);
+    std::this_thread::sleep_for(300ms);
+    EXPECT_EQ(workers.starts, 0);
+    configure(true);
+    EXPECT_TRUE(eventually([&] { return workers.starts == 1; }));
+}
+
 TEST_F(CellHostTest, OwnerThatMayHaveBeenReplacedDoesNotReportAJobAsUnknown)
 {
     const auto isReportedUnknown = [&] {
