--- a/packages/jobs/model/cell_simulation.cpp
+++ b/packages/jobs/model/cell_simulation.cpp
@@ -35,15 +35,17 @@
     : m_random(seed)
     , m_faults(faults)
     , m_longestLease(longestLease)
+    , m_isCapacityUnenforced(faults.isCapacityUnenforced)
 {
     for (int number = 0; number < workers; ++number) {
         const std::string name = std::to_string(number);
         WorkerDescription description { WorkerId { "w" + name }, MachineId { "m" + name }, poolName, "10.0.0.1:1" };
-        description.capacity = { Millicores { 16000 }, Mebibytes { 65536 }, Accelerators { 0 } };
+        description.capacity = wholeCapacity;
         description.rack = "r" + std::to_string(number / 4);
         description.labels = { "a", description.rack };
         description.incarnationUnixMs = ++m_incarnations;
         m_workers.emplace_back(description, 0.98 + 0.02 * static_cast<double>(number % 3) / 2, m_longestLease);
+        m_workers.back().setEnforcesCapacity(!faults.isCapacityUnenforced);
     }
     takeOver();
     tick();
@@ -180,12 +182,14 @@
         deliver();
 }
 
-/// Same rule as in the cell's host: an owner that gets no response from the store can't have a newer list.
+/// Same rule as in the cell's host: an owner that gets no response from the store can't have a newer list, and needs
+/// none unless the workers' capacity may have shrunk unnoticed.
 Authority CellSimulation::authorityOf(const Owner& owner) const
 {
     if (owner.mayBeHandedBack || m_now - owner.confirmedAt >= maxConfirmationAge)
         return Authority::Unconfirmed;
-    const bool isListTooOld = !owner.isReplaced && m_now - owner.listRequestedAt > maxListAge;
+    const bool mustListBeRecent = !owner.isReplaced || m_isCapacityUnenforced;
+    const bool isListTooOld = mustListBeRecent && m_now - owner.listRequestedAt > maxListAge;
     return owner.isHandingBack || isListTooOld ? Authority::RenewOnly : Authority::Full;
 }
 
--- a/packages/jobs/src/free_capacity.cpp
+++ b/packages/jobs/src/free_capacity.cpp
@@ -13,7 +13,7 @@
 {
     return worker.isListed && state.isIncarnationConfirmed(worker) && !worker.description.isDraining
         && now >= worker.startsAllowedAt && !worker.isAvoided(now) && worker.mayTakeStarts()
-        && !state.drainingMachines.contains(worker.description.machine);
+        && worker.colocatedRuns.ofUnknownSize == 0 && !state.drainingMachines.contains(worker.description.machine);
 }
 
 bool dependsOnColocatedRuns(const Step& step)
--- a/packages/jobs/tests/cell_walk_tests.cpp
+++ b/packages/jobs/tests/cell_walk_tests.cpp
@@ -163,12 +163,52 @@
     }
 }
 
-/// Submits a job of one step.
-void submit(CellSimulation& simulation, const std::string& id, const Step& step, const TaskBehavior& behavior)
+FaultRates commonFaults()
 {
-    Job job { JobId { id }, QueueId { "queue" }, simulation.now().time_since_epoch().count() / 1000 };
-    job.spec.steps = { step };
-    simulation.submit(job, { behavior });
+    return { .lostCommands = 0.04,
+        .lostResponses = 0.03,
+        .failedRuns = 0.08,
+        .crashesPerSecond = 0.3,
+        .partitionsPerSecond = 0.3,
+        .ownerLossesPerSecond = 0.15,
+        .failedCommits = 0.05 };
+}
+
+FaultRates flaps()
+{
+    return { .lostCommands = 0.05,
+        .lostResponses = 0.03,
+        .partitionsPerSecond = 0.2,
+        .slowListReads = 0.1,
+        .flapsPerSecond = 0.3,
+        .staleListEntries = 0.5,
+        .delayedPolls = 0.03 };
+}
+
+FaultRates starvedOwnersAndFlaps()
+{
+    return { .lostCommands = 0.03,
+        .lostResponses = 0.02,
+        .failedRuns = 0.1,
+        .crashesPerSecond = 0.15,
+        .partitionsPerSecond = 0.15,
+        .ownerLossesPerSecond = 0.15,
+        .slowStops = 0.3,
+        .handBacksPerSecond = 0.1,
+        .survivingOwners = 0.5,
+        .slowListReads = 0.1,
+        .loopStallsPerSecond = 0.15,
+        .delayedCommands = 0.05,
+        .flapsPerSecond = 0.15,
+        .staleListEntries = 0.5,
+        .delayedPolls = 0.02 };
+}
+
+/// Workers whose connections end with each response: their leases are not bound to an incarnation.
+FaultRates withClosedConnections(FaultRates rates)
+{
+    rates.areConnectionsClosed = true;
+    return rates;
 }
 
 } // namespace
@@ -186,17 +226,7 @@
     runWalks({ .lostCommands = 0.03, .failedRuns = 0.2, .ownerLossesPerSecond = 0.4 }, 30, 60);
 }
 
-TEST(CellWalk, CommonFaultsTogether)
-{
-    runWalks({ .lostCommands = 0.04,
-                 .lostResponses = 0.03,
-                 .failedRuns = 0.08,
-                 .crashesPerSecond = 0.3,
-                 .partitionsPerSecond = 0.3,
-                 .ownerLossesPerSecond = 0.15,
-                 .failedCommits = 0.05 },
-        40, 60);
-}
+TEST(CellWalk, CommonFaultsTogether) { runWalks(commonFaults(), 40, 60); }
 
 TEST(CellWalk, EndedRunsAreUnacknowledgedDuringOwnerChanges)
 {
@@ -290,128 +320,71 @@
         30, 40);
 }
 
-TEST(CellWalk, WorkersFlap)
+TEST(CellWalk, WorkersFlap) { runWalks(flaps(), 30, 40); }
+
+TEST(CellWalk, StarvedOwnersOfFlappingWorkersAreReplaced) { runWalks(starvedOwnersAndFlaps(), 30, 40); }
+
+TEST(CellWalk, WorkersThatCloseConnectionsCrashAndRestart)
 {
-    runWalks({ .lostCommands = 0.05,
-                 .lostResponses = 0.03,
-                 .partitionsPerSecond = 0.2,
-                 .slowListReads = 0.1,
-                 .flapsPerSecond = 0.3,
-                 .staleListEntries = 0.5,
-                 .delayedPolls = 0.03 },
-        30, 40);
+    runWalks({ .lostResponses = 0.02, .crashesPerSecond = 0.5, .areConnectionsClosed = true }, 15, 60);
 }
 
-TEST(CellWalk, StarvedOwnersOfFlappingWorkersAreReplaced)
+TEST(CellWalk, CommonFaultsWithClosedConnections) { runWalks(withClosedConnections(commonFaults()), 40, 60); }
+
+TEST(CellWalk, WorkersThatCloseConnectionsFlap) { runWalks(withClosedConnections(flaps()), 30, 40); }
+
+TEST(CellWalk, StarvedOwnersOfWorkersThatCloseConnectionsAreReplaced)
 {
-    runWalks({ .lostCommands = 0.03,
-                 .lostResponses = 0.02,
-                 .failedRuns = 0.1,
-                 .crashesPerSecond = 0.15,
-                 .partitionsPerSecond = 0.15,
-                 .ownerLossesPerSecond = 0.15,
-                 .slowStops = 0.3,
-                 .handBacksPerSecond = 0.1,
-                 .survivingOwners = 0.5,
-                 .slowListReads = 0.1,
-                 .loopStallsPerSecond = 0.15,
-                 .delayedCommands = 0.05,
-                 .flapsPerSecond = 0.15,
-                 .staleListEntries = 0.5,
-                 .delayedPolls = 0.02 },
-        30, 40);
+    runWalks(withClosedConnections(starvedOwnersAndFlaps()), 30, 40);
 }
 
-/// Workers whose connections end with each response: their leases are not bound to an incarnation.
-TEST(CellWalk, WorkersThatCloseConnectionsCrashAndRestart)
+TEST(CellWalk, CapacityShrinksWithoutOtherFaults)
 {
-    runWalks({ .lostResponses = 0.02, .crashesPerSecond = 0.5, .areConnectionsClosed = true }, 15, 60);
+    runWalks({ .slowStops = 0.5, .shrinksPerSecond = 2, .isCapacityUnenforced = true }, 20, 80, 2);
 }
 
-TEST(CellWalk, CommonFaultsWithClosedConnections)
+TEST(CellWalk, CapacityShrinksWhileResponsesAreLost)
 {
-    runWalks({ .lostCommands = 0.04,
-                 .lostResponses = 0.03,
-                 .failedRuns = 0.08,
-                 .crashesPerSecond = 0.3,
-                 .partitionsPerSecond = 0.3,
-                 .ownerLossesPerSecond = 0.15,
-                 .failedCommits = 0.05,
-                 .areConnectionsClosed = true },
-        40, 60);
+    runWalks({ .lostCommands = 0.06,
+                 .lostResponses = 0.06,
+                 .partitionsPerSecond = 0.4,
+                 .slowStops = 0.5,
+                 .slowListReads = 0.2,
+                 .delayedCommands = 0.05,
+                 .shrinksPerSecond = 2,
+                 .isCapacityUnenforced = true },
+        30, 80, 2);
 }
 
-TEST(CellWalk, WorkersThatCloseConnectionsFlap)
+TEST(CellWalk, CapacityShrinksDuringOwnerChanges)
 {
-    runWalks({ .lostCommands = 0.05,
+    runWalks({ .lostCommands = 0.04,
                  .lostResponses = 0.03,
+                 .failedRuns = 0.1,
+                 .crashesPerSecond = 0.2,
                  .partitionsPerSecond = 0.2,
-                 .slowListReads = 0.1,
-                 .flapsPerSecond = 0.3,
+                 .ownerLossesPerSecond = 0.2,
+                 .failedCommits = 0.05,
+                 .slowStops = 0.5,
+                 .machineDrainsPerSecond = 0.5,
+                 .handBacksPerSecond = 0.2,
+                 .survivingOwners = 0.5,
+                 .flapsPerSecond = 0.1,
                  .staleListEntries = 0.5,
-                 .delayedPolls = 0.03,
-                 .areConnectionsClosed = true },
-        30, 40);
+                 .shrinksPerSecond = 2,
+                 .isCapacityUnenforced = true },
+        30, 80, 2);
 }
 
-TEST(CellWalk, StarvedOwnersOfWorkersThatCloseConnectionsAreReplaced)
+TEST(CellWalk, CapacityShrinksWhileReplacedOwnersGoOn)
 {
     runWalks({ .lostCommands = 0.03,
-                 .lostResponses = 0.02,
-                 .failedRuns = 0.1,
-                 .crashesPerSecond = 0.15,
-                 .partitionsPerSecond = 0.15,
-                 .ownerLossesPerSecond = 0.15,
+                 .ownerLossesPerSecond = 0.3,
                  .slowStops = 0.3,
                  .handBacksPerSecond = 0.1,
-                 .survivingOwners = 0.5,
-                 .slowListReads = 0.1,
+                 .survivingOwners = 1,
                  .loopStallsPerSecond = 0.15,
-                 .delayedCommands = 0.05,
-                 .flapsPerSecond = 0.15,
-                 .staleListEntries = 0.5,
-                 .delayedPolls = 0.02,
-                 .areConnectionsClosed = true },
-        30, 40);
-}
-
-TEST(CellWalk, LongRunningTaskIsPlacedDuringAnOverload)
-{
-    CellSimulation simulation { 1, 2, {} };
-    simulation.run(2s);
-    // The tasks differ in length, so that capacity becomes free in small pieces.
-    for (int number = 0; number < 60; ++number) {
-        Step small;
-        small.count = 4;
-        small.size = { Millicores { 4800 }, Mebibytes { 10 }, {} };
-        small.declaredRunTime = 400ms;
-        submit(simulation, "small" + std::to_string(number), small, { small.size, 300ms + number % 7 * 50ms });
-    }
-    simulation.run(1s);
-    Step longRunning;
-    longRunning.size = { Millicores { 12800 }, Mebibytes { 10 }, {} };
-    longRunning.isLongRunning = true;
-    submit(simulation, "long-running", longRunning, { longRunning.size, 0us, false, true });
-    simulation.run(3s);
-    EXPECT_EQ(simulation.runningOf(JobId { "long-running" }), 1);
-}
-
-TEST(CellWalk, UnplaceableLongRunningTasksDoNotBlockOthers)
-{
-    CellSimulation simulation { 1, 3, {} };
-    simulation.run(2s);
-    Step longRunning;
-    longRunning.count = 5; // Two more than there are workers.
-    longRunning.size = { Millicores { 500 }, Mebibytes { 100 }, {} };
-    longRunning.isLongRunning = true;
-    longRunning.maxPerWorker = 1;
-    for (const char* id : { "long-running1", "long-running2", "long-running3" })
-        submit(simulation, id, longRunning, { longRunning.size, 0us, false, true });
-    Step finite;
-    finite.size = { Millicores { 1000 }, Mebibytes { 100 }, {} };
-    finite.declaredRunTime = 500ms;
-    submit(simulation, "finite", finite, { finite.size, 500ms });
-    simulation.run(5s);
-    EXPECT_EQ(simulation.runningOf(JobId { "long-running1" }), 3);
-    EXPECT_EQ(simulation.shownState(JobId { "finite" }), JobState::Completed);
+                 .shrinksPerSecond = 3,
+                 .isCapacityUnenforced = true },
+        60, 80, 2);
 }
--- a/packages/node/include/rattanrack/node/cell_host.h
+++ b/packages/node/include/rattanrack/node/cell_host.h
@@ -70,7 +70,8 @@
     CellHost(const CellHost&) = delete;
     CellHost& operator=(const CellHost&) = delete;
 
-    void configure(const std::vector<jobs::QueueSettings>& queues) { m_cell.configure(queues); }
+    /// `enforcesCapacity`: whether the pool's workers refuse a start that does not fit.
+    void configure(const std::vector<jobs::QueueSettings>& queues, bool enforcesCapacity);
     void setWorkers(const WorkerList& list);
     void setDrainingMachines(std::set<jobs::MachineId> machines);
 
@@ -120,6 +121,7 @@
     const Duration m_longestListAge;
     const Duration m_leaseLength;
     const TimePoint m_takenOverAt;
+    bool m_enforcesCapacity { false };
     TimePoint m_listRequestedAt {}; ///< When the worker list in use was requested from the store.
     std::shared_ptr<bool> m_isAlive;
     PartWriter m_writer;
