A machine that serves another pool proves the end of its earlier worker

Cause: the host of a cell passed on the workers of its own pool alone, so that a machine that was moved to another pool proved nothing about its earlier worker.

Change: the cell gets the whole list and uses the workers of its pool; a later worker on the machine counts, of whatever pool. One copy of the list less at each read.

The tests state the cell's part (CellTakeover.MachineOfALostWorkerListedInAnotherPoolEndsTheWait, WorkersOfOtherPoolsAreNotUsed); the host's part, which left such workers out, has no test of its own.

--- a/packages/jobs/include/rattanrack/jobs/cell.h
+++ b/packages/jobs/include/rattanrack/jobs/cell.h
@@ -125,7 +125,8 @@
     /// Applies the queue settings of the configuration in force. Queues that it no longer contains keep their settings.
     void configure(const std::vector<QueueSettings>& queues);
 
-    /// Sets all workers of the pool, as listed by the store. `requestedAt`: when the list was requested.
+    /// Sets the workers of all pools, as listed by the store; those of other pools show which machines have left this
+    /// one. `requestedAt`: when the list was requested.
     void setWorkers(const std::vector<WorkerDescription>& workers, TimePoint requestedAt, TimePoint now);
 
     /// Whether some worker of previous owners may still run tasks that this owner has not found.
--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -52,6 +52,8 @@
     for (auto& [id, worker] : state.workers)
         worker.isListed = false;
     for (const WorkerDescription& description : listed) {
+        if (description.pool != state.settings.pool)
+            continue;
         Worker& worker = state.workers[description.id];
         const bool isNewIncarnation = worker.incarnationUnixMs != description.incarnationUnixMs;
         worker.needsPoll = worker.needsPoll || isNewIncarnation;
@@ -62,7 +64,7 @@
         worker.description = description;
         worker.isListed = true;
     }
-    // On a machine with a later worker, nothing of the earlier worker runs any more.
+    // On a machine with a later worker, of whatever pool, nothing of the earlier worker runs any more.
     for (auto& [id, worker] : state.workers) {
         const auto isSuccessor = [&, &earlier = worker](const WorkerDescription& other) {
             return other.machine == earlier.description.machine && other.id != earlier.description.id
@@ -78,7 +80,7 @@
         const auto known = state.workers.find(inherited.first);
         const bool isListed = known != state.workers.end() && known->second.isListed;
         const auto isOnItsMachine = [&](const WorkerDescription& other) {
-            return other.machine == inherited.second && !other.machine.isEmpty();
+            return other.id != inherited.first && other.machine == inherited.second && !other.machine.isEmpty();
         };
         return isSinceTakeover && !isListed && std::any_of(listed.begin(), listed.end(), isOnItsMachine);
     });
--- a/packages/jobs/tests/cell_takeover_tests.cpp
+++ b/packages/jobs/tests/cell_takeover_tests.cpp
@@ -345,6 +345,36 @@
     EXPECT_GE(timeUntilStartWithoutW1(next), 10500ms);
 }
 
+TEST(CellTakeover, MachineOfALostWorkerListedInAnotherPoolEndsTheWait)
+{
+    CellHarness next { 2, { { finiteJob(), {} } } };
+    next.answerPoll("w2", {});
+    WorkerDescription moved = next.listed()[0];
+    moved.id = WorkerId { "w9" };
+    moved.pool = PoolId { "other" };
+    moved.incarnationUnixMs = 2;
+    next.listWorkers({ next.listed()[1], moved });
+    next.advance(30ms);
+    const auto starts = next.takeCommands<StartCommand>();
+    ASSERT_EQ(starts.size(), 1U);
+    EXPECT_EQ(starts[0].worker.value(), "w2");
+}
+
+TEST(CellTakeover, WorkersOfOtherPoolsAreNotUsed)
+{
+    CellHarness harness;
+    WorkerDescription other = harness.listed()[0];
+    other.id = WorkerId { "w9" };
+    other.machine = MachineId { "m9" };
+    other.pool = PoolId { "other" };
+    harness.listWorkers({ other });
+    harness.advance(30ms);
+    EXPECT_FALSE(harness.cell().workersInUse().contains(other.id));
+    harness.submitAndStore("a");
+    harness.advance(30ms);
+    EXPECT_TRUE(harness.takeCommands<StartCommand>().empty());
+}
+
 TEST(CellTakeover, HandBackDuringRecoveryPassesOnTheRemainingInheritedLeases)
 {
     CellHarness next { 2, { { finiteJob(), {} } } };
--- a/packages/node/src/cell_host.cpp
+++ b/packages/node/src/cell_host.cpp
@@ -102,15 +102,12 @@
 void CellHost::setWorkers(const WorkerList& list)
 {
     std::map<jobs::WorkerId, std::string> addresses;
-    std::vector<jobs::WorkerDescription> ownWorkers;
     for (const jobs::WorkerDescription& worker : list.workers) {
-        if (worker.pool != m_pool)
-            continue;
-        addresses[worker.id] = worker.address;
-        ownWorkers.push_back(worker);
+        if (worker.pool == m_pool)
+            addresses[worker.id] = worker.address;
     }
     m_listRequestedAt = list.requestedAt;
-    m_cell.setWorkers(ownWorkers, list.requestedAt, m_parts.clock.now());
+    m_cell.setWorkers(list.workers, list.requestedAt, m_parts.clock.now());
     m_links.setAddresses(addresses, m_cell.knownWorkers());
     wake();
 }
