Model a task that crashes each worker that starts it

TaskBehavior::crashingTask names the index of a task that crashes its worker 10 ms after the start is carried out; half of the responses to such starts never arrive, and the worker is back 3 to 3.5 s later in a later incarnation, 15 % under a new id. rackCrashesPerSecond crashes all workers of a rack within half a second. The oracle checks BUDGET as the rule says (three more starts by an owner in touch after three workers have crashed under a task), and the walks check that only a task that has crashed two workers is given up.

--- a/packages/jobs/model/cell_simulation_commands.cpp
+++ b/packages/jobs/model/cell_simulation_commands.cpp
@@ -86,11 +86,22 @@
         if (execution.isDelayed)
             return executeLate(command, worker->description().incarnationUnixMs, execution);
         const CommandResult result = execute(*worker, command, execution);
-        if (!isResponseLost)
+        const bool isCutOff = !isResponseLost && isResponseCutOff(command, result);
+        if (isCutOff)
+            schedule(commandTimeout, [deliver] { deliver({ CommandStatus::NoResponse }); });
+        else if (!isResponseLost)
             schedule(networkDelay, [deliver, result] { deliver(result); });
     });
 }
 
+/// Whether the worker crashes before it has sent the response.
+template <typename CommandType>
+bool CellSimulation::isResponseCutOff(const CommandType& command, const CommandResult& result)
+{
+    const bool isStart = std::is_same_v<CommandType, StartCommand>;
+    return isStart && result.status == CommandStatus::Done && crashesWorkers(command.task) && happens(0.5);
+}
+
 /// The incarnation that has received the command carries it out, if it still exists then.
 template <typename CommandType>
 void CellSimulation::executeLate(
@@ -115,6 +126,8 @@
         if (!worker.enforcesCapacity())
             m_oracle.checkCapacity(command, worker.used(), worker.capacity(), m_now);
         checkStart(worker, command, execution);
+        if (crashesWorkers(command.task))
+            crashUnder(worker, command);
     }
     processWorkerEvents(worker);
     return result;
