process-soak: judge how long lasting subtasks have no run

The report on real processes says that a lasting subtask had no successor after its worker had died. The judge would not have seen it: it looks at lasting subtasks only at the end of a play, 14 s after the last trouble.

Rule "LOST (d)": from 6 s after its last run ended, as its worker saw it, or after its job was accepted, a lasting subtask of a job that nobody has cancelled has no run for 3 s; these 3 s and the 4 s before them are calm; and all the while its pool has room for two more runs on workers that are up and don't drain. It is calm when nothing is done to the world: links, freezes, drains, SIGTERM and waves count as long as they go on, a process or worker that dies when it dies and when it comes back, so that a worker that stays away doesn't excuse the fleet for ever. Each gap counts by itself.

--- a/tools/process_soak/judge.cpp
+++ b/tools/process_soak/judge.cpp
@@ -1,5 +1,6 @@
 #include "judge.h"
 
+#include "lasting_check.h"
 #include "task_name.h"
 
 #include <algorithm>
@@ -238,6 +239,7 @@
     judgeEndOfPlay(history, tasks, found);
     judgeDrains(history, found);
     judgeAvailability(history, tasks, found);
+    judgeLastingGaps(history, found);
     return found;
 }
 
