process-soak: let workers die while owners and links are in trouble

`--troubles=deaths` plays series in which one or two workers of a pool die for good (replaced under another id after 3 to 15 s) or come back under their id, half of them with a host that is silent, within 2 s of up to three troubles of nodes: the owner of that pool's cell is killed, frozen, terminated or cut from the store (silence, resets, cut responses), or any node is cut from the store, so that its calls go through peers. One series in three follows the last one within 4 s, the others leave 8 to 16 s. The owner is looked up in the nodes' logs (`cell.taken` with the highest term) when its trouble is due. The mixed schedule and its seeds stay as they are.

`--longest-lease=MS` sets what workers grant and daemons are told, by default 4.5 s as before, and with deaths 4.5, 6 or 10 s by the seed: the wait of a new owner depends on it. Workers granted up to 5 s while daemons were told 4.5 s; now both use the same figure. A daemon's log begins empty, since an earlier play's terms would name the wrong owner. The last line of a play tells the longest time without a run of a lasting subtask.

--- a/tools/process_soak/daemon.cpp
+++ b/tools/process_soak/daemon.cpp
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <utility>
 
@@ -25,6 +26,7 @@
     , m_logPath(directory + "/" + m_name + ".log")
 {
     std::ofstream(m_settingsPath) << settings;
+    std::filesystem::remove(m_logPath);
 }
 
 Daemon::~Daemon()
--- a/tools/process_soak/daemon.h
+++ b/tools/process_soak/daemon.h
@@ -7,7 +7,7 @@
 
 namespace rattanrack::tools {
 
-/// A daemon as a process of its own. What it writes goes to DIR/NAME.log.
+/// A daemon as a process of its own. What it writes goes to DIR/NAME.log, without what an earlier one wrote.
 class Daemon {
 public:
     /// `settings` is the text of its settings file, DIR/NAME.yaml.
@@ -17,6 +17,7 @@
     Daemon& operator=(const Daemon&) = delete;
 
     const std::string& name() const { return m_name; }
+    const std::string& logPath() const { return m_logPath; }
     pid_t process() const { return m_process; }
 
     /// False when the program can't be started.
--- a/tools/process_soak/main.cpp
+++ b/tools/process_soak/main.cpp
@@ -1,4 +1,5 @@
 #include "judge.h"
+#include "lasting_check.h"
 #include "play.h"
 
 #include "rattanrack/base/log.h"
@@ -22,14 +23,18 @@
     = R"(process-soak: plays daemons as processes through seeded troubles and judges what callers and workers saw.
 
 Usage:
-  process-soak --daemon=PATH --seed=N [--seconds=S] [--daemons=N] [--workers=N] [--dir=DIR]
+  process-soak --daemon=PATH --seed=N [--seconds=S] [--daemons=N] [--workers=N]
+               [--troubles=KIND] [--longest-lease=MS] [--dir=DIR]
 
 Options:
   --daemon=PATH  The rattanrackd to start.
-  --seed=N       Chooses the troubles; even ones play planned work alone.
+  --seed=N       Chooses the troubles.
   --seconds=S    Length of the traffic; the play takes some 20 s more [default: 40].
   --daemons=N    How many daemons; 0: three to five, by the seed [default: 0].
   --workers=N    How many workers, two or more, in two pools [default: 6].
+  --troubles=KIND  mixed: all kinds, of which even seeds play planned work alone;
+                   deaths: workers die while nodes are in trouble [default: mixed].
+  --longest-lease=MS  That workers grant; 0: 4500, for deaths 4500, 6000 or 10000 by the seed [default: 0].
   --dir=DIR      For settings and logs of the daemons [default: process-soak].
 
 Exit status 1 when a promise was broken; each one is printed with the record of its job.
@@ -45,6 +50,25 @@
     std::exit(2);
 }
 
+/// Ends the process with a message when there are none of that name.
+Troubles troublesNamed(const std::string& name)
+{
+    if (name == "mixed")
+        return Troubles::Mixed;
+    if (name == "deaths")
+        return Troubles::Deaths;
+    std::cerr << "process-soak: no troubles are named " << name << '\n';
+    std::exit(2);
+}
+
+double longestGapSeconds(const History& history)
+{
+    Duration longest {};
+    for (const LastingGap& gap : lastingGaps(history))
+        longest = std::max(longest, gap.to - gap.from);
+    return std::chrono::duration<double>(longest).count();
+}
+
 void print(const History& history, const std::vector<Violation>& found)
 {
     std::set<jobs::JobId> printed;
@@ -69,6 +93,8 @@
     settings.length = std::chrono::seconds { options.at("--seconds").asLong() };
     settings.daemons = countOf(options, "--daemons", 0);
     settings.workers = countOf(options, "--workers", 2);
+    settings.troubles = troublesNamed(options.at("--troubles").asString());
+    settings.longestLease = std::chrono::milliseconds { countOf(options, "--longest-lease", 0) };
     std::filesystem::create_directories(settings.directory);
     Play play { settings };
     const History history = play.run();
@@ -81,6 +107,7 @@
     std::cout << "process-soak: seed " << settings.seed << ", " << accepted << " jobs accepted, " << history.runs.size()
               << " runs, " << history.troubles.size() << " troubles, " << history.brokenCalls.size()
               << " calls broken off, " << play.killedAtGrace() << " processes killed at the end of their grace time, "
-              << found.size() << " violations, " << play.faults().size() << " faults\n";
+              << longestGapSeconds(history) << " s at most without a run of a lasting subtask, " << found.size()
+              << " violations, " << play.faults().size() << " faults\n";
     return found.empty() && play.faults().empty() && accepted > 0 ? 0 : 1;
 }
--- a/tools/process_soak/play.cpp
+++ b/tools/process_soak/play.cpp
@@ -1,6 +1,9 @@
 #include "play.h"
 
+#include "cell_owner.h"
+
 #include "../../packages/node/tests/free_port.h"
+#include "rattanrack/base/milliseconds.h"
 
 #include <csignal>
 
@@ -21,6 +24,9 @@
 constexpr Duration tickStep = 5ms;
 constexpr std::size_t waveSize = 2;
 
+constexpr Duration usualLease = 4500ms;
+constexpr std::array longestLeases { usualLease, Duration { 6s }, Duration { 10s } };
+
 constexpr const char* configuration = R"({"version":7,"routes":[
     {"name":"q1","host":"a.example","path_prefix":"/jobs/","type":"non_idempotent","timeout_ms":3000,
      "target_latency_ms":600,"priority":0,"backend":"poolA","attempts":3,"stretch":1.6},
@@ -42,6 +48,10 @@
     : m_settings(std::move(settings))
     , m_recorder(attempts)
 {
+    if (m_settings.longestLease == Duration::zero())
+        m_settings.longestLease = m_settings.troubles == Troubles::Deaths
+            ? longestLeases[m_settings.seed % longestLeases.size()]
+            : usualLease;
     m_store.onWorkerRowRead
         = [this](const std::string& key, const std::string& value) { m_recorder.served(key, value); };
     m_store.put("op", "config", configuration);
@@ -54,7 +64,8 @@
     std::vector<adapter::standin::StandinWorker*> all;
     for (std::size_t number = 0; number < m_settings.workers; ++number) {
         m_workers.push_back(std::make_unique<adapter::standin::StandinWorker>(
-            m_store, "w" + std::to_string(number), number % 2 == 0 ? "poolA" : "poolB", "r1"));
+            m_store, "w" + std::to_string(number), poolNames[number % poolNames.size()], "r1"));
+        m_workers.back()->setLongestLease(m_settings.longestLease);
         m_workerLinks.push_back(std::make_unique<LoopbackProxy>(m_workers.back()->address()));
         m_workers.back()->setObserver(m_recorder, stopTime, m_workerLinks.back()->address());
         all.push_back(m_workers.back().get());
@@ -86,7 +97,8 @@
     return "node: " + name + "\nlisten: " + host + std::to_string(entry.port) + "\nreadiness: " + host
         + std::to_string(entry.readinessPort) + "\npeerListen: " + host + std::to_string(node::tests::freePort())
         + "\nstore: " + storeLink.address() + "\nmachineList: " + m_machines->address()
-        + "\nlongestLease: 4500ms\nkeepEnded: 120s\nlongestStop: 900ms\ndrainBound: 2000ms\nstopGrace: 6s\n"
+        + "\nlongestLease: " + std::to_string(milliseconds(m_settings.longestLease))
+        + "ms\nkeepEnded: 120s\nlongestStop: 900ms\ndrainBound: 2000ms\nstopGrace: 6s\n"
           "logLevel: info\n";
 }
 
@@ -113,7 +125,14 @@
     case Action::Drain:
         return drain(*m_workers[step.target], step.length);
     case Action::Crash:
-        return crash(*m_workers[step.target], step.length);
+        return crash(step, false);
+    case Action::Death:
+        return crash(step, true);
+    case Action::TerminateOwner:
+    case Action::KillOwner:
+    case Action::FreezeOwner:
+    case Action::OwnerStoreLink:
+        return performOnOwner(step);
     case Action::Wave:
         return orderWave(step.target);
     }
@@ -174,13 +193,47 @@
     });
 }
 
-void Play::crash(adapter::standin::StandinWorker& worker, Duration length)
+Play::Node* Play::ownerOf(std::size_t pool)
+{
+    std::vector<std::string> logs;
+    for (const Node& node : m_nodes)
+        logs.push_back(node.daemon->logPath());
+    const auto owner = cellOwner(logs, poolNames[pool]);
+    return owner ? &m_nodes[*owner] : nullptr;
+}
+
+void Play::performOnOwner(const Step& step)
+{
+    Node* owner = ownerOf(step.target);
+    if (!owner)
+        return;
+    switch (step.action) {
+    case Action::TerminateOwner:
+        return end(*owner, SIGTERM, "SIGTERM", true);
+    case Action::KillOwner:
+        return end(*owner, SIGKILL, "SIGKILL", false);
+    case Action::FreezeOwner:
+        return freeze(*owner, step.length);
+    default:
+        return trouble(*owner->storeLink, step, owner->daemon->name(), true);
+    }
+}
+
+/// With a silent link the worker's host seems to be gone; otherwise its connections are closed.
+void Play::crash(const Step& step, bool isReplaced)
 {
-    const std::size_t number = m_recorder.beginTrouble("crash", worker.id(), false, false);
+    adapter::standin::StandinWorker& worker = *m_workers[step.target];
+    LoopbackProxy& link = *m_workerLinks[step.target];
+    const std::size_t number = m_recorder.beginTrouble(isReplaced ? "death" : "crash", worker.id(), false, false);
     worker.crash();
+    link.setMode(step.mode);
     later(entryLife, [&worker] { worker.removeRow(); });
-    later(length, [this, &worker, number] {
-        worker.restart();
+    later(step.length, [this, &worker, &link, number, isReplaced] {
+        link.setMode(LinkMode::Pass);
+        if (isReplaced)
+            worker.replace();
+        else
+            worker.restart();
         m_recorder.endTrouble(number);
     });
 }
@@ -257,7 +310,9 @@
 
 History Play::run()
 {
-    for (const Step& step : scheduleOf(m_settings.seed, m_settings.length, m_nodes.size(), m_workers.size()))
+    const FleetSize fleet { m_nodes.size(), m_workers.size(), poolNames.size() };
+    const auto schedule = m_settings.troubles == Troubles::Deaths ? deathsSchedule : mixedSchedule;
+    for (const Step& step : schedule(m_settings.seed, m_settings.length, fleet))
         later(step.at, [this, step] { perform(step); });
     {
         const Callers callers { m_recorder, m_entries, m_settings.seed };
--- a/tools/process_soak/play.h
+++ b/tools/process_soak/play.h
@@ -12,6 +12,8 @@
 
 namespace rattanrack::tools {
 
+enum class Troubles { Mixed, Deaths };
+
 struct PlaySettings {
     std::string program;
     std::string directory; ///< Exists.
@@ -19,6 +21,8 @@
     Duration length {}; ///< Of the traffic and the troubles.
     std::size_t daemons { 0 }; ///< 0: three to five, by the seed.
     std::size_t workers { 6 }; ///< At least two.
+    Troubles troubles { Troubles::Mixed };
+    Duration longestLease {}; ///< That workers grant; zero: chosen by the seed for deaths, else 4.5 s.
 };
 
 /// A fleet of daemons as processes among stand-ins of the users' platform, played through one schedule.
@@ -52,7 +56,9 @@
     void reload(Node& node);
     void trouble(LoopbackProxy& link, const Step& step, const std::string& target, bool isOfNode);
     void drain(adapter::standin::StandinWorker& worker, Duration length);
-    void crash(adapter::standin::StandinWorker& worker, Duration length);
+    void crash(const Step& step, bool isReplaced);
+    Node* ownerOf(std::size_t pool);
+    void performOnOwner(const Step& step);
     void orderWave(std::size_t first);
     void later(Duration after, std::function<void()> action);
     void tick();
--- a/tools/process_soak/schedule.cpp
+++ b/tools/process_soak/schedule.cpp
@@ -17,6 +17,13 @@
     Action::Freeze, Action::StoreLink, Action::WorkerLink, Action::Crash, Action::Terminate, Action::Drain };
 constexpr std::array modes { LinkMode::Delay, LinkMode::Silent, LinkMode::Reset, LinkMode::CutAnswers };
 
+constexpr Duration firstDeaths = 7s; ///< By then the lasting jobs run.
+constexpr Duration deathSpread = 2s; ///< Within which the troubles of one series begin.
+constexpr Duration longAbsence = 15s; ///< Of a worker whose subtasks have to run elsewhere.
+constexpr std::array nodeTroubles { Action::KillOwner, Action::KillOwner, Action::OwnerStoreLink,
+    Action::OwnerStoreLink, Action::FreezeOwner, Action::TerminateOwner, Action::StoreLink };
+constexpr std::array cuts { LinkMode::Silent, LinkMode::Reset, LinkMode::CutAnswers };
+
 Duration between(fakes::Random& random, Duration least, Duration most)
 {
     return least + Duration { random.below(static_cast<std::uint64_t>((most - least).count())) };
@@ -28,9 +35,45 @@
         || action == Action::StoreLink;
 }
 
+std::vector<Step> inOrder(std::vector<Step> steps)
+{
+    std::stable_sort(steps.begin(), steps.end(), [](const Step& a, const Step& b) { return a.at < b.at; });
+    return steps;
+}
+
+/// One or two workers of the pool die; at least one of it stays.
+void addDeaths(fakes::Random& random, Duration at, std::size_t pool, const FleetSize& fleet, std::vector<Step>& steps)
+{
+    const std::size_t ofPool = (fleet.workers - pool + fleet.pools - 1) / fleet.pools;
+    const std::size_t count = ofPool < 3 || random.below(3) > 0 ? 1 : 2;
+    const std::size_t first = random.below(ofPool);
+    for (std::size_t each = 0; each < count; ++each) {
+        Step step { at + between(random, 0s, deathSpread), random.oneIn(2) ? Action::Death : Action::Crash };
+        step.target = pool + (first + each) % ofPool * fleet.pools;
+        step.length = step.action == Action::Crash ? between(random, 500ms, 6s)
+            : random.oneIn(2)                      ? between(random, 3s, 8s)
+                                                   : longAbsence;
+        step.mode = random.oneIn(2) ? LinkMode::Silent : LinkMode::Pass;
+        steps.push_back(step);
+    }
+}
+
+void addNodeTroubles(
+    fakes::Random& random, Duration at, std::size_t pool, const FleetSize& fleet, std::vector<Step>& steps)
+{
+    const std::uint64_t count = random.below(3) + (random.oneIn(2) ? 1 : 0);
+    for (std::uint64_t each = 0; each < count; ++each) {
+        Step step { at + between(random, 0s, deathSpread), random.pick(nodeTroubles) };
+        step.target = step.action == Action::StoreLink ? random.below(fleet.nodes) : pool;
+        step.length = between(random, 2s, 8s);
+        step.mode = random.pick(cuts);
+        steps.push_back(step);
+    }
+}
+
 } // namespace
 
-std::vector<Step> scheduleOf(std::uint64_t seed, Duration length, std::size_t nodes, std::size_t workers)
+std::vector<Step> mixedSchedule(std::uint64_t seed, Duration length, const FleetSize& fleet)
 {
     fakes::Random random { seed };
     const std::size_t choices = seed % 2 == 0 ? plannedActions : actions.size();
@@ -39,14 +82,26 @@
         const std::uint64_t count = 1 + random.below(3);
         for (std::uint64_t each = 0; each < count; ++each) {
             Step step { at + between(random, 0s, 1500ms), actions[random.below(choices)] };
-            step.target = random.below(isOfNode(step.action) ? nodes : workers);
+            step.target = random.below(isOfNode(step.action) ? fleet.nodes : fleet.workers);
             step.length = between(random, 500ms, 6s);
             step.mode = random.pick(modes);
             steps.push_back(step);
         }
     }
-    std::stable_sort(steps.begin(), steps.end(), [](const Step& a, const Step& b) { return a.at < b.at; });
-    return steps;
+    return inOrder(std::move(steps));
+}
+
+std::vector<Step> deathsSchedule(std::uint64_t seed, Duration length, const FleetSize& fleet)
+{
+    fakes::Random random { seed };
+    std::vector<Step> steps;
+    for (Duration at = firstDeaths; at < length;
+         at += random.oneIn(3) ? between(random, 1s, 4s) : between(random, 8s, 16s)) {
+        const std::size_t pool = random.below(fleet.pools);
+        addDeaths(random, at, pool, fleet, steps);
+        addNodeTroubles(random, at, pool, fleet, steps);
+    }
+    return inOrder(std::move(steps));
 }
 
 } // namespace rattanrack::tools
--- a/tools/process_soak/schedule.h
+++ b/tools/process_soak/schedule.h
@@ -7,19 +7,45 @@
 
 namespace rattanrack::tools {
 
-enum class Action { Terminate, Reload, Drain, Wave, Kill, Freeze, StoreLink, WorkerLink, Crash };
+enum class Action {
+    Terminate,
+    Reload,
+    Drain,
+    Wave,
+    Kill,
+    Freeze,
+    StoreLink,
+    WorkerLink,
+    Crash,
+    Death, ///< The worker ends and is replaced under another id.
+    TerminateOwner,
+    KillOwner,
+    FreezeOwner,
+    OwnerStoreLink
+};
 
 /// One thing that is done to the world.
 struct Step {
     Duration at {}; ///< Since the beginning.
     Action action { Action::Terminate };
-    std::size_t target { 0 }; ///< Number of a node, or of a worker.
+    std::size_t target { 0 }; ///< Number of a node or a worker; of a pool where its owner is meant.
     Duration length {};
     LinkMode mode { LinkMode::Pass };
 };
 
+/// Size of a fleet. Workers belong to the pools by turns: worker 0 to pool 0, worker 1 to pool 1 and so on.
+struct FleetSize {
+    std::size_t nodes { 0 };
+    std::size_t workers { 0 };
+    std::size_t pools { 1 };
+};
+
 /// Series of troubles that overlap, in order of time; the same for equal arguments. Even seeds play planned work
 /// alone, so that what it costs callers can be told; odd ones all kinds.
-std::vector<Step> scheduleOf(std::uint64_t seed, Duration length, std::size_t nodes, std::size_t workers);
+std::vector<Step> mixedSchedule(std::uint64_t seed, Duration length, const FleetSize& fleet);
+
+/// Series in which workers of one pool die while its owner, other nodes or both are in trouble, in order of time; the
+/// same for equal arguments. Some series overlap; between others it is calm for long enough that all must run again.
+std::vector<Step> deathsSchedule(std::uint64_t seed, Duration length, const FleetSize& fleet);
 
 } // namespace rattanrack::tools
