process-soak: series of nothing but an owner and a worker lost at once

The report says that a lasting subtask whose worker died had no successor.

With `--troubles=deaths` and a seed that four divides, one worker dies for 15 s and the owner of its pool's cell is killed within a second of it, every 20 s. A play prints all gaps beyond 6 s, also those that the rule allows, and its troubles.

So the cause is the wait of a new owner for all leases of its predecessor before it starts anything of taken-over jobs; the gap is the time until the takeover and that wait.

--- a/tools/process_soak/lasting_check.cpp
+++ b/tools/process_soak/lasting_check.cpp
@@ -12,7 +12,6 @@
 
 using namespace std::chrono_literals;
 
-constexpr Duration restartBound = 6s; ///< From the end of a run until its successor has to run.
 constexpr Duration lossWindow = 3s; ///< Without a run for this long.
 constexpr Duration calmBefore = 4s;
 constexpr Duration step = 50ms; ///< Between the moments that are looked at.
@@ -80,20 +79,7 @@
     return std::nullopt;
 }
 
-std::string describe(const History& history, const LastingGap& gap, TimePoint brokenAt)
-{
-    const auto seconds = [&](TimePoint at) { return std::chrono::duration<double>(at - history.beganAt).count(); };
-    std::ostringstream text;
-    text << std::fixed << std::setprecision(3) << adapter::taskName(gap.task) << " has no run from "
-         << seconds(gap.from) << " s to " << seconds(gap.to) << " s ("
-         << std::chrono::duration<double>(gap.to - gap.from).count() << " s), calm and with room from "
-         << seconds(brokenAt) << " s, after ";
-    if (gap.lastRun)
-        text << "run " << gap.lastRun->run << " at " << gap.lastRun->worker;
-    else
-        text << "its acceptance";
-    return text.str();
-}
+double seconds(Duration length) { return std::chrono::duration<double>(length).count(); }
 
 void addGaps(const History& history, const jobs::TaskRef& task, TimePoint acceptedAt, TimePoint until,
     std::vector<LastingGap>& gaps)
@@ -135,11 +121,29 @@
     return gaps;
 }
 
+std::string textOf(const History& history, const LastingGap& gap)
+{
+    std::ostringstream text;
+    text << std::fixed << std::setprecision(3) << adapter::taskName(gap.task) << " has no run from "
+         << seconds(gap.from - history.beganAt) << " s to " << seconds(gap.to - history.beganAt) << " s ("
+         << seconds(gap.to - gap.from) << " s) after ";
+    if (gap.lastRun)
+        text << "run " << gap.lastRun->run << " at " << gap.lastRun->worker;
+    else
+        text << "its acceptance";
+    return text.str();
+}
+
 void judgeLastingGaps(const History& history, std::vector<Violation>& found)
 {
     for (const LastingGap& gap : lastingGaps(history)) {
-        if (const auto from = brokenFrom(history, gap))
-            found.push_back({ "LOST (d)", gap.task.job, describe(history, gap, *from) });
+        const auto from = brokenFrom(history, gap);
+        if (!from)
+            continue;
+        std::ostringstream text;
+        text << std::fixed << std::setprecision(3) << textOf(history, gap) << ", calm and with room from "
+             << seconds(*from - history.beganAt) << " s";
+        found.push_back({ "LOST (d)", gap.task.job, text.str() });
     }
 }
 
--- a/tools/process_soak/lasting_check.h
+++ b/tools/process_soak/lasting_check.h
@@ -4,6 +4,9 @@
 
 namespace rattanrack::tools {
 
+/// From the end of a long-running subtask's run until its successor has to run.
+constexpr Duration restartBound = std::chrono::seconds { 6 };
+
 /// A period in which a subtask of a long-running job had no run, as the workers saw it.
 struct LastingGap {
     jobs::TaskRef task;
@@ -15,6 +18,9 @@
 /// All gaps of accepted long-running jobs, until their cancellation was sent. Points into `history`.
 std::vector<LastingGap> lastingGaps(const History& history);
 
+/// The subtask, when the gap lasted, and what it follows. Times in seconds since the beginning.
+std::string textOf(const History& history, const LastingGap& gap);
+
 /// Whether nothing has been done to the world between `from` and `to`. Processes and workers that end disturb it when
 /// they end and when they start again; all other troubles as long as they go on.
 bool isCalm(const History& history, TimePoint from, TimePoint to);
--- a/tools/process_soak/main.cpp
+++ b/tools/process_soak/main.cpp
@@ -61,11 +61,15 @@
     std::exit(2);
 }
 
-double longestGapSeconds(const History& history)
+/// Prints those beyond the bound, whether or not the rule's other conditions hold. Returns the longest gap's seconds.
+double printGaps(const History& history)
 {
     Duration longest {};
-    for (const LastingGap& gap : lastingGaps(history))
+    for (const LastingGap& gap : lastingGaps(history)) {
         longest = std::max(longest, gap.to - gap.from);
+        if (gap.to - gap.from > restartBound)
+            std::cout << "gap: " << textOf(history, gap) << '\n';
+    }
     return std::chrono::duration<double>(longest).count();
 }
 
@@ -77,8 +81,7 @@
         if (!violation.job.isEmpty() && printed.insert(violation.job).second)
             std::cout << recordOf(history, violation.job);
     }
-    if (!found.empty())
-        std::cout << "troubles:\n" << troublesOf(history);
+    std::cout << "troubles:\n" << troublesOf(history);
 }
 
 } // namespace
@@ -100,6 +103,7 @@
     const History history = play.run();
     const std::vector<Violation> found = judge(history);
     print(history, found);
+    const double longestGap = printGaps(history);
     for (const std::string& fault : play.faults())
         std::cout << "FAULT: " << fault << '\n';
     const auto accepted = std::count_if(
@@ -107,7 +111,7 @@
     std::cout << "process-soak: seed " << settings.seed << ", " << accepted << " jobs accepted, " << history.runs.size()
               << " runs, " << history.troubles.size() << " troubles, " << history.brokenCalls.size()
               << " calls broken off, " << play.killedAtGrace() << " processes killed at the end of their grace time, "
-              << longestGapSeconds(history) << " s at most without a run of a lasting subtask, " << found.size()
-              << " violations, " << play.faults().size() << " faults\n";
+              << longestGap << " s at most without a run of a lasting subtask, " << found.size() << " violations, "
+              << play.faults().size() << " faults\n";
     return found.empty() && play.faults().empty() && accepted > 0 ? 0 : 1;
 }
--- a/tools/process_soak/schedule.cpp
+++ b/tools/process_soak/schedule.cpp
@@ -20,6 +20,8 @@
 constexpr Duration firstDeaths = 7s; ///< By then the lasting jobs run.
 constexpr Duration deathSpread = 2s; ///< Within which the troubles of one series begin.
 constexpr Duration longAbsence = 15s; ///< Of a worker whose subtasks have to run elsewhere.
+constexpr std::uint64_t takeoverSeeds = 4; ///< One seed of this many plays nothing but owners killed with workers.
+constexpr Duration takeoverPause = 20s;
 constexpr std::array nodeTroubles { Action::KillOwner, Action::KillOwner, Action::OwnerStoreLink,
     Action::OwnerStoreLink, Action::FreezeOwner, Action::TerminateOwner, Action::StoreLink };
 constexpr std::array cuts { LinkMode::Silent, LinkMode::Reset, LinkMode::CutAnswers };
@@ -58,6 +60,15 @@
     }
 }
 
+/// A worker dies for good, and the owner of its pool's cell within a second of it.
+void addTakeover(fakes::Random& random, Duration at, const FleetSize& fleet, std::vector<Step>& steps)
+{
+    const std::size_t worker = random.below(fleet.workers);
+    steps.push_back({ at + between(random, 0s, 1s), Action::Death, worker, longAbsence,
+        random.oneIn(2) ? LinkMode::Silent : LinkMode::Pass });
+    steps.push_back({ at + between(random, 0s, 1s), Action::KillOwner, worker % fleet.pools });
+}
+
 void addNodeTroubles(
     fakes::Random& random, Duration at, std::size_t pool, const FleetSize& fleet, std::vector<Step>& steps)
 {
@@ -95,6 +106,11 @@
 {
     fakes::Random random { seed };
     std::vector<Step> steps;
+    if (seed % takeoverSeeds == 0) {
+        for (Duration at = firstDeaths; at < length; at += takeoverPause)
+            addTakeover(random, at, fleet, steps);
+        return inOrder(std::move(steps));
+    }
     for (Duration at = firstDeaths; at < length;
          at += random.oneIn(3) ? between(random, 1s, 4s) : between(random, 8s, 16s)) {
         const std::size_t pool = random.below(fleet.pools);
--- a/tools/process_soak/schedule.h
+++ b/tools/process_soak/schedule.h
@@ -46,6 +46,7 @@
 
 /// Series in which workers of one pool die while its owner, other nodes or both are in trouble, in order of time; the
 /// same for equal arguments. Some series overlap; between others it is calm for long enough that all must run again.
+/// With seeds that four divides, one worker at a time dies for good, and the owner of its pool's cell is killed.
 std::vector<Step> deathsSchedule(std::uint64_t seed, Duration length, const FleetSize& fleet);
 
 } // namespace rattanrack::tools
