process-soak: cut several nodes from the store while workers die

The report's logs show two nodes that reach the store through a peer from the same moment on. With `--troubles=deaths` and seeds of remainder two by four, the owner of a pool's cell and up to half of the nodes lose the store at once for 3 to 10 s while workers of the pool die, and one owner in three is killed meanwhile. The other seeds stay as they were.

--- a/tools/process_soak/schedule.cpp
+++ b/tools/process_soak/schedule.cpp
@@ -20,7 +20,9 @@
 constexpr Duration firstDeaths = 7s; ///< By then the lasting jobs run.
 constexpr Duration deathSpread = 2s; ///< Within which the troubles of one series begin.
 constexpr Duration longAbsence = 15s; ///< Of a worker whose subtasks have to run elsewhere.
-constexpr std::uint64_t takeoverSeeds = 4; ///< One seed of this many plays nothing but owners killed with workers.
+constexpr std::uint64_t kindsOfDeaths = 4; ///< By the seed's remainder.
+constexpr std::uint64_t takeoverKind = 0; ///< Nothing but owners killed with workers.
+constexpr std::uint64_t zoneKind = 2; ///< Several nodes are cut from the store at once.
 constexpr Duration takeoverPause = 20s;
 constexpr std::array nodeTroubles { Action::KillOwner, Action::KillOwner, Action::OwnerStoreLink,
     Action::OwnerStoreLink, Action::FreezeOwner, Action::TerminateOwner, Action::StoreLink };
@@ -69,6 +71,23 @@
     steps.push_back({ at + between(random, 0s, 1s), Action::KillOwner, worker % fleet.pools });
 }
 
+/// The pool's owner and up to half of the nodes lose the store at once, so that their calls go through the others; one
+/// owner in three is killed meanwhile.
+void addZoneCut(fakes::Random& random, Duration at, std::size_t pool, const FleetSize& fleet, std::vector<Step>& steps)
+{
+    Step cut { at + between(random, 0s, deathSpread), Action::OwnerStoreLink, pool, between(random, 3s, 10s),
+        random.pick(cuts) };
+    steps.push_back(cut);
+    cut.action = Action::StoreLink;
+    cut.target = random.below(fleet.nodes);
+    for (std::size_t each = 0; each < fleet.nodes / 2; ++each) {
+        steps.push_back(cut);
+        cut.target = (cut.target + 1) % fleet.nodes;
+    }
+    if (random.oneIn(3))
+        steps.push_back({ cut.at + between(random, 0s, cut.length), Action::KillOwner, pool });
+}
+
 void addNodeTroubles(
     fakes::Random& random, Duration at, std::size_t pool, const FleetSize& fleet, std::vector<Step>& steps)
 {
@@ -106,7 +125,8 @@
 {
     fakes::Random random { seed };
     std::vector<Step> steps;
-    if (seed % takeoverSeeds == 0) {
+    const std::uint64_t kind = seed % kindsOfDeaths;
+    if (kind == takeoverKind) {
         for (Duration at = firstDeaths; at < length; at += takeoverPause)
             addTakeover(random, at, fleet, steps);
         return inOrder(std::move(steps));
@@ -115,7 +135,10 @@
          at += random.oneIn(3) ? between(random, 1s, 4s) : between(random, 8s, 16s)) {
         const std::size_t pool = random.below(fleet.pools);
         addDeaths(random, at, pool, fleet, steps);
-        addNodeTroubles(random, at, pool, fleet, steps);
+        if (kind == zoneKind)
+            addZoneCut(random, at, pool, fleet, steps);
+        else
+            addNodeTroubles(random, at, pool, fleet, steps);
     }
     return inOrder(std::move(steps));
 }
--- a/tools/process_soak/schedule.h
+++ b/tools/process_soak/schedule.h
@@ -46,7 +46,8 @@
 
 /// Series in which workers of one pool die while its owner, other nodes or both are in trouble, in order of time; the
 /// same for equal arguments. Some series overlap; between others it is calm for long enough that all must run again.
-/// With seeds that four divides, one worker at a time dies for good, and the owner of its pool's cell is killed.
+/// With seeds that four divides, one worker at a time dies for good, and the owner of its pool's cell is killed; with
+/// seeds of remainder two, the owner and other nodes are cut from the store together.
 std::vector<Step> deathsSchedule(std::uint64_t seed, Duration length, const FleetSize& fleet);
 
 } // namespace rattanrack::tools
