--- a/packages/jobs/model/model_worker.h
+++ b/packages/jobs/model/model_worker.h
@@ -7,7 +7,7 @@
 
 namespace rattanrack::jobs::model {
 
-constexpr Duration longestLease = std::chrono::seconds { 5 }; ///< A longer one is shortened, unless set otherwise.
+constexpr Duration defaultLongestLease = std::chrono::seconds { 5 };
 
 /// A run on a model worker.
 struct ModelRun {
@@ -45,9 +45,11 @@
 /// and incarnations.
 class ModelWorker {
 public:
-    ModelWorker(WorkerDescription description, double clockRate)
+    /// `longestLease`: a longer one is shortened.
+    ModelWorker(WorkerDescription description, double clockRate, Duration longestLease = defaultLongestLease)
         : m_description(std::move(description))
         , m_clockRate(clockRate)
+        , m_longestLease(longestLease)
     {
     }
 
@@ -69,8 +71,6 @@
     bool isActive(const TaskRef& task, RunNumber run) const;
     bool wouldAccept(Fence fence) const { return m_isUp && fence >= m_fence; }
     void setDraining() { m_description.isDraining = true; }
-    /// Leases that are longer than `length` are shortened to it.
-    void setLongestLease(Duration length) { m_longestLease = length; }
     std::vector<ModelWorkerEvent> takeEvents() { return std::exchange(m_events, {}); }
 
     /// Ended runs that are not acknowledged, ordered by sequence number.
@@ -88,6 +88,7 @@
 
     WorkerDescription m_description;
     double m_clockRate;
+    Duration m_longestLease;
     bool m_isUp { true };
     TimePoint m_startedAt {};
     std::map<TaskRef, ModelRun> m_runs;
@@ -96,7 +97,6 @@
     std::vector<KeptRun> m_keptRuns;
     std::vector<ModelWorkerEvent> m_events;
     std::int64_t m_lastSequence { 0 };
-    Duration m_longestLease { longestLease };
     std::int64_t m_leaseUntilMs { 0 };
     Fence m_fence { 0 };
 };
