--- a/benchmark/news_cost.cpp
+++ b/benchmark/news_cost.cpp
@@ -67,7 +67,7 @@
         const TimePoint now = m_clock.now();
         m_control.at(Deadline::after(now, tickPeriod), [this] { tick(); });
         for (const PoolId& cell : m_ownership.cellsToTake(now))
-            m_ownership.onCellTaken(cell, 1);
+            m_ownership.onCellTaken(cell, 1, now);
         sendAnnouncement(now);
     }
 
