Model a task that crashes each worker that starts it

TaskBehavior::crashingTask names the index of a task that crashes its worker 10 ms after the start is carried out; half of the answers to such starts never arrive, and the worker is back 3 to 3.5 s later in a later incarnation, 15 % under a new id. rackCrashesPerSecond crashes all workers of a rack within half a second.

--- a/packages/jobs/model/cell_simulation.h
+++ b/packages/jobs/model/cell_simulation.h
@@ -46,6 +46,7 @@
     double delayedCommands { 0 }; ///< Share of the commands that wait for up to seconds before they are sent.
     double flapsPerSecond { 0 }; ///< Workers that go down and up under the same id in quick succession.
     double staleListEntries { 0 }; ///< Share of the crashes after which the ended incarnation stays listed for a while.
+    double rackCrashesPerSecond { 0 }; ///< Racks of which all workers crash within half a second and restart.
     double delayedPolls { 0 }; ///< Share of the polls that get no response and are carried out seconds later.
 };
 
@@ -85,6 +86,9 @@
     /// Failed runs, as far as workers have listed them, of the job's task that failed most often.
     int highestFailureCount(const JobId& job) const;
 
+    /// Workers that a task has crashed by its start, of the job's task that crashed most.
+    int highestCrashCount(const JobId& job) const { return m_oracle.highestCrashCount(job); }
+
     /// Accepted jobs that are not shown as ended, each with the number of its running tasks.
     std::string describeUnfinishedJobs() const;
 
@@ -132,6 +136,9 @@
     void injectFaults(Duration period);
     void injectFaultsAtRunEnd(const WorkerId& worker);
     void crashWorker(std::size_t worker);
+    void crashRack(const std::string& rack);
+    void crashUnder(const ModelWorker& worker, const StartCommand& command);
+    void restartLater(std::size_t worker, Duration after, double renamedShare);
     void takeDown(std::size_t worker);
     void flapWorker(std::size_t worker, int count);
     void stallOwners();
@@ -159,6 +166,7 @@
     template <typename CommandType> void sendInOrder(const CommandType& command, int owner);
     template <typename CommandType>
     void send(const CommandType& command, int owner, const CommandExecution& execution, bool isResponseLost);
+    template <typename CommandType> bool isResponseCutOff(const CommandType& command, const CommandResult& result);
     template <typename CommandType>
     void executeLate(const CommandType& command, std::int64_t incarnationUnixMs, const CommandExecution& execution);
     CommandResult execute(ModelWorker& worker, const StartCommand& command, const CommandExecution& execution);
@@ -173,6 +181,7 @@
     ModelWorker* find(const WorkerId& id);
     bool isPartitioned(const WorkerId& id) const;
     const TaskBehavior& behaviorOf(const TaskRef& task) const;
+    bool crashesWorkers(const TaskRef& task) const { return behaviorOf(task).crashingTask == task.index; }
     void checkStartAfterDone(const StartCommand& command, const CommandExecution& execution);
     void checkStart(const ModelWorker& worker, const StartCommand& command, const CommandExecution& execution);
     void processWorkerEvents(ModelWorker& worker);
--- a/packages/jobs/model/cell_simulation_commands.cpp
+++ b/packages/jobs/model/cell_simulation_commands.cpp
@@ -85,11 +85,22 @@
         if (execution.isDelayed)
             return executeLate(command, worker->description().incarnationUnixMs, execution);
         const CommandResult result = execute(*worker, command, execution);
-        if (!isResponseLost)
+        const bool isCutOff = !isResponseLost && isResponseCutOff(command, result);
+        if (isCutOff)
+            schedule(commandTimeout, [deliver] { deliver({ CommandStatus::NoResponse }); });
+        else if (!isResponseLost)
             schedule(networkDelay, [deliver, result] { deliver(result); });
     });
 }
 
+/// Whether the worker crashes before it has sent the response.
+template <typename CommandType>
+bool CellSimulation::isResponseCutOff(const CommandType& command, const CommandResult& result)
+{
+    const bool isStart = std::is_same_v<CommandType, StartCommand>;
+    return isStart && result.status == CommandStatus::Done && crashesWorkers(command.task) && happens(0.5);
+}
+
 /// The incarnation that has received the command carries it out, if it still exists then.
 template <typename CommandType>
 void CellSimulation::executeLate(
@@ -112,6 +123,8 @@
     if (result.status == CommandStatus::Done && !wasThere) {
         m_oracle.onStarted(command, execution, m_now);
         checkStart(worker, command, execution);
+        if (crashesWorkers(command.task))
+            crashUnder(worker, command);
     }
     processWorkerEvents(worker);
     return result;
--- a/packages/jobs/model/cell_simulation_faults.cpp
+++ b/packages/jobs/model/cell_simulation_faults.cpp
@@ -8,6 +8,8 @@
 using namespace std::chrono_literals;
 
 constexpr Duration takeoverTime = 1500ms;
+constexpr Duration crashDelay = 10ms; ///< From a start that crashes its worker to the crash.
+constexpr double renamedAfterOwnCrash = 0.15; ///< Share of the workers crashed by a task that return under a new id.
 
 } // namespace
 
@@ -19,6 +21,8 @@
     };
     if (happens(m_faults.crashesPerSecond * seconds))
         crashWorker(anyWorker());
+    if (happens(m_faults.rackCrashesPerSecond * seconds))
+        crashRack(m_workers[anyWorker()].description().rack);
     if (happens(m_faults.flapsPerSecond * seconds))
         flapWorker(anyWorker(), 3);
     if (happens(m_faults.loopStallsPerSecond * seconds))
@@ -60,9 +64,40 @@
     if (!m_workers[index].isUp())
         return;
     takeDown(index);
-    schedule(randomBetween(500ms, 7s), [this, index] {
+    restartLater(index, randomBetween(500ms, 7s), 0.5);
+}
+
+void CellSimulation::crashRack(const std::string& rack)
+{
+    for (std::size_t index = 0; index < m_workers.size(); ++index) {
+        if (m_workers[index].description().rack == rack)
+            schedule(randomBetween(0us, 500ms), [this, index] { crashWorker(index); });
+    }
+}
+
+/// Crashes the worker soon after it has carried out this start.
+void CellSimulation::crashUnder(const ModelWorker& worker, const StartCommand& command)
+{
+    const WorkerId id = worker.description().id;
+    const std::int64_t incarnation = worker.description().incarnationUnixMs;
+    schedule(crashDelay, [this, command, id, incarnation] {
+        const ModelWorker* crashing = find(id);
+        if (!crashing || crashing->description().incarnationUnixMs != incarnation)
+            return;
+        if (!crashing->runs().contains(command.task))
+            return;
+        const auto index = static_cast<std::size_t>(crashing - m_workers.data());
+        m_oracle.onCrashedUnder(command.task);
+        takeDown(index);
+        restartLater(index, randomBetween(3s, 3500ms), renamedAfterOwnCrash);
+    });
+}
+
+void CellSimulation::restartLater(std::size_t index, Duration after, double renamedShare)
+{
+    schedule(after, [this, index, renamedShare] {
         WorkerDescription description = m_workers[index].description();
-        const bool isRenamed = description.isDraining || happens(0.5);
+        const bool isRenamed = description.isDraining || happens(renamedShare);
         if (isRenamed)
             description.id = WorkerId { "w" + std::to_string(++m_incarnations) + "x" };
         if (isRenamed)
--- a/packages/jobs/model/model_worker.h
+++ b/packages/jobs/model/model_worker.h
@@ -25,6 +25,7 @@
     Duration time {};
     bool alwaysFails { false };
     bool isLongRunning { false };
+    int crashingTask { -1 }; ///< Index of the task that crashes each worker soon after its start; -1: none.
 };
 
 /// An ended run, which the worker keeps until it is acknowledged.
--- a/packages/jobs/model/rule_oracle.cpp
+++ b/packages/jobs/model/rule_oracle.cpp
@@ -11,6 +11,8 @@
 constexpr Duration drainGrace = 2s;
 /// A task that has not been active for this long counts as unavailable, whatever the cause.
 constexpr Duration unavailableAfter = 4500ms;
+constexpr int maxCrashes = 3; ///< Of workers under one task.
+constexpr int startsThatBreakTheRule = 3; ///< After `maxCrashes`.
 
 } // namespace
 
@@ -43,10 +45,30 @@
         m_violations.push_back("DRAIN: start of " + describe(command.task) + " on " + command.worker.value());
     m_tasks[command.task].starts.push_back(now);
     checkStarts(command.task);
+    checkStartAfterCrashes(command.task, execution);
     if (stepOf(command.task).isLongRunning)
         m_longRunningTasks[command.task] = { command.run, command.worker, true, false, {} };
 }
 
+/// A start that was carried out late, or that a replaced owner has sent, does not count.
+void RuleOracle::checkStartAfterCrashes(const TaskRef& task, const CommandExecution& execution)
+{
+    TaskRecord& record = m_tasks[task];
+    if (record.crashes < maxCrashes || execution.isDelayed || !execution.isByPresentOwner)
+        return;
+    if (++record.startsAfterMaxCrashes == startsThatBreakTheRule)
+        m_violations.push_back("BUDGET: start of " + describe(task) + " after " + std::to_string(record.crashes)
+            + " workers have crashed under it");
+}
+
+int RuleOracle::highestCrashCount(const JobId& job) const
+{
+    int most = 0;
+    for (const auto& [task, record] : m_tasks)
+        most = task.job == job ? std::max(most, record.crashes) : most;
+    return most;
+}
+
 int RuleOracle::countOtherUnavailableTasks(const TaskRef& task, TimePoint now) const
 {
     int unavailable = 0;
--- a/packages/jobs/model/rule_oracle.h
+++ b/packages/jobs/model/rule_oracle.h
@@ -16,9 +16,10 @@
     bool isByPresentOwner { true };
 };
 
-/// Checks four of the platform's rules against the commands that workers have carried out, the ended runs that they
-/// have listed, and the acknowledgements that they have received: the limit of attempts, no start after a success, the
-/// tasks of a long-running step that may be unavailable at once, and no start on a draining worker.
+/// Checks five of the platform's rules against the commands that workers have carried out, the ended runs that they
+/// have listed, and the acknowledgements that they have received: the limit of attempts, the limit of starts of a task
+/// that crashes its workers, no start after a success, the tasks of a long-running step that may be unavailable at
+/// once, and no start on a draining worker.
 class RuleOracle {
 public:
     explicit RuleOracle(int maxAttempts)
@@ -34,6 +35,9 @@
     /// Records the stop of an active run. To be called before the worker's event for it.
     void onStopped(const StopCommand& command, const CommandExecution& execution, TimePoint now);
     void onCrashed(const WorkerId& worker, TimePoint now);
+    /// A worker has crashed because of its start of the task.
+    void onCrashedUnder(const TaskRef& task) { ++m_tasks[task].crashes; }
+    int highestCrashCount(const JobId& job) const;
     void onRunEvent(const ModelWorkerEvent& event);
 
     /// Returns and clears the violations found since the last call.
@@ -45,6 +49,8 @@
         std::vector<TimePoint> starts;
         std::map<RunNumber, TimePoint> failedAt; ///< Acknowledged ends.
         std::map<RunNumber, TimePoint> doneAt;
+        int crashes { 0 }; ///< Workers that the task has crashed.
+        int startsAfterMaxCrashes { 0 }; ///< By owners in touch.
     };
     struct LongRunningTaskState {
         RunNumber run { 0 };
@@ -56,6 +62,7 @@
 
     const Step& stepOf(const TaskRef& task) const;
     void checkStarts(const TaskRef& task);
+    void checkStartAfterCrashes(const TaskRef& task, const CommandExecution& execution);
     int countOtherUnavailableTasks(const TaskRef& task, TimePoint now) const;
 
     int m_maxAttempts;
