Give up a task that crashes the workers that start it

Cause: only runs that a worker lists as failed were counted.

Change: each start is kept per worker until a report shows the run 100 ms (by the worker's clock) after its start. A later incarnation, or a later worker on the machine, before that is a crash under the start, counted once per worker and incarnation and stored before the task starts again. Starts whose worker is lost are stored too, for the next owner. A suspect is started alone on a worker (a trial); a second crash, in a trial, is proof. Two trials are required when other workers are lost within 10 s, for long-running tasks, and four crashes where trials are not conclusive (worker restarted lately, rack lost). A draining worker or machine is not counted. A survived start clears the suspect.

Tests changed: three CellIncarnation tests let a start be repeated after its worker restarted; they now store the crash first, and the one on leases of a later incarnation lists only the restarted worker, since a task prefers workers that it has not crashed.

--- a/packages/jobs/include/rattanrack/jobs/cell_event.h
+++ b/packages/jobs/include/rattanrack/jobs/cell_event.h
@@ -11,7 +11,12 @@
 namespace rattanrack::jobs {
 
 struct JobEvent {
-    enum class Kind : std::uint8_t { TakenOver, Accepted, Ended };
+    enum class Kind : std::uint8_t {
+        TakenOver,
+        Accepted,
+        Ended,
+        GivenUp, ///< A task crashes the workers that start it; `detail` names the task and the workers.
+    };
     Kind kind { Kind::Accepted };
     JobId job;
     std::string detail;
@@ -26,6 +31,8 @@
         Ended, ///< Listed as ended by its worker; `detail` is the outcome, `age` the time since it was confirmed.
         PresumedEnded, ///< Assumed to be over although no worker listed its end; `detail` is the evidence.
         NotStarted, ///< Over, since its start was refused or not sent; `detail` is the reason.
+        Suspected, ///< Its worker has crashed soon after the start; `detail` is the evidence.
+        Cleared, ///< The worker has survived the start of a suspect.
     };
     Kind kind { Kind::Starting };
     TaskRef task;
--- a/packages/jobs/include/rattanrack/jobs/job_progress.h
+++ b/packages/jobs/include/rattanrack/jobs/job_progress.h
@@ -16,11 +16,31 @@
     Done,
 };
 
+/// A worker that crashed soon after the start of a task.
+struct WorkerCrash {
+    WorkerId worker;
+    std::int64_t incarnationUnixMs { 0 }; ///< The incarnation that crashed.
+    bool isConclusive { false }; ///< The task was being tried there, and no other cause is likely.
+
+    friend bool operator==(const WorkerCrash&, const WorkerCrash&) = default;
+};
+
+/// A start on a worker with which contact was lost soon after. The worker may have crashed, or may be unreachable.
+struct LostStart {
+    WorkerId worker;
+    std::int64_t incarnationUnixMs { 0 }; ///< The incarnation that the start was sent to.
+    RunNumber run { 0 };
+
+    friend bool operator==(const LostStart&, const LostStart&) = default;
+};
+
 struct Task {
     TaskPhase phase { TaskPhase::Waiting };
     RunNumber lastRun { 0 }; ///< Highest run number used so far.
     /// Each run is counted once, in whatever order and however often workers list it.
     std::vector<RunNumber> failedRuns;
+    std::vector<WorkerCrash> crashes; ///< Each crash is counted once. Cleared when a worker survives a start.
+    std::vector<LostStart> lostStarts; ///< Whose workers are not back yet.
     std::string checkpoint; ///< Newest one known; empty: none.
 
     int failures() const { return static_cast<int>(failedRuns.size()); }
@@ -34,6 +54,8 @@
     int index { 0 };
     bool isDone { false };
     std::vector<RunNumber> failedRuns;
+    std::vector<WorkerCrash> crashes;
+    std::vector<LostStart> lostStarts;
 
     friend bool operator==(const StoredTask&, const StoredTask&) = default;
 };
@@ -83,6 +105,9 @@
     /// Counts a failed run of a task once, however often workers list it. Returns false if it has been counted before.
     bool countFailure(const TaskRef& ref, RunNumber run);
 
+    /// Counts the crash of a worker after a start of the task. Returns false if it has been counted before.
+    bool countCrash(const TaskRef& ref, const WorkerCrash& crash);
+
     /// Marks the task as done, or all tasks of the step if it is a gang.
     void onDone(const TaskRef& ref);
 
--- a/packages/jobs/src/cell.cpp
+++ b/packages/jobs/src/cell.cpp
@@ -76,7 +76,9 @@
     if (entry->isAmongUnfinished)
         unfinishedJobs.push_back(entry.get());
     const JobId id = entry->job.id;
-    jobs.emplace(id, std::move(entry));
+    const auto added = jobs.emplace(id, std::move(entry));
+    if (added.second)
+        inheritSuspects(*added.first->second);
 }
 
 /// Called before the entry is destroyed.
@@ -315,6 +317,7 @@
     state.unixMs = unixMs;
     state.checkRecovery(now);
     state.checkUnresponsive(now);
+    state.expireCrashEvidence(now);
     state.retryCommands(now, mayStart);
     if (mayStart) {
         state.drainMachines(now);
--- a/packages/jobs/src/cell_results.cpp
+++ b/packages/jobs/src/cell_results.cpp
@@ -52,6 +52,7 @@
         if (worker.clock.isOfIncarnation(command.incarnationUnixMs)
             && worker.clock.isFromThisIncarnation(result.workerClockMs, now))
             run.seenInIncarnation = command.incarnationUnixMs;
+        state.recordCarriedOut(worker, command, result.workerClockMs);
         worker.needsPoll = true;
         JobEntry* entry = state.find(command.task.job);
         if (run.phase == RunPhase::Stopping || !entry || entry->progress.hasEnded()) {
--- a/packages/jobs/src/cell_schedule.cpp
+++ b/packages/jobs/src/cell_schedule.cpp
@@ -43,14 +43,18 @@
 {
     if (progress.task(occurrence, step, index).phase != TaskPhase::Waiting)
         return false;
+    if (lostStarts > 0 && isHeldForEvidence({ job.id, occurrence, step, index }))
+        return false;
     const bool isGang = job.spec.steps[static_cast<std::size_t>(step)].isGang;
-    return storedRevision >= failureRevision || progress.task(occurrence, step, isGang ? 0 : index).failures() == 0;
+    const bool hasFailed = progress.task(occurrence, step, isGang ? 0 : index).failures() > 0;
+    const bool hasCrashed = !progress.task(occurrence, step, index).crashes.empty();
+    return storedRevision >= failureRevision || !(hasFailed || hasCrashed);
 }
 
 int JobEntry::startableTasks(int occurrence, int step) const
 {
     const int waiting = progress.waitingTasks(occurrence, step);
-    if (waiting == 0 || storedRevision >= failureRevision)
+    if (waiting == 0 || (storedRevision >= failureRevision && lostStarts == 0))
         return waiting;
     int startable = 0;
     for (int index = 0; index < job.spec.steps[static_cast<std::size_t>(step)].count; ++index)
@@ -193,7 +197,7 @@
         return;
     const int wanted = entry.startableTasks(ready.occurrence, ready.step);
     auto placements = capacity.placeTasks(entry, ready.occurrence, ready.step, tickets ? &tickets->tickets : nullptr);
-    const int missing = wanted - static_cast<int>(placements.size());
+    const int missing = wanted - static_cast<int>(placements.size()) - (step.isGang ? 0 : capacity.waitingForTrial());
     addWaitingDemand(ready, missing);
     if (missing > 0 && ready.rank <= Rank::Started)
         capacity.reserveFor(entry, ready.occurrence, ready.step);
--- a/packages/jobs/src/cell_starts.cpp
+++ b/packages/jobs/src/cell_starts.cpp
@@ -126,6 +126,7 @@
         sendStop(worker, command.task, command.run, "the start may be carried out late");
         return;
     }
+    discardUnprovenStart(worker, command.task, command.run);
     presumeEnded(worker, command.task, reasonNotStarted(result), RunEvent::Kind::NotStarted);
 }
 
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -6,6 +6,8 @@
 #include "rattanrack/jobs/offered_load.h"
 #include "rattanrack/jobs/runtime_estimator.h"
 #include "rattanrack/jobs/start_window.h"
+#include "run.h"
+#include "unproven_start.h"
 
 #include <deque>
 #include <map>
@@ -18,39 +20,6 @@
 /// Whether a job stays in this state for good.
 constexpr bool isTerminal(JobState state) { return state != JobState::Queued && state != JobState::Active; }
 
-enum class RunPhase : std::uint8_t {
-    Starting, ///< The start has no result yet.
-    Confirmed, ///< The worker has confirmed that the run is active.
-    Stopping,
-};
-
-/// A run that may be active.
-struct Run {
-    RunNumber number { 0 };
-    RunPhase phase { RunPhase::Starting };
-    ResourceSize size; ///< What the run reserves of the worker's capacity.
-    bool isLongRunning { false };
-    bool isBestEffort { false };
-    bool isServing { false }; ///< Has a latency target.
-    bool mayStartLate { false }; ///< A start without a response may still be carried out.
-    bool hasCommandInFlight { false }; ///< A start or stop has no result yet.
-    bool hasStartInFlight { false }; ///< The command is a start, which carries a lease.
-    std::optional<std::int64_t> seenInIncarnation; ///< The worker's incarnation that is known to have the run.
-    TimePoint startSentAt {};
-    TimePoint confirmedAt {};
-    TimePoint safeFromEarlierStopAt {}; ///< From then on no stop by a previous owner can end the run any more.
-    /// When the worker last accepted a start or stop; a later poll shows whether the run is active.
-    TimePoint acknowledgedAt {};
-    TimePoint retryAt {};
-    std::uint64_t seenInPoll { 0 }; ///< Number of the latest poll that listed the run as running.
-    int percent { 0 };
-    int throttlePercent { 100 };
-    double measuredValue { 0 };
-    StartCommand start; ///< Sent again while it has no response.
-
-    bool is(RunNumber other) const { return number == other; }
-};
-
 /// An ended run that has been processed but not acknowledged.
 struct UnacknowledgedRun {
     std::int64_t sequence { 0 };
@@ -95,6 +64,9 @@
     std::int64_t ackedThrough { 0 };
     std::int64_t lastAckSent { 0 }; ///< Acknowledgement of the last poll with a response.
     std::deque<UnacknowledgedRun> unacknowledgedRuns;
+    std::vector<UnprovenStart> unprovenStarts;
+    bool isKeptForTrial { false }; ///< In the latest scheduling pass.
+    TimePoint lastReportAt {}; ///< When the latest poll was answered.
     std::uint64_t pollsProcessed { 0 };
     bool mayHaveRetries { false }; ///< Whether some run may have a command to retry.
     bool hasPollInFlight { false };
@@ -121,6 +93,15 @@
 
     bool hasLongRunning() const;
 
+    /// Whether it has been up for so long that it hardly restarts by itself soon after.
+    bool isSettled(TimePoint now) const;
+
+    /// Whether it has reported so lately that it can be taken to be up.
+    bool hasFreshReport(TimePoint now) const;
+
+    /// Whether a suspect is being tried there: nothing else may start.
+    bool hasTrial() const;
+
     /// Whether a command that carries a lease has no result yet.
     bool hasLeaseInFlight() const;
 
@@ -181,7 +162,8 @@
     std::uint64_t revision { 0 }; ///< Increases with each change that is to be stored.
     std::uint64_t revisionInCommit { 0 };
     std::uint64_t storedRevision { 0 };
-    std::uint64_t failureRevision { 0 }; ///< The revision that contains the latest failure.
+    std::uint64_t failureRevision { 0 }; ///< The revision that contains the latest failure or crash.
+    int lostStarts { 0 }; ///< Of all tasks: starts whose workers are not back yet.
     JobState stateInCommit { JobState::Queued };
     JobState storedState { JobState::Queued };
     std::vector<CallerToken> waitingCallers; ///< Callers that wait for the next commit.
@@ -196,6 +178,9 @@
     /// Whether the task waits for its start. After a failure it also waits until the failure is stored, since the next
     /// owner would not count a failure that it receives only after a further run has started.
     bool isStartable(int occurrence, int step, int index) const;
+
+    /// Whether the task waits for evidence: with one crash more it would be given up.
+    bool isHeldForEvidence(const TaskRef& ref) const;
     int startableTasks(int occurrence, int step) const;
 };
 
@@ -272,6 +257,7 @@
     Millicores waitingDemand; ///< Demand of steps that were ready and on time in the latest pass, but were not placed.
     OfferedLoad offeredLoad;
     SchedulingCost schedulingCost;
+    CrashSuspicion crashSuspicion;
     StartWindow startWindow;
     int startsInFlight { 0 }; ///< Starts that count towards the window, in the current pass.
     bool isGangHeldBack { false }; ///< In the current pass, until enough of the window is free.
@@ -312,6 +298,29 @@
     void advanceAllAcks();
     void removeOldJobs();
 
+    // Tasks that crash workers: cell_crashes.cpp
+    bool hasCrashedRepeatedly(const TaskRef& task) const;
+    bool mayRetryStart(const Worker& worker, const TaskRef& task) const;
+    bool isOnTrial(const TaskRef& task, const Step& step) const;
+    JobEntry* findUndecided(const TaskRef& task);
+    void recordUnprovenStart(Worker& worker, const StartCommand& start, TimePoint now);
+    void recordCarriedOut(Worker& worker, const StartCommand& start, std::int64_t workerClockMs);
+    void discardUnprovenStart(Worker& worker, const TaskRef& task, RunNumber run);
+    void recordUntriedLoss(const Worker& worker, TimePoint now);
+    bool isRackLost(const Worker& worker, const UnprovenStart& start, TimePoint now) const;
+    void dropUnprovenStarts(Worker& worker);
+    void beginAwait(const WorkerId& worker, UnprovenStart& start);
+    void inheritSuspects(JobEntry& entry);
+    void endAwait(UnprovenStart& start);
+    void recordLostContact(Worker& worker, TimePoint now);
+    void recordRestart(Worker& worker, std::int64_t laterIncarnationUnixMs, TimePoint now);
+    void countCrash(const Worker& worker, const UnprovenStart& start, bool isAlone, TimePoint now);
+    bool isProvenToCrash(const Step& step, const Task& task, TimePoint now) const;
+    void giveUp(JobEntry& entry, const TaskRef& task, TimePoint now);
+    void recordSurvival(const Worker& worker, const TaskRef& task, RunNumber run);
+    void reviewUnprovenStarts(Worker& worker, const PollReport& report);
+    void expireCrashEvidence(TimePoint now);
+
     // Sums over runs: cell_run_sums.cpp
     void updateSums(Worker& worker, const TaskRef& task, const Run& run, int count);
     StepLocationRange locationsOf(const JobId& job, int occurrence, int step) const;
--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -56,6 +56,8 @@
         worker.needsPoll = worker.needsPoll || isNewIncarnation;
         const bool isRestarted
             = worker.incarnationUnixMs > 0 && description.incarnationUnixMs > worker.incarnationUnixMs;
+        if (isRestarted)
+            state.recordRestart(worker, description.incarnationUnixMs, now);
         if (isRestarted && worker.contact == WorkerContact::Responsive)
             worker.contact = WorkerContact::Unresponsive;
         worker.description = description;
@@ -67,8 +69,11 @@
             return other.machine == earlier.description.machine && other.id != earlier.description.id
                 && other.incarnationUnixMs > earlier.description.incarnationUnixMs && !other.machine.isEmpty();
         };
-        if (!worker.isListed && std::any_of(listed.begin(), listed.end(), isSuccessor))
-            state.onWorkerLost(worker, "a later worker is listed on its machine");
+        const auto successor = std::find_if(listed.begin(), listed.end(), isSuccessor);
+        if (worker.isListed || successor == listed.end())
+            continue;
+        state.recordRestart(worker, successor->incarnationUnixMs, now);
+        state.onWorkerLost(worker, "a later worker is listed on its machine");
     }
     // The starts of inherited workers are not known here. A list from before the takeover, or one that still contains
     // the worker, may show an earlier worker on its machine.
@@ -84,15 +89,16 @@
     state.listedCapacity = state.capacityOfListedWorkers();
     std::erase_if(state.workers, [&](const auto& each) {
         const Worker& worker = each.second;
-        return !worker.isListed && !worker.hasUnfinishedWork() && !worker.hasPollInFlight
-            && now >= worker.clock.leasesEndAt();
+        return !worker.isListed && !worker.hasUnfinishedWork() && worker.unprovenStarts.empty()
+            && !worker.hasPollInFlight && now >= worker.clock.leasesEndAt();
     });
 }
 
 void CellState::sendPolls(TimePoint now, bool mayRenew)
 {
     for (auto& [id, worker] : workers) {
-        const bool isPollNeeded = worker.needsPoll || !worker.runs.empty() || worker.ackedThrough > worker.lastAckSent;
+        const bool isPollNeeded = worker.needsPoll || worker.isKeptForTrial || !worker.runs.empty()
+            || worker.ackedThrough > worker.lastAckSent;
         const bool isReachable = worker.isListed || !worker.runs.empty();
         if (!isPollNeeded || !isReachable || worker.hasPollInFlight || now < worker.nextPollAt)
             continue;
@@ -113,6 +119,8 @@
             [](const auto& each) { return each.second.phase == RunPhase::Stopping; });
         if (isResponsive && !worker.runs.empty() && !isStopping)
             poll.longestWait = hasBestEffort ? maxPollTimeBesideBestEffort : maxPollTime;
+        if (worker.isKeptForTrial || worker.hasTrial())
+            poll.longestWait = {}; // Whether the worker survives is to be seen at once.
         worker.hasPollInFlight = true;
         worker.needsPoll = false;
         output.commands.emplace_back(std::move(poll));
@@ -140,14 +148,17 @@
             state.recordHigherFence(command.worker, now);
         if (worker.contact == WorkerContact::Responsive) {
             worker.contact = WorkerContact::Unresponsive;
+            state.recordLostContact(worker, now);
             state.addEvent(WorkerEvent { WorkerEvent::Kind::Unresponsive, command.worker });
         }
         return;
     }
     const PollReport& report = result.report;
-    if (worker.incarnationUnixMs != report.incarnationUnixMs)
+    worker.lastReportAt = now;
+    if (worker.incarnationUnixMs != report.incarnationUnixMs) {
+        state.recordRestart(worker, report.incarnationUnixMs, now);
         worker.beginIncarnation(report.incarnationUnixMs, now - ageAtLeast(report.workerClockMs));
-    else
+    } else
         worker.lastAckSent = std::max(worker.lastAckSent, result.ackedThrough);
     if (worker.contact != WorkerContact::Responsive) {
         const bool isRecovery = worker.contact == WorkerContact::Unresponsive;
@@ -165,6 +176,7 @@
     for (const EndedRun& ended : report.endedRuns)
         state.processEndedRun(worker, ended, now);
     state.processRunning(worker, report, sentAt, now);
+    state.reviewUnprovenStarts(worker, report);
     state.advanceAcks(command.worker, worker);
     state.throttleBestEffort(worker, now);
 }
@@ -173,6 +185,7 @@
 {
     run.start.leaseUntilWorkerMs = worker.clock.grant(startLease, now);
     run.start.incarnationUnixMs = worker.incarnationUnixMs;
+    recordUnprovenStart(worker, run.start, now);
     run.startSentAt = now;
     run.hasCommandInFlight = true;
     run.hasStartInFlight = true;
@@ -198,15 +211,18 @@
             worker.mayHaveRetries = worker.mayHaveRetries || run.retryAt != TimePoint {};
             if (run.hasCommandInFlight || run.retryAt == TimePoint {} || now < run.retryAt)
                 continue;
-            const bool isStart = run.phase == RunPhase::Starting && !isDraining;
-            if (isStart && !(mayStart && isIncarnationConfirmed(worker)))
+            const bool isStopped = isDraining || hasCrashedRepeatedly(task);
+            const bool isStart = run.phase == RunPhase::Starting && !isStopped;
+            if (isStart && !(mayStart && isIncarnationConfirmed(worker) && mayRetryStart(worker, task)))
                 continue;
             run.retryAt = {};
             if (isStart) {
                 grantStart(worker, run, now);
                 output.commands.emplace_back(run.start);
             } else if (run.phase != RunPhase::Confirmed) {
-                sendStop(worker, task, run.number, "start got no response, and the worker is draining");
+                sendStop(worker, task, run.number,
+                    isDraining ? "start got no response, and the worker is draining"
+                               : "start got no response, and its task may have crashed the worker");
             }
         }
     }
--- a/packages/jobs/src/free_capacity.cpp
+++ b/packages/jobs/src/free_capacity.cpp
@@ -1,18 +1,22 @@
 #include "free_capacity.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace rattanrack::jobs {
 
 namespace {
 
+using namespace std::chrono_literals;
+
+constexpr int workersPerUntried = 3; ///< One worker of this many is kept free of trials.
 constexpr int workersPerReserved = 3; ///< One worker of this many may be kept free for large tasks.
 
 /// Whether a worker in the stored list may be used.
 bool isUsable(const Worker& worker, const CellState& state, TimePoint now)
 {
     return worker.isListed && state.isIncarnationConfirmed(worker) && !worker.description.isDraining
-        && !worker.isAvoided(now) && worker.mayTakeStarts()
+        && !worker.isAvoided(now) && worker.mayTakeStarts() && !worker.hasTrial()
         && !state.drainingMachines.contains(worker.description.machine);
 }
 
@@ -45,6 +49,8 @@
     auto stored = state.storedWorkers.begin(); // Ordered by id, as the workers are.
     for (auto& [id, worker] : state.workers) {
         worker.candidateIndex = -1;
+        worker.isKeptForTrial = false;
+        m_trials += worker.hasTrial() ? 1 : 0;
         while (stored != state.storedWorkers.end() && stored->first < id)
             ++stored;
         const bool isStored = stored != state.storedWorkers.end() && stored->first == id;
@@ -61,6 +67,83 @@
         m_workers.push_back(&worker);
         m_candidates.push_back(candidate);
     }
+    keepWorkersForTrials(now);
+}
+
+/// Keeps a worker for each waiting suspect, and leaves a share of the workers to other work.
+void FreeCapacity::keepWorkersForTrials(TimePoint now)
+{
+    const int usable = static_cast<int>(m_candidates.size());
+    const int most = usable - usable / workersPerUntried;
+    for (const TaskRef& task : m_state.crashSuspicion.suspects) {
+        const JobEntry* entry = m_state.findUndecided(task);
+        if (m_trials >= most)
+            return;
+        if (!entry || !entry->isStartable(task.occurrence, task.step, task.index))
+            continue;
+        const Step& step = CellState::stepOf(*entry, task);
+        const int chosen = m_state.isOnTrial(task, step) ? chooseKeptWorker(task, step, now) : -1;
+        if (chosen < 0)
+            continue;
+        Worker& worker = *m_workers[static_cast<std::size_t>(chosen)];
+        m_candidates[static_cast<std::size_t>(chosen)].isReserved = true;
+        worker.isKeptForTrial = true;
+        ++m_trials;
+        const bool isFirstCrash = entry->progress.task(task).crashes.empty();
+        if (worker.unprovenStarts.empty() && (isFirstCrash || worker.hasFreshReport(now)))
+            m_trialWorkers.push_back(chosen);
+    }
+}
+
+/// Prefers workers that the task has not crashed; those that have been up for longer, since others may restart again by
+/// themselves; those without long-running
+/// tasks; those without recent starts; and those with the fewest runs.
+int FreeCapacity::chooseKeptWorker(const TaskRef& task, const Step& step, TimePoint now) const
+{
+    const auto& crashes = m_state.find(task.job)->progress.task(task).crashes;
+    const auto rank = [&](int index) {
+        const Worker& worker = *m_workers[static_cast<std::size_t>(index)];
+        const bool fitsNow = fits(reservedSize(step), m_candidates[static_cast<std::size_t>(index)].free);
+        const bool hasCrashed = std::any_of(crashes.begin(), crashes.end(),
+            [&](const WorkerCrash& each) { return each.worker == worker.description.id; });
+        return std::tuple { hasCrashed, !worker.isSettled(now), !fitsNow, worker.colocatedRuns.longRunning > 0,
+            worker.unprovenStarts.size(), worker.runs.size() };
+    };
+    int best = -1;
+    for (int index = 0; index < static_cast<int>(m_candidates.size()); ++index) {
+        const Candidate& candidate = m_candidates[static_cast<std::size_t>(index)];
+        const bool fitsSoon = fits(reservedSize(step), candidate.freeAfterFiniteRuns);
+        const bool isPossible = !candidate.isReserved && fitsSoon && isEligible(step, *candidate.worker);
+        if (isPossible && (best < 0 || rank(index) < rank(best)))
+            best = index;
+    }
+    return best;
+}
+
+/// Chooses one of the workers that are kept for suspects, one that the task has not crashed before if possible.
+int FreeCapacity::chooseTrialWorker(
+    const TaskRef& task, const Step& step, const std::map<WorkerId, std::string>* tickets)
+{
+    const auto& crashes = m_state.find(task.job)->progress.task(task).crashes;
+    const auto isPossible = [&](int index) {
+        const Candidate& candidate = m_candidates[static_cast<std::size_t>(index)];
+        const bool isFull = step.maxPerWorker > 0 && candidate.sameStepRuns >= step.maxPerWorker;
+        return !isFull && fits(reservedSize(step), candidate.free) && isEligible(step, *candidate.worker)
+            && (!tickets || tickets->contains(candidate.worker->id));
+    };
+    const auto hasCrashed = [&](int index) {
+        const WorkerId& id = m_candidates[static_cast<std::size_t>(index)].worker->id;
+        return std::any_of(crashes.begin(), crashes.end(), [&](const WorkerCrash& each) { return each.worker == id; });
+    };
+    auto chosen = std::find_if(m_trialWorkers.begin(), m_trialWorkers.end(),
+        [&](int index) { return isPossible(index) && !hasCrashed(index); });
+    if (chosen == m_trialWorkers.end())
+        chosen = std::find_if(m_trialWorkers.begin(), m_trialWorkers.end(), isPossible);
+    if (chosen == m_trialWorkers.end())
+        return -1;
+    const int index = *chosen;
+    m_trialWorkers.erase(chosen);
+    return index;
 }
 
 void FreeCapacity::countColocatedRuns(const JobEntry& entry, int occurrence, int step)
@@ -115,12 +198,14 @@
 {
     const Step& step = entry.job.spec.steps[static_cast<std::size_t>(stepNumber)];
     m_areColocatedRunsCounted = false;
-    if (!mayFit(step) || m_unplaceable.covers(step))
+    m_waitingForTrial = 0;
+    const bool hasSuspects = !m_state.crashSuspicion.suspects.empty();
+    if (!mayFit(step) || (m_unplaceable.covers(step) && !hasSuspects))
         return {};
     if (dependsOnColocatedRuns(step))
         countColocatedRuns(entry, occurrence, stepNumber);
     if (!tickets)
-        return placeEach(entry, occurrence, stepNumber, false);
+        return placeEach(entry, occurrence, stepNumber, nullptr);
     std::vector<Candidate*> withoutTicket;
     for (Candidate& candidate : m_candidates) {
         if (!candidate.isReserved && !tickets->contains(candidate.worker->id))
@@ -128,26 +213,39 @@
     }
     for (Candidate* candidate : withoutTicket)
         candidate->isReserved = true;
-    auto placements = placeEach(entry, occurrence, stepNumber, true);
+    auto placements = placeEach(entry, occurrence, stepNumber, tickets);
     for (Candidate* candidate : withoutTicket)
         candidate->isReserved = false;
     return placements;
 }
 
 std::vector<Placement> FreeCapacity::placeEach(
-    const JobEntry& entry, int occurrence, int stepNumber, bool isLimitedByTickets)
+    const JobEntry& entry, int occurrence, int stepNumber, const std::map<WorkerId, std::string>* tickets)
 {
     const Step& step = entry.job.spec.steps[static_cast<std::size_t>(stepNumber)];
     std::vector<Placement> placements;
+    bool isUnplaceable = m_unplaceable.covers(step);
     for (int index = 0; index < step.count; ++index) {
         if (!entry.isStartable(occurrence, stepNumber, index))
             continue;
+        const TaskRef task { entry.job.id, occurrence, stepNumber, index };
+        const bool isOnTrial = m_state.isOnTrial(task, step);
+        if (isUnplaceable && !isOnTrial)
+            continue;
         m_state.schedulingCost.workersExamined += m_candidates.size();
-        const int candidateIndex = chooseWorker(step, m_candidates);
+        const int candidateIndex
+            = isOnTrial ? chooseTrialWorker(task, step, tickets) : chooseWorker(step, m_candidates);
+        if (isOnTrial && candidateIndex < 0) {
+            ++m_waitingForTrial;
+            continue;
+        }
         if (candidateIndex < 0) {
-            if (dependsOnSizeAndLabelOnly(step) && !isLimitedByTickets)
+            if (dependsOnSizeAndLabelOnly(step) && !tickets)
                 m_unplaceable.record(step);
-            break;
+            if (m_state.crashSuspicion.suspects.empty())
+                break;
+            isUnplaceable = true;
+            continue;
         }
         reserve(candidateIndex, step);
         placements.push_back({ index, candidateIndex });
--- a/packages/jobs/src/free_capacity.h
+++ b/packages/jobs/src/free_capacity.h
@@ -30,6 +30,9 @@
     std::vector<Placement> placeTasks(
         const JobEntry& entry, int occurrence, int step, const std::map<WorkerId, std::string>* tickets);
 
+    /// Suspects among the tasks of the latest step that wait for a worker without other recent starts.
+    int waitingForTrial() const { return m_waitingForTrial; }
+
     /// Gives back capacity that was not used after all.
     void giveBack(const std::vector<Placement>& placements, const Step& step);
 
@@ -39,8 +42,12 @@
 
 private:
     void countColocatedRuns(const JobEntry& entry, int occurrence, int step);
-    std::vector<Placement> placeEach(const JobEntry& entry, int occurrence, int step, bool isLimitedByTickets);
+    std::vector<Placement> placeEach(
+        const JobEntry& entry, int occurrence, int step, const std::map<WorkerId, std::string>* tickets);
     void addSameStepRuns(int candidateIndex, int runs, const Step& step);
+    void keepWorkersForTrials(TimePoint now);
+    int chooseKeptWorker(const TaskRef& task, const Step& step, TimePoint now) const;
+    int chooseTrialWorker(const TaskRef& task, const Step& step, const std::map<WorkerId, std::string>* tickets);
     void reserve(int candidateIndex, const Step& step);
 
     CellState& m_state;
@@ -48,6 +55,9 @@
     std::vector<Candidate> m_candidates;
     ResourceSize m_largestFree; ///< When the pass began: of each resource, the most that some worker has.
     int m_reservedCount { 0 };
+    int m_trials { 0 }; ///< Workers on which suspects are being tried.
+    int m_waitingForTrial { 0 };
+    std::vector<int> m_trialWorkers; ///< Candidates that are kept for suspects and have no other recent start.
     PlacementFailures m_unplaceable;
     PlacementFailures m_unreservable;
     bool m_areColocatedRunsCounted { false }; ///< For the last step that was passed to `placeTasks`.
--- a/packages/jobs/src/job_codec.cpp
+++ b/packages/jobs/src/job_codec.cpp
@@ -19,7 +19,7 @@
 /// Builds the array in place, since an initializer list copies each value, which costs more than the rest of a commit.
 Json toJson(const StoredTask& task)
 {
-    constexpr std::size_t fields = 5;
+    constexpr std::size_t fields = 7;
     Json::array_t row;
     row.reserve(fields);
     row.emplace_back(task.occurrence);
@@ -27,9 +27,43 @@
     row.emplace_back(task.index);
     row.emplace_back(task.isDone);
     row.emplace_back(Json::array_t(task.failedRuns.begin(), task.failedRuns.end()));
+    if (task.crashes.empty() && task.lostStarts.empty())
+        return row; // As most rows, and as all rows of earlier versions.
+    Json crashes = Json::array();
+    for (const WorkerCrash& crash : task.crashes)
+        crashes.push_back(Json::array({ crash.worker.value(), crash.incarnationUnixMs, crash.isConclusive }));
+    row.emplace_back(std::move(crashes));
+    Json lostStarts = Json::array();
+    for (const LostStart& start : task.lostStarts)
+        lostStarts.push_back(Json::array({ start.worker.value(), start.incarnationUnixMs, start.run }));
+    row.emplace_back(std::move(lostStarts));
     return row;
 }
 
+std::vector<WorkerCrash> crashesFrom(const Json& task)
+{
+    constexpr std::size_t crashesAt = 5;
+    std::vector<WorkerCrash> crashes;
+    if (task.size() <= crashesAt)
+        return crashes;
+    for (const Json& crash : task.at(crashesAt))
+        crashes.push_back(
+            { WorkerId { crash.at(0).get<std::string>() }, crash.at(1).get<std::int64_t>(), crash.at(2).get<bool>() });
+    return crashes;
+}
+
+std::vector<LostStart> lostStartsFrom(const Json& task)
+{
+    constexpr std::size_t lostStartsAt = 6;
+    std::vector<LostStart> lostStarts;
+    if (task.size() <= lostStartsAt)
+        return lostStarts;
+    for (const Json& start : task.at(lostStartsAt))
+        lostStarts.push_back({ WorkerId { start.at(0).get<std::string>() }, start.at(1).get<std::int64_t>(),
+            start.at(2).get<RunNumber>() });
+    return lostStarts;
+}
+
 Step stepFrom(const Json& json)
 {
     std::size_t at = 0;
@@ -77,8 +111,9 @@
     StoredProgress progress { json.at("ended").get<std::int64_t>(), json.at("cancelled").get<bool>(),
         json.at("failed").get<bool>(), json.at("completed").get<bool>(), {} };
     for (const Json& task : json.at("tasks")) {
-        progress.tasks.push_back({ task.at(0).get<int>(), task.at(1).get<int>(), task.at(2).get<int>(),
-            task.at(3).get<bool>(), task.at(4).get<std::vector<RunNumber>>() });
+        progress.tasks.push_back(
+            { task.at(0).get<int>(), task.at(1).get<int>(), task.at(2).get<int>(), task.at(3).get<bool>(),
+                task.at(4).get<std::vector<RunNumber>>(), crashesFrom(task), lostStartsFrom(task) });
     }
     return progress;
 }
--- a/packages/jobs/src/job_progress.cpp
+++ b/packages/jobs/src/job_progress.cpp
@@ -38,6 +38,8 @@
             continue;
         m_hasStarted = true;
         task(ref).failedRuns = entry.failedRuns;
+        task(ref).crashes = entry.crashes;
+        task(ref).lostStarts = entry.lostStarts;
         if (entry.isDone)
             markDone(ref);
     }
@@ -140,8 +142,22 @@
     return true;
 }
 
+bool JobProgress::countCrash(const TaskRef& ref, const WorkerCrash& crash)
+{
+    std::vector<WorkerCrash>& counted = task(ref).crashes;
+    const auto isSame = [&](const WorkerCrash& each) {
+        return each.worker == crash.worker && each.incarnationUnixMs == crash.incarnationUnixMs;
+    };
+    if (std::any_of(counted.begin(), counted.end(), isSame))
+        return false;
+    counted.push_back(crash);
+    return true;
+}
+
 void JobProgress::markDone(const TaskRef& ref)
 {
+    task(ref).crashes.clear();
+    task(ref).lostStarts.clear();
     if (task(ref).phase != TaskPhase::Done)
         setPhase(ref, TaskPhase::Done);
 }
@@ -193,8 +209,10 @@
             for (int index = 0; index < static_cast<int>(tasks.size()); ++index) {
                 const Task& each = tasks[static_cast<std::size_t>(index)];
                 const bool isDone = each.phase == TaskPhase::Done;
-                if (isDone || each.failures() > 0)
-                    stored.tasks.push_back({ occurrence, step, index, isDone, each.failedRuns });
+                const bool isSuspect = !each.crashes.empty() || !each.lostStarts.empty();
+                if (isDone || each.failures() > 0 || isSuspect)
+                    stored.tasks.push_back(
+                        { occurrence, step, index, isDone, each.failedRuns, each.crashes, each.lostStarts });
             }
         }
     }
--- a/packages/jobs/tests/cell_incarnation_tests.cpp
+++ b/packages/jobs/tests/cell_incarnation_tests.cpp
@@ -59,6 +59,7 @@
     EXPECT_TRUE(harness.takeCommands<StartCommand>().empty());
     harness.answerPoll(start.worker.value().c_str(), {});
     harness.listIncarnations();
+    harness.storeChanges(); // The crash under the start.
     return start;
 }
 
@@ -220,9 +221,14 @@
     CellHarness harness;
     const StartCommand start = harness.submitAndTakeStart("a");
     harness.respond(start, CommandStatus::Done);
+    const auto all = harness.listed();
+    auto restarted = all;
+    std::erase_if(restarted, [&](const WorkerDescription& each) { return each.id != start.worker; });
+    harness.listWorkers(restarted); // A task is not started where it may have crashed a worker if it fits elsewhere.
     harness.restartWorker(start.worker);
     harness.advance(60ms);
     harness.answerPoll(start.worker.value().c_str(), {}); // The run is gone.
+    harness.storeChanges(); // The crash under the start.
     harness.listIncarnations();
     harness.confirmOwnership();
     harness.advance(60ms);
@@ -233,6 +239,11 @@
     harness.respond(retried[0], CommandStatus::Done);
     harness.advance(60ms);
     harness.answerPoll(retried[0].worker.value().c_str(), { { retried[0].task, retried[0].run, "", 0 } });
+    harness.listWorkers(all);
+    harness.listIncarnations();
+    harness.confirmOwnership();
+    harness.advance(150ms); // The worker survives the start.
+    harness.answerPoll(retried[0].worker.value().c_str(), { { retried[0].task, retried[0].run, "", 0 } });
     EXPECT_LE(timeUntilStartElsewhere(harness, retried[0].worker), longestLeaseTime);
 }
 
@@ -349,6 +360,7 @@
         harness.restartWorker(worker.id);
     harness.advance(60ms);
     harness.answerAllPolls(); // The new incarnations respond, and run nothing; the list still shows the first ones.
+    harness.storeChanges(); // The crashes under the starts.
     harness.confirmOwnership();
     harness.advance(period);
     EXPECT_TRUE(harness.takeCommands<StartCommand>().empty());
--- a/packages/jobs/tests/crashing_task_walk_tests.cpp
+++ b/packages/jobs/tests/crashing_task_walk_tests.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <cstdlib>
+#include <iostream>
 
 using namespace rattanrack;
 using namespace rattanrack::jobs;
@@ -80,6 +81,21 @@
     }
 }
 
+/// Prints what the owners decide on the runs of one job.
+void trace(CellSimulation& simulation, const std::string& job)
+{
+    simulation.setObserver([job](TimePoint now, int owner, const CellEvent& event) {
+        const auto print = [&](const std::string& text) {
+            std::cerr << now.time_since_epoch().count() / 1000 << " ms, owner " << owner << ": " << text << '\n';
+        };
+        if (const auto* run = std::get_if<RunEvent>(&event); run && run->task.job.value() == job)
+            print(describe(run->task) + " run " + std::to_string(run->run) + " kind "
+                + std::to_string(static_cast<int>(run->kind)) + " on " + run->worker.value() + ' ' + run->detail);
+        if (const auto* ofJob = std::get_if<JobEvent>(&event); ofJob && ofJob->job.value() == job)
+            print(job + ' ' + ofJob->detail);
+    });
+}
+
 int fromEnvironment(const char* name, int fallback)
 {
     const char* value = std::getenv(name);
@@ -92,6 +108,8 @@
     const int seeds = fromEnvironment("RATTANRACK_WALK_SEEDS", defaultSeeds);
     for (int seed = first; seed < first + seeds; ++seed) {
         CrashWalk walk { static_cast<std::uint64_t>(seed), crashingShare, faults };
+        if (const char* job = std::getenv("RATTANRACK_WALK_TRACE"))
+            trace(walk.simulation(), job);
         walk.submitSome(100);
         expectRightVerdicts(walk, static_cast<std::uint64_t>(seed));
     }
@@ -101,6 +119,20 @@
 
 TEST(CrashingTaskWalk, TaskThatCrashesItsWorkersIsGivenUp) { runWalks(0.05, {}, 12); }
 
+TEST(CrashingTaskWalk, TaskThatCrashesItsWorkersIsGivenUpByLaterOwners)
+{
+    runWalks(0.05,
+        { .lostResponses = 0.02,
+            .partitionsPerSecond = 0.1,
+            .ownerLossesPerSecond = 0.04,
+            .failedCommits = 0.05,
+            .handBacksPerSecond = 0.03,
+            .storeStallsPerSecond = 0.1,
+            .loopStallsPerSecond = 0.1 },
+        20);
+}
+
+/// Owners change every 3 to 7 s, as fast as a crash is found.
 TEST(CrashingTaskWalk, TaskThatCrashesItsWorkersIsGivenUpAcrossOwnerChanges)
 {
     runWalks(0.05,
