Trials: bounded in time, tickets and step limits kept; explain names the verdict

A trial whose start leaves no trace keeps other work away for 1.5 s at most. A worker is kept for a suspect only if it has a ticket and room for the step, so that a suspect with tickets can't wait for a worker that it may not use.

--- a/packages/cli/src/job_verdict.cpp
+++ b/packages/cli/src/job_verdict.cpp
@@ -46,6 +46,7 @@
             { "run.adopted", &Judge::opened },
             { "run.ended", &Judge::ended },
             { "run.over", &Judge::over },
+            { "job.given_up", &Judge::givenUp },
             { "ends.acknowledged", &Judge::acknowledged },
             { "log.left_out", &Judge::leftOut },
         };
@@ -123,6 +124,11 @@
 
     void over(const StoryLine&, const Run& run) { closed(run); }
 
+    void givenUp(const StoryLine& each, const Run&)
+    {
+        m_verdict.remarks.push_back("given up by " + each.node + ": " + std::string { each.line.text("detail") });
+    }
+
     void acknowledged(const StoryLine& each, const Run&)
     {
         for (ListedEnd& end : m_ends) {
--- a/packages/cli/tests/explain_job_tests.cpp
+++ b/packages/cli/tests/explain_job_tests.cpp
@@ -108,6 +108,15 @@
 
 } // namespace
 
+TEST(ExplainJob, TellsWhichWorkersAGivenUpJobHasCrashed)
+{
+    MadeLog log { "edge-ros-c-2", 1 };
+    log.ofJob("01.000000", "job.accepted", "q").ordered("01.100000", 1, "w1", 0).ordered("05.100000", 2, "w2", 0);
+    log.ofJob("09.000000", "job.given_up", "\"task 0.0.0 has crashed workers w1 w2\"");
+    const ProgramRun run = explainLogs({ log.file() });
+    EXPECT_TRUE(has(run, "given up by edge-ros-c-2: task 0.0.0 has crashed workers w1 w2")) << run.output;
+}
+
 TEST(LogLine, ReadsBackWhatTheNodeWrites)
 {
     const std::string detail = "lease \"a\\b\" = c\nhas run out";
--- a/packages/jobs/src/cell.cpp
+++ b/packages/jobs/src/cell.cpp
@@ -49,6 +49,7 @@
             state.addEvent(JobEvent {
                 JobEvent::Kind::TakenOver, id, std::string(name(entry->storedState)), now - entry->acceptedAt });
         state.addJob(std::move(entry));
+        state.inheritSuspects(*state.find(id));
     }
 }
 
@@ -76,9 +77,7 @@
     if (entry->isAmongUnfinished)
         unfinishedJobs.push_back(entry.get());
     const JobId id = entry->job.id;
-    const auto added = jobs.emplace(id, std::move(entry));
-    if (added.second)
-        inheritSuspects(*added.first->second);
+    jobs.emplace(id, std::move(entry));
 }
 
 /// Called before the entry is destroyed.
--- a/packages/jobs/src/cell_crashes.cpp
+++ b/packages/jobs/src/cell_crashes.cpp
@@ -16,6 +16,7 @@
 constexpr Duration untriedLossMemory = 10s; ///< Other workers that were lost within this time make a trial doubtful.
 constexpr Duration rackLossTime = 1500ms; ///< Workers of a rack that are lost within this time share a cause.
 constexpr Duration maxReportAge = 250ms; ///< Of a worker that is known to be up.
+constexpr Duration longestTrial = 1500ms; ///< A start without a trace after this time keeps no other work away.
 constexpr Duration settledAge = 5s; ///< A worker that restarted within this time may restart again by itself.
 
 constexpr int crashesInCalm = 2; ///< The least number that allows a verdict.
@@ -33,10 +34,11 @@
 
 bool Worker::hasFreshReport(TimePoint now) const { return now - lastReportAt <= maxReportAge; }
 
-bool Worker::hasTrial() const
+bool Worker::hasTrial(TimePoint now) const
 {
-    return std::any_of(unprovenStarts.begin(), unprovenStarts.end(),
-        [](const UnprovenStart& each) { return each.isTrial && each.lostAt == TimePoint {}; });
+    return std::any_of(unprovenStarts.begin(), unprovenStarts.end(), [&](const UnprovenStart& each) {
+        return each.isTrial && each.lostAt == TimePoint {} && now - each.sentAt < longestTrial;
+    });
 }
 
 bool JobEntry::isHeldForEvidence(const TaskRef& ref) const
@@ -85,7 +87,7 @@
 {
     discardUnprovenStart(worker, start.task, start.run);
     const JobEntry* entry = find(start.task.job);
-    UnprovenStart unproven { start.task, start.run, worker.incarnationUnixMs };
+    UnprovenStart unproven { start.task, start.run, worker.incarnationUnixMs, now };
     unproven.isTrial = entry && isOnTrial(start.task, stepOf(*entry, start.task));
     unproven.isConclusive = unproven.isTrial && worker.unprovenStarts.empty() && worker.isSettled(now);
     unproven.isWorkerUp = worker.hasFreshReport(now);
@@ -178,7 +180,7 @@
 void CellState::recordUntriedLoss(const Worker& worker, TimePoint now)
 {
     std::deque<UntriedLoss>& losses = crashSuspicion.untriedLosses;
-    if (!worker.hasTrial())
+    if (!worker.hasTrial(now))
         losses.push_back({ now, worker.description.id, worker.description.rack });
     while (!losses.empty() && now - losses.front().at > untriedLossMemory)
         losses.pop_front();
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -100,7 +100,7 @@
     bool hasFreshReport(TimePoint now) const;
 
     /// Whether a suspect is being tried there: nothing else may start.
-    bool hasTrial() const;
+    bool hasTrial(TimePoint now) const;
 
     /// Whether a command that carries a lease has no result yet.
     bool hasLeaseInFlight() const;
--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -119,7 +119,7 @@
             [](const auto& each) { return each.second.phase == RunPhase::Stopping; });
         if (isResponsive && !worker.runs.empty() && !isStopping)
             poll.longestWait = hasBestEffort ? maxPollTimeBesideBestEffort : maxPollTime;
-        if (worker.isKeptForTrial || worker.hasTrial())
+        if (worker.isKeptForTrial || worker.hasTrial(now))
             poll.longestWait = {}; // Whether the worker survives is to be seen at once.
         worker.hasPollInFlight = true;
         worker.needsPoll = false;
--- a/packages/jobs/src/free_capacity.cpp
+++ b/packages/jobs/src/free_capacity.cpp
@@ -16,7 +16,7 @@
 bool isUsable(const Worker& worker, const CellState& state, TimePoint now)
 {
     return worker.isListed && state.isIncarnationConfirmed(worker) && !worker.description.isDraining
-        && !worker.isAvoided(now) && worker.mayTakeStarts() && !worker.hasTrial()
+        && !worker.isAvoided(now) && worker.mayTakeStarts() && !worker.hasTrial(now)
         && !state.drainingMachines.contains(worker.description.machine);
 }
 
@@ -50,7 +50,7 @@
     for (auto& [id, worker] : state.workers) {
         worker.candidateIndex = -1;
         worker.isKeptForTrial = false;
-        m_trials += worker.hasTrial() ? 1 : 0;
+        m_trials += worker.hasTrial(now) ? 1 : 0;
         while (stored != state.storedWorkers.end() && stored->first < id)
             ++stored;
         const bool isStored = stored != state.storedWorkers.end() && stored->first == id;
@@ -82,7 +82,7 @@
         if (!entry || !entry->isStartable(task.occurrence, task.step, task.index))
             continue;
         const Step& step = CellState::stepOf(*entry, task);
-        const int chosen = m_state.isOnTrial(task, step) ? chooseKeptWorker(task, step, now) : -1;
+        const int chosen = m_state.isOnTrial(task, step) ? chooseKeptWorker(task, *entry, now) : -1;
         if (chosen < 0)
             continue;
         Worker& worker = *m_workers[static_cast<std::size_t>(chosen)];
@@ -95,12 +95,29 @@
     }
 }
 
+/// Whether the worker has a ticket for the task, if it needs one, and room for one more task of its step.
+bool FreeCapacity::mayTakeTrial(const TaskRef& task, const JobEntry& entry, const Worker& worker) const
+{
+    const auto tickets = entry.tickets.find({ task.occurrence, task.step });
+    const bool needsTicket = CellState::queueOf(entry).requiresTickets && tickets != entry.tickets.end();
+    if (needsTicket && !tickets->second.tickets.empty() && !tickets->second.tickets.contains(worker.description.id))
+        return false;
+    const int maxPerWorker = CellState::stepOf(entry, task).maxPerWorker;
+    if (maxPerWorker == 0)
+        return true;
+    int runs = 0;
+    for (const auto& [location, count] : m_state.locationsOf(task.job, task.occurrence, task.step))
+        runs += location.worker == &worker ? count : 0;
+    return runs < maxPerWorker;
+}
+
 /// Prefers workers that the task has not crashed; those that have been up for longer, since others may restart again by
 /// themselves; those without long-running
 /// tasks; those without recent starts; and those with the fewest runs.
-int FreeCapacity::chooseKeptWorker(const TaskRef& task, const Step& step, TimePoint now) const
+int FreeCapacity::chooseKeptWorker(const TaskRef& task, const JobEntry& entry, TimePoint now) const
 {
-    const auto& crashes = m_state.find(task.job)->progress.task(task).crashes;
+    const Step& step = CellState::stepOf(entry, task);
+    const auto& crashes = entry.progress.task(task).crashes;
     const auto rank = [&](int index) {
         const Worker& worker = *m_workers[static_cast<std::size_t>(index)];
         const bool fitsNow = fits(reservedSize(step), m_candidates[static_cast<std::size_t>(index)].free);
@@ -114,7 +131,8 @@
         const Candidate& candidate = m_candidates[static_cast<std::size_t>(index)];
         const bool fitsSoon = fits(reservedSize(step), candidate.freeAfterFiniteRuns);
         const bool isPossible = !candidate.isReserved && fitsSoon && isEligible(step, *candidate.worker);
-        if (isPossible && (best < 0 || rank(index) < rank(best)))
+        if (isPossible && mayTakeTrial(task, entry, *m_workers[static_cast<std::size_t>(index)])
+            && (best < 0 || rank(index) < rank(best)))
             best = index;
     }
     return best;
@@ -199,7 +217,7 @@
     const Step& step = entry.job.spec.steps[static_cast<std::size_t>(stepNumber)];
     m_areColocatedRunsCounted = false;
     m_waitingForTrial = 0;
-    const bool hasSuspects = !m_state.crashSuspicion.suspects.empty();
+    const bool hasSuspects = m_state.crashSuspicion.hasSuspectsOf(entry.job.id);
     if (!mayFit(step) || (m_unplaceable.covers(step) && !hasSuspects))
         return {};
     if (dependsOnColocatedRuns(step))
@@ -242,7 +260,7 @@
         if (candidateIndex < 0) {
             if (dependsOnSizeAndLabelOnly(step) && !tickets)
                 m_unplaceable.record(step);
-            if (m_state.crashSuspicion.suspects.empty())
+            if (!m_state.crashSuspicion.hasSuspectsOf(entry.job.id))
                 break;
             isUnplaceable = true;
             continue;
--- a/packages/jobs/src/free_capacity.h
+++ b/packages/jobs/src/free_capacity.h
@@ -46,7 +46,8 @@
         const JobEntry& entry, int occurrence, int step, const std::map<WorkerId, std::string>* tickets);
     void addSameStepRuns(int candidateIndex, int runs, const Step& step);
     void keepWorkersForTrials(TimePoint now);
-    int chooseKeptWorker(const TaskRef& task, const Step& step, TimePoint now) const;
+    int chooseKeptWorker(const TaskRef& task, const JobEntry& entry, TimePoint now) const;
+    bool mayTakeTrial(const TaskRef& task, const JobEntry& entry, const Worker& worker) const;
     int chooseTrialWorker(const TaskRef& task, const Step& step, const std::map<WorkerId, std::string>* tickets);
     void reserve(int candidateIndex, const Step& step);
 
--- a/packages/jobs/src/unproven_start.h
+++ b/packages/jobs/src/unproven_start.h
@@ -16,6 +16,7 @@
     TaskRef task;
     RunNumber run { 0 };
     std::int64_t incarnationUnixMs { 0 }; ///< Incarnation of the worker that the start was sent to.
+    TimePoint sentAt {};
     bool isTrial { false }; ///< Of a suspect, the only recent start on its worker.
     /// A trial on a worker that had been up for a while, so that its crash points to the task.
     bool isConclusive { false };
@@ -39,6 +40,12 @@
     std::set<TaskRef> suspects;
     /// Of the last seconds. Trials that end at about that time may have been hit by the same fault.
     std::deque<UntriedLoss> untriedLosses;
+
+    bool hasSuspectsOf(const JobId& job) const
+    {
+        const auto first = suspects.lower_bound({ job, 0, 0, 0 });
+        return first != suspects.end() && first->job == job;
+    }
 };
 
 } // namespace rattanrack::jobs
--- a/packages/node/tests/cell_log_tests.cpp
+++ b/packages/node/tests/cell_log_tests.cpp
@@ -134,7 +134,9 @@
         workerEvent(WorkerEvent::Kind::Contacted), workerEvent(WorkerEvent::Kind::NeverContacted),
         workerEvent(WorkerEvent::Kind::Unresponsive), workerEvent(WorkerEvent::Kind::Recovered),
         workerEvent(WorkerEvent::Kind::HigherFenceSeen), JobEvent { JobEvent::Kind::TakenOver, {}, {}, {} },
-        JobEvent { JobEvent::Kind::Accepted, {}, {}, {} }, JobEvent { JobEvent::Kind::Ended, {}, {}, {} } };
+        JobEvent { JobEvent::Kind::Accepted, {}, {}, {} }, JobEvent { JobEvent::Kind::Ended, {}, {}, {} },
+        JobEvent { JobEvent::Kind::GivenUp, {}, {}, {} }, runEvent(RunEvent::Kind::Suspected),
+        runEvent(RunEvent::Kind::Cleared) };
     write(runEvent(RunEvent::Kind::Ended, "done"), burst);
     for (const jobs::CellEvent& event : events)
         write(event, burst);
