--- a/packages/jobs/tests/crashing_task_tests.cpp
+++ b/packages/jobs/tests/crashing_task_tests.cpp
@@ -200,3 +200,71 @@
         { 0, 0, 2, false, {}, { { WorkerId { "w" }, 7, false } }, { { WorkerId { "v" }, 8, 9 } } });
     EXPECT_EQ(valueOrNothing([&] { return decodeProgress(encode(progress)); }).value(), progress);
 }
+
+TEST(CrashingTask, PausedOwnerCountsTheCrash)
+{
+    CellHarness harness;
+    settle(harness);
+    const StartCommand start = harness.submitAndTakeStart("a");
+    harness.restartWorker(start.worker);
+    harness.advance(8s); // No pass in between.
+    harness.respond(start, CommandStatus::NoResponse);
+    harness.answerAllPolls();
+    harness.advance(period);
+    EXPECT_EQ(harness.runEvents(RunEvent::Kind::Suspected).size(), 1U);
+}
+
+TEST(CrashingTask, CrashIsStoredOnceTheStoreIsBack)
+{
+    CellHarness harness;
+    settle(harness);
+    crashUnder(harness, harness.submitAndTakeStart("a"));
+    ASSERT_TRUE(harness.cell().takeCommit(0).has_value());
+    harness.cell().onCommitFailed();
+    EXPECT_TRUE(harness.cell().hasUrgentCommit());
+    const auto commit = harness.cell().takeCommit(0);
+    ASSERT_TRUE(commit.has_value());
+    const auto progress = valueOrNothing([&] { return decodeProgress(*commit->rows.back().value); }).value();
+    ASSERT_EQ(progress.tasks.size(), 1U);
+    EXPECT_EQ(progress.tasks[0].crashes.size(), 1U);
+}
+
+TEST(CrashingTask, LongRunningTaskIsNotGivenUpAfterTwoCrashes)
+{
+    CellHarness harness;
+    settle(harness);
+    Job job { JobId { "a" }, QueueId { "q" }, 0, { "text", { {} }, {} } };
+    job.spec.steps[0].size = { Millicores { 800 }, Mebibytes { 100 }, {} };
+    job.spec.steps[0].isLongRunning = true;
+    ASSERT_EQ(harness.cell().submit(job, 1, harness.now()), Acceptance::Pending);
+    const auto first = nextStart(harness, 1s);
+    ASSERT_TRUE(first.has_value());
+    crashUnder(harness, *first, CommandStatus::Done);
+    const auto second = nextStart(harness, 15s);
+    ASSERT_TRUE(second.has_value());
+    crashUnder(harness, *second);
+    harness.advance(period);
+    ASSERT_EQ(harness.runEvents(RunEvent::Kind::Suspected).size(), 2U);
+    EXPECT_FALSE(isGivenUp(harness, "a"));
+    EXPECT_TRUE(nextStart(harness, 15s).has_value());
+}
+
+TEST(CrashingTask, GangIsNotGivenUpWhenBothOfItsWorkersCrash)
+{
+    CellHarness harness;
+    settle(harness);
+    Job job { JobId { "a" }, QueueId { "q" }, 0, { "text", { {} }, {} } };
+    job.spec.steps[0].size = { Millicores { 800 }, Mebibytes { 100 }, {} };
+    job.spec.steps[0].count = 2;
+    job.spec.steps[0].isGang = true;
+    ASSERT_EQ(harness.cell().submit(job, 1, harness.now()), Acceptance::Pending);
+    harness.storeChanges();
+    harness.advance(period);
+    for (const StartCommand& start : harness.takeCommands<StartCommand>())
+        harness.respond(start, CommandStatus::Done);
+    harness.restartAllWorkers();
+    harness.advance(period);
+    EXPECT_EQ(harness.runEvents(RunEvent::Kind::Suspected).size(), 2U);
+    EXPECT_FALSE(isGivenUp(harness, "a"));
+    EXPECT_TRUE(nextStart(harness, 15s).has_value());
+}
