Count a crash of a worker under all tasks there that would crash it

The oracle counted the crash for one task only, though the rule counts workers that have crashed under a task.

--- a/packages/jobs/model/cell_simulation.h
+++ b/packages/jobs/model/cell_simulation.h
@@ -86,7 +86,7 @@
     /// Failed runs, as far as workers have listed them, of the job's task that failed most often.
     int highestFailureCount(const JobId& job) const;
 
-    /// Workers that a task has crashed by its start, of the job's task that crashed most.
+    /// Workers that have crashed under a task that crashes them, of the job's task with most.
     int highestCrashCount(const JobId& job) const { return m_oracle.highestCrashCount(job); }
 
     /// Accepted jobs that are not shown as ended, each with the number of its running tasks.
--- a/packages/jobs/model/cell_simulation_faults.cpp
+++ b/packages/jobs/model/cell_simulation_faults.cpp
@@ -75,7 +75,7 @@
     }
 }
 
-/// Crashes the worker soon after it has carried out this start.
+/// Crashes the worker soon after it has carried out this start. It crashes under all tasks there that would crash it.
 void CellSimulation::crashUnder(const ModelWorker& worker, const StartCommand& command)
 {
     const WorkerId id = worker.description().id;
@@ -87,7 +87,10 @@
         if (!crashing->runs().contains(command.task))
             return;
         const auto index = static_cast<std::size_t>(crashing - m_workers.data());
-        m_oracle.onCrashedUnder(command.task);
+        for (const auto& [task, run] : crashing->runs()) {
+            if (crashesWorkers(task))
+                m_oracle.onCrashedUnder(task);
+        }
         takeDown(index);
         restartLater(index, randomBetween(3s, 3500ms), renamedAfterOwnCrash);
     });
--- a/packages/jobs/model/rule_oracle.h
+++ b/packages/jobs/model/rule_oracle.h
@@ -35,7 +35,7 @@
     /// Records the stop of an active run. To be called before the worker's event for it.
     void onStopped(const StopCommand& command, const CommandExecution& execution, TimePoint now);
     void onCrashed(const WorkerId& worker, TimePoint now);
-    /// A worker has crashed because of its start of the task.
+    /// A worker has crashed under a task that crashes its workers.
     void onCrashedUnder(const TaskRef& task) { ++m_tasks[task].crashes; }
     int highestCrashCount(const JobId& job) const;
     void onRunEvent(const ModelWorkerEvent& event);
