--- a/packages/jobs/include/rattanrack/jobs/cell_event.h
+++ b/packages/jobs/include/rattanrack/jobs/cell_event.h
@@ -11,7 +11,12 @@
 namespace rattanrack::jobs {
 
 struct JobEvent {
-    enum class Kind : std::uint8_t { TakenOver, Accepted, Ended };
+    enum class Kind : std::uint8_t {
+        TakenOver,
+        Accepted,
+        Ended,
+        GivenUp, ///< A task crashes the workers that start it; `detail` names the task and the workers.
+    };
     Kind kind { Kind::Accepted };
     JobId job;
     std::string detail;
@@ -28,6 +33,8 @@
         /// start was last sent, 0 if a previous owner sent it.
         PresumedEnded,
         NotStarted, ///< Over, since its start was refused or not sent; `detail` is the reason, `age` as above.
+        Suspected, ///< Its worker has crashed soon after the start; `detail` is the evidence.
+        Cleared, ///< The worker has survived the start of a suspect.
     };
     Kind kind { Kind::Starting };
     TaskRef task;
--- a/packages/jobs/src/cell.cpp
+++ b/packages/jobs/src/cell.cpp
@@ -50,6 +50,7 @@
             state.addEvent(JobEvent {
                 JobEvent::Kind::TakenOver, id, std::string(name(entry->storedState)), now - entry->acceptedAt });
         state.addJob(std::move(entry));
+        state.inheritSuspects(*state.find(id));
     }
 }
 
@@ -326,6 +327,7 @@
     state.unixMs = unixMs;
     state.checkRecovery(now);
     state.checkUnresponsive(now);
+    state.expireCrashEvidence(now);
     state.retryCommands(now, mayStart);
     if (mayStart) {
         state.drainMachines(now);
--- a/packages/jobs/src/cell_starts.cpp
+++ b/packages/jobs/src/cell_starts.cpp
@@ -129,6 +129,7 @@
         sendStop(worker, command.task, command.run, "the start may be carried out late");
         return;
     }
+    discardUnprovenStart(worker, command.task, command.run);
     presumeEnded(worker, command.task, reasonNotStarted(result), now, RunEvent::Kind::NotStarted);
 }
 
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -1,11 +1,10 @@
 #pragma once
 
-#include "rattanrack/jobs/best_effort_throttle.h"
 #include "rattanrack/jobs/cell.h"
-#include "rattanrack/jobs/lease_clock.h"
 #include "rattanrack/jobs/offered_load.h"
 #include "rattanrack/jobs/runtime_estimator.h"
 #include "rattanrack/jobs/start_window.h"
+#include "worker_state.h"
 
 #include <deque>
 #include <map>
@@ -18,130 +17,6 @@
 /// Whether a job stays in this state for good.
 constexpr bool isTerminal(JobState state) { return state != JobState::Queued && state != JobState::Active; }
 
-enum class RunPhase : std::uint8_t {
-    Starting, ///< The start has no result yet.
-    Confirmed, ///< The worker has confirmed that the run is active.
-    Stopping,
-};
-
-/// A run that may be active.
-struct Run {
-    RunNumber number { 0 };
-    RunPhase phase { RunPhase::Starting };
-    ResourceSize size; ///< What the run reserves of the worker's capacity.
-    bool isLongRunning { false };
-    bool isBestEffort { false };
-    bool isServing { false }; ///< Has a latency target.
-    bool isSizeUnknown { false }; ///< Adopted, of a job that this owner does not know.
-    bool mayStartLate { false }; ///< A start without a response may still be carried out.
-    bool hasCommandInFlight { false }; ///< A start or stop has no result yet.
-    bool hasStartInFlight { false }; ///< The command is a start, which carries a lease.
-    std::optional<std::int64_t> seenInIncarnation; ///< The worker's incarnation that is known to have the run.
-    TimePoint startSentAt {};
-    TimePoint confirmedAt {};
-    TimePoint safeFromEarlierStopAt {}; ///< From then on no stop by a previous owner can end the run any more.
-    /// When the worker last accepted a start or stop; a later poll shows whether the run is active.
-    TimePoint acknowledgedAt {};
-    TimePoint retryAt {};
-    std::uint64_t seenInPoll { 0 }; ///< Number of the latest poll that listed the run as running.
-    int percent { 0 };
-    int throttlePercent { 100 };
-    double measuredValue { 0 };
-    StartCommand start; ///< Sent again while it has no response.
-
-    bool is(RunNumber other) const { return number == other; }
-};
-
-/// An ended run that has been processed but not acknowledged.
-struct UnacknowledgedRun {
-    std::int64_t sequence { 0 };
-    JobId job;
-    std::uint64_t revision { 0 }; ///< Of the job, which must be stored first; 0: nothing has to be stored.
-};
-
-enum class WorkerContact : std::uint8_t {
-    Unknown, ///< Not polled under this owner's fence.
-    Responsive,
-    Unresponsive,
-};
-
-/// Counts of a worker's runs that influence other runs there. Updated as runs come and go.
-struct ColocatedRuns {
-    int longRunning { 0 }; ///< Other than best-effort runs.
-    int serving { 0 }; ///< With a latency target.
-    int bestEffortRuns { 0 };
-    int ofUnknownSize { 0 };
-
-    /// `count`: 1 for a run that is added, -1 for one that is removed.
-    void add(const Run& run, int count)
-    {
-        bestEffortRuns += run.isBestEffort ? count : 0;
-        longRunning += run.isLongRunning && !run.isBestEffort ? count : 0;
-        serving += run.isServing ? count : 0;
-        ofUnknownSize += run.isSizeUnknown ? count : 0;
-    }
-};
-
-struct Worker {
-    WorkerDescription description;
-    bool isListed { false };
-    WorkerContact contact { WorkerContact::Unknown };
-    LeaseClock clock;
-    std::int64_t incarnationUnixMs { 0 };
-    TimePoint startedAtLatest {}; ///< Latest possible start of the incarnation that responds.
-    std::unordered_map<TaskRef, Run> runs;
-    ResourceSize used;
-    ResourceSize usedByLongRunning;
-    ColocatedRuns colocatedRuns;
-    int candidateIndex { -1 }; ///< Among the usable workers of the current scheduling pass; -1: not usable.
-    std::int64_t processedThrough { 0 };
-    std::int64_t ackedThrough { 0 };
-    std::int64_t lastAckSent { 0 }; ///< Acknowledgement of the last poll with a response.
-    std::deque<UnacknowledgedRun> unacknowledgedRuns;
-    std::uint64_t pollsProcessed { 0 };
-    bool mayHaveRetries { false }; ///< Whether some run may have a command to retry.
-    bool hasPollInFlight { false };
-    bool hasRenewalInFlight { false }; ///< The poll in flight carries a lease.
-    bool needsPoll { true };
-    TimePoint nextPollAt {};
-    TimePoint lastPollSentAt {}; ///< Of the polls that have had a response.
-    int consecutiveFailures { 0 };
-    TimePoint avoidUntil {};
-    /// Leases meant for an earlier incarnation, which would keep a run of this one active, have ended by then.
-    TimePoint startsAllowedAt {};
-    TimePoint failingUntil {}; ///< Avoided for its failures; the next success ends this.
-    int startsInFlight { 0 };
-    bool isSlow { false }; ///< Responds to starts more slowly than other workers.
-    BestEffortThrottle bestEffortThrottle;
-
-    bool isAvoided(TimePoint now) const { return now < avoidUntil || isAvoidedForFailures(now); }
-    bool isAvoidedForFailures(TimePoint now) const { return now < failingUntil; }
-    bool mayTakeStarts() const { return !isSlow && startsInFlight < StartWindow::maxPerWorker; }
-
-    /// A new incarnation has responded. Removes what earlier ones have reported, except for runs that may still be
-    /// active.
-    void beginIncarnation(std::int64_t unixMs, TimePoint atLatest);
-
-    /// Whether something may run there, or has ended and is recorded by this owner alone.
-    bool hasUnfinishedWork() const { return !runs.empty() || !unacknowledgedRuns.empty(); }
-
-    bool hasLongRunning() const;
-
-    /// Whether the worker has accepted a start or a stop of some run. A start carries the lease that its run needs
-    /// until then.
-    bool hasConfirmedRun() const;
-
-    /// Whether a command that carries a lease has no result yet.
-    bool hasLeaseInFlight() const;
-
-    /// Whether the list describes the incarnation that responds. A new incarnation may have other properties than the
-    /// one before, or may be draining.
-    bool isDescriptionCurrent() const { return description.incarnationUnixMs >= incarnationUnixMs; }
-
-    /// Whether the list shows a later incarnation than any that has responded.
-    bool isLaterIncarnationListed() const { return description.incarnationUnixMs > incarnationUnixMs; }
-};
-
 /// The run that the result of a start or stop is for; null when the run has been removed since.
 struct CommandedRun {
     Worker* worker { nullptr };
@@ -191,7 +66,8 @@
     std::uint64_t revision { 0 }; ///< Increases with each change that is to be stored.
     std::uint64_t revisionInCommit { 0 };
     std::uint64_t storedRevision { 0 };
-    std::uint64_t failureRevision { 0 }; ///< The revision that contains the latest failure.
+    std::uint64_t failureRevision { 0 }; ///< The revision that contains the latest failure or crash.
+    int lostStarts { 0 }; ///< Of all tasks: starts whose workers are not back yet.
     JobState stateInCommit { JobState::Queued };
     JobState storedState { JobState::Queued };
     std::vector<CallerToken> waitingCallers; ///< Callers that wait for the next commit.
@@ -206,6 +82,9 @@
     /// Whether the task waits for its start. After a failure it also waits until the failure is stored, since the next
     /// owner would not count a failure that it receives only after a further run has started.
     bool isStartable(int occurrence, int step, int index) const;
+
+    /// Whether the task waits for evidence: with one crash more it would be given up.
+    bool isHeldForEvidence(const TaskRef& ref) const;
     int startableTasks(int occurrence, int step) const;
 };
 
@@ -289,6 +168,7 @@
     Millicores waitingDemand; ///< Demand of steps that were ready and on time in the latest pass, but were not placed.
     OfferedLoad offeredLoad;
     SchedulingCost schedulingCost;
+    CrashSuspicion crashSuspicion;
     StartWindow startWindow;
     int startsInFlight { 0 }; ///< Starts that count towards the window, in the current pass.
     bool isGangHeldBack { false }; ///< In the current pass, until enough of the window is free.
@@ -333,6 +213,29 @@
     void advanceAllAcks();
     void removeOldJobs();
 
+    // Tasks that crash workers: cell_crashes.cpp
+    bool hasCrashedRepeatedly(const TaskRef& task) const;
+    bool mayRetryStart(const Worker& worker, const TaskRef& task) const;
+    bool isOnTrial(const TaskRef& task, const Step& step) const;
+    JobEntry* findUndecided(const TaskRef& task);
+    void recordUnprovenStart(Worker& worker, const StartCommand& start, TimePoint now);
+    void recordCarriedOut(Worker& worker, const StartCommand& start, std::int64_t workerClockMs);
+    void discardUnprovenStart(Worker& worker, const TaskRef& task, RunNumber run);
+    void recordUntriedLoss(const Worker& worker, TimePoint now);
+    bool isRackLost(const Worker& worker, const UnprovenStart& start, TimePoint now) const;
+    void dropUnprovenStarts(Worker& worker);
+    void beginAwait(const WorkerId& worker, UnprovenStart& start);
+    void inheritSuspects(JobEntry& entry);
+    void endAwait(UnprovenStart& start);
+    void recordLostContact(Worker& worker, TimePoint now);
+    void recordRestart(Worker& worker, std::int64_t laterIncarnationUnixMs, TimePoint now);
+    void countCrash(const Worker& worker, const UnprovenStart& start, bool isAlone, TimePoint now);
+    bool isProvenToCrash(const Step& step, const Task& task, TimePoint now) const;
+    void giveUp(JobEntry& entry, const TaskRef& task, TimePoint now);
+    void recordSurvival(const Worker& worker, const TaskRef& task, RunNumber run);
+    void reviewUnprovenStarts(Worker& worker, const PollReport& report);
+    void expireCrashEvidence(TimePoint now);
+
     // Sums over runs: cell_run_sums.cpp
     void updateSums(Worker& worker, const TaskRef& task, const Run& run, int count);
     StepLocationRange locationsOf(const JobId& job, int occurrence, int step) const;
@@ -353,6 +256,7 @@
     void sendPolls(TimePoint now, bool mayRenew);
     void retryCommands(TimePoint now, bool mayStart);
     void checkUnresponsive(TimePoint now);
+    static bool isWorkerAwaited(const Worker& worker, const TaskRef& task, const Run& run, TimePoint now);
 
     /// Whether starts may be sent to the incarnation that responds.
     bool isIncarnationConfirmed(const Worker& worker) const;
--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -16,7 +16,6 @@
 constexpr Duration maxPollTimeBeforeRenewal = 250ms; ///< While no run is confirmed; the next poll renews the lease.
 constexpr Duration pollPause = 50ms; ///< Runs that end within this time are listed by the same poll.
 constexpr Duration unresponsivePollPause = 250ms;
-constexpr Duration startLease = 2s; ///< Lease of a start; polls renew it.
 constexpr Duration minAvoidance = 1s; ///< Of a worker on which all runs fail; doubles with each further failure.
 constexpr Duration maxAvoidance = 8s;
 constexpr int failuresBeforeAvoidance = 3;
@@ -29,6 +28,15 @@
     return std::max(shown - maxInitialClock, Duration {});
 }
 
+/// Why a start that got no response is not sent again.
+std::string_view reasonNotRetried(bool isDraining, bool hasCapacity)
+{
+    if (isDraining)
+        return "start got no response, and the worker is draining";
+    return hasCapacity ? "start got no response, and its task may have crashed the worker"
+                       : "start got no response, and the worker's capacity has shrunk";
+}
+
 bool isServing(const Step& step) { return step.isLongRunning && step.latencyTarget > Duration::zero(); }
 
 } // namespace
@@ -59,6 +67,8 @@
         worker.needsPoll = worker.needsPoll || isNewIncarnation;
         const bool isRestarted
             = worker.incarnationUnixMs > 0 && description.incarnationUnixMs > worker.incarnationUnixMs;
+        if (isRestarted)
+            state.recordRestart(worker, description.incarnationUnixMs, now);
         if (isRestarted && worker.contact == WorkerContact::Responsive)
             worker.contact = WorkerContact::Unresponsive;
         worker.description = description;
@@ -70,8 +80,11 @@
             return other.machine == earlier.description.machine && other.id != earlier.description.id
                 && other.incarnationUnixMs > earlier.description.incarnationUnixMs && !other.machine.isEmpty();
         };
-        if (!worker.isListed && std::any_of(listed.begin(), listed.end(), isSuccessor))
-            state.onWorkerLost(worker, "a later worker is listed on its machine", now);
+        const auto successor = std::find_if(listed.begin(), listed.end(), isSuccessor);
+        if (worker.isListed || successor == listed.end())
+            continue;
+        state.recordRestart(worker, successor->incarnationUnixMs, now);
+        state.onWorkerLost(worker, "a later worker is listed on its machine", now);
     }
     // The starts of inherited workers are not known here. A list from before the takeover, or one that still contains
     // the worker, may show an earlier worker on its machine.
@@ -87,15 +100,16 @@
     state.listedCapacity = state.capacityOfListedWorkers();
     std::erase_if(state.workers, [&](const auto& each) {
         const Worker& worker = each.second;
-        return !worker.isListed && !worker.hasUnfinishedWork() && !worker.hasPollInFlight
-            && now >= worker.clock.leasesEndAt();
+        return !worker.isListed && !worker.hasUnfinishedWork() && worker.unprovenStarts.empty()
+            && !worker.hasPollInFlight && now >= worker.clock.leasesEndAt();
     });
 }
 
 void CellState::sendPolls(TimePoint now, bool mayRenew)
 {
     for (auto& [id, worker] : workers) {
-        const bool isPollNeeded = worker.needsPoll || !worker.runs.empty() || worker.ackedThrough > worker.lastAckSent;
+        const bool isPollNeeded = worker.needsPoll || worker.isKeptForTrial || !worker.runs.empty()
+            || worker.ackedThrough > worker.lastAckSent;
         const bool isReachable = worker.isListed || !worker.runs.empty();
         if (!isPollNeeded || !isReachable || worker.hasPollInFlight || now < worker.nextPollAt)
             continue;
@@ -118,6 +132,8 @@
             poll.longestWait = hasBestEffort ? maxPollTimeBesideBestEffort : maxPollTime;
         if (!worker.hasConfirmedRun())
             poll.longestWait = std::min(poll.longestWait, maxPollTimeBeforeRenewal);
+        if (worker.isKeptForTrial || worker.hasTrial(now))
+            poll.longestWait = {}; // Whether the worker survives is to be seen at once.
         worker.hasPollInFlight = true;
         worker.needsPoll = false;
         output.commands.emplace_back(std::move(poll));
@@ -145,14 +161,17 @@
             state.recordHigherFence(command.worker, now);
         if (worker.contact == WorkerContact::Responsive) {
             worker.contact = WorkerContact::Unresponsive;
+            state.recordLostContact(worker, now);
             state.addEvent(WorkerEvent { WorkerEvent::Kind::Unresponsive, command.worker });
         }
         return;
     }
     const PollReport& report = result.report;
-    if (worker.incarnationUnixMs != report.incarnationUnixMs)
+    worker.lastReportAt = now;
+    if (worker.incarnationUnixMs != report.incarnationUnixMs) {
+        state.recordRestart(worker, report.incarnationUnixMs, now);
         worker.beginIncarnation(report.incarnationUnixMs, now - ageAtLeast(report.workerClockMs));
-    else
+    } else
         worker.lastAckSent = std::max(worker.lastAckSent, result.ackedThrough);
     if (worker.contact != WorkerContact::Responsive) {
         const bool isRecovery = worker.contact == WorkerContact::Unresponsive;
@@ -168,38 +187,11 @@
     for (const EndedRun& ended : report.endedRuns)
         state.processEndedRun(worker, ended, now);
     state.processRunning(worker, report, sentAt, now);
+    state.reviewUnprovenStarts(worker, report);
     state.advanceAcks(command.worker, worker);
     state.throttleBestEffort(worker, now);
 }
 
-/// `isBound`: the worker keeps its connections, so that leases of previous owners reached no later incarnation either.
-void CellState::recordIncarnation(Worker& worker, std::int64_t incarnationUnixMs, bool isBound, TimePoint now) const
-{
-    if (worker.clock.isOfIncarnation(incarnationUnixMs))
-        return;
-    worker.startsAllowedAt = worker.clock.unboundLeasesEndAt(settings.longestLease);
-    worker.clock.beginIncarnation(incarnationUnixMs, settings.longestLease, {});
-    const bool isFirstOwner = settings.fence <= 1;
-    if (!isFirstOwner)
-        worker.clock.inherit(now, isBound ? settings.leaseLength : settings.longestLease);
-}
-
-void CellState::grantStart(Worker& worker, Run& run, TimePoint now)
-{
-    run.start.leaseUntilWorkerMs = worker.clock.grant(startLease, now);
-    run.start.incarnationUnixMs = worker.incarnationUnixMs;
-    run.startSentAt = now;
-    run.hasCommandInFlight = true;
-    run.hasStartInFlight = true;
-}
-
-void CellState::recordDelivery(
-    Worker& worker, std::int64_t incarnationUnixMs, CommandStatus status, TimePoint now) const
-{
-    if (status != CommandStatus::NotSent && status != CommandStatus::Expired)
-        worker.clock.recordDelivery(incarnationUnixMs, status != CommandStatus::NoResponse, settings.longestLease, now);
-}
-
 /// Sends a start without a response again only where a new start would be permitted; on a worker that is draining or
 /// whose capacity has shrunk below what it runs, a stop resolves whether the start took effect. On the latter the run
 /// may be at work, which the next poll shows, so that the stop waits for it.
@@ -216,63 +208,24 @@
             if (run.hasCommandInFlight || run.retryAt == TimePoint {} || now < run.retryAt)
                 continue;
             const bool isUnresolved = run.phase == RunPhase::Starting;
-            const bool isStart = isUnresolved && !isDraining && hasCapacity;
-            if (isStart && !(mayStart && isIncarnationConfirmed(worker) && now >= worker.startsAllowedAt))
+            const bool isStopped = isDraining || hasCrashedRepeatedly(task);
+            const bool isStart = isUnresolved && !isStopped && hasCapacity;
+            const bool mayRetry = mayStart && isIncarnationConfirmed(worker) && now >= worker.startsAllowedAt;
+            if (isStart && !(mayRetry && mayRetryStart(worker, task)))
                 continue;
-            if (isUnresolved && !isDraining && !hasCapacity && worker.lastPollSentAt < run.retryAt)
+            if (isUnresolved && !isStopped && !hasCapacity && worker.lastPollSentAt < run.retryAt)
                 continue;
             run.retryAt = {};
             if (isStart) {
                 grantStart(worker, run, now);
                 output.commands.emplace_back(run.start);
             } else if (run.phase != RunPhase::Confirmed) {
-                sendStop(worker, task, run.number,
-                    isDraining ? "start got no response, and the worker is draining"
-                               : "start got no response, and the worker's capacity has shrunk");
+                sendStop(worker, task, run.number, reasonNotRetried(isDraining, hasCapacity));
             }
         }
     }
 }
 
-void CellState::checkUnresponsive(TimePoint now)
-{
-    for (auto& [id, worker] : workers) {
-        if (worker.contact != WorkerContact::Unresponsive || now < worker.clock.leasesEndAt())
-            continue;
-        std::vector<TaskRef> expired;
-        for (const auto& [task, run] : worker.runs) {
-            if (now >= leaseEndOf(worker, run, now))
-                expired.push_back(task);
-        }
-        for (const TaskRef& task : expired)
-            presumeEnded(worker, task, "lease expired", now);
-        if (!expired.empty() && worker.runs.empty())
-            inheritedWorkers.erase(id);
-    }
-}
-
-/// The list and the lease must be for the incarnation that responds. A replaced owner does not detect its replacement
-/// until its next transaction, and an incarnation that started after the next owner's poll has not received the higher
-/// fence that would make it refuse.
-bool CellState::isIncarnationConfirmed(const Worker& worker) const
-{
-    return worker.contact == WorkerContact::Responsive && worker.clock.isKnown() && worker.isDescriptionCurrent()
-        && worker.startedAtLatest <= ownershipConfirmedAt;
-}
-
-/// A run that the current incarnation is not known to have may be active in a later one, if a lease sent to the current
-/// one was not bound to it: the later one interprets that lease by its own clock. A command in flight arrives now at
-/// the earliest, and whether it was bound is not known yet.
-TimePoint CellState::leaseEndOf(const Worker& worker, const Run& run, TimePoint now) const
-{
-    if (run.seenInIncarnation == worker.incarnationUnixMs)
-        return worker.clock.leasesEndAt();
-    LeaseClock delivered = worker.clock;
-    if (worker.hasLeaseInFlight())
-        delivered.recordDelivery(worker.incarnationUnixMs, true, settings.longestLease, now);
-    return delivered.leasesEndInAllIncarnationsAt(worker.isLaterIncarnationListed(), settings.longestLease);
-}
-
 void CellState::checkRecovery(TimePoint now)
 {
     std::erase_if(inheritedWorkers, [&](const auto& inherited) {
