Poll a worker as long as before beside an unconfirmed start

Change: it waits 1 s again; the start's lease of 2 s covers that. What is lost: a first poll without a response lets the lease of a start on an idle worker end (2 s, 4.5 s before).

--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -13,7 +13,6 @@
 
 constexpr Duration maxPollTime = 1000ms;
 constexpr Duration maxPollTimeBesideBestEffort = 500ms;
-constexpr Duration maxPollTimeBeforeRenewal = 250ms; ///< While no run is confirmed; the next poll renews the lease.
 constexpr Duration pollPause = 50ms; ///< Runs that end within this time are listed by the same poll.
 constexpr Duration unresponsivePollPause = 250ms;
 constexpr Duration startLease = 2s; ///< Lease of a start; polls renew it.
@@ -116,8 +115,6 @@
             [](const auto& each) { return each.second.phase == RunPhase::Stopping; });
         if (isResponsive && !worker.runs.empty() && !isStopping)
             poll.longestWait = hasBestEffort ? maxPollTimeBesideBestEffort : maxPollTime;
-        if (!worker.hasConfirmedRun())
-            poll.longestWait = std::min(poll.longestWait, maxPollTimeBeforeRenewal);
         worker.hasPollInFlight = true;
         worker.needsPoll = false;
         output.commands.emplace_back(std::move(poll));
