A restarted node waits no longer for its own earlier process

Cause: the node that knows best that the previous owner has ended is its successor at the same place, but it had heard no announcement of that owner, and waited the full 10.1 s.

Change: the takeover tells who held the part; if that was an earlier process of this node, it grants no leases since this one started.

--- a/packages/jobs/include/rattanrack/jobs/ownership.h
+++ b/packages/jobs/include/rattanrack/jobs/ownership.h
@@ -72,6 +72,9 @@
     void onCellTaken(const PoolId& cell, Fence term, TimePoint now);
     void onCellDropped(const PoolId& cell, TimePoint now);
 
+    /// The cell's owner in that term was an earlier process of this node, which has ended.
+    void onOwnEarlierTerm(const PoolId& cell, Fence term, TimePoint now);
+
     /// A takeover has failed; it is tried again after a pause.
     void onTakeFailed(const PoolId& cell, TimePoint now);
 
--- a/packages/jobs/src/ownership.cpp
+++ b/packages/jobs/src/ownership.cpp
@@ -158,6 +158,12 @@
     m_ownedCells.erase(owned);
 }
 
+void Ownership::onOwnEarlierTerm(const PoolId& cell, Fence term, TimePoint now)
+{
+    recordOwned({ cell, term }, now);
+    recordReleased({ cell, term }, m_startedAt);
+}
+
 void Ownership::onTakeFailed(const PoolId& cell, TimePoint now) { m_retryAt[cell] = now + pauseAfterFailure; }
 
 std::optional<CellOwner> Ownership::owner(const PoolId& cell, TimePoint now) const
--- a/packages/jobs/tests/earlier_grant_tests.cpp
+++ b/packages/jobs/tests/earlier_grant_tests.cpp
@@ -80,4 +80,10 @@
     EXPECT_EQ(latestGrant(2, at(20s)), at(25s));
 }
 
+TEST_F(EarlierGrants, EarlierProcessOfThisNodeHasEnded)
+{
+    ownership.onOwnEarlierTerm(cell, 1, at(2s));
+    EXPECT_EQ(latestGrant(2, at(2s)), at(0s)); // The start of this process.
+}
+
 TEST_F(EarlierGrants, FirstTermHasNoEarlierOwner) { EXPECT_EQ(latestGrant(1, at(20s)), TimePoint {}); }
--- a/packages/node/include/rattanrack/node/part_writer.h
+++ b/packages/node/include/rattanrack/node/part_writer.h
@@ -16,6 +16,7 @@
 /// A part that this node has taken over.
 struct PartTakeover {
     jobs::OwnedPart part;
+    NodeId previousHolder; ///< Empty: the part was handed back, or had no owner yet.
     jobs::WorkerMachines workers; ///< Workers that earlier owners used.
     /// Leases that the latest earlier owner had granted when it handed the part back; empty if it did not hand it back.
     jobs::OutstandingLeases outstandingLeases;
--- a/packages/node/src/part_writer.cpp
+++ b/packages/node/src/part_writer.cpp
@@ -49,7 +49,8 @@
         ownerRow = std::move(decoded);
         version = row.version;
     }
-    PartTakeover takeover { { name, self, ownerRow, version }, ownerRow ? ownerRow->workers : jobs::WorkerMachines {},
+    PartTakeover takeover { { name, self, ownerRow, version }, ownerRow ? ownerRow->holder : NodeId {},
+        ownerRow ? ownerRow->workers : jobs::WorkerMachines {},
         ownerRow ? ownerRow->outstandingLeases : jobs::OutstandingLeases {}, clock.now() };
     BOOST_LEAF_CHECK(takeOwnership(store, takeover.part, takeover.workers));
     return takeover;
