A poll without a lease tells whether the worker keeps its connection

Cause: such a poll was always reported as bound, also by a worker that closes its connection after each response. The next owner's first poll of a worker carries no lease, so that it took leases of the previous owner for 4.5 s long there, where they may be as long as the worker permits. The model had it right, so that no walk could show it.

--- a/packages/jobs/include/rattanrack/jobs/worker.h
+++ b/packages/jobs/include/rattanrack/jobs/worker.h
@@ -125,7 +125,8 @@
     RefusalReason refusal { RefusalReason::None };
     PollReport report; ///< When Done.
     std::int64_t ackedThrough { 0 }; ///< As sent with the poll; 0 if the poll could not be bound to the incarnation.
-    /// No incarnation but the one that the poll's lease is meant for can have received the lease.
+    /// No incarnation but the one that the poll's lease is meant for can have received the lease. Of a poll without a
+    /// lease that is Done: whether the worker keeps its connection, which is what binds leases.
     bool isBound { false };
 };
 
