Test: a takeover does not wait for a worker whose machine serves another pool

The host's part of "A machine that serves another pool proves the end of its earlier worker" had no test.

--- a/packages/node/tests/cell_host_tests.cpp
+++ b/packages/node/tests/cell_host_tests.cpp
@@ -223,6 +223,33 @@
     EXPECT_FALSE(isJobListComplete);
 }
 
+TEST_F(CellHostTest, TakeoverDoesNotWaitForAWorkerWhoseMachineServesAnotherPool)
+{
+    listWorkers(0s);
+    ASSERT_EQ(submit("a"), jobs::Acceptance::Pending);
+    ASSERT_TRUE(eventually([&] { return workers.starts == 1; })); // The owner row names w1.
+    jobs::Job waiting { jobs::JobId { "b" }, queue, wallClockMilliseconds(), { "text", { {} }, {} }, 3 };
+    waiting.spec.steps[0].size = { Millicores { 5000 }, Mebibytes { 10 }, {} };
+    control.run([&] { host->submit(waiting, 2); });
+    ASSERT_TRUE(eventually([&] { return stored == 2; }));
+    auto takeover = valueOrNothing([&] { return takeOverCell(store, clock, pool, NodeId { "n2" }); }).value();
+    jobs::WorkerDescription own { jobs::WorkerId { "w2" }, jobs::MachineId { "m2" }, pool, "10.0.0.2:1" };
+    own.capacity = { Millicores { 10000 }, Mebibytes { 1000 }, {} };
+    own.incarnationUnixMs = 1;
+    jobs::WorkerDescription moved { jobs::WorkerId { "w9" }, jobs::MachineId { "m1" }, PoolId { "other" },
+        "10.0.0.1:1" };
+    moved.incarnationUnixMs = 2;
+    control.run([&] {
+        CellHost::Parts parts { control, clock, metrics, log, loadMonitor, storeThreads, workerThreads, store, workers,
+            nullptr, nullptr, [](jobs::CallerToken, bool) {}, [] {} };
+        host = std::make_unique<CellHost>(
+            std::move(parts), pool, CellTimeLimits { 4500ms, 120s, 900ms, 1500ms, 6s }, std::move(takeover));
+        host->configure({ { queue, pool, 0, 3, 1.6, 600ms } }, true);
+        host->setWorkers({ { own, moved }, clock.now() });
+    });
+    EXPECT_TRUE(eventually([&] { return workers.starts == 2; }));
+}
+
 TEST_F(CellHostTest, NoLeaseIsRenewedOnceTheCellMayBeHandedBack)
 {
     listWorkers(0s);
