Report missing runs only of steps that are ready, and name owners that may not start

Found by reading the change again. task.without_run named "no worker has room for it" for long-running steps whose earlier steps are not done, and while the owner may start nothing at all (no recent transaction, an old list), which is when the line matters most.

The cost of the check was not measured.

--- a/packages/jobs/src/cell.cpp
+++ b/packages/jobs/src/cell.cpp
@@ -332,7 +332,7 @@
         state.schedule(now, unixMs);
     }
     state.sendPolls(now, authority != Authority::Unconfirmed);
-    state.checkMissingRuns(now);
+    state.checkMissingRuns(mayStart, now);
     if (now >= state.nextRemovalAt) {
         state.nextRemovalAt = now + removalPeriod;
         state.removeOldJobs();
--- a/packages/jobs/src/cell_missing_runs.cpp
+++ b/packages/jobs/src/cell_missing_runs.cpp
@@ -21,7 +21,7 @@
 
 } // namespace
 
-void CellState::checkMissingRuns(TimePoint now)
+void CellState::checkMissingRuns(bool mayStart, TimePoint now)
 {
     if (now < nextMissingRunCheckAt)
         return;
@@ -33,16 +33,17 @@
     for (const JobEntry* entry : unfinishedJobs) {
         if (entry->progress.hasEnded())
             continue;
-        TaskRef task { entry->job.id, 0, 0, 0 };
-        for (const Step& step : entry->job.spec.steps) {
-            for (task.index = 0; step.isLongRunning && task.index < step.count; ++task.index)
-                checkMissingRun(*entry, task, now);
-            ++task.step;
+        for (int step = 0; step < static_cast<int>(entry->job.spec.steps.size()); ++step) {
+            const Step& spec = entry->job.spec.steps[static_cast<std::size_t>(step)];
+            if (!spec.isLongRunning || !entry->progress.isReady(0, step, unixMs))
+                continue;
+            for (int index = 0; index < spec.count; ++index)
+                checkMissingRun(*entry, { entry->job.id, 0, step, index }, mayStart, now);
         }
     }
 }
 
-void CellState::checkMissingRun(const JobEntry& entry, const TaskRef& task, TimePoint now)
+void CellState::checkMissingRun(const JobEntry& entry, const TaskRef& task, bool mayStart, TimePoint now)
 {
     if (entry.progress.task(task).phase == TaskPhase::Running) {
         missingRuns.erase(task);
@@ -52,12 +53,12 @@
     if (now < missing.reportAt)
         return;
     missing.reportAt = now + reportPeriod;
-    MissingRunEvent event = describeMissingRun(entry, task);
+    MissingRunEvent event = describeMissingRun(entry, task, mayStart);
     event.age = now - missing.since;
     addEvent(std::move(event));
 }
 
-MissingRunEvent CellState::describeMissingRun(const JobEntry& entry, const TaskRef& task) const
+MissingRunEvent CellState::describeMissingRun(const JobEntry& entry, const TaskRef& task, bool mayStart) const
 {
     const auto location = workerOfTask.find(task);
     if (location != workerOfTask.end()) {
@@ -68,6 +69,8 @@
         return { task, 0, {}, "its job is not stored" };
     if (entry.isTakenOver && isRecovering)
         return { task, 0, {}, "workers of previous owners may still run it" };
+    if (!mayStart)
+        return { task, 0, {}, "its owner may start nothing at present" };
     if (attemptsOf(entry) == 0)
         return { task, 0, {}, "its queue is not configured" };
     return { task, 0, {}, isWindowFull ? "other starts are in flight" : "no worker has room for it" };
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -374,9 +374,9 @@
     int unavailableMembers(const JobEntry& entry, const TaskRef& member, TimePoint now) const;
 
     // Long-running tasks without a run: cell_missing_runs.cpp
-    void checkMissingRuns(TimePoint now);
-    void checkMissingRun(const JobEntry& entry, const TaskRef& task, TimePoint now);
-    MissingRunEvent describeMissingRun(const JobEntry& entry, const TaskRef& task) const;
+    void checkMissingRuns(bool mayStart, TimePoint now);
+    void checkMissingRun(const JobEntry& entry, const TaskRef& task, bool mayStart, TimePoint now);
+    MissingRunEvent describeMissingRun(const JobEntry& entry, const TaskRef& task, bool mayStart) const;
 
     // Scheduling: cell_schedule.cpp
     void schedule(TimePoint now, std::int64_t wallMs);
--- a/packages/jobs/tests/cell_missing_run_tests.cpp
+++ b/packages/jobs/tests/cell_missing_run_tests.cpp
@@ -46,6 +46,29 @@
     EXPECT_GE(events[0].age, 3s);
 }
 
+TEST(CellMissingRun, StepThatIsNotReadyIsNotReported)
+{
+    CellHarness harness;
+    Job job = longRunningJob(Millicores { 5000 });
+    job.spec.steps.push_back(job.spec.steps[0]);
+    job.spec.steps[0].isLongRunning = false; // Does not fit, so that the second step never becomes ready.
+    job.spec.steps[1].dependsOn = { 0 };
+    submit(harness, job);
+    advanceInSteps(harness, 7s);
+    EXPECT_TRUE(harness.missingRunEvents().empty());
+}
+
+TEST(CellMissingRun, OwnerThatMayStartNothingIsNamed)
+{
+    CellHarness harness;
+    harness.cell().submit(longRunningJob(Millicores { 500 }), 1, harness.now());
+    harness.storeChanges();
+    for (int pass = 0; pass < 35; ++pass)
+        harness.advance(100ms, Authority::RenewOnly);
+    ASSERT_EQ(harness.missingRunEvents().size(), 1U);
+    EXPECT_EQ(harness.missingRunEvents()[0].detail, "its owner may start nothing at present");
+}
+
 TEST(CellMissingRun, UnansweredStartIsNamed)
 {
     CellHarness harness;
