--- a/packages/jobs/model/model_worker.cpp
+++ b/packages/jobs/model/model_worker.cpp
@@ -40,7 +40,7 @@
 
 void ModelWorker::extendLease(std::int64_t untilMs, TimePoint now)
 {
-    m_leaseUntilMs = std::max(m_leaseUntilMs, std::min(untilMs, clockMs(now) + longestLease.count() / 1000));
+    m_leaseUntilMs = std::max(m_leaseUntilMs, std::min(untilMs, clockMs(now) + m_longestLease.count() / 1000));
 }
 
 bool ModelWorker::acceptsFence(Fence fence)
--- a/packages/jobs/model/model_worker.h
+++ b/packages/jobs/model/model_worker.h
@@ -7,7 +7,7 @@
 
 namespace rattanrack::jobs::model {
 
-constexpr Duration longestLease = std::chrono::seconds { 5 }; ///< A longer one is shortened.
+constexpr Duration longestLease = std::chrono::seconds { 5 }; ///< A longer one is shortened, unless set otherwise.
 
 /// A run on a model worker.
 struct ModelRun {
@@ -69,6 +69,8 @@
     bool isActive(const TaskRef& task, RunNumber run) const;
     bool wouldAccept(Fence fence) const { return m_isUp && fence >= m_fence; }
     void setDraining() { m_description.isDraining = true; }
+    /// Leases that are longer than `length` are shortened to it.
+    void setLongestLease(Duration length) { m_longestLease = length; }
     std::vector<ModelWorkerEvent> takeEvents() { return std::exchange(m_events, {}); }
 
     /// Ended runs that are not acknowledged, ordered by sequence number.
@@ -94,6 +96,7 @@
     std::vector<KeptRun> m_keptRuns;
     std::vector<ModelWorkerEvent> m_events;
     std::int64_t m_lastSequence { 0 };
+    Duration m_longestLease { longestLease };
     std::int64_t m_leaseUntilMs { 0 };
     Fence m_fence { 0 };
 };
--- a/tools/process_soak/callers.cpp
+++ b/tools/process_soak/callers.cpp
@@ -189,7 +189,7 @@
         const std::string second = m_random.oneIn(3) ? "," + step + R"(,"after":[0]})" : "";
         m_body = R"({"spec":")" + spec + R"(","steps":[)" + step
             + (isLasting ? R"(,"long_running":true,"may_miss":1}]})" : "}" + second + "]}");
-        m_recorder.submitted(m_id, count, isLasting);
+        m_recorder.submitted(m_id, count, isLasting, poolOf(m_id));
     }
 
     void ask(const jobs::JobId& job)
@@ -219,14 +219,17 @@
     int m_retries { 0 };
 };
 
-} // namespace
-
-std::string pathOf(const jobs::JobId& job)
+bool isOdd(const jobs::JobId& job)
 {
-    const bool isOdd = (job.value().back() >= 'a' ? job.value().back() - 'a' : job.value().back() - '0') % 2 == 1;
-    return (isOdd ? "/work/" : "/jobs/") + job.value();
+    return (job.value().back() >= 'a' ? job.value().back() - 'a' : job.value().back() - '0') % 2 == 1;
 }
 
+} // namespace
+
+std::string pathOf(const jobs::JobId& job) { return (isOdd(job) ? "/work/" : "/jobs/") + job.value(); }
+
+std::string poolOf(const jobs::JobId& job) { return poolNames[isOdd(job) ? 1 : 0]; }
+
 std::optional<std::string> askState(int port, const jobs::JobId& job)
 {
     httplib::Client client { "127.0.0.1", port };
--- a/tools/process_soak/callers.h
+++ b/tools/process_soak/callers.h
@@ -3,6 +3,7 @@
 #include "../fleet_fakes/random.h"
 #include "recorder.h"
 
+#include <array>
 #include <atomic>
 #include <optional>
 #include <string>
@@ -19,9 +20,14 @@
     std::atomic<bool> isInRotation { false };
 };
 
+inline constexpr std::array poolNames { "poolA", "poolB" };
+
 /// The path of a job; its last digit chooses the queue.
 std::string pathOf(const jobs::JobId& job);
 
+/// The pool of the job's queue.
+std::string poolOf(const jobs::JobId& job);
+
 /// Asks one node for the state of a job; nothing without an answer, "gone" when there is no such job.
 std::optional<std::string> askState(int port, const jobs::JobId& job);
 
--- a/tools/process_soak/history.h
+++ b/tools/process_soak/history.h
@@ -34,6 +34,15 @@
     std::optional<TimePoint> acceptedAt;
     std::optional<TimePoint> cancelSentAt;
     std::string lastState; ///< As answered after the play; "gone", or "silent" without an answer.
+    std::string pool; ///< Whose workers run it.
+};
+
+/// One incarnation of a worker, from its start to its end.
+struct WorkerLife {
+    jobs::WorkerId worker;
+    std::string pool;
+    TimePoint from {};
+    std::optional<TimePoint> to;
 };
 
 /// Something done to the world. `target` is a node's or a worker's name.
@@ -78,6 +87,7 @@
     std::vector<BrokenCall> brokenCalls;
     std::vector<DenialOfJob> denials;
     std::vector<DrainNotice> drains;
+    std::vector<WorkerLife> lives;
 };
 
 } // namespace rattanrack::tools
--- a/tools/process_soak/recorder.cpp
+++ b/tools/process_soak/recorder.cpp
@@ -36,6 +36,12 @@
     return nullptr;
 }
 
+void Recorder::onWorkerStarted(const jobs::WorkerDescription& worker)
+{
+    const std::lock_guard lock(m_mutex);
+    m_history.lives.push_back({ worker.id, worker.pool.value(), now() });
+}
+
 void Recorder::onStarted(const jobs::StartCommand& order, bool isLasting)
 {
     const std::lock_guard lock(m_mutex);
@@ -104,6 +110,10 @@
         }
         place = isMeant ? m_open.erase(place) : std::next(place);
     }
+    for (WorkerLife& life : m_history.lives) {
+        if (life.worker == worker && !life.to)
+            life.to = now();
+    }
 }
 
 void Recorder::served(const std::string& worker, const std::string& entry)
@@ -118,10 +128,12 @@
     m_history.drains.push_back({ jobs::WorkerId { worker }, now() });
 }
 
-void Recorder::submitted(const jobs::JobId& job, int count, bool isLasting)
+void Recorder::submitted(const jobs::JobId& job, int count, bool isLasting, const std::string& pool)
 {
     const std::lock_guard lock(m_mutex);
-    m_history.jobs[job] = { count, isLasting };
+    JobRecord record { count, isLasting };
+    record.pool = pool;
+    m_history.jobs[job] = std::move(record);
 }
 
 void Recorder::accepted(const jobs::JobId& job)
--- a/tools/process_soak/recorder.h
+++ b/tools/process_soak/recorder.h
@@ -13,6 +13,7 @@
 public:
     explicit Recorder(int attempts);
 
+    void onWorkerStarted(const jobs::WorkerDescription& worker) override;
     void onStarted(const jobs::StartCommand& order, bool isLasting) override;
     void onStopCommand(const jobs::StopCommand& order, bool isDraining) override;
     void onEnded(const jobs::WorkerId& worker, const jobs::EndedRun& end) override;
@@ -23,7 +24,7 @@
     /// A worker's entry was handed out; only those of leaving workers are kept.
     void served(const std::string& worker, const std::string& entry);
 
-    void submitted(const jobs::JobId& job, int count, bool isLasting);
+    void submitted(const jobs::JobId& job, int count, bool isLasting, const std::string& pool);
     void accepted(const jobs::JobId& job);
     void cancelSent(const jobs::JobId& job);
     void denied(const std::string& node, const jobs::JobId& job, TimePoint sentAt);
