Tell the end of a worker's connection from a time-out

Cause: the owner can't tell when a worker has crashed. A command without a response is one result, whether the worker's side closed the connection some ms after a start or nothing came until the time-out, and the time of the result includes the wait for the control thread.

Change: results of commands and polls carry isConnectionEnded and receivedAt. No decision uses them yet.

--- a/packages/jobs/include/rattanrack/jobs/worker.h
+++ b/packages/jobs/include/rattanrack/jobs/worker.h
@@ -94,6 +94,9 @@
     Duration queuedFor {}; ///< Time in this node's queue, before the command was sent or dropped.
     /// From the decision to the response, without the wait for the control thread; 0: unknown.
     Duration responseTime {};
+    /// With `NoResponse`: the worker's side ended the connection before the time-out, as when its process ends.
+    bool isConnectionEnded { false };
+    TimePoint receivedAt {}; ///< Of the response or the failure, without the wait for the control thread; 0: unknown.
 };
 
 struct RunningRun {
@@ -128,6 +131,9 @@
     /// No incarnation but the one that the poll's lease is meant for can have received the lease. Of a poll without a
     /// lease that is Done: whether the worker keeps its connection, which is what binds leases.
     bool isBound { false };
+    /// With `NoResponse`: the worker's side ended the connection before the time-out, as when its process ends.
+    bool isConnectionEnded { false };
+    TimePoint receivedAt {}; ///< As in `CommandResult`.
 };
 
 } // namespace rattanrack::jobs
--- a/packages/node/src/worker_links.cpp
+++ b/packages/node/src/worker_links.cpp
@@ -117,7 +117,8 @@
         std::function<void(const CommandType&, const jobs::CommandResult&)> Callbacks::*target)
     {
         result.queuedFor = timing.queuedFor();
-        result.responseTime = m_resultSink->clock.now() - timing.decidedAt;
+        result.receivedAt = m_resultSink->clock.now();
+        result.responseTime = result.receivedAt - timing.decidedAt;
         m_resultSink->control.post([sink = m_resultSink, command = std::move(command), result, target] {
             if (!sink->isClosed)
                 (sink->callbacks.*target)(command, result);
@@ -138,8 +139,10 @@
     }
     void execute(jobs::WorkerChannel& channel, const jobs::PollCommand& command, const Timing& timing)
     {
+        jobs::PollResult result = channel.poll(command);
+        result.receivedAt = m_resultSink->clock.now();
         m_resultSink->control.post(
-            [sink = m_resultSink, command, result = channel.poll(command), sentAt = timing.dequeuedAt] {
+            [sink = m_resultSink, command, result = std::move(result), sentAt = timing.dequeuedAt] {
                 if (!sink->isClosed)
                     sink->callbacks.onPollResult(command, result, sentAt);
             });
