Model: a crash ends the worker's connections

Cause: in the simulation, a command to a worker that has crashed got no response until its time-out, as when a machine loses power. A process that ends closes its connections at once, and its port refuses new ones, so decisions on the moment of a crash could not be tested.

Change: when a worker crashes, commands and polls in flight to it fail 2 ms later with NoResponse and isConnectionEnded. Later commands get NotSent, as the real channel reports a refused connection, or WrongWorker once a worker with another id is up on that machine. FaultRates::silentCrashes is the share of crashes as they were before; loseWorkers and partitions stay silent. A poll whose response is cut off ends its connection, too. Each result carries receivedAt, the time at which it arrived, also when the owner's loop is stalled. A new walk plays the common faults with silent crashes only, so that the earlier timing stays covered.

--- a/packages/jobs/model/cell_simulation.h
+++ b/packages/jobs/model/cell_simulation.h
@@ -20,6 +20,7 @@
 namespace rattanrack::jobs::model {
 
 constexpr int maxAttempts = 3; ///< Of each task.
+constexpr Duration networkDelay = std::chrono::milliseconds { 2 };
 /// A run that is being stopped is listed as running this long at most.
 constexpr Duration longestStop = std::chrono::milliseconds { 900 };
 
@@ -55,6 +56,8 @@
     bool areConnectionsClosed { false };
     double shrinksPerSecond { 0 }; ///< Workers whose capacity is smaller for some seconds while they run.
     bool isCapacityUnenforced { false }; ///< Workers start whatever they are told to start.
+    /// Share of the crashes that end no connection and close no port, as when a machine loses power.
+    double silentCrashes { 0 };
 };
 
 class CellSimulation {
@@ -146,6 +149,27 @@
         WorkerDescription description;
         TimePoint until;
     };
+    /// The latest crash of a worker under its id.
+    struct Crash {
+        std::size_t index { 0 }; ///< In `m_workers`, where the worker that returns may have another id.
+        MachineId machine;
+        TimePoint at;
+        bool isSilent { false };
+    };
+    /// A command that has been sent to a worker and has no result yet.
+    struct OpenExchange {
+        WorkerId worker;
+        TimePoint sentAt;
+        std::function<void(CommandStatus status, bool isConnectionEnded)> fail;
+    };
+    using ExchangeNumber = std::uint64_t;
+    /// A poll that waits at the worker for ended runs.
+    struct WaitingPoll {
+        PollCommand command;
+        TimePoint deadline;
+        ExchangeNumber exchange { 0 };
+        std::function<void(const PollResult& result)> deliver;
+    };
 
     bool happens(double probability);
     Duration randomBetween(Duration least, Duration most);
@@ -160,6 +184,7 @@
     void crashUnder(const ModelWorker& worker, const StartCommand& command);
     void restartLater(std::size_t worker, Duration after, double renamedShare);
     void takeDown(std::size_t worker);
+    void recordCrash(std::size_t worker, bool isSilent);
     void replaceWorker(std::size_t worker);
     void flapWorker(std::size_t worker, int count);
     void stallOwners();
@@ -189,6 +214,7 @@
     const Owner* presentOwner() const;
     void dispatch(const WorkerCommand& command, int owner);
     template <typename CommandType> void sendInOrder(const CommandType& command, int owner);
+    template <typename CommandType> void expire(const CommandType& command, int owner);
     template <typename CommandType>
     void send(const CommandType& command, int owner, const CommandExecution& execution, bool isResponseLost);
     template <typename CommandType> bool isResponseCutOff(const CommandType& command, const CommandResult& result);
@@ -202,7 +228,14 @@
     }
     void poll(const PollCommand& command, int owner);
     void pollLate(const PollCommand& command, std::int64_t incarnationUnixMs);
-    void finishPoll(PollCommand command, TimePoint sentAt, TimePoint deadline, int owner);
+    void sendPoll(const PollCommand& command, int owner);
+    void finishPoll(WaitingPoll waiting);
+    ExchangeNumber openExchange(
+        const WorkerId& worker, std::function<void(CommandStatus status, bool isConnectionEnded)> fail);
+    void failExchange(ExchangeNumber exchange, CommandStatus status, bool isConnectionEnded = false);
+    void failExchangeLater(ExchangeNumber exchange, CommandStatus status, Duration after);
+    void failUnreachable(ExchangeNumber exchange);
+    void endConnections(const WorkerId& worker);
     ModelWorker* find(const WorkerId& id);
     bool isPartitioned(const WorkerId& id) const;
     const TaskBehavior& behaviorOf(const TaskRef& task) const;
@@ -227,6 +260,9 @@
     std::map<WorkerId, TimePoint> m_partitionedUntil;
     std::vector<StaleEntry> m_staleEntries;
     int m_incarnations { 0 };
+    std::map<WorkerId, Crash> m_crashes;
+    std::map<ExchangeNumber, OpenExchange> m_openExchanges;
+    ExchangeNumber m_lastExchange { 0 };
 
     /// The present owner, and earlier ones that have not noticed that they are replaced.
     std::map<int, Owner> m_owners;
--- a/packages/jobs/model/cell_simulation_commands.cpp
+++ b/packages/jobs/model/cell_simulation_commands.cpp
@@ -9,7 +9,6 @@
 
 using namespace std::chrono_literals;
 
-constexpr Duration networkDelay = 2ms;
 constexpr Duration commandTimeout = 700ms;
 constexpr Duration pollInterval = 10ms; ///< Interval at which a waiting poll checks for ended runs.
 constexpr Duration maxQueueTime = 250ms; ///< Longest time that a start waits before it is sent.
@@ -43,13 +42,19 @@
         if (!findOwner(owner))
             return; // The owner's queues no longer exist.
         if (isStart && m_now - execution.issuedAt > maxQueueTime)
-            runOnLoop(owner,
-                [this, command](Owner& issuer) { issuer.cell->onResult(command, { CommandStatus::Expired }, m_now); });
+            expire(command, owner);
         else
             send(command, owner, execution, isResponseLost);
     });
 }
 
+template <typename CommandType> void CellSimulation::expire(const CommandType& command, int owner)
+{
+    CommandResult result { CommandStatus::Expired };
+    result.receivedAt = m_now;
+    runOnLoop(owner, [this, command, result](Owner& issuer) { issuer.cell->onResult(command, result, m_now); });
+}
+
 /// Returns when a command that has just been issued is sent.
 TimePoint CellSimulation::sendTime(int owner, const WorkerId& worker)
 {
@@ -59,27 +64,91 @@
     return sentUpTo;
 }
 
+CellSimulation::ExchangeNumber CellSimulation::openExchange(
+    const WorkerId& worker, std::function<void(CommandStatus status, bool isConnectionEnded)> fail)
+{
+    m_openExchanges[++m_lastExchange] = { worker, m_now, std::move(fail) };
+    return m_lastExchange;
+}
+
+/// Does nothing if the exchange has a result.
+void CellSimulation::failExchange(ExchangeNumber exchange, CommandStatus status, bool isConnectionEnded)
+{
+    const auto open = m_openExchanges.extract(exchange);
+    if (!open.empty())
+        open.mapped().fail(status, isConnectionEnded);
+}
+
+void CellSimulation::failExchangeLater(ExchangeNumber exchange, CommandStatus status, Duration after)
+{
+    schedule(after, [this, exchange, status] { failExchange(exchange, status); });
+}
+
+/// The worker is down or partitioned. A closed port refuses a new connection at once, and a worker that has returned
+/// under another id refuses commands to the earlier one.
+void CellSimulation::failUnreachable(ExchangeNumber exchange)
+{
+    const OpenExchange& open = m_openExchanges.at(exchange);
+    const auto found = m_crashes.find(open.worker);
+    if (isPartitioned(open.worker) || found == m_crashes.end())
+        return failExchangeLater(exchange, CommandStatus::NoResponse, commandTimeout);
+    const Crash& crash = found->second;
+    const ModelWorker& successor = m_workers[crash.index];
+    if (successor.isUp() && successor.description().machine == crash.machine)
+        return failExchangeLater(exchange, CommandStatus::WrongWorker, networkDelay);
+    if (crash.isSilent)
+        return failExchangeLater(exchange, CommandStatus::NoResponse, commandTimeout);
+    // The end of an open connection arrives in `endConnections`.
+    if (open.sentAt >= crash.at + networkDelay)
+        failExchangeLater(exchange, CommandStatus::NotSent, networkDelay);
+}
+
+/// The end of the connections to an incarnation that has crashed arrives at the owners.
+void CellSimulation::endConnections(const WorkerId& worker)
+{
+    std::vector<ExchangeNumber> ended;
+    for (const auto& [number, exchange] : m_openExchanges) {
+        if (exchange.worker == worker)
+            ended.push_back(number);
+    }
+    for (const ExchangeNumber number : ended) {
+        if (isPartitioned(worker))
+            failExchangeLater(number, CommandStatus::NoResponse, commandTimeout);
+        else
+            failExchange(number, CommandStatus::NoResponse, true);
+    }
+}
+
 template <typename CommandType>
 void CellSimulation::send(const CommandType& command, int owner, const CommandExecution& execution, bool isResponseLost)
 {
     const auto deliver = [this, command, owner](CommandResult result) {
         result.isBound = !m_faults.areConnectionsClosed;
+        result.receivedAt = m_now;
         runOnLoop(owner, [this, command, result](Owner& issuer) { issuer.cell->onResult(command, result, m_now); });
     };
+    const ExchangeNumber exchange
+        = openExchange(command.worker, [deliver](CommandStatus status, bool isConnectionEnded) {
+              CommandResult result { status };
+              result.isConnectionEnded = isConnectionEnded;
+              deliver(result);
+          });
     if (isResponseLost)
-        schedule(commandTimeout, [deliver] { deliver({ CommandStatus::NoResponse }); });
-    schedule(networkDelay, [this, command, deliver, isResponseLost, execution] {
+        failExchangeLater(exchange, CommandStatus::NoResponse, commandTimeout);
+    schedule(networkDelay, [this, command, deliver, exchange, isResponseLost, execution] {
+        if (!m_openExchanges.contains(exchange))
+            return;
         ModelWorker* worker = find(command.worker);
         if (!worker || isPartitioned(command.worker)) {
             if (!isResponseLost)
-                schedule(commandTimeout, [deliver] { deliver({ CommandStatus::NoResponse }); });
+                failUnreachable(exchange);
             return;
         }
         if constexpr (std::is_same_v<CommandType, StartCommand>) {
             const bool isOfOtherIncarnation = worker->description().incarnationUnixMs != command.incarnationUnixMs;
             // The connection has ended with the incarnation that it was made to.
             if (isOfOtherIncarnation && !isResponseLost)
-                deliver({ CommandStatus::NotSent });
+                failExchange(exchange, CommandStatus::NotSent);
             if (isOfOtherIncarnation)
                 return;
         }
@@ -88,9 +157,12 @@
         const CommandResult result = execute(*worker, command, execution);
         const bool isCutOff = !isResponseLost && isResponseCutOff(command, result);
         if (isCutOff)
-            schedule(commandTimeout, [deliver] { deliver({ CommandStatus::NoResponse }); });
+            failExchangeLater(exchange, CommandStatus::NoResponse, commandTimeout);
         else if (!isResponseLost)
-            schedule(networkDelay, [deliver, result] { deliver(result); });
+            schedule(networkDelay, [this, deliver, exchange, result] {
+                if (m_openExchanges.erase(exchange) > 0)
+                    deliver(result);
+            });
     });
 }
 
@@ -153,11 +225,27 @@
     if (wait > maxQueueTime)
         sent.ackedThrough = 0;
     schedule(wait, [this, sent, owner] {
-        if (!findOwner(owner))
-            return;
-        const TimePoint sentAt = m_now;
-        schedule(
-            networkDelay, [this, sent, sentAt, owner] { finishPoll(sent, sentAt, m_now + sent.longestWait, owner); });
+        if (findOwner(owner))
+            sendPoll(sent, owner);
+    });
+}
+
+void CellSimulation::sendPoll(const PollCommand& command, int owner)
+{
+    const auto deliver = [this, command, owner, sentAt = m_now](PollResult result) {
+        result.isBound = !m_faults.areConnectionsClosed;
+        result.receivedAt = m_now;
+        runOnLoop(owner,
+            [this, command, sentAt, result](Owner& issuer) { issuer.cell->onResult(command, result, sentAt, m_now); });
+    };
+    const ExchangeNumber exchange
+        = openExchange(command.worker, [deliver](CommandStatus status, bool isConnectionEnded) {
+              PollResult result { status };
+              result.isConnectionEnded = isConnectionEnded;
+              deliver(result);
+          });
+    schedule(networkDelay, [this, command, exchange, deliver] {
+        finishPoll({ command, m_now + command.longestWait, exchange, deliver });
     });
 }
 
@@ -173,40 +261,40 @@
     });
 }
 
-void CellSimulation::finishPoll(PollCommand command, TimePoint sentAt, TimePoint deadline, int owner)
+void CellSimulation::finishPoll(WaitingPoll waiting)
 {
-    const auto deliver = [this, command, sentAt, owner](PollResult result) {
-        result.isBound = !m_faults.areConnectionsClosed;
-        runOnLoop(owner,
-            [this, command, sentAt, result](Owner& issuer) { issuer.cell->onResult(command, result, sentAt, m_now); });
-    };
+    const ExchangeNumber exchange = waiting.exchange;
+    if (!m_openExchanges.contains(exchange))
+        return;
+    PollCommand& command = waiting.command;
     ModelWorker* worker = find(command.worker);
-    const bool isReachable = worker && !isPartitioned(command.worker);
-    if (isReachable && worker->description().incarnationUnixMs != command.incarnationUnixMs) {
+    if (!worker || isPartitioned(command.worker))
+        return failUnreachable(exchange);
+    if (worker->description().incarnationUnixMs != command.incarnationUnixMs) {
         command.ackedThrough = 0; // The poll goes over a new connection.
         if (!m_faults.areConnectionsClosed)
             command.leaseUntilWorkerMs = 0;
     }
-    const bool isDelayed = isReachable && happens(m_faults.delayedPolls);
-    if (isDelayed)
+    if (happens(m_faults.delayedPolls)) {
         pollLate(command, worker->description().incarnationUnixMs);
-    if (!isReachable || isDelayed) {
-        schedule(commandTimeout, [deliver] { deliver({ CommandStatus::NoResponse }); });
-        return;
+        return failExchangeLater(exchange, CommandStatus::NoResponse, commandTimeout);
     }
-    PollResult result
+    const PollResult result
         = worker->poll(command, happens(m_faults.truncatedPolls) ? truncatedListSize : fullListSize, m_now);
     processWorkerEvents(*worker);
-    if (result.status == CommandStatus::Done && result.report.endedRuns.empty() && m_now < deadline) {
-        schedule(
-            pollInterval, [this, command, sentAt, deadline, owner] { finishPoll(command, sentAt, deadline, owner); });
+    if (result.status == CommandStatus::Done && result.report.endedRuns.empty() && m_now < waiting.deadline) {
+        schedule(pollInterval, [this, waiting] { finishPoll(waiting); });
         return;
     }
     if (result.status == CommandStatus::Done)
         recordEndedRuns(result.report);
-    if (happens(m_faults.lostResponses))
-        result = { CommandStatus::NoResponse };
-    schedule(networkDelay, [deliver, result] { deliver(result); });
+    const bool isCutOff = happens(m_faults.lostResponses);
+    schedule(networkDelay, [this, waiting, result, isCutOff] {
+        if (isCutOff)
+            failExchange(waiting.exchange, CommandStatus::NoResponse, true);
+        else if (m_openExchanges.erase(waiting.exchange) > 0)
+            waiting.deliver(result);
+    });
 }
 
 } // namespace rattanrack::jobs::model
--- a/packages/jobs/model/cell_simulation_faults.cpp
+++ b/packages/jobs/model/cell_simulation_faults.cpp
@@ -122,10 +122,20 @@
     const WorkerDescription description = m_workers[index].description();
     m_workers[index].crash();
     m_oracle.onCrashed(description.id, m_now);
+    recordCrash(index, happens(m_faults.silentCrashes));
     if (happens(m_faults.staleListEntries))
         m_staleEntries.push_back({ description, m_now + randomBetween(200ms, 1500ms) });
 }
 
+/// The kernel closes the connections of a process that ends, and refuses new ones.
+void CellSimulation::recordCrash(std::size_t index, bool isSilent)
+{
+    const WorkerId id = m_workers[index].description().id;
+    m_crashes[id] = { index, m_workers[index].description().machine, m_now, isSilent };
+    if (!isSilent)
+        schedule(networkDelay, [this, id] { endConnections(id); });
+}
+
 void CellSimulation::loseWorkers(std::size_t count, Duration period)
 {
     for (std::size_t index = 0; index < count; ++index) {
@@ -141,6 +151,7 @@
     WorkerDescription description = m_workers[index].description();
     m_workers[index].crash();
     m_oracle.onCrashed(description.id, m_now);
+    recordCrash(index, true);
     m_staleEntries.push_back({ description, m_now + heartbeatsMissing });
     m_lastWorkerLostAt = m_now;
     schedule(replacementTime, [this, index, description]() mutable {
--- a/packages/jobs/tests/cell_walk_tests.cpp
+++ b/packages/jobs/tests/cell_walk_tests.cpp
@@ -331,6 +331,13 @@
 
 TEST(CellWalk, CommonFaultsWithClosedConnections) { runWalks(withClosedConnections(commonFaults()), 40, 60); }
 
+TEST(CellWalk, CommonFaultsWithSilentCrashes)
+{
+    FaultRates rates = commonFaults();
+    rates.silentCrashes = 1;
+    runWalks(rates, 40, 60);
+}
+
 TEST(CellWalk, WorkersThatCloseConnectionsFlap) { runWalks(withClosedConnections(flaps()), 30, 40); }
 
 TEST(CellWalk, StarvedOwnersOfWorkersThatCloseConnectionsAreReplaced)
