Model: gangs end together on the workers

Cause: model workers ran the members of a gang as separate tasks, so that a gang was done although one of its members never ran to its end.

Change: members make progress once all of them run. Jobs without gangs are played as before.

--- a/packages/jobs/model/cell_simulation.cpp
+++ b/packages/jobs/model/cell_simulation.cpp
@@ -85,6 +85,8 @@
         worker.advance(m_now);
         processWorkerEvents(worker);
     }
+    if (m_hasGangs)
+        advanceGangs();
     injectFaults(tickPeriod);
     std::vector<int> owners;
     for (const auto& [number, owner] : m_owners) {
@@ -197,6 +199,8 @@
 {
     m_jobs[job.id] = job;
     m_behaviors[job.id] = behaviorOfSteps;
+    for (const Step& step : job.spec.steps)
+        m_hasGangs = m_hasGangs || step.isGang;
     m_oracle.onSubmitted(job, m_now);
     if (!presentOwner() || presentOwner()->isHandingBack)
         return;
--- a/packages/jobs/model/cell_simulation.h
+++ b/packages/jobs/model/cell_simulation.h
@@ -171,6 +171,15 @@
         std::function<void(const PollResult& result)> deliver;
     };
 
+    struct GangMember {
+        std::size_t worker { 0 }; ///< Index in `m_workers`.
+        TaskRef task;
+    };
+    struct GangState {
+        TimePoint since; ///< When its first member was running.
+        TimePoint endsAt {}; ///< Once all members have been running together.
+    };
+
     bool happens(double probability);
     Duration randomBetween(Duration least, Duration most);
     void schedule(Duration delay, std::function<void()> work);
@@ -242,6 +251,10 @@
     bool crashesWorkers(const TaskRef& task) const { return behaviorOf(task).crashingTask == task.index; }
     void checkStartAfterDone(const StartCommand& command, const CommandExecution& execution);
     void checkStart(const ModelWorker& worker, const StartCommand& command, const CommandExecution& execution);
+    bool isGangMember(const TaskRef& task) const;
+    void advanceGangs();
+    void advanceGang(const TaskRef& gang, const std::vector<GangMember>& members);
+    void endGang(const TaskRef& gang, const std::vector<GangMember>& members, RunOutcome outcome);
     void processWorkerEvents(ModelWorker& worker);
     void recordEndedRuns(const PollReport& report);
     void recordStoredProgress(const JobId& job, const std::string& progress);
@@ -260,6 +273,8 @@
     std::map<WorkerId, TimePoint> m_partitionedUntil;
     std::vector<StaleEntry> m_staleEntries;
     int m_incarnations { 0 };
+    bool m_hasGangs { false }; ///< Whether any submitted job has a gang.
+    std::map<TaskRef, GangState> m_gangs; ///< By the first task of each.
     std::map<WorkerId, Crash> m_crashes;
     std::map<ExchangeNumber, OpenExchange> m_openExchanges;
     ExchangeNumber m_lastExchange { 0 };
--- a/packages/jobs/model/cell_simulation_commands.cpp
+++ b/packages/jobs/model/cell_simulation_commands.cpp
@@ -194,6 +194,8 @@
     const CommandResult result = worker.start(command, behaviorOf(command.task), happens(m_faults.failedRuns), m_now);
     processWorkerEvents(worker);
     if (result.status == CommandStatus::Done && !wasThere) {
+        if (isGangMember(command.task))
+            worker.setEnd(command.task, TimePoint::max());
         m_oracle.onStarted(command, execution, m_now);
         if (!worker.enforcesCapacity())
             m_oracle.checkCapacity(command, worker.used(), worker.capacity(), m_now);
--- a/packages/jobs/model/model_worker.h
+++ b/packages/jobs/model/model_worker.h
@@ -66,6 +66,11 @@
     /// The run is listed as running for `time`, unless it ends by itself earlier.
     CommandResult stop(const StopCommand& command, Duration time, TimePoint now);
 
+    /// Changes when the task's run ends by itself. The run must be there.
+    void setEnd(const TaskRef& task, TimePoint at) { m_runs.at(task).endsAt = at; }
+    /// The run must be there.
+    void endEarly(const TaskRef& task, RunOutcome outcome, TimePoint now) { endRun(task, outcome, now); }
+
     /// Lists at most `maxEndedRuns` ended runs.
     PollResult poll(const PollCommand& command, std::size_t maxEndedRuns, TimePoint now);
 
