Model: count the starts that are soon followed by a crash of another cause

Cause: the bound from which on a task is given up for crashes of its workers needs the chance that an innocent task is hit by a crash soon after its start. No figure existed.

Change: the simulation records, for starts of tasks that crash no worker, how many were followed by a crash within 100 and 250 ms, for all starts, for those on a worker that has been up for 5 s, and for those that were in addition the only recent start there; and how many tasks were hit so up to four times in a row. It draws no random number.

--- a/packages/jobs/model/cell_simulation.cpp
+++ b/packages/jobs/model/cell_simulation.cpp
@@ -85,6 +85,9 @@
         worker.advance(m_now);
         processWorkerEvents(worker);
     }
+    m_startSurvival.onWorkersUp(static_cast<std::size_t>(std::count_if(m_workers.begin(), m_workers.end(),
+                                    [](const ModelWorker& worker) { return worker.isUp(); })),
+        tickPeriod);
     if (m_hasGangs)
         advanceGangs();
     injectFaults(tickPeriod);
--- a/packages/jobs/model/cell_simulation.h
+++ b/packages/jobs/model/cell_simulation.h
@@ -3,6 +3,7 @@
 #include "model_worker.h"
 #include "rattanrack/jobs/cell.h"
 #include "rule_oracle.h"
+#include "start_survival.h"
 
 #include <deque>
 #include <functional>
@@ -112,6 +113,9 @@
     /// Workers that have crashed under a task that crashes them, of the job's task with most.
     int highestCrashCount(const JobId& job) const { return m_oracle.highestCrashCount(job); }
 
+    /// Starts on workers, without those of tasks that crash their workers.
+    const StartSurvival& startSurvival() const { return m_startSurvival; }
+
     /// Accepted jobs that are not shown as ended, each with the number of its running tasks.
     std::string describeUnfinishedJobs() const;
 
@@ -192,7 +196,7 @@
     void crashRack(const std::string& rack);
     void crashUnder(const ModelWorker& worker, const StartCommand& command);
     void restartLater(std::size_t worker, Duration after, double renamedShare);
-    void takeDown(std::size_t worker);
+    void takeDown(std::size_t worker, bool isByTask = false);
     void recordCrash(std::size_t worker, bool isSilent);
     void replaceWorker(std::size_t worker);
     void flapWorker(std::size_t worker, int count);
@@ -299,6 +303,7 @@
 
     // The oracle.
     RuleOracle m_oracle { maxAttempts };
+    StartSurvival m_startSurvival;
     std::map<JobId, Job> m_jobs;
     std::map<JobId, std::vector<TaskBehavior>> m_behaviors;
     std::map<JobId, TimePoint> m_accepted;
--- a/packages/jobs/model/cell_simulation_commands.cpp
+++ b/packages/jobs/model/cell_simulation_commands.cpp
@@ -202,6 +202,8 @@
         checkStart(worker, command, execution);
         if (crashesWorkers(command.task))
             crashUnder(worker, command);
+        else
+            m_startSurvival.onStarted(command.task, command.worker, m_now - worker.startedAt(), m_now);
     }
     processWorkerEvents(worker);
     return result;
--- a/packages/jobs/model/cell_simulation_faults.cpp
+++ b/packages/jobs/model/cell_simulation_faults.cpp
@@ -96,7 +96,7 @@
             if (crashesWorkers(task))
                 m_oracle.onCrashedUnder(task);
         }
-        takeDown(index);
+        takeDown(index, true);
         restartLater(index, randomBetween(3s, 3500ms), renamedAfterOwnCrash);
     });
 }
@@ -117,11 +117,12 @@
     });
 }
 
-void CellSimulation::takeDown(std::size_t index)
+void CellSimulation::takeDown(std::size_t index, bool isByTask)
 {
     const WorkerDescription description = m_workers[index].description();
     m_workers[index].crash();
     m_oracle.onCrashed(description.id, m_now);
+    m_startSurvival.onCrashed(description.id, isByTask, m_now);
     recordCrash(index, happens(m_faults.silentCrashes));
     if (happens(m_faults.staleListEntries))
         m_staleEntries.push_back({ description, m_now + randomBetween(200ms, 1500ms) });
--- a/packages/jobs/model/cell_simulation_oracle.cpp
+++ b/packages/jobs/model/cell_simulation_oracle.cpp
@@ -30,7 +30,10 @@
         m_oracle.onRunEvent(event);
         const bool hasEndedByItself
             = event.run.entry.outcome == RunOutcome::Done || event.run.entry.outcome == RunOutcome::Failed;
-        if (event.kind == ModelWorkerEvent::Kind::Ended && hasEndedByItself)
+        if (event.kind != ModelWorkerEvent::Kind::Ended)
+            continue;
+        m_startSurvival.onRunEnded(event.run.entry.task, worker.description().id);
+        if (hasEndedByItself)
             injectFaultsAtRunEnd(worker.description().id);
     }
     for (const std::string& each : m_oracle.takeViolations())
--- a/packages/jobs/model/model_worker.h
+++ b/packages/jobs/model/model_worker.h
@@ -57,6 +57,7 @@
 
     const WorkerDescription& description() const { return m_description; }
     bool isUp() const { return m_isUp; }
+    TimePoint startedAt() const { return m_startedAt; } ///< Of the current incarnation.
     const std::map<TaskRef, ModelRun>& runs() const { return m_runs; }
 
     /// Ends the runs that have finished or lost their lease by `now`.
