Walks: workers that a task has crashed return under other ids; silence outlasts the faults

Besides, crashes were silent only until faults ended, although tasks go on crashing their workers.

Change: FaultRates::renamedAfterTaskCrash, 0.15 as before by default, and two walks with 1. stopFaults keeps it and silentCrashes.

--- a/packages/jobs/model/cell_simulation.h
+++ b/packages/jobs/model/cell_simulation.h
@@ -59,6 +59,7 @@
     bool isCapacityUnenforced { false }; ///< Workers start whatever they are told to start.
     /// Share of the crashes that end no connection and close no port, as when a machine loses power.
     double silentCrashes { 0 };
+    double renamedAfterTaskCrash { 0.15 }; ///< Share of the workers crashed by a task that return under a new id.
 };
 
 class CellSimulation {
@@ -81,8 +82,13 @@
     /// Advances virtual time by `time`.
     void run(Duration time);
 
-    /// Injects no more faults from now on.
-    void stopFaults() { m_faults = { .areConnectionsClosed = m_faults.areConnectionsClosed }; }
+    /// Injects no more faults from now on. Workers go on to behave as they do, also when a task crashes them.
+    void stopFaults()
+    {
+        m_faults = { .areConnectionsClosed = m_faults.areConnectionsClosed,
+            .silentCrashes = m_faults.silentCrashes,
+            .renamedAfterTaskCrash = m_faults.renamedAfterTaskCrash };
+    }
 
     /// Violations that the oracle has found.
     const std::vector<std::string>& violations() const { return m_violations; }
--- a/packages/jobs/model/cell_simulation_faults.cpp
+++ b/packages/jobs/model/cell_simulation_faults.cpp
@@ -12,7 +12,6 @@
 constexpr Duration replacementTime = 4s;
 constexpr Duration heartbeat = 1500ms; ///< A worker's description shows a change after this time at the latest.
 constexpr Duration crashDelay = 10ms; ///< From a start that crashes its worker to the crash.
-constexpr double renamedAfterOwnCrash = 0.15; ///< Share of the workers crashed by a task that return under a new id.
 
 } // namespace
 
@@ -97,7 +96,7 @@
                 m_oracle.onCrashedUnder(task);
         }
         takeDown(index, true);
-        restartLater(index, randomBetween(3s, 3500ms), renamedAfterOwnCrash);
+        restartLater(index, randomBetween(3s, 3500ms), m_faults.renamedAfterTaskCrash);
     });
 }
 
--- a/packages/jobs/tests/crashing_task_walk_tests.cpp
+++ b/packages/jobs/tests/crashing_task_walk_tests.cpp
@@ -117,6 +117,18 @@
     runCrashWalks({ .faults = withSilentCrashes(crashesOfRacks(), 0.5) }, 12);
 }
 
+TEST(CrashingTaskWalk, TaskIsGivenUpWhenItsWorkersReturnUnderOtherIds)
+{
+    runCrashWalks({ .crashingShare = 0.05, .faults = { .renamedAfterTaskCrash = 1 } }, 12);
+}
+
+TEST(CrashingTaskWalk, VerdictsAreRightWhenWorkersReturnUnderOtherIds)
+{
+    FaultRates faults = otherCrashes();
+    faults.renamedAfterTaskCrash = 1;
+    runCrashWalks({ .crashingShare = 0.04, .faults = faults }, 12);
+}
+
 TEST(CrashingTaskWalk, ManyCrashingTasksInBatchesAreGivenUp)
 {
     runCrashWalks({ .crashingShare = 0.12, .mostTasks = 12, .jobsAtOnce = 10 }, 12);
