--- a/packages/jobs/model/cell_simulation.cpp
+++ b/packages/jobs/model/cell_simulation.cpp
@@ -85,6 +85,11 @@
         worker.advance(m_now);
         processWorkerEvents(worker);
     }
+    m_startSurvival.onWorkersUp(static_cast<std::size_t>(std::count_if(m_workers.begin(), m_workers.end(),
+                                    [](const ModelWorker& worker) { return worker.isUp(); })),
+        tickPeriod);
+    if (m_hasGangs)
+        advanceGangs();
     injectFaults(tickPeriod);
     std::vector<int> owners;
     for (const auto& [number, owner] : m_owners) {
@@ -197,6 +202,8 @@
 {
     m_jobs[job.id] = job;
     m_behaviors[job.id] = behaviorOfSteps;
+    for (const Step& step : job.spec.steps)
+        m_hasGangs = m_hasGangs || step.isGang;
     m_oracle.onSubmitted(job, m_now);
     if (!presentOwner() || presentOwner()->isHandingBack)
         return;
--- a/packages/jobs/model/cell_simulation.h
+++ b/packages/jobs/model/cell_simulation.h
@@ -3,6 +3,7 @@
 #include "model_worker.h"
 #include "rattanrack/jobs/cell.h"
 #include "rule_oracle.h"
+#include "start_survival.h"
 
 #include <deque>
 #include <functional>
@@ -20,6 +21,7 @@
 namespace rattanrack::jobs::model {
 
 constexpr int maxAttempts = 3; ///< Of each task.
+constexpr Duration networkDelay = std::chrono::milliseconds { 2 };
 /// A run that is being stopped is listed as running this long at most.
 constexpr Duration longestStop = std::chrono::milliseconds { 900 };
 
@@ -55,6 +57,9 @@
     bool areConnectionsClosed { false };
     double shrinksPerSecond { 0 }; ///< Workers whose capacity is smaller for some seconds while they run.
     bool isCapacityUnenforced { false }; ///< Workers start whatever they are told to start.
+    /// Share of the crashes that end no connection and close no port, as when a machine loses power.
+    double silentCrashes { 0 };
+    double renamedAfterTaskCrash { 0.15 }; ///< Share of the workers crashed by a task that return under a new id.
 };
 
 class CellSimulation {
@@ -77,8 +82,13 @@
     /// Advances virtual time by `time`.
     void run(Duration time);
 
-    /// Injects no more faults from now on.
-    void stopFaults() { m_faults = { .areConnectionsClosed = m_faults.areConnectionsClosed }; }
+    /// Injects no more faults from now on. Workers go on to behave as they do, also when a task crashes them.
+    void stopFaults()
+    {
+        m_faults = { .areConnectionsClosed = m_faults.areConnectionsClosed,
+            .silentCrashes = m_faults.silentCrashes,
+            .renamedAfterTaskCrash = m_faults.renamedAfterTaskCrash };
+    }
 
     /// Violations that the oracle has found.
     const std::vector<std::string>& violations() const { return m_violations; }
@@ -109,6 +119,9 @@
     /// Workers that have crashed under a task that crashes them, of the job's task with most.
     int highestCrashCount(const JobId& job) const { return m_oracle.highestCrashCount(job); }
 
+    /// Starts on workers, without those of tasks that crash their workers.
+    const StartSurvival& startSurvival() const { return m_startSurvival; }
+
     /// Accepted jobs that are not shown as ended, each with the number of its running tasks.
     std::string describeUnfinishedJobs() const;
 
@@ -146,6 +159,36 @@
         WorkerDescription description;
         TimePoint until;
     };
+    /// The latest crash of a worker under its id.
+    struct Crash {
+        std::size_t index { 0 }; ///< In `m_workers`, where the worker that returns may have another id.
+        MachineId machine;
+        TimePoint at;
+        bool isSilent { false };
+    };
+    /// A command that has been sent to a worker and has no result yet.
+    struct OpenExchange {
+        WorkerId worker;
+        TimePoint sentAt;
+        std::function<void(CommandStatus status, bool isConnectionEnded)> fail;
+    };
+    using ExchangeNumber = std::uint64_t;
+    /// A poll that waits at the worker for ended runs.
+    struct WaitingPoll {
+        PollCommand command;
+        TimePoint deadline;
+        ExchangeNumber exchange { 0 };
+        std::function<void(const PollResult& result)> deliver;
+    };
+
+    struct GangMember {
+        std::size_t worker { 0 }; ///< Index in `m_workers`.
+        TaskRef task;
+    };
+    struct GangState {
+        TimePoint since; ///< When its first member was running.
+        TimePoint endsAt {}; ///< Once all members have been running together.
+    };
 
     bool happens(double probability);
     Duration randomBetween(Duration least, Duration most);
@@ -159,7 +202,8 @@
     void crashRack(const std::string& rack);
     void crashUnder(const ModelWorker& worker, const StartCommand& command);
     void restartLater(std::size_t worker, Duration after, double renamedShare);
-    void takeDown(std::size_t worker);
+    void takeDown(std::size_t worker, bool isByTask = false);
+    void recordCrash(std::size_t worker, bool isSilent);
     void replaceWorker(std::size_t worker);
     void flapWorker(std::size_t worker, int count);
     void stallOwners();
@@ -189,6 +233,7 @@
     const Owner* presentOwner() const;
     void dispatch(const WorkerCommand& command, int owner);
     template <typename CommandType> void sendInOrder(const CommandType& command, int owner);
+    template <typename CommandType> void expire(const CommandType& command, int owner);
     template <typename CommandType>
     void send(const CommandType& command, int owner, const CommandExecution& execution, bool isResponseLost);
     template <typename CommandType> bool isResponseCutOff(const CommandType& command, const CommandResult& result);
@@ -202,13 +247,24 @@
     }
     void poll(const PollCommand& command, int owner);
     void pollLate(const PollCommand& command, std::int64_t incarnationUnixMs);
-    void finishPoll(PollCommand command, TimePoint sentAt, TimePoint deadline, int owner);
+    void sendPoll(const PollCommand& command, int owner);
+    void finishPoll(WaitingPoll waiting);
+    ExchangeNumber openExchange(
+        const WorkerId& worker, std::function<void(CommandStatus status, bool isConnectionEnded)> fail);
+    void failExchange(ExchangeNumber exchange, CommandStatus status, bool isConnectionEnded = false);
+    void failExchangeLater(ExchangeNumber exchange, CommandStatus status, Duration after);
+    void failUnreachable(ExchangeNumber exchange);
+    void endConnections(const WorkerId& worker);
     ModelWorker* find(const WorkerId& id);
     bool isPartitioned(const WorkerId& id) const;
     const TaskBehavior& behaviorOf(const TaskRef& task) const;
     bool crashesWorkers(const TaskRef& task) const { return behaviorOf(task).crashingTask == task.index; }
     void checkStartAfterDone(const StartCommand& command, const CommandExecution& execution);
     void checkStart(const ModelWorker& worker, const StartCommand& command, const CommandExecution& execution);
+    bool isGangMember(const TaskRef& task) const;
+    void advanceGangs();
+    void advanceGang(const TaskRef& gang, const std::vector<GangMember>& members);
+    void endGang(const TaskRef& gang, const std::vector<GangMember>& members, RunOutcome outcome);
     void processWorkerEvents(ModelWorker& worker);
     void recordEndedRuns(const PollReport& report);
     void recordStoredProgress(const JobId& job, const std::string& progress);
@@ -227,6 +283,11 @@
     std::map<WorkerId, TimePoint> m_partitionedUntil;
     std::vector<StaleEntry> m_staleEntries;
     int m_incarnations { 0 };
+    bool m_hasGangs { false }; ///< Whether any submitted job has a gang.
+    std::map<TaskRef, GangState> m_gangs; ///< By the first task of each.
+    std::map<WorkerId, Crash> m_crashes;
+    std::map<ExchangeNumber, OpenExchange> m_openExchanges;
+    ExchangeNumber m_lastExchange { 0 };
 
     /// The present owner, and earlier ones that have not noticed that they are replaced.
     std::map<int, Owner> m_owners;
@@ -248,6 +309,7 @@
 
     // The oracle.
     RuleOracle m_oracle { maxAttempts };
+    StartSurvival m_startSurvival;
     std::map<JobId, Job> m_jobs;
     std::map<JobId, std::vector<TaskBehavior>> m_behaviors;
     std::map<JobId, TimePoint> m_accepted;
--- a/packages/jobs/model/cell_simulation_faults.cpp
+++ b/packages/jobs/model/cell_simulation_faults.cpp
@@ -12,7 +12,6 @@
 constexpr Duration replacementTime = 4s;
 constexpr Duration heartbeat = 1500ms; ///< A worker's description shows a change after this time at the latest.
 constexpr Duration crashDelay = 10ms; ///< From a start that crashes its worker to the crash.
-constexpr double renamedAfterOwnCrash = 0.15; ///< Share of the workers crashed by a task that return under a new id.
 
 } // namespace
 
@@ -96,8 +95,8 @@
             if (crashesWorkers(task))
                 m_oracle.onCrashedUnder(task);
         }
-        takeDown(index);
-        restartLater(index, randomBetween(3s, 3500ms), renamedAfterOwnCrash);
+        takeDown(index, true);
+        restartLater(index, randomBetween(3s, 3500ms), m_faults.renamedAfterTaskCrash);
     });
 }
 
@@ -117,15 +116,26 @@
     });
 }
 
-void CellSimulation::takeDown(std::size_t index)
+void CellSimulation::takeDown(std::size_t index, bool isByTask)
 {
     const WorkerDescription description = m_workers[index].description();
     m_workers[index].crash();
     m_oracle.onCrashed(description.id, m_now);
+    m_startSurvival.onCrashed(description.id, isByTask, m_now);
+    recordCrash(index, happens(m_faults.silentCrashes));
     if (happens(m_faults.staleListEntries))
         m_staleEntries.push_back({ description, m_now + randomBetween(200ms, 1500ms) });
 }
 
+/// The kernel closes the connections of a process that ends, and refuses new ones.
+void CellSimulation::recordCrash(std::size_t index, bool isSilent)
+{
+    const WorkerId id = m_workers[index].description().id;
+    m_crashes[id] = { index, m_workers[index].description().machine, m_now, isSilent };
+    if (!isSilent)
+        schedule(networkDelay, [this, id] { endConnections(id); });
+}
+
 void CellSimulation::loseWorkers(std::size_t count, Duration period)
 {
     for (std::size_t index = 0; index < count; ++index) {
@@ -141,6 +151,7 @@
     WorkerDescription description = m_workers[index].description();
     m_workers[index].crash();
     m_oracle.onCrashed(description.id, m_now);
+    recordCrash(index, true);
     m_staleEntries.push_back({ description, m_now + heartbeatsMissing });
     m_lastWorkerLostAt = m_now;
     schedule(replacementTime, [this, index, description]() mutable {
