Report finite tasks without a run, with what rules each worker out

Cause: task.without_run covered long-running tasks only, and named neither the bars of workers nor reservations and gangs held back.

Change: a check each 500 ms covers up to 500 tasks of the jobs that the owner received first, besides all long-running ones, and makes up to 60 reports. The reason is an enumeration with one table of messages; the earlier messages stay letter for letter. The event counts the workers that are large enough for the task by what rules each out. barOf replaces isUsable, so that the scheduling pass and the report use the same conditions. rattanrack_tasks_without_run_total{reason} counts the reports.

--- a/packages/jobs/include/rattanrack/jobs/cell_event.h
+++ b/packages/jobs/include/rattanrack/jobs/cell_event.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "rattanrack/jobs/job.h"
+#include "rattanrack/jobs/missing_run_reason.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -55,12 +56,15 @@
     Duration age {};
 };
 
-/// A long-running task has had no active run for some seconds.
+/// A task that could run has had no active run for some seconds.
 struct MissingRunEvent {
     TaskRef task;
     RunNumber run { 0 }; ///< The run that is not resolved; 0: none.
     WorkerId worker; ///< Of that run.
-    std::string detail; ///< What keeps the task from its next run.
+    MissingRunReason reason { MissingRunReason::NoRoom };
+    /// How many of the workers that are large enough for the task each reason applies to, as "draining 2, no room 5".
+    /// Empty if the reason is none of the workers'.
+    std::string workers;
     Duration age {}; ///< Since this owner first saw the task without an active run.
 };
 
--- a/packages/jobs/src/cell_missing_runs.cpp
+++ b/packages/jobs/src/cell_missing_runs.cpp
@@ -1,6 +1,7 @@
 #include "cell_state.h"
+#include "missing_run_diagnosis.h"
 
-/// Reports long-running tasks that have no active run, and what keeps each from its next one.
+/// Reports tasks that could run and have no active run, and what keeps each from its next one.
 namespace rattanrack::jobs {
 
 namespace {
@@ -9,15 +10,66 @@
 
 constexpr Duration checkPeriod = 500ms;
 constexpr Duration reportPeriod = 3s; ///< Of one task; also the time until its first report.
+constexpr int finiteTasksPerCheck = 500; ///< Of the jobs that the owner received first.
+constexpr int finiteReportsPerCheck = 60;
 
-std::string_view describeUnresolved(const Run& run)
-{
-    if (run.phase == RunPhase::Stopping)
-        return "its run is being stopped";
-    if (run.hasCommandInFlight)
-        return "its start is in flight";
-    return "its start got no response";
-}
+/// One check of all long-running tasks, and of a bounded number of finite tasks.
+class MissingRunCheck {
+public:
+    MissingRunCheck(CellState& state, bool mayStart, TimePoint now)
+        : m_state(state)
+        , m_diagnosis(state, mayStart, now)
+        , m_now(now)
+    {
+    }
+
+    void checkJob(const JobEntry& entry)
+    {
+        const int steps = static_cast<int>(entry.job.spec.steps.size());
+        for (int occurrence = 0; occurrence < entry.progress.occurrences(); ++occurrence) {
+            for (int step = 0; step < steps; ++step)
+                checkStep(entry, occurrence, step);
+        }
+    }
+
+private:
+    void checkStep(const JobEntry& entry, int occurrence, int step)
+    {
+        const Step& spec = entry.job.spec.steps[static_cast<std::size_t>(step)];
+        const bool isExamined = spec.isLongRunning || m_finiteTasksLeft > 0;
+        if (!isExamined || entry.progress.isStepDone(occurrence, step)
+            || !entry.progress.isReady(occurrence, step, m_state.unixMs))
+            return;
+        if (!spec.isLongRunning)
+            m_finiteTasksLeft -= spec.count;
+        for (int index = 0; index < spec.count; ++index) {
+            const TaskRef task { entry.job.id, occurrence, step, index };
+            const TaskPhase phase = entry.progress.task(task).phase;
+            if (phase == TaskPhase::Waiting || phase == TaskPhase::Starting)
+                checkTask(entry, task, spec.isLongRunning);
+        }
+    }
+
+    void checkTask(const JobEntry& entry, const TaskRef& task, bool isLongRunning)
+    {
+        const MissingRun found { m_now, m_now + reportPeriod, m_now };
+        MissingRun& missing = m_state.missingRuns.try_emplace(task, found).first->second;
+        missing.checkedAt = m_now;
+        if (m_now < missing.reportAt || (!isLongRunning && m_finiteReportsLeft == 0))
+            return;
+        m_finiteReportsLeft -= isLongRunning ? 0 : 1;
+        missing.reportAt = m_now + reportPeriod;
+        MissingRunEvent event = m_diagnosis.diagnose(entry, task);
+        event.age = m_now - missing.since;
+        m_state.addEvent(std::move(event));
+    }
+
+    CellState& m_state;
+    MissingRunDiagnosis m_diagnosis;
+    TimePoint m_now;
+    int m_finiteTasksLeft { finiteTasksPerCheck };
+    int m_finiteReportsLeft { finiteReportsPerCheck };
+};
 
 } // namespace
 
@@ -26,54 +78,12 @@
     if (now < nextMissingRunCheckAt)
         return;
     nextMissingRunCheckAt = now + checkPeriod;
-    std::erase_if(missingRuns, [&](const auto& each) {
-        const JobEntry* entry = find(each.first.job);
-        return !entry || entry->progress.hasEnded();
-    });
+    MissingRunCheck check { *this, mayStart, now };
     for (const JobEntry* entry : unfinishedJobs) {
-        if (entry->progress.hasEnded())
-            continue;
-        for (int step = 0; step < static_cast<int>(entry->job.spec.steps.size()); ++step) {
-            const Step& spec = entry->job.spec.steps[static_cast<std::size_t>(step)];
-            if (!spec.isLongRunning || !entry->progress.isReady(0, step, unixMs))
-                continue;
-            for (int index = 0; index < spec.count; ++index)
-                checkMissingRun(*entry, { entry->job.id, 0, step, index }, mayStart, now);
-        }
-    }
-}
-
-void CellState::checkMissingRun(const JobEntry& entry, const TaskRef& task, bool mayStart, TimePoint now)
-{
-    if (entry.progress.task(task).phase == TaskPhase::Running) {
-        missingRuns.erase(task);
-        return;
-    }
-    MissingRun& missing = missingRuns.try_emplace(task, MissingRun { now, now + reportPeriod }).first->second;
-    if (now < missing.reportAt)
-        return;
-    missing.reportAt = now + reportPeriod;
-    MissingRunEvent event = describeMissingRun(entry, task, mayStart);
-    event.age = now - missing.since;
-    addEvent(std::move(event));
-}
-
-MissingRunEvent CellState::describeMissingRun(const JobEntry& entry, const TaskRef& task, bool mayStart) const
-{
-    const auto location = workerOfTask.find(task);
-    if (location != workerOfTask.end()) {
-        const Run& run = workers.at(location->second).runs.at(task);
-        return { task, run.number, location->second, std::string { describeUnresolved(run) } };
+        if (!entry->progress.hasEnded())
+            check.checkJob(*entry);
     }
-    if (!entry.isStored)
-        return { task, 0, {}, "its job is not stored" };
-    if (entry.isTakenOver && isRecovering)
-        return { task, 0, {}, "workers of previous owners may still run it" };
-    if (!mayStart)
-        return { task, 0, {}, "its owner may start nothing at present" };
-    if (attemptsOf(entry) == 0)
-        return { task, 0, {}, "its queue is not configured" };
-    return { task, 0, {}, isWindowFull ? "other starts are in flight" : "no worker has room for it" };
+    std::erase_if(missingRuns, [&](const auto& each) { return each.second.checkedAt != now; });
 }
 
 } // namespace rattanrack::jobs
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -93,6 +93,7 @@
     ResourceSize used;
     ResourceSize usedByLongRunning;
     ColocatedRuns colocatedRuns;
+    bool isReserved { false }; ///< In the latest scheduling pass, kept free for a step that waits for room.
     int candidateIndex { -1 }; ///< Among the usable workers of the current scheduling pass; -1: not usable.
     std::int64_t processedThrough { 0 };
     std::int64_t ackedThrough { 0 };
@@ -242,10 +243,11 @@
     }
 };
 
-/// A long-running task without an active run.
+/// A task that could run and has no active run.
 struct MissingRun {
     TimePoint since {};
     TimePoint reportAt {};
+    TimePoint checkedAt {}; ///< When a check last found it so.
 };
 
 class FreeCapacity;
@@ -293,7 +295,7 @@
     int startsInFlight { 0 }; ///< Starts that count towards the window, in the current pass.
     bool isGangHeldBack { false }; ///< In the current pass, until enough of the window is free.
     bool isWindowFull { false }; ///< In the latest pass, starts waited for others to get a response.
-    std::map<TaskRef, MissingRun> missingRuns; ///< Long-running tasks without an active run.
+    std::map<TaskRef, MissingRun> missingRuns; ///< Tasks that could run without an active run.
     TimePoint nextMissingRunCheckAt {};
     CellOutput output;
 
@@ -373,10 +375,8 @@
     void checkRecovery(TimePoint now);
     int unavailableMembers(const JobEntry& entry, const TaskRef& member, TimePoint now) const;
 
-    // Long-running tasks without a run: cell_missing_runs.cpp
+    // Tasks without a run: cell_missing_runs.cpp
     void checkMissingRuns(bool mayStart, TimePoint now);
-    void checkMissingRun(const JobEntry& entry, const TaskRef& task, bool mayStart, TimePoint now);
-    MissingRunEvent describeMissingRun(const JobEntry& entry, const TaskRef& task, bool mayStart) const;
 
     // Scheduling: cell_schedule.cpp
     void schedule(TimePoint now, std::int64_t wallMs);
--- a/packages/jobs/src/free_capacity.cpp
+++ b/packages/jobs/src/free_capacity.cpp
@@ -1,5 +1,7 @@
 #include "free_capacity.h"
 
+#include "worker_bar.h"
+
 #include <algorithm>
 
 namespace rattanrack::jobs {
@@ -8,14 +10,6 @@
 
 constexpr int workersPerReserved = 3; ///< One worker of this many may be kept free for large tasks.
 
-/// Whether a worker in the stored list may be used.
-bool isUsable(const Worker& worker, const CellState& state, TimePoint now)
-{
-    return worker.isListed && state.isIncarnationConfirmed(worker) && !worker.description.isDraining
-        && now >= worker.startsAllowedAt && !worker.isAvoided(now) && worker.mayTakeStarts()
-        && worker.colocatedRuns.ofUnknownSize == 0 && !state.drainingMachines.contains(worker.description.machine);
-}
-
 bool dependsOnColocatedRuns(const Step& step)
 {
     return step.isLongRunning || step.isBestEffort || step.maxPerWorker > 0 || step.prefersOneRack
@@ -45,10 +39,11 @@
     auto stored = state.storedWorkers.begin(); // Ordered by id, as the workers are.
     for (auto& [id, worker] : state.workers) {
         worker.candidateIndex = -1;
+        worker.isReserved = false;
         while (stored != state.storedWorkers.end() && stored->first < id)
             ++stored;
         const bool isStored = stored != state.storedWorkers.end() && stored->first == id;
-        if (!isStored || !isUsable(worker, state, now))
+        if (!isStored || barOf(worker, state, now))
             continue;
         worker.candidateIndex = static_cast<int>(m_workers.size());
         Candidate candidate { &worker.description, worker.description.capacity };
@@ -178,6 +173,7 @@
         return;
     }
     best->isReserved = true;
+    m_workers[static_cast<std::size_t>(best - m_candidates.data())]->isReserved = true;
     ++m_reservedCount;
 }
 
--- a/packages/jobs/tests/cell_walk_tests.cpp
+++ b/packages/jobs/tests/cell_walk_tests.cpp
@@ -133,7 +133,8 @@
 
 std::string describeEvent(const MissingRunEvent& event)
 {
-    return describe(event.task) + " without a run, " + event.detail + ' ' + event.worker.value();
+    return describe(event.task) + " without a run, " + std::string { describe(event.reason) } + ' '
+        + event.worker.value() + event.workers;
 }
 
 std::string describeEvent(const JobEvent& event) { return event.job.value() + ' ' + event.detail; }
--- a/packages/node/src/cell_host.cpp
+++ b/packages/node/src/cell_host.cpp
@@ -231,6 +231,9 @@
     m_parts.metrics.increment("rattanrack_cell_events_total", { { "event", name } });
     if (const auto* runEvent = std::get_if<jobs::RunEvent>(&event))
         recordRunEvent(*runEvent);
+    if (const auto* missing = std::get_if<jobs::MissingRunEvent>(&event))
+        m_parts.metrics.increment(
+            "rattanrack_tasks_without_run_total", { { "reason", std::string { describe(missing->reason) } } });
 }
 
 void CellHost::recordRunEvent(const jobs::RunEvent& event)
--- a/packages/node/src/cell_log.cpp
+++ b/packages/node/src/cell_log.cpp
@@ -73,8 +73,8 @@
     {
         logEvent(name,
             { { "cell", cell }, { "term", term }, { "job", event.task.job.value() }, { "task", taskName(event.task) },
-                { "run", event.run }, { "worker", event.worker.value() }, { "detail", event.detail },
-                { "ageMs", milliseconds(event.age) } });
+                { "run", event.run }, { "worker", event.worker.value() }, { "detail", describe(event.reason) },
+                { "ageMs", milliseconds(event.age) }, { "workers", event.workers } });
     }
 };
 
--- a/packages/node/tests/cell_host_tests.cpp
+++ b/packages/node/tests/cell_host_tests.cpp
@@ -142,6 +142,18 @@
     EXPECT_TRUE(eventually([&] { return workers.starts == 1; }));
 }
 
+TEST_F(CellHostTest, ReportsOfFiniteTasksWithoutARunAreCountedByReason)
+{
+    listWorkers(10s);
+    ASSERT_EQ(submit("a"), jobs::Acceptance::Pending);
+    std::this_thread::sleep_for(2s);
+    const auto reports = [&](jobs::MissingRunReason reason) {
+        return metrics.value("rattanrack_tasks_without_run_total", { { "reason", std::string { describe(reason) } } });
+    };
+    EXPECT_TRUE(eventually([&] { return reports(jobs::MissingRunReason::OwnerMayStartNothing) == 1; }));
+    EXPECT_EQ(reports(jobs::MissingRunReason::NoRoom), 0);
+}
+
 TEST_F(CellHostTest, NoRunStartsOnAStaleWorkerListDuringAStoreOutage)
 {
     ASSERT_EQ(submit("a"), jobs::Acceptance::Pending);
--- a/packages/node/tests/cell_log_tests.cpp
+++ b/packages/node/tests/cell_log_tests.cpp
@@ -128,9 +128,10 @@
 
 TEST_F(CellLogTest, ReportsOfMissingRunsAreLimited)
 {
-    write(jobs::MissingRunEvent { {}, 0, {}, "no worker has room for it", 3s }, burst);
+    write(jobs::MissingRunEvent { {}, 0, {}, jobs::MissingRunReason::NoRoom, "draining 2, no room 5", 3s }, burst);
     EXPECT_EQ(linesWith("event=task.without_run"), LogRateLimiter::maxLinesPerSecond);
-    EXPECT_EQ(linesWith("detail=\"no worker has room for it\" ageMs=3000"), LogRateLimiter::maxLinesPerSecond);
+    EXPECT_EQ(linesWith("detail=\"no worker has room for it\" ageMs=3000 workers=\"draining 2, no room 5\""),
+        LogRateLimiter::maxLinesPerSecond);
 }
 
 TEST_F(CellLogTest, FailuresAndStateChangesAreNeverSuppressed)
