--- a/packages/cli/src/explain_job_command.cpp
+++ b/packages/cli/src/explain_job_command.cpp
@@ -13,6 +13,8 @@
     std::string_view words;
 };
 
+constexpr std::string_view withoutRun = "task.without_run";
+
 constexpr EventWords eventWords[] {
     { "job.taken_over", "takes the job over, stored as" },
     { "job.accepted", "has accepted the job for queue" },
@@ -22,7 +24,7 @@
     { "run.stopping", "orders the stop of" },
     { "run.ended", "is told the end of" },
     { "run.over", "takes for over" },
-    { "task.without_run", "has no active run of" },
+    { withoutRun, "has no active run of" },
     { "worker.heard", "hears for the first time from" },
     { "worker.not_heard", "waits no longer for" },
     { "worker.silent", "gets no answer from" },
@@ -48,19 +50,26 @@
 std::string fieldsOf(const LogLine& line)
 {
     std::string text;
-    for (const std::string_view key : { "cell", "part", "term", "failures", "unheard", "kind", "count", "ageMs" }) {
+    for (const std::string_view key :
+        { "cell", "part", "term", "failures", "unheard", "kind", "count", "ageMs", "workers" }) {
         if (!line.text(key).empty())
             text += (text.empty() ? "" : ", ") + std::string { key } + ' ' + std::string { line.text(key) };
     }
     return text.empty() ? text : " (" + text + ")";
 }
 
+std::string runPhrase(const LogLine& line)
+{
+    const std::string task { line.text("task") };
+    const std::string run { line.text("run") };
+    if (line.event() == withoutRun)
+        return ' ' + task + (line.number("run") > 0 ? ", run " + run + " on" : ":");
+    return run.empty() ? "" : " run " + run + " of " + task + " on";
+}
+
 std::string sentence(const StoryLine& each)
 {
-    std::string text = each.node + ' ' + std::string { wordsOf(each.line) };
-    if (!each.line.text("run").empty())
-        text += " run " + std::string { each.line.text("run") } + " of " + std::string { each.line.text("task") }
-            + " on";
+    std::string text = each.node + ' ' + std::string { wordsOf(each.line) } + runPhrase(each.line);
     for (const std::string_view key : { "worker", "detail" }) {
         if (!each.line.text(key).empty())
             text += (key == "detail" && !each.line.text("worker").empty() ? ": " : " ")
--- a/packages/cli/src/job_verdict.cpp
+++ b/packages/cli/src/job_verdict.cpp
@@ -20,6 +20,26 @@
     bool isAcknowledged { false };
 };
 
+/// A reason for which a subtask had no active run.
+struct Wait {
+    std::int64_t longestMs { 0 };
+    std::string workers; ///< Which workers were ruled out, as last reported.
+};
+
+std::string inSeconds(std::int64_t milliseconds)
+{
+    constexpr std::int64_t perTenth = 100;
+    const std::int64_t tenths = milliseconds / perTenth;
+    return std::to_string(tenths / 10) + '.' + std::to_string(tenths % 10) + " s";
+}
+
+struct WaitKey {
+    std::string subtask;
+    std::string reason;
+
+    friend auto operator<=>(const WaitKey&, const WaitKey&) = default;
+};
+
 class Judge {
 public:
     JobVerdict judge(const JobStory& story)
@@ -27,6 +47,7 @@
         for (const StoryLine& each : story.lines)
             take(each);
         judgeEnds();
+        describeWaits();
         m_verdict.failures = m_failed.size();
         return std::move(m_verdict);
     }
@@ -47,6 +68,7 @@
             { "run.ended", &Judge::ended },
             { "run.over", &Judge::over },
             { "ends.acknowledged", &Judge::acknowledged },
+            { "task.without_run", &Judge::waited },
             { "log.left_out", &Judge::leftOut },
         };
         noteTerm(each.line.number("term"));
@@ -138,6 +160,20 @@
             m_nodesWithGaps.insert(each.node);
     }
 
+    void waited(const StoryLine& each, const Run& run)
+    {
+        Wait& wait = m_waits[{ run.first, std::string { each.line.text("detail") } }];
+        wait.longestMs = std::max(wait.longestMs, each.line.number("ageMs"));
+        wait.workers = each.line.text("workers");
+    }
+
+    void describeWaits()
+    {
+        for (const auto& [key, wait] : m_waits)
+            m_verdict.remarks.push_back(key.subtask + " had no active run for " + inSeconds(wait.longestMs) + ": "
+                + key.reason + (wait.workers.empty() ? "" : " (workers: " + wait.workers + ")"));
+    }
+
     void judgeEnds()
     {
         for (const ListedEnd& end : m_ends) {
@@ -167,6 +203,7 @@
     std::set<std::string> m_done;
     std::set<std::string> m_nodesWithGaps; ///< They have left acknowledgements out.
     std::vector<ListedEnd> m_ends;
+    std::map<WaitKey, Wait> m_waits;
 };
 
 } // namespace
--- a/packages/cli/tests/explain_job_tests.cpp
+++ b/packages/cli/tests/explain_job_tests.cpp
@@ -240,6 +240,26 @@
         << run.output;
 }
 
+TEST(ExplainJob, SaysWhatASubtaskWithoutARunWaitsFor)
+{
+    const std::string missing
+        = "job=" + job + " task=0.0.1 run=0 worker=\"\" detail=\"no worker has room for it\" ageMs=";
+    const std::string unanswered
+        = "job=" + job + " task=0.0.1 run=3 worker=w1 detail=\"its start got no response\" ageMs=";
+    MadeLog log { "n1", 1 };
+    log.ofJob("01.000000", "job.accepted", "q").add("04.100000", "task.without_run", missing + "3050 workers=\"\"");
+    log.add("07.100000", "task.without_run", missing + "6050 workers=\"draining 2, no room 5\"");
+    log.add("10.100000", "task.without_run", unanswered + "9100 workers=\"\"");
+    const auto run = explainLogs({ log.file() });
+    EXPECT_EQ(run.status, 0) << run.output;
+    EXPECT_TRUE(has(run, "     3.100  n1 has no active run of 0.0.1: no worker has room for it (")) << run.output;
+    EXPECT_TRUE(has(run, "ageMs 6050, workers draining 2, no room 5)\n"));
+    EXPECT_TRUE(has(run, "n1 has no active run of 0.0.1, run 3 on w1: its start got no response ("));
+    EXPECT_TRUE(has(run, "note: 0.0.1 had no active run for 9.1 s: its start got no response\n"));
+    EXPECT_TRUE(has(
+        run, "note: 0.0.1 had no active run for 6.0 s: no worker has room for it (workers: draining 2, no room 5)\n"));
+}
+
 TEST(ExplainJob, NodeWithoutAStartLineIsNamedAfterItsFile)
 {
     const std::string path = temporaryPath("late.log");
