Failing test: tasks wait behind tasks that crash their workers

The test submits 30 jobs with a task that crashes each worker that starts it, then 60 without one, to 24 workers, without any other fault. From 14 s after the last job (finish_s of the platform) no task without blame may be without a run of its job for over 3 s while running workers have room for it twice over and less than half of their capacity is in use: the rule, checked by CellSimulation::waitingTasksWithRoom.

--- a/packages/jobs/model/cell_simulation.h
+++ b/packages/jobs/model/cell_simulation.h
@@ -103,6 +103,11 @@
     /// the last worker was lost, each with these times.
     std::vector<std::string> overdueLongRunningTasks() const;
 
+    /// Tasks of accepted jobs that have nothing running, although the task could run, running workers have room for it
+    /// twice over, and less than half of these workers' capacity is in use. Jobs with a task that crashes its workers
+    /// are left out.
+    std::vector<TaskRef> waitingTasksWithRoom() const;
+
     /// Failed runs, as far as workers have listed them, of the job's task that failed most often.
     int highestFailureCount(const JobId& job) const;
 
@@ -206,6 +211,9 @@
     ModelWorker* find(const WorkerId& id);
     bool isPartitioned(const WorkerId& id) const;
     const TaskBehavior& behaviorOf(const TaskRef& task) const;
+    bool mayRun(const Job& job, int step) const;
+    bool isHalfOfCapacityInUse() const;
+    int roomFor(const ResourceSize& size) const;
     bool crashesWorkers(const TaskRef& task) const { return behaviorOf(task).crashingTask == task.index; }
     void checkStartAfterDone(const StartCommand& command, const CommandExecution& execution);
     void checkStart(const ModelWorker& worker, const StartCommand& command, const CommandExecution& execution);
--- a/packages/jobs/model/cell_simulation_oracle.cpp
+++ b/packages/jobs/model/cell_simulation_oracle.cpp
@@ -16,6 +16,7 @@
 constexpr Duration maxTimeWithoutRun = 6s; ///< Of a long-running task.
 /// Without a disturbance, before a long-running task without a run is overdue: 3 s without it, and 4 s before them.
 constexpr Duration undisturbedTime = 7s;
+constexpr int roomNeeded = 2; ///< Times the room of a waiting task before it is missed.
 
 } // namespace
 
@@ -132,6 +133,76 @@
     return overdue;
 }
 
+/// Whether the step's dependencies are done.
+bool CellSimulation::mayRun(const Job& job, int step) const
+{
+    const auto& dependsOn = job.spec.steps[static_cast<std::size_t>(step)].dependsOn;
+    return std::all_of(dependsOn.begin(), dependsOn.end(), [&](int dependency) {
+        const int count = job.spec.steps[static_cast<std::size_t>(dependency)].count;
+        for (int index = 0; index < count; ++index) {
+            const auto done = m_done.find({ job.id, 0, dependency, index });
+            if (done == m_done.end() || !done->second)
+                return false;
+        }
+        return true;
+    });
+}
+
+bool CellSimulation::isHalfOfCapacityInUse() const
+{
+    ResourceSize used;
+    ResourceSize capacity;
+    for (const ModelWorker& worker : m_workers) {
+        if (!worker.isUp())
+            continue;
+        used += worker.used();
+        capacity += worker.capacity();
+    }
+    return 2 * used.processors.count() >= capacity.processors.count()
+        || 2 * used.memory.count() >= capacity.memory.count();
+}
+
+/// Tasks of this size for which running workers have room.
+int CellSimulation::roomFor(const ResourceSize& size) const
+{
+    int room = 0;
+    for (const ModelWorker& worker : m_workers) {
+        if (!worker.isUp() || worker.description().isDraining || isPartitioned(worker.description().id))
+            continue;
+        ResourceSize free = worker.capacity();
+        free -= worker.used();
+        for (; fits(size, free) && room < roomNeeded; ++room)
+            free -= size;
+    }
+    return room;
+}
+
+std::vector<TaskRef> CellSimulation::waitingTasksWithRoom() const
+{
+    std::vector<TaskRef> waiting;
+    if (isHalfOfCapacityInUse())
+        return waiting;
+    for (const auto& [id, at] : m_accepted) {
+        const auto& behaviors = m_behaviors.at(id);
+        const bool crashesWorkers = std::any_of(
+            behaviors.begin(), behaviors.end(), [](const TaskBehavior& each) { return each.crashingTask >= 0; });
+        if (crashesWorkers || m_cancelled.contains(id) || runningOf(id) > 0)
+            continue;
+        const Job& job = m_jobs.at(id);
+        for (int step = 0; step < static_cast<int>(job.spec.steps.size()); ++step) {
+            const Step& spec = job.spec.steps[static_cast<std::size_t>(step)];
+            if (!mayRun(job, step) || roomFor(spec.size) < roomNeeded)
+                continue;
+            for (int index = 0; index < spec.count; ++index) {
+                const TaskRef task { id, 0, step, index };
+                if (!m_done.contains(task))
+                    waiting.push_back(task);
+            }
+        }
+    }
+    return waiting;
+}
+
 int CellSimulation::highestFailureCount(const JobId& job) const
 {
     std::size_t most = 0;
