Tell workers not yet contacted from those that stopped responding, and say how old a new contact is

Change: the reason WorkerNotContacted; worker.heard and worker.back carry the age of the incarnation and of its listing in detail, which was empty.

--- a/packages/jobs/include/rattanrack/jobs/missing_run_reason.h
+++ b/packages/jobs/include/rattanrack/jobs/missing_run_reason.h
@@ -20,6 +20,7 @@
     NoTicket, ///< Its queue requires tickets, and the step has no valid one.
     WorkerNotListed,
     WorkerNotStored, ///< Listed, but not yet in the stored list of workers in use.
+    WorkerNotContacted, ///< Listed, and no poll has had a response yet.
     WorkerUnresponsive,
     ListOutdated, ///< The list shows an earlier incarnation of the worker than the one that responds.
     IncarnationNotConfirmed, ///< No transaction has succeeded since the worker's incarnation began.
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -85,6 +85,7 @@
 struct Worker {
     WorkerDescription description;
     bool isListed { false };
+    TimePoint firstListedAt {}; ///< When a list first showed this incarnation.
     WorkerContact contact { WorkerContact::Unknown };
     LeaseClock clock;
     std::int64_t incarnationUnixMs { 0 };
@@ -367,7 +368,7 @@
     /// A command that carried a lease by the clock of that incarnation, and was not bound to it, has a result or is
     /// abandoned.
     void recordDelivery(Worker& worker, std::int64_t incarnationUnixMs, CommandStatus status, TimePoint now) const;
-    void throttleBestEffort(Worker& worker, TimePoint now);
+    void throttleBestEffort(Worker& worker, TimePoint now); // cell_throttling.cpp
     bool mayAvoidOneMore(const Worker& worker, TimePoint now) const;
     void recordFailure(Worker& worker, TimePoint now);
     void recordHigherFence(const WorkerId& worker, TimePoint now);
--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -1,4 +1,5 @@
 #include "cell_state.h"
+#include "rattanrack/base/milliseconds.h"
 #include "rattanrack/jobs/placement.h"
 
 #include <algorithm>
@@ -28,7 +29,12 @@
     return std::max(shown - maxInitialClock, Duration {});
 }
 
-bool isServing(const Step& step) { return step.isLongRunning && step.latencyTarget > Duration::zero(); }
+/// Times since a worker's incarnation began and since the list first showed it.
+std::string describeAges(const Worker& worker, std::int64_t incarnationUnixMs, std::int64_t unixMs, TimePoint now)
+{
+    return "began " + std::to_string(unixMs - incarnationUnixMs) + " ms ago, listed "
+        + std::to_string(milliseconds(now - worker.firstListedAt)) + " ms ago";
+}
 
 } // namespace
 
@@ -56,6 +62,9 @@
         Worker& worker = state.workers[description.id];
         const bool isNewIncarnation = worker.incarnationUnixMs != description.incarnationUnixMs;
         worker.needsPoll = worker.needsPoll || isNewIncarnation;
+        if (worker.firstListedAt == TimePoint {}
+            || worker.description.incarnationUnixMs != description.incarnationUnixMs)
+            worker.firstListedAt = now;
         const bool isRestarted
             = worker.incarnationUnixMs > 0 && description.incarnationUnixMs > worker.incarnationUnixMs;
         if (isRestarted && worker.contact == WorkerContact::Responsive)
@@ -153,8 +162,9 @@
         worker.lastAckSent = std::max(worker.lastAckSent, result.ackedThrough);
     if (worker.contact != WorkerContact::Responsive) {
         const bool isRecovery = worker.contact == WorkerContact::Unresponsive;
-        state.addEvent(WorkerEvent { isRecovery ? WorkerEvent::Kind::Recovered : WorkerEvent::Kind::Contacted,
-            command.worker, {}, now - state.takenOverAt });
+        state.addEvent(
+            WorkerEvent { isRecovery ? WorkerEvent::Kind::Recovered : WorkerEvent::Kind::Contacted, command.worker,
+                describeAges(worker, report.incarnationUnixMs, state.unixMs, now), now - state.takenOverAt });
     }
     worker.contact = WorkerContact::Responsive;
     state.recordIncarnation(worker, report.incarnationUnixMs, result.isBound, now);
@@ -281,39 +291,6 @@
     isRecovering = isRecovering && !inheritedWorkers.empty();
 }
 
-void CellState::throttleBestEffort(Worker& worker, TimePoint now)
-{
-    if (worker.colocatedRuns.bestEffortRuns == 0) {
-        worker.bestEffortThrottle = {};
-        return;
-    }
-    double worstTail = 0;
-    std::vector<TaskRef> bestEffortRuns;
-    for (const auto& [task, run] : worker.runs) {
-        const JobEntry* entry = find(task.job);
-        if (!entry || !entry->progress.contains(task) || run.phase != RunPhase::Confirmed)
-            continue;
-        const Step& step = stepOf(*entry, task);
-        if (step.isBestEffort)
-            bestEffortRuns.push_back(task);
-        else if (isServing(step))
-            worstTail = std::max(worstTail, run.measuredValue * 1000 / static_cast<double>(step.latencyTarget.count()));
-    }
-    if (bestEffortRuns.empty()) {
-        worker.bestEffortThrottle = {};
-        return;
-    }
-    const int percent = worker.bestEffortThrottle.observe(worstTail, now);
-    for (const TaskRef& task : bestEffortRuns) {
-        Run& run = worker.runs.at(task);
-        if (run.throttlePercent == percent)
-            continue;
-        run.throttlePercent = percent;
-        output.commands.emplace_back(
-            ThrottleCommand { worker.description.id, task, run.number, percent, settings.fence });
-    }
-}
-
 /// Whether one more worker may be avoided for its failures. Where most workers fail, the cause is the work itself.
 bool CellState::mayAvoidOneMore(const Worker& worker, TimePoint now) const
 {
--- a/packages/jobs/src/missing_run_reason.cpp
+++ b/packages/jobs/src/missing_run_reason.cpp
@@ -23,6 +23,7 @@
     { MissingRunReason::NoTicket, "its step has no valid tickets", {} },
     { MissingRunReason::WorkerNotListed, "workers with room are not listed", "not listed" },
     { MissingRunReason::WorkerNotStored, "workers with room are not stored as in use yet", "not stored" },
+    { MissingRunReason::WorkerNotContacted, "workers with room have not been contacted yet", "not contacted" },
     { MissingRunReason::WorkerUnresponsive, "workers with room do not respond", "no response" },
     { MissingRunReason::ListOutdated, "the list shows earlier incarnations of workers with room", "list outdated" },
     { MissingRunReason::IncarnationNotConfirmed, "workers with room have restarted since the last transaction",
--- a/packages/jobs/src/worker_bar.cpp
+++ b/packages/jobs/src/worker_bar.cpp
@@ -6,6 +6,8 @@
 
 MissingRunReason barOfUnconfirmed(const Worker& worker)
 {
+    if (worker.contact == WorkerContact::Unknown)
+        return MissingRunReason::WorkerNotContacted;
     if (worker.contact != WorkerContact::Responsive || !worker.clock.isKnown())
         return MissingRunReason::WorkerUnresponsive;
     return worker.isDescriptionCurrent() ? MissingRunReason::IncarnationNotConfirmed : MissingRunReason::ListOutdated;
--- a/packages/jobs/tests/missing_run_diagnosis_tests.cpp
+++ b/packages/jobs/tests/missing_run_diagnosis_tests.cpp
@@ -119,6 +119,8 @@
     const std::vector<Bar> bars {
         { [](CellState&, Worker& worker) { worker.isListed = false; }, MissingRunReason::WorkerNotListed },
         { [](CellState& cell, Worker&) { cell.storedWorkers.clear(); }, MissingRunReason::WorkerNotStored },
+        { [](CellState&, Worker& worker) { worker.contact = WorkerContact::Unknown; },
+            MissingRunReason::WorkerNotContacted },
         { [](CellState&, Worker& worker) { worker.contact = WorkerContact::Unresponsive; },
             MissingRunReason::WorkerUnresponsive },
         { [](CellState&, Worker& worker) { worker.clock = {}; }, MissingRunReason::WorkerUnresponsive },
