Add the slack of a takeover once in a series of hand-backs

Cause: an owner that hands back before its recovery has ended passes on the rest of its inherited waits, which include takeoverSlack, and the next owner adds the slack again: 0.5 s for each hand-back. Change: outstandingLeases() passes on inherited waits without the slack, which the next owner adds. The end that is waited for stays at or after the first owner's estimate plus one slack, so that no run starts beside one that may hold a lease. Test: InheritedLease.HandBacksInSeriesDoNotProlongTheWait failed before (six hand-backs: 13.43 s against 10.59 s without) and passes.

--- a/packages/jobs/include/rattanrack/jobs/cell.h
+++ b/packages/jobs/include/rattanrack/jobs/cell.h
@@ -154,7 +154,8 @@
     /// this applies are left out.
     WorkerMachines workersInUse() const;
 
-    /// Outstanding leases of all workers in use, provided that nothing is granted from `now` on.
+    /// Outstanding leases of all workers in use, without `takeoverSlack`, which the next owner adds, provided that
+    /// nothing is granted from `now` on.
     OutstandingLeases outstandingLeases(TimePoint now) const;
 
     /// The list of workers has been sent to the store. From now on only workers that are both in this list and in the
--- a/packages/jobs/src/cell_queries.cpp
+++ b/packages/jobs/src/cell_queries.cpp
@@ -1,4 +1,5 @@
 #include "cell_state.h"
+#include "rattanrack/jobs/lease_clock.h"
 
 #include <algorithm>
 
@@ -62,7 +63,8 @@
     OutstandingLeases leases;
     for (const auto& [id, machine] : workersInUse()) {
         const auto known = state.workers.find(id);
-        TimePoint until = state.inheritedWorkers.contains(id) ? state.inheritedLeaseEnd.at(id) : now;
+        // The next owner adds the slack again.
+        TimePoint until = state.inheritedWorkers.contains(id) ? state.inheritedLeaseEnd.at(id) - takeoverSlack : now;
         if (known != state.workers.end()) {
             for (const auto& [task, run] : known->second.runs)
                 until = std::max(until, state.leaseEndOf(known->second, run, now));
--- a/packages/jobs/tests/inherited_lease_tests.cpp
+++ b/packages/jobs/tests/inherited_lease_tests.cpp
@@ -2,6 +2,8 @@
 #include "cell_harness.h"
 #include "rattanrack/jobs/lease_clock.h"
 
+#include <memory>
+
 using namespace rattanrack;
 using namespace rattanrack::jobs;
 using namespace rattanrack::jobs::tests;
@@ -38,8 +40,40 @@
     return harness.now() - from;
 }
 
+/// At most 40 s. No worker responds.
+Duration timeUntilRecovered(CellHarness& owner)
+{
+    const TimePoint from = owner.now();
+    while (owner.cell().isRecovering() && owner.now() - from < 40s)
+        owner.advance(10ms);
+    return owner.now() - from;
+}
+
+/// Passes a cell on `count` times, each owner keeps it for `tenure` and contacts no worker. Returns the time from the
+/// first takeover, without hand-back, until the last owner assumes that all leases on w1 have ended.
+Duration waitWithHandBacks(int count, Duration tenure)
+{
+    auto owner = std::make_unique<CellHarness>(2, std::vector<StoredJob> {});
+    Duration sinceFirst {};
+    for (int each = 1; each <= count; ++each) {
+        const TimePoint takenOverAt = owner->now();
+        owner->advance(tenure);
+        sinceFirst += owner->now() - takenOverAt;
+        const OutstandingLeases leases = owner->cell().outstandingLeases(owner->now());
+        owner = std::make_unique<CellHarness>(2 + each, std::vector<StoredJob> {}, leases);
+    }
+    return sinceFirst + timeUntilRecovered(*owner);
+}
+
 } // namespace
 
+TEST(InheritedLease, HandBacksInSeriesDoNotProlongTheWait)
+{
+    const Duration once = waitWithHandBacks(0, 1s);
+    EXPECT_GE(waitWithHandBacks(6, 1s), once - 100ms);
+    EXPECT_LE(waitWithHandBacks(6, 1s), once + 100ms);
+}
+
 TEST(InheritedLease, LeaseOfTheSlowestWorkerEndsWithinTheWait)
 {
     const TimePoint takenOverAt { 1000s };
