process-soak: jobs that crash the workers that start them

One job of fifty crashes each worker that starts it (the stand-in's spec "*"), while daemons are killed, restarted, frozen and reloaded in series that overlap, and a worker crashes now and then without cause. A job that crashes workers has to be shown as failed 25 s after the end of the usual settle time, which is five starts with a lease of 4.5 s each, and not before two crashes under one of its subtasks; all other jobs have to be completed at the end of the usual time, as in other plays. Crashes by tasks don't delay the end of a play.

--- a/tools/process_soak/callers.cpp
+++ b/tools/process_soak/callers.cpp
@@ -24,6 +24,8 @@
 constexpr Specs usualSpecs { "60", "90", "120", "200", "250", "300", "400", "500", "700", "80", "150?", "100!" };
 constexpr Specs failingSpecs { "60", "120", "200", "300", "500", "700", "150?", "150?", "400?", "400?", "100!",
     "100!" };
+constexpr const char* crashingSpec = "500*"; ///< Of a job that crashes the workers that start it.
+constexpr std::uint64_t crashingEvery = 50; ///< One job of this many, in plays with such jobs.
 constexpr std::uint64_t failingEvery = 4; ///< One seed of this many has the failing jobs.
 
 enum class Outcome { Answered, Broken, Silent };
@@ -125,12 +127,14 @@
 /// What one caller does, step by step.
 class Caller {
 public:
-    Caller(Recorder& recorder, std::vector<std::unique_ptr<Entry>>& entries, std::uint64_t seed, int number)
+    Caller(Recorder& recorder, std::vector<std::unique_ptr<Entry>>& entries, std::uint64_t seed, int number,
+        bool crashesWorkers)
         : m_recorder(recorder)
         , m_entries(entries)
         , m_specs(seed % failingEvery == 1 ? failingSpecs : usualSpecs)
         , m_random(seed * callerCount + static_cast<std::uint64_t>(number))
         , m_number(number)
+        , m_crashesWorkers(crashesWorkers)
         , m_connection(recorder)
     {
     }
@@ -185,11 +189,12 @@
         const bool isLasting = m_drawn == 1;
         const int count = isLasting ? lastingCount : 1 + static_cast<int>(m_random.below(3));
         const std::string step = R"({"cpu":1000,"mem_mb":100,"estimated_ms":200,"count":)" + std::to_string(count);
-        const std::string spec = isLasting ? "lasting" : m_random.pick(m_specs);
+        const bool isCrashing = m_crashesWorkers && !isLasting && m_random.oneIn(crashingEvery);
+        const std::string spec = isLasting ? "lasting" : isCrashing ? crashingSpec : m_random.pick(m_specs);
         const std::string second = m_random.oneIn(3) ? "," + step + R"(,"after":[0]})" : "";
         m_body = R"({"spec":")" + spec + R"(","steps":[)" + step
             + (isLasting ? R"(,"long_running":true,"may_miss":1}]})" : "}" + second + "]}");
-        m_recorder.submitted(m_id, count, isLasting, poolOf(m_id));
+        m_recorder.submitted(m_id, count, isLasting, poolOf(m_id), isCrashing);
     }
 
     void ask(const jobs::JobId& job)
@@ -211,6 +216,7 @@
     const Specs& m_specs;
     fakes::Random m_random;
     int m_number;
+    bool m_crashesWorkers;
     Connection m_connection;
     std::vector<jobs::JobId> m_jobs; ///< Accepted; the first one lasts and is never cancelled.
     jobs::JobId m_id;
@@ -243,13 +249,14 @@
     return result->body.substr(from, result->body.find('"', from) - from);
 }
 
-Callers::Callers(Recorder& recorder, std::vector<std::unique_ptr<Entry>>& entries, std::uint64_t seed)
+Callers::Callers(
+    Recorder& recorder, std::vector<std::unique_ptr<Entry>>& entries, std::uint64_t seed, bool crashWorkers)
     : m_recorder(recorder)
     , m_entries(entries)
 {
     m_threads.emplace_back([this] { probe(); });
     for (int number = 0; number < callerCount; ++number)
-        m_threads.emplace_back([this, seed, number] { call(seed, number); });
+        m_threads.emplace_back([this, seed, number, crashWorkers] { call(seed, number, crashWorkers); });
 }
 
 Callers::~Callers()
@@ -259,9 +266,9 @@
         thread.join();
 }
 
-void Callers::call(std::uint64_t seed, int number)
+void Callers::call(std::uint64_t seed, int number, bool crashesWorkers)
 {
-    Caller caller { m_recorder, m_entries, seed, number };
+    Caller caller { m_recorder, m_entries, seed, number, crashesWorkers };
     while (!m_isEnding)
         caller.step();
 }
--- a/tools/process_soak/callers.h
+++ b/tools/process_soak/callers.h
@@ -34,13 +34,14 @@
 /// Threads that submit jobs, ask for them and cancel some, each over one connection that it keeps until it ends.
 class Callers {
 public:
-    Callers(Recorder& recorder, std::vector<std::unique_ptr<Entry>>& entries, std::uint64_t seed);
+    /// `crashWorkers`: some jobs crash the workers that start them.
+    Callers(Recorder& recorder, std::vector<std::unique_ptr<Entry>>& entries, std::uint64_t seed, bool crashWorkers);
     ~Callers();
     Callers(const Callers&) = delete;
     Callers& operator=(const Callers&) = delete;
 
 private:
-    void call(std::uint64_t seed, int number);
+    void call(std::uint64_t seed, int number, bool crashesWorkers);
     void probe();
 
     Recorder& m_recorder;
--- a/tools/process_soak/history.h
+++ b/tools/process_soak/history.h
@@ -35,6 +35,7 @@
     std::optional<TimePoint> cancelSentAt;
     std::string lastState; ///< As answered after the play; "gone", or "silent" without an answer.
     std::string pool; ///< Whose workers run it.
+    bool crashesWorkers { false }; ///< Each of its subtasks crashes the workers that start it.
 };
 
 /// One incarnation of a worker, from its start to its end.
--- a/tools/process_soak/judge.cpp
+++ b/tools/process_soak/judge.cpp
@@ -1,5 +1,6 @@
 #include "judge.h"
 
+#include "crash_check.h"
 #include "lasting_check.h"
 #include "task_name.h"
 
@@ -134,7 +135,7 @@
 
 bool hasCauseToFail(const History& history, const RunsOfTask& tasks, const jobs::JobId& job)
 {
-    return std::any_of(tasks.begin(), tasks.end(), [&](const auto& each) {
+    return mayBeGivenUp(history, job) || std::any_of(tasks.begin(), tasks.end(), [&](const auto& each) {
         return each.first.job == job && std::count_if(each.second.begin(), each.second.end(), [](const RunRecord* run) {
             return run->ending == Ending::Failed;
         }) >= history.attempts;
@@ -151,15 +152,21 @@
     return static_cast<int>(running.size());
 }
 
+bool isInOrder(const History& history, const RunsOfTask& tasks, const jobs::JobId& id, const JobRecord& job)
+{
+    if (job.isLasting)
+        return runningOf(history, id) == job.count;
+    if (job.lastState == "completed")
+        return !job.crashesWorkers;
+    return job.lastState == "failed" && hasCauseToFail(history, tasks, id);
+}
+
 void judgeEndOfPlay(const History& history, const RunsOfTask& tasks, std::vector<Violation>& found)
 {
     for (const auto& [id, job] : history.jobs) {
         if (!job.acceptedAt || job.cancelSentAt)
             continue;
-        const bool isInOrder = job.isLasting
-            ? runningOf(history, id) == job.count
-            : job.lastState == "completed" || (job.lastState == "failed" && hasCauseToFail(history, tasks, id));
-        if (!isInOrder)
+        if (!isInOrder(history, tasks, id, job))
             found.push_back({ "LOST (c)", id,
                 id.value() + " is " + job.lastState + ", " + std::to_string(runningOf(history, id)) + " running" });
     }
@@ -233,6 +240,7 @@
     std::vector<Violation> found;
     const RunsOfTask tasks = runsByTask(history);
     judgeBudget(history, tasks, found);
+    judgeCrashes(history, found);
     judgeTwice(history, tasks, found);
     judgeBrokenCalls(history, found);
     judgeDenials(history, found);
--- a/tools/process_soak/judge.h
+++ b/tools/process_soak/judge.h
@@ -11,8 +11,8 @@
     std::string text;
 };
 
-/// Checks a finished play: attempts, double runs, losses, starts on leaving workers, availability, and how long lasting
-/// subtasks are without a run.
+/// Checks a finished play: attempts, crashes, double runs, losses, starts on leaving workers, availability, and how
+/// long lasting subtasks are without a run.
 std::vector<Violation> judge(const History& history);
 
 /// All that was recorded of a job, one line a run, times in seconds since the beginning.
--- a/tools/process_soak/lasting_check.cpp
+++ b/tools/process_soak/lasting_check.cpp
@@ -21,7 +21,8 @@
 
 bool isEndOfProcess(const Trouble& trouble)
 {
-    return trouble.what == "SIGKILL" || trouble.what == "crash" || trouble.what == "death";
+    return trouble.what == "SIGKILL" || trouble.what == "crash" || trouble.what == "crash by task"
+        || trouble.what == "death";
 }
 
 bool disturbs(const Trouble& trouble, TimePoint from, TimePoint to)
--- a/tools/process_soak/main.cpp
+++ b/tools/process_soak/main.cpp
@@ -33,8 +33,10 @@
   --daemons=N    How many daemons; 0: three to five, by the seed [default: 0].
   --workers=N    How many workers, two or more, in two pools [default: 6].
   --troubles=KIND  mixed: all kinds, of which even seeds play planned work alone;
-                   deaths: workers die while nodes are in trouble [default: mixed].
-  --longest-lease=MS  That workers grant; 0: 4500, for deaths 4500, 6000 or 10000 by the seed [default: 0].
+                   deaths: workers die while nodes are in trouble;
+                   crashes: some jobs crash the workers that start them, while daemons are killed, restarted and
+                   frozen; takes 25 s more [default: mixed].
+  --longest-lease=MS  That workers grant; 0: 4500, for deaths and crashes 4500, 6000 or 10000 by the seed [default: 0].
   --dir=DIR      For settings and logs of the daemons [default: process-soak].
 
 Exit status 1 when a promise was broken; each one is printed with the record of its job.
@@ -57,6 +59,8 @@
         return Troubles::Mixed;
     if (name == "deaths")
         return Troubles::Deaths;
+    if (name == "crashes")
+        return Troubles::Crashes;
     std::cerr << "process-soak: no troubles are named " << name << '\n';
     std::exit(2);
 }
--- a/tools/process_soak/play.cpp
+++ b/tools/process_soak/play.cpp
@@ -18,6 +18,9 @@
 constexpr Duration grace = 6s; ///< From SIGTERM to SIGKILL.
 constexpr Duration restartPause = 300ms;
 constexpr Duration settleTime = 14s; ///< After the last trouble, until all jobs must be in order.
+/// After `settleTime`, until all jobs that crash workers must be shown as failed: five starts, each with a lease of 4.5
+/// s that may have to expire.
+constexpr Duration crashSettleTime = 25s;
 constexpr Duration stopTime = 400ms;
 constexpr Duration shortestDrain = 2500ms;
 constexpr Duration entryLife = 1500ms; ///< Of a worker that is silent.
@@ -49,9 +52,9 @@
     , m_recorder(attempts)
 {
     if (m_settings.longestLease == Duration::zero())
-        m_settings.longestLease = m_settings.troubles == Troubles::Deaths
-            ? longestLeases[m_settings.seed % longestLeases.size()]
-            : usualLease;
+        m_settings.longestLease = m_settings.troubles == Troubles::Mixed
+            ? usualLease
+            : longestLeases[m_settings.seed % longestLeases.size()];
     m_store.onWorkerRowRead
         = [this](const std::string& key, const std::string& value) { m_recorder.served(key, value); };
     m_store.put("op", "config", configuration);
@@ -70,6 +73,7 @@
         m_workers.back()->setObserver(m_recorder, stopTime, m_workerLinks.back()->address());
         all.push_back(m_workers.back().get());
     }
+    m_taskCrashes = std::make_unique<TaskCrashes>(m_recorder, m_workers);
     m_machines = std::make_unique<adapter::standin::StandinMachineList>(all);
 }
 
@@ -283,6 +287,7 @@
         supervise(node);
     for (const auto& worker : m_workers)
         worker->advance();
+    m_taskCrashes->update();
     std::this_thread::sleep_for(tickStep);
 }
 
@@ -296,10 +301,10 @@
         tick();
 }
 
-void Play::askForJobs()
+void Play::askForJobs(bool thatCrashWorkers)
 {
     for (const auto& [job, record] : m_recorder.history().jobs) {
-        if (!record.acceptedAt || record.cancelSentAt)
+        if (!record.acceptedAt || record.cancelSentAt || record.crashesWorkers != thatCrashWorkers)
             continue;
         std::optional<std::string> state;
         for (std::size_t tries = 0; tries < m_entries.size() && !state; ++tries)
@@ -308,18 +313,35 @@
     }
 }
 
-History Play::run()
+std::vector<Step> Play::schedule() const
 {
     const FleetSize fleet { m_nodes.size(), m_workers.size(), poolNames.size() };
-    const auto schedule = m_settings.troubles == Troubles::Deaths ? deathsSchedule : mixedSchedule;
-    for (const Step& step : schedule(m_settings.seed, m_settings.length, fleet))
+    switch (m_settings.troubles) {
+    case Troubles::Mixed:
+        return mixedSchedule(m_settings.seed, m_settings.length, fleet);
+    case Troubles::Deaths:
+        return deathsSchedule(m_settings.seed, m_settings.length, fleet);
+    case Troubles::Crashes:
+        return crashesSchedule(m_settings.seed, m_settings.length, fleet);
+    }
+    return {};
+}
+
+History Play::run()
+{
+    const bool hasCrashes = m_settings.troubles == Troubles::Crashes;
+    for (const Step& step : schedule())
         later(step.at, [this, step] { perform(step); });
     {
-        const Callers callers { m_recorder, m_entries, m_settings.seed };
+        const Callers callers { m_recorder, m_entries, m_settings.seed, hasCrashes };
         playUntil(m_recorder.now() + m_settings.length);
     }
     playUntil(m_recorder.now() + settleTime);
-    askForJobs();
+    askForJobs(false);
+    if (hasCrashes) {
+        playUntil(m_recorder.now() + crashSettleTime);
+        askForJobs(true);
+    }
     return m_recorder.history();
 }
 
--- a/tools/process_soak/play.h
+++ b/tools/process_soak/play.h
@@ -6,13 +6,14 @@
 #include "loopback_proxy.h"
 #include "recorder.h"
 #include "schedule.h"
+#include "task_crashes.h"
 
 #include <functional>
 #include <memory>
 
 namespace rattanrack::tools {
 
-enum class Troubles { Mixed, Deaths };
+enum class Troubles { Mixed, Deaths, Crashes };
 
 struct PlaySettings {
     std::string program;
@@ -22,7 +23,7 @@
     std::size_t daemons { 0 }; ///< 0: three to five, by the seed.
     std::size_t workers { 6 }; ///< At least two.
     Troubles troubles { Troubles::Mixed };
-    Duration longestLease {}; ///< That workers grant; zero: chosen by the seed for deaths, else 4.5 s.
+    Duration longestLease {}; ///< That workers grant; zero: chosen by the seed for deaths and crashes, else 4.5 s.
 };
 
 /// A fleet of daemons as processes among stand-ins of the users' platform, played through one schedule.
@@ -30,7 +31,7 @@
 public:
     explicit Play(PlaySettings settings);
 
-    /// Takes `length` and some twenty seconds more. Returns what was seen.
+    /// Takes `length` and some twenty seconds more, 45 with crashes. Returns what was seen.
     History run();
 
     /// Processes that ended by themselves, with their wait status.
@@ -64,12 +65,14 @@
     void tick();
     void supervise(Node& node);
     void playUntil(TimePoint until);
-    void askForJobs();
+    std::vector<Step> schedule() const;
+    void askForJobs(bool thatCrashWorkers);
 
     PlaySettings m_settings;
     Recorder m_recorder;
     adapter::standin::StandinStore m_store;
     std::vector<std::unique_ptr<adapter::standin::StandinWorker>> m_workers;
+    std::unique_ptr<TaskCrashes> m_taskCrashes;
     std::vector<std::unique_ptr<LoopbackProxy>> m_workerLinks;
     std::unique_ptr<adapter::standin::StandinMachineList> m_machines;
     std::vector<std::unique_ptr<Entry>> m_entries;
--- a/tools/process_soak/recorder.cpp
+++ b/tools/process_soak/recorder.cpp
@@ -128,11 +128,13 @@
     m_history.drains.push_back({ jobs::WorkerId { worker }, now() });
 }
 
-void Recorder::submitted(const jobs::JobId& job, int count, bool isLasting, const std::string& pool)
+void Recorder::submitted(
+    const jobs::JobId& job, int count, bool isLasting, const std::string& pool, bool crashesWorkers)
 {
     const std::lock_guard lock(m_mutex);
     JobRecord record { count, isLasting };
     record.pool = pool;
+    record.crashesWorkers = crashesWorkers;
     m_history.jobs[job] = std::move(record);
 }
 
--- a/tools/process_soak/recorder.h
+++ b/tools/process_soak/recorder.h
@@ -24,7 +24,9 @@
     /// A worker's entry was handed out; only those of leaving workers are kept.
     void served(const std::string& worker, const std::string& entry);
 
-    void submitted(const jobs::JobId& job, int count, bool isLasting, const std::string& pool);
+    /// `crashesWorkers`: each of its subtasks crashes the workers that start it.
+    void submitted(
+        const jobs::JobId& job, int count, bool isLasting, const std::string& pool, bool crashesWorkers = false);
     void accepted(const jobs::JobId& job);
     void cancelSent(const jobs::JobId& job);
     void denied(const std::string& node, const jobs::JobId& job, TimePoint sentAt);
--- a/tools/process_soak/schedule.cpp
+++ b/tools/process_soak/schedule.cpp
@@ -26,6 +26,9 @@
 constexpr Duration takeoverPause = 20s;
 constexpr std::array nodeTroubles { Action::KillOwner, Action::KillOwner, Action::OwnerStoreLink,
     Action::OwnerStoreLink, Action::FreezeOwner, Action::TerminateOwner, Action::StoreLink };
+constexpr Duration firstCrashes = 5s;
+constexpr std::array daemonTroubles { Action::KillOwner, Action::KillOwner, Action::TerminateOwner, Action::FreezeOwner,
+    Action::Kill, Action::Terminate, Action::Freeze, Action::Reload };
 constexpr std::array cuts { LinkMode::Silent, LinkMode::Reset, LinkMode::CutAnswers };
 
 Duration between(fakes::Random& random, Duration least, Duration most)
@@ -121,6 +124,25 @@
     return inOrder(std::move(steps));
 }
 
+std::vector<Step> crashesSchedule(std::uint64_t seed, Duration length, const FleetSize& fleet)
+{
+    fakes::Random random { seed };
+    std::vector<Step> steps;
+    for (Duration at = firstCrashes; at < length; at += between(random, 1s, 6s)) {
+        const std::uint64_t count = 1 + random.below(2);
+        for (std::uint64_t each = 0; each < count; ++each) {
+            Step step { at + between(random, 0s, 1500ms), random.pick(daemonTroubles) };
+            step.target = random.below(isOfNode(step.action) ? fleet.nodes : fleet.pools);
+            step.length = between(random, 500ms, 6s);
+            steps.push_back(step);
+        }
+        if (random.oneIn(3))
+            steps.push_back({ at + between(random, 0s, 1500ms), Action::Crash, random.below(fleet.workers),
+                between(random, 500ms, 4s), random.oneIn(2) ? LinkMode::Silent : LinkMode::Pass });
+    }
+    return inOrder(std::move(steps));
+}
+
 std::vector<Step> deathsSchedule(std::uint64_t seed, Duration length, const FleetSize& fleet)
 {
     fakes::Random random { seed };
--- a/tools/process_soak/schedule.h
+++ b/tools/process_soak/schedule.h
@@ -50,4 +50,9 @@
 /// seeds of remainder two, the owner and other nodes are cut from the store together.
 std::vector<Step> deathsSchedule(std::uint64_t seed, Duration length, const FleetSize& fleet);
 
+/// Series that overlap, in which daemons are killed, restarted, signalled and frozen, owners of cells more often than
+/// others, and a worker crashes now and then without cause, in order of time; the same for equal arguments. The crashes
+/// by tasks are not part of it.
+std::vector<Step> crashesSchedule(std::uint64_t seed, Duration length, const FleetSize& fleet);
+
 } // namespace rattanrack::tools
