--- a/packages/jobs/include/rattanrack/jobs/cell_event.h
+++ b/packages/jobs/include/rattanrack/jobs/cell_event.h
@@ -12,7 +12,12 @@
 namespace rattanrack::jobs {
 
 struct JobEvent {
-    enum class Kind : std::uint8_t { TakenOver, Accepted, Ended };
+    enum class Kind : std::uint8_t {
+        TakenOver,
+        Accepted,
+        Ended,
+        GivenUp, ///< A task crashes the workers that start it; `detail` names the task and the workers.
+    };
     Kind kind { Kind::Accepted };
     JobId job;
     std::string detail;
@@ -29,6 +34,10 @@
         /// start was last sent, 0 if a previous owner sent it.
         PresumedEnded,
         NotStarted, ///< Over, since its start was refused or not sent; `detail` is the reason, `age` as above.
+        /// Its worker has crashed soon after the start; `detail` is the evidence, `age` the time since contact was
+        /// lost.
+        Suspected,
+        Cleared, ///< Its worker has survived the start of a suspect.
     };
     Kind kind { Kind::Starting };
     TaskRef task;
--- a/packages/jobs/include/rattanrack/jobs/job_progress.h
+++ b/packages/jobs/include/rattanrack/jobs/job_progress.h
@@ -16,14 +16,36 @@
     Done,
 };
 
+/// A start of a task soon after which contact with its worker was lost. The worker may have crashed under the task.
+struct LostStart {
+    WorkerId worker;
+    std::int64_t incarnationUnixMs { 0 }; ///< The incarnation that the start was sent to.
+    RunNumber run { 0 };
+    bool isCrash { false }; ///< The incarnation is known to be over. Otherwise the worker may only be unreachable.
+    bool wasReceived { false }; ///< The worker was up when the start arrived.
+    bool isOnSettledWorker { false }; ///< The worker had been up for a while.
+    /// From sending the start until contact was lost, if it was the only recent start on the worker; 0: it was not.
+    Duration exposure {};
+    TimePoint lostAt {}; ///< When contact was lost, or when a later owner read the record; not stored.
+
+    bool isAlone() const { return exposure > Duration {}; }
+
+    friend bool operator==(const LostStart&, const LostStart&) = default;
+};
+
 struct Task {
     TaskPhase phase { TaskPhase::Waiting };
     RunNumber lastRun { 0 }; ///< Highest run number used so far.
     /// Each run is counted once, in whatever order and however often workers list it.
     std::vector<RunNumber> failedRuns;
+    std::vector<LostStart> lostStarts; ///< One for each worker and incarnation; none once a worker survived a start.
+    bool isHarmless { false }; ///< A worker has survived a start of it under this owner.
     std::string checkpoint; ///< Newest one known; empty: none.
 
     int failures() const { return static_cast<int>(failedRuns.size()); }
+
+    /// Whether it may have crashed a worker.
+    bool isSuspect() const { return !lostStarts.empty(); }
 };
 
 /// What the next owner must know of a task: its ended runs that workers have removed after their acknowledgement. Only
@@ -34,6 +56,7 @@
     int index { 0 };
     bool isDone { false };
     std::vector<RunNumber> failedRuns;
+    std::vector<LostStart> lostStarts;
 
     friend bool operator==(const StoredTask&, const StoredTask&) = default;
 };
--- a/packages/jobs/include/rattanrack/jobs/missing_run_reason.h
+++ b/packages/jobs/include/rattanrack/jobs/missing_run_reason.h
@@ -13,7 +13,8 @@
     StartWithoutResponse,
     Stopping, ///< Its earlier run is being stopped.
     JobNotStored,
-    FailureNotStored, ///< Its latest failure has to be stored before its next start.
+    FailureNotStored, ///< Its latest failure, or the loss of its worker, has to be stored before its next start.
+    HeldForEvidence, ///< Its worker may have crashed under it, which would prove that it crashes workers.
     PreviousOwners, ///< Workers of previous owners may still run it.
     OwnerMayStartNothing, ///< No recent transaction, or an old list of workers.
     QueueNotConfigured,
@@ -30,12 +31,14 @@
     WorkerAvoidedAfterStart, ///< A start there had no response or was refused.
     WorkerSlow,
     WorkerStartsInFlight, ///< As many starts are in flight to the worker as it may have.
+    WorkerOnTrial, ///< A task that may crash workers has just started there.
     RunsOfUnknownSize, ///< The worker runs tasks of jobs that this owner does not know.
     RoomHeldByUnresolvedRuns, ///< The room is counted for runs that may have ended.
     WorkerReserved, ///< The worker is kept free for another step.
     NoRoom,
     WindowFull, ///< The owner has as many starts in flight as it may have.
     GangHeldBack, ///< A gang waits for the start window, and no step after it may start.
+    WaitsForTrial, ///< It may crash workers, and no worker without recent starts is free for it.
     NotReached, ///< Some worker has room, and the latest scheduling pass did not use it for the task.
     Count ///< Not a reason.
 };
--- a/packages/jobs/include/rattanrack/jobs/worker.h
+++ b/packages/jobs/include/rattanrack/jobs/worker.h
@@ -67,6 +67,8 @@
     Duration longestWait {}; ///< The worker responds when a run ends, or after this time.
     /// Incarnation whose ended runs are acknowledged, and by whose clock the lease is.
     std::int64_t incarnationUnixMs { 0 };
+    /// Asks only whether the incarnation is up. Sent beside another poll, which may be waiting.
+    bool isSurvivalCheck { false };
 };
 
 using WorkerCommand = std::variant<StartCommand, StopCommand, ThrottleCommand, PollCommand>;
--- a/packages/jobs/src/cell.cpp
+++ b/packages/jobs/src/cell.cpp
@@ -46,9 +46,11 @@
         entry->storedState = entry->progress.state();
         entry->acceptedAt = now - Duration { (unixMs - entry->job.acceptedAtUnixMs) * 1000 };
         const JobId id = entry->job.id;
-        if (!entry->progress.hasEnded())
+        if (!entry->progress.hasEnded()) {
             state.addEvent(JobEvent {
                 JobEvent::Kind::TakenOver, id, std::string(name(entry->storedState)), now - entry->acceptedAt });
+            state.inheritSuspects(*entry);
+        }
         state.addJob(std::move(entry));
     }
 }
@@ -326,11 +328,13 @@
     state.unixMs = unixMs;
     state.checkRecovery(now);
     state.checkUnresponsive(now);
+    state.expireCrashEvidence(now);
     state.retryCommands(now, mayStart);
     if (mayStart) {
         state.drainMachines(now);
         state.schedule(now, unixMs);
     }
+    state.sendSurvivalChecks(now);
     state.sendPolls(now, authority != Authority::Unconfirmed);
     state.checkMissingRuns(mayStart, now);
     if (now >= state.nextRemovalAt) {
--- /dev/null
+++ b/packages/jobs/src/cell_crash_verdicts.cpp
@@ -0,0 +1,96 @@
+#include "cell_state.h"
+
+#include <algorithm>
+
+/// Verdicts on tasks that may crash the workers that start them.
+namespace rattanrack::jobs {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration evidenceWait = 4s; ///< Crashed workers are usually back within this time of the loss.
+constexpr std::size_t leastCrashes = 2; ///< That allow a verdict.
+/// Starts whose workers have crashed, or may have. The next one is not sent before these are decided.
+constexpr std::size_t maxLostStarts = 5;
+/// Accepted probability that crashes by other causes look like those of a task.
+constexpr double acceptedRisk = 2e-6;
+constexpr double crashRateAfterRestart = 0.5; ///< Of a worker that has been up for less than `settledAge`.
+constexpr double riskOfSharedLoss = 0.3; ///< That a task beside others on a crashed worker is harmless.
+constexpr double crashRateMargin = 4; ///< Crashes come in groups.
+
+std::string taskName(const TaskRef& task)
+{
+    return std::to_string(task.occurrence) + '.' + std::to_string(task.step) + '.' + std::to_string(task.index);
+}
+
+} // namespace
+
+/// Crashes in a second of a worker, by causes other than tasks: as seen lately, and not less than one since the last.
+double CellState::crashRate(TimePoint now) const
+{
+    const auto listed
+        = std::count_if(workers.begin(), workers.end(), [](const auto& each) { return each.second.isListed; });
+    const auto perWorkerSecond = [&](double crashes, Duration time) {
+        return crashes * 1e6 / static_cast<double>(std::max<std::int64_t>(listed * time.count(), 1));
+    };
+    const auto recent = static_cast<double>(crashEvidence.crashesByOtherCauses.size());
+    const TimePoint calmSince = std::max(takenOverAt, crashEvidence.latestByOtherCause);
+    return std::max(perWorkerSecond(recent * crashRateMargin, std::min(now - takenOverAt, otherCauseMemory)),
+        perWorkerSecond(1, now - calmSince));
+}
+
+/// Whether other causes are unlikely: two crashes at least, and a small product of the probabilities that each
+/// had another cause. Starts that may not have arrived count only towards the limit.
+bool CellState::isProvenToCrash(const Task& task, TimePoint now) const
+{
+    const double rate = crashRate(now);
+    std::size_t crashes = 0;
+    std::size_t certainCrashes = 0;
+    double risk = 1;
+    for (const LostStart& lost : task.lostStarts) {
+        crashes += lost.isCrash ? 1 : 0;
+        if (!lost.isCrash || !lost.wasReceived)
+            continue;
+        ++certainCrashes;
+        const double rateOfWorker = lost.isOnSettledWorker ? rate : std::max(rate, crashRateAfterRestart);
+        risk *= lost.isAlone() ? rateOfWorker * static_cast<double>(lost.exposure.count()) / 1e6 : riskOfSharedLoss;
+    }
+    return crashes >= maxLostStarts || (certainCrashes >= leastCrashes && risk <= acceptedRisk);
+}
+
+/// Whether the crashes that are not decided yet would prove the task to crash workers. It starts again once they are
+/// decided, or after a while.
+bool CellState::isHeldForEvidence(const Task& task, TimePoint now) const
+{
+    Task assumed;
+    assumed.lostStarts = task.lostStarts;
+    TimePoint latestOpen {};
+    for (LostStart& lost : assumed.lostStarts) {
+        latestOpen = lost.isCrash ? latestOpen : std::max(latestOpen, lost.lostAt);
+        lost.isCrash = true;
+    }
+    if (latestOpen == TimePoint {} || !isProvenToCrash(assumed, now))
+        return false;
+    return task.lostStarts.size() >= maxLostStarts || now - latestOpen < evidenceWait;
+}
+
+void CellState::giveUp(JobEntry& entry, const TaskRef& ref)
+{
+    std::string names;
+    for (const LostStart& lost : entry.progress.task(ref).lostStarts) {
+        names += ' ' + lost.worker.value();
+        if (lost.isAlone())
+            names += " (" + std::to_string(lost.exposure.count() / 1000) + " ms)";
+        crashEvidence.possibleCauses.erase(crashOf(lost));
+    }
+    addEvent(JobEvent { JobEvent::Kind::GivenUp, ref.job,
+        "task " + taskName(ref) + " has crashed workers" + names + "; crashes by other causes "
+            + std::to_string(crashEvidence.crashesByOtherCauses.size()) });
+    entry.progress.fail(unixMs);
+    markChanged(entry);
+    isCommitUrgent = true;
+    stopJob(entry, "job failed");
+}
+
+} // namespace rattanrack::jobs
--- a/packages/jobs/src/cell_results.cpp
+++ b/packages/jobs/src/cell_results.cpp
@@ -35,12 +35,28 @@
     return { &worker->second, &run->second };
 }
 
+/// `run`: null if it has been removed since.
+void CellState::recordStartEvidence(
+    Worker& worker, const Run* run, const StartCommand& command, const CommandResult& result, TimePoint now)
+{
+    const TimePoint receivedAt = result.receivedAt == TimePoint {} ? now : result.receivedAt;
+    if (isAccepted(result))
+        recordStartAnswered(worker, command, result.workerClockMs, receivedAt);
+    else if (result.isConnectionEnded) {
+        recordContactLoss(worker, { receivedAt, true }, now);
+        recordStartReceived(worker, command.task, command.run);
+    } else if (result.status != CommandStatus::NoResponse && !(run && run->mayStartLate))
+        discardStart(worker, command.task, command.run);
+}
+
 void Cell::onResult(const StartCommand& command, const CommandResult& result, TimePoint now)
 {
     CellState& state = *m_state;
     const CommandedRun target = state.commandedRun(command.worker, command.task, command.run);
     if (target.worker && !result.isBound)
         state.recordDelivery(*target.worker, command.incarnationUnixMs, result.status, now);
+    if (target.worker)
+        state.recordStartEvidence(*target.worker, target.run, command, result, now);
     if (!target.run)
         return;
     Worker& worker = *target.worker;
--- a/packages/jobs/src/cell_runs.cpp
+++ b/packages/jobs/src/cell_runs.cpp
@@ -102,6 +102,7 @@
     for (const TaskRef& task : tasks)
         presumeEnded(worker, task, evidence, now);
     inheritedWorkers.erase(worker.description.id);
+    recordRestart(worker, worker.incarnationUnixMs + 1, now);
 }
 
 void CellState::sendStop(Worker& worker, const TaskRef& task, RunNumber number, std::string_view reason)
--- a/packages/jobs/src/cell_schedule.cpp
+++ b/packages/jobs/src/cell_schedule.cpp
@@ -3,6 +3,7 @@
 #include "rattanrack/jobs/placement.h"
 
 #include <algorithm>
+#include <utility>
 
 /// Scheduling passes: which tasks start next, and on which workers.
 namespace rattanrack::jobs {
@@ -44,13 +45,15 @@
     if (progress.task(occurrence, step, index).phase != TaskPhase::Waiting)
         return false;
     const bool isGang = job.spec.steps[static_cast<std::size_t>(step)].isGang;
+    if (progress.task(occurrence, step, index).isSuspect())
+        return isGang && storedRevision >= failureRevision;
     return storedRevision >= failureRevision || progress.task(occurrence, step, isGang ? 0 : index).failures() == 0;
 }
 
 int JobEntry::startableTasks(int occurrence, int step) const
 {
     const int waiting = progress.waitingTasks(occurrence, step);
-    if (waiting == 0 || storedRevision >= failureRevision)
+    if (waiting == 0 || (storedRevision >= failureRevision && suspects == 0))
         return waiting;
     int startable = 0;
     for (int index = 0; index < job.spec.steps[static_cast<std::size_t>(step)].count; ++index)
@@ -101,9 +104,7 @@
     entry.dueAt = entry.acceptedAt + objective - responseMargin;
 }
 
-namespace {
-
-Rank rankOf(const JobEntry& entry, const Step& step, TimePoint now)
+Rank CellState::rankOf(const JobEntry& entry, const Step& step, TimePoint now)
 {
     if (step.isLongRunning)
         return Rank::LongRunning;
@@ -116,8 +117,6 @@
     return now + optimisticTime <= noValueAt ? Rank::Late : Rank::NoValue;
 }
 
-} // namespace
-
 std::vector<ReadyStep> CellState::readySteps(TimePoint now, std::int64_t wallMs)
 {
     std::vector<ReadyStep> ready;
@@ -238,12 +237,13 @@
 
 void CellState::schedule(TimePoint now, std::int64_t wallMs)
 {
-    waitingDemand = {};
+    const bool isOverloaded = std::exchange(waitingDemand, {}) > Millicores {};
     auto ready = readySteps(now, wallMs);
-    if (ready.empty())
+    if (ready.empty() && crashEvidence.suspects.empty())
         return;
     countStarts(now);
     FreeCapacity capacity { *this, now };
+    startTrials(capacity, isOverloaded, now, wallMs);
     std::erase_if(ready, [&](const ReadyStep& each) { return skipIfNoCapacity(each, capacity); });
     std::sort(ready.begin(), ready.end());
     for (const ReadyStep& each : ready) {
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -1,13 +1,11 @@
 #pragma once
 
-#include "rattanrack/jobs/best_effort_throttle.h"
 #include "rattanrack/jobs/cell.h"
-#include "rattanrack/jobs/lease_clock.h"
 #include "rattanrack/jobs/offered_load.h"
 #include "rattanrack/jobs/runtime_estimator.h"
-#include "rattanrack/jobs/start_window.h"
+#include "worker_state.h"
 
-#include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <unordered_map>
@@ -18,132 +16,6 @@
 /// Whether a job stays in this state for good.
 constexpr bool isTerminal(JobState state) { return state != JobState::Queued && state != JobState::Active; }
 
-enum class RunPhase : std::uint8_t {
-    Starting, ///< The start has no result yet.
-    Confirmed, ///< The worker has confirmed that the run is active.
-    Stopping,
-};
-
-/// A run that may be active.
-struct Run {
-    RunNumber number { 0 };
-    RunPhase phase { RunPhase::Starting };
-    ResourceSize size; ///< What the run reserves of the worker's capacity.
-    bool isLongRunning { false };
-    bool isBestEffort { false };
-    bool isServing { false }; ///< Has a latency target.
-    bool isSizeUnknown { false }; ///< Adopted, of a job that this owner does not know.
-    bool mayStartLate { false }; ///< A start without a response may still be carried out.
-    bool hasCommandInFlight { false }; ///< A start or stop has no result yet.
-    bool hasStartInFlight { false }; ///< The command is a start, which carries a lease.
-    std::optional<std::int64_t> seenInIncarnation; ///< The worker's incarnation that is known to have the run.
-    TimePoint startSentAt {};
-    TimePoint confirmedAt {};
-    TimePoint safeFromEarlierStopAt {}; ///< From then on no stop by a previous owner can end the run any more.
-    /// When the worker last accepted a start or stop; a later poll shows whether the run is active.
-    TimePoint acknowledgedAt {};
-    TimePoint retryAt {};
-    std::uint64_t seenInPoll { 0 }; ///< Number of the latest poll that listed the run as running.
-    int percent { 0 };
-    int throttlePercent { 100 };
-    double measuredValue { 0 };
-    StartCommand start; ///< Sent again while it has no response.
-
-    bool is(RunNumber other) const { return number == other; }
-};
-
-/// An ended run that has been processed but not acknowledged.
-struct UnacknowledgedRun {
-    std::int64_t sequence { 0 };
-    JobId job;
-    std::uint64_t revision { 0 }; ///< Of the job, which must be stored first; 0: nothing has to be stored.
-};
-
-enum class WorkerContact : std::uint8_t {
-    Unknown, ///< Not polled under this owner's fence.
-    Responsive,
-    Unresponsive,
-};
-
-/// Counts of a worker's runs that influence other runs there. Updated as runs come and go.
-struct ColocatedRuns {
-    int longRunning { 0 }; ///< Other than best-effort runs.
-    int serving { 0 }; ///< With a latency target.
-    int bestEffortRuns { 0 };
-    int ofUnknownSize { 0 };
-
-    /// `count`: 1 for a run that is added, -1 for one that is removed.
-    void add(const Run& run, int count)
-    {
-        bestEffortRuns += run.isBestEffort ? count : 0;
-        longRunning += run.isLongRunning && !run.isBestEffort ? count : 0;
-        serving += run.isServing ? count : 0;
-        ofUnknownSize += run.isSizeUnknown ? count : 0;
-    }
-};
-
-struct Worker {
-    WorkerDescription description;
-    bool isListed { false };
-    TimePoint firstListedAt {}; ///< When a list first showed this incarnation.
-    WorkerContact contact { WorkerContact::Unknown };
-    LeaseClock clock;
-    std::int64_t incarnationUnixMs { 0 };
-    TimePoint startedAtLatest {}; ///< Latest possible start of the incarnation that responds.
-    std::unordered_map<TaskRef, Run> runs;
-    ResourceSize used;
-    ResourceSize usedByLongRunning;
-    ColocatedRuns colocatedRuns;
-    bool isReserved { false }; ///< In the latest scheduling pass, kept free for a step that waits for room.
-    int candidateIndex { -1 }; ///< Among the usable workers of the current scheduling pass; -1: not usable.
-    std::int64_t processedThrough { 0 };
-    std::int64_t ackedThrough { 0 };
-    std::int64_t lastAckSent { 0 }; ///< Acknowledgement of the last poll with a response.
-    std::deque<UnacknowledgedRun> unacknowledgedRuns;
-    std::uint64_t pollsProcessed { 0 };
-    bool mayHaveRetries { false }; ///< Whether some run may have a command to retry.
-    bool hasPollInFlight { false };
-    bool hasRenewalInFlight { false }; ///< The poll in flight carries a lease.
-    bool needsPoll { true };
-    TimePoint nextPollAt {};
-    TimePoint lastPollSentAt {}; ///< Of the polls that have had a response.
-    int consecutiveFailures { 0 };
-    TimePoint avoidUntil {};
-    /// Leases meant for an earlier incarnation, which would keep a run of this one active, have ended by then.
-    TimePoint startsAllowedAt {};
-    TimePoint failingUntil {}; ///< Avoided for its failures; the next success ends this.
-    int startsInFlight { 0 };
-    bool isSlow { false }; ///< Responds to starts more slowly than other workers.
-    BestEffortThrottle bestEffortThrottle;
-
-    bool isAvoided(TimePoint now) const { return now < avoidUntil || isAvoidedForFailures(now); }
-    bool isAvoidedForFailures(TimePoint now) const { return now < failingUntil; }
-    bool mayTakeStarts() const { return !isSlow && startsInFlight < StartWindow::maxPerWorker; }
-
-    /// A new incarnation has responded. Removes what earlier ones have reported, except for runs that may still be
-    /// active.
-    void beginIncarnation(std::int64_t unixMs, TimePoint atLatest);
-
-    /// Whether something may run there, or has ended and is recorded by this owner alone.
-    bool hasUnfinishedWork() const { return !runs.empty() || !unacknowledgedRuns.empty(); }
-
-    bool hasLongRunning() const;
-
-    /// Whether the worker has accepted a start or a stop of some run. A start carries the lease that its run needs
-    /// until then.
-    bool hasConfirmedRun() const;
-
-    /// Whether a command that carries a lease has no result yet.
-    bool hasLeaseInFlight() const;
-
-    /// Whether the list describes the incarnation that responds. A new incarnation may have other properties than the
-    /// one before, or may be draining.
-    bool isDescriptionCurrent() const { return description.incarnationUnixMs >= incarnationUnixMs; }
-
-    /// Whether the list shows a later incarnation than any that has responded.
-    bool isLaterIncarnationListed() const { return description.incarnationUnixMs > incarnationUnixMs; }
-};
-
 /// The run that the result of a start or stop is for; null when the run has been removed since.
 struct CommandedRun {
     Worker* worker { nullptr };
@@ -193,7 +65,8 @@
     std::uint64_t revision { 0 }; ///< Increases with each change that is to be stored.
     std::uint64_t revisionInCommit { 0 };
     std::uint64_t storedRevision { 0 };
-    std::uint64_t failureRevision { 0 }; ///< The revision that contains the latest failure.
+    std::uint64_t failureRevision { 0 }; ///< The revision that contains the latest failure or lost start.
+    int suspects { 0 }; ///< Tasks that may have crashed a worker.
     JobState stateInCommit { JobState::Queued };
     JobState storedState { JobState::Queued };
     std::vector<CallerToken> waitingCallers; ///< Callers that wait for the next commit.
@@ -206,7 +79,8 @@
     std::map<std::pair<int, int>, StepTickets> tickets; ///< By occurrence and step.
 
     /// Whether the task waits for its start. After a failure it also waits until the failure is stored, since the next
-    /// owner would not count a failure that it receives only after a further run has started.
+    /// owner would not count a failure that it receives only after a further run has started. Suspects start in trials
+    /// instead, unless they belong to a gang.
     bool isStartable(int occurrence, int step, int index) const;
     int startableTasks(int occurrence, int step) const;
 };
@@ -298,6 +172,8 @@
     bool isWindowFull { false }; ///< In the latest pass, starts waited for others to get a response.
     std::map<TaskRef, MissingRun> missingRuns; ///< Tasks that could run without an active run.
     TimePoint nextMissingRunCheckAt {};
+    CrashEvidence crashEvidence;
+    TimePoint nextCrashCheckAt {};
     CellOutput output;
 
     JobEntry* find(const JobId& job);
@@ -376,11 +252,53 @@
     void checkRecovery(TimePoint now);
     int unavailableMembers(const JobEntry& entry, const TaskRef& member, TimePoint now) const;
 
+    // Tasks that crash workers: cell_crashes.cpp
+    JobEntry* findUndecided(const TaskRef& task);
+    bool isSuspect(const TaskRef& task) const { return crashEvidence.suspects.contains(task); }
+    void recordStartSent(Worker& worker, const StartCommand& start, TimePoint now);
+    static void recordStartAnswered(
+        Worker& worker, const StartCommand& start, std::int64_t workerClockMs, TimePoint now);
+    void recordStartEvidence(
+        Worker& worker, const Run* run, const StartCommand& command, const CommandResult& result, TimePoint now);
+    void discardStart(Worker& worker, const TaskRef& task, RunNumber run);
+    void recordContactLoss(Worker& worker, const ContactLoss& loss, TimePoint now);
+    void recordRestart(Worker& worker, std::int64_t laterUnixMs, TimePoint now);
+    void recordRestartIfLater(Worker& worker, std::int64_t incarnationUnixMs, TimePoint now)
+    {
+        if (incarnationUnixMs > worker.incarnationUnixMs)
+            recordRestart(worker, incarnationUnixMs, now);
+    }
+    void confirmCrash(const Worker& worker, std::int64_t laterUnixMs, TimePoint now);
+    void addLostStart(const Worker& worker, const UnprovenStart& start, const ContactLoss& loss);
+    void recordStartReceived(const Worker& worker, const TaskRef& task, RunNumber run);
+    void addSuspect(JobEntry& entry, const TaskRef& task, const LostStart& lost);
+    void removeLostStarts(const TaskRef& task, const std::function<bool(const LostStart&)>& isRemoved,
+        bool isCleared = false, TimePoint now = {});
+    void inheritSuspects(JobEntry& entry);
+    void recordSurvival(const Worker& worker, const UnprovenStart& start, TimePoint now);
+    void reviewStarts(Worker& worker, const PollReport& report, TimePoint sentAt, TimePoint now);
+    void expireCrashEvidence(TimePoint now);
+    void sendSurvivalChecks(TimePoint now);
+    void onSurvivalCheck(Worker& worker, const PollResult& result, TimePoint sentAt, TimePoint now);
+    double crashRate(TimePoint now) const;
+    bool isProvenToCrash(const Task& task, TimePoint now) const;
+    bool isHeldForEvidence(const Task& task, TimePoint now) const;
+    void giveUp(JobEntry& entry, const TaskRef& task);
+
+    // Trials of suspects: cell_trials.cpp
+    bool isLostInEarlierIncarnation(const Worker& worker, const Run& run) const;
+    bool isLossStored(const TaskRef& task) const;
+    bool mayRetryAsTrial(const Worker& worker, const TaskRef& task, TimePoint now) const;
+    bool mayStartTrial(const JobEntry& entry, const TaskRef& task, TimePoint now, std::int64_t wallMs) const;
+    void startTrials(FreeCapacity& capacity, bool isOverloaded, TimePoint now, std::int64_t wallMs);
+    void startTrial(const ReadyStep& ready, const TaskRef& task, FreeCapacity& capacity, TimePoint now);
+
     // Tasks without a run: cell_missing_runs.cpp
     void checkMissingRuns(bool mayStart, TimePoint now);
 
     // Scheduling: cell_schedule.cpp
     void schedule(TimePoint now, std::int64_t wallMs);
+    static Rank rankOf(const JobEntry& entry, const Step& step, TimePoint now);
     std::vector<ReadyStep> readySteps(TimePoint now, std::int64_t wallMs); ///< Unsorted.
     bool skipIfNoCapacity(const ReadyStep& ready, const FreeCapacity& capacity);
     void addWaitingDemand(const ReadyStep& ready, int missing);
--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <utility>
 
-/// Contact with workers: polls, leases and avoidance of failing workers.
+/// Contact with workers: polls, retries, draining, and avoidance of failing workers.
 namespace rattanrack::jobs {
 
 namespace {
@@ -16,7 +16,6 @@
 constexpr Duration maxPollTimeBesideBestEffort = 500ms;
 constexpr Duration pollPause = 50ms; ///< Runs that end within this time are listed by the same poll.
 constexpr Duration unresponsivePollPause = 250ms;
-constexpr Duration startLease = 2s; ///< Lease of a start; polls renew it.
 constexpr Duration minAvoidance = 1s; ///< Of a worker on which all runs fail; doubles with each further failure.
 constexpr Duration maxAvoidance = 8s;
 constexpr int failuresBeforeAvoidance = 3;
@@ -29,6 +28,14 @@
     return std::max(shown - maxInitialClock, Duration {});
 }
 
+std::string_view reasonNotRetried(bool isDraining, bool hasCrashed)
+{
+    if (isDraining)
+        return "start got no response, and the worker is draining";
+    return hasCrashed ? "start got no response, and its worker may have crashed"
+                      : "start got no response, and the worker's capacity has shrunk";
+}
+
 /// Times since a worker's incarnation began and since the list first showed it.
 std::string describeAges(const Worker& worker, std::int64_t incarnationUnixMs, std::int64_t unixMs, TimePoint now)
 {
@@ -62,6 +69,8 @@
         Worker& worker = state.workers[description.id];
         const bool isNewIncarnation = worker.incarnationUnixMs != description.incarnationUnixMs;
         worker.needsPoll = worker.needsPoll || isNewIncarnation;
+        if (worker.incarnationUnixMs > 0)
+            state.recordRestartIfLater(worker, description.incarnationUnixMs, now);
         if (worker.firstListedAt == TimePoint {}
             || worker.description.incarnationUnixMs != description.incarnationUnixMs)
             worker.firstListedAt = now;
@@ -96,7 +105,7 @@
     std::erase_if(state.workers, [&](const auto& each) {
         const Worker& worker = each.second;
         return !worker.isListed && !worker.hasUnfinishedWork() && !worker.hasPollInFlight
-            && now >= worker.clock.leasesEndAt();
+            && !state.crashEvidence.openByWorker.contains(each.first) && now >= worker.clock.leasesEndAt();
     });
 }
 
@@ -137,6 +146,8 @@
     if (known == state.workers.end())
         return;
     Worker& worker = known->second;
+    if (command.isSurvivalCheck)
+        return state.onSurvivalCheck(worker, result, sentAt, now);
     worker.hasPollInFlight = false;
     worker.hasRenewalInFlight = false;
     worker.nextPollAt = now + pollPause;
@@ -149,6 +160,9 @@
             state.onWorkerLost(worker, "another worker responds at its address", now);
         if (result.refusal == RefusalReason::StaleFence)
             state.recordHigherFence(command.worker, now);
+        if (result.status == CommandStatus::NoResponse || result.status == CommandStatus::NotSent)
+            state.recordContactLoss(
+                worker, { result.receivedAt == TimePoint {} ? now : result.receivedAt, result.isConnectionEnded }, now);
         if (worker.contact == WorkerContact::Responsive) {
             worker.contact = WorkerContact::Unresponsive;
             state.addEvent(WorkerEvent { WorkerEvent::Kind::Unresponsive, command.worker });
@@ -156,6 +170,7 @@
         return;
     }
     const PollReport& report = result.report;
+    state.recordRestartIfLater(worker, report.incarnationUnixMs, now);
     if (worker.incarnationUnixMs != report.incarnationUnixMs)
         worker.beginIncarnation(report.incarnationUnixMs, now - ageAtLeast(report.workerClockMs));
     else
@@ -175,38 +190,11 @@
     for (const EndedRun& ended : report.endedRuns)
         state.processEndedRun(worker, ended, now);
     state.processRunning(worker, report, sentAt, now);
+    state.reviewStarts(worker, report, sentAt, now);
     state.advanceAcks(command.worker, worker);
     state.throttleBestEffort(worker, now);
 }
 
-/// `isBound`: the worker keeps its connections, so that leases of previous owners reached no later incarnation either.
-void CellState::recordIncarnation(Worker& worker, std::int64_t incarnationUnixMs, bool isBound, TimePoint now) const
-{
-    if (worker.clock.isOfIncarnation(incarnationUnixMs))
-        return;
-    worker.startsAllowedAt = worker.clock.unboundLeasesEndAt(settings.longestLease);
-    worker.clock.beginIncarnation(incarnationUnixMs, settings.longestLease, {});
-    const bool isFirstOwner = settings.fence <= 1;
-    if (!isFirstOwner)
-        worker.clock.inherit(now, isBound ? settings.leaseLength : settings.longestLease);
-}
-
-void CellState::grantStart(Worker& worker, Run& run, TimePoint now)
-{
-    run.start.leaseUntilWorkerMs = worker.clock.grant(startLease, now);
-    run.start.incarnationUnixMs = worker.incarnationUnixMs;
-    run.startSentAt = now;
-    run.hasCommandInFlight = true;
-    run.hasStartInFlight = true;
-}
-
-void CellState::recordDelivery(
-    Worker& worker, std::int64_t incarnationUnixMs, CommandStatus status, TimePoint now) const
-{
-    if (status != CommandStatus::NotSent && status != CommandStatus::Expired)
-        worker.clock.recordDelivery(incarnationUnixMs, status != CommandStatus::NoResponse, settings.longestLease, now);
-}
-
 /// Sends a start without a response again only where a new start would be permitted; on a worker that is draining or
 /// whose capacity has shrunk below what it runs, a stop resolves whether the start took effect. On the latter the run
 /// may be at work, which the next poll shows, so that the stop waits for it.
@@ -223,9 +211,15 @@
             if (run.hasCommandInFlight || run.retryAt == TimePoint {} || now < run.retryAt)
                 continue;
             const bool isUnresolved = run.phase == RunPhase::Starting;
-            const bool isStart = isUnresolved && !isDraining && hasCapacity;
+            const bool hasCrashed = isUnresolved && isLostInEarlierIncarnation(worker, run);
+            if (hasCrashed && !isLossStored(task))
+                continue;
+            const bool isTrial = hasCrashed && mayRetryAsTrial(worker, task, now);
+            const bool isStart = isUnresolved && !isDraining && hasCapacity && (!hasCrashed || isTrial);
             if (isStart && !(mayStart && isIncarnationConfirmed(worker) && now >= worker.startsAllowedAt))
                 continue;
+            if (hasCrashed && !isStart && worker.contact != WorkerContact::Responsive)
+                continue;
             if (isUnresolved && !isDraining && !hasCapacity && worker.lastPollSentAt < run.retryAt)
                 continue;
             run.retryAt = {};
@@ -233,53 +227,12 @@
                 grantStart(worker, run, now);
                 output.commands.emplace_back(run.start);
             } else if (run.phase != RunPhase::Confirmed) {
-                sendStop(worker, task, run.number,
-                    isDraining ? "start got no response, and the worker is draining"
-                               : "start got no response, and the worker's capacity has shrunk");
+                sendStop(worker, task, run.number, reasonNotRetried(isDraining, hasCrashed));
             }
         }
     }
 }
 
-void CellState::checkUnresponsive(TimePoint now)
-{
-    for (auto& [id, worker] : workers) {
-        if (worker.contact != WorkerContact::Unresponsive || now < worker.clock.leasesEndAt())
-            continue;
-        std::vector<TaskRef> expired;
-        for (const auto& [task, run] : worker.runs) {
-            if (now >= leaseEndOf(worker, run, now))
-                expired.push_back(task);
-        }
-        for (const TaskRef& task : expired)
-            presumeEnded(worker, task, "lease expired", now);
-        if (!expired.empty() && worker.runs.empty())
-            inheritedWorkers.erase(id);
-    }
-}
-
-/// The list and the lease must be for the incarnation that responds. A replaced owner does not detect its replacement
-/// until its next transaction, and an incarnation that started after the next owner's poll has not received the higher
-/// fence that would make it refuse.
-bool CellState::isIncarnationConfirmed(const Worker& worker) const
-{
-    return worker.contact == WorkerContact::Responsive && worker.clock.isKnown() && worker.isDescriptionCurrent()
-        && worker.startedAtLatest <= ownershipConfirmedAt;
-}
-
-/// A run that the current incarnation is not known to have may be active in a later one, if a lease sent to the current
-/// one was not bound to it: the later one interprets that lease by its own clock. A command in flight arrives now at
-/// the earliest, and whether it was bound is not known yet.
-TimePoint CellState::leaseEndOf(const Worker& worker, const Run& run, TimePoint now) const
-{
-    if (run.seenInIncarnation == worker.incarnationUnixMs)
-        return worker.clock.leasesEndAt();
-    LeaseClock delivered = worker.clock;
-    if (worker.hasLeaseInFlight())
-        delivered.recordDelivery(worker.incarnationUnixMs, true, settings.longestLease, now);
-    return delivered.leasesEndInAllIncarnationsAt(worker.isLaterIncarnationListed(), settings.longestLease);
-}
-
 void CellState::checkRecovery(TimePoint now)
 {
     std::erase_if(inheritedWorkers, [&](const auto& inherited) {
--- a/packages/jobs/src/free_capacity.cpp
+++ b/packages/jobs/src/free_capacity.cpp
@@ -33,12 +33,14 @@
 
 FreeCapacity::FreeCapacity(CellState& state, TimePoint now)
     : m_state(state)
+    , m_now(now)
 {
     m_workers.reserve(state.workers.size());
     m_candidates.reserve(state.workers.size());
     auto stored = state.storedWorkers.begin(); // Ordered by id, as the workers are.
     for (auto& [id, worker] : state.workers) {
         worker.candidateIndex = -1;
+        m_trialsInProgress += worker.isListed && worker.hasTrial() ? 1 : 0;
         worker.isReserved = false;
         while (stored != state.storedWorkers.end() && stored->first < id)
             ++stored;
@@ -114,23 +116,27 @@
         return {};
     if (dependsOnColocatedRuns(step))
         countColocatedRuns(entry, occurrence, stepNumber);
-    if (!tickets)
+    const bool isSuspectGang = step.isGang && entry.suspects > 0;
+    if (!tickets && !isSuspectGang)
         return placeEach(entry, occurrence, stepNumber, false);
-    std::vector<Candidate*> withoutTicket;
-    for (Candidate& candidate : m_candidates) {
-        if (!candidate.isReserved && !tickets->contains(candidate.worker->id))
-            withoutTicket.push_back(&candidate);
+    std::vector<Candidate*> excluded;
+    for (std::size_t index = 0; index < m_candidates.size(); ++index) {
+        Candidate& candidate = m_candidates[index];
+        const bool hasTicket = !tickets || tickets->contains(candidate.worker->id);
+        const bool isBesideOthers = isSuspectGang && m_workers[index]->hasRecentStart(m_now);
+        if (!candidate.isReserved && (!hasTicket || isBesideOthers))
+            excluded.push_back(&candidate);
     }
-    for (Candidate* candidate : withoutTicket)
+    for (Candidate* candidate : excluded)
         candidate->isReserved = true;
     auto placements = placeEach(entry, occurrence, stepNumber, true);
-    for (Candidate* candidate : withoutTicket)
+    for (Candidate* candidate : excluded)
         candidate->isReserved = false;
     return placements;
 }
 
 std::vector<Placement> FreeCapacity::placeEach(
-    const JobEntry& entry, int occurrence, int stepNumber, bool isLimitedByTickets)
+    const JobEntry& entry, int occurrence, int stepNumber, bool isLimitedToSomeWorkers)
 {
     const Step& step = entry.job.spec.steps[static_cast<std::size_t>(stepNumber)];
     std::vector<Placement> placements;
@@ -140,7 +146,7 @@
         m_state.schedulingCost.workersExamined += m_candidates.size();
         const int candidateIndex = chooseWorker(step, m_candidates);
         if (candidateIndex < 0) {
-            if (dependsOnSizeAndLabelOnly(step) && !isLimitedByTickets)
+            if (dependsOnSizeAndLabelOnly(step) && !isLimitedToSomeWorkers)
                 m_unplaceable.record(step);
             break;
         }
--- a/packages/jobs/src/free_capacity.h
+++ b/packages/jobs/src/free_capacity.h
@@ -33,21 +33,29 @@
     /// Gives back capacity that was not used after all.
     void giveBack(const std::vector<Placement>& placements, const Step& step);
 
+    /// Takes a worker for a trial of the task; nothing else starts there in this pass. Returns its index, or -1 where
+    /// none is free for it yet.
+    int takeTrialWorker(
+        const JobEntry& entry, const TaskRef& task, const std::map<WorkerId, std::string>* tickets, TimePoint now);
+
     /// Reserves a worker for the step: the emptiest one on which a task fits once the finite runs there have ended. The
     /// worker gets no smaller work that comes after the step in this pass.
     void reserveFor(const JobEntry& entry, int occurrence, int step);
 
 private:
     void countColocatedRuns(const JobEntry& entry, int occurrence, int step);
-    std::vector<Placement> placeEach(const JobEntry& entry, int occurrence, int step, bool isLimitedByTickets);
+    std::vector<Placement> placeEach(const JobEntry& entry, int occurrence, int step, bool isLimitedToSomeWorkers);
     void addSameStepRuns(int candidateIndex, int runs, const Step& step);
     void reserve(int candidateIndex, const Step& step);
 
     CellState& m_state;
+    TimePoint m_now;
     std::vector<Worker*> m_workers;
     std::vector<Candidate> m_candidates;
     ResourceSize m_largestFree; ///< When the pass began: of each resource, the most that some worker has.
     int m_reservedCount { 0 };
+    int m_trialsInProgress { 0 }; ///< Workers on which a trial started in an earlier pass.
+    int m_keptForTrials { 0 }; ///< Workers that this pass uses for trials.
     PlacementFailures m_unplaceable;
     PlacementFailures m_unreservable;
     bool m_areColocatedRunsCounted { false }; ///< For the last step that was passed to `placeTasks`.
--- a/packages/jobs/src/job_codec.cpp
+++ b/packages/jobs/src/job_codec.cpp
@@ -8,6 +8,8 @@
 
 using Json = nlohmann::json;
 
+constexpr std::size_t fieldsWithoutLostStarts = 5; ///< Of a stored task; rows of earlier versions have no more.
+
 Json toJson(const Step& step)
 {
     return Json::array({ step.count, step.size.processors.count(), step.size.memory.count(),
@@ -16,17 +18,39 @@
         step.isLongRunning, step.image, step.latencyTarget.count(), step.isBestEffort, step.maxUnavailable });
 }
 
+Json toJson(const LostStart& lost)
+{
+    return Json::array({ lost.worker.value(), lost.incarnationUnixMs, lost.run, lost.isCrash, lost.wasReceived,
+        lost.isOnSettledWorker, lost.exposure.count() });
+}
+
+LostStart lostStartFrom(const Json& json)
+{
+    LostStart lost { WorkerId { json.at(0).get<std::string>() }, json.at(1).get<std::int64_t>(),
+        json.at(2).get<RunNumber>() };
+    lost.isCrash = json.at(3).get<bool>();
+    lost.wasReceived = json.at(4).get<bool>();
+    lost.isOnSettledWorker = json.at(5).get<bool>();
+    lost.exposure = Duration { json.at(6).get<std::int64_t>() };
+    return lost;
+}
+
 /// Builds the array in place, since an initializer list copies each value, which costs more than the rest of a commit.
 Json toJson(const StoredTask& task)
 {
-    constexpr std::size_t fields = 5;
     Json::array_t row;
-    row.reserve(fields);
+    row.reserve(fieldsWithoutLostStarts + 1);
     row.emplace_back(task.occurrence);
     row.emplace_back(task.step);
     row.emplace_back(task.index);
     row.emplace_back(task.isDone);
     row.emplace_back(Json::array_t(task.failedRuns.begin(), task.failedRuns.end()));
+    if (!task.lostStarts.empty()) {
+        Json lostStarts = Json::array();
+        for (const LostStart& lost : task.lostStarts)
+            lostStarts.push_back(toJson(lost));
+        row.push_back(std::move(lostStarts));
+    }
     return row;
 }
 
@@ -77,8 +101,13 @@
     StoredProgress progress { json.at("ended").get<std::int64_t>(), json.at("cancelled").get<bool>(),
         json.at("failed").get<bool>(), json.at("completed").get<bool>(), {} };
     for (const Json& task : json.at("tasks")) {
-        progress.tasks.push_back({ task.at(0).get<int>(), task.at(1).get<int>(), task.at(2).get<int>(),
-            task.at(3).get<bool>(), task.at(4).get<std::vector<RunNumber>>() });
+        StoredTask stored { task.at(0).get<int>(), task.at(1).get<int>(), task.at(2).get<int>(), task.at(3).get<bool>(),
+            task.at(4).get<std::vector<RunNumber>>() };
+        if (task.size() > fieldsWithoutLostStarts) {
+            for (const Json& lost : task.at(fieldsWithoutLostStarts))
+                stored.lostStarts.push_back(lostStartFrom(lost));
+        }
+        progress.tasks.push_back(std::move(stored));
     }
     return progress;
 }
--- a/packages/jobs/src/job_progress.cpp
+++ b/packages/jobs/src/job_progress.cpp
@@ -38,6 +38,7 @@
             continue;
         m_hasStarted = true;
         task(ref).failedRuns = entry.failedRuns;
+        task(ref).lostStarts = entry.lostStarts;
         if (entry.isDone)
             markDone(ref);
     }
@@ -193,8 +194,10 @@
             for (int index = 0; index < static_cast<int>(tasks.size()); ++index) {
                 const Task& each = tasks[static_cast<std::size_t>(index)];
                 const bool isDone = each.phase == TaskPhase::Done;
-                if (isDone || each.failures() > 0)
+                if (isDone)
                     stored.tasks.push_back({ occurrence, step, index, isDone, each.failedRuns });
+                else if (each.failures() > 0 || each.isSuspect())
+                    stored.tasks.push_back({ occurrence, step, index, isDone, each.failedRuns, each.lostStarts });
             }
         }
     }
--- a/packages/jobs/src/missing_run_diagnosis.cpp
+++ b/packages/jobs/src/missing_run_diagnosis.cpp
@@ -63,7 +63,7 @@
         return { task, 0, {}, *reason, {}, {} };
     surveyWorkers();
     if (hasUsableRoom(entry, task))
-        return { task, 0, {}, reasonOfPass(), {}, {} };
+        return { task, 0, {}, reasonOfPass(task), {}, {} };
     const WorkerCounts counts = countBars(CellState::stepOf(entry, task));
     const auto most = std::max_element(counts.begin(), counts.end());
     const auto reason
@@ -82,8 +82,13 @@
     if (CellState::attemptsOf(entry) == 0)
         return MissingRunReason::QueueNotConfigured;
     const bool isWaiting = entry.progress.task(task).phase == TaskPhase::Waiting;
-    if (isWaiting && !entry.isStartable(task.occurrence, task.step, task.index))
+    const bool isSuspect = entry.progress.task(task).isSuspect();
+    if (isWaiting && !isSuspect && !entry.isStartable(task.occurrence, task.step, task.index))
         return MissingRunReason::FailureNotStored;
+    if (isWaiting && isSuspect && !m_state.isLossStored(task))
+        return MissingRunReason::FailureNotStored;
+    if (isWaiting && isSuspect && m_state.isHeldForEvidence(entry.progress.task(task), m_now))
+        return MissingRunReason::HeldForEvidence;
     if (!CellState::queueOf(entry).requiresTickets)
         return std::nullopt;
     const auto tickets = entry.tickets.find({ task.occurrence, task.step });
@@ -157,11 +162,13 @@
     return counts;
 }
 
-MissingRunReason MissingRunDiagnosis::reasonOfPass() const
+MissingRunReason MissingRunDiagnosis::reasonOfPass(const TaskRef& task) const
 {
     if (m_state.isGangHeldBack)
         return MissingRunReason::GangHeldBack;
-    return m_state.isWindowFull ? MissingRunReason::WindowFull : MissingRunReason::NotReached;
+    if (m_state.isWindowFull)
+        return MissingRunReason::WindowFull;
+    return m_state.isSuspect(task) ? MissingRunReason::WaitsForTrial : MissingRunReason::NotReached;
 }
 
 } // namespace rattanrack::jobs
--- a/packages/jobs/src/missing_run_diagnosis.h
+++ b/packages/jobs/src/missing_run_diagnosis.h
@@ -40,7 +40,7 @@
     int startsAllowedOn(const SurveyedWorker& surveyed, const Step& step, const TaskRef& task) const;
     std::optional<MissingRunReason> barFor(const SurveyedWorker& surveyed, const Step& step) const;
     WorkerCounts countBars(const Step& step) const;
-    MissingRunReason reasonOfPass() const;
+    MissingRunReason reasonOfPass(const TaskRef& task) const;
 
     const CellState& m_state;
     bool m_mayStart;
--- a/packages/jobs/src/missing_run_reason.cpp
+++ b/packages/jobs/src/missing_run_reason.cpp
@@ -17,6 +17,7 @@
     { MissingRunReason::Stopping, "its run is being stopped", {} },
     { MissingRunReason::JobNotStored, "its job is not stored", {} },
     { MissingRunReason::FailureNotStored, "its latest failure is not stored", {} },
+    { MissingRunReason::HeldForEvidence, "it is not known yet whether it has crashed its worker", {} },
     { MissingRunReason::PreviousOwners, "workers of previous owners may still run it", {} },
     { MissingRunReason::OwnerMayStartNothing, "its owner may start nothing at present", {} },
     { MissingRunReason::QueueNotConfigured, "its queue is not configured", {} },
@@ -37,6 +38,8 @@
         "avoided after a start" },
     { MissingRunReason::WorkerSlow, "workers with room are slow", "slow" },
     { MissingRunReason::WorkerStartsInFlight, "workers with room have other starts in flight", "starts in flight" },
+    { MissingRunReason::WorkerOnTrial, "tasks that may crash workers have just started on workers with room",
+        "on trial" },
     { MissingRunReason::RunsOfUnknownSize, "workers with room run tasks of unknown size", "runs of unknown size" },
     { MissingRunReason::RoomHeldByUnresolvedRuns, "the room is held by runs that are not resolved",
         "held by unresolved runs" },
@@ -44,6 +47,7 @@
     { MissingRunReason::NoRoom, "no worker has room for it", "no room" },
     { MissingRunReason::WindowFull, "other starts are in flight", {} },
     { MissingRunReason::GangHeldBack, "a gang is held back and starts first", {} },
+    { MissingRunReason::WaitsForTrial, "it may crash workers, and none is free for its trial", {} },
     { MissingRunReason::NotReached, "no scheduling pass has reached it", {} },
 };
 
--- a/packages/jobs/src/worker_bar.cpp
+++ b/packages/jobs/src/worker_bar.cpp
@@ -33,6 +33,8 @@
         return MissingRunReason::WorkerSlow;
     if (!worker.mayTakeStarts())
         return MissingRunReason::WorkerStartsInFlight;
+    if (worker.hasTrial())
+        return MissingRunReason::WorkerOnTrial;
     if (worker.colocatedRuns.ofUnknownSize > 0)
         return MissingRunReason::RunsOfUnknownSize;
     return std::nullopt;
--- a/packages/jobs/tests/cell_harness.h
+++ b/packages/jobs/tests/cell_harness.h
@@ -148,6 +148,25 @@
         const std::int64_t shownClockMs = status == CommandStatus::NoResponse ? 0 : clockMs(command.worker);
         m_cell.onResult(command, { status, refusal, shownClockMs, m_isBound }, m_now);
     }
+    /// The worker's process ends while the poll waits.
+    void endConnection(const PollCommand& poll)
+    {
+        PollResult result;
+        result.isConnectionEnded = true;
+        result.receivedAt = m_now;
+        result.isBound = m_isBound;
+        m_cell.onResult(poll, result, m_now, m_now);
+    }
+
+    /// The worker responds until it has survived the start, and runs nothing else.
+    void surviveStart(const StartCommand& start)
+    {
+        for (int polls = 0; polls < 2; ++polls) {
+            advance(300ms);
+            answerPoll(start.worker.value().c_str(), { { start.task, start.run, "", 0 } });
+        }
+    }
+
     /// Run events of one kind so far.
     std::vector<RunEvent> runEvents(RunEvent::Kind kind) const
     {
--- a/packages/jobs/tests/cell_incarnation_tests.cpp
+++ b/packages/jobs/tests/cell_incarnation_tests.cpp
@@ -32,6 +32,7 @@
     while (harness.now() - from < 40s) {
         harness.advance(period);
         answerOtherPolls(harness, unresponsive);
+        harness.storeChanges(); // The loss of contact.
         for (const StopCommand& stop : harness.takeCommands<StopCommand>())
             harness.cell().onResult(stop, { CommandStatus::NoResponse }, harness.now());
         if (!harness.takeCommands<StartCommand>().empty())
@@ -60,6 +61,7 @@
     EXPECT_TRUE(harness.takeCommands<StartCommand>().empty());
     harness.answerPoll(start.worker.value().c_str(), {});
     harness.listIncarnations();
+    harness.storeChanges(); // The crash of its worker.
     return start;
 }
 
@@ -237,6 +239,7 @@
     harness.bindCommands();
     const StartCommand start = harness.submitAndTakeStart("a");
     harness.respond(start, CommandStatus::Done);
+    harness.surviveStart(start);
     harness.restartWorker(start.worker);
     harness.advance(60ms);
     harness.answerPoll(start.worker.value().c_str(), {}); // The run is gone.
@@ -361,8 +364,11 @@
 {
     CellHarness harness;
     harness.bindCommands();
-    for (const char* job : { "a", "b" })
-        harness.respond(harness.submitAndTakeStart(job), CommandStatus::Done);
+    for (const char* job : { "a", "b" }) {
+        const StartCommand start = harness.submitAndTakeStart(job);
+        harness.respond(start, CommandStatus::Done);
+        harness.surviveStart(start);
+    }
     for (const WorkerDescription& worker : harness.listed())
         harness.restartWorker(worker.id);
     harness.advance(60ms);
--- a/packages/jobs/tests/cell_tests.cpp
+++ b/packages/jobs/tests/cell_tests.cpp
@@ -71,6 +71,7 @@
     while (starts.empty() && harness.now() - renewedAt < 10s) {
         harness.advance(100ms);
         harness.dropPolls();
+        harness.storeChanges(); // The loss of contact.
         starts = harness.takeCommands<StartCommand>();
     }
     ASSERT_EQ(starts.size(), 1U);
--- a/packages/jobs/tests/cell_walk_tests.cpp
+++ b/packages/jobs/tests/cell_walk_tests.cpp
@@ -118,7 +118,8 @@
 
 std::string describeEvent(const RunEvent& event)
 {
-    constexpr const char* names[] = { "starting", "adopted", "stopping", "ended", "presumed ended", "not started" };
+    constexpr const char* names[]
+        = { "starting", "adopted", "stopping", "ended", "presumed ended", "not started", "suspected", "cleared" };
     return describe(event.task) + " run " + std::to_string(event.run) + ' ' + names[static_cast<int>(event.kind)]
         + " on " + event.worker.value() + ", " + event.detail + "; failures " + std::to_string(event.failures)
         + ", uncontacted workers " + std::to_string(event.uncontactedWorkers);
--- /dev/null
+++ b/packages/jobs/tests/crashing_task_tests.cpp
@@ -0,0 +1,159 @@
+#include "cell_harness.h"
+#include "rattanrack/jobs/job_codec.h"
+
+using namespace rattanrack;
+using namespace rattanrack::jobs;
+using namespace rattanrack::jobs::tests;
+
+namespace {
+
+constexpr Duration calmTime = 30s; ///< After which the workers are settled and no other crash is recent.
+
+/// The worker's process ends some ms after it has answered the start; it returns 3 s later.
+void crashUnder(CellHarness& harness, const StartCommand& start)
+{
+    harness.respond(start, CommandStatus::Done);
+    harness.advance(10ms);
+    for (const PollCommand& poll : harness.takeCommands<PollCommand>()) {
+        if (poll.worker == start.worker)
+            harness.endConnection(poll);
+        else
+            harness.respond(poll, {});
+    }
+    harness.storeChanges();
+    harness.restartWorker(start.worker);
+}
+
+/// Advances until a start is issued, while all workers that are up respond and run nothing; at most `longest`.
+std::vector<StartCommand> takeNextStarts(CellHarness& harness, Duration longest)
+{
+    const TimePoint until = harness.now() + longest;
+    while (harness.now() < until) {
+        harness.advance(50ms);
+        harness.answerAllPolls();
+        harness.listIncarnations();
+        harness.confirmOwnership();
+        harness.storeChanges();
+        auto starts = harness.takeCommands<StartCommand>();
+        if (!starts.empty())
+            return starts;
+    }
+    return {};
+}
+
+/// A harness whose workers have been up for a while.
+CellHarness calmHarness()
+{
+    CellHarness harness;
+    harness.bindCommands();
+    harness.advance(calmTime);
+    harness.answerAllPolls();
+    harness.listWorkers(harness.listed());
+    harness.confirmOwnership();
+    return harness;
+}
+
+} // namespace
+
+TEST(CrashingTask, TaskThatCrashesEachWorkerIsGivenUpBeforeItsSixthStart)
+{
+    CellHarness harness = calmHarness();
+    StartCommand start = harness.submitAndTakeStart("a");
+    int starts = 1;
+    while (harness.cell().state(JobId { "a" }) != JobState::Failed && starts < 7) {
+        crashUnder(harness, start);
+        const auto next = takeNextStarts(harness, 20s);
+        if (next.empty())
+            break;
+        start = next.at(0);
+        ++starts;
+    }
+    EXPECT_EQ(harness.cell().state(JobId { "a" }), JobState::Failed);
+    EXPECT_GE(starts, 2);
+    EXPECT_LE(starts, 5);
+}
+
+TEST(CrashingTask, TaskIsNotGivenUpAfterOneCrash)
+{
+    CellHarness harness = calmHarness();
+    crashUnder(harness, harness.submitAndTakeStart("a"));
+    const auto retried = takeNextStarts(harness, 10s);
+    ASSERT_EQ(retried.size(), 1U);
+    EXPECT_EQ(harness.runEvents(RunEvent::Kind::Suspected).size(), 1U);
+    EXPECT_EQ(harness.cell().state(JobId { "a" }), JobState::Active);
+}
+
+TEST(CrashingTask, SurvivedTrialClearsASuspect)
+{
+    CellHarness harness = calmHarness();
+    crashUnder(harness, harness.submitAndTakeStart("a"));
+    const auto retried = takeNextStarts(harness, 10s);
+    ASSERT_EQ(retried.size(), 1U);
+    harness.respond(retried[0], CommandStatus::Done);
+    EXPECT_TRUE(harness.runEvents(RunEvent::Kind::Cleared).empty());
+    harness.surviveStart(retried[0]);
+    EXPECT_EQ(harness.runEvents(RunEvent::Kind::Cleared).size(), 1U);
+}
+
+TEST(CrashingTask, SurvivalIsAskedForBesideAWaitingPoll)
+{
+    CellHarness harness = calmHarness();
+    crashUnder(harness, harness.submitAndTakeStart("a"));
+    const auto retried = takeNextStarts(harness, 10s);
+    ASSERT_EQ(retried.size(), 1U);
+    harness.respond(retried[0], CommandStatus::Done);
+    harness.advance(100ms); // The poll that waits for ended runs.
+    harness.takeCommands<PollCommand>();
+    harness.advance(150ms);
+    const auto checks = harness.takeCommands<PollCommand>();
+    ASSERT_EQ(checks.size(), 1U);
+    EXPECT_TRUE(checks[0].isSurvivalCheck);
+    EXPECT_EQ(checks[0].worker, retried[0].worker);
+    EXPECT_EQ(checks[0].leaseUntilWorkerMs, 0);
+    EXPECT_EQ(checks[0].ackedThrough, 0);
+}
+
+TEST(CrashingTask, WorkerThatWasOnlyUnreachableBlamesNobody)
+{
+    CellHarness harness = calmHarness();
+    const StartCommand start = harness.submitAndTakeStart("a");
+    harness.respond(start, CommandStatus::Done);
+    harness.advance(60ms);
+    harness.dropPolls();
+    harness.storeChanges();
+    harness.advance(300ms);
+    harness.answerPoll(start.worker.value().c_str(), { { start.task, start.run, "", 0 } });
+    EXPECT_TRUE(harness.runEvents(RunEvent::Kind::Suspected).empty());
+}
+
+TEST(CrashingTask, StartWaitsUntilTheLossOfItsWorkerIsStored)
+{
+    CellHarness harness = calmHarness();
+    const StartCommand start = harness.submitAndTakeStart("a");
+    harness.respond(start, CommandStatus::NoResponse);
+    for (int steps = 0; steps < 100; ++steps) {
+        harness.advance(50ms);
+        for (const PollCommand& poll : harness.takeCommands<PollCommand>()) {
+            if (poll.worker == start.worker)
+                harness.endConnection(poll);
+            else
+                harness.respond(poll, {});
+        }
+    }
+    EXPECT_TRUE(harness.takeCommands<StartCommand>().empty());
+    harness.storeChanges();
+    harness.advance(50ms);
+    EXPECT_EQ(harness.takeCommands<StartCommand>().size(), 1U);
+}
+
+TEST(CrashingTask, LostStartsAreStoredForTheNextOwner)
+{
+    StoredProgress progress;
+    StoredTask task { 0, 0, 3 };
+    task.lostStarts.push_back({ WorkerId { "w1" }, 7, 2, true, true, false, 62ms });
+    task.lostStarts.push_back({ WorkerId { "w2" }, 9, 3 });
+    progress.tasks = { task, { 0, 0, 4, true } };
+    const auto decoded = valueOrNothing([&] { return decodeProgress(encode(progress)); });
+    ASSERT_TRUE(decoded.has_value());
+    EXPECT_EQ(*decoded, progress);
+}
--- a/packages/jobs/tests/inherited_lease_tests.cpp
+++ b/packages/jobs/tests/inherited_lease_tests.cpp
@@ -32,6 +32,7 @@
     while (harness.now() - from < 40s) {
         harness.advance(30ms);
         harness.confirmOwnership();
+        harness.storeChanges(); // The crash of the worker.
         for (const PollCommand& poll : harness.takeCommands<PollCommand>())
             harness.respond(poll, {});
         if (!harness.takeCommands<StartCommand>().empty())
--- a/packages/node/src/cell_log.cpp
+++ b/packages/node/src/cell_log.cpp
@@ -20,14 +20,14 @@
 struct EventName {
     std::string operator()(const jobs::JobEvent& event) const
     {
-        constexpr const char* names[] = { "job.taken_over", "job.accepted", "job.ended" };
+        constexpr const char* names[] = { "job.taken_over", "job.accepted", "job.ended", "job.given_up" };
         return nameOf(event.kind, names);
     }
 
     std::string operator()(const jobs::RunEvent& event) const
     {
-        constexpr const char* names[]
-            = { "run.ordered", "run.adopted", "run.stopping", "run.ended", "run.over", "run.over" };
+        constexpr const char* names[] = { "run.ordered", "run.adopted", "run.stopping", "run.ended", "run.over",
+            "run.over", "run.suspected", "run.cleared" };
         return nameOf(event.kind, names);
     }
 
--- a/packages/node/src/worker_links.cpp
+++ b/packages/node/src/worker_links.cpp
@@ -45,8 +45,8 @@
 
     void send(const std::shared_ptr<Link>& self, jobs::WorkerCommand command)
     {
-        const bool isPoll = std::holds_alternative<jobs::PollCommand>(command);
-        CommandQueue& queue = isPoll ? m_polls : m_commands;
+        const auto* poll = std::get_if<jobs::PollCommand>(&command);
+        CommandQueue& queue = poll && !poll->isSurvivalCheck ? m_polls : m_commands;
         {
             const std::lock_guard lock(m_mutex);
             queue.commands.push_back({ std::move(command), m_resultSink->clock.now() });
