Keep a lost start undecided until its own incarnation is decided

Cause (found in review): the first response to a new owner dropped all undecided losses of that worker, also those of the incarnation that responded, so that they were neither cleared nor counted; and a worker known only from the stored losses had no incarnation, so that a later worker on its machine proved nothing.

Change: only losses of earlier incarnations are decided; a worker from stored losses has the incarnation that they name.

Tests: CrashingTask.NextOwnerClearsALossWhenTheWorkerRespondsUnchanged and ...NextOwnerCountsACrashByTheLaterWorkerOnTheMachine fail before, pass after; jobs_tests 179 pass.

--- a/packages/jobs/src/cell_crashes.cpp
+++ b/packages/jobs/src/cell_crashes.cpp
@@ -189,6 +189,8 @@
             Worker& worker = workers[lost.worker]; // A later worker on its machine proves the crash.
             worker.description.id = lost.worker;
             worker.description.machine = inherited->second;
+            worker.description.incarnationUnixMs
+                = std::max(worker.description.incarnationUnixMs, lost.incarnationUnixMs);
         }
     }
 }
@@ -215,9 +217,12 @@
         if (!entry)
             continue;
         for (LostStart& lost : entry->progress.task(ref).lostStarts) {
-            const bool isEarlier = lost.worker == worker.description.id && lost.incarnationUnixMs < laterUnixMs;
-            if (!isEarlier || lost.isCrash)
+            if (lost.worker != worker.description.id || lost.isCrash)
                 continue;
+            if (lost.incarnationUnixMs >= laterUnixMs) {
+                crashEvidence.openByWorker[lost.worker].insert(ref);
+                continue;
+            }
             lost.isCrash = true;
             markChanged(*entry);
             addRunEvent(RunEvent::Kind::Suspected, worker, ref, lost.run,
--- a/packages/jobs/src/cell_runs.cpp
+++ b/packages/jobs/src/cell_runs.cpp
@@ -102,7 +102,7 @@
     for (const TaskRef& task : tasks)
         presumeEnded(worker, task, evidence, now);
     inheritedWorkers.erase(worker.description.id);
-    recordRestart(worker, worker.incarnationUnixMs + 1, now);
+    recordRestart(worker, std::max(worker.incarnationUnixMs, worker.description.incarnationUnixMs) + 1, now);
 }
 
 void CellState::sendStop(Worker& worker, const TaskRef& task, RunNumber number, std::string_view reason)
--- a/packages/jobs/tests/crashing_task_tests.cpp
+++ b/packages/jobs/tests/crashing_task_tests.cpp
@@ -53,8 +53,44 @@
     return harness;
 }
 
+/// A job whose task a previous owner has started on worker w1, with which it lost contact.
+StoredJob jobWithLostStart()
+{
+    StoredJob stored { { JobId { "a" }, QueueId { "q" }, 1'000'000, { "text", { {} }, {} } }, {} };
+    stored.job.spec.steps[0].size = { Millicores { 800 }, Mebibytes { 100 }, {} };
+    StoredTask task { 0, 0, 0 };
+    task.lostStarts.push_back({ WorkerId { "w1" }, 1, 1, false, true, true, 62ms });
+    stored.progress.tasks = { task };
+    return stored;
+}
+
 } // namespace
 
+TEST(CrashingTask, NextOwnerClearsALossWhenTheWorkerRespondsUnchanged)
+{
+    CellHarness harness { 2, { jobWithLostStart() } };
+    harness.bindCommands();
+    const auto starts = takeNextStarts(harness, 15s);
+    ASSERT_EQ(starts.size(), 1U);
+    harness.respond(starts[0], CommandStatus::Done);
+    harness.advance(100ms);
+    harness.takeCommands<PollCommand>();
+    harness.advance(150ms);
+    EXPECT_TRUE(harness.takeCommands<PollCommand>().empty()); // Not a trial: no survival check.
+}
+
+TEST(CrashingTask, NextOwnerCountsACrashByTheLaterWorkerOnTheMachine)
+{
+    CellHarness harness { 2, { jobWithLostStart() } };
+    auto workers = harness.listed();
+    workers[0].id = WorkerId { "w9" }; // On the machine of w1.
+    workers[0].incarnationUnixMs = 5;
+    harness.listWorkers(workers);
+    EXPECT_TRUE(harness.runEvents(RunEvent::Kind::Suspected).empty());
+    harness.advance(10ms);
+    EXPECT_EQ(harness.runEvents(RunEvent::Kind::Suspected).size(), 1U);
+}
+
 TEST(CrashingTask, TaskThatCrashesEachWorkerIsGivenUpBeforeItsSixthStart)
 {
     CellHarness harness = calmHarness();
