A gang waits like other suspects until its crashes are decided

Cause (found in review): gangs start by the normal pass, which asked only whether the loss of their worker is stored. A gang with five undecided losses started a sixth time.

Change: a gang is not started while one of its tasks is held for evidence.

--- a/packages/jobs/src/cell_schedule.cpp
+++ b/packages/jobs/src/cell_schedule.cpp
@@ -38,6 +38,15 @@
     return work;
 }
 
+bool hasTaskHeldForEvidence(const CellState& state, const ReadyStep& ready, TimePoint now)
+{
+    for (int index = 0; index < ready.spec().count; ++index) {
+        if (state.isHeldForEvidence(ready.entry->progress.task(ready.occurrence, ready.step, index), now))
+            return true;
+    }
+    return false;
+}
+
 } // namespace
 
 bool JobEntry::isStartable(int occurrence, int step, int index) const
@@ -186,6 +195,8 @@
 {
     JobEntry& entry = *ready.entry;
     const Step& step = ready.spec();
+    if (step.isGang && entry.suspects > 0 && hasTaskHeldForEvidence(*this, ready, now))
+        return;
     const bool needsTicket = queueOf(entry).requiresTickets;
     const StepTickets* tickets = needsTicket ? validTickets(ready, capacity, now) : nullptr;
     if (needsTicket && !tickets)
