In an overload, try late suspects on the room that is left

Cause (found in review): late suspects were skipped while any step waited for room in the last pass. A step that no worker can ever hold, of a scheduled job, kept them from starting for ever, with room free. Other late steps start behind what is on time, on what room is left.

Change: in an overload, late suspects come after the other steps of the pass.

--- a/packages/jobs/src/cell_schedule.cpp
+++ b/packages/jobs/src/cell_schedule.cpp
@@ -263,6 +263,8 @@
         else
             addWaitingDemand(each, each.entry->startableTasks(each.occurrence, each.step));
     }
+    if (isOverloaded)
+        startTrials(capacity, false, now, wallMs); // Of those that are late, where room is left.
 }
 
 void Cell::onAdvice(const AdviceResponse& response, TimePoint now)
