Judge a crash without regard to how lately another cause was seen

Cause: the assumed rate of crashes by other causes was at least one since the last, so that just after any such crash the rate was many a second and no verdict was possible.

--- a/packages/jobs/src/cell_crash_verdicts.cpp
+++ b/packages/jobs/src/cell_crash_verdicts.cpp
@@ -35,9 +35,11 @@
         return crashes * 1e6 / static_cast<double>(std::max<std::int64_t>(listed * time.count(), 1));
     };
     const auto recent = static_cast<double>(crashEvidence.crashesByOtherCauses.size());
-    const TimePoint calmSince = std::max(takenOverAt, crashEvidence.latestByOtherCause);
+    const Duration calmTime = crashEvidence.latestByOtherCause == TimePoint {}
+        ? now - takenOverAt
+        : std::max(now - crashEvidence.latestByOtherCause, otherCauseMemory);
     return std::max(perWorkerSecond(recent * crashRateMargin, std::min(now - takenOverAt, otherCauseMemory)),
-        perWorkerSecond(1, now - calmSince));
+        perWorkerSecond(1, calmTime));
 }
 
 /// Whether other causes are unlikely: two crashes at least, and a small product of the probabilities that each
