Store that a suspect has been cleared

Cause (found in review): the removal of lost starts was not stored, so that the next owner inherited crashes of a task that had survived a start since, and a harmless task came closer to its verdict with each change of owner.

Change: the removal marks the job as changed; it is written with the next commit, not urgently.

Test: CrashingTask.ClearedSuspectIsNoSuspectOfTheNextOwner fails before, passes after.

--- a/packages/jobs/src/cell_crashes.cpp
+++ b/packages/jobs/src/cell_crashes.cpp
@@ -168,7 +168,9 @@
         if (isRemoved(lost) && crashEvidence.remove(crashOf(lost)) && isCleared && lost.isCrash)
             crashEvidence.addOtherCause(now);
     }
-    std::erase_if(task.lostStarts, isRemoved);
+    const bool isChanged = std::erase_if(task.lostStarts, isRemoved) > 0;
+    if (isChanged && !entry->progress.hasEnded())
+        markChanged(*entry); // The next owner must not inherit what is refuted.
     if (!task.isSuspect()) {
         crashEvidence.suspects.erase(ref);
         --entry->suspects;
--- a/packages/jobs/tests/crashing_task_tests.cpp
+++ b/packages/jobs/tests/crashing_task_tests.cpp
@@ -193,3 +193,18 @@
     ASSERT_TRUE(decoded.has_value());
     EXPECT_EQ(*decoded, progress);
 }
+
+TEST(CrashingTask, ClearedSuspectIsNoSuspectOfTheNextOwner)
+{
+    CellHarness harness = calmHarness();
+    crashUnder(harness, harness.submitAndTakeStart("a"));
+    const auto retried = takeNextStarts(harness, 10s);
+    ASSERT_EQ(retried.size(), 1U);
+    harness.respond(retried[0], CommandStatus::Done);
+    harness.surviveStart(retried[0]);
+    const auto commit = harness.cell().takeCommit(harness.now().time_since_epoch().count() / 1000);
+    ASSERT_TRUE(commit.has_value());
+    ASSERT_EQ(commit->rows.size(), 1U);
+    const auto stored = valueOrNothing([&] { return decodeProgress(commit->rows[0].value.value()); });
+    EXPECT_TRUE(stored.value().tasks.empty());
+}
