Match a lost connection with the incarnation that it led to

Cause (found in review): a start or poll of an earlier incarnation may fail after the next one has received starts, which were then recorded as lost, and blamed if the next one crashed for another reason. A start that was known to have arrived was matched without its incarnation, and marked its job as changed without a change.

Change: a failure counts only for the incarnation that the command was sent to.

Test: CrashingTask.LateFailureOfAnEarlierIncarnationBlamesNoStartInTheNextOne fails before, passes after.

--- a/packages/jobs/src/cell_crashes.cpp
+++ b/packages/jobs/src/cell_crashes.cpp
@@ -136,16 +136,21 @@
 
 /// The worker ended the connection on which the start was sent. Another start may have crashed it before this one
 /// arrived, unless there was none.
-void CellState::recordStartReceived(const Worker& worker, const TaskRef& task, RunNumber run)
+void CellState::recordStartReceived(const StartCommand& start)
 {
-    JobEntry* entry = isSuspect(task) ? findUndecided(task) : nullptr;
+    JobEntry* entry = isSuspect(start.task) ? findUndecided(start.task) : nullptr;
     if (!entry)
         return;
-    for (LostStart& lost : entry->progress.task(task).lostStarts)
-        lost.wasReceived
-            = lost.wasReceived || (lost.isAlone() && lost.worker == worker.description.id && lost.run == run);
-    markChanged(*entry);
-    entry->failureRevision = entry->revision;
+    for (LostStart& lost : entry->progress.task(start.task).lostStarts) {
+        const bool isOfStart = crashOf(lost) == WorkerCrash { start.worker, start.incarnationUnixMs }
+            && lost.run == start.run && lost.isAlone();
+        if (!isOfStart || lost.wasReceived)
+            continue;
+        lost.wasReceived = true;
+        markChanged(*entry);
+        entry->failureRevision = entry->revision;
+        isCommitUrgent = true;
+    }
 }
 
 void CellState::addSuspect(JobEntry& entry, const TaskRef& task, const LostStart& lost)
@@ -329,7 +334,8 @@
 }
 
 /// Only what concerns starts: a poll sent beside this one may have reported a later state of the runs.
-void CellState::onSurvivalCheck(Worker& worker, const PollResult& result, TimePoint sentAt, TimePoint now)
+void CellState::onSurvivalCheck(
+    Worker& worker, const PollCommand& check, const PollResult& result, TimePoint sentAt, TimePoint now)
 {
     worker.hasSurvivalCheckInFlight = false;
     const bool isSame
@@ -340,7 +346,7 @@
     }
     worker.needsPoll = true;
     worker.nextPollAt = now;
-    if (result.isConnectionEnded)
+    if (result.isConnectionEnded && check.incarnationUnixMs == worker.incarnationUnixMs)
         recordContactLoss(worker, { result.receivedAt == TimePoint {} ? now : result.receivedAt, true }, now);
 }
 
--- a/packages/jobs/src/cell_results.cpp
+++ b/packages/jobs/src/cell_results.cpp
@@ -43,8 +43,9 @@
     if (isAccepted(result))
         recordStartAnswered(worker, command, result.workerClockMs, receivedAt);
     else if (result.isConnectionEnded) {
-        recordContactLoss(worker, { receivedAt, true }, now);
-        recordStartReceived(worker, command.task, command.run);
+        if (command.incarnationUnixMs == worker.incarnationUnixMs)
+            recordContactLoss(worker, { receivedAt, true }, now);
+        recordStartReceived(command);
     } else if (result.status != CommandStatus::NoResponse && !(run && run->mayStartLate))
         discardStart(worker, command.task, command.run);
 }
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -270,7 +270,7 @@
     }
     void confirmCrash(const Worker& worker, std::int64_t laterUnixMs, TimePoint now);
     void addLostStart(const Worker& worker, const UnprovenStart& start, const ContactLoss& loss);
-    void recordStartReceived(const Worker& worker, const TaskRef& task, RunNumber run);
+    void recordStartReceived(const StartCommand& start);
     void addSuspect(JobEntry& entry, const TaskRef& task, const LostStart& lost);
     void removeLostStarts(const TaskRef& task, const std::function<bool(const LostStart&)>& isRemoved,
         bool isCleared = false, TimePoint now = {});
@@ -279,7 +279,8 @@
     void reviewStarts(Worker& worker, const PollReport& report, TimePoint sentAt, TimePoint now);
     void expireCrashEvidence(TimePoint now);
     void sendSurvivalChecks(TimePoint now);
-    void onSurvivalCheck(Worker& worker, const PollResult& result, TimePoint sentAt, TimePoint now);
+    void onSurvivalCheck(
+        Worker& worker, const PollCommand& check, const PollResult& result, TimePoint sentAt, TimePoint now);
     double crashRate(TimePoint now) const;
     bool isProvenToCrash(const Task& task, TimePoint now) const;
     bool isHeldForEvidence(const Task& task, TimePoint now) const;
--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -147,7 +147,7 @@
         return;
     Worker& worker = known->second;
     if (command.isSurvivalCheck)
-        return state.onSurvivalCheck(worker, result, sentAt, now);
+        return state.onSurvivalCheck(worker, command, result, sentAt, now);
     worker.hasPollInFlight = false;
     worker.hasRenewalInFlight = false;
     worker.nextPollAt = now + pollPause;
@@ -160,7 +160,8 @@
             state.onWorkerLost(worker, "another worker responds at its address", now);
         if (result.refusal == RefusalReason::StaleFence)
             state.recordHigherFence(command.worker, now);
-        if (result.status == CommandStatus::NoResponse || result.status == CommandStatus::NotSent)
+        const bool isUnanswered = result.status == CommandStatus::NoResponse || result.status == CommandStatus::NotSent;
+        if (isUnanswered && command.incarnationUnixMs == worker.incarnationUnixMs)
             state.recordContactLoss(
                 worker, { result.receivedAt == TimePoint {} ? now : result.receivedAt, result.isConnectionEnded }, now);
         if (worker.contact == WorkerContact::Responsive) {
--- a/packages/jobs/tests/cell_harness.h
+++ b/packages/jobs/tests/cell_harness.h
@@ -158,6 +158,16 @@
         m_cell.onResult(poll, result, m_now, m_now);
     }
 
+    /// The worker's process ends before it has answered the start.
+    void endConnection(const StartCommand& command)
+    {
+        CommandResult result;
+        result.isConnectionEnded = true;
+        result.receivedAt = m_now;
+        result.isBound = m_isBound;
+        m_cell.onResult(command, result, m_now);
+    }
+
     /// The worker responds until it has survived the start, and runs nothing else.
     void surviveStart(const StartCommand& start)
     {
--- a/packages/jobs/tests/crashing_task_tests.cpp
+++ b/packages/jobs/tests/crashing_task_tests.cpp
@@ -208,3 +208,27 @@
     const auto stored = valueOrNothing([&] { return decodeProgress(commit->rows[0].value.value()); });
     EXPECT_TRUE(stored.value().tasks.empty());
 }
+
+TEST(CrashingTask, LateFailureOfAnEarlierIncarnationBlamesNoStartInTheNextOne)
+{
+    CellHarness harness = calmHarness();
+    harness.listWorkers({ harness.listed()[0] });
+    harness.submitAndStore("early", Millicores { 100 });
+    harness.advance(10ms);
+    const StartCommand early = harness.takeCommands<StartCommand>().at(0); // Its result arrives late.
+    harness.restartWorker(early.worker);
+    harness.advance(60ms);
+    harness.answerAllPolls();
+    harness.listIncarnations();
+    harness.confirmOwnership();
+    harness.storeChanges();
+    harness.submitAndStore("later", Millicores { 100 });
+    harness.advance(10ms);
+    const auto later = harness.takeCommands<StartCommand>();
+    ASSERT_EQ(later.size(), 1U);
+    harness.respond(later[0], CommandStatus::Done);
+    harness.endConnection(early);
+    const auto commit = harness.cell().takeCommit(harness.now().time_since_epoch().count() / 1000);
+    for (const CellRow& row : commit ? commit->rows : std::vector<CellRow> {})
+        EXPECT_EQ(row.job, JobId { "early" });
+}
