Count the listed workers once a list, not for each suspect

Cause (found in review): each pass counted all workers again for each suspect with an undecided loss.

Change: the count is kept beside the listed capacity. The cost was not measured before or after.

--- a/packages/jobs/src/cell_crash_verdicts.cpp
+++ b/packages/jobs/src/cell_crash_verdicts.cpp
@@ -29,10 +29,8 @@
 /// Crashes in a second of a worker, by causes other than tasks: as seen lately, and not less than one since the last.
 double CellState::crashRate(TimePoint now) const
 {
-    const auto listed
-        = std::count_if(workers.begin(), workers.end(), [](const auto& each) { return each.second.isListed; });
     const auto perWorkerSecond = [&](double crashes, Duration time) {
-        return crashes * 1e6 / static_cast<double>(std::max<std::int64_t>(listed * time.count(), 1));
+        return crashes * 1e6 / static_cast<double>(std::max<std::int64_t>(listedWorkers * time.count(), 1));
     };
     const auto recent = static_cast<double>(crashEvidence.crashesByOtherCauses.size());
     const Duration calmTime = crashEvidence.latestByOtherCause == TimePoint {}
--- a/packages/jobs/src/cell_crashes.cpp
+++ b/packages/jobs/src/cell_crashes.cpp
@@ -15,6 +15,7 @@
 constexpr Duration maxExposure = 2s; ///< A later loss says nothing about the start.
 constexpr Duration undecidedLimit = 10s; ///< A lost start whose worker is not back by then counts no more.
 constexpr Duration checkPeriod = 250ms;
+constexpr Duration slowestClockMargin = 10ms; ///< A worker's clock may be 2 % slow within `survivalTime`.
 
 bool isPlanned(const Worker& worker, const CellState& state)
 {
@@ -316,7 +317,6 @@
         return;
     for (auto& [id, worker] : workers) {
         const auto isDue = [&](const UnprovenStart& each) {
-            constexpr Duration slowestClockMargin = 10ms;
             return each.isTrial && each.answeredAt != TimePoint {}
             && now - each.answeredAt >= survivalTime + slowestClockMargin;
         };
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -163,6 +163,7 @@
     std::int64_t unixMs { 0 }; ///< Wall clock of the latest call of `Cell::advance`.
     TimePoint nextRemovalAt {}; ///< When to look for old jobs to remove next.
     ResourceSize listedCapacity; ///< Of all listed workers.
+    std::int64_t listedWorkers { 0 };
     Millicores waitingDemand; ///< Demand of steps that were ready and on time in the latest pass, but were not placed.
     OfferedLoad offeredLoad;
     SchedulingCost schedulingCost;
--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -102,6 +102,8 @@
         return isSinceTakeover && !isListed && std::any_of(listed.begin(), listed.end(), isOnItsMachine);
     });
     state.listedCapacity = state.capacityOfListedWorkers();
+    state.listedWorkers = std::count_if(
+        state.workers.begin(), state.workers.end(), [](const auto& each) { return each.second.isListed; });
     std::erase_if(state.workers, [&](const auto& each) {
         const Worker& worker = each.second;
         return !worker.isListed && !worker.hasUnfinishedWork() && !worker.hasPollInFlight
