Give up a task after four crashes where all but one of its starts were alone

Callers saw: a task that crashes its workers silently is started a sixth time (BUDGET). Cause: a worker that crashes silently answers no start, so that none of its crashes counts in the product of risks; only the limit of five crashes gives the task up. One start may be lost with its owner before it is stored, so that five recorded crashes are six real ones. Ruled out: counting unanswered starts by crash rate and exposure: the exposure is the time-out of 0.7 s, and with the margin for grouped crashes five starts are needed again. Change: the limit is four if at most one of the crashed starts had others beside it.

--- a/packages/jobs/src/cell_crash_verdicts.cpp
+++ b/packages/jobs/src/cell_crash_verdicts.cpp
@@ -13,6 +13,8 @@
 constexpr std::size_t leastCrashes = 2; ///< That allow a verdict.
 /// Starts whose workers have crashed, or may have. The next one is not sent before these are decided.
 constexpr std::size_t maxLostStarts = 5;
+/// The same if all but one of them were the only recent starts on their workers.
+constexpr std::size_t maxLostStartsMostlyAlone = 4;
 /// Accepted probability that crashes by other causes look like those of a task.
 constexpr double acceptedRisk = 2e-6;
 constexpr double crashRateAfterRestart = 0.5; ///< Of a worker that has been up for less than `settledAge`.
@@ -46,17 +48,21 @@
 {
     const double rate = crashRate(now);
     std::size_t crashes = 0;
+    std::size_t crashesAlone = 0;
     std::size_t certainCrashes = 0;
     double risk = 1;
     for (const LostStart& lost : task.lostStarts) {
         crashes += lost.isCrash ? 1 : 0;
+        crashesAlone += lost.isCrash && lost.isAlone() ? 1 : 0;
         if (!lost.isCrash || !lost.wasReceived)
             continue;
         ++certainCrashes;
         const double rateOfWorker = lost.isOnSettledWorker ? rate : std::max(rate, crashRateAfterRestart);
         risk *= lost.isAlone() ? rateOfWorker * static_cast<double>(lost.exposure.count()) / 1e6 : riskOfSharedLoss;
     }
-    return crashes >= maxLostStarts || (certainCrashes >= leastCrashes && risk <= acceptedRisk);
+    const bool isMostlyAlone = crashesAlone + 1 >= crashes;
+    const bool isOverLimit = crashes >= (isMostlyAlone ? maxLostStartsMostlyAlone : maxLostStarts);
+    return isOverLimit || (certainCrashes >= leastCrashes && risk <= acceptedRisk);
 }
 
 /// Whether the crashes that are not decided yet would prove the task to crash workers. It starts again once they are
