--- a/packages/jobs/tests/job_tests.cpp
+++ b/packages/jobs/tests/job_tests.cpp
@@ -47,6 +47,18 @@
     EXPECT_NE(validationError({}), "");
 }
 
+TEST(JobCodec, DeeplyNestedBytesAreMalformed)
+{
+    constexpr std::size_t levels = 1'000'000;
+    constexpr char arrayOfOne = '\x81';
+    const std::string nested(levels, arrayOfOne);
+    ErrorCode code {};
+    const auto decoded
+        = valueOrNothing([&] { return decodeJob(nested); }, [&](const Error& error) { code = error.code; });
+    EXPECT_FALSE(decoded.has_value());
+    EXPECT_EQ(code, ErrorCode::MalformedMessage);
+}
+
 TEST(JobProgress, StepsWaitForTheirDependencies)
 {
     const Job job = twoSteps();
