Reject work when the machine has no thread left for it

Seen: ElasticThreadPool.WorkIsRejectedWhenNoThreadCanBeStartedForIt ended with std::system_error before the change. Cause: std::thread throws when the machine is out of threads or memory; on the control thread nothing catches it, so that one more worker or connection ends the whole process. Change: the pool starts threads through a function that tests replace; where that fails the work is rejected, as when the queue is full, and a warning is logged. Conclusion: an owner short of threads serves what it has threads for.

--- a/packages/node/src/elastic_thread_pool.cpp
+++ b/packages/node/src/elastic_thread_pool.cpp
@@ -1,10 +1,15 @@
 #include "rattanrack/node/elastic_thread_pool.h"
 
+#include "rattanrack/base/log.h"
+
+#include <system_error>
+
 namespace rattanrack::node {
 
-ElasticThreadPool::ElasticThreadPool(std::size_t maxThreads, std::size_t maxQueued)
+ElasticThreadPool::ElasticThreadPool(std::size_t maxThreads, std::size_t maxQueued, StartThread startThread)
     : m_maxThreads(maxThreads)
     , m_maxQueued(maxQueued)
+    , m_startThread(std::move(startThread))
 {
 }
 
@@ -17,13 +22,29 @@
         if (m_isShutDown || m_queue.size() >= m_maxQueued)
             return false;
         m_queue.push_back(std::move(work));
-        if (m_queue.size() > m_idleThreads && m_threads.size() < m_maxThreads)
-            m_threads.emplace_back([this] { runThread(); });
+        const bool needsThread = m_queue.size() > m_idleThreads && m_threads.size() < m_maxThreads;
+        if (needsThread && !startThread()) {
+            m_queue.pop_back();
+            return false;
+        }
     }
     m_hasWork.notify_one();
     return true;
 }
 
+/// Returns whether the machine had a thread left.
+bool ElasticThreadPool::startThread()
+{
+    try {
+        m_threads.push_back(m_startThread([this] { runThread(); }));
+        return true;
+    } catch (const std::system_error& error) {
+        logEvent(
+            "threads.exhausted", { { "threads", m_threads.size() }, { "error", error.what() } }, LogLevel::Warning);
+        return false;
+    }
+}
+
 void ElasticThreadPool::shutdown()
 {
     std::vector<std::thread> threads;
