Check again before a command to a machine is sent that the ownership is confirmed

Seen: MachineControllerTest.CommandDecidedBeforeAPauseIsNotSentAfterTheOwnershipMayHaveEnded: a command sent 5 s after the decision, when the next owner may have sent its own. Cause: the permission (a transaction within 2 s) was checked when the command was decided; the thread that sends it may be paused or busy with slow calls. The platform does not check fences there, so that nothing else stops the order. Ruled out: workers, whose starts and leases end by their own clocks. Change: the permission goes with the command as a deadline and is checked by the sending thread; the next owner's wait of 3.3 s covers the 2 s and one call. Conclusion: a command that is too late counts as not sent.

--- a/packages/node/include/rattanrack/node/machine_controller.h
+++ b/packages/node/include/rattanrack/node/machine_controller.h
@@ -71,6 +71,8 @@
     template <typename CommandType, typename Scheduler>
     void send(const CommandType& command, SendCommand<CommandType> call, Scheduler& scheduler, const char* event,
         LogField detail);
+    /// Until when commands may be sent, unless the ownership is confirmed again before.
+    Deadline permittedUntil() const;
     void storePoolSizes();
     void reportWaves();
     void writeIfDue();
--- a/packages/node/src/machine_controller.cpp
+++ b/packages/node/src/machine_controller.cpp
@@ -147,7 +147,11 @@
 void MachineController::send(
     const CommandType& command, SendCommand<CommandType> call, Scheduler& scheduler, const char* event, LogField detail)
 {
-    const auto work = [&machines = m_parts.machines, command, call, holder = m_parts.self.value(), fence = term()] {
+    // The thread may be paused, or busy, between the decision and the call.
+    const auto work = [&machines = m_parts.machines, &clock = m_parts.clock, command, call,
+                          holder = m_parts.self.value(), fence = term(), permittedUntil = permittedUntil()] {
+        if (permittedUntil.hasPassed(clock.now()))
+            return jobs::MachineCommandStatus::Unavailable;
         return (machines.*call)(command, holder, fence);
     };
     const auto then
@@ -163,6 +167,8 @@
         then(jobs::MachineCommandStatus::Unavailable);
 }
 
+Deadline MachineController::permittedUntil() const { return Deadline::after(m_writer.confirmedAt(), ownershipTimeout); }
+
 void MachineController::storePoolSizes()
 {
     if (m_arePoolSizesStored || m_planner.configuredSizes().empty())
@@ -207,7 +213,7 @@
         return;
     requestMachineList();
     const TimePoint now = m_parts.clock.now();
-    const bool mayCommand = !m_isHandingBack && now - m_writer.confirmedAt() < ownershipTimeout;
+    const bool mayCommand = !m_isHandingBack && !permittedUntil().hasPassed(now);
     if (mayCommand) {
         m_maintenance.setMovingMachines(m_planner.drainingMachines());
         jobs::MaintenanceOutput output = m_maintenance.advance(now, wallClockMilliseconds());
--- /dev/null
+++ b/packages/node/tests/machine_controller_tests.cpp
@@ -0,0 +1,130 @@
+#include "memory_part_store.h"
+#include "rattanrack/base/log.h"
+#include "rattanrack/node/machine_controller.h"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <future>
+#include <thread>
+
+using namespace rattanrack;
+using namespace rattanrack::node;
+using namespace std::chrono_literals;
+
+namespace {
+
+const PoolId standbyPool { "standby" };
+
+/// The machine's clock, which can be set forward as if the process had been paused.
+class PausableClock final : public Clock {
+public:
+    TimePoint now() const override { return m_clock.now() + Duration { m_pausedFor.load() }; }
+    void pauseFor(Duration time) { m_pausedFor += time.count(); }
+
+private:
+    SystemClock m_clock;
+    std::atomic<Duration::rep> m_pausedFor { 0 };
+};
+
+/// One machine that is up, and a count of the commands that it has received.
+class OneMachine final : public jobs::MachineService {
+public:
+    Result<std::vector<jobs::Machine>> list() override
+    {
+        ++lists;
+        jobs::Machine machine { jobs::MachineId { "m1" }, standbyPool, jobs::MachineState::Up };
+        return std::vector { machine };
+    }
+    jobs::MachineCommandStatus maintain(const jobs::MaintenanceCommand&, const std::string&, jobs::Fence) override
+    {
+        ++commands;
+        return jobs::MachineCommandStatus::Done;
+    }
+    jobs::MachineCommandStatus move(const jobs::MoveCommand&, const std::string&, jobs::Fence) override
+    {
+        ++commands;
+        return jobs::MachineCommandStatus::Done;
+    }
+
+    std::atomic<int> lists { 0 };
+    std::atomic<int> commands { 0 };
+};
+
+class NoFleet final : public jobs::FleetSource {
+public:
+    Result<jobs::FleetDirectives> directives() override { return jobs::FleetDirectives {}; }
+    Result<bool> waitForChange(jobs::RowVersion, Duration) override { return false; }
+    [[nodiscard]] bool report(std::int64_t, bool) override { return true; }
+    Result<std::vector<jobs::WorkerDescription>> workers() override { return std::vector<jobs::WorkerDescription> {}; }
+};
+
+class MachineControllerTest : public testing::Test {
+protected:
+    void SetUp() override
+    {
+        setLogLevel(LogLevel::Error);
+        auto takeover = valueOrNothing([&] { return takeOverMachines(store, clock, NodeId { "n1" }); }).value();
+        control.run([&] {
+            MachineController::Parts parts { control, clock, threads, store, machines, fleet, NodeId { "n1" }, [] {} };
+            controller = std::make_unique<MachineController>(std::move(parts), std::move(takeover));
+        });
+    }
+
+    void TearDown() override
+    {
+        control.run([&] { controller.reset(); });
+        threads.shutdown();
+    }
+
+    void tick()
+    {
+        control.run([&] { controller->tick(); });
+        std::this_thread::sleep_for(10ms);
+    }
+
+    /// Requests maintenance of the machine, once its list is known.
+    void requestMaintenance()
+    {
+        for (int ticks = 0; ticks < 300 && machines.lists == 0; ++ticks)
+            tick();
+        tick();
+        control.run([&] { controller->setWaves({ { 1, { jobs::MachineId { "m1" } }, 20s, 1 } }); });
+    }
+
+    PausableClock clock;
+    tests::MemoryPartStore store;
+    OneMachine machines;
+    NoFleet fleet;
+    ElasticThreadPool threads { 1, 16 };
+    std::unique_ptr<MachineController> controller;
+    ControlLoop control { clock };
+};
+
+} // namespace
+
+TEST_F(MachineControllerTest, CommandIsSentWhileTheOwnershipIsConfirmed)
+{
+    requestMaintenance();
+    for (int ticks = 0; ticks < 300 && machines.commands == 0; ++ticks)
+        tick();
+    EXPECT_EQ(machines.commands, 1);
+}
+
+TEST_F(MachineControllerTest, CommandDecidedBeforeAPauseIsNotSentAfterTheOwnershipMayHaveEnded)
+{
+    requestMaintenance();
+    std::promise<void> release;
+    std::promise<void> blocked;
+    ASSERT_TRUE(threads.submit([&] {
+        blocked.set_value();
+        release.get_future().wait();
+    }));
+    blocked.get_future().wait();
+    tick(); // The command waits for the thread.
+    clock.pauseFor(5s); // The next owner sends commands 3.3 s after its takeover.
+    release.set_value();
+    control.run([&] { controller->handBack(); }); // No further commands.
+    std::this_thread::sleep_for(200ms);
+    EXPECT_EQ(machines.commands, 0);
+}
