Keep to the list of workers that was requested last

Seen: CellHostTest.WorkerThatHasLeftIsNotUsedAgainForAListThatWasRequestedEarlier: a task starts on a worker that a later list no longer contains. Cause: a takeover reads the list beside the watcher, and each applies its own when it arrives. A slow read that was requested earlier replaced a later one, so that a worker that had left, or was draining, was in use again until the next read. Change: a list is applied only if it was requested no earlier than the one in use, in the node and in each cell.

--- a/packages/node/src/cell_host.cpp
+++ b/packages/node/src/cell_host.cpp
@@ -101,6 +101,8 @@
 
 void CellHost::setWorkers(const WorkerList& list)
 {
+    if (list.requestedAt < m_listRequestedAt)
+        return;
     std::map<jobs::WorkerId, std::string> addresses;
     for (const jobs::WorkerDescription& worker : list.workers) {
         if (worker.pool == m_pool)
--- a/packages/node/src/job_node_cells.cpp
+++ b/packages/node/src/job_node_cells.cpp
@@ -68,7 +68,7 @@
         { { "cell", cell.value() }, { "term", takeover.partTakeover.part.term() }, { "jobs", takeover.jobs.size() },
             { "workersUsed", takeover.partTakeover.workers.size() } });
     if (takeover.workers)
-        workers = *std::move(takeover.workers);
+        setWorkers(*std::move(takeover.workers));
     const NodeId takenFrom = takeover.partTakeover.previousHolder;
     CellHost::Parts parts { control, clock, metrics, cellLog, loadMonitor, storePool, workerPool, ports.store,
         ports.workers, ports.advisor, &advisorPool,
--- a/packages/node/src/job_node_state.h
+++ b/packages/node/src/job_node_state.h
@@ -89,6 +89,7 @@
     void watchConfiguration();
     void watchWorkers();
     std::optional<WorkerList> readWorkers();
+    void setWorkers(WorkerList list);
     void watchMembers();
     void applyConfiguration(jobs::Configuration configuration);
     void registerSelf();
--- a/packages/node/src/job_node_watchers.cpp
+++ b/packages/node/src/job_node_watchers.cpp
@@ -82,6 +82,13 @@
     }
 }
 
+/// Lists arrive out of order, since a takeover reads one beside the watcher.
+void JobNode::State::setWorkers(WorkerList list)
+{
+    if (list.requestedAt >= workers.requestedAt)
+        workers = std::move(list);
+}
+
 std::optional<WorkerList> JobNode::State::readWorkers()
 {
     const TimePoint askedAt = clock.now();
@@ -103,7 +110,7 @@
         if (!list)
             return;
         control.post([this, shared = std::make_shared<WorkerList>(std::move(*list))] {
-            workers = std::move(*shared);
+            setWorkers(std::move(*shared));
             for (auto& [cell, host] : cells)
                 host->setWorkers(workers);
         });
--- a/packages/node/tests/cell_host_tests.cpp
+++ b/packages/node/tests/cell_host_tests.cpp
@@ -142,6 +142,18 @@
     EXPECT_TRUE(eventually([&] { return workers.starts == 1; }));
 }
 
+TEST_F(CellHostTest, WorkerThatHasLeftIsNotUsedAgainForAListThatWasRequestedEarlier)
+{
+    control.run([&] { host->setWorkers({ {}, clock.now() }); });
+    listWorkers(200ms); // Requested before the list above, and received after it.
+    ASSERT_EQ(submit("a"), jobs::Acceptance::Pending);
+    ASSERT_TRUE(eventually([&] { return stored == 1; }));
+    std::this_thread::sleep_for(300ms);
+    EXPECT_EQ(workers.starts, 0);
+    listWorkers(0s);
+    EXPECT_TRUE(eventually([&] { return workers.starts == 1; }));
+}
+
 TEST_F(CellHostTest, ReportsOfFiniteTasksWithoutARunAreCountedByReason)
 {
     listWorkers(10s);
