Take a cell over although some of its rows can't be read

Seen: CellHostTest.OneMalformedRowDoesNotPreventTheTakeoverOfTheOthers: no takeover before the change. Cause: one row of a job or its progress that can't be decoded failed the whole takeover. All nodes choose the same next owner, so that the cell stayed without one for good. Ruled out: leaving the job out: a caller who repeats the submission would run tasks again that may have run. Change: such a job is kept under its id as failed, never runs, and is logged as job.unreadable. Conclusion: one bad row costs its own job alone.

--- a/packages/node/src/cell_host.cpp
+++ b/packages/node/src/cell_host.cpp
@@ -1,5 +1,6 @@
 #include "rattanrack/node/cell_host.h"
 
+#include "rattanrack/base/log.h"
 #include "rattanrack/jobs/job_codec.h"
 #include "rattanrack/jobs/lease_clock.h"
 
@@ -42,6 +43,34 @@
     return rows;
 }
 
+/// A job whose rows can't be read, so that it is unknown which of its tasks have run: it keeps its id and never runs.
+jobs::StoredJob unreadableJob(const std::string& id)
+{
+    jobs::StoredJob stored { { jobs::JobId { id }, {}, 0, { {}, { {} }, {} } }, {} };
+    stored.progress.isFailed = true;
+    stored.progress.endedAtUnixMs = wallClockMilliseconds();
+    return stored;
+}
+
+jobs::StoredJob decodeStoredJob(const PoolId& cell, const jobs::PartRow& row, const std::string* progress)
+{
+    return handle(
+        [&]() -> Result<jobs::StoredJob> {
+            BOOST_LEAF_AUTO(job, jobs::decodeJob(row.value));
+            jobs::StoredJob stored { std::move(job), {} };
+            if (progress) {
+                BOOST_LEAF_AUTO(decoded, jobs::decodeProgress(*progress));
+                stored.progress = std::move(decoded);
+            }
+            return stored;
+        },
+        [&](const Error& error) {
+            logEvent("job.unreadable",
+                { { "cell", cell.value() }, { "job", row.row.key }, { "error", describe(error) } }, LogLevel::Error);
+            return unreadableJob(row.row.key);
+        });
+}
+
 } // namespace
 
 Result<CellTakeover> takeOverCell(jobs::PartStore& store, const Clock& clock, const PoolId& cell, const NodeId& self)
@@ -54,14 +83,9 @@
         progressByJob[row.row.key] = &row.value;
     CellTakeover takeover { std::move(partTakeover), {} };
     for (const jobs::PartRow& row : jobRows.rows) {
-        BOOST_LEAF_AUTO(job, jobs::decodeJob(row.value));
-        jobs::StoredJob stored { std::move(job), {} };
         const auto progress = progressByJob.find(row.row.key);
-        if (progress != progressByJob.end()) {
-            BOOST_LEAF_AUTO(decoded, jobs::decodeProgress(*progress->second));
-            stored.progress = std::move(decoded);
-        }
-        takeover.jobs.push_back(std::move(stored));
+        takeover.jobs.push_back(
+            decodeStoredJob(cell, row, progress == progressByJob.end() ? nullptr : progress->second));
     }
     return takeover;
 }
--- a/packages/node/tests/cell_host_tests.cpp
+++ b/packages/node/tests/cell_host_tests.cpp
@@ -4,7 +4,9 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
 #include <mutex>
+#include <string>
 #include <thread>
 
 using namespace rattanrack;
@@ -154,6 +156,26 @@
     EXPECT_TRUE(eventually([&] { return workers.starts == 1; }));
 }
 
+TEST_F(CellHostTest, OneMalformedRowDoesNotPreventTheTakeoverOfTheOthers)
+{
+    ASSERT_EQ(submit("a"), jobs::Acceptance::Pending);
+    ASSERT_EQ(submit("b"), jobs::Acceptance::Pending);
+    ASSERT_TRUE(eventually([&] { return stored == 2; }));
+    const auto write = [&](const char* table, const char* key, const std::string& value) {
+        ASSERT_EQ(
+            store.commit({ pool.value(), {}, { { { table, key }, value } } }).status, jobs::TransactionStatus::Done);
+    };
+    write(jobs::jobTable, "c", "not a job");
+    write(jobs::progressTable, "b", "not progress");
+    const auto takeover = valueOrNothing([&] { return takeOverCell(store, clock, pool, NodeId { "n2" }); });
+    ASSERT_TRUE(takeover.has_value());
+    std::map<std::string, bool> isFailed;
+    for (const jobs::StoredJob& each : takeover->jobs)
+        isFailed[each.job.id.value()] = each.progress.isFailed;
+    // Which tasks of "b" and "c" have run is unknown, so that none may start, nor be submitted once more.
+    EXPECT_EQ(isFailed, (std::map<std::string, bool> { { "a", false }, { "b", true }, { "c", true } }));
+}
+
 TEST_F(CellHostTest, ReportsOfFiniteTasksWithoutARunAreCountedByReason)
 {
     listWorkers(10s);
