--- a/packages/node/tests/http_server_tests.cpp
+++ b/packages/node/tests/http_server_tests.cpp
@@ -82,3 +82,15 @@
     for (int number = 0; number < 20; ++number)
         EXPECT_EQ(get("/"), 200);
 }
+
+TEST_F(HttpServerTest, RequestsWithTheLongestPathAndHeadersAreAnswered)
+{
+    constexpr std::size_t longestLine = 8000; // httplib rejects more.
+    EXPECT_EQ(get(('/' + std::string(longestLine, 'a')).c_str()), 404);
+    std::string ranges = "bytes=";
+    while (ranges.size() < longestLine)
+        ranges += "0-0,";
+    const auto result = client->Get("/", { { "Range", ranges + "0-0" } });
+    EXPECT_TRUE(result) << httplib::to_string(result.error());
+    EXPECT_EQ(get("/"), 200);
+}
