Revert "Write the list of workers only when it changes"

Conclusion: the hypothesis was wrong, and the change costs compatibility with earlier versions. What fills the 2 Mbit/s is still to be counted by purpose; likely candidates are starts with their spec, reports of workers and reads of the list of workers.

--- a/packages/jobs/include/rattanrack/jobs/owned_part.h
+++ b/packages/jobs/include/rattanrack/jobs/owned_part.h
@@ -17,9 +17,8 @@
     NodeId holder; ///< Empty: the part was handed back.
     Fence term { 0 }; ///< Increases with each change of the holder.
     std::uint64_t sequence { 0 }; ///< Number of transactions in this term.
+    WorkerMachines workers; ///< Workers on which something may run.
     OutstandingLeases outstandingLeases; ///< Leases at the time of the hand-back; empty while the part has an owner.
-    /// Workers on which something may run, in rows of earlier versions alone. Now they have a row of their own.
-    std::optional<WorkerMachines> workers;
 
     friend bool operator==(const OwnerRow&, const OwnerRow&) = default;
 };
@@ -29,16 +28,8 @@
 /// Errors: MalformedMessage.
 Result<OwnerRow> decodeOwnerRow(const std::string& bytes);
 
-/// The row of the workers on which something may run. It is written when they change, beside the owner row, which is
-/// written with each transaction. Nodes of earlier versions can't take over a part whose owner row has no workers.
-std::string encode(const WorkerMachines&);
-
-/// Errors: MalformedMessage.
-Result<WorkerMachines> decodeWorkerMachines(const std::string& bytes);
-
 constexpr const char* ownerTable = "owner";
 constexpr const char* ownerKey = "owner";
-constexpr const char* workersKey = "workers"; ///< In the same table.
 constexpr const char* jobTable = "job";
 constexpr const char* progressTable = "progress";
 
@@ -55,19 +46,17 @@
 ///     switch (part.resolve(outcome)) { ... }
 class OwnedPart {
 public:
-    /// Takes the part over from the owner in `found`; empty when the part never had an owner. `storedWorkers`: content
-    /// of the row of workers.
-    OwnedPart(const PoolId& cell, NodeId self, const std::optional<OwnerRow>& found, RowVersion foundVersion,
-        WorkerMachines storedWorkers = {});
+    /// Takes the part over from the owner in `found`; empty when the part never had an owner.
+    OwnedPart(const PoolId& cell, NodeId self, const std::optional<OwnerRow>& found, RowVersion foundVersion);
 
-    /// Builds a transaction that writes `rows` and, if it has changed, the list of workers. With `leasesAtHandBack` the
-    /// same transaction hands the part back, and no lease may be granted from then on.
+    /// Builds a transaction that writes `rows` and the list of workers. With `leasesAtHandBack` the same transaction
+    /// hands the part back, and no lease may be granted from then on.
     const PartTransaction& beginTransaction(
         std::vector<RowWrite> rows, WorkerMachines workers, std::optional<OutstandingLeases> leasesAtHandBack = {});
 
     bool isInFlight() const { return m_isInFlight; }
     const PartTransaction& transaction() const { return m_transaction; }
-    const WorkerMachines& workersWritten() const { return m_workers; }
+    const WorkerMachines& workersWritten() const { return m_row.workers; }
 
     OwnerWriteOutcome resolve(const TransactionOutcome& outcome);
 
@@ -80,8 +69,6 @@
     std::string m_part;
     NodeId m_self;
     OwnerRow m_row;
-    WorkerMachines m_workers; ///< Of the latest transaction.
-    WorkerMachines m_storedWorkers;
     RowVersion m_version { 0 };
     PartTransaction m_transaction;
     bool m_isInFlight { false };
--- a/packages/jobs/src/owned_part.cpp
+++ b/packages/jobs/src/owned_part.cpp
@@ -11,32 +11,15 @@
 
 using Json = nlohmann::json;
 
-WorkerMachines workerMachinesFrom(const Json& json)
-{
-    WorkerMachines workers;
-    for (const Json& worker : json)
-        workers[WorkerId { worker.at(0).get<std::string>() }] = MachineId { worker.at(1).get<std::string>() };
-    return workers;
-}
-
 } // namespace
 
-std::string encode(const WorkerMachines& workers)
-{
-    Json rows = Json::array();
-    for (const auto& [worker, machine] : workers)
-        rows.push_back(Json::array({ worker.value(), machine.value() }));
-    return toCbor(rows);
-}
-
-Result<WorkerMachines> decodeWorkerMachines(const std::string& bytes)
-{
-    return fromCbor("workers.decode", bytes, workerMachinesFrom);
-}
-
 std::string encode(const OwnerRow& row)
 {
-    Json json { { "holder", row.holder.value() }, { "term", row.term }, { "sequence", row.sequence } };
+    Json workers = Json::array();
+    for (const auto& [worker, machine] : row.workers)
+        workers.push_back(Json::array({ worker.value(), machine.value() }));
+    Json json { { "holder", row.holder.value() }, { "term", row.term }, { "sequence", row.sequence },
+        { "workers", std::move(workers) } };
     for (const auto& [worker, left] : row.outstandingLeases)
         json["heldMs"][worker.value()] = std::chrono::ceil<std::chrono::milliseconds>(left).count();
     return toCbor(json);
@@ -47,8 +30,8 @@
     return fromCbor("owner.decode", bytes, [](const Json& json) {
         OwnerRow row { NodeId { json.at("holder").get<std::string>() }, json.at("term").get<Fence>(),
             json.at("sequence").get<std::uint64_t>(), {}, {} };
-        if (const auto workers = json.find("workers"); workers != json.end())
-            row.workers = workerMachinesFrom(*workers);
+        for (const Json& worker : json.at("workers"))
+            row.workers[WorkerId { worker.at(0).get<std::string>() }] = MachineId { worker.at(1).get<std::string>() };
         if (const auto held = json.find("heldMs"); held != json.end()) {
             for (const auto& [worker, time] : held->items())
                 row.outstandingLeases[WorkerId { worker }] = std::chrono::milliseconds { time.get<std::int64_t>() };
@@ -57,18 +40,15 @@
     });
 }
 
-OwnedPart::OwnedPart(const PoolId& cell, NodeId self, const std::optional<OwnerRow>& found, RowVersion foundVersion,
-    WorkerMachines storedWorkers)
+OwnedPart::OwnedPart(const PoolId& cell, NodeId self, const std::optional<OwnerRow>& found, RowVersion foundVersion)
     : m_part(cell.value())
     , m_self(std::move(self))
-    , m_storedWorkers(std::move(storedWorkers))
     , m_version(foundVersion)
 {
     if (found)
         m_row = *found;
     m_row.holder = m_self;
     m_row.outstandingLeases = {};
-    m_row.workers.reset();
     m_row.term += 1;
     m_row.sequence = 0;
 }
@@ -77,13 +57,11 @@
     std::vector<RowWrite> rows, WorkerMachines workers, std::optional<OutstandingLeases> leasesAtHandBack)
 {
     ++m_row.sequence;
-    m_workers = std::move(workers);
+    m_row.workers = std::move(workers);
     m_row.holder = leasesAtHandBack ? NodeId {} : m_self;
     m_row.outstandingLeases = std::move(leasesAtHandBack).value_or(OutstandingLeases {});
     m_transaction
         = { m_part, { { { ownerTable, ownerKey }, m_version } }, { { { ownerTable, ownerKey }, encode(m_row) } } };
-    if (m_workers != m_storedWorkers)
-        m_transaction.writes.push_back({ { ownerTable, workersKey }, encode(m_workers) });
     std::move(rows.begin(), rows.end(), std::back_inserter(m_transaction.writes));
     m_isInFlight = true;
     m_mayTakeEffect = false;
@@ -94,7 +72,6 @@
 {
     const auto done = [&](RowVersion version) {
         m_version = version;
-        m_storedWorkers = m_workers;
         m_isInFlight = false;
         return OwnerWriteOutcome::Done;
     };
--- a/packages/node/src/part_writer.cpp
+++ b/packages/node/src/part_writer.cpp
@@ -42,21 +42,15 @@
     BOOST_LEAF_AUTO(rows, store.read({ jobs::ownerTable, name.value(), {} }));
     std::optional<jobs::OwnerRow> ownerRow;
     jobs::RowVersion version = 0;
-    jobs::WorkerMachines workers;
     for (const jobs::PartRow& row : rows.rows) {
-        if (row.row.key == jobs::workersKey) {
-            BOOST_LEAF_AUTO(decoded, jobs::decodeWorkerMachines(row.value));
-            workers = std::move(decoded);
-        }
         if (row.row.key != jobs::ownerKey)
             continue;
         BOOST_LEAF_AUTO(decoded, jobs::decodeOwnerRow(row.value));
         ownerRow = std::move(decoded);
         version = row.version;
     }
-    const bool isOfEarlierVersion = ownerRow && ownerRow->workers;
-    PartTakeover takeover { { name, self, ownerRow, version, workers }, ownerRow ? ownerRow->holder : NodeId {},
-        isOfEarlierVersion ? *ownerRow->workers : workers,
+    PartTakeover takeover { { name, self, ownerRow, version }, ownerRow ? ownerRow->holder : NodeId {},
+        ownerRow ? ownerRow->workers : jobs::WorkerMachines {},
         ownerRow ? ownerRow->outstandingLeases : jobs::OutstandingLeases {}, clock.now() };
     BOOST_LEAF_CHECK(takeOwnership(store, takeover.part, takeover.workers));
     return takeover;
