Start the jobs with the fewest tasks first while starts are scarce

Load: turns of four times the mean, behind an owner that can send some 80 starts a second (its link on the large site's small twin). Cause: jobs that can be in time are ordered by declared work. Where the owner's starts are scarce, and not the workers' room, that opens wide jobs of short tasks first, each of which takes the starts of several narrow ones. Change: while some start has waited for the window in the last 300 ms, the fewest tasks go first. CancellingAJobWithoutRunsExaminesNoRuns took a job whose start had just been issued, by the new order; waitingJob() now leaves such jobs out.

--- a/packages/jobs/src/cell_schedule.cpp
+++ b/packages/jobs/src/cell_schedule.cpp
@@ -17,6 +17,8 @@
 constexpr double optimisticShare = 0.7; ///< Work may turn out to take only this share of its estimate.
 constexpr int lateFactor = 3; ///< A job that is later than this many objectives has no value any more.
 constexpr double maxShareAtOnce = 0.25; ///< A step that needs a larger share of the capacity runs in several waves.
+/// Starts are scarce for this long after some had to wait for others. Several passes, so that the order is steady.
+constexpr Duration startScarcityMemory = 300ms;
 constexpr Duration ticketMargin = 300ms;
 constexpr Duration retryDelay = 300ms;
 constexpr std::size_t maxWorkersPerRequest = 30;
@@ -38,6 +40,14 @@
     return work;
 }
 
+std::int64_t taskCountOf(const Job& job)
+{
+    std::int64_t tasks = 0;
+    for (const Step& step : job.spec.steps)
+        tasks += step.count;
+    return tasks;
+}
+
 bool hasTaskHeldForEvidence(const CellState& state, const ReadyStep& ready, TimePoint now)
 {
     for (int index = 0; index < ready.spec().count; ++index) {
@@ -84,6 +94,7 @@
 {
     entry.isCriticalPathStale = false;
     entry.declaredWork = workOf(entry.job);
+    entry.taskCount = taskCountOf(entry.job);
     std::vector<Duration> whole;
     std::vector<Duration> left;
     Duration longestWhole {};
@@ -126,6 +137,13 @@
     return now + optimisticTime <= noValueAt ? Rank::Late : Rank::NoValue;
 }
 
+std::int64_t CellState::sortKeyOf(const JobEntry& entry, Rank rank, bool areStartsScarce)
+{
+    if (rank != Rank::OnTime)
+        return entry.dueAt.time_since_epoch().count();
+    return areStartsScarce ? entry.taskCount : entry.declaredWork;
+}
+
 std::vector<ReadyStep> CellState::readySteps(TimePoint now, std::int64_t wallMs)
 {
     std::vector<ReadyStep> ready;
@@ -134,6 +152,7 @@
         return !entry->isAmongUnfinished;
     });
     schedulingCost.jobsExamined += unfinishedJobs.size();
+    const bool areStartsScarce = windowFullAt != TimePoint {} && now - windowFullAt < startScarcityMemory;
     for (JobEntry* each : unfinishedJobs) {
         JobEntry& entry = *each;
         if (!entry.isStored || (entry.isTakenOver && isRecovering) || attemptsOf(entry) == 0)
@@ -150,8 +169,7 @@
                 ReadyStep found { &entry, occurrence, step };
                 found.rank = rankOf(entry, found.spec(), now);
                 found.priority = queueOf(entry).priority;
-                found.sortKey
-                    = found.rank == Rank::OnTime ? entry.declaredWork : entry.dueAt.time_since_epoch().count();
+                found.sortKey = sortKeyOf(entry, found.rank, areStartsScarce);
                 ready.push_back(found);
             }
         }
--- a/packages/jobs/src/cell_starts.cpp
+++ b/packages/jobs/src/cell_starts.cpp
@@ -69,8 +69,10 @@
 {
     const bool mayStart = startsInFlight < startWindow.limit() && !isGangHeldBack;
     isWindowFull = isWindowFull || !mayStart;
-    if (!mayStart)
+    if (!mayStart) {
         startWindow.onLimitReached(now);
+        windowFullAt = now;
+    }
     return mayStart;
 }
 
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -75,6 +75,7 @@
     Duration criticalPath {}; ///< Time of the longest chain of dependent work that is left.
     TimePoint dueAt {}; ///< The job is late after this time.
     std::int64_t declaredWork { 0 }; ///< Declared, in millicores times milliseconds.
+    std::int64_t taskCount { 0 };
     bool isCriticalPathStale { true };
     std::map<std::pair<int, int>, StepTickets> tickets; ///< By occurrence and step.
 
@@ -86,7 +87,9 @@
 };
 
 /// Order of ready steps in an overload: jobs that can still be on time go before those that can't, started jobs are
-/// finished first, and among the rest small jobs go first, which serves the most callers with the same work.
+/// finished first, and among the rest small jobs go first, which serves the most callers with what is scarce: those
+/// with the least work where the workers' capacity is, those with the fewest tasks where the owner can't send more
+/// starts.
 enum class Rank : std::uint8_t { LongRunning, Started, OnTime, Late, NoValue };
 
 /// A step that is ready to run.
@@ -96,7 +99,7 @@
     int step { 0 };
     Rank rank { Rank::OnTime };
     int priority { 0 };
-    std::int64_t sortKey { 0 }; ///< Order within the rank: declared work, or time due.
+    std::int64_t sortKey { 0 }; ///< Order within the rank: declared work, number of tasks, or time due.
 
     const Step& spec() const { return entry->job.spec.steps[static_cast<std::size_t>(step)]; }
     /// What starts first. Ids break ties between jobs.
@@ -171,6 +174,7 @@
     int startsInFlight { 0 }; ///< Starts that count towards the window, in the current pass.
     bool isGangHeldBack { false }; ///< In the current pass, until enough of the window is free.
     bool isWindowFull { false }; ///< In the latest pass, starts waited for others to get a response.
+    TimePoint windowFullAt {}; ///< When that was last so.
     std::map<TaskRef, MissingRun> missingRuns; ///< Tasks that could run without an active run.
     TimePoint nextMissingRunCheckAt {};
     CrashEvidence crashEvidence;
@@ -301,6 +305,7 @@
     // Scheduling: cell_schedule.cpp
     void schedule(TimePoint now, std::int64_t wallMs);
     static Rank rankOf(const JobEntry& entry, const Step& step, TimePoint now);
+    static std::int64_t sortKeyOf(const JobEntry& entry, Rank rank, bool areStartsScarce);
     std::vector<ReadyStep> readySteps(TimePoint now, std::int64_t wallMs); ///< Unsorted.
     bool skipIfNoCapacity(const ReadyStep& ready, const FreeCapacity& capacity);
     void addWaitingDemand(const ReadyStep& ready, int missing);
--- a/packages/jobs/tests/overloaded_cell.cpp
+++ b/packages/jobs/tests/overloaded_cell.cpp
@@ -215,6 +215,15 @@
     m_output = {};
 }
 
+const JobId& OverloadedCell::waitingJob() const
+{
+    const auto isIssued = [&](const JobId& job) {
+        return std::any_of(
+            m_starts.begin(), m_starts.end(), [&](const StartCommand& start) { return start.task.job == job; });
+    };
+    return *std::find_if_not(m_waitingJobs.begin(), m_waitingJobs.end(), isIssued);
+}
+
 void OverloadedCell::warmUp()
 {
     for (int number = 0; number < warmUpTicks; ++number)
--- a/packages/jobs/tests/overloaded_cell.h
+++ b/packages/jobs/tests/overloaded_cell.h
@@ -44,7 +44,8 @@
     void advanceWithoutInput();
 
     Cell& cell() { return m_cell; }
-    const JobId& waitingJob() const { return *m_waitingJobs.begin(); }
+    /// A job of which no start has been issued.
+    const JobId& waitingJob() const;
     std::int64_t startedRuns() const { return m_startedRuns; }
     std::int64_t endedRuns() const { return m_endedRuns; }
 
