--- a/packages/jobs/model/turn_load.cpp
+++ b/packages/jobs/model/turn_load.cpp
@@ -1,5 +1,7 @@
 #include "turn_load.h"
 
+#include "demand.h"
+
 #include <algorithm>
 #include <cmath>
 #include <deque>
@@ -55,48 +57,6 @@
     TimePoint pollSentAt {};
 };
 
-/// An amount of what is limited, to be used between two points in time.
-struct Demand {
-    TimePoint from {};
-    TimePoint until {};
-    double amount { 0 };
-};
-
-/// Whether all demands can be met at `rate` a second, if each can be interrupted: the one that is due first goes first.
-bool isFeasible(std::vector<Demand> demands, double rate)
-{
-    std::sort(
-        demands.begin(), demands.end(), [](const Demand& left, const Demand& right) { return left.from < right.from; });
-    const auto dueLater = [](const Demand& left, const Demand& right) { return left.until > right.until; };
-    std::vector<Demand> open;
-    std::size_t next = 0;
-    TimePoint now {};
-    while (next < demands.size() || !open.empty()) {
-        if (open.empty())
-            now = std::max(now, demands[next].from);
-        for (; next < demands.size() && demands[next].from <= now; ++next) {
-            open.push_back(demands[next]);
-            std::push_heap(open.begin(), open.end(), dueLater);
-        }
-        std::pop_heap(open.begin(), open.end(), dueLater);
-        Demand first = open.back();
-        open.pop_back();
-        TimePoint end = now + Duration { static_cast<std::int64_t>(first.amount / rate * 1e6) + 1 };
-        const bool isInterrupted = next < demands.size() && demands[next].from < end;
-        if (isInterrupted)
-            end = demands[next].from;
-        if (end > first.until)
-            return false;
-        if (isInterrupted) {
-            first.amount -= seconds(end - now) * rate;
-            open.push_back(first);
-            std::push_heap(open.begin(), open.end(), dueLater);
-        }
-        now = end;
-    }
-    return true;
-}
-
 /// A start in the owner's queue.
 struct QueuedStart {
     StartCommand command;
