Report commands to workers as not sent when no thread can be started for them

Tests: WorkerLinks.CommandsForWhichNoThreadCanBeStartedAreReportedAsNotSent had no result before the change. Change: the link reports all its queued commands as not sent; the cell sends again after its pause. Conclusion: an owner short of threads loses the use of a worker only while it is short of them.

--- a/packages/node/src/worker_links.cpp
+++ b/packages/node/src/worker_links.cpp
@@ -47,13 +47,22 @@
     {
         const auto* poll = std::get_if<jobs::PollCommand>(&command);
         CommandQueue& queue = poll && !poll->isSurvivalCheck ? m_polls : m_commands;
+        std::deque<QueuedCommand> unsent;
         {
             const std::lock_guard lock(m_mutex);
             queue.commands.push_back({ std::move(command), m_resultSink->clock.now() });
             if (!queue.hasThread)
                 queue.hasThread = m_threads.submit([self, &queue] { self->run(queue); });
+            if (!queue.hasThread)
+                unsent.swap(queue.commands);
         }
         queue.wakeUp.notify_one();
+        for (const QueuedCommand& each : unsent)
+            std::visit(
+                [&](const auto& typed) {
+                    reportNotSent(typed, { each.decidedAt, each.decidedAt });
+                },
+                each.command);
     }
 
     /// The threads end once they have carried out the queued commands; the results are still delivered.
@@ -103,7 +112,7 @@
                 poll->ackedThrough = 0;
             const auto* start = std::get_if<jobs::StartCommand>(&queued.command);
             if (start && isClosed)
-                report(*start, { jobs::CommandStatus::NotSent }, timing, &Callbacks::onStartResult);
+                reportNotSent(*start, timing);
             else if (start && isTooOld)
                 report(*start, { jobs::CommandStatus::Expired }, timing, &Callbacks::onStartResult);
             else
@@ -125,6 +134,34 @@
         });
     }
 
+    void report(const jobs::PollCommand& command, jobs::PollResult result, TimePoint sentAt)
+    {
+        result.receivedAt = m_resultSink->clock.now();
+        m_resultSink->control.post([sink = m_resultSink, command, result = std::move(result), sentAt] {
+            if (!sink->isClosed)
+                sink->callbacks.onPollResult(command, result, sentAt);
+        });
+    }
+
+    void reportNotSent(const jobs::StartCommand& command, const Timing& timing)
+    {
+        report(command, { jobs::CommandStatus::NotSent }, timing, &Callbacks::onStartResult);
+    }
+    void reportNotSent(const jobs::StopCommand& command, const Timing& timing)
+    {
+        report(command, { jobs::CommandStatus::NotSent }, timing, &Callbacks::onStopResult);
+    }
+    void reportNotSent(const jobs::ThrottleCommand& command, const Timing& timing)
+    {
+        report(command, { jobs::CommandStatus::NotSent }, timing, &Callbacks::onThrottleResult);
+    }
+    void reportNotSent(const jobs::PollCommand& command, const Timing& timing)
+    {
+        jobs::PollResult result { jobs::CommandStatus::NotSent };
+        result.isBound = true;
+        report(command, std::move(result), timing.decidedAt);
+    }
+
     void execute(jobs::WorkerChannel& channel, const jobs::StartCommand& command, const Timing& timing)
     {
         report(command, channel.start(command), timing, &Callbacks::onStartResult);
@@ -139,13 +176,7 @@
     }
     void execute(jobs::WorkerChannel& channel, const jobs::PollCommand& command, const Timing& timing)
     {
-        jobs::PollResult result = channel.poll(command);
-        result.receivedAt = m_resultSink->clock.now();
-        m_resultSink->control.post(
-            [sink = m_resultSink, command, result = std::move(result), sentAt = timing.dequeuedAt] {
-                if (!sink->isClosed)
-                    sink->callbacks.onPollResult(command, result, sentAt);
-            });
+        report(command, channel.poll(command), timing.dequeuedAt);
     }
 
     std::shared_ptr<ResultSink> m_resultSink;
--- a/packages/node/tests/worker_links_tests.cpp
+++ b/packages/node/tests/worker_links_tests.cpp
@@ -4,7 +4,9 @@
 
 #include <atomic>
 #include <future>
+#include <system_error>
 #include <thread>
+#include <vector>
 
 using namespace rattanrack;
 using namespace rattanrack::node;
@@ -242,3 +244,32 @@
     control.run([&] { links.reset(); });
     threads.shutdown();
 }
+
+TEST(WorkerLinks, CommandsForWhichNoThreadCanBeStartedAreReportedAsNotSent)
+{
+    using namespace std::chrono_literals;
+    const SystemClock clock;
+    Connector connector;
+    ElasticThreadPool threads { 2, 100, [](const ElasticThreadPool::Work&) -> std::thread {
+                                   throw std::system_error(
+                                       std::make_error_code(std::errc::resource_unavailable_try_again));
+                               } };
+    ControlLoop control { clock };
+    std::vector<jobs::CommandStatus> results; // Control thread only.
+    const auto record = [&](const auto&, const jobs::CommandResult& result) { results.push_back(result.status); };
+    const jobs::WorkerId worker { "w" };
+    std::unique_ptr<WorkerLinks> links;
+    control.run([&] {
+        links = std::make_unique<WorkerLinks>(control, clock, threads, connector,
+            WorkerLinks::Callbacks { record, record, record,
+                [&](const auto&, const jobs::PollResult& result, TimePoint) { results.push_back(result.status); } });
+        links->setAddresses({ { worker, "10.0.0.1:1" } }, { { worker, jobs::MachineId {} } });
+        links->send(jobs::PollCommand { worker });
+        links->send(jobs::StartCommand { worker });
+        links->send(jobs::StopCommand { worker });
+    });
+    control.run([] {}); // After the results, which are posted.
+    control.run([&] { links.reset(); });
+    threads.shutdown();
+    EXPECT_EQ(results, std::vector<jobs::CommandStatus>(3, jobs::CommandStatus::NotSent));
+}
