Take the machine part over although some wave's progress can't be read

One row that can't be decoded left the machine part without an owner for good (MachineControllerTest.OneMalformedRowDoesNotPreventTheTakeover failed before the change). Change: such a wave is logged as wave.unreadable and carried out anew; the platform answers with success, and does nothing, for a machine that is done.

--- a/packages/node/src/machine_controller.cpp
+++ b/packages/node/src/machine_controller.cpp
@@ -43,8 +43,13 @@
     for (const jobs::PartRow& row : sizes.rows)
         takeover.poolSizes[PoolId { row.row.key }] = std::atoi(row.value.c_str());
     for (const jobs::PartRow& row : rows.rows) {
-        BOOST_LEAF_AUTO(progress, jobs::decodeWaveProgress(row.value));
-        takeover.waves.push_back(std::move(progress));
+        // A wave without its progress is carried out once more: the platform does nothing on a machine that is done.
+        auto progress = valueOrNothing([&] { return jobs::decodeWaveProgress(row.value); },
+            [&](const Error& error) {
+                logEvent("wave.unreadable", { { "wave", row.row.key }, { "error", describe(error) } }, LogLevel::Error);
+            });
+        if (progress)
+            takeover.waves.push_back(*std::move(progress));
     }
     return takeover;
 }
--- a/packages/node/tests/machine_controller_tests.cpp
+++ b/packages/node/tests/machine_controller_tests.cpp
@@ -128,3 +128,18 @@
     std::this_thread::sleep_for(200ms);
     EXPECT_EQ(machines.commands, 0);
 }
+
+TEST_F(MachineControllerTest, OneMalformedRowDoesNotPreventTheTakeover)
+{
+    const std::string good = jobs::encode(jobs::WaveProgress { 2, 5, { jobs::MachineId { "m1" } }, true });
+    const auto write = [&](const char* key, const std::string& value) {
+        const jobs::PartTransaction transaction { machinePart.value(), {}, { { { "wave", key }, value } } };
+        ASSERT_EQ(store.commit(transaction).status, jobs::TransactionStatus::Done);
+    };
+    write("1", "not a wave");
+    write("2", good);
+    const auto takeover = valueOrNothing([&] { return takeOverMachines(store, clock, NodeId { "n2" }); });
+    ASSERT_TRUE(takeover.has_value());
+    ASSERT_EQ(takeover->waves.size(), 1U);
+    EXPECT_EQ(takeover->waves.front().number, 2);
+}
