--- a/packages/jobs/model/turn_load.cpp
+++ b/packages/jobs/model/turn_load.cpp
@@ -1,6 +1,7 @@
 #include "turn_load.h"
 
 #include "demand.h"
+#include "simulated_worker.h"
 
 #include <algorithm>
 #include <cmath>
@@ -24,11 +25,21 @@
 constexpr double coresOfAWorker = 16;
 constexpr double lateShare = 1.0 / 14; ///< Worth of a late job, as a share of one in time.
 constexpr double lateFactor = 3; ///< A job later than this many objectives is worth nothing.
+constexpr double demandBetweenTurns = 0.05; ///< As a multiple of the average.
+constexpr double spreadOfSteps = 0.4;
+constexpr int mostSteps = 4;
+constexpr int mostTasksOfAStep = 32;
+constexpr double mostCoresOverMean = 3;
+// What a job is worth, as a share of an average one's.
+constexpr double worthWithoutWork = 0.3;
+constexpr double worthOfAverageWork = 0.7;
+constexpr double mostWorth = 4;
 constexpr Fence fence = 2;
 constexpr double milliPerCore = 1000;
 constexpr double mostStartsAtOnce = 10;
 constexpr Duration maxQueueingTime = 250ms;
 
+Duration duration(double seconds) { return Duration { static_cast<std::int64_t>(seconds * 1e6) }; }
 double seconds(Duration time) { return std::chrono::duration<double> { time }.count(); }
 
 struct JobRecord {
@@ -37,24 +48,7 @@
     TimePoint submittedAt {};
     TimePoint endedAt {};
     Duration objective {};
-    double work { 0 };
-    double spentWork { 0 };
-};
-
-struct ActiveRun {
-    TaskRef task;
-    RunNumber run { 0 };
-    TimePoint endsAt {};
-};
-
-struct ModelledWorker {
-    WorkerDescription description;
-    std::vector<ActiveRun> runs;
-    std::vector<EndedRun> endedRuns;
-    std::int64_t lastSequence { 0 };
-    std::int64_t listedThrough { 0 };
-    std::optional<PollCommand> poll;
-    TimePoint pollSentAt {};
+    double work { 0 }; ///< In core-seconds.
 };
 
 /// A start in the owner's queue.
@@ -79,7 +73,7 @@
                 Mebibytes { 1 << 20 }, {} };
             worker.incarnationUnixMs = 1;
             listed.push_back(worker);
-            m_workers[worker.id].description = worker;
+            m_workers.emplace(worker.id, worker);
         }
         m_cell.setWorkers(listed, m_now, m_now);
         m_cell.onWorkerListSent(m_cell.workersInUse(), m_now);
@@ -124,7 +118,7 @@
     void submitArrivals(bool isTurn)
     {
         const double capacity = m_settings.workers * coresOfAWorker;
-        const double factor = isTurn ? m_settings.peak : 0.05;
+        const double factor = isTurn ? m_settings.peak : demandBetweenTurns;
         const double perSecond = capacity * m_settings.meanUse * factor / meanWorkOfAJob();
         std::poisson_distribution<int> arrivals { perSecond * seconds(tickLength) };
         for (int left = arrivals(m_random); left > 0; --left)
@@ -137,35 +131,41 @@
         JobRecord record;
         record.job = { JobId { "job" + std::to_string(m_records.size()) }, m_queue, unixMs(), { "text", {}, {} }, 2 };
         record.submittedAt = m_now;
-        const int steps = count(kind.meanSteps, 0.4, 4);
-        const double jobTime = lognormal(seconds(kind.meanRunTime), kind.spreadOfRunTime);
-        double chain = 0;
-        for (int position = 0; position < steps; ++position) {
-            Step step;
-            step.count = count(kind.meanTasks, kind.spreadOfTasks, 32);
-            const double cores = std::min(lognormal(kind.meanCores, kind.spreadOfCores), kind.meanCores * 3);
-            step.size = { Millicores { static_cast<std::int64_t>(cores * milliPerCore) }, Mebibytes { 10 }, {} };
-            const double declared = lognormal(jobTime, kind.declarationError);
-            step.declaredRunTime = Duration { static_cast<std::int64_t>(declared * 1e6) };
-            if (position > 0)
-                step.dependsOn.push_back(position - 1);
-            double longest = 0;
-            record.runTimes.emplace_back();
-            for (int index = 0; index < step.count; ++index) {
-                const double time = lognormal(jobTime, kind.unevenness);
-                record.runTimes.back().push_back(Duration { static_cast<std::int64_t>(time * 1e6) });
-                record.work += time * cores;
-                longest = std::max(longest, time);
-            }
-            chain += longest;
-            record.job.spec.steps.push_back(std::move(step));
-        }
-        record.objective = Duration { static_cast<std::int64_t>(chain * kind.stretch * 1e6) } + kind.latencyTarget;
+        const int steps = count(kind.meanSteps, spreadOfSteps, mostSteps);
+        const double meanRunTime = lognormal(seconds(kind.meanRunTime), kind.spreadOfRunTime);
+        Duration chain {};
+        for (int position = 0; position < steps; ++position)
+            chain += addStep(record, meanRunTime);
+        record.objective = duration(seconds(chain) * kind.stretch) + kind.latencyTarget;
         m_cell.submit(record.job, 1, m_now);
         m_open.insert(record.job.id);
         m_records.emplace(record.job.id, std::move(record));
     }
 
+    /// Adds a step that depends on the one before; returns the longest run time of its tasks.
+    Duration addStep(JobRecord& record, double meanRunTime)
+    {
+        const JobKind& kind = m_settings.kind;
+        Step step;
+        step.count = count(kind.meanTasks, kind.spreadOfTasks, mostTasksOfAStep);
+        const double cores
+            = std::min(lognormal(kind.meanCores, kind.spreadOfCores), kind.meanCores * mostCoresOverMean);
+        step.size = { Millicores { static_cast<std::int64_t>(cores * milliPerCore) }, Mebibytes { 10 }, {} };
+        step.declaredRunTime = duration(lognormal(meanRunTime, kind.declarationError));
+        if (!record.runTimes.empty())
+            step.dependsOn.push_back(static_cast<int>(record.runTimes.size()) - 1);
+        std::vector<Duration> times;
+        for (int index = 0; index < step.count; ++index) {
+            const double time = lognormal(meanRunTime, kind.unevenness);
+            times.push_back(duration(time));
+            record.work += time * cores;
+        }
+        const Duration longest = *std::max_element(times.begin(), times.end());
+        record.runTimes.push_back(std::move(times));
+        record.job.spec.steps.push_back(std::move(step));
+        return longest;
+    }
+
     void tick()
     {
         sendStarts();
@@ -211,9 +211,8 @@
         if (auto* stop = std::get_if<StopCommand>(&command))
             m_stops.push_back(std::move(*stop));
         if (auto* poll = std::get_if<PollCommand>(&command)) {
-            ModelledWorker& worker = m_workers.at(poll->worker);
-            worker.poll = std::move(*poll);
-            worker.pollSentAt = m_now;
+            SimulatedWorker& worker = m_workers.at(poll->worker);
+            worker.receive(std::move(*poll), m_now);
         }
     }
 
@@ -229,40 +228,25 @@
 
     void start(const StartCommand& command)
     {
-        JobRecord& record = m_records.at(command.task.job);
+        const JobRecord& record = m_records.at(command.task.job);
         const Duration time
             = record
                   .runTimes[static_cast<std::size_t>(command.task.step)][static_cast<std::size_t>(command.task.index)];
-        const Step& step = record.job.spec.steps[static_cast<std::size_t>(command.task.step)];
-        record.spentWork += seconds(time) * static_cast<double>(step.size.processors.count()) / milliPerCore;
-        m_workers.at(command.worker).runs.push_back({ command.task, command.run, m_now + time });
+        m_workers.at(command.worker).start(command, m_now + time);
     }
 
-    void answerPoll(ModelledWorker& worker)
+    void answerPoll(SimulatedWorker& worker)
     {
-        std::erase_if(worker.runs, [&](const ActiveRun& active) {
-            if (m_now < active.endsAt)
-                return false;
-            worker.endedRuns.push_back({ ++worker.lastSequence, active.task, active.run, RunOutcome::Done, {} });
-            return true;
-        });
-        if (!worker.poll)
-            return;
-        const bool hasNewEndedRuns = worker.lastSequence > worker.listedThrough;
-        if (!hasNewEndedRuns && m_now < worker.pollSentAt + worker.poll->longestWait)
-            return;
-        const std::int64_t acked = worker.poll->ackedThrough;
-        std::erase_if(worker.endedRuns, [&](const EndedRun& end) { return end.sequence <= acked; });
-        PollReport report { 1, clockMs(), {}, worker.endedRuns, true };
-        for (const ActiveRun& active : worker.runs)
-            report.running.push_back({ active.task, active.run, {}, 100, 10 });
-        worker.listedThrough = worker.lastSequence;
-        const PollCommand poll = *std::exchange(worker.poll, std::nullopt);
-        m_cell.onResult(
-            poll, { CommandStatus::Done, RefusalReason::None, std::move(report) }, worker.pollSentAt, m_now);
+        worker.endRuns(m_now);
+        if (const auto answered = worker.answerPoll(m_now, clockMs()))
+            m_cell.onResult(answered->command, answered->result, answered->sentAt, m_now);
     }
 
-    double worthOf(const JobRecord& record) const { return std::min(0.3 + 0.7 * record.work / meanWorkOfAJob(), 4.0); }
+    double worthOf(const JobRecord& record) const
+    {
+        const double worth = worthWithoutWork + worthOfAverageWork * record.work / meanWorkOfAJob();
+        return std::min(worth, mostWorth);
+    }
 
     static double taskCount(const JobRecord& record)
     {
@@ -326,52 +310,44 @@
         return worth;
     }
 
-    /// How one job was served.
-    struct Service {
-        double work { 0 };
-        bool isCompleted { false };
-        bool isInTime { false };
-    };
+    static bool isCompleted(const JobRecord& record) { return record.endedAt != TimePoint {}; }
+
+    /// Of the worth of the job, what its caller pays.
+    static double paidShare(const JobRecord& record)
+    {
+        const Duration took = record.endedAt - record.submittedAt;
+        if (!isCompleted(record) || took > record.objective * lateFactor)
+            return 0;
+        return took <= record.objective ? 1 : lateShare;
+    }
 
-    static void addLargest(std::vector<Service> jobs, TurnLoadResult& result)
+    /// Share that was completed among the tenth with the most work.
+    double largestCompleted() const
     {
-        std::sort(
-            jobs.begin(), jobs.end(), [](const Service& left, const Service& right) { return left.work > right.work; });
+        std::vector<const JobRecord*> jobs;
+        for (const auto& [id, record] : m_records)
+            jobs.push_back(&record);
+        std::sort(jobs.begin(), jobs.end(),
+            [](const JobRecord* left, const JobRecord* right) { return left->work > right->work; });
         jobs.resize(std::max<std::size_t>(jobs.size() / 10, 1));
-        const auto shareOf = [&](bool Service::*quality) {
-            const auto count
-                = std::count_if(jobs.begin(), jobs.end(), [&](const Service& each) { return each.*quality; });
-            return static_cast<double>(count) / static_cast<double>(jobs.size());
-        };
-        result.largestInTime = shareOf(&Service::isInTime);
-        result.largestCompleted = shareOf(&Service::isCompleted);
+        const auto completed
+            = std::count_if(jobs.begin(), jobs.end(), [&](const JobRecord* job) { return isCompleted(*job); });
+        return static_cast<double>(completed) / static_cast<double>(jobs.size());
     }
 
     TurnLoadResult result() const
     {
         TurnLoadResult result;
         double owed = 0;
-        std::vector<Service> byWork;
         for (const auto& [id, record] : m_records) {
             ++result.jobs;
-            result.offeredWork += record.work;
-            const double worth = worthOf(record);
-            owed += worth;
-            const bool isCompleted = record.endedAt != TimePoint {};
-            const Duration took = record.endedAt - record.submittedAt;
-            const bool isInTime = isCompleted && took <= record.objective;
-            result.completed += isCompleted ? 1 : 0;
-            result.inTime += isInTime ? 1 : 0;
-            (isInTime ? result.inTimeWork : isCompleted ? result.lateWork : result.openWork) += record.spentWork;
-            if (isInTime)
-                result.worth += worth;
-            else if (isCompleted && took <= record.objective * lateFactor)
-                result.worth += worth * lateShare;
-            byWork.push_back({ record.work, isCompleted, isInTime });
+            result.completed += isCompleted(record) ? 1 : 0;
+            result.worth += worthOf(record) * paidShare(record);
+            owed += worthOf(record);
         }
         result.worth /= owed;
         result.plannedWorth = plannedWorth() / owed;
-        addLargest(std::move(byWork), result);
+        result.largestCompleted = largestCompleted();
         return result;
     }
 
@@ -380,7 +356,7 @@
     std::mt19937_64 m_random;
     TimePoint m_now { 100'000s };
     Cell m_cell;
-    std::map<WorkerId, ModelledWorker> m_workers;
+    std::map<WorkerId, SimulatedWorker> m_workers;
     std::map<JobId, JobRecord> m_records;
     std::set<JobId> m_open;
     std::deque<QueuedStart> m_starts;
--- a/packages/jobs/model/turn_load.h
+++ b/packages/jobs/model/turn_load.h
@@ -36,18 +36,12 @@
     std::uint64_t seed { 1 };
 };
 
-/// What callers got. Work is in core-seconds of the tasks' real run times.
+/// What callers got.
 struct TurnLoadResult {
     int jobs { 0 };
-    int inTime { 0 };
     int completed { 0 };
-    double offeredWork { 0 };
-    double inTimeWork { 0 };
-    double lateWork { 0 };
-    double openWork { 0 }; ///< Of runs whose job had not ended.
     double worth { 0 }; ///< Share of what callers would pay if all jobs were in time.
-    double largestInTime { 0 }; ///< Share in time among the tenth with the most work.
-    double largestCompleted { 0 }; ///< Share that was completed, in time or late, among that tenth.
+    double largestCompleted { 0 }; ///< Share that was completed, in time or late, among the tenth with the most work.
     /// `worth` of a planner that knows all jobs beforehand and takes those that pay the most for what is scarce, as
     /// long as all that it has taken can be in time.
     double plannedWorth { 0 };
--- a/packages/jobs/tests/overloaded_cell.cpp
+++ b/packages/jobs/tests/overloaded_cell.cpp
@@ -62,7 +62,7 @@
         worker.incarnationUnixMs = 1;
         listed.push_back(worker);
         m_workerIndexes[worker.id] = m_workers.size();
-        m_workers.push_back({ worker, {}, {}, 0, 0, {}, {} });
+        m_workers.emplace_back(worker);
     }
     m_cell.setWorkers(listed, m_now, m_now);
     m_cell.onWorkerListSent(m_cell.workersInUse(), m_now);
@@ -117,42 +117,12 @@
     return job;
 }
 
-void OverloadedCell::advance(SimulatedWorker& worker)
-{
-    std::erase_if(worker.runs, [&](const ActiveRun& active) {
-        if (m_now < active.endsAt)
-            return false;
-        worker.endedRuns.push_back({ ++worker.lastSequence, active.task, active.run, RunOutcome::Done, {} });
-        ++m_endedRuns;
-        return true;
-    });
-}
-
-void OverloadedCell::answerPoll(SimulatedWorker& worker)
-{
-    if (!worker.poll)
-        return;
-    const bool hasNewEndedRuns = worker.lastSequence > worker.listedThrough;
-    if (!hasNewEndedRuns && m_now < worker.pollSentAt + worker.poll->longestWait)
-        return;
-    const std::int64_t acked = worker.poll->ackedThrough;
-    std::erase_if(worker.endedRuns, [&](const EndedRun& end) { return end.sequence <= acked; });
-    PollReport report { worker.description.incarnationUnixMs, clockMs(), {}, worker.endedRuns, true };
-    for (const ActiveRun& active : worker.runs)
-        report.running.push_back({ active.task, active.run, {}, 100, 10 });
-    worker.listedThrough = worker.lastSequence;
-    m_finishedPolls.push_back(
-        { *worker.poll, { CommandStatus::Done, RefusalReason::None, std::move(report) }, worker.pollSentAt });
-    worker.poll.reset();
-}
-
 void OverloadedCell::startRun(const StartCommand& start)
 {
     const Job& job = m_jobs.at(start.task.job);
     const Step& step = job.spec.steps[static_cast<std::size_t>(start.task.step)];
     const Duration time = step.declaredRunTime * (70 + std::hash<TaskRef> {}(start.task) % 60) / 100;
-    m_workers[m_workerIndexes.at(start.worker)].runs.push_back(
-        { start.task, start.run, step.isLongRunning ? TimePoint::max() : m_now + time });
+    m_workers[m_workerIndexes.at(start.worker)].start(start, step.isLongRunning ? TimePoint::max() : m_now + time);
     ++m_startedRuns;
     const std::uint64_t workerHash = std::hash<WorkerId> {}(start.worker);
     const std::uint64_t runHash = std::hash<TaskRef> {}(start.task) ^ static_cast<std::uint64_t>(start.run);
@@ -166,10 +136,11 @@
     ++m_ticks;
     for (const StartCommand& start : m_starts)
         startRun(start);
-    m_finishedPolls.clear();
-    for (SimulatedWorker& worker : m_workers) {
-        advance(worker);
-        answerPoll(worker);
+    m_answeredPolls.clear();
+    for (model::SimulatedWorker& worker : m_workers) {
+        m_endedRuns += worker.endRuns(m_now);
+        if (auto answered = worker.answerPoll(m_now, clockMs()))
+            m_answeredPolls.push_back(*std::move(answered));
     }
     const auto waiting = static_cast<int>(m_waitingJobs.size());
     for (int missing = m_size.waitingJobs - waiting; missing > 0; --missing) {
@@ -187,7 +158,7 @@
         m_cell.onResult(start, done, m_now);
     for (const StopCommand& stop : m_stops)
         m_cell.onResult(stop, done, m_now);
-    for (const FinishedPoll& poll : m_finishedPolls)
+    for (const model::SimulatedWorker::AnsweredPoll& poll : m_answeredPolls)
         m_cell.onResult(poll.command, poll.result, poll.sentAt, m_now);
     for (const Job& job : m_arrivals)
         m_cell.submit(job, 1, m_now);
@@ -207,9 +178,8 @@
         } else if (auto* stop = std::get_if<StopCommand>(&command)) {
             m_stops.push_back(std::move(*stop));
         } else if (auto* poll = std::get_if<PollCommand>(&command)) {
-            SimulatedWorker& worker = m_workers[m_workerIndexes.at(poll->worker)];
-            worker.poll = std::move(*poll);
-            worker.pollSentAt = m_now;
+            model::SimulatedWorker& worker = m_workers[m_workerIndexes.at(poll->worker)];
+            worker.receive(std::move(*poll), m_now);
         }
     }
     m_output = {};
--- a/packages/jobs/tests/overloaded_cell.h
+++ b/packages/jobs/tests/overloaded_cell.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "../model/simulated_worker.h"
 #include "rattanrack/jobs/cell.h"
 
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -53,31 +53,9 @@
     std::uint64_t fingerprint() const { return m_fingerprint; }
 
 private:
-    struct ActiveRun {
-        TaskRef task;
-        RunNumber run { 0 };
-        TimePoint endsAt {};
-    };
-    struct SimulatedWorker {
-        WorkerDescription description;
-        std::vector<ActiveRun> runs;
-        std::vector<EndedRun> endedRuns;
-        std::int64_t lastSequence { 0 };
-        std::int64_t listedThrough { 0 };
-        std::optional<PollCommand> poll;
-        TimePoint pollSentAt {};
-    };
-    struct FinishedPoll {
-        PollCommand command;
-        PollResult result;
-        TimePoint sentAt {};
-    };
-
     void simulateWorkersAndCallers();
     void runCell();
     void collectCommands();
-    void advance(SimulatedWorker& worker);
-    void answerPoll(SimulatedWorker& worker);
     void startRun(const StartCommand& start);
     void submit(Job job);
     Job nextJob();
@@ -88,14 +66,14 @@
     OverloadSize m_size;
     TimePoint m_now { std::chrono::seconds { 100'000 } };
     Cell m_cell;
-    std::vector<SimulatedWorker> m_workers;
+    std::vector<model::SimulatedWorker> m_workers;
     std::unordered_map<WorkerId, std::size_t> m_workerIndexes;
     std::unordered_map<JobId, Job> m_jobs;
     std::unordered_set<JobId> m_waitingJobs; ///< Jobs of which no task has started.
     std::vector<Job> m_arrivals;
     std::vector<StartCommand> m_starts; ///< Issued in the last tick.
     std::vector<StopCommand> m_stops;
-    std::vector<FinishedPoll> m_finishedPolls;
+    std::vector<model::SimulatedWorker::AnsweredPoll> m_answeredPolls;
     CellOutput m_output;
     std::int64_t m_nextJob { 0 };
     int m_ticks { 0 };
--- a/packages/node/src/http_server.cpp
+++ b/packages/node/src/http_server.cpp
@@ -33,7 +33,7 @@
         : m_pool(threads, maxWaitingConnections)
         , m_overflow(1, std::numeric_limits<std::size_t>::max())
     {
-        (void)m_overflow.submit([] { }); // Starts its thread now, while the machine has one.
+        (void)m_overflow.submit([] {}); // Starts its thread now, while the machine has one.
     }
 
     void enqueue(std::function<void()> serve) override
