Log and count the queue for trials of each cell

No decision is changed. Cost: one walk over the suspects and workers of a cell each second.

Tests: CrashingTask.QueueForTrialsIsReported, CellLogTest.QueueForTrialsIsWritten. jobs_tests, the CellLog tests of node_tests and cell_host_tests pass.

--- a/packages/jobs/include/rattanrack/jobs/cell_event.h
+++ b/packages/jobs/include/rattanrack/jobs/cell_event.h
@@ -77,6 +77,19 @@
     Duration age {}; ///< Since this owner first saw the task without an active run.
 };
 
-using CellEvent = std::variant<JobEvent, RunEvent, WorkerEvent, MissingRunEvent>;
+/// The queue of tasks that may have crashed workers and start in trials. The counts of events are since the event
+/// before.
+struct TrialQueueEvent {
+    int suspects { 0 };
+    int waiting { 0 }; ///< Suspects that could start now, but for a worker.
+    int likelyCauses { 0 }; ///< Suspects that have crashed a worker on which nothing else had just started.
+    int trials { 0 }; ///< Workers on which a trial is in progress.
+    int cleared { 0 }; ///< Suspects whose worker survived their trial.
+    int givenUp { 0 }; ///< Jobs that were given up.
+    int losses { 0 }; ///< Workers that were lost soon after a start.
+    Duration longestWait {}; ///< Of a suspect that could start now, since its latest worker was lost.
+};
+
+using CellEvent = std::variant<JobEvent, RunEvent, WorkerEvent, MissingRunEvent, TrialQueueEvent>;
 
 } // namespace rattanrack::jobs
--- a/packages/jobs/src/cell.cpp
+++ b/packages/jobs/src/cell.cpp
@@ -337,6 +337,7 @@
     state.sendSurvivalChecks(now);
     state.sendPolls(now, authority != Authority::Unconfirmed);
     state.checkMissingRuns(mayStart, now);
+    state.reportTrialQueue(now, unixMs);
     if (now >= state.nextRemovalAt) {
         state.nextRemovalAt = now + removalPeriod;
         state.removeOldJobs();
--- a/packages/jobs/src/cell_crash_verdicts.cpp
+++ b/packages/jobs/src/cell_crash_verdicts.cpp
@@ -93,6 +93,7 @@
     addEvent(JobEvent { JobEvent::Kind::GivenUp, ref.job,
         "task " + taskName(ref) + " has crashed workers" + names + "; crashes by other causes "
             + std::to_string(crashEvidence.crashesByOtherCauses.size()) });
+    ++trialCounts.givenUp;
     entry.progress.fail(unixMs);
     markChanged(entry);
     isCommitUrgent = true;
--- a/packages/jobs/src/cell_crashes.cpp
+++ b/packages/jobs/src/cell_crashes.cpp
@@ -93,6 +93,7 @@
 /// Contact with the worker is lost: it may have crashed, or may only be unreachable.
 void CellState::recordContactLoss(Worker& worker, const ContactLoss& loss, TimePoint now)
 {
+    const bool isLossKnown = crashEvidence.possibleCauses.contains({ worker.description.id, worker.incarnationUnixMs });
     std::vector<UnprovenStart> sentLater;
     for (UnprovenStart& each : std::exchange(worker.unprovenStarts, {})) {
         const bool isSurvived = loss.isConnectionEnded && !each.isRecent(loss.at);
@@ -103,6 +104,7 @@
     }
     worker.unprovenStarts = std::move(sentLater);
     const WorkerCrash crash { worker.description.id, worker.incarnationUnixMs };
+    trialCounts.losses += crashEvidence.possibleCauses.contains(crash) && !isLossKnown ? 1 : 0;
     const bool isCounted = worker.lossCountedOfUnixMs >= crash.incarnationUnixMs;
     if (isCounted || isPlanned(worker, *this) || crashEvidence.possibleCauses.contains(crash))
         return;
@@ -250,6 +252,7 @@
     entry->progress.task(start.task).isHarmless = true;
     if (!entry->progress.task(start.task).isSuspect())
         return;
+    ++trialCounts.cleared;
     addRunEvent(RunEvent::Kind::Cleared, worker, start.task, start.run, "its worker has survived its start");
     removeLostStarts(
         start.task, [](const LostStart&) { return true; }, true, now);
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -179,6 +179,8 @@
     TimePoint nextMissingRunCheckAt {};
     CrashEvidence crashEvidence;
     TimePoint nextCrashCheckAt {};
+    TimePoint nextTrialReportAt {};
+    TrialQueueEvent trialCounts; ///< Events since the latest report.
     CellOutput output;
 
     JobEntry* find(const JobId& job);
@@ -299,6 +301,10 @@
     void startTrials(FreeCapacity& capacity, bool isOverloaded, TimePoint now, std::int64_t wallMs);
     void startTrial(const ReadyStep& ready, const TaskRef& task, FreeCapacity& capacity, TimePoint now);
 
+    // Reports of the trials: cell_trial_report.cpp
+    void reportTrialQueue(TimePoint now, std::int64_t wallMs);
+    void addToReport(TrialQueueEvent& report, const TaskRef& suspect, TimePoint now, std::int64_t wallMs);
+
     // Tasks without a run: cell_missing_runs.cpp
     void checkMissingRuns(bool mayStart, TimePoint now);
 
--- a/packages/jobs/tests/cell_harness.h
+++ b/packages/jobs/tests/cell_harness.h
@@ -189,16 +189,18 @@
         return found;
     }
 
-    std::vector<MissingRunEvent> missingRunEvents() const
+    template <typename EventType> std::vector<EventType> eventsOf() const
     {
-        std::vector<MissingRunEvent> found;
+        std::vector<EventType> found;
         for (const CellEvent& event : m_events) {
-            if (const auto* missing = std::get_if<MissingRunEvent>(&event))
-                found.push_back(*missing);
+            if (const auto* each = std::get_if<EventType>(&event))
+                found.push_back(*each);
         }
         return found;
     }
 
+    std::vector<MissingRunEvent> missingRunEvents() const { return eventsOf<MissingRunEvent>(); }
+
     void dropPoll(const PollCommand& poll)
     {
         PollResult result;
--- a/packages/jobs/tests/cell_walk_tests.cpp
+++ b/packages/jobs/tests/cell_walk_tests.cpp
@@ -138,6 +138,11 @@
         + event.worker.value() + event.workers;
 }
 
+std::string describeEvent(const TrialQueueEvent& event)
+{
+    return std::to_string(event.suspects) + " suspects, " + std::to_string(event.trials) + " trials";
+}
+
 std::string describeEvent(const JobEvent& event) { return event.job.value() + ' ' + event.detail; }
 
 /// Prints the owners' events for jobs and workers whose names have the given prefix.
--- a/packages/jobs/tests/crashing_task_tests.cpp
+++ b/packages/jobs/tests/crashing_task_tests.cpp
@@ -131,6 +131,28 @@
     EXPECT_EQ(harness.runEvents(RunEvent::Kind::Cleared).size(), 1U);
 }
 
+TEST(CrashingTask, QueueForTrialsIsReported)
+{
+    CellHarness harness = calmHarness();
+    crashUnder(harness, harness.submitAndTakeStart("a"));
+    const auto retried = takeNextStarts(harness, 10s);
+    ASSERT_EQ(retried.size(), 1U);
+    harness.respond(retried[0], CommandStatus::Done);
+    harness.advance(1s);
+    harness.surviveStart(retried[0]);
+    harness.advance(1s);
+    TrialQueueEvent sum;
+    int mostSuspects = 0;
+    for (const TrialQueueEvent& event : harness.eventsOf<TrialQueueEvent>()) {
+        mostSuspects = std::max(mostSuspects, event.suspects);
+        sum.losses += event.losses;
+        sum.cleared += event.cleared;
+    }
+    EXPECT_EQ(mostSuspects, 1);
+    EXPECT_EQ(sum.losses, 1);
+    EXPECT_EQ(sum.cleared, 1);
+}
+
 TEST(CrashingTask, SurvivalIsAskedForBesideAWaitingPoll)
 {
     CellHarness harness = calmHarness();
--- a/packages/node/include/rattanrack/node/cell_host.h
+++ b/packages/node/include/rattanrack/node/cell_host.h
@@ -104,6 +104,7 @@
     void requestAdvice(const jobs::AdviceRequest& request);
     void handleEvent(const jobs::CellEvent& event);
     void recordRunEvent(const jobs::RunEvent& event);
+    void recordTrialQueue(const jobs::TrialQueueEvent& event);
     PartWriter::Callbacks writerCallbacks();
     WorkerLinks::Callbacks linkCallbacks();
     void commitIfDue();
--- a/packages/node/src/cell_host.cpp
+++ b/packages/node/src/cell_host.cpp
@@ -260,6 +260,21 @@
     if (const auto* missing = std::get_if<jobs::MissingRunEvent>(&event))
         m_parts.metrics.increment(
             "rattanrack_tasks_without_run_total", { { "reason", std::string { describe(missing->reason) } } });
+    if (const auto* trials = std::get_if<jobs::TrialQueueEvent>(&event))
+        recordTrialQueue(*trials);
+}
+
+void CellHost::recordTrialQueue(const jobs::TrialQueueEvent& event)
+{
+    const MetricLabels cell { { "cell", m_pool.value() } };
+    m_parts.metrics.setGauge("rattanrack_trial_suspects", cell, event.suspects);
+    m_parts.metrics.setGauge("rattanrack_trial_suspects_waiting", cell, event.waiting);
+    m_parts.metrics.setGauge("rattanrack_trials_in_progress", cell, event.trials);
+    m_parts.metrics.setGauge(
+        "rattanrack_trial_longest_wait_seconds", cell, static_cast<double>(event.longestWait.count()) / 1e6);
+    m_parts.metrics.increment("rattanrack_trial_suspects_cleared_total", cell, event.cleared);
+    m_parts.metrics.increment("rattanrack_trial_jobs_given_up_total", cell, event.givenUp);
+    m_parts.metrics.increment("rattanrack_trial_losses_total", cell, event.losses);
 }
 
 void CellHost::recordRunEvent(const jobs::RunEvent& event)
--- a/packages/node/src/cell_log.cpp
+++ b/packages/node/src/cell_log.cpp
@@ -39,6 +39,8 @@
     }
 
     std::string operator()(const jobs::MissingRunEvent&) const { return "task.without_run"; }
+
+    std::string operator()(const jobs::TrialQueueEvent&) const { return "trials.state"; }
 };
 
 struct EventLog {
@@ -76,6 +78,15 @@
                 { "run", event.run }, { "worker", event.worker.value() }, { "detail", describe(event.reason) },
                 { "ageMs", milliseconds(event.age) }, { "workers", event.workers } });
     }
+
+    void operator()(const jobs::TrialQueueEvent& event) const
+    {
+        logEvent(name,
+            { { "cell", cell }, { "term", term }, { "suspects", event.suspects }, { "waiting", event.waiting },
+                { "likelyCauses", event.likelyCauses }, { "trials", event.trials }, { "cleared", event.cleared },
+                { "givenUp", event.givenUp }, { "losses", event.losses },
+                { "longestWaitMs", milliseconds(event.longestWait) } });
+    }
 };
 
 } // namespace
--- a/packages/node/tests/cell_log_tests.cpp
+++ b/packages/node/tests/cell_log_tests.cpp
@@ -134,6 +134,14 @@
         LogRateLimiter::maxLinesPerSecond);
 }
 
+TEST_F(CellLogTest, QueueForTrialsIsWritten)
+{
+    write(jobs::TrialQueueEvent { 9, 5, 2, 4, 7, 1, 3, 2500ms }, 1);
+    EXPECT_EQ(linesWith("event=trials.state"), 1U);
+    EXPECT_EQ(
+        linesWith("suspects=9 waiting=5 likelyCauses=2 trials=4 cleared=7 givenUp=1 losses=3 longestWaitMs=2500"), 1U);
+}
+
 TEST_F(CellLogTest, FailuresAndStateChangesAreNeverSuppressed)
 {
     const std::vector<jobs::CellEvent> events { runEvent(RunEvent::Kind::Ended, "failed"),
