Report the end of a queue for trials

Cause: trials.state stopped with the last suspect, so that the gauges of a cell kept their last value (found by the review).

Change: one more report with zeros. The model's list of waiting tasks goes back to what it was: leaving out jobs shown as completed would have hidden a job that is falsely shown so.

CrashingTask.QueueForTrialsIsReported passes.

--- a/packages/jobs/model/cell_simulation_oracle.cpp
+++ b/packages/jobs/model/cell_simulation_oracle.cpp
@@ -186,9 +186,6 @@
     if (isHalfOfCapacityInUse())
         return waiting;
     for (const auto& [id, at] : m_accepted) {
-        const auto shown = shownState(id);
-        if (shown == JobState::Completed)
-            continue;
         const auto& behaviors = m_behaviors.at(id);
         const bool crashesWorkers = std::any_of(
             behaviors.begin(), behaviors.end(), [](const TaskBehavior& each) { return each.crashingTask >= 0; });
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -209,6 +209,7 @@
     void onWorkerLost(Worker& worker, std::string_view evidence, TimePoint now);
     void processEndedRun(Worker& worker, const EndedRun& ended, TimePoint now);
     void processRunning(Worker& worker, const PollReport& report, TimePoint sentAt, TimePoint now);
+    bool hasReportedSuspects { false };
     void adoptRun(Worker& worker, const RunningRun& running, TimePoint now);
     void sendStop(Worker& worker, const TaskRef& task, RunNumber run, std::string_view reason);
     void stopJob(JobEntry& entry, std::string_view reason);
--- a/packages/jobs/src/cell_trial_report.cpp
+++ b/packages/jobs/src/cell_trial_report.cpp
@@ -30,12 +30,14 @@
     report.longestWait = std::max(report.longestWait, now - lostStarts.back().lostAt);
 }
 
-/// Nothing is reported of a cell without suspects, except for the last events.
+/// Nothing is reported of a cell without suspects, except for the last events and that none is left.
 void CellState::reportTrialQueue(TimePoint now, std::int64_t wallMs)
 {
     const bool isAnyEvent = trialCounts.cleared + trialCounts.givenUp + trialCounts.losses > 0;
-    if (now < nextTrialReportAt || (crashEvidence.suspects.empty() && !isAnyEvent))
+    const bool isAnySuspect = !crashEvidence.suspects.empty();
+    if (now < nextTrialReportAt || !(isAnySuspect || isAnyEvent || hasReportedSuspects))
         return;
+    hasReportedSuspects = isAnySuspect;
     nextTrialReportAt = now + reportPeriod;
     TrialQueueEvent report = std::exchange(trialCounts, {});
     for (const TaskRef& suspect : crashEvidence.suspects)
