Keep jobs apart on each worker while workers are lost just after starts

What callers saw: tasks that could run did not (LOST), and most jobs were late beside tasks that crash workers.

Cause: starts of several jobs shared a worker within 250 ms, so that a crash pointed to none of them. Each crash left 3 to 5 suspects that needed a trial each, faster than trials could clear them, and a task that crashes workers cost a crash more. Each crash also took runs of several jobs along.

Change: once two workers are known to have crashed soon after starts within 10 s, a worker takes the unproven starts of one job at a time, the tasks of a step go to few workers, and evidence is "alone" if no other job had just started there; a job is given up as a whole. Long-running tasks and gangs are exempt. What waits for a closed worker is no demand.

--- a/packages/jobs/include/rattanrack/jobs/missing_run_reason.h
+++ b/packages/jobs/include/rattanrack/jobs/missing_run_reason.h
@@ -31,6 +31,7 @@
     WorkerAvoidedAfterStart, ///< A start there had no response or was refused.
     WorkerSlow,
     WorkerStartsInFlight, ///< As many starts are in flight to the worker as it may have.
+    WorkerTakesOtherJob, ///< Another job has just started there, and jobs are kept apart.
     WorkerOnTrial, ///< A task that may crash workers has just started there.
     RunsOfUnknownSize, ///< The worker runs tasks of jobs that this owner does not know.
     RoomHeldByUnresolvedRuns, ///< The room is counted for runs that may have ended.
--- a/packages/jobs/include/rattanrack/jobs/placement.h
+++ b/packages/jobs/include/rattanrack/jobs/placement.h
@@ -17,6 +17,7 @@
     int serving { 0 }; ///< Runs with a latency target there.
     int bestEffortRuns { 0 };
     bool isReserved { false }; ///< Kept free for a larger task.
+    bool isClosed { false }; ///< Another job has just started there, and only that may start there now.
 };
 
 /// What one task of the step reserves of a worker's capacity. Best-effort tasks reserve no processors.
--- a/packages/jobs/src/cell_crashes.cpp
+++ b/packages/jobs/src/cell_crashes.cpp
@@ -15,6 +15,9 @@
 constexpr Duration maxExposure = 2s; ///< A later loss says nothing about the start.
 constexpr Duration undecidedLimit = 10s; ///< A lost start whose worker is not back by then counts no more.
 constexpr Duration checkPeriod = 250ms;
+constexpr Duration longestKept = 2s; ///< Until a trial starts beside finite runs that have not ended.
+constexpr Duration crashMemory = 10s; ///< A crash soon after a start keeps jobs apart for this long.
+constexpr std::size_t leastCrashesUnderStarts = 2; ///< That keep jobs apart.
 constexpr Duration slowestClockMargin = 10ms; ///< A worker's clock may be 2 % slow within `survivalTime`.
 
 bool isPlanned(const Worker& worker, const CellState& state)
@@ -32,6 +35,18 @@
         unprovenStarts.begin(), unprovenStarts.end(), [&](const UnprovenStart& each) { return each.isRecent(now); });
 }
 
+bool Worker::hasRecentStartOfOther(const JobId& job, TimePoint now) const
+{
+    return std::any_of(unprovenStarts.begin(), unprovenStarts.end(),
+        [&](const UnprovenStart& each) { return each.task.job != job && each.isRecent(now); });
+}
+
+bool Worker::isTrialOverdue(TimePoint now) const
+{
+    const bool isKept = keptForTrialSince != TimePoint {} && now - keptForTrialAt < keptMemory;
+    return isKept && now - keptForTrialSince >= longestKept;
+}
+
 bool Worker::hasTrial() const
 {
     return std::any_of(
@@ -56,11 +71,9 @@
     UnprovenStart sent { start.task, start.run, worker.incarnationUnixMs, now };
     sent.isOnSettledWorker = worker.isSettled(now);
     sent.isTrial = entry->progress.task(start.task).isSuspect();
-    const bool isGang = stepOf(*entry, start.task).isGang;
     for (UnprovenStart& each : worker.unprovenStarts) {
-        // A gang is given up as a whole, so that its members need not be told apart.
-        const bool isOfSameGang = isGang && each.isOfStep(start.task);
-        if (isOfSameGang || !each.isRecent(now))
+        // A job is given up as a whole, so that its tasks need not be told apart.
+        if (each.task.job == start.task.job || !each.isRecent(now))
             continue;
         each.isAlone = false;
         sent.isAlone = false;
@@ -95,23 +108,35 @@
 {
     const bool isLossKnown = crashEvidence.possibleCauses.contains({ worker.description.id, worker.incarnationUnixMs });
     std::vector<UnprovenStart> sentLater;
+    std::vector<UnprovenStart> blamed;
     for (UnprovenStart& each : std::exchange(worker.unprovenStarts, {})) {
         const bool isSurvived = loss.isConnectionEnded && !each.isRecent(loss.at);
         if (each.sentAt > loss.at)
             sentLater.push_back(std::move(each));
         else if (!isPlanned(worker, *this) && !isSurvived)
-            addLostStart(worker, each, loss);
+            blamed.push_back(std::move(each));
     }
     worker.unprovenStarts = std::move(sentLater);
+    if (!blamed.empty()) {
+        crashEvidence.lossesUnderStarts.push_back(loss.at);
+        if (std::any_of(blamed.begin(), blamed.end(), [](const UnprovenStart& each) { return each.isTrial; }))
+            crashEvidence.lossesUnderTrials.push_back(loss.at);
+    }
+    for (const UnprovenStart& each : blamed)
+        addLostStart(worker, each, loss);
     const WorkerCrash crash { worker.description.id, worker.incarnationUnixMs };
     trialCounts.losses += crashEvidence.possibleCauses.contains(crash) && !isLossKnown ? 1 : 0;
     const bool isCounted = worker.lossCountedOfUnixMs >= crash.incarnationUnixMs;
     if (isCounted || isPlanned(worker, *this) || crashEvidence.possibleCauses.contains(crash))
         return;
     worker.lossCountedOfUnixMs = crash.incarnationUnixMs;
-    crashEvidence.addOtherCause(now);
+    crashEvidence.addOtherCause(now, !worker.isSettled(loss.at));
 }
 
+/// Whether workers have crashed soon after starts of late. A worker then takes the starts of one job at a time, so that
+/// a further crash points to one job.
+bool CellState::areJobsKeptApart() const { return crashEvidence.crashesUnderStarts.size() >= leastCrashesUnderStarts; }
+
 /// The record must be stored before the task starts again, for the next owner.
 void CellState::addLostStart(const Worker& worker, const UnprovenStart& start, const ContactLoss& loss)
 {
@@ -174,7 +199,7 @@
     Task& task = entry->progress.task(ref);
     for (const LostStart& lost : task.lostStarts) {
         if (isRemoved(lost) && crashEvidence.remove(crashOf(lost)) && isCleared && lost.isCrash)
-            crashEvidence.addOtherCause(now);
+            crashEvidence.addOtherCause(now, !lost.isOnSettledWorker);
     }
     const bool isChanged = std::erase_if(task.lostStarts, isRemoved) > 0;
     if (isChanged && !entry->progress.hasEnded())
@@ -192,6 +217,8 @@
         const TaskRef task { entry.job.id, stored.occurrence, stored.step, stored.index };
         for (LostStart& lost : entry.progress.task(task).lostStarts) {
             lost.lostAt = takenOverAt;
+            if (lost.isCrash)
+                crashEvidence.crashesUnderStarts[crashOf(lost)] = takenOverAt;
             addSuspect(entry, task, lost);
             const auto inherited = inheritedWorkers.find(lost.worker);
             if (lost.isCrash || inherited == inheritedWorkers.end())
@@ -234,6 +261,7 @@
                 continue;
             }
             lost.isCrash = true;
+            crashEvidence.crashesUnderStarts[crashOf(lost)] = now;
             markChanged(*entry);
             addRunEvent(RunEvent::Kind::Suspected, worker, ref, lost.run,
                 lost.isAlone() ? "its only recent start" : "one of its recent starts", now - lost.lostAt);
@@ -296,9 +324,14 @@
 
 void CellState::expireCrashEvidence(TimePoint now)
 {
-    auto& others = crashEvidence.crashesByOtherCauses;
-    while (!others.empty() && now - others.front() > otherCauseMemory)
-        others.pop_front();
+    const auto expire = [&](std::deque<TimePoint>& times, Duration memory) {
+        while (!times.empty() && now - times.front() > memory)
+            times.pop_front();
+    };
+    expire(crashEvidence.crashesByOtherCauses, otherCauseMemory);
+    expire(crashEvidence.lossesUnderStarts, usualRestartTime);
+    expire(crashEvidence.lossesUnderTrials, usualRestartTime);
+    std::erase_if(crashEvidence.crashesUnderStarts, [&](const auto& each) { return now - each.second > crashMemory; });
     if (now < nextCrashCheckAt)
         return;
     nextCrashCheckAt = now + checkPeriod;
--- a/packages/jobs/src/cell_schedule.cpp
+++ b/packages/jobs/src/cell_schedule.cpp
@@ -222,8 +222,10 @@
     const int wanted = entry.startableTasks(ready.occurrence, ready.step);
     auto placements = capacity.placeTasks(entry, ready.occurrence, ready.step, tickets ? &tickets->tickets : nullptr);
     const int missing = wanted - static_cast<int>(placements.size());
-    addWaitingDemand(ready, missing);
-    if (missing > 0 && ready.rank <= Rank::Started)
+    const bool isKeptApart = missing > 0 && capacity.hasRoomOnClosedWorker(step);
+    if (!isKeptApart)
+        addWaitingDemand(ready, missing);
+    if (missing > 0 && !isKeptApart && ready.rank <= Rank::Started)
         capacity.reserveFor(entry, ready.occurrence, ready.step);
     const bool isGangSplit = step.isGang && (missing > 0 || wanted != step.count);
     if (isGangSplit) {
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <tuple>
 #include <unordered_map>
 
 /// Internal state of a cell, shared by its source files.
@@ -121,6 +122,27 @@
     }
 };
 
+/// Suspected tasks of one step that may start, on a worker where nothing else has just started.
+struct Trial {
+    ReadyStep ready;
+    std::vector<int> tasks; ///< Their indexes in the step.
+    bool isLikelyCause { false }; ///< A task has lost a worker on which no other job had just started.
+    std::size_t losses { 0 }; ///< Workers that were lost soon after a start, of the task with most.
+    TimePoint lostAt {}; ///< The latest of these.
+
+    bool isOf(const JobEntry& other, const TaskRef& task) const;
+    void add(const Task& task, int index);
+
+    /// What is least likely to crash a worker goes first, as it costs the least.
+    friend bool operator<(const Trial& left, const Trial& right)
+    {
+        const auto key = [](const Trial& each) { return std::tuple { each.isLikelyCause, each.losses, each.lostAt }; };
+        const auto leftKey = key(left);
+        const auto rightKey = key(right);
+        return leftKey != rightKey ? leftKey < rightKey : left.ready < right.ready;
+    }
+};
+
 /// A task that could run and has no active run.
 struct MissingRun {
     TimePoint since {};
@@ -128,6 +150,12 @@
     TimePoint checkedAt {}; ///< When a check last found it so.
 };
 
+/// Which workers trials may use.
+enum class TrialScope : std::uint8_t {
+    Limited, ///< A part of the workers; one that takes other starts is kept free until its latest start is proven.
+    Idle, ///< Each worker that no other start needs now.
+};
+
 class FreeCapacity;
 struct Placement;
 
@@ -181,6 +209,7 @@
     TimePoint nextCrashCheckAt {};
     TimePoint nextTrialReportAt {};
     TrialQueueEvent trialCounts; ///< Events since the latest report.
+    bool hasReportedSuspects { false };
     CellOutput output;
 
     JobEntry* find(const JobId& job);
@@ -209,7 +238,6 @@
     void onWorkerLost(Worker& worker, std::string_view evidence, TimePoint now);
     void processEndedRun(Worker& worker, const EndedRun& ended, TimePoint now);
     void processRunning(Worker& worker, const PollReport& report, TimePoint sentAt, TimePoint now);
-    bool hasReportedSuspects { false };
     void adoptRun(Worker& worker, const RunningRun& running, TimePoint now);
     void sendStop(Worker& worker, const TaskRef& task, RunNumber run, std::string_view reason);
     void stopJob(JobEntry& entry, std::string_view reason);
@@ -279,6 +307,7 @@
     void confirmCrash(const Worker& worker, std::int64_t laterUnixMs, TimePoint now);
     void addLostStart(const Worker& worker, const UnprovenStart& start, const ContactLoss& loss);
     void recordStartReceived(const StartCommand& start);
+    bool areJobsKeptApart() const;
     void addSuspect(JobEntry& entry, const TaskRef& task, const LostStart& lost);
     void removeLostStarts(const TaskRef& task, const std::function<bool(const LostStart&)>& isRemoved,
         bool isCleared = false, TimePoint now = {});
--- a/packages/jobs/src/crash_evidence.h
+++ b/packages/jobs/src/crash_evidence.h
@@ -17,6 +17,9 @@
 /// By its own clock, a worker that is up this long after it has carried out a start has survived the start.
 constexpr Duration survivalTime = std::chrono::milliseconds { 200 };
 
+/// A worker that has crashed is usually back after this time.
+constexpr Duration usualRestartTime = std::chrono::milliseconds { 3500 };
+
 /// Crashes by other causes count for this long.
 constexpr Duration otherCauseMemory = std::chrono::seconds { 20 };
 
@@ -29,14 +32,9 @@
     TimePoint answeredAt {}; ///< When it was answered or listed first.
     std::optional<std::int64_t> carriedOutByMs {}; ///< On the worker's clock; the start had been carried out by then.
     bool isTrial { false }; ///< Of a suspect, which is started where no other start is recent.
-    bool isAlone { true }; ///< The worker has no other recent start, except for members of the same gang.
+    bool isAlone { true }; ///< The worker has no recent start of another job.
     bool isOnSettledWorker { false }; ///< The worker had been up for a while.
 
-    bool isOfStep(const TaskRef& other) const
-    {
-        return task.job == other.job && task.occurrence == other.occurrence && task.step == other.step;
-    }
-
     /// Whether a crash at `now` may be due to this start.
     bool isRecent(TimePoint now) const { return answeredAt == TimePoint {} || now - answeredAt < crashWindow; }
 };
@@ -65,10 +63,20 @@
     std::deque<TimePoint> crashesByOtherCauses; ///< Of the last seconds: of workers that no task has crashed.
 
     TimePoint latestByOtherCause {};
-
-    void addOtherCause(TimePoint now)
+    /// Crashes by other causes of workers that had been up for a short time only, and the time that workers have been
+    /// up that briefly, in worker-seconds. Both lose weight within `otherCauseMemory`.
+    double otherCrashesAfterRestart { 0 };
+    double secondsAfterRestart { 0 };
+    std::map<WorkerCrash, TimePoint> crashesUnderStarts; ///< Of late, with the time at which each was known.
+    std::deque<TimePoint> lossesUnderStarts; ///< Of the last `usualRestartTime`: workers lost soon after a start.
+    std::deque<TimePoint> lossesUnderTrials; ///< The same of those that were lost in a trial.
+
+    /// `isAfterRestart`: the worker had been up for a short time only.
+    void addOtherCause(TimePoint now, bool isAfterRestart)
     {
         crashesByOtherCauses.push_back(now);
+        if (isAfterRestart)
+            ++otherCrashesAfterRestart;
         latestByOtherCause = now;
     }
 
--- a/packages/jobs/src/free_capacity.cpp
+++ b/packages/jobs/src/free_capacity.cpp
@@ -34,6 +34,7 @@
 FreeCapacity::FreeCapacity(CellState& state, TimePoint now)
     : m_state(state)
     , m_now(now)
+    , m_areJobsApart(state.areJobsKeptApart())
 {
     m_workers.reserve(state.workers.size());
     m_candidates.reserve(state.workers.size());
@@ -59,6 +60,28 @@
         m_candidates.push_back(candidate);
     }
 }
+    m_startingJobs.resize(m_candidates.size());
+}
+
+/// Closes the workers on which a crash now could be due to another job. Long-running tasks and gangs need many workers
+/// at a time and start on all of them all the same.
+void FreeCapacity::closeWorkers(const JobEntry& entry, const Step& step)
+{
+    if (!m_areJobsApart)
+        return;
+    const bool isExempt = step.isLongRunning || step.isGang;
+    for (std::size_t index = 0; index < m_candidates.size(); ++index) {
+        const JobId& starting = m_startingJobs[index];
+        const bool isTaken = !starting.isEmpty() && starting != entry.job.id;
+        m_candidates[index].isClosed
+            = !isExempt && (isTaken || m_workers[index]->hasRecentStartOfOther(entry.job.id, m_now));
+    }
+}
+
+bool FreeCapacity::hasRoomOnClosedWorker(const Step& step) const
+{
+    return std::any_of(m_candidates.begin(), m_candidates.end(),
+        [&](const Candidate& each) { return each.isClosed && fits(reservedSize(step), each.free); });
 
 void FreeCapacity::countColocatedRuns(const JobEntry& entry, int occurrence, int step)
 {
@@ -101,9 +124,11 @@
 
 void FreeCapacity::giveBack(const std::vector<Placement>& placements, const Step& step)
 {
-    for (const Placement& each : placements)
+    for (const Placement& each : placements) {
         m_candidates[static_cast<std::size_t>(each.candidate)].free += reservedSize(step);
     if (!placements.empty())
+        m_startingJobs[static_cast<std::size_t>(each.candidate)] = {};
+    }
         m_unplaceable.clear();
 }
 
@@ -117,6 +142,7 @@
     if (dependsOnColocatedRuns(step))
         countColocatedRuns(entry, occurrence, stepNumber);
     const bool isSuspectGang = step.isGang && entry.suspects > 0;
+    closeWorkers(entry, step);
     if (!tickets && !isSuspectGang)
         return placeEach(entry, occurrence, stepNumber, false);
     std::vector<Candidate*> excluded;
@@ -143,20 +169,38 @@
     for (int index = 0; index < step.count; ++index) {
         if (!entry.isStartable(occurrence, stepNumber, index))
             continue;
-        m_state.schedulingCost.workersExamined += m_candidates.size();
-        const int candidateIndex = chooseWorker(step, m_candidates);
+        int candidateIndex = chooseSameWorker(step, placements);
+        if (candidateIndex < 0) {
+            m_state.schedulingCost.workersExamined += m_candidates.size();
+            candidateIndex = chooseWorker(step, m_candidates);
+        }
         if (candidateIndex < 0) {
-            if (dependsOnSizeAndLabelOnly(step) && !isLimitedToSomeWorkers)
+            if (dependsOnSizeAndLabelOnly(step) && !isLimitedToSomeWorkers && !m_areJobsApart)
                 m_unplaceable.record(step);
             break;
         }
         reserve(candidateIndex, step);
         placements.push_back({ index, candidateIndex });
+        m_startingJobs[static_cast<std::size_t>(candidateIndex)] = entry.job.id;
     }
     return placements;
 }
 
 void FreeCapacity::reserveFor(const JobEntry& entry, int occurrence, int stepNumber)
+/// Tasks of one job go to few workers while jobs are kept apart, so that a crash hits few other jobs. Returns the
+/// worker of the latest placement if one more start may be sent there; otherwise -1.
+int FreeCapacity::chooseSameWorker(const Step& step, const std::vector<Placement>& placements) const
+{
+    if (!m_areJobsApart || placements.empty() || dependsOnColocatedRuns(step))
+        return -1;
+    const int latest = placements.back().candidate;
+    const auto index = static_cast<std::size_t>(latest);
+    const auto there = std::count_if(
+        placements.begin(), placements.end(), [&](const Placement& each) { return each.candidate == latest; });
+    const bool mayTakeMore = m_workers[index]->startsInFlight + there < StartWindow::maxPerWorker;
+    return mayTakeMore && fits(reservedSize(step), m_candidates[index].free) ? latest : -1;
+}
+
 {
     const Step& step = entry.job.spec.steps[static_cast<std::size_t>(stepNumber)];
     const int most = std::max(1, static_cast<int>(m_candidates.size()) / workersPerReserved);
--- a/packages/jobs/src/free_capacity.h
+++ b/packages/jobs/src/free_capacity.h
@@ -30,6 +30,9 @@
     std::vector<Placement> placeTasks(
         const JobEntry& entry, int occurrence, int step, const std::map<WorkerId, std::string>* tickets);
 
+    /// Whether a task of the step would fit on a worker that only takes starts of another job now.
+    bool hasRoomOnClosedWorker(const Step& step) const;
+
     /// Gives back capacity that was not used after all.
     void giveBack(const std::vector<Placement>& placements, const Step& step);
 
@@ -43,6 +46,13 @@
     void reserveFor(const JobEntry& entry, int occurrence, int step);
 
 private:
+    bool mayTakeTrial(const Trial& trial, TrialScope scope) const;
+    int chooseTrialWorker(
+        const Trial& trial, const std::map<WorkerId, std::string>* tickets, TrialScope scope, TimePoint now) const;
+    bool isFreeForTrial(const Trial& trial, std::size_t candidate, TimePoint now) const;
+    void keepForTrial(std::size_t candidate, TimePoint now);
+    void closeWorkers(const JobEntry& entry, const Step& step);
+    int chooseSameWorker(const Step& step, const std::vector<Placement>& placements) const;
     void countColocatedRuns(const JobEntry& entry, int occurrence, int step);
     std::vector<Placement> placeEach(const JobEntry& entry, int occurrence, int step, bool isLimitedToSomeWorkers);
     void addSameStepRuns(int candidateIndex, int runs, const Step& step);
@@ -55,6 +65,10 @@
     ResourceSize m_largestFree; ///< When the pass began: of each resource, the most that some worker has.
     int m_reservedCount { 0 };
     int m_trialsInProgress { 0 }; ///< Workers on which a trial started in an earlier pass.
+    int m_otherRuns { 0 }; ///< Runs apart from trials.
+    /// A worker takes the starts of one job at a time.
+    bool m_areJobsApart { false };
+    std::vector<JobId> m_startingJobs; ///< By candidate: the job that has started there in this pass; empty: none.
     int m_keptForTrials { 0 }; ///< Workers that this pass uses for trials.
     PlacementFailures m_unplaceable;
     PlacementFailures m_unreservable;
--- a/packages/jobs/src/missing_run_diagnosis.cpp
+++ b/packages/jobs/src/missing_run_diagnosis.cpp
@@ -64,7 +64,7 @@
     surveyWorkers();
     if (hasUsableRoom(entry, task))
         return { task, 0, {}, reasonOfPass(task), {}, {} };
-    const WorkerCounts counts = countBars(CellState::stepOf(entry, task));
+    const WorkerCounts counts = countBars(CellState::stepOf(entry, task), entry.job.id);
     const auto most = std::max_element(counts.begin(), counts.end());
     const auto reason
         = *most == 0 ? MissingRunReason::NoRoom : static_cast<MissingRunReason>(std::distance(counts.begin(), most));
@@ -120,7 +120,7 @@
     for (const SurveyedWorker& each : m_workers) {
         if (places >= wanted)
             break;
-        if (!barFor(each, step))
+        if (!barFor(each, step, entry.job.id))
             places += tasksThatFit(reservedSize(step), each.free, std::min(wanted, startsAllowedOn(each, step, task)));
     }
     return places >= wanted;
@@ -137,7 +137,8 @@
 }
 
 /// Of a worker that is large enough for a task of the step; nothing: it can be started there.
-std::optional<MissingRunReason> MissingRunDiagnosis::barFor(const SurveyedWorker& surveyed, const Step& step) const
+std::optional<MissingRunReason> MissingRunDiagnosis::barFor(
+    const SurveyedWorker& surveyed, const Step& step, const JobId& job) const
 {
     const ResourceSize needed = reservedSize(step);
     const bool fitsNow = fits(needed, surveyed.free);
@@ -149,15 +150,17 @@
         return MissingRunReason::RoomHeldByUnresolvedRuns;
     if (surveyed.worker->isReserved)
         return MissingRunReason::WorkerReserved;
+    if (m_state.areJobsKeptApart() && surveyed.worker->hasRecentStartOfOther(job, m_now))
+        return MissingRunReason::WorkerTakesOtherJob;
     return isEligible(step, surveyed.worker->description) ? std::nullopt : std::optional { MissingRunReason::NoRoom };
 }
 
-MissingRunDiagnosis::WorkerCounts MissingRunDiagnosis::countBars(const Step& step) const
+MissingRunDiagnosis::WorkerCounts MissingRunDiagnosis::countBars(const Step& step, const JobId& job) const
 {
     WorkerCounts counts {};
     for (const SurveyedWorker& each : m_workers) {
         if (isEligible(step, each.worker->description))
-            ++counts[static_cast<std::size_t>(barFor(each, step).value_or(MissingRunReason::NoRoom))];
+            ++counts[static_cast<std::size_t>(barFor(each, step, job).value_or(MissingRunReason::NoRoom))];
     }
     return counts;
 }
--- a/packages/jobs/src/missing_run_diagnosis.h
+++ b/packages/jobs/src/missing_run_diagnosis.h
@@ -38,8 +38,8 @@
     void surveyWorkers();
     bool hasUsableRoom(const JobEntry& entry, const TaskRef& task) const;
     int startsAllowedOn(const SurveyedWorker& surveyed, const Step& step, const TaskRef& task) const;
-    std::optional<MissingRunReason> barFor(const SurveyedWorker& surveyed, const Step& step) const;
-    WorkerCounts countBars(const Step& step) const;
+    std::optional<MissingRunReason> barFor(const SurveyedWorker& surveyed, const Step& step, const JobId& job) const;
+    WorkerCounts countBars(const Step& step, const JobId& job) const;
     MissingRunReason reasonOfPass(const TaskRef& task) const;
 
     const CellState& m_state;
--- a/packages/jobs/src/missing_run_reason.cpp
+++ b/packages/jobs/src/missing_run_reason.cpp
@@ -38,6 +38,8 @@
         "avoided after a start" },
     { MissingRunReason::WorkerSlow, "workers with room are slow", "slow" },
     { MissingRunReason::WorkerStartsInFlight, "workers with room have other starts in flight", "starts in flight" },
+    { MissingRunReason::WorkerTakesOtherJob, "other jobs, kept apart, have just started on workers with room",
+        "takes another job" },
     { MissingRunReason::WorkerOnTrial, "tasks that may crash workers have just started on workers with room",
         "on trial" },
     { MissingRunReason::RunsOfUnknownSize, "workers with room run tasks of unknown size", "runs of unknown size" },
--- a/packages/jobs/src/placement.cpp
+++ b/packages/jobs/src/placement.cpp
@@ -50,7 +50,8 @@
         const Candidate& candidate = candidates[at];
         const bool isFull = step.maxPerWorker > 0 && candidate.sameStepRuns >= step.maxPerWorker;
         // In an overload hardly any worker has free capacity, so the cheapest check comes first.
-        if (candidate.isReserved || isFull || !fits(needed, candidate.free) || !isEligible(step, *candidate.worker))
+        if (candidate.isReserved || candidate.isClosed || isFull || !fits(needed, candidate.free)
+            || !isEligible(step, *candidate.worker))
             continue;
         const auto each = rank(step, candidate);
         const bool isBetter = best < 0 || each < bestRank
--- a/packages/jobs/src/worker_state.h
+++ b/packages/jobs/src/worker_state.h
@@ -43,6 +43,9 @@
 
 struct Worker {
     WorkerDescription description;
+/// A worker that is kept for a trial is kept again within this time: several scheduling passes.
+constexpr Duration keptMemory = std::chrono::milliseconds { 500 };
+
     bool isListed { false };
     TimePoint firstListedAt {}; ///< When a list first showed this incarnation.
     WorkerContact contact { WorkerContact::Unknown };
@@ -77,6 +80,8 @@
     bool hasSurvivalCheckInFlight { false };
     std::int64_t restartRecordedUnixMs { 0 }; ///< Latest incarnation that is known to have replaced earlier ones.
     /// Latest incarnation whose loss counts as by another cause than a task.
+    TimePoint keptForTrialSince {}; ///< It takes no finite tasks since then, so that a trial endangers none.
+    TimePoint keptForTrialAt {}; ///< The latest scheduling pass that kept it.
     std::int64_t lossCountedOfUnixMs { 0 };
     BestEffortThrottle bestEffortThrottle;
 
@@ -86,6 +91,8 @@
     bool hasRecentStart(TimePoint now) const; ///< A crash now may be due to a start that was sent to it.
     bool hasTrial() const; ///< A suspect has been started there, and its survival is not known yet.
     bool mayTakeStarts() const { return !isSlow && startsInFlight < StartWindow::maxPerWorker; }
+    bool hasRecentStartOfOther(const JobId& job, TimePoint now) const; ///< The same of a job other than this one.
+    bool isTrialOverdue(TimePoint now) const; ///< It has been kept for a trial for as long as it may.
 
     /// A new incarnation has responded. Removes what earlier ones have reported, except for runs that may still be
     /// active.
