Try the suspects of a step together, and give likely causes a part of the pool

What callers saw: as before.

Cause: each suspect had a trial of its own, a third of the workers at most, the likely harmless first, none of a late job in an overload, also where workers were idle.

Change: the suspects of a step of one job start together; a likely cause has a third of the pool (trials and the workers that they took down) while other work waits, two thirds while it runs, all of it otherwise.

--- a/packages/jobs/src/cell_schedule.cpp
+++ b/packages/jobs/src/cell_schedule.cpp
@@ -274,7 +274,7 @@
         return;
     countStarts(now);
     FreeCapacity capacity { *this, now };
-    startTrials(capacity, isOverloaded, now, wallMs);
+    startTrials(capacity, TrialScope::Limited, isOverloaded, now, wallMs);
     std::erase_if(ready, [&](const ReadyStep& each) { return skipIfNoCapacity(each, capacity); });
     std::sort(ready.begin(), ready.end());
     for (const ReadyStep& each : ready) {
@@ -283,8 +283,8 @@
         else
             addWaitingDemand(each, each.entry->startableTasks(each.occurrence, each.step));
     }
-    if (isOverloaded)
-        startTrials(capacity, false, now, wallMs); // Of those that are late, where room is left.
+    const bool isWorkWaiting = waitingDemand > Millicores {};
+    startTrials(capacity, isWorkWaiting ? TrialScope::Limited : TrialScope::Idle, false, now, wallMs);
 }
 
 void Cell::onAdvice(const AdviceResponse& response, TimePoint now)
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -328,8 +328,9 @@
     bool isLossStored(const TaskRef& task) const;
     bool mayRetryAsTrial(const Worker& worker, const TaskRef& task, TimePoint now) const;
     bool mayStartTrial(const JobEntry& entry, const TaskRef& task, TimePoint now, std::int64_t wallMs) const;
-    void startTrials(FreeCapacity& capacity, bool isOverloaded, TimePoint now, std::int64_t wallMs);
-    void startTrial(const ReadyStep& ready, const TaskRef& task, FreeCapacity& capacity, TimePoint now);
+    std::vector<Trial> waitingTrials(bool isOverloaded, TimePoint now, std::int64_t wallMs);
+    void startTrials(FreeCapacity& capacity, TrialScope scope, bool isOverloaded, TimePoint now, std::int64_t wallMs);
+    void startTrial(const Trial& trial, FreeCapacity& capacity, TrialScope scope, TimePoint now);
 
     // Reports of the trials: cell_trial_report.cpp
     void reportTrialQueue(TimePoint now, std::int64_t wallMs);
--- a/packages/jobs/src/cell_trials.cpp
+++ b/packages/jobs/src/cell_trials.cpp
@@ -11,20 +11,13 @@
 namespace {
 
 constexpr int workersPerTrial = 3; ///< One worker of this many may be used for trials at once.
+constexpr std::size_t mostTasksOfTrial = 8; ///< That start at once on one worker.
 
-/// A suspect that may start.
-struct WaitingSuspect {
-    ReadyStep ready;
-    TaskRef task;
-    std::size_t lostStarts { 0 };
-    TimePoint lostAt {};
-
-    /// Those that were lost least often start first: most of them are harmless.
-    friend bool operator<(const WaitingSuspect& left, const WaitingSuspect& right)
-    {
-        return std::tie(left.lostStarts, left.lostAt, left.task) < std::tie(right.lostStarts, right.lostAt, right.task);
-    }
-};
+bool isLikelyCause(const Task& task)
+{
+    return std::any_of(
+        task.lostStarts.begin(), task.lostStarts.end(), [](const LostStart& each) { return each.isAlone(); });
+}
 
 } // namespace
 
@@ -59,9 +52,23 @@
         && entry.progress.isReady(ref.occurrence, ref.step, wallMs) && !isHeldForEvidence(task, now);
 }
 
-void CellState::startTrials(FreeCapacity& capacity, bool isOverloaded, TimePoint now, std::int64_t wallMs)
+bool Trial::isOf(const JobEntry& other, const TaskRef& task) const
+{
+    return ready.entry == &other && ready.occurrence == task.occurrence && ready.step == task.step;
+}
+
+void Trial::add(const Task& task, int index)
+{
+    tasks.push_back(index);
+    isLikelyCause = isLikelyCause || jobs::isLikelyCause(task);
+    losses = std::max(losses, task.lostStarts.size());
+    lostAt = std::max(lostAt, task.lostStarts.back().lostAt);
+}
+
+/// The suspects that may start, by step.
+std::vector<Trial> CellState::waitingTrials(bool isOverloaded, TimePoint now, std::int64_t wallMs)
 {
-    std::vector<WaitingSuspect> waiting;
+    std::vector<Trial> trials;
     for (const TaskRef& ref : crashEvidence.suspects) {
         JobEntry* entry = findUndecided(ref);
         if (!entry || !mayStartTrial(*entry, ref, now, wallMs))
@@ -69,47 +76,66 @@
         ReadyStep ready { entry, ref.occurrence, ref.step };
         ready.rank = rankOf(*entry, ready.spec(), now);
         // What is late waits behind what can be on time, as elsewhere.
-        if (isOverloaded && ready.rank >= Rank::Late)
+        if (isOverloaded && ready.rank >= Rank::Late && !isLikelyCause(entry->progress.task(ref)))
             continue;
-        const Task& task = entry->progress.task(ref);
-        waiting.push_back({ ready, ref, task.lostStarts.size(), task.lostStarts.back().lostAt });
+        if (trials.empty() || !trials.back().isOf(*entry, ref))
+            trials.push_back({ ready });
+        trials.back().add(entry->progress.task(ref), ref.index);
     }
+    return trials;
+}
+
+void CellState::startTrials(
+    FreeCapacity& capacity, TrialScope scope, bool isOverloaded, TimePoint now, std::int64_t wallMs)
+{
+    std::vector<Trial> waiting = waitingTrials(isOverloaded, now, wallMs);
     std::sort(waiting.begin(), waiting.end());
-    for (const WaitingSuspect& each : waiting) {
+    for (const Trial& each : waiting) {
         if (!mayStartMore(now))
             return;
-        startTrial(each.ready, each.task, capacity, now);
+        startTrial(each, capacity, scope, now);
     }
 }
 
-void CellState::startTrial(const ReadyStep& ready, const TaskRef& task, FreeCapacity& capacity, TimePoint now)
+void CellState::startTrial(const Trial& trial, FreeCapacity& capacity, TrialScope scope, TimePoint now)
 {
+    const ReadyStep& ready = trial.ready;
     const bool needsTicket = queueOf(*ready.entry).requiresTickets;
     const StepTickets* tickets = needsTicket ? validTickets(ready, capacity, now) : nullptr;
     if (needsTicket && !tickets)
         return;
-    const int chosen = capacity.takeTrialWorker(*ready.entry, task, tickets ? &tickets->tickets : nullptr, now);
-    if (chosen < 0)
-        return;
-    Worker& worker = *capacity.workers()[static_cast<std::size_t>(chosen)];
-    ++worker.startsInFlight;
-    ++startsInFlight;
-    const RunNumber last = std::max(firstRun, ready.entry->progress.task(task).lastRun);
-    startOn(worker, ready, task.index, last + 1, tickets, now);
+    for (const Placement& each : capacity.placeTrial(trial, tickets ? &tickets->tickets : nullptr, scope, now)) {
+        Worker& worker = *capacity.workers()[static_cast<std::size_t>(each.candidate)];
+        ++worker.startsInFlight;
+        ++startsInFlight;
+        const Task& task = ready.entry->progress.task(ready.occurrence, ready.step, each.index);
+        startOn(worker, ready, each.index, std::max(firstRun, task.lastRun) + 1, tickets, now);
+    }
 }
 
-/// Prefers a worker on which the task fits now; one that has been up for a while, since others may restart again by
+/// Trials of likely causes, and the workers that are down because of them, take up a part of the workers while other
+/// work waits, most of them while other work runs but none waits, and all of them otherwise.
+bool FreeCapacity::mayTakeTrial(const Trial& trial, TrialScope scope) const
+{
+    const int trials = m_trialsInProgress + m_keptForTrials;
+    const int usable = static_cast<int>(m_candidates.size()) + m_trialsInProgress;
+    if (!trial.isLikelyCause)
+        return scope == TrialScope::Idle || trials < std::max(1, usable / workersPerTrial);
+    if (scope == TrialScope::Idle && m_otherRuns == 0)
+        return true;
+    const CrashEvidence& evidence = m_state.crashEvidence;
+    const int pool = usable + static_cast<int>(evidence.lossesUnderStarts.size());
+    const int part = std::max(1, pool / workersPerTrial);
+    const int most = scope == TrialScope::Limited ? part : std::max(1, pool - part);
+    return trials + static_cast<int>(evidence.lossesUnderTrials.size()) < most;
+}
+
+/// Prefers a worker on which a task fits now; one that has been up for a while, since others may restart again by
 /// themselves; one without recent starts; and one on which little would be lost.
-int FreeCapacity::takeTrialWorker(
-    const JobEntry& entry, const TaskRef& task, const std::map<WorkerId, std::string>* tickets, TimePoint now)
+int FreeCapacity::chooseTrialWorker(
+    const Trial& trial, const std::map<WorkerId, std::string>* tickets, TrialScope scope, TimePoint now) const
 {
-    const int most = std::max(1, (static_cast<int>(m_candidates.size()) + m_trialsInProgress) / workersPerTrial);
-    if (m_trialsInProgress + m_keptForTrials >= most)
-        return -1;
-    const Step& step = CellState::stepOf(entry, task);
-    countColocatedRuns(entry, task.occurrence, task.step);
-    m_areColocatedRunsCounted = false;
-    m_state.schedulingCost.workersExamined += m_candidates.size();
+    const Step& step = trial.ready.spec();
     const auto rank = [&](std::size_t index) {
         const Worker& worker = *m_workers[index];
         return std::tuple { !fits(reservedSize(step), m_candidates[index].free), !worker.isSettled(now),
@@ -122,22 +148,63 @@
         const bool hasTicket = !tickets || tickets->contains(candidate.worker->id);
         const bool fitsSoon
             = fits(reservedSize(step), step.isLongRunning ? candidate.freeAfterFiniteRuns : candidate.free);
-        if (candidate.isReserved || isFull || !hasTicket || !fitsSoon || !isEligible(step, *candidate.worker))
+        const bool isTaken = !m_startingJobs[index].isEmpty();
+        const bool isBusy = scope == TrialScope::Idle && !isFreeForTrial(trial, index, now);
+        const bool isExcluded = candidate.isReserved || isFull || isTaken || isBusy;
+        if (isExcluded || !hasTicket || !fitsSoon || !isEligible(step, *candidate.worker))
             continue;
         if (best < 0 || rank(index) < rank(static_cast<std::size_t>(best)))
             best = static_cast<int>(index);
     }
+    return best;
+}
+
+/// Finite runs are not risked beside a likely cause: the worker takes none for a while, until they have ended.
+bool FreeCapacity::isFreeForTrial(const Trial& trial, std::size_t index, TimePoint now) const
+{
+    const Worker& worker = *m_workers[index];
+    const bool isWorkAtRisk = trial.isLikelyCause && worker.colocatedRuns.finite > 0 && !worker.isTrialOverdue(now);
+    return fits(reservedSize(trial.ready.spec()), m_candidates[index].free) && !worker.hasRecentStart(now)
+        && !isWorkAtRisk;
+}
+
+/// The next pass prefers the worker that was kept by this one.
+void FreeCapacity::keepForTrial(std::size_t index, TimePoint now)
+{
+    m_candidates[index].isReserved = true; // For this job alone, also until the worker is free for it.
+    ++m_keptForTrials;
+    Worker& worker = *m_workers[index];
+    if (worker.keptForTrialSince == TimePoint {} || now - worker.keptForTrialAt > keptMemory)
+        worker.keptForTrialSince = now;
+    worker.keptForTrialAt = now;
+}
+
+std::vector<Placement> FreeCapacity::placeTrial(
+    const Trial& trial, const std::map<WorkerId, std::string>* tickets, TrialScope scope, TimePoint now)
+{
+    if (!mayTakeTrial(trial, scope))
+        return {};
+    const Step& step = trial.ready.spec();
+    countColocatedRuns(*trial.ready.entry, trial.ready.occurrence, trial.ready.step);
+    m_areColocatedRunsCounted = false;
+    m_state.schedulingCost.workersExamined += m_candidates.size();
+    const int best = chooseTrialWorker(trial, tickets, scope, now);
     if (best < 0)
-        return -1;
+        return {};
     Candidate& chosen = m_candidates[static_cast<std::size_t>(best)];
-    const bool isReady
-        = fits(reservedSize(step), chosen.free) && !m_workers[static_cast<std::size_t>(best)]->hasRecentStart(now);
-    chosen.isReserved = true; // For this task alone, also until the worker is free for it.
-    ++m_keptForTrials;
-    if (!isReady)
-        return -1;
-    reserve(best, step);
-    return best;
+    const bool isFree = isFreeForTrial(trial, static_cast<std::size_t>(best), now);
+    keepForTrial(static_cast<std::size_t>(best), now);
+    if (isFree)
+        m_workers[static_cast<std::size_t>(best)]->keptForTrialSince = {};
+    std::vector<Placement> placements;
+    for (const int index : trial.tasks) {
+        const bool isFull = step.maxPerWorker > 0 && chosen.sameStepRuns >= step.maxPerWorker;
+        if (!isFree || isFull || placements.size() >= mostTasksOfTrial || !fits(reservedSize(step), chosen.free))
+            break;
+        reserve(best, step);
+        placements.push_back({ index, best });
+    }
+    return placements;
 }
 
 } // namespace rattanrack::jobs
--- a/packages/jobs/src/free_capacity.cpp
+++ b/packages/jobs/src/free_capacity.cpp
@@ -56,10 +56,10 @@
         m_largestFree.processors = std::max(m_largestFree.processors, candidate.free.processors);
         m_largestFree.memory = std::max(m_largestFree.memory, candidate.free.memory);
         m_largestFree.accelerators = std::max(m_largestFree.accelerators, candidate.free.accelerators);
+        m_otherRuns += worker.colocatedRuns.finite;
         m_workers.push_back(&worker);
         m_candidates.push_back(candidate);
     }
-}
     m_startingJobs.resize(m_candidates.size());
 }
 
@@ -82,6 +82,7 @@
 {
     return std::any_of(m_candidates.begin(), m_candidates.end(),
         [&](const Candidate& each) { return each.isClosed && fits(reservedSize(step), each.free); });
+}
 
 void FreeCapacity::countColocatedRuns(const JobEntry& entry, int occurrence, int step)
 {
@@ -126,9 +127,9 @@
 {
     for (const Placement& each : placements) {
         m_candidates[static_cast<std::size_t>(each.candidate)].free += reservedSize(step);
-    if (!placements.empty())
         m_startingJobs[static_cast<std::size_t>(each.candidate)] = {};
     }
+    if (!placements.empty())
         m_unplaceable.clear();
 }
 
@@ -141,8 +142,8 @@
         return {};
     if (dependsOnColocatedRuns(step))
         countColocatedRuns(entry, occurrence, stepNumber);
-    const bool isSuspectGang = step.isGang && entry.suspects > 0;
     closeWorkers(entry, step);
+    const bool isSuspectGang = step.isGang && entry.suspects > 0;
     if (!tickets && !isSuspectGang)
         return placeEach(entry, occurrence, stepNumber, false);
     std::vector<Candidate*> excluded;
@@ -180,13 +181,12 @@
             break;
         }
         reserve(candidateIndex, step);
-        placements.push_back({ index, candidateIndex });
         m_startingJobs[static_cast<std::size_t>(candidateIndex)] = entry.job.id;
+        placements.push_back({ index, candidateIndex });
     }
     return placements;
 }
 
-void FreeCapacity::reserveFor(const JobEntry& entry, int occurrence, int stepNumber)
 /// Tasks of one job go to few workers while jobs are kept apart, so that a crash hits few other jobs. Returns the
 /// worker of the latest placement if one more start may be sent there; otherwise -1.
 int FreeCapacity::chooseSameWorker(const Step& step, const std::vector<Placement>& placements) const
@@ -201,6 +201,7 @@
     return mayTakeMore && fits(reservedSize(step), m_candidates[index].free) ? latest : -1;
 }
 
+void FreeCapacity::reserveFor(const JobEntry& entry, int occurrence, int stepNumber)
 {
     const Step& step = entry.job.spec.steps[static_cast<std::size_t>(stepNumber)];
     const int most = std::max(1, static_cast<int>(m_candidates.size()) / workersPerReserved);
--- a/packages/jobs/src/free_capacity.h
+++ b/packages/jobs/src/free_capacity.h
@@ -36,10 +36,10 @@
     /// Gives back capacity that was not used after all.
     void giveBack(const std::vector<Placement>& placements, const Step& step);
 
-    /// Takes a worker for a trial of the task; nothing else starts there in this pass. Returns its index, or -1 where
-    /// none is free for it yet.
-    int takeTrialWorker(
-        const JobEntry& entry, const TaskRef& task, const std::map<WorkerId, std::string>* tickets, TimePoint now);
+    /// Takes a worker for a trial of the tasks, which are of one step, and of as many of them as it has room for;
+    /// nothing else starts there in this pass. Empty where none is free for it yet.
+    std::vector<Placement> placeTrial(
+        const Trial& trial, const std::map<WorkerId, std::string>* tickets, TrialScope scope, TimePoint now);
 
     /// Reserves a worker for the step: the emptiest one on which a task fits once the finite runs there have ended. The
     /// worker gets no smaller work that comes after the step in this pass.
--- a/packages/jobs/src/worker_state.h
+++ b/packages/jobs/src/worker_state.h
@@ -30,6 +30,7 @@
     int serving { 0 }; ///< With a latency target.
     int bestEffortRuns { 0 };
     int ofUnknownSize { 0 };
+    int finite { 0 };
 
     /// `count`: 1 for a run that is added, -1 for one that is removed.
     void add(const Run& run, int count)
@@ -37,15 +38,16 @@
         bestEffortRuns += run.isBestEffort ? count : 0;
         longRunning += run.isLongRunning && !run.isBestEffort ? count : 0;
         serving += run.isServing ? count : 0;
+        finite += run.isLongRunning ? 0 : count;
         ofUnknownSize += run.isSizeUnknown ? count : 0;
     }
 };
 
-struct Worker {
-    WorkerDescription description;
 /// A worker that is kept for a trial is kept again within this time: several scheduling passes.
 constexpr Duration keptMemory = std::chrono::milliseconds { 500 };
 
+struct Worker {
+    WorkerDescription description;
     bool isListed { false };
     TimePoint firstListedAt {}; ///< When a list first showed this incarnation.
     WorkerContact contact { WorkerContact::Unknown };
@@ -78,10 +80,10 @@
     bool isSlow { false }; ///< Responds to starts more slowly than other workers.
     std::vector<UnprovenStart> unprovenStarts;
     bool hasSurvivalCheckInFlight { false };
-    std::int64_t restartRecordedUnixMs { 0 }; ///< Latest incarnation that is known to have replaced earlier ones.
-    /// Latest incarnation whose loss counts as by another cause than a task.
     TimePoint keptForTrialSince {}; ///< It takes no finite tasks since then, so that a trial endangers none.
     TimePoint keptForTrialAt {}; ///< The latest scheduling pass that kept it.
+    std::int64_t restartRecordedUnixMs { 0 }; ///< Latest incarnation that is known to have replaced earlier ones.
+    /// Latest incarnation whose loss counts as by another cause than a task.
     std::int64_t lossCountedOfUnixMs { 0 };
     BestEffortThrottle bestEffortThrottle;
 
@@ -89,10 +91,10 @@
     bool isAvoidedForFailures(TimePoint now) const { return now < failingUntil; }
     bool isSettled(TimePoint now) const; ///< Its incarnation has been up for a while.
     bool hasRecentStart(TimePoint now) const; ///< A crash now may be due to a start that was sent to it.
-    bool hasTrial() const; ///< A suspect has been started there, and its survival is not known yet.
-    bool mayTakeStarts() const { return !isSlow && startsInFlight < StartWindow::maxPerWorker; }
     bool hasRecentStartOfOther(const JobId& job, TimePoint now) const; ///< The same of a job other than this one.
     bool isTrialOverdue(TimePoint now) const; ///< It has been kept for a trial for as long as it may.
+    bool hasTrial() const; ///< A suspect has been started there, and its survival is not known yet.
+    bool mayTakeStarts() const { return !isSlow && startsInFlight < StartWindow::maxPerWorker; }
 
     /// A new incarnation has responded. Removes what earlier ones have reported, except for runs that may still be
     /// active.
--- a/packages/jobs/tests/crashing_task_tests.cpp
+++ b/packages/jobs/tests/crashing_task_tests.cpp
@@ -1,6 +1,9 @@
 #include "cell_harness.h"
 #include "rattanrack/jobs/job_codec.h"
 
+#include <map>
+#include <set>
+
 using namespace rattanrack;
 using namespace rattanrack::jobs;
 using namespace rattanrack::jobs::tests;
@@ -131,6 +134,47 @@
     EXPECT_EQ(harness.runEvents(RunEvent::Kind::Cleared).size(), 1U);
 }
 
+/// Issue 37: a crash under starts of several jobs pointed to none of them.
+TEST(CrashingTask, WorkerTakesOneJobAtATimeAfterCrashesUnderStarts)
+{
+    CellHarness harness = calmHarness();
+    for (const char* job : { "a1", "a2" }) {
+        crashUnder(harness, harness.submitAndTakeStart(job));
+        const auto retried = takeNextStarts(harness, 10s);
+        ASSERT_EQ(retried.size(), 1U);
+        harness.respond(retried[0], CommandStatus::Done);
+        harness.surviveStart(retried[0]);
+    }
+    for (const char* job : { "b", "c", "d", "e" })
+        harness.submitAndStore(job, Millicores { 100 });
+    harness.advance(10ms);
+    std::map<WorkerId, std::set<JobId>> jobs;
+    for (const StartCommand& start : harness.takeCommands<StartCommand>())
+        jobs[start.worker].insert(start.task.job);
+    ASSERT_FALSE(jobs.empty());
+    for (const auto& [worker, started] : jobs)
+        EXPECT_EQ(started.size(), 1U) << worker;
+}
+
+/// Issue 37: each suspect of a job waited for a trial of its own.
+TEST(CrashingTask, SuspectsOfAStepAreTriedTogether)
+{
+    CellHarness harness = calmHarness();
+    harness.listWorkers({ harness.listed()[0] });
+    Job job { JobId { "a" }, QueueId { "q" }, 1'000'000, { "text", { {} }, {} } };
+    job.spec.steps[0].count = 3;
+    job.spec.steps[0].size = { Millicores { 100 }, Mebibytes { 100 }, {} };
+    EXPECT_EQ(harness.cell().submit(job, 1, harness.now()), Acceptance::Pending);
+    harness.storeChanges();
+    harness.advance(10ms);
+    const auto starts = harness.takeCommands<StartCommand>();
+    ASSERT_EQ(starts.size(), 3U);
+    harness.respond(starts[1], CommandStatus::Done);
+    harness.respond(starts[2], CommandStatus::Done);
+    crashUnder(harness, starts[0]);
+    EXPECT_EQ(takeNextStarts(harness, 10s).size(), 3U);
+}
+
 TEST(CrashingTask, QueueForTrialsIsReported)
 {
     CellHarness harness = calmHarness();
