Learn how often workers crash again after a restart

Tasks with two crashes alone stayed undecided.

Cause: a worker up for less than 5 s counted as crashing by itself at 0.5 a second, and while tasks crash workers all of them have just restarted; workers that were down did not count in the rate of crashes. Three or four crashes a task were needed in place of two.

Change: the rate after a restart is learned: (1 + 4 n) / (2 s + t). Workers that tasks have taken down count as workers.

--- a/packages/jobs/src/cell_crash_verdicts.cpp
+++ b/packages/jobs/src/cell_crash_verdicts.cpp
@@ -13,12 +13,14 @@
 constexpr std::size_t leastCrashes = 2; ///< That allow a verdict.
 /// Starts whose workers have crashed, or may have. The next one is not sent before these are decided.
 constexpr std::size_t maxLostStarts = 5;
-/// The same if all but one of them were the only recent starts on their workers.
+/// The same if all but one of them were the only recent starts on their workers, while other crashes are rare.
 constexpr std::size_t maxLostStartsMostlyAlone = 4;
 /// Accepted probability that crashes by other causes look like those of a task.
 constexpr double acceptedRisk = 2e-6;
-constexpr double crashRateAfterRestart = 0.5; ///< Of a worker that has been up for less than `settledAge`.
+constexpr double secondsPerCrashAfterRestart
+    = 2; ///< Of a worker up for less than `settledAge`, as long as nothing is known.
 constexpr double riskOfSharedLoss = 0.3; ///< That a task beside others on a crashed worker is harmless.
+constexpr std::int64_t workersPerOtherCrash = 2; ///< Crashes by other causes are rare with as many workers for each.
 constexpr double crashRateMargin = 4; ///< Crashes come in groups.
 
 std::string taskName(const TaskRef& task)
@@ -28,11 +30,22 @@
 
 } // namespace
 
+/// Listed workers, and those that tasks have just crashed, which were up until then.
+std::int64_t CellState::countWorkersOfPool() const
+{
+    const auto isDown = [&](const auto& each) {
+        const auto worker = workers.find(each.first);
+        return worker != workers.end() && !worker->second.isListed;
+    };
+    return listedWorkers + std::count_if(crashEvidence.openByWorker.begin(), crashEvidence.openByWorker.end(), isDown);
+}
+
 /// Crashes in a second of a worker, by causes other than tasks: as seen lately, and not less than one since the last.
 double CellState::crashRate(TimePoint now) const
 {
     const auto perWorkerSecond = [&](double crashes, Duration time) {
-        return crashes * 1e6 / static_cast<double>(std::max<std::int64_t>(listedWorkers * time.count(), 1));
+        return crashes * 1e6
+            / static_cast<double>(std::max<std::int64_t>(std::max(workersOfPool, listedWorkers) * time.count(), 1));
     };
     const auto recent = static_cast<double>(crashEvidence.crashesByOtherCauses.size());
     const Duration calmTime = crashEvidence.latestByOtherCause == TimePoint {}
@@ -42,11 +55,20 @@
         perWorkerSecond(1, calmTime));
 }
 
+/// The same of a worker that has been up for a short time: it may restart again by itself, unless such workers have
+/// been seen to stay up apart from crashes by tasks.
+double CellState::crashRateAfterRestart(TimePoint now) const
+{
+    const double crashes = 1 + crashRateMargin * crashEvidence.otherCrashesAfterRestart;
+    return std::max(crashRate(now), crashes / (secondsPerCrashAfterRestart + crashEvidence.secondsAfterRestart));
+}
+
 /// Whether other causes are unlikely: two crashes at least, and a small product of the probabilities that each
 /// had another cause. Starts that may not have arrived count only towards the limit.
 bool CellState::isProvenToCrash(const Task& task, TimePoint now) const
 {
     const double rate = crashRate(now);
+    const double rateAfterRestart = crashRateAfterRestart(now);
     std::size_t crashes = 0;
     std::size_t crashesAlone = 0;
     std::size_t certainCrashes = 0;
@@ -57,10 +79,12 @@
         if (!lost.isCrash || !lost.wasReceived)
             continue;
         ++certainCrashes;
-        const double rateOfWorker = lost.isOnSettledWorker ? rate : std::max(rate, crashRateAfterRestart);
+        const double rateOfWorker = lost.isOnSettledWorker ? rate : rateAfterRestart;
         risk *= lost.isAlone() ? rateOfWorker * static_cast<double>(lost.exposure.count()) / 1e6 : riskOfSharedLoss;
     }
-    const bool isMostlyAlone = crashesAlone + 1 >= crashes;
+    const bool areOthersRare = std::ssize(crashEvidence.crashesByOtherCauses) * workersPerOtherCrash
+        <= std::max(workersOfPool, listedWorkers);
+    const bool isMostlyAlone = crashesAlone + 1 >= crashes && areOthersRare;
     const bool isOverLimit = crashes >= (isMostlyAlone ? maxLostStartsMostlyAlone : maxLostStarts);
     return isOverLimit || (certainCrashes >= leastCrashes && risk <= acceptedRisk);
 }
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -207,9 +207,10 @@
     TimePoint nextMissingRunCheckAt {};
     CrashEvidence crashEvidence;
     TimePoint nextCrashCheckAt {};
+    std::int64_t workersOfPool { 0 }; ///< As of the latest check of the crash evidence.
     TimePoint nextTrialReportAt {};
-    TrialQueueEvent trialCounts; ///< Events since the latest report.
     bool hasReportedSuspects { false };
+    TrialQueueEvent trialCounts; ///< Events since the latest report.
     CellOutput output;
 
     JobEntry* find(const JobId& job);
@@ -306,19 +307,22 @@
     }
     void confirmCrash(const Worker& worker, std::int64_t laterUnixMs, TimePoint now);
     void addLostStart(const Worker& worker, const UnprovenStart& start, const ContactLoss& loss);
-    void recordStartReceived(const StartCommand& start);
     bool areJobsKeptApart() const;
+    void recordStartReceived(const StartCommand& start);
     void addSuspect(JobEntry& entry, const TaskRef& task, const LostStart& lost);
     void removeLostStarts(const TaskRef& task, const std::function<bool(const LostStart&)>& isRemoved,
         bool isCleared = false, TimePoint now = {});
     void inheritSuspects(JobEntry& entry);
     void recordSurvival(const Worker& worker, const UnprovenStart& start, TimePoint now);
     void reviewStarts(Worker& worker, const PollReport& report, TimePoint sentAt, TimePoint now);
+    void observeRestartedWorkers(TimePoint now);
     void expireCrashEvidence(TimePoint now);
     void sendSurvivalChecks(TimePoint now);
     void onSurvivalCheck(
         Worker& worker, const PollCommand& check, const PollResult& result, TimePoint sentAt, TimePoint now);
+    std::int64_t countWorkersOfPool() const;
     double crashRate(TimePoint now) const;
+    double crashRateAfterRestart(TimePoint now) const;
     bool isProvenToCrash(const Task& task, TimePoint now) const;
     bool isHeldForEvidence(const Task& task, TimePoint now) const;
     void giveUp(JobEntry& entry, const TaskRef& task);
