Crash rates in a file of their own

The rates of crashes by other causes, of settled and of restarted workers, move from there and from the verdicts to cell_crash_rates.cpp.

--- a/packages/jobs/src/cell_crash_verdicts.cpp
+++ b/packages/jobs/src/cell_crash_verdicts.cpp
@@ -17,11 +17,8 @@
 constexpr std::size_t maxLostStartsMostlyAlone = 4;
 /// Accepted probability that crashes by other causes look like those of a task.
 constexpr double acceptedRisk = 2e-6;
-constexpr double secondsPerCrashAfterRestart
-    = 2; ///< Of a worker up for less than `settledAge`, as long as nothing is known.
 constexpr double riskOfSharedLoss = 0.3; ///< That a task beside others on a crashed worker is harmless.
 constexpr std::int64_t workersPerOtherCrash = 2; ///< Crashes by other causes are rare with as many workers for each.
-constexpr double crashRateMargin = 4; ///< Crashes come in groups.
 
 std::string taskName(const TaskRef& task)
 {
@@ -30,39 +27,6 @@
 
 } // namespace
 
-/// Listed workers, and those that tasks have just crashed, which were up until then.
-std::int64_t CellState::countWorkersOfPool() const
-{
-    const auto isDown = [&](const auto& each) {
-        const auto worker = workers.find(each.first);
-        return worker != workers.end() && !worker->second.isListed;
-    };
-    return listedWorkers + std::count_if(crashEvidence.openByWorker.begin(), crashEvidence.openByWorker.end(), isDown);
-}
-
-/// Crashes in a second of a worker, by causes other than tasks: as seen lately, and not less than one since the last.
-double CellState::crashRate(TimePoint now) const
-{
-    const auto perWorkerSecond = [&](double crashes, Duration time) {
-        return crashes * 1e6
-            / static_cast<double>(std::max<std::int64_t>(std::max(workersOfPool, listedWorkers) * time.count(), 1));
-    };
-    const auto recent = static_cast<double>(crashEvidence.crashesByOtherCauses.size());
-    const Duration calmTime = crashEvidence.latestByOtherCause == TimePoint {}
-        ? now - takenOverAt
-        : std::max(now - crashEvidence.latestByOtherCause, otherCauseMemory);
-    return std::max(perWorkerSecond(recent * crashRateMargin, std::min(now - takenOverAt, otherCauseMemory)),
-        perWorkerSecond(1, calmTime));
-}
-
-/// The same of a worker that has been up for a short time: it may restart again by itself, unless such workers have
-/// been seen to stay up apart from crashes by tasks.
-double CellState::crashRateAfterRestart(TimePoint now) const
-{
-    const double crashes = 1 + crashRateMargin * crashEvidence.otherCrashesAfterRestart;
-    return std::max(crashRate(now), crashes / (secondsPerCrashAfterRestart + crashEvidence.secondsAfterRestart));
-}
-
 /// Whether other causes are unlikely: two crashes at least, and a small product of the probabilities that each
 /// had another cause. Starts that may not have arrived count only towards the limit.
 bool CellState::isProvenToCrash(const Task& task, TimePoint now) const
--- a/packages/jobs/src/cell_crashes.cpp
+++ b/packages/jobs/src/cell_crashes.cpp
@@ -322,23 +322,6 @@
         crashEvidence.openByWorker.erase(open);
 }
 
-void CellState::observeRestartedWorkers(TimePoint now)
-{
-    const auto seconds = [](Duration time) { return static_cast<double>(time.count()) / 1e6; };
-    const double kept = 1 - seconds(checkPeriod) / seconds(otherCauseMemory);
-    const auto isRestarted = [&](const auto& each) {
-        const Worker& worker = each.second;
-        return worker.isListed && worker.contact == WorkerContact::Responsive && !worker.isSettled(now);
-    };
-    const auto restarted = static_cast<double>(std::count_if(workers.begin(), workers.end(), isRestarted));
-    crashEvidence.otherCrashesAfterRestart *= kept;
-    crashEvidence.secondsAfterRestart *= kept;
-    // Workers that start in a calm time show nothing about those that come back after a crash.
-    if (!crashEvidence.crashesUnderStarts.empty())
-        crashEvidence.secondsAfterRestart += restarted * seconds(checkPeriod);
-    workersOfPool = countWorkersOfPool();
-}
-
 void CellState::expireCrashEvidence(TimePoint now)
 {
     const auto expire = [&](std::deque<TimePoint>& times, Duration memory) {
@@ -352,7 +335,7 @@
     if (now < nextCrashCheckAt)
         return;
     nextCrashCheckAt = now + checkPeriod;
-    observeRestartedWorkers(now);
+    observeRestartedWorkers(checkPeriod, now);
     const std::vector<TaskRef> suspects { crashEvidence.suspects.begin(), crashEvidence.suspects.end() };
     for (const TaskRef& task : suspects) {
         const bool isDecided = !findUndecided(task);
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -315,18 +315,20 @@
     void inheritSuspects(JobEntry& entry);
     void recordSurvival(const Worker& worker, const UnprovenStart& start, TimePoint now);
     void reviewStarts(Worker& worker, const PollReport& report, TimePoint sentAt, TimePoint now);
-    void observeRestartedWorkers(TimePoint now);
     void expireCrashEvidence(TimePoint now);
     void sendSurvivalChecks(TimePoint now);
     void onSurvivalCheck(
         Worker& worker, const PollCommand& check, const PollResult& result, TimePoint sentAt, TimePoint now);
-    std::int64_t countWorkersOfPool() const;
-    double crashRate(TimePoint now) const;
-    double crashRateAfterRestart(TimePoint now) const;
     bool isProvenToCrash(const Task& task, TimePoint now) const;
     bool isHeldForEvidence(const Task& task, TimePoint now) const;
     void giveUp(JobEntry& entry, const TaskRef& task);
 
+    // Crashes by other causes: cell_crash_rates.cpp
+    std::int64_t countWorkersOfPool() const;
+    double crashRate(TimePoint now) const;
+    double crashRateAfterRestart(TimePoint now) const;
+    void observeRestartedWorkers(Duration period, TimePoint now);
+
     // Trials of suspects: cell_trials.cpp
     bool isLostInEarlierIncarnation(const Worker& worker, const Run& run) const;
     bool isLossStored(const TaskRef& task) const;
