--- a/review/build.sh
+++ b/review/build.sh
@@ -5,7 +5,7 @@
 import glob, sys
 if sys.version_info < (3, 11):
     sys.exit("Python 3.11 or later is needed")
-for path in ["lib/standin.py", "lib/small.py", *sorted(glob.glob("[1-5]/case.py"))]:
+for path in ["lib/standin.py", "lib/small.py", *sorted(glob.glob("[1-5]/*.py"))]:
     compile(open(path, encoding="utf-8").read(), path, "exec")
 print("the stand-ins can be loaded")
 '
--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -857,6 +857,8 @@
                 problem = await play(world, trouble)
         except TimeoutError:
             problem = "the case took too long"
+        except Exception as error:  # A fault of the script must not look like a broken rule.
+            problem = f"{type(error).__name__}: {error}"
         finally:
             if os.environ.get("KEEP_LOGS"):
                 shutil.copytree(world.directory, os.environ["KEEP_LOGS"], dirs_exist_ok=True)
