Log what a takeover waits for, and what keeps trials from starting

For hypotheses 1, 3 and 4 of the incident the logs lacked the previous owner, until when nothing of the jobs taken over starts, the workers that are kept free for trials, and first starts of jobs that are late already. cell.taken names the previous owner; cell.recovering gives the wait, once and after each change; trials.state and two metrics give the workers kept and the late first starts. No decision changes: jobs_tests and node_tests (CellLog) pass.

--- a/packages/jobs/include/rattanrack/jobs/cell.h
+++ b/packages/jobs/include/rattanrack/jobs/cell.h
@@ -132,6 +132,9 @@
     /// Whether some worker of previous owners may still run tasks that this owner has not found.
     bool isRecovering() const;
 
+    /// Number of those workers.
+    std::size_t workersWaitedFor() const;
+
     /// Leases of previous owners have ended by `latestEnd`. Without effect if the previous owner handed the cell back,
     /// which tells more.
     void limitInheritedLeases(TimePoint latestEnd);
--- a/packages/jobs/include/rattanrack/jobs/cell_event.h
+++ b/packages/jobs/include/rattanrack/jobs/cell_event.h
@@ -88,6 +88,8 @@
     int givenUp { 0 }; ///< Jobs that were given up.
     int losses { 0 }; ///< Workers that were lost soon after a start.
     Duration longestWait {}; ///< Of a suspect that could start now, since its latest worker was lost.
+    int keptWorkers { 0 }; ///< Workers that take no other starts of late, so that a trial may start there.
+    int lateFirstStarts { 0 }; ///< Tasks started of jobs that nothing had been started of and that were late already.
 };
 
 using CellEvent = std::variant<JobEvent, RunEvent, WorkerEvent, MissingRunEvent, TrialQueueEvent>;
--- a/packages/jobs/src/cell.cpp
+++ b/packages/jobs/src/cell.cpp
@@ -132,6 +132,8 @@
 
 bool Cell::isRecovering() const { return m_state->isRecovering; }
 
+std::size_t Cell::workersWaitedFor() const { return m_state->inheritedWorkers.size(); }
+
 void Cell::limitInheritedLeases(TimePoint latestEnd)
 {
     if (m_state->wasHandedBack)
--- a/packages/jobs/src/cell_schedule.cpp
+++ b/packages/jobs/src/cell_schedule.cpp
@@ -235,6 +235,8 @@
     const auto placed = placements.size();
     placements = admitStarts(step, placements, capacity, now);
     addWaitingDemand(ready, static_cast<int>(placed - placements.size()));
+    if (ready.rank >= Rank::Late && !entry.progress.hasStarted())
+        trialCounts.lateFirstStarts += static_cast<int>(placements.size());
     const auto lastRunOf = [&](const Placement& each) {
         return std::max(firstRun, entry.progress.task(ready.occurrence, ready.step, each.index).lastRun);
     };
--- a/packages/jobs/src/cell_trial_report.cpp
+++ b/packages/jobs/src/cell_trial_report.cpp
@@ -42,8 +42,11 @@
     TrialQueueEvent report = std::exchange(trialCounts, {});
     for (const TaskRef& suspect : crashEvidence.suspects)
         addToReport(report, suspect, now, wallMs);
-    for (const auto& [id, worker] : workers)
+    for (const auto& [id, worker] : workers) {
         report.trials += worker.hasTrial() ? 1 : 0;
+        const bool isKept = worker.keptForTrialSince != TimePoint {} && now - worker.keptForTrialAt < keptMemory;
+        report.keptWorkers += isKept ? 1 : 0;
+    }
     addEvent(report);
 }
 
--- a/packages/node/include/rattanrack/node/cell_host.h
+++ b/packages/node/include/rattanrack/node/cell_host.h
@@ -111,6 +111,7 @@
     void onCommitStored();
     void onCommitNotStored();
     jobs::Authority authority() const;
+    void reportRecovery(TimePoint latestGrant);
     bool isListTooOld() const;
 
     /// Wraps `work` so that it does nothing once this object has been destroyed.
@@ -122,6 +123,7 @@
     const Duration m_longestListAge;
     const Duration m_leaseLength;
     const TimePoint m_takenOverAt;
+    std::optional<TimePoint> m_reportedGrant; ///< Latest lease of earlier owners, as last reported.
     bool m_enforcesCapacity { false };
     TimePoint m_listRequestedAt {}; ///< When the worker list in use was requested from the store.
     std::shared_ptr<bool> m_isAlive;
--- a/packages/node/src/cell_host.cpp
+++ b/packages/node/src/cell_host.cpp
@@ -1,6 +1,7 @@
 #include "rattanrack/node/cell_host.h"
 
 #include "rattanrack/base/log.h"
+#include "rattanrack/base/milliseconds.h"
 #include "rattanrack/jobs/job_codec.h"
 #include "rattanrack/jobs/lease_clock.h"
 
@@ -150,6 +151,20 @@
     const TimePoint latestGrant
         = ownership.latestEarlierGrant(m_pool, m_writer.term(), m_takenOverAt, ownershipTimeout);
     m_cell.limitInheritedLeases(latestGrant + jobs::inheritedLease({}, m_leaseLength));
+    reportRecovery(latestGrant);
+}
+
+/// Logs until when nothing of the jobs taken over starts, once and after each change.
+void CellHost::reportRecovery(TimePoint latestGrant)
+{
+    if (m_reportedGrant == latestGrant)
+        return;
+    m_reportedGrant = latestGrant;
+    const auto sinceTakeover = [&](TimePoint at) { return milliseconds(at - m_takenOverAt); };
+    logEvent("cell.recovering",
+        { { "cell", m_pool.value() }, { "term", m_writer.term() }, { "workers", m_cell.workersWaitedFor() },
+            { "latestGrantMs", sinceTakeover(latestGrant) },
+            { "untilMs", sinceTakeover(latestGrant + jobs::inheritedLease({}, m_leaseLength)) } });
 }
 
 jobs::Acceptance CellHost::submit(const jobs::Job& job, jobs::CallerToken token)
@@ -272,6 +287,8 @@
     m_parts.metrics.setGauge("rattanrack_trials_in_progress", cell, event.trials);
     m_parts.metrics.setGauge(
         "rattanrack_trial_longest_wait_seconds", cell, static_cast<double>(event.longestWait.count()) / 1e6);
+    m_parts.metrics.setGauge("rattanrack_trial_workers_kept", cell, event.keptWorkers);
+    m_parts.metrics.increment("rattanrack_late_first_starts_total", cell, event.lateFirstStarts);
     m_parts.metrics.increment("rattanrack_trial_suspects_cleared_total", cell, event.cleared);
     m_parts.metrics.increment("rattanrack_trial_jobs_given_up_total", cell, event.givenUp);
     m_parts.metrics.increment("rattanrack_trial_losses_total", cell, event.losses);
--- a/packages/node/src/cell_log.cpp
+++ b/packages/node/src/cell_log.cpp
@@ -85,7 +85,8 @@
             { { "cell", cell }, { "term", term }, { "suspects", event.suspects }, { "waiting", event.waiting },
                 { "likelyCauses", event.likelyCauses }, { "trials", event.trials }, { "cleared", event.cleared },
                 { "givenUp", event.givenUp }, { "losses", event.losses },
-                { "longestWaitMs", milliseconds(event.longestWait) } });
+                { "longestWaitMs", milliseconds(event.longestWait) }, { "kept", event.keptWorkers },
+                { "lateFirstStarts", event.lateFirstStarts } });
     }
 };
 
--- a/packages/node/src/job_node_cells.cpp
+++ b/packages/node/src/job_node_cells.cpp
@@ -66,7 +66,8 @@
 {
     logEvent("cell.taken",
         { { "cell", cell.value() }, { "term", takeover.partTakeover.part.term() }, { "jobs", takeover.jobs.size() },
-            { "workersUsed", takeover.partTakeover.workers.size() } });
+            { "workersUsed", takeover.partTakeover.workers.size() },
+            { "from", takeover.partTakeover.previousHolder.value() } });
     if (takeover.workers)
         setWorkers(*std::move(takeover.workers));
     const NodeId takenFrom = takeover.partTakeover.previousHolder;
