Model of a takeover by a restarted node, red

The model told each owner when the earlier ones had ended. A node that is restarted together with the owner knows only what the owner row and later announcements tell it. restartNodes() plays that with a real Ownership; the announcement of the process that has replaced the earlier owner arrives 0.6 s after its end.

--- a/packages/jobs/model/cell_simulation.cpp
+++ b/packages/jobs/model/cell_simulation.cpp
@@ -4,6 +4,7 @@
 #include "rattanrack/jobs/lease_clock.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace rattanrack::jobs::model {
 
@@ -20,6 +21,7 @@
 constexpr Duration maxConfirmationAge = 5s;
 constexpr Duration leaseLength = 4500ms;
 constexpr Duration maxListAge = 1500ms;
+constexpr Duration restartTime = 600ms; ///< From the end of a node's process until it announces itself again.
 constexpr const char* queueName = "queue";
 const PoolId poolName { "pool" };
 
@@ -29,6 +31,8 @@
         longestLease };
 }
 
+std::string addressOf(int node) { return "10.0.1." + std::to_string(node) + ":1"; }
+
 } // namespace
 
 CellSimulation::CellSimulation(std::uint64_t seed, int workers, const FaultRates& faults, Duration longestLease)
@@ -155,9 +159,33 @@
     owner.cell->configure({ { QueueId { queueName }, poolName, 0, maxAttempts, 1.6, 600ms } });
     owner.cell->setDrainingMachines(m_drainingMachines);
     owner.confirmedAt = m_now;
+    const NodeId process = startProcess(m_ownerNumber);
+    if (std::exchange(m_areNodesRestarting, false)) {
+        owner.ownership = std::make_unique<Ownership>(process, addressOf(m_ownerNumber), m_now);
+        observeRestarts();
+    }
     listWorkers(m_ownerNumber, false);
 }
 
+/// The id of a process is the name of its node and, after a hyphen, when it started.
+NodeId CellSimulation::startProcess(int node)
+{
+    m_processes[node] = NodeId { "node" + std::to_string(node) + '-' + std::to_string(unixMs()) };
+    return m_processes[node];
+}
+
+/// The announcements of the restarted processes of earlier owners reach the owner's node.
+void CellSimulation::observeRestarts()
+{
+    for (const auto& [number, endedAt] : m_ownerEndedAt) {
+        const NodeId process = startProcess(number);
+        schedule(std::max(Duration {}, endedAt + restartTime - m_now), [this, process, number, reader = m_ownerNumber] {
+            if (Owner* present = findOwner(reader))
+                present->ownership->onAnnouncement({ process, addressOf(number), 1 }, m_now);
+        });
+    }
+}
+
 void CellSimulation::listWorkers(int number, bool mayTakeLong)
 {
     Owner* owner = findOwner(number);
@@ -243,6 +271,14 @@
     return latest;
 }
 
+/// The same as the owner's node knows it.
+TimePoint CellSimulation::latestObservedGrantBefore(const Owner& owner, int number) const
+{
+    if (!owner.ownership)
+        return latestGrantBefore(number);
+    return owner.ownership->latestEarlierGrant(poolName, owner.term, m_takenOverAt.at(number), maxConfirmationAge);
+}
+
 void CellSimulation::endOwner(int number)
 {
     if (m_owners.erase(number) > 0)
@@ -255,7 +291,7 @@
         listWorkers(number, true);
     Owner& owner = *findOwner(number);
     if (owner.cell->isRecovering())
-        owner.cell->limitInheritedLeases(latestGrantBefore(number) + inheritedLease({}, leaseLength));
+        owner.cell->limitInheritedLeases(latestObservedGrantBefore(owner, number) + inheritedLease({}, leaseLength));
     processOutput(owner.cell->advance(m_now, unixMs(), authorityOf(owner)), number);
     commit(number);
 }
--- a/packages/jobs/model/cell_simulation.h
+++ b/packages/jobs/model/cell_simulation.h
@@ -2,6 +2,7 @@
 
 #include "model_worker.h"
 #include "rattanrack/jobs/cell.h"
+#include "rattanrack/jobs/ownership.h"
 #include "rule_oracle.h"
 #include "start_survival.h"
 
@@ -79,6 +80,10 @@
     /// The owner is lost without notice, together with its node; another one takes over.
     void loseOwner() { dropOwner(); }
 
+    /// The processes of all nodes are killed and start again. The node that takes over has received no announcement of
+    /// an earlier owner; it soon receives that of the process that has replaced the last one.
+    void restartNodes();
+
     /// Advances virtual time by `time`.
     void run(Duration time);
 
@@ -157,6 +162,9 @@
         TimePoint confirmedAt {}; ///< When the last transaction that succeeded was sent.
         TimePoint listRequestedAt {};
         TimePoint stalledUntil {};
+        /// What its node has recorded of earlier owners since it was restarted; null: the node knows when each of them
+        /// has ended.
+        std::unique_ptr<Ownership> ownership;
         std::deque<std::function<void()>> inbox; ///< Calls that have arrived while its loop is stalled.
         std::map<WorkerId, TimePoint> sentUpTo; ///< Commands to one worker are sent in order.
     };
@@ -221,9 +229,12 @@
     void handBack();
     void finishHandBack(int owner);
     void takeOver();
+    void observeRestarts();
     void listWorkers(int owner, bool mayTakeLong);
     Authority authorityOf(const Owner& owner) const;
     TimePoint latestGrantBefore(int owner) const;
+    TimePoint latestObservedGrantBefore(const Owner& owner, int number) const;
+    NodeId startProcess(int node);
     void endOwner(int owner);
     void runPass(int owner);
 
@@ -302,6 +313,8 @@
     int m_ownerNumber { 0 }; ///< Number of the present owner; results for owners that no longer exist are dropped.
     std::map<int, TimePoint> m_takenOverAt; ///< By the number of the owner.
     std::map<int, TimePoint> m_ownerEndedAt; ///< When the owner's process ended, as the next ones know at once.
+    std::map<int, NodeId> m_processes; ///< The latest process of the node of each owner.
+    bool m_areNodesRestarting { false }; ///< The next owner's node has been restarted.
     std::set<MachineId> m_drainingMachines;
     TimePoint m_storeStalledUntil {};
     std::function<void(TimePoint, int, const CellEvent&)> m_observer;
--- a/packages/jobs/model/cell_simulation_faults.cpp
+++ b/packages/jobs/model/cell_simulation_faults.cpp
@@ -245,6 +245,12 @@
     schedule(takeoverTime, [this] { takeOver(); });
 }
 
+void CellSimulation::restartNodes()
+{
+    m_areNodesRestarting = true;
+    dropOwner();
+}
+
 void CellSimulation::handBack()
 {
     Owner* owner = findOwner(m_ownerNumber);
--- a/packages/jobs/tests/lost_worker_tests.cpp
+++ b/packages/jobs/tests/lost_worker_tests.cpp
@@ -97,3 +97,22 @@
         EXPECT_TRUE(scenario.simulation().violations().empty());
     }
 }
+
+/// The terms before the last owner's are over too; the restarted node has seen none of them.
+TEST(LostWorkers, TakeoverByARestartedNodeStartsLongRunningTasks)
+{
+    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+        LossScenario scenario { seed, 12, 10s };
+        for (int job = 0; job < 3; ++job)
+            scenario.submitLongRunning(12);
+        scenario.run(3s);
+        for (int times = 0; times < 3; ++times) {
+            scenario.simulation().loseWorkers(1, 1ms);
+            scenario.simulation().restartNodes();
+            scenario.run(observedTime);
+        }
+        EXPECT_TRUE(scenario.overdue().empty())
+            << "seed " << seed << ": " << scenario.overdue().size() << " tasks, " << *scenario.overdue().begin();
+        EXPECT_TRUE(scenario.simulation().violations().empty());
+    }
+}
