A takeover knows from the owner row who the earlier owner was

After workers and most nodes are lost together, a long-running task whose worker is gone has no run for 12 s, and nothing of the jobs taken over starts for 10.1 s.

Cause: owners without cells have the most room, so that restarted nodes take the cells; they have received no announcement of earlier terms and wait for the worst case, 5 s + 1.03 x 4.5 s + 0.5 s. The proof at hand was not used: the row names the process of the earlier owner, and a later process of that node had announced itself. Where the node itself was the owner before, the terms before that one counted as unknown.

Change: the owner row says for how long owners of earlier terms may still grant leases (absent in rows of earlier versions: the worst case). At a takeover Ownership records the process in the row; a later process of its node, known already or announced later, proves its end. Ids of processes have a module of their own, which JobNode used to take apart itself.

EarlierGrants has five new cases; onOwnEarlierTerm gave way to onPreviousOwner, its test is kept.

--- a/packages/jobs/include/rattanrack/jobs/owned_part.h
+++ b/packages/jobs/include/rattanrack/jobs/owned_part.h
@@ -19,6 +19,8 @@
     std::uint64_t sequence { 0 }; ///< Number of transactions in this term.
     WorkerMachines workers; ///< Workers on which something may run.
     OutstandingLeases outstandingLeases; ///< Leases at the time of the hand-back; empty while the part has an owner.
+    /// For how long after the transaction owners of earlier terms may still have granted leases; empty: not known.
+    std::optional<Duration> earlierGrantsLeft {};
 
     friend bool operator==(const OwnerRow&, const OwnerRow&) = default;
 };
@@ -50,9 +52,9 @@
     OwnedPart(const PoolId& cell, NodeId self, const std::optional<OwnerRow>& found, RowVersion foundVersion);
 
     /// Builds a transaction that writes `rows` and the list of workers. With `leasesAtHandBack` the same transaction
-    /// hands the part back, and no lease may be granted from then on.
-    const PartTransaction& beginTransaction(
-        std::vector<RowWrite> rows, WorkerMachines workers, std::optional<OutstandingLeases> leasesAtHandBack = {});
+    /// hands the part back, and no lease may be granted from then on. `earlierGrantsLeft`: as in `OwnerRow`.
+    const PartTransaction& beginTransaction(std::vector<RowWrite> rows, WorkerMachines workers,
+        std::optional<OutstandingLeases> leasesAtHandBack = {}, std::optional<Duration> earlierGrantsLeft = {});
 
     bool isInFlight() const { return m_isInFlight; }
     const PartTransaction& transaction() const { return m_transaction; }
--- a/packages/jobs/include/rattanrack/jobs/ownership.h
+++ b/packages/jobs/include/rattanrack/jobs/ownership.h
@@ -52,6 +52,14 @@
     Fence term { 0 };
 };
 
+/// The owner of a cell before this one, as its row has shown it at the takeover.
+struct PreviousOwner {
+    NodeId process; ///< Empty: it handed the cell back.
+    Fence term { 0 };
+    /// For how long after the takeover owners of terms before `term` may still have granted leases.
+    Duration earlierGrantsLeft {};
+};
+
 /// Decides from the announcements of all nodes which cells this node takes over or hands back. Pure: no I/O, no clock.
 /// Not thread-safe.
 class Ownership {
@@ -72,8 +80,8 @@
     void onCellTaken(const PoolId& cell, Fence term, TimePoint now);
     void onCellDropped(const PoolId& cell, TimePoint now);
 
-    /// The cell's owner in that term was an earlier process of this node, which has ended.
-    void onOwnEarlierTerm(const PoolId& cell, Fence term, TimePoint now);
+    /// Records whom this node has taken the cell over from. Call before `onCellTaken`.
+    void onPreviousOwner(const PoolId& cell, const PreviousOwner& previous, TimePoint now);
 
     /// A takeover has failed; it is tried again after a pause.
     void onTakeFailed(const PoolId& cell, TimePoint now);
@@ -88,7 +96,8 @@
 
     /// Latest time at which the owners of earlier terms than `term` may have granted a lease. An owner grants leases
     /// until its announcements no longer contain the cell, its process has ended, or `ownershipTimeout` after the next
-    /// takeover. `takenOverAt`: when this node took the cell over under `term`.
+    /// takeover. A later process of its node proves that it has ended. `takenOverAt`: when this node took the cell over
+    /// under `term`.
     TimePoint latestEarlierGrant(
         const PoolId& cell, Fence term, TimePoint takenOverAt, Duration ownershipTimeout) const;
 
@@ -117,13 +126,19 @@
     /// What announcements have shown of a cell's owner in one term.
     struct Tenure {
         TimePoint firstSeenAt {}; ///< The term had begun by then.
+        NodeId process; ///< Of the owner; empty if unknown.
         std::optional<TimePoint> releasedAt; ///< The owner had given the cell up, or its process had ended, by then.
+        std::optional<TimePoint> earlierGrantsEndAt; ///< Owners of earlier terms granted no lease later, by its row.
     };
 
     bool isLive(const Peer& peer, TimePoint now) const;
-    void recordOwned(const OwnedCell& owned, TimePoint now);
+    void recordOwned(const OwnedCell& owned, const NodeId& process, TimePoint now);
+    void recordEndedBefore(const NodeId& process, TimePoint now);
+    std::optional<TimePoint> endOf(const NodeId& process) const;
+    TimePoint latestGrantBefore(const PoolId& cell, Fence term, TimePoint replacedAt, Duration ownershipTimeout) const;
     void recordReleased(const OwnedCell& released, TimePoint now);
-    void recordAnnouncedCells(const std::vector<OwnedCell>& before, const std::vector<OwnedCell>& after, TimePoint now);
+    void recordAnnouncedCells(const NodeId& process, const std::vector<OwnedCell>& before,
+        const std::vector<OwnedCell>& after, TimePoint now);
     bool mayTake(const Peer& peer, TimePoint now) const;
     double weightOf(const PoolId& cell) const;
     bool isHandBackWorthwhile(const PoolId& cell, TimePoint now) const;
@@ -142,7 +157,7 @@
     std::map<NodeId, Peer> m_peers;
     std::set<std::string> m_addressesWithoutPeer; ///< Addresses that no announcement has come from.
     TimePoint m_unbalancedSince {};
-    std::set<NodeId> m_knownProcesses; ///< All nodes that have sent an announcement.
+    std::map<NodeId, TimePoint> m_processes; ///< All that have sent an announcement, and when the first arrived.
     std::map<PoolId, std::map<Fence, Tenure>> m_tenures;
 };
 
--- a/packages/jobs/model/cell_simulation.cpp
+++ b/packages/jobs/model/cell_simulation.cpp
@@ -2,6 +2,7 @@
 
 #include "rattanrack/jobs/job_codec.h"
 #include "rattanrack/jobs/lease_clock.h"
+#include "rattanrack/jobs/node_process.h"
 
 #include <algorithm>
 #include <utility>
@@ -159,9 +160,11 @@
     owner.cell->configure({ { QueueId { queueName }, poolName, 0, maxAttempts, 1.6, 600ms } });
     owner.cell->setDrainingMachines(m_drainingMachines);
     owner.confirmedAt = m_now;
+    const NodeId previous = m_processes[m_ownerNumber - 1];
     const NodeId process = startProcess(m_ownerNumber);
     if (std::exchange(m_areNodesRestarting, false)) {
         owner.ownership = std::make_unique<Ownership>(process, addressOf(m_ownerNumber), m_now);
+        owner.ownership->onPreviousOwner(poolName, { previous, m_term - 1, m_earlierGrantsLeftRow }, m_now);
         observeRestarts();
     }
     listWorkers(m_ownerNumber, false);
@@ -170,7 +173,7 @@
 /// The id of a process is the name of its node and, after a hyphen, when it started.
 NodeId CellSimulation::startProcess(int node)
 {
-    m_processes[node] = NodeId { "node" + std::to_string(node) + '-' + std::to_string(unixMs()) };
+    m_processes[node] = processId("node" + std::to_string(node), unixMs());
     return m_processes[node];
 }
 
@@ -333,7 +336,7 @@
             return; // The owner row has changed: nothing is written, and the sender gets no result.
         const bool isFailed = happens(m_faults.failedCommits);
         if (!isFailed)
-            write(commit, workers);
+            write(commit, workers, number);
         runOnLoop(number, [this, commit, workers, isFailed, sentAt](Owner& committer) {
             committer.isCommitting = false;
             if (isFailed) {
@@ -349,7 +352,7 @@
     });
 }
 
-void CellSimulation::write(const std::optional<CellCommit>& commit, const WorkerMachines& workers)
+void CellSimulation::write(const std::optional<CellCommit>& commit, const WorkerMachines& workers, int number)
 {
     for (const CellRow& row : commit ? commit->rows : std::vector<CellRow> {}) {
         auto& rows = row.kind == CellRow::Kind::Job ? m_jobRows : m_progressRows;
@@ -361,6 +364,7 @@
             recordStoredProgress(row.job, *row.value);
     }
     m_workerRow = workers;
+    m_earlierGrantsLeftRow = std::max(latestObservedGrantBefore(m_owners.at(number), number) - m_now, Duration {});
 }
 
 ModelWorker* CellSimulation::find(const WorkerId& id)
--- a/packages/jobs/model/cell_simulation.h
+++ b/packages/jobs/model/cell_simulation.h
@@ -244,7 +244,7 @@
     TimePoint sendTime(int owner, const WorkerId& worker);
     void processOutput(const CellOutput& output, int owner);
     void commit(int owner);
-    void write(const std::optional<CellCommit>& commit, const WorkerMachines& workers);
+    void write(const std::optional<CellCommit>& commit, const WorkerMachines& workers, int owner);
     Owner* findOwner(int number);
     const Owner* presentOwner() const;
     void dispatch(const WorkerCommand& command, int owner);
@@ -326,6 +326,7 @@
     std::map<JobId, std::string> m_progressRows;
     WorkerMachines m_workerRow;
     OutstandingLeases m_outstandingLeasesRow;
+    Duration m_earlierGrantsLeftRow {};
     Fence m_term { 0 };
 
     // The oracle.
--- a/packages/jobs/src/owned_part.cpp
+++ b/packages/jobs/src/owned_part.cpp
@@ -22,6 +22,8 @@
         { "workers", std::move(workers) } };
     for (const auto& [worker, left] : row.outstandingLeases)
         json["heldMs"][worker.value()] = std::chrono::ceil<std::chrono::milliseconds>(left).count();
+    if (row.earlierGrantsLeft)
+        json["earlierGrantsMs"] = std::chrono::ceil<std::chrono::milliseconds>(*row.earlierGrantsLeft).count();
     return toCbor(json);
 }
 
@@ -36,6 +38,8 @@
             for (const auto& [worker, time] : held->items())
                 row.outstandingLeases[WorkerId { worker }] = std::chrono::milliseconds { time.get<std::int64_t>() };
         }
+        if (const auto left = json.find("earlierGrantsMs"); left != json.end())
+            row.earlierGrantsLeft = std::chrono::milliseconds { left->get<std::int64_t>() };
         return row;
     });
 }
@@ -53,13 +57,14 @@
     m_row.sequence = 0;
 }
 
-const PartTransaction& OwnedPart::beginTransaction(
-    std::vector<RowWrite> rows, WorkerMachines workers, std::optional<OutstandingLeases> leasesAtHandBack)
+const PartTransaction& OwnedPart::beginTransaction(std::vector<RowWrite> rows, WorkerMachines workers,
+    std::optional<OutstandingLeases> leasesAtHandBack, std::optional<Duration> earlierGrantsLeft)
 {
     ++m_row.sequence;
     m_row.workers = std::move(workers);
     m_row.holder = leasesAtHandBack ? NodeId {} : m_self;
     m_row.outstandingLeases = std::move(leasesAtHandBack).value_or(OutstandingLeases {});
+    m_row.earlierGrantsLeft = earlierGrantsLeft;
     m_transaction
         = { m_part, { { { ownerTable, ownerKey }, m_version } }, { { { ownerTable, ownerKey }, encode(m_row) } } };
     std::move(rows.begin(), rows.end(), std::back_inserter(m_transaction.writes));
--- a/packages/jobs/src/ownership.cpp
+++ b/packages/jobs/src/ownership.cpp
@@ -1,5 +1,7 @@
 #include "rattanrack/jobs/ownership.h"
 
+#include "rattanrack/jobs/node_process.h"
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -69,26 +71,28 @@
     Peer& peer = m_peers[announcement.node];
     if (peer.announcement.sequence >= announcement.sequence)
         return;
-    recordAnnouncedCells(peer.announcement.cells, announcement.cells, now);
+    recordAnnouncedCells(announcement.node, peer.announcement.cells, announcement.cells, now);
     peer = { announcement, now };
     if (!std::isfinite(announcement.processorShare) || announcement.processorShare <= 0)
         peer.announcement.processorShare = defaultProcessorShare;
     m_addressesWithoutPeer.erase(announcement.address);
     // A node that restarts at the same address replaces its earlier process.
-    const bool isNewProcess = m_knownProcesses.insert(announcement.node).second;
+    const bool isNewProcess = m_processes.emplace(announcement.node, now).second;
+    if (isNewProcess)
+        recordEndedBefore(announcement.node, now);
     std::erase_if(m_peers, [&](const auto& other) {
         const bool isReplaced
             = other.first != announcement.node && other.second.announcement.address == announcement.address;
         if (isReplaced && isNewProcess)
-            recordAnnouncedCells(other.second.announcement.cells, {}, now);
+            recordAnnouncedCells(other.first, other.second.announcement.cells, {}, now);
         return isReplaced;
     });
 }
 
-void Ownership::recordOwned(const OwnedCell& owned, TimePoint now)
+void Ownership::recordOwned(const OwnedCell& owned, const NodeId& process, TimePoint now)
 {
     auto& tenures = m_tenures[owned.cell];
-    tenures.try_emplace(owned.term, Tenure { now, std::nullopt });
+    tenures.try_emplace(owned.term, Tenure { now, process, std::nullopt, std::nullopt });
     if (tenures.size() > keptTenures)
         tenures.erase(tenures.begin());
 }
@@ -103,12 +107,36 @@
         tenure->second.releasedAt = now;
 }
 
+/// All earlier processes of the node have ended.
+void Ownership::recordEndedBefore(const NodeId& process, TimePoint now)
+{
+    for (auto& [cell, tenures] : m_tenures) {
+        for (auto& [term, tenure] : tenures) {
+            if (!tenure.releasedAt && isLaterProcess(process, tenure.process))
+                tenure.releasedAt = now;
+        }
+    }
+}
+
+/// When the first sign of a later process of its node was seen; empty if there is none.
+std::optional<TimePoint> Ownership::endOf(const NodeId& process) const
+{
+    if (process != m_self && areOfOneNode(process, m_self))
+        return m_startedAt;
+    std::optional<TimePoint> earliest;
+    for (const auto& [other, firstSeenAt] : m_processes) {
+        if (isLaterProcess(other, process) && (!earliest || firstSeenAt < *earliest))
+            earliest = firstSeenAt;
+    }
+    return earliest;
+}
+
 /// `before`, `after`: the cells of two successive announcements of one process; `after` is empty if it has ended.
 void Ownership::recordAnnouncedCells(
-    const std::vector<OwnedCell>& before, const std::vector<OwnedCell>& after, TimePoint now)
+    const NodeId& process, const std::vector<OwnedCell>& before, const std::vector<OwnedCell>& after, TimePoint now)
 {
     for (const OwnedCell& each : after)
-        recordOwned(each, now);
+        recordOwned(each, process, now);
     for (const OwnedCell& each : before) {
         if (std::find(after.begin(), after.end(), each) == after.end())
             recordReleased(each, now);
@@ -118,19 +146,24 @@
 TimePoint Ownership::latestEarlierGrant(
     const PoolId& cell, Fence term, TimePoint takenOverAt, Duration ownershipTimeout) const
 {
-    TimePoint latest {};
-    TimePoint replacedAt = takenOverAt;
+    return latestGrantBefore(cell, term, takenOverAt, ownershipTimeout);
+}
+
+/// `replacedAt`: the term had begun by then.
+TimePoint Ownership::latestGrantBefore(
+    const PoolId& cell, Fence term, TimePoint replacedAt, Duration ownershipTimeout) const
+{
+    if (term <= 1)
+        return {};
+    const TimePoint longest = replacedAt + ownershipTimeout;
     const auto tenures = m_tenures.find(cell);
-    for (Fence earlier = term - 1; earlier > 0; --earlier) {
-        const TimePoint longest = replacedAt + ownershipTimeout;
-        const bool isAnyKnown = tenures != m_tenures.end() && tenures->second.contains(earlier);
-        if (!isAnyKnown)
-            return std::max(latest, longest);
-        const Tenure& tenure = tenures->second.at(earlier);
-        latest = std::max(latest, std::min(tenure.releasedAt.value_or(longest), longest));
-        replacedAt = tenure.firstSeenAt;
-    }
-    return latest;
+    const Fence earlier = term - 1;
+    if (tenures == m_tenures.end() || !tenures->second.contains(earlier))
+        return longest;
+    const Tenure& tenure = tenures->second.at(earlier);
+    const TimePoint own = std::min(tenure.releasedAt.value_or(longest), longest);
+    const TimePoint before = latestGrantBefore(cell, earlier, tenure.firstSeenAt, ownershipTimeout);
+    return std::max(own, std::min(before, tenure.earlierGrantsEndAt.value_or(before)));
 }
 
 bool Ownership::isLive(const Peer& peer, TimePoint now) const { return now - peer.receivedAt < nodeTimeout; }
@@ -146,7 +179,7 @@
 {
     m_ownedCells[cell] = term;
     m_retryAt.erase(cell);
-    recordOwned({ cell, term }, now);
+    recordOwned({ cell, term }, m_self, now);
 }
 
 void Ownership::onCellDropped(const PoolId& cell, TimePoint now)
@@ -158,10 +191,20 @@
     m_ownedCells.erase(owned);
 }
 
-void Ownership::onOwnEarlierTerm(const PoolId& cell, Fence term, TimePoint now)
+void Ownership::onPreviousOwner(const PoolId& cell, const PreviousOwner& previous, TimePoint now)
 {
-    recordOwned({ cell, term }, now);
-    recordReleased({ cell, term }, m_startedAt);
+    recordOwned({ cell, previous.term }, previous.process, now);
+    auto& tenures = m_tenures[cell];
+    const auto found = tenures.find(previous.term);
+    if (found == tenures.end()) // Later terms have been seen.
+        return;
+    Tenure& tenure = found->second;
+    // With nothing left they had ended before the previous owner wrote its row.
+    tenure.earlierGrantsEndAt
+        = previous.earlierGrantsLeft > Duration {} ? now + previous.earlierGrantsLeft : TimePoint {};
+    const std::optional<TimePoint> end = previous.process.isEmpty() ? now : endOf(previous.process);
+    if (end)
+        tenure.releasedAt = std::min(tenure.releasedAt.value_or(*end), *end);
 }
 
 void Ownership::onTakeFailed(const PoolId& cell, TimePoint now) { m_retryAt[cell] = now + pauseAfterFailure; }
--- a/packages/jobs/tests/earlier_grant_tests.cpp
+++ b/packages/jobs/tests/earlier_grant_tests.cpp
@@ -27,7 +27,7 @@
         return ownership.latestEarlierGrant(cell, term, takenOverAt, ownershipTimeout);
     }
 
-    Ownership ownership { NodeId { "self" }, "10.0.0.9:7000", at(0s) };
+    Ownership ownership { NodeId { "self-9" }, "10.0.0.9:7000", at(0s) };
 
 private:
     std::map<std::string, std::uint64_t> m_sequences;
@@ -82,8 +82,44 @@
 
 TEST_F(EarlierGrants, EarlierProcessOfThisNodeHasEnded)
 {
-    ownership.onOwnEarlierTerm(cell, 1, at(2s));
+    ownership.onPreviousOwner(cell, { NodeId { "self-1" }, 1, 0s }, at(2s));
     EXPECT_EQ(latestGrant(2, at(2s)), at(0s)); // The start of this process.
 }
 
+TEST_F(EarlierGrants, RestartedNodeNeedsNoAnnouncementOfEarlierTerms)
+{
+    announce("a-5", "10.0.0.1:7000", {}, at(1s));
+    ownership.onPreviousOwner(cell, { NodeId { "a-4" }, 7, 0s }, at(2s));
+    EXPECT_EQ(latestGrant(8, at(2s)), at(1s));
+}
+
+TEST_F(EarlierGrants, LaterProcessThatAnnouncesItselfAfterTheTakeoverProvesTheEnd)
+{
+    ownership.onPreviousOwner(cell, { NodeId { "a-4" }, 7, 0s }, at(2s));
+    EXPECT_EQ(latestGrant(8, at(2s)), at(7s));
+    announce("a-5", "10.0.0.1:7000", {}, at(3s));
+    EXPECT_EQ(latestGrant(8, at(2s)), at(3s));
+}
+
+TEST_F(EarlierGrants, EarlierOrUnknownProcessProvesNothing)
+{
+    ownership.onPreviousOwner(cell, { NodeId { "a-4" }, 7, 0s }, at(2s));
+    announce("a-3", "10.0.0.1:7000", {}, at(3s));
+    announce("b-9", "10.0.0.2:7000", {}, at(3s));
+    EXPECT_EQ(latestGrant(8, at(2s)), at(7s));
+}
+
+TEST_F(EarlierGrants, RowTellsUntilWhenOwnersBeforeThePreviousOneMayGrant)
+{
+    announce("a-5", "10.0.0.1:7000", {}, at(1s));
+    ownership.onPreviousOwner(cell, { NodeId { "a-4" }, 7, 3s }, at(2s));
+    EXPECT_EQ(latestGrant(8, at(2s)), at(5s));
+}
+
+TEST_F(EarlierGrants, OwnerThatHandedBackGrantsNothing)
+{
+    ownership.onPreviousOwner(cell, { {}, 7, 0s }, at(2s));
+    EXPECT_EQ(latestGrant(8, at(2s)), at(2s));
+}
+
 TEST_F(EarlierGrants, FirstTermHasNoEarlierOwner) { EXPECT_EQ(latestGrant(1, at(20s)), TimePoint {}); }
--- a/packages/jobs/tests/owned_part_tests.cpp
+++ b/packages/jobs/tests/owned_part_tests.cpp
@@ -125,3 +125,11 @@
         bytes);
     EXPECT_EQ(encode(row), bytes);
 }
+
+TEST(OwnedPart, RowKeepsHowLongEarlierOwnersMayGrantLeases)
+{
+    OwnerRow row { self, 7, 3, {} };
+    EXPECT_EQ(valueOrNothing([&] { return decodeOwnerRow(encode(row)); }), row);
+    row.earlierGrantsLeft = 1500ms;
+    EXPECT_EQ(valueOrNothing([&] { return decodeOwnerRow(encode(row)); }), row);
+}
--- a/packages/node/include/rattanrack/node/cell_host.h
+++ b/packages/node/include/rattanrack/node/cell_host.h
@@ -36,6 +36,9 @@
 /// Errors: Conflict (another node was faster), Unavailable, OutcomeUnknown, MalformedMessage.
 Result<CellTakeover> takeOverCell(jobs::PartStore& store, const Clock& clock, const PoolId& cell, const NodeId& self);
 
+/// The owner that the cell was taken over from.
+jobs::PreviousOwner previousOwner(const PartTakeover& takeover);
+
 struct CellTimeLimits {
     Duration leaseLength {};
     Duration keepEnded {};
@@ -76,8 +79,8 @@
     void setDrainingMachines(std::set<jobs::MachineId> machines);
 
     /// After a takeover, waits for workers that can't be contacted only as long as leases of earlier owners may last,
-    /// by what `ownership` has recorded of these owners.
-    void shortenRecovery(const jobs::Ownership& ownership);
+    /// by what `ownership` has recorded of these owners. The next transactions tell the next owner.
+    void limitEarlierGrants(const jobs::Ownership& ownership);
     std::vector<jobs::MachineId> drainedMachines() const { return m_cell.drainedMachines(); }
 
     jobs::Acceptance submit(const jobs::Job& job, jobs::CallerToken token);
@@ -111,7 +114,7 @@
     void onCommitStored();
     void onCommitNotStored();
     jobs::Authority authority() const;
-    void reportRecovery(TimePoint latestGrant);
+    void reportRecovery();
     bool isListTooOld() const;
 
     /// Wraps `work` so that it does nothing once this object has been destroyed.
@@ -124,6 +127,7 @@
     const Duration m_leaseLength;
     const TimePoint m_takenOverAt;
     std::optional<TimePoint> m_reportedGrant; ///< Latest lease of earlier owners, as last reported.
+    TimePoint m_earlierGrantsEndAt; ///< Owners of earlier terms grant no lease later.
     bool m_enforcesCapacity { false };
     TimePoint m_listRequestedAt {}; ///< When the worker list in use was requested from the store.
     std::shared_ptr<bool> m_isAlive;
--- a/packages/node/include/rattanrack/node/part_writer.h
+++ b/packages/node/include/rattanrack/node/part_writer.h
@@ -20,6 +20,8 @@
     jobs::WorkerMachines workers; ///< Workers that earlier owners used.
     /// Leases that the latest earlier owner had granted when it handed the part back; empty if it did not hand it back.
     jobs::OutstandingLeases outstandingLeases;
+    /// As the previous owner wrote it; empty if it did not.
+    std::optional<Duration> earlierGrantsLeft;
     /// A time before the takeover transaction was sent. Another node may have taken the part over since.
     TimePoint confirmedAt {};
 };
@@ -53,7 +55,7 @@
     /// Whether `write` may be called now.
     bool isFree() const;
     void write(std::vector<jobs::RowWrite> rows, jobs::WorkerMachines workers,
-        std::optional<jobs::OutstandingLeases> handsBack = {});
+        std::optional<jobs::OutstandingLeases> handsBack = {}, std::optional<Duration> earlierGrantsLeft = {});
 
     /// Whether a transaction that hands the part back is in flight. The transaction may have taken effect, so no lease
     /// may be granted any more.
--- a/packages/node/src/cell_host.cpp
+++ b/packages/node/src/cell_host.cpp
@@ -5,6 +5,7 @@
 #include "rattanrack/jobs/job_codec.h"
 #include "rattanrack/jobs/lease_clock.h"
 
+#include <algorithm>
 #include <map>
 #include <utility>
 
@@ -91,6 +92,11 @@
     return takeover;
 }
 
+jobs::PreviousOwner previousOwner(const PartTakeover& takeover)
+{
+    return { takeover.previousHolder, takeover.part.term() - 1, takeover.earlierGrantsLeft.value_or(ownershipTimeout) };
+}
+
 CellHost::CellHost(Parts parts, const PoolId& pool, const CellTimeLimits& times, CellTakeover takeover)
     : m_parts(std::move(parts))
     , m_pool(pool)
@@ -100,6 +106,7 @@
     , m_longestListAge(times.longestListAge)
     , m_leaseLength(times.leaseLength)
     , m_takenOverAt(m_parts.clock.now())
+    , m_earlierGrantsEndAt(m_takenOverAt + ownershipTimeout)
     , m_isAlive(std::make_shared<bool>(true))
     , m_writer({ m_parts.control, m_parts.clock, m_parts.storeThreads, m_parts.store },
           std::move(takeover.partTakeover), writerCallbacks())
@@ -144,27 +151,28 @@
     m_cell.setDrainingMachines(std::move(machines));
 }
 
-void CellHost::shortenRecovery(const jobs::Ownership& ownership)
+void CellHost::limitEarlierGrants(const jobs::Ownership& ownership)
 {
-    if (!m_cell.isRecovering())
-        return;
     const TimePoint latestGrant
         = ownership.latestEarlierGrant(m_pool, m_writer.term(), m_takenOverAt, ownershipTimeout);
-    m_cell.limitInheritedLeases(latestGrant + jobs::inheritedLease({}, m_leaseLength));
-    reportRecovery(latestGrant);
+    m_earlierGrantsEndAt = std::min(m_earlierGrantsEndAt, latestGrant);
+    if (!m_cell.isRecovering())
+        return;
+    m_cell.limitInheritedLeases(m_earlierGrantsEndAt + jobs::inheritedLease({}, m_leaseLength));
+    reportRecovery();
 }
 
 /// Logs until when nothing of the jobs taken over starts, once and after each change.
-void CellHost::reportRecovery(TimePoint latestGrant)
+void CellHost::reportRecovery()
 {
-    if (m_reportedGrant == latestGrant)
+    if (m_reportedGrant == m_earlierGrantsEndAt || m_cell.workersWaitedFor() == 0)
         return;
-    m_reportedGrant = latestGrant;
+    m_reportedGrant = m_earlierGrantsEndAt;
     const auto sinceTakeover = [&](TimePoint at) { return milliseconds(at - m_takenOverAt); };
     logEvent("cell.recovering",
         { { "cell", m_pool.value() }, { "term", m_writer.term() }, { "workers", m_cell.workersWaitedFor() },
-            { "latestGrantMs", sinceTakeover(latestGrant) },
-            { "untilMs", sinceTakeover(latestGrant + jobs::inheritedLease({}, m_leaseLength)) } });
+            { "latestGrantMs", sinceTakeover(m_earlierGrantsEndAt) },
+            { "untilMs", sinceTakeover(m_earlierGrantsEndAt + jobs::inheritedLease({}, m_leaseLength)) } });
 }
 
 jobs::Acceptance CellHost::submit(const jobs::Job& job, jobs::CallerToken token)
@@ -337,10 +345,12 @@
     const auto commit = m_cell.takeCommit(wallClockMilliseconds());
     if (!commit && !haveWorkersChanged && !isRenewalDue)
         return;
-    m_cell.onWorkerListSent(workers, m_parts.clock.now());
+    const TimePoint now = m_parts.clock.now();
+    m_cell.onWorkerListSent(workers, now);
     const bool isLast = m_isHandingBack && !m_cell.hasUncommittedChanges();
-    auto leases = isLast ? std::optional { m_cell.outstandingLeases(m_parts.clock.now()) } : std::nullopt;
-    m_writer.write(commit ? rowsOf(*commit) : std::vector<jobs::RowWrite> {}, std::move(workers), std::move(leases));
+    auto leases = isLast ? std::optional { m_cell.outstandingLeases(now) } : std::nullopt;
+    m_writer.write(commit ? rowsOf(*commit) : std::vector<jobs::RowWrite> {}, std::move(workers), std::move(leases),
+        std::max(m_earlierGrantsEndAt - now, Duration {}));
 }
 
 void CellHost::onCommitStored()
--- a/packages/node/src/job_node.cpp
+++ b/packages/node/src/job_node.cpp
@@ -1,6 +1,7 @@
 #include "rattanrack/node/job_node.h"
 
 #include "job_node_state.h"
+#include "rattanrack/jobs/node_process.h"
 
 namespace rattanrack::node {
 
@@ -20,7 +21,7 @@
     : settings(std::move(nodeSettings))
     , ports(nodePorts)
     , metrics(nodeMetrics)
-    , self(settings.name + '-' + std::to_string(wallClockMilliseconds()))
+    , self(jobs::processId(settings.name, wallClockMilliseconds()))
     , ownership(self, settings.peerAddress, clock.now(), settings.processorShare)
 {
 }
@@ -62,7 +63,7 @@
     ownership.setStoreReachable(ports.store.isReachable());
     takeOverCells();
     for (const auto& [cell, host] : cells)
-        host->shortenRecovery(ownership);
+        host->limitEarlierGrants(ownership);
     if (const auto cell = ownership.cellToHandBack(now))
         handBack(*cell);
     exchangeMachineStatus();
--- a/packages/node/src/job_node_cells.cpp
+++ b/packages/node/src/job_node_cells.cpp
@@ -53,15 +53,6 @@
         [this, cell](CellTakeover takeover) { onCellTakenOver(cell, std::move(takeover)); });
 }
 
-/// The id of a node is its name and, after a hyphen, when its process started.
-bool JobNode::State::isEarlierProcessOfThisNode(const NodeId& node) const
-{
-    const std::string prefix = settings.name + '-';
-    const std::string& id = node.value();
-    return node != self && id.starts_with(prefix) && id.size() > prefix.size()
-        && id.find_first_not_of("0123456789", prefix.size()) == std::string::npos;
-}
-
 void JobNode::State::onCellTakenOver(const PoolId& cell, CellTakeover takeover)
 {
     logEvent("cell.taken",
@@ -70,7 +61,7 @@
             { "from", takeover.partTakeover.previousHolder.value() } });
     if (takeover.workers)
         setWorkers(*std::move(takeover.workers));
-    const NodeId takenFrom = takeover.partTakeover.previousHolder;
+    const jobs::PreviousOwner previous = previousOwner(takeover.partTakeover);
     CellHost::Parts parts { control, clock, metrics, cellLog, loadMonitor, storePool, workerPool, ports.store,
         ports.workers, ports.advisor, &advisorPool,
         [this](jobs::CallerToken token, bool isStored) { onCommitOutcome(token, isStored); },
@@ -83,8 +74,8 @@
         host->configure(configuration->queuesOf(cell), configuration->enforcesCapacity(cell));
     host->setWorkers(workers);
     host->setDrainingMachines(drainingMachines());
-    if (isEarlierProcessOfThisNode(takenFrom))
-        ownership.onOwnEarlierTerm(cell, host->term() - 1, clock.now());
+    if (previous.term > 0)
+        ownership.onPreviousOwner(cell, previous, clock.now());
     ownership.onCellTaken(cell, host->term(), clock.now());
     cells[cell] = std::move(host);
     if (isLeaving)
--- a/packages/node/src/job_node_state.h
+++ b/packages/node/src/job_node_state.h
@@ -64,7 +64,6 @@
     void takeOverCells();
     void startCellTakeover(const PoolId& cell);
     void onCellTakenOver(const PoolId& cell, CellTakeover takeover);
-    bool isEarlierProcessOfThisNode(const NodeId& node) const;
     void onCellLost(const PoolId& cell);
     void startMachineTakeover();
     void onMachinesTakenOver(MachineTakeover takeover);
--- a/packages/node/src/part_writer.cpp
+++ b/packages/node/src/part_writer.cpp
@@ -51,7 +51,8 @@
     }
     PartTakeover takeover { { name, self, ownerRow, version }, ownerRow ? ownerRow->holder : NodeId {},
         ownerRow ? ownerRow->workers : jobs::WorkerMachines {},
-        ownerRow ? ownerRow->outstandingLeases : jobs::OutstandingLeases {}, clock.now() };
+        ownerRow ? ownerRow->outstandingLeases : jobs::OutstandingLeases {},
+        ownerRow ? ownerRow->earlierGrantsLeft : std::nullopt, clock.now() };
     BOOST_LEAF_CHECK(takeOwnership(store, takeover.part, takeover.workers));
     return takeover;
 }
@@ -69,11 +70,11 @@
 
 bool PartWriter::isFree() const { return !m_isOver && !m_part.isInFlight() && m_parts.clock.now() >= m_pauseUntil; }
 
-void PartWriter::write(
-    std::vector<jobs::RowWrite> rows, jobs::WorkerMachines workers, std::optional<jobs::OutstandingLeases> handsBack)
+void PartWriter::write(std::vector<jobs::RowWrite> rows, jobs::WorkerMachines workers,
+    std::optional<jobs::OutstandingLeases> handsBack, std::optional<Duration> earlierGrantsLeft)
 {
     m_isHandBack = handsBack.has_value();
-    m_part.beginTransaction(std::move(rows), std::move(workers), std::move(handsBack));
+    m_part.beginTransaction(std::move(rows), std::move(workers), std::move(handsBack), earlierGrantsLeft);
     send();
 }
 
