--- a/packages/jobs/src/cell_crash_verdicts.cpp
+++ b/packages/jobs/src/cell_crash_verdicts.cpp
@@ -29,7 +29,7 @@
 
 /// Whether other causes are unlikely: two crashes at least, and a small product of the probabilities that each
 /// had another cause. Starts that may not have arrived count only towards the limit.
-bool CellState::isProvenToCrash(const Task& task, TimePoint now) const
+CrashVerdict CellState::crashVerdict(const Task& task, TimePoint now) const
 {
     const double rate = crashRate(now);
     const double rateAfterRestart = crashRateAfterRestart(now);
@@ -50,9 +50,12 @@
         <= std::max(workersOfPool, listedWorkers);
     const bool isMostlyAlone = crashesAlone + 1 >= crashes && areOthersRare;
     const bool isOverLimit = crashes >= (isMostlyAlone ? maxLostStartsMostlyAlone : maxLostStarts);
-    return isOverLimit || (certainCrashes >= leastCrashes && risk <= acceptedRisk);
+    const bool isProven = isOverLimit || (certainCrashes >= leastCrashes && risk <= acceptedRisk);
+    return { isProven, crashes, certainCrashes, risk };
 }
 
+bool CellState::isProvenToCrash(const Task& task, TimePoint now) const { return crashVerdict(task, now).isProven; }
+
 /// Whether the crashes that are not decided yet would prove the task to crash workers. It starts again once they are
 /// decided, or after a while.
 bool CellState::isHeldForEvidence(const Task& task, TimePoint now) const
--- a/packages/jobs/src/cell_crashes.cpp
+++ b/packages/jobs/src/cell_crashes.cpp
@@ -1,6 +1,8 @@
 #include "cell_state.h"
 
 #include <algorithm>
+#include <sstream>
+#include <string>
 #include <utility>
 
 /// Tasks that crash the workers that start them: evidence and verdicts.
@@ -25,6 +27,19 @@
     return worker.description.isDraining || state.drainingMachines.contains(worker.description.machine);
 }
 
+/// Says what the crash under the task's start adds to the verdict on it.
+std::string describe(const LostStart& lost, const CrashVerdict& verdict)
+{
+    std::ostringstream text;
+    text << (lost.isAlone() ? "its only recent start" : "one of its recent starts");
+    if (lost.isAlone())
+        text << ", after " << lost.exposure.count() / 1000 << " ms";
+    text << (lost.wasReceived ? "" : ", perhaps not received") << (lost.isOnSettledWorker ? "" : ", just restarted");
+    if (verdict.crashes > 1)
+        text << "; " << verdict.crashes << " crashes, " << verdict.certainCrashes << " certain, risk " << verdict.risk;
+    return text.str();
+}
+
 } // namespace
 
 bool Worker::isSettled(TimePoint now) const { return now - startedAtLatest >= settledAge; }
@@ -41,10 +56,14 @@
         [&](const UnprovenStart& each) { return each.task.job != job && each.isRecent(now); });
 }
 
+bool Worker::isKeptForTrial(TimePoint now) const
+{
+    return keptForTrialSince != TimePoint {} && now - keptForTrialAt < keptMemory;
+}
+
 bool Worker::isTrialOverdue(TimePoint now) const
 {
-    const bool isKept = keptForTrialSince != TimePoint {} && now - keptForTrialAt < keptMemory;
-    return isKept && now - keptForTrialSince >= longestKept;
+    return isKeptForTrial(now) && now - keptForTrialSince >= longestKept;
 }
 
 bool Worker::hasTrial() const
@@ -264,7 +283,7 @@
             crashEvidence.crashesUnderStarts[crashOf(lost)] = now;
             markChanged(*entry);
             addRunEvent(RunEvent::Kind::Suspected, worker, ref, lost.run,
-                lost.isAlone() ? "its only recent start" : "one of its recent starts", now - lost.lostAt);
+                describe(lost, crashVerdict(entry->progress.task(ref), now)), now - lost.lostAt);
         }
         if (isProvenToCrash(entry->progress.task(ref), now))
             giveUp(*entry, ref);
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -319,6 +319,7 @@
     void sendSurvivalChecks(TimePoint now);
     void onSurvivalCheck(
         Worker& worker, const PollCommand& check, const PollResult& result, TimePoint sentAt, TimePoint now);
+    CrashVerdict crashVerdict(const Task& task, TimePoint now) const;
     bool isProvenToCrash(const Task& task, TimePoint now) const;
     bool isHeldForEvidence(const Task& task, TimePoint now) const;
     void giveUp(JobEntry& entry, const TaskRef& task);
--- a/packages/jobs/src/cell_trial_report.cpp
+++ b/packages/jobs/src/cell_trial_report.cpp
@@ -44,8 +44,7 @@
         addToReport(report, suspect, now, wallMs);
     for (const auto& [id, worker] : workers) {
         report.trials += worker.hasTrial() ? 1 : 0;
-        const bool isKept = worker.keptForTrialSince != TimePoint {} && now - worker.keptForTrialAt < keptMemory;
-        report.keptWorkers += isKept ? 1 : 0;
+        report.keptWorkers += worker.isKeptForTrial(now) ? 1 : 0;
     }
     addEvent(report);
 }
--- a/packages/jobs/src/crash_evidence.h
+++ b/packages/jobs/src/crash_evidence.h
@@ -47,6 +47,14 @@
     friend auto operator<=>(const WorkerCrash&, const WorkerCrash&) = default;
 };
 
+/// What the crashes under a task prove.
+struct CrashVerdict {
+    bool isProven { false }; ///< The task crashes the workers that start it.
+    std::size_t crashes { 0 };
+    std::size_t certainCrashes { 0 }; ///< Under starts that the worker is known to have received.
+    double risk { 1 }; ///< That these look like crashes by the task and had other causes.
+};
+
 inline WorkerCrash crashOf(const LostStart& lost) { return { lost.worker, lost.incarnationUnixMs }; }
 
 /// How contact with a worker was lost.
--- a/packages/jobs/src/worker_state.h
+++ b/packages/jobs/src/worker_state.h
@@ -92,6 +92,7 @@
     bool isSettled(TimePoint now) const; ///< Its incarnation has been up for a while.
     bool hasRecentStart(TimePoint now) const; ///< A crash now may be due to a start that was sent to it.
     bool hasRecentStartOfOther(const JobId& job, TimePoint now) const; ///< The same of a job other than this one.
+    bool isKeptForTrial(TimePoint now) const; ///< The latest passes kept it free for a trial.
     bool isTrialOverdue(TimePoint now) const; ///< It has been kept for a trial for as long as it may.
     bool hasTrial() const; ///< A suspect has been started there, and its survival is not known yet.
     bool mayTakeStarts() const { return !isSlow && startsInFlight < StartWindow::maxPerWorker; }
