A worker whose machine was drained takes starts once it has responded again

Cause, first part: once a machine has been moved, its drain ends, while the list still shows its earlier worker. Such starts also come to nothing and are repeated elsewhere.

Change: after a drain a worker takes starts only once it has answered a poll that was sent since; until then its loss is planned.

CrashingTask.LossOfAMovedWorkerIsNoCrash fails without the change (2 starts in place of 1) and passes with it; jobs_tests pass.

--- a/packages/jobs/src/cell_crashes.cpp
+++ b/packages/jobs/src/cell_crashes.cpp
@@ -24,7 +24,8 @@
 
 bool isPlanned(const Worker& worker, const CellState& state)
 {
-    return worker.description.isDraining || state.drainingMachines.contains(worker.description.machine);
+    const bool isDrained = state.drainingMachines.contains(worker.description.machine) || worker.isContactDueAfterDrain;
+    return worker.description.isDraining || isDrained;
 }
 
 /// Says what the crash under the task's start adds to the verdict on it.
--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -136,6 +136,7 @@
         if (isResponsive && !worker.runs.empty() && !isStopping)
             poll.longestWait = hasBestEffort ? maxPollTimeBesideBestEffort : maxPollTime;
         worker.hasPollInFlight = true;
+        worker.isContactCheckSent = worker.isContactDueAfterDrain;
         worker.needsPoll = false;
         output.commands.emplace_back(std::move(poll));
     }
@@ -173,6 +174,8 @@
         return;
     }
     const PollReport& report = result.report;
+    if (worker.isContactCheckSent)
+        worker.isContactDueAfterDrain = worker.isContactCheckSent = false;
     state.recordRestartIfLater(worker, report.incarnationUnixMs, now);
     if (worker.incarnationUnixMs != report.incarnationUnixMs)
         worker.beginIncarnation(report.incarnationUnixMs, now - ageAtLeast(report.workerClockMs));
--- a/packages/jobs/src/worker_bar.cpp
+++ b/packages/jobs/src/worker_bar.cpp
@@ -21,7 +21,8 @@
         return MissingRunReason::WorkerNotListed;
     if (!state.isIncarnationConfirmed(worker))
         return barOfUnconfirmed(worker);
-    if (worker.description.isDraining || state.drainingMachines.contains(worker.description.machine))
+    const bool isDrained = state.drainingMachines.contains(worker.description.machine) || worker.isContactDueAfterDrain;
+    if (worker.description.isDraining || isDrained)
         return MissingRunReason::WorkerDraining;
     if (now < worker.startsAllowedAt)
         return MissingRunReason::StartsNotAllowedYet;
--- a/packages/jobs/src/worker_state.h
+++ b/packages/jobs/src/worker_state.h
@@ -82,6 +82,9 @@
     bool hasSurvivalCheckInFlight { false };
     TimePoint keptForTrialSince {}; ///< It takes no finite tasks since then, so that a trial endangers none.
     TimePoint keptForTrialAt {}; ///< The latest scheduling pass that kept it.
+    /// Its machine was drained until lately, and may have been moved or taken down: no poll sent since has succeeded.
+    bool isContactDueAfterDrain { false };
+    bool isContactCheckSent { false }; ///< The poll in flight was sent since.
     std::int64_t restartRecordedUnixMs { 0 }; ///< Latest incarnation that is known to have replaced earlier ones.
     /// Latest incarnation whose loss counts as by another cause than a task.
     std::int64_t lossCountedOfUnixMs { 0 };
--- a/packages/jobs/tests/crashing_task_tests.cpp
+++ b/packages/jobs/tests/crashing_task_tests.cpp
@@ -298,3 +298,22 @@
     for (const CellRow& row : commit ? commit->rows : std::vector<CellRow> {})
         EXPECT_EQ(row.job, JobId { "early" });
 }
+
+/// The list still shows the worker of a machine that has just been moved.
+TEST(CrashingTask, LossOfAMovedWorkerIsNoCrash)
+{
+    CellHarness harness = calmHarness();
+    harness.cell().setDrainingMachines({ MachineId { "w1" } });
+    harness.advance(10ms);
+    harness.cell().setDrainingMachines({});
+    for (const char* job : { "a", "b", "c" })
+        harness.submitAndStore(job, Millicores { 900 });
+    harness.advance(10ms);
+    const auto starts = harness.takeCommands<StartCommand>();
+    EXPECT_EQ(starts.size(), 1U);
+    for (const StartCommand& start : starts)
+        EXPECT_EQ(start.worker.value(), "w2");
+    harness.answerPoll("w1", {}); // It was not moved after all.
+    harness.advance(10ms);
+    EXPECT_EQ(harness.takeCommands<StartCommand>().size(), 1U);
+}
