Log what holds trials back

The first pass over the trials is held by their part of the pool, the second, after all other starts, by room. No decision changes.

--- a/packages/jobs/src/cell_trials.cpp
+++ b/packages/jobs/src/cell_trials.cpp
@@ -91,8 +91,10 @@
     std::vector<Trial> waiting = waitingTrials(isOverloaded, now, wallMs);
     std::sort(waiting.begin(), waiting.end());
     for (const Trial& each : waiting) {
-        if (!mayStartMore(now))
+        if (!mayStartMore(now)) {
+            ++trialCounts.heldByWindow;
             return;
+        }
         startTrial(each, capacity, scope, now);
     }
 }
@@ -182,15 +184,19 @@
 std::vector<Placement> FreeCapacity::placeTrial(
     const Trial& trial, const std::map<WorkerId, std::string>* tickets, TrialScope scope, TimePoint now)
 {
-    if (!mayTakeTrial(trial, scope))
+    if (!mayTakeTrial(trial, scope)) {
+        ++m_state.trialCounts.heldByLimit;
         return {};
+    }
     const Step& step = trial.ready.spec();
     countColocatedRuns(*trial.ready.entry, trial.ready.occurrence, trial.ready.step);
     m_areColocatedRunsCounted = false;
     m_state.schedulingCost.workersExamined += m_candidates.size();
     const int best = chooseTrialWorker(trial, tickets, scope, now);
-    if (best < 0)
+    if (best < 0) {
+        ++m_state.trialCounts.heldByRoom;
         return {};
+    }
     Candidate& chosen = m_candidates[static_cast<std::size_t>(best)];
     const bool isFree = isFreeForTrial(trial, static_cast<std::size_t>(best), now);
     keepForTrial(static_cast<std::size_t>(best), now);
--- a/packages/node/src/cell_log.cpp
+++ b/packages/node/src/cell_log.cpp
@@ -86,7 +86,8 @@
                 { "likelyCauses", event.likelyCauses }, { "trials", event.trials }, { "cleared", event.cleared },
                 { "givenUp", event.givenUp }, { "losses", event.losses },
                 { "longestWaitMs", milliseconds(event.longestWait) }, { "kept", event.keptWorkers },
-                { "lateFirstStarts", event.lateFirstStarts } });
+                { "heldByWindow", event.heldByWindow }, { "heldByLimit", event.heldByLimit },
+                { "heldByRoom", event.heldByRoom }, { "lateFirstStarts", event.lateFirstStarts } });
     }
 };
 
--- a/packages/node/tests/cell_log_tests.cpp
+++ b/packages/node/tests/cell_log_tests.cpp
@@ -136,10 +136,10 @@
 
 TEST_F(CellLogTest, QueueForTrialsIsWritten)
 {
-    write(jobs::TrialQueueEvent { 9, 5, 2, 4, 7, 1, 3, 2500ms, 6, 8 }, 1);
+    write(jobs::TrialQueueEvent { 9, 5, 2, 4, 7, 1, 3, 2500ms, 6, 10, 11, 12, 8 }, 1);
     EXPECT_EQ(linesWith("event=trials.state"), 1U);
     EXPECT_EQ(linesWith("suspects=9 waiting=5 likelyCauses=2 trials=4 cleared=7 givenUp=1 losses=3 longestWaitMs=2500 "
-                        "kept=6 lateFirstStarts=8"),
+                        "kept=6 heldByWindow=10 heldByLimit=11 heldByRoom=12 lateFirstStarts=8"),
         1U);
 }
 
