Late work starts after the trials of likely causes

What callers saw: as before.

Cause: the second pass over the trials, which may use up to two thirds of the pool where nothing that can be in time waits, came after all starts, also those of jobs that are late for good. These took the workers, and their first starts crashed more.

Change: late steps start after that pass.

--- a/packages/jobs/src/cell_schedule.cpp
+++ b/packages/jobs/src/cell_schedule.cpp
@@ -268,6 +268,7 @@
         waitingDemand += Millicores { reservedSize(ready.spec()).processors.count() * missing };
 }
 
+/// What is late starts after the trials: its first starts may crash the workers that would decide earlier crashes.
 void CellState::schedule(TimePoint now, std::int64_t wallMs)
 {
     const bool isOverloaded = std::exchange(waitingDemand, {}) > Millicores {};
@@ -279,14 +280,22 @@
     startTrials(capacity, TrialScope::Limited, isOverloaded, now, wallMs);
     std::erase_if(ready, [&](const ReadyStep& each) { return skipIfNoCapacity(each, capacity); });
     std::sort(ready.begin(), ready.end());
-    for (const ReadyStep& each : ready) {
+    const auto isInTime = [](const ReadyStep& each) { return each.rank < Rank::Late; };
+    const auto late = std::partition_point(ready.begin(), ready.end(), isInTime);
+    startSteps({ ready.begin(), late }, capacity, now);
+    const bool isWorkWaiting = waitingDemand > Millicores {};
+    startTrials(capacity, isWorkWaiting ? TrialScope::Limited : TrialScope::Idle, false, now, wallMs);
+    startSteps({ late, ready.end() }, capacity, now);
+}
+
+void CellState::startSteps(std::span<const ReadyStep> steps, FreeCapacity& capacity, TimePoint now)
+{
+    for (const ReadyStep& each : steps) {
         if (mayStartMore(now))
             startStep(each, capacity, now);
         else
             addWaitingDemand(each, each.entry->startableTasks(each.occurrence, each.step));
     }
-    const bool isWorkWaiting = waitingDemand > Millicores {};
-    startTrials(capacity, isWorkWaiting ? TrialScope::Limited : TrialScope::Idle, false, now, wallMs);
 }
 
 void Cell::onAdvice(const AdviceResponse& response, TimePoint now)
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <span>
 #include <tuple>
 #include <unordered_map>
 
@@ -353,6 +354,7 @@
     std::vector<ReadyStep> readySteps(TimePoint now, std::int64_t wallMs); ///< Unsorted.
     bool skipIfNoCapacity(const ReadyStep& ready, const FreeCapacity& capacity);
     void addWaitingDemand(const ReadyStep& ready, int missing);
+    void startSteps(std::span<const ReadyStep> steps, FreeCapacity& capacity, TimePoint now);
     void startStep(const ReadyStep& ready, FreeCapacity& capacity, TimePoint now);
     const StepTickets* validTickets(const ReadyStep& ready, const FreeCapacity& capacity, TimePoint now);
     void startOn(
