Refuse jobs that would be worth nothing while tasks crash workers

Cause: the cell accepts whatever waits. While tasks crash workers an accepted job may cost two workers for 3.5 s each, so that no order of starts ends the queue.

Change: DrainRate measures the work that ends while work waits. A finite job is refused, while jobs are kept apart for crashes, if it can't be in time by the work that goes before it and would be worth nothing (three objectives) behind all that waits. The caller is told when it could be served (Retry-After); job.refused gives the estimate. The reply waits for a transaction, which shows that no later owner has accepted the job; nothing of it is stored.

Ruled out, as a trial: the same rule without crashes.

--- a/packages/jobs/include/rattanrack/jobs/cell.h
+++ b/packages/jobs/include/rattanrack/jobs/cell.h
@@ -55,6 +55,7 @@
 struct CallerReply {
     CallerToken token { 0 };
     bool isStored { false }; ///< False: known not to be stored, now or later.
+    Duration retryAfter {}; ///< When a job that is refused could be served; 0: not known.
 };
 
 /// Requests from the advice service which workers may run a step.
@@ -166,8 +167,12 @@
     void onWorkerListSent(const WorkerMachines& workers, TimePoint now);
     void onWorkerListStored(WorkerMachines workers);
 
+    /// Accepts a job, or refuses it because it would be worth nothing once it is served. Either way a reply follows.
     Acceptance submit(const Job& job, CallerToken token, TimePoint now);
 
+    /// Whether callers wait for a transaction, of any content, to learn that their jobs are refused.
+    bool hasUnconfirmedRefusals() const;
+
     /// Cancels a job. Empty: the job does not exist.
     std::optional<Acceptance> cancel(const JobId& job, CallerToken token, std::int64_t unixMs);
 
--- a/packages/jobs/include/rattanrack/jobs/cell_event.h
+++ b/packages/jobs/include/rattanrack/jobs/cell_event.h
@@ -17,6 +17,7 @@
         Accepted,
         Ended,
         GivenUp, ///< A task crashes the workers that start it; `detail` names the task and the workers.
+        Refused, ///< Not accepted; `detail` tells how long it would have waited.
     };
     Kind kind { Kind::Accepted };
     JobId job;
--- a/packages/jobs/src/cell.cpp
+++ b/packages/jobs/src/cell.cpp
@@ -71,10 +71,15 @@
     return found == jobs.end() ? nullptr : found->second.get();
 }
 
+const QueueSettings* CellState::settingsOf(const QueueId& queue) const
+{
+    const auto found = queues.find(queue);
+    return found == queues.end() ? nullptr : &found->second;
+}
+
 void CellState::addJob(std::unique_ptr<JobEntry> entry)
 {
-    const auto queue = queues.find(entry->job.queue);
-    entry->queue = queue == queues.end() ? nullptr : &queue->second;
+    entry->queue = settingsOf(entry->job.queue);
     entry->isAmongUnfinished = !entry->progress.hasEnded();
     if (entry->isAmongUnfinished)
         unfinishedJobs.push_back(entry.get());
@@ -164,6 +169,7 @@
 void Cell::onWorkerListStored(WorkerMachines workers)
 {
     m_state->ownershipConfirmedAt = m_state->transactionSentAt;
+    m_state->replyToRefusals(m_state->transactionSentAt);
     m_state->storedWorkers = std::move(workers);
 }
 
@@ -178,10 +184,13 @@
     }
     auto entry = std::make_unique<JobEntry>(job, JobProgress { job });
     entry->acceptedAt = now;
+    entry->queue = state.settingsOf(job.queue);
+    state.recordOfferedLoad(*entry, now);
+    if (state.refuseIfHopeless(*entry, token, now))
+        return Acceptance::Pending;
     entry->waitingCallers.push_back(token);
     state.markChanged(*entry);
     state.isCommitUrgent = true;
-    state.recordOfferedLoad(*entry, now);
     state.addJob(std::move(entry));
     return Acceptance::Pending;
 }
@@ -288,7 +297,10 @@
         }
         if (!entry.isStored)
             state.addEvent(JobEvent { JobEvent::Kind::Accepted, id, entry.job.queue.value() });
-        if (isTerminal(entry.stateInCommit) && !isTerminal(entry.storedState))
+        const bool hasEnded = isTerminal(entry.stateInCommit) && !isTerminal(entry.storedState);
+        if (hasEnded && entry.stateInCommit != JobState::Cancelled)
+            state.drainRate.record(entry.declaredWork);
+        if (hasEnded)
             state.addEvent(JobEvent { JobEvent::Kind::Ended, id, std::string(name(entry.stateInCommit)),
                 Duration { (unixMs - entry.job.acceptedAtUnixMs) * 1000 } });
         entry.isStored = true;
--- a/packages/jobs/src/cell_schedule.cpp
+++ b/packages/jobs/src/cell_schedule.cpp
@@ -15,7 +15,6 @@
 constexpr Duration startOverhead = 60ms; ///< From the end of a run to the start of the tasks that depend on it.
 constexpr Duration responseMargin = 150ms; ///< From the last ended run until a caller sees the job completed.
 constexpr double optimisticShare = 0.7; ///< Work may turn out to take only this share of its estimate.
-constexpr int lateFactor = 3; ///< A job that is later than this many objectives has no value any more.
 constexpr double maxShareAtOnce = 0.25; ///< A step that needs a larger share of the capacity runs in several waves.
 /// Starts are scarce for this long after some had to wait for others. Several passes, so that the order is steady.
 constexpr Duration startScarcityMemory = 300ms;
@@ -223,6 +222,7 @@
     auto placements = capacity.placeTasks(entry, ready.occurrence, ready.step, tickets ? &tickets->tickets : nullptr);
     const int missing = wanted - static_cast<int>(placements.size());
     const bool isKeptApart = missing > 0 && capacity.hasRoomOnClosedWorker(step);
+    isAnyTaskWaiting = isAnyTaskWaiting || missing > 0;
     if (!isKeptApart)
         addWaitingDemand(ready, missing);
     if (missing > 0 && !isKeptApart && ready.rank <= Rank::Started)
@@ -264,6 +264,7 @@
 /// Adds the demand of `missing` tasks of the step that were not placed.
 void CellState::addWaitingDemand(const ReadyStep& ready, int missing)
 {
+    isAnyTaskWaiting = isAnyTaskWaiting || missing > 0;
     if (ready.rank <= Rank::OnTime)
         waitingDemand += Millicores { reservedSize(ready.spec()).processors.count() * missing };
 }
@@ -273,6 +274,7 @@
 {
     const bool isOverloaded = std::exchange(waitingDemand, {}) > Millicores {};
     auto ready = readySteps(now, wallMs);
+    drainRate.advance(now, std::exchange(isAnyTaskWaiting, false), expectedDrainRate());
     if (ready.empty() && crashEvidence.suspects.empty())
         return;
     countStarts(now);
@@ -286,6 +288,7 @@
     const bool isWorkWaiting = waitingDemand > Millicores {};
     startTrials(capacity, isWorkWaiting ? TrialScope::Limited : TrialScope::Idle, false, now, wallMs);
     startSteps({ late, ready.end() }, capacity, now);
+    isAnyTaskWaiting = isAnyTaskWaiting || !crashEvidence.suspects.empty();
 }
 
 void CellState::startSteps(std::span<const ReadyStep> steps, FreeCapacity& capacity, TimePoint now)
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "drain_rate.h"
 #include "rattanrack/jobs/cell.h"
 #include "rattanrack/jobs/offered_load.h"
 #include "rattanrack/jobs/runtime_estimator.h"
@@ -144,6 +145,22 @@
     }
 };
 
+/// Times until a job that is submitted now would start.
+struct ExpectedWait {
+    Duration inTime {}; ///< As long as it can still be in time.
+    Duration behindAll {}; ///< Once it is late.
+};
+
+/// A job that is refused; its caller waits for the next transaction.
+struct RefusedSubmission {
+    CallerToken token { 0 };
+    TimePoint at {};
+    Duration retryAfter {};
+};
+
+/// A job that is later than this many objectives has no value any more.
+constexpr int lateFactor = 3;
+
 /// A task that could run and has no active run.
 struct MissingRun {
     TimePoint since {};
@@ -198,6 +215,9 @@
     std::int64_t listedWorkers { 0 };
     Millicores waitingDemand; ///< Demand of steps that were ready and on time in the latest pass, but were not placed.
     OfferedLoad offeredLoad;
+    DrainRate drainRate;
+    bool isAnyTaskWaiting { false }; ///< In the latest pass, tasks that were ready did not start.
+    std::vector<RefusedSubmission> refusals;
     SchedulingCost schedulingCost;
     StartWindow startWindow;
     int startsInFlight { 0 }; ///< Starts that count towards the window, in the current pass.
@@ -218,6 +238,7 @@
     const JobEntry* find(const JobId& job) const;
     void addJob(std::unique_ptr<JobEntry> entry);
     void removeFromUnfinished(JobEntry& entry);
+    const QueueSettings* settingsOf(const QueueId& queue) const; ///< Null: the configuration does not contain it.
     static const QueueSettings& queueOf(const JobEntry& entry);
 
     /// Maximum of attempts as configured or, where the configuration doesn't contain the queue, as accepted with the
@@ -347,6 +368,12 @@
     // Tasks without a run: cell_missing_runs.cpp
     void checkMissingRuns(bool mayStart, TimePoint now);
 
+    // Admission: cell_admission.cpp
+    double expectedDrainRate() const;
+    ExpectedWait expectedWait(JobEntry& submitted, TimePoint now);
+    bool refuseIfHopeless(JobEntry& submitted, CallerToken token, TimePoint now);
+    void replyToRefusals(TimePoint sentAt);
+
     // Scheduling: cell_schedule.cpp
     void schedule(TimePoint now, std::int64_t wallMs);
     static Rank rankOf(const JobEntry& entry, const Step& step, TimePoint now);
--- a/packages/jobs/tests/crashing_task_tests.cpp
+++ b/packages/jobs/tests/crashing_task_tests.cpp
@@ -67,6 +67,34 @@
     return stored;
 }
 
+/// A harness in which tasks have just crashed two workers.
+CellHarness harnessAfterCrashes()
+{
+    CellHarness harness = calmHarness();
+    crashUnder(harness, harness.submitAndTakeStart("a"));
+    const auto next = takeNextStarts(harness, 20s);
+    if (!next.empty())
+        crashUnder(harness, next.front());
+    takeNextStarts(harness, 5s);
+    return harness;
+}
+
+/// Submits jobs until one is refused, 200 at most. Returns the token of that one; 0: there is none.
+CallerToken submitUntilRefused(CellHarness& harness)
+{
+    for (CallerToken token = 100; token < 300; ++token) {
+        Job job { JobId { "b" + std::to_string(token) }, QueueId { "q" }, 1'000'000, { "text", { {} }, {} } };
+        job.spec.steps[0].size = { Millicores { 900 }, Mebibytes { 100 }, {} };
+        job.spec.steps[0].declaredRunTime = 500ms;
+        harness.cell().submit(job, token, harness.now());
+        if (harness.cell().hasUnconfirmedRefusals())
+            return token;
+        harness.storeChanges();
+        harness.advance(10ms);
+    }
+    return 0;
+}
+
 } // namespace
 
 TEST(CrashingTask, NextOwnerClearsALossWhenTheWorkerRespondsUnchanged)
@@ -317,3 +345,26 @@
     harness.advance(10ms);
     EXPECT_EQ(harness.takeCommands<StartCommand>().size(), 1U);
 }
+
+/// A late job that is accepted costs a worker that would decide what has crashed others.
+TEST(CrashingTask, JobIsRefusedThatWouldBeWorthNothingBesideCrashes)
+{
+    CellHarness harness = harnessAfterCrashes();
+    const CallerToken refused = submitUntilRefused(harness);
+    ASSERT_NE(refused, 0U);
+    EXPECT_FALSE(harness.cell().state(JobId { "b" + std::to_string(refused) }).has_value());
+    EXPECT_TRUE(harness.cell().takeOutput().replies.empty()); // Another owner may have accepted it.
+    harness.advance(10ms);
+    harness.confirmOwnership();
+    const auto replies = harness.cell().takeOutput().replies;
+    ASSERT_EQ(replies.size(), 1U);
+    EXPECT_EQ(replies[0].token, refused);
+    EXPECT_FALSE(replies[0].isStored);
+    EXPECT_GT(replies[0].retryAfter, 0s);
+}
+
+TEST(CrashingTask, NothingIsRefusedWithoutCrashes)
+{
+    CellHarness harness = calmHarness();
+    EXPECT_EQ(submitUntilRefused(harness), 0U);
+}
--- a/packages/node/include/rattanrack/node/cell_host.h
+++ b/packages/node/include/rattanrack/node/cell_host.h
@@ -63,7 +63,7 @@
         jobs::WorkerConnector& connector;
         jobs::Advisor* advisor { nullptr }; ///< Null if no queue needs advice.
         ElasticThreadPool* advisorThread { nullptr };
-        std::function<void(jobs::CallerToken, bool isStored)> onReply;
+        std::function<void(const jobs::CallerReply&)> onReply;
         /// Called once, when another node owns the cell or this node has handed it back.
         std::function<void()> onLost;
     };
--- a/packages/node/src/cell_host.cpp
+++ b/packages/node/src/cell_host.cpp
@@ -249,7 +249,7 @@
     for (jobs::WorkerCommand& command : output.commands)
         m_links.send(std::move(command));
     for (const jobs::CallerReply& reply : output.replies)
-        m_parts.onReply(reply.token, reply.isStored);
+        m_parts.onReply(reply);
     for (const jobs::AdviceRequest& request : output.adviceRequests)
         requestAdvice(request);
     for (const jobs::CellEvent& event : output.events)
@@ -338,7 +338,9 @@
         return;
     auto workers = m_cell.workersInUse();
     const bool haveWorkersChanged = workers != m_writer.workersWritten();
-    const bool isRenewalDue = sinceLast >= renewalPeriod || m_isHandingBack || m_cell.needsConfirmation();
+    const bool isRefusalDue = m_cell.hasUnconfirmedRefusals() && sinceLast >= commitPause;
+    const bool isRenewalDue
+        = sinceLast >= renewalPeriod || m_isHandingBack || m_cell.needsConfirmation() || isRefusalDue;
     const bool isDue = isRenewalDue || haveWorkersChanged || m_cell.hasUrgentCommit() || sinceLast >= commitPause;
     if (!isDue)
         return;
--- a/packages/node/src/cell_log.cpp
+++ b/packages/node/src/cell_log.cpp
@@ -20,7 +20,8 @@
 struct EventName {
     std::string operator()(const jobs::JobEvent& event) const
     {
-        constexpr const char* names[] = { "job.taken_over", "job.accepted", "job.ended", "job.given_up" };
+        constexpr const char* names[]
+            = { "job.taken_over", "job.accepted", "job.ended", "job.given_up", "job.refused" };
         return nameOf(event.kind, names);
     }
 
--- a/packages/node/src/job_node_calls.cpp
+++ b/packages/node/src/job_node_calls.cpp
@@ -102,12 +102,13 @@
         reply({ 0, peer::JobCallStatus::OutcomeUnknown });
 }
 
-void JobNode::State::onCommitOutcome(jobs::CallerToken token, bool isStored)
+void JobNode::State::onCallerReply(const jobs::CallerReply& reply)
 {
-    auto found = waitingCalls.extract(token);
+    auto found = waitingCalls.extract(reply.token);
     if (found.empty())
         return;
-    found.mapped().reply({ 0, isStored ? peer::JobCallStatus::Done : peer::JobCallStatus::Refused });
+    const auto status = reply.isStored ? peer::JobCallStatus::Done : peer::JobCallStatus::Refused;
+    found.mapped().reply({ 0, status, jobs::JobState::Queued, 0, reply.retryAfter });
 }
 
 peer::JobReply JobNode::call(peer::JobCall call, Deadline deadline)
--- a/packages/node/src/job_node_cells.cpp
+++ b/packages/node/src/job_node_cells.cpp
@@ -63,8 +63,7 @@
         setWorkers(*std::move(takeover.workers));
     const jobs::PreviousOwner previous = previousOwner(takeover.partTakeover);
     CellHost::Parts parts { control, clock, metrics, cellLog, loadMonitor, storePool, workerPool, ports.store,
-        ports.workers, ports.advisor, &advisorPool,
-        [this](jobs::CallerToken token, bool isStored) { onCommitOutcome(token, isStored); },
+        ports.workers, ports.advisor, &advisorPool, [this](const jobs::CallerReply& reply) { onCallerReply(reply); },
         [this, cell] { onCellLost(cell); } };
     auto host = std::make_unique<CellHost>(std::move(parts), cell,
         CellTimeLimits { settings.leaseLength, settings.keepEnded, settings.longestStop, settings.longestListAge,
--- a/packages/node/src/job_node_state.h
+++ b/packages/node/src/job_node_state.h
@@ -76,7 +76,7 @@
     void handleCall(CellHost& host, const peer::JobCall& call, JobReplyCallback reply);
     void handleSubmit(CellHost& host, const peer::JobCall& call, JobReplyCallback reply);
     void handleCancel(CellHost& host, const peer::JobCall& call, JobReplyCallback reply);
-    void onCommitOutcome(jobs::CallerToken token, bool isStored);
+    void onCallerReply(const jobs::CallerReply& reply);
     void failWaitingCalls(const PoolId& cell);
 
     // Calls to the store through peers: job_node_store.cpp
--- a/packages/peer/include/rattanrack/peer/messages.h
+++ b/packages/peer/include/rattanrack/peer/messages.h
@@ -127,6 +127,7 @@
     JobCallStatus status { JobCallStatus::OutcomeUnknown };
     jobs::JobState state { jobs::JobState::Queued };
     int pending { 0 };
+    Duration retryAfter {}; ///< Of a refused job; 0: not known.
 
     friend bool operator==(const JobReply&, const JobReply&) = default;
 };
--- a/packages/peer/src/job_messages_codec.cpp
+++ b/packages/peer/src/job_messages_codec.cpp
@@ -2,6 +2,8 @@
 
 #include "wire_text.h"
 
+#include <algorithm>
+
 namespace rattanrack::peer {
 
 namespace {
@@ -70,6 +72,7 @@
     reply.setStatus(static_cast<wire::JobCallStatus>(message.status));
     reply.setState(static_cast<std::uint8_t>(message.state));
     reply.setPending(message.pending);
+    reply.setRetryAfterMicroseconds(message.retryAfter.count());
 }
 
 jobs::NodeAnnouncement decodeNodeAnnouncement(wire::NodeNews::Reader source)
@@ -103,7 +106,8 @@
     if (!isInRange)
         return std::nullopt;
     return JobReply { source.getExchange(), static_cast<JobCallStatus>(source.getStatus()),
-        static_cast<jobs::JobState>(source.getState()), source.getPending() };
+        static_cast<jobs::JobState>(source.getState()), source.getPending(),
+        Duration { std::max<std::int64_t>(0, source.getRetryAfterMicroseconds()) } };
 }
 
 std::size_t variableSize(const jobs::NodeAnnouncement& message)
--- a/packages/peer/src/peer.capnp
+++ b/packages/peer/src/peer.capnp
@@ -209,6 +209,7 @@
   status @1 :JobCallStatus;
   state @2 :UInt8;
   pending @3 :Int32;
+  retryAfterMicroseconds @4 :Int64;
 }
 
 struct RowCondition {
--- a/packages/peer/src/peer.capnp.h
+++ b/packages/peer/src/peer.capnp.h
@@ -458,7 +458,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c4d7bbfab0779b52, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(c4d7bbfab0779b52, 3, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3013,6 +3013,8 @@
 
   inline  ::int32_t getPending() const;
 
+  inline  ::int64_t getRetryAfterMicroseconds() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3053,6 +3055,9 @@
   inline  ::int32_t getPending();
   inline void setPending( ::int32_t value);
 
+  inline  ::int64_t getRetryAfterMicroseconds();
+  inline void setRetryAfterMicroseconds( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7247,6 +7252,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t JobReply::Reader::getRetryAfterMicroseconds() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t JobReply::Builder::getRetryAfterMicroseconds() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void JobReply::Builder::setRetryAfterMicroseconds( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool RowCondition::Reader::hasTable() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
