--- a/packages/jobs/model/cell_simulation.cpp
+++ b/packages/jobs/model/cell_simulation.cpp
@@ -180,11 +180,13 @@
 /// The announcements of the restarted processes of earlier owners reach the owner's node.
 void CellSimulation::observeRestarts()
 {
-    for (const auto& [number, endedAt] : m_ownerEndedAt) {
-        const NodeId process = startProcess(number);
-        schedule(std::max(Duration {}, endedAt + restartTime - m_now), [this, process, number, reader = m_ownerNumber] {
+    for (const auto& ended : m_ownerEndedAt) {
+        const int node = ended.first;
+        const NodeId process = startProcess(node);
+        const Duration untilAnnounced = std::max(Duration {}, ended.second + restartTime - m_now);
+        schedule(untilAnnounced, [this, process, node, reader = m_ownerNumber] {
             if (Owner* present = findOwner(reader))
-                present->ownership->onAnnouncement({ process, addressOf(number), 1 }, m_now);
+                present->ownership->onAnnouncement({ process, addressOf(node), 1 }, m_now);
         });
     }
 }
--- a/packages/jobs/src/cell_crash_verdicts.cpp
+++ b/packages/jobs/src/cell_crash_verdicts.cpp
@@ -1,6 +1,8 @@
 #include "cell_state.h"
 
 #include <algorithm>
+#include <sstream>
+#include <string>
 
 /// Verdicts on tasks that may crash the workers that start them.
 namespace rattanrack::jobs {
@@ -27,6 +29,18 @@
 
 } // namespace
 
+std::string describe(const LostStart& lost, const CrashVerdict& verdict)
+{
+    std::ostringstream text;
+    text << (lost.isAlone() ? "its only recent start" : "one of its recent starts");
+    if (lost.isAlone())
+        text << ", after " << lost.exposure.count() / 1000 << " ms";
+    text << (lost.wasReceived ? "" : ", perhaps not received") << (lost.isOnSettledWorker ? "" : ", just restarted");
+    if (verdict.crashes > 1)
+        text << "; " << verdict.crashes << " crashes, " << verdict.certainCrashes << " certain, risk " << verdict.risk;
+    return text.str();
+}
+
 /// Whether other causes are unlikely: two crashes at least, and a small product of the probabilities that each
 /// had another cause. Starts that may not have arrived count only towards the limit.
 CrashVerdict CellState::crashVerdict(const Task& task, TimePoint now) const
--- a/packages/jobs/src/cell_crashes.cpp
+++ b/packages/jobs/src/cell_crashes.cpp
@@ -1,8 +1,6 @@
 #include "cell_state.h"
 
 #include <algorithm>
-#include <sstream>
-#include <string>
 #include <utility>
 
 /// Tasks that crash the workers that start them: evidence and verdicts.
@@ -28,19 +26,6 @@
     return worker.description.isDraining || isDrained;
 }
 
-/// Says what the crash under the task's start adds to the verdict on it.
-std::string describe(const LostStart& lost, const CrashVerdict& verdict)
-{
-    std::ostringstream text;
-    text << (lost.isAlone() ? "its only recent start" : "one of its recent starts");
-    if (lost.isAlone())
-        text << ", after " << lost.exposure.count() / 1000 << " ms";
-    text << (lost.wasReceived ? "" : ", perhaps not received") << (lost.isOnSettledWorker ? "" : ", just restarted");
-    if (verdict.crashes > 1)
-        text << "; " << verdict.crashes << " crashes, " << verdict.certainCrashes << " certain, risk " << verdict.risk;
-    return text.str();
-}
-
 } // namespace
 
 bool Worker::isSettled(TimePoint now) const { return now - startedAtLatest >= settledAge; }
--- a/packages/jobs/src/crash_evidence.h
+++ b/packages/jobs/src/crash_evidence.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <utility>
 
 namespace rattanrack::jobs {
@@ -55,6 +56,9 @@
     double risk { 1 }; ///< That these look like crashes by the task and had other causes.
 };
 
+/// Says what the crash under the task's start adds to the verdict on it.
+std::string describe(const LostStart& lost, const CrashVerdict& verdict);
+
 inline WorkerCrash crashOf(const LostStart& lost) { return { lost.worker, lost.incarnationUnixMs }; }
 
 /// How contact with a worker was lost.
