A step of the wall clock is no proof that an owner has ended

Ids of processes carry the wall clock. A process that started while the clock was ahead counted as later than the one that replaced it, so that a live owner that is cut off could be taken for ended, and what it still runs be started twice.

Change: only an announcement received after the takeover, and so after the row was written, proves that the earlier owner has ended, and only if the process was also first seen after that owner, where both were seen. What the row says is bounded to the 5 s of an owner's authority.

EarlierGrants.StepOfTheWallClockProvesNoEnd and AnnouncementFromBeforeTheRowWasReadProvesNoEnd fail before (the owner counts as ended at 1 s) and pass now. Two tests of the same suite announce the process once more; their bounds are as before. LostWorkers.* pass. The recursion over terms needs no second function.

--- a/packages/jobs/include/rattanrack/jobs/ownership.h
+++ b/packages/jobs/include/rattanrack/jobs/ownership.h
@@ -96,8 +96,8 @@
 
     /// Latest time at which the owners of earlier terms than `term` may have granted a lease. An owner grants leases
     /// until its announcements no longer contain the cell, its process has ended, or `ownershipTimeout` after the next
-    /// takeover. A later process of its node proves that it has ended. `takenOverAt`: when this node took the cell over
-    /// under `term`.
+    /// takeover. An announcement of a later process of its node proves that it has ended. `takenOverAt`: when this node
+    /// took the cell over under `term`.
     TimePoint latestEarlierGrant(
         const PoolId& cell, Fence term, TimePoint takenOverAt, Duration ownershipTimeout) const;
 
@@ -133,9 +133,8 @@
 
     bool isLive(const Peer& peer, TimePoint now) const;
     void recordOwned(const OwnedCell& owned, const NodeId& process, TimePoint now);
-    void recordEndedBefore(const NodeId& process, TimePoint now);
-    std::optional<TimePoint> endOf(const NodeId& process) const;
-    TimePoint latestGrantBefore(const PoolId& cell, Fence term, TimePoint replacedAt, Duration ownershipTimeout) const;
+    void recordEndedBefore(const NodeId& process);
+    bool hasReplaced(const NodeId& later, const NodeId& earlier) const;
     void recordReleased(const OwnedCell& released, TimePoint now);
     void recordAnnouncedCells(const NodeId& process, const std::vector<OwnedCell>& before,
         const std::vector<OwnedCell>& after, TimePoint now);
--- a/packages/jobs/src/ownership.cpp
+++ b/packages/jobs/src/ownership.cpp
@@ -78,8 +78,7 @@
     m_addressesWithoutPeer.erase(announcement.address);
     // A node that restarts at the same address replaces its earlier process.
     const bool isNewProcess = m_processes.emplace(announcement.node, now).second;
-    if (isNewProcess)
-        recordEndedBefore(announcement.node, now);
+    recordEndedBefore(announcement.node);
     std::erase_if(m_peers, [&](const auto& other) {
         const bool isReplaced
             = other.first != announcement.node && other.second.announcement.address == announcement.address;
@@ -107,28 +106,23 @@
         tenure->second.releasedAt = now;
 }
 
-/// All earlier processes of the node have ended.
-void Ownership::recordEndedBefore(const NodeId& process, TimePoint now)
+/// The process runs, so that all earlier ones of its node have ended.
+void Ownership::recordEndedBefore(const NodeId& process)
 {
     for (auto& [cell, tenures] : m_tenures) {
         for (auto& [term, tenure] : tenures) {
-            if (!tenure.releasedAt && isLaterProcess(process, tenure.process))
-                tenure.releasedAt = now;
+            if (!tenure.releasedAt && hasReplaced(process, tenure.process))
+                tenure.releasedAt = m_processes.at(process);
         }
     }
 }
 
-/// When the first sign of a later process of its node was seen; empty if there is none.
-std::optional<TimePoint> Ownership::endOf(const NodeId& process) const
+/// By the order in which both were first seen as well, since the wall clock in their ids may step back.
+bool Ownership::hasReplaced(const NodeId& later, const NodeId& earlier) const
 {
-    if (process != m_self && areOfOneNode(process, m_self))
-        return m_startedAt;
-    std::optional<TimePoint> earliest;
-    for (const auto& [other, firstSeenAt] : m_processes) {
-        if (isLaterProcess(other, process) && (!earliest || firstSeenAt < *earliest))
-            earliest = firstSeenAt;
-    }
-    return earliest;
+    const auto seen = m_processes.find(earlier);
+    const bool isSeenInOrder = seen == m_processes.end() || seen->second < m_processes.at(later);
+    return isSeenInOrder && isLaterProcess(later, earlier);
 }
 
 /// `before`, `after`: the cells of two successive announcements of one process; `after` is empty if it has ended.
@@ -145,24 +139,17 @@
 
 TimePoint Ownership::latestEarlierGrant(
     const PoolId& cell, Fence term, TimePoint takenOverAt, Duration ownershipTimeout) const
-{
-    return latestGrantBefore(cell, term, takenOverAt, ownershipTimeout);
-}
-
-/// `replacedAt`: the term had begun by then.
-TimePoint Ownership::latestGrantBefore(
-    const PoolId& cell, Fence term, TimePoint replacedAt, Duration ownershipTimeout) const
 {
     if (term <= 1)
         return {};
-    const TimePoint longest = replacedAt + ownershipTimeout;
+    const TimePoint longest = takenOverAt + ownershipTimeout;
     const auto tenures = m_tenures.find(cell);
     const Fence earlier = term - 1;
     if (tenures == m_tenures.end() || !tenures->second.contains(earlier))
         return longest;
     const Tenure& tenure = tenures->second.at(earlier);
     const TimePoint own = std::min(tenure.releasedAt.value_or(longest), longest);
-    const TimePoint before = latestGrantBefore(cell, earlier, tenure.firstSeenAt, ownershipTimeout);
+    const TimePoint before = latestEarlierGrant(cell, earlier, tenure.firstSeenAt, ownershipTimeout);
     return std::max(own, std::min(before, tenure.earlierGrantsEndAt.value_or(before)));
 }
 
@@ -202,9 +189,11 @@
     // With nothing left they had ended before the previous owner wrote its row.
     tenure.earlierGrantsEndAt
         = previous.earlierGrantsLeft > Duration {} ? now + previous.earlierGrantsLeft : TimePoint {};
-    const std::optional<TimePoint> end = previous.process.isEmpty() ? now : endOf(previous.process);
-    if (end)
-        tenure.releasedAt = std::min(tenure.releasedAt.value_or(*end), *end);
+    // What another process has announced before may be older than the row; its next announcement is not.
+    const bool isHandedBack = previous.process.isEmpty();
+    const bool isOwnEarlierProcess = previous.process != m_self && areOfOneNode(previous.process, m_self);
+    if (!tenure.releasedAt && (isHandedBack || isOwnEarlierProcess))
+        tenure.releasedAt = isHandedBack ? now : m_startedAt;
 }
 
 void Ownership::onTakeFailed(const PoolId& cell, TimePoint now) { m_retryAt[cell] = now + pauseAfterFailure; }
--- a/packages/jobs/tests/earlier_grant_tests.cpp
+++ b/packages/jobs/tests/earlier_grant_tests.cpp
@@ -90,9 +90,27 @@
 {
     announce("a-5", "10.0.0.1:7000", {}, at(1s));
     ownership.onPreviousOwner(cell, { NodeId { "a-4" }, 7, 0s }, at(2s));
+    announce("a-5", "10.0.0.1:7000", {}, at(2100ms));
     EXPECT_EQ(latestGrant(8, at(2s)), at(1s));
 }
 
+TEST_F(EarlierGrants, AnnouncementFromBeforeTheRowWasReadProvesNoEnd)
+{
+    announce("a-5", "10.0.0.1:7000", {}, at(1s));
+    ownership.onPreviousOwner(cell, { NodeId { "a-4" }, 7, 0s }, at(2s));
+    EXPECT_EQ(latestGrant(8, at(2s)), at(7s));
+}
+
+/// The earlier process started while the wall clock was ahead.
+TEST_F(EarlierGrants, StepOfTheWallClockProvesNoEnd)
+{
+    announce("a-9", "10.0.0.1:7000", {}, at(1s));
+    announce("a-5", "10.0.0.1:7000", {}, at(2s));
+    ownership.onPreviousOwner(cell, { NodeId { "a-5" }, 7, 0s }, at(3s));
+    announce("a-9", "10.0.0.1:7000", {}, at(4s)); // Late.
+    EXPECT_EQ(latestGrant(8, at(3s)), at(8s));
+}
+
 TEST_F(EarlierGrants, LaterProcessThatAnnouncesItselfAfterTheTakeoverProvesTheEnd)
 {
     ownership.onPreviousOwner(cell, { NodeId { "a-4" }, 7, 0s }, at(2s));
@@ -113,6 +131,7 @@
 {
     announce("a-5", "10.0.0.1:7000", {}, at(1s));
     ownership.onPreviousOwner(cell, { NodeId { "a-4" }, 7, 3s }, at(2s));
+    announce("a-5", "10.0.0.1:7000", {}, at(2100ms));
     EXPECT_EQ(latestGrant(8, at(2s)), at(5s));
 }
 
--- a/packages/node/src/cell_host.cpp
+++ b/packages/node/src/cell_host.cpp
@@ -94,7 +94,8 @@
 
 jobs::PreviousOwner previousOwner(const PartTakeover& takeover)
 {
-    return { takeover.previousHolder, takeover.part.term() - 1, takeover.earlierGrantsLeft.value_or(ownershipTimeout) };
+    const Duration left = takeover.earlierGrantsLeft.value_or(ownershipTimeout);
+    return { takeover.previousHolder, takeover.part.term() - 1, std::clamp(left, Duration {}, ownershipTimeout) };
 }
 
 CellHost::CellHost(Parts parts, const PoolId& pool, const CellTimeLimits& times, CellTakeover takeover)
