Count the backlog for admission once in 50 ms, and take a rate of zero for what it is

Cost: while tasks crash workers each submission examined all unfinished jobs of the cell. Now the backlog is counted once in 50 ms, with sums by size; a submission is a binary search.

Rate: DrainRate gave 0 both where nothing waits and where work waits and no worker is listed, and admission then accepted everything, when it should refuse. It is empty now in the first case (DrainRate.IsZeroWhereNoWorkerIsListed).

--- a/packages/jobs/include/rattanrack/jobs/cell_event.h
+++ b/packages/jobs/include/rattanrack/jobs/cell_event.h
@@ -92,9 +92,7 @@
     int keptWorkers { 0 }; ///< Workers that take no other starts of late, so that a trial may start there.
     int heldByWindow { 0 }; ///< Passes that started no more trials, since too many starts were in flight.
     int heldByLimit { 0 }; ///< Trials not started in a pass, since the others took up the workers that trials may use.
-    int heldByRoom {
-        0
-    }; ///< Trials not started in a pass, since no worker had room for them or was free of other starts.
+    int heldByRoom { 0 }; ///< Trials not started in a pass, since no worker had room or was free of other starts.
     int lateFirstStarts { 0 }; ///< Tasks started of jobs that nothing had been started of and that were late already.
 };
 
--- a/packages/jobs/src/cell_admission.cpp
+++ b/packages/jobs/src/cell_admission.cpp
@@ -2,6 +2,7 @@
 #include "rattanrack/base/milliseconds.h"
 
 #include <algorithm>
+#include <iterator>
 
 /// Admission of finite jobs. The load pattern is a queue that for some seconds asks for several times what its pool can
 /// do, while some of its tasks crash workers.
@@ -47,29 +48,50 @@
     return static_cast<double>(listedCapacity.processors.count()) * 1000 * usableShare;
 }
 
-/// When a job that is submitted now would be served, by the order that is in force.
-ExpectedWait CellState::expectedWait(JobEntry& submitted, TimePoint now)
+void CellState::countBacklog(TimePoint now)
 {
-    estimateCriticalPath(submitted);
-    const double rate = drainRate.workPerSecond();
-    if (rate <= 0 || !isFinite(submitted.job))
-        return {};
-    double ahead = 0; // Before a job that can be in time.
-    double all = 0;
+    backlog = { now };
+    schedulingCost.jobsExamined += unfinishedJobs.size();
     for (JobEntry* entry : unfinishedJobs) {
         if (entry->progress.hasEnded() || !isFinite(entry->job))
             continue;
         if (entry->isCriticalPathStale)
             estimateCriticalPath(*entry);
         const auto work = static_cast<double>(waitingWork(*entry));
-        all += work;
+        backlog.all += work;
         const Rank rank = rankOf(*entry, entry->job.spec.steps.front(), now);
-        const bool isAhead
-            = rank <= Rank::Started || (rank == Rank::OnTime && entry->declaredWork <= submitted.declaredWork);
         const bool isHeld = entry->isTakenOver && isRecovering;
-        ahead += isAhead && !isHeld ? work : 0;
+        if (rank == Rank::Started && !isHeld)
+            backlog.started += work;
+        if (rank == Rank::OnTime && !isHeld)
+            backlog.inTime.push_back({ entry->declaredWork, work });
     }
-    return { timeFor(ahead, rate), timeFor(all, rate) };
+    const auto isSmaller
+        = [](const BacklogStep& left, const BacklogStep& right) { return left.declaredWork < right.declaredWork; };
+    std::sort(backlog.inTime.begin(), backlog.inTime.end(), isSmaller);
+    double sum = 0;
+    for (BacklogStep& step : backlog.inTime)
+        step.work = sum += step.work;
+}
+
+double Backlog::ahead(std::int64_t declaredWork) const
+{
+    const auto isLarger = [](std::int64_t size, const BacklogStep& step) { return size < step.declaredWork; };
+    const auto end = std::upper_bound(inTime.begin(), inTime.end(), declaredWork, isLarger);
+    return started + (end == inTime.begin() ? 0 : std::prev(end)->work);
+}
+
+/// When a job that is submitted now would be served, by the order that is in force. Empty: nothing waits, or the job
+/// has no end.
+std::optional<ExpectedWait> CellState::expectedWait(JobEntry& submitted, TimePoint now)
+{
+    const std::optional<double> rate = drainRate.workPerSecond();
+    if (!rate || !isFinite(submitted.job))
+        return std::nullopt;
+    estimateCriticalPath(submitted);
+    if (now - backlog.countedAt >= backlogPeriod)
+        countBacklog(now);
+    return ExpectedWait { timeFor(backlog.ahead(submitted.declaredWork), *rate), timeFor(backlog.all, *rate) };
 }
 
 /// While tasks crash workers, refuses what would be worth nothing once it is served: each first start may cost a worker
@@ -79,15 +101,18 @@
 {
     if (!submitted.queue || !areJobsKeptApart())
         return false;
-    const ExpectedWait wait = expectedWait(submitted, now);
-    const bool isInTime = now + wait.inTime + submitted.criticalPath <= submitted.dueAt;
-    const TimePoint noValueAt = now + (submitted.dueAt - now) * lateFactor;
-    if (isInTime || now + wait.behindAll + submitted.criticalPath <= noValueAt)
+    const std::optional<ExpectedWait> wait = expectedWait(submitted, now);
+    if (!wait)
+        return false;
+    const Duration timeLeft = submitted.dueAt - now;
+    const bool isInTime = wait->inTime + submitted.criticalPath <= timeLeft;
+    const Duration longestWait = timeLeft * lateFactor - submitted.criticalPath;
+    if (isInTime || wait->behindAll <= longestWait)
         return false;
-    refusals.push_back({ token, now, std::min(wait.behindAll, longestRetryAfter) });
+    refusals.push_back({ token, now, std::min(wait->behindAll, longestRetryAfter) });
     addEvent(JobEvent { JobEvent::Kind::Refused, submitted.job.id,
-        "would wait " + std::to_string(milliseconds(wait.behindAll)) + " ms, worth nothing after "
-            + std::to_string(milliseconds(noValueAt - now - submitted.criticalPath)) + " ms" });
+        "would wait " + std::to_string(milliseconds(wait->behindAll)) + " ms, worth nothing after "
+            + std::to_string(milliseconds(longestWait)) + " ms" });
     return true;
 }
 
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission.h"
 #include "drain_rate.h"
 #include "rattanrack/jobs/cell.h"
 #include "rattanrack/jobs/offered_load.h"
@@ -145,22 +146,6 @@
     }
 };
 
-/// Times until a job that is submitted now would start.
-struct ExpectedWait {
-    Duration inTime {}; ///< As long as it can still be in time.
-    Duration behindAll {}; ///< Once it is late.
-};
-
-/// A job that is refused; its caller waits for the next transaction.
-struct RefusedSubmission {
-    CallerToken token { 0 };
-    TimePoint at {};
-    Duration retryAfter {};
-};
-
-/// A job that is later than this many objectives has no value any more.
-constexpr int lateFactor = 3;
-
 /// A task that could run and has no active run.
 struct MissingRun {
     TimePoint since {};
@@ -217,6 +202,7 @@
     OfferedLoad offeredLoad;
     DrainRate drainRate;
     bool isAnyTaskWaiting { false }; ///< In the latest pass, tasks that were ready did not start.
+    Backlog backlog;
     std::vector<RefusedSubmission> refusals;
     SchedulingCost schedulingCost;
     StartWindow startWindow;
@@ -370,7 +356,8 @@
 
     // Admission: cell_admission.cpp
     double expectedDrainRate() const;
-    ExpectedWait expectedWait(JobEntry& submitted, TimePoint now);
+    void countBacklog(TimePoint now);
+    std::optional<ExpectedWait> expectedWait(JobEntry& submitted, TimePoint now);
     bool refuseIfHopeless(JobEntry& submitted, CallerToken token, TimePoint now);
     void replyToRefusals(TimePoint sentAt);
 
--- a/packages/jobs/src/drain_rate.h
+++ b/packages/jobs/src/drain_rate.h
@@ -3,6 +3,7 @@
 #include "rattanrack/base/time.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace rattanrack::jobs {
 
@@ -18,8 +19,11 @@
     /// Jobs with this declared work have ended.
     void record(std::int64_t work) { m_work += static_cast<double>(work); }
 
-    /// 0: nothing waits, so that the rate is not known and not needed.
-    double workPerSecond() const { return m_busySeconds > 0 ? m_work / m_busySeconds : 0; }
+    /// Empty: nothing waits. 0: work waits and none ends.
+    std::optional<double> workPerSecond() const
+    {
+        return m_busySeconds > 0 ? std::optional { m_work / m_busySeconds } : std::nullopt;
+    }
 
 private:
     TimePoint m_advancedAt {};
--- a/packages/jobs/tests/crashing_task_tests.cpp
+++ b/packages/jobs/tests/crashing_task_tests.cpp
@@ -1,4 +1,4 @@
-#include "cell_harness.h"
+#include "crash_harness.h"
 #include "rattanrack/jobs/job_codec.h"
 
 #include <map>
@@ -10,52 +10,6 @@
 
 namespace {
 
-constexpr Duration calmTime = 30s; ///< After which the workers are settled and no other crash is recent.
-
-/// The worker's process ends some ms after it has answered the start; it returns 3 s later.
-void crashUnder(CellHarness& harness, const StartCommand& start)
-{
-    harness.respond(start, CommandStatus::Done);
-    harness.advance(10ms);
-    for (const PollCommand& poll : harness.takeCommands<PollCommand>()) {
-        if (poll.worker == start.worker)
-            harness.endConnection(poll);
-        else
-            harness.respond(poll, {});
-    }
-    harness.storeChanges();
-    harness.restartWorker(start.worker);
-}
-
-/// Advances until a start is issued, while all workers that are up respond and run nothing; at most `longest`.
-std::vector<StartCommand> takeNextStarts(CellHarness& harness, Duration longest)
-{
-    const TimePoint until = harness.now() + longest;
-    while (harness.now() < until) {
-        harness.advance(50ms);
-        harness.answerAllPolls();
-        harness.listIncarnations();
-        harness.confirmOwnership();
-        harness.storeChanges();
-        auto starts = harness.takeCommands<StartCommand>();
-        if (!starts.empty())
-            return starts;
-    }
-    return {};
-}
-
-/// A harness whose workers have been up for a while.
-CellHarness calmHarness()
-{
-    CellHarness harness;
-    harness.bindCommands();
-    harness.advance(calmTime);
-    harness.answerAllPolls();
-    harness.listWorkers(harness.listed());
-    harness.confirmOwnership();
-    return harness;
-}
-
 /// A job whose task a previous owner has started on worker w1, with which it lost contact.
 StoredJob jobWithLostStart()
 {
@@ -67,34 +21,6 @@
     return stored;
 }
 
-/// A harness in which tasks have just crashed two workers.
-CellHarness harnessAfterCrashes()
-{
-    CellHarness harness = calmHarness();
-    crashUnder(harness, harness.submitAndTakeStart("a"));
-    const auto next = takeNextStarts(harness, 20s);
-    if (!next.empty())
-        crashUnder(harness, next.front());
-    takeNextStarts(harness, 5s);
-    return harness;
-}
-
-/// Submits jobs until one is refused, 200 at most. Returns the token of that one; 0: there is none.
-CallerToken submitUntilRefused(CellHarness& harness)
-{
-    for (CallerToken token = 100; token < 300; ++token) {
-        Job job { JobId { "b" + std::to_string(token) }, QueueId { "q" }, 1'000'000, { "text", { {} }, {} } };
-        job.spec.steps[0].size = { Millicores { 900 }, Mebibytes { 100 }, {} };
-        job.spec.steps[0].declaredRunTime = 500ms;
-        harness.cell().submit(job, token, harness.now());
-        if (harness.cell().hasUnconfirmedRefusals())
-            return token;
-        harness.storeChanges();
-        harness.advance(10ms);
-    }
-    return 0;
-}
-
 } // namespace
 
 TEST(CrashingTask, NextOwnerClearsALossWhenTheWorkerRespondsUnchanged)
@@ -360,26 +286,3 @@
     takeNextStarts(harness, 5s);
     EXPECT_EQ(harness.runEvents(RunEvent::Kind::Suspected).size(), 1U);
 }
-
-/// A late job that is accepted costs a worker that would decide what has crashed others.
-TEST(CrashingTask, JobIsRefusedThatWouldBeWorthNothingBesideCrashes)
-{
-    CellHarness harness = harnessAfterCrashes();
-    const CallerToken refused = submitUntilRefused(harness);
-    ASSERT_NE(refused, 0U);
-    EXPECT_FALSE(harness.cell().state(JobId { "b" + std::to_string(refused) }).has_value());
-    EXPECT_TRUE(harness.cell().takeOutput().replies.empty()); // Another owner may have accepted it.
-    harness.advance(10ms);
-    harness.confirmOwnership();
-    const auto replies = harness.cell().takeOutput().replies;
-    ASSERT_EQ(replies.size(), 1U);
-    EXPECT_EQ(replies[0].token, refused);
-    EXPECT_FALSE(replies[0].isStored);
-    EXPECT_GT(replies[0].retryAfter, 0s);
-}
-
-TEST(CrashingTask, NothingIsRefusedWithoutCrashes)
-{
-    CellHarness harness = calmHarness();
-    EXPECT_EQ(submitUntilRefused(harness), 0U);
-}
--- a/packages/jobs/tests/drain_rate_tests.cpp
+++ b/packages/jobs/tests/drain_rate_tests.cpp
@@ -27,6 +27,13 @@
 {
     DrainRate rate;
     rate.advance(TimePoint { 100s }, false, expected);
+    EXPECT_FALSE(rate.workPerSecond().has_value());
+}
+
+TEST(DrainRate, IsZeroWhereNoWorkerIsListed)
+{
+    DrainRate rate;
+    rate.advance(TimePoint { 100s }, true, 0);
     EXPECT_EQ(rate.workPerSecond(), 0);
 }
 
@@ -34,7 +41,7 @@
 {
     DrainRate rate;
     rate.advance(TimePoint { 100s }, true, expected);
-    EXPECT_DOUBLE_EQ(rate.workPerSecond(), expected);
+    EXPECT_DOUBLE_EQ(rate.workPerSecond().value(), expected);
 }
 
 TEST(DrainRate, FollowsWhatEnds)
@@ -42,9 +49,9 @@
     DrainRate rate;
     TimePoint now { 100s };
     play(rate, now, 10s, 5000);
-    EXPECT_NEAR(rate.workPerSecond(), 5000, 500);
+    EXPECT_NEAR(rate.workPerSecond().value(), 5000, 500);
     play(rate, now, 10s, 0); // All workers are down.
-    EXPECT_LT(rate.workPerSecond(), 500);
+    EXPECT_LT(rate.workPerSecond().value(), 500);
 }
 
 TEST(DrainRate, DropsWhatItMeasuredBeforeAPause)
@@ -54,5 +61,5 @@
     play(rate, now, 10s, 0);
     now += 5s;
     rate.advance(now, true, expected);
-    EXPECT_DOUBLE_EQ(rate.workPerSecond(), expected);
+    EXPECT_DOUBLE_EQ(rate.workPerSecond().value(), expected);
 }
