The poll after a drain does not wait, and the loss of a moved worker has a test of its own

A worker whose drain has ended takes starts once it has answered a poll sent since; with runs on it that poll waited for an ended run, 1 s at most, after the one in flight, so that a drain that is given up cost up to 2 s. It does not wait now (CrashingTask.PollAfterADrainDoesNotWaitForEndedRuns fails before). The set of draining machines is compared first, since it is set five times a second.

CrashingTask.LossOfAMovedWorkerIsNoCrash showed that the worker takes no start, not what its name says: it is now MovedWorkerTakesNoStartBeforeItResponds, unchanged, and LossOfAMovedWorkerIsNoCrashByAnotherCause fails without the rule that such a loss is planned.

--- a/packages/jobs/src/cell.cpp
+++ b/packages/jobs/src/cell.cpp
@@ -149,6 +149,8 @@
 
 void Cell::setDrainingMachines(std::set<MachineId> machines)
 {
+    if (machines == m_state->drainingMachines)
+        return;
     for (auto& [id, worker] : m_state->workers) {
         const MachineId& machine = worker.description.machine;
         if (!m_state->drainingMachines.contains(machine) || machines.contains(machine))
--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -133,7 +133,7 @@
         const bool hasBestEffort = worker.colocatedRuns.bestEffortRuns > 0;
         const bool isStopping = std::any_of(worker.runs.begin(), worker.runs.end(),
             [](const auto& each) { return each.second.phase == RunPhase::Stopping; });
-        if (isResponsive && !worker.runs.empty() && !isStopping)
+        if (isResponsive && !worker.runs.empty() && !isStopping && !worker.isContactDueAfterDrain)
             poll.longestWait = hasBestEffort ? maxPollTimeBesideBestEffort : maxPollTime;
         worker.hasPollInFlight = true;
         worker.isContactCheckSent = worker.isContactDueAfterDrain;
--- a/packages/jobs/tests/crashing_task_tests.cpp
+++ b/packages/jobs/tests/crashing_task_tests.cpp
@@ -254,7 +254,7 @@
 }
 
 /// The list still shows the worker of a machine that has just been moved.
-TEST(CrashingTask, LossOfAMovedWorkerIsNoCrash)
+TEST(CrashingTask, MovedWorkerTakesNoStartBeforeItResponds)
 {
     CellHarness harness = calmHarness();
     harness.cell().setDrainingMachines({ MachineId { "w1" } });
@@ -272,6 +272,48 @@
     EXPECT_EQ(harness.takeCommands<StartCommand>().size(), 1U);
 }
 
+TEST(CrashingTask, PollAfterADrainDoesNotWaitForEndedRuns)
+{
+    CellHarness harness = calmHarness();
+    const StartCommand start = harness.submitAndTakeStart("a");
+    harness.respond(start, CommandStatus::Done);
+    harness.advance(60ms);
+    const char* worker = start.worker.value().c_str();
+    harness.cell().setDrainingMachines({ MachineId { start.worker.value() } });
+    harness.cell().setDrainingMachines({});
+    harness.answerPoll(worker, { { start.task, start.run, "", 0 } }); // Sent before the drain.
+    harness.advance(60ms);
+    const auto isOfWorker
+        = [&](const PollCommand& poll) { return poll.worker == start.worker && !poll.isSurvivalCheck; };
+    const auto polls = harness.takeCommands<PollCommand>();
+    const auto check = std::find_if(polls.begin(), polls.end(), isOfWorker);
+    ASSERT_NE(check, polls.end());
+    EXPECT_EQ(check->longestWait, Duration {});
+}
+
+TEST(CrashingTask, LossOfAMovedWorkerIsNoCrashByAnotherCause)
+{
+    CellHarness harness = calmHarness();
+    harness.cell().setDrainingMachines({ MachineId { "w1" } });
+    harness.advance(10ms);
+    harness.cell().setDrainingMachines({});
+    harness.advance(10ms);
+    for (const PollCommand& poll : harness.takeCommands<PollCommand>())
+        harness.endConnection(poll);
+    StartCommand start = harness.submitAndTakeStart("a");
+    for (int crashes = 0; crashes < 2; ++crashes) {
+        crashUnder(harness, start);
+        const auto next = takeNextStarts(harness, 20s);
+        if (!next.empty())
+            start = next.front();
+    }
+    const auto events = harness.eventsOf<JobEvent>();
+    const auto isGivenUp = [](const JobEvent& event) { return event.kind == JobEvent::Kind::GivenUp; };
+    const auto givenUp = std::find_if(events.begin(), events.end(), isGivenUp);
+    ASSERT_NE(givenUp, events.end());
+    EXPECT_TRUE(givenUp->detail.ends_with("crashes by other causes 0")) << givenUp->detail;
+}
+
 TEST(CrashingTask, RunThatLapsesAtOnceDoesNotClearItsTask)
 {
     CellHarness harness = calmHarness();
