--- a/packages/jobs/include/rattanrack/jobs/cell.h
+++ b/packages/jobs/include/rattanrack/jobs/cell.h
@@ -167,8 +167,8 @@
     void onWorkerListSent(const WorkerMachines& workers, TimePoint now);
     void onWorkerListStored(WorkerMachines workers);
 
-    /// Accepts a job, or refuses it because it would be worth nothing once it is served. With `Pending` a reply follows,
-    /// which tells which.
+    /// Accepts a job, or refuses it because it would be worth nothing once it is served: after `Pending`, the reply
+    /// says which.
     Acceptance submit(const Job& job, CallerToken token, TimePoint now);
 
     /// Whether callers wait for a transaction, of any content, to learn that their jobs are refused.
