--- a/packages/node/src/job_node_calls.cpp
+++ b/packages/node/src/job_node_calls.cpp
@@ -1,4 +1,5 @@
 #include "job_node_state.h"
+#include "rattanrack/base/log.h"
 #include "rattanrack/jobs/job_codec.h"
 
 #include <future>
@@ -60,11 +61,28 @@
     }
 }
 
+/// Logs which cell a submission was sent to by which version of the configuration, so that two cells with one job show.
+void JobNode::State::reportSubmission(const CellHost& host, const peer::JobCall& call)
+{
+    const bool isKnown = host.state(call.job).has_value();
+    metrics.increment("rattanrack_submissions_total", { { "job", isKnown ? "known" : "new" } });
+    if (!submissionLines.admits(clock.now()))
+        return;
+    const std::size_t suppressedCount = submissionLines.takeSuppressedCount();
+    if (suppressedCount > 0)
+        logEvent("log.left_out", { { "kind", "job.submitted" }, { "count", suppressedCount } }, LogLevel::Warning);
+    logEvent("job.submitted",
+        { { "cell", call.cell.value() }, { "term", host.term() }, { "job", call.job.value() },
+            { "queue", call.queue.value() }, { "known", isKnown }, { "sentByVersion", call.configurationVersion },
+            { "version", configuration ? configuration->version : 0 } });
+}
+
 void JobNode::State::handleSubmit(CellHost& host, const peer::JobCall& call, JobReplyCallback reply)
 {
     const auto job = valueOrNothing([&] { return jobs::decodeJob(call.body); });
     if (!job)
         return reply({ 0, peer::JobCallStatus::Refused });
+    reportSubmission(host, call);
     const jobs::CallerToken token = ++lastToken;
     switch (host.submit(*job, token)) {
     case jobs::Acceptance::Stored:
--- a/packages/node/src/job_node_state.h
+++ b/packages/node/src/job_node_state.h
@@ -4,6 +4,7 @@
 #include "rattanrack/jobs/drain_announcements.h"
 #include "rattanrack/node/cell_host.h"
 #include "rattanrack/node/job_node.h"
+#include "rattanrack/node/log_rate_limiter.h"
 #include "rattanrack/node/machine_controller.h"
 #include "rattanrack/node/pending_calls.h"
 #include "rattanrack/node/stall_detector.h"
@@ -75,6 +76,7 @@
     void route(peer::JobCall call, Deadline deadline, JobReplyCallback reply);
     void handleCall(CellHost& host, const peer::JobCall& call, JobReplyCallback reply);
     void handleSubmit(CellHost& host, const peer::JobCall& call, JobReplyCallback reply);
+    void reportSubmission(const CellHost& host, const peer::JobCall& call);
     void handleCancel(CellHost& host, const peer::JobCall& call, JobReplyCallback reply);
     void onCallerReply(const jobs::CallerReply& reply);
     void failWaitingCalls(const PoolId& cell);
@@ -122,6 +124,7 @@
     WorkerList workers;
     std::map<jobs::CallerToken, WaitingCall> waitingCalls;
     jobs::CallerToken lastToken { 0 };
+    LogRateLimiter submissionLines;
     bool isLeaving { false };
 
     std::atomic<bool> isStopped { false };
--- a/packages/peer/include/rattanrack/peer/messages.h
+++ b/packages/peer/include/rattanrack/peer/messages.h
@@ -110,6 +110,7 @@
     jobs::JobId job;
     jobs::QueueId queue;
     std::string body; ///< The job, for Submit.
+    std::uint64_t configurationVersion { 0 }; ///< In force at the node that received the caller's request.
 
     friend bool operator==(const JobCall&, const JobCall&) = default;
 };
--- a/packages/peer/src/job_messages_codec.cpp
+++ b/packages/peer/src/job_messages_codec.cpp
@@ -64,6 +64,7 @@
     call.setJob(message.job.value());
     call.setQueue(message.queue.value());
     call.setBody(dataOf(message.body));
+    call.setConfigVersion(message.configurationVersion);
 }
 
 void encodeJobReply(const JobReply& message, wire::JobReply::Builder reply)
@@ -96,7 +97,7 @@
         return std::nullopt;
     return JobCall { source.getExchange(), text(source.getReplyTo()), static_cast<JobOperation>(source.getOperation()),
         PoolId { text(source.getCell()) }, jobs::JobId { text(source.getJob()) },
-        jobs::QueueId { text(source.getQueue()) }, bytes(source.getBody()) };
+        jobs::QueueId { text(source.getQueue()) }, bytes(source.getBody()), source.getConfigVersion() };
 }
 
 std::optional<JobReply> decodeJobReply(wire::JobReply::Reader source)
--- a/packages/peer/src/peer.capnp
+++ b/packages/peer/src/peer.capnp
@@ -194,6 +194,7 @@
   job @4 :Text;
   queue @5 :Text;
   body @6 :Data;
+  configVersion @7 :UInt64;
 }
 
 enum JobCallStatus {
--- a/packages/peer/src/peer.capnp.h
+++ b/packages/peer/src/peer.capnp.h
@@ -441,7 +441,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f24372f90df5b083, 2, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(f24372f90df5b083, 3, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2893,6 +2893,8 @@
   inline bool hasBody() const;
   inline  ::capnp::Data::Reader getBody() const;
 
+  inline  ::uint64_t getConfigVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2962,6 +2964,9 @@
   inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownBody();
 
+  inline  ::uint64_t getConfigVersion();
+  inline void setConfigVersion( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7196,6 +7201,20 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t JobCall::Reader::getConfigVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t JobCall::Builder::getConfigVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void JobCall::Builder::setConfigVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t JobReply::Reader::getExchange() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
