One cell accepts the jobs of a queue, and the store says which

What callers saw: a job whose route had moved to another pool ran a second time when its submission was repeated (TWICE), was answered with 410 (LOST), and its runs went on after its cancel (UNASKED).

Cause: a node chose a job's cell by the routes that it had in force, and an id is unique within a cell only. Nobody asked the cell that had the route before. The class: accepted work is looked up by the present configuration.

Cells that a row names have an owner without any route.

Ruled out: asking the earlier owner about each id (unknown after a restart of all nodes), a home by the hash of the id (a transaction more for each job), a route that keeps its cell until that is empty (new work would go to the old pool). Cost: a transaction at a queue's first job and at each move, one read in 9 s by each node; none for a job.

--- a/packages/jobs/include/rattanrack/jobs/cell.h
+++ b/packages/jobs/include/rattanrack/jobs/cell.h
@@ -177,6 +177,12 @@
     /// Cancels a job. Empty: the job does not exist.
     std::optional<Acceptance> cancel(const JobId& job, CallerToken token, std::int64_t unixMs);
 
+    /// Whether the cell has a job of the queue, ended or not.
+    bool hasJobs(const QueueAddress& queue) const;
+
+    /// Whether a job of the queue is in no transaction that has succeeded.
+    bool hasUnstoredJobs(const QueueAddress& queue) const;
+
     /// The state that callers may be shown. Empty: the job does not exist.
     std::optional<JobState> state(const JobId& job) const;
 
--- a/packages/jobs/include/rattanrack/jobs/configuration.h
+++ b/packages/jobs/include/rattanrack/jobs/configuration.h
@@ -4,6 +4,7 @@
 #include "rattanrack/jobs/worker.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -20,6 +21,12 @@
     friend bool operator==(const Route&, const Route&) = default;
 };
 
+/// Returns where callers reach the queue of the route, short enough for the key of a row.
+QueueAddress queueAddressOf(const Route& route);
+
+/// The pool that serves each queue.
+using QueueRoutes = std::map<QueueAddress, PoolId>;
+
 struct PoolSettings {
     PoolId id;
     bool isStandby { false }; ///< Its machines are off and cost nothing.
@@ -41,6 +48,7 @@
 
     /// Pools that at least one queue uses, in ascending order.
     std::vector<PoolId> cellPools() const;
+    QueueRoutes queueRoutes() const;
     std::vector<QueueSettings> queuesOf(const PoolId& pool) const;
 
     /// Whether the pool's workers refuse a start that does not fit.
--- a/packages/jobs/include/rattanrack/jobs/job.h
+++ b/packages/jobs/include/rattanrack/jobs/job.h
@@ -15,6 +15,9 @@
 
 using JobId = StrongId<struct JobIdTag>; ///< Chosen by the caller; equal ids mean the same job.
 using QueueId = StrongId<struct QueueIdTag>; ///< Queue of the jobs of one kind of work.
+/// Host and path prefix at which callers reach a queue; job ids are unique within it. It stays the same when the queue
+/// is renamed or served by another pool.
+using QueueAddress = StrongId<struct QueueAddressTag>;
 using WorkerId = StrongId<struct WorkerIdTag>; ///< Name of a worker, which may restart under the same name.
 using MachineId = StrongId<struct MachineIdTag>; ///< What a worker runs on; outlives the worker.
 
@@ -73,6 +76,7 @@
     std::int64_t acceptedAtUnixMs { 0 };
     JobSpec spec;
     int maxAttempts { 0 }; ///< Failed runs of a task that fail the job, as configured when it was accepted; 0: unknown.
+    QueueAddress queueAddress {}; ///< Empty in rows of earlier versions.
 
     friend bool operator==(const Job&, const Job&) = default;
 };
--- a/packages/jobs/src/cell_queries.cpp
+++ b/packages/jobs/src/cell_queries.cpp
@@ -25,6 +25,22 @@
     return machines;
 }
 
+bool Cell::hasJobs(const QueueAddress& queue) const
+{
+    return std::any_of(m_state->jobs.begin(), m_state->jobs.end(),
+        [&](const auto& each) { return each.second->job.queueAddress == queue; });
+}
+
+bool Cell::hasUnstoredJobs(const QueueAddress& queue) const
+{
+    const auto isUnstoredOfQueue = [&](const JobId& job) {
+        const JobEntry* entry = m_state->find(job);
+        return entry && !entry->isStored && entry->job.queueAddress == queue;
+    };
+    return std::any_of(m_state->dirtyJobs.begin(), m_state->dirtyJobs.end(), isUnstoredOfQueue)
+        || std::any_of(m_state->jobsInCommit.begin(), m_state->jobsInCommit.end(), isUnstoredOfQueue);
+}
+
 std::vector<MachineId> Cell::movableMachines() const
 {
     std::vector<MachineId> machines;
--- a/packages/jobs/src/configuration.cpp
+++ b/packages/jobs/src/configuration.cpp
@@ -1,9 +1,34 @@
 #include "rattanrack/jobs/configuration.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 
 namespace rattanrack::jobs {
 
+namespace {
+
+constexpr std::size_t maxAddressLength = 160; ///< In bytes; the keys of rows are limited.
+
+} // namespace
+
+QueueAddress queueAddressOf(const Route& route)
+{
+    const std::string address = route.host + route.pathPrefix;
+    if (address.size() <= maxAddressLength)
+        return QueueAddress { address };
+    const XXH128_hash_t hash = XXH3_128bits(address.data(), address.size());
+    return QueueAddress { "hash-" + std::to_string(hash.high64) + '-' + std::to_string(hash.low64) };
+}
+
+QueueRoutes Configuration::queueRoutes() const
+{
+    QueueRoutes pools;
+    for (const Route& route : routes)
+        pools[queueAddressOf(route)] = route.queue.pool;
+    return pools;
+}
+
 const Route* Configuration::findRoute(std::string_view host, std::string_view path) const
 {
     const Route* best = nullptr;
--- a/packages/jobs/src/job_codec.cpp
+++ b/packages/jobs/src/job_codec.cpp
@@ -88,6 +88,7 @@
     job.acceptedAtUnixMs = json.at("at").get<std::int64_t>();
     job.spec.text = json.at("text").get<std::string>();
     job.maxAttempts = json.value("attempts", 0); // Missing in rows of earlier versions.
+    job.queueAddress = QueueAddress { json.value("address", std::string {}) }; // Missing in rows of earlier versions.
     for (const Json& step : json.at("steps"))
         job.spec.steps.push_back(stepFrom(step));
     const Json& schedule = json.at("schedule");
@@ -121,7 +122,8 @@
         steps.push_back(toJson(step));
     const Schedule& schedule = job.spec.schedule;
     return toCbor({ { "id", job.id.value() }, { "queue", job.queue.value() }, { "at", job.acceptedAtUnixMs },
-        { "attempts", job.maxAttempts }, { "text", job.spec.text }, { "steps", std::move(steps) },
+        { "attempts", job.maxAttempts }, { "address", job.queueAddress.value() }, { "text", job.spec.text },
+        { "steps", std::move(steps) },
         { "schedule", Json::array({ schedule.repeatCount, schedule.firstAtUnixMs, schedule.intervalMs }) } });
 }
 
--- a/packages/node/include/rattanrack/node/cell_host.h
+++ b/packages/node/include/rattanrack/node/cell_host.h
@@ -2,6 +2,7 @@
 
 #include "rattanrack/base/metrics.h"
 #include "rattanrack/jobs/cell.h"
+#include "rattanrack/jobs/cell_queues.h"
 #include "rattanrack/jobs/ownership.h"
 #include "rattanrack/jobs/ports.h"
 #include "rattanrack/node/cell_log.h"
@@ -29,6 +30,8 @@
 struct CellTakeover {
     PartTakeover partTakeover;
     std::vector<jobs::StoredJob> jobs;
+    jobs::ClosedQueues closedQueues;
+    jobs::QueueAssignments assignments;
     std::optional<WorkerList> workers; ///< Read during the takeover; empty if that failed.
 };
 
@@ -64,6 +67,7 @@
         jobs::Advisor* advisor { nullptr }; ///< Null if no queue needs advice.
         ElasticThreadPool* advisorThread { nullptr };
         std::function<void(const jobs::CallerReply&)> onReply;
+        std::function<void(const jobs::QueueAddress&)> onQueueClaimed; ///< The claim has ended, with any result.
         /// Called once, when another node owns the cell or this node has handed it back.
         std::function<void()> onLost;
     };
@@ -75,6 +79,10 @@
 
     /// `enforcesCapacity`: whether the pool's workers refuse a start that does not fit.
     void configure(const std::vector<jobs::QueueSettings>& queues, bool enforcesCapacity);
+
+    /// Applies the routes of a configuration. `routes` must not be null.
+    void setRoutes(std::uint64_t version, std::shared_ptr<const jobs::QueueRoutes> routes);
+    void setAssignments(const jobs::QueueAssignments& assignments);
     void setWorkers(const WorkerList& list);
     void setDrainingMachines(std::set<jobs::MachineId> machines);
 
@@ -83,6 +91,16 @@
     void limitEarlierGrants(const jobs::Ownership& ownership);
     std::vector<jobs::MachineId> drainedMachines() const { return m_cell.drainedMachines(); }
 
+    /// Which cell accepts new jobs of a queue, and which one has a job that this cell does not have.
+    const jobs::CellQueues& queues() const { return m_queues; }
+
+    /// Claims a queue that is claimable; `Parts::onQueueClaimed` follows. Without effect while a claim is in progress.
+    /// `callVersion`: as in `CellQueues::access`.
+    void claimQueue(const jobs::QueueAddress& queue, std::uint64_t callVersion = 0);
+
+    /// False while no queue can be claimed: the store does not respond, or the cell is being handed back.
+    bool mayClaimQueues() const { return !m_isHandingBack && m_writer.isStoreReachable(); }
+
     jobs::Acceptance submit(const jobs::Job& job, jobs::CallerToken token);
     std::optional<jobs::Acceptance> cancel(const jobs::JobId& job, jobs::CallerToken token);
     std::optional<jobs::JobState> state(const jobs::JobId& job) const { return m_cell.state(job); }
@@ -115,6 +133,14 @@
     void onCommitNotStored();
     jobs::Authority authority() const;
     void reportRecovery();
+
+    // Claims and closes of queues: cell_host_queues.cpp
+    void claimQueuesIfDue();
+    void removeEndedAssignments();
+    void onQueueClaimed(const jobs::QueueAddress& queue, const std::optional<jobs::QueueClaimResult>& result);
+    void reportClaim(const jobs::QueueAddress& queue, const jobs::QueueClaimResult& result);
+    void reportJobsInTwoCells(const jobs::QueueAddress& queue, const jobs::QueueClaimResult& result);
+    std::vector<jobs::QueueAddress> closableQueues() const;
     bool isListTooOld() const;
 
     /// Wraps `work` so that it does nothing once this object has been destroyed.
@@ -123,6 +149,11 @@
     Parts m_parts;
     PoolId m_pool;
     jobs::Cell m_cell;
+    jobs::CellQueues m_queues;
+    std::set<jobs::QueueAddress> m_claimsInProgress;
+    std::map<jobs::QueueAddress, jobs::QueueClaimStatus> m_reportedClaims; ///< Latest result, to log changes only.
+    TimePoint m_nextClaimAt {};
+    TimePoint m_nextEarlierJobsReadAt {};
     const Duration m_longestListAge;
     const Duration m_leaseLength;
     const TimePoint m_takenOverAt;
--- a/packages/node/src/cell_host.cpp
+++ b/packages/node/src/cell_host.cpp
@@ -83,7 +83,9 @@
     std::map<std::string, const std::string*> progressByJob;
     for (const jobs::PartRow& row : progressRows.rows)
         progressByJob[row.row.key] = &row.value;
-    CellTakeover takeover { std::move(partTakeover), {} };
+    BOOST_LEAF_AUTO(closedQueues, jobs::readClosedQueues(store, cell));
+    BOOST_LEAF_AUTO(assignments, jobs::readQueueAssignments(store));
+    CellTakeover takeover { std::move(partTakeover), {}, std::move(closedQueues), std::move(assignments) };
     for (const jobs::PartRow& row : jobRows.rows) {
         const auto progress = progressByJob.find(row.row.key);
         takeover.jobs.push_back(
@@ -104,6 +106,7 @@
     , m_cell(settingsOf(pool, takeover.partTakeover.part.term(), times), std::move(takeover.jobs),
           std::move(takeover.partTakeover.workers), m_parts.clock.now(), wallClockMilliseconds(),
           takeover.partTakeover.outstandingLeases)
+    , m_queues(pool, std::move(takeover.closedQueues))
     , m_longestListAge(times.longestListAge)
     , m_leaseLength(times.leaseLength)
     , m_takenOverAt(m_parts.clock.now())
@@ -113,6 +116,7 @@
           std::move(takeover.partTakeover), writerCallbacks())
     , m_links(m_parts.control, m_parts.clock, m_parts.workerThreads, m_parts.connector, linkCallbacks())
 {
+    m_queues.setAssignments(takeover.assignments);
     wake();
 }
 
@@ -239,6 +243,7 @@
         return;
     const TimePoint startedAt = m_parts.clock.now();
     handleOutput(m_cell.advance(startedAt, wallClockMilliseconds(), authority()));
+    claimQueuesIfDue();
     commitIfDue();
     m_passScheduler.recordPass(startedAt, m_parts.clock.now());
     if (!m_writer.isOver())
@@ -342,22 +347,28 @@
     const bool isRefusalDue = m_cell.hasUnconfirmedRefusals() && sinceLast >= commitPause;
     const bool isRenewalDue
         = sinceLast >= renewalPeriod || m_isHandingBack || m_cell.needsConfirmation() || isRefusalDue;
-    const bool isDue = isRenewalDue || haveWorkersChanged || m_cell.hasUrgentCommit() || sinceLast >= commitPause;
+    const auto closableQueues = this->closableQueues();
+    const bool isDue = isRenewalDue || haveWorkersChanged || !closableQueues.empty() || m_cell.hasUrgentCommit()
+        || sinceLast >= commitPause;
     if (!isDue)
         return;
     const auto commit = m_cell.takeCommit(wallClockMilliseconds());
-    if (!commit && !haveWorkersChanged && !isRenewalDue)
+    if (!commit && !haveWorkersChanged && !isRenewalDue && closableQueues.empty())
         return;
+    auto rows = commit ? rowsOf(*commit) : std::vector<jobs::RowWrite> {};
+    for (const jobs::QueueAddress& queue : closableQueues)
+        rows.push_back(m_queues.closeQueue(queue));
     const TimePoint now = m_parts.clock.now();
     m_cell.onWorkerListSent(workers, now);
     const bool isLast = m_isHandingBack && !m_cell.hasUncommittedChanges();
     auto leases = isLast ? std::optional { m_cell.outstandingLeases(now) } : std::nullopt;
-    m_writer.write(commit ? rowsOf(*commit) : std::vector<jobs::RowWrite> {}, std::move(workers), std::move(leases),
-        std::max(m_earlierGrantsEndAt - now, Duration {}));
+    m_writer.write(
+        std::move(rows), std::move(workers), std::move(leases), std::max(m_earlierGrantsEndAt - now, Duration {}));
 }
 
 void CellHost::onCommitStored()
 {
+    m_queues.onClosesStored();
     m_cell.onWorkerListStored(m_writer.workersWritten());
     m_cell.onCommitted(wallClockMilliseconds());
     if (m_writer.isOver())
@@ -367,6 +378,7 @@
 
 void CellHost::onCommitNotStored()
 {
+    m_queues.onClosesNotStored();
     m_cell.onCommitFailed();
     m_cell.rejectUncommittedJobs();
     wake();
--- a/packages/node/src/job_node.cpp
+++ b/packages/node/src/job_node.cpp
@@ -59,6 +59,7 @@
     control.at(Deadline::after(now, announcementPeriod), [this] { tick(); });
     jobCalls.expire(now);
     storeCalls.expire(now);
+    expireDeferredCalls(now);
     stallDetector.tick(now);
     ownership.setStoreReachable(ports.store.isReachable());
     takeOverCells();
--- a/packages/node/src/job_node_calls.cpp
+++ b/packages/node/src/job_node_calls.cpp
@@ -10,6 +10,17 @@
 
 namespace {
 
+using namespace std::chrono_literals;
+
+constexpr Duration claimTimeout = 1500ms; ///< A call waits at most this long until its cell has claimed the queue.
+
+peer::JobReply elsewhere(const std::optional<PoolId>& cell)
+{
+    if (!cell)
+        return { 0, peer::JobCallStatus::NotOwner };
+    return { 0, peer::JobCallStatus::Elsewhere, jobs::JobState::Queued, 0, {}, { *cell } };
+}
+
 peer::JobCallStatus statusOfUnknownJob(const CellHost& host)
 {
     return host.isJobListComplete() ? peer::JobCallStatus::NotFound : peer::JobCallStatus::NotOwner;
@@ -30,7 +41,36 @@
         handleCall(*found->second, call, reply);
 }
 
+/// Sends the call to the cell of the route in force, and once more if that cell names another one.
 void JobNode::State::route(peer::JobCall call, Deadline deadline, JobReplyCallback reply)
+{
+    send(call, deadline, [this, call, deadline, reply = std::move(reply)](const peer::JobReply& answer) mutable {
+        if (call.operation == peer::JobOperation::Pending)
+            return addPendingOfOtherCells(std::move(call), answer, deadline, reply);
+        if (answer.status != peer::JobCallStatus::Elsewhere || answer.cells.empty())
+            return reply(answer);
+        call.cell = answer.cells.front();
+        call.configurationVersion = 0; // It has not chosen this cell.
+        send(std::move(call), deadline, std::move(reply));
+    });
+}
+
+/// Adds the jobs of the cells that `total` names, one after the other.
+void JobNode::State::addPendingOfOtherCells(
+    peer::JobCall call, peer::JobReply total, Deadline deadline, const JobReplyCallback& reply)
+{
+    if (total.status != peer::JobCallStatus::Done || total.cells.empty())
+        return reply(total);
+    call.cell = total.cells.back();
+    total.cells.pop_back();
+    send(call, deadline, [this, call, total, deadline, reply](const peer::JobReply& answer) mutable {
+        if (answer.status == peer::JobCallStatus::Done)
+            total.pending += answer.pending;
+        addPendingOfOtherCells(std::move(call), std::move(total), deadline, reply);
+    });
+}
+
+void JobNode::State::send(peer::JobCall call, Deadline deadline, JobReplyCallback reply)
 {
     // Of the highest term, since the term of this node may be over.
     const auto owner = ownership.owner(call.cell, clock.now());
@@ -46,6 +86,8 @@
 
 void JobNode::State::handleCall(CellHost& host, const peer::JobCall& call, JobReplyCallback reply)
 {
+    if (call.operation != peer::JobOperation::Pending && handleQueueElsewhere(host, call, reply))
+        return;
     switch (call.operation) {
     case peer::JobOperation::Submit:
         return handleSubmit(host, call, std::move(reply));
@@ -57,8 +99,79 @@
             state.value_or(jobs::JobState::Queued) });
     }
     case peer::JobOperation::Pending:
-        return reply({ 0, peer::JobCallStatus::Done, jobs::JobState::Queued, host.unstartedJobs(call.queue) });
+        return reply({ 0, peer::JobCallStatus::Done, jobs::JobState::Queued, host.unstartedJobs(call.queue), {},
+            host.queues().otherCells(call.queueAddress) });
+    }
+}
+
+/// Replies to a call about a job that the cell neither has nor may accept now, or defers it. Returns false if the cell
+/// decides about the call.
+bool JobNode::State::handleQueueElsewhere(CellHost& host, const peer::JobCall& call, const JobReplyCallback& reply)
+{
+    if (host.state(call.job))
+        return false;
+    const jobs::CellQueues& queues = host.queues();
+    if (const auto cell = queues.cellOfEarlierJob(call.queueAddress, call.job)) {
+        const bool isRepeated = call.operation == peer::JobOperation::Submit;
+        if (isRepeated)
+            reportSubmission(host, call);
+        reply(isRepeated ? peer::JobReply { 0, peer::JobCallStatus::Done } : elsewhere(cell));
+        return true;
     }
+    switch (queues.access(call.queueAddress, call.configurationVersion)) {
+    case jobs::QueueAccess::Open:
+        return false;
+    case jobs::QueueAccess::Claimable:
+        defer(host, call, reply);
+        return true;
+    case jobs::QueueAccess::Elsewhere:
+        break;
+    }
+    reply(elsewhere(queues.acceptingCell(call.queueAddress)));
+    return true;
+}
+
+void JobNode::State::defer(CellHost& host, const peer::JobCall& call, JobReplyCallback reply)
+{
+    if (!host.mayClaimQueues())
+        return reply({ 0, peer::JobCallStatus::NotOwner });
+    deferredCalls.push_back({ call, Deadline::after(clock.now(), claimTimeout), std::move(reply) });
+    host.claimQueue(call.queueAddress, call.configurationVersion);
+}
+
+/// Handles the calls that have waited for the claim. If another cell still has the queue, they wait on.
+void JobNode::State::onQueueClaimed(const PoolId& cell, const jobs::QueueAddress& queue)
+{
+    const auto host = cells.find(cell);
+    if (host == cells.end())
+        return;
+    const jobs::CellQueues& queues = host->second->queues();
+    std::vector<DeferredCall> ready;
+    std::erase_if(deferredCalls, [&](DeferredCall& deferred) {
+        const peer::JobCall& call = deferred.call;
+        const bool isReady = call.cell == cell && call.queueAddress == queue
+            && queues.access(queue, call.configurationVersion) != jobs::QueueAccess::Claimable;
+        if (isReady)
+            ready.push_back(std::move(deferred));
+        return isReady;
+    });
+    for (DeferredCall& deferred : ready)
+        handleCall(*host->second, deferred.call, std::move(deferred.reply));
+}
+
+void JobNode::State::expireDeferredCalls(TimePoint now)
+{
+    std::vector<JobReplyCallback> replies;
+    std::erase_if(deferredCalls, [&](DeferredCall& deferred) {
+        const bool isExpired = deferred.deadline.hasPassed(now) || !cells.contains(deferred.call.cell);
+        if (isExpired)
+            replies.push_back(std::move(deferred.reply));
+        return isExpired;
+    });
+    for (const JobReplyCallback& reply : replies)
+        reply({ 0, peer::JobCallStatus::NotOwner });
+    for (const DeferredCall& deferred : deferredCalls)
+        cells.at(deferred.call.cell)->claimQueue(deferred.call.queueAddress, deferred.call.configurationVersion);
 }
 
 /// Logs which cell a submission was sent to by which version of the configuration, so that two cells with one job show.
--- a/packages/node/src/job_node_cells.cpp
+++ b/packages/node/src/job_node_cells.cpp
@@ -61,16 +61,18 @@
             { "from", takeover.partTakeover.previousHolder.value() } });
     if (takeover.workers)
         setWorkers(*std::move(takeover.workers));
+    setAssignments(takeover.assignments);
     const jobs::PreviousOwner previous = previousOwner(takeover.partTakeover);
     CellHost::Parts parts { control, clock, metrics, cellLog, loadMonitor, storePool, workerPool, ports.store,
         ports.workers, ports.advisor, &advisorPool, [this](const jobs::CallerReply& reply) { onCallerReply(reply); },
+        [this, cell](const jobs::QueueAddress& queue) { onQueueClaimed(cell, queue); },
         [this, cell] { onCellLost(cell); } };
     auto host = std::make_unique<CellHost>(std::move(parts), cell,
         CellTimeLimits { settings.leaseLength, settings.keepEnded, settings.longestStop, settings.longestListAge,
             settings.longestLease },
         std::move(takeover));
     if (configuration)
-        host->configure(configuration->queuesOf(cell), configuration->enforcesCapacity(cell));
+        configure(cell, *host);
     host->setWorkers(workers);
     host->setDrainingMachines(drainingMachines());
     if (previous.term > 0)
--- a/packages/node/src/job_node_state.h
+++ b/packages/node/src/job_node_state.h
@@ -33,6 +33,13 @@
     JobReplyCallback reply;
 };
 
+/// A call that waits until its cell has claimed the queue.
+struct DeferredCall {
+    peer::JobCall call;
+    Deadline deadline;
+    JobReplyCallback reply;
+};
+
 constexpr std::size_t storeThreads = 12;
 /// Two for each worker of all cells, since this node may be the last one and own all of them.
 constexpr std::size_t workerThreads = 1500;
@@ -74,7 +81,14 @@
 
     // Requests of callers: job_node_calls.cpp
     void route(peer::JobCall call, Deadline deadline, JobReplyCallback reply);
+    void send(peer::JobCall call, Deadline deadline, JobReplyCallback reply);
+    void addPendingOfOtherCells(
+        peer::JobCall call, peer::JobReply total, Deadline deadline, const JobReplyCallback& reply);
     void handleCall(CellHost& host, const peer::JobCall& call, JobReplyCallback reply);
+    bool handleQueueElsewhere(CellHost& host, const peer::JobCall& call, const JobReplyCallback& reply);
+    void defer(CellHost& host, const peer::JobCall& call, JobReplyCallback reply);
+    void onQueueClaimed(const PoolId& cell, const jobs::QueueAddress& queue);
+    void expireDeferredCalls(TimePoint now);
     void handleSubmit(CellHost& host, const peer::JobCall& call, JobReplyCallback reply);
     void reportSubmission(const CellHost& host, const peer::JobCall& call);
     void handleCancel(CellHost& host, const peer::JobCall& call, JobReplyCallback reply);
@@ -93,6 +107,10 @@
     void setWorkers(WorkerList list);
     void watchMembers();
     void applyConfiguration(jobs::Configuration configuration);
+    void readAssignmentsIfDue();
+    void setAssignments(const jobs::QueueAssignments& assignments);
+    void setOwnedCells();
+    void configure(const PoolId& cell, CellHost& host) const;
     void registerSelf();
 
     template <typename Work, typename Then>
@@ -121,13 +139,18 @@
     jobs::AnnouncementPacer announcementPacer;
     std::set<PoolId> takeoversInProgress;
     std::vector<jobs::MaintenanceWave> waves;
+    jobs::QueueAssignments assignments; ///< Cells in it have an owner, whether the configuration routes to them or not.
+    std::shared_ptr<const jobs::QueueRoutes> queueRoutes { std::make_shared<jobs::QueueRoutes>() };
     WorkerList workers;
     std::map<jobs::CallerToken, WaitingCall> waitingCalls;
+    std::vector<DeferredCall> deferredCalls;
     jobs::CallerToken lastToken { 0 };
     LogRateLimiter submissionLines;
     bool isLeaving { false };
 
     std::atomic<bool> isStopped { false };
+    std::atomic<bool> mustReadAssignments { true };
+    Deadline nextAssignmentsRead {}; ///< Of the thread that watches the members.
     std::atomic<bool> isReady { false };
     std::atomic<bool> hasConfiguredCells { false };
     std::atomic<bool> ownsAnyPart { false };
--- a/packages/node/src/job_node_watchers.cpp
+++ b/packages/node/src/job_node_watchers.cpp
@@ -11,6 +11,7 @@
 using namespace std::chrono_literals;
 
 constexpr Duration membersPeriod = 3s; ///< Between reads of the list of nodes in the store.
+constexpr Duration assignmentsPeriod = 9s; ///< Between reads of which cells have which queues.
 /// A machine that has moved can be used only once its worker is known.
 constexpr Duration workersPeriod = 400ms;
 constexpr Duration configurationWait = 1500ms; ///< Of one request for changes of the operators' directives.
@@ -41,14 +42,65 @@
         const std::lock_guard lock(configurationMutex);
         configuration = shared;
     }
-    auto owned = shared->cellPools();
+    queueRoutes = std::make_shared<const jobs::QueueRoutes>(shared->queueRoutes());
+    mustReadAssignments = true;
     if (machineController)
         machineController->configure(*shared);
-    owned.push_back(machinePart);
-    ownership.setCells(std::move(owned), { machinePart });
+    setOwnedCells();
     hasConfiguredCells = true;
     for (auto& [cell, host] : cells)
-        host->configure(shared->queuesOf(cell), shared->enforcesCapacity(cell));
+        configure(cell, *host);
+}
+
+void JobNode::State::configure(const PoolId& cell, CellHost& host) const
+{
+    host.configure(configuration->queuesOf(cell), configuration->enforcesCapacity(cell));
+    host.setRoutes(configuration->version, queueRoutes);
+}
+
+/// Cells of accepted jobs have an owner until the jobs are removed, whether the configuration has a route to them or
+/// not.
+void JobNode::State::setOwnedCells()
+{
+    if (!configuration)
+        return;
+    std::set<PoolId> owned { machinePart };
+    for (const PoolId& cell : configuration->cellPools())
+        owned.insert(cell);
+    for (const auto& [queue, assignment] : assignments.byQueue) {
+        owned.insert(assignment.cell);
+        owned.insert(assignment.earlierCells.begin(), assignment.earlierCells.end());
+    }
+    ownership.setCells({ owned.begin(), owned.end() }, { machinePart });
+}
+
+/// Reads arrive out of order, since a takeover does one beside the watcher.
+void JobNode::State::setAssignments(const jobs::QueueAssignments& read)
+{
+    if (read.version < assignments.version)
+        return;
+    assignments = read;
+    setOwnedCells();
+    for (auto& [cell, host] : cells)
+        host->setAssignments(assignments);
+}
+
+void JobNode::State::readAssignmentsIfDue()
+{
+    const TimePoint now = clock.now();
+    if (!mustReadAssignments.exchange(false) && !nextAssignmentsRead.hasPassed(now))
+        return;
+    nextAssignmentsRead = Deadline::after(now, assignmentsPeriod);
+    auto read = valueOrNothing([&] { return jobs::readQueueAssignments(ports.store); },
+        [](const Error& error) {
+            logEvent("queues.unread", { { "error", describe(error) } }, LogLevel::Warning);
+        });
+    if (!read) {
+        mustReadAssignments = true;
+        return;
+    }
+    control.post(
+        [this, shared = std::make_shared<jobs::QueueAssignments>(std::move(*read))] { setAssignments(*shared); });
 }
 
 void JobNode::State::watchConfiguration()
@@ -129,6 +181,7 @@
 {
     registerSelf();
     loopUntilStopped(membersPeriod, [this] {
+        readAssignmentsIfDue();
         auto rows = valueOrNothing([&] { return ports.store.read({ nodeTable, nodePart, {} }); });
         if (!rows)
             return;
--- a/packages/node/tests/cell_host_tests.cpp
+++ b/packages/node/tests/cell_host_tests.cpp
@@ -73,7 +73,7 @@
         control.run([&] {
             CellHost::Parts parts { control, clock, metrics, log, loadMonitor, storeThreads, workerThreads, store,
                 workers, nullptr, nullptr, [this](const jobs::CallerReply& reply) { stored += reply.isStored ? 1 : 0; },
-                [this] { ++lost; } };
+                [](const jobs::QueueAddress&) {}, [this] { ++lost; } };
             host = std::make_unique<CellHost>(
                 std::move(parts), pool, CellTimeLimits { 4500ms, 120s, 900ms, 1500ms, 6s }, std::move(takeover));
         });
@@ -261,7 +261,7 @@
     bool isJobListComplete = true;
     control.run([&] {
         CellHost::Parts parts { control, clock, metrics, log, loadMonitor, storeThreads, workerThreads, store, workers,
-            nullptr, nullptr, [](const jobs::CallerReply&) {}, [] {} };
+            nullptr, nullptr, [](const jobs::CallerReply&) {}, [](const jobs::QueueAddress&) {}, [] {} };
         CellHost late { std::move(parts), other, CellTimeLimits { 4500ms, 120s, 900ms, 1500ms, 6s },
             std::move(takeover) };
         isJobListComplete = late.isJobListComplete();
@@ -287,7 +287,7 @@
     moved.incarnationUnixMs = 2;
     control.run([&] {
         CellHost::Parts parts { control, clock, metrics, log, loadMonitor, storeThreads, workerThreads, store, workers,
-            nullptr, nullptr, [](const jobs::CallerReply&) {}, [] {} };
+            nullptr, nullptr, [](const jobs::CallerReply&) {}, [](const jobs::QueueAddress&) {}, [] {} };
         host = std::make_unique<CellHost>(
             std::move(parts), pool, CellTimeLimits { 4500ms, 120s, 900ms, 1500ms, 6s }, std::move(takeover));
         host->configure({ { queue, pool, 0, 3, 1.6, 600ms } }, true);
--- a/packages/peer/include/rattanrack/peer/messages.h
+++ b/packages/peer/include/rattanrack/peer/messages.h
@@ -111,6 +111,7 @@
     jobs::QueueId queue;
     std::string body; ///< The job, for Submit.
     std::uint64_t configurationVersion { 0 }; ///< In force at the node that received the caller's request.
+    jobs::QueueAddress queueAddress;
 
     friend bool operator==(const JobCall&, const JobCall&) = default;
 };
@@ -121,6 +122,7 @@
     Refused, ///< The change is not stored and never will be.
     NotOwner, ///< Nothing was done: the node does not own the cell.
     OutcomeUnknown, ///< The change may or may not be stored; the same job id may be sent again.
+    Elsewhere, ///< Nothing was done: send the call to the first of `JobReply::cells`.
 };
 
 struct JobReply {
@@ -129,6 +131,9 @@
     jobs::JobState state { jobs::JobState::Queued };
     int pending { 0 };
     Duration retryAfter {}; ///< Of a refused job; 0: not known.
+    /// When Elsewhere, the cell that has the job or accepts it. When Done for Pending, the other cells that may have
+    /// jobs of the queue.
+    std::vector<PoolId> cells {};
 
     friend bool operator==(const JobReply&, const JobReply&) = default;
 };
--- a/packages/peer/src/codec.cpp
+++ b/packages/peer/src/codec.cpp
@@ -351,7 +351,7 @@
 
     std::size_t operator()(const jobs::NodeAnnouncement& message) const { return variableSize(message); }
     std::size_t operator()(const JobCall& message) const { return message.body.size(); }
-    std::size_t operator()(const JobReply&) const { return 0; }
+    std::size_t operator()(const JobReply& message) const { return message.cells.size() * sizeof(PoolId); }
     std::size_t operator()(const StoreCall& message) const { return variableSize(message); }
     std::size_t operator()(const StoreReply& message) const { return variableSize(message); }
 
--- a/packages/peer/src/job_messages_codec.cpp
+++ b/packages/peer/src/job_messages_codec.cpp
@@ -65,6 +65,7 @@
     call.setQueue(message.queue.value());
     call.setBody(dataOf(message.body));
     call.setConfigVersion(message.configurationVersion);
+    call.setQueueAddress(message.queueAddress.value());
 }
 
 void encodeJobReply(const JobReply& message, wire::JobReply::Builder reply)
@@ -74,6 +75,9 @@
     reply.setState(static_cast<std::uint8_t>(message.state));
     reply.setPending(message.pending);
     reply.setRetryAfterMicroseconds(message.retryAfter.count());
+    auto cells = reply.initCells(static_cast<unsigned>(message.cells.size()));
+    for (unsigned index = 0; index < cells.size(); ++index)
+        cells.set(index, message.cells[index].value());
 }
 
 jobs::NodeAnnouncement decodeNodeAnnouncement(wire::NodeNews::Reader source)
@@ -97,18 +101,22 @@
         return std::nullopt;
     return JobCall { source.getExchange(), text(source.getReplyTo()), static_cast<JobOperation>(source.getOperation()),
         PoolId { text(source.getCell()) }, jobs::JobId { text(source.getJob()) },
-        jobs::QueueId { text(source.getQueue()) }, bytes(source.getBody()), source.getConfigVersion() };
+        jobs::QueueId { text(source.getQueue()) }, bytes(source.getBody()), source.getConfigVersion(),
+        jobs::QueueAddress { text(source.getQueueAddress()) } };
 }
 
 std::optional<JobReply> decodeJobReply(wire::JobReply::Reader source)
 {
-    const bool isInRange = source.getStatus() <= wire::JobCallStatus::UNSETTLED
+    const bool isInRange = source.getStatus() <= wire::JobCallStatus::ELSEWHERE
         && source.getState() <= static_cast<std::uint8_t>(jobs::JobState::Cancelled);
     if (!isInRange)
         return std::nullopt;
-    return JobReply { source.getExchange(), static_cast<JobCallStatus>(source.getStatus()),
+    JobReply reply { source.getExchange(), static_cast<JobCallStatus>(source.getStatus()),
         static_cast<jobs::JobState>(source.getState()), source.getPending(),
         Duration { std::max<std::int64_t>(0, source.getRetryAfterMicroseconds()) } };
+    for (const auto cell : source.getCells())
+        reply.cells.push_back(PoolId { text(cell) });
+    return reply;
 }
 
 std::size_t variableSize(const jobs::NodeAnnouncement& message)
--- a/packages/peer/src/peer.capnp
+++ b/packages/peer/src/peer.capnp
@@ -195,6 +195,7 @@
   queue @5 :Text;
   body @6 :Data;
   configVersion @7 :UInt64;
+  queueAddress @8 :Text;
 }
 
 enum JobCallStatus {
@@ -203,6 +204,7 @@
   refused @2;
   notOwner @3;
   unsettled @4;
+  elsewhere @5;
 }
 
 struct JobReply {
@@ -211,6 +213,7 @@
   state @2 :UInt8;
   pending @3 :Int32;
   retryAfterMicroseconds @4 :Int64;
+  cells @5 :List(Text);
 }
 
 struct RowCondition {
--- a/packages/peer/src/peer.capnp.h
+++ b/packages/peer/src/peer.capnp.h
@@ -71,6 +71,7 @@
   REFUSED,
   NOT_OWNER,
   UNSETTLED,
+  ELSEWHERE,
 };
 CAPNP_DECLARE_ENUM(JobCallStatus, e2d70a838a284959);
 CAPNP_DECLARE_SCHEMA(c4d7bbfab0779b52);
@@ -441,7 +442,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f24372f90df5b083, 3, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(f24372f90df5b083, 3, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -458,7 +459,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c4d7bbfab0779b52, 3, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(c4d7bbfab0779b52, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2895,6 +2896,9 @@
 
   inline  ::uint64_t getConfigVersion() const;
 
+  inline bool hasQueueAddress() const;
+  inline  ::capnp::Text::Reader getQueueAddress() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2967,6 +2971,13 @@
   inline  ::uint64_t getConfigVersion();
   inline void setConfigVersion( ::uint64_t value);
 
+  inline bool hasQueueAddress();
+  inline  ::capnp::Text::Builder getQueueAddress();
+  inline void setQueueAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initQueueAddress(unsigned int size);
+  inline void adoptQueueAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownQueueAddress();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3020,6 +3031,9 @@
 
   inline  ::int64_t getRetryAfterMicroseconds() const;
 
+  inline bool hasCells() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getCells() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3063,6 +3077,14 @@
   inline  ::int64_t getRetryAfterMicroseconds();
   inline void setRetryAfterMicroseconds( ::int64_t value);
 
+  inline bool hasCells();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getCells();
+  inline void setCells( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setCells(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initCells(unsigned int size);
+  inline void adoptCells(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownCells();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7215,6 +7237,40 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool JobCall::Reader::hasQueueAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool JobCall::Builder::hasQueueAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader JobCall::Reader::getQueueAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder JobCall::Builder::getQueueAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void JobCall::Builder::setQueueAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder JobCall::Builder::initQueueAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void JobCall::Builder::adoptQueueAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> JobCall::Builder::disownQueueAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t JobReply::Reader::getExchange() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -7285,6 +7341,44 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool JobReply::Reader::hasCells() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool JobReply::Builder::hasCells() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader JobReply::Reader::getCells() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder JobReply::Builder::getCells() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void JobReply::Builder::setCells( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void JobReply::Builder::setCells(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder JobReply::Builder::initCells(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void JobReply::Builder::adoptCells(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> JobReply::Builder::disownCells() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool RowCondition::Reader::hasTable() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
