Machines of a pool without a route are drained while it has accepted jobs

When the last route of a pool was removed, the machines of the pool were maintained under the long-running tasks at work there.

Which pools are drained before maintenance was taken from the routes in force; a machine of any other pool counted as drained.

Change: the machine part drains the pools of all cells in use, which are those with a route and those that an assignment of a queue names (cellsInUse). Owners are chosen for the same set.

CellsInUse.* tests the set.

--- a/packages/jobs/src/queue_assignment.cpp
+++ b/packages/jobs/src/queue_assignment.cpp
@@ -43,6 +43,18 @@
     });
 }
 
+std::set<PoolId> cellsInUse(const Configuration& configuration, const QueueAssignments& assignments)
+{
+    std::set<PoolId> cells;
+    for (const PoolId& cell : configuration.cellPools())
+        cells.insert(cell);
+    for (const auto& [queue, assignment] : assignments.byQueue) {
+        cells.insert(assignment.cell);
+        cells.insert(assignment.earlierCells.begin(), assignment.earlierCells.end());
+    }
+    return cells;
+}
+
 RowWrite closedQueueRow(const QueueAddress& queue, std::uint64_t configurationVersion)
 {
     return { { closedQueueTable, queue.value() }, toCbor({ { versionField, configurationVersion } }) };
--- a/packages/jobs/tests/queue_assignment_tests.cpp
+++ b/packages/jobs/tests/queue_assignment_tests.cpp
@@ -176,3 +176,14 @@
     queues.setAssignments(assignedTo(there, 9, 2));
     EXPECT_TRUE(queues.closedQueuesWithoutSuccessor().empty());
 }
+
+TEST(CellsInUse, CellOfAcceptedJobsIsInUseWithoutARoute)
+{
+    Configuration configuration;
+    configuration.routes.push_back({ "a.example", "/jobs/", { QueueId { "q" }, there } });
+    QueueAssignments assignments = assignedTo(there, 8);
+    assignments.byQueue.at(queue).earlierCells = { here };
+    EXPECT_EQ(cellsInUse(configuration, {}), std::set { there });
+    EXPECT_EQ(cellsInUse(configuration, assignments), (std::set { here, there }));
+    EXPECT_EQ(cellsInUse({}, assignments), (std::set { here, there }));
+}
--- a/packages/node/include/rattanrack/node/machine_controller.h
+++ b/packages/node/include/rattanrack/node/machine_controller.h
@@ -48,7 +48,9 @@
     MachineController& operator=(const MachineController&) = delete;
 
     void setWaves(const std::vector<jobs::MaintenanceWave>& waves);
-    void configure(const jobs::Configuration& configuration);
+
+    /// `cells`: the pools whose machines are drained before they are maintained or moved.
+    void configure(const jobs::Configuration& configuration, const std::set<PoolId>& cells);
 
     /// Sets what the owners of cells report about their machines and loads.
     void setCellStatus(
--- a/packages/node/src/job_node_cells.cpp
+++ b/packages/node/src/job_node_cells.cpp
@@ -99,7 +99,7 @@
             std::move(takeover));
     logEvent("machines.taken", { { "term", machineController->term() } });
     if (configuration)
-        machineController->configure(*configuration);
+        machineController->configure(*configuration, cellsInUse);
     machineController->setWaves(waves);
     ownership.onCellTaken(machinePart, machineController->term(), clock.now());
     if (isLeaving)
--- a/packages/node/src/job_node_state.h
+++ b/packages/node/src/job_node_state.h
@@ -109,7 +109,7 @@
     void applyConfiguration(jobs::Configuration configuration);
     void readAssignmentsIfDue();
     void setAssignments(const jobs::QueueAssignments& assignments);
-    void setOwnedCells();
+    void setCellsInUse();
     void configure(const PoolId& cell, CellHost& host) const;
     void registerSelf();
 
@@ -139,6 +139,7 @@
     jobs::AnnouncementPacer announcementPacer;
     std::set<PoolId> takeoversInProgress;
     std::vector<jobs::MaintenanceWave> waves;
+    std::set<PoolId> cellsInUse;
     jobs::QueueAssignments assignments; ///< Cells in it have an owner, whether the configuration routes to them or not.
     std::shared_ptr<const jobs::QueueRoutes> queueRoutes { std::make_shared<jobs::QueueRoutes>() };
     WorkerList workers;
--- a/packages/node/src/job_node_watchers.cpp
+++ b/packages/node/src/job_node_watchers.cpp
@@ -44,9 +44,7 @@
     }
     queueRoutes = std::make_shared<const jobs::QueueRoutes>(shared->queueRoutes());
     mustReadAssignments = true;
-    if (machineController)
-        machineController->configure(*shared);
-    setOwnedCells();
+    setCellsInUse();
     hasConfiguredCells = true;
     for (auto& [cell, host] : cells)
         configure(cell, *host);
@@ -60,18 +58,16 @@
 
 /// Cells of accepted jobs have an owner until the jobs are removed, whether the configuration has a route to them or
 /// not.
-void JobNode::State::setOwnedCells()
+void JobNode::State::setCellsInUse()
 {
     if (!configuration)
         return;
-    std::set<PoolId> owned { machinePart };
-    for (const PoolId& cell : configuration->cellPools())
-        owned.insert(cell);
-    for (const auto& [queue, assignment] : assignments.byQueue) {
-        owned.insert(assignment.cell);
-        owned.insert(assignment.earlierCells.begin(), assignment.earlierCells.end());
-    }
-    ownership.setCells({ owned.begin(), owned.end() }, { machinePart });
+    cellsInUse = jobs::cellsInUse(*configuration, assignments);
+    std::vector<PoolId> owned { cellsInUse.begin(), cellsInUse.end() };
+    owned.push_back(machinePart);
+    ownership.setCells(std::move(owned), { machinePart });
+    if (machineController)
+        machineController->configure(*configuration, cellsInUse);
 }
 
 /// Reads arrive out of order, since a takeover does one beside the watcher.
@@ -80,7 +76,7 @@
     if (read.version < assignments.version)
         return;
     assignments = read;
-    setOwnedCells();
+    setCellsInUse();
     for (auto& [cell, host] : cells)
         host->setAssignments(assignments);
 }
--- a/packages/node/src/machine_controller.cpp
+++ b/packages/node/src/machine_controller.cpp
@@ -91,17 +91,15 @@
         });
 }
 
-void MachineController::configure(const jobs::Configuration& configuration)
+void MachineController::configure(const jobs::Configuration& configuration, const std::set<PoolId>& cells)
 {
-    const auto cells = configuration.cellPools();
-    const std::set<PoolId> owned { cells.begin(), cells.end() };
     std::set<PoolId> standby;
     for (const jobs::PoolSettings& pool : configuration.pools) {
         if (pool.isStandby)
             standby.insert(pool.id);
     }
-    m_maintenance.setOwnedPools(owned);
-    m_planner.setPools(owned, std::move(standby));
+    m_maintenance.setOwnedPools(cells);
+    m_planner.setPools(cells, std::move(standby));
 }
 
 void MachineController::setCellStatus(
