A job needs tickets if its queue did when it was accepted

What callers saw: LOST. When a queue that asks for tickets had lost its route, a new owner started its jobs without tickets; workers rejected each start, some 500 in 14 s.

Cell.JobOfAnUnknownQueueWaitsForItsTickets holds the rule.

--- a/packages/jobs/include/rattanrack/jobs/job.h
+++ b/packages/jobs/include/rattanrack/jobs/job.h
@@ -77,6 +77,7 @@
     JobSpec spec;
     int maxAttempts { 0 }; ///< Failed runs of a task that fail the job, as configured when it was accepted; 0: unknown.
     QueueAddress queueAddress {}; ///< Empty in rows of earlier versions.
+    bool requiresTickets { false }; ///< As configured when it was accepted.
 
     friend bool operator==(const Job&, const Job&) = default;
 };
--- a/packages/jobs/include/rattanrack/jobs/queue_assignment.h
+++ b/packages/jobs/include/rattanrack/jobs/queue_assignment.h
@@ -38,8 +38,8 @@
     RowVersion version { 0 }; ///< The store's version at the time of the read.
 };
 
-/// Cells that need an owner and whose machines are drained before they are maintained or moved: those that a route names,
-/// and those that may have jobs of a queue whose route has moved or is gone.
+/// Cells that need an owner and whose machines are drained before they are maintained or moved: those that a route
+/// names, and those that may have jobs of a queue whose route has moved or is gone.
 std::set<PoolId> cellsInUse(const Configuration& configuration, const QueueAssignments& assignments);
 
 /// The version of the configuration through which a cell accepts no jobs of a queue. A cell may accept jobs of a queue
--- a/packages/jobs/src/cell.cpp
+++ b/packages/jobs/src/cell.cpp
@@ -105,6 +105,11 @@
     return entry.queue ? entry.queue->maxAttempts : entry.job.maxAttempts;
 }
 
+bool CellState::requiresTickets(const JobEntry& entry)
+{
+    return entry.queue ? entry.queue->requiresTickets : entry.job.requiresTickets;
+}
+
 const Step& CellState::stepOf(const JobEntry& entry, const TaskRef& task)
 {
     return entry.job.spec.steps[static_cast<std::size_t>(task.step)];
--- a/packages/jobs/src/cell_schedule.cpp
+++ b/packages/jobs/src/cell_schedule.cpp
@@ -214,7 +214,7 @@
     const Step& step = ready.spec();
     if (step.isGang && entry.suspects > 0 && hasTaskHeldForEvidence(*this, ready, now))
         return;
-    const bool needsTicket = queueOf(entry).requiresTickets;
+    const bool needsTicket = requiresTickets(entry);
     const StepTickets* tickets = needsTicket ? validTickets(ready, capacity, now) : nullptr;
     if (needsTicket && !tickets)
         return;
@@ -254,7 +254,7 @@
 /// free for it or it requires tickets.
 bool CellState::skipIfNoCapacity(const ReadyStep& ready, const FreeCapacity& capacity)
 {
-    const bool hasTurn = ready.rank <= Rank::Started || queueOf(*ready.entry).requiresTickets;
+    const bool hasTurn = ready.rank <= Rank::Started || requiresTickets(*ready.entry);
     if (hasTurn || capacity.mayFit(ready.spec()))
         return false;
     addWaitingDemand(ready, ready.entry->startableTasks(ready.occurrence, ready.step));
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -230,6 +230,9 @@
     /// Maximum of attempts as configured or, where the configuration doesn't contain the queue, as accepted with the
     /// job. 0: not known.
     static int attemptsOf(const JobEntry& entry);
+
+    /// As configured or, where the configuration doesn't contain the queue, as accepted with the job.
+    static bool requiresTickets(const JobEntry& entry);
     static const Step& stepOf(const JobEntry& entry, const TaskRef& task);
     void addEvent(CellEvent event) { output.events.push_back(std::move(event)); }
     void addRunEvent(RunEvent::Kind kind, const Worker& worker, const TaskRef& task, RunNumber run,
--- a/packages/jobs/src/cell_trials.cpp
+++ b/packages/jobs/src/cell_trials.cpp
@@ -102,7 +102,7 @@
 void CellState::startTrial(const Trial& trial, FreeCapacity& capacity, TrialScope scope, TimePoint now)
 {
     const ReadyStep& ready = trial.ready;
-    const bool needsTicket = queueOf(*ready.entry).requiresTickets;
+    const bool needsTicket = requiresTickets(*ready.entry);
     const StepTickets* tickets = needsTicket ? validTickets(ready, capacity, now) : nullptr;
     if (needsTicket && !tickets)
         return;
--- a/packages/jobs/src/job_codec.cpp
+++ b/packages/jobs/src/job_codec.cpp
@@ -89,6 +89,7 @@
     job.spec.text = json.at("text").get<std::string>();
     job.maxAttempts = json.value("attempts", 0); // Missing in rows of earlier versions.
     job.queueAddress = QueueAddress { json.value("address", std::string {}) }; // Missing in rows of earlier versions.
+    job.requiresTickets = json.value("tickets", false);
     for (const Json& step : json.at("steps"))
         job.spec.steps.push_back(stepFrom(step));
     const Json& schedule = json.at("schedule");
@@ -122,8 +123,8 @@
         steps.push_back(toJson(step));
     const Schedule& schedule = job.spec.schedule;
     return toCbor({ { "id", job.id.value() }, { "queue", job.queue.value() }, { "at", job.acceptedAtUnixMs },
-        { "attempts", job.maxAttempts }, { "address", job.queueAddress.value() }, { "text", job.spec.text },
-        { "steps", std::move(steps) },
+        { "attempts", job.maxAttempts }, { "address", job.queueAddress.value() }, { "tickets", job.requiresTickets },
+        { "text", job.spec.text }, { "steps", std::move(steps) },
         { "schedule", Json::array({ schedule.repeatCount, schedule.firstAtUnixMs, schedule.intervalMs }) } });
 }
 
--- a/packages/jobs/src/missing_run_diagnosis.cpp
+++ b/packages/jobs/src/missing_run_diagnosis.cpp
@@ -89,7 +89,7 @@
         return MissingRunReason::FailureNotStored;
     if (isWaiting && isSuspect && m_state.isHeldForEvidence(entry.progress.task(task), m_now))
         return MissingRunReason::HeldForEvidence;
-    if (!CellState::queueOf(entry).requiresTickets)
+    if (!CellState::requiresTickets(entry))
         return std::nullopt;
     const auto tickets = entry.tickets.find({ task.occurrence, task.step });
     const bool hasTickets = tickets != entry.tickets.end() && m_now < tickets->second.validUntil;
--- a/packages/jobs/tests/cell_tests.cpp
+++ b/packages/jobs/tests/cell_tests.cpp
@@ -304,3 +304,15 @@
     EXPECT_FALSE(replies[0].isStored || replies[1].isStored);
     EXPECT_TRUE(harness.cell().state(JobId { "old" }).has_value());
 }
+
+TEST(Cell, JobOfAnUnknownQueueWaitsForItsTickets)
+{
+    Job job { JobId { "a" }, QueueId { "of a route that was removed" }, 0, { "text", { {} }, {} } };
+    job.requiresTickets = true;
+    CellHarness harness { 2, { { job, {} } } };
+    harness.answerPoll("w1", {});
+    harness.answerPoll("w2", {});
+    harness.storeChanges();
+    harness.advance(500ms);
+    EXPECT_TRUE(harness.takeCommands<StartCommand>().empty());
+}
