A claim holds for one assignment and one route only

The jobs of earlier cells were kept without the assignment that they had been read for. A call that waited for its claim was claimed again by the newest version in force, also if that version sends the queue elsewhere. The queue then stayed at a cell without its route, and no other cell could claim it.

CellQueuesTest.LateClaimResultDoesNotStandForTheJobsOfALaterAssignment fails before and passes now; QueueThatIsRoutedElsewhereByNowIsNotClaimed needs the new signature.

--- a/packages/jobs/include/rattanrack/jobs/cell_queues.h
+++ b/packages/jobs/include/rattanrack/jobs/cell_queues.h
@@ -17,6 +17,12 @@
     Elsewhere, ///< Another cell accepts them, or none does.
 };
 
+/// The jobs of earlier cells, read for one version of a queue's assignment.
+struct EarlierJobs {
+    RowVersion rowVersion { 0 };
+    std::unordered_map<JobId, PoolId> cellByJob;
+};
+
 struct AssignedQueue {
     QueueAddress queue;
     RowVersion rowVersion { 0 }; ///< Of its assignment.
@@ -51,8 +57,8 @@
     /// The earlier cell that has the job, if it is known to have it.
     std::optional<PoolId> cellOfEarlierJob(const QueueAddress& queue, const JobId& job) const;
 
-    /// The claim of a queue that the configuration assigns to the cell, or that is assigned to it already.
-    QueueClaim claim(const QueueAddress& queue, std::uint64_t callVersion = 0) const;
+    /// The claim of a queue that is open or claimable; empty if it is elsewhere.
+    std::optional<QueueClaim> claim(const QueueAddress& queue, std::uint64_t callVersion = 0) const;
     void onClaimResult(const QueueAddress& queue, const QueueClaimResult& result);
 
     /// Queues to claim without waiting for a call: those that another cell had, and those whose earlier jobs have not
@@ -81,6 +87,7 @@
     bool isAssignedHere(const QueueAddress& queue) const;
     bool isRoutedHere(const QueueAddress& queue, std::uint64_t callVersion = 0) const;
     bool isRoutedAway(const QueueAddress& queue) const;
+    const EarlierJobs* earlierJobsOf(const QueueAddress& queue) const;
     bool isMissingEarlierJobs(const QueueAddress& queue) const;
     std::uint64_t closedThrough(const QueueAddress& queue) const;
     void setAssignment(const QueueAddress& queue, const QueueAssignment& assignment);
@@ -91,7 +98,7 @@
     std::uint64_t m_version { 0 }; ///< Of the configuration in force.
     std::shared_ptr<const QueueRoutes> m_routes;
     std::map<QueueAddress, QueueAssignment> m_assignments;
-    std::map<QueueAddress, std::unordered_map<JobId, PoolId>> m_earlierJobs; ///< Of queues whose jobs have been read.
+    std::map<QueueAddress, EarlierJobs> m_earlierJobs; ///< As read last; valid for one version of the assignment.
 };
 
 } // namespace rattanrack::jobs
--- a/packages/jobs/src/cell_queries.cpp
+++ b/packages/jobs/src/cell_queries.cpp
@@ -27,8 +27,10 @@
 
 bool Cell::hasJobs(const QueueAddress& queue) const
 {
-    return std::any_of(m_state->jobs.begin(), m_state->jobs.end(),
-        [&](const auto& each) { return each.second->job.queueAddress == queue; });
+    return std::any_of(m_state->jobs.begin(), m_state->jobs.end(), [&](const auto& each) {
+        const QueueAddress& address = each.second->job.queueAddress;
+        return address.isEmpty() || address == queue; // Rows of earlier releases don't name their queue.
+    });
 }
 
 bool Cell::hasUnstoredJobs(const QueueAddress& queue) const
--- a/packages/jobs/src/cell_queues.cpp
+++ b/packages/jobs/src/cell_queues.cpp
@@ -70,10 +70,20 @@
     return assignment && m_version > assignment->configurationVersion && !isRoutedHere(queue);
 }
 
+/// Null unless they have been read for the assignment in force.
+const EarlierJobs* CellQueues::earlierJobsOf(const QueueAddress& queue) const
+{
+    const QueueAssignment* assignment = assignmentOf(queue);
+    const auto found = m_earlierJobs.find(queue);
+    const bool isCurrent
+        = assignment && found != m_earlierJobs.end() && found->second.rowVersion == assignment->rowVersion;
+    return isCurrent ? &found->second : nullptr;
+}
+
 bool CellQueues::isMissingEarlierJobs(const QueueAddress& queue) const
 {
     const QueueAssignment* assignment = assignmentOf(queue);
-    return assignment && !assignment->earlierCells.empty() && !m_earlierJobs.contains(queue);
+    return assignment && !assignment->earlierCells.empty() && !earlierJobsOf(queue);
 }
 
 QueueAccess CellQueues::access(const QueueAddress& queue, std::uint64_t callVersion) const
@@ -116,16 +126,18 @@
 
 std::optional<PoolId> CellQueues::cellOfEarlierJob(const QueueAddress& queue, const JobId& job) const
 {
-    const auto jobs = m_earlierJobs.find(queue);
-    if (jobs == m_earlierJobs.end())
+    const EarlierJobs* jobs = earlierJobsOf(queue);
+    if (!jobs)
         return std::nullopt;
-    const auto found = jobs->second.find(job);
-    return found == jobs->second.end() ? std::nullopt : std::optional { found->second };
+    const auto found = jobs->cellByJob.find(job);
+    return found == jobs->cellByJob.end() ? std::nullopt : std::optional { found->second };
 }
 
-QueueClaim CellQueues::claim(const QueueAddress& queue, std::uint64_t callVersion) const
+std::optional<QueueClaim> CellQueues::claim(const QueueAddress& queue, std::uint64_t callVersion) const
 {
-    return { queue, m_cell, std::max(m_version, callVersion), closedThrough(queue) };
+    if (access(queue, callVersion) == QueueAccess::Elsewhere)
+        return std::nullopt;
+    return QueueClaim { queue, m_cell, std::max(m_version, callVersion), closedThrough(queue) };
 }
 
 void CellQueues::onClaimResult(const QueueAddress& queue, const QueueClaimResult& result)
@@ -133,10 +145,10 @@
     setAssignment(queue, result.assignment);
     if (result.status != QueueClaimStatus::Claimed)
         return;
-    auto& jobs = m_earlierJobs[queue];
-    jobs.clear();
+    EarlierJobs jobs { result.assignment.rowVersion, {} };
     for (const EarlierJob& job : result.earlierJobs)
-        jobs.emplace(job.id, job.cell);
+        jobs.cellByJob.emplace(job.id, job.cell);
+    m_earlierJobs[queue] = std::move(jobs);
 }
 
 std::vector<QueueAddress> CellQueues::queuesToClaim() const
--- a/packages/jobs/tests/queue_assignment_tests.cpp
+++ b/packages/jobs/tests/queue_assignment_tests.cpp
@@ -154,6 +154,34 @@
     EXPECT_EQ(queues.otherCells(queue), std::vector { there });
 }
 
+/// The result belongs to an assignment that has ended; the queue is back with jobs in another cell.
+TEST(CellQueuesTest, LateClaimResultDoesNotStandForTheJobsOfALaterAssignment)
+{
+    CellQueues queues { here, {} };
+    queues.configure(7, routesTo(here));
+    const QueueAssignments first = assignedTo(here, 7);
+    queues.setAssignments(first);
+    queues.configure(8, routesTo(there));
+    queues.closeQueue(queue);
+    queues.onClosesStored();
+    queues.onClaimResult(queue, { QueueClaimStatus::Claimed, first.byQueue.at(queue), {} });
+    queues.configure(9, routesTo(here));
+    QueueAssignments later = assignedTo(here, 9, 3);
+    later.byQueue.at(queue).earlierCells = { there };
+    queues.setAssignments(later);
+    EXPECT_EQ(queues.access(queue), QueueAccess::Claimable);
+}
+
+TEST(CellQueuesTest, QueueThatIsRoutedElsewhereByNowIsNotClaimed)
+{
+    CellQueues queues { here, {} };
+    queues.setAssignments(assignedTo(there, 7));
+    queues.configure(7, routesTo(there));
+    ASSERT_TRUE(queues.claim(queue, 8));
+    queues.configure(9, routesTo(there));
+    EXPECT_FALSE(queues.claim(queue, 8));
+}
+
 TEST(CellQueuesTest, CallByALaterConfigurationMayClaimTheQueue)
 {
     CellQueues queues { here, {} };
@@ -161,7 +189,7 @@
     queues.configure(7, routesTo(there));
     EXPECT_EQ(queues.access(queue, 7), QueueAccess::Elsewhere);
     EXPECT_EQ(queues.access(queue, 8), QueueAccess::Claimable);
-    EXPECT_EQ(queues.claim(queue, 8).configurationVersion, 8);
+    EXPECT_EQ(queues.claim(queue, 8)->configurationVersion, 8);
 }
 
 TEST(CellQueuesTest, AssignmentEndsWithItsQueueUnlessAnotherCellClaimsIt)
--- a/packages/jobs/tests/queue_assignment_walk_tests.cpp
+++ b/packages/jobs/tests/queue_assignment_walk_tests.cpp
@@ -189,8 +189,10 @@
     {
         if (std::exchange(owner->isClaiming, true))
             return;
-        const QueueClaim claim = owner->queues.claim(queue, callVersion);
-        if (const auto result = valueOrNothing([&] { return claimQueue(m_store, claim); }))
+        const auto claim = owner->queues.claim(queue, callVersion);
+        const auto result
+            = claim ? valueOrNothing([&] { return claimQueue(m_store, *claim); }) : std::optional<QueueClaimResult> {};
+        if (result)
             owner->queues.onClaimResult(queue, *result);
         owner->isClaiming = false;
     }
--- a/packages/node/src/cell_host_queues.cpp
+++ b/packages/node/src/cell_host_queues.cpp
@@ -34,11 +34,11 @@
 
 void CellHost::claimQueue(const jobs::QueueAddress& queue, std::uint64_t callVersion)
 {
-    if (m_isHandingBack || !m_claimsInProgress.insert(queue).second)
+    const auto claim = m_queues.claim(queue, callVersion);
+    if (!claim || m_isHandingBack || !m_claimsInProgress.insert(queue).second)
         return;
-    const bool isSubmitted = m_parts.storeThreads.submit([this, claim = m_queues.claim(queue, callVersion),
-                                                             alive = m_isAlive, &store = m_parts.store,
-                                                             &control = m_parts.control] {
+    const bool isSubmitted = m_parts.storeThreads.submit([this, claim = *claim, alive = m_isAlive,
+                                                             &store = m_parts.store, &control = m_parts.control] {
         auto result = valueOrNothing([&] { return jobs::claimQueue(store, claim); },
             [&](const Error& error) {
                 logEvent("queue.not_claimed",
--- a/packages/node/src/job_node_calls.cpp
+++ b/packages/node/src/job_node_calls.cpp
@@ -170,8 +170,19 @@
     });
     for (const JobReplyCallback& reply : replies)
         reply({ 0, peer::JobCallStatus::NotOwner });
-    for (const DeferredCall& deferred : deferredCalls)
+    retryDeferredCalls();
+}
+
+/// Claims the queues again, and handles calls whose queue the cell has or may no longer claim.
+void JobNode::State::retryDeferredCalls()
+{
+    std::set<std::pair<PoolId, jobs::QueueAddress>> queues;
+    for (const DeferredCall& deferred : deferredCalls) {
         cells.at(deferred.call.cell)->claimQueue(deferred.call.queueAddress, deferred.call.configurationVersion);
+        queues.emplace(deferred.call.cell, deferred.call.queueAddress);
+    }
+    for (const auto& [cell, queue] : queues)
+        onQueueClaimed(cell, queue);
 }
 
 /// Logs which cell a submission was sent to by which version of the configuration, so that two cells with one job show.
--- a/packages/node/src/job_node_state.h
+++ b/packages/node/src/job_node_state.h
@@ -89,6 +89,7 @@
     void defer(CellHost& host, const peer::JobCall& call, JobReplyCallback reply);
     void onQueueClaimed(const PoolId& cell, const jobs::QueueAddress& queue);
     void expireDeferredCalls(TimePoint now);
+    void retryDeferredCalls();
     void handleSubmit(CellHost& host, const peer::JobCall& call, JobReplyCallback reply);
     void reportSubmission(const CellHost& host, const peer::JobCall& call);
     void handleCancel(CellHost& host, const peer::JobCall& call, JobReplyCallback reply);
