The ticket rule of a job without its queue has a test that fails without it

Cell.JobOfAnUnknownQueueWaitsForItsTickets passed with and without the change that it guards: its job had no known attempts, and such a job never starts. The job now has attempts, and the test asks for a start where no ticket is required. With the lookup in the configuration alone it fails; with the stored rule it passes.

The round trip of a stored job covers attempts, queue address and ticket rule.

--- a/packages/jobs/tests/cell_tests.cpp
+++ b/packages/jobs/tests/cell_tests.cpp
@@ -307,12 +307,14 @@
 
 TEST(Cell, JobOfAnUnknownQueueWaitsForItsTickets)
 {
-    Job job { JobId { "a" }, QueueId { "of a route that was removed" }, 0, { "text", { {} }, {} } };
-    job.requiresTickets = true;
-    CellHarness harness { 2, { { job, {} } } };
-    harness.answerPoll("w1", {});
-    harness.answerPoll("w2", {});
-    harness.storeChanges();
-    harness.advance(500ms);
-    EXPECT_TRUE(harness.takeCommands<StartCommand>().empty());
+    for (const bool requiresTickets : { false, true }) {
+        Job job { JobId { "a" }, QueueId { "of a route that was removed" }, 0, { "text", { {} }, {} }, 2 };
+        job.requiresTickets = requiresTickets;
+        CellHarness harness { 2, { { job, {} } } };
+        harness.answerPoll("w1", {});
+        harness.answerPoll("w2", {});
+        harness.storeChanges();
+        harness.advance(500ms);
+        EXPECT_EQ(harness.takeCommands<StartCommand>().empty(), requiresTickets);
+    }
 }
--- a/packages/jobs/tests/job_tests.cpp
+++ b/packages/jobs/tests/job_tests.cpp
@@ -150,6 +150,9 @@
     job.spec.steps[0] = { 3, { Millicores { 5 }, Mebibytes { 6 }, Accelerators { 7 } }, 9ms, {}, true, true, true, "l",
         "r", 2, true, true, "i", 40ms, true, 1 };
     job.spec.schedule = { 2, 3, 4 };
+    job.maxAttempts = 5;
+    job.queueAddress = QueueAddress { "a.example/jobs/" };
+    job.requiresTickets = true;
     EXPECT_EQ(valueOrNothing([&] { return decodeJob(encode(job)); }), job);
     EXPECT_FALSE(valueOrNothing([] { return decodeJob("nothing"); }));
 }
