An owner does not examine all queues in each pass

Cause: every pass of a cell asked which queues to close, ten times a second which to claim, and each answer looked at the assignments of all cells. Nobody had measured it.

The two lists are kept until a configuration, an assignment, a claim or a close changes them.

--- a/packages/jobs/include/rattanrack/jobs/cell_queues.h
+++ b/packages/jobs/include/rattanrack/jobs/cell_queues.h
@@ -62,14 +62,15 @@
     void onClaimResult(const QueueAddress& queue, const QueueClaimResult& result);
 
     /// Queues to claim without waiting for a call: those that another cell had, and those whose earlier jobs have not
-    /// been read.
-    std::vector<QueueAddress> queuesToClaim() const;
+    /// been read. Valid until the next call that changes this object.
+    const std::vector<QueueAddress>& queuesToClaim();
 
     /// Queues with earlier cells, whose jobs have to be read anew from time to time.
     std::vector<QueueAddress> queuesWithEarlierCells() const;
 
-    /// Queues that this cell has and must close. Their rows may be written once all of their jobs are stored.
-    std::vector<QueueAddress> queuesToClose() const;
+    /// Queues that this cell has and must close. Their rows may be written once all of their jobs are stored. Valid as
+    /// above.
+    const std::vector<QueueAddress>& queuesToClose();
 
     /// Queues that this cell has closed for good, as long as no other cell has claimed them. Their assignments may be
     /// removed once the cell has no more jobs of them.
@@ -80,7 +81,7 @@
 
     /// The rows of `closeQueue` have been stored, or will not be.
     void onClosesStored();
-    void onClosesNotStored() { m_closesInFlight.clear(); }
+    void onClosesNotStored();
 
 private:
     const QueueAssignment* assignmentOf(const QueueAddress& queue) const;
@@ -91,6 +92,7 @@
     bool isMissingEarlierJobs(const QueueAddress& queue) const;
     std::uint64_t closedThrough(const QueueAddress& queue) const;
     void setAssignment(const QueueAddress& queue, const QueueAssignment& assignment);
+    void updateLists();
 
     PoolId m_cell;
     ClosedQueues m_closed;
@@ -99,6 +101,9 @@
     std::shared_ptr<const QueueRoutes> m_routes;
     std::map<QueueAddress, QueueAssignment> m_assignments;
     std::map<QueueAddress, EarlierJobs> m_earlierJobs; ///< As read last; valid for one version of the assignment.
+    bool m_areListsCurrent { false }; ///< Whether the two lists below are of the present state.
+    std::vector<QueueAddress> m_queuesToClaim;
+    std::vector<QueueAddress> m_queuesToClose;
 };
 
 } // namespace rattanrack::jobs
--- a/packages/jobs/src/cell_queues.cpp
+++ b/packages/jobs/src/cell_queues.cpp
@@ -16,13 +16,15 @@
 {
     m_version = version;
     m_routes = std::move(routes);
+    m_areListsCurrent = false;
 }
 
 void CellQueues::setAssignments(const QueueAssignments& assignments)
 {
-    std::erase_if(m_assignments, [&](const auto& known) {
+    const std::size_t removed = std::erase_if(m_assignments, [&](const auto& known) {
         return !assignments.byQueue.contains(known.first) && known.second.rowVersion < assignments.version;
     });
+    m_areListsCurrent = m_areListsCurrent && removed == 0;
     for (const auto& [queue, assignment] : assignments.byQueue)
         setAssignment(queue, assignment);
 }
@@ -30,8 +32,10 @@
 void CellQueues::setAssignment(const QueueAddress& queue, const QueueAssignment& assignment)
 {
     const QueueAssignment* known = assignmentOf(queue);
-    if (!known || known->rowVersion < assignment.rowVersion)
-        m_assignments[queue] = assignment;
+    if (known && known->rowVersion >= assignment.rowVersion)
+        return;
+    m_assignments[queue] = assignment;
+    m_areListsCurrent = false;
 }
 
 const QueueAssignment* CellQueues::assignmentOf(const QueueAddress& queue) const
@@ -149,33 +153,41 @@
     for (const EarlierJob& job : result.earlierJobs)
         jobs.cellByJob.emplace(job.id, job.cell);
     m_earlierJobs[queue] = std::move(jobs);
+    m_areListsCurrent = false;
 }
 
-std::vector<QueueAddress> CellQueues::queuesToClaim() const
+/// The owner asks in each pass, and the assignments of all cells change rarely.
+void CellQueues::updateLists()
 {
-    std::vector<QueueAddress> queues;
+    if (std::exchange(m_areListsCurrent, true))
+        return;
+    m_queuesToClaim.clear();
+    m_queuesToClose.clear();
     for (const auto& [queue, assignment] : m_assignments) {
         if (access(queue) == QueueAccess::Claimable)
-            queues.push_back(queue);
+            m_queuesToClaim.push_back(queue);
+        if (isAssignedHere(queue) && isRoutedAway(queue))
+            m_queuesToClose.push_back(queue);
     }
-    return queues;
 }
 
-std::vector<QueueAddress> CellQueues::queuesWithEarlierCells() const
+const std::vector<QueueAddress>& CellQueues::queuesToClaim()
 {
-    std::vector<QueueAddress> queues;
-    for (const auto& [queue, assignment] : m_assignments) {
-        if (!assignment.earlierCells.empty() && access(queue) == QueueAccess::Open)
-            queues.push_back(queue);
-    }
-    return queues;
+    updateLists();
+    return m_queuesToClaim;
+}
+
+const std::vector<QueueAddress>& CellQueues::queuesToClose()
+{
+    updateLists();
+    return m_queuesToClose;
 }
 
-std::vector<QueueAddress> CellQueues::queuesToClose() const
+std::vector<QueueAddress> CellQueues::queuesWithEarlierCells() const
 {
     std::vector<QueueAddress> queues;
     for (const auto& [queue, assignment] : m_assignments) {
-        if (isAssignedHere(queue) && isRoutedAway(queue))
+        if (!assignment.earlierCells.empty() && access(queue) == QueueAccess::Open)
             queues.push_back(queue);
     }
     return queues;
@@ -197,6 +209,7 @@
 {
     m_closesInFlight[queue] = m_version;
     m_earlierJobs.erase(queue);
+    m_areListsCurrent = false;
     return closedQueueRow(queue, m_version);
 }
 
@@ -207,4 +220,10 @@
     m_closesInFlight.clear();
 }
 
+void CellQueues::onClosesNotStored()
+{
+    m_areListsCurrent = m_areListsCurrent && m_closesInFlight.empty();
+    m_closesInFlight.clear();
+}
+
 } // namespace rattanrack::jobs
--- a/packages/jobs/tests/queue_assignment_walk_tests.cpp
+++ b/packages/jobs/tests/queue_assignment_walk_tests.cpp
@@ -203,7 +203,7 @@
             return;
         if (!owner.part.isInFlight()) {
             std::vector<RowWrite> rows;
-            for (const QueueAddress& each : owner.queues.queuesToClose()) {
+            for (const QueueAddress& each : std::vector { owner.queues.queuesToClose() }) {
                 if (owner.unstoredJobs.empty())
                     rows.push_back(owner.queues.closeQueue(each));
             }
--- a/packages/node/include/rattanrack/node/cell_host.h
+++ b/packages/node/include/rattanrack/node/cell_host.h
@@ -140,7 +140,7 @@
     void onQueueClaimed(const jobs::QueueAddress& queue, const std::optional<jobs::QueueClaimResult>& result);
     void reportClaim(const jobs::QueueAddress& queue, const jobs::QueueClaimResult& result);
     void reportJobsInTwoCells(const jobs::QueueAddress& queue, const jobs::QueueClaimResult& result);
-    std::vector<jobs::QueueAddress> closableQueues() const;
+    std::vector<jobs::QueueAddress> closableQueues();
     bool isListTooOld() const;
 
     /// Wraps `work` so that it does nothing once this object has been destroyed.
--- a/packages/node/src/cell_host_queues.cpp
+++ b/packages/node/src/cell_host_queues.cpp
@@ -127,7 +127,7 @@
     }
 }
 
-std::vector<jobs::QueueAddress> CellHost::closableQueues() const
+std::vector<jobs::QueueAddress> CellHost::closableQueues()
 {
     std::vector<jobs::QueueAddress> queues;
     for (const jobs::QueueAddress& queue : m_queues.queuesToClose()) {
