A cell stays in use until the assignments are read as of the configuration

A long-running job was accepted, the route of its pool moved within seconds, and machines of the pool were maintained under its tasks.

A new configuration took effect with assignments that a node had read up to nine seconds before, and a queue claimed since was not in them. Its cell left the set of cells with an owner and with machines to drain.

Change: no cell leaves the set before the assignments have been read at a version of the store at which the configuration in force was there.

--- a/packages/node/src/job_node_state.h
+++ b/packages/node/src/job_node_state.h
@@ -141,6 +141,7 @@
     std::set<PoolId> takeoversInProgress;
     std::vector<jobs::MaintenanceWave> waves;
     std::set<PoolId> cellsInUse;
+    jobs::RowVersion directivesVersion { 0 }; ///< The store's version when the configuration in force was read.
     jobs::QueueAssignments assignments; ///< Cells in it have an owner, whether the configuration routes to them or not.
     std::shared_ptr<const jobs::QueueRoutes> queueRoutes { std::make_shared<jobs::QueueRoutes>() };
     WorkerList workers;
--- a/packages/node/src/job_node_watchers.cpp
+++ b/packages/node/src/job_node_watchers.cpp
@@ -57,12 +57,16 @@
 }
 
 /// Cells of accepted jobs have an owner until the jobs are removed, whether the configuration has a route to them or
-/// not.
+/// not. Until the assignments have been read as of the configuration in force, no cell leaves the set, since one whose
+/// last route is gone may have jobs that an older read does not show.
 void JobNode::State::setCellsInUse()
 {
     if (!configuration)
         return;
-    cellsInUse = jobs::cellsInUse(*configuration, assignments);
+    std::set<PoolId> next = jobs::cellsInUse(*configuration, assignments);
+    if (assignments.version < directivesVersion)
+        next.insert(cellsInUse.begin(), cellsInUse.end());
+    cellsInUse = std::move(next);
     std::vector<PoolId> owned { cellsInUse.begin(), cellsInUse.end() };
     owned.push_back(machinePart);
     ownership.setCells(std::move(owned), { machinePart });
@@ -113,6 +117,7 @@
         }
         lastVersion = directives->version;
         control.post([this, next = *directives] {
+            directivesVersion = std::max(directivesVersion, next.version);
             if (next.configuration)
                 applyConfiguration(*next.configuration);
             waves = next.waves;
