Job messages: the new fields have a test, and count in the size bound

The bound of an encoded reply counted the size of the objects that hold the names of cells, and that of a call left the queue's address out. The test of the messages between nodes set none of the fields that the assignments of queues added, so that a codec without them would have passed it.

--- a/packages/peer/src/codec.cpp
+++ b/packages/peer/src/codec.cpp
@@ -350,8 +350,8 @@
     std::size_t operator()(const AnswerReply& message) const { return message.output.size() + message.reason.size(); }
 
     std::size_t operator()(const jobs::NodeAnnouncement& message) const { return variableSize(message); }
-    std::size_t operator()(const JobCall& message) const { return message.body.size(); }
-    std::size_t operator()(const JobReply& message) const { return message.cells.size() * sizeof(PoolId); }
+    std::size_t operator()(const JobCall& message) const { return variableSize(message); }
+    std::size_t operator()(const JobReply& message) const { return variableSize(message); }
     std::size_t operator()(const StoreCall& message) const { return variableSize(message); }
     std::size_t operator()(const StoreReply& message) const { return variableSize(message); }
 
--- a/packages/peer/src/job_messages_codec.cpp
+++ b/packages/peer/src/job_messages_codec.cpp
@@ -126,4 +126,8 @@
         * nameSizeBound;
 }
 
+std::size_t variableSize(const JobCall& message) { return message.body.size() + message.queueAddress.value().size(); }
+
+std::size_t variableSize(const JobReply& message) { return message.cells.size() * nameSizeBound; }
+
 } // namespace rattanrack::peer
--- a/packages/peer/src/job_messages_codec.h
+++ b/packages/peer/src/job_messages_codec.h
@@ -21,5 +21,7 @@
 
 /// Upper bound of the encoded bytes that depend on the content.
 std::size_t variableSize(const jobs::NodeAnnouncement& message);
+std::size_t variableSize(const JobCall& message);
+std::size_t variableSize(const JobReply& message);
 
 } // namespace rattanrack::peer
--- a/packages/peer/tests/peer_network_tests.cpp
+++ b/packages/peer/tests/peer_network_tests.cpp
@@ -209,8 +209,9 @@
     NetworkPair pair;
     auto& [inbox, unused, target, receiver, sender] = pair;
     const JobCall call { 1, "127.0.0.1:2", JobOperation::Cancel, PoolId { "p" }, jobs::JobId { "j" },
-        jobs::QueueId { "q" }, std::string("\0body", 5) };
-    const JobReply reply { 2, JobCallStatus::Refused, jobs::JobState::Active, 3, Duration { 4 } };
+        jobs::QueueId { "q" }, std::string("\0body", 5), 6, jobs::QueueAddress { "a.example/jobs/" } };
+    const JobReply reply { 2, JobCallStatus::Elsewhere, jobs::JobState::Active, 3, Duration { 4 },
+        { PoolId { "p1" }, PoolId { "p2" } } };
     sender->send(target, call);
     sender->send(target, reply);
     ASSERT_TRUE(inbox.waitFor(2));
