The assignment of a queue without a route ends with its last job

Cause: the row of a queue that had lost its route was removed only if it named no earlier cell, and earlier cells left a row only by a claim, which needs a route.

Change: the owner of the closed queue reads the jobs of the earlier cells and removes the row once none of them has any. Which queue a job may be of is asked in one place.

QueueAssignmentTest.ClosedQueueKeepsItsAssignmentUntilEarlierCellsHaveNoJobs and CellQueuesTest.AssignmentEndsWithItsQueueUnlessAnotherCellClaimsIt, which now has an earlier cell: the second fails with the former condition.

--- a/packages/jobs/include/rattanrack/jobs/cell_queues.h
+++ b/packages/jobs/include/rattanrack/jobs/cell_queues.h
@@ -23,11 +23,6 @@
     std::unordered_map<JobId, PoolId> cellByJob;
 };
 
-struct AssignedQueue {
-    QueueAddress queue;
-    RowVersion rowVersion { 0 }; ///< Of its assignment.
-};
-
 /// The queues of one cell, as its owner knows them: which ones are assigned to it, which ones it has to close because
 /// the configuration assigns them to another cell, and which of their jobs earlier cells have. Pure. Not thread-safe.
 ///
--- a/packages/jobs/include/rattanrack/jobs/job.h
+++ b/packages/jobs/include/rattanrack/jobs/job.h
@@ -82,6 +82,9 @@
     friend bool operator==(const Job&, const Job&) = default;
 };
 
+/// Whether the job is of the queue. The rows of earlier releases name no queue, so that it may be theirs as well.
+bool mayBeOfQueue(const Job& job, const QueueAddress& queue);
+
 /// Returns why the description is invalid; empty if it is valid.
 std::string_view validationError(const JobSpec& spec);
 
--- a/packages/jobs/include/rattanrack/jobs/queue_assignment.h
+++ b/packages/jobs/include/rattanrack/jobs/queue_assignment.h
@@ -92,7 +92,13 @@
 /// OutcomeUnknown, MalformedMessage.
 Result<QueueClaimResult> claimQueue(PartStore& store, const QueueClaim& claim);
 
-/// Removes the assignment if its row still has this version. Blocks.
-TransactionOutcome removeAssignment(PartStore& store, const QueueAddress& queue, RowVersion rowVersion);
+struct AssignedQueue {
+    QueueAddress queue;
+    QueueAssignment assignment;
+};
+
+/// Removes the assignment of a queue that its cell has closed, if no earlier cell has jobs of the queue and the row has
+/// not changed. Returns whether it is known to be removed. Blocks. Errors: Unavailable, MalformedMessage.
+Result<bool> removeUnusedAssignment(PartStore& store, AssignedQueue ended);
 
 } // namespace rattanrack::jobs
--- a/packages/jobs/src/cell_queries.cpp
+++ b/packages/jobs/src/cell_queries.cpp
@@ -27,10 +27,8 @@
 
 bool Cell::hasJobs(const QueueAddress& queue) const
 {
-    return std::any_of(m_state->jobs.begin(), m_state->jobs.end(), [&](const auto& each) {
-        const QueueAddress& address = each.second->job.queueAddress;
-        return address.isEmpty() || address == queue; // Rows of earlier releases don't name their queue.
-    });
+    return std::any_of(m_state->jobs.begin(), m_state->jobs.end(),
+        [&](const auto& each) { return mayBeOfQueue(each.second->job, queue); });
 }
 
 bool Cell::hasUnstoredJobs(const QueueAddress& queue) const
--- a/packages/jobs/src/cell_queues.cpp
+++ b/packages/jobs/src/cell_queues.cpp
@@ -197,10 +197,10 @@
 {
     std::vector<AssignedQueue> queues;
     for (const auto& [queue, assignment] : m_assignments) {
-        const bool isClosedHere = assignment.cell == m_cell && assignment.earlierCells.empty() && !isAssignedHere(queue)
-            && !m_closesInFlight.contains(queue);
+        const bool isClosedHere
+            = assignment.cell == m_cell && !isAssignedHere(queue) && !m_closesInFlight.contains(queue);
         if (isClosedHere && access(queue) == QueueAccess::Elsewhere)
-            queues.push_back({ queue, assignment.rowVersion });
+            queues.push_back({ queue, assignment });
     }
     return queues;
 }
--- a/packages/jobs/src/job.cpp
+++ b/packages/jobs/src/job.cpp
@@ -19,6 +19,11 @@
 
 } // namespace
 
+bool mayBeOfQueue(const Job& job, const QueueAddress& queue)
+{
+    return job.queueAddress.isEmpty() || job.queueAddress == queue;
+}
+
 std::string_view validationError(const JobSpec& spec)
 {
     if (spec.text.size() > maxSpecBytes)
--- a/packages/jobs/src/queue_claim.cpp
+++ b/packages/jobs/src/queue_claim.cpp
@@ -50,11 +50,11 @@
     return closedThrough != closed.end() && closedThrough->second >= found.configurationVersion;
 }
 
-/// A job whose row can't be decoded, or does not name its queue, may be of any queue.
+/// A job whose row can't be decoded may be of any queue.
 bool mayBeOfQueue(const PartRow& row, const QueueAddress& queue)
 {
     const auto job = valueOrNothing([&] { return decodeJob(row.value); });
-    return !job || job->queueAddress.isEmpty() || job->queueAddress == queue;
+    return !job || jobs::mayBeOfQueue(*job, queue);
 }
 
 Result<std::vector<EarlierJob>> readEarlierJobs(PartStore& store, const PoolId& cell, const QueueAddress& queue)
@@ -102,10 +102,15 @@
 
 } // namespace
 
-TransactionOutcome removeAssignment(PartStore& store, const QueueAddress& queue, RowVersion rowVersion)
+Result<bool> removeUnusedAssignment(PartStore& store, AssignedQueue ended)
 {
-    const RowKey key { queueAssignmentTable, queue.value() };
-    return store.commit({ queueAssignmentPart, { { key, rowVersion } }, { { key, std::nullopt } } });
+    BOOST_LEAF_AUTO(earlierJobs, takeEarlierJobs(store, ended.queue, ended.assignment));
+    if (!earlierJobs.empty())
+        return false;
+    const RowKey key { queueAssignmentTable, ended.queue.value() };
+    const TransactionOutcome outcome
+        = store.commit({ queueAssignmentPart, { { key, ended.assignment.rowVersion } }, { { key, std::nullopt } } });
+    return outcome.status == TransactionStatus::Done;
 }
 
 Result<QueueClaimResult> claimQueue(PartStore& store, const QueueClaim& claim)
--- a/packages/jobs/tests/queue_assignment_tests.cpp
+++ b/packages/jobs/tests/queue_assignment_tests.cpp
@@ -104,6 +104,20 @@
     EXPECT_TRUE(claim(there, 8).assignment.earlierCells.empty());
 }
 
+TEST_F(QueueAssignmentTest, ClosedQueueKeepsItsAssignmentUntilEarlierCellsHaveNoJobs)
+{
+    claim(here, 7);
+    putJob(here, "j1", queue);
+    close(here, 8);
+    const AssignedQueue ended { queue, claim(there, 8).assignment };
+    close(there, 9);
+    const auto remove = [&] { return valueOrNothing([&] { return removeUnusedAssignment(store, ended); }).value(); };
+    EXPECT_FALSE(remove());
+    removeJob(here, "j1");
+    EXPECT_TRUE(remove());
+    EXPECT_TRUE(valueOrNothing([&] { return readQueueAssignments(store); })->byQueue.empty());
+}
+
 TEST(CellQueuesTest, QueueIsOpenOnlyWhileAssigned)
 {
     CellQueues queues { here, {} };
@@ -195,7 +209,9 @@
 TEST(CellQueuesTest, AssignmentEndsWithItsQueueUnlessAnotherCellClaimsIt)
 {
     CellQueues queues { here, {} };
-    queues.setAssignments(assignedTo(here, 7));
+    QueueAssignments assignments = assignedTo(here, 7);
+    assignments.byQueue.at(queue).earlierCells = { there };
+    queues.setAssignments(assignments);
     queues.configure(8, std::make_shared<const QueueRoutes>());
     queues.closeQueue(queue);
     EXPECT_TRUE(queues.closedQueuesWithoutSuccessor().empty()); // The close is in flight.
--- a/packages/node/src/cell_host_queues.cpp
+++ b/packages/node/src/cell_host_queues.cpp
@@ -117,10 +117,9 @@
         if (m_cell.hasJobs(ended.queue))
             continue;
         const bool isSubmitted = m_parts.storeThreads.submit([ended, cell = m_pool.value(), &store = m_parts.store] {
-            const auto outcome = jobs::removeAssignment(store, ended.queue, ended.rowVersion);
-            logEvent("queue.unassigned",
-                { { "cell", cell }, { "queue", ended.queue.value() },
-                    { "isRemoved", outcome.status == jobs::TransactionStatus::Done }, { "detail", outcome.detail } });
+            const auto isRemoved = valueOrNothing([&] { return jobs::removeUnusedAssignment(store, ended); });
+            if (isRemoved.value_or(false))
+                logEvent("queue.unassigned", { { "cell", cell }, { "queue", ended.queue.value() } });
         });
         if (!isSubmitted)
             return;
