--- a/packages/node/src/job_node_calls.cpp
+++ b/packages/node/src/job_node_calls.cpp
@@ -140,7 +140,7 @@
 }
 
 /// Handles the calls that have waited for the claim. If another cell still has the queue, they wait on.
-void JobNode::State::onQueueClaimed(const PoolId& cell, const jobs::QueueAddress& queue)
+void JobNode::State::handleDeferredCalls(const PoolId& cell, const jobs::QueueAddress& queue)
 {
     const auto host = cells.find(cell);
     if (host == cells.end())
@@ -182,7 +182,7 @@
         queues.emplace(deferred.call.cell, deferred.call.queueAddress);
     }
     for (const auto& [cell, queue] : queues)
-        onQueueClaimed(cell, queue);
+        handleDeferredCalls(cell, queue);
 }
 
 /// Logs which cell a submission was sent to by which version of the configuration, so that two cells with one job show.
--- a/packages/node/src/job_node_cells.cpp
+++ b/packages/node/src/job_node_cells.cpp
@@ -65,7 +65,7 @@
     const jobs::PreviousOwner previous = previousOwner(takeover.partTakeover);
     CellHost::Parts parts { control, clock, metrics, cellLog, loadMonitor, storePool, workerPool, ports.store,
         ports.workers, ports.advisor, &advisorPool, [this](const jobs::CallerReply& reply) { onCallerReply(reply); },
-        [this, cell](const jobs::QueueAddress& queue) { onQueueClaimed(cell, queue); },
+        [this, cell](const jobs::QueueAddress& queue) { handleDeferredCalls(cell, queue); },
         [this, cell] { onCellLost(cell); } };
     auto host = std::make_unique<CellHost>(std::move(parts), cell,
         CellTimeLimits { settings.leaseLength, settings.keepEnded, settings.longestStop, settings.longestListAge,
--- a/packages/node/src/job_node_state.h
+++ b/packages/node/src/job_node_state.h
@@ -87,7 +87,7 @@
     void handleCall(CellHost& host, const peer::JobCall& call, JobReplyCallback reply);
     bool handleQueueElsewhere(CellHost& host, const peer::JobCall& call, const JobReplyCallback& reply);
     void defer(CellHost& host, const peer::JobCall& call, JobReplyCallback reply);
-    void onQueueClaimed(const PoolId& cell, const jobs::QueueAddress& queue);
+    void handleDeferredCalls(const PoolId& cell, const jobs::QueueAddress& queue);
     void expireDeferredCalls(TimePoint now);
     void retryDeferredCalls();
     void handleSubmit(CellHost& host, const peer::JobCall& call, JobReplyCallback reply);
