Walk of assignments: claims that end late, calls that wait, ended jobs, owners that stay

Cause: the review showed what the walk could not reach. A claim was one step, no job or assignment ever went, a call never waited, and at the end new owners with a new version healed whatever had gone wrong.

Change: a claim's result is applied at any later time; waiting calls are claimed again; jobs and assignments are removed; owners claim unasked; with even seeds the owners and the configuration stay at the end. Submissions repeat ids more often. The simulated owner has files of its own.

CellQueuesTest.QueuesToClaimAndToCloseFollowEachChange fails if an assignment does not renew the lists; Cell.QueueHasUnstoredJobsUntilTheirTransactionHasSucceeded holds the condition for a close.

--- a/packages/jobs/tests/cell_tests.cpp
+++ b/packages/jobs/tests/cell_tests.cpp
@@ -318,3 +318,18 @@
         EXPECT_EQ(harness.takeCommands<StartCommand>().empty(), requiresTickets);
     }
 }
+
+TEST(Cell, QueueHasUnstoredJobsUntilTheirTransactionHasSucceeded)
+{
+    const QueueAddress queue { "a.example/jobs/" };
+    CellHarness harness { 1, {} };
+    Job job { JobId { "a" }, QueueId { "q" }, 0, { "text", { {} }, {} }, 2 };
+    job.queueAddress = queue;
+    harness.cell().submit(job, 1, {});
+    EXPECT_TRUE(harness.cell().hasUnstoredJobs(queue));
+    EXPECT_FALSE(harness.cell().hasUnstoredJobs(QueueAddress { "a.example/other/" }));
+    ASSERT_TRUE(harness.cell().takeCommit(0));
+    EXPECT_TRUE(harness.cell().hasUnstoredJobs(queue));
+    harness.cell().onCommitted(0);
+    EXPECT_FALSE(harness.cell().hasUnstoredJobs(queue));
+}
--- a/packages/jobs/tests/queue_assignment_tests.cpp
+++ b/packages/jobs/tests/queue_assignment_tests.cpp
@@ -196,6 +196,28 @@
     EXPECT_FALSE(queues.claim(queue, 8));
 }
 
+TEST(CellQueuesTest, QueuesToClaimAndToCloseFollowEachChange)
+{
+    const std::vector<QueueAddress> none;
+    const std::vector one { queue };
+    CellQueues queues { here, {} };
+    queues.configure(7, routesTo(here));
+    EXPECT_EQ(queues.queuesToClaim(), none);
+    queues.setAssignments(assignedTo(there, 6));
+    EXPECT_EQ(queues.queuesToClaim(), one);
+    queues.onClaimResult(queue, { QueueClaimStatus::Claimed, { here, 7, { there }, 2 }, {} });
+    EXPECT_EQ(queues.queuesToClaim(), none);
+    EXPECT_EQ(queues.queuesToClose(), none);
+    queues.configure(8, routesTo(there));
+    EXPECT_EQ(queues.queuesToClose(), one);
+    queues.closeQueue(queue);
+    EXPECT_EQ(queues.queuesToClose(), none);
+    queues.onClosesNotStored();
+    EXPECT_EQ(queues.queuesToClose(), one);
+    queues.setAssignments({ {}, 3 });
+    EXPECT_EQ(queues.queuesToClose(), none);
+}
+
 TEST(CellQueuesTest, CallByALaterConfigurationMayClaimTheQueue)
 {
     CellQueues queues { here, {} };
--- a/packages/jobs/tests/queue_assignment_walk_tests.cpp
+++ b/packages/jobs/tests/queue_assignment_walk_tests.cpp
@@ -1,10 +1,10 @@
 #include "late_part_store.h"
-#include "rattanrack/jobs/cell_queues.h"
-#include "rattanrack/jobs/job_codec.h"
-#include "rattanrack/jobs/owned_part.h"
+#include "simulated_queue_owner.h"
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <array>
 #include <cstdlib>
 #include <memory>
 #include <random>
@@ -16,41 +16,20 @@
 
 namespace {
 
-const QueueAddress queue { "a.example/jobs/" };
 const std::vector<PoolId> cells { PoolId { "a" }, PoolId { "b" }, PoolId { "c" } };
-constexpr int steps = 400;
+constexpr int steps = 1500;
 constexpr int calmRounds = 60;
-constexpr std::size_t maxJobsInCommit = 2;
 constexpr int maxNesting = 2; ///< Steps of others during a call to the store, which may call the store in turn.
 
-/// One owner of a cell. It may have been replaced without having noticed.
-struct Owner {
-    Owner(const PoolId& ownedCell, OwnedPart ownedPart, ClosedQueues closed)
-        : cell(ownedCell)
-        , part(std::move(ownedPart))
-        , queues(ownedCell, std::move(closed))
-    {
-    }
-
-    PoolId cell;
-    OwnedPart part;
-    CellQueues queues;
-    std::set<JobId> storedJobs;
-    std::set<JobId> unstoredJobs;
-    std::set<JobId> jobsInCommit;
-    std::uint64_t version { 0 };
-    bool isOver { false };
-    bool isSending { false };
-    bool isClaiming { false };
-};
-
 /// Owners of three cells and nodes at various versions of a configuration that moves one queue at random, over a store
-/// that is late. Checks that no job is ever written to two cells.
+/// that is late. Claims end at any time after their store calls; jobs and assignments are removed. Checks that no job
+/// is ever written to two cells, and that owners that stay agree in the end.
 class Walk {
 public:
     explicit Walk(std::uint64_t seed)
         : m_random(seed)
         , m_store(seed + 1)
+        , m_doOwnersStay(seed % 2 == 0)
     {
         m_store.beforeCall = [this] {
             if (!m_store.isCalm && m_nesting < maxNesting && pick(3) == 0)
@@ -79,37 +58,69 @@
     }
     const PoolId& pickCell() { return cells[pick(cells.size())]; }
 
+    struct Action {
+        std::size_t weight { 0 };
+        void (Walk::*perform)() { nullptr };
+    };
+
     void step()
     {
+        static constexpr std::array actions { Action { 2, &Walk::moveQueue }, Action { 1, &Walk::takeOverAnyCell },
+            Action { 6, &Walk::configureAnyOwner }, Action { 2, &Walk::readAnyAssignments },
+            Action { 8, &Walk::commitAny }, Action { 2, &Walk::claimUnaskedAny }, Action { 3, &Walk::applyAnyClaim },
+            Action { 1, &Walk::endAnyJob }, Action { 2, &Walk::retryDeferredCall },
+            Action { 1, &Walk::removeAnyAssignment }, Action { 14, &Walk::submitAny } };
+        std::size_t total = 0;
+        for (const Action& action : actions)
+            total += action.weight;
+        std::size_t choice = pick(total);
+        const auto chosen = std::find_if(actions.begin(), actions.end(), [&](const Action& action) {
+            const bool isChosen = choice < action.weight;
+            choice -= isChosen ? 0 : action.weight;
+            return isChosen;
+        });
         ++m_nesting;
-        switch (pick(12)) {
-        case 0:
-            moveQueue();
-            break;
-        case 1:
-            takeOver(pickCell());
-            break;
-        case 2:
-        case 3:
-            if (const auto owner = pickOwner(pickCell()))
-                configure(*owner, owner->version + pick(3));
-            break;
-        case 4:
-            if (const auto owner = pickOwner(pickCell()))
-                readAssignments(*owner);
-            break;
-        case 5:
-        case 6:
-        case 7:
-            if (const auto owner = pickOwner(pickCell()))
-                commit(*owner);
-            break;
-        default:
-            submit(pickJob(), 1 + pick(m_routes.size()));
-        }
+        (this->*chosen->perform)();
         --m_nesting;
     }
 
+    template <typename Work> void withAnyOwner(const Work& work)
+    {
+        if (const auto owner = pickOwner(pickCell()))
+            work(owner);
+    }
+
+    void takeOverAnyCell() { takeOver(pickCell()); }
+    void configureAnyOwner()
+    {
+        withAnyOwner([this](const auto& owner) { configure(*owner, owner->version + pick(3)); });
+    }
+    void readAnyAssignments()
+    {
+        withAnyOwner([this](const auto& owner) { readAssignments(*owner); });
+    }
+    void commitAny()
+    {
+        withAnyOwner([this](const auto& owner) { owner->commit(m_store); });
+    }
+    void claimUnaskedAny()
+    {
+        withAnyOwner([this](const auto& owner) { claimUnasked(owner); });
+    }
+    void applyAnyClaim()
+    {
+        withAnyOwner([](const auto& owner) { owner->applyClaimResult(); });
+    }
+    void endAnyJob()
+    {
+        withAnyOwner([this](const auto& owner) { endJob(*owner); });
+    }
+    void removeAnyAssignment()
+    {
+        withAnyOwner([this](const auto& owner) { removeAssignment(*owner); });
+    }
+    void submitAny() { submit(pickJob(), 1 + pick(m_routes.size())); }
+
     /// Versions count from 1; the queue may have no route.
     void moveQueue()
     {
@@ -122,13 +133,14 @@
 
     JobId pickJob()
     {
-        if (pick(2) == 0)
+        if (pick(4) == 0)
             ++m_lastJob;
-        return JobId { "job-" + std::to_string(m_lastJob - static_cast<int>(pick(5))) };
+        JobId job { "job-" + std::to_string(m_lastJob - static_cast<int>(pick(6))) };
+        return m_endedJobs.contains(job) ? JobId { "job-" + std::to_string(++m_lastJob) } : job;
     }
 
     /// The latest owner, or sometimes one before it.
-    std::shared_ptr<Owner> pickOwner(const PoolId& cell)
+    std::shared_ptr<SimulatedQueueOwner> pickOwner(const PoolId& cell)
     {
         const auto& owners = m_owners[cell];
         if (owners.empty())
@@ -162,7 +174,7 @@
         const auto jobRows = valueOrNothing([&] { return readAll(m_store, jobTable, cell.value()); });
         if (!closed || !assignments || !jobRows)
             return;
-        auto owner = std::make_shared<Owner>(cell, std::move(part), *closed);
+        auto owner = std::make_shared<SimulatedQueueOwner>(cell, std::move(part), *closed);
         owner->queues.setAssignments(*assignments);
         for (const PartRow& row : jobRows->rows)
             owner->storedJobs.insert(JobId { row.row.key });
@@ -170,7 +182,7 @@
         m_owners[cell].push_back(std::move(owner));
     }
 
-    void configure(Owner& owner, std::uint64_t version)
+    void configure(SimulatedQueueOwner& owner, std::uint64_t version)
     {
         version = std::min<std::uint64_t>(version, m_routes.size());
         if (version <= owner.version)
@@ -179,68 +191,59 @@
         owner.queues.configure(version, m_routes[version - 1]);
     }
 
-    void readAssignments(Owner& owner)
+    void readAssignments(SimulatedQueueOwner& owner)
     {
         if (const auto assignments = valueOrNothing([&] { return readQueueAssignments(m_store); }))
             owner.queues.setAssignments(*assignments);
     }
 
-    void claim(const std::shared_ptr<Owner>& owner, std::uint64_t callVersion)
+    /// The result is applied at once or later.
+    void claim(const std::shared_ptr<SimulatedQueueOwner>& owner, std::uint64_t callVersion)
     {
-        if (std::exchange(owner->isClaiming, true))
-            return;
         const auto claim = owner->queues.claim(queue, callVersion);
-        const auto result
-            = claim ? valueOrNothing([&] { return claimQueue(m_store, *claim); }) : std::optional<QueueClaimResult> {};
-        if (result)
-            owner->queues.onClaimResult(queue, *result);
-        owner->isClaiming = false;
+        if (!claim || std::exchange(owner->isClaiming, true))
+            return;
+        owner->claimResult = valueOrNothing([&] { return claimQueue(m_store, *claim); });
+        m_deferredCalls.push_back({ owner, callVersion });
+        if (!owner->claimResult)
+            owner->isClaiming = false;
+        else if (m_store.isCalm || pick(2) == 0)
+            owner->applyClaimResult();
     }
 
-    void commit(Owner& owner)
+    /// A call that waits for its claim; its owner may have got other configurations meanwhile.
+    void retryDeferredCall()
     {
-        if (owner.isOver || owner.isSending)
-            return;
-        if (!owner.part.isInFlight()) {
-            std::vector<RowWrite> rows;
-            for (const QueueAddress& each : std::vector { owner.queues.queuesToClose() }) {
-                if (owner.unstoredJobs.empty())
-                    rows.push_back(owner.queues.closeQueue(each));
-            }
-            while (owner.jobsInCommit.size() < maxJobsInCommit && !owner.unstoredJobs.empty())
-                owner.jobsInCommit.insert(owner.unstoredJobs.extract(owner.unstoredJobs.begin()));
-            for (const JobId& job : owner.jobsInCommit)
-                rows.push_back({ { jobTable, job.value() }, encode(jobNamed(job)) });
-            owner.part.beginTransaction(std::move(rows), {});
-        }
-        owner.isSending = true;
-        const TransactionOutcome outcome = m_store.commit(owner.part.transaction());
-        owner.isSending = false;
-        switch (owner.part.resolve(outcome)) {
-        case OwnerWriteOutcome::Done:
-            owner.queues.onClosesStored();
-            owner.storedJobs.merge(owner.jobsInCommit);
-            owner.jobsInCommit.clear();
-            return;
-        case OwnerWriteOutcome::NotApplied:
-            owner.part.abandon();
-            owner.queues.onClosesNotStored();
-            owner.jobsInCommit.clear();
-            owner.unstoredJobs.clear();
+        if (m_deferredCalls.empty())
             return;
-        case OwnerWriteOutcome::Lost:
-            owner.isOver = true;
-            return;
-        case OwnerWriteOutcome::Unresolved:
+        const DeferredCall call = m_deferredCalls[pick(m_deferredCalls.size())];
+        m_deferredCalls.clear();
+        if (!call.owner->isOver)
+            claim(call.owner, call.version);
+    }
+
+    /// What an owner does without a call.
+    void claimUnasked(const std::shared_ptr<SimulatedQueueOwner>& owner)
+    {
+        if (!owner->queues.queuesToClaim().empty() || !owner->queues.queuesWithEarlierCells().empty())
+            claim(owner, 0);
+    }
+
+    /// A stored job has ended, and the time for which it is kept is over. No caller submits it again.
+    void endJob(SimulatedQueueOwner& owner)
+    {
+        if (owner.storedJobs.empty())
             return;
-        }
+        m_endedJobs.insert(*owner.storedJobs.begin());
+        owner.jobsToRemove.insert(*owner.storedJobs.begin());
     }
 
-    static Job jobNamed(const JobId& id)
+    void removeAssignment(SimulatedQueueOwner& owner)
     {
-        Job job { id, QueueId { "q" }, 5, { "text", { {} }, {} } };
-        job.queueAddress = queue;
-        return job;
+        for (const AssignedQueue& ended : owner.queues.closedQueuesWithoutSuccessor()) {
+            if (!owner.hasJobs())
+                valueOrNothing([&] { return removeUnusedAssignment(m_store, ended); });
+        }
     }
 
     /// As a node with this version does it. Returns whether a cell has the job, or will store it.
@@ -259,15 +262,11 @@
         const auto owner = pickOwner(cell);
         if (!owner || owner->isOver)
             return false;
-        const auto has = [&] {
-            return owner->storedJobs.contains(job) || owner->unstoredJobs.contains(job)
-                || owner->jobsInCommit.contains(job) || owner->queues.cellOfEarlierJob(queue, job).has_value();
-        };
-        if (has())
+        if (owner->has(job))
             return true;
         if (owner->queues.access(queue, callVersion) == QueueAccess::Claimable)
             claim(owner, callVersion);
-        if (has())
+        if (owner->has(job))
             return true;
         switch (owner->queues.access(queue, callVersion)) {
         case QueueAccess::Open:
@@ -284,7 +283,7 @@
 
     void recordWrite(const std::string& part, const RowWrite& write)
     {
-        if (write.row.table != jobTable)
+        if (write.row.table != jobTable || !write.value)
             return;
         const auto [known, isNew] = m_cellOfJob.emplace(write.row.key, part);
         EXPECT_EQ(known->second, part) << write.row.key << " is in two cells";
@@ -293,28 +292,39 @@
     /// With everything calm and the latest configuration everywhere, each job is found and a new one is accepted.
     void settle()
     {
-        m_routes.push_back(std::make_shared<const QueueRoutes>(QueueRoutes { { queue, pickCell() } }));
-        for (const PoolId& cell : cells)
-            takeOver(cell);
+        if (!m_doOwnersStay || m_routes.back()->empty())
+            m_routes.push_back(std::make_shared<const QueueRoutes>(QueueRoutes { { queue, pickCell() } }));
+        if (!m_doOwnersStay)
+            m_owners.clear();
         const JobId last { "job-last" };
         for (int round = 0; round < calmRounds; ++round) {
-            for (const PoolId& cell : cells) {
-                Owner& owner = *m_owners[cell].back();
-                configure(owner, m_routes.size());
-                readAssignments(owner);
-                commit(owner);
-            }
+            for (const PoolId& cell : cells)
+                settle(cell);
             submitToLatest(last);
         }
         EXPECT_TRUE(m_cellOfJob.contains(last.value()));
         const std::size_t jobsBefore = m_cellOfJob.size();
-        for (const auto& [job, cell] : std::map { m_cellOfJob })
-            EXPECT_TRUE(submitToLatest(JobId { job })) << job;
+        for (const auto& [job, cell] : std::map { m_cellOfJob }) {
+            const JobId id { job };
+            EXPECT_TRUE(m_endedJobs.contains(id) || submitToLatest(id)) << job;
+        }
         for (const PoolId& cell : cells)
-            commit(*m_owners[cell].back());
+            m_owners[cell].back()->commit(m_store);
         EXPECT_EQ(m_cellOfJob.size(), jobsBefore);
     }
 
+    void settle(const PoolId& cell)
+    {
+        if (m_owners[cell].empty() || m_owners[cell].back()->isOver)
+            takeOver(cell);
+        const auto owner = m_owners[cell].back();
+        configure(*owner, m_routes.size());
+        owner->applyClaimResult();
+        readAssignments(*owner);
+        owner->commit(m_store);
+        claimUnasked(owner);
+    }
+
     bool submitToLatest(const JobId& job)
     {
         for (const PoolId& cell : cells) // Earlier owners are gone.
@@ -322,11 +332,19 @@
         return submit(job, m_routes.size());
     }
 
+    struct DeferredCall {
+        std::shared_ptr<SimulatedQueueOwner> owner;
+        std::uint64_t version { 0 }; ///< By which a node has sent the call.
+    };
+
     std::mt19937_64 m_random;
     LatePartStore m_store;
     std::vector<std::shared_ptr<const QueueRoutes>> m_routes; ///< By version, from 1 on.
-    std::map<PoolId, std::vector<std::shared_ptr<Owner>>> m_owners; ///< In the order of their takeovers.
+    std::map<PoolId, std::vector<std::shared_ptr<SimulatedQueueOwner>>> m_owners; ///< In the order of their takeovers.
     std::map<std::string, std::string> m_cellOfJob; ///< Part in which each job has been written.
+    bool m_doOwnersStay; ///< Until the end, in place of new ones when it becomes calm.
+    std::set<JobId> m_endedJobs;
+    std::vector<DeferredCall> m_deferredCalls;
     int m_lastJob { 10 };
     int m_lastNode { 0 };
     int m_nesting { 0 };
