--- a/packages/jobs/tests/queue_assignment_walk_tests.cpp
+++ b/packages/jobs/tests/queue_assignment_walk_tests.cpp
@@ -65,16 +65,16 @@
 
     void step()
     {
-        static constexpr std::array actions { Action { 2, &Walk::moveQueue }, Action { 1, &Walk::takeOverAnyCell },
+        static constexpr std::array s_actions { Action { 2, &Walk::moveQueue }, Action { 1, &Walk::takeOverAnyCell },
             Action { 6, &Walk::configureAnyOwner }, Action { 2, &Walk::readAnyAssignments },
             Action { 8, &Walk::commitAny }, Action { 2, &Walk::claimUnaskedAny }, Action { 3, &Walk::applyAnyClaim },
             Action { 1, &Walk::endAnyJob }, Action { 2, &Walk::retryDeferredCall },
             Action { 1, &Walk::removeAnyAssignment }, Action { 14, &Walk::submitAny } };
         std::size_t total = 0;
-        for (const Action& action : actions)
+        for (const Action& action : s_actions)
             total += action.weight;
         std::size_t choice = pick(total);
-        const auto chosen = std::find_if(actions.begin(), actions.end(), [&](const Action& action) {
+        const auto chosen = std::find_if(s_actions.begin(), s_actions.end(), [&](const Action& action) {
             const bool isChosen = choice < action.weight;
             choice -= isChosen ? 0 : action.weight;
             return isChosen;
