--- a/tools/process_soak/callers.cpp
+++ b/tools/process_soak/callers.cpp
@@ -6,6 +6,8 @@
 
 #include <array>
 #include <cstdio>
+#include <deque>
+#include <utility>
 
 namespace rattanrack::tools {
 
@@ -26,6 +28,8 @@
     "100!" };
 constexpr const char* crashingSpec = "500*"; ///< Of a job that crashes the workers that start it.
 constexpr std::uint64_t crashingEvery = 50; ///< One job of this many, in plays with such jobs.
+constexpr std::uint64_t repeatEvery = 12; ///< One step of this many repeats an earlier submission.
+constexpr std::size_t repeatedJobs = 20; ///< The latest ones, that may be submitted again.
 constexpr std::uint64_t failingEvery = 4; ///< One seed of this many has the failing jobs.
 
 enum class Outcome { Answered, Broken, Silent };
@@ -77,6 +81,13 @@
         m_socket = connectTo(entry.port);
     }
 
+    void end()
+    {
+        if (m_socket >= 0)
+            close(m_socket);
+        m_socket = -1;
+    }
+
     Answer exchange(const char* method, const std::string& path, const std::string& body = {})
     {
         if (!sendAll(m_socket, requestText(method, path, body))) {
@@ -112,13 +123,6 @@
         return { Outcome::Silent };
     }
 
-    void end()
-    {
-        if (m_socket >= 0)
-            close(m_socket);
-        m_socket = -1;
-    }
-
     Recorder& m_recorder;
     std::string m_node;
     int m_socket { -1 };
@@ -133,6 +137,7 @@
         , m_entries(entries)
         , m_specs(seed % failingEvery == 1 ? failingSpecs : usualSpecs)
         , m_random(seed * callerCount + static_cast<std::uint64_t>(number))
+        , m_repeatRandom(m_random)
         , m_number(number)
         , m_crashesWorkers(crashesWorkers)
         , m_connection(recorder)
@@ -146,6 +151,8 @@
             connect();
         if (!m_connection.isOpen())
             return;
+        if (m_retries == 0 && !m_bodies.empty() && m_repeatRandom.oneIn(repeatEvery))
+            return repeat();
         const std::uint64_t choice = m_random.below(20);
         if (m_retries > 0 || m_jobs.empty() || choice < 9)
             submit();
@@ -175,6 +182,9 @@
         if (answer.status == 200) {
             m_recorder.accepted(m_id);
             m_jobs.push_back(m_id);
+            m_bodies.emplace_back(m_id, m_body);
+            if (m_bodies.size() > repeatedJobs)
+                m_bodies.pop_front();
         }
         const bool isSettled = answer.outcome == Outcome::Answered && answer.status != 502 && answer.status != 504;
         const bool isFirst = m_jobs.empty();
@@ -197,6 +207,18 @@
         m_recorder.submitted(m_id, count, isLasting, poolOf(m_id), isCrashing);
     }
 
+    /// Sends an accepted job again, which may be at work, ended or cancelled, every second time to another node.
+    void repeat()
+    {
+        const auto& [job, body] = m_bodies[m_repeatRandom.below(m_bodies.size())];
+        if (m_repeatRandom.oneIn(2)) {
+            m_connection.end();
+            connect();
+        }
+        if (m_connection.isOpen())
+            m_connection.exchange("POST", pathOf(job), body);
+    }
+
     void ask(const jobs::JobId& job)
     {
         const TimePoint sentAt = m_recorder.now();
@@ -215,9 +237,11 @@
     std::vector<std::unique_ptr<Entry>>& m_entries;
     const Specs& m_specs;
     fakes::Random m_random;
+    fakes::Random m_repeatRandom;
     int m_number;
     bool m_crashesWorkers;
     Connection m_connection;
+    std::deque<std::pair<jobs::JobId, std::string>> m_bodies; ///< Of the latest accepted jobs.
     std::vector<jobs::JobId> m_jobs; ///< Accepted; the first one lasts and is never cancelled.
     jobs::JobId m_id;
     std::string m_body;
--- a/tools/process_soak/main.cpp
+++ b/tools/process_soak/main.cpp
@@ -35,7 +35,9 @@
   --troubles=KIND  mixed: all kinds, of which even seeds play planned work alone;
                    deaths: workers die while nodes are in trouble;
                    crashes: some jobs crash the workers that start them, while daemons are killed, restarted and
-                   frozen; takes 25 s more [default: mixed].
+                   frozen; takes 25 s more;
+                   routes: the queues' routes move between the pools, go and come back, beside troubles of daemons
+                   [default: mixed].
   --longest-lease=MS  That workers grant; 0: 4500, for deaths and crashes 4500, 6000 or 10000 by the seed [default: 0].
   --dir=DIR      For settings and logs of the daemons [default: process-soak].
 
@@ -61,6 +63,8 @@
         return Troubles::Deaths;
     if (name == "crashes")
         return Troubles::Crashes;
+    if (name == "routes")
+        return Troubles::Routes;
     std::cerr << "process-soak: no troubles are named " << name << '\n';
     std::exit(2);
 }
--- a/tools/process_soak/play.cpp
+++ b/tools/process_soak/play.cpp
@@ -30,14 +30,30 @@
 constexpr Duration usualLease = 4500ms;
 constexpr std::array longestLeases { usualLease, Duration { 6s }, Duration { 10s } };
 
-constexpr const char* configuration = R"({"version":7,"routes":[
-    {"name":"q1","host":"a.example","path_prefix":"/jobs/","type":"non_idempotent","timeout_ms":3000,
-     "target_latency_ms":600,"priority":0,"backend":"poolA","attempts":3,"stretch":1.6},
-    {"name":"q2","host":"a.example","path_prefix":"/work/","type":"non_idempotent","timeout_ms":3000,
-     "target_latency_ms":600,"priority":0,"backend":"poolB","attempts":3,"stretch":1.6}],
-    "backends":[{"name":"poolA","enforces_capacity":true,"standby":false},
-     {"name":"poolB","enforces_capacity":true,"standby":false}],
-    "limits":{"max_body_bytes":5000}})";
+constexpr std::uint64_t firstVersion = 7;
+constexpr std::array queuePrefixes { "/jobs/", "/work/" };
+
+std::string routeText(std::size_t queue, const std::string& pool)
+{
+    return R"({"name":"q)" + std::to_string(queue + 1) + R"(","host":"a.example","path_prefix":")"
+        + queuePrefixes[queue]
+        + R"(","type":"non_idempotent","timeout_ms":3000,"target_latency_ms":600,"priority":0,"backend":")" + pool
+        + R"(","attempts":3,"stretch":1.6})";
+}
+
+/// `poolOfQueue`: empty for a queue without a route.
+std::string configurationText(std::uint64_t version, const std::array<std::string, 2>& poolOfQueue)
+{
+    std::string routes;
+    for (std::size_t queue = 0; queue < poolOfQueue.size(); ++queue) {
+        if (!poolOfQueue[queue].empty())
+            routes += (routes.empty() ? "" : ",") + routeText(queue, poolOfQueue[queue]);
+    }
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + routes + R"(],
+        "backends":[{"name":"poolA","enforces_capacity":true,"standby":false},
+            {"name":"poolB","enforces_capacity":true,"standby":false}],
+        "limits":{"max_body_bytes":5000}})";
+}
 
 const char* nameOf(LinkMode mode)
 {
@@ -50,6 +66,7 @@
 Play::Play(PlaySettings settings)
     : m_settings(std::move(settings))
     , m_recorder(attempts)
+    , m_version(firstVersion)
 {
     if (m_settings.longestLease == Duration::zero())
         m_settings.longestLease = m_settings.troubles == Troubles::Mixed
@@ -57,7 +74,7 @@
             : longestLeases[m_settings.seed % longestLeases.size()];
     m_store.onWorkerRowRead
         = [this](const std::string& key, const std::string& value) { m_recorder.served(key, value); };
-    m_store.put("op", "config", configuration);
+    putConfiguration();
     addWorkers();
     addNodes();
 }
@@ -139,6 +156,8 @@
         return performOnOwner(step);
     case Action::Wave:
         return orderWave(step.target);
+    case Action::MoveRoute:
+        return moveRoute(step.target, step.length);
     }
 }
 
@@ -253,6 +272,26 @@
         R"({"wave":)" + number + R"(,"machines":[)" + machines + R"(],"duration_s":15,"cap":1})");
 }
 
+void Play::putConfiguration() { m_store.put("op", "config", configurationText(m_version++, m_poolOfQueue)); }
+
+/// The queue has no route for `absence`.
+void Play::moveRoute(std::size_t queue, Duration absence)
+{
+    std::string& pool = m_poolOfQueue[queue];
+    if (pool.empty())
+        return;
+    const std::string next = pool == poolNames[0] ? poolNames[1] : poolNames[0];
+    const std::string target = queuePrefixes[queue] + (" to " + next);
+    m_recorder.endTrouble(m_recorder.beginTrouble("route moves", target, false, true));
+    pool = absence > Duration::zero() ? "" : next;
+    putConfiguration();
+    if (pool.empty())
+        later(absence, [this, queue, next] {
+            m_poolOfQueue[queue] = next;
+            putConfiguration();
+        });
+}
+
 void Play::supervise(Node& node)
 {
     if (node.isLeaving && !node.isKilled && m_recorder.now() >= node.killAt) {
@@ -323,6 +362,8 @@
         return deathsSchedule(m_settings.seed, m_settings.length, fleet);
     case Troubles::Crashes:
         return crashesSchedule(m_settings.seed, m_settings.length, fleet);
+    case Troubles::Routes:
+        return routesSchedule(m_settings.seed, m_settings.length, fleet);
     }
     return {};
 }
--- a/tools/process_soak/play.h
+++ b/tools/process_soak/play.h
@@ -13,7 +13,7 @@
 
 namespace rattanrack::tools {
 
-enum class Troubles { Mixed, Deaths, Crashes };
+enum class Troubles { Mixed, Deaths, Crashes, Routes };
 
 struct PlaySettings {
     std::string program;
@@ -61,6 +61,8 @@
     Node* ownerOf(std::size_t pool);
     void performOnOwner(const Step& step);
     void orderWave(std::size_t first);
+    void putConfiguration();
+    void moveRoute(std::size_t queue, Duration absence);
     void later(Duration after, std::function<void()> action);
     void tick();
     void supervise(Node& node);
@@ -81,6 +83,8 @@
     std::vector<std::string> m_faults;
     int m_killedAtGrace { 0 };
     int m_waves { 0 };
+    std::uint64_t m_version; ///< Of the next configuration.
+    std::array<std::string, 2> m_poolOfQueue { poolNames[0], poolNames[1] }; ///< Empty: the queue has no route.
 };
 
 } // namespace rattanrack::tools
--- a/tools/process_soak/recorder.cpp
+++ b/tools/process_soak/recorder.cpp
@@ -47,6 +47,19 @@
     const std::lock_guard lock(m_mutex);
     m_open.insert(m_history.runs.size());
     m_history.runs.push_back({ order.task, order.run, order.worker, order.fence, isLasting, now() });
+    recordPool(order);
+}
+
+/// A job runs in the pool that its queue's route named when it was accepted.
+void Recorder::recordPool(const jobs::StartCommand& order)
+{
+    const auto job = m_history.jobs.find(order.task.job);
+    if (job == m_history.jobs.end())
+        return;
+    for (const WorkerLife& life : m_history.lives) {
+        if (life.worker == order.worker)
+            job->second.pool = life.pool;
+    }
 }
 
 void Recorder::onStopCommand(const jobs::StopCommand& order, bool isDraining)
--- a/tools/process_soak/recorder.h
+++ b/tools/process_soak/recorder.h
@@ -42,6 +42,7 @@
     TimePoint now() const { return m_clock.now(); }
 
 private:
+    void recordPool(const jobs::StartCommand& order);
     RunRecord* openRun(const jobs::WorkerId& worker, const jobs::TaskRef& task, jobs::RunNumber run);
 
     SystemClock m_clock;
--- a/tools/process_soak/schedule.cpp
+++ b/tools/process_soak/schedule.cpp
@@ -29,6 +29,9 @@
 constexpr Duration firstCrashes = 5s;
 constexpr std::array daemonTroubles { Action::KillOwner, Action::KillOwner, Action::TerminateOwner, Action::FreezeOwner,
     Action::Kill, Action::Terminate, Action::Freeze, Action::Reload };
+constexpr Duration firstMoves = 5s; ///< By then jobs have been accepted.
+constexpr std::uint64_t kindsOfMoves = 3; ///< By the seed's remainder.
+constexpr std::uint64_t calmMoves = 0; ///< Without other troubles.
 constexpr std::array cuts { LinkMode::Silent, LinkMode::Reset, LinkMode::CutAnswers };
 
 Duration between(fakes::Random& random, Duration least, Duration most)
@@ -143,6 +146,21 @@
     return inOrder(std::move(steps));
 }
 
+std::vector<Step> routesSchedule(std::uint64_t seed, Duration length, const FleetSize& fleet)
+{
+    fakes::Random random { seed };
+    std::vector<Step> steps;
+    if (seed % kindsOfMoves != calmMoves)
+        steps = crashesSchedule(seed, length, fleet);
+    for (Duration at = firstMoves; at < length; at += between(random, 1s, 6s)) {
+        const std::uint64_t count = random.oneIn(3) ? 2 + random.below(3) : 1;
+        for (std::uint64_t each = 0; each < count; ++each)
+            steps.push_back({ at + between(random, 0s, 1s), Action::MoveRoute, random.below(fleet.pools),
+                random.oneIn(4) ? between(random, 300ms, 5s) : Duration {} });
+    }
+    return inOrder(std::move(steps));
+}
+
 std::vector<Step> deathsSchedule(std::uint64_t seed, Duration length, const FleetSize& fleet)
 {
     fakes::Random random { seed };
--- a/tools/process_soak/schedule.h
+++ b/tools/process_soak/schedule.h
@@ -21,7 +21,8 @@
     TerminateOwner,
     KillOwner,
     FreezeOwner,
-    OwnerStoreLink
+    OwnerStoreLink,
+    MoveRoute, ///< The next configuration sends a queue to another pool, or nowhere for `length`.
 };
 
 /// One thing that is done to the world.
@@ -55,4 +56,8 @@
 /// by tasks are not part of it.
 std::vector<Step> crashesSchedule(std::uint64_t seed, Duration length, const FleetSize& fleet);
 
+/// Moves of the queues' routes, alone and several within a second, some away for a while, beside the troubles of
+/// `crashesSchedule`; the same for equal arguments. Seeds that three divides move routes only.
+std::vector<Step> routesSchedule(std::uint64_t seed, Duration length, const FleetSize& fleet);
+
 } // namespace rattanrack::tools
