Logs and metrics that tell starts of a replaced owner, and proofs by elapsed time

run.over of a presumed end has confirmedMs and overMs, run.ordered has confirmedMs where an earlier run of the task is presumed to have ended; cell.replaced counts what was started since the latest confirmed transaction; rattanrack_starts_after_presumed_end_total; rattanrack explain names a start by a replaced owner after a later owner had found or received an earlier run of the task. No decision changes.

--- a/packages/base/include/rattanrack/base/log.h
+++ b/packages/base/include/rattanrack/base/log.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <initializer_list>
+#include <span>
 #include <string>
 #include <string_view>
 #include <type_traits>
@@ -40,12 +41,23 @@
 /// breaks are quoted and escaped. Thread-safe.
 ///
 ///     logEvent("request.refused", { { "request", id.value() }, { "reason", "queue_full" } });
-void logEvent(std::string_view event, std::initializer_list<LogField> fields = {}, LogLevel level = LogLevel::Info);
+void logEvent(std::string_view event, std::span<const LogField> fields, LogLevel level = LogLevel::Info);
+
+inline void logEvent(
+    std::string_view event, std::initializer_list<LogField> fields = {}, LogLevel level = LogLevel::Info)
+{
+    logEvent(event, std::span { fields.begin(), fields.size() }, level);
+}
 
 /// Sets the minimum level; lines below it are dropped. Info by default.
 void setLogLevel(LogLevel level);
 
 /// Returns the text of a log line without time and level. Exposed for tests.
-std::string formatLogLine(std::string_view event, std::initializer_list<LogField> fields);
+std::string formatLogLine(std::string_view event, std::span<const LogField> fields);
+
+inline std::string formatLogLine(std::string_view event, std::initializer_list<LogField> fields)
+{
+    return formatLogLine(event, std::span { fields.begin(), fields.size() });
+}
 
 } // namespace rattanrack
--- a/packages/base/src/log.cpp
+++ b/packages/base/src/log.cpp
@@ -70,7 +70,7 @@
 
 } // namespace
 
-std::string formatLogLine(std::string_view event, std::initializer_list<LogField> fields)
+std::string formatLogLine(std::string_view event, std::span<const LogField> fields)
 {
     std::string line = "event=" + std::string(event);
     for (const LogField& field : fields) {
@@ -83,7 +83,7 @@
     return line;
 }
 
-void logEvent(std::string_view event, std::initializer_list<LogField> fields, LogLevel level)
+void logEvent(std::string_view event, std::span<const LogField> fields, LogLevel level)
 {
     if (level < minimumLevel().load(std::memory_order_relaxed))
         return;
--- a/packages/cli/src/explain_job_command.cpp
+++ b/packages/cli/src/explain_job_command.cpp
@@ -35,6 +35,7 @@
     { "ends.acknowledged", "has stored the ends listed by" },
     { "cell.taken", "takes the cell" },
     { "cell.dropped", "drops the cell" },
+    { "cell.replaced", "was replaced as the owner of the cell" },
     { "part.lost", "learns that another node has the cell" },
     { "store.lost", "no longer reaches the store" },
     { "store.regained", "reaches the store again" },
@@ -53,8 +54,8 @@
 std::string fieldsOf(const LogLine& line)
 {
     std::string text;
-    for (const std::string_view key :
-        { "cell", "part", "term", "failures", "unheard", "kind", "count", "ageMs", "workers" }) {
+    for (const std::string_view key : { "cell", "part", "term", "failures", "unheard", "kind", "count", "ageMs",
+             "confirmedMs", "overMs", "starts", "repeats", "workers" }) {
         if (!line.text(key).empty())
             text += (text.empty() ? "" : ", ") + std::string { key } + ' ' + std::string { line.text(key) };
     }
--- a/packages/cli/src/job_story.cpp
+++ b/packages/cli/src/job_story.cpp
@@ -12,8 +12,8 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 5> cellEvents { "cell.taken", "cell.dropped", "part.lost", "store.lost",
-    "store.regained" };
+constexpr std::array<std::string_view, 6> cellEvents { "cell.taken", "cell.dropped", "cell.replaced", "part.lost",
+    "store.lost", "store.regained" };
 constexpr std::array<std::string_view, 4> workerEvents { "worker.heard", "worker.not_heard", "worker.silent",
     "worker.back" };
 constexpr std::string_view acknowledgement = "ends.acknowledged";
--- a/packages/cli/src/job_verdict.cpp
+++ b/packages/cli/src/job_verdict.cpp
@@ -20,6 +20,13 @@
     bool isAcknowledged { false };
 };
 
+/// The owner of the latest term that has found a run of a subtask at work or has received its end.
+struct OwnerOfRun {
+    std::string node;
+    std::int64_t term { 0 };
+    std::int64_t run { 0 };
+};
+
 /// A reason for which a subtask had no active run.
 struct Wait {
     std::int64_t longestMs { 0 };
@@ -64,7 +71,7 @@
         static constexpr EventHandler s_handlers[] {
             { "job.taken_over", &Judge::takenOver },
             { "run.ordered", &Judge::ordered },
-            { "run.adopted", &Judge::opened },
+            { "run.adopted", &Judge::adopted },
             { "run.ended", &Judge::ended },
             { "run.over", &Judge::over },
             { "ends.acknowledged", &Judge::acknowledged },
@@ -100,6 +107,32 @@
             m_verdict.misfits.push_back(describe(run) + " started by " + each.node + " with " + std::to_string(unheard)
                 + " workers of earlier owners unheard");
         noteFailuresNotCounted(each, run);
+        noteLaterOwner(each, run);
+        opened(each, run);
+    }
+
+    /// A replaced owner must not start a task whose earlier run a later owner has dealt with.
+    void noteLaterOwner(const StoryLine& each, const Run& run)
+    {
+        const auto later = m_latestOwners.find(run.first);
+        const std::int64_t term = each.line.number("term");
+        if (later == m_latestOwners.end() || later->second.term <= term)
+            return;
+        m_verdict.misfits.push_back(describe(run) + " started by " + each.node + " (term " + std::to_string(term)
+            + ") after " + later->second.node + " (term " + std::to_string(later->second.term)
+            + ") had found or received run " + std::to_string(later->second.run));
+    }
+
+    void noteOwner(const StoryLine& each, const Run& run)
+    {
+        OwnerOfRun& latest = m_latestOwners[run.first];
+        if (each.line.number("term") >= latest.term)
+            latest = { each.node, each.line.number("term"), run.second };
+    }
+
+    void adopted(const StoryLine& each, const Run& run)
+    {
+        noteOwner(each, run);
         opened(each, run);
     }
 
@@ -136,6 +169,7 @@
     void ended(const StoryLine& each, const Run& run)
     {
         closed(run);
+        noteOwner(each, run);
         if (each.line.text("detail") == "failed")
             m_failed.insert(run);
         if (each.line.text("detail") == "done")
@@ -198,6 +232,7 @@
     std::int64_t m_term { 0 };
     std::set<std::int64_t> m_termsTakenOver;
     std::map<std::string, std::set<std::int64_t>> m_open;
+    std::map<std::string, OwnerOfRun> m_latestOwners; ///< By subtask.
     std::set<Run> m_closed;
     std::set<Run> m_failed;
     std::set<std::string> m_done;
--- a/packages/cli/src/job_verdict.h
+++ b/packages/cli/src/job_verdict.h
@@ -16,9 +16,10 @@
     std::vector<std::string> remarks; ///< What may be, and helps to understand.
 };
 
-/// Looks for two runs of a subtask that are open at once, a start after its end `done`, a start of a job taken over
-/// while workers are unheard, and ends that were listed and never acknowledged. An end counts as acknowledged with the
-/// next acknowledgement to its worker by the same owner.
+/// Looks for two runs of a subtask that are open at once, a start after its end `done`, a start by a replaced owner of
+/// a subtask whose earlier run a later owner has dealt with, a start of a job taken over while workers are unheard, and
+/// ends that were listed and never acknowledged. An end counts as acknowledged with the next acknowledgement to its
+/// worker by the same owner.
 JobVerdict judge(const JobStory& story);
 
 } // namespace rattanrack::cli
--- a/packages/cli/tests/explain_job_tests.cpp
+++ b/packages/cli/tests/explain_job_tests.cpp
@@ -178,6 +178,21 @@
     EXPECT_TRUE(has(run, "doesn't fit: run 2 of 0.0.1 started after the subtask was listed as done\n")) << run.output;
 }
 
+TEST(ExplainJob, StartByAReplacedOwnerAfterTheNextOneHasAdoptedTheRun)
+{
+    MadeLog first { "n1", 1 };
+    first.ofJob("01.000000", "job.accepted", "q").ordered("01.100000", 1, "w1", 0);
+    first.ofRun("03.500000", "run.over", 1, "w1", 0, 0, "\"lease expired\"").ordered("03.510000", 2, "w2", 0);
+    first.add("03.600000", "cell.replaced", "confirmedMs=2200 starts=1 repeats=1");
+    MadeLog next { "n2", 2 };
+    next.ofRun("03.000000", "run.adopted", 1, "w1", 0, 0, "wanted");
+    const auto run = explainLogs({ first.file(), next.file() });
+    EXPECT_EQ(run.status, 1);
+    EXPECT_TRUE(
+        has(run, "doesn't fit: run 2 of 0.0.1 started by n1 (term 1) after n2 (term 2) had found or received run 1\n"))
+        << run.output;
+}
+
 TEST(ExplainJob, StartOfAJobTakenOverWithWorkersUnheard)
 {
     MadeLog log { "n2", 2 };
--- a/packages/jobs/include/rattanrack/jobs/cell_event.h
+++ b/packages/jobs/include/rattanrack/jobs/cell_event.h
@@ -48,6 +48,12 @@
     std::size_t uncontactedWorkers { 0 }; ///< Workers of previous owners that have not been contacted yet.
     std::string detail;
     Duration age {};
+    /// Of `Starting` and `PresumedEnded`: time since the latest transaction that proves the ownership was sent.
+    Duration ownershipAge {};
+    /// Of `PresumedEnded`: time since the run was certainly over, by the evidence.
+    Duration overSince {};
+    /// Of `Starting`: an earlier run of the task is presumed to have ended.
+    bool followsPresumedEnd { false };
 };
 
 struct WorkerEvent {
--- a/packages/jobs/include/rattanrack/jobs/job_progress.h
+++ b/packages/jobs/include/rattanrack/jobs/job_progress.h
@@ -39,6 +39,7 @@
     /// Each run is counted once, in whatever order and however often workers list it.
     std::vector<RunNumber> failedRuns;
     std::vector<LostStart> lostStarts; ///< One for each worker and incarnation; none once a worker survived a start.
+    RunNumber presumedEnded { 0 }; ///< Highest run that is presumed to have ended; no worker has listed its end.
     bool isHarmless { false }; ///< A worker has survived a start of it under this owner.
     std::string checkpoint; ///< Newest one known; empty: none.
 
@@ -103,6 +104,9 @@
     /// To be called when the task's run has ended and the task is not done.
     void onRunEnded(const TaskRef& ref);
 
+    /// Records that the run is presumed to have ended although no worker has listed its end.
+    void presumeEnded(const TaskRef& ref, RunNumber run);
+
     /// Counts a failed run of a task once, however often workers list it. Returns false if it has been counted before.
     bool countFailure(const TaskRef& ref, RunNumber run);
 
--- a/packages/jobs/src/cell.cpp
+++ b/packages/jobs/src/cell.cpp
@@ -115,13 +115,14 @@
     return entry.job.spec.steps[static_cast<std::size_t>(task.step)];
 }
 
-void CellState::addRunEvent(RunEvent::Kind kind, const Worker& worker, const TaskRef& task, RunNumber run,
+RunEvent& CellState::addRunEvent(RunEvent::Kind kind, const Worker& worker, const TaskRef& task, RunNumber run,
     std::string_view detail, Duration age)
 {
     const JobEntry* entry = find(task.job);
     const bool isKnown = entry && entry->progress.contains(task);
     addEvent(RunEvent { kind, task, run, worker.description.id, isKnown ? entry->progress.task(task).failures() : 0,
         inheritedWorkers.size(), std::string(detail), age });
+    return std::get<RunEvent>(output.events.back());
 }
 
 void CellState::markChanged(JobEntry& entry)
--- a/packages/jobs/src/cell_leases.cpp
+++ b/packages/jobs/src/cell_leases.cpp
@@ -45,13 +45,14 @@
     for (auto& [id, worker] : workers) {
         if (worker.contact != WorkerContact::Unresponsive || now < worker.clock.leasesEndAt())
             continue;
-        std::vector<TaskRef> expired;
+        std::vector<std::pair<TaskRef, TimePoint>> expired;
         for (const auto& [task, run] : worker.runs) {
-            if (now >= leaseEndOf(worker, run, now))
-                expired.push_back(task);
+            const TimePoint leaseEnd = leaseEndOf(worker, run, now);
+            if (now >= leaseEnd)
+                expired.emplace_back(task, leaseEnd);
         }
-        for (const TaskRef& task : expired)
-            presumeEnded(worker, task, "lease expired", now);
+        for (const auto& [task, leaseEnd] : expired)
+            presumeEnded(worker, task, { .text = "lease expired", .overAt = leaseEnd }, now);
         if (!expired.empty() && worker.runs.empty())
             inheritedWorkers.erase(id);
     }
--- a/packages/jobs/src/cell_runs.cpp
+++ b/packages/jobs/src/cell_runs.cpp
@@ -78,19 +78,24 @@
     return nullptr;
 }
 
-void CellState::presumeEnded(
-    Worker& worker, const TaskRef& taskInRuns, std::string_view evidence, TimePoint now, RunEvent::Kind kind)
+void CellState::presumeEnded(Worker& worker, const TaskRef& taskInRuns, const EndEvidence& evidence, TimePoint now)
 {
     const TaskRef task = taskInRuns; // The argument may be a key in the map that the run is removed from.
+    JobEntry* entry = find(task.job);
+    const bool isKnownTask = entry && entry->progress.contains(task);
     const auto found = worker.runs.find(task);
     if (found != worker.runs.end()) {
+        const RunNumber number = found->second.number;
         const TimePoint sentAt = found->second.startSentAt;
-        addRunEvent(
-            kind, worker, task, found->second.number, evidence, sentAt == TimePoint {} ? Duration {} : now - sentAt);
+        RunEvent& event = addRunEvent(
+            evidence.kind, worker, task, number, evidence.text, sentAt == TimePoint {} ? Duration {} : now - sentAt);
+        event.ownershipAge = ownershipAge(now);
+        event.overSince = now - evidence.overAt;
+        if (isKnownTask && evidence.kind == RunEvent::Kind::PresumedEnded)
+            entry->progress.presumeEnded(task, number);
     }
     const bool hasNoRun = releaseRun(worker, task);
-    JobEntry* entry = find(task.job);
-    if (hasNoRun && entry && entry->progress.contains(task))
+    if (hasNoRun && isKnownTask)
         entry->progress.onRunEnded(task);
 }
 
@@ -100,7 +105,7 @@
     for (const auto& [task, run] : worker.runs)
         tasks.push_back(task);
     for (const TaskRef& task : tasks)
-        presumeEnded(worker, task, evidence, now);
+        presumeEnded(worker, task, { .text = evidence, .overAt = now }, now);
     inheritedWorkers.erase(worker.description.id);
     recordRestart(worker, std::max(worker.incarnationUnixMs, worker.description.incarnationUnixMs) + 1, now);
 }
@@ -298,7 +303,7 @@
             missing.push_back(task);
     }
     for (const TaskRef& task : missing)
-        presumeEnded(worker, task, "no longer listed by the worker", now);
+        presumeEnded(worker, task, { .text = "no longer listed by the worker", .overAt = now }, now);
 }
 
 } // namespace rattanrack::jobs
--- a/packages/jobs/src/cell_schedule.cpp
+++ b/packages/jobs/src/cell_schedule.cpp
@@ -204,7 +204,9 @@
         entry.progress.task(task).checkpoint, tickets ? tickets->tickets.at(worker.description.id) : std::string {} };
     grantStart(worker, run, now);
     entry.progress.onStartSent(task, number);
-    addRunEvent(RunEvent::Kind::Starting, worker, task, number, {}, now - listRequestedAt);
+    RunEvent& event = addRunEvent(RunEvent::Kind::Starting, worker, task, number, {}, now - listRequestedAt);
+    event.ownershipAge = ownershipAge(now);
+    event.followsPresumedEnd = entry.progress.task(task).presumedEnded > 0;
     output.commands.emplace_back(run.start);
 }
 
--- a/packages/jobs/src/cell_starts.cpp
+++ b/packages/jobs/src/cell_starts.cpp
@@ -131,7 +131,7 @@
         sendStop(worker, command.task, command.run, "the start may be carried out late");
         return;
     }
-    presumeEnded(worker, command.task, reasonNotStarted(result), now, RunEvent::Kind::NotStarted);
+    presumeEnded(worker, command.task, { RunEvent::Kind::NotStarted, reasonNotStarted(result), now }, now);
 }
 
 } // namespace rattanrack::jobs
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -45,6 +45,13 @@
     StepLocations::const_iterator end() const { return last; }
 };
 
+/// Why a run is considered over although its worker has not listed its end.
+struct EndEvidence {
+    RunEvent::Kind kind { RunEvent::Kind::PresumedEnded };
+    std::string_view text;
+    TimePoint overAt {}; ///< The run was over by then.
+};
+
 struct StepTickets {
     std::map<WorkerId, std::string> tickets;
     TimePoint validUntil {};
@@ -236,9 +243,12 @@
     static bool requiresTickets(const JobEntry& entry);
     static const Step& stepOf(const JobEntry& entry, const TaskRef& task);
     void addEvent(CellEvent event) { output.events.push_back(std::move(event)); }
-    void addRunEvent(RunEvent::Kind kind, const Worker& worker, const TaskRef& task, RunNumber run,
+    RunEvent& addRunEvent(RunEvent::Kind kind, const Worker& worker, const TaskRef& task, RunNumber run,
         std::string_view detail, Duration age = {});
 
+    /// Time since the latest transaction that proves the ownership was sent.
+    Duration ownershipAge(TimePoint now) const { return now - std::max(ownershipConfirmedAt, takenOverAt); }
+
     // Runs: cell_runs.cpp
     /// `step`: null if the job is not known.
     Run& addRun(Worker& worker, const TaskRef& task, RunNumber number, const Step* step);
@@ -246,8 +256,7 @@
     /// Removes a run from its worker. Returns whether no worker has a run of the task any more.
     bool releaseRun(Worker& worker, const TaskRef& task);
     const Worker* workerRunning(const TaskRef& task) const;
-    void presumeEnded(Worker& worker, const TaskRef& task, std::string_view evidence, TimePoint now,
-        RunEvent::Kind kind = RunEvent::Kind::PresumedEnded);
+    void presumeEnded(Worker& worker, const TaskRef& task, const EndEvidence& evidence, TimePoint now);
     void onWorkerLost(Worker& worker, std::string_view evidence, TimePoint now);
     void processEndedRun(Worker& worker, const EndedRun& ended, TimePoint now);
     void processRunning(Worker& worker, const PollReport& report, TimePoint sentAt, TimePoint now);
--- a/packages/jobs/src/job_progress.cpp
+++ b/packages/jobs/src/job_progress.cpp
@@ -132,6 +132,11 @@
         setPhase(ref, TaskPhase::Waiting);
 }
 
+void JobProgress::presumeEnded(const TaskRef& ref, RunNumber run)
+{
+    task(ref).presumedEnded = std::max(task(ref).presumedEnded, run);
+}
+
 bool JobProgress::countFailure(const TaskRef& ref, RunNumber run)
 {
     std::vector<RunNumber>& counted = task(ref).failedRuns;
--- a/packages/node/include/rattanrack/node/cell_host.h
+++ b/packages/node/include/rattanrack/node/cell_host.h
@@ -11,6 +11,7 @@
 #include "rattanrack/node/node_load_monitor.h"
 #include "rattanrack/node/part_writer.h"
 #include "rattanrack/node/pass_scheduler.h"
+#include "rattanrack/node/unconfirmed_starts.h"
 #include "rattanrack/node/worker_links.h"
 
 #include <functional>
@@ -129,6 +130,7 @@
     void handleEvent(const jobs::CellEvent& event);
     void recordRunEvent(const jobs::RunEvent& event);
     void recordTrialQueue(const jobs::TrialQueueEvent& event);
+    void reportReplaced();
     PartWriter::Callbacks writerCallbacks();
     WorkerLinks::Callbacks linkCallbacks();
     void commitIfDue();
@@ -168,6 +170,7 @@
     PartWriter m_writer;
     WorkerLinks m_links;
     PassScheduler m_passScheduler;
+    UnconfirmedStarts m_unconfirmedStarts;
     bool m_isHandingBack { false };
 };
 
--- a/packages/node/src/cell_host.cpp
+++ b/packages/node/src/cell_host.cpp
@@ -314,8 +314,12 @@
 
 void CellHost::recordRunEvent(const jobs::RunEvent& event)
 {
-    if (event.kind == jobs::RunEvent::Kind::Starting)
+    if (event.kind == jobs::RunEvent::Kind::Starting) {
         m_parts.loadMonitor.recordStart(event.age);
+        m_unconfirmedStarts.onStart(m_parts.clock.now(), event.followsPresumedEnd);
+    }
+    if (event.followsPresumedEnd)
+        m_parts.metrics.increment("rattanrack_starts_after_presumed_end_total", { { "cell", m_pool.value() } });
     if (event.kind == jobs::RunEvent::Kind::NotStarted)
         m_parts.metrics.increment("rattanrack_starts_without_run_total", { { "reason", event.detail } });
 }
@@ -337,7 +341,22 @@
 PartWriter::Callbacks CellHost::writerCallbacks()
 {
     return { [this] { onCommitStored(); }, [this] { onCommitNotStored(); },
-        [this] { m_parts.control.post(guarded([onLost = m_parts.onLost] { onLost(); })); } }; // Destroys this host.
+        [this] {
+            reportReplaced();
+            m_parts.control.post(guarded([onLost = m_parts.onLost] { onLost(); })); // Destroys this host.
+        } };
+}
+
+/// Logs what was started while another node may have owned the cell already.
+void CellHost::reportReplaced()
+{
+    if (m_isHandingBack)
+        return;
+    logEvent("cell.replaced",
+        { { "cell", m_pool.value() }, { "term", m_writer.term() },
+            { "confirmedMs", milliseconds(m_parts.clock.now() - m_writer.confirmedAt()) },
+            { "starts", m_unconfirmedStarts.count() }, { "repeats", m_unconfirmedStarts.repeats() } },
+        LogLevel::Warning);
 }
 
 void CellHost::commitIfDue()
@@ -373,6 +392,7 @@
 void CellHost::onCommitStored()
 {
     m_queues.onClosesStored();
+    m_unconfirmedStarts.onConfirmed(m_writer.confirmedAt());
     m_cell.onWorkerListStored(m_writer.workersWritten());
     m_cell.onCommitted(wallClockMilliseconds());
     if (m_writer.isOver())
--- a/packages/node/src/cell_log.cpp
+++ b/packages/node/src/cell_log.cpp
@@ -3,6 +3,8 @@
 #include "rattanrack/base/log.h"
 #include "rattanrack/base/milliseconds.h"
 
+#include <vector>
+
 namespace rattanrack::node {
 
 namespace {
@@ -58,11 +60,16 @@
 
     void operator()(const jobs::RunEvent& event) const
     {
-        logEvent(name,
-            { { "cell", cell }, { "term", term }, { "job", event.task.job.value() }, { "task", taskName(event.task) },
-                { "run", event.run }, { "worker", event.worker.value() }, { "failures", event.failures },
-                { "unheard", event.uncontactedWorkers }, { "detail", event.detail },
-                { "ageMs", milliseconds(event.age) } });
+        const bool isPresumedEnd = event.kind == jobs::RunEvent::Kind::PresumedEnded;
+        std::vector<LogField> fields { { "cell", cell }, { "term", term }, { "job", event.task.job.value() },
+            { "task", taskName(event.task) }, { "run", event.run }, { "worker", event.worker.value() },
+            { "failures", event.failures }, { "unheard", event.uncontactedWorkers }, { "detail", event.detail },
+            { "ageMs", milliseconds(event.age) } };
+        if (isPresumedEnd || event.followsPresumedEnd)
+            fields.push_back({ "confirmedMs", milliseconds(event.ownershipAge) });
+        if (isPresumedEnd)
+            fields.push_back({ "overMs", milliseconds(event.overSince) });
+        logEvent(name, std::span<const LogField> { fields });
     }
 
     void operator()(const jobs::WorkerEvent& event) const
--- a/packages/node/tests/cell_log_tests.cpp
+++ b/packages/node/tests/cell_log_tests.cpp
@@ -157,3 +157,13 @@
         write(event, burst);
     EXPECT_EQ(linesWith("event="), LogRateLimiter::maxLinesPerSecond + events.size() * burst);
 }
+
+TEST_F(CellLogTest, PresumedEndTellsTheAgeOfTheOwnership)
+{
+    RunEvent event = runEvent(RunEvent::Kind::PresumedEnded, "lease expired");
+    event.ownershipAge = 2300ms;
+    event.overSince = 20ms;
+    write(event);
+    EXPECT_EQ(linesWith("event=run.over"), 1U);
+    EXPECT_EQ(linesWith("confirmedMs=2300 overMs=20"), 1U);
+}
