--- a/packages/jobs/model/cell_simulation.cpp
+++ b/packages/jobs/model/cell_simulation.cpp
@@ -382,6 +382,12 @@
     return partition != m_partitionedUntil.end() && m_now < partition->second;
 }
 
+/// A partitioned worker is reached by no owner.
+LinkState CellSimulation::linkState(int owner, const WorkerId& worker) const
+{
+    return isPartitioned(worker) ? LinkState::Down : m_ownerLinks.state(owner, worker, m_now);
+}
+
 const TaskBehavior& CellSimulation::behaviorOf(const TaskRef& task) const
 {
     return m_behaviors.at(task.job).at(static_cast<std::size_t>(task.step));
--- a/packages/jobs/model/cell_simulation.h
+++ b/packages/jobs/model/cell_simulation.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "model_worker.h"
+#include "owner_links.h"
 #include "rattanrack/jobs/cell.h"
 #include "rattanrack/jobs/ownership.h"
 #include "rule_oracle.h"
@@ -35,6 +36,8 @@
     double failedRuns { 0 }; ///< Share of the runs that fail.
     double crashesPerSecond { 0 }; ///< Of workers, which restart after seconds, half of them under a new id.
     double partitionsPerSecond { 0 }; ///< Workers that are unreachable for seconds and go on running.
+    /// Links of one worker with the owners up to the present one, or with all later ones, that are cut for seconds.
+    double ownerLinkCutsPerSecond { 0 };
     double ownerLossesPerSecond { 0 }; ///< Owners that are lost without notice; another one takes over.
     double failedCommits { 0 }; ///< Share of the transactions that the store rejects.
     double slowStops { 0 }; ///< Share of the stops after which a run is listed as running for up to `longestStop`.
@@ -181,6 +184,7 @@
     };
     /// A command that has been sent to a worker and has no result yet.
     struct OpenExchange {
+        int owner { 0 };
         WorkerId worker;
         TimePoint sentAt;
         std::function<void(CommandStatus status, bool isConnectionEnded)> fail;
@@ -189,6 +193,7 @@
     /// A poll that waits at the worker for ended runs.
     struct WaitingPoll {
         PollCommand command;
+        int owner { 0 };
         TimePoint deadline;
         ExchangeNumber exchange { 0 };
         std::function<void(const PollResult& result)> deliver;
@@ -225,6 +230,7 @@
     void shrinkWorker(std::size_t worker);
     void setCapacity(std::size_t worker, const ResourceSize& capacity);
     void partition(const WorkerId& worker, Duration least, Duration most);
+    void cutOwnerLinks(const WorkerId& worker);
     void dropOwner();
     void handBack();
     void finishHandBack(int owner);
@@ -266,13 +272,14 @@
     void sendPoll(const PollCommand& command, int owner);
     void finishPoll(WaitingPoll waiting);
     ExchangeNumber openExchange(
-        const WorkerId& worker, std::function<void(CommandStatus status, bool isConnectionEnded)> fail);
+        int owner, const WorkerId& worker, std::function<void(CommandStatus status, bool isConnectionEnded)> fail);
     void failExchange(ExchangeNumber exchange, CommandStatus status, bool isConnectionEnded = false);
     void failExchangeLater(ExchangeNumber exchange, CommandStatus status, Duration after);
     void failUnreachable(ExchangeNumber exchange);
     void endConnections(const WorkerId& worker);
     ModelWorker* find(const WorkerId& id);
     bool isPartitioned(const WorkerId& id) const;
+    LinkState linkState(int owner, const WorkerId& worker) const;
     const TaskBehavior& behaviorOf(const TaskRef& task) const;
     bool mayRun(const Job& job, int step) const;
     bool isHalfOfCapacityInUse() const;
@@ -300,6 +307,7 @@
 
     std::vector<ModelWorker> m_workers;
     std::map<WorkerId, TimePoint> m_partitionedUntil;
+    OwnerLinks m_ownerLinks;
     std::vector<StaleEntry> m_staleEntries;
     int m_incarnations { 0 };
     bool m_hasGangs { false }; ///< Whether any submitted job has a gang.
--- a/packages/jobs/model/cell_simulation_faults.cpp
+++ b/packages/jobs/model/cell_simulation_faults.cpp
@@ -1,5 +1,7 @@
 #include "cell_simulation.h"
 
+#include <limits>
+
 /// Fault injection.
 namespace rattanrack::jobs::model {
 
@@ -37,6 +39,8 @@
         drainMachine(m_workers[anyWorker()].description().machine);
     if (happens(m_faults.partitionsPerSecond * seconds))
         partition(m_workers[anyWorker()].description().id, 500ms, 8s);
+    if (happens(m_faults.ownerLinkCutsPerSecond * seconds))
+        cutOwnerLinks(m_workers[anyWorker()].description().id);
     if (happens(m_faults.storeStallsPerSecond * seconds))
         m_storeStalledUntil = m_now + randomBetween(500ms, 3s);
     if (happens(m_faults.ownerLossesPerSecond * seconds))
@@ -63,6 +67,17 @@
     m_partitionedUntil[worker] = m_now + randomBetween(least, most);
 }
 
+void CellSimulation::cutOwnerLinks(const WorkerId& worker)
+{
+    constexpr double shareOfLaterOwners = 0.5;
+    constexpr double shareOneWay = 0.3;
+    const bool isOfLaterOwners = happens(shareOfLaterOwners);
+    const LinkState state = happens(shareOneWay) ? LinkState::ResponsesLost : LinkState::Down;
+    m_ownerLinks.removeEnded(m_now);
+    m_ownerLinks.add({ worker, isOfLaterOwners ? m_ownerNumber + 1 : 0,
+        isOfLaterOwners ? std::numeric_limits<int>::max() : m_ownerNumber, state, m_now + randomBetween(500ms, 8s) });
+}
+
 void CellSimulation::crashWorker(std::size_t index)
 {
     if (!m_workers[index].isUp())
