An end is acknowledged only once the transaction in flight that contains it is stored

Cause: an end that changed nothing itself was acknowledged at once unless the job had changes outside of a commit. Changes in a commit in flight did not count, so that the second member of a gang, or a run that had ended beside a cancellation, was acknowledged before the change was stored. If that transaction fails because the owner is replaced, the next owner never receives the end. Class: an acknowledgement ahead of its write.

Evidence: Acknowledgement.WaitsForATransactionInFlightThatContainsTheEnd, red before (acknowledged through 1, wanted 0).

--- a/packages/jobs/src/cell_runs.cpp
+++ b/packages/jobs/src/cell_runs.cpp
@@ -211,7 +211,7 @@
             isCommitUrgent = true;
         }
     }
-    worker.unacknowledgedRuns.back().revision = dirtyJobs.contains(ended.task.job) ? entry->revision : 0;
+    worker.unacknowledgedRuns.back().revision = entry->revision; // What the end has changed may be in flight.
 }
 
 void CellState::advanceAcks(const WorkerId& id, Worker& worker)
--- /dev/null
+++ b/packages/jobs/tests/acknowledgement_tests.cpp
@@ -0,0 +1,59 @@
+#include "cell_harness.h"
+
+using namespace rattanrack;
+using namespace rattanrack::jobs;
+using namespace rattanrack::jobs::tests;
+
+namespace {
+
+constexpr std::int64_t anyUnixMs = 1'000'000;
+
+/// Returns the starts of a gang of two tasks, one on each worker, both of which run.
+std::vector<StartCommand> startGang(CellHarness& harness)
+{
+    Job job { JobId { "gang" }, QueueId { "q" }, anyUnixMs, { "text", { {} }, {} } };
+    job.spec.steps[0].count = 2;
+    job.spec.steps[0].isGang = true;
+    job.spec.steps[0].size = { Millicores { 800 }, Mebibytes { 100 }, {} };
+    harness.cell().submit(job, 1, harness.now());
+    harness.storeChanges();
+    harness.advance(10ms);
+    harness.answerAllPolls();
+    const auto starts = harness.takeCommands<StartCommand>();
+    for (const StartCommand& start : starts)
+        harness.respond(start, CommandStatus::Done);
+    harness.advance(300ms);
+    return starts;
+}
+
+/// The highest acknowledgement that polls of the worker have carried from now on, for half a second.
+std::int64_t acknowledgedThrough(CellHarness& harness, const WorkerId& worker)
+{
+    std::int64_t highest = 0;
+    for (int pass = 0; pass < 10; ++pass) {
+        harness.advance(50ms);
+        for (const PollCommand& poll : harness.takeCommands<PollCommand>()) {
+            if (poll.worker == worker)
+                highest = std::max(highest, poll.ackedThrough);
+            harness.respond(poll, {});
+        }
+    }
+    return highest;
+}
+
+} // namespace
+
+TEST(Acknowledgement, WaitsForATransactionInFlightThatContainsTheEnd)
+{
+    CellHarness harness;
+    const auto starts = startGang(harness);
+    ASSERT_EQ(starts.size(), 2U);
+    const WorkerId second = starts[1].worker;
+    harness.answerPoll(
+        starts[0].worker.value().c_str(), {}, { { 1, starts[0].task, starts[0].run, RunOutcome::Done, "" } });
+    ASSERT_TRUE(harness.cell().takeCommit(anyUnixMs).has_value());
+    harness.answerPoll(second.value().c_str(), {}, { { 1, starts[1].task, starts[1].run, RunOutcome::Done, "" } });
+    EXPECT_EQ(acknowledgedThrough(harness, second), 0);
+    harness.cell().onCommitted(anyUnixMs);
+    EXPECT_EQ(acknowledgedThrough(harness, second), 1);
+}
