A run that is presumed to have ended is stored as such before the task starts again

Cause: an owner that had been replaced concluded from elapsed time, from a restart or from a later worker that a run was over, and started the task again on a worker that the next owner had not contacted yet. The next owner had meanwhile renewed the run's lease or received its end. Class: a conclusion from elapsed time or silence that a later owner may have made untrue; the time without confirmed ownership counted as if it were confirmed.

Change: the presumed end is part of the job's progress, and the task starts again only once a transaction that contains it has succeeded. That transaction is sent after the proof and proves the ownership; the next owner reads that a further run may exist. While workers of previous owners are not contacted, an end as done of such a run does not count, since the replaced owner may still start the next run; afterwards it does.

--- a/packages/jobs/include/rattanrack/jobs/job_progress.h
+++ b/packages/jobs/include/rattanrack/jobs/job_progress.h
@@ -49,8 +49,9 @@
     bool isSuspect() const { return !lostStarts.empty(); }
 };
 
-/// What the next owner must know of a task: its ended runs that workers have removed after their acknowledgement. Only
-/// a task that differs from a new one has an entry.
+/// What the next owner must know of a task: its ended runs that workers have removed after their acknowledgement, and
+/// those that are presumed to have ended, which a later run may follow. Only a task that differs from a new one has an
+/// entry.
 struct StoredTask {
     int occurrence { 0 };
     int step { 0 };
@@ -58,6 +59,7 @@
     bool isDone { false };
     std::vector<RunNumber> failedRuns;
     std::vector<LostStart> lostStarts;
+    RunNumber presumedEnded { 0 }; ///< As in `Task`; 0 once the task is done.
 
     friend bool operator==(const StoredTask&, const StoredTask&) = default;
 };
@@ -107,6 +109,9 @@
     /// Records that the run is presumed to have ended although no worker has listed its end.
     void presumeEnded(const TaskRef& ref, RunNumber run);
 
+    /// Whether the run, or one of its gang, is presumed to have ended, so that a later run may have followed it.
+    bool isPresumedEnded(const TaskRef& ref, RunNumber run) const;
+
     /// Counts a failed run of a task once, however often workers list it. Returns false if it has been counted before.
     bool countFailure(const TaskRef& ref, RunNumber run);
 
--- a/packages/jobs/src/cell_runs.cpp
+++ b/packages/jobs/src/cell_runs.cpp
@@ -91,8 +91,11 @@
             evidence.kind, worker, task, number, evidence.text, sentAt == TimePoint {} ? Duration {} : now - sentAt);
         event.ownershipAge = ownershipAge(now);
         event.overSince = now - evidence.overAt;
-        if (isKnownTask && evidence.kind == RunEvent::Kind::PresumedEnded)
+        const bool isPresumed = evidence.kind == RunEvent::Kind::PresumedEnded;
+        if (isPresumed && isKnownTask && entry->progress.task(task).phase != TaskPhase::Done) {
             entry->progress.presumeEnded(task, number);
+            storeBeforeNextStart(*entry);
+        }
     }
     const bool hasNoRun = releaseRun(worker, task);
     if (hasNoRun && isKnownTask)
@@ -146,6 +149,21 @@
     }
 }
 
+void CellState::storeBeforeNextStart(JobEntry& entry)
+{
+    if (entry.progress.hasEnded())
+        return;
+    markChanged(entry);
+    entry.failureRevision = entry.revision;
+    isCommitUrgent = true;
+}
+
+bool CellState::isDoneCounted(const JobEntry& entry, const EndedRun& ended) const
+{
+    const bool mayBeFollowed = entry.isTakenOver && isRecovering;
+    return !mayBeFollowed || !entry.progress.isPresumedEnded(ended.task, ended.run);
+}
+
 void CellState::failIfOutOfAttempts(JobEntry& entry, const TaskRef& failed)
 {
     if (entry.progress.hasEnded())
@@ -181,7 +199,7 @@
     const bool isUnfinished = !entry->progress.hasEnded();
     if (!ended.checkpoint.empty() && step.hasCheckpoints)
         entry->progress.task(ended.task).checkpoint = ended.checkpoint;
-    if (ended.outcome == RunOutcome::Done) {
+    if (ended.outcome == RunOutcome::Done && isDoneCounted(*entry, ended)) {
         worker.consecutiveFailures = 0;
         worker.failingUntil = {};
         if (isUnfinished && entry->progress.task(ended.task).phase != TaskPhase::Done) {
@@ -205,10 +223,8 @@
         if (hasNoRun)
             entry->progress.onRunEnded(ended.task);
         if (isFailure && isUnfinished && !step.isLongRunning && entry->progress.countFailure(counted, ended.run)) {
-            markChanged(*entry);
-            entry->failureRevision = entry->revision;
+            storeBeforeNextStart(*entry);
             failIfOutOfAttempts(*entry, counted);
-            isCommitUrgent = true;
         }
     }
     worker.unacknowledgedRuns.back().revision = entry->revision; // What the end has changed may be in flight.
--- a/packages/jobs/src/cell_schedule.cpp
+++ b/packages/jobs/src/cell_schedule.cpp
@@ -65,7 +65,9 @@
     const bool isGang = job.spec.steps[static_cast<std::size_t>(step)].isGang;
     if (progress.task(occurrence, step, index).isSuspect())
         return isGang && storedRevision >= failureRevision;
-    return storedRevision >= failureRevision || progress.task(occurrence, step, isGang ? 0 : index).failures() == 0;
+    const bool hasFailed = progress.task(occurrence, step, isGang ? 0 : index).failures() > 0;
+    const bool followsPresumedEnd = progress.task(occurrence, step, index).presumedEnded > 0;
+    return storedRevision >= failureRevision || (!hasFailed && !followsPresumedEnd);
 }
 
 int JobEntry::startableTasks(int occurrence, int step) const
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -76,7 +76,8 @@
     std::uint64_t revision { 0 }; ///< Increases with each change that is to be stored.
     std::uint64_t revisionInCommit { 0 };
     std::uint64_t storedRevision { 0 };
-    std::uint64_t failureRevision { 0 }; ///< The revision that contains the latest failure or lost start.
+    /// The revision that contains the latest failure, lost start or presumed end of a run.
+    std::uint64_t failureRevision { 0 };
     int suspects { 0 }; ///< Tasks that may have crashed a worker.
     JobState stateInCommit { JobState::Queued };
     JobState storedState { JobState::Queued };
@@ -91,8 +92,10 @@
     std::map<std::pair<int, int>, StepTickets> tickets; ///< By occurrence and step.
 
     /// Whether the task waits for its start. After a failure it also waits until the failure is stored, since the next
-    /// owner would not count a failure that it receives only after a further run has started. Suspects start in trials
-    /// instead, unless they belong to a gang.
+    /// owner would not count a failure that it receives only after a further run has started. The same holds for a run
+    /// that is presumed to have ended: only a transaction that is sent afterwards proves that no later owner has
+    /// renewed the run's lease or received its end, and the next owner must know that a further run may exist. Suspects
+    /// start in trials instead, unless they belong to a gang.
     bool isStartable(int occurrence, int step, int index) const;
     int startableTasks(int occurrence, int step) const;
 };
@@ -266,6 +269,13 @@
     void markChanged(JobEntry& entry);
     void recordOfferedLoad(const JobEntry& entry, TimePoint now);
     void failIfOutOfAttempts(JobEntry& entry, const TaskRef& failed);
+
+    /// Stores the change of the job before any task that it concerns starts again.
+    void storeBeforeNextStart(JobEntry& entry);
+
+    /// Whether an end as done counts. While workers of previous owners are not contacted, a replaced owner may still
+    /// start the run that follows one that is presumed to have ended.
+    bool isDoneCounted(const JobEntry& entry, const EndedRun& ended) const;
     void advanceAcks(const WorkerId& id, Worker& worker);
     void advanceAllAcks();
     void removeOldJobs();
--- a/packages/jobs/src/job_codec.cpp
+++ b/packages/jobs/src/job_codec.cpp
@@ -8,7 +8,9 @@
 
 using Json = nlohmann::json;
 
-constexpr std::size_t fieldsWithoutLostStarts = 5; ///< Of a stored task; rows of earlier versions have no more.
+/// Of a stored task; rows of earlier versions have no more fields, or lack the last one.
+constexpr std::size_t fieldsWithoutLostStarts = 5;
+constexpr std::size_t fieldsWithoutPresumedEnd = 6;
 
 Json toJson(const Step& step)
 {
@@ -39,18 +41,20 @@
 Json toJson(const StoredTask& task)
 {
     Json::array_t row;
-    row.reserve(fieldsWithoutLostStarts + 1);
+    row.reserve(fieldsWithoutPresumedEnd + 1);
     row.emplace_back(task.occurrence);
     row.emplace_back(task.step);
     row.emplace_back(task.index);
     row.emplace_back(task.isDone);
     row.emplace_back(Json::array_t(task.failedRuns.begin(), task.failedRuns.end()));
-    if (!task.lostStarts.empty()) {
+    if (!task.lostStarts.empty() || task.presumedEnded > 0) {
         Json lostStarts = Json::array();
         for (const LostStart& lost : task.lostStarts)
             lostStarts.push_back(toJson(lost));
         row.push_back(std::move(lostStarts));
     }
+    if (task.presumedEnded > 0)
+        row.emplace_back(task.presumedEnded);
     return row;
 }
 
@@ -109,6 +113,8 @@
             for (const Json& lost : task.at(fieldsWithoutLostStarts))
                 stored.lostStarts.push_back(lostStartFrom(lost));
         }
+        if (task.size() > fieldsWithoutPresumedEnd)
+            stored.presumedEnded = task.at(fieldsWithoutPresumedEnd).get<RunNumber>();
         progress.tasks.push_back(std::move(stored));
     }
     return progress;
--- a/packages/jobs/src/job_progress.cpp
+++ b/packages/jobs/src/job_progress.cpp
@@ -39,6 +39,7 @@
         m_hasStarted = true;
         task(ref).failedRuns = entry.failedRuns;
         task(ref).lostStarts = entry.lostStarts;
+        task(ref).presumedEnded = entry.presumedEnded;
         if (entry.isDone)
             markDone(ref);
     }
@@ -137,6 +138,15 @@
     task(ref).presumedEnded = std::max(task(ref).presumedEnded, run);
 }
 
+bool JobProgress::isPresumedEnded(const TaskRef& ref, RunNumber run) const
+{
+    if (!m_isGang[static_cast<std::size_t>(ref.step)])
+        return run <= task(ref).presumedEnded;
+    const auto& tasks
+        = m_occurrences[static_cast<std::size_t>(ref.occurrence)].steps[static_cast<std::size_t>(ref.step)].tasks;
+    return std::any_of(tasks.begin(), tasks.end(), [&](const Task& each) { return run <= each.presumedEnded; });
+}
+
 bool JobProgress::countFailure(const TaskRef& ref, RunNumber run)
 {
     std::vector<RunNumber>& counted = task(ref).failedRuns;
@@ -201,8 +211,9 @@
                 const bool isDone = each.phase == TaskPhase::Done;
                 if (isDone)
                     stored.tasks.push_back({ occurrence, step, index, isDone, each.failedRuns });
-                else if (each.failures() > 0 || each.isSuspect())
-                    stored.tasks.push_back({ occurrence, step, index, isDone, each.failedRuns, each.lostStarts });
+                else if (each.failures() > 0 || each.isSuspect() || each.presumedEnded > 0)
+                    stored.tasks.push_back(
+                        { occurrence, step, index, isDone, each.failedRuns, each.lostStarts, each.presumedEnded });
             }
         }
     }
--- a/packages/jobs/tests/cell_incarnation_tests.cpp
+++ b/packages/jobs/tests/cell_incarnation_tests.cpp
@@ -245,6 +245,7 @@
     harness.answerPoll(start.worker.value().c_str(), {}); // The run is gone.
     harness.listIncarnations();
     harness.confirmOwnership();
+    harness.storeChanges(); // The presumed end.
     harness.advance(60ms);
     harness.answerPoll(start.worker.value().c_str(), {});
     harness.advance(30ms);
@@ -374,6 +375,7 @@
     harness.advance(60ms);
     harness.answerAllPolls(); // The new incarnations respond, and run nothing; the list still shows the first ones.
     harness.confirmOwnership();
+    harness.storeChanges(); // The presumed ends.
     harness.advance(period);
     EXPECT_TRUE(harness.takeCommands<StartCommand>().empty());
     harness.listIncarnations();
--- a/packages/jobs/tests/cell_tests.cpp
+++ b/packages/jobs/tests/cell_tests.cpp
@@ -36,6 +36,7 @@
     harness.advance(60ms);
     for (const PollCommand& poll : harness.takeCommands<PollCommand>())
         harness.respond(poll, {});
+    harness.storeChanges(); // The presumed end.
     harness.advance(400ms);
     const StartCommand next = harness.takeCommands<StartCommand>().at(0);
     EXPECT_GT(next.run, first.run);
@@ -159,6 +160,7 @@
         harness.advance(300ms);
         harness.dropPolls();
     }
+    harness.storeChanges(); // The presumed ends.
     const WorkerMachines none = harness.cell().workersInUse();
     ASSERT_TRUE(none.empty());
     const auto startsAfterRecovery = [&] {
--- /dev/null
+++ b/packages/jobs/tests/presumed_end_tests.cpp
@@ -0,0 +1,108 @@
+#include "cell_harness.h"
+#include "rattanrack/jobs/job_codec.h"
+
+using namespace rattanrack;
+using namespace rattanrack::jobs;
+using namespace rattanrack::jobs::tests;
+
+/// Runs that are presumed to have ended, which a later owner may know better.
+namespace {
+
+constexpr std::int64_t anyUnixMs = 1'000'000;
+
+/// The worker does not respond until its leases have ended.
+void loseWorker(CellHarness& harness, const WorkerId& lost)
+{
+    for (int pass = 0; pass < 40; ++pass) {
+        harness.advance(200ms);
+        for (const PollCommand& poll : harness.takeCommands<PollCommand>()) {
+            if (poll.worker == lost)
+                harness.dropPoll(poll);
+            else
+                harness.respond(poll, {});
+        }
+    }
+}
+
+/// A start whose worker is lost until its run is presumed to have ended. Nothing is stored meanwhile.
+StartCommand startOnLostWorker(CellHarness& harness)
+{
+    StartCommand start = harness.submitAndTakeStart("a");
+    harness.respond(start, CommandStatus::Done);
+    harness.surviveStart(start);
+    loseWorker(harness, start.worker);
+    EXPECT_EQ(harness.runEvents(RunEvent::Kind::PresumedEnded).size(), 1U);
+    return start;
+}
+
+/// What the next owner reads.
+StoredJob storedJob(CellHarness& harness, const std::string& id)
+{
+    Job job { JobId { id }, QueueId { "q" }, anyUnixMs, { "text", { {} }, {} } };
+    job.spec.steps[0].size = { Millicores { 800 }, Mebibytes { 100 }, {} };
+    StoredJob stored { std::move(job), {} };
+    const auto commit = harness.cell().takeCommit(anyUnixMs);
+    for (const CellRow& row : commit.value_or(CellCommit {}).rows) {
+        if (row.kind == CellRow::Kind::Progress)
+            stored.progress = valueOrNothing([&] { return decodeProgress(row.value.value()); }).value();
+    }
+    return stored;
+}
+
+std::string otherWorker(const WorkerId& worker) { return worker.value() == "w1" ? "w2" : "w1"; }
+
+} // namespace
+
+TEST(PresumedEnd, NextRunStartsOnlyOnceItIsStored)
+{
+    CellHarness harness;
+    const StartCommand start = startOnLostWorker(harness);
+    EXPECT_TRUE(harness.takeCommands<StartCommand>().empty());
+    harness.storeChanges();
+    harness.advance(10ms);
+    const auto next = harness.takeCommands<StartCommand>();
+    ASSERT_EQ(next.size(), 1U);
+    EXPECT_EQ(next[0].worker.value(), otherWorker(start.worker));
+}
+
+TEST(PresumedEnd, NextRunDoesNotStartOnATransactionSentBefore)
+{
+    CellHarness harness;
+    const StartCommand start = harness.submitAndTakeStart("a");
+    harness.respond(start, CommandStatus::Done);
+    harness.surviveStart(start);
+    harness.submitAndStore("b");
+    harness.cell().cancel(JobId { "b" }, 1, anyUnixMs);
+    ASSERT_TRUE(harness.cell().takeCommit(anyUnixMs).has_value());
+    loseWorker(harness, start.worker);
+    harness.cell().onCommitted(anyUnixMs);
+    harness.advance(10ms);
+    EXPECT_TRUE(harness.takeCommands<StartCommand>().empty());
+}
+
+TEST(PresumedEnd, EndAsDoneDoesNotCountWhileAReplacedOwnerMayStartTheNextRun)
+{
+    CellHarness replaced;
+    const StartCommand start = startOnLostWorker(replaced);
+    CellHarness harness { 2, { storedJob(replaced, "a") } };
+    harness.answerPoll(start.worker.value().c_str(), {}, { { 1, start.task, start.run, RunOutcome::Done, "" } });
+    const RunningRun next { start.task, start.run + 1, "", 0 };
+    harness.answerPoll(otherWorker(start.worker).c_str(), { next });
+    harness.advance(10ms);
+    const auto adopted = harness.runEvents(RunEvent::Kind::Adopted);
+    ASSERT_EQ(adopted.size(), 1U);
+    EXPECT_EQ(adopted[0].detail, "wanted");
+    EXPECT_EQ(harness.cell().unfinishedJobs(), 1U);
+}
+
+TEST(PresumedEnd, EndAsDoneCountsOnceNoReplacedOwnerCanStartTheNextRun)
+{
+    CellHarness replaced;
+    const StartCommand start = startOnLostWorker(replaced);
+    CellHarness harness { 2, { storedJob(replaced, "a") } };
+    harness.answerPoll(otherWorker(start.worker).c_str(), {});
+    harness.answerPoll(start.worker.value().c_str(), {}, {});
+    harness.advance(300ms);
+    harness.answerPoll(start.worker.value().c_str(), {}, { { 1, start.task, start.run, RunOutcome::Done, "" } });
+    EXPECT_EQ(harness.cell().unfinishedJobs(), 0U);
+}
