A recovery that ends by elapsed time is confirmed before anything that was taken over starts

Cause: an owner waits for workers of previous owners until their leases have ended. It then started what it had taken over although it might have been replaced meanwhile; the next owner may have reached such a worker and received the end.

Change: if a worker of previous owners was released without contact, the recovery ends only once a transaction sent afterwards has succeeded; that transaction also removes the worker from the owner row. While an owner recovers, an end as done of an earlier term does not count from a worker that the owner row no longer had: the previous owner had released it.

--- a/packages/jobs/src/cell.cpp
+++ b/packages/jobs/src/cell.cpp
@@ -32,6 +32,7 @@
     state.unixMs = unixMs;
     state.firstRun = (state.settings.fence - 1) * runsPerTerm;
     state.storedWorkers = inheritedWorkers;
+    state.workersAtTakeover = inheritedWorkers;
     state.inheritedWorkers = std::move(inheritedWorkers);
     state.wasHandedBack = !leasesAtHandBack.empty();
     for (const auto& [worker, machine] : state.inheritedWorkers) {
@@ -249,7 +250,9 @@
         const Worker& worker = each.second;
         return worker.isListed && worker.contact == WorkerContact::Responsive && worker.startedAtLatest > latest;
     };
-    return state.higherFenceSeenAt > latest || std::any_of(state.workers.begin(), state.workers.end(), isUnconfirmed);
+    const bool isRecoveryDue = state.isRecoveryUnconfirmed() && state.releasedWithoutContactAt > latest;
+    return isRecoveryDue || state.higherFenceSeenAt > latest
+        || std::any_of(state.workers.begin(), state.workers.end(), isUnconfirmed);
 }
 
 bool Cell::hasUncommittedChanges() const { return !m_state->dirtyJobs.empty(); }
--- a/packages/jobs/src/cell_leases.cpp
+++ b/packages/jobs/src/cell_leases.cpp
@@ -54,7 +54,7 @@
         for (const auto& [task, leaseEnd] : expired)
             presumeEnded(worker, task, { .text = "lease expired", .overAt = leaseEnd }, now);
         if (!expired.empty() && worker.runs.empty())
-            inheritedWorkers.erase(id);
+            releaseInherited(id, now);
     }
 }
 
--- a/packages/jobs/src/cell_runs.cpp
+++ b/packages/jobs/src/cell_runs.cpp
@@ -109,7 +109,7 @@
         tasks.push_back(task);
     for (const TaskRef& task : tasks)
         presumeEnded(worker, task, { .text = evidence, .overAt = now }, now);
-    inheritedWorkers.erase(worker.description.id);
+    releaseInherited(worker.description.id, now);
     recordRestart(worker, std::max(worker.incarnationUnixMs, worker.description.incarnationUnixMs) + 1, now);
 }
 
@@ -158,10 +158,13 @@
     isCommitUrgent = true;
 }
 
-bool CellState::isDoneCounted(const JobEntry& entry, const EndedRun& ended) const
+bool CellState::isDoneCounted(const Worker& worker, const JobEntry& entry, const EndedRun& ended) const
 {
-    const bool mayBeFollowed = entry.isTakenOver && isRecovering;
-    return !mayBeFollowed || !entry.progress.isPresumedEnded(ended.task, ended.run);
+    if (!entry.isTakenOver || !isRecovering)
+        return true;
+    const bool isOfPreviousOwner = ended.run <= firstRun;
+    const bool isWorkerReleased = isOfPreviousOwner && !workersAtTakeover.contains(worker.description.id);
+    return !isWorkerReleased && !entry.progress.isPresumedEnded(ended.task, ended.run);
 }
 
 void CellState::failIfOutOfAttempts(JobEntry& entry, const TaskRef& failed)
@@ -199,7 +202,7 @@
     const bool isUnfinished = !entry->progress.hasEnded();
     if (!ended.checkpoint.empty() && step.hasCheckpoints)
         entry->progress.task(ended.task).checkpoint = ended.checkpoint;
-    if (ended.outcome == RunOutcome::Done && isDoneCounted(*entry, ended)) {
+    if (ended.outcome == RunOutcome::Done && isDoneCounted(worker, *entry, ended)) {
         worker.consecutiveFailures = 0;
         worker.failingUntil = {};
         if (isUnfinished && entry->progress.task(ended.task).phase != TaskPhase::Done) {
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -198,6 +198,9 @@
     TimePoint ownershipConfirmedAt {}; ///< When the latest transaction that has succeeded since the takeover was sent.
     TimePoint listRequestedAt {}; ///< When the list of workers in use was requested from the store.
     bool isRecovering { true };
+    WorkerMachines workersAtTakeover; ///< As stored by the previous owner; empty once the recovery is over.
+    /// When a worker of previous owners was last released without a response to this owner.
+    TimePoint releasedWithoutContactAt {};
     /// When a worker last refused a command because of a higher fence than this owner's.
     TimePoint higherFenceSeenAt {};
     std::set<JobId> dirtyJobs; ///< Jobs with changes that are to be stored.
@@ -274,8 +277,8 @@
     void storeBeforeNextStart(JobEntry& entry);
 
     /// Whether an end as done counts. While workers of previous owners are not contacted, a replaced owner may still
-    /// start the run that follows one that is presumed to have ended.
-    bool isDoneCounted(const JobEntry& entry, const EndedRun& ended) const;
+    /// start the run that follows one that is presumed to have ended, or one on a worker that it has released.
+    bool isDoneCounted(const Worker& worker, const JobEntry& entry, const EndedRun& ended) const;
     void advanceAcks(const WorkerId& id, Worker& worker);
     void advanceAllAcks();
     void removeOldJobs();
@@ -318,6 +321,13 @@
     void recordHigherFence(const WorkerId& worker, TimePoint now);
     void drainMachines(TimePoint now);
     void checkRecovery(TimePoint now);
+
+    /// Waits for the worker no longer, since nothing that previous owners started there runs any more.
+    void releaseInherited(const WorkerId& worker, TimePoint now);
+
+    /// Whether the recovery only waits for a transaction that is sent after the latest release without contact. It
+    /// proves that no later owner has contacted the worker meanwhile.
+    bool isRecoveryUnconfirmed() const;
     int unavailableMembers(const JobEntry& entry, const TaskRef& member, TimePoint now) const;
 
     // Tasks that crash workers: cell_crashes.cpp
--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -99,7 +99,11 @@
         const auto isOnItsMachine = [&](const WorkerDescription& other) {
             return other.id != inherited.first && other.machine == inherited.second && !other.machine.isEmpty();
         };
-        return isSinceTakeover && !isListed && std::any_of(listed.begin(), listed.end(), isOnItsMachine);
+        const bool isReplaced
+            = isSinceTakeover && !isListed && std::any_of(listed.begin(), listed.end(), isOnItsMachine);
+        if (isReplaced)
+            state.releasedWithoutContactAt = now;
+        return isReplaced;
     });
     state.listedCapacity = state.capacityOfListedWorkers();
     state.listedWorkers = std::count_if(
@@ -243,11 +247,26 @@
 {
     std::erase_if(inheritedWorkers, [&](const auto& inherited) {
         const bool hasEnded = now >= inheritedLeaseEnd.at(inherited.first);
-        if (hasEnded)
-            addEvent(WorkerEvent { WorkerEvent::Kind::NeverContacted, inherited.first, {}, now - takenOverAt });
-        return hasEnded;
+        if (!hasEnded)
+            return false;
+        addEvent(WorkerEvent { WorkerEvent::Kind::NeverContacted, inherited.first, {}, now - takenOverAt });
+        releasedWithoutContactAt = now;
+        return true;
     });
-    isRecovering = isRecovering && !inheritedWorkers.empty();
+    isRecovering = isRecovering && (!inheritedWorkers.empty() || isRecoveryUnconfirmed());
+    if (!isRecovering)
+        workersAtTakeover.clear();
+}
+
+void CellState::releaseInherited(const WorkerId& worker, TimePoint now)
+{
+    if (inheritedWorkers.erase(worker) > 0)
+        releasedWithoutContactAt = now;
+}
+
+bool CellState::isRecoveryUnconfirmed() const
+{
+    return isRecovering && inheritedWorkers.empty() && releasedWithoutContactAt > ownershipConfirmedAt;
 }
 
 /// Whether one more worker may be avoided for its failures. Where most workers fail, the cause is the work itself.
--- a/packages/jobs/tests/cell_takeover_tests.cpp
+++ b/packages/jobs/tests/cell_takeover_tests.cpp
@@ -54,6 +54,7 @@
                 next.respond(poll, {});
         }
         next.advance(30ms);
+        next.confirmOwnership();
         if (!next.takeCommands<StartCommand>().empty())
             break;
     }
@@ -356,6 +357,8 @@
     moved.incarnationUnixMs = 2;
     next.listWorkers({ next.listed()[1], moved });
     next.advance(30ms);
+    next.confirmOwnership();
+    next.advance(30ms);
     const auto starts = next.takeCommands<StartCommand>();
     ASSERT_EQ(starts.size(), 1U);
     EXPECT_EQ(starts[0].worker.value(), "w2");
