Process soak with links between single daemons and single workers

No soak had two owners that reach different workers: all daemons shared one proxy a worker, and the store was never away for one daemon by refusal. Runs last up to 4 s. The judge also takes a start more than a second after a job was shown as completed for TWICE, whichever node has sent it.

Links between two daemons are not part of it.

--- a/tools/process_soak/callers.cpp
+++ b/tools/process_soak/callers.cpp
@@ -26,6 +26,8 @@
 constexpr Specs usualSpecs { "60", "90", "120", "200", "250", "300", "400", "500", "700", "80", "150?", "100!" };
 constexpr Specs failingSpecs { "60", "120", "200", "300", "500", "700", "150?", "150?", "400?", "400?", "100!",
     "100!" };
+constexpr Specs longSpecs { "200", "300", "500", "700", "1000", "1500", "2000", "2500", "3000", "4000", "150?",
+    "1500?" };
 constexpr const char* crashingSpec = "500*"; ///< Of a job that crashes the workers that start it.
 constexpr std::uint64_t crashingEvery = 50; ///< One job of this many, in plays with such jobs.
 constexpr std::uint64_t repeatEvery = 12; ///< One step of this many repeats an earlier submission.
@@ -132,14 +134,16 @@
 class Caller {
 public:
     Caller(Recorder& recorder, std::vector<std::unique_ptr<Entry>>& entries, std::uint64_t seed, int number,
-        bool crashesWorkers)
+        TrafficKind traffic)
         : m_recorder(recorder)
         , m_entries(entries)
-        , m_specs(seed % failingEvery == 1 ? failingSpecs : usualSpecs)
+        , m_specs(traffic == TrafficKind::LongRuns ? longSpecs
+                  : seed % failingEvery == 1       ? failingSpecs
+                                                   : usualSpecs)
         , m_random(seed * callerCount + static_cast<std::uint64_t>(number))
         , m_repeatRandom(m_random)
         , m_number(number)
-        , m_crashesWorkers(crashesWorkers)
+        , m_crashesWorkers(traffic == TrafficKind::Crashing)
         , m_connection(recorder)
     {
     }
@@ -222,8 +226,11 @@
     void ask(const jobs::JobId& job)
     {
         const TimePoint sentAt = m_recorder.now();
-        if (m_connection.exchange("GET", pathOf(job)).status == 410)
+        const Answer answer = m_connection.exchange("GET", pathOf(job));
+        if (answer.status == 410)
             m_recorder.denied(m_connection.node(), job, sentAt);
+        if (answer.status == 200 && answer.body.find("\"completed\"") != std::string::npos)
+            m_recorder.completedShown(job);
     }
 
     void cancel(std::size_t place)
@@ -274,13 +281,13 @@
 }
 
 Callers::Callers(
-    Recorder& recorder, std::vector<std::unique_ptr<Entry>>& entries, std::uint64_t seed, bool crashWorkers)
+    Recorder& recorder, std::vector<std::unique_ptr<Entry>>& entries, std::uint64_t seed, TrafficKind traffic)
     : m_recorder(recorder)
     , m_entries(entries)
 {
     m_threads.emplace_back([this] { probe(); });
     for (int number = 0; number < callerCount; ++number)
-        m_threads.emplace_back([this, seed, number, crashWorkers] { call(seed, number, crashWorkers); });
+        m_threads.emplace_back([this, seed, number, traffic] { call(seed, number, traffic); });
 }
 
 Callers::~Callers()
@@ -290,9 +297,9 @@
         thread.join();
 }
 
-void Callers::call(std::uint64_t seed, int number, bool crashesWorkers)
+void Callers::call(std::uint64_t seed, int number, TrafficKind traffic)
 {
-    Caller caller { m_recorder, m_entries, seed, number, crashesWorkers };
+    Caller caller { m_recorder, m_entries, seed, number, traffic };
     while (!m_isEnding)
         caller.step();
 }
--- a/tools/process_soak/callers.h
+++ b/tools/process_soak/callers.h
@@ -31,17 +31,22 @@
 /// Asks one node for the state of a job; nothing without an answer, "gone" when there is no such job.
 std::optional<std::string> askState(int port, const jobs::JobId& job);
 
+enum class TrafficKind {
+    Usual,
+    Crashing, ///< Some jobs crash the workers that start them.
+    LongRuns, ///< Runs of up to the length of a lease.
+};
+
 /// Threads that submit jobs, ask for them and cancel some, each over one connection that it keeps until it ends.
 class Callers {
 public:
-    /// `crashWorkers`: some jobs crash the workers that start them.
-    Callers(Recorder& recorder, std::vector<std::unique_ptr<Entry>>& entries, std::uint64_t seed, bool crashWorkers);
+    Callers(Recorder& recorder, std::vector<std::unique_ptr<Entry>>& entries, std::uint64_t seed, TrafficKind traffic);
     ~Callers();
     Callers(const Callers&) = delete;
     Callers& operator=(const Callers&) = delete;
 
 private:
-    void call(std::uint64_t seed, int number, bool crashesWorkers);
+    void call(std::uint64_t seed, int number, TrafficKind traffic);
     void probe();
 
     Recorder& m_recorder;
--- a/tools/process_soak/history.h
+++ b/tools/process_soak/history.h
@@ -36,6 +36,7 @@
     std::string lastState; ///< As answered after the play; "gone", or "silent" without an answer.
     std::string pool; ///< Whose workers run it.
     bool crashesWorkers { false }; ///< Each of its subtasks crashes the workers that start it.
+    std::optional<TimePoint> completedShownAt; ///< First answer that it is completed.
 };
 
 /// One incarnation of a worker, from its start to its end.
--- a/tools/process_soak/judge.cpp
+++ b/tools/process_soak/judge.cpp
@@ -23,6 +23,7 @@
 constexpr Duration knownAfter = 3s; ///< From the ack of a job until every node knows it.
 constexpr Duration drainBound = 2s;
 constexpr Duration awayNotice = 4500ms;
+constexpr Duration startGrace = 1s; ///< From the answer that a job is completed, for starts on their way.
 constexpr Duration overlapSlack = 60ms; ///< How late the rig may note that a run has ended.
 
 constexpr const char* endingNames[] = { "at work", "done", "failed", "stopped", "lapsed", "gone", "maintained" };
@@ -96,6 +97,17 @@
     }
 }
 
+/// Whichever node has sent the start, in touch or not.
+void judgeStartsAfterCompletion(const History& history, std::vector<Violation>& found)
+{
+    for (const RunRecord& run : history.runs) {
+        const auto job = history.jobs.find(run.task.job);
+        const bool isCompleted = job != history.jobs.end() && job->second.completedShownAt;
+        if (isCompleted && run.startedAt > *job->second.completedShownAt + startGrace)
+            found.push_back({ "TWICE", run.task.job, placeOf(history, run) + " after its job was shown as completed" });
+    }
+}
+
 bool isLostToPlannedWork(const History& history, const BrokenCall& call)
 {
     return std::any_of(history.troubles.begin(), history.troubles.end(), [&](const Trouble& each) {
@@ -242,6 +254,7 @@
     judgeBudget(history, tasks, found);
     judgeCrashes(history, found);
     judgeTwice(history, tasks, found);
+    judgeStartsAfterCompletion(history, found);
     judgeBrokenCalls(history, found);
     judgeDenials(history, found);
     judgeEndOfPlay(history, tasks, found);
--- a/tools/process_soak/loopback_proxy.cpp
+++ b/tools/process_soak/loopback_proxy.cpp
@@ -16,6 +16,7 @@
 
 constexpr Duration delay = 400ms;
 constexpr int pollMs = 5;
+constexpr int idlePollMs = 20; ///< While nothing is held back.
 constexpr int backlog = 128;
 
 } // namespace
@@ -51,7 +52,9 @@
             watched.push_back({ pair.client, events, 0 });
             watched.push_back({ pair.server, events, 0 });
         }
-        poll(watched.data(), watched.size(), pollMs);
+        const bool isIdle = m_mode == LinkMode::Pass
+            && std::all_of(m_pairs.begin(), m_pairs.end(), [](const Pair& pair) { return pair.chunks.empty(); });
+        poll(watched.data(), watched.size(), isIdle ? idlePollMs : pollMs);
         std::size_t place = 1;
         for (Pair& pair : m_pairs) {
             if (watched[place++].revents & POLLIN)
--- a/tools/process_soak/main.cpp
+++ b/tools/process_soak/main.cpp
@@ -36,6 +36,8 @@
                    deaths: workers die while nodes are in trouble;
                    crashes: some jobs crash the workers that start them, while daemons are killed, restarted and
                    frozen; takes 25 s more;
+                   links: single daemons lose single workers, while owners are frozen, killed, restarted and cut from
+                   the store;
                    routes: the queues' routes move between the pools, go and come back, beside troubles of daemons
                    [default: mixed].
   --longest-lease=MS  That workers grant; 0: 4500, for deaths and crashes 4500, 6000 or 10000 by the seed [default: 0].
@@ -63,6 +65,8 @@
         return Troubles::Deaths;
     if (name == "crashes")
         return Troubles::Crashes;
+    if (name == "links")
+        return Troubles::Links;
     if (name == "routes")
         return Troubles::Routes;
     std::cerr << "process-soak: no troubles are named " << name << '\n';
--- a/tools/process_soak/play.cpp
+++ b/tools/process_soak/play.cpp
@@ -16,7 +16,6 @@
 constexpr std::size_t fewestNodes = 3;
 constexpr int attempts = 3;
 constexpr Duration grace = 6s; ///< From SIGTERM to SIGKILL.
-constexpr Duration restartPause = 300ms;
 constexpr Duration settleTime = 14s; ///< After the last trouble, until all jobs must be in order.
 /// After `settleTime`, until all jobs that crash workers must be shown as failed: five starts, each with a lease of 4.5
 /// s that may have to expire.
@@ -102,7 +101,10 @@
         entry->node = "n" + std::to_string(number);
         entry->port = node::tests::freePort();
         entry->readinessPort = node::tests::freePort();
-        Node node { std::make_unique<LoopbackProxy>(m_store.address()) };
+        Node node { m_store.addEndpoint() };
+        node.storeLink = std::make_unique<LoopbackProxy>(node.store->server->address());
+        if (m_settings.troubles == Troubles::Links)
+            addWorkerLinks(node);
         node.daemon = std::make_unique<Daemon>(
             m_settings.program, m_settings.directory, entry->node, settingsOf(entry->node, *node.storeLink, *entry));
         if (!node.daemon->start())
@@ -112,6 +114,25 @@
     }
 }
 
+/// The node reads addresses of its own for the workers.
+void Play::addWorkerLinks(Node& node)
+{
+    std::vector<std::pair<std::string, std::string>> addresses;
+    for (std::size_t number = 0; number < m_workers.size(); ++number) {
+        const std::string& shared = m_workerLinks[number]->address();
+        node.workerLinks.push_back(std::make_unique<LoopbackProxy>(shared));
+        addresses.emplace_back('"' + shared + '"', '"' + node.workerLinks.back()->address() + '"');
+    }
+    node.store->workerRowView = [addresses](std::string value) {
+        for (const auto& [shared, own] : addresses) {
+            const std::size_t found = value.find(shared);
+            if (found != std::string::npos)
+                return value.replace(found, shared.size(), own);
+        }
+        return value;
+    };
+}
+
 std::string Play::settingsOf(const std::string& name, const LoopbackProxy& storeLink, const Entry& entry) const
 {
     const std::string host = "127.0.0.1:";
@@ -132,9 +153,9 @@
 {
     switch (step.action) {
     case Action::Terminate:
-        return end(m_nodes[step.target], SIGTERM, "SIGTERM", true);
+        return end(m_nodes[step.target], SIGTERM, step);
     case Action::Kill:
-        return end(m_nodes[step.target], SIGKILL, "SIGKILL", false);
+        return end(m_nodes[step.target], SIGKILL, step);
     case Action::Freeze:
         return freeze(m_nodes[step.target], step.length);
     case Action::Reload:
@@ -153,7 +174,13 @@
     case Action::KillOwner:
     case Action::FreezeOwner:
     case Action::OwnerStoreLink:
+    case Action::OwnerStoreRefusal:
         return performOnOwner(step);
+    case Action::OwnerWorkerLink:
+    case Action::OtherWorkerLinks:
+        return performOnWorkerLinks(step);
+    case Action::StoreDown:
+        return turnAway(m_store.isDown, step, "all");
     case Action::Wave:
         return orderWave(step.target);
     case Action::MoveRoute:
@@ -161,11 +188,13 @@
     }
 }
 
-void Play::end(Node& node, int signal, const std::string& what, bool isPlanned)
+void Play::end(Node& node, int signal, const Step& step)
 {
     if (node.isLeaving || node.isKilled || node.daemon->process() == 0)
         return;
-    node.trouble = m_recorder.beginTrouble(what, node.daemon->name(), true, isPlanned);
+    const bool isPlanned = signal == SIGTERM;
+    node.trouble = m_recorder.beginTrouble(isPlanned ? "SIGTERM" : "SIGKILL", node.daemon->name(), true, isPlanned);
+    node.restartAfter = step.restartAfter;
     node.isLeaving = signal == SIGTERM;
     node.isKilled = signal == SIGKILL;
     node.killAt = m_recorder.now() + grace;
@@ -232,16 +261,39 @@
         return;
     switch (step.action) {
     case Action::TerminateOwner:
-        return end(*owner, SIGTERM, "SIGTERM", true);
+        return end(*owner, SIGTERM, step);
     case Action::KillOwner:
-        return end(*owner, SIGKILL, "SIGKILL", false);
+        return end(*owner, SIGKILL, step);
     case Action::FreezeOwner:
         return freeze(*owner, step.length);
+    case Action::OwnerStoreRefusal:
+        return turnAway(owner->store->isUnavailable, step, owner->daemon->name());
     default:
         return trouble(*owner->storeLink, step, owner->daemon->name(), true);
     }
 }
 
+void Play::turnAway(std::atomic<bool>& isUnavailable, const Step& step, const std::string& target)
+{
+    const std::size_t number = m_recorder.beginTrouble("store turns away", target, true, false);
+    isUnavailable = true;
+    later(step.length, [this, &isUnavailable, number] {
+        isUnavailable = false;
+        m_recorder.endTrouble(number);
+    });
+}
+
+void Play::performOnWorkerLinks(const Step& step)
+{
+    const Node* owner = ownerOf(step.target % poolNames.size());
+    for (Node& node : m_nodes) {
+        const bool isOwner = &node == owner;
+        if (isOwner == (step.action == Action::OwnerWorkerLink))
+            trouble(*node.workerLinks[step.target], step, m_workers[step.target]->id() + " of " + node.daemon->name(),
+                false);
+    }
+}
+
 /// With a silent link the worker's host seems to be gone; otherwise its connections are closed.
 void Play::crash(const Step& step, bool isReplaced)
 {
@@ -305,7 +357,7 @@
     const bool wasAsked = node.isLeaving || node.isKilled;
     if (!wasAsked || (!node.isKilled && *status != 0))
         m_faults.push_back(node.daemon->name() + " ended with wait status " + std::to_string(*status));
-    later(restartPause, [this, &node, wasAsked] {
+    later(node.restartAfter, [this, &node, wasAsked] {
         if (!node.daemon->start())
             m_faults.push_back(node.daemon->name() + " can't be started");
         node.isLeaving = false;
@@ -364,6 +416,8 @@
         return crashesSchedule(m_settings.seed, m_settings.length, fleet);
     case Troubles::Routes:
         return routesSchedule(m_settings.seed, m_settings.length, fleet);
+    case Troubles::Links:
+        return linksSchedule(m_settings.seed, m_settings.length, fleet);
     }
     return {};
 }
@@ -374,7 +428,10 @@
     for (const Step& step : schedule())
         later(step.at, [this, step] { perform(step); });
     {
-        const Callers callers { m_recorder, m_entries, m_settings.seed, hasCrashes };
+        const TrafficKind traffic = hasCrashes       ? TrafficKind::Crashing
+            : m_settings.troubles == Troubles::Links ? TrafficKind::LongRuns
+                                                     : TrafficKind::Usual;
+        const Callers callers { m_recorder, m_entries, m_settings.seed, traffic };
         playUntil(m_recorder.now() + m_settings.length);
     }
     playUntil(m_recorder.now() + settleTime);
--- a/tools/process_soak/play.h
+++ b/tools/process_soak/play.h
@@ -13,7 +13,7 @@
 
 namespace rattanrack::tools {
 
-enum class Troubles { Mixed, Deaths, Crashes, Routes };
+enum class Troubles { Mixed, Deaths, Crashes, Routes, Links };
 
 struct PlaySettings {
     std::string program;
@@ -40,11 +40,14 @@
 
 private:
     struct Node {
+        std::unique_ptr<adapter::standin::StandinStore::Endpoint> store;
         std::unique_ptr<LoopbackProxy> storeLink;
+        std::vector<std::unique_ptr<LoopbackProxy>> workerLinks; ///< One for each worker; empty: all nodes share them.
         std::unique_ptr<Daemon> daemon;
         bool isLeaving { false };
         bool isKilled { false };
         TimePoint killAt {}; ///< While it is leaving.
+        Duration restartAfter { Step {}.restartAfter };
         std::size_t trouble { 0 }; ///< That of its end.
     };
 
@@ -52,7 +55,8 @@
     void addNodes();
     std::string settingsOf(const std::string& name, const LoopbackProxy& storeLink, const Entry& entry) const;
     void perform(const Step& step);
-    void end(Node& node, int signal, const std::string& what, bool isPlanned);
+    void end(Node& node, int signal, const Step& step);
+    void addWorkerLinks(Node& node);
     void freeze(Node& node, Duration length);
     void reload(Node& node);
     void trouble(LoopbackProxy& link, const Step& step, const std::string& target, bool isOfNode);
@@ -60,6 +64,8 @@
     void crash(const Step& step, bool isReplaced);
     Node* ownerOf(std::size_t pool);
     void performOnOwner(const Step& step);
+    void performOnWorkerLinks(const Step& step);
+    void turnAway(std::atomic<bool>& isUnavailable, const Step& step, const std::string& target);
     void orderWave(std::size_t first);
     void putConfiguration();
     void moveRoute(std::size_t queue, Duration absence);
--- a/tools/process_soak/recorder.cpp
+++ b/tools/process_soak/recorder.cpp
@@ -165,6 +165,14 @@
     m_history.jobs[job].cancelSentAt = now();
 }
 
+void Recorder::completedShown(const jobs::JobId& job)
+{
+    const std::lock_guard lock(m_mutex);
+    JobRecord& record = m_history.jobs[job];
+    if (!record.completedShownAt)
+        record.completedShownAt = now();
+}
+
 void Recorder::denied(const std::string& node, const jobs::JobId& job, TimePoint sentAt)
 {
     const std::lock_guard lock(m_mutex);
--- a/tools/process_soak/recorder.h
+++ b/tools/process_soak/recorder.h
@@ -29,6 +29,7 @@
         const jobs::JobId& job, int count, bool isLasting, const std::string& pool, bool crashesWorkers = false);
     void accepted(const jobs::JobId& job);
     void cancelSent(const jobs::JobId& job);
+    void completedShown(const jobs::JobId& job);
     void denied(const std::string& node, const jobs::JobId& job, TimePoint sentAt);
     void broke(BrokenCall call);
     void shown(const jobs::JobId& job, const std::string& state);
--- a/tools/process_soak/schedule.cpp
+++ b/tools/process_soak/schedule.cpp
@@ -32,6 +32,11 @@
 constexpr Duration firstMoves = 5s; ///< By then jobs have been accepted.
 constexpr std::uint64_t kindsOfMoves = 3; ///< By the seed's remainder.
 constexpr std::uint64_t calmMoves = 0; ///< Without other troubles.
+constexpr Duration firstLinkTroubles = 5s;
+constexpr Duration shortestRestart = 300ms;
+constexpr Duration longestRestart = 3s;
+constexpr std::array ownerTroubles { Action::FreezeOwner, Action::FreezeOwner, Action::FreezeOwner, Action::FreezeOwner,
+    Action::OwnerStoreLink, Action::OwnerStoreRefusal, Action::KillOwner, Action::TerminateOwner, Action::StoreDown };
 constexpr std::array cuts { LinkMode::Silent, LinkMode::Reset, LinkMode::CutAnswers };
 
 Duration between(fakes::Random& random, Duration least, Duration most)
@@ -107,6 +112,43 @@
     }
 }
 
+/// Troubles of an owner last from below the time of a takeover to well above it.
+Step ownerTrouble(fakes::Random& random, Duration at, std::size_t pool)
+{
+    Step step { at, random.pick(ownerTroubles), pool };
+    step.mode = random.pick(cuts);
+    if (step.action == Action::FreezeOwner)
+        step.length = between(random, 1500ms, 4800ms);
+    else if (step.action == Action::KillOwner || step.action == Action::TerminateOwner)
+        step.restartAfter = between(random, shortestRestart, longestRestart);
+    else
+        step.length = between(random, 1500ms, 7s);
+    return step;
+}
+
+/// Some workers of the pool are cut from the owner, most others from all other daemons. The owner is in trouble at
+/// about the time at which the leases that it has granted to the first ones end, and at times once more.
+void addLinkSeries(
+    fakes::Random& random, Duration at, std::size_t pool, const FleetSize& fleet, std::vector<Step>& steps)
+{
+    const std::size_t ofPool = (fleet.workers - pool + fleet.pools - 1) / fleet.pools;
+    const std::size_t first = random.below(ofPool);
+    const std::size_t ofOwner = 1 + random.below(std::max<std::size_t>(ofPool / 2, 1));
+    for (std::size_t each = 0; each < ofPool; ++each) {
+        Step step { at + between(random, 0s, 500ms),
+            each < ofOwner ? Action::OwnerWorkerLink : Action::OtherWorkerLinks };
+        if (step.action == Action::OtherWorkerLinks && random.oneIn(5))
+            continue;
+        step.target = pool + (first + each) % ofPool * fleet.pools;
+        step.length = between(random, 6s, 11s);
+        step.mode = random.oneIn(5) ? LinkMode::Delay : random.pick(cuts);
+        steps.push_back(step);
+    }
+    steps.push_back(ownerTrouble(random, at + between(random, 1500ms, 4500ms), pool));
+    if (random.oneIn(3))
+        steps.push_back(ownerTrouble(random, at + between(random, 5s, 8s), pool));
+}
+
 } // namespace
 
 std::vector<Step> mixedSchedule(std::uint64_t seed, Duration length, const FleetSize& fleet)
@@ -161,6 +203,19 @@
     return inOrder(std::move(steps));
 }
 
+std::vector<Step> linksSchedule(std::uint64_t seed, Duration length, const FleetSize& fleet)
+{
+    fakes::Random random { seed };
+    std::vector<Step> steps;
+    for (Duration at = firstLinkTroubles; at < length; at += between(random, 2s, 6s)) {
+        addLinkSeries(random, at, random.below(fleet.pools), fleet, steps);
+        if (random.oneIn(3))
+            steps.push_back({ at + between(random, 0s, 3s), random.oneIn(2) ? Action::WorkerLink : Action::Crash,
+                random.below(fleet.workers), between(random, 500ms, 5s), random.pick(modes) });
+    }
+    return inOrder(std::move(steps));
+}
+
 std::vector<Step> deathsSchedule(std::uint64_t seed, Duration length, const FleetSize& fleet)
 {
     fakes::Random random { seed };
--- a/tools/process_soak/schedule.h
+++ b/tools/process_soak/schedule.h
@@ -22,6 +22,11 @@
     KillOwner,
     FreezeOwner,
     OwnerStoreLink,
+    /// The link of the worker `target` with the owner of its pool's cell.
+    OwnerWorkerLink,
+    OtherWorkerLinks, ///< The links of the worker `target` with all other daemons.
+    StoreDown, ///< For all daemons.
+    OwnerStoreRefusal, ///< The store turns away the owner of the pool's cell, and serves the others.
     MoveRoute, ///< The next configuration sends a queue to another pool, or nowhere for `length`.
 };
 
@@ -32,6 +37,7 @@
     std::size_t target { 0 }; ///< Number of a node or a worker; of a pool where its owner is meant.
     Duration length {};
     LinkMode mode { LinkMode::Pass };
+    Duration restartAfter { std::chrono::milliseconds { 300 } }; ///< Of a process that ends.
 };
 
 /// Size of a fleet. Workers belong to the pools by turns: worker 0 to pool 0, worker 1 to pool 1 and so on.
@@ -60,4 +66,10 @@
 /// `crashesSchedule`; the same for equal arguments. Seeds that three divides move routes only.
 std::vector<Step> routesSchedule(std::uint64_t seed, Duration length, const FleetSize& fleet);
 
+/// Series that overlap: links of single daemons with single workers are in trouble, those of the owner with some
+/// workers and those of all others with other workers, while owners are frozen, killed, terminated or cut from the
+/// store, the store is away or turns them away, workers are silent for all or crash. In order of time; the same for
+/// equal arguments.
+std::vector<Step> linksSchedule(std::uint64_t seed, Duration length, const FleetSize& fleet);
+
 } // namespace rattanrack::tools
--- a/tools/process_soak/tests/judge_tests.cpp
+++ b/tools/process_soak/tests/judge_tests.cpp
@@ -139,3 +139,14 @@
     made.runs[1].wasDraining = true;
     EXPECT_EQ(rules(made), Rules {});
 }
+
+TEST(ProcessJudge, StartAfterTheJobWasShownAsCompleted)
+{
+    History made = history();
+    made.jobs[job].completedShownAt = at(3s);
+    made.runs = { ended(1, 1s, 2s, Ending::Done), ended(2, 4100ms, 5s, Ending::Stopped) };
+    made.runs[0].acknowledgedAt.reset();
+    EXPECT_EQ(rules(made), Rules { "TWICE" });
+    made.runs[1].startedAt = at(3900ms);
+    EXPECT_EQ(rules(made), Rules {});
+}
