A machine counts as drained only once the ownership is confirmed after its runs ended

Cause: an owner that is cut off from a worker takes the worker's runs for ended when their leases are over, and then announces its machine as drained. If the owner has been replaced, the next one may have renewed these runs, and the machine is moved or maintained with them.

Change: the machine is drained once a transaction that was sent after the latest presumed end there has succeeded.

PresumedEnd.MachineIsDrainedOnlyOnceATransactionSentAfterwardsHasSucceeded was red before (one machine drained, wanted none).

--- a/packages/jobs/src/cell_queries.cpp
+++ b/packages/jobs/src/cell_queries.cpp
@@ -16,8 +16,9 @@
             if (worker.description.machine != machine)
                 continue;
             isPresent = isPresent || worker.isListed;
-            // Until an ended run is stored, this owner alone has a record of it.
-            isInUse = isInUse || worker.hasUnfinishedWork();
+            // Until an ended run is stored, this owner alone has a record of it. A later owner may have renewed the
+            // lease of a run that is presumed to have ended.
+            isInUse = isInUse || worker.hasUnfinishedWork() || worker.presumedEndAt > m_state->ownershipConfirmedAt;
         }
         if (isPresent && !isInUse)
             machines.push_back(machine);
--- a/packages/jobs/src/cell_runs.cpp
+++ b/packages/jobs/src/cell_runs.cpp
@@ -92,6 +92,7 @@
         event.ownershipAge = ownershipAge(now);
         event.overSince = now - evidence.overAt;
         const bool isPresumed = evidence.kind == RunEvent::Kind::PresumedEnded;
+        worker.presumedEndAt = isPresumed ? now : worker.presumedEndAt;
         if (isPresumed && isKnownTask && entry->progress.task(task).phase != TaskPhase::Done) {
             entry->progress.presumeEnded(task, number);
             storeBeforeNextStart(*entry);
--- a/packages/jobs/src/worker_state.h
+++ b/packages/jobs/src/worker_state.h
@@ -64,6 +64,7 @@
     std::int64_t ackedThrough { 0 };
     std::int64_t lastAckSent { 0 }; ///< Acknowledgement of the last poll with a response.
     std::deque<UnacknowledgedRun> unacknowledgedRuns;
+    TimePoint presumedEndAt {}; ///< When a run there was last presumed to have ended.
     std::uint64_t pollsProcessed { 0 };
     bool mayHaveRetries { false }; ///< Whether some run may have a command to retry.
     bool hasPollInFlight { false };
--- a/packages/jobs/tests/presumed_end_tests.cpp
+++ b/packages/jobs/tests/presumed_end_tests.cpp
@@ -138,3 +138,17 @@
     harness.answerPoll("w3", {}, { { 1, { JobId { "a" }, 0, 0, 0 }, 1, RunOutcome::Done, "" } });
     EXPECT_EQ(harness.cell().unfinishedJobs(), 1U);
 }
+
+TEST(PresumedEnd, MachineIsDrainedOnlyOnceATransactionSentAfterwardsHasSucceeded)
+{
+    CellHarness harness;
+    const StartCommand start = harness.submitAndTakeStart("a");
+    harness.respond(start, CommandStatus::Done);
+    harness.surviveStart(start);
+    harness.cell().setDrainingMachines({ MachineId { start.worker.value() } });
+    loseWorker(harness, start.worker);
+    ASSERT_EQ(harness.runEvents(RunEvent::Kind::PresumedEnded).size(), 1U);
+    EXPECT_TRUE(harness.cell().drainedMachines().empty());
+    harness.confirmOwnership();
+    EXPECT_EQ(harness.cell().drainedMachines().size(), 1U);
+}
