The runs of a failed job are stopped once the failure is stored

A verdict on a job, by used up attempts or by crashes of its workers, stopped the job's runs at once. A replaced owner may come to a verdict that the next one does not share, by evidence of its own alone: it stops runs that the next owner keeps. Found by listing what a replaced owner decides.

Acknowledgement.RunsOfAFailedJobAreStoppedOnceTheFailureIsStored was red before (a stop was issued before the failure was stored). Cost: a failed job's runs are stopped one transaction later, which is sent anyway.

--- a/packages/jobs/src/cell.cpp
+++ b/packages/jobs/src/cell.cpp
@@ -321,6 +321,8 @@
         entry.isStored = true;
         entry.storedRevision = std::exchange(entry.revisionInCommit, 0);
         entry.storedState = entry.stateInCommit;
+        if (hasEnded && entry.storedState == JobState::Failed)
+            state.stopJob(entry, "job failed");
         for (const CallerToken token : std::exchange(entry.callersInCommit, {}))
             state.output.replies.push_back({ token, true });
     }
--- a/packages/jobs/src/cell_crash_verdicts.cpp
+++ b/packages/jobs/src/cell_crash_verdicts.cpp
@@ -102,7 +102,6 @@
     entry.progress.fail(unixMs);
     markChanged(entry);
     isCommitUrgent = true;
-    stopJob(entry, "job failed");
 }
 
 } // namespace rattanrack::jobs
--- a/packages/jobs/src/cell_runs.cpp
+++ b/packages/jobs/src/cell_runs.cpp
@@ -174,10 +174,8 @@
         return;
     const Step& step = stepOf(entry, failed);
     const int attempts = attemptsOf(entry);
-    if (!step.isLongRunning && attempts > 0 && entry.progress.task(failed).failures() >= attempts) {
+    if (!step.isLongRunning && attempts > 0 && entry.progress.task(failed).failures() >= attempts)
         entry.progress.fail(unixMs);
-        stopJob(entry, "job failed");
-    }
 }
 
 void CellState::processEndedRun(Worker& worker, const EndedRun& ended, TimePoint now)
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -271,6 +271,7 @@
     void stopJob(JobEntry& entry, std::string_view reason);
     void markChanged(JobEntry& entry);
     void recordOfferedLoad(const JobEntry& entry, TimePoint now);
+    /// The runs of a failed job are stopped once the failure is stored: a later owner may not have come to it.
     void failIfOutOfAttempts(JobEntry& entry, const TaskRef& failed);
 
     /// Stores the change of the job before any task that it concerns starts again.
--- a/packages/jobs/tests/acknowledgement_tests.cpp
+++ b/packages/jobs/tests/acknowledgement_tests.cpp
@@ -57,3 +57,29 @@
     harness.cell().onCommitted(anyUnixMs);
     EXPECT_EQ(acknowledgedThrough(harness, second), 1);
 }
+
+TEST(Acknowledgement, RunsOfAFailedJobAreStoppedOnceTheFailureIsStored)
+{
+    CellHarness harness;
+    Job job { JobId { "a" }, QueueId { "q" }, anyUnixMs, { "text", { {} }, {} } };
+    job.spec.steps[0].count = 2;
+    job.spec.steps[0].size = { Millicores { 800 }, Mebibytes { 100 }, {} };
+    harness.cell().submit(job, 1, harness.now());
+    harness.storeChanges();
+    harness.advance(10ms);
+    const auto starts = harness.takeCommands<StartCommand>();
+    ASSERT_EQ(starts.size(), 2U);
+    for (const StartCommand& start : starts)
+        harness.respond(start, CommandStatus::Done);
+    harness.advance(300ms);
+    const TaskRef& failing = starts[0].task;
+    harness.answerPoll(starts[0].worker.value().c_str(), {},
+        { { 1, failing, 1, RunOutcome::Failed, "" }, { 2, failing, 2, RunOutcome::Failed, "" },
+            { 3, failing, 3, RunOutcome::Failed, "" } });
+    harness.advance(10ms);
+    EXPECT_EQ(harness.cell().unfinishedJobs(), 0U);
+    EXPECT_TRUE(harness.takeCommands<StopCommand>().empty());
+    harness.storeChanges();
+    harness.advance(10ms);
+    EXPECT_EQ(harness.takeCommands<StopCommand>().size(), 1U);
+}
