Ownership: tenures and announcements have files of their own

ownership.cpp had grown to 525 lines with three jobs: who owns a cell, who has owned it when, and what is announced to whom.

--- a/packages/jobs/src/ownership.cpp
+++ b/packages/jobs/src/ownership.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cmath>
 
+/// Which node owns a cell, and which takes one without an owner.
 namespace rattanrack::jobs {
 
 namespace {
@@ -25,19 +26,9 @@
 /// After its start a node collects announcements for this long before it takes cells.
 constexpr Duration startupDelay = 1200ms;
 constexpr Duration pauseAfterFailure = 400ms;
-constexpr Duration addressRetention = 20s; ///< A node without announcements for this long is sent none any more.
 constexpr Duration imbalanceDelay = 4s;
-constexpr Duration usualInterval = 600ms; ///< Between announcements of a node without cells.
-constexpr std::size_t nodesPerInterval = 64; ///< An owner receives from so many nodes in `usualInterval`.
 constexpr Duration intervalSlack = 100ms;
-constexpr std::size_t maxCandidates = 4; ///< In one announcement.
 constexpr Duration candidateTime = 3300ms; ///< The candidates of an announcement count for this long.
-/// An announcement that is so many behind the sender's latest one counts as missed.
-constexpr std::uint64_t missedAnnouncements = 3;
-constexpr Duration freshAnnouncement = 500ms; ///< Older ones are not passed on.
-/// A node that owns nothing any more announces that to all for this long.
-constexpr Duration dropBroadcastTime = 1s;
-constexpr std::size_t keptTenures = 6; ///< Of each cell.
 constexpr double dutyWeight = 0.25; ///< Of a duty; a cell weighs 1.
 /// Share of the giver's load; for a smaller gain the pause of a takeover is not worthwhile.
 constexpr double maxLoadRatio = 0.5;
@@ -50,14 +41,6 @@
     double loadWith(double more) const { return (weight + more) / processorShare; }
 };
 
-/// Sequence number of the owner's latest announcement that the sender of `announcement` has received; 0: none.
-std::uint64_t sequenceSeenBy(const NodeAnnouncement& announcement, const NodeId& owner)
-{
-    const auto seen = std::find_if(announcement.seenOwners.begin(), announcement.seenOwners.end(),
-        [&](const SeenOwner& each) { return each.node == owner; });
-    return seen == announcement.seenOwners.end() ? 0 : seen->sequence;
-}
-
 /// Breaks ties in the same way on each node.
 std::uint64_t tieBreaker(const PoolId& cell, const NodeId& node)
 {
@@ -114,71 +97,6 @@
     });
 }
 
-void Ownership::recordOwned(const OwnedCell& owned, const NodeId& process, TimePoint now)
-{
-    auto& tenures = m_tenures[owned.cell];
-    tenures.try_emplace(owned.term, Tenure { now, process, std::nullopt, std::nullopt });
-    if (tenures.size() > keptTenures)
-        tenures.erase(tenures.begin());
-}
-
-void Ownership::recordReleased(const OwnedCell& released, TimePoint now)
-{
-    const auto tenures = m_tenures.find(released.cell);
-    if (tenures == m_tenures.end())
-        return;
-    const auto tenure = tenures->second.find(released.term);
-    if (tenure != tenures->second.end() && !tenure->second.releasedAt)
-        tenure->second.releasedAt = now;
-}
-
-/// The process runs, so that all earlier ones of its node have ended.
-void Ownership::recordEndedBefore(const NodeId& process)
-{
-    for (auto& [cell, tenures] : m_tenures) {
-        for (auto& [term, tenure] : tenures) {
-            if (!tenure.releasedAt && hasReplaced(process, tenure.process))
-                tenure.releasedAt = m_processes.at(process);
-        }
-    }
-}
-
-/// By the order in which both were first seen as well, since the wall clock in their ids may step back.
-bool Ownership::hasReplaced(const NodeId& later, const NodeId& earlier) const
-{
-    const auto seen = m_processes.find(earlier);
-    const bool isSeenInOrder = seen == m_processes.end() || seen->second < m_processes.at(later);
-    return isSeenInOrder && isLaterProcess(later, earlier);
-}
-
-/// `before`, `after`: the cells of two successive announcements of one process; `after` is empty if it has ended.
-void Ownership::recordAnnouncedCells(
-    const NodeId& process, const std::vector<OwnedCell>& before, const std::vector<OwnedCell>& after, TimePoint now)
-{
-    for (const OwnedCell& each : after)
-        recordOwned(each, process, now);
-    for (const OwnedCell& each : before) {
-        if (std::find(after.begin(), after.end(), each) == after.end())
-            recordReleased(each, now);
-    }
-}
-
-TimePoint Ownership::latestEarlierGrant(
-    const PoolId& cell, Fence term, TimePoint takenOverAt, Duration ownershipTimeout) const
-{
-    if (term <= 1)
-        return {};
-    const TimePoint longest = takenOverAt + ownershipTimeout;
-    const auto tenures = m_tenures.find(cell);
-    const Fence earlier = term - 1;
-    if (tenures == m_tenures.end() || !tenures->second.contains(earlier))
-        return longest;
-    const Tenure& tenure = tenures->second.at(earlier);
-    const TimePoint own = std::min(tenure.releasedAt.value_or(longest), longest);
-    const TimePoint before = latestEarlierGrant(cell, earlier, tenure.firstSeenAt, ownershipTimeout);
-    return std::max(own, std::min(before, tenure.earlierGrantsEndAt.value_or(before)));
-}
-
 bool Ownership::isLive(const Peer& peer, TimePoint now) const
 {
     return now - peer.receivedAt < std::max(nodeTimeout, 2 * peer.announcement.interval + intervalSlack);
@@ -208,24 +126,6 @@
     m_lastDropAt = now;
 }
 
-void Ownership::onPreviousOwner(const PoolId& cell, const PreviousOwner& previous, TimePoint now)
-{
-    recordOwned({ cell, previous.term }, previous.process, now);
-    auto& tenures = m_tenures[cell];
-    const auto found = tenures.find(previous.term);
-    if (found == tenures.end()) // Later terms have been seen.
-        return;
-    Tenure& tenure = found->second;
-    // With nothing left they had ended before the previous owner wrote its row.
-    tenure.earlierGrantsEndAt
-        = previous.earlierGrantsLeft > Duration {} ? now + previous.earlierGrantsLeft : TimePoint {};
-    // What another process has announced before may be older than the row; its next announcement is not.
-    const bool isHandedBack = previous.process.isEmpty();
-    const bool isOwnEarlierProcess = previous.process != m_self && areOfOneNode(previous.process, m_self);
-    if (!tenure.releasedAt && (isHandedBack || isOwnEarlierProcess))
-        tenure.releasedAt = isHandedBack ? now : m_startedAt;
-}
-
 void Ownership::onTakeFailed(const PoolId& cell, TimePoint now) { m_retryAt[cell] = now + pauseAfterFailure; }
 
 std::optional<CellOwner> Ownership::owner(const PoolId& cell, TimePoint now) const
@@ -392,126 +292,12 @@
     return found->first;
 }
 
-std::vector<std::string> Ownership::announcementAddresses(TimePoint now) const
-{
-    std::vector<std::string> all;
-    for (const auto& [node, peer] : m_peers) {
-        if (now - peer.receivedAt < addressRetention)
-            all.push_back(peer.announcement.address);
-    }
-    all.insert(all.end(), m_addressesWithoutPeer.begin(), m_addressesWithoutPeer.end());
-    std::sort(all.begin(), all.end());
-    all.erase(std::unique(all.begin(), all.end()), all.end());
-    return all;
-}
-
-std::set<std::string> Ownership::addressesOfOwners(TimePoint now) const
-{
-    std::set<std::string> owners;
-    for (const auto& [node, peer] : m_peers) {
-        if (isLive(peer, now) && !peer.announcement.cells.empty())
-            owners.insert(peer.announcement.address);
-    }
-    return owners;
-}
-
-std::vector<AnnouncementRoute> Ownership::announcementRoutes(
-    const std::string& direct, std::uint64_t sequence, TimePoint now) const
-{
-    std::vector<std::string> addresses = announcementAddresses(now);
-    const bool isBroadcast = !m_ownedCells.empty() || now - m_lastDropAt < dropBroadcastTime;
-    if (!isBroadcast)
-        return idleRoutes(addresses, addressesOfOwners(now), m_address);
-    const bool isDirectKnown = std::erase(addresses, direct) > 0;
-    std::set<std::string> live;
-    for (const NodeAnnouncement* announcement : liveAnnouncements(now))
-        live.insert(announcement->address);
-    auto routes = broadcastRoutes(addresses, live, sequence);
-    if (isDirectKnown)
-        routes.push_back({ direct, {} });
-    return routes;
-}
-
-std::vector<NodeAnnouncement> Ownership::announcementsMissedBy(
-    const NodeAnnouncement& announcement, TimePoint now) const
-{
-    std::vector<NodeAnnouncement> missed;
-    for (const auto& [node, peer] : m_peers) {
-        const bool isPassable = now - peer.receivedAt < freshAnnouncement && !peer.announcement.cells.empty();
-        if (!isPassable || node == announcement.node)
-            continue;
-        if (sequenceSeenBy(announcement, node) + missedAnnouncements > peer.announcement.sequence)
-            continue;
-        missed.push_back(peer.announcement);
-        missed.back().isPassedOn = true;
-    }
-    return missed;
-}
-
-std::vector<std::string> Ownership::peersReachingStore(TimePoint now) const
-{
-    std::vector<std::string> all;
-    for (const NodeAnnouncement* announcement : liveAnnouncements(now)) {
-        if (announcement->isStoreReachable)
-            all.push_back(announcement->address);
-    }
-    return all;
-}
-
 std::uint64_t Ownership::latestSequenceOf(const NodeId& node, TimePoint now) const
 {
     const auto peer = m_peers.find(node);
     return peer != m_peers.end() && isLive(peer->second, now) ? peer->second.announcement.sequence : 0;
 }
 
-std::optional<Duration> Ownership::silence(const NodeId& process, TimePoint now) const
-{
-    const auto peer = m_peers.find(process);
-    return peer == m_peers.end() ? std::nullopt : std::optional { now - peer->second.receivedAt };
-}
-
-NodeAnnouncement Ownership::announcement()
-{
-    NodeAnnouncement announcement { m_self, m_address, ++m_sequence, m_isLeaving, m_isStoreReachable, {}, {}, 0, {}, {},
-        {}, m_processorShare };
-    for (const auto& [cell, term] : m_ownedCells)
-        announcement.cells.push_back({ cell, term });
-    if (m_ownedCells.empty())
-        announcement.interval = idleInterval();
-    return announcement;
-}
-
-/// Grows with the number of nodes, so that the number of announcements that an owner receives does not.
-Duration Ownership::idleInterval() const
-{
-    const std::size_t nodes = m_peers.size() + m_addressesWithoutPeer.size();
-    return usualInterval * static_cast<Duration::rep>(nodes / nodesPerInterval + 1);
-}
-
-std::vector<TakeoverCandidate> Ownership::candidates(TimePoint now) const
-{
-    std::vector<TakeoverCandidate> all;
-    for (const auto& [node, peer] : m_peers) {
-        if (mayTake(peer, now) && peer.announcement.cells.empty())
-            all.push_back({ node, peer.announcement.processorShare });
-    }
-    std::stable_sort(all.begin(), all.end(),
-        [](const auto& left, const auto& right) { return left.processorShare > right.processorShare; });
-    all.resize(std::min(all.size(), maxCandidates));
-    return all;
-}
-
-void Ownership::addSeen(NodeAnnouncement& announcement, TimePoint now) const
-{
-    for (const auto& [node, peer] : m_peers) {
-        if (isLive(peer, now) && !peer.announcement.cells.empty())
-            announcement.seenOwners.push_back({ node, peer.announcement.sequence });
-    }
-    const bool areAllNodesKnown = m_peers.size() + m_addressesWithoutPeer.size() <= directFanOut;
-    if (!m_ownedCells.empty() && !areAllNodesKnown)
-        announcement.candidates = candidates(now);
-}
-
 std::vector<const NodeAnnouncement*> Ownership::liveAnnouncements(TimePoint now) const
 {
     std::vector<const NodeAnnouncement*> all;
