--- a/tools/process_soak/callers.cpp
+++ b/tools/process_soak/callers.cpp
@@ -17,6 +17,7 @@
 
 constexpr int callerCount = 4;
 constexpr int lastingCount = 3; ///< Subtasks of each lasting job.
+constexpr int lastingCountAmongLongRuns = 10;
 constexpr Duration answerPatience = 4s;
 constexpr Duration probePause = 1s;
 constexpr auto probePatience = 500ms;
@@ -140,6 +141,7 @@
         , m_specs(traffic == TrafficKind::LongRuns ? longSpecs
                   : seed % failingEvery == 1       ? failingSpecs
                                                    : usualSpecs)
+        , m_lastingCount(traffic == TrafficKind::LongRuns ? lastingCountAmongLongRuns : lastingCount)
         , m_random(seed * callerCount + static_cast<std::uint64_t>(number))
         , m_repeatRandom(m_random)
         , m_number(number)
@@ -201,7 +203,7 @@
         std::snprintf(text.data(), text.size(), "%08x%08x", m_number + 1, ++m_drawn * 2 + m_number % 2);
         m_id = jobs::JobId { text.data() };
         const bool isLasting = m_drawn == 1;
-        const int count = isLasting ? lastingCount : 1 + static_cast<int>(m_random.below(3));
+        const int count = isLasting ? m_lastingCount : 1 + static_cast<int>(m_random.below(3));
         const std::string step = R"({"cpu":1000,"mem_mb":100,"estimated_ms":200,"count":)" + std::to_string(count);
         const bool isCrashing = m_crashesWorkers && !isLasting && m_random.oneIn(crashingEvery);
         const std::string spec = isLasting ? "lasting" : isCrashing ? crashingSpec : m_random.pick(m_specs);
@@ -243,6 +245,7 @@
     Recorder& m_recorder;
     std::vector<std::unique_ptr<Entry>>& m_entries;
     const Specs& m_specs;
+    const int m_lastingCount;
     fakes::Random m_random;
     fakes::Random m_repeatRandom;
     int m_number;
--- a/tools/process_soak/schedule.cpp
+++ b/tools/process_soak/schedule.cpp
@@ -38,6 +38,7 @@
 constexpr std::array ownerTroubles { Action::FreezeOwner, Action::FreezeOwner, Action::FreezeOwner, Action::FreezeOwner,
     Action::OwnerStoreLink, Action::OwnerStoreRefusal, Action::KillOwner, Action::TerminateOwner, Action::StoreDown };
 constexpr std::array cuts { LinkMode::Silent, LinkMode::Reset, LinkMode::CutAnswers };
+constexpr std::array wholeCuts { LinkMode::Silent, LinkMode::Reset }; ///< In both directions.
 
 Duration between(fakes::Random& random, Duration least, Duration most)
 {
@@ -118,7 +119,7 @@
     Step step { at, random.pick(ownerTroubles), pool };
     step.mode = random.pick(cuts);
     if (step.action == Action::FreezeOwner)
-        step.length = between(random, 1500ms, 4800ms);
+        step.length = between(random, 1500ms, 3500ms);
     else if (step.action == Action::KillOwner || step.action == Action::TerminateOwner)
         step.restartAfter = between(random, shortestRestart, longestRestart);
     else
@@ -137,11 +138,12 @@
     for (std::size_t each = 0; each < ofPool; ++each) {
         Step step { at + between(random, 0s, 500ms),
             each < ofOwner ? Action::OwnerWorkerLink : Action::OtherWorkerLinks };
-        if (step.action == Action::OtherWorkerLinks && random.oneIn(5))
+        if (step.action == Action::OtherWorkerLinks && random.oneIn(8))
             continue;
         step.target = pool + (first + each) % ofPool * fleet.pools;
         step.length = between(random, 6s, 11s);
-        step.mode = random.oneIn(5) ? LinkMode::Delay : random.pick(cuts);
+        const bool isOfOwner = step.action == Action::OwnerWorkerLink;
+        step.mode = random.oneIn(8) ? random.pick(modes) : isOfOwner ? random.pick(cuts) : random.pick(wholeCuts);
         steps.push_back(step);
     }
     steps.push_back(ownerTrouble(random, at + between(random, 1500ms, 4500ms), pool));
