Members of a gang start again with one checkpoint

Cause: a checkpoint was kept for each task, although the value of any member holds for the gang and all must carry the same. Now the first task of a gang keeps the newest one for all.

--- a/packages/jobs/include/rattanrack/jobs/job_progress.h
+++ b/packages/jobs/include/rattanrack/jobs/job_progress.h
@@ -41,7 +41,7 @@
     std::vector<LostStart> lostStarts; ///< One for each worker and incarnation; none once a worker survived a start.
     RunNumber presumedEnded { 0 }; ///< Highest run that is presumed to have ended; no worker has listed its end.
     bool isHarmless { false }; ///< A worker has survived a start of it under this owner.
-    std::string checkpoint; ///< Newest one known; empty: none.
+    std::string checkpoint; ///< Newest one known; empty: none. Of a gang, its first task has it.
 
     int failures() const { return static_cast<int>(failedRuns.size()); }
 
@@ -91,6 +91,13 @@
     Task& task(const TaskRef& ref) { return taskAt(ref.occurrence, ref.step, ref.index); }
     const Task& task(const TaskRef& ref) const { return task(ref.occurrence, ref.step, ref.index); }
     const Task& task(int occurrence, int step, int index) const;
+
+    /// Newest checkpoint of the task. The members of a gang share one, since they may only start with the same.
+    const std::string& checkpoint(const TaskRef& ref) const { return task(checkpointHolder(ref)).checkpoint; }
+    void setCheckpoint(const TaskRef& ref, const std::string& checkpoint)
+    {
+        task(checkpointHolder(ref)).checkpoint = checkpoint;
+    }
     bool contains(const TaskRef& ref) const;
 
     /// Whether the step's dependencies are done and its occurrence is due at `unixMs`.
@@ -140,6 +147,7 @@
     };
 
     Task& taskAt(int occurrence, int step, int index);
+    TaskRef checkpointHolder(const TaskRef& ref) const;
     void setPhase(const TaskRef& ref, TaskPhase phase);
     void markDone(const TaskRef& ref);
 
--- a/packages/jobs/src/cell_runs.cpp
+++ b/packages/jobs/src/cell_runs.cpp
@@ -200,7 +200,7 @@
     const bool hasNoRun = isKnownRun && releaseRun(worker, ended.task);
     const bool isUnfinished = !entry->progress.hasEnded();
     if (!ended.checkpoint.empty() && step.hasCheckpoints)
-        entry->progress.task(ended.task).checkpoint = ended.checkpoint;
+        entry->progress.setCheckpoint(ended.task, ended.checkpoint);
     if (ended.outcome == RunOutcome::Done && isDoneCounted(worker, *entry, ended)) {
         worker.consecutiveFailures = 0;
         worker.failingUntil = {};
@@ -281,7 +281,7 @@
     entry->progress.onStartSent(running.task, running.run);
     entry->progress.onRunning(running.task);
     if (!running.checkpoint.empty())
-        entry->progress.task(running.task).checkpoint = running.checkpoint;
+        entry->progress.setCheckpoint(running.task, running.checkpoint);
 }
 
 void CellState::processRunning(Worker& worker, const PollReport& report, TimePoint sentAt, TimePoint now)
@@ -311,7 +311,7 @@
         }
         run.mayStartLate = false;
         if (isKnownTask && !running.checkpoint.empty() && stepOf(*entry, running.task).hasCheckpoints)
-            entry->progress.task(running.task).checkpoint = running.checkpoint;
+            entry->progress.setCheckpoint(running.task, running.checkpoint);
     }
     std::vector<TaskRef> missing;
     for (const auto& [task, run] : worker.runs) {
--- a/packages/jobs/src/cell_schedule.cpp
+++ b/packages/jobs/src/cell_schedule.cpp
@@ -203,7 +203,7 @@
     const TaskRef task { entry.job.id, ready.occurrence, ready.step, index };
     Run& run = addRun(worker, task, number, &ready.spec());
     run.start = { worker.description.id, task, number, entry.job.spec.text, 0, settings.fence,
-        entry.progress.task(task).checkpoint, tickets ? tickets->tickets.at(worker.description.id) : std::string {} };
+        entry.progress.checkpoint(task), tickets ? tickets->tickets.at(worker.description.id) : std::string {} };
     grantStart(worker, run, now);
     entry.progress.onStartSent(task, number);
     RunEvent& event = addRunEvent(RunEvent::Kind::Starting, worker, task, number, {}, now - listRequestedAt);
--- a/packages/jobs/src/job_progress.cpp
+++ b/packages/jobs/src/job_progress.cpp
@@ -70,6 +70,12 @@
         .tasks[static_cast<std::size_t>(index)];
 }
 
+TaskRef JobProgress::checkpointHolder(const TaskRef& ref) const
+{
+    const bool isGang = m_isGang[static_cast<std::size_t>(ref.step)];
+    return { ref.job, ref.occurrence, ref.step, isGang ? 0 : ref.index };
+}
+
 bool JobProgress::contains(const TaskRef& ref) const
 {
     if (ref.occurrence < 0 || ref.occurrence >= occurrences())
