What a review of the presumed ends found: gangs, later incarnations, released workers

Four orders of events that the mends before left open, found by reading by one who had not seen the work: - an end as done of a gang did not count, and was acknowledged, if another member was presumed to have ended, although its own lease held: the gang ran again after an end that had been taken note of. Now the member's own presumed end decides. - a recovery ended by contact with an incarnation that may have begun after a later owner had received the end of the earlier one. Such a contact now counts as a release without contact. - a listed worker that never responded stayed in the owner row after its release, so that the next owner counted ends that it listed. It leaves the row until it responds. - a job of which nothing but presumed ends is stored was shown as active after a takeover.

--- a/packages/jobs/include/rattanrack/jobs/job_progress.h
+++ b/packages/jobs/include/rattanrack/jobs/job_progress.h
@@ -116,9 +116,6 @@
     /// Records that the run is presumed to have ended although no worker has listed its end.
     void presumeEnded(const TaskRef& ref, RunNumber run);
 
-    /// Whether the run, or one of its gang, is presumed to have ended, so that a later run may have followed it.
-    bool isPresumedEnded(const TaskRef& ref, RunNumber run) const;
-
     /// Counts a failed run of a task once, however often workers list it. Returns false if it has been counted before.
     bool countFailure(const TaskRef& ref, RunNumber run);
 
--- a/packages/jobs/src/cell_runs.cpp
+++ b/packages/jobs/src/cell_runs.cpp
@@ -165,7 +165,7 @@
         return true;
     const bool isOfPreviousOwner = ended.run <= firstRun;
     const bool isWorkerReleased = isOfPreviousOwner && !workersAtTakeover.contains(worker.description.id);
-    return !isWorkerReleased && !entry.progress.isPresumedEnded(ended.task, ended.run);
+    return !isWorkerReleased && ended.run > entry.progress.task(ended.task).presumedEnded;
 }
 
 void CellState::failIfOutOfAttempts(JobEntry& entry, const TaskRef& failed)
--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -194,7 +194,11 @@
     worker.contact = WorkerContact::Responsive;
     state.recordIncarnation(worker, report.incarnationUnixMs, result.isBound, now);
     worker.clock.observe(report.workerClockMs, sentAt, now);
-    if (report.areEndedRunsComplete)
+    // A later owner may have received what an earlier incarnation had to list.
+    const bool mayBeLaterIncarnation = worker.startedAtLatest > std::max(state.takenOverAt, state.ownershipConfirmedAt);
+    if (report.areEndedRunsComplete && mayBeLaterIncarnation)
+        state.releaseInherited(command.worker, now);
+    else if (report.areEndedRunsComplete)
         state.inheritedWorkers.erase(command.worker);
     worker.needsPoll = worker.needsPoll || !report.areEndedRunsComplete;
     for (const EndedRun& ended : report.endedRuns)
@@ -251,6 +255,10 @@
             return false;
         addEvent(WorkerEvent { WorkerEvent::Kind::NeverContacted, inherited.first, {}, now - takenOverAt });
         releasedWithoutContactAt = now;
+        // It leaves the owner row until it responds.
+        const auto worker = workers.find(inherited.first);
+        if (worker != workers.end() && worker->second.contact == WorkerContact::Unknown)
+            worker->second.contact = WorkerContact::Unresponsive;
         return true;
     });
     isRecovering = isRecovering && (!inheritedWorkers.empty() || isRecoveryUnconfirmed());
--- a/packages/jobs/src/job_progress.cpp
+++ b/packages/jobs/src/job_progress.cpp
@@ -36,7 +36,8 @@
         const TaskRef ref { job.id, entry.occurrence, entry.step, entry.index };
         if (stored.isCompleted || !contains(ref))
             continue;
-        m_hasStarted = true;
+        // A run that is presumed to have ended may never have begun.
+        m_hasStarted = m_hasStarted || entry.isDone || !entry.failedRuns.empty() || !entry.lostStarts.empty();
         task(ref).failedRuns = entry.failedRuns;
         task(ref).lostStarts = entry.lostStarts;
         task(ref).presumedEnded = entry.presumedEnded;
@@ -144,15 +145,6 @@
     task(ref).presumedEnded = std::max(task(ref).presumedEnded, run);
 }
 
-bool JobProgress::isPresumedEnded(const TaskRef& ref, RunNumber run) const
-{
-    if (!m_isGang[static_cast<std::size_t>(ref.step)])
-        return run <= task(ref).presumedEnded;
-    const auto& tasks
-        = m_occurrences[static_cast<std::size_t>(ref.occurrence)].steps[static_cast<std::size_t>(ref.step)].tasks;
-    return std::any_of(tasks.begin(), tasks.end(), [&](const Task& each) { return run <= each.presumedEnded; });
-}
-
 bool JobProgress::countFailure(const TaskRef& ref, RunNumber run)
 {
     std::vector<RunNumber>& counted = task(ref).failedRuns;
--- a/packages/jobs/tests/presumed_end_tests.cpp
+++ b/packages/jobs/tests/presumed_end_tests.cpp
@@ -10,8 +10,8 @@
 
 constexpr std::int64_t anyUnixMs = 1'000'000;
 
-/// The worker does not respond until its leases have ended.
-void loseWorker(CellHarness& harness, const WorkerId& lost)
+/// The worker does not respond until its leases have ended; the other one lists these runs.
+void loseWorker(CellHarness& harness, const WorkerId& lost, const std::vector<RunningRun>& runningElsewhere = {})
 {
     for (int pass = 0; pass < 40; ++pass) {
         harness.advance(200ms);
@@ -19,7 +19,7 @@
             if (poll.worker == lost)
                 harness.dropPoll(poll);
             else
-                harness.respond(poll, {});
+                harness.respond(poll, runningElsewhere);
         }
     }
 }
@@ -54,6 +54,23 @@
     return stored;
 }
 
+/// The starts of a job of two tasks, one on each worker, both of which run.
+std::vector<StartCommand> startTwoTasks(CellHarness& harness, bool isGang)
+{
+    Job job = jobOfPreviousOwner().job;
+    job.spec.steps[0].count = 2;
+    job.spec.steps[0].isGang = isGang;
+    harness.cell().submit(job, 1, harness.now());
+    harness.storeChanges();
+    harness.advance(10ms);
+    harness.answerAllPolls();
+    auto starts = harness.takeCommands<StartCommand>();
+    for (const StartCommand& start : starts)
+        harness.respond(start, CommandStatus::Done);
+    harness.advance(300ms);
+    return starts;
+}
+
 std::string otherWorker(const WorkerId& worker) { return worker.value() == "w1" ? "w2" : "w1"; }
 
 } // namespace
@@ -73,13 +90,13 @@
 TEST(PresumedEnd, NextRunDoesNotStartOnATransactionSentBefore)
 {
     CellHarness harness;
-    const StartCommand start = harness.submitAndTakeStart("a");
-    harness.respond(start, CommandStatus::Done);
-    harness.surviveStart(start);
-    harness.submitAndStore("b");
-    harness.cell().cancel(JobId { "b" }, 1, anyUnixMs);
+    const auto starts = startTwoTasks(harness, false);
+    ASSERT_EQ(starts.size(), 2U);
+    harness.answerPoll(
+        starts[1].worker.value().c_str(), {}, { { 1, starts[1].task, starts[1].run, RunOutcome::Failed, "" } });
     ASSERT_TRUE(harness.cell().takeCommit(anyUnixMs).has_value());
-    loseWorker(harness, start.worker);
+    loseWorker(harness, starts[0].worker);
+    ASSERT_EQ(harness.runEvents(RunEvent::Kind::PresumedEnded).size(), 1U);
     harness.cell().onCommitted(anyUnixMs);
     harness.advance(10ms);
     EXPECT_TRUE(harness.takeCommands<StartCommand>().empty());
@@ -152,3 +169,45 @@
     harness.confirmOwnership();
     EXPECT_EQ(harness.cell().drainedMachines().size(), 1U);
 }
+
+TEST(PresumedEnd, EndAsDoneOfAGangCountsFromAMemberThatIsNotPresumedToHaveEnded)
+{
+    CellHarness replaced;
+    const auto starts = startTwoTasks(replaced, true);
+    ASSERT_EQ(starts.size(), 2U);
+    loseWorker(replaced, starts[1].worker, { { starts[0].task, starts[0].run, "", 0 } });
+    ASSERT_EQ(replaced.runEvents(RunEvent::Kind::PresumedEnded).size(), 1U);
+    StoredJob stored = storedJob(replaced);
+    stored.job.spec.steps[0].count = 2;
+    stored.job.spec.steps[0].isGang = true;
+    CellHarness harness { 2, { stored } };
+    harness.answerPoll(
+        starts[0].worker.value().c_str(), {}, { { 1, starts[0].task, starts[0].run, RunOutcome::Done, "" } });
+    EXPECT_EQ(harness.cell().unfinishedJobs(), 0U);
+}
+
+TEST(PresumedEnd, RecoveryByContactWithALaterIncarnationWaitsForATransaction)
+{
+    CellHarness harness { 2, { jobOfPreviousOwner() } };
+    harness.advance(5s);
+    harness.restartWorker(WorkerId { "w1" });
+    harness.answerPoll("w2", {});
+    harness.answerPoll("w1", {});
+    harness.advance(10ms);
+    EXPECT_TRUE(harness.cell().isRecovering());
+    EXPECT_TRUE(harness.cell().needsConfirmation());
+    EXPECT_TRUE(harness.takeCommands<StartCommand>().empty());
+    harness.confirmOwnership();
+    harness.advance(10ms);
+    EXPECT_FALSE(harness.cell().isRecovering());
+}
+
+TEST(PresumedEnd, ListedWorkerThatNeverRespondedLeavesTheOwnerRow)
+{
+    CellHarness harness { 2, { jobOfPreviousOwner() } };
+    harness.answerPoll("w2", {});
+    EXPECT_TRUE(harness.cell().workersInUse().contains(WorkerId { "w1" }));
+    loseWorker(harness, WorkerId { "w1" });
+    loseWorker(harness, WorkerId { "w1" });
+    EXPECT_FALSE(harness.cell().workersInUse().contains(WorkerId { "w1" }));
+}
