--- a/packages/jobs/tests/acknowledgement_tests.cpp
+++ b/packages/jobs/tests/acknowledgement_tests.cpp
@@ -1,4 +1,4 @@
-#include "cell_harness.h"
+#include "two_task_job.h"
 
 using namespace rattanrack;
 using namespace rattanrack::jobs;
@@ -8,24 +8,6 @@
 
 constexpr std::int64_t anyUnixMs = 1'000'000;
 
-/// Returns the starts of a gang of two tasks, one on each worker, both of which run.
-std::vector<StartCommand> startGang(CellHarness& harness)
-{
-    Job job { JobId { "gang" }, QueueId { "q" }, anyUnixMs, { "text", { {} }, {} } };
-    job.spec.steps[0].count = 2;
-    job.spec.steps[0].isGang = true;
-    job.spec.steps[0].size = { Millicores { 800 }, Mebibytes { 100 }, {} };
-    harness.cell().submit(job, 1, harness.now());
-    harness.storeChanges();
-    harness.advance(10ms);
-    harness.answerAllPolls();
-    auto starts = harness.takeCommands<StartCommand>();
-    for (const StartCommand& start : starts)
-        harness.respond(start, CommandStatus::Done);
-    harness.advance(300ms);
-    return starts;
-}
-
 /// The highest acknowledgement that polls of the worker have carried from now on, for half a second.
 std::int64_t acknowledgedThrough(CellHarness& harness, const WorkerId& worker)
 {
@@ -46,7 +28,7 @@
 TEST(Acknowledgement, WaitsForATransactionInFlightThatContainsTheEnd)
 {
     CellHarness harness;
-    const auto starts = startGang(harness);
+    const auto starts = startTwoTasks(harness, { .isGang = true });
     ASSERT_EQ(starts.size(), 2U);
     const WorkerId second = starts[1].worker;
     harness.answerPoll(
@@ -61,17 +43,8 @@
 TEST(Acknowledgement, RunsOfAFailedJobAreStoppedOnceTheFailureIsStored)
 {
     CellHarness harness;
-    Job job { JobId { "a" }, QueueId { "q" }, anyUnixMs, { "text", { {} }, {} } };
-    job.spec.steps[0].count = 2;
-    job.spec.steps[0].size = { Millicores { 800 }, Mebibytes { 100 }, {} };
-    harness.cell().submit(job, 1, harness.now());
-    harness.storeChanges();
-    harness.advance(10ms);
-    const auto starts = harness.takeCommands<StartCommand>();
+    const auto starts = startTwoTasks(harness, {});
     ASSERT_EQ(starts.size(), 2U);
-    for (const StartCommand& start : starts)
-        harness.respond(start, CommandStatus::Done);
-    harness.advance(300ms);
     const TaskRef& failing = starts[0].task;
     harness.answerPoll(starts[0].worker.value().c_str(), {},
         { { 1, failing, 1, RunOutcome::Failed, "" }, { 2, failing, 2, RunOutcome::Failed, "" },
--- a/packages/jobs/tests/presumed_end_tests.cpp
+++ b/packages/jobs/tests/presumed_end_tests.cpp
@@ -1,5 +1,5 @@
-#include "cell_harness.h"
 #include "rattanrack/jobs/job_codec.h"
+#include "two_task_job.h"
 
 using namespace rattanrack;
 using namespace rattanrack::jobs;
@@ -54,23 +54,6 @@
     return stored;
 }
 
-/// The starts of a job of two tasks, one on each worker, both of which run.
-std::vector<StartCommand> startTwoTasks(CellHarness& harness, bool isGang)
-{
-    Job job = jobOfPreviousOwner().job;
-    job.spec.steps[0].count = 2;
-    job.spec.steps[0].isGang = isGang;
-    harness.cell().submit(job, 1, harness.now());
-    harness.storeChanges();
-    harness.advance(10ms);
-    harness.answerAllPolls();
-    auto starts = harness.takeCommands<StartCommand>();
-    for (const StartCommand& start : starts)
-        harness.respond(start, CommandStatus::Done);
-    harness.advance(300ms);
-    return starts;
-}
-
 std::string otherWorker(const WorkerId& worker) { return worker.value() == "w1" ? "w2" : "w1"; }
 
 } // namespace
@@ -90,7 +73,7 @@
 TEST(PresumedEnd, NextRunDoesNotStartOnATransactionSentBefore)
 {
     CellHarness harness;
-    const auto starts = startTwoTasks(harness, false);
+    const auto starts = startTwoTasks(harness, {});
     ASSERT_EQ(starts.size(), 2U);
     harness.answerPoll(
         starts[1].worker.value().c_str(), {}, { { 1, starts[1].task, starts[1].run, RunOutcome::Failed, "" } });
@@ -173,13 +156,12 @@
 TEST(PresumedEnd, EndAsDoneOfAGangCountsFromAMemberThatIsNotPresumedToHaveEnded)
 {
     CellHarness replaced;
-    const auto starts = startTwoTasks(replaced, true);
+    const auto starts = startTwoTasks(replaced, { .isGang = true });
     ASSERT_EQ(starts.size(), 2U);
     loseWorker(replaced, starts[1].worker, { { starts[0].task, starts[0].run, "", 0 } });
     ASSERT_EQ(replaced.runEvents(RunEvent::Kind::PresumedEnded).size(), 1U);
     StoredJob stored = storedJob(replaced);
-    stored.job.spec.steps[0].count = 2;
-    stored.job.spec.steps[0].isGang = true;
+    stored.job = twoTaskJob({ .isGang = true });
     CellHarness harness { 2, { stored } };
     harness.answerPoll(
         starts[0].worker.value().c_str(), {}, { { 1, starts[0].task, starts[0].run, RunOutcome::Done, "" } });
