A response that the store lost does not refuse new jobs

Cause, by a trace: a transaction of the owner (a renewal) loses its response over the direct path and over the peer's, so that its outcome is unknown. The owner counted the store as unreachable from then on and refused every new job with 503 until the repeat 100 ms later succeeded. In all five logs that were read, store.lost is the line before the submission. Two lost responses say that connections failed, not that the store is down.

Ruled out: the queue's claim (claimed before in the logs), an owner that is not known, a late start of the nodes.

Change: a transaction without a response counts the store as unreachable only after 500 ms; an explicit refusal does so at once, as before. Once it is unreachable, jobs that wait and are in no transaction are refused at once; before, they waited for the outcome.

Both new tests of CellHostTest fail on the code before.

--- a/packages/node/include/rattanrack/node/part_writer.h
+++ b/packages/node/include/rattanrack/node/part_writer.h
@@ -49,6 +49,7 @@
         std::function<void()> onStored;
         /// The transaction is proved not to have taken effect; its rows must be written again.
         std::function<void()> onNotStored;
+        std::function<void()> onStoreLost; ///< The store no longer responds. A transaction may be in flight.
         std::function<void()> onLost; ///< Another node owns the part, or it was handed back.
     };
 
@@ -73,6 +74,7 @@
     const jobs::WorkerMachines& workersWritten() const { return m_part.workersWritten(); }
     TimePoint sentAt() const { return m_sentAt; } ///< When the latest transaction was sent.
     TimePoint confirmedAt() const { return m_confirmedAt; } ///< When the latest one that succeeded was sent.
+    /// False once a transaction has remained without a response for a while, or was refused.
     bool isStoreReachable() const { return m_isStoreReachable; }
     bool isOver() const { return m_isOver; }
 
@@ -85,6 +87,7 @@
     jobs::OwnedPart m_part;
     Callbacks m_callbacks;
     std::shared_ptr<bool> m_isAlive;
+    TimePoint m_firstSentAt {}; ///< When the latest transaction was sent for the first time.
     TimePoint m_sentAt {};
     TimePoint m_confirmedAt;
     TimePoint m_pauseUntil {};
--- a/packages/node/src/cell_host.cpp
+++ b/packages/node/src/cell_host.cpp
@@ -340,7 +340,11 @@
 
 PartWriter::Callbacks CellHost::writerCallbacks()
 {
-    return { [this] { onCommitStored(); }, [this] { onCommitNotStored(); },
+    const auto onStoreLost = [this] {
+        m_cell.rejectUncommittedJobs();
+        wake();
+    };
+    return { [this] { onCommitStored(); }, [this] { onCommitNotStored(); }, onStoreLost,
         [this] {
             reportReplaced();
             m_parts.control.post(guarded([onLost = m_parts.onLost] { onLost(); })); // Destroys this host.
--- a/packages/node/src/part_writer.cpp
+++ b/packages/node/src/part_writer.cpp
@@ -13,6 +13,9 @@
 using namespace std::chrono_literals;
 
 constexpr Duration pauseAfterFailure = 100ms;
+/// A transaction without a response for this long means that the store is unreachable. Sooner, only a connection may
+/// have failed.
+constexpr Duration longestTimeWithoutResponse = 500ms;
 constexpr int maxTakeoverTries = 8;
 
 Result<void> takeOwnership(jobs::PartStore& store, jobs::OwnedPart& part, const jobs::WorkerMachines& workers)
@@ -98,6 +101,7 @@
 {
     m_isHandBack = handsBack.has_value();
     m_part.beginTransaction(std::move(rows), std::move(workers), std::move(handsBack), earlierGrantsLeft);
+    m_firstSentAt = m_parts.clock.now();
     send();
 }
 
@@ -129,6 +133,8 @@
         return;
     logEvent(isReachable ? "store.regained" : "store.lost",
         { { "part", m_part.transaction().part }, { "detail", detail } }, LogLevel::Warning);
+    if (!isReachable)
+        m_callbacks.onStoreLost();
 }
 
 void PartWriter::onOutcome(const jobs::TransactionOutcome& outcome, TimePoint sentAt)
@@ -136,7 +142,10 @@
     m_isSending = false;
     const auto result = m_part.resolve(outcome);
     const bool hasResponded = result == jobs::OwnerWriteOutcome::Done || result == jobs::OwnerWriteOutcome::Lost;
-    setStoreReachable(hasResponded, outcome.detail);
+    const bool mayBeOneConnection = result == jobs::OwnerWriteOutcome::Unresolved
+        && m_parts.clock.now() - m_firstSentAt < longestTimeWithoutResponse;
+    if (!mayBeOneConnection)
+        setStoreReachable(hasResponded, outcome.detail);
     switch (result) {
     case jobs::OwnerWriteOutcome::Done:
         m_confirmedAt = sentAt;
--- a/packages/node/tests/cell_host_tests.cpp
+++ b/packages/node/tests/cell_host_tests.cpp
@@ -72,7 +72,8 @@
         auto takeover = valueOrNothing([&] { return takeOverCell(store, clock, pool, NodeId { "n1" }); }).value();
         control.run([&] {
             CellHost::Parts parts { control, clock, metrics, log, loadMonitor, storeThreads, workerThreads, store,
-                workers, nullptr, nullptr, [this](const jobs::CallerReply& reply) { stored += reply.isStored ? 1 : 0; },
+                workers, nullptr, nullptr,
+                [this](const jobs::CallerReply& reply) { ++(reply.isStored ? stored : refused); },
                 [](const jobs::QueueAddress&) {}, [this] { ++lost; } };
             host = std::make_unique<CellHost>(
                 std::move(parts), pool, CellTimeLimits { 4500ms, 120s, 900ms, 1500ms, 6s }, std::move(takeover));
@@ -126,6 +127,7 @@
     ElasticThreadPool storeThreads { 4, 16 };
     ElasticThreadPool workerThreads { 8, 16 };
     std::atomic<int> stored { 0 };
+    std::atomic<int> refused { 0 };
     std::atomic<int> lost { 0 };
     std::unique_ptr<CellHost> host;
     ControlLoop control { clock };
@@ -229,6 +231,27 @@
     EXPECT_TRUE(eventually(isReportedUnknown));
 }
 
+TEST_F(CellHostTest, JobIsAcceptedAlthoughAResponseOfTheStoreWasLost)
+{
+    store.responsesToLose = 1;
+    ASSERT_TRUE(eventually([&] { return store.responsesToLose == 0; }));
+    EXPECT_EQ(submit("a"), jobs::Acceptance::Pending);
+    EXPECT_TRUE(eventually([&] { return stored == 1; }));
+    EXPECT_EQ(refused, 0);
+}
+
+TEST_F(CellHostTest, JobsAreRefusedOnceTheStoreHasNotRespondedForAWhile)
+{
+    store.responsesToLose = 1000;
+    ASSERT_TRUE(eventually([&] { return store.responsesToLose < 1000; }));
+    EXPECT_EQ(submit("a"), jobs::Acceptance::Pending);
+    EXPECT_TRUE(eventually([&] { return refused == 1; })); // It is in no transaction.
+    EXPECT_EQ(submit("b"), jobs::Acceptance::Refused);
+    store.responsesToLose = 0;
+    EXPECT_TRUE(eventually([&] { return submit("a") != jobs::Acceptance::Refused; }));
+    EXPECT_TRUE(eventually([&] { return stored > 0; }));
+}
+
 TEST_F(CellHostTest, CallerReceivesTheCommitOutcomeWhenTheCellIsHandedBack)
 {
     ASSERT_EQ(submit("a"), jobs::Acceptance::Pending);
--- a/packages/node/tests/memory_part_store.h
+++ b/packages/node/tests/memory_part_store.h
@@ -59,12 +59,17 @@
 
     std::atomic<bool> isDown { false };
     std::atomic<bool> areHandBackResponsesLost { false }; ///< Hand-backs take effect, but their responses are lost.
+    std::atomic<int> responsesToLose { 0 }; ///< So many more transactions take effect without a response.
 
 private:
     using Rows = std::map<jobs::RowKey, jobs::PartRow>;
 
-    bool isResponseLost(const jobs::PartTransaction& transaction) const
+    bool isResponseLost(const jobs::PartTransaction& transaction)
     {
+        if (responsesToLose > 0) {
+            --responsesToLose;
+            return true;
+        }
         const std::string& bytes = transaction.writes.at(0).value.value();
         const auto row = valueOrNothing([&] { return jobs::decodeOwnerRow(bytes); });
         return areHandBackResponsesLost && row && !row->outstandingLeases.empty();
