Late runs of a failed job are stopped once the failure is stored

The next owner may have come to another verdict; it sees the run as stopped.

Change: while the failure is not stored, such a run counts as running; stopJob ends it after the transaction.

--- a/packages/jobs/src/cell_results.cpp
+++ b/packages/jobs/src/cell_results.cpp
@@ -71,7 +71,8 @@
             run.seenInIncarnation = command.incarnationUnixMs;
         worker.needsPoll = true;
         JobEntry* entry = state.find(command.task.job);
-        if (run.phase == RunPhase::Stopping || !entry || entry->progress.hasEnded()) {
+        const bool isUnwanted = !entry || (entry->progress.hasEnded() && !entry->hasUnstoredFailure());
+        if (run.phase == RunPhase::Stopping || isUnwanted) {
             state.sendStop(worker, command.task, command.run, "no longer wanted");
         } else if (run.phase == RunPhase::Starting) {
             run.phase = RunPhase::Confirmed;
--- a/packages/jobs/src/cell_runs.cpp
+++ b/packages/jobs/src/cell_runs.cpp
@@ -275,7 +275,8 @@
     run.measuredValue = running.measuredValue;
     addRunEvent(RunEvent::Kind::Adopted, worker, running.task, running.run, isWanted ? "wanted" : "not wanted");
     if (!isWanted) {
-        sendStop(worker, running.task, running.run, "not wanted");
+        if (!isKnownTask || !entry->hasUnstoredFailure())
+            sendStop(worker, running.task, running.run, "not wanted");
         return;
     }
     entry->progress.onStartSent(running.task, running.run);
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -98,6 +98,10 @@
     /// start in trials instead, unless they belong to a gang.
     bool isStartable(int occurrence, int step, int index) const;
     int startableTasks(int occurrence, int step) const;
+
+    /// Whether the job has failed and no transaction has confirmed it yet. A later owner may have decided otherwise, so
+    /// its runs go on until then.
+    bool hasUnstoredFailure() const { return progress.state() == JobState::Failed && storedState != JobState::Failed; }
 };
 
 /// Order of ready steps in an overload: jobs that can still be on time go before those that can't, started jobs are
--- a/packages/jobs/tests/acknowledgement_tests.cpp
+++ b/packages/jobs/tests/acknowledgement_tests.cpp
@@ -23,6 +23,14 @@
     return highest;
 }
 
+/// The worker lists three failed runs of the task, as many as the queue allows.
+void failThreeTimes(CellHarness& harness, const WorkerId& worker, const TaskRef& task)
+{
+    harness.answerPoll(worker.value().c_str(), {},
+        { { 1, task, 1, RunOutcome::Failed, "" }, { 2, task, 2, RunOutcome::Failed, "" },
+            { 3, task, 3, RunOutcome::Failed, "" } });
+}
+
 } // namespace
 
 TEST(Acknowledgement, WaitsForATransactionInFlightThatContainsTheEnd)
@@ -45,10 +53,7 @@
     CellHarness harness;
     const auto starts = startTwoTasks(harness, {});
     ASSERT_EQ(starts.size(), 2U);
-    const TaskRef& failing = starts[0].task;
-    harness.answerPoll(starts[0].worker.value().c_str(), {},
-        { { 1, failing, 1, RunOutcome::Failed, "" }, { 2, failing, 2, RunOutcome::Failed, "" },
-            { 3, failing, 3, RunOutcome::Failed, "" } });
+    failThreeTimes(harness, starts[0].worker, starts[0].task);
     harness.advance(10ms);
     EXPECT_EQ(harness.cell().unfinishedJobs(), 0U);
     EXPECT_TRUE(harness.takeCommands<StopCommand>().empty());
@@ -56,3 +61,37 @@
     harness.advance(10ms);
     EXPECT_EQ(harness.takeCommands<StopCommand>().size(), 1U);
 }
+
+TEST(Acknowledgement, RunThatIsAcceptedAfterItsJobHasFailedIsStoppedOnceTheFailureIsStored)
+{
+    CellHarness harness;
+    harness.cell().submit(twoTaskJob({}), 1, harness.now());
+    harness.storeChanges();
+    harness.advance(10ms);
+    const auto starts = harness.takeCommands<StartCommand>();
+    ASSERT_EQ(starts.size(), 2U);
+    harness.respond(starts[0], CommandStatus::Done);
+    harness.advance(300ms);
+    failThreeTimes(harness, starts[0].worker, starts[0].task);
+    harness.respond(starts[1], CommandStatus::Done);
+    harness.advance(10ms);
+    EXPECT_TRUE(harness.takeCommands<StopCommand>().empty());
+    harness.storeChanges();
+    harness.advance(10ms);
+    EXPECT_EQ(harness.takeCommands<StopCommand>().size(), 1U);
+}
+
+TEST(Acknowledgement, RunThatIsAdoptedAfterItsJobHasFailedIsStoppedOnceTheFailureIsStored)
+{
+    CellHarness harness { 2, { { twoTaskJob({}), {} } } };
+    const TaskRef failing { JobId { "a" }, 0, 0, 0 };
+    const TaskRef running { JobId { "a" }, 0, 0, 1 };
+    failThreeTimes(harness, WorkerId { "w1" }, failing);
+    ASSERT_EQ(harness.cell().unfinishedJobs(), 0U);
+    harness.answerPoll("w2", { { running, 1, "", 0 } });
+    harness.advance(10ms);
+    EXPECT_TRUE(harness.takeCommands<StopCommand>().empty());
+    harness.storeChanges();
+    harness.advance(10ms);
+    EXPECT_EQ(harness.takeCommands<StopCommand>().size(), 1U);
+}
