Advice is asked for about all workers of a pool, those with room first

By reading besides: tickets that are valid for 300 ms or less were never used.

Cause: each request named the first 30 workers of the pool, and its answer replaced the one before; the margin before the end of a ticket was fixed at 300 ms. Class: a fixed first N.

Change: a step keeps the answer about each worker for as long as it holds. A request names up to 30 workers without a known answer, those with room first, and is sent while no worker has a ticket or tasks found no room on those that have one. The margin is a third of a short time. A refused ticket drops the answer about its worker alone.

The test of the diagnosis gives the step a ticket through an answer, since validity is now by worker.

--- a/packages/jobs/src/cell_results.cpp
+++ b/packages/jobs/src/cell_results.cpp
@@ -101,7 +101,7 @@
         state.recordHigherFence(command.worker, now);
     if (result.refusal == RefusalReason::InvalidTicket) {
         if (JobEntry* entry = state.find(command.task.job))
-            entry->tickets.erase({ command.task.occurrence, command.task.step });
+            entry->tickets[{ command.task.occurrence, command.task.step }].remove(command.worker);
     }
     if (result.status != CommandStatus::Expired) {
         const bool isUnreachable = result.status == CommandStatus::NotSent;
--- a/packages/jobs/src/cell_schedule.cpp
+++ b/packages/jobs/src/cell_schedule.cpp
@@ -18,9 +18,6 @@
 constexpr double maxShareAtOnce = 0.25; ///< A step that needs a larger share of the capacity runs in several waves.
 /// Starts are scarce for this long after some had to wait for others. Several passes, so that the order is steady.
 constexpr Duration startScarcityMemory = 300ms;
-constexpr Duration ticketMargin = 300ms;
-constexpr Duration retryDelay = 300ms;
-constexpr std::size_t maxWorkersPerRequest = 30;
 
 double share(const ResourceSize& size, const ResourceSize& total)
 {
@@ -178,32 +175,29 @@
     return ready;
 }
 
-const StepTickets* CellState::validTickets(const ReadyStep& ready, const FreeCapacity& capacity, TimePoint now)
+/// The tickets that the step's starts may carry; null if there are none. Requests further ones where they are needed.
+const std::map<WorkerId, std::string>* CellState::validTickets(
+    const ReadyStep& ready, const FreeCapacity& capacity, TimePoint now)
 {
     StepTickets& known = ready.entry->tickets[{ ready.occurrence, ready.step }];
-    if (now + ticketMargin < known.validUntil)
-        return &known;
-    if (known.isRequested || now < known.retryAt)
-        return nullptr;
-    AdviceRequest request { { ready.entry->job.id, ready.occurrence, ready.step, 0 }, {} };
-    for (const Worker* worker : capacity.workers()) {
-        if (request.workers.size() < maxWorkersPerRequest)
-            request.workers.push_back(worker->description.id);
-    }
-    known.isRequested = !request.workers.empty();
-    if (known.isRequested)
-        output.adviceRequests.push_back(std::move(request));
-    return nullptr;
+    std::vector<WorkerId> workers;
+    if (known.isRequestDue(now))
+        workers = known.nextRequest(capacity.ticketCandidates(ready.spec()), now);
+    if (!workers.empty())
+        output.adviceRequests.push_back(
+            { { ready.entry->job.id, ready.occurrence, ready.step, 0 }, std::move(workers) });
+    const auto& usable = known.usableAt(now);
+    return usable.empty() ? nullptr : &usable;
 }
 
-void CellState::startOn(
-    Worker& worker, const ReadyStep& ready, int index, RunNumber number, const StepTickets* tickets, TimePoint now)
+void CellState::startOn(Worker& worker, const ReadyStep& ready, int index, RunNumber number,
+    const std::map<WorkerId, std::string>* tickets, TimePoint now)
 {
     JobEntry& entry = *ready.entry;
     const TaskRef task { entry.job.id, ready.occurrence, ready.step, index };
     Run& run = addRun(worker, task, number, &ready.spec());
     run.start = { worker.description.id, task, number, entry.job.spec.text, 0, settings.fence,
-        entry.progress.checkpoint(task), tickets ? tickets->tickets.at(worker.description.id) : std::string {} };
+        entry.progress.checkpoint(task), tickets ? tickets->at(worker.description.id) : std::string {} };
     grantStart(worker, run, now);
     entry.progress.onStartSent(task, number);
     RunEvent& event = addRunEvent(RunEvent::Kind::Starting, worker, task, number, {}, now - listRequestedAt);
@@ -219,12 +213,14 @@
     if (step.isGang && entry.suspects > 0 && hasTaskHeldForEvidence(*this, ready, now))
         return;
     const bool needsTicket = requiresTickets(entry);
-    const StepTickets* tickets = needsTicket ? validTickets(ready, capacity, now) : nullptr;
+    const auto* tickets = needsTicket ? validTickets(ready, capacity, now) : nullptr;
     if (needsTicket && !tickets)
         return;
     const int wanted = entry.startableTasks(ready.occurrence, ready.step);
-    auto placements = capacity.placeTasks(entry, ready.occurrence, ready.step, tickets ? &tickets->tickets : nullptr);
+    auto placements = capacity.placeTasks(entry, ready.occurrence, ready.step, tickets);
     const int missing = wanted - static_cast<int>(placements.size());
+    if (missing > 0 && needsTicket)
+        entry.tickets[{ ready.occurrence, ready.step }].recordShortage();
     const bool isKeptApart = missing > 0 && capacity.hasRoomOnClosedWorker(step);
     isAnyTaskWaiting = isAnyTaskWaiting || missing > 0;
     if (!isKeptApart)
@@ -310,15 +306,7 @@
     JobEntry* entry = m_state->find(response.step.job);
     if (!entry)
         return;
-    StepTickets& tickets = entry->tickets[{ response.step.occurrence, response.step.step }];
-    tickets.isRequested = false;
-    tickets.retryAt = now + retryDelay;
-    if (!response.isAnswered)
-        return;
-    tickets.tickets.clear();
-    for (const AdviceTicket& each : response.tickets)
-        tickets.tickets[each.worker] = each.ticket;
-    tickets.validUntil = now + response.validFor;
+    entry->tickets[{ response.step.occurrence, response.step.step }].onResponse(response, now);
 }
 
 } // namespace rattanrack::jobs
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -5,6 +5,7 @@
 #include "rattanrack/jobs/cell.h"
 #include "rattanrack/jobs/offered_load.h"
 #include "rattanrack/jobs/runtime_estimator.h"
+#include "step_tickets.h"
 #include "worker_state.h"
 
 #include <functional>
@@ -52,13 +53,6 @@
     TimePoint overAt {}; ///< The run was over by then.
 };
 
-struct StepTickets {
-    std::map<WorkerId, std::string> tickets;
-    TimePoint validUntil {};
-    TimePoint retryAt {};
-    bool isRequested { false };
-};
-
 struct JobEntry {
     JobEntry(Job accepted, JobProgress initialProgress)
         : job(std::move(accepted))
@@ -408,9 +402,10 @@
     void addWaitingDemand(const ReadyStep& ready, int missing);
     void startSteps(std::span<const ReadyStep> steps, FreeCapacity& capacity, TimePoint now);
     void startStep(const ReadyStep& ready, FreeCapacity& capacity, TimePoint now);
-    const StepTickets* validTickets(const ReadyStep& ready, const FreeCapacity& capacity, TimePoint now);
-    void startOn(
-        Worker& worker, const ReadyStep& ready, int index, RunNumber number, const StepTickets* tickets, TimePoint now);
+    const std::map<WorkerId, std::string>* validTickets(
+        const ReadyStep& ready, const FreeCapacity& capacity, TimePoint now);
+    void startOn(Worker& worker, const ReadyStep& ready, int index, RunNumber number,
+        const std::map<WorkerId, std::string>* tickets, TimePoint now);
     void estimateCriticalPath(JobEntry& entry);
     ResourceSize capacityOfListedWorkers() const;
 };
--- a/packages/jobs/src/cell_trials.cpp
+++ b/packages/jobs/src/cell_trials.cpp
@@ -103,10 +103,13 @@
 {
     const ReadyStep& ready = trial.ready;
     const bool needsTicket = requiresTickets(*ready.entry);
-    const StepTickets* tickets = needsTicket ? validTickets(ready, capacity, now) : nullptr;
+    const auto* tickets = needsTicket ? validTickets(ready, capacity, now) : nullptr;
     if (needsTicket && !tickets)
         return;
-    for (const Placement& each : capacity.placeTrial(trial, tickets ? &tickets->tickets : nullptr, scope, now)) {
+    const auto placements = capacity.placeTrial(trial, tickets, scope, now);
+    if (placements.empty() && needsTicket)
+        ready.entry->tickets[{ ready.occurrence, ready.step }].recordShortage();
+    for (const Placement& each : placements) {
         Worker& worker = *capacity.workers()[static_cast<std::size_t>(each.candidate)];
         ++worker.startsInFlight;
         ++startsInFlight;
--- a/packages/jobs/src/free_capacity.cpp
+++ b/packages/jobs/src/free_capacity.cpp
@@ -78,6 +78,16 @@
     }
 }
 
+std::vector<TicketCandidate> FreeCapacity::ticketCandidates(const Step& step) const
+{
+    std::vector<TicketCandidate> found;
+    for (const Candidate& each : m_candidates) {
+        if (isEligible(step, *each.worker))
+            found.push_back({ each.worker, fits(reservedSize(step), each.free) });
+    }
+    return found;
+}
+
 bool FreeCapacity::hasRoomOnClosedWorker(const Step& step) const
 {
     return std::any_of(m_candidates.begin(), m_candidates.end(),
--- a/packages/jobs/src/free_capacity.h
+++ b/packages/jobs/src/free_capacity.h
@@ -25,6 +25,9 @@
     /// False: no worker has had capacity for one task since this pass began.
     bool mayFit(const Step& step) const { return fits(reservedSize(step), m_largestFree); }
 
+    /// The workers on which a task of the step may run, now or later.
+    std::vector<TicketCandidate> ticketCandidates(const Step& step) const;
+
     /// Chooses workers for the waiting tasks of a step, as many as fit, and takes their capacity. With `tickets`, only
     /// workers that have one are chosen.
     std::vector<Placement> placeTasks(
--- a/packages/jobs/src/missing_run_diagnosis.cpp
+++ b/packages/jobs/src/missing_run_diagnosis.cpp
@@ -92,7 +92,7 @@
     if (!CellState::requiresTickets(entry))
         return std::nullopt;
     const auto tickets = entry.tickets.find({ task.occurrence, task.step });
-    const bool hasTickets = tickets != entry.tickets.end() && m_now < tickets->second.validUntil;
+    const bool hasTickets = tickets != entry.tickets.end() && tickets->second.hasUsableAt(m_now);
     return hasTickets ? std::nullopt : std::optional { MissingRunReason::NoTicket };
 }
 
--- a/packages/jobs/tests/cell_harness.h
+++ b/packages/jobs/tests/cell_harness.h
@@ -114,6 +114,7 @@
         CellOutput output = m_cell.advance(m_now, unixMs(), authority);
         std::move(output.commands.begin(), output.commands.end(), std::back_inserter(m_commands));
         std::move(output.events.begin(), output.events.end(), std::back_inserter(m_events));
+        std::move(output.adviceRequests.begin(), output.adviceRequests.end(), std::back_inserter(m_adviceRequests));
     }
 
     /// Returns the commands of one type that have been issued since the last call.
@@ -129,6 +130,9 @@
         return taken;
     }
 
+    /// Returns the requests for tickets that have been issued since the last call.
+    std::vector<AdviceRequest> takeAdviceRequests() { return std::exchange(m_adviceRequests, {}); }
+
     void respond(const PollCommand& poll, std::vector<RunningRun> running, std::vector<EndedRun> endedRuns = {})
     {
         const TimePoint sentAt = m_now;
@@ -264,6 +268,7 @@
     std::vector<WorkerCommand> m_commands;
     std::vector<WorkerDescription> m_listed;
     std::vector<CellEvent> m_events;
+    std::vector<AdviceRequest> m_adviceRequests;
     bool m_isBound { false };
     std::map<WorkerId, Incarnation> m_laterIncarnations; ///< Incarnations after the first.
 };
--- a/packages/jobs/tests/missing_run_diagnosis_tests.cpp
+++ b/packages/jobs/tests/missing_run_diagnosis_tests.cpp
@@ -106,7 +106,7 @@
 {
     state.queues[QueueId { "q" }].requiresTickets = true;
     EXPECT_EQ(reason(), MissingRunReason::NoTicket);
-    entry().tickets[{ 0, 0 }].validUntil = now + 5s;
+    entry().tickets[{ 0, 0 }].onResponse({ {}, true, { { WorkerId { "w1" }, "ticket" } }, 5s }, now);
     EXPECT_EQ(reason(), MissingRunReason::NotReached);
 }
 
