The owner of the machine part is told of its loss, and not of a store that is away

The cell names all four callbacks by position, the machine controller named three: its onLost became onStoreLost, and onLost was empty. So each owner of the machine part that was replaced or handed the part back ended its process, and one that had only lost the store dropped the part.

Change: both places name the callbacks. A store that is away needs nothing in the machine controller: its commands end by permittedUntil.

Tests: three of MachineControllerTest; on the code before, OwnerThatWasReplacedIsTold and OwnerIsToldThatItsHandBackIsStored end the test process by bad_function_call, and OwnerKeepsThePartWhileTheStoreDoesNotRespond counts a loss.

--- a/packages/node/include/rattanrack/node/machine_controller.h
+++ b/packages/node/include/rattanrack/node/machine_controller.h
@@ -68,6 +68,8 @@
     void handBack() { m_isHandingBack = true; }
 
 private:
+    PartWriter::Callbacks writerCallbacks();
+    void restoreRowsInFlight();
     template <typename Work, typename Then> bool run(Work work, Then then);
     void requestMachineList();
     template <typename CommandType>
--- a/packages/node/include/rattanrack/node/part_writer.h
+++ b/packages/node/include/rattanrack/node/part_writer.h
@@ -45,6 +45,7 @@
         ElasticThreadPool& threads;
         jobs::PartStore& store;
     };
+    /// All must be set. Named at initialization, since several have the same type.
     struct Callbacks {
         std::function<void()> onStored;
         /// The transaction is proved not to have taken effect; its rows must be written again.
--- a/packages/node/src/cell_host.cpp
+++ b/packages/node/src/cell_host.cpp
@@ -340,15 +340,18 @@
 
 PartWriter::Callbacks CellHost::writerCallbacks()
 {
-    const auto onStoreLost = [this] {
-        m_cell.rejectUncommittedJobs();
-        wake();
-    };
-    return { [this] { onCommitStored(); }, [this] { onCommitNotStored(); }, onStoreLost,
-        [this] {
-            reportReplaced();
-            m_parts.control.post(guarded([onLost = m_parts.onLost] { onLost(); })); // Destroys this host.
-        } };
+    return { .onStored = [this] { onCommitStored(); },
+        .onNotStored = [this] { onCommitNotStored(); },
+        .onStoreLost =
+            [this] {
+                m_cell.rejectUncommittedJobs();
+                wake();
+            },
+        .onLost =
+            [this] {
+                reportReplaced();
+                m_parts.control.post(guarded([onLost = m_parts.onLost] { onLost(); })); // Destroys this host.
+            } };
 }
 
 /// Logs what was started while another node may have owned the cell already.
--- a/packages/node/src/machine_controller.cpp
+++ b/packages/node/src/machine_controller.cpp
@@ -74,20 +74,31 @@
     , m_arePoolSizesStored(!takeover.poolSizes.empty())
     , m_isAlive(std::make_shared<bool>(true))
     , m_writer({ m_parts.control, m_parts.clock, m_parts.threads, m_parts.store }, std::move(takeover.partTakeover),
-          { [this] { m_rowsInFlight.clear(); },
-              [this] {
-                  std::move(m_unwrittenRows.begin(), m_unwrittenRows.end(), std::back_inserter(m_rowsInFlight));
-                  m_unwrittenRows = std::exchange(m_rowsInFlight, {});
-              },
-              [this] {
-                  m_parts.control.post([onLost = m_parts.onLost, alive = m_isAlive] { // Destroys this controller.
-                      if (*alive)
-                          onLost();
-                  });
-              } })
+          writerCallbacks())
 {
 }
 
+PartWriter::Callbacks MachineController::writerCallbacks()
+{
+    return { .onStored = [this] { m_rowsInFlight.clear(); },
+        .onNotStored = [this] { restoreRowsInFlight(); },
+        .onStoreLost = [] {}, // The commands end with `permittedUntil`.
+        .onLost =
+            [this] {
+                m_parts.control.post([onLost = m_parts.onLost, alive = m_isAlive] { // Destroys this controller.
+                    if (*alive)
+                        onLost();
+                });
+            } };
+}
+
+/// The rows of a transaction that did not take effect are written again, before later ones.
+void MachineController::restoreRowsInFlight()
+{
+    std::move(m_unwrittenRows.begin(), m_unwrittenRows.end(), std::back_inserter(m_rowsInFlight));
+    m_unwrittenRows = std::exchange(m_rowsInFlight, {});
+}
+
 MachineController::~MachineController() { *m_isAlive = false; }
 
 /// Runs `work` on a thread of the pool, and then `then` with its result on the control thread. Returns false if the
--- a/packages/node/tests/machine_controller_tests.cpp
+++ b/packages/node/tests/machine_controller_tests.cpp
@@ -73,7 +73,8 @@
         const NodeId node { name };
         auto takeover = valueOrNothing([&] { return takeOverMachines(store, clock, node); }).value();
         control.run([&] {
-            MachineController::Parts parts { control, clock, threads, store, machines, fleet, node, [] {} };
+            MachineController::Parts parts { control, clock, threads, store, machines, fleet, node,
+                [this] { ++losses; } };
             controller = std::make_unique<MachineController>(std::move(parts), std::move(takeover));
         });
     }
@@ -90,6 +91,12 @@
         std::this_thread::sleep_for(10ms);
     }
 
+    void tickUntilLost()
+    {
+        for (int ticks = 0; ticks < 300 && losses == 0; ++ticks)
+            tick();
+    }
+
     /// Requests maintenance of the machine, once its list is known.
     void requestMaintenance()
     {
@@ -104,6 +111,7 @@
     OneMachine machines;
     NoFleet fleet;
     ElasticThreadPool threads { 1, 16 };
+    std::atomic<int> losses { 0 };
     std::unique_ptr<MachineController> controller;
     ControlLoop control { clock };
 };
@@ -164,6 +172,33 @@
     EXPECT_TRUE(takeover.partTakeover.previousHolder.isEmpty());
 }
 
+TEST_F(MachineControllerTest, OwnerThatWasReplacedIsTold)
+{
+    ASSERT_TRUE(valueOrNothing([&] { return takeOverMachines(store, clock, NodeId { "n2" }); }).has_value());
+    tickUntilLost();
+    EXPECT_EQ(losses, 1);
+}
+
+TEST_F(MachineControllerTest, OwnerIsToldThatItsHandBackIsStored)
+{
+    control.run([&] { controller->handBack(); });
+    tickUntilLost();
+    EXPECT_EQ(losses, 1);
+}
+
+TEST_F(MachineControllerTest, OwnerKeepsThePartWhileTheStoreDoesNotRespond)
+{
+    store.isDown = true;
+    for (int ticks = 0; ticks < 100; ++ticks)
+        tick();
+    store.isDown = false;
+    requestMaintenance();
+    for (int ticks = 0; ticks < 300 && machines.commands == 0; ++ticks)
+        tick();
+    EXPECT_EQ(machines.commands, 1);
+    EXPECT_EQ(losses, 0);
+}
+
 TEST_F(MachineControllerTest, OneMalformedRowDoesNotPreventTheTakeover)
 {
     const std::string good = jobs::encode(jobs::WaveProgress { 2, 5, { jobs::MachineId { "m1" } }, true });
