A retry that tells nothing of the run does not stop the run

A long-running task is stopped ("the start may be carried out late") while another task of its step waits for the store.

Cause: a start gets no response (the link cuts answers, the worker has started the run). The retry of the same start 150 ms later then fails without the worker's word: no connection, the start expired in our queue, or 503 from an unhealthy worker. The owner took that for a refusal and stopped the run until the stop was accepted, up to seconds later, whatever had become of it. A run that the first transmission had started was at work by then.

Ruled out by reading, as other orders that end such a run: drains, which count the tasks that are away, and "not wanted", which ends a second run of the task.

Change: such a result leaves the start unresolved, as no response does: it is sent again to the same worker under the same run number until the worker answers, lists the run, drains, or its lease ends. A refusal by the worker (409) still stops the run, since the worker answers 200 where the run is there.

Tests: two in cell_tests.cpp; both fail on the code before.

--- a/packages/jobs/src/cell_results.cpp
+++ b/packages/jobs/src/cell_results.cpp
@@ -9,7 +9,7 @@
 
 using namespace std::chrono_literals;
 
-constexpr Duration retryDelay = 150ms; ///< After a command without a response.
+constexpr Duration retryDelay = 150ms; ///< After a command that left open whether the run exists.
 constexpr Duration avoidAfterNoCapacity = 250ms;
 constexpr Duration avoidAfterNoResponse = 700ms;
 
@@ -35,6 +35,12 @@
     return { &worker->second, &run->second };
 }
 
+void CellState::retryLater(Worker& worker, Run& run, TimePoint now)
+{
+    run.retryAt = now + retryDelay;
+    worker.mayHaveRetries = true;
+}
+
 /// `run`: null if it has been removed since.
 void CellState::recordStartEvidence(
     Worker& worker, const Run* run, const StartCommand& command, const CommandResult& result, TimePoint now)
@@ -83,8 +89,7 @@
     }
     if (result.status == CommandStatus::NoResponse) {
         run.mayStartLate = true;
-        run.retryAt = now + retryDelay;
-        worker.mayHaveRetries = true;
+        CellState::retryLater(worker, run, now);
         worker.avoidUntil = std::max(worker.avoidUntil, now + avoidAfterNoResponse);
         worker.needsPoll = true;
         return;
@@ -129,8 +134,7 @@
         run.mayStartLate = false;
         worker.needsPoll = true;
     } else {
-        run.retryAt = now + retryDelay;
-        worker.mayHaveRetries = true;
+        CellState::retryLater(worker, run, now);
     }
     if (result.refusal == RefusalReason::StaleFence)
         state.recordHigherFence(command.worker, now);
--- a/packages/jobs/src/cell_starts.cpp
+++ b/packages/jobs/src/cell_starts.cpp
@@ -25,6 +25,10 @@
     return refusals[static_cast<std::size_t>(result.refusal)];
 }
 
+/// Whether the worker has refused a retried start because it does not have the run. Otherwise an earlier transmission
+/// may have started the run, which may be at work.
+bool isRunAbsent(const CommandResult& result) { return result.status == CommandStatus::Refused; }
+
 /// The response time that this node accounts for. If the exchange with the worker is late by itself, the worker or the
 /// network is slow, and only the wait before the exchange counts.
 Duration ownResponseTime(const CommandResult& result)
@@ -127,6 +131,11 @@
 {
     if (run.phase == RunPhase::Confirmed)
         return; // Started by an earlier transmission, and listed since.
+    const bool isUnresolved = run.mayStartLate && run.phase == RunPhase::Starting;
+    if (isUnresolved && !isRunAbsent(result)) {
+        retryLater(worker, run, now);
+        return;
+    }
     if (run.mayStartLate || run.phase == RunPhase::Stopping) {
         sendStop(worker, command.task, command.run, "the start may be carried out late");
         return;
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -288,6 +288,7 @@
 
     // Results: cell_results.cpp
     CommandedRun commandedRun(const WorkerId& id, const TaskRef& task, RunNumber number);
+    static void retryLater(Worker& worker, Run& run, TimePoint now);
 
     // Starts: cell_starts.cpp
     void countStarts(TimePoint now);
--- a/packages/jobs/tests/cell_tests.cpp
+++ b/packages/jobs/tests/cell_tests.cpp
@@ -42,6 +42,45 @@
     EXPECT_GT(next.run, first.run);
 }
 
+TEST(Cell, RunOfAnUnansweredStartIsNotStoppedAfterARetryThatTellsNothingOfIt)
+{
+    for (const CommandStatus status : { CommandStatus::NotSent, CommandStatus::Expired, CommandStatus::Unhealthy }) {
+        CellHarness harness;
+        const StartCommand first = harness.submitAndTakeStart("a");
+        harness.respond(first, CommandStatus::NoResponse);
+        harness.advance(300ms);
+        harness.dropPolls();
+        const auto retried = harness.takeCommands<StartCommand>();
+        ASSERT_EQ(retried.size(), 1U);
+        harness.respond(retried[0], status);
+        harness.advance(60ms);
+        EXPECT_TRUE(harness.takeCommands<StopCommand>().empty());
+        harness.advance(300ms);
+        harness.answerPoll(first.worker.value().c_str(), { { first.task, first.run, "", 100 } });
+        harness.advance(300ms);
+        EXPECT_TRUE(harness.takeCommands<StopCommand>().empty());
+        EXPECT_EQ(harness.cell().state(JobId { "a" }), JobState::Active);
+        EXPECT_TRUE(harness.runEvents(RunEvent::Kind::PresumedEnded).empty());
+    }
+}
+
+TEST(Cell, UnansweredStartIsSentAgainAfterARetryThatWasNotSent)
+{
+    CellHarness harness;
+    const StartCommand first = harness.submitAndTakeStart("a");
+    harness.respond(first, CommandStatus::NoResponse);
+    harness.advance(300ms);
+    harness.respond(harness.takeCommands<StartCommand>().at(0), CommandStatus::NotSent);
+    harness.advance(300ms);
+    harness.answerAllPolls();
+    harness.advance(300ms);
+    const auto again = harness.takeCommands<StartCommand>();
+    ASSERT_EQ(again.size(), 1U);
+    EXPECT_EQ(again[0].run, first.run);
+    EXPECT_EQ(again[0].worker, first.worker);
+    EXPECT_TRUE(harness.takeCommands<StopCommand>().empty());
+}
+
 TEST(Cell, StartWithoutARunReportsTheReason)
 {
     const auto reasonNotStarted = [](CommandStatus status, RefusalReason refusal) {
