A node may announce another address to its peers than the one it listens at

Change: an optional setting peerAnnounce. Other nodes connect to it; the node listens at peerListen as before. Without it nothing changes.

Ruled out: addresses by pair of nodes. Announcements and calls carry the sender's address, so that a view of the node table by daemon would hold for first contacts only.

--- a/packages/config/include/rattanrack/config/job_node_settings.h
+++ b/packages/config/include/rattanrack/config/job_node_settings.h
@@ -16,7 +16,8 @@
     std::string name;
     Address listen; ///< Where callers' requests arrive.
     Address readiness; ///< Where the balancer asks whether to send callers here.
-    Address peerListen; ///< Where other nodes reach this one.
+    Address peerListen; ///< Where this node accepts connections of other nodes.
+    std::optional<Address> peerAnnounce; ///< Where other nodes connect to; empty: `peerListen`.
     Address store; ///< The platform's table service.
     Address machineList; ///< The platform's list of machines.
     std::optional<Address> advice; ///< The service that allows workers to run steps.
--- a/packages/config/src/job_node_settings.cpp
+++ b/packages/config/src/job_node_settings.cpp
@@ -17,12 +17,12 @@
 constexpr NumberRange shareRange { 0, 1, true };
 constexpr NumberRange coresRange { 0, 1024, true };
 
-void readAdvice(Section& section, std::optional<Address>& output)
+void readOptionalAddress(Section& section, std::string_view key, std::optional<Address>& output)
 {
-    if (!section.has("advice"))
+    if (!section.has(key))
         return;
     Address address;
-    readAddress(section, "advice", address);
+    readAddress(section, key, address);
     output = address;
 }
 
@@ -33,9 +33,10 @@
     readAddress(top, "listen", settings.listen);
     readAddress(top, "readiness", settings.readiness);
     readAddress(top, "peerListen", settings.peerListen);
+    readOptionalAddress(top, "peerAnnounce", settings.peerAnnounce);
     readAddress(top, "store", settings.store);
     readAddress(top, "machineList", settings.machineList);
-    readAdvice(top, settings.advice);
+    readOptionalAddress(top, "advice", settings.advice);
     top.readDuration("longestLease", leaseRange, settings.longestLease);
     top.readDuration("keepEnded", keepRange, settings.keepEnded);
     top.readDuration("longestStop", stopRange, settings.longestStop);
--- a/packages/config/tests/job_node_settings_tests.cpp
+++ b/packages/config/tests/job_node_settings_tests.cpp
@@ -37,6 +37,19 @@
     EXPECT_EQ(parsed.value().longestStop, 900ms);
 }
 
+TEST(JobNodeSettings, AnnouncedPeerAddressIsReadWhereItIsNamed)
+{
+    const auto without = parseJobNodeFile("n", settingsText);
+    ASSERT_TRUE(without.isValid()) << describe(without.diagnostics());
+    EXPECT_FALSE(without.value().peerAnnounce.has_value());
+    const auto with = parseJobNodeFile("n", settingsText + "peerAnnounce: 10.0.0.9:7100\n");
+    ASSERT_TRUE(with.isValid()) << describe(with.diagnostics());
+    ASSERT_TRUE(with.value().peerAnnounce.has_value());
+    EXPECT_EQ(with.value().peerAnnounce->text(), "10.0.0.9:7100");
+    EXPECT_EQ(with.value().peerListen.text(), "10.0.0.1:7000");
+    EXPECT_NE(mistakes(settingsText + "peerAnnounce: nowhere\n"), "valid");
+}
+
 TEST(JobNodeSettings, ProcessorShareAndCoresAreRead)
 {
     const auto parsed = parseJobNodeFile("n", settingsText + "processorShare: 0.12\nprocessorCores: 1.5\n");
--- a/packages/node/include/rattanrack/node/job_node.h
+++ b/packages/node/include/rattanrack/node/job_node.h
@@ -13,13 +13,16 @@
 
 struct JobNodeSettings {
     std::string name;
-    std::string peerAddress; ///< "ip:port" at which peers reach this node.
+    std::string peerAddress; ///< "ip:port" at which peers reach this node, which it announces.
     Duration leaseLength {}; ///< Of runs on workers.
     Duration keepEnded {}; ///< Jobs are kept this long after their end.
     Duration longestStop {}; ///< From the result of a stop command until the run has ended.
     Duration longestListAge {}; ///< No run starts on an older worker list.
     Duration longestLease {}; ///< Workers shorten longer leases to this.
     double processorShare { jobs::defaultProcessorShare }; ///< Cores that this node may use, above 0.
+    /// "ip:port" at which this node accepts connections of its peers, if something forwards them from `peerAddress`;
+    /// empty: `peerAddress`.
+    std::string peerListen {};
 };
 
 struct JobNodePorts {
--- a/packages/node/src/job_node.cpp
+++ b/packages/node/src/job_node.cpp
@@ -231,7 +231,9 @@
 {
     auto state = std::make_unique<State>(std::move(settings), ports, metrics);
     State* raw = state.get();
-    BOOST_LEAF_AUTO(network, peer::PeerNetwork::create(raw->settings.peerAddress, [raw](peer::Message message) {
+    const JobNodeSettings& own = raw->settings;
+    const std::string& listen = own.peerListen.empty() ? own.peerAddress : own.peerListen;
+    BOOST_LEAF_AUTO(network, peer::PeerNetwork::create(listen, [raw](peer::Message message) {
         raw->control.post(
             [raw, shared = std::make_shared<peer::Message>(std::move(message))] { raw->receive(*shared); });
     }));
