A node that has received nobody since its start replaces no running owner

Cause: an owner that writes its row may be replaced after 3 s without its announcements, if the node receives most of the nodes that have announced themselves within 10 s. A process that has received nobody yet counts itself alone, one of one, and takes the silence for the owners'. ReplacesNoRunningOwnerIfItReceivesNobodyItself guards a node that has received the others before.

Ruled out: a row that has stopped changing (it was written within 0.5 s), a hand-back (the former owner is named), an ended process (n3 and n4 ran on).

Change: within 10 s of its start a node counts all listed addresses that have sent it nothing as nodes that run.

--- a/packages/jobs/include/rattanrack/jobs/ownership.h
+++ b/packages/jobs/include/rattanrack/jobs/ownership.h
@@ -126,7 +126,8 @@
     /// Time since the last announcement by an owner of the cell; since the start of this process if there was none.
     Duration silenceOfOwner(const PoolId& cell, TimePoint now) const;
 
-    /// Whether announcements of more than half of the nodes that have recently announced themselves arrive.
+    /// Whether announcements of more than half of the nodes that have recently announced themselves arrive. Right after
+    /// its start this node counts all listed addresses as such nodes.
     bool receivesMostNodes(TimePoint now) const;
 
     std::optional<CellOwner> owner(const PoolId& cell, TimePoint now) const;
--- a/packages/jobs/src/ownership.cpp
+++ b/packages/jobs/src/ownership.cpp
@@ -249,8 +249,11 @@
 
 bool Ownership::receivesMostNodes(TimePoint now) const
 {
+    const bool hasJustStarted = now - m_startedAt < recentTime;
     std::size_t recent = 1; // This node.
     std::size_t live = 1;
+    if (hasJustStarted) // Nodes may run that have not reached this process yet.
+        recent += m_addressesWithoutPeer.size();
     for (const auto& [node, peer] : m_peers) {
         recent += now - peer.receivedAt < recentTime ? 1 : 0;
         live += isLive(peer, now) ? 1 : 0;
--- a/packages/jobs/tests/takeover_watch_tests.cpp
+++ b/packages/jobs/tests/takeover_watch_tests.cpp
@@ -114,3 +114,14 @@
         EXPECT_FALSE(condition()) << version;
     }
 }
+
+TEST_F(WatchingNode, ReplacesNoRunningOwnerIfItHasReceivedNobodySinceItsStart)
+{
+    for (const char* address : { "owner-1:7000", "a-1:7000", "b-1:7000" })
+        m_ownership.addAddress(address);
+    for (RowVersion version = 1; version <= 20; ++version) {
+        m_now += 400ms;
+        read(version);
+        EXPECT_FALSE(condition()) << version;
+    }
+}
