Process soak of links between daemons

In such a play each daemon announces the address of a proxy in front of it, which delays, loses or resets what the others send to it, or cuts their answers; what it sends to them passes. So the loss is one-way, of one daemon against all others. Owners of cells are hit twice as often as other daemons; owners are frozen, killed, terminated or cut from the store meanwhile, and single daemons lose the store, so that their calls go through the others. The schedules of the other kinds are unchanged.

Not done: links of one pair of daemons. Calls carry the sender's announced address, so that all others reach a daemon through one proxy.

--- a/tools/process_soak/main.cpp
+++ b/tools/process_soak/main.cpp
@@ -38,6 +38,7 @@
                    frozen; takes 25 s more;
                    links: single daemons lose single workers, while owners are frozen, killed, restarted and cut from
                    the store;
+                   peers: what other daemons send to one daemon is late or lost, beside troubles of owners;
                    routes: the queues' routes move between the pools, go and come back, beside troubles of daemons
                    [default: mixed].
   --longest-lease=MS  That workers grant; 0: 4500, for deaths and crashes 4500, 6000 or 10000 by the seed [default: 0].
@@ -68,6 +69,8 @@
         return Troubles::Crashes;
     if (name == "links")
         return Troubles::Links;
+    if (name == "peers")
+        return Troubles::Peers;
     if (name == "routes")
         return Troubles::Routes;
     std::cerr << "process-soak: no troubles are named " << name << '\n';
--- a/tools/process_soak/play.cpp
+++ b/tools/process_soak/play.cpp
@@ -1,7 +1,5 @@
 #include "play.h"
 
-#include "cell_owner.h"
-
 #include "../../packages/node/tests/free_port.h"
 #include "rattanrack/base/milliseconds.h"
 
@@ -54,12 +52,6 @@
         "limits":{"max_body_bytes":5000}})";
 }
 
-const char* nameOf(LinkMode mode)
-{
-    constexpr const char* names[] = { "pass", "delay", "silence", "resets", "cut answers" };
-    return names[static_cast<std::size_t>(mode)];
-}
-
 } // namespace
 
 Play::Play(PlaySettings settings)
@@ -105,8 +97,11 @@
         node.storeLink = std::make_unique<LoopbackProxy>(node.store->server->address());
         if (m_settings.troubles == Troubles::Links)
             addWorkerLinks(node);
+        const int peerPort = node::tests::freePort();
+        if (m_settings.troubles == Troubles::Peers)
+            node.peerLink = std::make_unique<LoopbackProxy>("127.0.0.1:" + std::to_string(peerPort));
         node.daemon = std::make_unique<Daemon>(
-            m_settings.program, m_settings.directory, entry->node, settingsOf(entry->node, *node.storeLink, *entry));
+            m_settings.program, m_settings.directory, entry->node, settingsOf(node, *entry, peerPort));
         if (!node.daemon->start())
             m_faults.push_back(entry->node + " can't be started");
         m_nodes.push_back(std::move(node));
@@ -114,12 +109,13 @@
     }
 }
 
-std::string Play::settingsOf(const std::string& name, const LoopbackProxy& storeLink, const Entry& entry) const
+std::string Play::settingsOf(const Node& node, const Entry& entry, int peerPort) const
 {
     const std::string host = "127.0.0.1:";
-    return "node: " + name + "\nlisten: " + host + std::to_string(entry.port) + "\nreadiness: " + host
-        + std::to_string(entry.readinessPort) + "\npeerListen: " + host + std::to_string(node::tests::freePort())
-        + "\nstore: " + storeLink.address() + "\nmachineList: " + m_machines->address()
+    const std::string announced = node.peerLink ? "\npeerAnnounce: " + node.peerLink->address() : "";
+    return "node: " + entry.node + "\nlisten: " + host + std::to_string(entry.port) + "\nreadiness: " + host
+        + std::to_string(entry.readinessPort) + "\npeerListen: " + host + std::to_string(peerPort) + announced
+        + "\nstore: " + node.storeLink->address() + "\nmachineList: " + m_machines->address()
         + "\nlongestLease: " + std::to_string(milliseconds(m_settings.longestLease))
         + "ms\nkeepEnded: 120s\nlongestStop: 900ms\ndrainBound: 2000ms\nstopGrace: 6s\n"
           "logLevel: info\n";
@@ -142,9 +138,9 @@
     case Action::Reload:
         return reload(m_nodes[step.target]);
     case Action::StoreLink:
-        return trouble(*m_nodes[step.target].storeLink, step, m_nodes[step.target].daemon->name(), true);
+        return troubleStoreLink(m_nodes[step.target], step);
     case Action::WorkerLink:
-        return trouble(*m_workerLinks[step.target], step, m_workers[step.target]->id(), false);
+        return trouble(*m_workerLinks[step.target], step, { "worker link", m_workers[step.target]->id() });
     case Action::Drain:
         return drain(*m_workers[step.target], step.length);
     case Action::Crash:
@@ -156,7 +152,10 @@
     case Action::FreezeOwner:
     case Action::OwnerStoreLink:
     case Action::OwnerStoreRefusal:
+    case Action::OwnerPeerLink:
         return performOnOwner(step);
+    case Action::PeerLink:
+        return troublePeerLink(m_nodes[step.target], step);
     case Action::OwnerWorkerLink:
     case Action::OtherWorkerLinks:
         return performOnWorkerLinks(step);
@@ -202,17 +201,6 @@
     node.daemon->signal(SIGHUP);
 }
 
-void Play::trouble(LoopbackProxy& link, const Step& step, const std::string& target, bool isOfNode)
-{
-    const std::size_t number = m_recorder.beginTrouble(
-        std::string(isOfNode ? "store link " : "worker link ") + nameOf(step.mode), target, isOfNode, false);
-    link.setMode(step.mode);
-    later(step.length, [this, &link, number] {
-        link.setMode(LinkMode::Pass);
-        m_recorder.endTrouble(number);
-    });
-}
-
 void Play::drain(adapter::standin::StandinWorker& worker, Duration length)
 {
     if (worker.isDraining())
@@ -226,15 +214,6 @@
     });
 }
 
-Play::Node* Play::ownerOf(std::size_t pool)
-{
-    std::vector<std::string> logs;
-    for (const Node& node : m_nodes)
-        logs.push_back(node.daemon->logPath());
-    const auto owner = cellOwner(logs, poolNames[pool]);
-    return owner ? &m_nodes[*owner] : nullptr;
-}
-
 void Play::performOnOwner(const Step& step)
 {
     Node* owner = ownerOf(step.target);
@@ -249,8 +228,10 @@
         return freeze(*owner, step.length);
     case Action::OwnerStoreRefusal:
         return turnAway(owner->store->isUnavailable, step, owner->daemon->name());
+    case Action::OwnerPeerLink:
+        return troublePeerLink(*owner, step);
     default:
-        return trouble(*owner->storeLink, step, owner->daemon->name(), true);
+        return troubleStoreLink(*owner, step);
     }
 }
 
@@ -378,6 +359,8 @@
         return routesSchedule(m_settings.seed, m_settings.length, fleet);
     case Troubles::Links:
         return linksSchedule(m_settings.seed, m_settings.length, fleet);
+    case Troubles::Peers:
+        return peersSchedule(m_settings.seed, m_settings.length, fleet);
     }
     return {};
 }
--- a/tools/process_soak/play.h
+++ b/tools/process_soak/play.h
@@ -13,7 +13,7 @@
 
 namespace rattanrack::tools {
 
-enum class Troubles { Mixed, Deaths, Crashes, Routes, Links };
+enum class Troubles { Mixed, Deaths, Crashes, Routes, Links, Peers };
 
 struct PlaySettings {
     std::string program;
@@ -43,6 +43,7 @@
         std::unique_ptr<adapter::standin::StandinStore::Endpoint> store;
         std::unique_ptr<LoopbackProxy> storeLink;
         std::vector<std::unique_ptr<LoopbackProxy>> workerLinks; ///< One for each worker; empty: all nodes share them.
+        std::unique_ptr<LoopbackProxy> peerLink; ///< From all other daemons to this one; null: they connect directly.
         std::unique_ptr<Daemon> daemon;
         bool isLeaving { false };
         bool isKilled { false };
@@ -51,15 +52,23 @@
         std::size_t trouble { 0 }; ///< That of its end.
     };
 
+    struct LinkName {
+        std::string kind;
+        std::string target;
+        bool isOfNode { false }; ///< The target is a daemon.
+    };
+
     void addWorkers();
     void addNodes();
-    std::string settingsOf(const std::string& name, const LoopbackProxy& storeLink, const Entry& entry) const;
+    std::string settingsOf(const Node& node, const Entry& entry, int peerPort) const;
     void perform(const Step& step);
     void end(Node& node, int signal, const Step& step);
     void addWorkerLinks(Node& node);
     void freeze(Node& node, Duration length);
     void reload(Node& node);
-    void trouble(LoopbackProxy& link, const Step& step, const std::string& target, bool isOfNode);
+    void trouble(LoopbackProxy& link, const Step& step, const LinkName& name);
+    void troubleStoreLink(Node& node, const Step& step);
+    void troublePeerLink(Node& node, const Step& step);
     void drain(adapter::standin::StandinWorker& worker, Duration length);
     void crash(const Step& step, bool isReplaced);
     Node* ownerOf(std::size_t pool);
--- a/tools/process_soak/schedule.cpp
+++ b/tools/process_soak/schedule.cpp
@@ -151,6 +151,26 @@
         steps.push_back(ownerTrouble(random, at + between(random, 5s, 8s), pool));
 }
 
+/// Daemons, most often the pool's owner, receive nothing or late what the others send. At times the owner is in trouble
+/// meanwhile, or a daemon needs the others to reach the store.
+void addPeerSeries(
+    fakes::Random& random, Duration at, std::size_t pool, const FleetSize& fleet, std::vector<Step>& steps)
+{
+    const std::uint64_t count = 1 + random.below(3);
+    for (std::uint64_t each = 0; each < count; ++each) {
+        Step step { at + between(random, 0s, 500ms), random.oneIn(3) ? Action::PeerLink : Action::OwnerPeerLink };
+        step.target = step.action == Action::PeerLink ? random.below(fleet.nodes) : pool;
+        step.length = between(random, 1500ms, 8s);
+        step.mode = random.pick(modes);
+        steps.push_back(step);
+    }
+    if (random.oneIn(2))
+        steps.push_back(ownerTrouble(random, at + between(random, 500ms, 3s), pool));
+    if (random.oneIn(3))
+        steps.push_back({ at + between(random, 0s, 1s), Action::StoreLink, random.below(fleet.nodes),
+            between(random, 2s, 6s), random.pick(cuts) });
+}
+
 } // namespace
 
 std::vector<Step> mixedSchedule(std::uint64_t seed, Duration length, const FleetSize& fleet)
@@ -218,6 +238,15 @@
     return inOrder(std::move(steps));
 }
 
+std::vector<Step> peersSchedule(std::uint64_t seed, Duration length, const FleetSize& fleet)
+{
+    fakes::Random random { seed };
+    std::vector<Step> steps;
+    for (Duration at = firstLinkTroubles; at < length; at += between(random, 2s, 6s))
+        addPeerSeries(random, at, random.below(fleet.pools), fleet, steps);
+    return inOrder(std::move(steps));
+}
+
 std::vector<Step> deathsSchedule(std::uint64_t seed, Duration length, const FleetSize& fleet)
 {
     fakes::Random random { seed };
--- a/tools/process_soak/schedule.h
+++ b/tools/process_soak/schedule.h
@@ -25,6 +25,8 @@
     /// The link of the worker `target` with the owner of its pool's cell.
     OwnerWorkerLink,
     OtherWorkerLinks, ///< The links of the worker `target` with all other daemons.
+    PeerLink, ///< What the other daemons send to the node `target`; what it sends to them passes.
+    OwnerPeerLink, ///< The same for the owner of the pool's cell.
     StoreDown, ///< For all daemons.
     OwnerStoreRefusal, ///< The store turns away the owner of the pool's cell, and serves the others.
     MoveRoute, ///< The next configuration sends a queue to another pool, or nowhere for `length`.
@@ -72,4 +74,9 @@
 /// equal arguments.
 std::vector<Step> linksSchedule(std::uint64_t seed, Duration length, const FleetSize& fleet);
 
+/// Series that overlap, in which what other daemons send to one daemon, most often to an owner of a cell, is delayed,
+/// lost or reset, while owners are frozen, killed, terminated or cut from the store, and single daemons lose the store
+/// so that their calls go through the others. In order of time; the same for equal arguments.
+std::vector<Step> peersSchedule(std::uint64_t seed, Duration length, const FleetSize& fleet);
+
 } // namespace rattanrack::tools
