The soak says how long an unfinished job waited beside an unused pool

Seen: LOST (c) of the process soak names jobs that the play leaves no time for: it asks 14 s after the last trouble, whatever waits then. To tell a backlog from a job that is left behind, the logs had to be read each time.

Cause: the judge's rule is stricter than the users', who count an unfinished job only if for 3 s it has nothing running while a task's turn has come, there is room, and under half of the service's capacity is in use.

Change: the text of LOST (c) says for how long the job had no run while under half of its pool was in use, since the last trouble. The rule is as it was: the same jobs are flagged. Counting places moves from lasting_check.cpp to pool_use.cpp, which both use.

--- a/tools/process_soak/judge.cpp
+++ b/tools/process_soak/judge.cpp
@@ -2,6 +2,7 @@
 
 #include "crash_check.h"
 #include "lasting_check.h"
+#include "pool_use.h"
 #include "task_name.h"
 
 #include <algorithm>
@@ -28,10 +29,9 @@
 
 constexpr const char* endingNames[] = { "at work", "done", "failed", "stopped", "lapsed", "gone", "maintained" };
 
-double seconds(const History& history, TimePoint at)
-{
-    return std::chrono::duration<double>(at - history.beganAt).count();
-}
+double seconds(Duration length) { return std::chrono::duration<double>(length).count(); }
+
+double seconds(const History& history, TimePoint at) { return seconds(at - history.beganAt); }
 
 std::string placeOf(const History& history, const RunRecord& run)
 {
@@ -178,9 +178,13 @@
     for (const auto& [id, job] : history.jobs) {
         if (!job.acceptedAt || job.cancelSentAt)
             continue;
-        if (!isInOrder(history, tasks, id, job))
-            found.push_back({ "LOST (c)", id,
-                id.value() + " is " + job.lastState + ", " + std::to_string(runningOf(history, id)) + " running" });
+        if (isInOrder(history, tasks, id, job))
+            continue;
+        std::ostringstream text;
+        text << id << " is " << job.lastState << ", " << runningOf(history, id) << " running, "
+             << seconds(longestWaitBesideUnusedPool(history, id))
+             << " s at most without a run beside an unused half of its pool since the last trouble";
+        found.push_back({ "LOST (c)", id, text.str() });
     }
 }
 
--- a/tools/process_soak/lasting_check.cpp
+++ b/tools/process_soak/lasting_check.cpp
@@ -1,5 +1,6 @@
 #include "lasting_check.h"
 
+#include "pool_use.h"
 #include "task_name.h"
 
 #include <algorithm>
@@ -16,7 +17,6 @@
 constexpr Duration calmBefore = 4s;
 constexpr Duration step = 50ms; ///< Between the moments that are looked at.
 constexpr Duration waveLength = 15s; ///< Of the waves that a play orders.
-constexpr int runsPerWorker = 8;
 constexpr int roomNeeded = 2;
 
 bool isEndOfProcess(const Trouble& trouble)
@@ -35,35 +35,10 @@
     return trouble.from <= to && (!trouble.to || *trouble.to >= from);
 }
 
-bool isWithin(TimePoint at, TimePoint begin, const std::optional<TimePoint>& end)
-{
-    return begin <= at && (!end || at < *end);
-}
-
-bool isDraining(const History& history, const jobs::WorkerId& worker, TimePoint at)
-{
-    return std::any_of(history.drains.begin(), history.drains.end(),
-        [&](const DrainNotice& drain) { return drain.worker == worker && isWithin(at, drain.at, drain.until); });
-}
-
-int roomAt(const History& history, const std::string& pool, TimePoint at)
-{
-    int room = 0;
-    for (const WorkerLife& life : history.lives) {
-        if (life.pool != pool || !isWithin(at, life.from, life.to) || isDraining(history, life.worker, at))
-            continue;
-        const auto running = std::count_if(history.runs.begin(), history.runs.end(), [&](const RunRecord& run) {
-            return run.worker == life.worker && isWithin(at, run.startedAt, run.endedAt);
-        });
-        room += std::max(0, runsPerWorker - static_cast<int>(running));
-    }
-    return room;
-}
-
 bool hasRoom(const History& history, const std::string& pool, TimePoint from, TimePoint to)
 {
     for (TimePoint at = from; at <= to; at += step) {
-        if (roomAt(history, pool, at) < roomNeeded)
+        if (poolUse(history, pool, at).free < roomNeeded)
             return false;
     }
     return true;
