A replaced owner uses no new incarnation whose clock starts high

A worker restarts under its id, and the clock of the new incarnation starts at 20 s. An owner that has been replaced starts tasks there at once, without a transaction sent since the incarnation began. The next owner may have contacted the earlier incarnation only, so that no fence stops the start: TWICE.

Cause: the age of an incarnation was taken from its clock less 2 s. The platform says that the clock starts anew, and names no value.

Change: the clock alone counts only for incarnations that the first list after the takeover shows. Any other began no earlier than a list first showed it, or than its first response if no list has. A takeover needs no further transaction; a new incarnation that starts before it is listed may wait for one, as most did before.

Left: an incarnation that begins between a takeover and its first list, and LeaseClock::isFromThisIncarnation, which uses the 2 s for starts on workers that close their connections.

--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -195,6 +195,7 @@
     TimePoint transactionSentAt {}; ///< When the latest transaction was sent.
     TimePoint ownershipConfirmedAt {}; ///< When the latest transaction that has succeeded since the takeover was sent.
     TimePoint listRequestedAt {}; ///< When the list of workers in use was requested from the store.
+    TimePoint firstListAt {}; ///< When the first list after the takeover arrived.
     bool isRecovering { true };
     WorkerMachines workersAtTakeover; ///< As stored by the previous owner; empty once the recovery is over.
     /// When a worker of previous owners was last released without a response to this owner.
@@ -300,6 +301,7 @@
         Worker& worker, const StartCommand& command, Run& run, const CommandResult& result, TimePoint now);
 
     // Workers: cell_workers.cpp
+    TimePoint latestStart(const Worker& worker, const PollReport& report, TimePoint now) const;
     void sendPolls(TimePoint now, bool mayRenew);
     void retryCommands(TimePoint now, bool mayStart);
     void checkUnresponsive(TimePoint now);
--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -61,6 +61,7 @@
 {
     CellState& state = *m_state;
     state.listRequestedAt = requestedAt;
+    state.firstListAt = state.firstListAt == TimePoint {} ? now : state.firstListAt;
     for (auto& [id, worker] : state.workers)
         worker.isListed = false;
     for (const WorkerDescription& description : listed) {
@@ -115,6 +116,18 @@
     });
 }
 
+/// The clock of a new incarnation may start at any value, and an owner that has been replaced must not take such an
+/// incarnation for one that the next owner has contacted. The clock alone therefore counts only for incarnations that
+/// the first list after the takeover shows; later ones count from when they were first listed.
+TimePoint CellState::latestStart(const Worker& worker, const PollReport& report, TimePoint now) const
+{
+    const bool isListed = worker.isListed && worker.description.incarnationUnixMs == report.incarnationUnixMs;
+    if (!isListed)
+        return now;
+    const TimePoint byClock = now - ageAtLeast(report.workerClockMs);
+    return worker.firstListedAt > firstListAt ? std::max(worker.firstListedAt, byClock) : byClock;
+}
+
 void CellState::sendPolls(TimePoint now, bool mayRenew)
 {
     for (auto& [id, worker] : workers) {
@@ -182,7 +195,7 @@
         worker.isContactDueAfterDrain = worker.isContactCheckSent = false;
     state.recordRestartIfLater(worker, report.incarnationUnixMs, now);
     if (worker.incarnationUnixMs != report.incarnationUnixMs)
-        worker.beginIncarnation(report.incarnationUnixMs, now - ageAtLeast(report.workerClockMs));
+        worker.beginIncarnation(report.incarnationUnixMs, state.latestStart(worker, report, now));
     else
         worker.lastAckSent = std::max(worker.lastAckSent, result.ackedThrough);
     if (worker.contact != WorkerContact::Responsive) {
--- a/packages/jobs/tests/cell_harness.h
+++ b/packages/jobs/tests/cell_harness.h
@@ -222,16 +222,17 @@
     std::int64_t clockMs() const { return unixMs() - 900'000; }
 
     /// The worker crashes and restarts at once under its id: it runs nothing, and its clock starts anew.
-    void restartWorker(const WorkerId& worker)
+    void restartWorker(const WorkerId& worker, Duration initialClock = {})
     {
-        m_laterIncarnations[worker] = { incarnationOf(worker).incarnationUnixMs + 1, unixMs() };
+        m_laterIncarnations[worker]
+            = { incarnationOf(worker).incarnationUnixMs + 1, unixMs() - initialClock.count() / 1000 };
     }
 
     /// Restarts all workers; the list shows it.
-    void restartAllWorkers()
+    void restartAllWorkers(Duration initialClock = {})
     {
         for (const WorkerDescription& worker : m_listed)
-            restartWorker(worker.id);
+            restartWorker(worker.id, initialClock);
         listIncarnations();
     }
 
--- a/packages/jobs/tests/cell_incarnation_tests.cpp
+++ b/packages/jobs/tests/cell_incarnation_tests.cpp
@@ -176,6 +176,21 @@
     EXPECT_EQ(harness.takeCommands<StartCommand>().size(), 1U);
 }
 
+TEST(CellIncarnation, ReplacedOwnerStartsNothingInANewIncarnationWhoseClockStartsHigh)
+{
+    CellHarness harness;
+    harness.restartAllWorkers(20s);
+    harness.advance(300ms);
+    harness.answerAllPolls();
+    harness.submitAndStore("a");
+    harness.advance(period);
+    EXPECT_TRUE(harness.takeCommands<StartCommand>().empty());
+    EXPECT_TRUE(harness.cell().needsConfirmation());
+    harness.confirmOwnership();
+    harness.advance(period);
+    EXPECT_EQ(harness.takeCommands<StartCommand>().size(), 1U);
+}
+
 TEST(CellIncarnation, TransactionSentBeforeAnIncarnationStartedDoesNotConfirmIt)
 {
     CellHarness harness;
