Walks of replaced owners with late commands, clocks, and results out of order

The model draws the clocks of new incarnations (up to 30 s), the delay of late commands (0 to 30 s in place of 2 to 12 s; optionally on their way, so that a later incarnation of a worker that closes its connections receives them), the wall clocks of nodes (10 s ahead or behind) and the delay of responses (up to 0.65 s). Replaced owners may go on reading the list of workers, and workers flap and shrink meanwhile.

--- a/packages/jobs/model/cell_simulation.cpp
+++ b/packages/jobs/model/cell_simulation.cpp
@@ -153,10 +153,11 @@
         stored.push_back(std::move(job));
     }
     Owner& owner = m_owners[++m_ownerNumber];
+    m_clockErrors[m_ownerNumber] = randomError(m_faults.longestClockError);
     owner.term = ++m_term;
     m_takenOverAt[m_ownerNumber] = m_now;
     owner.cell = std::make_unique<Cell>(settingsOf(m_term, m_longestLease), std::move(stored), m_workerRow, m_now,
-        unixMs(), std::exchange(m_outstandingLeasesRow, {}));
+        unixMs(m_ownerNumber), std::exchange(m_outstandingLeasesRow, {}));
     owner.cell->configure({ { QueueId { queueName }, poolName, 0, maxAttempts, 1.6, 600ms } });
     owner.cell->setDrainingMachines(m_drainingMachines);
     owner.confirmedAt = m_now;
@@ -173,7 +174,7 @@
 /// The id of a process is the name of its node and, after a hyphen, when it started.
 NodeId CellSimulation::startProcess(int node)
 {
-    m_processes[node] = processId("node" + std::to_string(node), unixMs());
+    m_processes[node] = processId("node" + std::to_string(node), unixMs(node));
     return m_processes[node];
 }
 
@@ -194,7 +195,9 @@
 void CellSimulation::listWorkers(int number, bool mayTakeLong)
 {
     Owner* owner = findOwner(number);
-    if (!owner || owner->isReplaced || owner->isListReadInFlight)
+    if (!owner || owner->isListReadInFlight)
+        return;
+    if (owner->isReplaced && !happens(m_faults.listReadsWhenReplaced))
         return;
     std::vector<WorkerDescription> listed;
     for (const ModelWorker& worker : m_workers) {
@@ -259,7 +262,7 @@
         return;
     m_oracle.onCancelled(job);
     const CallerToken token = ++m_lastToken;
-    const auto acceptance = presentOwner()->cell->cancel(job, token, unixMs());
+    const auto acceptance = presentOwner()->cell->cancel(job, token, unixMs(m_ownerNumber));
     if (acceptance == Acceptance::Pending)
         m_cancels[token] = job;
 }
@@ -297,7 +300,7 @@
     Owner& owner = *findOwner(number);
     if (owner.cell->isRecovering())
         owner.cell->limitInheritedLeases(latestObservedGrantBefore(owner, number) + inheritedLease({}, leaseLength));
-    processOutput(owner.cell->advance(m_now, unixMs(), authorityOf(owner)), number);
+    processOutput(owner.cell->advance(m_now, unixMs(number), authorityOf(owner)), number);
     commit(number);
 }
 
@@ -324,7 +327,7 @@
     Owner& owner = *findOwner(number);
     if (owner.isCommitting || m_now - owner.lastCommit < commitInterval)
         return;
-    const auto commit = owner.cell->takeCommit(unixMs());
+    const auto commit = owner.cell->takeCommit(unixMs(number));
     const auto workers = owner.cell->workersInUse();
     const bool isRenewalDue = m_now - owner.lastCommit >= renewalPeriod || owner.cell->needsConfirmation();
     if (!commit && workers == m_workerRow && !isRenewalDue)
@@ -339,7 +342,7 @@
         const bool isFailed = happens(m_faults.failedCommits);
         if (!isFailed)
             write(commit, workers, number);
-        runOnLoop(number, [this, commit, workers, isFailed, sentAt](Owner& committer) {
+        runOnLoop(number, [this, number, commit, workers, isFailed, sentAt](Owner& committer) {
             committer.isCommitting = false;
             if (isFailed) {
                 if (commit)
@@ -349,7 +352,7 @@
             committer.confirmedAt = sentAt;
             committer.cell->onWorkerListStored(workers);
             if (commit)
-                committer.cell->onCommitted(unixMs());
+                committer.cell->onCommitted(unixMs(number));
         });
     });
 }
--- a/packages/jobs/model/cell_simulation.h
+++ b/packages/jobs/model/cell_simulation.h
@@ -50,6 +50,7 @@
     double truncatedPolls { 0 }; ///< Share of the polls that list one ended run at most.
     double storeStallsPerSecond { 0 }; ///< Periods in which transactions take up to seconds.
     double survivingOwners { 0 }; ///< Share of the lost owners that go on beside the next one, without the store.
+    double listReadsWhenReplaced { 0 }; ///< Share of the reads of the worker list by replaced owners that succeed.
     double slowListReads { 0 }; ///< Share of the reads of the worker list that take seconds.
     double loopStallsPerSecond { 0 }; ///< Times a second at which the owners' loops stall for up to seconds.
     double delayedCommands { 0 }; ///< Share of the commands that wait for up to seconds before they are sent.
@@ -64,6 +65,13 @@
     /// Share of the crashes that end no connection and close no port, as when a machine loses power.
     double silentCrashes { 0 };
     double renamedAfterTaskCrash { 0.15 }; ///< Share of the workers crashed by a task that return under a new id.
+    Duration longestInitialClock {}; ///< Of new incarnations, in place of 1 s.
+    Duration longestExecutionDelay {}; ///< Of commands carried out late, from 0 s on, in place of 2 to 12 s.
+    /// Commands carried out late wait on their way to the worker. A later incarnation receives those whose connection
+    /// was not made to an earlier one.
+    bool areLateCommandsHeldOnTheWay { false };
+    Duration longestClockError {}; ///< Of the nodes' wall clocks, ahead or behind.
+    Duration longestResponseDelay {}; ///< Responses to different commands overtake each other.
 };
 
 class CellSimulation {
@@ -211,7 +219,10 @@
     bool happens(double probability);
     Duration randomBetween(Duration least, Duration most);
     void schedule(Duration delay, std::function<void()> work);
-    std::int64_t unixMs() const { return m_now.time_since_epoch().count() / 1000; }
+    Duration randomError(Duration longest);
+    std::int64_t unixMs(int owner) const; ///< By the wall clock of the owner's node.
+    Duration responseDelay();
+    void restartWorker(std::size_t worker);
 
     void tick();
     void injectFaults(Duration period);
@@ -261,6 +272,8 @@
     template <typename CommandType> bool isResponseCutOff(const CommandType& command, const CommandResult& result);
     template <typename CommandType>
     void executeLate(const CommandType& command, std::int64_t incarnationUnixMs, const CommandExecution& execution);
+    Duration executionDelay();
+    ModelWorker* findLateReceiver(const WorkerId& id, std::int64_t incarnationUnixMs);
     CommandResult execute(ModelWorker& worker, const StartCommand& command, const CommandExecution& execution);
     CommandResult execute(ModelWorker& worker, const StopCommand& command, const CommandExecution& execution);
     CommandResult execute(ModelWorker&, const ThrottleCommand&, const CommandExecution&)
@@ -322,6 +335,7 @@
     std::map<int, TimePoint> m_takenOverAt; ///< By the number of the owner.
     std::map<int, TimePoint> m_ownerEndedAt; ///< When the owner's process ended, as the next ones know at once.
     std::map<int, NodeId> m_processes; ///< The latest process of the node of each owner.
+    std::map<int, Duration> m_clockErrors; ///< Of the node of each owner.
     bool m_areNodesRestarting { false }; ///< The next owner's node has been restarted.
     std::set<MachineId> m_drainingMachines;
     TimePoint m_storeStalledUntil {};
--- a/packages/jobs/model/cell_simulation_commands.cpp
+++ b/packages/jobs/model/cell_simulation_commands.cpp
@@ -160,7 +160,7 @@
         if (isCutOff)
             failExchangeLater(exchange, CommandStatus::NoResponse, commandTimeout);
         else if (!isResponseLost)
-            schedule(networkDelay, [this, deliver, exchange, result] {
+            schedule(responseDelay(), [this, deliver, exchange, result] {
                 if (m_openExchanges.erase(exchange) > 0)
                     deliver(result);
             });
@@ -175,14 +175,27 @@
     return isStart && result.status == CommandStatus::Done && crashesWorkers(command.task) && happens(0.5);
 }
 
-/// The incarnation that has received the command carries it out, if it still exists then.
+Duration CellSimulation::executionDelay()
+{
+    return m_faults.longestExecutionDelay > Duration::zero() ? randomBetween(0us, m_faults.longestExecutionDelay)
+                                                             : randomBetween(2s, 12s);
+}
+
+/// The incarnation that a command carried out late was sent to still exists, or a later one receives the command.
+ModelWorker* CellSimulation::findLateReceiver(const WorkerId& id, std::int64_t incarnationUnixMs)
+{
+    ModelWorker* worker = find(id);
+    const bool mayBeLater = m_faults.areLateCommandsHeldOnTheWay && m_faults.areConnectionsClosed;
+    const bool isReceiver = worker && (mayBeLater || worker->description().incarnationUnixMs == incarnationUnixMs);
+    return isReceiver ? worker : nullptr;
+}
+
 template <typename CommandType>
 void CellSimulation::executeLate(
     const CommandType& command, std::int64_t incarnationUnixMs, const CommandExecution& execution)
 {
-    schedule(randomBetween(2s, 12s), [this, command, incarnationUnixMs, execution] {
-        ModelWorker* worker = find(command.worker);
-        if (worker && worker->description().incarnationUnixMs == incarnationUnixMs)
+    schedule(executionDelay(), [this, command, incarnationUnixMs, execution] {
+        if (ModelWorker* worker = findLateReceiver(command.worker, incarnationUnixMs))
             execute(*worker, command, execution);
     });
 }
@@ -254,12 +267,11 @@
     });
 }
 
-/// The incarnation that has received the poll carries it out, if it still exists then.
 void CellSimulation::pollLate(const PollCommand& command, std::int64_t incarnationUnixMs)
 {
-    schedule(randomBetween(2s, 12s), [this, command, incarnationUnixMs] {
-        ModelWorker* worker = find(command.worker);
-        if (!worker || worker->description().incarnationUnixMs != incarnationUnixMs)
+    schedule(executionDelay(), [this, command, incarnationUnixMs] {
+        ModelWorker* worker = findLateReceiver(command.worker, incarnationUnixMs);
+        if (!worker)
             return;
         worker->poll(command, fullListSize, m_now);
         processWorkerEvents(*worker);
@@ -297,7 +309,7 @@
     if (link != LinkState::Up)
         return failExchangeLater(exchange, CommandStatus::NoResponse, commandTimeout);
     const bool isCutOff = happens(m_faults.lostResponses);
-    schedule(networkDelay, [this, waiting, result, isCutOff] {
+    schedule(responseDelay(), [this, waiting, result, isCutOff] {
         if (isCutOff)
             failExchange(waiting.exchange, CommandStatus::NoResponse, true);
         else if (m_openExchanges.erase(waiting.exchange) > 0)
--- a/packages/jobs/model/cell_simulation_faults.cpp
+++ b/packages/jobs/model/cell_simulation_faults.cpp
@@ -17,6 +17,23 @@
 
 } // namespace
 
+/// Up to `longest` ahead or behind.
+Duration CellSimulation::randomError(Duration longest)
+{
+    return longest > Duration::zero() ? randomBetween(-longest, longest) : Duration {};
+}
+
+std::int64_t CellSimulation::unixMs(int owner) const
+{
+    return (m_now + m_clockErrors.at(owner)).time_since_epoch().count() / 1000;
+}
+
+Duration CellSimulation::responseDelay()
+{
+    const bool isDelayed = m_faults.longestResponseDelay > Duration::zero();
+    return networkDelay + (isDelayed ? randomBetween(0us, m_faults.longestResponseDelay) : Duration {});
+}
+
 void CellSimulation::injectFaults(Duration period)
 {
     const double seconds = static_cast<double>(period.count()) / 1e6;
@@ -127,10 +144,17 @@
             m_workers[index] = ModelWorker { description, 0.99, m_longestLease };
             m_workers[index].setEnforcesCapacity(enforcesCapacity);
         }
-        m_workers[index].restart(++m_incarnations, m_now);
+        restartWorker(index);
     });
 }
 
+void CellSimulation::restartWorker(std::size_t index)
+{
+    const bool isDrawn = m_faults.longestInitialClock > Duration::zero();
+    const Duration clock = isDrawn ? randomBetween(0us, m_faults.longestInitialClock) : Duration { 1s };
+    m_workers[index].restart(++m_incarnations, m_now, clock);
+}
+
 void CellSimulation::takeDown(std::size_t index, bool isByTask)
 {
     const WorkerDescription description = m_workers[index].description();
@@ -170,11 +194,11 @@
     m_staleEntries.push_back({ description, m_now + heartbeatsMissing });
     m_lastWorkerLostAt = m_now;
     schedule(replacementTime, [this, index, description]() mutable {
-        const std::string number = std::to_string(++m_incarnations);
+        const std::string number = std::to_string(m_incarnations + 1);
         description.id = WorkerId { "w" + number + "n" };
         description.machine = MachineId { "m" + number + "n" };
         m_workers[index] = ModelWorker { description, 0.99, m_longestLease };
-        m_workers[index].restart(m_incarnations, m_now);
+        restartWorker(index);
     });
 }
 
@@ -185,7 +209,7 @@
         return;
     takeDown(index);
     schedule(randomBetween(50ms, 1400ms), [this, index, count] {
-        m_workers[index].restart(++m_incarnations, m_now);
+        restartWorker(index);
         schedule(randomBetween(50ms, 1400ms), [this, index, count] { flapWorker(index, count - 1); });
     });
 }
--- a/packages/jobs/model/model_worker.cpp
+++ b/packages/jobs/model/model_worker.cpp
@@ -6,7 +6,8 @@
 
 std::int64_t ModelWorker::clockMs(TimePoint now) const
 {
-    return 1000 + static_cast<std::int64_t>(static_cast<double>((now - m_startedAt).count()) * m_clockRate / 1000);
+    const double sinceStart = static_cast<double>((now - m_startedAt).count()) * m_clockRate;
+    return (m_initialClock.count() + static_cast<std::int64_t>(sinceStart)) / 1000;
 }
 
 void ModelWorker::endRun(const TaskRef& task, RunOutcome outcome, TimePoint now)
@@ -146,8 +147,9 @@
     m_fence = 0;
 }
 
-void ModelWorker::restart(std::int64_t incarnationUnixMs, TimePoint now)
+void ModelWorker::restart(std::int64_t incarnationUnixMs, TimePoint now, Duration initialClock)
 {
+    m_initialClock = initialClock;
     m_isUp = true;
     m_startedAt = now;
     m_description.incarnationUnixMs = incarnationUnixMs;
--- a/packages/jobs/model/model_worker.h
+++ b/packages/jobs/model/model_worker.h
@@ -98,7 +98,8 @@
     bool hasLease(TimePoint now) const { return clockMs(now) < m_leaseUntilMs; }
 
     void crash();
-    void restart(std::int64_t incarnationUnixMs, TimePoint now);
+    /// `initialClock`: of the new incarnation.
+    void restart(std::int64_t incarnationUnixMs, TimePoint now, Duration initialClock = std::chrono::seconds { 1 });
 
 private:
     std::int64_t clockMs(TimePoint now) const;
@@ -113,6 +114,7 @@
     bool m_enforcesCapacity { true };
     bool m_isUp { true };
     TimePoint m_startedAt {};
+    Duration m_initialClock { std::chrono::seconds { 1 } };
     std::map<TaskRef, ModelRun> m_runs;
     /// Highest run that was stopped or has ended; starts up to this number are refused.
     std::map<TaskRef, RunNumber> m_highestRuns;
--- a/packages/jobs/tests/owner_link_walk_tests.cpp
+++ b/packages/jobs/tests/owner_link_walk_tests.cpp
@@ -6,6 +6,7 @@
 using namespace rattanrack;
 using namespace rattanrack::jobs::model;
 using namespace rattanrack::jobs::tests;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -36,6 +37,52 @@
         .handBacksPerSecond = 0.5 });
 }
 
+/// Among common faults, with workers that flap.
+FaultRates manyFaults()
+{
+    FaultRates rates = withOwnerLinks(starvedOwnersAndFlaps());
+    rates.crashesPerSecond = 0.3;
+    rates.failedCommits = 0.05;
+    rates.slowListReads = 0;
+    rates.listReadsWhenReplaced = 0.8;
+    rates.flapsPerSecond = 0.5;
+    rates.shrinksPerSecond = 1.2;
+    return rates;
+}
+
+FaultRates withInitialClocks(FaultRates rates)
+{
+    rates.longestInitialClock = 30s;
+    return rates;
+}
+
+FaultRates withLateCommands(FaultRates rates)
+{
+    rates.lostCommands = 0.08;
+    rates.delayedPolls = 0.05;
+    rates.longestExecutionDelay = 30s;
+    return rates;
+}
+
+FaultRates withCommandsHeldOnTheWay(FaultRates rates)
+{
+    rates = withClosedConnections(withLateCommands(rates));
+    rates.areLateCommandsHeldOnTheWay = true;
+    return rates;
+}
+
+FaultRates withWallClockErrors(FaultRates rates)
+{
+    rates.longestClockError = 10s;
+    return rates;
+}
+
+FaultRates withOvertakingResults(FaultRates rates)
+{
+    rates.longestResponseDelay = 650ms;
+    return rates;
+}
+
 CrashWalkSettings gangs(double crashingShare)
 {
     return { .crashingShare = crashingShare,
@@ -79,3 +126,13 @@
 TEST(OwnerLinkWalk, Gangs) { runCrashWalks(gangs(0), { 10, { 143, 205, 252, 316, 328, 489, 527, 599 } }); }
 
 TEST(OwnerLinkWalk, GangsAmongCrashes) { runCrashWalks(gangs(0.1), { 10, { 50, 109, 143, 335, 592, 605, 617 } }); }
+
+TEST(OwnerLinkWalk, ClocksOfNewIncarnations) { runWalks(withInitialClocks(manyFaults()), 10, 40, 2); }
+
+TEST(OwnerLinkWalk, CommandsCarriedOutLate) { runWalks(withLateCommands(manyFaults()), 10, 40, 2); }
+
+TEST(OwnerLinkWalk, CommandsHeldOnTheWay) { runWalks(withCommandsHeldOnTheWay(manyFaults()), 10, 40, 2); }
+
+TEST(OwnerLinkWalk, WallClocksOfNodesDiffer) { runWalks(withWallClockErrors(manyFaults()), 10, 40, 2); }
+
+TEST(OwnerLinkWalk, ResultsOvertakeEachOther) { runWalks(withOvertakingResults(manyFaults()), 10, 40, 2); }
