A failed task waits for the transaction with its own failure only

Cause: JobEntry::failureRevision was of the whole job. A failure that another task has while a transaction is in flight moved it beyond that transaction.

Ruled out: a revision in each task, which costs 8 bytes for each of 20,000 tasks, of which few have an end that is not stored. A weaker condition for failures than for presumed ends: both need the transaction, the first for the count, the second for the proof.

Change: the job holds the revisions of those tasks only whose latest failure, lost start or presumed end is not stored; an entry goes with the transaction that contains it. The members of a gang share one entry, so a gang waits for the ends of all its members. A transaction that is lost leaves the entries; acknowledgements are as before.

PresumedEnd.NextRunDoesNotStartOnATransactionSentBefore expected no start at all, which was the fault: the transaction that succeeds there stores the failure of the other task. It now expects one start, that of the other task, and none of the task that is presumed over. MissingRunDiagnosisTest.FailureThatIsNotStored sets the condition through the new function.

--- a/packages/jobs/src/cell.cpp
+++ b/packages/jobs/src/cell.cpp
@@ -319,7 +319,7 @@
             state.addEvent(JobEvent { JobEvent::Kind::Ended, id, std::string(name(entry.stateInCommit)),
                 Duration { (unixMs - entry.job.acceptedAtUnixMs) * 1000 } });
         entry.isStored = true;
-        entry.storedRevision = std::exchange(entry.revisionInCommit, 0);
+        entry.onStored(std::exchange(entry.revisionInCommit, 0));
         entry.storedState = entry.stateInCommit;
         if (hasEnded && entry.storedState == JobState::Failed)
             state.stopJob(entry, "job failed");
--- a/packages/jobs/src/cell_crashes.cpp
+++ b/packages/jobs/src/cell_crashes.cpp
@@ -162,7 +162,7 @@
         return;
     task.lostStarts.push_back(lost);
     addSuspect(*entry, start.task, lost);
-    storeBeforeNextStart(*entry);
+    storeBeforeNextStart(*entry, start.task);
 }
 
 /// The worker ended the connection on which the start was sent. Another start may have crashed it before this one
@@ -178,7 +178,7 @@
         if (!isOfStart || lost.wasReceived)
             continue;
         lost.wasReceived = true;
-        storeBeforeNextStart(*entry);
+        storeBeforeNextStart(*entry, start.task);
     }
 }
 
--- a/packages/jobs/src/cell_runs.cpp
+++ b/packages/jobs/src/cell_runs.cpp
@@ -95,7 +95,7 @@
         worker.presumedEndAt = isPresumed ? now : worker.presumedEndAt;
         if (isPresumed && isKnownTask && entry->progress.task(task).phase != TaskPhase::Done) {
             entry->progress.presumeEnded(task, number);
-            storeBeforeNextStart(*entry);
+            storeBeforeNextStart(*entry, task);
         }
     }
     const bool hasNoRun = releaseRun(worker, task);
@@ -150,12 +150,12 @@
     }
 }
 
-void CellState::storeBeforeNextStart(JobEntry& entry)
+void CellState::storeBeforeNextStart(JobEntry& entry, const TaskRef& task)
 {
     if (entry.progress.hasEnded())
         return;
     markChanged(entry);
-    entry.failureRevision = entry.revision;
+    entry.holdUntilStored({ task.occurrence, task.step, task.index });
     isCommitUrgent = true;
 }
 
@@ -225,7 +225,7 @@
         if (hasNoRun)
             entry->progress.onRunEnded(ended.task);
         if (isFailure && isUnfinished && !step.isLongRunning && entry->progress.countFailure(counted, ended.run)) {
-            storeBeforeNextStart(*entry);
+            storeBeforeNextStart(*entry, counted);
             failIfOutOfAttempts(*entry, counted);
         }
     }
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -53,6 +53,15 @@
     TimePoint overAt {}; ///< The run was over by then.
 };
 
+/// A task within its job.
+struct TaskPosition {
+    int occurrence { 0 };
+    int step { 0 };
+    int index { 0 };
+
+    friend auto operator<=>(const TaskPosition&, const TaskPosition&) = default;
+};
+
 struct JobEntry {
     JobEntry(Job accepted, JobProgress initialProgress)
         : job(std::move(accepted))
@@ -70,8 +79,9 @@
     std::uint64_t revision { 0 }; ///< Increases with each change that is to be stored.
     std::uint64_t revisionInCommit { 0 };
     std::uint64_t storedRevision { 0 };
-    /// The revision that contains the latest failure, lost start or presumed end of a run.
-    std::uint64_t failureRevision { 0 };
+    /// By task, of a gang by its first one: the revision that contains the latest failure, lost start or presumed end
+    /// of a run. Only those that are not stored yet, so that a large job needs no memory for its other tasks.
+    std::map<TaskPosition, std::uint64_t> unstoredEnds;
     int suspects { 0 }; ///< Tasks that may have crashed a worker.
     JobState stateInCommit { JobState::Queued };
     JobState storedState { JobState::Queued };
@@ -91,6 +101,16 @@
     /// renewed the run's lease or received its end, and the next owner must know that a further run may exist. Suspects
     /// start in trials instead, unless they belong to a gang.
     bool isStartable(int occurrence, int step, int index) const;
+
+    /// Whether the latest failure, lost start or presumed end of the task's runs is stored; of a gang, of all members.
+    bool areEndsStored(const TaskPosition& task) const;
+
+    /// The task, or its gang, starts again only once the present revision is stored.
+    void holdUntilStored(const TaskPosition& task) { unstoredEnds[holderOf(task)] = revision; }
+
+    /// A transaction that contains this revision has succeeded.
+    void onStored(std::uint64_t stored);
+    TaskPosition holderOf(const TaskPosition& task) const;
     int startableTasks(int occurrence, int step) const;
 
     /// Whether the job has failed and no transaction has confirmed it yet. A later owner may have decided otherwise, so
@@ -273,8 +293,8 @@
     /// The runs of a failed job are stopped once the failure is stored: a later owner may not have come to it.
     void failIfOutOfAttempts(JobEntry& entry, const TaskRef& failed);
 
-    /// Stores the change of the job before any task that it concerns starts again.
-    void storeBeforeNextStart(JobEntry& entry);
+    /// Stores the change of the job before the task, or its gang, starts again.
+    void storeBeforeNextStart(JobEntry& entry, const TaskRef& task);
 
     /// Whether an end as done counts. While workers of previous owners are not contacted, a replaced owner may still
     /// start the run that follows one that is presumed to have ended, or one on a worker that it has released.
--- a/packages/jobs/tests/missing_run_diagnosis_tests.cpp
+++ b/packages/jobs/tests/missing_run_diagnosis_tests.cpp
@@ -98,7 +98,8 @@
 TEST_F(MissingRunDiagnosisTest, FailureThatIsNotStored)
 {
     entry().progress.countFailure(task, 1);
-    entry().failureRevision = entry().storedRevision + 1;
+    state.markChanged(entry());
+    entry().holdUntilStored({ task.occurrence, task.step, task.index });
     EXPECT_EQ(reason(), MissingRunReason::FailureNotStored);
 }
 
--- a/packages/jobs/tests/presumed_end_tests.cpp
+++ b/packages/jobs/tests/presumed_end_tests.cpp
@@ -24,6 +24,15 @@
     }
 }
 
+/// All workers respond for that long, and run nothing.
+void answerPollsFor(CellHarness& harness, Duration time)
+{
+    for (Duration passed {}; passed < time; passed += 100ms) {
+        harness.answerAllPolls();
+        harness.advance(100ms);
+    }
+}
+
 /// A start whose worker is lost until its run is presumed to have ended. Nothing is stored meanwhile.
 StartCommand startOnLostWorker(CellHarness& harness)
 {
@@ -82,7 +91,27 @@
     ASSERT_EQ(harness.runEvents(RunEvent::Kind::PresumedEnded).size(), 1U);
     harness.cell().onCommitted(anyUnixMs);
     harness.advance(10ms);
+    const auto next = harness.takeCommands<StartCommand>();
+    ASSERT_EQ(next.size(), 1U) << "the transaction has stored the failure of the other task alone";
+    EXPECT_EQ(next[0].task, starts[1].task);
+}
+
+TEST(PresumedEnd, GangStartsAgainOnlyOnceThatOfEachMemberIsStored)
+{
+    CellHarness harness;
+    const auto starts = startTwoTasks(harness, { .isGang = true });
+    ASSERT_EQ(starts.size(), 2U);
+    harness.answerPoll(
+        starts[0].worker.value().c_str(), {}, { { 1, starts[0].task, starts[0].run, RunOutcome::Failed, "" } });
+    ASSERT_TRUE(harness.cell().takeCommit(anyUnixMs).has_value());
+    loseWorker(harness, starts[1].worker);
+    ASSERT_EQ(harness.runEvents(RunEvent::Kind::PresumedEnded).size(), 1U);
+    harness.cell().onCommitted(anyUnixMs);
+    answerPollsFor(harness, 1s);
     EXPECT_TRUE(harness.takeCommands<StartCommand>().empty());
+    harness.storeChanges();
+    answerPollsFor(harness, 1s);
+    EXPECT_EQ(harness.takeCommands<StartCommand>().size(), 2U);
 }
 
 TEST(PresumedEnd, EndAsDoneDoesNotCountWhileAReplacedOwnerMayStartTheNextRun)
