--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -2,10 +2,10 @@
 
 #include "admission.h"
 #include "drain_rate.h"
+#include "job_entry.h"
 #include "rattanrack/jobs/cell.h"
 #include "rattanrack/jobs/offered_load.h"
 #include "rattanrack/jobs/runtime_estimator.h"
-#include "step_tickets.h"
 #include "worker_state.h"
 
 #include <functional>
@@ -18,9 +18,6 @@
 /// Internal state of a cell, shared by its source files.
 namespace rattanrack::jobs {
 
-/// Whether a job stays in this state for good.
-constexpr bool isTerminal(JobState state) { return state != JobState::Queued && state != JobState::Active; }
-
 /// The run that the result of a start or stop is for; null when the run has been removed since.
 struct CommandedRun {
     Worker* worker { nullptr };
@@ -53,71 +50,6 @@
     TimePoint overAt {}; ///< The run was over by then.
 };
 
-/// A task within its job.
-struct TaskPosition {
-    int occurrence { 0 };
-    int step { 0 };
-    int index { 0 };
-
-    friend auto operator<=>(const TaskPosition&, const TaskPosition&) = default;
-};
-
-struct JobEntry {
-    JobEntry(Job accepted, JobProgress initialProgress)
-        : job(std::move(accepted))
-        , progress(std::move(initialProgress))
-    {
-    }
-
-    Job job;
-    JobProgress progress;
-    const QueueSettings* queue { nullptr }; ///< Its settings; null while the configuration does not contain the queue.
-    bool isAmongUnfinished { false }; ///< Whether `CellState::unfinishedJobs` contains the job.
-    bool isTakenOver { false }; ///< Taken over from a previous owner, which may have started some of its tasks.
-    bool isStored { false };
-    bool isMarkedForRemoval { false }; ///< Its rows are to be removed.
-    std::uint64_t revision { 0 }; ///< Increases with each change that is to be stored.
-    std::uint64_t revisionInCommit { 0 };
-    std::uint64_t storedRevision { 0 };
-    /// By task, of a gang by its first one: the revision that contains the latest failure, lost start or presumed end
-    /// of a run. Only those that are not stored yet, so that a large job needs no memory for its other tasks.
-    std::map<TaskPosition, std::uint64_t> unstoredEnds;
-    int suspects { 0 }; ///< Tasks that may have crashed a worker.
-    JobState stateInCommit { JobState::Queued };
-    JobState storedState { JobState::Queued };
-    std::vector<CallerToken> waitingCallers; ///< Callers that wait for the next commit.
-    std::vector<CallerToken> callersInCommit; ///< Callers that wait for the commit in flight.
-    TimePoint acceptedAt {};
-    Duration criticalPath {}; ///< Time of the longest chain of dependent work that is left.
-    TimePoint dueAt {}; ///< The job is late after this time.
-    std::int64_t declaredWork { 0 }; ///< Declared, in millicores times milliseconds.
-    std::int64_t taskCount { 0 };
-    bool isCriticalPathStale { true };
-    std::map<std::pair<int, int>, StepTickets> tickets; ///< By occurrence and step.
-
-    /// Whether the task waits for its start. After a failure it also waits until the failure is stored, since the next
-    /// owner would not count a failure that it receives only after a further run has started. The same holds for a run
-    /// that is presumed to have ended: only a transaction that is sent afterwards proves that no later owner has
-    /// renewed the run's lease or received its end, and the next owner must know that a further run may exist. Suspects
-    /// start in trials instead, unless they belong to a gang.
-    bool isStartable(int occurrence, int step, int index) const;
-
-    /// Whether the latest failure, lost start or presumed end of the task's runs is stored; of a gang, of all members.
-    bool areEndsStored(const TaskPosition& task) const;
-
-    /// The task, or its gang, starts again only once the present revision is stored.
-    void holdUntilStored(const TaskPosition& task) { unstoredEnds[holderOf(task)] = revision; }
-
-    /// A transaction that contains this revision has succeeded.
-    void onStored(std::uint64_t stored);
-    TaskPosition holderOf(const TaskPosition& task) const;
-    int startableTasks(int occurrence, int step) const;
-
-    /// Whether the job has failed and no transaction has confirmed it yet. A later owner may have decided otherwise, so
-    /// its runs go on until then.
-    bool hasUnstoredFailure() const { return progress.state() == JobState::Failed && storedState != JobState::Failed; }
-};
-
 /// Order of ready steps in an overload: jobs that can still be on time go before those that can't, started jobs are
 /// finished first, and among the rest small jobs go first, which serves the most callers with what is scarce: those
 /// with the least work where the workers' capacity is, those with the fewest tasks where the owner can't send more
