An older checkpoint of a gang does not replace a newer one

Its next run repeats the work between the two. The same held for a single task and the end of an earlier run of it.

Cause: JobProgress::setCheckpoint kept no record of where the checkpoint came from.

Ruled out: reading the order from the checkpoint itself, which is an opaque text; order of receipt alone, since lists of different workers overtake each other and each list repeats the member's latest checkpoint.

Change: a checkpoint is kept with its run, its member and that member's progress. One of a later run counts for more, so that members of different runs never mix. Within a run a member that lists what it has listed before, or was started with, changes nothing; of two members the one with more progress has the newer one; between equal ones, and of one member, the latest list decides. Checkpoints are kept for those tasks only that have one, in place of an empty text in each of a job's tasks, and go once the task is done.

Limits: the progress is as of the list that shows the checkpoint first, which may be up to a poll's progress too high; an end whose run this owner doesn't have counts with none.

--- a/packages/jobs/include/rattanrack/jobs/job_progress.h
+++ b/packages/jobs/include/rattanrack/jobs/job_progress.h
@@ -33,6 +33,28 @@
     friend bool operator==(const LostStart&, const LostStart&) = default;
 };
 
+/// A task within its job.
+struct TaskPosition {
+    int occurrence { 0 };
+    int step { 0 };
+    int index { 0 };
+
+    friend auto operator<=>(const TaskPosition&, const TaskPosition&) = default;
+};
+
+/// The task without its job.
+inline TaskPosition positionOf(const TaskRef& ref) { return { ref.occurrence, ref.step, ref.index }; }
+
+/// A state from which a run can resume.
+struct Checkpoint {
+    std::string state;
+    RunNumber run { 0 }; ///< The run that has saved it.
+    /// Progress of that run as of the list that showed the checkpoint first, or the last list before its end; 0: not
+    /// known.
+    int percent { 0 };
+    int member { 0 }; ///< Index of the task whose run has saved it.
+};
+
 struct Task {
     TaskPhase phase { TaskPhase::Waiting };
     RunNumber lastRun { 0 }; ///< Highest run number used so far.
@@ -41,7 +63,6 @@
     std::vector<LostStart> lostStarts; ///< One for each worker and incarnation; none once a worker survived a start.
     RunNumber presumedEnded { 0 }; ///< Highest run that is presumed to have ended; no worker has listed its end.
     bool isHarmless { false }; ///< A worker has survived a start of it under this owner.
-    std::string checkpoint; ///< Newest one known; empty: none. Of a gang, its first task has it.
 
     int failures() const { return static_cast<int>(failedRuns.size()); }
 
@@ -92,12 +113,17 @@
     const Task& task(const TaskRef& ref) const { return task(ref.occurrence, ref.step, ref.index); }
     const Task& task(int occurrence, int step, int index) const;
 
-    /// Newest checkpoint of the task. The members of a gang share one, since they may only start with the same.
-    const std::string& checkpoint(const TaskRef& ref) const { return task(checkpointHolder(ref)).checkpoint; }
-    void setCheckpoint(const TaskRef& ref, const std::string& checkpoint)
-    {
-        task(checkpointHolder(ref)).checkpoint = checkpoint;
-    }
+    /// What tasks that share their checkpoint, and start only together, are recorded under: the first task of a gang,
+    /// each other task by itself.
+    TaskPosition holderOf(const TaskPosition& task) const;
+
+    /// State of the newest checkpoint of the task; empty: none. The members of a gang share one, since they may only
+    /// start with the same.
+    std::string checkpoint(const TaskRef& ref) const;
+
+    /// Records a checkpoint that a worker lists, unless a newer one is known: one of a later run, or of another member
+    /// of the same gang run that had more progress. Of one member, the latest list has the newest.
+    void recordCheckpoint(const TaskPosition& task, Checkpoint checkpoint);
     bool contains(const TaskRef& ref) const;
 
     /// Whether the step's dependencies are done and its occurrence is due at `unixMs`.
@@ -144,13 +170,13 @@
     };
 
     Task& taskAt(int occurrence, int step, int index);
-    TaskRef checkpointHolder(const TaskRef& ref) const;
     void setPhase(const TaskRef& ref, TaskPhase phase);
     void markDone(const TaskRef& ref);
 
     std::vector<std::vector<int>> m_dependsOn; ///< By step.
     std::vector<bool> m_isGang; ///< By step.
     std::vector<Occurrence> m_occurrences;
+    std::map<TaskPosition, Checkpoint> m_checkpoints; ///< Newest ones known of tasks that are not done, by holder.
     int m_totalTasks { 0 };
     int m_waitingTasks { 0 };
     int m_doneTasks { 0 };
--- a/packages/jobs/src/cell_runs.cpp
+++ b/packages/jobs/src/cell_runs.cpp
@@ -155,7 +155,7 @@
     if (entry.progress.hasEnded())
         return;
     markChanged(entry);
-    entry.holdUntilStored({ task.occurrence, task.step, task.index });
+    entry.holdUntilStored(positionOf(task));
     isCommitUrgent = true;
 }
 
@@ -197,10 +197,9 @@
     const Step& step = stepOf(*entry, ended.task);
     if (ended.outcome == RunOutcome::Done && isKnownRun && found->second.confirmedAt != TimePoint {})
         runtimes.observe(entry->job.queue, step.declaredRunTime, now - found->second.confirmedAt);
+    recordCheckpoint(ended.task, ended.run, ended.checkpoint, isKnownRun ? &found->second : nullptr);
     const bool hasNoRun = isKnownRun && releaseRun(worker, ended.task);
     const bool isUnfinished = !entry->progress.hasEnded();
-    if (!ended.checkpoint.empty() && step.hasCheckpoints)
-        entry->progress.setCheckpoint(ended.task, ended.checkpoint);
     if (ended.outcome == RunOutcome::Done && isDoneCounted(worker, *entry, ended)) {
         worker.consecutiveFailures = 0;
         worker.failingUntil = {};
@@ -281,8 +280,19 @@
     }
     entry->progress.onStartSent(running.task, running.run);
     entry->progress.onRunning(running.task);
-    if (!running.checkpoint.empty())
-        entry->progress.setCheckpoint(running.task, running.checkpoint);
+    recordCheckpoint(running.task, running.run, running.checkpoint, &run);
+}
+
+/// A checkpoint that the worker has listed before is not recorded again: another member of its gang may have saved a
+/// newer one since.
+void CellState::recordCheckpoint(const TaskRef& task, RunNumber number, const std::string& checkpoint, Run* known)
+{
+    JobEntry* entry = checkpoint.empty() || (known && known->checkpoint == checkpoint) ? nullptr : find(task.job);
+    if (!entry || !entry->progress.contains(task) || !stepOf(*entry, task).hasCheckpoints)
+        return;
+    if (known)
+        known->checkpoint = checkpoint;
+    entry->progress.recordCheckpoint(positionOf(task), { checkpoint, number, known ? known->percent : 0 });
 }
 
 void CellState::processRunning(Worker& worker, const PollReport& report, TimePoint sentAt, TimePoint now)
@@ -301,18 +311,16 @@
         run.percent = running.percent;
         run.measuredValue = running.measuredValue;
         const bool isNew = run.phase == RunPhase::Starting;
-        JobEntry* entry = isNew || !running.checkpoint.empty() ? find(running.task.job) : nullptr;
-        const bool isKnownTask = entry && entry->progress.contains(running.task);
+        JobEntry* entry = isNew ? find(running.task.job) : nullptr;
         if (isNew) {
             run.phase = RunPhase::Confirmed;
             run.confirmedAt = now;
             run.acknowledgedAt = now;
-            if (isKnownTask)
+            if (entry && entry->progress.contains(running.task))
                 entry->progress.onRunning(running.task);
         }
         run.mayStartLate = false;
-        if (isKnownTask && !running.checkpoint.empty() && stepOf(*entry, running.task).hasCheckpoints)
-            entry->progress.setCheckpoint(running.task, running.checkpoint);
+        recordCheckpoint(running.task, running.run, running.checkpoint, &run);
     }
     std::vector<TaskRef> missing;
     for (const auto& [task, run] : worker.runs) {
--- a/packages/jobs/src/cell_schedule.cpp
+++ b/packages/jobs/src/cell_schedule.cpp
@@ -175,6 +175,7 @@
     Run& run = addRun(worker, task, number, &ready.spec());
     run.start = { worker.description.id, task, number, entry.job.spec.text, 0, settings.fence,
         entry.progress.checkpoint(task), tickets ? tickets->at(worker.description.id) : std::string {} };
+    run.checkpoint = run.start.checkpoint;
     grantStart(worker, run, now);
     entry.progress.onStartSent(task, number);
     RunEvent& event = addRunEvent(RunEvent::Kind::Starting, worker, task, number, {}, now - listRequestedAt);
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -216,6 +216,8 @@
     void presumeEnded(Worker& worker, const TaskRef& task, const EndEvidence& evidence, TimePoint now);
     void onWorkerLost(Worker& worker, std::string_view evidence, TimePoint now);
     void processEndedRun(Worker& worker, const EndedRun& ended, TimePoint now);
+    /// Records what a worker lists as the run's checkpoint. `known`: the run; null if this owner has no record of it.
+    void recordCheckpoint(const TaskRef& task, RunNumber number, const std::string& checkpoint, Run* known);
     void processRunning(Worker& worker, const PollReport& report, TimePoint sentAt, TimePoint now);
     void adoptRun(Worker& worker, const RunningRun& running, TimePoint now);
     void sendStop(Worker& worker, const TaskRef& task, RunNumber run, std::string_view reason);
--- a/packages/jobs/src/cell_trials.cpp
+++ b/packages/jobs/src/cell_trials.cpp
@@ -31,7 +31,7 @@
 bool CellState::isLossStored(const TaskRef& ref) const
 {
     const JobEntry* entry = find(ref.job);
-    return entry && entry->areEndsStored({ ref.occurrence, ref.step, ref.index });
+    return entry && entry->areEndsStored(positionOf(ref));
 }
 
 /// Whether a start without a response may be sent to the next incarnation of the worker; otherwise it is stopped.
@@ -46,7 +46,7 @@
 bool CellState::mayStartTrial(const JobEntry& entry, const TaskRef& ref, TimePoint now, std::int64_t wallMs) const
 {
     const Task& task = entry.progress.task(ref);
-    const bool isStored = entry.isStored && entry.areEndsStored({ ref.occurrence, ref.step, ref.index });
+    const bool isStored = entry.isStored && entry.areEndsStored(positionOf(ref));
     const bool isBarred = (entry.isTakenOver && isRecovering) || attemptsOf(entry) == 0 || stepOf(entry, ref).isGang;
     return isStored && !isBarred && task.phase == TaskPhase::Waiting
         && entry.progress.isReady(ref.occurrence, ref.step, wallMs) && !isHeldForEvidence(task, now);
--- a/packages/jobs/src/job_entry.cpp
+++ b/packages/jobs/src/job_entry.cpp
@@ -12,15 +12,9 @@
     return areEndsStored({ occurrence, step, index });
 }
 
-TaskPosition JobEntry::holderOf(const TaskPosition& task) const
-{
-    const bool isGang = job.spec.steps[static_cast<std::size_t>(task.step)].isGang;
-    return { task.occurrence, task.step, isGang ? 0 : task.index };
-}
-
 bool JobEntry::areEndsStored(const TaskPosition& task) const
 {
-    return unstoredEnds.empty() || !unstoredEnds.contains(holderOf(task));
+    return unstoredEnds.empty() || !unstoredEnds.contains(progress.holderOf(task));
 }
 
 void JobEntry::onStored(std::uint64_t stored)
--- a/packages/jobs/src/job_entry.h
+++ b/packages/jobs/src/job_entry.h
@@ -15,15 +15,6 @@
 /// Whether a job stays in this state for good.
 constexpr bool isTerminal(JobState state) { return state != JobState::Queued && state != JobState::Active; }
 
-/// A task within its job.
-struct TaskPosition {
-    int occurrence { 0 };
-    int step { 0 };
-    int index { 0 };
-
-    friend auto operator<=>(const TaskPosition&, const TaskPosition&) = default;
-};
-
 /// A job of a cell, and what of it is stored.
 struct JobEntry {
     JobEntry(Job accepted, JobProgress initialProgress)
@@ -69,11 +60,10 @@
     bool areEndsStored(const TaskPosition& task) const;
 
     /// The task, or its gang, starts again only once the present revision is stored.
-    void holdUntilStored(const TaskPosition& task) { unstoredEnds[holderOf(task)] = revision; }
+    void holdUntilStored(const TaskPosition& task) { unstoredEnds[progress.holderOf(task)] = revision; }
 
     /// A transaction that contains this revision has succeeded.
     void onStored(std::uint64_t stored);
-    TaskPosition holderOf(const TaskPosition& task) const;
     int startableTasks(int occurrence, int step) const;
 
     /// Whether the job has failed and no transaction has confirmed it yet. A later owner may have decided otherwise, so
--- a/packages/jobs/src/job_progress.cpp
+++ b/packages/jobs/src/job_progress.cpp
@@ -1,6 +1,7 @@
 #include "rattanrack/jobs/job_progress.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace rattanrack::jobs {
 
@@ -71,10 +72,29 @@
         .tasks[static_cast<std::size_t>(index)];
 }
 
-TaskRef JobProgress::checkpointHolder(const TaskRef& ref) const
+TaskPosition JobProgress::holderOf(const TaskPosition& task) const
 {
-    const bool isGang = m_isGang[static_cast<std::size_t>(ref.step)];
-    return { ref.job, ref.occurrence, ref.step, isGang ? 0 : ref.index };
+    const bool isGang = m_isGang[static_cast<std::size_t>(task.step)];
+    return { task.occurrence, task.step, isGang ? 0 : task.index };
+}
+
+std::string JobProgress::checkpoint(const TaskRef& ref) const
+{
+    const auto found = m_checkpoints.find(holderOf(positionOf(ref)));
+    return found == m_checkpoints.end() ? std::string {} : found->second.state;
+}
+
+void JobProgress::recordCheckpoint(const TaskPosition& task, Checkpoint checkpoint)
+{
+    if (this->task(task.occurrence, task.step, task.index).phase == TaskPhase::Done)
+        return;
+    checkpoint.member = task.index;
+    Checkpoint& known = m_checkpoints[holderOf(task)];
+    const bool isOfSameRun = checkpoint.run == known.run;
+    const bool hasLessProgress = checkpoint.member != known.member && checkpoint.percent < known.percent;
+    if (checkpoint.run < known.run || (isOfSameRun && hasLessProgress))
+        return;
+    known = std::move(checkpoint);
 }
 
 bool JobProgress::contains(const TaskRef& ref) const
@@ -156,8 +176,10 @@
 
 void JobProgress::markDone(const TaskRef& ref)
 {
-    if (task(ref).phase != TaskPhase::Done)
-        setPhase(ref, TaskPhase::Done);
+    if (task(ref).phase == TaskPhase::Done)
+        return;
+    setPhase(ref, TaskPhase::Done);
+    m_checkpoints.erase(positionOf(ref));
 }
 
 void JobProgress::onDone(const TaskRef& ref)
--- a/packages/jobs/src/run.h
+++ b/packages/jobs/src/run.h
@@ -34,6 +34,7 @@
     TimePoint retryAt {};
     std::uint64_t seenInPoll { 0 }; ///< Number of the latest poll that listed the run as running.
     int percent { 0 };
+    std::string checkpoint; ///< The latest that the worker has listed, or that the run was started with.
     int throttlePercent { 100 };
     double measuredValue { 0 };
     StartCommand start; ///< Sent again while it has no response.
--- a/packages/jobs/tests/missing_run_diagnosis_tests.cpp
+++ b/packages/jobs/tests/missing_run_diagnosis_tests.cpp
@@ -99,7 +99,7 @@
 {
     entry().progress.countFailure(task, 1);
     state.markChanged(entry());
-    entry().holdUntilStored({ task.occurrence, task.step, task.index });
+    entry().holdUntilStored(positionOf(task));
     EXPECT_EQ(reason(), MissingRunReason::FailureNotStored);
 }
 
