The next owner starts nothing on a machine that was announced as drained

The next owner starts new jobs on the machine if its node hasn't received the set of draining machines, because the link from the owner of the machine part is in trouble or the node has just started. The command to the machine, which rests on the earlier announcement, then ends these runs.

Cause: nothing told the next owner of the announcement. What guarded it: the last set that its node had received, kept for 5 s; DrainAnnouncements, which ties a drained machine to an owner that knew of the drain, but not to the owner of the moment; and for jobs taken over, the recovery. None holds for a new job on a node without a recent set.

Ruled out: starting nothing in a cell until the owner of the machine part has been received after the takeover, which costs each takeover a round trip and seconds where the link is cut; a check by the machine part's owner of who owns the cell, which a command in flight escapes.

Change: the owner row has the drained machines, and an owner announces one only once the row has it, so that whoever takes over afterwards reads it, and only for 2 s after its last confirmed transaction. All other machines are used at once.

Cell.MachineIsDrainedOnlyOnceItsEndedRunsAreStored and PresumedEnd.MachineIsDrainedOnlyOnceATransactionSentAfterwardsHasSucceeded get one more transaction before they expect the machine, since that now stores it.

--- a/packages/jobs/include/rattanrack/jobs/cell.h
+++ b/packages/jobs/include/rattanrack/jobs/cell.h
@@ -108,6 +108,9 @@
 
 struct CellState;
 
+/// An owner announces machines as drained for this long after its latest transaction that has succeeded was sent.
+constexpr Duration drainedMachinesTimeout = std::chrono::seconds { 2 };
+
 /// The jobs and workers of one pool, managed by the node that owns the cell. Decides which worker runs which task, and
 /// what must be stored before callers and workers are informed. Pure: no I/O, no clock. Not thread-safe.
 ///
@@ -144,9 +147,22 @@
     /// `Step::maxUnavailable` permits.
     void setDrainingMachines(std::set<MachineId> machines);
 
-    /// Draining machines without runs, all of whose ended runs are stored.
+    /// Draining machines without runs, all of whose ended runs are stored, and which the store has as drained: the next
+    /// owner starts nothing there as long as commands to them may still arrive.
     std::vector<MachineId> drainedMachines() const;
 
+    /// Machines to be stored as drained with the next transaction: those that meet the other conditions of
+    /// `drainedMachines`, and those that earlier owners may have announced and that may still be taken down.
+    std::set<MachineId> drainedMachinesToStore(TimePoint now) const;
+
+    /// Machines that earlier owners may have announced as drained. Nothing starts on them until commands that rest on
+    /// these announcements can no longer arrive.
+    void setMachinesDrainedByEarlierOwners(std::set<MachineId> machines, TimePoint now);
+
+    /// As `onWorkerListSent` and `onWorkerListStored`, of the machines that are stored as drained.
+    void onDrainedMachinesSent(const std::set<MachineId>& machines);
+    void onDrainedMachinesStored(std::set<MachineId> machines);
+
     /// Machines without long-running tasks; what runs there, if anything, ends by itself soon.
     std::vector<MachineId> movableMachines() const;
 
--- a/packages/jobs/include/rattanrack/jobs/owned_part.h
+++ b/packages/jobs/include/rattanrack/jobs/owned_part.h
@@ -5,7 +5,9 @@
 #include "rattanrack/jobs/part_store.h"
 
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace rattanrack::jobs {
@@ -22,6 +24,8 @@
     /// For how long after the transaction owners of earlier terms may still have granted leases; empty: not known. In
     /// the machine part: for how long commands to machines may still arrive, this owner's included.
     std::optional<Duration> earlierGrantsLeft {};
+    /// Machines that this owner may announce as drained, and those that earlier owners may have announced so.
+    std::set<MachineId> drainedMachines {};
 
     friend bool operator==(const OwnerRow&, const OwnerRow&) = default;
 };
@@ -57,6 +61,10 @@
     const PartTransaction& beginTransaction(std::vector<RowWrite> rows, WorkerMachines workers,
         std::optional<OutstandingLeases> leasesAtHandBack = {}, std::optional<Duration> earlierGrantsLeft = {});
 
+    /// Sets the drained machines that the next transactions write. Until then they are those of the owner before.
+    void setDrainedMachines(std::set<MachineId> machines) { m_row.drainedMachines = std::move(machines); }
+    const std::set<MachineId>& drainedMachinesWritten() const { return m_row.drainedMachines; }
+
     bool isInFlight() const { return m_isInFlight; }
     const PartTransaction& transaction() const { return m_transaction; }
     const WorkerMachines& workersWritten() const { return m_row.workers; }
--- a/packages/jobs/src/cell.cpp
+++ b/packages/jobs/src/cell.cpp
@@ -154,21 +154,6 @@
         end = std::min(end, latestEnd);
 }
 
-void Cell::setDrainingMachines(std::set<MachineId> machines)
-{
-    if (machines == m_state->drainingMachines)
-        return;
-    for (auto& [id, worker] : m_state->workers) {
-        const MachineId& machine = worker.description.machine;
-        if (!m_state->drainingMachines.contains(machine) || machines.contains(machine))
-            continue;
-        worker.isContactDueAfterDrain = true;
-        worker.isContactCheckSent = false;
-        worker.needsPoll = true;
-    }
-    m_state->drainingMachines = std::move(machines);
-}
-
 void Cell::onWorkerListSent(const WorkerMachines& workers, TimePoint now)
 {
     m_state->transactionSentAt = now;
--- a/packages/jobs/src/cell_crashes.cpp
+++ b/packages/jobs/src/cell_crashes.cpp
@@ -20,9 +20,9 @@
 constexpr std::size_t leastCrashesUnderStarts = 2; ///< That keep jobs apart.
 constexpr Duration slowestClockMargin = 10ms; ///< A worker's clock may be 2 % slow within `survivalTime`.
 
-bool isPlanned(const Worker& worker, const CellState& state)
+bool isPlanned(const Worker& worker, const CellState& state, TimePoint now)
 {
-    const bool isDrained = state.drainingMachines.contains(worker.description.machine) || worker.isContactDueAfterDrain;
+    const bool isDrained = state.mayBeTakenDown(worker.description.machine, now) || worker.isContactDueAfterDrain;
     return worker.description.isDraining || isDrained;
 }
 
@@ -118,7 +118,7 @@
         const bool isSurvived = loss.isConnectionEnded && !each.isRecent(loss.at);
         if (each.sentAt > loss.at)
             sentLater.push_back(std::move(each));
-        else if (!isPlanned(worker, *this) && !isSurvived)
+        else if (!isPlanned(worker, *this, now) && !isSurvived)
             blamed.push_back(std::move(each));
     }
     worker.unprovenStarts = std::move(sentLater);
@@ -132,7 +132,7 @@
     const WorkerCrash crash { worker.description.id, worker.incarnationUnixMs };
     trialCounts.losses += crashEvidence.possibleCauses.contains(crash) && !isLossKnown ? 1 : 0;
     const bool isCounted = worker.lossCountedOfUnixMs >= crash.incarnationUnixMs;
-    if (isCounted || isPlanned(worker, *this) || crashEvidence.possibleCauses.contains(crash))
+    if (isCounted || isPlanned(worker, *this, now) || crashEvidence.possibleCauses.contains(crash))
         return;
     worker.lossCountedOfUnixMs = crash.incarnationUnixMs;
     crashEvidence.addOtherCause(now, !worker.isSettled(loss.at));
--- a/packages/jobs/src/cell_queries.cpp
+++ b/packages/jobs/src/cell_queries.cpp
@@ -6,26 +6,6 @@
 /// Read-only queries of a cell.
 namespace rattanrack::jobs {
 
-std::vector<MachineId> Cell::drainedMachines() const
-{
-    std::vector<MachineId> machines;
-    for (const MachineId& machine : m_state->drainingMachines) {
-        bool isPresent = false;
-        bool isInUse = m_state->isRecovering;
-        for (const auto& [id, worker] : m_state->workers) {
-            if (worker.description.machine != machine)
-                continue;
-            isPresent = isPresent || worker.isListed;
-            // Until an ended run is stored, this owner alone has a record of it. A later owner may have renewed the
-            // lease of a run that is presumed to have ended.
-            isInUse = isInUse || worker.hasUnfinishedWork() || worker.presumedEndAt > m_state->ownershipConfirmedAt;
-        }
-        if (isPresent && !isInUse)
-            machines.push_back(machine);
-    }
-    return machines;
-}
-
 bool Cell::hasJobs(const QueueAddress& queue) const
 {
     return std::any_of(m_state->jobs.begin(), m_state->jobs.end(),
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -136,6 +136,9 @@
     std::map<WorkerId, TimePoint> inheritedLeaseEnd; ///< Leases of previous owners have ended by then.
     bool wasHandedBack { false }; ///< The previous owner handed the cell back with its outstanding leases.
     std::set<MachineId> drainingMachines;
+    std::set<MachineId> storedDrainedMachines; ///< Only these may be announced as drained.
+    std::set<MachineId> machinesDrainedByEarlierOwners;
+    TimePoint earlierDrainsOverAt {}; ///< From then on no command to `machinesDrainedByEarlierOwners` can arrive.
     std::unordered_map<JobId, std::unique_ptr<JobEntry>> jobs;
     /// All jobs that have not ended, and some that have since the last scheduling pass.
     std::vector<JobEntry*> unfinishedJobs;
@@ -276,6 +279,10 @@
     void recordFailure(Worker& worker, TimePoint now);
     void recordHigherFence(const WorkerId& worker, TimePoint now);
     void drainMachines(TimePoint now);
+
+    /// Whether the machine may be taken down by a command: nothing starts there.
+    bool mayBeTakenDown(const MachineId& machine, TimePoint now) const;
+    std::set<MachineId> drainingMachinesWithoutWork() const;
     void checkRecovery(TimePoint now);
 
     /// Waits for the worker no longer, since nothing that previous owners started there runs any more.
--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -340,28 +340,4 @@
     return unavailable;
 }
 
-void CellState::drainMachines(TimePoint now)
-{
-    if (drainingMachines.empty() || isRecovering)
-        return;
-    std::vector<std::pair<WorkerId, TaskRef>> stops;
-    for (const auto& [id, worker] : workers) {
-        if (!drainingMachines.contains(worker.description.machine))
-            continue;
-        for (const auto& [task, run] : worker.runs) {
-            const JobEntry* entry = find(task.job);
-            if (!entry || !entry->progress.contains(task) || run.phase != RunPhase::Confirmed)
-                continue;
-            if (stepOf(*entry, task).isLongRunning)
-                stops.emplace_back(id, task);
-        }
-    }
-    for (const auto& [id, task] : stops) {
-        const JobEntry& entry = *find(task.job);
-        const int allowed = std::max(stepOf(entry, task).maxUnavailable, 1);
-        if (unavailableMembers(entry, task, now) < allowed)
-            sendStop(workers.at(id), task, workers.at(id).runs.at(task).number, "its machine is being drained");
-    }
-}
-
 } // namespace rattanrack::jobs
--- a/packages/jobs/src/owned_part.cpp
+++ b/packages/jobs/src/owned_part.cpp
@@ -24,6 +24,8 @@
         json["heldMs"][worker.value()] = std::chrono::ceil<std::chrono::milliseconds>(left).count();
     if (row.earlierGrantsLeft)
         json["earlierGrantsMs"] = std::chrono::ceil<std::chrono::milliseconds>(*row.earlierGrantsLeft).count();
+    for (const MachineId& machine : row.drainedMachines)
+        json["drained"].push_back(machine.value());
     return toCbor(json);
 }
 
@@ -40,6 +42,10 @@
         }
         if (const auto left = json.find("earlierGrantsMs"); left != json.end())
             row.earlierGrantsLeft = std::chrono::milliseconds { left->get<std::int64_t>() };
+        if (const auto drained = json.find("drained"); drained != json.end()) {
+            for (const Json& machine : *drained)
+                row.drainedMachines.insert(MachineId { machine.get<std::string>() });
+        }
         return row;
     });
 }
--- a/packages/jobs/src/worker_bar.cpp
+++ b/packages/jobs/src/worker_bar.cpp
@@ -21,7 +21,7 @@
         return MissingRunReason::WorkerNotListed;
     if (!state.isIncarnationConfirmed(worker))
         return barOfUnconfirmed(worker);
-    const bool isDrained = state.drainingMachines.contains(worker.description.machine) || worker.isContactDueAfterDrain;
+    const bool isDrained = state.mayBeTakenDown(worker.description.machine, now) || worker.isContactDueAfterDrain;
     if (worker.description.isDraining || isDrained)
         return MissingRunReason::WorkerDraining;
     if (now < worker.startsAllowedAt)
--- a/packages/jobs/tests/cell_harness.h
+++ b/packages/jobs/tests/cell_harness.h
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <set>
 
 namespace rattanrack::jobs::tests {
 
@@ -78,8 +79,11 @@
     void confirmOwnership()
     {
         const WorkerMachines workers = m_cell.workersInUse();
+        const std::set<MachineId> drained = m_cell.drainedMachinesToStore(m_now);
         m_cell.onWorkerListSent(workers, m_now);
+        m_cell.onDrainedMachinesSent(drained);
         m_cell.onWorkerListStored(workers);
+        m_cell.onDrainedMachinesStored(drained);
     }
 
     Cell& cell() { return m_cell; }
--- a/packages/jobs/tests/cell_tests.cpp
+++ b/packages/jobs/tests/cell_tests.cpp
@@ -325,6 +325,7 @@
     EXPECT_TRUE(harness.cell().drainedMachines().empty()); // The next owner would have no record of the ended run.
     harness.storeChanges();
     harness.advance(60ms);
+    harness.confirmOwnership();
     EXPECT_EQ(harness.cell().drainedMachines(), std::vector<MachineId> { machine });
 }
 
--- a/packages/jobs/tests/presumed_end_tests.cpp
+++ b/packages/jobs/tests/presumed_end_tests.cpp
@@ -179,6 +179,7 @@
     ASSERT_EQ(harness.runEvents(RunEvent::Kind::PresumedEnded).size(), 1U);
     EXPECT_TRUE(harness.cell().drainedMachines().empty());
     harness.confirmOwnership();
+    harness.confirmOwnership(); // The first transaction proves the end, the second one stores the machine as drained.
     EXPECT_EQ(harness.cell().drainedMachines().size(), 1U);
 }
 
--- a/packages/node/include/rattanrack/node/part_writer.h
+++ b/packages/node/include/rattanrack/node/part_writer.h
@@ -9,7 +9,9 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace rattanrack::node {
@@ -64,6 +66,10 @@
     void write(std::vector<jobs::RowWrite> rows, jobs::WorkerMachines workers,
         std::optional<jobs::OutstandingLeases> handsBack = {}, std::optional<Duration> earlierGrantsLeft = {});
 
+    /// Sets the machines that the next transactions store as drained. Call only while `isFree`.
+    void setDrainedMachines(std::set<jobs::MachineId> machines) { m_part.setDrainedMachines(std::move(machines)); }
+    const std::set<jobs::MachineId>& drainedMachinesWritten() const { return m_part.drainedMachinesWritten(); }
+
     /// Whether a transaction that hands the part back is in flight. The transaction may have taken effect, so no lease
     /// may be granted any more.
     bool mayBeHandedBack() const { return m_isHandBack && m_part.isInFlight(); }
--- a/packages/node/src/cell_host.cpp
+++ b/packages/node/src/cell_host.cpp
@@ -120,6 +120,7 @@
           std::move(takeover.partTakeover), writerCallbacks())
     , m_links(m_parts.control, m_parts.clock, m_parts.workerThreads, m_parts.connector, linkCallbacks())
 {
+    m_cell.setMachinesDrainedByEarlierOwners(m_writer.drainedMachinesWritten(), m_takenOverAt);
     m_queues.setAssignments(takeover.assignments);
     wake();
 }
@@ -160,6 +161,12 @@
     m_cell.setDrainingMachines(std::move(machines));
 }
 
+std::vector<jobs::MachineId> CellHost::drainedMachines() const
+{
+    const bool isConfirmed = m_parts.clock.now() - m_writer.confirmedAt() < jobs::drainedMachinesTimeout;
+    return isConfirmed ? m_cell.drainedMachines() : std::vector<jobs::MachineId> {};
+}
+
 void CellHost::limitEarlierGrants(const jobs::Ownership& ownership)
 {
     const TimePoint latestGrant
@@ -373,7 +380,9 @@
     if (!m_writer.isFree() || sinceLast < urgentCommitPause)
         return;
     auto workers = m_cell.workersInUse();
-    const bool haveWorkersChanged = workers != m_writer.workersWritten();
+    auto drained = m_cell.drainedMachinesToStore(m_parts.clock.now());
+    const bool haveWorkersChanged
+        = workers != m_writer.workersWritten() || drained != m_writer.drainedMachinesWritten();
     const bool isRefusalDue = m_cell.hasUnconfirmedRefusals() && sinceLast >= commitPause;
     const bool isRenewalDue
         = sinceLast >= jobs::ownerRenewalPeriod || m_isHandingBack || m_cell.needsConfirmation() || isRefusalDue;
@@ -390,6 +399,8 @@
         rows.push_back(m_queues.closeQueue(queue));
     const TimePoint now = m_parts.clock.now();
     m_cell.onWorkerListSent(workers, now);
+    m_cell.onDrainedMachinesSent(drained);
+    m_writer.setDrainedMachines(std::move(drained));
     const bool isLast = m_isHandingBack && !m_cell.hasUncommittedChanges();
     auto leases = isLast ? std::optional { m_cell.outstandingLeases(now) } : std::nullopt;
     m_writer.write(
@@ -401,6 +412,7 @@
     m_queues.onClosesStored();
     m_unconfirmedStarts.onConfirmed(m_writer.confirmedAt());
     m_cell.onWorkerListStored(m_writer.workersWritten());
+    m_cell.onDrainedMachinesStored(m_writer.drainedMachinesWritten());
     m_cell.onCommitted(wallClockMilliseconds());
     if (m_writer.isOver())
         handleOutput(m_cell.takeOutput());
--- a/packages/node/tests/cell_host_tests.cpp
+++ b/packages/node/tests/cell_host_tests.cpp
@@ -110,6 +110,18 @@
         return acceptance;
     }
 
+    void setDraining(const jobs::MachineId& machine)
+    {
+        control.run([&] { host->setDrainingMachines({ machine }); });
+    }
+
+    std::vector<jobs::MachineId> drainedMachines()
+    {
+        std::vector<jobs::MachineId> machines;
+        control.run([&] { machines = host->drainedMachines(); });
+        return machines;
+    }
+
     /// Polls for three seconds until `condition` holds; returns whether it holds.
     template <typename Condition> static bool eventually(Condition condition)
     {
@@ -319,6 +331,36 @@
     EXPECT_TRUE(eventually([&] { return workers.starts == 2; }));
 }
 
+TEST_F(CellHostTest, NextOwnerStartsNothingOnAMachineThatWasAnnouncedAsDrained)
+{
+    listWorkers(0s);
+    ASSERT_TRUE(eventually([&] { return workers.polls > 0; }));
+    setDraining(jobs::MachineId { "m1" });
+    ASSERT_TRUE(eventually([&] { return drainedMachines().size() == 1; }));
+    auto takeover = valueOrNothing([&] { return takeOverCell(store, clock, pool, NodeId { "n2" }); }).value();
+    control.run([&] {
+        CellHost::Parts parts { control, clock, metrics, log, loadMonitor, storeThreads, workerThreads, store, workers,
+            nullptr, nullptr, [this](const jobs::CallerReply&) { ++stored; }, [](const jobs::QueueAddress&) {}, [] {} };
+        host = std::make_unique<CellHost>(
+            std::move(parts), pool, CellTimeLimits { 4500ms, 120s, 900ms, 1500ms, 6s }, std::move(takeover));
+    });
+    configure(true);
+    listWorkers(0s);
+    ASSERT_EQ(submit("a"), jobs::Acceptance::Pending);
+    ASSERT_TRUE(eventually([&] { return stored == 1; }));
+    std::this_thread::sleep_for(500ms);
+    EXPECT_EQ(workers.starts, 0);
+}
+
+TEST_F(CellHostTest, OwnerThatMayHaveBeenReplacedAnnouncesNoDrainedMachines)
+{
+    listWorkers(0s);
+    setDraining(jobs::MachineId { "m1" });
+    ASSERT_TRUE(eventually([&] { return drainedMachines().size() == 1; }));
+    store.isDown = true;
+    EXPECT_TRUE(eventually([&] { return drainedMachines().empty(); }));
+}
+
 TEST_F(CellHostTest, NoLeaseIsRenewedOnceTheCellMayBeHandedBack)
 {
     listWorkers(0s);
