A lost owner is replaced in time beside a silent node: test of the walk

What was open: the time without an owner when another node, which is live but silent, is the best one for the cell. Change: OwnershipFaults::isAnotherNodeSilent pauses any node for 3 s when an owner is lost; test LostOwnersAreReplacedInTime.BesideASilentNodeAmongSevenNodes, 10 seeds, losses 5 s apart. Not played on processes with SIGKILL.

--- a/packages/node/tests/ownership_simulation.cpp
+++ b/packages/node/tests/ownership_simulation.cpp
@@ -18,6 +18,7 @@
 /// An owner that is late for longer may be replaced: an owner that has died is to be replaced within 1.5 s, of which
 /// its announcements are awaited for 0.3 s and its row is watched for the rest.
 constexpr Duration longestHarmlessPause = 800ms;
+constexpr Duration silentTime = 3s; ///< Of a node that is paused when an owner is lost.
 constexpr int cellCount = 5;
 constexpr std::size_t nodesInOneFault = 7; ///< One of so many nodes is late or unreachable from an owner.
 constexpr double processorShares[] = { 0.12, 0.25, 0.5 };
@@ -299,20 +300,24 @@
             m_unreachableUntil[{ anyNode().number, anyNode().number }] = m_clock.now() + milliseconds(3000, 15000);
         }
     } else if (kind == 1 && m_faults.areNodesLate) {
-        for (std::size_t node = 0; node < count; ++node)
-            delay(owner && m_random() % 4 == 0 ? *owner : anyNode());
+        for (std::size_t number = 0; number < count; ++number) {
+            Node& node = owner && m_random() % 4 == 0 ? *owner : anyNode();
+            delay(node, milliseconds(200, 3000));
+        }
     } else if (kind == 2 && m_faults.areOwnersLost && owner) {
         lose(*owner);
+        if (m_faults.isAnotherNodeSilent)
+            delay(anyNode(), silentTime);
         for (int more = 1; more < m_faults.lostAtOnce; ++more)
             lose(anyNode());
     }
 }
 
-void OwnershipSimulation::delay(Node& node)
+void OwnershipSimulation::delay(Node& node, Duration time)
 {
     if (m_clock.now() >= node.pausedUntil)
         node.pausedAt = m_clock.now();
-    node.pausedUntil = std::max(node.pausedUntil, m_clock.now() + milliseconds(200, 3000));
+    node.pausedUntil = std::max(node.pausedUntil, m_clock.now() + time);
 }
 
 /// Ends the node's process; another one starts on the node later.
--- a/packages/node/tests/ownership_simulation.h
+++ b/packages/node/tests/ownership_simulation.h
@@ -28,6 +28,7 @@
     bool areOwnersLost { true };
     int lostAtOnce { 1 }; ///< Nodes that are lost together with each lost owner.
     Duration period { std::chrono::milliseconds { 1500 } }; ///< Between two faults.
+    bool isAnotherNodeSilent { false }; ///< Another node is paused when an owner is lost.
 };
 
 /// What a run has shown.
@@ -98,7 +99,7 @@
     void receive(Node& node, Process& process, const jobs::NodeAnnouncement& announcement);
 
     void injectFault();
-    void delay(Node& node);
+    void delay(Node& node, Duration time);
     void lose(Node& node);
     Node& anyNode();
     Node* ownerOfAnyCell();
--- a/packages/node/tests/ownership_walk_tests.cpp
+++ b/packages/node/tests/ownership_walk_tests.cpp
@@ -48,9 +48,9 @@
 } // namespace
 
 /// Owners are lost one after the other, `period` apart, and nothing else happens. Seeds as in `walk`.
-void expectReplacement(int nodes, int seeds, Duration period)
+void expectReplacement(int nodes, int seeds, Duration period, bool isAnotherNodeSilent = false)
 {
-    const OwnershipFaults faults { false, false, true, 1, period };
+    const OwnershipFaults faults { false, false, true, 1, period, isAnotherNodeSilent };
     const int first = numberFrom("RATTANRACK_WALK_FIRST", 1);
     const int count = numberFrom("RATTANRACK_WALK_SEEDS", seedsOf(seeds));
     for (int seed = first; seed < first + count; ++seed) {
@@ -66,6 +66,7 @@
 
 TEST(LostOwnersAreReplacedInTime, AmongSevenNodes) { expectReplacement(7, 10, lossesFarApart); }
 TEST(LostOwnersAreReplacedInTime, WithinSecondsOfEachOtherAmongSevenNodes) { expectReplacement(7, 20, lossesClose); }
+TEST(LostOwnersAreReplacedInTime, BesideASilentNodeAmongSevenNodes) { expectReplacement(7, 10, lossesFarApart, true); }
 TEST(LostOwnersAreReplacedInTime, WithinSecondsOfEachOtherAmongThirtySevenNodes)
 {
     expectReplacement(37, 4, lossesClose);
