Logs and metrics tell when a configuration came into force and by which way

Callers saw 404 or the older service for seconds after a change, and neither the log nor the metrics of a node told why: the line configuration.in_force gave the version alone.

Change: the line gives the way (feed or read) and for how long the store had not responded to the watcher. Four metrics give the same. Directives that arrive out of order, older than those in force, are dropped as a whole; before, only an older configuration was, and waves went back.

--- a/packages/node/src/job_node_state.h
+++ b/packages/node/src/job_node_state.h
@@ -34,6 +34,12 @@
     JobReplyCallback reply;
 };
 
+/// By which way a node has received a configuration.
+enum class ConfigurationWay : std::uint8_t {
+    Read, ///< Read at the start or after a failure of the feed.
+    Feed, ///< Read because the store's feed has reported a change.
+};
+
 /// A call that waits until its cell has claimed the queue.
 struct DeferredCall {
     peer::JobCall call;
@@ -109,6 +115,10 @@
 
     // Watchers of the store: job_node_watchers.cpp
     void watchConfiguration();
+    ConfigurationWay waitForDirectives(jobs::RowVersion version);
+    bool readDirectives(ConfigurationWay way);
+    void applyDirectives(const jobs::FleetDirectives& directives, ConfigurationWay way, Duration silence);
+    void reportConfiguration(const jobs::Configuration& configuration, ConfigurationWay way, Duration silence);
     void watchWorkers();
     std::optional<WorkerList> readWorkers();
     void setWorkers(WorkerList list);
@@ -151,7 +161,7 @@
     std::set<PoolId> takeoversInProgress;
     std::vector<jobs::MaintenanceWave> waves;
     std::set<PoolId> cellsInUse;
-    jobs::RowVersion directivesVersion { 0 }; ///< The store's version when the configuration in force was read.
+    jobs::RowVersion directivesVersion { 0 }; ///< The store's version when the directives in force were read.
     jobs::QueueAssignments assignments; ///< Cells in it have an owner, whether the configuration routes to them or not.
     std::shared_ptr<const jobs::QueueRoutes> queueRoutes { std::make_shared<jobs::QueueRoutes>() };
     WorkerList workers;
@@ -163,6 +173,8 @@
 
     std::atomic<bool> isStopped { false };
     std::atomic<bool> mustReadAssignments { true };
+    std::atomic<jobs::RowVersion> watchedVersion { 0 }; ///< From which the watcher waits for changes of directives.
+    std::atomic<TimePoint> watcherRespondedAt { clock.now() }; ///< Latest response of the store to the watcher.
     Deadline nextAssignmentsRead {}; ///< Of the thread that watches the members.
     std::atomic<bool> isReady { false };
     std::atomic<bool> hasConfiguredCells { false };
--- a/packages/node/src/job_node_watchers.cpp
+++ b/packages/node/src/job_node_watchers.cpp
@@ -16,9 +16,23 @@
 constexpr Duration workersPeriod = 400ms;
 constexpr Duration configurationWait = 1500ms; ///< Of one request for changes of the operators' directives.
 constexpr Duration pauseAfterError = 300ms;
+constexpr double millisecondsPerSecond = 1000;
 constexpr const char* nodeTable = "node";
 constexpr const char* nodePart = "nodes";
 
+const char* nameOf(ConfigurationWay way)
+{
+    switch (way) {
+    case ConfigurationWay::Read:
+        return "read";
+    case ConfigurationWay::Feed:
+        return "feed";
+    }
+    return "";
+}
+
+double seconds(Duration duration) { return std::chrono::duration<double> { duration }.count(); }
+
 } // namespace
 
 template <typename Work> void JobNode::State::loopUntilStopped(Duration period, Work work)
@@ -36,7 +50,6 @@
     const auto current = configuration;
     if (current && current->version >= next.version)
         return;
-    logEvent("configuration.in_force", { { "version", next.version }, { "routes", next.routes.size() } });
     auto shared = std::make_shared<const jobs::Configuration>(std::move(next));
     {
         const std::lock_guard lock(configurationMutex);
@@ -103,35 +116,78 @@
         [this, shared = std::make_shared<jobs::QueueAssignments>(std::move(*read))] { setAssignments(*shared); });
 }
 
+void JobNode::State::reportConfiguration(const jobs::Configuration& next, ConfigurationWay way, Duration silence)
+{
+    logEvent("configuration.in_force",
+        { { "version", next.version }, { "routes", next.routes.size() }, { "way", nameOf(way) },
+            { "silentMs", silence / 1ms } });
+    metrics.setGauge("rattanrack_configuration_version", {}, static_cast<double>(next.version));
+    metrics.setGauge("rattanrack_configuration_in_force_since_seconds", {},
+        static_cast<double>(wallClockMilliseconds()) / millisecondsPerSecond);
+    metrics.setGauge("rattanrack_configuration_silence_seconds", {}, seconds(silence));
+    metrics.increment("rattanrack_configurations_total", { { "way", nameOf(way) } });
+}
+
+/// Reads arrive out of order, since the watcher is not the only one that reads.
+void JobNode::State::applyDirectives(const jobs::FleetDirectives& directives, ConfigurationWay way, Duration silence)
+{
+    if (directives.version < directivesVersion)
+        return;
+    directivesVersion = directives.version;
+    const auto& next = directives.configuration;
+    if (next && (!configuration || configuration->version < next->version)) {
+        reportConfiguration(*next, way, silence);
+        applyConfiguration(*next);
+    }
+    waves = directives.waves;
+    if (machineController)
+        machineController->setWaves(waves);
+}
+
+/// Returns false if they could not be read.
+bool JobNode::State::readDirectives(ConfigurationWay way)
+{
+    auto directives = valueOrNothing([&] { return ports.fleet.directives(); },
+        [](const Error& error) {
+            logEvent("orders.unread", { { "error", describe(error) } }, LogLevel::Warning);
+        });
+    if (!directives)
+        return false;
+    watchedVersion = directives->version;
+    const Duration silence = clock.now() - watcherRespondedAt.load();
+    control.post([this, silence, way, shared = std::make_shared<jobs::FleetDirectives>(std::move(*directives))] {
+        applyDirectives(*shared, way, silence);
+    });
+    return true;
+}
+
+/// Waits until directives have changed after `version` or the feed has failed.
+ConfigurationWay JobNode::State::waitForDirectives(jobs::RowVersion version)
+{
+    while (!isStopped) {
+        const auto hasChanged = valueOrNothing(
+            [&] { return ports.fleet.waitForChange(version, configurationWait); }, [](const Error&) {});
+        if (!hasChanged) {
+            std::this_thread::sleep_for(pauseAfterError);
+            return ConfigurationWay::Read;
+        }
+        if (*hasChanged)
+            return ConfigurationWay::Feed;
+        watcherRespondedAt = clock.now();
+    }
+    return ConfigurationWay::Read;
+}
+
 void JobNode::State::watchConfiguration()
 {
-    jobs::RowVersion lastVersion = 0;
+    ConfigurationWay way = ConfigurationWay::Read;
     while (!isStopped) {
-        const auto directives = valueOrNothing([&] { return ports.fleet.directives(); },
-            [](const Error& error) {
-                logEvent("orders.unread", { { "error", describe(error) } }, LogLevel::Warning);
-            });
-        if (!directives) {
+        if (!readDirectives(way)) {
             std::this_thread::sleep_for(pauseAfterError);
             continue;
         }
-        lastVersion = directives->version;
-        control.post([this, next = *directives] {
-            directivesVersion = std::max(directivesVersion, next.version);
-            if (next.configuration)
-                applyConfiguration(*next.configuration);
-            waves = next.waves;
-            if (machineController)
-                machineController->setWaves(waves);
-        });
-        bool hasChanged = false;
-        while (!isStopped && !hasChanged) {
-            const auto answer = valueOrNothing(
-                [&] { return ports.fleet.waitForChange(lastVersion, configurationWait); }, [](const Error&) {});
-            hasChanged = !answer || *answer;
-            if (!answer)
-                std::this_thread::sleep_for(pauseAfterError);
-        }
+        watcherRespondedAt = clock.now();
+        way = waitForDirectives(watchedVersion);
     }
 }
 
