Jobs of an earlier release keep their cell when their route moves

A job row of a release that stored no queue addresses stands in the part of pool A. The job completes, the route moves to pool B, and a repeated submission runs all of it again: 15 starts in place of 10.

Cause: such a queue has no assignment, and a queue without one counts as new. The next cell claims it without looking for earlier jobs.

Change: the owner of a cell claims the queues of jobs without an address at once, at its takeover and after each configuration, where a route of the job's queue leads to the cell. From then on a move works as for any other queue: the earlier cell closes it, and the next one reads its jobs.

Weighed: a first claim that reads the jobs of all cells finds them after a move, too, but makes the first job of each new queue wait for the job rows of the whole store.

A cell without such jobs looks through its jobs once for each configuration, and writes nothing.

--- a/packages/jobs/include/rattanrack/jobs/cell.h
+++ b/packages/jobs/include/rattanrack/jobs/cell.h
@@ -196,6 +196,9 @@
     /// Whether the cell has a job of the queue, ended or not.
     bool hasJobs(const QueueAddress& queue) const;
 
+    /// The queues of the jobs whose rows name no address, as those that an earlier release has written.
+    std::set<QueueId> queuesOfJobsWithoutAddress() const;
+
     /// Whether a job of the queue is in no transaction that has succeeded.
     bool hasUnstoredJobs(const QueueAddress& queue) const;
 
--- a/packages/jobs/include/rattanrack/jobs/cell_queues.h
+++ b/packages/jobs/include/rattanrack/jobs/cell_queues.h
@@ -39,6 +39,9 @@
     /// Applies assignments as read from the store. Older ones than those known are ignored.
     void setAssignments(const QueueAssignments& assignments);
 
+    /// Queues that the cell may have jobs of though no row assigns them, since an earlier release accepted these jobs.
+    void setQueuesOfEarlierRelease(std::set<QueueAddress> queues);
+
     /// `callVersion`: the version by which a node has chosen this cell for a call, which may be later than the one that
     /// is applied here; 0 if none has.
     QueueAccess access(const QueueAddress& queue, std::uint64_t callVersion = 0) const;
@@ -56,8 +59,8 @@
     std::optional<QueueClaim> claim(const QueueAddress& queue, std::uint64_t callVersion = 0) const;
     void onClaimResult(const QueueAddress& queue, const QueueClaimResult& result);
 
-    /// Queues to claim without waiting for a call: those that another cell had, and those whose earlier jobs have not
-    /// been read. Valid until the next call that changes this object.
+    /// Queues to claim without waiting for a call: those that another cell had, those whose earlier jobs have not been
+    /// read, and those of an earlier release. Valid until the next call that changes this object.
     const std::vector<QueueAddress>& queuesToClaim();
 
     /// Queues with earlier cells, whose jobs have to be read anew from time to time.
@@ -95,6 +98,7 @@
     std::uint64_t m_version { 0 }; ///< Of the configuration in force.
     std::shared_ptr<const QueueRoutes> m_routes;
     std::map<QueueAddress, QueueAssignment> m_assignments;
+    std::set<QueueAddress> m_queuesOfEarlierRelease;
     std::map<QueueAddress, EarlierJobs> m_earlierJobs; ///< As read last; valid for one version of the assignment.
     bool m_areListsCurrent { false }; ///< Whether the two lists below are of the present state.
     std::vector<QueueAddress> m_queuesToClaim;
--- a/packages/jobs/src/cell_queries.cpp
+++ b/packages/jobs/src/cell_queries.cpp
@@ -12,6 +12,16 @@
         [&](const auto& each) { return mayBeOfQueue(each.second->job, queue); });
 }
 
+std::set<QueueId> Cell::queuesOfJobsWithoutAddress() const
+{
+    std::set<QueueId> queues;
+    for (const auto& [id, entry] : m_state->jobs) {
+        if (entry->job.queueAddress.isEmpty())
+            queues.insert(entry->job.queue);
+    }
+    return queues;
+}
+
 bool Cell::hasUnstoredJobs(const QueueAddress& queue) const
 {
     const auto isUnstoredOfQueue = [&](const JobId& job) {
--- a/packages/jobs/src/cell_queues.cpp
+++ b/packages/jobs/src/cell_queues.cpp
@@ -19,6 +19,12 @@
     m_areListsCurrent = false;
 }
 
+void CellQueues::setQueuesOfEarlierRelease(std::set<QueueAddress> queues)
+{
+    m_queuesOfEarlierRelease = std::move(queues);
+    m_areListsCurrent = false;
+}
+
 void CellQueues::setAssignments(const QueueAssignments& assignments)
 {
     const std::size_t removed = std::erase_if(m_assignments, [&](const auto& known) {
@@ -169,6 +175,10 @@
         if (isAssignedHere(queue) && isRoutedAway(queue))
             m_queuesToClose.push_back(queue);
     }
+    for (const QueueAddress& queue : m_queuesOfEarlierRelease) {
+        if (!assignmentOf(queue) && access(queue) == QueueAccess::Claimable)
+            m_queuesToClaim.push_back(queue);
+    }
 }
 
 const std::vector<QueueAddress>& CellQueues::queuesToClaim()
--- a/packages/jobs/tests/queue_assignment_tests.cpp
+++ b/packages/jobs/tests/queue_assignment_tests.cpp
@@ -218,6 +218,17 @@
     EXPECT_EQ(queues.queuesToClose(), none);
 }
 
+TEST(CellQueuesTest, QueueOfAnEarlierReleaseIsClaimedWithoutACall)
+{
+    CellQueues queues { here, {} };
+    queues.configure(7, routesTo(here));
+    EXPECT_TRUE(queues.queuesToClaim().empty());
+    queues.setQueuesOfEarlierRelease({ queue });
+    EXPECT_EQ(queues.queuesToClaim(), std::vector { queue });
+    queues.setAssignments(assignedTo(here, 7));
+    EXPECT_TRUE(queues.queuesToClaim().empty());
+}
+
 TEST(CellQueuesTest, CallByALaterConfigurationMayClaimTheQueue)
 {
     CellQueues queues { here, {} };
--- a/packages/node/include/rattanrack/node/cell_host.h
+++ b/packages/node/include/rattanrack/node/cell_host.h
@@ -86,6 +86,8 @@
 
     /// Applies the routes of a configuration. `routes` must not be null.
     void setRoutes(std::uint64_t version, std::shared_ptr<const jobs::QueueRoutes> routes);
+    /// Claims the queues of jobs whose rows name no address and whose routes lead here.
+    void setQueuesOfEarlierRelease(const std::vector<jobs::Route>& routes);
     void setAssignments(const jobs::QueueAssignments& assignments);
     void setWorkers(const WorkerList& list);
     void setDrainingMachines(std::set<jobs::MachineId> machines);
--- a/packages/node/src/cell_host_queues.cpp
+++ b/packages/node/src/cell_host_queues.cpp
@@ -30,6 +30,18 @@
     wake();
 }
 
+/// They are claimed while the route still leads here, so that the next cell finds the jobs when it moves.
+void CellHost::setQueuesOfEarlierRelease(const std::vector<jobs::Route>& routes)
+{
+    const std::set<jobs::QueueId> queues = m_cell.queuesOfJobsWithoutAddress();
+    std::set<jobs::QueueAddress> addresses;
+    for (const jobs::Route& route : routes) {
+        if (route.queue.pool == m_pool && queues.contains(route.queue.id))
+            addresses.insert(jobs::queueAddressOf(route));
+    }
+    m_queues.setQueuesOfEarlierRelease(std::move(addresses));
+}
+
 void CellHost::setAssignments(const jobs::QueueAssignments& assignments) { m_queues.setAssignments(assignments); }
 
 void CellHost::claimQueue(const jobs::QueueAddress& queue, std::uint64_t callVersion)
--- a/packages/node/src/job_node_watchers.cpp
+++ b/packages/node/src/job_node_watchers.cpp
@@ -67,6 +67,7 @@
 {
     host.configure(configuration->queuesOf(cell), configuration->enforcesCapacity(cell));
     host.setRoutes(configuration->version, queueRoutes);
+    host.setQueuesOfEarlierRelease(configuration->routes);
 }
 
 /// Cells of accepted jobs have an owner until the jobs are removed, whether the configuration has a route to them or
