A message that arrives while a node is created does not end its process

A trial with a pause of 150 ms in JobNode::create ends the new test by a segmentation fault (exit status 139).

Cause: the network of peers receives as soon as it listens, and posts to the control thread. The main thread stores the pointer to it afterwards, without synchronization. A call that is handled before uses a null pointer for its reply. A node that starts again at its address is called at once, and on a busy machine the main thread may wait for the processor just then.

Change: the pointer is stored on the control thread, and messages that are handled before are dropped; peers repeat them.

Ruled out: not proven to be the signal 11 that was seen.

Tests: Federation.NodeReceivesCallsWhileItIsCreated passes on the code before without the pause (two plays), so it guards the order only where the machine is slow; with the pause it fails before and passes after.

--- a/packages/node/src/job_node.cpp
+++ b/packages/node/src/job_node.cpp
@@ -217,6 +217,8 @@
 
 void JobNode::State::receive(const peer::Message& message)
 {
+    if (!network)
+        return; // Arrived while the node was being created; peers repeat their calls and announcements.
     std::visit([this](const auto& each) { received(each); }, message);
 }
 
@@ -237,7 +239,7 @@
         raw->control.post(
             [raw, shared = std::make_shared<peer::Message>(std::move(message))] { raw->receive(*shared); });
     }));
-    raw->network = std::move(network);
+    raw->control.run([&] { raw->network = std::move(network); });
     raw->start();
     return std::unique_ptr<JobNode>(new JobNode(std::move(state)));
 }
