The time of a slow read of an owner row is no time of watching

Found by the review of the merged work, by reading: a live owner may be replaced.

Cause: the watch counted the owner row as unchanged since the read was sent. Its version was seen only when the response came. A read that takes 0.7 s or more (a slow store, or a read that is repeated over a new connection) left no time of watching at all, so that a live owner with late announcements lost its cell within one renewal period.

Change: a row counts as unchanged, and as of one term, from the receipt of the first response that shows it.

--- a/packages/jobs/include/rattanrack/jobs/takeover_watch.h
+++ b/packages/jobs/include/rattanrack/jobs/takeover_watch.h
@@ -34,15 +34,16 @@
 
 /// Keeps what this node has read of owner rows. Performs no I/O and reads no clock. Not thread-safe.
 ///
-///     if (watch.isReadDue(cell, now)) read(cell);       // then watch.onRead(cell, sighting, readAt)
+///     if (watch.isReadDue(cell, now)) read(cell);       // then watch.onRead(cell, sighting, readAt, receivedAt)
 ///     if (const auto condition = watch.condition(cell, ownership, now)) take(cell, *condition);
 class TakeoverWatch {
 public:
     /// Whether the owner row of a cell that may have lost its owner should be read.
     bool isReadDue(const PoolId& cell, TimePoint now) const;
 
-    /// `readAt`: a time before the read was sent.
-    void onRead(const PoolId& cell, const OwnerSighting& sighting, TimePoint readAt);
+    /// `readAt`: a time before the read was sent. `receivedAt`: when its response arrived, which may be a second later;
+    /// the row is known not to have changed from the first response on, not from the first read.
+    void onRead(const PoolId& cell, const OwnerSighting& sighting, TimePoint readAt, TimePoint receivedAt);
 
     /// A takeover has failed, since another node or the owner has written the row.
     void onTakeFailed(const PoolId& cell, TimePoint now);
--- a/packages/jobs/src/takeover_watch.cpp
+++ b/packages/jobs/src/takeover_watch.cpp
@@ -29,17 +29,17 @@
     return watched == m_watched.end() || now - watched->second.lastReadAt >= readPeriod;
 }
 
-void TakeoverWatch::onRead(const PoolId& cell, const OwnerSighting& sighting, TimePoint readAt)
+void TakeoverWatch::onRead(const PoolId& cell, const OwnerSighting& sighting, TimePoint readAt, TimePoint receivedAt)
 {
-    const auto [watched, isNew] = m_watched.try_emplace(cell, Watched { sighting, readAt, readAt, readAt });
+    const auto [watched, isNew] = m_watched.try_emplace(cell, Watched { sighting, receivedAt, receivedAt, readAt });
     if (isNew || readAt < watched->second.lastReadAt)
         return;
     if (watched->second.sighting.version != sighting.version) {
-        watched->second.unchangedSince = readAt;
+        watched->second.unchangedSince = receivedAt;
         watched->second.hasChanged = true;
     }
     if (watched->second.sighting.term != sighting.term)
-        watched->second.sameTermSince = readAt;
+        watched->second.sameTermSince = receivedAt;
     watched->second.sighting = sighting;
     watched->second.lastReadAt = readAt;
 }
--- a/packages/jobs/tests/takeover_watch_tests.cpp
+++ b/packages/jobs/tests/takeover_watch_tests.cpp
@@ -19,7 +19,11 @@
         const std::string address = std::string { node } + ":7000";
         m_ownership.onAnnouncement({ NodeId { node }, address, ++m_sequence, false, true, std::move(cells) }, m_now);
     }
-    void read(RowVersion version, const NodeId& holder = owner) { m_watch.onRead(cell, { holder, 3, version }, m_now); }
+    void read(RowVersion version, const NodeId& holder = owner) { readSlowly(version, m_now, holder); }
+    void readSlowly(RowVersion version, TimePoint sentAt, const NodeId& holder = owner)
+    {
+        m_watch.onRead(cell, { holder, 3, version }, sentAt, m_now);
+    }
     std::optional<TakeoverCondition> condition() const { return m_watch.condition(cell, m_ownership, m_now); }
 
     TimePoint m_now { 100s };
@@ -54,6 +58,18 @@
     EXPECT_EQ(condition()->rowVersion, 7U);
 }
 
+TEST_F(WatchingNode, TimeOfASlowReadIsNoTimeOfWatching)
+{
+    const TimePoint sentAt = m_now;
+    m_now += 900ms;
+    readSlowly(7, sentAt);
+    EXPECT_FALSE(condition());
+    m_now += 650ms;
+    EXPECT_FALSE(condition());
+    m_now += 50ms;
+    EXPECT_TRUE(condition());
+}
+
 TEST_F(WatchingNode, WatchesAnOwnerThatRunsForLonger)
 {
     read(7);
@@ -99,7 +115,7 @@
     m_now += 5s; // The owner has died, and another node has just taken the cell.
     announce("a-1");
     announce("b-1");
-    m_watch.onRead(cell, { NodeId { "b-1" }, 4, 2 }, m_now);
+    m_watch.onRead(cell, { NodeId { "b-1" }, 4, 2 }, m_now, m_now);
     EXPECT_FALSE(condition());
 }
 
--- a/packages/node/src/job_node_cells.cpp
+++ b/packages/node/src/job_node_cells.cpp
@@ -41,7 +41,7 @@
         control.post([this, cell, now, sighting = std::move(sighting)] {
             ownerReadsInProgress.erase(cell);
             if (sighting)
-                takeoverWatch.onRead(cell, *sighting, now);
+                takeoverWatch.onRead(cell, *sighting, now, clock.now());
         });
     });
     if (!isSubmitted)
--- a/packages/node/tests/ownership_simulation.cpp
+++ b/packages/node/tests/ownership_simulation.cpp
@@ -161,8 +161,9 @@
 {
     post(node, milliseconds(3, 8), [this, &node, cell, sentAt = m_clock.now()](Process&) {
         const auto sighting = valueOrNothing([&] { return readOwner(m_store, cell); }).value();
-        post(node, milliseconds(2, 8),
-            [cell, sighting, sentAt](Process& same) { same.watch.onRead(cell, sighting, sentAt); });
+        post(node, milliseconds(2, 8), [this, cell, sighting, sentAt](Process& same) {
+            same.watch.onRead(cell, sighting, sentAt, m_clock.now());
+        });
     });
 }
 
