A node that receives nobody replaces no running owner, however long that lasts

Cause: nodes that were last received over 10 s ago were no part of the majority, so that a node which receives nobody became one of one and replaced owners that run and write their rows.

Change: a node that receives nobody is no majority. Cells of owners that do not run are still taken, by their unchanged rows.

--- a/packages/jobs/src/ownership.cpp
+++ b/packages/jobs/src/ownership.cpp
@@ -285,7 +285,8 @@
         recent += now - peer.receivedAt < recentTime ? 1 : 0;
         live += isLive(peer, now) ? 1 : 0;
     }
-    return live * 2 > recent;
+    const bool receivesNobody = live == 1; // Its own isolation can't be told from that of the others.
+    return !receivesNobody && live * 2 > recent;
 }
 
 /// Each such move balances the loads, so that cells don't move back and forth.
--- a/packages/jobs/tests/takeover_watch_tests.cpp
+++ b/packages/jobs/tests/takeover_watch_tests.cpp
@@ -131,6 +131,17 @@
     }
 }
 
+TEST_F(WatchingNode, ReplacesNoRunningOwnerHoweverLongItReceivesNobody)
+{
+    announce(owner.value().c_str(), { { cell, 3 } });
+    announce("a-1");
+    for (RowVersion version = 1; version <= 60; ++version) {
+        m_now += 400ms;
+        read(version);
+        EXPECT_FALSE(condition()) << version;
+    }
+}
+
 TEST_F(WatchingNode, ReplacesNoRunningOwnerIfItHasReceivedNobodySinceItsStart)
 {
     for (const char* address : { "owner-1:7000", "a-1:7000", "b-1:7000" })
