An unanswered start is given up where the worker does not list the run and refuses retries

Cause: a worker that answers polls and refuses starts (503), or starts that expire in the queue, left the start unresolved for ever: the task had no run beside free workers.

While the worker does not answer polls either, the start is repeated.

--- a/packages/jobs/src/cell_results.cpp
+++ b/packages/jobs/src/cell_results.cpp
@@ -89,6 +89,7 @@
     }
     if (result.status == CommandStatus::NoResponse) {
         run.mayStartLate = true;
+        run.unresolvedAt = now;
         CellState::retryLater(worker, run, now);
         worker.avoidUntil = std::max(worker.avoidUntil, now + avoidAfterNoResponse);
         worker.needsPoll = true;
--- a/packages/jobs/src/cell_starts.cpp
+++ b/packages/jobs/src/cell_starts.cpp
@@ -29,6 +29,13 @@
 /// may have started the run, which may be at work.
 bool isRunAbsent(const CommandResult& result) { return result.status == CommandStatus::Refused; }
 
+/// Whether a list that was requested after the latest transmission without a response lacks the run. A start that
+/// arrives later still is refused after the stop.
+bool isMissingFromLaterList(const Worker& worker, const Run& run)
+{
+    return worker.contact == WorkerContact::Responsive && worker.lastPollSentAt > run.unresolvedAt;
+}
+
 /// The response time that this node accounts for. If the exchange with the worker is late by itself, the worker or the
 /// network is slow, and only the wait before the exchange counts.
 Duration ownResponseTime(const CommandResult& result)
@@ -132,7 +139,7 @@
     if (run.phase == RunPhase::Confirmed)
         return; // Started by an earlier transmission, and listed since.
     const bool isUnresolved = run.mayStartLate && run.phase == RunPhase::Starting;
-    if (isUnresolved && !isRunAbsent(result)) {
+    if (isUnresolved && !isRunAbsent(result) && !isMissingFromLaterList(worker, run)) {
         retryLater(worker, run, now);
         return;
     }
--- a/packages/jobs/src/run.h
+++ b/packages/jobs/src/run.h
@@ -23,6 +23,7 @@
     bool isServing { false }; ///< Has a latency target.
     bool isSizeUnknown { false }; ///< Adopted, of a job that this owner does not know.
     bool mayStartLate { false }; ///< A start without a response may still be carried out.
+    TimePoint unresolvedAt {}; ///< When the latest start without a response was given up.
     bool hasCommandInFlight { false }; ///< A start or stop has no result yet.
     bool hasStartInFlight { false }; ///< The command is a start, which carries a lease.
     std::optional<std::int64_t> seenInIncarnation; ///< The worker's incarnation that is known to have the run.
--- a/packages/jobs/tests/cell_tests.cpp
+++ b/packages/jobs/tests/cell_tests.cpp
@@ -64,6 +64,22 @@
     }
 }
 
+TEST(Cell, UnansweredStartIsGivenUpWhereTheWorkerRefusesRetriesAndDoesNotListTheRun)
+{
+    CellHarness harness;
+    const StartCommand first = harness.submitAndTakeStart("a");
+    harness.respond(first, CommandStatus::NoResponse);
+    std::size_t stops = 0;
+    for (int passes = 0; passes < 20; ++passes) {
+        harness.advance(50ms);
+        harness.answerAllPolls();
+        for (const StartCommand& retried : harness.takeCommands<StartCommand>())
+            harness.respond(retried, CommandStatus::Unhealthy);
+        stops += harness.takeCommands<StopCommand>().size();
+    }
+    EXPECT_EQ(stops, 1U);
+}
+
 TEST(Cell, UnansweredStartIsSentAgainAfterARetryThatWasNotSent)
 {
     CellHarness harness;
