Known answers about tickets cost no work in each pass and are not kept beyond their time

Found by reading the change once more.

Answers about workers that had gone stayed as long as the job.

Change: the usable tickets are updated in place; where there is nothing to ask, the workers are examined again after 300 ms, the pause that a failed request has; answers whose time is over are dropped with the next response. What is asked and started stays as it was. The cost of a pass was not measured, before or after.

The dropping of answers has no test of its own: an answer whose time is over counts as unknown either way.

--- a/packages/jobs/src/step_tickets.cpp
+++ b/packages/jobs/src/step_tickets.cpp
@@ -10,7 +10,7 @@
 
 constexpr Duration longestMargin = 300ms; ///< A ticket is not used when less of its time is left.
 constexpr int marginsInValidity = 3; ///< Short-lived tickets have a margin of one part of this many.
-constexpr Duration retryDelay = 300ms; ///< After a request without an answer.
+constexpr Duration retryDelay = 300ms; ///< After a request without an answer, and while there is nothing to ask.
 constexpr Duration refusalValidity = 10s; ///< After this long the service is asked again about a worker not allowed.
 constexpr std::size_t maxWorkersPerRequest = 30;
 
@@ -18,10 +18,14 @@
 
 const std::map<WorkerId, std::string>& StepTickets::usableAt(TimePoint now)
 {
-    m_usable.clear();
+    const auto isUsable = [&](const Answer& answer) { return !answer.ticket.empty() && now < answer.validUntil; };
+    std::erase_if(m_usable, [&](const auto& each) {
+        const auto answer = m_answers.find(each.first);
+        return answer == m_answers.end() || !isUsable(answer->second) || answer->second.ticket != each.second;
+    });
     for (const auto& [worker, answer] : m_answers) {
-        if (!answer.ticket.empty() && now < answer.validUntil)
-            m_usable.emplace(worker, answer.ticket);
+        if (isUsable(answer))
+            m_usable.try_emplace(worker, answer.ticket);
     }
     return m_usable;
 }
@@ -61,6 +65,8 @@
         m_asked[each.worker->id] = each.worker->incarnationUnixMs;
     }
     m_isShort = false;
+    if (workers.empty())
+        m_retryAt = now + retryDelay;
     return workers;
 }
 
@@ -71,6 +77,7 @@
         m_retryAt = now + retryDelay;
         return;
     }
+    std::erase_if(m_answers, [&](const auto& each) { return now >= each.second.validUntil; });
     for (const auto& [worker, incarnationUnixMs] : asked)
         m_answers[worker] = { {}, incarnationUnixMs, now + refusalValidity };
     const Duration margin = std::min(longestMargin, response.validFor / marginsInValidity);
--- a/packages/jobs/tests/step_tickets_tests.cpp
+++ b/packages/jobs/tests/step_tickets_tests.cpp
@@ -1,3 +1,4 @@
+#include "../src/step_tickets.h"
 #include "cell_harness.h"
 
 #include <set>
@@ -112,6 +113,20 @@
     EXPECT_EQ(cell.startsSoon().size(), 2U);
 }
 
+TEST(StepTickets, CandidatesAreNotExaminedInEachPassWhileAllAnswersAreKnown)
+{
+    WorkerDescription worker { workerId(0), MachineId { "m" }, PoolId { "p" }, "10.0.0.1:1" };
+    const std::vector<TicketCandidate> candidates { { &worker, true } };
+    const TimePoint now { 1000s };
+    jobs::StepTickets tickets;
+    ASSERT_EQ(tickets.nextRequest(candidates, now).size(), 1U);
+    tickets.onResponse({ {}, true, {}, 5s }, now);
+    ASSERT_TRUE(tickets.isRequestDue(now));
+    EXPECT_TRUE(tickets.nextRequest(candidates, now).empty());
+    EXPECT_FALSE(tickets.isRequestDue(now + 30ms));
+    EXPECT_TRUE(tickets.isRequestDue(now + 1s));
+}
+
 TEST(StepTickets, OneRequestSufficesWhereTheAllowedWorkersHaveRoom)
 {
     std::set<WorkerId> allowed;
