Review case 7: an order held on its way starts a subtask again in the worker's next life (TWICE)

Cause: an order to start names the worker's id, not its life, and is sent again with the same run number and fence. Where the worker closes its connections, the first copy may reach the worker after it has started again under its id, when the run has long ended as done.

--- a/review/standins-2/fleet.cpp
+++ b/review/standins-2/fleet.cpp
@@ -215,9 +215,37 @@
     return all > 0 ? static_cast<double>(used) / static_cast<double>(all) : 0;
 }
 
+void Fleet::holdNextStart(Milliseconds time)
+{
+    const std::lock_guard lock(m_mutex);
+    m_nextStartHeldFor = time;
+}
+
+Milliseconds Fleet::timeOnTheWay(const HttpMessage& request)
+{
+    const std::lock_guard lock(m_mutex);
+    if (!m_nextStartHeldFor || request.path != "/rattanrack/run-start")
+        return {};
+    m_record.add("held on the way: " + request.body);
+    const Milliseconds time = *m_nextStartHeldFor;
+    m_nextStartHeldFor.reset();
+    return time;
+}
+
 HttpMessage Fleet::handle(Worker& worker, const HttpMessage& request)
 {
-    std::this_thread::sleep_for(m_limits.commandTime);
+    const Milliseconds time = timeOnTheWay(request);
+    std::this_thread::sleep_for(m_limits.commandTime + time);
+    if (time > Milliseconds {})
+        m_record.add("arrives after " + std::to_string(time.count()) + " ms on the way: " + request.body);
+    HttpMessage response = carryOut(worker, request);
+    if (!m_limits.areConnectionsKept)
+        response.headers["Connection"] = "close";
+    return response;
+}
+
+HttpMessage Fleet::carryOut(Worker& worker, const HttpMessage& request)
+{
     const Json body = Json::parse(request.body);
     std::unique_lock lock(m_mutex);
     if (!worker.isUp)
--- a/review/standins-2/fleet.h
+++ b/review/standins-2/fleet.h
@@ -31,6 +31,7 @@
     Milliseconds moveTime { 1'500 }; ///< `move_s`
     Milliseconds upkeepTime { 2'000 }; ///< `upkeep_s`
     bool canMove { false }; ///< Otherwise the pools are of different machines.
+    bool areConnectionsKept { true }; ///< Otherwise a worker closes each connection after its response.
 };
 
 struct WorkerSettings {
@@ -105,6 +106,10 @@
     /// of silence.
     void setCutFromStore(const std::string& worker, bool isCut);
 
+    /// The next order to start a subtask stays on its way for this long: its sender gets no response, and the worker
+    /// that is at the address then receives it.
+    void holdNextStart(Milliseconds time);
+
     int machinesPort() const { return m_machines.port(); }
 
     std::vector<RunStart> starts();
@@ -165,6 +170,8 @@
     };
 
     HttpMessage handle(Worker& worker, const HttpMessage& request);
+    HttpMessage carryOut(Worker& worker, const HttpMessage& request);
+    Milliseconds timeOnTheWay(const HttpMessage& request);
     HttpMessage start(Worker& worker, const Json& body);
     HttpMessage stop(Worker& worker, const Json& body);
     HttpMessage hold(Worker& worker, const Json& body, std::unique_lock<std::mutex>& lock);
@@ -194,6 +201,7 @@
     std::mutex m_mutex;
     std::condition_variable m_hasEnd;
     std::map<std::string, std::vector<StepModel>> m_jobs;
+    std::optional<Milliseconds> m_nextStartHeldFor;
     std::map<std::string, std::unique_ptr<Worker>> m_workers; ///< By the first worker's id: one of each machine.
     std::set<std::string> m_standbyPools;
     std::vector<RunStart> m_starts;
--- a/review/standins-2/http.cpp
+++ b/review/standins-2/http.cpp
@@ -231,7 +231,8 @@
         if (response.status == 0)
             break;
         const std::string head = "HTTP/1.1 " + std::to_string(response.status) + " -\r\n";
-        isOpen = writeAll(socket, head + headersOf(response), Clock::now() + longestIdleTime);
+        isOpen = writeAll(socket, head + headersOf(response), Clock::now() + longestIdleTime)
+            && !response.headers.contains("Connection");
     }
     {
         const std::lock_guard lock(m_mutex);
