--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,7 +5,7 @@
 mkdir -p build
 flags="-std=c++20 -O2 -Wall -Wextra -pthread"
 shared="record http store fleet fleet_machines deployment"
-cases="held_start other_writer upkeep_after_move crash_loop gang_on_one_worker"
+cases="held_start other_writer upkeep_after_move crash_loop gang_on_one_worker renamed_route"
 for source in $shared $cases; do
     g++ $flags -c -o "build/$source.o" "$source.cpp" &
 done
