--- a/fuzz/adapter_driver.cpp
+++ b/fuzz/adapter_driver.cpp
@@ -16,7 +16,8 @@
 constexpr const char* job = R"({"spec":"s","steps":[{"count":4,"cpu":500,"mem_mb":256,"estimated_ms":900,
     "affinity":"r1"},{"count":2,"after":[0],"gang":true,"may_miss":1}],"repeat_count":2,"first_ms":5,"interval_ms":9})";
 constexpr const char* configuration = R"({"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/p/",
-    "backend":"b","attempts":3,"stretch":1.6}],"backends":[{"name":"b","standby":false}],"limits":{"max_body_bytes":9}})";
+    "backend":"b","attempts":3,"stretch":1.6,"allow_anonymous":true}],"backends":[{"name":"b","standby":false}],
+    "limits":{"max_body_bytes":9},"tenants":[{"name":"t","api_keys":["k1","k2"],"weight":2.5,"cap":{"cpu":9,"gpu":1}}]})";
 constexpr const char* worker = R"({"backend":"b","address":"1.2.3.4:5","state":"ready","capacity":{"cpu":1,"mem_mb":2,
     "gpu":0},"labels":["a","r1"],"machine":"m","born":5})";
 constexpr const char* wave = R"({"wave":1,"machines":["m"],"duration_s":20,"cap":1})";
@@ -39,7 +40,7 @@
         if (jobs::JobProgress { made }.hasEnded() || !valueOrNothing([&] { return jobs::decodeJob(encode(made)); }))
             std::abort();
     }
-    (void)adapter::decodeConfiguration(text);
+    (void)valueOrNothing([&] { return adapter::decodeConfiguration(text); });
     (void)adapter::decodeWave(text);
     (void)adapter::decodeWorker("w", text);
     (void)adapter::decodePollReport(text);
--- a/packages/jobs/include/rattanrack/jobs/cell.h
+++ b/packages/jobs/include/rattanrack/jobs/cell.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "rattanrack/jobs/cell_event.h"
+#include "rattanrack/jobs/customer_use.h"
 #include "rattanrack/jobs/job.h"
 #include "rattanrack/jobs/job_progress.h"
 #include "rattanrack/jobs/maintenance_scheduler.h"
@@ -127,7 +128,21 @@
     Cell& operator=(Cell&&) noexcept;
 
     /// Applies the queue settings of the configuration in force. Queues that it no longer contains keep their settings.
-    void configure(const std::vector<QueueSettings>& queues);
+    /// `customers`: all that are configured. Nothing of a customer starts before the first call.
+    void configure(const std::vector<QueueSettings>& queues, const std::vector<Customer>& customers = {});
+
+    /// Customers with a quota, and what they use here, ascending by name.
+    std::vector<CustomerUse> customerUse() const;
+
+    /// Sets what the customer's tasks may use in this cell, if it has a quota; nothing until the first call.
+    void setCustomerLimit(const CustomerId& customer, const CustomerLimit& limit);
+
+    /// Capacity of the workers of previous owners that have not been contacted: what runs there is not known.
+    ResourceSize uncontactedCapacity() const;
+
+    /// Whether the job belongs to another customer than `customer`, which is still configured. Always false if one of
+    /// the two names no customer.
+    bool isOfOtherCustomer(const JobId& job, const CustomerId& customer) const;
 
     /// Sets the workers of all pools, as listed by the store; those of other pools show which machines have left this
     /// one. `requestedAt`: when the list was requested.
--- a/packages/jobs/include/rattanrack/jobs/configuration.h
+++ b/packages/jobs/include/rattanrack/jobs/configuration.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "rattanrack/jobs/customer_keys.h"
 #include "rattanrack/jobs/job.h"
 #include "rattanrack/jobs/worker.h"
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -17,6 +19,7 @@
     std::string host;
     std::string pathPrefix;
     QueueSettings queue;
+    bool allowsAnonymousCalls { false }; ///< Calls need no key.
 
     friend bool operator==(const Route&, const Route&) = default;
 };
@@ -40,6 +43,9 @@
     std::uint64_t version { 0 };
     std::vector<Route> routes;
     std::vector<PoolSettings> pools;
+    std::vector<Customer> customers;
+    /// Null: no customers are configured, and no call needs a key.
+    std::shared_ptr<const CustomerKeys> keys;
     std::size_t maxBodyBytes { std::size_t { 256 } * 1024 };
 
     /// Returns the matching route with the longest prefix, or null. The pointer is valid for the lifetime of this
--- a/packages/jobs/include/rattanrack/jobs/job.h
+++ b/packages/jobs/include/rattanrack/jobs/job.h
@@ -3,6 +3,7 @@
 #include "rattanrack/base/ids.h"
 #include "rattanrack/base/time.h"
 #include "rattanrack/base/units.h"
+#include "rattanrack/jobs/customer.h"
 
 #include <cstdint>
 #include <optional>
@@ -78,6 +79,7 @@
     int maxAttempts { 0 }; ///< Failed runs of a task that fail the job, as configured when it was accepted; 0: unknown.
     QueueAddress queueAddress {}; ///< Empty in rows of earlier versions.
     bool requiresTickets { false }; ///< As configured when it was accepted.
+    CustomerId customer {}; ///< Whose key its first call had; empty: none.
 
     friend bool operator==(const Job&, const Job&) = default;
 };
--- a/packages/jobs/include/rattanrack/jobs/missing_run_reason.h
+++ b/packages/jobs/include/rattanrack/jobs/missing_run_reason.h
@@ -18,6 +18,7 @@
     PreviousOwners, ///< Workers of previous owners may still run it.
     OwnerMayStartNothing, ///< No recent transaction, or an old list of workers.
     QueueNotConfigured,
+    QuotaUsedUp, ///< What its customer's quota permits in this cell is used up.
     NoTicket, ///< Its queue requires tickets, and the step has no valid one.
     WorkerNotListed,
     WorkerNotStored, ///< Listed, but not yet in the stored list of workers in use.
--- a/packages/jobs/src/cell.cpp
+++ b/packages/jobs/src/cell.cpp
@@ -81,6 +81,7 @@
 void CellState::addJob(std::unique_ptr<JobEntry> entry)
 {
     entry->queue = settingsOf(entry->job.queue);
+    entry->account = customers.accountOf(entry->job.customer);
     entry->isAmongUnfinished = !entry->progress.hasEnded();
     if (entry->isAmongUnfinished)
         unfinishedJobs.push_back(entry.get());
@@ -132,8 +133,9 @@
     dirtyJobs.insert(entry.job.id);
 }
 
-void Cell::configure(const std::vector<QueueSettings>& queues)
+void Cell::configure(const std::vector<QueueSettings>& queues, const std::vector<Customer>& customers)
 {
+    m_state->configureCustomers(customers);
     for (const QueueSettings& queue : queues)
         m_state->queues[queue.id] = queue;
     for (JobEntry* entry : m_state->unfinishedJobs) {
@@ -185,7 +187,10 @@
     entry->waitingCallers.push_back(token);
     state.markChanged(*entry);
     state.isCommitUrgent = true;
+    JobEntry& added = *entry;
     state.addJob(std::move(entry));
+    if (added.account)
+        added.isBeyondWeight = !added.account->submissions.take(added.account->settings.weight, now);
     return Acceptance::Pending;
 }
 
--- /dev/null
+++ b/packages/jobs/src/cell_quotas.cpp
@@ -0,0 +1,385 @@
+#include "rattanrack/jobs/cell_quotas.h"
+
+#include <algorithm>
+#include <array>
+
+namespace rattanrack::jobs {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t maxRowsInTransaction = 40;
+constexpr Duration readPeriod = 1s; ///< To learn that another cell is short of what this one does not need.
+constexpr Duration contestedReadPeriod = 250ms;
+constexpr Duration retryPause = 100ms;
+constexpr Duration transactionPause = 20ms;
+constexpr Duration shortReportPause = 200ms; ///< Between two changes of `isShort` alone.
+constexpr Duration excessPeriod = 1s; ///< Demand that ends for less than this keeps its allotment.
+constexpr Duration loweredQuotaPeriod = 5s; ///< By then all owners have the configuration that lowers a quota.
+constexpr std::int64_t headroomDivisor = 4; ///< One part of this many is taken beyond the need.
+constexpr std::int64_t leastChangeDivisor = 50; ///< Changes below one part of this many of the quota wait.
+
+/// The resources of a size, so that one rule can be applied to each.
+using Amounts = std::array<std::int64_t, 3>;
+
+Amounts amountsOf(const ResourceSize& size)
+{
+    return { size.processors.count(), size.memory.count(), size.accelerators.count() };
+}
+
+ResourceSize sizeOf(const Amounts& amounts)
+{
+    return { Millicores { amounts[0] }, Mebibytes { amounts[1] }, Accelerators { amounts[2] } };
+}
+
+/// Applies `rule(amounts...)` to each resource.
+template <typename Rule, typename... Sizes> ResourceSize forEachResource(Rule rule, const Sizes&... sizes)
+{
+    Amounts result {};
+    for (std::size_t at = 0; at < result.size(); ++at)
+        result[at] = rule(amountsOf(sizes)[at]...);
+    return sizeOf(result);
+}
+
+template <typename Condition, typename... Sizes> bool anyResource(Condition condition, const Sizes&... sizes)
+{
+    for (std::size_t at = 0; at < Amounts {}.size(); ++at) {
+        if (condition(amountsOf(sizes)[at]...))
+            return true;
+    }
+    return false;
+}
+
+ResourceSize smaller(const ResourceSize& left, const ResourceSize& right)
+{
+    return forEachResource([](std::int64_t a, std::int64_t b) { return std::min(a, b); }, left, right);
+}
+
+ResourceSize larger(const ResourceSize& left, const ResourceSize& right)
+{
+    return forEachResource([](std::int64_t a, std::int64_t b) { return std::max(a, b); }, left, right);
+}
+
+ResourceSize sum(ResourceSize left, const ResourceSize& right) { return left += right; }
+
+/// What is left of `size`, at least nothing.
+ResourceSize remainder(const ResourceSize& size, const ResourceSize& taken)
+{
+    return forEachResource(
+        [](std::int64_t all, std::int64_t part) { return std::max<std::int64_t>(all - part, 0); }, size, taken);
+}
+
+/// The part of `size` that concerns resources with a quota.
+ResourceSize limitedPart(const ResourceSize& size, const ResourceSize& quota)
+{
+    return forEachResource([](std::int64_t amount, std::int64_t limit) { return limit > 0 ? amount : 0; }, size, quota);
+}
+
+bool isAnyAbove(const ResourceSize& size, const ResourceSize& bound)
+{
+    return anyResource([](std::int64_t amount, std::int64_t most) { return amount > most; }, size, bound);
+}
+
+} // namespace
+
+CellQuotas::CellQuotas(PoolId cell, Fence term)
+    : m_cell(std::move(cell))
+    , m_term(term)
+{
+}
+
+void CellQuotas::configure(const QuotaCells& cells)
+{
+    m_cells = { std::max<std::size_t>(cells.count, 1), cells.isOwnConfigured };
+    m_isConfigured = true;
+}
+
+bool CellQuotas::hasEntries() const
+{
+    return m_isInFlight
+        || std::any_of(m_rows.begin(), m_rows.end(), [&](const auto& each) { return ownEntry(each.second).term > 0; });
+}
+
+bool CellQuotas::isReadDue(TimePoint now) const
+{
+    return m_isConfigured && !m_isReadInFlight && !m_isInFlight && !m_isReplaced && now >= m_nextReadAt;
+}
+
+void CellQuotas::onReadSent(TimePoint now)
+{
+    m_isReadInFlight = true;
+    const bool isContested = now < m_watchedUntil || isAnyContested();
+    m_nextReadAt = now + (isContested ? contestedReadPeriod : readPeriod);
+}
+
+void CellQuotas::onReadFailed(TimePoint now)
+{
+    m_isReadInFlight = false;
+    m_nextReadAt = now + retryPause;
+}
+
+/// A transaction may have succeeded since the read was sent: only newer versions are adopted.
+void CellQuotas::onRead(const RowPage& page, TimePoint now)
+{
+    m_isReadInFlight = false;
+    m_hasRead = true;
+    std::map<std::string, const PartRow*> found;
+    for (const PartRow& row : page.rows)
+        found.emplace(row.row.key, &row);
+    for (auto& [key, row] : m_rows) {
+        if (!found.contains(key) && page.version > row.latestSeen)
+            clear(row, page.version);
+    }
+    for (const auto& [key, row] : found) {
+        Row& known = m_rows[key];
+        if (row->version > known.latestSeen)
+            adopt(known, row->version, row->value);
+    }
+    if (isAnyContested())
+        m_nextReadAt = std::min(m_nextReadAt, now + contestedReadPeriod);
+}
+
+void CellQuotas::adopt(Row& row, RowVersion version, const std::string& value)
+{
+    row.version = row.latestSeen = version;
+    const auto decoded = valueOrNothing([&] { return decodeQuotaAllotments(value); });
+    row.isMalformed = !decoded;
+    row.allotments = decoded.value_or(QuotaAllotments {});
+    m_isReplaced = m_isReplaced || ownEntry(row).term > m_term;
+}
+
+void CellQuotas::clear(Row& row, RowVersion removedBy)
+{
+    row.version = 0;
+    row.latestSeen = std::max(row.latestSeen, removedBy);
+    row.allotments.clear();
+    row.isMalformed = false;
+}
+
+QuotaAllotment CellQuotas::ownEntry(const Row& row) const
+{
+    for (const QuotaAllotment& each : row.allotments) {
+        if (each.cell == m_cell)
+            return each;
+    }
+    return { m_cell };
+}
+
+bool CellQuotas::isOwnTerm(const Row& row) const { return ownEntry(row).term == m_term; }
+
+ResourceSize CellQuotas::grantedOfOthers(const Row& row) const
+{
+    ResourceSize total;
+    for (const QuotaAllotment& each : row.allotments) {
+        if (each.cell != m_cell)
+            total += each.granted;
+    }
+    return total;
+}
+
+bool CellQuotas::isAnotherShort(const Row& row) const
+{
+    return std::any_of(row.allotments.begin(), row.allotments.end(),
+        [&](const QuotaAllotment& each) { return each.cell != m_cell && each.isShort; });
+}
+
+/// Whether the cell keeps no more than it needs: another cell is short, or a lowered quota is below what is granted.
+bool CellQuotas::isContested(const Row& row, const ResourceSize& quota) const
+{
+    const ResourceSize granted = sum(grantedOfOthers(row), ownEntry(row).granted);
+    return isAnotherShort(row) || isAnyAbove(limitedPart(granted, quota), quota);
+}
+
+bool CellQuotas::isAnyContested() const
+{
+    return std::any_of(m_rows.begin(), m_rows.end(),
+        [&](const auto& each) { return isAnotherShort(each.second) || ownEntry(each.second).isShort; });
+}
+
+/// Cells that have a part of the quota or are short of one, with the own one.
+std::size_t CellQuotas::activeCells(const Row& row) const
+{
+    const auto others = std::count_if(row.allotments.begin(), row.allotments.end(), [&](const QuotaAllotment& each) {
+        return each.cell != m_cell && (each.isShort || each.granted != ResourceSize {});
+    });
+    return static_cast<std::size_t>(others) + 1;
+}
+
+/// The entry that the cell should have. `unknown`: what may run on workers that have not been contacted.
+QuotaAllotment CellQuotas::desired(Row& row, const CustomerUse& use, const ResourceSize& unknown, TimePoint now) const
+{
+    const ResourceSize& quota = use.quota;
+    const ResourceSize used = limitedPart(sum(use.used, unknown), quota);
+    const ResourceSize need = smaller(limitedPart(sum(used, use.waiting), quota), larger(quota, used));
+    const ResourceSize ample
+        = smaller(forEachResource([](std::int64_t amount) { return amount + amount / headroomDivisor; }, need), quota);
+    const auto partOf = [&](std::size_t cells) {
+        return forEachResource([&](std::int64_t all) { return all / static_cast<std::int64_t>(cells); }, quota);
+    };
+    const QuotaAllotment own = ownEntry(row);
+    const ResourceSize granted = limitedPart(own.granted, quota);
+    const ResourceSize free = remainder(remainder(quota, grantedOfOthers(row)), granted);
+    const bool isContested = this->isContested(row, quota);
+    const ResourceSize fair = m_cells.isOwnConfigured ? partOf(m_cells.count) : ResourceSize {};
+    const ResourceSize kept = isContested ? need : larger(ample, fair);
+    const ResourceSize reachable = smaller(kept, sum(granted, free));
+    const bool isExcess = isAnyAbove(granted, kept);
+    row.excessSince = !isExcess ? TimePoint {} : row.excessSince == TimePoint {} ? now : row.excessSince;
+    const bool mayReturn = isContested || now - row.excessSince >= excessPeriod;
+    ResourceSize target = isExcess && mayReturn ? reachable : larger(granted, reachable);
+    if (isContested) {
+        const ResourceSize activePart = partOf(activeCells(row));
+        target = forEachResource([](std::int64_t wanted, std::int64_t part,
+                                     std::int64_t unused) { return unused > 0 ? wanted : std::min(wanted, part); },
+            target, activePart, free);
+    }
+    // Runs that are there already count, also beyond the quota, so that the other cells start nothing in their place.
+    target = larger(target, used);
+    return { m_cell, m_term, target, isAnyAbove(need, target) };
+}
+
+bool CellQuotas::isChangeDue(const Row& row, const QuotaAllotment& next, const CustomerUse& use, TimePoint now) const
+{
+    const QuotaAllotment own = ownEntry(row);
+    if (own.term > 0 && own.term < m_term)
+        return true;
+    const ResourceSize need = limitedPart(sum(use.used, use.waiting), use.quota);
+    if (isAnyAbove(smaller(need, next.granted), own.granted))
+        return true;
+    const auto isLarge = [](std::int64_t before, std::int64_t after, std::int64_t quota) {
+        const std::int64_t change = std::abs(after - before);
+        const bool isReturned = after == 0 && before > 0;
+        return change > 0 && (isReturned || change >= quota / leastChangeDivisor);
+    };
+    if (anyResource(isLarge, own.granted, next.granted, use.quota))
+        return true;
+    return next.isShort != own.isShort && now - row.shortReportedAt >= shortReportPause;
+}
+
+void CellQuotas::addChange(const RowKey& key, Row& row, const QuotaAllotment& next)
+{
+    row.next = next;
+    QuotaAllotments allotments = row.allotments;
+    std::erase_if(allotments, [&](const QuotaAllotment& each) { return each.cell == m_cell; });
+    if (next.granted != ResourceSize {} || next.isShort)
+        allotments.push_back(next);
+    m_transaction.conditions.push_back({ key, row.version });
+    m_transaction.writes.push_back({ key, allotments.empty() ? std::nullopt : std::optional { encode(allotments) } });
+}
+
+std::optional<PartTransaction> CellQuotas::nextTransaction(
+    const std::vector<CustomerUse>& uses, const ResourceSize& uncontacted, TimePoint now)
+{
+    if (!m_isConfigured || !m_hasRead || m_isReplaced || m_isSending || now < m_nextTransactionAt)
+        return std::nullopt;
+    if (m_isInFlight) {
+        m_isSending = true;
+        return m_transaction;
+    }
+    m_transaction = { quotaPart, {}, {} };
+    std::map<std::string, bool> isLimited;
+    for (const CustomerUse& use : uses) {
+        const RowKey key = quotaRow(use.customer);
+        isLimited[key.key] = true;
+        Row& row = m_rows[key.key];
+        const bool isLowered = isAnyAbove(row.quota, use.quota);
+        if (isLowered)
+            m_watchedUntil = now + loweredQuotaPeriod;
+        if (isLowered)
+            m_nextReadAt = std::min(m_nextReadAt, now);
+        row.quota = use.quota;
+        if (row.isMalformed)
+            continue;
+        const QuotaAllotment own = ownEntry(row);
+        if (own.term < m_term)
+            row.inherited = own.granted;
+        const QuotaAllotment next = desired(row, use, smaller(uncontacted, row.inherited), now);
+        row.target = isAnyAbove(own.granted, next.granted) ? std::optional { next.granted } : std::nullopt;
+        const bool isFull = m_transaction.writes.size() >= maxRowsInTransaction;
+        if (!isFull && isChangeDue(row, next, use, now))
+            addChange(key, row, next);
+    }
+    for (auto& [key, row] : m_rows) {
+        const bool isFull = m_transaction.writes.size() >= maxRowsInTransaction;
+        if (!isFull && !isLimited.contains(key) && ownEntry(row).term > 0)
+            addChange({ quotaTable, key }, row, { m_cell, m_term, {}, false });
+    }
+    if (m_transaction.writes.empty())
+        return std::nullopt;
+    m_isInFlight = m_isSending = true;
+    m_mayTakeEffect = false;
+    return m_transaction;
+}
+
+void CellQuotas::onOutcome(const TransactionOutcome& outcome, TimePoint now)
+{
+    m_isSending = false;
+    m_nextTransactionAt = now + transactionPause;
+    const auto isUnresolved = [&] {
+        m_mayTakeEffect = m_mayTakeEffect || outcome.status == TransactionStatus::Unknown;
+        return m_mayTakeEffect;
+    };
+    switch (outcome.status) {
+    case TransactionStatus::Done:
+        for (std::size_t at = 0; at < m_transaction.writes.size(); ++at) {
+            const RowWrite& write = m_transaction.writes[at];
+            Row& row = m_rows[write.row.key];
+            if (row.next && row.next->isShort != ownEntry(row).isShort)
+                row.shortReportedAt = now;
+            if (write.value)
+                adopt(row, outcome.version, *write.value);
+            else
+                clear(row, outcome.version);
+        }
+        break;
+    case TransactionStatus::Conflict:
+        for (const RowCondition& condition : m_transaction.conditions)
+            clear(m_rows[condition.row.key], 0);
+        for (const PartRow& current : outcome.current) {
+            Row& row = m_rows[current.row.key];
+            if (current.version >= row.latestSeen)
+                adopt(row, current.version, current.value);
+        }
+        break;
+    case TransactionStatus::Refused:
+    case TransactionStatus::Unavailable:
+    case TransactionStatus::Unknown:
+        m_nextTransactionAt = now + retryPause;
+        if (isUnresolved())
+            return; // The same transaction is sent again: its conditions keep it from taking effect twice.
+        break;
+    }
+    m_isInFlight = false;
+    for (auto& [key, row] : m_rows)
+        row.next.reset();
+}
+
+ResourceSize CellQuotas::granted(const CustomerId& customer) const
+{
+    const auto found = m_rows.find(quotaRow(customer).key);
+    return found == m_rows.end() ? ResourceSize {} : ownEntry(found->second).granted;
+}
+
+CustomerLimit CellQuotas::limitOf(const CustomerUse& use, const ResourceSize& uncontacted) const
+{
+    const auto found = m_rows.find(quotaRow(use.customer).key);
+    const auto withUnlimited = [&](const ResourceSize& limit) {
+        return forEachResource(
+            [](std::int64_t amount, std::int64_t all) { return all > 0 ? amount : unlimitedCount; }, limit, use.quota);
+    };
+    if (found == m_rows.end() || m_isReplaced || found->second.isMalformed || !isOwnTerm(found->second))
+        return { withUnlimited({}), false };
+    const Row& row = found->second;
+    ResourceSize granted = ownEntry(row).granted;
+    if (m_isInFlight && row.next)
+        granted = smaller(granted, row.next->granted);
+    granted = smaller(granted, remainder(use.quota, grantedOfOthers(row)));
+    if (row.target)
+        granted = smaller(granted, *row.target);
+    const ResourceSize unknown = smaller(uncontacted, row.inherited);
+    const bool isWhole = !isAnyAbove(use.quota, granted) && limitedPart(unknown, use.quota) == ResourceSize {};
+    return { withUnlimited(remainder(granted, unknown)), isWhole };
+}
+
+} // namespace rattanrack::jobs
--- a/packages/jobs/src/cell_run_sums.cpp
+++ b/packages/jobs/src/cell_run_sums.cpp
@@ -22,6 +22,10 @@
         usedByLongRunning += run.size;
     else if (run.isLongRunning)
         usedByLongRunning -= run.size;
+    if (run.account && count > 0)
+        run.account->used += run.requestedSize;
+    else if (run.account)
+        run.account->used -= run.requestedSize;
     worker.colocatedRuns.add(run, count);
     StepLocations& locations = locationsByJob[task.job];
     const StepLocation location { task.occurrence, task.step, &worker };
--- a/packages/jobs/src/cell_runs.cpp
+++ b/packages/jobs/src/cell_runs.cpp
@@ -41,10 +41,13 @@
     run.isSizeUnknown = !step;
     if (step) {
         run.size = reservedSize(*step);
+        run.requestedSize = step->size;
         run.isLongRunning = step->isLongRunning;
         run.isBestEffort = step->isBestEffort;
         run.isServing = step->latencyTarget > Duration::zero();
     }
+    const JobEntry* entry = customers.isEmpty() ? nullptr : find(task.job);
+    run.account = entry ? entry->account : nullptr;
     updateSums(worker, task, run, 1);
     workerOfTask[task] = worker.description.id;
     return worker.runs.insert_or_assign(task, std::move(run)).first->second;
--- a/packages/jobs/src/cell_schedule.cpp
+++ b/packages/jobs/src/cell_schedule.cpp
@@ -106,6 +106,8 @@
     const auto optimisticTime
         = Duration { static_cast<std::int64_t>(static_cast<double>(entry.criticalPath.count()) * optimisticShare) };
     const bool isTimed = entry.job.spec.schedule.repeatCount > 0;
+    if (entry.isBeyondWeight && !entry.progress.hasStarted())
+        return Rank::BeyondWeight;
     if (isTimed || now + optimisticTime <= entry.dueAt)
         return entry.progress.hasStarted() ? Rank::Started : Rank::OnTime;
     const TimePoint noValueAt = entry.acceptedAt + (entry.dueAt - entry.acceptedAt) * lateFactor;
@@ -190,6 +192,8 @@
     const Step& step = ready.spec();
     if (step.isGang && entry.suspects > 0 && hasTaskHeldForEvidence(*this, ready, now))
         return;
+    if (isHeldByQuota(ready, capacity))
+        return;
     const bool needsTicket = requiresTickets(entry);
     const auto* tickets = needsTicket ? validTickets(ready, capacity, now) : nullptr;
     if (needsTicket && !tickets)
@@ -210,10 +214,12 @@
         capacity.giveBack(placements, step);
         return;
     }
+    limitToQuota(ready, placements, capacity);
     const auto placed = placements.size();
     placements = admitStarts(step, placements, capacity, now);
     addWaitingDemand(ready, static_cast<int>(placed - placements.size()));
-    if (ready.rank >= Rank::Late && !entry.progress.hasStarted())
+    const bool isLate = ready.rank == Rank::Late || ready.rank == Rank::NoValue;
+    if (isLate && !entry.progress.hasStarted())
         trialCounts.lateFirstStarts += static_cast<int>(placements.size());
     const auto lastRunOf = [&](const Placement& each) {
         return std::max(firstRun, entry.progress.task(ready.occurrence, ready.step, each.index).lastRun);
@@ -253,6 +259,7 @@
     const bool isOverloaded = std::exchange(waitingDemand, {}) > Millicores {};
     auto ready = readySteps(now, wallMs);
     drainRate.advance(now, std::exchange(isAnyTaskWaiting, false), expectedDrainRate());
+    countCustomersWithWork(ready);
     if (ready.empty() && crashEvidence.suspects.empty())
         return;
     countStarts(now);
@@ -269,14 +276,33 @@
     isAnyTaskWaiting = isAnyTaskWaiting || !crashEvidence.suspects.empty();
 }
 
+/// Among steps of one rank and priority, those of customers below their share go first.
 void CellState::startSteps(std::span<const ReadyStep> steps, FreeCapacity& capacity, TimePoint now)
 {
+    std::vector<const ReadyStep*> deferred;
+    const auto startDeferred = [&] {
+        for (const ReadyStep* each : std::exchange(deferred, {}))
+            startStepIfPermitted(*each, capacity, now);
+    };
+    const ReadyStep* previous = nullptr;
     for (const ReadyStep& each : steps) {
-        if (mayStartMore(now))
-            startStep(each, capacity, now);
+        if (previous && (previous->rank != each.rank || previous->priority != each.priority))
+            startDeferred();
+        previous = &each;
+        if (each.rank >= Rank::OnTime && isAtFairShare(*each.entry))
+            deferred.push_back(&each);
         else
-            addWaitingDemand(each, each.entry->startableTasks(each.occurrence, each.step));
+            startStepIfPermitted(each, capacity, now);
     }
+    startDeferred();
+}
+
+void CellState::startStepIfPermitted(const ReadyStep& ready, FreeCapacity& capacity, TimePoint now)
+{
+    if (mayStartMore(now))
+        startStep(ready, capacity, now);
+    else
+        addWaitingDemand(ready, ready.entry->startableTasks(ready.occurrence, ready.step));
 }
 
 void Cell::onAdvice(const AdviceResponse& response, TimePoint now)
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "admission.h"
+#include "customer_accounts.h"
 #include "drain_rate.h"
 #include "job_entry.h"
 #include "rattanrack/jobs/cell.h"
@@ -54,7 +55,14 @@
 /// finished first, and among the rest small jobs go first, which serves the most callers with what is scarce: those
 /// with the least work where the workers' capacity is, those with the fewest tasks where the owner can't send more
 /// starts.
-enum class Rank : std::uint8_t { LongRunning, Started, OnTime, Late, NoValue };
+enum class Rank : std::uint8_t {
+    LongRunning,
+    Started,
+    OnTime,
+    Late,
+    NoValue,
+    BeyondWeight, ///< Not started, and submitted beyond the weight of its customer: waits behind what lies within.
+};
 
 /// A step that is ready to run.
 struct ReadyStep {
@@ -130,6 +138,8 @@
 
     CellSettings settings;
     std::map<QueueId, QueueSettings> queues;
+    CustomerAccounts customers;
+    double weightWithWork { 0 }; ///< Of the customers that have work in the current pass.
     std::map<WorkerId, Worker> workers;
     WorkerMachines storedWorkers; ///< In the stored list: only these may be used.
     WorkerMachines inheritedWorkers; ///< Used by previous owners, and not polled yet.
@@ -293,6 +303,19 @@
     bool isRecoveryUnconfirmed() const;
     int unavailableMembers(const JobEntry& entry, const TaskRef& member, TimePoint now) const;
 
+    // Customers: cell_customers.cpp
+    void configureCustomers(const std::vector<Customer>& configured);
+    void countCustomersWithWork(const std::vector<ReadyStep>& ready);
+    bool isAtFairShare(const JobEntry& entry) const;
+
+    /// How many tasks of the step the quota of the job's customer permits to start now, at most `wanted`.
+    int tasksWithinQuota(const JobEntry& entry, const Step& step, int wanted) const;
+    static void recordHeldByQuota(const JobEntry& entry, const Step& step, int tasks);
+    void limitToQuota(const ReadyStep& ready, std::vector<Placement>& placements, FreeCapacity& capacity);
+
+    /// Whether the quota permits none of the step's tasks now. Records what waits for it.
+    bool isHeldByQuota(const ReadyStep& ready, const FreeCapacity& capacity);
+
     // Tasks that crash workers: cell_crashes.cpp
     JobEntry* findUndecided(const TaskRef& task);
     bool isSuspect(const TaskRef& task) const { return crashEvidence.suspects.contains(task); }
@@ -364,6 +387,7 @@
     std::vector<ReadyStep> readySteps(TimePoint now, std::int64_t wallMs); ///< Unsorted.
     bool skipIfNoCapacity(const ReadyStep& ready, const FreeCapacity& capacity);
     void addWaitingDemand(const ReadyStep& ready, int missing);
+    void startStepIfPermitted(const ReadyStep& ready, FreeCapacity& capacity, TimePoint now);
     void startSteps(std::span<const ReadyStep> steps, FreeCapacity& capacity, TimePoint now);
     void startStep(const ReadyStep& ready, FreeCapacity& capacity, TimePoint now);
     const std::map<WorkerId, std::string>* validTickets(
--- a/packages/jobs/src/cell_trials.cpp
+++ b/packages/jobs/src/cell_trials.cpp
@@ -106,7 +106,10 @@
     const auto* tickets = needsTicket ? validTickets(ready, capacity, now) : nullptr;
     if (needsTicket && !tickets)
         return;
-    const auto placements = capacity.placeTrial(trial, tickets, scope, now);
+    if (isHeldByQuota(ready, capacity))
+        return;
+    auto placements = capacity.placeTrial(trial, tickets, scope, now);
+    limitToQuota(ready, placements, capacity);
     if (placements.empty() && needsTicket)
         ready.entry->tickets[{ ready.occurrence, ready.step }].recordShortage();
     for (const Placement& each : placements) {
--- a/packages/jobs/src/configuration.cpp
+++ b/packages/jobs/src/configuration.cpp
@@ -1,5 +1,7 @@
 #include "rattanrack/jobs/configuration.h"
 
+#include "row_key.h"
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -8,19 +10,20 @@
 
 namespace {
 
-constexpr std::size_t maxAddressLength = 160; ///< In bytes; the keys of rows are limited.
+constexpr std::size_t maxKeyLength = 160; ///< In bytes; the keys of rows are limited.
 
 } // namespace
 
-QueueAddress queueAddressOf(const Route& route)
+std::string rowKeyOf(const std::string& text)
 {
-    const std::string address = route.host + route.pathPrefix;
-    if (address.size() <= maxAddressLength)
-        return QueueAddress { address };
-    const XXH128_hash_t hash = XXH3_128bits(address.data(), address.size());
-    return QueueAddress { "hash-" + std::to_string(hash.high64) + '-' + std::to_string(hash.low64) };
+    if (text.size() <= maxKeyLength)
+        return text;
+    const XXH128_hash_t hash = XXH3_128bits(text.data(), text.size());
+    return "hash-" + std::to_string(hash.high64) + '-' + std::to_string(hash.low64);
 }
 
+QueueAddress queueAddressOf(const Route& route) { return QueueAddress { rowKeyOf(route.host + route.pathPrefix) }; }
+
 QueueRoutes Configuration::queueRoutes() const
 {
     QueueRoutes pools;
--- a/packages/jobs/src/job_codec.cpp
+++ b/packages/jobs/src/job_codec.cpp
@@ -94,6 +94,7 @@
     job.maxAttempts = json.value("attempts", 0); // Missing in rows of earlier versions.
     job.queueAddress = QueueAddress { json.value("address", std::string {}) }; // Missing in rows of earlier versions.
     job.requiresTickets = json.value("tickets", false);
+    job.customer = CustomerId { json.value("customer", std::string {}) };
     for (const Json& step : json.at("steps"))
         job.spec.steps.push_back(stepFrom(step));
     const Json& schedule = json.at("schedule");
@@ -128,10 +129,13 @@
     for (const Step& step : job.spec.steps)
         steps.push_back(toJson(step));
     const Schedule& schedule = job.spec.schedule;
-    return toCbor({ { "id", job.id.value() }, { "queue", job.queue.value() }, { "at", job.acceptedAtUnixMs },
+    Json row { { "id", job.id.value() }, { "queue", job.queue.value() }, { "at", job.acceptedAtUnixMs },
         { "attempts", job.maxAttempts }, { "address", job.queueAddress.value() }, { "tickets", job.requiresTickets },
         { "text", job.spec.text }, { "steps", std::move(steps) },
-        { "schedule", Json::array({ schedule.repeatCount, schedule.firstAtUnixMs, schedule.intervalMs }) } });
+        { "schedule", Json::array({ schedule.repeatCount, schedule.firstAtUnixMs, schedule.intervalMs }) } };
+    if (!job.customer.isEmpty())
+        row["customer"] = job.customer.value();
+    return toCbor(row);
 }
 
 Result<Job> decodeJob(const std::string& bytes)
--- a/packages/jobs/src/job_entry.h
+++ b/packages/jobs/src/job_entry.h
@@ -15,6 +15,8 @@
 /// Whether a job stays in this state for good.
 constexpr bool isTerminal(JobState state) { return state != JobState::Queued && state != JobState::Active; }
 
+struct CustomerAccount;
+
 /// A job of a cell, and what of it is stored.
 struct JobEntry {
     JobEntry(Job accepted, JobProgress initialProgress)
@@ -25,6 +27,8 @@
 
     Job job;
     JobProgress progress;
+    CustomerAccount* account { nullptr }; ///< Of its customer; null if it has none.
+    bool isBeyondWeight { false }; ///< Submitted beyond the weight of its customer.
     const QueueSettings* queue { nullptr }; ///< Its settings; null while the configuration does not contain the queue.
     bool isAmongUnfinished { false }; ///< Whether `CellState::unfinishedJobs` contains the job.
     bool isTakenOver { false }; ///< Taken over from a previous owner, which may have started some of its tasks.
--- a/packages/jobs/src/missing_run_diagnosis.cpp
+++ b/packages/jobs/src/missing_run_diagnosis.cpp
@@ -89,6 +89,10 @@
         return MissingRunReason::FailureNotStored;
     if (isWaiting && isSuspect && m_state.isHeldForEvidence(entry.progress.task(task), m_now))
         return MissingRunReason::HeldForEvidence;
+    const Step& step = CellState::stepOf(entry, task);
+    const int wanted = step.isGang ? step.count : 1;
+    if (m_state.tasksWithinQuota(entry, step, wanted) < wanted)
+        return MissingRunReason::QuotaUsedUp;
     if (!CellState::requiresTickets(entry))
         return std::nullopt;
     const auto tickets = entry.tickets.find({ task.occurrence, task.step });
--- a/packages/jobs/src/missing_run_reason.cpp
+++ b/packages/jobs/src/missing_run_reason.cpp
@@ -21,6 +21,7 @@
     { MissingRunReason::PreviousOwners, "workers of previous owners may still run it", {} },
     { MissingRunReason::OwnerMayStartNothing, "its owner may start nothing at present", {} },
     { MissingRunReason::QueueNotConfigured, "its queue is not configured", {} },
+    { MissingRunReason::QuotaUsedUp, "the quota of its customer is used up", {} },
     { MissingRunReason::NoTicket, "its step has no valid tickets", {} },
     { MissingRunReason::WorkerNotListed, "workers with room are not listed", "not listed" },
     { MissingRunReason::WorkerNotStored, "workers with room are not stored as in use yet", "not stored" },
--- a/packages/jobs/src/run.h
+++ b/packages/jobs/src/run.h
@@ -13,11 +13,15 @@
     Stopping,
 };
 
+struct CustomerAccount;
+
 /// A run that may be active.
 struct Run {
     RunNumber number { 0 };
     RunPhase phase { RunPhase::Starting };
     ResourceSize size; ///< What the run reserves of the worker's capacity.
+    ResourceSize requestedSize; ///< What counts towards the quota of its customer.
+    CustomerAccount* account { nullptr }; ///< Of its customer; null if its job has none or is not known.
     bool isLongRunning { false };
     bool isBestEffort { false };
     bool isServing { false }; ///< Has a latency target.
--- /dev/null
+++ b/packages/jobs/tests/cell_quotas_tests.cpp
@@ -0,0 +1,286 @@
+#include "rattanrack/jobs/cell_quotas.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <random>
+
+using namespace rattanrack;
+using namespace rattanrack::jobs;
+using namespace std::chrono_literals;
+
+namespace {
+
+const CustomerId customer { "a" };
+
+ResourceSize millicores(std::int64_t count) { return { Millicores { count }, {}, {} }; }
+
+/// The rows of quotas in the store, with versions and conditions.
+class QuotaStore {
+public:
+    TransactionOutcome commit(const PartTransaction& transaction)
+    {
+        TransactionOutcome outcome { TransactionStatus::Done };
+        for (const RowCondition& condition : transaction.conditions) {
+            const auto row = m_rows.find(condition.row.key);
+            if (row != m_rows.end())
+                outcome.current.push_back(row->second);
+            if ((row == m_rows.end() ? 0 : row->second.version) != condition.version)
+                outcome.status = TransactionStatus::Conflict;
+        }
+        if (outcome.status == TransactionStatus::Conflict)
+            return outcome;
+        outcome.version = ++m_version;
+        for (const RowWrite& write : transaction.writes) {
+            if (write.value)
+                m_rows[write.row.key] = { write.row, *write.value, m_version };
+            else
+                m_rows.erase(write.row.key);
+        }
+        return outcome;
+    }
+
+    RowPage read() const
+    {
+        RowPage page { {}, false, m_version };
+        for (const auto& [key, row] : m_rows)
+            page.rows.push_back(row);
+        return page;
+    }
+
+private:
+    std::map<std::string, PartRow> m_rows;
+    RowVersion m_version { 0 };
+};
+
+/// One cell with its owner, whose calls to the store end at once unless the test says otherwise.
+struct Owner {
+    Owner(QuotaStore& quotaStore, const char* cell, Fence term = 1, std::size_t cells = 2)
+        : store(quotaStore)
+        , quotas(PoolId { cell }, term)
+    {
+        quotas.configure({ cells, true });
+    }
+
+    void step(TimePoint now)
+    {
+        if (quotas.isReadDue(now)) {
+            quotas.onReadSent(now);
+            quotas.onRead(store.read(), now);
+        }
+        if (const auto transaction = next(now))
+            quotas.onOutcome(store.commit(*transaction), now);
+    }
+
+    std::optional<PartTransaction> next(TimePoint now) { return quotas.nextTransaction({ use }, uncontacted, now); }
+    std::int64_t limit() const { return quotas.limitOf(use, uncontacted).size.processors.count(); }
+
+    QuotaStore& store;
+    CellQuotas quotas;
+    CustomerUse use { customer, millicores(1000), {}, {} };
+    ResourceSize uncontacted;
+};
+
+/// Steps all owners for some time.
+void play(std::initializer_list<Owner*> owners, TimePoint& now, Duration time)
+{
+    for (const TimePoint end = now + time; now < end; now += 30ms) {
+        for (Owner* owner : owners)
+            owner->step(now);
+    }
+}
+
+} // namespace
+
+TEST(CellQuotas, EachCellTakesItsFairPartBeforehand)
+{
+    QuotaStore store;
+    Owner a { store, "a" };
+    Owner b { store, "b" };
+    TimePoint now { 1000s };
+    EXPECT_EQ(a.limit(), 0); // Nothing is known yet.
+    play({ &a, &b }, now, 300ms);
+    EXPECT_EQ(a.limit(), 500);
+    EXPECT_EQ(b.limit(), 500);
+}
+
+TEST(CellQuotas, LoneBusyCellGetsTheWholeQuotaWithinTwoSeconds)
+{
+    QuotaStore store;
+    Owner a { store, "a" };
+    Owner b { store, "b" };
+    TimePoint now { 1000s };
+    play({ &a, &b }, now, 1s);
+    a.use.used = millicores(500);
+    a.use.waiting = millicores(5000);
+    play({ &a, &b }, now, 2s);
+    EXPECT_EQ(a.limit(), 1000);
+}
+
+TEST(CellQuotas, TwoBusyCellsShareTheQuota)
+{
+    QuotaStore store;
+    Owner a { store, "a" };
+    Owner b { store, "b" };
+    TimePoint now { 1000s };
+    a.use.waiting = millicores(5000);
+    play({ &a, &b }, now, 3s);
+    a.use.used = millicores(1000);
+    b.use.waiting = millicores(5000);
+    for (int steps = 0; steps < 20; ++steps) { // Tasks of the first cell end, and none takes their place.
+        play({ &a, &b }, now, 300ms);
+        a.use.used = millicores(std::min(a.use.used.processors.count() - 50, a.limit()));
+        a.use.used = millicores(std::max<std::int64_t>(a.use.used.processors.count(), 500));
+    }
+    EXPECT_EQ(a.limit(), 500);
+    EXPECT_EQ(b.limit(), 500);
+}
+
+TEST(CellQuotas, NothingBeyondTheAllotmentIsTakenWhileTheStoreIsAway)
+{
+    QuotaStore store;
+    Owner a { store, "a" };
+    TimePoint now { 1000s };
+    play({ &a }, now, 300ms);
+    a.use.waiting = millicores(5000);
+    for (int tries = 0; tries < 20; ++tries, now += 200ms) {
+        if (a.next(now))
+            a.quotas.onOutcome({ TransactionStatus::Unavailable }, now);
+        EXPECT_EQ(a.limit(), 500);
+    }
+}
+
+TEST(CellQuotas, TransactionWithoutResponseGrantsNothingUntilItIsResolved)
+{
+    QuotaStore store;
+    Owner a { store, "a" };
+    TimePoint now { 1000s };
+    play({ &a }, now, 300ms);
+    a.use.waiting = millicores(5000);
+    const auto transaction = a.next(now);
+    ASSERT_TRUE(transaction);
+    ASSERT_EQ(store.commit(*transaction).status, TransactionStatus::Done);
+    a.quotas.onOutcome({ TransactionStatus::Unknown }, now);
+    EXPECT_EQ(a.limit(), 500);
+    play({ &a }, now, 500ms); // The transaction is sent again, conflicts with itself, and shows the row.
+    EXPECT_EQ(a.limit(), 1000);
+}
+
+TEST(CellQuotas, OwnerThatMayBeReducingItsPartStartsNothingAboveTheSmallerOne)
+{
+    QuotaStore store;
+    Owner a { store, "a" };
+    Owner b { store, "b" };
+    TimePoint now { 1000s };
+    a.use.waiting = millicores(5000);
+    play({ &a, &b }, now, 3s);
+    a.use.waiting = {};
+    a.use.used = millicores(100);
+    b.use.waiting = millicores(5000);
+    b.step(now += 300ms);
+    a.quotas.onReadSent(now);
+    a.quotas.onRead(store.read(), now);
+    ASSERT_TRUE(a.next(now)); // Its outcome never arrives.
+    EXPECT_LE(a.limit(), 100);
+}
+
+TEST(CellQuotas, NextOwnerClaimsTheEntryBeforeItStartsAnything)
+{
+    QuotaStore store;
+    Owner first { store, "a" };
+    TimePoint now { 1000s };
+    play({ &first }, now, 300ms);
+    Owner second { store, "a", 2 };
+    second.uncontacted = millicores(200);
+    second.quotas.onReadSent(now);
+    second.quotas.onRead(store.read(), now);
+    EXPECT_EQ(second.limit(), 0);
+    play({ &second }, now, 300ms);
+    EXPECT_EQ(second.limit(), 300); // What may run on workers that have not been contacted is left out.
+    second.uncontacted = {};
+    EXPECT_EQ(second.limit(), 500);
+    first.use.waiting = millicores(5000);
+    play({ &first }, now, 1s);
+    EXPECT_TRUE(first.quotas.isReplaced());
+    EXPECT_EQ(first.limit(), 0);
+}
+
+TEST(CellQuotas, RemovedRowIsNotTakenFromAnOlderRead)
+{
+    QuotaStore store;
+    Owner a { store, "a", 1, 100 };
+    TimePoint now { 1000s };
+    a.use.waiting = millicores(500);
+    play({ &a }, now, 300ms);
+    const RowPage older = store.read();
+    a.use.waiting = {};
+    a.quotas.configure({ 100, false });
+    play({ &a }, now, 3s);
+    ASSERT_TRUE(store.read().rows.empty());
+    a.quotas.onReadSent(now);
+    a.quotas.onRead(older, now);
+    EXPECT_EQ(a.limit(), 0);
+}
+
+TEST(CellQuotas, LoweredQuotaHoldsForAllCellsTogether)
+{
+    QuotaStore store;
+    Owner a { store, "a" };
+    Owner b { store, "b" };
+    TimePoint now { 1000s };
+    play({ &a, &b }, now, 300ms);
+    a.use.used = millicores(500);
+    for (Owner* owner : { &a, &b }) {
+        owner->use.quota = millicores(400);
+        owner->use.waiting = millicores(5000);
+    }
+    a.next(now);
+    b.next(now);
+    EXPECT_LE(b.limit(), 0); // The other cell uses more than the quota alone.
+    now += 1s;
+}
+
+TEST(CellQuotas, TaskLargerThanTheQuotaGetsAllOfIt)
+{
+    QuotaStore store;
+    Owner a { store, "a" };
+    Owner b { store, "b" };
+    TimePoint now { 1000s };
+    a.use.waiting = millicores(1500);
+    play({ &a, &b }, now, 3s);
+    EXPECT_TRUE(a.quotas.limitOf(a.use, {}).isWholeQuota);
+}
+
+TEST(CellQuotas, SteadyUseCostsNoTransactions)
+{
+    QuotaStore store;
+    Owner a { store, "a" };
+    Owner b { store, "b" };
+    TimePoint now { 1000s };
+    play({ &a, &b }, now, 1s);
+    const RowVersion before = store.read().version;
+    for (int steps = 0; steps < 100; ++steps) {
+        a.use.used = millicores(200 + steps % 7 * 30);
+        b.use.used = millicores(400 - steps % 5 * 40);
+        play({ &a, &b }, now, 300ms);
+    }
+    EXPECT_EQ(store.read().version, before);
+}
+
+TEST(CellQuotas, MalformedRowGrantsNothing)
+{
+    QuotaStore store;
+    (void)store.commit({ quotaPart, {}, { { quotaRow(customer), "\xff" } } });
+    Owner a { store, "a" };
+    TimePoint now { 1000s };
+    play({ &a }, now, 1s);
+    EXPECT_EQ(a.limit(), 0);
+}
+
+TEST(QuotaAllotments, EncodedRowIsDecodedAgain)
+{
+    const QuotaAllotments row { { PoolId { "a" }, 3, { Millicores { 1 }, Mebibytes { 2 }, Accelerators { 3 } },
+        true } };
+    EXPECT_EQ(valueOrNothing([&] { return decodeQuotaAllotments(encode(row)); }), row);
+}
--- a/packages/peer/include/rattanrack/peer/messages.h
+++ b/packages/peer/include/rattanrack/peer/messages.h
@@ -112,6 +112,7 @@
     std::string body; ///< The job, for Submit.
     std::uint64_t configurationVersion { 0 }; ///< In force at the node that received the caller's request.
     jobs::QueueAddress queueAddress;
+    jobs::CustomerId customer {}; ///< Whose key the caller's request had; empty: none.
 
     friend bool operator==(const JobCall&, const JobCall&) = default;
 };
@@ -123,6 +124,7 @@
     NotOwner, ///< Nothing was done: the node does not own the cell.
     OutcomeUnknown, ///< The change may or may not be stored; the same job id may be sent again.
     Elsewhere, ///< Nothing was done: send the call to the first of `JobReply::cells`.
+    OfOtherCustomer, ///< Nothing was done: the job with this id belongs to another customer.
 };
 
 struct JobReply {
--- a/packages/peer/src/job_messages_codec.cpp
+++ b/packages/peer/src/job_messages_codec.cpp
@@ -92,6 +92,7 @@
     call.setBody(dataOf(message.body));
     call.setConfigVersion(message.configurationVersion);
     call.setQueueAddress(message.queueAddress.value());
+    call.setCustomer(message.customer.value());
 }
 
 void encodeJobReply(const JobReply& message, wire::JobReply::Builder reply)
@@ -147,12 +148,12 @@
     return JobCall { source.getExchange(), text(source.getReplyTo()), static_cast<JobOperation>(source.getOperation()),
         PoolId { text(source.getCell()) }, jobs::JobId { text(source.getJob()) },
         jobs::QueueId { text(source.getQueue()) }, bytes(source.getBody()), source.getConfigVersion(),
-        jobs::QueueAddress { text(source.getQueueAddress()) } };
+        jobs::QueueAddress { text(source.getQueueAddress()) }, jobs::CustomerId { text(source.getCustomer()) } };
 }
 
 std::optional<JobReply> decodeJobReply(wire::JobReply::Reader source)
 {
-    const bool isInRange = source.getStatus() <= wire::JobCallStatus::ELSEWHERE
+    const bool isInRange = source.getStatus() <= wire::JobCallStatus::OF_OTHER_CUSTOMER
         && source.getState() <= static_cast<std::uint8_t>(jobs::JobState::Cancelled);
     if (!isInRange)
         return std::nullopt;
@@ -172,7 +173,10 @@
         * nameSizeBound;
 }
 
-std::size_t variableSize(const JobCall& message) { return message.body.size() + message.queueAddress.value().size(); }
+std::size_t variableSize(const JobCall& message)
+{
+    return message.body.size() + message.queueAddress.value().size() + message.customer.value().size();
+}
 
 std::size_t variableSize(const JobReply& message) { return message.cells.size() * nameSizeBound; }
 
--- a/packages/peer/src/peer.capnp
+++ b/packages/peer/src/peer.capnp
@@ -213,6 +213,7 @@
   body @6 :Data;
   configVersion @7 :UInt64;
   queueAddress @8 :Text;
+  customer @9 :Text;
 }
 
 enum JobCallStatus {
@@ -222,6 +223,7 @@
   notOwner @3;
   unsettled @4;
   elsewhere @5;
+  ofOtherCustomer @6;
 }
 
 struct JobReply {
--- a/packages/peer/src/peer.capnp.h
+++ b/packages/peer/src/peer.capnp.h
@@ -74,6 +74,7 @@
   NOT_OWNER,
   UNSETTLED,
   ELSEWHERE,
+  OF_OTHER_CUSTOMER,
 };
 CAPNP_DECLARE_ENUM(JobCallStatus, e2d70a838a284959);
 CAPNP_DECLARE_SCHEMA(c4d7bbfab0779b52);
@@ -474,7 +475,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f24372f90df5b083, 3, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(f24372f90df5b083, 3, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3154,6 +3155,9 @@
   inline bool hasQueueAddress() const;
   inline  ::capnp::Text::Reader getQueueAddress() const;
 
+  inline bool hasCustomer() const;
+  inline  ::capnp::Text::Reader getCustomer() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3233,6 +3237,13 @@
   inline void adoptQueueAddress(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownQueueAddress();
 
+  inline bool hasCustomer();
+  inline  ::capnp::Text::Builder getCustomer();
+  inline void setCustomer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCustomer(unsigned int size);
+  inline void adoptCustomer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCustomer();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7784,6 +7795,40 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
+inline bool JobCall::Reader::hasCustomer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool JobCall::Builder::hasCustomer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader JobCall::Reader::getCustomer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder JobCall::Builder::getCustomer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void JobCall::Builder::setCustomer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder JobCall::Builder::initCustomer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void JobCall::Builder::adoptCustomer(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> JobCall::Builder::disownCustomer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t JobReply::Reader::getExchange() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
