Nodes authenticate calls and keep the quotas of customers

Change: 401 for a missing or unknown key; 403 and 410 for jobs of other customers; QuotaClient reads and writes the rows of quotas.

--- a/packages/node/include/rattanrack/node/cell_host.h
+++ b/packages/node/include/rattanrack/node/cell_host.h
@@ -11,6 +11,7 @@
 #include "rattanrack/node/node_load_monitor.h"
 #include "rattanrack/node/part_writer.h"
 #include "rattanrack/node/pass_scheduler.h"
+#include "rattanrack/node/quota_client.h"
 #include "rattanrack/node/unconfirmed_starts.h"
 #include "rattanrack/node/worker_links.h"
 
@@ -81,8 +82,8 @@
     CellHost(const CellHost&) = delete;
     CellHost& operator=(const CellHost&) = delete;
 
-    /// `enforcesCapacity`: whether the pool's workers refuse a start that does not fit.
-    void configure(const std::vector<jobs::QueueSettings>& queues, bool enforcesCapacity);
+    /// Applies what a configuration says of the cell's queues and workers, and of all customers.
+    void configure(const jobs::Configuration& configuration);
 
     /// Applies the routes of a configuration. `routes` must not be null.
     void setRoutes(std::uint64_t version, std::shared_ptr<const jobs::QueueRoutes> routes);
@@ -111,6 +112,13 @@
     std::optional<jobs::Acceptance> cancel(const jobs::JobId& job, jobs::CallerToken token);
     std::optional<jobs::JobState> state(const jobs::JobId& job) const { return m_cell.state(job); }
 
+    /// Whether the job belongs to another customer than `customer`, which is still configured. Jobs without a customer,
+    /// and calls without one, belong to everybody who may use the route.
+    bool isOfOtherCustomer(const jobs::JobId& job, const jobs::CustomerId& customer) const
+    {
+        return m_cell.isOfOtherCustomer(job, customer);
+    }
+
     /// False if another owner may have accepted jobs that this owner does not have.
     bool isJobListComplete() const;
     int unstartedJobs(const jobs::QueueId& queue) const { return m_cell.unstartedJobs(queue); }
@@ -171,6 +179,7 @@
     std::shared_ptr<bool> m_isAlive;
     PartWriter m_writer;
     WorkerLinks m_links;
+    QuotaClient m_quotas;
     PassScheduler m_passScheduler;
     UnconfirmedStarts m_unconfirmedStarts;
     bool m_isHandingBack { false };
--- a/packages/node/include/rattanrack/node/job_node.h
+++ b/packages/node/include/rattanrack/node/job_node.h
@@ -53,6 +53,9 @@
     /// `deadline`. Returns OutcomeUnknown if no reply has arrived by then. Must not be called on the control thread.
     peer::JobReply call(peer::JobCall call, Deadline deadline);
 
+    /// Counts and logs a call that was refused because its key was unknown, or missing (`hasKey` false).
+    void reportRejectedKey(const jobs::QueueId& queue, bool hasKey);
+
     /// Reports not ready and hands all cells back. Returns when that is done, or at `deadline`. Calls are still served.
     void leave(Deadline deadline);
 
--- a/packages/node/src/cell_host.cpp
+++ b/packages/node/src/cell_host.cpp
@@ -119,6 +119,9 @@
     , m_writer({ m_parts.control, m_parts.clock, m_parts.storeThreads, m_parts.store },
           std::move(takeover.partTakeover), writerCallbacks())
     , m_links(m_parts.control, m_parts.clock, m_parts.workerThreads, m_parts.connector, linkCallbacks())
+    , m_quotas(
+          { m_parts.control, m_parts.clock, m_parts.metrics, m_parts.storeThreads, m_parts.store, [this] { wake(); } },
+          pool, m_writer.term())
 {
     m_cell.setMachinesDrainedByEarlierOwners(m_writer.drainedMachinesWritten(), m_takenOverAt);
     m_queues.setAssignments(takeover.assignments);
@@ -135,10 +138,12 @@
     };
 }
 
-void CellHost::configure(const std::vector<jobs::QueueSettings>& queues, bool enforcesCapacity)
+void CellHost::configure(const jobs::Configuration& configuration)
 {
-    m_cell.configure(queues);
-    m_enforcesCapacity = enforcesCapacity;
+    m_cell.configure(configuration.queuesOf(m_pool), configuration.customers);
+    m_enforcesCapacity = configuration.enforcesCapacity(m_pool);
+    const std::vector<PoolId> cells = configuration.cellPools();
+    m_quotas.configure({ cells.size(), std::binary_search(cells.begin(), cells.end(), m_pool) });
 }
 
 void CellHost::setWorkers(const WorkerList& list)
@@ -253,6 +258,8 @@
     if (m_writer.isOver())
         return;
     const TimePoint startedAt = m_parts.clock.now();
+    if (!m_isHandingBack)
+        m_quotas.update(m_cell);
     handleOutput(m_cell.advance(startedAt, wallClockMilliseconds(), authority()));
     claimQueuesIfDue();
     commitIfDue();
--- a/packages/node/src/job_node_calls.cpp
+++ b/packages/node/src/job_node_calls.cpp
@@ -86,6 +86,8 @@
 
 void JobNode::State::handleCall(CellHost& host, const peer::JobCall& call, JobReplyCallback reply)
 {
+    if (host.isOfOtherCustomer(call.job, call.customer))
+        return reply({ 0, peer::JobCallStatus::OfOtherCustomer });
     if (call.operation != peer::JobOperation::Pending && handleQueueElsewhere(host, call, reply))
         return;
     switch (call.operation) {
@@ -253,6 +255,21 @@
     found.mapped().reply({ 0, status, jobs::JobState::Queued, 0, reply.retryAfter });
 }
 
+void JobNode::reportRejectedKey(const jobs::QueueId& queue, bool hasKey)
+{
+    m_state->metrics.increment("rattanrack_calls_rejected_total", { { "reason", hasKey ? "unknown key" : "no key" } });
+    m_state->control.post([state = m_state.get(), queue, hasKey] {
+        if (!state->rejectedKeyLines.admits(state->clock.now()))
+            return;
+        const std::size_t suppressedCount = state->rejectedKeyLines.takeSuppressedCount();
+        if (suppressedCount > 0)
+            logEvent("log.left_out", { { "kind", "call.rejected" }, { "count", suppressedCount } }, LogLevel::Warning);
+        logEvent("call.rejected",
+            { { "queue", queue.value() }, { "reason", hasKey ? "unknown key" : "no key" },
+                { "version", state->configuration ? state->configuration->version : 0 } });
+    });
+}
+
 peer::JobReply JobNode::call(peer::JobCall call, Deadline deadline)
 {
     auto promise = std::make_shared<std::promise<peer::JobReply>>();
--- a/packages/node/src/job_node_cells.cpp
+++ b/packages/node/src/job_node_cells.cpp
@@ -126,7 +126,7 @@
             settings.longestLease },
         std::move(takeover));
     if (configuration)
-        configure(cell, *host);
+        configure(*host);
     host->setWorkers(workers);
     host->setDrainingMachines(drainingMachines());
     cells[cell] = std::move(host);
--- a/packages/node/src/job_node_state.h
+++ b/packages/node/src/job_node_state.h
@@ -127,7 +127,7 @@
     void readAssignmentsIfDue();
     void setAssignments(const jobs::QueueAssignments& assignments);
     void setCellsInUse();
-    void configure(const PoolId& cell, CellHost& host) const;
+    void configure(CellHost& host) const;
     void registerSelf();
 
     template <typename Work, typename Then>
@@ -169,6 +169,7 @@
     std::vector<DeferredCall> deferredCalls;
     jobs::CallerToken lastToken { 0 };
     LogRateLimiter submissionLines;
+    LogRateLimiter rejectedKeyLines;
     bool isLeaving { false };
 
     std::atomic<bool> isStopped { false };
--- a/packages/node/src/job_node_watchers.cpp
+++ b/packages/node/src/job_node_watchers.cpp
@@ -60,12 +60,12 @@
     setCellsInUse();
     hasConfiguredCells = true;
     for (auto& [cell, host] : cells)
-        configure(cell, *host);
+        configure(*host);
 }
 
-void JobNode::State::configure(const PoolId& cell, CellHost& host) const
+void JobNode::State::configure(CellHost& host) const
 {
-    host.configure(configuration->queuesOf(cell), configuration->enforcesCapacity(cell));
+    host.configure(*configuration);
     host.setRoutes(configuration->version, queueRoutes);
     host.setQueuesOfEarlierRelease(configuration->routes);
 }
@@ -120,8 +120,8 @@
 void JobNode::State::reportConfiguration(const jobs::Configuration& next, ConfigurationWay way, Duration silence)
 {
     logEvent("configuration.in_force",
-        { { "version", next.version }, { "routes", next.routes.size() }, { "way", nameOf(way) },
-            { "silentMs", silence / 1ms } });
+        { { "version", next.version }, { "routes", next.routes.size() }, { "customers", next.customers.size() },
+            { "keys", next.keys ? next.keys->size() : 0 }, { "way", nameOf(way) }, { "silentMs", silence / 1ms } });
     metrics.setGauge("rattanrack_configuration_version", {}, static_cast<double>(next.version));
     metrics.setGauge("rattanrack_configuration_in_force_since_seconds", {},
         static_cast<double>(wallClockMilliseconds()) / millisecondsPerSecond);
--- a/packages/node/tests/cell_host_tests.cpp
+++ b/packages/node/tests/cell_host_tests.cpp
@@ -81,9 +81,17 @@
         configure(true);
     }
 
+    jobs::Configuration configurationWith(bool enforcesCapacity) const
+    {
+        jobs::Configuration configuration { 1 };
+        configuration.routes.push_back({ "h", "/", { queue, pool, 0, 3, 1.6, 600ms } });
+        configuration.pools.push_back({ pool, false, enforcesCapacity });
+        return configuration;
+    }
+
     void configure(bool enforcesCapacity)
     {
-        control.run([&] { host->configure({ { queue, pool, 0, 3, 1.6, 600ms } }, enforcesCapacity); });
+        control.run([&] { host->configure(configurationWith(enforcesCapacity)); });
     }
 
     void TearDown() override
@@ -325,7 +333,7 @@
             nullptr, nullptr, [](const jobs::CallerReply&) {}, [](const jobs::QueueAddress&) {}, [] {} };
         host = std::make_unique<CellHost>(
             std::move(parts), pool, CellTimeLimits { 4500ms, 120s, 900ms, 1500ms, 6s }, std::move(takeover));
-        host->configure({ { queue, pool, 0, 3, 1.6, 600ms } }, true);
+        host->configure(configurationWith(true));
         host->setWorkers({ { own, moved }, clock.now() });
     });
     EXPECT_TRUE(eventually([&] { return workers.starts == 2; }));
