--- a/packages/jobs/include/rattanrack/jobs/configuration.h
+++ b/packages/jobs/include/rattanrack/jobs/configuration.h
@@ -57,6 +57,8 @@
     QueueRoutes queueRoutes() const;
     std::vector<QueueSettings> queuesOf(const PoolId& pool) const;
 
+    bool hasPool(const PoolId& pool) const;
+
     /// Whether the pool's workers refuse a start that does not fit.
     bool enforcesCapacity(const PoolId& pool) const;
 };
--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -98,7 +98,8 @@
         const auto known = state.workers.find(inherited.first);
         const bool isListed = known != state.workers.end() && known->second.isListed;
         const auto isOnItsMachine = [&](const WorkerDescription& other) {
-            return other.id != inherited.first && other.machine == inherited.second && !other.machine.isEmpty();
+            return other.id != inherited.first && other.machine == inherited.second && !other.machine.isEmpty()
+                && other.incarnationUnixMs > 0;
         };
         const bool isReplaced
             = isSinceTakeover && !isListed && std::any_of(listed.begin(), listed.end(), isOnItsMachine);
--- a/packages/jobs/src/configuration.cpp
+++ b/packages/jobs/src/configuration.cpp
@@ -63,6 +63,11 @@
     return queues;
 }
 
+bool Configuration::hasPool(const PoolId& pool) const
+{
+    return std::any_of(pools.begin(), pools.end(), [&](const PoolSettings& each) { return each.id == pool; });
+}
+
 bool Configuration::enforcesCapacity(const PoolId& pool) const
 {
     return std::any_of(
