--- a/packages/jobs/include/rattanrack/jobs/capacity_planner.h
+++ b/packages/jobs/include/rattanrack/jobs/capacity_planner.h
@@ -34,7 +34,7 @@
     void setMovableMachines(std::set<MachineId> machines) { m_movableMachines = std::move(machines); }
 
     /// Draining machines on which nothing runs.
-    void setDrainedMachines(std::set<MachineId> machines) { m_drainedMachines = std::move(machines); }
+    void setDrainedMachines(DrainedMachines machines) { m_drainedMachines = std::move(machines); }
 
     /// Machines that must not be moved, since they are in maintenance or about to be.
     void setReservedMachines(std::set<MachineId> machines) { m_reservedMachines = std::move(machines); }
@@ -42,6 +42,9 @@
     /// Machines that must get no new work, since they are about to be moved.
     std::set<MachineId> drainingMachines() const;
 
+    /// Machines that are about to be moved, or that have been moved and are not listed in their new pool yet.
+    std::set<MachineId> machinesInTransfer() const;
+
     std::vector<MoveCommand> advance(TimePoint now);
     void onResult(const MoveCommand& command, MachineCommandStatus status, TimePoint now);
 
@@ -87,7 +90,7 @@
     std::map<PoolId, CellLoad> m_loads;
     std::map<PoolId, TimePoint> m_lastFullAt; ///< When a pool last needed all of its machines.
     std::set<MachineId> m_movableMachines;
-    std::set<MachineId> m_drainedMachines;
+    DrainedMachines m_drainedMachines;
     std::set<MachineId> m_reservedMachines;
     std::map<MachineId, Transfer> m_transfers;
     std::map<PoolId, Pool> m_pools;
--- a/packages/jobs/include/rattanrack/jobs/cell.h
+++ b/packages/jobs/include/rattanrack/jobs/cell.h
@@ -4,6 +4,7 @@
 #include "rattanrack/jobs/customer_use.h"
 #include "rattanrack/jobs/job.h"
 #include "rattanrack/jobs/job_progress.h"
+#include "rattanrack/jobs/machine.h"
 #include "rattanrack/jobs/maintenance_scheduler.h"
 #include "rattanrack/jobs/worker.h"
 
@@ -164,7 +165,7 @@
 
     /// Draining machines without runs, all of whose ended runs are stored, and which the store has as drained: the next
     /// owner starts nothing there as long as commands to them may still arrive.
-    std::vector<MachineId> drainedMachines() const;
+    DrainedMachines drainedMachines() const;
 
     /// Machines to be stored as drained with the next transaction: those that meet the other conditions of
     /// `drainedMachines`, and those that earlier owners may have announced and that may still be taken down.
--- a/packages/jobs/include/rattanrack/jobs/machine.h
+++ b/packages/jobs/include/rattanrack/jobs/machine.h
@@ -3,7 +3,9 @@
 #include "rattanrack/jobs/worker.h"
 
 #include <cstdint>
+#include <set>
 #include <string>
+#include <utility>
 
 /// Machines, each of which runs one worker after another, and the commands for them.
 namespace rattanrack::jobs {
@@ -23,6 +25,16 @@
     friend bool operator==(const Machine&, const Machine&) = default;
 };
 
+/// Machines on which nothing runs any more, each with the worker that was drained. Once the machine has another worker,
+/// after a move or a restart, this says nothing about it.
+using DrainedMachines = std::set<std::pair<MachineId, WorkerId>>;
+
+/// Whether the present worker of the machine, as listed, is the one that was drained.
+inline bool isDrained(const DrainedMachines& drained, const Machine& machine)
+{
+    return !machine.worker.isEmpty() && drained.contains({ machine.id, machine.worker });
+}
+
 /// Takes a machine down for the maintenance of a wave. Ends everything that runs on the machine.
 struct MaintenanceCommand {
     MachineId machine;
--- a/packages/jobs/include/rattanrack/jobs/maintenance_scheduler.h
+++ b/packages/jobs/include/rattanrack/jobs/maintenance_scheduler.h
@@ -55,7 +55,7 @@
 
     /// Sets the pools that have an owner, which drains machines. Nothing runs on the machines of other pools.
     void setOwnedPools(std::set<PoolId> pools) { m_ownedPools = std::move(pools); }
-    void setDrainedMachines(std::set<MachineId> machines) { m_drainedMachines = std::move(machines); }
+    void setDrainedMachines(DrainedMachines machines) { m_drainedMachines = std::move(machines); }
     void setLoads(const std::vector<CellLoad>& loads);
 
     /// Machines that must get no new work: those to be drained, and those that were taken down until they are listed as
@@ -106,7 +106,7 @@
     std::map<PoolId, int> m_poolSizes;
     std::map<PoolId, CellLoad> m_loads;
     std::set<PoolId> m_ownedPools;
-    std::set<MachineId> m_drainedMachines;
+    DrainedMachines m_drainedMachines;
     std::set<MachineId> m_machinesToDrain;
     std::set<MachineId> m_movingMachines;
     bool m_hasMachineList { false };
--- a/packages/jobs/include/rattanrack/jobs/ownership.h
+++ b/packages/jobs/include/rattanrack/jobs/ownership.h
@@ -4,6 +4,7 @@
 #include "rattanrack/base/time.h"
 #include "rattanrack/jobs/announcement_routes.h"
 #include "rattanrack/jobs/job.h"
+#include "rattanrack/jobs/machine.h"
 #include "rattanrack/jobs/maintenance_scheduler.h"
 #include "rattanrack/jobs/worker.h"
 
@@ -55,7 +56,7 @@
     std::vector<MachineId> drainingMachines; ///< Machines to drain; announced by the machine controller.
     /// Sequence number of the announcement from which the sender has the draining machines.
     std::uint64_t drainingMachinesSequence { 0 };
-    std::vector<MachineId> drainedMachines; ///< Draining machines without runs; announced by owners of cells.
+    DrainedMachines drainedMachines; ///< Draining machines without runs; announced by owners of cells.
     std::vector<MachineId> movableMachines; ///< Machines without long-running tasks; announced by owners of cells.
     std::vector<CellLoad> loads; ///< Of the cells that the node owns.
     double processorShare { defaultProcessorShare }; ///< Cores that the node may use, above 0.
--- a/packages/jobs/src/capacity_planner.cpp
+++ b/packages/jobs/src/capacity_planner.cpp
@@ -221,7 +221,8 @@
         const bool isDue = !transfer.isCommandInFlight && !transfer.hasSucceeded && now >= transfer.retryAt;
         if (!isDue || machine == m_machines.end() || commands.size() >= maxCommandsPerPass)
             continue;
-        const bool isDrained = m_standbyPools.contains(machine->second.pool) || m_drainedMachines.contains(id);
+        const bool isDrained
+            = m_standbyPools.contains(machine->second.pool) || jobs::isDrained(m_drainedMachines, machine->second);
         if (!isDrained && !transfer.wasCommandSent)
             continue;
         transfer.wasCommandSent = true;
@@ -241,6 +242,14 @@
     return machines;
 }
 
+std::set<MachineId> CapacityPlanner::machinesInTransfer() const
+{
+    std::set<MachineId> machines;
+    for (const auto& [id, transfer] : m_transfers)
+        machines.insert(id);
+    return machines;
+}
+
 void CapacityPlanner::onResult(const MoveCommand& command, MachineCommandStatus status, TimePoint now)
 {
     const auto found = m_transfers.find(command.machine);
--- a/packages/jobs/src/cell_drains.cpp
+++ b/packages/jobs/src/cell_drains.cpp
@@ -60,40 +60,46 @@
 }
 
 /// Draining machines that this owner uses, and on which it has no work, nor an end that is not stored.
-std::set<MachineId> CellState::drainingMachinesWithoutWork() const
+DrainedMachines CellState::drainingMachinesWithoutWork() const
 {
     if (drainingMachines.empty() || isRecovering)
         return {};
-    std::set<MachineId> listed;
+    std::map<MachineId, const Worker*> listed; // The latest of each machine.
     std::set<MachineId> inUse;
     for (const auto& [id, worker] : workers) {
         const MachineId& machine = worker.description.machine;
         if (!drainingMachines.contains(machine))
             continue;
-        if (worker.isListed)
-            listed.insert(machine);
+        if (worker.isListed) {
+            const auto [latest, isFirst] = listed.emplace(machine, &worker);
+            if (!isFirst && latest->second->description.incarnationUnixMs < worker.description.incarnationUnixMs)
+                latest->second = &worker;
+        }
         // Until an ended run is stored, this owner alone has a record of it. A later owner may have renewed the lease
         // of a run that is presumed to have ended.
         if (worker.hasUnfinishedWork() || worker.presumedEndAt > ownershipConfirmedAt)
             inUse.insert(machine);
     }
-    std::erase_if(listed, [&](const MachineId& each) { return inUse.contains(each); });
-    return listed;
+    DrainedMachines drained;
+    for (const auto& [machine, worker] : listed) {
+        if (!inUse.contains(machine))
+            drained.emplace(machine, worker->description.id);
+    }
+    return drained;
 }
 
-std::vector<MachineId> Cell::drainedMachines() const
+DrainedMachines Cell::drainedMachines() const
 {
-    std::vector<MachineId> machines;
-    for (const MachineId& machine : m_state->drainingMachinesWithoutWork()) {
-        if (m_state->storedDrainedMachines.contains(machine))
-            machines.push_back(machine);
-    }
-    return machines;
+    DrainedMachines drained = m_state->drainingMachinesWithoutWork();
+    std::erase_if(drained, [&](const auto& each) { return !m_state->storedDrainedMachines.contains(each.first); });
+    return drained;
 }
 
 std::set<MachineId> Cell::drainedMachinesToStore(TimePoint now) const
 {
-    std::set<MachineId> machines = m_state->drainingMachinesWithoutWork();
+    std::set<MachineId> machines;
+    for (const auto& [machine, worker] : m_state->drainingMachinesWithoutWork())
+        machines.insert(machine);
     if (now < m_state->earlierDrainsOverAt)
         machines.insert(m_state->machinesDrainedByEarlierOwners.begin(), m_state->machinesDrainedByEarlierOwners.end());
     return machines;
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -292,7 +292,7 @@
 
     /// Whether the machine may be taken down by a command: nothing starts there.
     bool mayBeTakenDown(const MachineId& machine, TimePoint now) const;
-    std::set<MachineId> drainingMachinesWithoutWork() const;
+    DrainedMachines drainingMachinesWithoutWork() const;
     void checkRecovery(TimePoint now);
 
     /// Waits for the worker no longer, since nothing that previous owners started there runs any more.
--- a/packages/jobs/src/maintenance_scheduler.cpp
+++ b/packages/jobs/src/maintenance_scheduler.cpp
@@ -142,7 +142,7 @@
 
 bool MaintenanceScheduler::isDrained(const TrackedMachine& tracked) const
 {
-    return !m_ownedPools.contains(tracked.machine.pool) || m_drainedMachines.contains(tracked.machine.id);
+    return !m_ownedPools.contains(tracked.machine.pool) || jobs::isDrained(m_drainedMachines, tracked.machine);
 }
 
 bool MaintenanceScheduler::hasStartedOnAllMachines(const ActiveWave& wave, TimePoint now) const
--- a/packages/jobs/tests/capacity_planner_tests.cpp
+++ b/packages/jobs/tests/capacity_planner_tests.cpp
@@ -89,7 +89,10 @@
         }
         m_planner.setMachines(machines, m_now);
         m_planner.setMovableMachines(idle);
-        m_planner.setDrainedMachines(idle);
+        DrainedMachines drained;
+        for (const MachineId& id : idle)
+            drained.emplace(id, m_machines.at(id).machine.worker);
+        m_planner.setDrainedMachines(std::move(drained));
         m_planner.setLoads(loads, m_now);
         for (const MoveCommand& command : m_planner.advance(m_now))
             execute(command);
--- a/packages/jobs/tests/cell_tests.cpp
+++ b/packages/jobs/tests/cell_tests.cpp
@@ -342,7 +342,7 @@
     harness.storeChanges();
     harness.advance(60ms);
     harness.confirmOwnership();
-    EXPECT_EQ(harness.cell().drainedMachines(), std::vector<MachineId> { machine });
+    EXPECT_EQ(harness.cell().drainedMachines(), (DrainedMachines { { machine, WorkerId { "w1" } } }));
 }
 
 TEST(Cell, RejectingUncommittedJobsKeepsStoredJobs)
--- a/packages/jobs/tests/drained_machine_tests.cpp
+++ b/packages/jobs/tests/drained_machine_tests.cpp
@@ -36,7 +36,7 @@
     EXPECT_TRUE(harness.cell().drainedMachines().empty());
     EXPECT_EQ(harness.cell().drainedMachinesToStore(harness.now()), std::set<MachineId> { machine });
     harness.confirmOwnership();
-    EXPECT_EQ(harness.cell().drainedMachines(), std::vector<MachineId> { machine });
+    EXPECT_EQ(harness.cell().drainedMachines(), (DrainedMachines { { machine, WorkerId { "w1" } } }));
 }
 
 TEST(DrainedMachine, IsNotAnnouncedWhileATransactionWithoutItMayTakeEffect)
--- a/packages/jobs/tests/maintenance_scheduler_tests.cpp
+++ b/packages/jobs/tests/maintenance_scheduler_tests.cpp
@@ -73,7 +73,7 @@
     void tick()
     {
         int down = 0;
-        std::set<MachineId> drained;
+        DrainedMachines drained;
         const auto draining = m_scheduler.drainingMachines();
         for (auto& [id, state] : m_machines) {
             if (state.machine.state == MachineState::Maintenance && m_now >= state.upAt) {
@@ -85,7 +85,7 @@
                 : state.drainingSince == TimePoint {}    ? m_now
                                                          : state.drainingSince;
             if (isDrained(state))
-                drained.insert(id);
+                drained.emplace(id, state.machine.worker);
         }
         m_maxDown = std::max(m_maxDown, down);
         m_scheduler.setDrainedMachines(drained);
@@ -196,7 +196,7 @@
     scheduler.setMachines({ machine }, now, now);
     EXPECT_TRUE(scheduler.advance(now, 0).commands.empty());
     EXPECT_EQ(scheduler.drainingMachines(), only);
-    scheduler.setDrainedMachines(only);
+    scheduler.setDrainedMachines({ { id, machine.worker } });
     ASSERT_EQ(scheduler.advance(now, 0).commands.size(), 1U);
     // Nothing may be started on the machine while the command is in flight.
     EXPECT_EQ(scheduler.drainingMachines(), only);
@@ -211,6 +211,25 @@
     EXPECT_TRUE(scheduler.drainingMachines().empty());
 }
 
+TEST(MaintenanceScheduler, DrainOfAnEarlierWorkerSaysNothingOfTheNextOneOnTheMachine)
+{
+    const TimePoint now { 1000s };
+    const MachineId id { "m" };
+    Machine machine { id, PoolId { "p" }, MachineState::Up, "a", "r", { Millicores { 1 }, {}, {} }, WorkerId { "1" } };
+    MaintenanceScheduler scheduler { {}, TimePoint {} };
+    scheduler.setOwnedPools({ PoolId { "p" }, PoolId { "q" } });
+    scheduler.setWaves({ { 1, { id }, 20s, 1 } }, 0);
+    const DrainedMachines drainedInTheEarlierPool { { id, machine.worker } };
+    machine.pool = PoolId { "q" };
+    machine.worker = WorkerId { "2" };
+    scheduler.setMachines({ machine }, now, now);
+    (void)scheduler.advance(now, 0);
+    scheduler.setDrainedMachines(drainedInTheEarlierPool);
+    EXPECT_TRUE(scheduler.advance(now, 0).commands.empty());
+    scheduler.setDrainedMachines({ { id, machine.worker } });
+    EXPECT_EQ(scheduler.advance(now, 0).commands.size(), 1U);
+}
+
 TEST(MaintenanceScheduler, StoredProgressRoundTrips)
 {
     const WaveProgress progress { 4, 99, { MachineId { "a" }, MachineId { "b" } }, true };
--- a/packages/node/include/rattanrack/node/cell_host.h
+++ b/packages/node/include/rattanrack/node/cell_host.h
@@ -96,7 +96,7 @@
     /// After a takeover, waits for workers that can't be contacted only as long as leases of earlier owners may last,
     /// by what `ownership` has recorded of these owners. The next transactions tell the next owner.
     void limitEarlierGrants(const jobs::Ownership& ownership);
-    std::vector<jobs::MachineId> drainedMachines() const;
+    jobs::DrainedMachines drainedMachines() const;
 
     /// Which cell accepts new jobs of a queue, and which one has a job that this cell does not have.
     const jobs::CellQueues& queues() const { return m_queues; }
--- a/packages/node/include/rattanrack/node/machine_controller.h
+++ b/packages/node/include/rattanrack/node/machine_controller.h
@@ -57,7 +57,7 @@
 
     /// Sets what the owners of cells report about their machines and loads.
     void setCellStatus(
-        std::set<jobs::MachineId> movable, std::set<jobs::MachineId> drained, const std::vector<jobs::CellLoad>& loads);
+        std::set<jobs::MachineId> movable, jobs::DrainedMachines drained, const std::vector<jobs::CellLoad>& loads);
 
     /// Machines on which no new run starts.
     std::set<jobs::MachineId> drainingMachines() const;
--- a/packages/node/src/cell_host.cpp
+++ b/packages/node/src/cell_host.cpp
@@ -166,10 +166,10 @@
     m_cell.setDrainingMachines(std::move(machines));
 }
 
-std::vector<jobs::MachineId> CellHost::drainedMachines() const
+jobs::DrainedMachines CellHost::drainedMachines() const
 {
     const bool isConfirmed = m_parts.clock.now() - m_writer.confirmedAt() < jobs::drainedMachinesTimeout;
-    return isConfirmed ? m_cell.drainedMachines() : std::vector<jobs::MachineId> {};
+    return isConfirmed ? m_cell.drainedMachines() : jobs::DrainedMachines {};
 }
 
 void CellHost::limitEarlierGrants(const jobs::Ownership& ownership)
--- a/packages/node/src/job_node.cpp
+++ b/packages/node/src/job_node.cpp
@@ -107,7 +107,7 @@
         machines.insert(machines.end(), more.begin(), more.end());
     };
     for (const auto& [cell, host] : cells) {
-        append(announcement.drainedMachines, host->drainedMachines());
+        announcement.drainedMachines.merge(host->drainedMachines());
         append(announcement.movableMachines, host->movableMachines());
         announcement.loads.push_back(host->load());
     }
@@ -144,12 +144,12 @@
         return;
     jobs::NodeAnnouncement total;
     addOwnCells(total);
-    std::set<jobs::MachineId> drained { total.drainedMachines.begin(), total.drainedMachines.end() };
+    jobs::DrainedMachines drained = total.drainedMachines;
     std::set<jobs::MachineId> movable { total.movableMachines.begin(), total.movableMachines.end() };
     for (const jobs::NodeAnnouncement* announcement : others) {
-        for (const jobs::MachineId& machine : announcement->drainedMachines) {
+        for (const auto& [machine, worker] : announcement->drainedMachines) {
             if (drainAnnouncements.isKnownAt(machine, announcement->drainingMachinesSequence))
-                drained.insert(machine);
+                drained.emplace(machine, worker);
         }
         movable.insert(announcement->movableMachines.begin(), announcement->movableMachines.end());
         total.loads.insert(total.loads.end(), announcement->loads.begin(), announcement->loads.end());
--- a/packages/node/src/machine_controller.cpp
+++ b/packages/node/src/machine_controller.cpp
@@ -127,7 +127,7 @@
 }
 
 void MachineController::setCellStatus(
-    std::set<jobs::MachineId> movable, std::set<jobs::MachineId> drained, const std::vector<jobs::CellLoad>& loads)
+    std::set<jobs::MachineId> movable, jobs::DrainedMachines drained, const std::vector<jobs::CellLoad>& loads)
 {
     m_maintenance.setLoads(loads);
     m_maintenance.setDrainedMachines(drained);
@@ -245,7 +245,7 @@
     const TimePoint now = m_parts.clock.now();
     const bool mayCommand = !m_isHandingBack && !permittedUntil().hasPassed(now);
     if (mayCommand) {
-        m_maintenance.setMovingMachines(m_planner.drainingMachines());
+        m_maintenance.setMovingMachines(m_planner.machinesInTransfer());
         jobs::MaintenanceOutput output = m_maintenance.advance(now, wallClockMilliseconds());
         for (const jobs::MaintenanceCommand& command : output.commands)
             send(command, &jobs::MachineService::maintain, m_maintenance, "machine.maintained",
--- a/packages/node/tests/cell_host_tests.cpp
+++ b/packages/node/tests/cell_host_tests.cpp
@@ -123,9 +123,9 @@
         control.run([&] { host->setDrainingMachines({ machine }); });
     }
 
-    std::vector<jobs::MachineId> drainedMachines()
+    jobs::DrainedMachines drainedMachines()
     {
-        std::vector<jobs::MachineId> machines;
+        jobs::DrainedMachines machines;
         control.run([&] { machines = host->drainedMachines(); });
         return machines;
     }
--- a/packages/peer/src/job_messages_codec.cpp
+++ b/packages/peer/src/job_messages_codec.cpp
@@ -19,6 +19,30 @@
         target.set(i, machines[i].value());
 }
 
+void encodeDrained(const jobs::DrainedMachines& drained, wire::NodeNews::Builder announcement)
+{
+    const auto count = static_cast<unsigned>(drained.size());
+    auto machines = announcement.initEmptied(count);
+    auto workers = announcement.initEmptiedWorkers(count);
+    unsigned index = 0;
+    for (const auto& [machine, worker] : drained) {
+        machines.set(index, machine.value());
+        workers.set(index, worker.value());
+        ++index;
+    }
+}
+
+/// Earlier releases do not name the workers; what they announce counts for none.
+jobs::DrainedMachines decodeDrained(wire::NodeNews::Reader source)
+{
+    jobs::DrainedMachines drained;
+    const auto machines = source.getEmptied();
+    const auto workers = source.getEmptiedWorkers();
+    for (unsigned index = 0; index < machines.size() && index < workers.size(); ++index)
+        drained.emplace(jobs::MachineId { text(machines[index]) }, jobs::WorkerId { text(workers[index]) });
+    return drained;
+}
+
 std::vector<jobs::MachineId> decodeMachines(capnp::List<capnp::Text>::Reader source)
 {
     std::vector<jobs::MachineId> machines;
@@ -67,8 +91,7 @@
     }
     encodeMachines(
         message.drainingMachines, announcement.initClosing(static_cast<unsigned>(message.drainingMachines.size())));
-    encodeMachines(
-        message.drainedMachines, announcement.initEmptied(static_cast<unsigned>(message.drainedMachines.size())));
+    encodeDrained(message.drainedMachines, announcement);
     encodeMachines(
         message.movableMachines, announcement.initMovable(static_cast<unsigned>(message.movableMachines.size())));
     auto loads = announcement.initLoads(static_cast<unsigned>(message.loads.size()));
@@ -129,7 +152,7 @@
 {
     jobs::NodeAnnouncement announcement { NodeId { text(source.getNode()) }, text(source.getAddress()),
         source.getSequence(), source.getIsLeaving(), source.getIsStoreInReach(), {},
-        decodeMachines(source.getClosing()), source.getClosingHeard(), decodeMachines(source.getEmptied()),
+        decodeMachines(source.getClosing()), source.getClosingHeard(), decodeDrained(source),
         decodeMachines(source.getMovable()), {}, source.getProcessorShare() };
     for (const auto load : source.getLoads()) {
         announcement.loads.push_back({ PoolId { text(load.getCell()) }, Millicores { load.getUsedMillicores() },
@@ -167,7 +190,7 @@
 
 std::size_t variableSize(const jobs::NodeAnnouncement& message)
 {
-    return (message.cells.size() + message.drainingMachines.size() + message.drainedMachines.size()
+    return (message.cells.size() + message.drainingMachines.size() + 2 * message.drainedMachines.size()
                + message.movableMachines.size() + message.loads.size() + message.candidates.size()
                + message.seenOwners.size() + message.relayTo.size())
         * nameSizeBound;
--- a/packages/peer/src/peer.capnp
+++ b/packages/peer/src/peer.capnp
@@ -177,6 +177,7 @@
   isPassedOn @16 :Bool;
   uptimeMicroseconds @17 :Int64;
   ageMicroseconds @18 :Int64;
+  emptiedWorkers @19 :List(Text); # In the order of emptied.
 }
 
 struct TakeoverCandidate {
--- a/packages/peer/src/peer.capnp.h
+++ b/packages/peer/src/peer.capnp.h
@@ -413,7 +413,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9072e06186a0c7b8, 7, 10)
+    CAPNP_DECLARE_STRUCT_HEADER(9072e06186a0c7b8, 7, 11)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2691,6 +2691,9 @@
 
   inline  ::int64_t getAgeMicroseconds() const;
 
+  inline bool hasEmptiedWorkers() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getEmptiedWorkers() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2820,6 +2823,14 @@
   inline  ::int64_t getAgeMicroseconds();
   inline void setAgeMicroseconds( ::int64_t value);
 
+  inline bool hasEmptiedWorkers();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getEmptiedWorkers();
+  inline void setEmptiedWorkers( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setEmptiedWorkers(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initEmptiedWorkers(unsigned int size);
+  inline void adoptEmptiedWorkers(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownEmptiedWorkers();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7377,6 +7388,44 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool NodeNews::Reader::hasEmptiedWorkers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeNews::Builder::hasEmptiedWorkers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader NodeNews::Reader::getEmptiedWorkers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder NodeNews::Builder::getEmptiedWorkers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline void NodeNews::Builder::setEmptiedWorkers( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), value);
+}
+inline void NodeNews::Builder::setEmptiedWorkers(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder NodeNews::Builder::initEmptiedWorkers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), size);
+}
+inline void NodeNews::Builder::adoptEmptiedWorkers(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> NodeNews::Builder::disownEmptiedWorkers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+
 inline bool TakeoverCandidate::Reader::hasNode() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
