--- a/packages/jobs/tests/customer_tests.cpp
+++ b/packages/jobs/tests/customer_tests.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr std::uint64_t seed = 7;
+constexpr std::size_t longKeySize = 65536;
+constexpr std::size_t manyKeys = 10'000;
 
 ResourceSize millicores(std::int64_t count) { return { Millicores { count }, {}, {} }; }
 
@@ -68,14 +70,15 @@
     EXPECT_EQ(keys.find("second")->value(), "a");
     EXPECT_EQ(keys.find(std::string("\0\xff", 2))->value(), "b");
     for (const std::string& wrong : { std::string {}, std::string("firs"), std::string("first "), std::string("\0", 1),
-             std::string(64 * 1024, 'x') })
+             std::string(longKeySize, 'x') })
         EXPECT_FALSE(keys.find(wrong));
 }
 
 TEST(CustomerKeys, TenThousandKeysAreFound)
 {
     std::vector<CustomerKey> all;
-    for (int number = 0; number < 10'000; ++number)
+    all.reserve(manyKeys);
+    for (std::size_t number = 0; number < manyKeys; ++number)
         all.push_back({ "key-" + std::to_string(number), CustomerId { std::to_string(number % 32) } });
     const CustomerKeys keys { all, seed };
     for (const CustomerKey& each : all)
