Quotas: findings of the independent review

Change: a short cell states what it could start next, the longest one goes first; other cells grow beyond the equal part only after 600 ms; no bound where a capacity is not known; versions alone decide what is newer; nothing starts on a lowered or added quota before a read. Open: work beyond the weight is not known to the next owner; long-running tasks have no such rank; a store that refuses a transaction whose earlier copy may take effect keeps the cell at the smaller entry; header values are URL-decoded by cpp-httplib, so that a key with a percent sign and two hexadecimal digits does not match as written.

--- a/packages/jobs/include/rattanrack/jobs/cell.h
+++ b/packages/jobs/include/rattanrack/jobs/cell.h
@@ -138,12 +138,13 @@
     /// Sets what the customer's tasks may use in this cell, if it has a quota; nothing until the first call.
     void setCustomerLimit(const CustomerId& customer, const CustomerLimit& limit);
 
-    /// Capacity of the workers of previous owners that have not been contacted: what runs there is not known.
+    /// Capacity of the workers of previous owners that have not been contacted: a bound of what runs there.
+    /// `unlimitedSize` where there is none.
     ResourceSize uncontactedCapacity() const;
 
-    /// Whether the job belongs to another customer than `customer`, which is still configured. Always false if one of
-    /// the two names no customer.
-    bool isOfOtherCustomer(const JobId& job, const CustomerId& customer) const;
+    /// Whether the job belongs to a configured customer that is not `customer`. An empty one may use the jobs of
+    /// `queue`, whose route needs no key.
+    bool isOfOtherCustomer(const JobId& job, const CustomerId& customer, const QueueAddress& queue) const;
 
     /// Sets the workers of all pools, as listed by the store; those of other pools show which machines have left this
     /// one. `requestedAt`: when the list was requested.
--- a/packages/jobs/include/rattanrack/jobs/cell_quotas.h
+++ b/packages/jobs/include/rattanrack/jobs/cell_quotas.h
@@ -26,12 +26,17 @@
     PoolId cell;
     Fence term { 0 }; ///< Of the owner that has written the entry. Owners of earlier terms may not change it.
     ResourceSize granted;
-    bool isShort { false }; ///< The cell needs more than it could get: others return what they don't need.
+    /// The smallest amount that the cell could start if it had more; empty: it is not short. Others return what they
+    /// don't need.
+    ResourceSize unit;
+
+    bool isShort() const { return unit != ResourceSize {}; }
 
     friend bool operator==(const QuotaAllotment&, const QuotaAllotment&) = default;
 };
 
-/// The row of a customer; one entry for each cell that has an allotment or is short of one.
+/// The row of a customer; one entry for each cell that has an allotment or is short of one. Among the short ones the
+/// one that has been short for longest comes first.
 using QuotaAllotments = std::vector<QuotaAllotment>;
 
 std::string encode(const QuotaAllotments&);
@@ -96,24 +101,33 @@
         QuotaAllotments allotments;
         bool isMalformed { false };
         /// What the owner before may have used when this owner wrote its first entry: the most that runs on workers
-        /// that have not been contacted can use.
-        ResourceSize inherited;
+        /// that have not been contacted can use. Empty: there was no entry, so that it is not known.
+        std::optional<ResourceSize> inherited;
         std::optional<QuotaAllotment> next; ///< The own entry that the transaction in flight writes.
         std::optional<ResourceSize>
             target; ///< Below what is granted: nothing starts above it, so that it can be returned.
         ResourceSize quota; ///< As of the latest decision.
         TimePoint excessSince {}; ///< Since when more is granted than the cell would take; 0: it is not.
-        TimePoint shortReportedAt {}; ///< When `isShort` was last changed.
+        TimePoint shortReportedAt {}; ///< When `unit` was last changed.
+        TimePoint grownAt {}; ///< When the own entry last grew.
+        TimePoint freeSince {}; ///< Since when the entries leave something of the quota; 0: they don't.
+        TimePoint readNeededAt {}; ///< A quota was lowered or added: nothing starts until a read that is sent later.
     };
 
     QuotaAllotment ownEntry(const Row& row) const;
     bool isOwnTerm(const Row& row) const;
     ResourceSize grantedOfOthers(const Row& row) const;
     bool isAnotherShort(const Row& row) const;
+    ResourceSize mostWhileContested(
+        const Row& row, const CustomerUse& use, const ResourceSize& free, TimePoint now) const;
+    ResourceSize unknownUse(const Row& row, const ResourceSize& uncontacted) const;
     bool isContested(const Row& row, const ResourceSize& quota) const;
     std::size_t activeCells(const Row& row) const;
-    void adopt(Row& row, RowVersion version, const std::string& value);
-    static void clear(Row& row, RowVersion removedBy);
+    void adoptIfNewer(Row& row, RowVersion version, const std::string& value);
+    static void clearIfNewer(Row& row, RowVersion removedBy);
+    void adoptOutcome(const TransactionOutcome& outcome, TimePoint now);
+    void adoptConflict(const TransactionOutcome& outcome);
+    void recordQuota(Row& row, const ResourceSize& quota, TimePoint now);
     QuotaAllotment desired(Row& row, const CustomerUse& use, const ResourceSize& unknown, TimePoint now) const;
     bool isChangeDue(const Row& row, const QuotaAllotment& next, const CustomerUse& use, TimePoint now) const;
     void addChange(const RowKey& key, Row& row, const QuotaAllotment& next);
@@ -127,6 +141,8 @@
     bool m_isReadInFlight { false };
     bool m_isReplaced { false };
     TimePoint m_nextReadAt {};
+    TimePoint m_readSentAt {}; ///< Of the read in flight, or of the latest one.
+    TimePoint m_viewAsOf {}; ///< When the latest read that has succeeded was sent.
     TimePoint m_watchedUntil {}; ///< A quota was lowered lately: the entries of the other cells are read often.
     TimePoint m_nextTransactionAt {};
     std::map<std::string, Row> m_rows; ///< By the key of the row.
--- a/packages/jobs/include/rattanrack/jobs/customer_use.h
+++ b/packages/jobs/include/rattanrack/jobs/customer_use.h
@@ -12,6 +12,7 @@
     ResourceSize quota; ///< In all cells together, as configured.
     ResourceSize used; ///< By runs that may be active, also those that are being started or stopped.
     ResourceSize waiting; ///< By tasks that nothing but the quota kept from starting in the latest scheduling pass.
+    ResourceSize unit; ///< The smallest part of `waiting` that can start by itself: one task, or a whole gang.
 
     friend bool operator==(const CustomerUse&, const CustomerUse&) = default;
 };
--- a/packages/jobs/src/cell_customers.cpp
+++ b/packages/jobs/src/cell_customers.cpp
@@ -16,6 +16,18 @@
         std::min(size.accelerators, std::max(bound.accelerators, Accelerators {})) };
 }
 
+ResourceSize larger(const ResourceSize& size, const ResourceSize& other)
+{
+    return { std::max(size.processors, other.processors), std::max(size.memory, other.memory),
+        std::max(size.accelerators, other.accelerators) };
+}
+
+bool hasBestEffortStep(const Job& job)
+{
+    return std::any_of(
+        job.spec.steps.begin(), job.spec.steps.end(), [](const Step& step) { return step.isBestEffort; });
+}
+
 } // namespace
 
 void CellState::configureCustomers(const std::vector<Customer>& configured)
@@ -65,8 +77,7 @@
 
 void CellState::recordHeldByQuota(const JobEntry& entry, const Step& step, int tasks)
 {
-    for (int count = 0; count < tasks; ++count)
-        entry.account->waitingForQuota += step.size;
+    CustomerAccounts::recordWaiting(*entry.account, step.size, tasks, step.isGang ? step.count : 1);
 }
 
 bool CellState::isHeldByQuota(const ReadyStep& ready, const FreeCapacity& capacity)
@@ -109,35 +120,37 @@
         return uses;
     ResourceSize free = m_state->listedCapacity;
     for (const auto& [id, worker] : m_state->workers)
-        free -= worker.used;
+        free -= worker.isListed ? worker.used : ResourceSize {};
     for (CustomerUse& use : uses)
-        use.waiting = smaller(use.waiting, free);
+        use.waiting = larger(smaller(use.waiting, free), use.unit);
     return uses;
 }
 
-/// The capacity of a worker that is not listed is not known; it counts as the largest that is.
+/// Without a bound where the capacity of a worker is not known, and where best-effort tasks, which may use more
+/// processors than there are, may run.
 ResourceSize Cell::uncontactedCapacity() const
 {
     const CellState& state = *m_state;
-    ResourceSize largest;
-    for (const auto& [id, worker] : state.workers) {
-        const ResourceSize& capacity = worker.description.capacity;
-        largest.processors = std::max(largest.processors, capacity.processors);
-        largest.memory = std::max(largest.memory, capacity.memory);
-        largest.accelerators = std::max(largest.accelerators, capacity.accelerators);
-    }
     ResourceSize total;
     for (const auto& [id, machine] : state.inheritedWorkers) {
         const auto known = state.workers.find(id);
-        total += known == state.workers.end() ? largest : known->second.description.capacity;
+        if (known == state.workers.end() || !known->second.isListed)
+            return unlimitedSize;
+        total += known->second.description.capacity;
     }
-    return total;
+    const bool hasBestEffort = !state.inheritedWorkers.empty()
+        && std::any_of(state.unfinishedJobs.begin(), state.unfinishedJobs.end(),
+            [](const JobEntry* entry) { return entry->account && hasBestEffortStep(entry->job); });
+    return hasBestEffort ? unlimitedSize : total;
 }
 
-bool Cell::isOfOtherCustomer(const JobId& job, const CustomerId& customer) const
+/// A call without a key, on a route that needs none, is about jobs of its own queue.
+bool Cell::isOfOtherCustomer(const JobId& job, const CustomerId& customer, const QueueAddress& queue) const
 {
     const JobEntry* entry = m_state->find(job);
-    if (!entry || customer.isEmpty() || entry->job.customer.isEmpty() || entry->job.customer == customer)
+    if (!entry || entry->job.customer.isEmpty() || entry->job.customer == customer)
+        return false;
+    if (customer.isEmpty() && entry->job.queueAddress == queue)
         return false;
     const CustomerAccount* owner = m_state->customers.find(entry->job.customer);
     return owner && owner->isConfigured;
--- a/packages/jobs/src/cell_quotas.cpp
+++ b/packages/jobs/src/cell_quotas.cpp
@@ -14,8 +14,11 @@
 constexpr Duration contestedReadPeriod = 250ms;
 constexpr Duration retryPause = 100ms;
 constexpr Duration transactionPause = 20ms;
-constexpr Duration shortReportPause = 200ms; ///< Between two changes of `isShort` alone.
+constexpr Duration shortReportPause = 200ms; ///< Between two changes of `unit` alone.
 constexpr Duration excessPeriod = 1s; ///< Demand that ends for less than this keeps its allotment.
+constexpr Duration freshPeriod = 500ms; ///< What a cell has just got is not returned before it could start something.
+/// A short cell reads the table twice in this time.
+constexpr Duration unclaimedPeriod = 600ms;
 constexpr Duration loweredQuotaPeriod = 5s; ///< By then all owners have the configuration that lowers a quota.
 constexpr std::int64_t headroomDivisor = 4; ///< One part of this many is taken beyond the need.
 constexpr std::int64_t leastChangeDivisor = 50; ///< Changes below one part of this many of the quota wait.
@@ -76,6 +79,11 @@
     return forEachResource([](std::int64_t amount, std::int64_t limit) { return limit > 0 ? amount : 0; }, size, quota);
 }
 
+ResourceSize partOf(const ResourceSize& size, std::size_t parts)
+{
+    return forEachResource([&](std::int64_t all) { return all / static_cast<std::int64_t>(parts); }, size);
+}
+
 bool isAnyAbove(const ResourceSize& size, const ResourceSize& bound)
 {
     return anyResource([](std::int64_t amount, std::int64_t most) { return amount > most; }, size, bound);
@@ -103,12 +111,13 @@
 
 bool CellQuotas::isReadDue(TimePoint now) const
 {
-    return m_isConfigured && !m_isReadInFlight && !m_isInFlight && !m_isReplaced && now >= m_nextReadAt;
+    return m_isConfigured && !m_isReadInFlight && !m_isReplaced && now >= m_nextReadAt;
 }
 
 void CellQuotas::onReadSent(TimePoint now)
 {
     m_isReadInFlight = true;
+    m_readSentAt = now;
     const bool isContested = now < m_watchedUntil || isAnyContested();
     m_nextReadAt = now + (isContested ? contestedReadPeriod : readPeriod);
 }
@@ -124,24 +133,24 @@
 {
     m_isReadInFlight = false;
     m_hasRead = true;
+    m_viewAsOf = m_readSentAt;
     std::map<std::string, const PartRow*> found;
     for (const PartRow& row : page.rows)
         found.emplace(row.row.key, &row);
     for (auto& [key, row] : m_rows) {
-        if (!found.contains(key) && page.version > row.latestSeen)
-            clear(row, page.version);
-    }
-    for (const auto& [key, row] : found) {
-        Row& known = m_rows[key];
-        if (row->version > known.latestSeen)
-            adopt(known, row->version, row->value);
+        if (!found.contains(key))
+            clearIfNewer(row, page.version);
     }
+    for (const auto& [key, row] : found)
+        adoptIfNewer(m_rows[key], row->version, row->value);
     if (isAnyContested())
         m_nextReadAt = std::min(m_nextReadAt, now + contestedReadPeriod);
 }
 
-void CellQuotas::adopt(Row& row, RowVersion version, const std::string& value)
+void CellQuotas::adoptIfNewer(Row& row, RowVersion version, const std::string& value)
 {
+    if (version <= row.latestSeen)
+        return;
     row.version = row.latestSeen = version;
     const auto decoded = valueOrNothing([&] { return decodeQuotaAllotments(value); });
     row.isMalformed = !decoded;
@@ -149,10 +158,12 @@
     m_isReplaced = m_isReplaced || ownEntry(row).term > m_term;
 }
 
-void CellQuotas::clear(Row& row, RowVersion removedBy)
+void CellQuotas::clearIfNewer(Row& row, RowVersion removedBy)
 {
+    if (removedBy <= row.latestSeen)
+        return;
     row.version = 0;
-    row.latestSeen = std::max(row.latestSeen, removedBy);
+    row.latestSeen = removedBy;
     row.allotments.clear();
     row.isMalformed = false;
 }
@@ -181,7 +192,7 @@
 bool CellQuotas::isAnotherShort(const Row& row) const
 {
     return std::any_of(row.allotments.begin(), row.allotments.end(),
-        [&](const QuotaAllotment& each) { return each.cell != m_cell && each.isShort; });
+        [&](const QuotaAllotment& each) { return each.cell != m_cell && each.isShort(); });
 }
 
 /// Whether the cell keeps no more than it needs: another cell is short, or a lowered quota is below what is granted.
@@ -194,18 +205,43 @@
 bool CellQuotas::isAnyContested() const
 {
     return std::any_of(m_rows.begin(), m_rows.end(),
-        [&](const auto& each) { return isAnotherShort(each.second) || ownEntry(each.second).isShort; });
+        [&](const auto& each) { return isAnotherShort(each.second) || ownEntry(each.second).isShort(); });
 }
 
 /// Cells that have a part of the quota or are short of one, with the own one.
 std::size_t CellQuotas::activeCells(const Row& row) const
 {
     const auto others = std::count_if(row.allotments.begin(), row.allotments.end(), [&](const QuotaAllotment& each) {
-        return each.cell != m_cell && (each.isShort || each.granted != ResourceSize {});
+        return each.cell != m_cell && (each.isShort() || each.granted != ResourceSize {});
     });
     return static_cast<std::size_t>(others) + 1;
 }
 
+/// What may run on workers that have not been contacted. Without an entry of the owner before, all of it may.
+ResourceSize CellQuotas::unknownUse(const Row& row, const ResourceSize& uncontacted) const
+{
+    return row.inherited ? smaller(uncontacted, *row.inherited) : uncontacted;
+}
+
+/// The most that the cell may have while another one is short: an equal part among the active cells. What the others
+/// leave for some time is taken all the same, since a cell without an owner stays short. If what the cell that has been
+/// short for longest could start is larger than its part, it goes before the others, and then behind them.
+ResourceSize CellQuotas::mostWhileContested(
+    const Row& row, const CustomerUse& use, const ResourceSize& free, TimePoint now) const
+{
+    const ResourceSize granted = ownEntry(row).granted;
+    const ResourceSize part = partOf(use.quota, activeCells(row));
+    const auto first = std::find_if(
+        row.allotments.begin(), row.allotments.end(), [](const QuotaAllotment& each) { return each.isShort(); });
+    const bool isFirstLarge = first != row.allotments.end() && isAnyAbove(first->unit, part);
+    if (isFirstLarge && first->cell == m_cell)
+        return larger(part, sum(use.used, first->unit));
+    if (isFirstLarge)
+        return smaller(part, remainder(use.quota, sum(first->granted, first->unit)));
+    const bool isUnclaimed = row.freeSince != TimePoint {} && now - row.freeSince >= unclaimedPeriod;
+    return isUnclaimed ? larger(part, sum(granted, free)) : part;
+}
+
 /// The entry that the cell should have. `unknown`: what may run on workers that have not been contacted.
 QuotaAllotment CellQuotas::desired(Row& row, const CustomerUse& use, const ResourceSize& unknown, TimePoint now) const
 {
@@ -214,29 +250,26 @@
     const ResourceSize need = smaller(limitedPart(sum(used, use.waiting), quota), larger(quota, used));
     const ResourceSize ample
         = smaller(forEachResource([](std::int64_t amount) { return amount + amount / headroomDivisor; }, need), quota);
-    const auto partOf = [&](std::size_t cells) {
-        return forEachResource([&](std::int64_t all) { return all / static_cast<std::int64_t>(cells); }, quota);
-    };
     const QuotaAllotment own = ownEntry(row);
     const ResourceSize granted = limitedPart(own.granted, quota);
     const ResourceSize free = remainder(remainder(quota, grantedOfOthers(row)), granted);
     const bool isContested = this->isContested(row, quota);
-    const ResourceSize fair = m_cells.isOwnConfigured ? partOf(m_cells.count) : ResourceSize {};
+    const ResourceSize fair = m_cells.isOwnConfigured ? partOf(quota, m_cells.count) : ResourceSize {};
     const ResourceSize kept = isContested ? need : larger(ample, fair);
     const ResourceSize reachable = smaller(kept, sum(granted, free));
     const bool isExcess = isAnyAbove(granted, kept);
     row.excessSince = !isExcess ? TimePoint {} : row.excessSince == TimePoint {} ? now : row.excessSince;
-    const bool mayReturn = isContested || now - row.excessSince >= excessPeriod;
+    row.freeSince = free == ResourceSize {} ? TimePoint {} : row.freeSince == TimePoint {} ? now : row.freeSince;
+    const bool mayReturn = isContested ? now - row.grownAt >= freshPeriod : now - row.excessSince >= excessPeriod;
     ResourceSize target = isExcess && mayReturn ? reachable : larger(granted, reachable);
-    if (isContested) {
-        const ResourceSize activePart = partOf(activeCells(row));
-        target = forEachResource([](std::int64_t wanted, std::int64_t part,
-                                     std::int64_t unused) { return unused > 0 ? wanted : std::min(wanted, part); },
-            target, activePart, free);
-    }
+    if (isContested)
+        target = smaller(target, limitedPart(mostWhileContested(row, use, free, now), quota));
     // Runs that are there already count, also beyond the quota, so that the other cells start nothing in their place.
     target = larger(target, used);
-    return { m_cell, m_term, target, isAnyAbove(need, target) };
+    const ResourceSize unit = smaller(limitedPart(use.unit, quota), quota);
+    const bool isShort
+        = use.unit != ResourceSize {} && isAnyAbove(smaller(sum(used, unit), larger(quota, used)), target);
+    return { m_cell, m_term, target, isShort ? unit : ResourceSize {} };
 }
 
 bool CellQuotas::isChangeDue(const Row& row, const QuotaAllotment& next, const CustomerUse& use, TimePoint now) const
@@ -254,20 +287,45 @@
     };
     if (anyResource(isLarge, own.granted, next.granted, use.quota))
         return true;
-    return next.isShort != own.isShort && now - row.shortReportedAt >= shortReportPause;
+    return next.isShort() != own.isShort() && now - row.shortReportedAt >= shortReportPause;
 }
 
+/// The entry keeps its place while the cell stays short without getting more.
 void CellQuotas::addChange(const RowKey& key, Row& row, const QuotaAllotment& next)
 {
     row.next = next;
     QuotaAllotments allotments = row.allotments;
-    std::erase_if(allotments, [&](const QuotaAllotment& each) { return each.cell == m_cell; });
-    if (next.granted != ResourceSize {} || next.isShort)
-        allotments.push_back(next);
+    const auto own = std::find_if(
+        allotments.begin(), allotments.end(), [&](const QuotaAllotment& each) { return each.cell == m_cell; });
+    const bool isKept = next.granted != ResourceSize {} || next.isShort();
+    const bool hasPlace
+        = own != allotments.end() && own->isShort() && next.isShort() && !isAnyAbove(next.granted, own->granted);
+    if (hasPlace && isKept) {
+        *own = next;
+    } else {
+        if (own != allotments.end())
+            allotments.erase(own);
+        if (isKept)
+            allotments.push_back(next);
+    }
     m_transaction.conditions.push_back({ key, row.version });
     m_transaction.writes.push_back({ key, allotments.empty() ? std::nullopt : std::optional { encode(allotments) } });
 }
 
+/// A quota that is lowered or added is below what other cells may have: their entries are read before anything starts.
+void CellQuotas::recordQuota(Row& row, const ResourceSize& quota, TimePoint now)
+{
+    const bool isLowered = anyResource(
+        [](std::int64_t before, std::int64_t after) { return after > 0 && (before == 0 || before > after); }, row.quota,
+        quota);
+    row.quota = quota;
+    if (!isLowered)
+        return;
+    row.readNeededAt = now;
+    m_watchedUntil = now + loweredQuotaPeriod;
+    m_nextReadAt = std::min(m_nextReadAt, now);
+}
+
 std::optional<PartTransaction> CellQuotas::nextTransaction(
     const std::vector<CustomerUse>& uses, const ResourceSize& uncontacted, TimePoint now)
 {
@@ -283,18 +341,14 @@
         const RowKey key = quotaRow(use.customer);
         isLimited[key.key] = true;
         Row& row = m_rows[key.key];
-        const bool isLowered = isAnyAbove(row.quota, use.quota);
-        if (isLowered)
-            m_watchedUntil = now + loweredQuotaPeriod;
-        if (isLowered)
-            m_nextReadAt = std::min(m_nextReadAt, now);
-        row.quota = use.quota;
+        recordQuota(row, use.quota, now);
         if (row.isMalformed)
             continue;
         const QuotaAllotment own = ownEntry(row);
-        if (own.term < m_term)
-            row.inherited = own.granted;
-        const QuotaAllotment next = desired(row, use, smaller(uncontacted, row.inherited), now);
+        if (own.term > 0 && own.term < m_term)
+            row.inherited = larger(row.inherited.value_or(ResourceSize {}), own.granted);
+        const ResourceSize unknown = row.inherited ? unknownUse(row, uncontacted) : ResourceSize {};
+        const QuotaAllotment next = desired(row, use, unknown, now);
         row.target = isAnyAbove(own.granted, next.granted) ? std::optional { next.granted } : std::nullopt;
         const bool isFull = m_transaction.writes.size() >= maxRowsInTransaction;
         if (!isFull && isChangeDue(row, next, use, now))
@@ -302,8 +356,10 @@
     }
     for (auto& [key, row] : m_rows) {
         const bool isFull = m_transaction.writes.size() >= maxRowsInTransaction;
+        if (!isLimited.contains(key))
+            row.quota = {};
         if (!isFull && !isLimited.contains(key) && ownEntry(row).term > 0)
-            addChange({ quotaTable, key }, row, { m_cell, m_term, {}, false });
+            addChange({ quotaTable, key }, row, { m_cell, m_term, {}, {} });
     }
     if (m_transaction.writes.empty())
         return std::nullopt;
@@ -312,41 +368,55 @@
     return m_transaction;
 }
 
+void CellQuotas::adoptOutcome(const TransactionOutcome& outcome, TimePoint now)
+{
+    for (const RowWrite& write : m_transaction.writes) {
+        Row& row = m_rows[write.row.key];
+        const QuotaAllotment before = ownEntry(row);
+        if (row.next && row.next->isShort() != before.isShort())
+            row.shortReportedAt = now;
+        if (row.next && isAnyAbove(row.next->granted, before.granted))
+            row.grownAt = now;
+        if (write.value)
+            adoptIfNewer(row, outcome.version, *write.value);
+        else
+            clearIfNewer(row, outcome.version);
+    }
+}
+
+/// A row that a read has shown in a later version than the one that the transaction expected stays as it was read.
+void CellQuotas::adoptConflict(const TransactionOutcome& outcome)
+{
+    for (const RowCondition& condition : m_transaction.conditions) {
+        Row& row = m_rows[condition.row.key];
+        const auto isOfRow = [&](const PartRow& each) { return each.row.key == condition.row.key; };
+        const bool isPresent = std::any_of(outcome.current.begin(), outcome.current.end(), isOfRow);
+        if (!isPresent && row.version == condition.version) {
+            row.version = 0;
+            row.allotments.clear();
+        }
+    }
+    for (const PartRow& current : outcome.current)
+        adoptIfNewer(m_rows[current.row.key], current.version, current.value);
+}
+
 void CellQuotas::onOutcome(const TransactionOutcome& outcome, TimePoint now)
 {
     m_isSending = false;
     m_nextTransactionAt = now + transactionPause;
-    const auto isUnresolved = [&] {
-        m_mayTakeEffect = m_mayTakeEffect || outcome.status == TransactionStatus::Unknown;
-        return m_mayTakeEffect;
-    };
     switch (outcome.status) {
     case TransactionStatus::Done:
-        for (std::size_t at = 0; at < m_transaction.writes.size(); ++at) {
-            const RowWrite& write = m_transaction.writes[at];
-            Row& row = m_rows[write.row.key];
-            if (row.next && row.next->isShort != ownEntry(row).isShort)
-                row.shortReportedAt = now;
-            if (write.value)
-                adopt(row, outcome.version, *write.value);
-            else
-                clear(row, outcome.version);
-        }
+        adoptOutcome(outcome, now);
         break;
     case TransactionStatus::Conflict:
-        for (const RowCondition& condition : m_transaction.conditions)
-            clear(m_rows[condition.row.key], 0);
-        for (const PartRow& current : outcome.current) {
-            Row& row = m_rows[current.row.key];
-            if (current.version >= row.latestSeen)
-                adopt(row, current.version, current.value);
-        }
+        adoptConflict(outcome);
         break;
     case TransactionStatus::Refused:
     case TransactionStatus::Unavailable:
     case TransactionStatus::Unknown:
         m_nextTransactionAt = now + retryPause;
-        if (isUnresolved())
+        m_mayTakeEffect = m_mayTakeEffect || outcome.status == TransactionStatus::Unknown;
+        if (m_mayTakeEffect)
             return; // The same transaction is sent again: its conditions keep it from taking effect twice.
         break;
     }
@@ -371,13 +441,16 @@
     if (found == m_rows.end() || m_isReplaced || found->second.isMalformed || !isOwnTerm(found->second))
         return { withUnlimited({}), false };
     const Row& row = found->second;
+    const ResourceSize unknown = unknownUse(row, uncontacted);
+    const bool mayBeUnrecorded = !row.inherited && unknown != ResourceSize {};
+    if (mayBeUnrecorded || m_viewAsOf < row.readNeededAt)
+        return { withUnlimited({}), false };
     ResourceSize granted = ownEntry(row).granted;
     if (m_isInFlight && row.next)
         granted = smaller(granted, row.next->granted);
     granted = smaller(granted, remainder(use.quota, grantedOfOthers(row)));
     if (row.target)
         granted = smaller(granted, *row.target);
-    const ResourceSize unknown = smaller(uncontacted, row.inherited);
     const bool isWhole = !isAnyAbove(use.quota, granted) && limitedPart(unknown, use.quota) == ResourceSize {};
     return { withUnlimited(remainder(granted, unknown)), isWhole };
 }
--- a/packages/jobs/src/cell_run_sums.cpp
+++ b/packages/jobs/src/cell_run_sums.cpp
@@ -22,6 +22,8 @@
         usedByLongRunning += run.size;
     else if (run.isLongRunning)
         usedByLongRunning -= run.size;
+    if (run.account)
+        run.account->runs += count;
     if (run.account && count > 0)
         run.account->used += run.requestedSize;
     else if (run.account)
--- a/packages/jobs/src/customer_accounts.cpp
+++ b/packages/jobs/src/customer_accounts.cpp
@@ -46,7 +46,7 @@
     std::vector<CustomerUse> uses;
     for (const auto& [id, account] : m_accounts) {
         if (account.isLimited())
-            uses.push_back({ id, account.settings.quota, account.used, account.waitingForQuota });
+            uses.push_back({ id, account.settings.quota, account.used, account.waitingForQuota, account.unit });
     }
     return uses;
 }
@@ -55,18 +55,33 @@
 {
     std::erase_if(m_accounts, [&](const auto& each) {
         const CustomerAccount& account = each.second;
-        return !account.isConfigured && account.used == ResourceSize {} && !isInJob(account);
+        return !account.isConfigured && account.runs == 0 && !isInJob(account);
     });
 }
 
 void CustomerAccounts::beginPass()
 {
     for (auto& [id, account] : m_accounts) {
-        account.waitingForQuota = {};
+        account.waitingForQuota = account.unit = {};
         account.hasWork = account.used != ResourceSize {};
     }
 }
 
+void CustomerAccounts::recordWaiting(CustomerAccount& account, const ResourceSize& size, int tasks, int unit)
+{
+    const auto times = [&](std::int64_t count) {
+        return ResourceSize { Millicores { size.processors.count() * count }, Mebibytes { size.memory.count() * count },
+            Accelerators { size.accelerators.count() * count } };
+    };
+    const ResourceSize together = times(unit);
+    const bool isSmaller = account.unit == ResourceSize {}
+        || together.processors.count() + together.memory.count()
+            < account.unit.processors.count() + account.unit.memory.count();
+    account.waitingForQuota += times(tasks);
+    if (isSmaller)
+        account.unit = together;
+}
+
 double dominantShare(const ResourceSize& size, const ResourceSize& total)
 {
     const auto part = [](std::int64_t used, std::int64_t all) {
--- a/packages/jobs/src/customer_accounts.h
+++ b/packages/jobs/src/customer_accounts.h
@@ -15,7 +15,9 @@
     Customer settings; ///< As configured; the default ones if the configuration does not contain the customer.
     bool isConfigured { false };
     ResourceSize used; ///< By its runs that may be active.
+    int runs { 0 }; ///< Number of those.
     ResourceSize waitingForQuota; ///< As in `CustomerUse`, so far in the current pass.
+    ResourceSize unit; ///< The same.
     CustomerLimit limit; ///< Applies if the customer has a quota.
     SubmissionAllowance submissions;
     bool hasWork { false }; ///< In the current pass: it has runs, or steps that are ready.
@@ -43,11 +45,14 @@
     /// Customers with a quota, ascending by name.
     std::vector<CustomerUse> use() const;
 
-    /// Removes accounts that are not configured, use nothing, and are in no job.
+    /// Removes accounts that are not configured, and are in no run and no job.
     void removeUnused(const std::function<bool(const CustomerAccount&)>& isInJob);
 
     void beginPass();
 
+    /// Tasks of `size` each wait for the quota; `unit` of them together can start by themselves.
+    static void recordWaiting(CustomerAccount& account, const ResourceSize& size, int tasks, int unit);
+
     /// Calls `visit(CustomerAccount&)` with each account.
     template <typename Visit> void forEach(Visit visit)
     {
--- a/packages/jobs/src/quota_allotments.cpp
+++ b/packages/jobs/src/quota_allotments.cpp
@@ -8,15 +8,24 @@
 
 using Json = nlohmann::json;
 
+Json toJson(const ResourceSize& size)
+{
+    return Json::array({ size.processors.count(), size.memory.count(), size.accelerators.count() });
+}
+
+ResourceSize sizeFrom(const Json& json)
+{
+    return { Millicores { json.at(0).get<std::int64_t>() }, Mebibytes { json.at(1).get<std::int64_t>() },
+        Accelerators { json.at(2).get<std::int64_t>() } };
+}
+
 } // namespace
 
 std::string encode(const QuotaAllotments& allotments)
 {
     Json cells = Json::array();
     for (const QuotaAllotment& each : allotments) {
-        const ResourceSize& granted = each.granted;
-        cells.push_back(Json::array({ each.cell.value(), each.term, granted.processors.count(), granted.memory.count(),
-            granted.accelerators.count(), each.isShort }));
+        cells.push_back(Json::array({ each.cell.value(), each.term, toJson(each.granted), toJson(each.unit) }));
     }
     return toCbor({ { "cells", std::move(cells) } });
 }
@@ -27,9 +36,7 @@
         QuotaAllotments allotments;
         for (const Json& cell : json.at("cells")) {
             allotments.push_back({ PoolId { cell.at(0).get<std::string>() }, cell.at(1).get<Fence>(),
-                { Millicores { cell.at(2).get<std::int64_t>() }, Mebibytes { cell.at(3).get<std::int64_t>() },
-                    Accelerators { cell.at(4).get<std::int64_t>() } },
-                cell.at(5).get<bool>() });
+                sizeFrom(cell.at(2)), sizeFrom(cell.at(3)) });
         }
         return allotments;
     });
--- a/packages/jobs/tests/cell_quotas_tests.cpp
+++ b/packages/jobs/tests/cell_quotas_tests.cpp
@@ -78,7 +78,14 @@
 
     QuotaStore& store;
     CellQuotas quotas;
-    CustomerUse use { customer, millicores(1000), {}, {} };
+    /// `cores` wait for the quota, in tasks of `unit` each.
+    void demand(std::int64_t cores, std::int64_t unit = 50)
+    {
+        use.waiting = millicores(cores);
+        use.unit = millicores(cores > 0 ? unit : 0);
+    }
+
+    CustomerUse use { customer, millicores(1000), {}, {}, {} };
     ResourceSize uncontacted;
 };
 
@@ -113,7 +120,7 @@
     TimePoint now { 1000s };
     play({ &a, &b }, now, 1s);
     a.use.used = millicores(500);
-    a.use.waiting = millicores(5000);
+    a.demand(5000);
     play({ &a, &b }, now, 2s);
     EXPECT_EQ(a.limit(), 1000);
 }
@@ -124,17 +131,85 @@
     Owner a { store, "a" };
     Owner b { store, "b" };
     TimePoint now { 1000s };
-    a.use.waiting = millicores(5000);
+    a.demand(5000);
     play({ &a, &b }, now, 3s);
     a.use.used = millicores(1000);
-    b.use.waiting = millicores(5000);
-    for (int steps = 0; steps < 20; ++steps) { // Tasks of the first cell end, and none takes their place.
-        play({ &a, &b }, now, 300ms);
-        a.use.used = millicores(std::min(a.use.used.processors.count() - 50, a.limit()));
-        a.use.used = millicores(std::max<std::int64_t>(a.use.used.processors.count(), 500));
+    b.demand(5000);
+    RowVersion before = 0;
+    for (int steps = 0; steps < 60; ++steps) { // Tasks of the first cell end, and others start where the limit permits.
+        a.use.used = millicores(a.use.used.processors.count() - 20);
+        play({ &a, &b }, now, 150ms);
+        a.use.used = millicores(std::max(a.use.used.processors.count(), a.limit()));
+        b.use.used = millicores(b.limit());
+        EXPECT_LE(a.use.used.processors.count() + b.use.used.processors.count(), 1000);
+        before = steps == 50 ? store.read().version : before;
     }
     EXPECT_EQ(a.limit(), 500);
     EXPECT_EQ(b.limit(), 500);
+    EXPECT_LE(store.read().version - before, 2U); // Nothing is returned and taken back again and again.
+}
+
+TEST(CellQuotas, CellsWhoseTasksNeedMoreThanTheirPartTakeTurns)
+{
+    QuotaStore store;
+    Owner a { store, "a" };
+    Owner b { store, "b" };
+    TimePoint now { 1000s };
+    play({ &a, &b }, now, 1s);
+    std::map<Owner*, int> starts;
+    for (int steps = 0; steps < 200; ++steps) {
+        for (Owner* owner : { &a, &b }) {
+            const bool isStarting = owner->use.used == ResourceSize {} && owner->limit() >= 600;
+            starts[owner] += isStarting ? 1 : 0;
+            owner->use.used = millicores(isStarting ? 600 : 0); // The task ends within one step.
+            owner->demand(600, 600);
+        }
+        EXPECT_LE(a.use.used.processors.count() + b.use.used.processors.count(), 1000);
+        play({ &a, &b }, now, 300ms);
+    }
+    EXPECT_GT(starts[&a], 5);
+    EXPECT_GT(starts[&b], 5);
+}
+
+TEST(CellQuotas, ReadThatArrivesBeforeAConflictKeepsWhatEarlierOwnersMayRun)
+{
+    QuotaStore store;
+    Owner first { store, "a" };
+    Owner other { store, "b" };
+    TimePoint now { 1000s };
+    play({ &first, &other }, now, 300ms);
+    Owner next { store, "a", 2 };
+    next.uncontacted = millicores(300);
+    next.quotas.onReadSent(now);
+    next.quotas.onRead(store.read(), now);
+    const auto claim = next.next(now);
+    ASSERT_TRUE(claim);
+    other.use.used = millicores(500);
+    other.demand(700);
+    play({ &other }, now, 500ms);
+    const TransactionOutcome conflict = store.commit(*claim);
+    ASSERT_EQ(conflict.status, TransactionStatus::Conflict);
+    other.demand(0);
+    play({ &other }, now, 2s); // Another version, which the read shows before the conflict arrives.
+    next.quotas.onReadSent(now);
+    next.quotas.onRead(store.read(), now);
+    next.quotas.onOutcome(conflict, now);
+    play({ &next }, now, 300ms);
+    EXPECT_EQ(next.limit(), 200);
+}
+
+TEST(CellQuotas, NothingStartsOnAnAddedQuotaBeforeTheOtherCellsHaveBeenRead)
+{
+    QuotaStore store;
+    Owner a { store, "a" };
+    Owner b { store, "b" };
+    TimePoint now { 1000s };
+    a.use.used = millicores(800); // Had no quota before.
+    play({ &b }, now, 300ms);
+    b.use.used = millicores(300);
+    play({ &a }, now, 100ms);
+    play({ &b }, now, 1s);
+    EXPECT_LE(b.limit(), 300);
 }
 
 TEST(CellQuotas, NothingBeyondTheAllotmentIsTakenWhileTheStoreIsAway)
@@ -143,7 +218,7 @@
     Owner a { store, "a" };
     TimePoint now { 1000s };
     play({ &a }, now, 300ms);
-    a.use.waiting = millicores(5000);
+    a.demand(5000);
     for (int tries = 0; tries < 20; ++tries, now += 200ms) {
         if (a.next(now))
             a.quotas.onOutcome({ TransactionStatus::Unavailable }, now);
@@ -157,7 +232,7 @@
     Owner a { store, "a" };
     TimePoint now { 1000s };
     play({ &a }, now, 300ms);
-    a.use.waiting = millicores(5000);
+    a.demand(5000);
     const auto transaction = a.next(now);
     ASSERT_TRUE(transaction);
     ASSERT_EQ(store.commit(*transaction).status, TransactionStatus::Done);
@@ -173,11 +248,11 @@
     Owner a { store, "a" };
     Owner b { store, "b" };
     TimePoint now { 1000s };
-    a.use.waiting = millicores(5000);
+    a.demand(5000);
     play({ &a, &b }, now, 3s);
-    a.use.waiting = {};
+    a.demand(0);
     a.use.used = millicores(100);
-    b.use.waiting = millicores(5000);
+    b.demand(5000);
     b.step(now += 300ms);
     a.quotas.onReadSent(now);
     a.quotas.onRead(store.read(), now);
@@ -200,7 +275,7 @@
     EXPECT_EQ(second.limit(), 300); // What may run on workers that have not been contacted is left out.
     second.uncontacted = {};
     EXPECT_EQ(second.limit(), 500);
-    first.use.waiting = millicores(5000);
+    first.demand(5000);
     play({ &first }, now, 1s);
     EXPECT_TRUE(first.quotas.isReplaced());
     EXPECT_EQ(first.limit(), 0);
@@ -211,10 +286,10 @@
     QuotaStore store;
     Owner a { store, "a", 1, 100 };
     TimePoint now { 1000s };
-    a.use.waiting = millicores(500);
+    a.demand(500);
     play({ &a }, now, 300ms);
     const RowPage older = store.read();
-    a.use.waiting = {};
+    a.demand(0);
     a.quotas.configure({ 100, false });
     play({ &a }, now, 3s);
     ASSERT_TRUE(store.read().rows.empty());
@@ -233,12 +308,21 @@
     a.use.used = millicores(500);
     for (Owner* owner : { &a, &b }) {
         owner->use.quota = millicores(400);
-        owner->use.waiting = millicores(5000);
+        owner->demand(5000);
     }
-    a.next(now);
-    b.next(now);
+    (void)a.next(now);
+    (void)b.next(now);
     EXPECT_LE(b.limit(), 0); // The other cell uses more than the quota alone.
-    now += 1s;
+    for (Owner* owner : { &a, &b })
+        owner->quotas.onOutcome({ TransactionStatus::Unavailable }, now);
+    for (int steps = 0; steps < 20; ++steps) {
+        play({ &b, &a }, now, 300ms);
+        const std::int64_t usedByA = a.use.used.processors.count();
+        EXPECT_LE(std::max(usedByA, a.limit()) + b.limit(), std::max<std::int64_t>(usedByA, 400));
+        a.use.used = millicores(std::max(usedByA - 50, a.limit()));
+    }
+    EXPECT_EQ(a.limit(), 200);
+    EXPECT_EQ(b.limit(), 200);
 }
 
 TEST(CellQuotas, TaskLargerThanTheQuotaGetsAllOfIt)
@@ -247,7 +331,7 @@
     Owner a { store, "a" };
     Owner b { store, "b" };
     TimePoint now { 1000s };
-    a.use.waiting = millicores(1500);
+    a.demand(1500, 1500);
     play({ &a, &b }, now, 3s);
     EXPECT_TRUE(a.quotas.limitOf(a.use, {}).isWholeQuota);
 }
@@ -280,7 +364,7 @@
 
 TEST(QuotaAllotments, EncodedRowIsDecodedAgain)
 {
-    const QuotaAllotments row { { PoolId { "a" }, 3, { Millicores { 1 }, Mebibytes { 2 }, Accelerators { 3 } },
-        true } };
+    const ResourceSize granted { Millicores { 1 }, Mebibytes { 2 }, Accelerators { 3 } };
+    const QuotaAllotments row { { PoolId { "a" }, 3, granted, millicores(4) } };
     EXPECT_EQ(valueOrNothing([&] { return decodeQuotaAllotments(encode(row)); }), row);
 }
--- a/packages/jobs/tests/customer_tests.cpp
+++ b/packages/jobs/tests/customer_tests.cpp
@@ -37,6 +37,7 @@
         job.spec.steps[0].size = { Millicores { cores }, Mebibytes { 10 }, {} };
         job.spec.steps[0].declaredRunTime = 500ms;
         job.customer = CustomerId { customer };
+        job.queueAddress = QueueAddress { "q" };
         harness.cell().submit(job, 1, harness.now());
         harness.storeChanges();
     }
@@ -189,11 +190,15 @@
 {
     configure({ customer("a", 1), customer("b", 1) });
     submit("job", "a", 1, 200);
-    EXPECT_FALSE(harness.cell().isOfOtherCustomer(JobId { "job" }, CustomerId { "a" }));
-    EXPECT_TRUE(harness.cell().isOfOtherCustomer(JobId { "job" }, CustomerId { "b" }));
-    EXPECT_FALSE(harness.cell().isOfOtherCustomer(JobId { "job" }, CustomerId {}));
+    const auto isOfOther = [&](const char* caller, const char* queue) {
+        return harness.cell().isOfOtherCustomer(JobId { "job" }, CustomerId { caller }, QueueAddress { queue });
+    };
+    EXPECT_FALSE(isOfOther("a", "q"));
+    EXPECT_TRUE(isOfOther("b", "q"));
+    EXPECT_FALSE(isOfOther("", "q")); // The route needs no key any more.
+    EXPECT_TRUE(isOfOther("", "open")); // Through another route that needs none.
     configure({ customer("b", 1) }); // Renamed: the caller must still find its job.
-    EXPECT_FALSE(harness.cell().isOfOtherCustomer(JobId { "job" }, CustomerId { "b" }));
+    EXPECT_FALSE(isOfOther("b", "q"));
 }
 
 TEST_F(CustomersOfACell, JobsBeyondTheWeightWaitBehindThoseOfOthers)
--- a/packages/node/include/rattanrack/node/cell_host.h
+++ b/packages/node/include/rattanrack/node/cell_host.h
@@ -112,11 +112,11 @@
     std::optional<jobs::Acceptance> cancel(const jobs::JobId& job, jobs::CallerToken token);
     std::optional<jobs::JobState> state(const jobs::JobId& job) const { return m_cell.state(job); }
 
-    /// Whether the job belongs to another customer than `customer`, which is still configured. Jobs without a customer,
-    /// and calls without one, belong to everybody who may use the route.
-    bool isOfOtherCustomer(const jobs::JobId& job, const jobs::CustomerId& customer) const
+    /// As `Cell::isOfOtherCustomer`.
+    bool isOfOtherCustomer(
+        const jobs::JobId& job, const jobs::CustomerId& customer, const jobs::QueueAddress& queue) const
     {
-        return m_cell.isOfOtherCustomer(job, customer);
+        return m_cell.isOfOtherCustomer(job, customer, queue);
     }
 
     /// False if another owner may have accepted jobs that this owner does not have.
--- a/packages/node/include/rattanrack/node/quota_client.h
+++ b/packages/node/include/rattanrack/node/quota_client.h
@@ -44,6 +44,7 @@
     PoolId m_cell;
     jobs::Fence m_term;
     jobs::CellQuotas m_quotas;
+    jobs::TransactionStatus m_latestStatus { jobs::TransactionStatus::Done };
     TimePoint m_nextReportAt {};
     std::shared_ptr<bool> m_isAlive;
 };
--- a/packages/node/src/job_node_calls.cpp
+++ b/packages/node/src/job_node_calls.cpp
@@ -86,7 +86,7 @@
 
 void JobNode::State::handleCall(CellHost& host, const peer::JobCall& call, JobReplyCallback reply)
 {
-    if (host.isOfOtherCustomer(call.job, call.customer))
+    if (host.isOfOtherCustomer(call.job, call.customer, call.queueAddress))
         return reply({ 0, peer::JobCallStatus::OfOtherCustomer });
     if (call.operation != peer::JobOperation::Pending && handleQueueElsewhere(host, call, reply))
         return;
@@ -117,7 +117,9 @@
         const bool isRepeated = call.operation == peer::JobOperation::Submit;
         if (isRepeated)
             reportSubmission(host, call);
-        reply(isRepeated ? peer::JobReply { 0, peer::JobCallStatus::Done } : elsewhere(cell));
+        // The cell that has the job knows its customer.
+        const bool isKnownToBeOwn = isRepeated && call.customer.isEmpty();
+        reply(isKnownToBeOwn ? peer::JobReply { 0, peer::JobCallStatus::Done } : elsewhere(cell));
         return true;
     }
     switch (queues.access(call.queueAddress, call.configurationVersion)) {
--- a/packages/node/src/quota_client.cpp
+++ b/packages/node/src/quota_client.cpp
@@ -77,9 +77,12 @@
     const auto deliver = [this](const jobs::TransactionOutcome& outcome, std::size_t rows) {
         m_quotas.onOutcome(outcome, m_parts.clock.now());
         m_parts.metrics.increment("rattanrack_quota_transactions_total", { { "result", nameOf(outcome.status) } });
-        logEvent("quota.written",
-            { { "cell", m_cell.value() }, { "term", m_term }, { "customers", rows },
-                { "result", nameOf(outcome.status) }, { "replaced", m_quotas.isReplaced() } });
+        const bool isRepeated = outcome.status != jobs::TransactionStatus::Done && outcome.status == m_latestStatus;
+        m_latestStatus = outcome.status;
+        if (!isRepeated)
+            logEvent("quota.written",
+                { { "cell", m_cell.value() }, { "term", m_term }, { "customers", rows },
+                    { "result", nameOf(outcome.status) }, { "replaced", m_quotas.isReplaced() } });
         m_parts.onChange();
     };
     const bool isSubmitted = m_parts.threads.submit(
