--- a/packages/jobs/include/rattanrack/jobs/cell_quotas.h
+++ b/packages/jobs/include/rattanrack/jobs/cell_quotas.h
@@ -35,21 +35,30 @@
     friend bool operator==(const QuotaAllotment&, const QuotaAllotment&) = default;
 };
 
-/// The row of a customer; one entry for each cell that has an allotment or is short of one. Among the short ones the
-/// one that has been short for longest comes first.
-using QuotaAllotments = std::vector<QuotaAllotment>;
+/// The row of a customer. An owner whose configuration has another quota than the row writes its own if that is of a
+/// later version, and keeps to the row's otherwise: no owner with an earlier configuration grants more after that.
+struct QuotaRow {
+    std::uint64_t version { 0 }; ///< Of the configuration that `quota` is from.
+    ResourceSize quota;
+    /// One entry for each cell that has an allotment or is short of one. Among the short ones the one that has been
+    /// short for longest comes first.
+    std::vector<QuotaAllotment> allotments;
+
+    friend bool operator==(const QuotaRow&, const QuotaRow&) = default;
+};
 
-std::string encode(const QuotaAllotments&);
+std::string encode(const QuotaRow&);
 
 /// Errors: MalformedMessage.
-Result<QuotaAllotments> decodeQuotaAllotments(const std::string& bytes);
+Result<QuotaRow> decodeQuotaRow(const std::string& bytes);
 
 /// The row of a customer's quota. Names that are too long for the key of a row are hashed.
-RowKey quotaRow(const CustomerId& customer);
+RowKey quotaRowKey(const CustomerId& customer);
 
-/// The cells among which quotas are divided, by the configuration in force.
+/// What the configuration in force says of all quotas.
 struct QuotaCells {
-    std::size_t count { 1 };
+    std::uint64_t version { 0 }; ///< Of the configuration.
+    std::size_t count { 1 }; ///< Cells among which quotas are divided.
     bool isOwnConfigured { true }; ///< False: the configuration has no route to the own cell any more.
 };
 
@@ -83,7 +92,7 @@
     void onOutcome(const TransactionOutcome& outcome, TimePoint now);
 
     /// What the customer's runs that are known may use in the cell, as of the latest call of `nextTransaction`.
-    CustomerLimit limitOf(const CustomerUse& use, const ResourceSize& uncontacted) const;
+    CustomerLimit limitOf(const CustomerUse& configured, const ResourceSize& uncontacted) const;
 
     /// What the cell may use of the customer's quota by the store; empty if nothing.
     ResourceSize granted(const CustomerId& customer) const;
@@ -98,20 +107,18 @@
     struct Row {
         RowVersion version { 0 }; ///< 0: the row does not exist.
         RowVersion latestSeen { 0 }; ///< Of the row or of its removal: what is older arrived late.
-        QuotaAllotments allotments;
+        QuotaRow stored;
         bool isMalformed { false };
         /// What the owner before may have used when this owner wrote its first entry: the most that runs on workers
         /// that have not been contacted can use. Empty: there was no entry, so that it is not known.
         std::optional<ResourceSize> inherited;
         std::optional<QuotaAllotment> next; ///< The own entry that the transaction in flight writes.
-        std::optional<ResourceSize>
-            target; ///< Below what is granted: nothing starts above it, so that it can be returned.
-        ResourceSize quota; ///< As of the latest decision.
+        /// Below what is granted: nothing starts above it, so that the rest can be returned.
+        std::optional<ResourceSize> target;
         TimePoint excessSince {}; ///< Since when more is granted than the cell would take; 0: it is not.
         TimePoint shortReportedAt {}; ///< When `unit` was last changed.
         TimePoint grownAt {}; ///< When the own entry last grew.
         TimePoint freeSince {}; ///< Since when the entries leave something of the quota; 0: they don't.
-        TimePoint readNeededAt {}; ///< A quota was lowered or added: nothing starts until a read that is sent later.
     };
 
     QuotaAllotment ownEntry(const Row& row) const;
@@ -127,10 +134,12 @@
     static void clearIfNewer(Row& row, RowVersion removedBy);
     void adoptOutcome(const TransactionOutcome& outcome, TimePoint now);
     void adoptConflict(const TransactionOutcome& outcome);
-    void recordQuota(Row& row, const ResourceSize& quota, TimePoint now);
+    bool isRowLater(const Row& row) const;
+    bool hasQuotaInForce(const Row& row, const CustomerUse& use) const;
+    CustomerUse withLatestQuota(const Row& row, CustomerUse use) const;
     QuotaAllotment desired(Row& row, const CustomerUse& use, const ResourceSize& unknown, TimePoint now) const;
     bool isChangeDue(const Row& row, const QuotaAllotment& next, const CustomerUse& use, TimePoint now) const;
-    void addChange(const RowKey& key, Row& row, const QuotaAllotment& next);
+    void addChange(const RowKey& key, Row& row, const QuotaAllotment& next, const ResourceSize& quota);
     bool isAnyContested() const;
 
     PoolId m_cell;
@@ -141,9 +150,6 @@
     bool m_isReadInFlight { false };
     bool m_isReplaced { false };
     TimePoint m_nextReadAt {};
-    TimePoint m_readSentAt {}; ///< Of the read in flight, or of the latest one.
-    TimePoint m_viewAsOf {}; ///< When the latest read that has succeeded was sent.
-    TimePoint m_watchedUntil {}; ///< A quota was lowered lately: the entries of the other cells are read often.
     TimePoint m_nextTransactionAt {};
     std::map<std::string, Row> m_rows; ///< By the key of the row.
     PartTransaction m_transaction;
--- a/packages/jobs/src/cell_quotas.cpp
+++ b/packages/jobs/src/cell_quotas.cpp
@@ -19,7 +19,6 @@
 constexpr Duration freshPeriod = 500ms; ///< What a cell has just got is not returned before it could start something.
 /// A short cell reads the table twice in this time.
 constexpr Duration unclaimedPeriod = 600ms;
-constexpr Duration loweredQuotaPeriod = 5s; ///< By then all owners have the configuration that lowers a quota.
 constexpr std::int64_t headroomDivisor = 4; ///< One part of this many is taken beyond the need.
 constexpr std::int64_t leastChangeDivisor = 50; ///< Changes below one part of this many of the quota wait.
 
@@ -99,7 +98,8 @@
 
 void CellQuotas::configure(const QuotaCells& cells)
 {
-    m_cells = { std::max<std::size_t>(cells.count, 1), cells.isOwnConfigured };
+    m_cells = cells;
+    m_cells.count = std::max<std::size_t>(cells.count, 1);
     m_isConfigured = true;
 }
 
@@ -117,9 +117,7 @@
 void CellQuotas::onReadSent(TimePoint now)
 {
     m_isReadInFlight = true;
-    m_readSentAt = now;
-    const bool isContested = now < m_watchedUntil || isAnyContested();
-    m_nextReadAt = now + (isContested ? contestedReadPeriod : readPeriod);
+    m_nextReadAt = now + (isAnyContested() ? contestedReadPeriod : readPeriod);
 }
 
 void CellQuotas::onReadFailed(TimePoint now)
@@ -133,7 +131,6 @@
 {
     m_isReadInFlight = false;
     m_hasRead = true;
-    m_viewAsOf = m_readSentAt;
     std::map<std::string, const PartRow*> found;
     for (const PartRow& row : page.rows)
         found.emplace(row.row.key, &row);
@@ -152,9 +149,9 @@
     if (version <= row.latestSeen)
         return;
     row.version = row.latestSeen = version;
-    const auto decoded = valueOrNothing([&] { return decodeQuotaAllotments(value); });
+    const auto decoded = valueOrNothing([&] { return decodeQuotaRow(value); });
     row.isMalformed = !decoded;
-    row.allotments = decoded.value_or(QuotaAllotments {});
+    row.stored = decoded.value_or(QuotaRow {});
     m_isReplaced = m_isReplaced || ownEntry(row).term > m_term;
 }
 
@@ -164,13 +161,13 @@
         return;
     row.version = 0;
     row.latestSeen = removedBy;
-    row.allotments.clear();
+    row.stored = {};
     row.isMalformed = false;
 }
 
 QuotaAllotment CellQuotas::ownEntry(const Row& row) const
 {
-    for (const QuotaAllotment& each : row.allotments) {
+    for (const QuotaAllotment& each : row.stored.allotments) {
         if (each.cell == m_cell)
             return each;
     }
@@ -182,7 +179,7 @@
 ResourceSize CellQuotas::grantedOfOthers(const Row& row) const
 {
     ResourceSize total;
-    for (const QuotaAllotment& each : row.allotments) {
+    for (const QuotaAllotment& each : row.stored.allotments) {
         if (each.cell != m_cell)
             total += each.granted;
     }
@@ -191,7 +188,7 @@
 
 bool CellQuotas::isAnotherShort(const Row& row) const
 {
-    return std::any_of(row.allotments.begin(), row.allotments.end(),
+    return std::any_of(row.stored.allotments.begin(), row.stored.allotments.end(),
         [&](const QuotaAllotment& each) { return each.cell != m_cell && each.isShort(); });
 }
 
@@ -211,9 +208,10 @@
 /// Cells that have a part of the quota or are short of one, with the own one.
 std::size_t CellQuotas::activeCells(const Row& row) const
 {
-    const auto others = std::count_if(row.allotments.begin(), row.allotments.end(), [&](const QuotaAllotment& each) {
-        return each.cell != m_cell && (each.isShort() || each.granted != ResourceSize {});
-    });
+    const auto others
+        = std::count_if(row.stored.allotments.begin(), row.stored.allotments.end(), [&](const QuotaAllotment& each) {
+              return each.cell != m_cell && (each.isShort() || each.granted != ResourceSize {});
+          });
     return static_cast<std::size_t>(others) + 1;
 }
 
@@ -231,9 +229,9 @@
 {
     const ResourceSize granted = ownEntry(row).granted;
     const ResourceSize part = partOf(use.quota, activeCells(row));
-    const auto first = std::find_if(
-        row.allotments.begin(), row.allotments.end(), [](const QuotaAllotment& each) { return each.isShort(); });
-    const bool isFirstLarge = first != row.allotments.end() && isAnyAbove(first->unit, part);
+    const auto first = std::find_if(row.stored.allotments.begin(), row.stored.allotments.end(),
+        [](const QuotaAllotment& each) { return each.isShort(); });
+    const bool isFirstLarge = first != row.stored.allotments.end() && isAnyAbove(first->unit, part);
     if (isFirstLarge && first->cell == m_cell)
         return larger(part, sum(use.used, first->unit));
     if (isFirstLarge)
@@ -275,7 +273,8 @@
 bool CellQuotas::isChangeDue(const Row& row, const QuotaAllotment& next, const CustomerUse& use, TimePoint now) const
 {
     const QuotaAllotment own = ownEntry(row);
-    if (own.term > 0 && own.term < m_term)
+    const bool isKept = next.granted != ResourceSize {} || next.isShort();
+    if ((own.term > 0 && own.term < m_term) || (isKept && row.stored.version < m_cells.version))
         return true;
     const ResourceSize need = limitedPart(sum(use.used, use.waiting), use.quota);
     if (isAnyAbove(smaller(need, next.granted), own.granted))
@@ -291,10 +290,15 @@
 }
 
 /// The entry keeps its place while the cell stays short without getting more.
-void CellQuotas::addChange(const RowKey& key, Row& row, const QuotaAllotment& next)
+void CellQuotas::addChange(const RowKey& key, Row& row, const QuotaAllotment& next, const ResourceSize& quota)
 {
     row.next = next;
-    QuotaAllotments allotments = row.allotments;
+    QuotaRow changed = row.stored;
+    if (!isRowLater(row)) {
+        changed.version = m_cells.version;
+        changed.quota = quota;
+    }
+    std::vector<QuotaAllotment>& allotments = changed.allotments;
     const auto own = std::find_if(
         allotments.begin(), allotments.end(), [&](const QuotaAllotment& each) { return each.cell == m_cell; });
     const bool isKept = next.granted != ResourceSize {} || next.isShort();
@@ -309,21 +313,22 @@
             allotments.push_back(next);
     }
     m_transaction.conditions.push_back({ key, row.version });
-    m_transaction.writes.push_back({ key, allotments.empty() ? std::nullopt : std::optional { encode(allotments) } });
+    m_transaction.writes.push_back({ key, allotments.empty() ? std::nullopt : std::optional { encode(changed) } });
 }
 
-/// A quota that is lowered or added is below what other cells may have: their entries are read before anything starts.
-void CellQuotas::recordQuota(Row& row, const ResourceSize& quota, TimePoint now)
+bool CellQuotas::isRowLater(const Row& row) const { return row.stored.version > m_cells.version; }
+
+/// Whether no owner can grant more than the quota that this one knows, or a later one.
+bool CellQuotas::hasQuotaInForce(const Row& row, const CustomerUse& use) const
 {
-    const bool isLowered = anyResource(
-        [](std::int64_t before, std::int64_t after) { return after > 0 && (before == 0 || before > after); }, row.quota,
-        quota);
-    row.quota = quota;
-    if (!isLowered)
-        return;
-    row.readNeededAt = now;
-    m_watchedUntil = now + loweredQuotaPeriod;
-    m_nextReadAt = std::min(m_nextReadAt, now);
+    return isRowLater(row) || row.stored.quota == use.quota;
+}
+
+CustomerUse CellQuotas::withLatestQuota(const Row& row, CustomerUse use) const
+{
+    if (isRowLater(row))
+        use.quota = row.stored.quota;
+    return use;
 }
 
 std::optional<PartTransaction> CellQuotas::nextTransaction(
@@ -337,13 +342,13 @@
     }
     m_transaction = { quotaPart, {}, {} };
     std::map<std::string, bool> isLimited;
-    for (const CustomerUse& use : uses) {
-        const RowKey key = quotaRow(use.customer);
+    for (const CustomerUse& configured : uses) {
+        const RowKey key = quotaRowKey(configured.customer);
         isLimited[key.key] = true;
         Row& row = m_rows[key.key];
-        recordQuota(row, use.quota, now);
         if (row.isMalformed)
             continue;
+        const CustomerUse use = withLatestQuota(row, configured);
         const QuotaAllotment own = ownEntry(row);
         if (own.term > 0 && own.term < m_term)
             row.inherited = larger(row.inherited.value_or(ResourceSize {}), own.granted);
@@ -352,14 +357,12 @@
         row.target = isAnyAbove(own.granted, next.granted) ? std::optional { next.granted } : std::nullopt;
         const bool isFull = m_transaction.writes.size() >= maxRowsInTransaction;
         if (!isFull && isChangeDue(row, next, use, now))
-            addChange(key, row, next);
+            addChange(key, row, next, use.quota);
     }
     for (auto& [key, row] : m_rows) {
         const bool isFull = m_transaction.writes.size() >= maxRowsInTransaction;
-        if (!isLimited.contains(key))
-            row.quota = {};
         if (!isFull && !isLimited.contains(key) && ownEntry(row).term > 0)
-            addChange({ quotaTable, key }, row, { m_cell, m_term, {}, {} });
+            addChange({ quotaTable, key }, row, { m_cell, m_term, {}, {} }, row.stored.quota);
     }
     if (m_transaction.writes.empty())
         return std::nullopt;
@@ -393,7 +396,7 @@
         const bool isPresent = std::any_of(outcome.current.begin(), outcome.current.end(), isOfRow);
         if (!isPresent && row.version == condition.version) {
             row.version = 0;
-            row.allotments.clear();
+            row.stored = {};
         }
     }
     for (const PartRow& current : outcome.current)
@@ -427,23 +430,25 @@
 
 ResourceSize CellQuotas::granted(const CustomerId& customer) const
 {
-    const auto found = m_rows.find(quotaRow(customer).key);
+    const auto found = m_rows.find(quotaRowKey(customer).key);
     return found == m_rows.end() ? ResourceSize {} : ownEntry(found->second).granted;
 }
 
-CustomerLimit CellQuotas::limitOf(const CustomerUse& use, const ResourceSize& uncontacted) const
+CustomerLimit CellQuotas::limitOf(const CustomerUse& configured, const ResourceSize& uncontacted) const
 {
-    const auto found = m_rows.find(quotaRow(use.customer).key);
+    const auto found = m_rows.find(quotaRowKey(configured.customer).key);
+    const bool isKnown = found != m_rows.end();
+    const CustomerUse use = isKnown ? withLatestQuota(found->second, configured) : configured;
     const auto withUnlimited = [&](const ResourceSize& limit) {
         return forEachResource(
             [](std::int64_t amount, std::int64_t all) { return all > 0 ? amount : unlimitedCount; }, limit, use.quota);
     };
-    if (found == m_rows.end() || m_isReplaced || found->second.isMalformed || !isOwnTerm(found->second))
+    if (!isKnown || m_isReplaced || found->second.isMalformed || !isOwnTerm(found->second))
         return { withUnlimited({}), false };
     const Row& row = found->second;
     const ResourceSize unknown = unknownUse(row, uncontacted);
     const bool mayBeUnrecorded = !row.inherited && unknown != ResourceSize {};
-    if (mayBeUnrecorded || m_viewAsOf < row.readNeededAt)
+    if (mayBeUnrecorded || !hasQuotaInForce(row, use))
         return { withUnlimited({}), false };
     ResourceSize granted = ownEntry(row).granted;
     if (m_isInFlight && row.next)
--- a/packages/jobs/src/quota_allotments.cpp
+++ b/packages/jobs/src/quota_allotments.cpp
@@ -21,27 +21,26 @@
 
 } // namespace
 
-std::string encode(const QuotaAllotments& allotments)
+std::string encode(const QuotaRow& row)
 {
     Json cells = Json::array();
-    for (const QuotaAllotment& each : allotments) {
+    for (const QuotaAllotment& each : row.allotments)
         cells.push_back(Json::array({ each.cell.value(), each.term, toJson(each.granted), toJson(each.unit) }));
-    }
-    return toCbor({ { "cells", std::move(cells) } });
+    return toCbor({ { "version", row.version }, { "quota", toJson(row.quota) }, { "cells", std::move(cells) } });
 }
 
-Result<QuotaAllotments> decodeQuotaAllotments(const std::string& bytes)
+Result<QuotaRow> decodeQuotaRow(const std::string& bytes)
 {
     return fromCbor("quota.decode", bytes, [](const Json& json) {
-        QuotaAllotments allotments;
+        QuotaRow row { json.at("version").get<std::uint64_t>(), sizeFrom(json.at("quota")), {} };
         for (const Json& cell : json.at("cells")) {
-            allotments.push_back({ PoolId { cell.at(0).get<std::string>() }, cell.at(1).get<Fence>(),
+            row.allotments.push_back({ PoolId { cell.at(0).get<std::string>() }, cell.at(1).get<Fence>(),
                 sizeFrom(cell.at(2)), sizeFrom(cell.at(3)) });
         }
-        return allotments;
+        return row;
     });
 }
 
-RowKey quotaRow(const CustomerId& customer) { return { quotaTable, rowKeyOf(customer.value()) }; }
+RowKey quotaRowKey(const CustomerId& customer) { return { quotaTable, rowKeyOf(customer.value()) }; }
 
 } // namespace rattanrack::jobs
--- a/packages/jobs/tests/cell_quotas_tests.cpp
+++ b/packages/jobs/tests/cell_quotas_tests.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 const CustomerId customer { "a" };
+constexpr std::uint64_t version = 7;
 
 ResourceSize millicores(std::int64_t count) { return { Millicores { count }, {}, {} }; }
 
@@ -60,7 +61,7 @@
         : store(quotaStore)
         , quotas(PoolId { cell }, term)
     {
-        quotas.configure({ cells, true });
+        quotas.configure({ version, cells, true });
     }
 
     void step(TimePoint now)
@@ -290,7 +291,7 @@
     play({ &a }, now, 300ms);
     const RowPage older = store.read();
     a.demand(0);
-    a.quotas.configure({ 100, false });
+    a.quotas.configure({ version, 100, false });
     play({ &a }, now, 3s);
     ASSERT_TRUE(store.read().rows.empty());
     a.quotas.onReadSent(now);
@@ -308,6 +309,7 @@
     a.use.used = millicores(500);
     for (Owner* owner : { &a, &b }) {
         owner->use.quota = millicores(400);
+        owner->quotas.configure({ version + 1, 2, true });
         owner->demand(5000);
     }
     (void)a.next(now);
@@ -355,16 +357,33 @@
 TEST(CellQuotas, MalformedRowGrantsNothing)
 {
     QuotaStore store;
-    (void)store.commit({ quotaPart, {}, { { quotaRow(customer), "\xff" } } });
+    (void)store.commit({ quotaPart, {}, { { quotaRowKey(customer), "\xff" } } });
     Owner a { store, "a" };
     TimePoint now { 1000s };
     play({ &a }, now, 1s);
     EXPECT_EQ(a.limit(), 0);
 }
 
-TEST(QuotaAllotments, EncodedRowIsDecodedAgain)
+TEST(QuotaRow, EncodedRowIsDecodedAgain)
 {
     const ResourceSize granted { Millicores { 1 }, Mebibytes { 2 }, Accelerators { 3 } };
-    const QuotaAllotments row { { PoolId { "a" }, 3, granted, millicores(4) } };
-    EXPECT_EQ(valueOrNothing([&] { return decodeQuotaAllotments(encode(row)); }), row);
+    const QuotaRow row { 9, millicores(1000), { { PoolId { "a" }, 3, granted, millicores(4) } } };
+    EXPECT_EQ(valueOrNothing([&] { return decodeQuotaRow(encode(row)); }), row);
+}
+
+TEST(CellQuotas, OwnerWithAnEarlierConfigurationGrantsNothingBeyondALoweredQuota)
+{
+    QuotaStore store;
+    Owner a { store, "a" };
+    Owner b { store, "b" };
+    TimePoint now { 1000s };
+    play({ &a, &b }, now, 300ms);
+    b.use.quota = millicores(400);
+    b.quotas.configure({ version + 1, 2, true });
+    play({ &b }, now, 300ms);
+    a.use.used = millicores(500);
+    a.demand(5000);
+    play({ &a, &b }, now, 2s);
+    EXPECT_LE(a.limit(), 500);
+    EXPECT_EQ(b.limit(), 0);
 }
--- a/packages/node/src/cell_host.cpp
+++ b/packages/node/src/cell_host.cpp
@@ -143,7 +143,7 @@
     m_cell.configure(configuration.queuesOf(m_pool), configuration.customers);
     m_enforcesCapacity = configuration.enforcesCapacity(m_pool);
     const std::vector<PoolId> cells = configuration.cellPools();
-    m_quotas.configure({ cells.size(), std::binary_search(cells.begin(), cells.end(), m_pool) });
+    m_quotas.configure({ configuration.version, cells.size(), std::binary_search(cells.begin(), cells.end(), m_pool) });
 }
 
 void CellHost::setWorkers(const WorkerList& list)
--- a/packages/peer/tests/peer_network_tests.cpp
+++ b/packages/peer/tests/peer_network_tests.cpp
@@ -224,10 +224,10 @@
     NetworkPair pair;
     auto& [inbox, unused, target, receiver, sender] = pair;
     const jobs::NodeAnnouncement news { NodeId { "n1" }, "127.0.0.1:2", 7, true, false, { { PoolId { "a" }, 3 } },
-        { jobs::MachineId { "m1" } }, 5, { jobs::MachineId { "m2" } }, { jobs::MachineId { "m3" } },
-        { { PoolId { "a" }, Millicores { 1 }, Millicores { 2 }, Millicores { 3 } } }, 0.12, Duration { 8 },
-        { { NodeId { "n3" }, 0.25 } }, { { NodeId { "n4" }, 9 } }, { "127.0.0.1:5", "127.0.0.1:6" }, true,
-        Duration { 10 }, Duration { 11 } };
+        { jobs::MachineId { "m1" } }, 5, { { jobs::MachineId { "m2" }, jobs::WorkerId { "w2" } } },
+        { jobs::MachineId { "m3" } }, { { PoolId { "a" }, Millicores { 1 }, Millicores { 2 }, Millicores { 3 } } },
+        0.12, Duration { 8 }, { { NodeId { "n3" }, 0.25 } }, { { NodeId { "n4" }, 9 } },
+        { "127.0.0.1:5", "127.0.0.1:6" }, true, Duration { 10 }, Duration { 11 } };
     sender->send(target, news);
     ASSERT_TRUE(inbox.waitFor(1));
     EXPECT_EQ(std::get<jobs::NodeAnnouncement>(inbox.messages()[0]), news);
