--- a/packages/jobs/src/cell_customers.cpp
+++ b/packages/jobs/src/cell_customers.cpp
@@ -1,5 +1,6 @@
 #include "cell_state.h"
 #include "free_capacity.h"
+#include "resource_math.h"
 
 #include <algorithm>
 
@@ -9,19 +10,6 @@
 
 namespace {
 
-ResourceSize smaller(const ResourceSize& size, const ResourceSize& bound)
-{
-    return { std::min(size.processors, std::max(bound.processors, Millicores {})),
-        std::min(size.memory, std::max(bound.memory, Mebibytes {})),
-        std::min(size.accelerators, std::max(bound.accelerators, Accelerators {})) };
-}
-
-ResourceSize larger(const ResourceSize& size, const ResourceSize& other)
-{
-    return { std::max(size.processors, other.processors), std::max(size.memory, other.memory),
-        std::max(size.accelerators, other.accelerators) };
-}
-
 bool hasBestEffortStep(const Job& job)
 {
     return std::any_of(
@@ -122,7 +110,7 @@
     for (const auto& [id, worker] : m_state->workers)
         free -= worker.isListed ? worker.used : ResourceSize {};
     for (CustomerUse& use : uses)
-        use.waiting = larger(smaller(use.waiting, free), use.unit);
+        use.waiting = larger(smaller(use.waiting, larger(free, {})), use.unit);
     return uses;
 }
 
--- a/packages/jobs/src/cell_quotas.cpp
+++ b/packages/jobs/src/cell_quotas.cpp
@@ -1,7 +1,8 @@
 #include "rattanrack/jobs/cell_quotas.h"
 
+#include "resource_math.h"
+
 #include <algorithm>
-#include <array>
 
 namespace rattanrack::jobs {
 
@@ -22,72 +23,6 @@
 constexpr std::int64_t headroomDivisor = 4; ///< One part of this many is taken beyond the need.
 constexpr std::int64_t leastChangeDivisor = 50; ///< Changes below one part of this many of the quota wait.
 
-/// The resources of a size, so that one rule can be applied to each.
-using Amounts = std::array<std::int64_t, 3>;
-
-Amounts amountsOf(const ResourceSize& size)
-{
-    return { size.processors.count(), size.memory.count(), size.accelerators.count() };
-}
-
-ResourceSize sizeOf(const Amounts& amounts)
-{
-    return { Millicores { amounts[0] }, Mebibytes { amounts[1] }, Accelerators { amounts[2] } };
-}
-
-/// Applies `rule(amounts...)` to each resource.
-template <typename Rule, typename... Sizes> ResourceSize forEachResource(Rule rule, const Sizes&... sizes)
-{
-    Amounts result {};
-    for (std::size_t at = 0; at < result.size(); ++at)
-        result[at] = rule(amountsOf(sizes)[at]...);
-    return sizeOf(result);
-}
-
-template <typename Condition, typename... Sizes> bool anyResource(Condition condition, const Sizes&... sizes)
-{
-    for (std::size_t at = 0; at < Amounts {}.size(); ++at) {
-        if (condition(amountsOf(sizes)[at]...))
-            return true;
-    }
-    return false;
-}
-
-ResourceSize smaller(const ResourceSize& left, const ResourceSize& right)
-{
-    return forEachResource([](std::int64_t a, std::int64_t b) { return std::min(a, b); }, left, right);
-}
-
-ResourceSize larger(const ResourceSize& left, const ResourceSize& right)
-{
-    return forEachResource([](std::int64_t a, std::int64_t b) { return std::max(a, b); }, left, right);
-}
-
-ResourceSize sum(ResourceSize left, const ResourceSize& right) { return left += right; }
-
-/// What is left of `size`, at least nothing.
-ResourceSize remainder(const ResourceSize& size, const ResourceSize& taken)
-{
-    return forEachResource(
-        [](std::int64_t all, std::int64_t part) { return std::max<std::int64_t>(all - part, 0); }, size, taken);
-}
-
-/// The part of `size` that concerns resources with a quota.
-ResourceSize limitedPart(const ResourceSize& size, const ResourceSize& quota)
-{
-    return forEachResource([](std::int64_t amount, std::int64_t limit) { return limit > 0 ? amount : 0; }, size, quota);
-}
-
-ResourceSize partOf(const ResourceSize& size, std::size_t parts)
-{
-    return forEachResource([&](std::int64_t all) { return all / static_cast<std::int64_t>(parts); }, size);
-}
-
-bool isAnyAbove(const ResourceSize& size, const ResourceSize& bound)
-{
-    return anyResource([](std::int64_t amount, std::int64_t most) { return amount > most; }, size, bound);
-}
-
 } // namespace
 
 CellQuotas::CellQuotas(PoolId cell, Fence term)
