Test of a call in progress waits until the call has begun

The code that it tests has not changed. Change: the test waits for the handler. It checks as much as before, without the assumption on time.

--- a/packages/node/tests/http_server_tests.cpp
+++ b/packages/node/tests/http_server_tests.cpp
@@ -24,8 +24,9 @@
     {
         const int port = freePort();
         server = valueOrNothing([&] {
-            return HttpServer::create("127.0.0.1", port, { 4 }, [](httplib::Server& routes) {
-                routes.Get("/slow", [](const httplib::Request&, httplib::Response& response) {
+            return HttpServer::create("127.0.0.1", port, { 4 }, [this](httplib::Server& routes) {
+                routes.Get("/slow", [this](const httplib::Request&, httplib::Response& response) {
+                    slowCallHasBegun.set_value();
                     std::this_thread::sleep_for(slowCall);
                     response.set_content("all of it", "text/plain");
                 });
@@ -45,6 +46,7 @@
         return result ? result->status : 0;
     }
 
+    std::promise<void> slowCallHasBegun;
     std::unique_ptr<HttpServer> server;
     std::unique_ptr<httplib::Client> client;
 };
@@ -62,7 +64,7 @@
 TEST_F(HttpServerTest, CallInProgressIsAnsweredBeforeTheServerStops)
 {
     auto answer = std::async(std::launch::async, [&] { return client->Get("/slow"); });
-    std::this_thread::sleep_for(slowCall / 3);
+    ASSERT_EQ(slowCallHasBegun.get_future().wait_for(5s), std::future_status::ready);
     server->stop();
     const auto result = answer.get();
     ASSERT_TRUE(result);
