--- a/packages/jobs/tests/cell_quotas_walk_tests.cpp
+++ b/packages/jobs/tests/cell_quotas_walk_tests.cpp
@@ -1,4 +1,4 @@
-#include "rattanrack/jobs/cell_quotas.h"
+#include "quota_store.h"
 
 #include <gtest/gtest.h>
 
@@ -11,6 +11,7 @@
 
 using namespace rattanrack;
 using namespace rattanrack::jobs;
+using namespace rattanrack::jobs::tests;
 using namespace std::chrono_literals;
 
 namespace {
@@ -120,36 +121,6 @@
         }
     }
 
-    TransactionOutcome commit(const PartTransaction& transaction)
-    {
-        TransactionOutcome outcome { TransactionStatus::Done };
-        for (const RowCondition& condition : transaction.conditions) {
-            const auto row = m_rows.find(condition.row.key);
-            if (row != m_rows.end())
-                outcome.current.push_back(row->second);
-            if ((row == m_rows.end() ? 0 : row->second.version) != condition.version)
-                outcome.status = TransactionStatus::Conflict;
-        }
-        if (outcome.status == TransactionStatus::Conflict)
-            return outcome;
-        outcome.version = ++m_version;
-        for (const RowWrite& write : transaction.writes) {
-            if (write.value)
-                m_rows[write.row.key] = { write.row, *write.value, m_version };
-            else
-                m_rows.erase(write.row.key);
-        }
-        return outcome;
-    }
-
-    RowPage read() const
-    {
-        RowPage page { {}, false, m_version };
-        for (const auto& [key, row] : m_rows)
-            page.rows.push_back(row);
-        return page;
-    }
-
     void stepCell(int number)
     {
         Cell& cell = m_cells[number];
@@ -233,7 +204,7 @@
     {
         if (owner.quotas->isReadDue(m_now)) {
             owner.quotas->onReadSent(m_now);
-            owner.reads.push_back({ m_now + upTo(150ms), oneIn(15) ? std::nullopt : std::optional { read() } });
+            owner.reads.push_back({ m_now + upTo(150ms), oneIn(15) ? std::nullopt : std::optional { m_store.read() } });
         }
         const auto transaction = owner.quotas->nextTransaction({ owner.use }, millicores(uncontacted), m_now);
         if (!transaction)
@@ -241,7 +212,7 @@
         TransactionOutcome outcome { TransactionStatus::Unavailable };
         const bool isLost = oneIn(8);
         if (!isLost || oneIn(2))
-            outcome = commit(*transaction);
+            outcome = m_store.commit(*transaction);
         if (isLost && oneIn(4))
             m_delayed.push_back({ m_now + upTo(2s), *transaction });
         if (isLost)
@@ -254,7 +225,7 @@
         std::erase_if(m_delayed, [&](const auto& each) {
             const bool isDue = each.first <= m_now;
             if (isDue)
-                (void)commit(each.second);
+                (void)m_store.commit(each.second);
             return isDue;
         });
         while (!owner.responses.empty() && owner.responses.front().at <= m_now) {
@@ -273,8 +244,7 @@
     std::mt19937_64 m_random;
     TimePoint m_now { beginning };
     std::map<int, Cell> m_cells;
-    std::map<std::string, PartRow> m_rows;
-    RowVersion m_version { 0 };
+    QuotaStore m_store;
     std::vector<std::pair<TimePoint, PartTransaction>> m_delayed; ///< Take effect after their response was lost.
     std::int64_t m_quota { quota };
     std::uint64_t m_configurationVersion { 1 };
