Workers of a pool that leaves the configuration go on serving its accepted jobs

Change: such pools count as known. An entry of a service that never had jobs here still proves nothing. No test of its own yet.

--- a/packages/node/src/job_node_watchers.cpp
+++ b/packages/node/src/job_node_watchers.cpp
@@ -192,12 +192,15 @@
     }
 }
 
-/// Lists arrive out of order, since a takeover reads one beside the watcher. A row of a pool that is not configured may
-/// have been written by something else than a worker, and proves nothing about the machine that it names.
+/// Lists arrive out of order, since a takeover reads one beside the watcher. A row of a pool that is neither configured
+/// nor has accepted jobs may have been written by something else than a worker, and proves nothing about the machine
+/// that it names.
 void JobNode::State::setWorkers(WorkerList list)
 {
-    std::erase_if(list.workers,
-        [&](const jobs::WorkerDescription& each) { return !configuration || !configuration->hasPool(each.pool); });
+    const auto isOfUnknownPool = [&](const jobs::WorkerDescription& each) {
+        return !cellsInUse.contains(each.pool) && !(configuration && configuration->hasPool(each.pool));
+    };
+    std::erase_if(list.workers, isOfUnknownPool);
     if (list.requestedAt >= workers.requestedAt)
         workers = std::move(list);
 }
