review 11: subtasks run twice after entries of workers have run out

Cause: an entry of another writer that lacks fields counts as a later worker of the machine that it names, and the runs of the worker whose own entry is missing count as ended.

--- /dev/null
+++ b/review/11/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# The entries of workers run out while the store is down. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+set -euo pipefail
+cd "$(dirname "$0")"
+exec ../standins-3/run-case lapsed .
