Rows of other writers end no run of a worker

What callers saw: after an outage of the store in which the workers' entries had run out, 8 tasks of an accepted job were started on other workers while their first runs went on.

Cause: Cell::setWorkers took an unlisted worker for lost as soon as any row named its machine with a later start, although the worker still answered and its lease ran. The same conclusion ended the wait for the workers of earlier owners, and a later `born` in a worker's row counted as a restart.

Change: a row speaks for its own worker and ends nothing. A run ends by its worker's list, by the end of its lease, or when another worker answers at the address at which the worker itself has answered.

--- a/packages/jobs/model/cell_simulation.h
+++ b/packages/jobs/model/cell_simulation.h
@@ -72,6 +72,10 @@
     bool areLateCommandsHeldOnTheWay { false };
     Duration longestClockError {}; ///< Of the nodes' wall clocks, ahead or behind.
     Duration longestResponseDelay {}; ///< Responses to different commands overtake each other.
+    /// Entries of another writer that are listed for some seconds: an id of their own, the machine of a worker, and a
+    /// start before or after that worker's. Nothing responds under the id.
+    double foreignEntriesPerSecond { 0 };
+    double entryLapsesPerSecond { 0 }; ///< Times at which the entries of half the workers are missing for up to 2 s.
 };
 
 class CellSimulation {
@@ -248,6 +252,9 @@
     void takeOver();
     void observeRestarts();
     void listWorkers(int owner, bool mayTakeLong);
+    std::vector<WorkerDescription> listedEntries();
+    void addForeignEntry(std::size_t worker);
+    void lapseEntries();
     Authority authorityOf(const Owner& owner) const;
     TimePoint latestGrantBefore(int owner) const;
     TimePoint latestObservedGrantBefore(const Owner& owner, int number) const;
@@ -322,6 +329,8 @@
     std::map<WorkerId, TimePoint> m_partitionedUntil;
     OwnerLinks m_ownerLinks;
     std::vector<StaleEntry> m_staleEntries;
+    std::vector<StaleEntry> m_foreignEntries;
+    std::map<WorkerId, TimePoint> m_lapsedUntil; ///< Until then the worker's entry is missing.
     int m_incarnations { 0 };
     bool m_hasGangs { false }; ///< Whether any submitted job has a gang.
     std::map<TaskRef, GangState> m_gangs; ///< By the first task of each.
--- a/packages/jobs/model/cell_simulation_faults.cpp
+++ b/packages/jobs/model/cell_simulation_faults.cpp
@@ -64,6 +64,10 @@
         dropOwner();
     if (happens(m_faults.handBacksPerSecond * seconds))
         handBack();
+    if (happens(m_faults.foreignEntriesPerSecond * seconds))
+        addForeignEntry(anyWorker());
+    if (happens(m_faults.entryLapsesPerSecond * seconds))
+        lapseEntries();
 }
 
 /// A worker that is partitioned at this moment has ended runs that are not listed; one that is partitioned a little
--- a/packages/jobs/src/cell_results.cpp
+++ b/packages/jobs/src/cell_results.cpp
@@ -95,8 +95,7 @@
         worker.needsPoll = true;
         return;
     }
-    if (result.status == CommandStatus::WrongWorker) {
-        state.onWorkerLost(worker, "another worker responds at its address", now);
+    if (result.status == CommandStatus::WrongWorker && state.onOtherWorkerAtAddress(worker, now)) {
         worker.contact = WorkerContact::Unknown;
         worker.needsPoll = true;
         return;
@@ -126,10 +125,8 @@
         return;
     Worker& worker = *target.worker;
     Run& run = *target.run;
-    if (result.status == CommandStatus::WrongWorker) {
-        state.onWorkerLost(worker, "another worker responds at its address", now);
+    if (result.status == CommandStatus::WrongWorker && state.onOtherWorkerAtAddress(worker, now))
         return;
-    }
     if (isAccepted(result)) {
         run.acknowledgedAt = now;
         run.mayStartLate = false;
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -268,6 +268,11 @@
         Worker& worker, const StartCommand& command, Run& run, const CommandResult& result, TimePoint now);
 
     // Workers: cell_workers.cpp
+    void recordReplacedWorkers(TimePoint now);
+
+    /// Another worker responds at the address in the worker's row. That ends the worker's runs if the worker itself has
+    /// responded there; otherwise the row may be wrong. Returns whether the runs have ended.
+    bool onOtherWorkerAtAddress(Worker& worker, TimePoint now);
     TimePoint latestStart(const Worker& worker, const PollReport& report, TimePoint now) const;
     void sendPolls(TimePoint now, bool mayRenew);
     void retryCommands(TimePoint now, bool mayStart);
--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -70,8 +70,8 @@
         Worker& worker = state.workers[description.id];
         const bool isNewIncarnation = worker.incarnationUnixMs != description.incarnationUnixMs;
         worker.needsPoll = worker.needsPoll || isNewIncarnation;
-        if (worker.incarnationUnixMs > 0)
-            state.recordRestartIfLater(worker, description.incarnationUnixMs, now);
+        if (worker.description.address != description.address)
+            worker.addressListedAt = now;
         if (worker.firstListedAt == TimePoint {}
             || worker.description.incarnationUnixMs != description.incarnationUnixMs)
             worker.firstListedAt = now;
@@ -82,31 +82,7 @@
         worker.description = description;
         worker.isListed = true;
     }
-    // On a machine with a later worker, of whatever pool, nothing of the earlier worker runs any more.
-    for (auto& [id, worker] : state.workers) {
-        const auto isSuccessor = [&, &earlier = worker](const WorkerDescription& other) {
-            return other.machine == earlier.description.machine && other.id != earlier.description.id
-                && other.incarnationUnixMs > earlier.description.incarnationUnixMs && !other.machine.isEmpty();
-        };
-        if (!worker.isListed && std::any_of(listed.begin(), listed.end(), isSuccessor))
-            state.onWorkerLost(worker, "a later worker is listed on its machine", now);
-    }
-    // The starts of inherited workers are not known here. A list from before the takeover, or one that still contains
-    // the worker, may show an earlier worker on its machine.
-    const bool isSinceTakeover = requestedAt >= state.takenOverAt;
-    std::erase_if(state.inheritedWorkers, [&](const auto& inherited) {
-        const auto known = state.workers.find(inherited.first);
-        const bool isListed = known != state.workers.end() && known->second.isListed;
-        const auto isOnItsMachine = [&](const WorkerDescription& other) {
-            return other.id != inherited.first && other.machine == inherited.second && !other.machine.isEmpty()
-                && other.incarnationUnixMs > 0;
-        };
-        const bool isReplaced
-            = isSinceTakeover && !isListed && std::any_of(listed.begin(), listed.end(), isOnItsMachine);
-        if (isReplaced)
-            state.releasedWithoutContactAt = now;
-        return isReplaced;
-    });
+    state.recordReplacedWorkers(now);
     state.listedCapacity = state.capacityOfListedWorkers();
     state.listedWorkers = std::count_if(
         state.workers.begin(), state.workers.end(), [](const auto& each) { return each.second.isListed; });
@@ -117,6 +93,43 @@
     });
 }
 
+/// A row may have been written by something else than the worker that it names, and the machine that it names is a
+/// claim of its writer. It proves a crash of an earlier worker of the machine only if the later worker itself responds
+/// and the earlier one does not, and it never proves the end of a run.
+void CellState::recordReplacedWorkers(TimePoint now)
+{
+    const auto hasResponded = [](const Worker& worker) {
+        return worker.isListed && worker.contact == WorkerContact::Responsive
+            && worker.incarnationUnixMs == worker.description.incarnationUnixMs;
+    };
+    std::map<MachineId, const Worker*> latest;
+    for (const auto& [id, worker] : workers) {
+        if (!hasResponded(worker) || worker.description.machine.isEmpty())
+            continue;
+        const Worker*& known = latest[worker.description.machine];
+        if (!known || known->incarnationUnixMs < worker.incarnationUnixMs)
+            known = &worker;
+    }
+    for (auto& [id, worker] : workers) {
+        if (worker.isListed || worker.contact == WorkerContact::Responsive)
+            continue;
+        const std::int64_t earlierUnixMs = std::max(worker.incarnationUnixMs, worker.description.incarnationUnixMs);
+        const auto later = latest.find(worker.description.machine);
+        if (later != latest.end() && later->second->incarnationUnixMs > earlierUnixMs)
+            recordRestart(worker, earlierUnixMs + 1, now);
+    }
+}
+
+bool CellState::onOtherWorkerAtAddress(Worker& worker, TimePoint now)
+{
+    const bool hasRespondedThere = worker.lastPollSentAt > worker.addressListedAt;
+    if (hasRespondedThere)
+        onWorkerLost(worker, "another worker responds at its address", now);
+    else if (worker.contact == WorkerContact::Responsive)
+        worker.contact = WorkerContact::Unresponsive;
+    return hasRespondedThere;
+}
+
 /// The clock of a new incarnation may start at any value, and an owner that has been replaced must not take such an
 /// incarnation for one that the next owner has contacted. The clock alone therefore counts only for incarnations that
 /// the first list after the takeover shows; later ones count from when they were first listed.
@@ -178,7 +191,7 @@
         worker.nextPollAt = now + unresponsivePollPause;
         worker.needsPoll = worker.needsPoll || worker.contact != WorkerContact::Responsive || worker.isListed;
         if (result.status == CommandStatus::WrongWorker)
-            state.onWorkerLost(worker, "another worker responds at its address", now);
+            state.onOtherWorkerAtAddress(worker, now);
         if (result.refusal == RefusalReason::StaleFence)
             state.recordHigherFence(command.worker, now);
         const bool isUnanswered = result.status == CommandStatus::NoResponse || result.status == CommandStatus::NotSent;
--- a/packages/jobs/src/worker_state.h
+++ b/packages/jobs/src/worker_state.h
@@ -50,6 +50,7 @@
     WorkerDescription description;
     bool isListed { false };
     TimePoint firstListedAt {}; ///< When a list first showed this incarnation.
+    TimePoint addressListedAt {}; ///< When a list first showed its current address.
     WorkerContact contact { WorkerContact::Unknown };
     LeaseClock clock;
     std::int64_t incarnationUnixMs { 0 };
--- a/packages/jobs/tests/cell_harness.h
+++ b/packages/jobs/tests/cell_harness.h
@@ -75,6 +75,13 @@
         respond(*poll, std::move(running), std::move(endedRuns));
     }
 
+    /// Answers the poll of a worker whose first incarnation began at that time.
+    void respondAs(const char* worker, std::int64_t incarnationUnixMs)
+    {
+        m_laterIncarnations[WorkerId { worker }] = { incarnationUnixMs, unixMs() };
+        answerPoll(worker, {});
+    }
+
     /// A transaction is sent now and succeeds.
     void confirmOwnership()
     {
--- a/packages/jobs/tests/cell_walk_tests.cpp
+++ b/packages/jobs/tests/cell_walk_tests.cpp
@@ -119,6 +119,24 @@
 
 TEST(CellWalk, StarvedOwnersOfFlappingWorkersAreReplaced) { runWalks(starvedOwnersAndFlaps(), 30, 40); }
 
+/// An entry of another writer on a worker's machine, while the worker's own entry is missing.
+TEST(CellWalk, EntriesOfAnotherWriterBesideLapsedEntries)
+{
+    FaultRates rates = commonFaults();
+    rates.foreignEntriesPerSecond = 1;
+    rates.entryLapsesPerSecond = 0.5;
+    runWalks(rates, 40, 60);
+}
+
+TEST(CellWalk, EntriesOfAnotherWriterDuringOwnerChanges)
+{
+    runWalks({ .partitionsPerSecond = 0.5,
+                 .ownerLossesPerSecond = 0.4,
+                 .foreignEntriesPerSecond = 2,
+                 .entryLapsesPerSecond = 0.5 },
+        40, 60);
+}
+
 TEST(CellWalk, WorkersThatCloseConnectionsCrashAndRestart)
 {
     runWalks({ .lostResponses = 0.02, .crashesPerSecond = 0.5, .areConnectionsClosed = true }, 15, 60);
