An entry names a worker only if each of its fields is there and of its type

Change: one checked decoder (decodeWorkerRow) with a table of the fields, their types, and texts of at most 200 bytes, as long as a key of the store, so that our own rows can hold them. What fails is counted and logged in one bounded line with key and field (worker.row_rejected).

Shown: WorkerRow.* (each field missing in turn, of another type, too long); the fuzz driver reads its texts with the new decoder.

--- a/fuzz/adapter_driver.cpp
+++ b/fuzz/adapter_driver.cpp
@@ -5,6 +5,7 @@
 #include "rattanrack/jobs/job_codec.h"
 #include "rattanrack/jobs/owned_part.h"
 #include "task_name.h"
+#include "worker_row.h"
 
 #include <cstdlib>
 #include <iostream>
@@ -42,7 +43,7 @@
     }
     (void)valueOrNothing([&] { return adapter::decodeConfiguration(text); });
     (void)adapter::decodeWave(text);
-    (void)adapter::decodeWorker("w", text);
+    (void)adapter::decodeWorkerRow("w", text);
     (void)adapter::decodePollReport(text);
     (void)adapter::parseTaskName(text);
     if (const auto stored = valueOrNothing([&] { return jobs::decodeJob(text); }))
