A machine is gone only if a list requested after it was known lacks it

What operators saw: the list of machines can't be read for 5 s, machines come meanwhile, and waves that name them are shown as completed within half a second; their upkeep is never ordered.

Cause: MaintenanceScheduler took a machine that was never listed for removed as soon as any list had been read, however old. The delay of 4 s counted from the receipt of the last list that had the machine, so that it also passed while no list came, and a new owner of the machine part concluded the same from its first list. Ruled out: a refusal by the platform; no machine.maintained line names these machines.

Change: ListMembership holds the judgement. An item is gone only if it is missing from a list that was requested at least the delay after the item was last known to exist; a wave makes its machines known when it is received. A stored wave that was completed is resumed if one of its machines is listed. wave.completed and wave.resumed log the age of the list and the number of machines taken for gone. CapacityPlanner was read: it concludes no end from a missing machine.

--- a/packages/jobs/include/rattanrack/jobs/maintenance_scheduler.h
+++ b/packages/jobs/include/rattanrack/jobs/maintenance_scheduler.h
@@ -3,6 +3,7 @@
 #include "rattanrack/base/error.h"
 #include "rattanrack/base/time.h"
 #include "rattanrack/jobs/configuration.h"
+#include "rattanrack/jobs/list_membership.h"
 #include "rattanrack/jobs/machine.h"
 
 #include <cstdint>
@@ -38,9 +39,19 @@
     friend bool operator==(const CellLoad&, const CellLoad&) = default;
 };
 
+/// A wave has been completed, or a machine of a completed wave has turned out to exist.
+struct WaveDecision {
+    std::int64_t wave { 0 };
+    bool isCompleted { false };
+    std::size_t startedMachines { 0 };
+    std::size_t goneMachines { 0 }; ///< Not started, and removed as the list of machines shows.
+    Duration listAge {}; ///< Time since the latest list was requested.
+};
+
 struct MaintenanceOutput {
     std::vector<MaintenanceCommand> commands;
     std::vector<WaveProgress> changedProgress; ///< To be stored.
+    std::vector<WaveDecision> decisions;
 };
 
 /// Schedules the machines of maintenance waves: within the wave's time limit, never more machines at once than the wave
@@ -50,7 +61,11 @@
     /// No command is returned before `commandsAllowedFrom`: until then an earlier owner may still be sending commands.
     MaintenanceScheduler(std::vector<WaveProgress> stored, TimePoint commandsAllowedFrom);
 
-    void setWaves(const std::vector<MaintenanceWave>& waves, std::int64_t unixMs);
+    /// Sets the waves that operators have requested, as received now. Their machines count as present until a list of
+    /// machines shows that they have been removed.
+    void setWaves(const std::vector<MaintenanceWave>& waves, std::int64_t unixMs, TimePoint now);
+
+    /// Sets the list of machines, which must be complete.
     void setMachines(const std::vector<Machine>& machines, TimePoint requestedAt, TimePoint now);
 
     /// Sets the pools that have an owner, which drains machines. Nothing runs on the machines of other pools.
@@ -74,8 +89,7 @@
 private:
     struct TrackedMachine {
         Machine machine;
-        bool isListed { false };
-        TimePoint listedAt {};
+        ListMembership membership;
         bool isCommandInFlight { false };
         /// A command to take the machine down was sent, and the machine has not been listed as up again since.
         bool isTakenDown { false };
@@ -92,8 +106,16 @@
         bool isChanged { true };
     };
 
+    /// Machines of a wave whose maintenance has not started.
+    struct RemainingMachines {
+        std::size_t listed { 0 };
+        std::size_t gone { 0 };
+        std::size_t unknown { 0 }; ///< Not listed, and not known to be gone.
+    };
+
     int machinesDown(const ActiveWave& wave) const;
-    bool hasStartedOnAllMachines(const ActiveWave& wave, TimePoint now) const;
+    RemainingMachines remainingMachines(const ActiveWave& wave) const;
+    void decideCompletion(ActiveWave& wave, TimePoint now, MaintenanceOutput& output) const;
     void chooseMachinesToDrain(TimePoint now, std::int64_t unixMs);
     bool canBeTakenDown(const TrackedMachine& machine, TimePoint now) const;
     bool isDrained(const TrackedMachine& machine) const;
@@ -109,7 +131,7 @@
     DrainedMachines m_drainedMachines;
     std::set<MachineId> m_machinesToDrain;
     std::set<MachineId> m_movingMachines;
-    bool m_hasMachineList { false };
+    TimePoint m_listRequestedAt {}; ///< Of the latest list of machines; unset before the first one.
 };
 
 } // namespace rattanrack::jobs
--- a/packages/jobs/src/maintenance_scheduler.cpp
+++ b/packages/jobs/src/maintenance_scheduler.cpp
@@ -19,7 +19,7 @@
 constexpr Duration retryDelay = 400ms;
 /// A machine list that is requested at least this long after the result of a command reflects the command's effect.
 constexpr Duration listLag = 3s;
-/// A machine that has been missing from the list for this long is considered removed.
+/// A machine that is missing from a list requested this long after it was last known to exist has been removed.
 constexpr Duration removalDelay = 4s;
 constexpr double highLoad = 0.85; ///< Machines of pools with a higher load are drained only if the wave is late.
 constexpr double lateThreshold = 0.5; ///< A wave is late once this share of its time limit has elapsed.
@@ -53,10 +53,17 @@
         m_stored[progress.number] = std::move(progress);
 }
 
-void MaintenanceScheduler::setWaves(const std::vector<MaintenanceWave>& waves, std::int64_t unixMs)
+void MaintenanceScheduler::setWaves(const std::vector<MaintenanceWave>& waves, std::int64_t unixMs, TimePoint now)
 {
     for (const MaintenanceWave& wave : waves) {
         const auto known = m_waves.find(wave.number);
+        for (const MachineId& machine : wave.machines) {
+            const bool isNamedNow = known == m_waves.end()
+                || std::find(known->second.request.machines.begin(), known->second.request.machines.end(), machine)
+                    == known->second.request.machines.end();
+            if (isNamedNow)
+                m_machines[machine].membership.recordKnown(now);
+        }
         if (known != m_waves.end()) {
             known->second.request = wave;
             continue;
@@ -80,15 +87,14 @@
 
 void MaintenanceScheduler::setMachines(const std::vector<Machine>& machines, TimePoint requestedAt, TimePoint now)
 {
-    m_hasMachineList = true;
+    m_listRequestedAt = requestedAt;
     m_poolSizes.clear();
     for (auto& [id, tracked] : m_machines)
-        tracked.isListed = false;
+        tracked.membership.recordMissing(requestedAt);
     for (const Machine& machine : machines) {
         TrackedMachine& tracked = m_machines[machine.id];
         tracked.machine = machine;
-        tracked.isListed = true;
-        tracked.listedAt = now;
+        tracked.membership.recordListed(now);
         ++m_poolSizes[machine.pool];
         if (!tracked.isTakenDown || tracked.isCommandInFlight || requestedAt <= tracked.resultAt)
             continue;
@@ -106,7 +112,7 @@
 {
     std::map<PoolId, Millicores> capacities;
     for (const auto& [id, tracked] : m_machines) {
-        if (tracked.isListed && tracked.machine.state == MachineState::Up)
+        if (tracked.membership.isListed() && tracked.machine.state == MachineState::Up)
             capacities[tracked.machine.pool] += tracked.machine.capacity.processors;
     }
     std::map<PoolId, double> loads;
@@ -135,7 +141,7 @@
 
 bool MaintenanceScheduler::canBeTakenDown(const TrackedMachine& tracked, TimePoint now) const
 {
-    return !m_movingMachines.contains(tracked.machine.id) && tracked.isListed
+    return !m_movingMachines.contains(tracked.machine.id) && tracked.membership.isListed()
         && tracked.machine.state == MachineState::Up && !tracked.isTakenDown && !tracked.isCommandInFlight
         && now >= tracked.retryAt;
 }
@@ -145,14 +151,36 @@
     return !m_ownedPools.contains(tracked.machine.pool) || jobs::isDrained(m_drainedMachines, tracked.machine);
 }
 
-bool MaintenanceScheduler::hasStartedOnAllMachines(const ActiveWave& wave, TimePoint now) const
+MaintenanceScheduler::RemainingMachines MaintenanceScheduler::remainingMachines(const ActiveWave& wave) const
 {
-    return std::all_of(wave.request.machines.begin(), wave.request.machines.end(), [&](const MachineId& machine) {
-        const auto found = m_machines.find(machine);
-        const bool isRemoved
-            = found == m_machines.end() || (!found->second.isListed && now - found->second.listedAt >= removalDelay);
-        return wave.progress.startedMachines.contains(machine) || (isRemoved && m_hasMachineList);
-    });
+    RemainingMachines remaining;
+    for (const MachineId& machine : wave.request.machines) {
+        if (wave.progress.startedMachines.contains(machine))
+            continue;
+        const ListMembership& membership = m_machines.at(machine).membership;
+        if (membership.isListed())
+            ++remaining.listed;
+        else if (membership.isGone(removalDelay))
+            ++remaining.gone;
+        else
+            ++remaining.unknown;
+    }
+    return remaining;
+}
+
+/// A completed wave is resumed if one of its machines is listed after all: an earlier owner may have taken it for
+/// removed.
+void MaintenanceScheduler::decideCompletion(ActiveWave& wave, TimePoint now, MaintenanceOutput& output) const
+{
+    const RemainingMachines remaining = remainingMachines(wave);
+    const bool mayBeMissing = !wave.progress.isCompleted && remaining.unknown > 0;
+    const bool isCompleted = remaining.listed == 0 && !mayBeMissing;
+    if (isCompleted == wave.progress.isCompleted)
+        return;
+    wave.progress.isCompleted = isCompleted;
+    wave.isChanged = true;
+    output.decisions.push_back({ wave.progress.number, isCompleted, wave.progress.startedMachines.size(),
+        remaining.gone, now - m_listRequestedAt });
 }
 
 void MaintenanceScheduler::chooseMachinesToDrain(TimePoint now, std::int64_t unixMs)
@@ -160,7 +188,7 @@
     auto loads = poolLoads();
     std::map<PoolId, int> unavailable; // Machines of each pool that are draining or down.
     for (const auto& [id, tracked] : m_machines) {
-        if (tracked.isListed
+        if (tracked.membership.isListed()
             && (tracked.isTakenDown || tracked.isCommandInFlight || tracked.machine.state != MachineState::Up))
             ++unavailable[tracked.machine.pool];
     }
@@ -206,14 +234,11 @@
 MaintenanceOutput MaintenanceScheduler::advance(TimePoint now, std::int64_t unixMs)
 {
     MaintenanceOutput output;
-    if (!m_hasMachineList)
+    if (m_listRequestedAt == TimePoint {})
         return output;
     chooseMachinesToDrain(now, unixMs);
     for (auto& [number, wave] : m_waves) {
-        if (!wave.progress.isCompleted && hasStartedOnAllMachines(wave, now)) {
-            wave.progress.isCompleted = true;
-            wave.isChanged = true;
-        }
+        decideCompletion(wave, now, output);
         int remainingToTakeDown = wave.request.maxAtOnce - machinesDown(wave);
         for (const MachineId& machine : wave.request.machines) {
             const auto found = m_machines.find(machine);
--- a/packages/jobs/tests/maintenance_scheduler_tests.cpp
+++ b/packages/jobs/tests/maintenance_scheduler_tests.cpp
@@ -29,7 +29,7 @@
             m_wave.machines.push_back(id);
         }
         m_scheduler.setOwnedPools({ PoolId { "pool0" }, PoolId { "pool1" } });
-        m_scheduler.setWaves({ m_wave }, unixMs());
+        m_scheduler.setWaves({ m_wave }, unixMs(), m_now);
     }
 
     void run(Duration time)
@@ -43,7 +43,7 @@
     {
         m_scheduler = MaintenanceScheduler { { m_stored }, m_now + 3300ms };
         m_scheduler.setOwnedPools({ PoolId { "pool0" }, PoolId { "pool1" } });
-        m_scheduler.setWaves({ m_wave }, unixMs());
+        m_scheduler.setWaves({ m_wave }, unixMs(), m_now);
     }
 
     int maxDown() const { return m_maxDown; }
@@ -192,7 +192,7 @@
     Machine machine { id, PoolId { "p" }, MachineState::Up, "a", "r", { Millicores { 1 }, {}, {} }, WorkerId { "1" } };
     MaintenanceScheduler scheduler { {}, TimePoint {} };
     scheduler.setOwnedPools({ PoolId { "p" } });
-    scheduler.setWaves({ { 1, { id }, 20s, 1 } }, 0);
+    scheduler.setWaves({ { 1, { id }, 20s, 1 } }, 0, now);
     scheduler.setMachines({ machine }, now, now);
     EXPECT_TRUE(scheduler.advance(now, 0).commands.empty());
     EXPECT_EQ(scheduler.drainingMachines(), only);
@@ -218,7 +218,7 @@
     Machine machine { id, PoolId { "p" }, MachineState::Up, "a", "r", { Millicores { 1 }, {}, {} }, WorkerId { "1" } };
     MaintenanceScheduler scheduler { {}, TimePoint {} };
     scheduler.setOwnedPools({ PoolId { "p" }, PoolId { "q" } });
-    scheduler.setWaves({ { 1, { id }, 20s, 1 } }, 0);
+    scheduler.setWaves({ { 1, { id }, 20s, 1 } }, 0, now);
     const DrainedMachines drainedInTheEarlierPool { { id, machine.worker } };
     machine.pool = PoolId { "q" };
     machine.worker = WorkerId { "2" };
@@ -230,6 +230,111 @@
     EXPECT_EQ(scheduler.advance(now, 0).commands.size(), 1U);
 }
 
+namespace {
+
+/// A wave of one machine, which the scheduler has received at `receivedAt`.
+class LateList {
+public:
+    explicit LateList(std::vector<WaveProgress> stored = {})
+        : m_scheduler(std::move(stored), TimePoint {})
+    {
+        m_scheduler.setOwnedPools({ PoolId { "p" } });
+    }
+
+    void receiveWave() { m_scheduler.setWaves({ { 1, { m_machine.id }, 30s, 1 } }, 0, receivedAt); }
+
+    /// Delivers a list with or without the machine.
+    void list(bool isContained, Duration requestedAfterWave, Duration receivedAfterWave)
+    {
+        m_scheduler.setMachines(isContained ? std::vector { m_machine } : std::vector<Machine> {},
+            receivedAt + requestedAfterWave, receivedAt + receivedAfterWave);
+    }
+
+    bool isCompletedAt(Duration afterWave)
+    {
+        (void)m_scheduler.advance(receivedAt + afterWave, 0);
+        return m_scheduler.waveProgress().at(0).isCompleted;
+    }
+
+    /// Whether the machine is to be drained for the wave.
+    bool isDraining() const { return m_scheduler.drainingMachines().contains(m_machine.id); }
+
+    static constexpr TimePoint receivedAt { 1000s };
+
+private:
+    Machine m_machine { MachineId { "m" }, PoolId { "p" }, MachineState::Up, "a", "r", { Millicores { 1 }, {}, {} },
+        WorkerId { "1" } };
+    MaintenanceScheduler m_scheduler;
+};
+
+} // namespace
+
+/// The list of machines can't be read while machines come and waves name them.
+TEST(MaintenanceScheduler, MachineThatWasNeverListedIsNotTakenForRemovedByAnEarlierList)
+{
+    LateList wave;
+    wave.list(false, -10s, -9900ms);
+    wave.receiveWave();
+    EXPECT_FALSE(wave.isCompletedAt(100ms));
+    EXPECT_FALSE(wave.isCompletedAt(20s)); // No list was requested since.
+    wave.list(true, 20s, 20100ms);
+    EXPECT_FALSE(wave.isCompletedAt(20200ms));
+    EXPECT_TRUE(wave.isDraining());
+}
+
+TEST(MaintenanceScheduler, FirstListWithoutANewMachineDoesNotProveItsRemoval)
+{
+    LateList wave;
+    wave.receiveWave();
+    wave.list(false, 1s, 1100ms);
+    EXPECT_FALSE(wave.isCompletedAt(10s)); // The list may lag behind.
+    wave.list(true, 10s, 10100ms);
+    EXPECT_FALSE(wave.isCompletedAt(10200ms));
+    EXPECT_TRUE(wave.isDraining());
+}
+
+/// The list is out for longer than it takes to conclude a removal.
+TEST(MaintenanceScheduler, ListFromBeforeTheOutageDoesNotProveARemoval)
+{
+    LateList wave;
+    wave.receiveWave();
+    wave.list(true, 0s, 100ms);
+    wave.list(false, 200ms, 5s); // Requested early, received late.
+    EXPECT_FALSE(wave.isCompletedAt(12s));
+}
+
+TEST(MaintenanceScheduler, RemovedMachineCompletesItsWave)
+{
+    LateList wave;
+    wave.receiveWave();
+    wave.list(true, 0s, 100ms);
+    wave.list(false, 2s, 2100ms);
+    EXPECT_FALSE(wave.isCompletedAt(2200ms));
+    wave.list(false, 5s, 5100ms);
+    EXPECT_TRUE(wave.isCompletedAt(5200ms));
+}
+
+/// A node that takes the machines over has neither list nor history.
+TEST(MaintenanceScheduler, NextOwnerDoesNotTakeAMachineForRemovedByItsFirstList)
+{
+    LateList next { { { 1, 0, {}, false } } };
+    next.receiveWave();
+    next.list(false, 100ms, 200ms);
+    EXPECT_FALSE(next.isCompletedAt(300ms));
+    EXPECT_FALSE(next.isCompletedAt(30s));
+}
+
+/// An earlier owner took a machine for removed that is listed again.
+TEST(MaintenanceScheduler, CompletedWaveIsResumedIfOneOfItsMachinesIsListed)
+{
+    LateList next { { { 1, 0, {}, true } } };
+    next.receiveWave();
+    next.list(false, 100ms, 200ms);
+    EXPECT_TRUE(next.isCompletedAt(300ms));
+    next.list(true, 1s, 1100ms);
+    EXPECT_FALSE(next.isCompletedAt(1200ms));
+}
+
 TEST(MaintenanceScheduler, StoredProgressRoundTrips)
 {
     const WaveProgress progress { 4, 99, { MachineId { "a" }, MachineId { "b" } }, true };
--- a/packages/node/include/rattanrack/node/machine_controller.h
+++ b/packages/node/include/rattanrack/node/machine_controller.h
@@ -81,6 +81,7 @@
     /// Until when commands may be sent, unless the ownership is confirmed again before.
     Deadline permittedUntil() const;
     void storePoolSizes();
+    void reportDecision(const jobs::WaveDecision& decision) const;
     void reportWaves();
     void writeIfDue();
 
--- a/packages/node/src/machine_controller.cpp
+++ b/packages/node/src/machine_controller.cpp
@@ -1,6 +1,7 @@
 #include "rattanrack/node/machine_controller.h"
 
 #include "rattanrack/base/log.h"
+#include "rattanrack/base/milliseconds.h"
 
 #include <algorithm>
 #include <cstdlib>
@@ -145,7 +146,7 @@
 
 void MachineController::setWaves(const std::vector<jobs::MaintenanceWave>& waves)
 {
-    m_maintenance.setWaves(waves, wallClockMilliseconds());
+    m_maintenance.setWaves(waves, wallClockMilliseconds(), m_parts.clock.now());
 }
 
 void MachineController::requestMachineList()
@@ -197,6 +198,13 @@
 
 Deadline MachineController::permittedUntil() const { return Deadline::after(m_writer.confirmedAt(), ownershipTimeout); }
 
+void MachineController::reportDecision(const jobs::WaveDecision& decision) const
+{
+    logEvent(decision.isCompleted ? "wave.completed" : "wave.resumed",
+        { { "wave", decision.wave }, { "started", decision.startedMachines }, { "gone", decision.goneMachines },
+            { "listAgeMs", milliseconds(decision.listAge) }, { "term", term() } });
+}
+
 void MachineController::storePoolSizes()
 {
     if (m_arePoolSizesStored || m_planner.configuredSizes().empty())
@@ -250,6 +258,8 @@
         for (const jobs::MaintenanceCommand& command : output.commands)
             send(command, &jobs::MachineService::maintain, m_maintenance, "machine.maintained",
                 { "wave", command.wave });
+        for (const jobs::WaveDecision& decision : output.decisions)
+            reportDecision(decision);
         for (const jobs::WaveProgress& wave : output.changedProgress)
             m_unwrittenRows.push_back({ { waveTable, std::to_string(wave.number) }, encode(wave) });
         reportWaves();
