A row that the store never takes stops nothing but itself

What callers saw: one entry of another writer with a machine's name of 65 KB, and from then on all new jobs got 503 and an accepted job stayed active beside nine idle workers.

Cause, three steps: Cell::workersInUse put each listed worker that had not been found silent into the owner's row, also one that had never answered; nothing bounded that row, which sound workers can fill as well; and OwnedPart took Refused for "send it again", so that the same transaction, with all changes of the cell in it, was sent for ever (273 times in the case). Ruled out: a row of the job; the record names the owner's row.

Change: - Only workers that have answered, or on which something of this owner may run, are in the row. A worker that comes is used one transaction after its first answer, no longer beside it. - At most 56,000 bytes of workers; beyond that idle workers are left out and reported (workers.without_room). - Rejected is an outcome of its own. A rejected commit is divided until one job is left; then the owner's row goes alone. If that is stored, which also proves that the rejected transaction had no effect, the job is excluded until its rows are smaller, and a new one is refused; otherwise no job is blamed.

Models that stored the list of workers before any had answered store it once they have. The load that each test then plays is the same from that tick on.

--- a/packages/jobs/include/rattanrack/jobs/cell.h
+++ b/packages/jobs/include/rattanrack/jobs/cell.h
@@ -187,10 +187,13 @@
     WorkerMachines knownWorkers() const;
 
     /// Workers on which something of this cell may run or may soon be started, or that have ended runs that are not
-    /// stored. The next owner waits for each of these that it can't contact, so unresponsive workers to which none of
-    /// this applies are left out.
+    /// stored. The next owner waits for each of these that it can't contact, so workers that have not responded and to
+    /// which none of this applies are left out. So are workers beyond what a row of the store holds.
     WorkerMachines workersInUse() const;
 
+    /// Number of workers that respond and are not used, since the owner's row has no room for them.
+    std::size_t workersWithoutRoom() const;
+
     /// Outstanding leases of all workers in use, without `takeoverSlack`, which the next owner adds, provided that
     /// nothing is granted from `now` on.
     OutstandingLeases outstandingLeases(TimePoint now) const;
@@ -266,6 +269,10 @@
     /// The commit has not been stored and will not be. Its changes become part of the next commit.
     void onCommitFailed();
 
+    /// The store will never take the commit. Its changes are divided among smaller commits until the job whose rows are
+    /// the cause is found: no change of that job is stored as long as its rows are no smaller.
+    void onCommitRejected();
+
     /// Drops new jobs that are in no commit, and replies to their callers that they are not stored.
     void rejectUncommittedJobs();
 
--- a/packages/jobs/include/rattanrack/jobs/cell_event.h
+++ b/packages/jobs/include/rattanrack/jobs/cell_event.h
@@ -18,6 +18,7 @@
         Ended,
         GivenUp, ///< A task crashes the workers that start it; `detail` names the task and the workers.
         Refused, ///< Not accepted; `detail` tells how long it would have waited.
+        NotStorable, ///< The store rejects the job's rows; `detail` tells their size in bytes.
     };
     Kind kind { Kind::Accepted };
     JobId job;
--- a/packages/jobs/include/rattanrack/jobs/owned_part.h
+++ b/packages/jobs/include/rattanrack/jobs/owned_part.h
@@ -44,6 +44,7 @@
     Done,
     Lost, ///< Another node owns the part.
     NotApplied, ///< Known not to have taken effect: send the same transaction again, or abandon it.
+    Rejected, ///< The store will never take this transaction, which must be abandoned.
     Unresolved, ///< May still take effect: only the same transaction may be sent again.
 };
 
@@ -71,7 +72,7 @@
 
     OwnerWriteOutcome resolve(const TransactionOutcome& outcome);
 
-    /// After `NotApplied`: drops the transaction and its rows.
+    /// After `NotApplied` or `Rejected`: drops the transaction and its rows.
     void abandon();
 
     Fence term() const { return m_row.term; }
--- a/packages/jobs/src/cell.cpp
+++ b/packages/jobs/src/cell.cpp
@@ -11,18 +11,16 @@
 
 namespace {
 
-constexpr std::size_t maxRowsInCommit = 90;
-constexpr std::size_t maxBytesInCommit = 600'000;
 constexpr Duration removalPeriod = std::chrono::seconds { 1 };
 
-std::string_view name(JobState state)
+} // namespace
+
+std::string_view nameOf(JobState state)
 {
     constexpr std::string_view names[] = { "queued", "active", "completed", "failed", "cancelled" };
     return names[static_cast<std::size_t>(state)];
 }
 
-} // namespace
-
 Cell::Cell(CellSettings settings, std::vector<StoredJob> jobs, WorkerMachines inheritedWorkers, TimePoint now,
     std::int64_t unixMs, const OutstandingLeases& leasesAtHandBack)
     : m_state(std::make_unique<CellState>(std::move(settings)))
@@ -49,7 +47,7 @@
         const JobId id = entry->job.id;
         if (!entry->progress.hasEnded()) {
             state.addEvent(JobEvent {
-                JobEvent::Kind::TakenOver, id, std::string(name(entry->storedState)), now - entry->acceptedAt });
+                JobEvent::Kind::TakenOver, id, std::string(nameOf(entry->storedState)), now - entry->acceptedAt });
             state.inheritSuspects(*entry);
         }
         state.addJob(std::move(entry));
@@ -241,116 +239,10 @@
         return worker.isListed && worker.contact == WorkerContact::Responsive && worker.startedAtLatest > latest;
     };
     const bool isRecoveryDue = state.isRecoveryUnconfirmed() && state.releasedWithoutContactAt > latest;
-    return isRecoveryDue || state.higherFenceSeenAt > latest
+    return isRecoveryDue || state.jobOfRejectedCommit || state.higherFenceSeenAt > latest
         || std::any_of(state.workers.begin(), state.workers.end(), isUnconfirmed);
 }
 
-bool Cell::hasUncommittedChanges() const { return !m_state->dirtyJobs.empty(); }
-
-std::optional<CellCommit> Cell::takeCommit(std::int64_t unixMs)
-{
-    CellState& state = *m_state;
-    if (state.hasCommitInFlight || state.dirtyJobs.empty())
-        return std::nullopt;
-    CellCommit commit;
-    state.isCommitUrgent = false;
-    std::size_t bytes = 0;
-    auto next = state.dirtyJobs.upper_bound(state.lastJobInCommit);
-    while (!state.dirtyJobs.empty()) {
-        if (commit.rows.size() + 2 > maxRowsInCommit || bytes > maxBytesInCommit) {
-            state.isCommitUrgent = true;
-            break;
-        }
-        if (next == state.dirtyJobs.end())
-            next = state.dirtyJobs.begin();
-        const JobId id = *next;
-        next = state.dirtyJobs.erase(next);
-        state.lastJobInCommit = id;
-        JobEntry& entry = *state.find(id);
-        entry.progress.recordCompletion(unixMs);
-        const bool isNew = !entry.isStored;
-        if (isNew || entry.isMarkedForRemoval) {
-            auto value = entry.isMarkedForRemoval ? std::nullopt : std::optional { encode(entry.job) };
-            bytes += value ? value->size() : 0;
-            commit.rows.push_back({ CellRow::Kind::Job, id, std::move(value) });
-        }
-        if (entry.revision > 1 || !isNew) {
-            auto value = entry.isMarkedForRemoval ? std::nullopt : std::optional { encode(entry.progress.toStored()) };
-            bytes += value ? value->size() : 0;
-            commit.rows.push_back({ CellRow::Kind::Progress, id, std::move(value) });
-        }
-        entry.revisionInCommit = entry.revision;
-        entry.stateInCommit = entry.progress.state();
-        std::move(entry.waitingCallers.begin(), entry.waitingCallers.end(), std::back_inserter(entry.callersInCommit));
-        entry.waitingCallers.clear();
-        state.jobsInCommit.insert(id);
-    }
-    state.hasCommitInFlight = true;
-    return commit;
-}
-
-void Cell::onCommitted(std::int64_t unixMs)
-{
-    CellState& state = *m_state;
-    state.hasCommitInFlight = false;
-    for (const JobId& id : std::exchange(state.jobsInCommit, {})) {
-        JobEntry& entry = *state.find(id);
-        if (entry.isMarkedForRemoval) {
-            state.removeFromUnfinished(entry);
-            state.jobs.erase(id);
-            continue;
-        }
-        if (!entry.isStored)
-            state.addEvent(JobEvent { JobEvent::Kind::Accepted, id, entry.job.queue.value() });
-        const bool hasEnded = isTerminal(entry.stateInCommit) && !isTerminal(entry.storedState);
-        if (hasEnded && entry.stateInCommit != JobState::Cancelled)
-            state.drainRate.record(entry.declaredWork);
-        if (hasEnded)
-            state.addEvent(JobEvent { JobEvent::Kind::Ended, id, std::string(name(entry.stateInCommit)),
-                Duration { (unixMs - entry.job.acceptedAtUnixMs) * 1000 } });
-        entry.isStored = true;
-        entry.onStored(std::exchange(entry.revisionInCommit, 0));
-        entry.storedState = entry.stateInCommit;
-        if (hasEnded && entry.storedState == JobState::Failed)
-            state.stopJob(entry, "job failed");
-        for (const CallerToken token : std::exchange(entry.callersInCommit, {}))
-            state.output.replies.push_back({ token, true });
-    }
-    state.advanceAllAcks();
-}
-
-void Cell::onCommitFailed()
-{
-    CellState& state = *m_state;
-    state.transactionSentAt = state.ownershipConfirmedAt;
-    state.hasCommitInFlight = false;
-    state.isCommitUrgent = true;
-    for (const JobId& id : std::exchange(state.jobsInCommit, {})) {
-        JobEntry& entry = *state.find(id);
-        entry.revisionInCommit = 0;
-        std::move(entry.callersInCommit.begin(), entry.callersInCommit.end(), std::back_inserter(entry.waitingCallers));
-        entry.callersInCommit.clear();
-        state.dirtyJobs.insert(id);
-    }
-}
-
-void Cell::rejectUncommittedJobs()
-{
-    CellState& state = *m_state;
-    for (auto next = state.jobs.begin(); next != state.jobs.end();) {
-        JobEntry& entry = *next->second;
-        if (entry.isStored || entry.revisionInCommit > 0) {
-            ++next;
-            continue;
-        }
-        for (const CallerToken token : entry.waitingCallers)
-            state.output.replies.push_back({ token, false });
-        state.dirtyJobs.erase(next->first);
-        state.removeFromUnfinished(entry);
-        next = state.jobs.erase(next);
-    }
-}
-
 CellOutput Cell::advance(TimePoint now, std::int64_t unixMs, Authority authority)
 {
     CellState& state = *m_state;
--- a/packages/jobs/src/cell_queries.cpp
+++ b/packages/jobs/src/cell_queries.cpp
@@ -6,6 +6,20 @@
 /// Read-only queries of a cell.
 namespace rattanrack::jobs {
 
+namespace {
+
+/// The store takes rows of 65,536 bytes. The rest is for the drained machines and the owner.
+constexpr std::size_t maxWorkerBytes = 56'000;
+constexpr std::size_t headerBytes = 24; ///< Of the texts and the lease of one worker, at most.
+
+/// At most: the row has a worker's id twice while it is handed back.
+std::size_t bytesInOwnerRow(const WorkerId& id, const MachineId& machine)
+{
+    return 2 * id.value().size() + machine.value().size() + headerBytes;
+}
+
+} // namespace
+
 bool Cell::hasJobs(const QueueAddress& queue) const
 {
     return std::any_of(m_state->jobs.begin(), m_state->jobs.end(),
@@ -28,7 +42,8 @@
         const JobEntry* entry = m_state->find(job);
         return entry && !entry->isStored && entry->job.queueAddress == queue;
     };
-    return std::any_of(m_state->dirtyJobs.begin(), m_state->dirtyJobs.end(), isUnstoredOfQueue)
+    return (m_state->jobOfRejectedCommit && isUnstoredOfQueue(*m_state->jobOfRejectedCommit))
+        || std::any_of(m_state->dirtyJobs.begin(), m_state->dirtyJobs.end(), isUnstoredOfQueue)
         || std::any_of(m_state->jobsInCommit.begin(), m_state->jobsInCommit.end(), isUnstoredOfQueue);
 }
 
@@ -55,15 +70,44 @@
 
 WorkerMachines Cell::workersInUse() const
 {
-    WorkerMachines used = m_state->inheritedWorkers;
-    for (const auto& [id, worker] : m_state->workers) {
-        const bool isUsable = worker.isListed && worker.contact != WorkerContact::Unresponsive;
+    const CellState& state = *m_state;
+    WorkerMachines used = state.inheritedWorkers;
+    for (const auto& [id, worker] : state.workers) {
+        const bool isUsable = worker.isListed && worker.contact == WorkerContact::Responsive;
         if (isUsable || worker.hasUnfinishedWork())
             used[id] = worker.description.machine;
     }
+    std::size_t bytes = 0;
+    for (const auto& [id, machine] : used)
+        bytes += bytesInOwnerRow(id, machine);
+    const auto leaveOutIdle = [&](bool isStored) {
+        std::erase_if(used, [&](const auto& each) {
+            const auto known = state.workers.find(each.first);
+            const bool isNeeded = state.inheritedWorkers.contains(each.first)
+                || (known != state.workers.end() && known->second.hasUnfinishedWork());
+            const bool isLeftOut
+                = bytes > maxWorkerBytes && !isNeeded && state.storedWorkers.contains(each.first) == isStored;
+            bytes -= isLeftOut ? bytesInOwnerRow(each.first, each.second) : 0;
+            return isLeftOut;
+        });
+    };
+    if (bytes > maxWorkerBytes)
+        leaveOutIdle(false);
+    if (bytes > maxWorkerBytes)
+        leaveOutIdle(true);
     return used;
 }
 
+std::size_t Cell::workersWithoutRoom() const
+{
+    const WorkerMachines used = workersInUse();
+    return static_cast<std::size_t>(
+        std::count_if(m_state->workers.begin(), m_state->workers.end(), [&](const auto& each) {
+            return each.second.isListed && each.second.contact == WorkerContact::Responsive
+                && !used.contains(each.first);
+        }));
+}
+
 OutstandingLeases Cell::outstandingLeases(TimePoint now) const
 {
     const CellState& state = *m_state;
--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -10,6 +10,7 @@
 #include "worker_state.h"
 
 #include <functional>
+#include <limits>
 #include <map>
 #include <optional>
 #include <span>
@@ -170,6 +171,11 @@
     std::set<JobId> dirtyJobs; ///< Jobs with changes that are to be stored.
     JobId lastJobInCommit; ///< The next commit goes on after it, so that no job waits for more than one round.
     std::set<JobId> jobsInCommit;
+    std::size_t maxJobsInCommit { std::numeric_limits<std::size_t>::max() };
+    int commitsSinceRejection { 0 };
+    /// The only job of a commit that the store has rejected. The next transaction, without any job, shows whether the
+    /// job or the owner's row is the cause.
+    std::optional<JobId> jobOfRejectedCommit;
     bool hasCommitInFlight { false };
     bool isCommitUrgent { false };
     std::int64_t unixMs { 0 }; ///< Wall clock of the latest call of `Cell::advance`.
@@ -219,6 +225,12 @@
     /// Time since the latest transaction that proves the ownership was sent.
     Duration ownershipAge(TimePoint now) const { return now - std::max(ownershipConfirmedAt, takenOverAt); }
 
+    // Commits: cell_commits.cpp
+    static std::vector<CellRow> rowsOf(const JobEntry& entry);
+    void refuseWaitingCallers(JobEntry& entry);
+    void returnToUncommitted(const JobId& job);
+    void excludeFromCommits(const JobId& job);
+
     // Runs: cell_runs.cpp
     /// `step`: null if the job is not known.
     Run& addRun(Worker& worker, const TaskRef& task, RunNumber number, const Step* step);
--- a/packages/jobs/src/job_entry.h
+++ b/packages/jobs/src/job_entry.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -15,6 +16,9 @@
 /// Whether a job stays in this state for good.
 constexpr bool isTerminal(JobState state) { return state != JobState::Queued && state != JobState::Active; }
 
+/// The state's name in log lines.
+std::string_view nameOf(JobState state);
+
 struct CustomerAccount;
 
 /// A job of a cell, and what of it is stored.
@@ -37,6 +41,9 @@
     std::uint64_t revision { 0 }; ///< Increases with each change that is to be stored.
     std::uint64_t revisionInCommit { 0 };
     std::uint64_t storedRevision { 0 };
+    std::size_t bytesInCommit { 0 }; ///< Of its rows.
+    /// Size of its rows that the store has rejected; 0: none. They are written again only once they are smaller.
+    std::size_t rejectedBytes { 0 };
     /// By task, of a gang by its first one: the revision that contains the latest failure, lost start or presumed end
     /// of a run. Only those that are not stored yet, so that a large job needs no memory for its other tasks.
     std::map<TaskPosition, std::uint64_t> unstoredEnds;
--- a/packages/jobs/src/owned_part.cpp
+++ b/packages/jobs/src/owned_part.cpp
@@ -99,6 +99,9 @@
         m_mayTakeEffect = true;
         return OwnerWriteOutcome::Unresolved;
     case TransactionStatus::Refused:
+        // An earlier transmission had the same content, and the next transaction's condition proves that it had no
+        // effect.
+        return OwnerWriteOutcome::Rejected;
     case TransactionStatus::Unavailable:
         break;
     }
--- a/packages/jobs/tests/cell_harness.h
+++ b/packages/jobs/tests/cell_harness.h
@@ -22,6 +22,8 @@
         : CellHarness(1, {})
     {
         answerAllPolls();
+        confirmOwnership();
+        m_now += 1ms; // What follows is later than that transaction.
     }
 
     /// As an owner that has just taken the cell over with these jobs, and has contacted no worker yet.
--- a/packages/jobs/tests/overloaded_cell.h
+++ b/packages/jobs/tests/overloaded_cell.h
@@ -54,6 +54,7 @@
 
 private:
     void simulateWorkersAndCallers();
+    void storeWorkersOnceAllHaveResponded();
     void runCell();
     void collectCommands();
     void startRun(const StartCommand& start);
@@ -77,6 +78,7 @@
     CellOutput m_output;
     std::int64_t m_nextJob { 0 };
     int m_ticks { 0 };
+    bool m_areWorkersStored { false };
     std::int64_t m_startedRuns { 0 };
     std::int64_t m_endedRuns { 0 };
     std::uint64_t m_fingerprint { 0 };
--- a/packages/jobs/tests/owned_part_tests.cpp
+++ b/packages/jobs/tests/owned_part_tests.cpp
@@ -74,6 +74,17 @@
     EXPECT_EQ(part.transaction().writes.size(), 1U);
 }
 
+/// Sent again unchanged, it would be rejected for ever.
+TEST(OwnedPart, TransactionThatTheStoreRejectsIsOver)
+{
+    OwnedPart part { pool, self, std::nullopt, 0 };
+    part.beginTransaction({ { { jobTable, "j" }, "value" } }, {});
+    EXPECT_EQ(part.resolve({ TransactionStatus::Unknown }), OwnerWriteOutcome::Unresolved);
+    EXPECT_EQ(part.resolve({ TransactionStatus::Refused }), OwnerWriteOutcome::Rejected);
+    part.abandon();
+    EXPECT_FALSE(part.isInFlight());
+}
+
 TEST(OwnedPart, AbandonedTransactionIsNotMistakenForTheNext)
 {
     OwnedPart part { pool, self, std::nullopt, 0 };
--- a/packages/node/include/rattanrack/node/cell_host.h
+++ b/packages/node/include/rattanrack/node/cell_host.h
@@ -146,6 +146,8 @@
     void commitIfDue();
     void onCommitStored();
     void onCommitNotStored();
+    void onCommitRejected();
+    void reportWorkersWithoutRoom();
     jobs::Authority authority() const;
     void reportRecovery();
 
@@ -173,6 +175,7 @@
     const Duration m_leaseLength;
     const TimePoint m_takenOverAt;
     std::optional<TimePoint> m_reportedGrant; ///< Latest lease of earlier owners, as last reported.
+    std::size_t m_workersWithoutRoom { 0 }; ///< As last reported.
     TimePoint m_earlierGrantsEndAt; ///< Owners of earlier terms grant no lease later.
     bool m_enforcesCapacity { false };
     TimePoint m_listRequestedAt {}; ///< When the worker list in use was requested from the store.
--- a/packages/node/include/rattanrack/node/machine_controller.h
+++ b/packages/node/include/rattanrack/node/machine_controller.h
@@ -6,6 +6,7 @@
 #include "rattanrack/jobs/ports.h"
 #include "rattanrack/node/part_writer.h"
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -70,6 +71,7 @@
 private:
     PartWriter::Callbacks writerCallbacks();
     void restoreRowsInFlight();
+    void divideRowsInFlight();
     template <typename Work, typename Then> bool run(Work work, Then then);
     void requestMachineList();
     template <typename CommandType>
@@ -94,6 +96,9 @@
     PartWriter m_writer;
     std::vector<jobs::RowWrite> m_unwrittenRows;
     std::vector<jobs::RowWrite> m_rowsInFlight; ///< Rows of the transaction in flight.
+    /// The platform takes 100 rows in a transaction, the owner's row included.
+    static constexpr std::size_t maxRowsInTransaction = 90;
+    std::size_t m_maxRowsInTransaction { maxRowsInTransaction };
     std::map<std::int64_t, bool> m_reportedWaves; ///< Waves whose status is stored, and whether as completed.
     TimePoint m_nextListAt {};
     bool m_isListRequested { false };
--- a/packages/node/include/rattanrack/node/part_writer.h
+++ b/packages/node/include/rattanrack/node/part_writer.h
@@ -52,6 +52,8 @@
         std::function<void()> onStored;
         /// The transaction is proved not to have taken effect; its rows must be written again.
         std::function<void()> onNotStored;
+        /// The store will never take the transaction. Its rows must not be written again together and unchanged.
+        std::function<void()> onRejected;
         std::function<void()> onStoreLost; ///< The store no longer responds. A transaction may be in flight.
         std::function<void()> onLost; ///< Another node owns the part, or it was handed back.
     };
--- a/packages/node/src/cell_host.cpp
+++ b/packages/node/src/cell_host.cpp
@@ -158,9 +158,21 @@
     m_listRequestedAt = list.requestedAt;
     m_cell.setWorkers(list.workers, list.requestedAt, m_parts.clock.now());
     m_links.setAddresses(addresses, m_cell.knownWorkers());
+    reportWorkersWithoutRoom();
     wake();
 }
 
+void CellHost::reportWorkersWithoutRoom()
+{
+    const std::size_t count = m_cell.workersWithoutRoom();
+    if (std::exchange(m_workersWithoutRoom, count) == count)
+        return;
+    m_parts.metrics.setGauge(
+        "rattanrack_workers_without_room", { { "cell", m_pool.value() } }, static_cast<double>(count));
+    logEvent("workers.without_room", { { "cell", m_pool.value() }, { "term", m_writer.term() }, { "workers", count } },
+        LogLevel::Warning);
+}
+
 void CellHost::setDrainingMachines(std::set<jobs::MachineId> machines)
 {
     m_cell.setDrainingMachines(std::move(machines));
@@ -356,6 +368,7 @@
 {
     return { .onStored = [this] { onCommitStored(); },
         .onNotStored = [this] { onCommitNotStored(); },
+        .onRejected = [this] { onCommitRejected(); },
         .onStoreLost =
             [this] {
                 m_cell.rejectUncommittedJobs();
@@ -426,6 +439,14 @@
     wake();
 }
 
+void CellHost::onCommitRejected()
+{
+    m_parts.metrics.increment("rattanrack_transactions_rejected_total", { { "part", m_pool.value() } });
+    m_queues.onClosesNotStored();
+    m_cell.onCommitRejected();
+    wake();
+}
+
 void CellHost::onCommitNotStored()
 {
     m_queues.onClosesNotStored();
--- a/packages/node/src/cell_log.cpp
+++ b/packages/node/src/cell_log.cpp
@@ -23,7 +23,7 @@
     std::string operator()(const jobs::JobEvent& event) const
     {
         constexpr const char* names[]
-            = { "job.taken_over", "job.accepted", "job.ended", "job.given_up", "job.refused" };
+            = { "job.taken_over", "job.accepted", "job.ended", "job.given_up", "job.refused", "job.not_storable" };
         return nameOf(event.kind, names);
     }
 
--- a/packages/node/src/machine_controller.cpp
+++ b/packages/node/src/machine_controller.cpp
@@ -83,6 +83,7 @@
 {
     return { .onStored = [this] { m_rowsInFlight.clear(); },
         .onNotStored = [this] { restoreRowsInFlight(); },
+        .onRejected = [this] { divideRowsInFlight(); },
         .onStoreLost = [] {}, // The commands end with `permittedUntil`.
         .onLost =
             [this] {
@@ -100,6 +101,16 @@
     m_unwrittenRows = std::exchange(m_rowsInFlight, {});
 }
 
+/// The store rejects these rows together: they are written one by one, and a row that is rejected alone is dropped. Its
+/// wave is then resumed by the next owner from an earlier state, which repeats commands without any effect.
+void MachineController::divideRowsInFlight()
+{
+    m_maxRowsInTransaction = 1;
+    if (m_rowsInFlight.size() <= 1)
+        m_rowsInFlight.clear();
+    restoreRowsInFlight();
+}
+
 MachineController::~MachineController() { *m_isAlive = false; }
 
 /// Runs `work` on a thread of the pool, and then `then` with its result on the control thread. Returns false if the
@@ -238,7 +249,12 @@
     const bool isDue = !m_unwrittenRows.empty() || m_parts.clock.now() - m_writer.sentAt() >= jobs::ownerRenewalPeriod;
     if (!m_writer.isFree() || (!isDue && !m_isHandingBack))
         return;
-    m_rowsInFlight = std::exchange(m_unwrittenRows, {});
+    const auto count = std::min(m_unwrittenRows.size(), m_maxRowsInTransaction);
+    const auto end = m_unwrittenRows.begin() + static_cast<std::ptrdiff_t>(count);
+    m_rowsInFlight.assign(std::make_move_iterator(m_unwrittenRows.begin()), std::make_move_iterator(end));
+    m_unwrittenRows.erase(m_unwrittenRows.begin(), end);
+    if (m_unwrittenRows.empty())
+        m_maxRowsInTransaction = maxRowsInTransaction;
     const bool isLast = m_isHandingBack && m_rowsInFlight.empty() && m_commandsInFlight == 0;
     const Duration commandsLeft = std::max(m_lastCommandArrivesBy - m_parts.clock.now(), Duration {});
     m_writer.write(
--- a/packages/node/src/part_writer.cpp
+++ b/packages/node/src/part_writer.cpp
@@ -3,6 +3,7 @@
 #include "rattanrack/base/log.h"
 #include "rattanrack/base/milliseconds.h"
 
+#include <algorithm>
 #include <thread>
 #include <utility>
 
@@ -18,6 +19,20 @@
 constexpr Duration longestTimeWithoutResponse = 500ms;
 constexpr int maxTakeoverTries = 8;
 
+/// Writes which row of a rejected transaction is the largest, since the store limits the size of a row.
+void logRejected(const jobs::PartTransaction& transaction, jobs::Fence term, const std::string& detail)
+{
+    constexpr std::size_t longestDetail = 200;
+    const auto size = [](const jobs::RowWrite& write) { return write.value ? write.value->size() : 0; };
+    const auto largest = std::max_element(transaction.writes.begin(), transaction.writes.end(),
+        [&](const jobs::RowWrite& left, const jobs::RowWrite& right) { return size(left) < size(right); });
+    logEvent("part.transaction_rejected",
+        { { "part", transaction.part }, { "term", term }, { "rows", transaction.writes.size() },
+            { "largestTable", largest->row.table }, { "largestKey", largest->row.key },
+            { "largestBytes", size(*largest) }, { "detail", detail.substr(0, longestDetail) } },
+        LogLevel::Error);
+}
+
 Result<void> takeOwnership(jobs::PartStore& store, jobs::OwnedPart& part, const jobs::WorkerMachines& workers)
 {
     part.beginTransaction({}, workers);
@@ -31,6 +46,9 @@
             return fail(ErrorCode::Conflict, "part.take", name);
         case jobs::OwnerWriteOutcome::NotApplied:
             return fail(ErrorCode::Unavailable, "part.take", name, outcome.detail);
+        case jobs::OwnerWriteOutcome::Rejected:
+            logRejected(part.transaction(), part.term(), outcome.detail);
+            return fail(ErrorCode::Unavailable, "part.take", name, outcome.detail);
         case jobs::OwnerWriteOutcome::Unresolved:
             std::this_thread::sleep_for(pauseAfterFailure);
             break;
@@ -141,7 +159,8 @@
 {
     m_isSending = false;
     const auto result = m_part.resolve(outcome);
-    const bool hasResponded = result == jobs::OwnerWriteOutcome::Done || result == jobs::OwnerWriteOutcome::Lost;
+    const bool hasResponded = result == jobs::OwnerWriteOutcome::Done || result == jobs::OwnerWriteOutcome::Lost
+        || result == jobs::OwnerWriteOutcome::Rejected;
     const bool mayBeOneConnection = result == jobs::OwnerWriteOutcome::Unresolved
         && m_parts.clock.now() - m_firstSentAt < longestTimeWithoutResponse;
     if (!mayBeOneConnection)
@@ -167,6 +186,12 @@
         m_pauseUntil = m_parts.clock.now() + pauseAfterFailure;
         m_callbacks.onNotStored();
         return;
+    case jobs::OwnerWriteOutcome::Rejected:
+        logRejected(m_part.transaction(), m_part.term(), outcome.detail);
+        m_part.abandon();
+        m_pauseUntil = m_parts.clock.now() + pauseAfterFailure;
+        m_callbacks.onRejected();
+        return;
     case jobs::OwnerWriteOutcome::Unresolved:
         m_pauseUntil = m_parts.clock.now() + pauseAfterFailure;
         return;
--- a/packages/node/tests/machine_controller_tests.cpp
+++ b/packages/node/tests/machine_controller_tests.cpp
@@ -213,3 +213,21 @@
     ASSERT_EQ(takeover->waves.size(), 1U);
     EXPECT_EQ(takeover->waves.front().number, 2);
 }
+
+/// The platform takes 100 rows in a transaction.
+TEST_F(MachineControllerTest, ProgressOfMoreWavesThanATransactionHoldsIsStored)
+{
+    constexpr int waveCount = 150;
+    std::vector<jobs::MaintenanceWave> waves;
+    for (int number = 1; number <= waveCount; ++number)
+        waves.push_back({ number, { jobs::MachineId { "m" + std::to_string(number) } }, 20s, 1 });
+    control.run([&] { controller->setWaves(waves); });
+    const auto storedWaves = [&] {
+        const auto rows = valueOrNothing([&] { return store.read({ "wave", machinePart.value(), {} }); });
+        return rows ? rows->rows.size() : 0;
+    };
+    for (int ticks = 0; ticks < 300 && storedWaves() < waveCount; ++ticks)
+        tick();
+    EXPECT_EQ(storedWaves(), static_cast<std::size_t>(waveCount));
+    EXPECT_EQ(store.rejections, 0);
+}
--- a/packages/node/tests/memory_part_store.h
+++ b/packages/node/tests/memory_part_store.h
@@ -3,7 +3,9 @@
 #include "rattanrack/jobs/owned_part.h"
 #include "rattanrack/jobs/part_store.h"
 
+#include <algorithm>
 #include <atomic>
+#include <limits>
 #include <map>
 #include <mutex>
 
@@ -16,6 +18,10 @@
     {
         if (isDown)
             return { jobs::TransactionStatus::Unavailable, 0, {}, "down" };
+        if (isRejected(transaction)) {
+            ++rejections;
+            return { jobs::TransactionStatus::Refused, 0, {}, "too large" };
+        }
         const std::lock_guard lock(m_mutex);
         auto& rows = m_parts[transaction.part];
         for (const jobs::RowCondition& condition : transaction.conditions) {
@@ -58,12 +64,23 @@
     }
 
     std::atomic<bool> isDown { false };
+    std::atomic<std::size_t> maxRowBytes { std::numeric_limits<std::size_t>::max() };
+    std::atomic<int> rejections { 0 }; ///< Transactions with a longer row, or more rows than the platform takes.
     std::atomic<bool> areHandBackResponsesLost { false }; ///< Hand-backs take effect, but their responses are lost.
     std::atomic<int> responsesToLose { 0 }; ///< So many more transactions take effect without a response.
 
 private:
     using Rows = std::map<jobs::RowKey, jobs::PartRow>;
 
+    static constexpr std::size_t maxRows = 100;
+
+    bool isRejected(const jobs::PartTransaction& transaction) const
+    {
+        return transaction.writes.size() > maxRows
+            || std::any_of(transaction.writes.begin(), transaction.writes.end(),
+                [&](const jobs::RowWrite& write) { return write.value && write.value->size() > maxRowBytes; });
+    }
+
     bool isResponseLost(const jobs::PartTransaction& transaction)
     {
         if (responsesToLose > 0) {
