No wait for a peer outlasts the peer, or the store's return

What callers saw: 404 for a route of a version that was acknowledged over 2 s before, at a node that the store had answered again for more than 3 s.

Cause: the node that watches the configuration through a peer waits for that peer alone: 1.5 s for a change, 1.4 s more for the answer, 0.3 s pause. The peer's death (known after 1.25 s), its leaving, or the store's answer to another call of the node ended nothing.

Change: a relayed call ends when its peer falls silent, leaves or no longer reaches the store; a relayed read ends when the store answers any call, and is then sent directly, otherwise through another peer. Transactions are not repeated. Peers wait 0.5 s for changes, a direct try beside them not at all; leaving nodes are asked no more.

--- a/packages/config/include/rattanrack/config/job_node_settings.h
+++ b/packages/config/include/rattanrack/config/job_node_settings.h
@@ -26,6 +26,8 @@
     Duration longestStop { std::chrono::seconds { 1 } }; ///< Workers end a run within it once they are told to.
     /// From a worker's word that it leaves until nothing starts there.
     Duration drainBound { std::chrono::seconds { 2 } };
+    /// From the store's acknowledgement of a configuration until it is in force.
+    Duration configurationBound { std::chrono::seconds { 2 } };
     Duration stopGrace {}; ///< From SIGTERM until the process is killed.
     double processorShare { 1 }; ///< Of each core, what this node may use; (0, 1].
     double processorCores { 1 }; ///< Cores of this node; (0, 1024]. Slow ones count for less than 1.
--- a/packages/config/src/job_node_settings.cpp
+++ b/packages/config/src/job_node_settings.cpp
@@ -14,6 +14,7 @@
 constexpr DurationRange stopRange { 1ms, 60s };
 constexpr DurationRange drainRange { 1s, 60s };
 constexpr DurationRange graceRange { 1s, 600s };
+constexpr DurationRange configurationRange { 100ms, 60s };
 constexpr NumberRange shareRange { 0, 1, true };
 constexpr NumberRange coresRange { 0, 1024, true };
 
@@ -41,6 +42,7 @@
     top.readDuration("keepEnded", keepRange, settings.keepEnded);
     top.readDuration("longestStop", stopRange, settings.longestStop);
     top.readDuration("drainBound", drainRange, settings.drainBound);
+    top.readDuration("configurationBound", configurationRange, settings.configurationBound);
     top.readDuration("stopGrace", graceRange, settings.stopGrace);
     top.readNumber("processorShare", shareRange, settings.processorShare);
     top.readNumber("processorCores", coresRange, settings.processorCores);
--- a/packages/config/tests/job_node_settings_tests.cpp
+++ b/packages/config/tests/job_node_settings_tests.cpp
@@ -37,6 +37,13 @@
     EXPECT_EQ(parsed.value().longestStop, 900ms);
 }
 
+TEST(JobNodeSettings, ConfigurationBoundIsTwoSecondsWhenNotNamed)
+{
+    EXPECT_EQ(parseJobNodeFile("n", settingsText).value().configurationBound, 2s);
+    EXPECT_EQ(parseJobNodeFile("n", settingsText + "configurationBound: 700ms\n").value().configurationBound, 700ms);
+    EXPECT_NE(mistakes(settingsText + "configurationBound: 10ms\n"), "valid");
+}
+
 TEST(JobNodeSettings, AnnouncedPeerAddressIsReadWhereItIsNamed)
 {
     const auto without = parseJobNodeFile("n", settingsText);
--- a/packages/jobs/include/rattanrack/jobs/ownership.h
+++ b/packages/jobs/include/rattanrack/jobs/ownership.h
@@ -154,7 +154,7 @@
     /// Announcements of owners that the sender of `announcement` has not received, although they have arrived here.
     std::vector<NodeAnnouncement> announcementsMissedBy(const NodeAnnouncement& announcement, TimePoint now) const;
 
-    /// Addresses of live peers that reach the store.
+    /// Addresses of live peers that reach the store and are not leaving.
     std::vector<std::string> peersReachingStore(TimePoint now) const;
 
     /// Sequence number of the latest announcement of a live node; 0: there is none.
--- a/packages/jobs/src/ownership_announcements.cpp
+++ b/packages/jobs/src/ownership_announcements.cpp
@@ -90,7 +90,7 @@
 {
     std::vector<std::string> all;
     for (const NodeAnnouncement* announcement : liveAnnouncements(now)) {
-        if (announcement->isStoreReachable)
+        if (announcement->isStoreReachable && !announcement->isLeaving)
             all.push_back(announcement->address);
     }
     return all;
--- a/packages/jobs/tests/ownership_tests.cpp
+++ b/packages/jobs/tests/ownership_tests.cpp
@@ -134,6 +134,20 @@
     EXPECT_EQ(nodes.ownedCounts().at(1), 5);
 }
 
+/// Their processes end within seconds, with what they are asked.
+TEST(Ownership, LeavingPeersAreNotAskedForTheStore)
+{
+    Nodes nodes { 3 };
+    nodes.run(1s);
+    EXPECT_EQ(nodes[0].peersReachingStore(nodes.now()).size(), 2U);
+    nodes[1].leave();
+    nodes.run(200ms);
+    EXPECT_EQ(nodes[0].peersReachingStore(nodes.now()).size(), 1U);
+    nodes[2].setStoreReachable(false);
+    nodes.run(200ms);
+    EXPECT_TRUE(nodes[0].peersReachingStore(nodes.now()).empty());
+}
+
 TEST(Ownership, NodeThatCannotReachTheStoreTakesNoCells)
 {
     Nodes nodes { 2 };
--- a/packages/node/include/rattanrack/node/job_node.h
+++ b/packages/node/include/rattanrack/node/job_node.h
@@ -23,6 +23,8 @@
     /// "ip:port" at which this node accepts connections of its peers, if something forwards them from `peerAddress`;
     /// empty: `peerAddress`.
     std::string peerListen {};
+    /// A configuration is in force this long after it has been written.
+    Duration longestConfigurationAge { std::chrono::seconds { 2 } };
 };
 
 struct JobNodePorts {
@@ -46,6 +48,10 @@
     /// The configuration in force; null before the first one.
     std::shared_ptr<const jobs::Configuration> configuration() const;
 
+    /// Whether the store has lately shown which configuration is the newest. Otherwise a newer one may have been in
+    /// force for some time, and a route that this one lacks may exist.
+    bool isConfigurationConfirmed() const;
+
     /// Whether the load balancer should send callers to this node.
     bool isReady() const;
 
--- a/packages/node/include/rattanrack/node/pending_calls.h
+++ b/packages/node/include/rattanrack/node/pending_calls.h
@@ -33,6 +33,9 @@
             pending.mapped().onReply(reply);
     }
 
+    /// Whether the call waits for its reply.
+    bool contains(std::uint64_t exchange) const { return m_pending.contains(exchange); }
+
     /// Ends the calls whose deadline has passed.
     void expire(TimePoint now)
     {
--- a/packages/node/src/job_node.cpp
+++ b/packages/node/src/job_node.cpp
@@ -30,6 +30,7 @@
 {
     isStopped = true;
     ports.store.setPeerCall({});
+    ports.store.setOnReachable({});
     for (std::thread& watcher : watchers)
         watcher.join();
     storePool.shutdown();
@@ -51,6 +52,7 @@
     watchers.emplace_back([this] { watchMembers(); });
     control.post([this] { tick(); });
     ports.store.setPeerCall([this](const peer::StoreRequest& request) { return callPeer(request); });
+    ports.store.setOnReachable([this] { control.post([this] { endRelayedReads(); }); });
 }
 
 void JobNode::State::tick()
@@ -58,7 +60,7 @@
     const TimePoint now = clock.now();
     control.at(Deadline::after(now, announcementPeriod), [this] { tick(); });
     jobCalls.expire(now);
-    storeCalls.expire(now);
+    endCallsToUnusablePeers(now);
     expireDeferredCalls(now);
     stallDetector.tick(now);
     ownership.setStoreReachable(ports.store.isReachable());
@@ -250,6 +252,11 @@
     return m_state->configuration;
 }
 
+bool JobNode::isConfigurationConfirmed() const
+{
+    return m_state->clock.now() - m_state->watcherRespondedAt.load() <= m_state->settings.longestConfigurationAge;
+}
+
 bool JobNode::isReady() const { return m_state->isReady; }
 
 void JobNode::leave(Deadline deadline)
--- a/packages/node/src/job_node_state.h
+++ b/packages/node/src/job_node_state.h
@@ -40,6 +40,12 @@
     Feed, ///< Read because the store's feed has reported a change.
 };
 
+/// A call to the store that a peer carries out.
+struct RelayedCall {
+    std::string address; ///< Of the peer.
+    bool isRead { false };
+};
+
 /// A call that waits until its cell has claimed the queue.
 struct DeferredCall {
     peer::JobCall call;
@@ -73,7 +79,7 @@
     void received(const peer::JobCall& call);
     void received(const peer::JobReply& reply) { jobCalls.handleReply(reply); }
     void received(const peer::StoreCall& call);
-    void received(const peer::StoreReply& reply) { storeCalls.handleReply(reply); }
+    void received(const peer::StoreReply& reply);
     template <typename Other> void received(const Other&) { }
 
     // What this node owns: job_node_cells.cpp
@@ -112,6 +118,9 @@
     std::optional<peer::StoreResult> callPeer(const peer::StoreRequest& request);
     bool sendToPeer(
         const peer::StoreRequest& request, Deadline deadline, PendingCalls<peer::StoreReply>::OnReply onReply);
+    void endCallsToUnusablePeers(TimePoint now);
+    void endRelayedReads();
+    void endRelayedCalls(const std::function<bool(const RelayedCall&)>& isOver);
 
     // Watchers of the store: job_node_watchers.cpp
     void watchConfiguration();
@@ -145,6 +154,7 @@
     StallDetector stallDetector;
     PendingCalls<peer::JobReply> jobCalls;
     PendingCalls<peer::StoreReply> storeCalls;
+    std::map<std::uint64_t, RelayedCall> relayedCalls; ///< Of this node, by exchange.
     std::size_t lastPeerIndex { 0 };
     std::map<PoolId, std::unique_ptr<CellHost>> cells;
     std::unique_ptr<MachineController> machineController;
--- a/packages/node/src/job_node_store.cpp
+++ b/packages/node/src/job_node_store.cpp
@@ -1,5 +1,6 @@
 #include "job_node_state.h"
 
+#include <algorithm>
 #include <future>
 
 /// Calls to the store through peers: those of this node while the store is unreachable from here, and those of other
@@ -38,11 +39,44 @@
     if (peers.empty())
         return false;
     const std::string& address = peers[++lastPeerIndex % peers.size()];
-    network->send(
-        address, peer::StoreCall { storeCalls.add(deadline, std::move(onReply)), settings.peerAddress, request });
+    const std::uint64_t exchange = storeCalls.add(deadline, std::move(onReply));
+    relayedCalls[exchange] = { address, !std::holds_alternative<jobs::PartTransaction>(request) };
+    network->send(address, peer::StoreCall { exchange, settings.peerAddress, request });
     return true;
 }
 
+void JobNode::State::received(const peer::StoreReply& reply)
+{
+    relayedCalls.erase(reply.exchange);
+    storeCalls.handleReply(reply);
+}
+
+/// Calls to peers that have fallen silent, leave, or no longer reach the store get no answer.
+void JobNode::State::endCallsToUnusablePeers(TimePoint now)
+{
+    storeCalls.expire(now);
+    const auto usable = ownership.peersReachingStore(now);
+    endRelayedCalls(
+        [&](const RelayedCall& call) { return std::find(usable.begin(), usable.end(), call.address) == usable.end(); });
+}
+
+/// Their callers read again, directly.
+void JobNode::State::endRelayedReads()
+{
+    endRelayedCalls([](const RelayedCall& call) { return call.isRead; });
+}
+
+void JobNode::State::endRelayedCalls(const std::function<bool(const RelayedCall&)>& isOver)
+{
+    std::vector<std::uint64_t> ended;
+    for (const auto& [exchange, call] : relayedCalls) {
+        if (!storeCalls.contains(exchange) || isOver(call))
+            ended.push_back(exchange);
+    }
+    for (const std::uint64_t exchange : ended)
+        received(peer::StoreReply { exchange, {} });
+}
+
 void JobNode::State::received(const peer::StoreCall& call)
 {
     const auto reply = [this, exchange = call.exchange, address = call.replyTo](peer::StoreResult answer) {
--- a/packages/node/src/relayed_store.cpp
+++ b/packages/node/src/relayed_store.cpp
@@ -2,6 +2,7 @@
 
 #include "rattanrack/base/log.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace rattanrack::node {
@@ -11,6 +12,9 @@
 using namespace std::chrono_literals;
 
 constexpr Duration directRetryPeriod = 500ms; ///< Of direct calls while they fail.
+/// A peer waits no longer for changes, so that its failure and the store's return are noticed soon.
+constexpr Duration longestRelayedWait = 500ms;
+constexpr Duration directProbeWait = 1ms; ///< For changes, while direct calls fail.
 
 /// Whether the store itself returned a definite outcome.
 struct IsDefinite {
@@ -23,6 +27,15 @@
     bool operator()(std::monostate) const { return false; }
 };
 
+/// The request with a shorter wait for changes.
+peer::StoreRequest withShorterWait(const peer::StoreRequest& request, Duration longestWait)
+{
+    peer::StoreRequest limited = request;
+    if (auto* changes = std::get_if<jobs::ChangesQuery>(&limited))
+        changes->wait = std::min(changes->wait, longestWait);
+    return limited;
+}
+
 bool isDefinite(const peer::StoreResult& result) { return std::visit(IsDefinite {}, result); }
 
 jobs::TransactionStatus statusOf(const peer::StoreResult& result)
@@ -89,6 +102,12 @@
     m_peerCall = std::move(peerCall);
 }
 
+void RelayedStore::setOnReachable(std::function<void()> onReachable)
+{
+    const std::lock_guard lock(m_mutex);
+    m_onReachable = std::move(onReachable);
+}
+
 bool RelayedStore::isReachable() const
 {
     const std::lock_guard lock(m_mutex);
@@ -119,20 +138,39 @@
 {
     auto result = std::visit(ExecuteOn { m_direct }, request);
     const bool hasResponded = isDefinite(result);
-    const std::lock_guard lock(m_mutex);
-    if (std::exchange(m_isReachable, hasResponded) != hasResponded)
+    std::function<void()> onReachable;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (std::exchange(m_isReachable, hasResponded) == hasResponded)
+            return result;
         logEvent(hasResponded ? "store.direct" : "store.through_peers", {}, LogLevel::Warning);
+        if (hasResponded)
+            onReachable = m_onReachable;
+    }
+    if (onReachable)
+        onReachable();
     return result;
 }
 
+std::optional<peer::StoreResult> RelayedStore::callPeers(const peer::StoreRequest& request)
+{
+    const peer::StoreRequest relayed = withShorterWait(request, longestRelayedWait);
+    auto result = callPeer(relayed);
+    const bool mayRepeat = !std::holds_alternative<jobs::PartTransaction>(request);
+    if (!result || isDefinite(*result) || !mayRepeat)
+        return result;
+    return isReachable() ? executeDirectly(request) : callPeer(relayed);
+}
+
 peer::StoreResult RelayedStore::call(const peer::StoreRequest& request)
 {
     std::optional<peer::StoreResult> direct;
+    const bool wasReachable = isReachable();
     if (shouldTryDirectly())
-        direct = executeDirectly(request);
+        direct = executeDirectly(wasReachable ? request : withShorterWait(request, directProbeWait));
     if (direct && isDefinite(*direct))
         return *std::move(direct);
-    auto relayed = callPeer(request);
+    auto relayed = callPeers(request);
     if (!relayed)
         return direct ? *std::move(direct) : executeDirectly(request);
     return direct ? combinedOutcome(*direct, *relayed) : *std::move(relayed);
--- a/packages/node/tests/relayed_store_tests.cpp
+++ b/packages/node/tests/relayed_store_tests.cpp
@@ -2,6 +2,10 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <functional>
+#include <utility>
+
 using namespace rattanrack;
 using namespace rattanrack::node;
 using namespace std::chrono_literals;
@@ -40,7 +44,11 @@
     {
         store.setPeerCall([this](const peer::StoreRequest& request) -> std::optional<peer::StoreResult> {
             ++peerCalls;
-            if (isPeerUnresponsive)
+            if (const auto* changes = std::get_if<jobs::ChangesQuery>(&request))
+                longestPeerWait = std::max(longestPeerWait, changes->wait);
+            if (whilePeerIsCalled)
+                whilePeerIsCalled();
+            if (isPeerUnresponsive || std::exchange(isNextPeerUnresponsive, false))
                 return peer::StoreResult {};
             return peerStore.executeDirectly(request);
         });
@@ -57,6 +65,9 @@
     RelayedStore store { direct, clock };
     RelayedStore peerStore { storeOfPeer, clock };
     bool isPeerUnresponsive { false };
+    bool isNextPeerUnresponsive { false };
+    std::function<void()> whilePeerIsCalled;
+    Duration longestPeerWait {};
     int peerCalls { 0 };
 };
 
@@ -132,6 +143,53 @@
     EXPECT_EQ(commit(), TransactionStatus::Unavailable);
 }
 
+/// A peer that has died while it was asked keeps nobody from a store that responds again.
+TEST_F(RelayedStoreTest, ReadWithoutAnAnswerOfThePeerIsSentDirectlyOnceTheStoreResponds)
+{
+    connect();
+    int returns = 0;
+    store.setOnReachable([&] { ++returns; });
+    direct.status = TransactionStatus::Unavailable;
+    EXPECT_TRUE(read());
+    isPeerUnresponsive = true;
+    whilePeerIsCalled = [&] { // Another call of this node.
+        direct.status = TransactionStatus::Done;
+        clock.advance(1s);
+        whilePeerIsCalled = {};
+        EXPECT_EQ(commit(), TransactionStatus::Done);
+    };
+    EXPECT_TRUE(read());
+    EXPECT_EQ(returns, 1);
+    EXPECT_TRUE(store.isReachable());
+}
+
+TEST_F(RelayedStoreTest, ReadWithoutAnAnswerOfThePeerIsSentThroughAnother)
+{
+    connect();
+    direct.status = TransactionStatus::Unavailable;
+    isNextPeerUnresponsive = true;
+    EXPECT_TRUE(read());
+    EXPECT_EQ(peerCalls, 2);
+}
+
+/// It may have taken effect.
+TEST_F(RelayedStoreTest, TransactionWithoutAnAnswerOfThePeerIsNotSentAgain)
+{
+    connect();
+    direct.status = TransactionStatus::Unavailable;
+    isNextPeerUnresponsive = true;
+    EXPECT_EQ(commit(), TransactionStatus::Unknown);
+    EXPECT_EQ(peerCalls, 1);
+}
+
+TEST_F(RelayedStoreTest, PeersWaitForChangesForAShortTimeOnly)
+{
+    connect();
+    direct.status = TransactionStatus::Unavailable;
+    EXPECT_TRUE(valueOrNothing([&] { return store.changes("table", 3, 30s); }));
+    EXPECT_EQ(longestPeerWait, 500ms);
+}
+
 TEST_F(RelayedStoreTest, MissingHistoryIsADefiniteOutcome)
 {
     connect();
