--- a/packages/jobs/tests/simulated_queue_owner.cpp
+++ b/packages/jobs/tests/simulated_queue_owner.cpp
@@ -82,6 +82,7 @@
             storedJobs.erase(job);
         return;
     case OwnerWriteOutcome::NotApplied:
+    case OwnerWriteOutcome::Rejected:
         part.abandon();
         queues.onClosesNotStored();
         jobsInCommit.clear();
