A silent worker that is listed with a later start has crashed

Cause: since no row counted as a restart any more, a worker that crashed again before it had answered the owner proved nothing against the tasks that it had started. Ruled out as the whole cause: that a replaced worker is looked for at each list alone; it is looked for at its first answer as well now.

Change: for the verdict on tasks (never for the end of a run) a row with a later start counts where the last poll of the worker got no response.

--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -75,6 +75,8 @@
         if (worker.firstListedAt == TimePoint {}
             || worker.description.incarnationUnixMs != description.incarnationUnixMs)
             worker.firstListedAt = now;
+        if (worker.isSilent && worker.incarnationUnixMs > 0)
+            state.recordRestartIfLater(worker, description.incarnationUnixMs, now);
         const bool isRestarted
             = worker.incarnationUnixMs > 0 && description.incarnationUnixMs > worker.incarnationUnixMs;
         if (isRestarted && worker.contact == WorkerContact::Responsive)
@@ -94,8 +96,8 @@
 }
 
 /// A row may have been written by something else than the worker that it names, and the machine that it names is a
-/// claim of its writer. It proves a crash of an earlier worker of the machine only if the later worker itself responds
-/// and the earlier one does not, and it never proves the end of a run.
+/// claim of its writer. It counts as a crash of an earlier worker of the machine only if the later worker itself
+/// responds and the earlier one does not, and it never proves the end of a run.
 void CellState::recordReplacedWorkers(TimePoint now)
 {
     const auto hasResponded = [](const Worker& worker) {
@@ -111,7 +113,7 @@
             known = &worker;
     }
     for (auto& [id, worker] : workers) {
-        if (worker.isListed || worker.contact == WorkerContact::Responsive)
+        if (worker.isListed || !(worker.isSilent || worker.contact == WorkerContact::Unknown))
             continue;
         const std::int64_t earlierUnixMs = std::max(worker.incarnationUnixMs, worker.description.incarnationUnixMs);
         const auto later = latest.find(worker.description.machine);
@@ -195,6 +197,7 @@
         if (result.refusal == RefusalReason::StaleFence)
             state.recordHigherFence(command.worker, now);
         const bool isUnanswered = result.status == CommandStatus::NoResponse || result.status == CommandStatus::NotSent;
+        worker.isSilent = isUnanswered;
         if (isUnanswered && command.incarnationUnixMs == worker.incarnationUnixMs)
             state.recordContactLoss(
                 worker, { result.receivedAt == TimePoint {} ? now : result.receivedAt, result.isConnectionEnded }, now);
@@ -208,7 +211,8 @@
     if (worker.isContactCheckSent)
         worker.isContactDueAfterDrain = worker.isContactCheckSent = false;
     state.recordRestartIfLater(worker, report.incarnationUnixMs, now);
-    if (worker.incarnationUnixMs != report.incarnationUnixMs)
+    const bool isFirstResponse = worker.incarnationUnixMs != report.incarnationUnixMs;
+    if (isFirstResponse)
         worker.beginIncarnation(report.incarnationUnixMs, state.latestStart(worker, report, now));
     else
         worker.lastAckSent = std::max(worker.lastAckSent, result.ackedThrough);
@@ -219,6 +223,9 @@
                 describeAges(worker, report.incarnationUnixMs, state.unixMs, now), now - state.takenOverAt });
     }
     worker.contact = WorkerContact::Responsive;
+    worker.isSilent = false;
+    if (isFirstResponse)
+        state.recordReplacedWorkers(now);
     state.recordIncarnation(worker, report.incarnationUnixMs, result.isBound, now);
     worker.clock.observe(report.workerClockMs, sentAt, now);
     // A later owner may have received what an earlier incarnation had to list.
--- a/packages/jobs/tests/foreign_entry_tests.cpp
+++ b/packages/jobs/tests/foreign_entry_tests.cpp
@@ -106,6 +106,23 @@
     EXPECT_EQ(harness.cell().state(JobId { "a" }), JobState::Active);
 }
 
+/// Without this, a worker that crashes again before it has responded proves nothing against the tasks that it starts.
+TEST(ForeignEntry, LaterStartUnderTheIdOfASilentWorkerCountsAsACrash)
+{
+    CellHarness harness = calmHarness();
+    const StartCommand start = harness.submitAndTakeStart("a");
+    harness.respond(start, CommandStatus::Done);
+    harness.advance(10ms);
+    harness.dropPolls();
+    auto entries = harness.listed();
+    for (WorkerDescription& entry : entries)
+        entry.incarnationUnixMs = 5;
+    harness.listWorkers(entries);
+    harness.advance(10ms);
+    EXPECT_EQ(harness.runEvents(RunEvent::Kind::Suspected).size(), 1U);
+    EXPECT_TRUE(harness.runEvents(RunEvent::Kind::PresumedEnded).empty()); // The run may go on.
+}
+
 /// The entry of a worker shows another address than the one at which the worker has responded.
 TEST(ForeignEntry, WithAnotherAddressEndsNoRun)
 {
