Nodes read their whole table, and rows of gone nodes are removed

What callers saw: after 546 replacements of nodes at new addresses, six of seven nodes answer 503 for good.

Cause: watchMembers read one page of 500 rows, and nothing removed a row, so that live nodes did not find each other behind the rows of gone ones. Ruled out: exhausted connections; with the same restarts at the same addresses the case holds.

Change: NodeTable. The table is read to its last page. A node writes its row each 30 s, with the time; the owner of the machine part removes rows that have not changed for 120 s by its own clock, or are older than 10 minutes by the wall clocks, on condition that they are as they were read. A node that finds itself missing registers with its next read (3 s). Addresses that leave the table get no announcements and lose their connection; what a process has announced is dropped after 5 minutes of silence.

Cost: a write for each node each 30 s (0.23 a second for 7 nodes, 5 for 147, of 600).

--- a/packages/jobs/include/rattanrack/jobs/ownership.h
+++ b/packages/jobs/include/rattanrack/jobs/ownership.h
@@ -85,6 +85,9 @@
     Duration earlierGrantsLeft {};
 };
 
+/// What the announcements of a process have shown is kept for this long after the last one. It outlasts every lease.
+constexpr Duration peerRetention = std::chrono::minutes { 5 };
+
 /// Decides from the announcements of all nodes which cells this node takes over or hands back. Pure: no I/O, no clock.
 /// Not thread-safe.
 class Ownership {
@@ -98,6 +101,10 @@
     /// Adds a node that the store lists. It counts as live once it has sent an announcement.
     void addAddress(const std::string& address);
 
+    /// Sets all nodes that the store lists, in ascending order, in place of those listed before. Nodes that have been
+    /// silent for `peerRetention` and are not listed are removed.
+    void setListedAddresses(const std::vector<std::string>& addresses, TimePoint now);
+
     void onAnnouncement(const NodeAnnouncement& announcement, TimePoint now);
     void setStoreReachable(bool isReachable) { m_isStoreReachable = isReachable; }
     void leave() { m_isLeaving = true; }
--- a/packages/jobs/src/ownership.cpp
+++ b/packages/jobs/src/ownership.cpp
@@ -75,6 +75,19 @@
         m_addressesWithoutPeer.insert(address);
 }
 
+void Ownership::setListedAddresses(const std::vector<std::string>& addresses, TimePoint now)
+{
+    std::erase_if(m_peers, [&](const auto& each) {
+        const std::string& address = each.second.announcement.address;
+        return now - each.second.receivedAt >= peerRetention
+            && !std::binary_search(addresses.begin(), addresses.end(), address);
+    });
+    m_addressesWithoutPeer = { addresses.begin(), addresses.end() };
+    m_addressesWithoutPeer.erase(m_address);
+    for (const auto& [node, peer] : m_peers)
+        m_addressesWithoutPeer.erase(peer.announcement.address);
+}
+
 void Ownership::onAnnouncement(const NodeAnnouncement& announcement, TimePoint now)
 {
     if (announcement.node == m_self)
--- a/packages/jobs/tests/ownership_tests.cpp
+++ b/packages/jobs/tests/ownership_tests.cpp
@@ -134,6 +134,19 @@
     EXPECT_EQ(nodes.ownedCounts().at(1), 5);
 }
 
+/// Each announcement would be sent there as well, for as long as the process runs.
+TEST(Ownership, AddressThatIsNoLongerListedGetsNoAnnouncements)
+{
+    Ownership node { NodeId { "n0" }, "10.0.0.1:7000", TimePoint { 1s } };
+    node.setListedAddresses({ "10.0.0.1:7000", "10.0.0.2:7000", "10.0.0.3:7000" }, TimePoint { 1s });
+    EXPECT_EQ(node.announcementAddresses(TimePoint { 1s }).size(), 2U);
+    node.onAnnouncement({ NodeId { "n1" }, "10.0.0.2:7000", 1 }, TimePoint { 2s });
+    node.setListedAddresses({ "10.0.0.1:7000" }, TimePoint { 3s });
+    EXPECT_EQ(node.announcementAddresses(TimePoint { 3s }), std::vector<std::string> { "10.0.0.2:7000" });
+    node.setListedAddresses({ "10.0.0.1:7000" }, TimePoint { 3s } + peerRetention);
+    EXPECT_FALSE(node.silence(NodeId { "n1" }, TimePoint { 3s } + peerRetention));
+}
+
 /// Their processes end within seconds, with what they are asked.
 TEST(Ownership, LeavingPeersAreNotAskedForTheStore)
 {
--- a/packages/node/src/job_node.cpp
+++ b/packages/node/src/job_node.cpp
@@ -75,6 +75,7 @@
     sendAnnouncementIfDue(now);
     reportLoad();
     isReady = !isLeaving && hasConfiguredCells;
+    ownsMachinePart = machineController != nullptr;
     ownsAnyPart = !cells.empty() || machineController;
 }
 
--- a/packages/node/src/job_node_state.h
+++ b/packages/node/src/job_node_state.h
@@ -2,6 +2,7 @@
 
 #include "rattanrack/jobs/announcement_pacer.h"
 #include "rattanrack/jobs/drain_announcements.h"
+#include "rattanrack/jobs/node_table.h"
 #include "rattanrack/jobs/takeover_watch.h"
 #include "rattanrack/node/cell_host.h"
 #include "rattanrack/node/job_node.h"
@@ -132,6 +133,7 @@
     std::optional<WorkerList> readWorkers();
     void setWorkers(WorkerList list);
     void watchMembers();
+    void removeGoneNodes(const jobs::NodeTable& table);
     void applyConfiguration(jobs::Configuration configuration);
     void readAssignmentsIfDue();
     void setAssignments(const jobs::QueueAssignments& assignments);
@@ -187,9 +189,11 @@
     std::atomic<jobs::RowVersion> watchedVersion { 0 }; ///< From which the watcher waits for changes of directives.
     std::atomic<TimePoint> watcherRespondedAt { clock.now() }; ///< Latest response of the store to the watcher.
     Deadline nextAssignmentsRead {}; ///< Of the thread that watches the members.
+    Deadline nextRegistration {}; ///< Of the same thread.
     std::atomic<bool> isReady { false };
     std::atomic<bool> hasConfiguredCells { false };
     std::atomic<bool> ownsAnyPart { false };
+    std::atomic<bool> ownsMachinePart { false };
     mutable std::mutex configurationMutex;
     std::shared_ptr<const jobs::Configuration> configuration;
 
--- a/packages/node/src/job_node_watchers.cpp
+++ b/packages/node/src/job_node_watchers.cpp
@@ -17,8 +17,6 @@
 constexpr Duration configurationWait = 1500ms; ///< Of one request for changes of the operators' directives.
 constexpr Duration pauseAfterError = 300ms;
 constexpr double millisecondsPerSecond = 1000;
-constexpr const char* nodeTable = "node";
-constexpr const char* nodePart = "nodes";
 
 const char* nameOf(ConfigurationWay way)
 {
@@ -235,33 +233,49 @@
 
 void JobNode::State::registerSelf()
 {
-    const jobs::RowKey row { nodeTable, settings.peerAddress };
-    const auto outcome = ports.store.commit({ nodePart, {}, { { row, self.value() } } });
-    if (outcome.status != jobs::TransactionStatus::Done)
-        logEvent("node.not_registered", { { "detail", outcome.detail } }, LogLevel::Warning);
+    nextRegistration = Deadline::after(clock.now(), jobs::nodeRegistrationPeriod);
+    const auto outcome = ports.store.commit(jobs::registrationOf(self, settings.peerAddress, wallClockMilliseconds()));
+    if (outcome.status == jobs::TransactionStatus::Done)
+        return;
+    nextRegistration = Deadline::after(clock.now(), Duration {});
+    logEvent("node.not_registered", { { "detail", outcome.detail } }, LogLevel::Warning);
+}
+
+/// Only the owner of the machine part does this, so that the nodes don't all write the same.
+void JobNode::State::removeGoneNodes(const jobs::NodeTable& table)
+{
+    if (!ownsMachinePart)
+        return;
+    for (const jobs::PartTransaction& removal : table.removalsOfGoneNodes(clock.now())) {
+        const auto outcome = ports.store.commit(removal);
+        const bool isRemoved = outcome.status == jobs::TransactionStatus::Done;
+        logEvent("nodes.removed",
+            { { "rows", removal.writes.size() }, { "first", removal.writes.front().row.key },
+                { "outcome", isRemoved ? "done" : "not now" }, { "detail", outcome.detail } });
+        metrics.increment("rattanrack_node_rows_removed_total", {}, isRemoved ? removal.writes.size() : 0);
+    }
 }
 
 void JobNode::State::watchMembers()
 {
     registerSelf();
-    loopUntilStopped(membersPeriod, [this] {
+    jobs::NodeTable table;
+    loopUntilStopped(membersPeriod, [this, &table] {
         readAssignmentsIfDue();
-        auto rows = valueOrNothing([&] { return ports.store.read({ nodeTable, nodePart, {} }); });
+        const TimePoint requestedAt = clock.now();
+        const auto rows = valueOrNothing([&] { return jobs::readAll(ports.store, jobs::nodeTable, jobs::nodePart); });
         if (!rows)
             return;
-        bool isListed = false;
-        std::vector<std::string> addresses;
-        for (const jobs::PartRow& row : rows->rows) {
-            isListed = isListed || row.row.key == settings.peerAddress;
-            addresses.push_back(row.row.key);
-        }
-        if (!isListed)
+        table.setRows(rows->rows, requestedAt, wallClockMilliseconds());
+        if (!table.contains(settings.peerAddress) || nextRegistration.hasPassed(clock.now()))
             registerSelf();
+        removeGoneNodes(table);
+        const auto addresses = table.addresses();
         network->setNodeCount(addresses.size());
-        control.post([this, addresses = std::move(addresses)] {
-            for (const std::string& address : addresses)
-                ownership.addAddress(address);
-        });
+        metrics.setGauge("rattanrack_node_rows", {}, static_cast<double>(addresses.size()));
+        for (const std::string& address : table.removedAddresses())
+            network->disconnect(address);
+        control.post([this, addresses] { ownership.setListedAddresses(addresses, clock.now()); });
     });
 }
 
