A machine that is gone takes no place among those that are down

Change: machinesDown and drainingMachines leave out machines that are gone by ListMembership.

Shown: MaintenanceScheduler.MachineThatIsRemovedWhileItIsDownTakesNoPlaceIn ItsWave, red before.

--- a/packages/jobs/src/maintenance_scheduler.cpp
+++ b/packages/jobs/src/maintenance_scheduler.cpp
@@ -129,7 +129,7 @@
     int down = 0;
     for (const MachineId& machine : wave.request.machines) {
         const auto found = m_machines.find(machine);
-        if (found == m_machines.end())
+        if (found == m_machines.end() || found->second.membership.isGone(removalDelay))
             continue;
         const TrackedMachine& tracked = found->second;
         down += tracked.isTakenDown || tracked.isCommandInFlight || tracked.machine.state == MachineState::Maintenance
@@ -305,7 +305,8 @@
 {
     std::set<MachineId> machines = m_machinesToDrain;
     for (const auto& [id, tracked] : m_machines) {
-        if (tracked.isTakenDown || tracked.isCommandInFlight)
+        const bool isDown = tracked.isTakenDown && !tracked.membership.isGone(removalDelay);
+        if (isDown || tracked.isCommandInFlight)
             machines.insert(id);
     }
     return machines;
--- a/packages/jobs/tests/maintenance_scheduler_tests.cpp
+++ b/packages/jobs/tests/maintenance_scheduler_tests.cpp
@@ -314,6 +314,29 @@
     EXPECT_TRUE(wave.isCompletedAt(5200ms));
 }
 
+/// It would count as down for ever, and the others of its wave would wait for it.
+TEST(MaintenanceScheduler, MachineThatIsRemovedWhileItIsDownTakesNoPlaceInItsWave)
+{
+    const TimePoint begin { 1000s };
+    const auto machine = [](const char* name) {
+        return Machine { MachineId { name }, PoolId { "standby" }, MachineState::Up, "a", "r",
+            { Millicores { 1 }, {}, {} }, WorkerId { name } };
+    };
+    MaintenanceScheduler scheduler { {}, TimePoint {} };
+    scheduler.setWaves({ { 1, { MachineId { "m1" }, MachineId { "m2" } }, 60s, 1 } }, 0, begin);
+    scheduler.setMachines({ machine("m1"), machine("m2") }, begin, begin);
+    const auto first = scheduler.advance(begin, 0).commands;
+    ASSERT_EQ(first.size(), 1U);
+    scheduler.onResult(first[0], MachineCommandStatus::Done, begin);
+    const Machine other = machine(first[0].machine == MachineId { "m1" } ? "m2" : "m1");
+    scheduler.setMachines({ other }, begin + 1s, begin + 1s);
+    EXPECT_TRUE(scheduler.advance(begin + 1s, 1000).commands.empty()); // It may be down.
+    scheduler.setMachines({ other }, begin + 6s, begin + 6s);
+    const auto next = scheduler.advance(begin + 6s, 6000).commands;
+    ASSERT_EQ(next.size(), 1U);
+    EXPECT_EQ(next[0].machine, other.id);
+}
+
 /// A node that takes the machines over has neither list nor history.
 TEST(MaintenanceScheduler, NextOwnerDoesNotTakeAMachineForRemovedByItsFirstList)
 {
