Another worker at a listed address counts as a crash, not as an end

Cause: a 421 at the address of a worker that this owner had not contacted there ended nothing, rightly, but was no evidence of a crash either, so that what crashed the worker under an earlier owner stayed undecided.

Change: such a 421 counts as a crash for the verdict on tasks, and the worker as silent. Also: a const that kept a return from moving (lint).

--- a/packages/jobs/src/cell_state.h
+++ b/packages/jobs/src/cell_state.h
@@ -221,7 +221,8 @@
     void recordReplacedWorkers(TimePoint now);
 
     /// Another worker responds at the address in the worker's row. That ends the worker's runs if the worker itself has
-    /// responded there; otherwise the row may be wrong. Returns whether the runs have ended.
+    /// responded there; otherwise the row may be wrong, and it only counts as a crash. Returns whether the runs have
+    /// ended.
     bool onOtherWorkerAtAddress(Worker& worker, TimePoint now);
     TimePoint latestStart(const Worker& worker, const PollReport& report, TimePoint now) const;
     void sendPolls(TimePoint now, bool mayRenew);
--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -125,11 +125,14 @@
 bool CellState::onOtherWorkerAtAddress(Worker& worker, TimePoint now)
 {
     const bool hasRespondedThere = worker.lastPollSentAt > worker.addressListedAt;
-    if (hasRespondedThere)
+    if (hasRespondedThere) {
         onWorkerLost(worker, "another worker responds at its address", now);
-    else if (worker.contact == WorkerContact::Responsive)
+        return true;
+    }
+    if (worker.contact == WorkerContact::Responsive)
         worker.contact = WorkerContact::Unresponsive;
-    return hasRespondedThere;
+    recordRestart(worker, std::max(worker.incarnationUnixMs, worker.description.incarnationUnixMs) + 1, now);
+    return false;
 }
 
 /// The clock of a new incarnation may start at any value, and an owner that has been replaced must not take such an
@@ -197,7 +200,7 @@
         if (result.refusal == RefusalReason::StaleFence)
             state.recordHigherFence(command.worker, now);
         const bool isUnanswered = result.status == CommandStatus::NoResponse || result.status == CommandStatus::NotSent;
-        worker.isSilent = isUnanswered;
+        worker.isSilent = isUnanswered || result.status == CommandStatus::WrongWorker;
         if (isUnanswered && command.incarnationUnixMs == worker.incarnationUnixMs)
             state.recordContactLoss(
                 worker, { result.receivedAt == TimePoint {} ? now : result.receivedAt, result.isConnectionEnded }, now);
--- a/packages/jobs/src/worker_state.h
+++ b/packages/jobs/src/worker_state.h
@@ -52,7 +52,7 @@
     TimePoint firstListedAt {}; ///< When a list first showed this incarnation.
     TimePoint addressListedAt {}; ///< When a list first showed its current address.
     WorkerContact contact { WorkerContact::Unknown };
-    bool isSilent { false }; ///< The latest poll got no response.
+    bool isSilent { false }; ///< The latest poll got no response of this worker.
     LeaseClock clock;
     std::int64_t incarnationUnixMs { 0 };
     TimePoint startedAtLatest {}; ///< Latest possible start of the incarnation that responds.
--- a/packages/jobs/tests/foreign_entry_tests.cpp
+++ b/packages/jobs/tests/foreign_entry_tests.cpp
@@ -24,7 +24,7 @@
 
 StartCommand startRun(CellHarness& harness)
 {
-    const StartCommand start = harness.submitAndTakeStart("a");
+    StartCommand start = harness.submitAndTakeStart("a");
     harness.respond(start, CommandStatus::Done);
     harness.advance(10ms);
     return start;
