A later worker proves a crash from its first answer on

Change: a later worker of the machine counts once it has answered, whether or not it answers now and whether or not the earlier row is still listed. The earlier worker must not answer, as before.

--- a/packages/jobs/src/cell_workers.cpp
+++ b/packages/jobs/src/cell_workers.cpp
@@ -96,28 +96,23 @@
 }
 
 /// A row may have been written by something else than the worker that it names, and the machine that it names is a
-/// claim of its writer. It counts as a crash of an earlier worker of the machine only if the later worker itself
-/// responds and the earlier one does not, and it never proves the end of a run.
+/// claim of its writer. It counts as a crash of an earlier worker of the machine only if the later worker itself has
+/// responded and the earlier one does not, and it never proves the end of a run.
 void CellState::recordReplacedWorkers(TimePoint now)
 {
-    const auto hasResponded = [](const Worker& worker) {
-        return worker.isListed && worker.contact == WorkerContact::Responsive
-            && worker.incarnationUnixMs == worker.description.incarnationUnixMs;
-    };
-    std::map<MachineId, const Worker*> latest;
+    std::map<MachineId, std::int64_t> latestUnixMs; ///< Of the workers that have responded.
     for (const auto& [id, worker] : workers) {
-        if (!hasResponded(worker) || worker.description.machine.isEmpty())
-            continue;
-        const Worker*& known = latest[worker.description.machine];
-        if (!known || known->incarnationUnixMs < worker.incarnationUnixMs)
-            known = &worker;
+        if (worker.incarnationUnixMs > 0 && !worker.description.machine.isEmpty()) {
+            std::int64_t& latest = latestUnixMs[worker.description.machine];
+            latest = std::max(latest, worker.incarnationUnixMs);
+        }
     }
     for (auto& [id, worker] : workers) {
-        if (worker.isListed || !(worker.isSilent || worker.contact == WorkerContact::Unknown))
+        if (!worker.isSilent && worker.contact != WorkerContact::Unknown)
             continue;
         const std::int64_t earlierUnixMs = std::max(worker.incarnationUnixMs, worker.description.incarnationUnixMs);
-        const auto later = latest.find(worker.description.machine);
-        if (later != latest.end() && later->second->incarnationUnixMs > earlierUnixMs)
+        const auto latest = latestUnixMs.find(worker.description.machine);
+        if (latest != latestUnixMs.end() && latest->second > earlierUnixMs)
             recordRestart(worker, earlierUnixMs + 1, now);
     }
 }
